--- a/examples/__init__.py
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples: the demo, and each coordination part embedded alone."""
