Grow the shared types from what the parts needed; runner without polling

The runner polled every 20 ms, since a synchronous post could not wake its timer. Its post is a coroutine now, so an earlier wake cuts the sleep short and an idle process sleeps until something is due. Tickets gained confirmations of queueing and release, because a lost release would hold a slot until a timeout.

--- a/src/medlarfork/configuration.py
+++ b/src/medlarfork/configuration.py
@@ -11,6 +11,9 @@
 DEFAULT_LEASE_S = 3.0
 """How long an engine or service that falls silent still receives work, in seconds."""
 
+LOWEST_TIER = 8
+"""The tier of the lowest priority."""
+
 
 class ServiceKind(enum.StrEnum):
     """Tell model engines, spoken to with the OpenAI API, from plain HTTP services."""
@@ -76,6 +79,10 @@
     preemptible: bool = False
 
 
+DEFAULT_CLASS = RequestClass(name="default", tier=LOWEST_TIER, precedence=-1_000_000)
+"""The class of requests that no declared class matches."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """Declare a service and which upstreams answer it.
@@ -173,8 +180,9 @@
 
     @functools.cached_property
     def class_by_name(self) -> dict[str, RequestClass]:
-        """Return the request classes, keyed by name."""
-        return {request_class.name: request_class for request_class in self.classes}
+        """Return the request classes and the default one, keyed by name."""
+        declared = {request_class.name: request_class for request_class in self.classes}
+        return {DEFAULT_CLASS.name: DEFAULT_CLASS, **declared}
 
     @functools.cached_property
     def service_by_name(self) -> dict[str, Service]:
@@ -204,3 +212,28 @@
     def route_selectors(self) -> tuple[labels.Selector, ...]:
         """Return the parsed selectors of ``routes``, in the same order."""
         return tuple(labels.Selector.parse(item.selector) for item in self.routes)
+
+    @functools.cached_property
+    def ranked_classes(self) -> tuple[tuple[RequestClass, labels.Selector], ...]:
+        """Return the classes with their selectors, highest precedence first."""
+        pairs = zip(self.classes, self.class_selectors, strict=True)
+        return tuple(sorted(pairs, key=lambda pair: -pair[0].precedence))
+
+    @functools.cached_property
+    def ranked_routes(self) -> tuple[tuple[Route, labels.Selector], ...]:
+        """Return the routes with their selectors, highest precedence first."""
+        pairs = zip(self.routes, self.route_selectors, strict=True)
+        return tuple(sorted(pairs, key=lambda pair: -pair[0].precedence))
+
+    @functools.cached_property
+    def calls_by_service(self) -> dict[str, tuple[Call, ...]]:
+        """Return the calls of each service in declared order, keyed by the service's name."""
+        by_service: dict[str, list[Call]] = {}
+        for call in self.calls:
+            by_service.setdefault(call.service, []).append(call)
+        return {service: tuple(calls) for service, calls in by_service.items()}
+
+    @functools.cached_property
+    def values_by_label_key(self) -> dict[str, tuple[str, ...]]:
+        """Return the values of the declared label keys (empty: any), keyed by label key."""
+        return {label_key.key: label_key.values for label_key in self.label_keys}
--- a/src/medlarfork/entry_types.py
+++ b/src/medlarfork/entry_types.py
@@ -21,7 +21,8 @@
     """Hold a caller's request as it came off the connection.
 
     Attributes:
-        request_id: Made by the entry host; unique over connections, hosts and restarts.
+        request_id: Made by the entry host as a UUIDv7; unique over connections, hosts and
+            restarts. It also serves as the idempotency key of a caller that gave none.
         method: HTTP method in upper case.
         path: Path without the query.
         query: Query string without the question mark.
@@ -113,9 +114,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamSeen:
-    """Message between entry hosts: an announcement passed on to a pool's owner or standby."""
+    """Message between entry hosts: an announcement passed on to a pool's owner or standby.
+
+    ``age_s`` is how long ago it was heard, so that passing it on does not prolong the lease.
+    """
 
     announcement: upstream.Announcement
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +136,9 @@
         timeout_s: When to give the attempt up, in seconds from now.
         assemble: True to ask for a stream although the caller wants a whole answer, so that the
             answer can be paused and resumed.
+        key: Idempotency key to pass on to the upstream and to return to the caller; empty for a
+            repeatable request.
+        tier: Priority to tell the upstream.
     """
 
     request_id: str
@@ -140,6 +148,8 @@
     resume_offset: int = 0
     timeout_s: float = 600.0
     assemble: bool = False
+    key: str = ""
+    tier: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/errors.py
+++ b/src/medlarfork/errors.py
@@ -20,6 +20,7 @@
     DRAINING = "draining"
     HEADER_TOO_LARGE = "header_too_large"
     INVALID_API_KEY = "invalid_api_key"
+    JOURNAL_FAILED = "journal_failed"
     KEY_EXPIRED = "key_expired"
     KEY_REUSED = "key_reused"
     LINK = "link"
@@ -81,6 +82,12 @@
     code = Code.DAMAGED_JOURNAL
 
 
+class JournalError(MedlarError):
+    """Report a data folder that can't be used, or a write to it that failed."""
+
+    code = Code.JOURNAL_FAILED
+
+
 class LinkError(MedlarError):
     """Report a link between processes that can't be opened or authenticated."""
 
@@ -93,13 +100,75 @@
     code = Code.BAD_REQUEST
 
 
+class CallerGoneError(HttpLimitError):
+    """Report a caller that closed, reset or stopped reading its connection."""
+
+
 class UpstreamError(MedlarError):
-    """Report an upstream that refused, failed or was cut."""
+    """Report an upstream that refused, failed or was cut.
+
+    Attributes:
+        request_sent: Whether any byte of the request may have left.
+    """
 
     code = Code.UPSTREAM_FAILED
+    request_sent = True
+
+
+class RequestNotSentError(UpstreamError):
+    """Report a request of which no byte left: the upstream can't have run it."""
+
+    request_sent = False
 
 
 class OperatorError(MedlarError):
     """Report an operators' request that was refused."""
 
     code = Code.BAD_REQUEST
+
+
+class ControlUnreachableError(OperatorError):
+    """Report that no control leader could be reached in time."""
+
+    code = Code.NOT_LEADER
+
+
+class ModelNotFoundError(MedlarError):
+    """Report a request for a model that no service lists."""
+
+    code = Code.MODEL_NOT_FOUND
+
+
+class ServiceNotFoundError(MedlarError):
+    """Report a request for a service that is not declared."""
+
+    code = Code.NOT_FOUND
+
+
+class RequestLabelsError(MedlarError):
+    """Report request labels that a caller may not use."""
+
+    code = Code.BAD_REQUEST
+
+
+class RequestRefusedError(MedlarError):
+    """Report a caller's request that is refused before anything of it has run.
+
+    Attributes:
+        status: The HTTP status to answer with.
+        headers: Headers beyond those of every answer.
+    """
+
+    def __init__(
+        self,
+        problem: str,
+        *,
+        remedy: str,
+        code: Code,
+        status: int,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Build the error."""
+        super().__init__(problem, remedy=remedy, code=code)
+        self.status = status
+        self.headers = headers or {}
--- a/src/medlarfork/heartbeat.py
+++ b/src/medlarfork/heartbeat.py
@@ -69,6 +69,7 @@
         whole: The whole configuration, if the sender's revision is unknown or too old.
         delta: The change since the sender's revision, if that is shorter.
         view: The current view, if the sender's is older.
+        incarnation: The heartbeat's incarnation; a reply to an earlier one proves nothing now.
     """
 
     number: int
@@ -77,6 +78,7 @@
     whole: RevisionedConfiguration | None = None
     delta: ConfigurationDelta | None = None
     view: member.View | None = None
+    incarnation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/labels.py
+++ b/src/medlarfork/labels.py
@@ -66,7 +66,11 @@
 
     def matches(self, labels: Mapping[str, str]) -> bool:
         """Return whether the labels meet every requirement."""
-        return all(_meets(requirement, labels) for requirement in self.requirements)
+        # A plain loop: every request meets every class's selector until one matches.
+        for requirement in self.requirements:  # noqa: SIM110
+            if not _meets(requirement, labels):
+                return False
+        return True
 
     def overlaps(self, other: Selector) -> bool:
         """Return whether some label set could match both selectors."""
@@ -123,15 +127,16 @@
 
 
 def _meets(requirement: Requirement, labels: Mapping[str, str]) -> bool:
+    # Patterns without captures, since every request runs this for many requirements.
     match requirement:
-        case OneOf(key, values):
-            return labels.get(key) in values
-        case NoneOf(key, values):
-            return labels.get(key) not in values
-        case Present(key):
-            return key in labels
-        case Absent(key):
-            return key not in labels
+        case OneOf():
+            return labels.get(requirement.key) in requirement.values
+        case NoneOf():
+            return labels.get(requirement.key) not in requirement.values
+        case Present():
+            return requirement.key in labels
+        case Absent():
+            return requirement.key not in labels
 
 
 def _disjoint(first: Requirement, second: Requirement) -> bool:
--- a/src/medlarfork/replica_types.py
+++ b/src/medlarfork/replica_types.py
@@ -71,6 +71,15 @@
     proposal_id: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VotersChanged:
+    """Action: a membership is committed; ``proposal_id`` is set as in ``Apply``."""
+
+    index: int
+    voters: Voters
+    proposal_id: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProposalRefused:
     """Action: this replica does not lead; the proposal may still commit if ``uncertain``."""
--- a/src/medlarfork/runner.py
+++ b/src/medlarfork/runner.py
@@ -1,47 +1,48 @@
-"""Run a node: hand it events with the time, and perform what it returns."""
+"""Run a node under curio: hand it events with the time, and perform what it returns."""
 
 from __future__ import annotations
 
+import collections
 import heapq
+import math
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
 
 from medlarfork import node
 
-_POLL_S = 0.02
-"""Longest sleep of the timer: how late an earlier wake may be noticed, in seconds."""
-
 
 class Runner:
-    """Drive one node from curio tasks of one thread.
+    """Drive one node from the curio tasks of one thread.
 
-    ``post`` is synchronous, so events are handled one at a time in the order they are posted,
-    and an event posted while another is being handled waits its turn.
+    Events are handled one at a time in the order in which they are posted, and actions are begun
+    in the order in which the node returned them. ``perform`` must not wait for anything that
+    rests on a later action; it may wake tasks and put to queues.
     """
 
     def __init__(
         self,
         driven: node.Node,
         *,
-        perform: Callable[[Any], None],
+        perform: Callable[[Any], Awaitable[None]],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Wire the node to ``perform``, which is called with every action but ``node.Wake``."""
+        """Wire the node to ``perform``, which gets every action but ``node.Wake``."""
         self._node = driven
         self._perform = perform
         self._clock = clock
+        self._actions: collections.deque[Any] = collections.deque()
         self._wakes: list[float] = []
-        self._waiting: list[Any] = []
-        self._handling = False
+        self._sleeping_until = -math.inf
+        self._earlier_wake = curio.Event()
         self._timer: curio.Task | None = None
 
     async def start(self) -> None:
         """Start the timer and post ``node.Started``."""
         self._timer = await curio.spawn(self._run_timer, daemon=True)
-        self.post(node.Started())
+        await self.post(node.Started())
 
     async def close(self) -> None:
         """Stop the timer; no ``TimeDue`` is posted afterwards."""
@@ -49,38 +50,40 @@
             await self._timer.cancel()
             self._timer = None
 
-    def post(self, event: Any) -> None:
-        """Handle an event now, or after the one being handled."""
-        self._waiting.append(event)
-        if self._handling:
-            return
-        self._handling = True
-        try:
-            while self._waiting:
-                self._handle(self._waiting.pop(0))
-        finally:
-            self._handling = False
-
-    def _handle(self, event: Any) -> None:
-        for action in self._node.handle(event, self._clock()):
+    async def post(self, event: Any) -> None:
+        """Handle an event and perform the actions it leads to."""
+        self._actions.extend(self._node.handle(event, self._clock()))
+        while self._actions:
+            action = self._actions.popleft()
             if isinstance(action, node.Wake):
-                heapq.heappush(self._wakes, action.at)
+                await self._wake_at(action.at)
             else:
-                self._perform(action)
+                await self._perform(action)
+
+    async def _wake_at(self, at: float) -> None:
+        heapq.heappush(self._wakes, at)
+        if at < self._sleeping_until:
+            await self._earlier_wake.set()
 
     async def _run_timer(self) -> None:
         while True:
-            await curio.sleep(self._delay())
+            await self._sleep()
             if self._wakes and self._wakes[0] <= self._clock():
                 self._drop_due()
-                self.post(node.TimeDue())
+                await self.post(node.TimeDue())
+
+    async def _sleep(self) -> None:
+        """Sleep until the earliest wake, or until an earlier one is asked for."""
+        self._earlier_wake.clear()
+        self._sleeping_until = self._wakes[0] if self._wakes else math.inf
+        if not self._wakes:
+            await self._earlier_wake.wait()
+            return
+        delay = self._wakes[0] - self._clock()
+        if delay > 0:
+            await curio.ignore_after(delay, self._earlier_wake.wait)
 
     def _drop_due(self) -> None:
         now = self._clock()
         while self._wakes and self._wakes[0] <= now:
             heapq.heappop(self._wakes)
-
-    def _delay(self) -> float:
-        if not self._wakes:
-            return _POLL_S
-        return min(max(0.0, self._wakes[0] - self._clock()), _POLL_S)
--- a/src/medlarfork/ticket.py
+++ b/src/medlarfork/ticket.py
@@ -47,6 +47,14 @@
     avoid: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queued:
+    """Confirm to the holder that a ticket is queued; it stops sending the ticket so often."""
+
+    ticket_id: str
+    pool: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Running:
     """Tell a new owner of a ticket that an earlier owner granted and that still runs."""
@@ -94,6 +102,14 @@
     tokens: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Released:
+    """Confirm a release, also that of a ticket that is not known; the holder stops resending."""
+
+    ticket_id: str
+    pool: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
     """Give a ticket one slot at one upstream."""
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,63 @@
+"""Decision modules stay pure: they import no socket, clock, logger or event loop."""
+
+import ast
+import pathlib
+
+import pytest
+
+SOURCE = pathlib.Path(__file__).parent.parent / "src" / "medlarfork"
+IMPURE_LIBRARIES = {
+    "absl",
+    "asyncio",
+    "curio",
+    "logging",
+    "opentelemetry",
+    "os",
+    "pathlib",
+    "secrets",
+    "select",
+    "socket",
+    "ssl",
+    "subprocess",
+    "threading",
+    "time",
+    "zmq",
+}
+DOORS = ("entry", "control", "replica", "pool", "fenced_lease", "orders", "order_planner", "relay")
+
+
+def imports_of(module):
+    tree = ast.parse((SOURCE / f"{module}.py").read_text())
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module == "medlarfork":
+            yield from (f"medlarfork.{alias.name}" for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module
+
+
+def reachable(door):
+    found, waiting = set(), [door]
+    while waiting:
+        module = waiting.pop()
+        if module in found:
+            continue
+        found.add(module)
+        waiting += [
+            name.removeprefix("medlarfork.")
+            for name in imports_of(module)
+            if name.startswith("medlarfork.")
+        ]
+    return found
+
+
+@pytest.mark.parametrize("door", DOORS)
+def test_no_decision_module_reaches_the_outside(door):
+    impure = {
+        (module, name)
+        for module in reachable(door)
+        for name in imports_of(module)
+        if name.split(".")[0] in IMPURE_LIBRARIES
+    }
+    assert impure == set()
