Check what operators write, and give them a command line

Every mistake in a file is listed in one pass with file, line, key and remedy; tomllib reports no lines, so a small scanner finds them. Two classes or routes that claim the same traffic are found by testing selectors for overlap; pairs that can't meet, given the account labels, are not reported.

--- /dev/null
+++ b/src/medlarfork/_ctl_commands.py
@@ -0,0 +1,242 @@
+"""Carry out the subcommands of ``medlarctl``."""
+
+from __future__ import annotations
+
+import dataclasses
+import difflib
+import hashlib
+import pathlib
+import time
+
+import curio
+
+from medlarfork import (
+    _ctl_render,
+    _ctl_types,
+    configuration_file,
+    errors,
+    keys,
+    operations,
+    operator_client,
+    order_types,
+    settings,
+    uuid7,
+)
+from medlarfork import configuration as configurations
+
+_POLL_S = 0.2
+"""Time between two looks at whether a revision is in force, in seconds."""
+
+_CONFLICT_TRIES = 8
+"""How often a drain is made anew because other changes come first."""
+
+_DRAIN_FIELD = {"upstream": "drained_upstreams", "entry": "drained_entries"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commands:
+    """Carry out one command line with a client."""
+
+    request: _ctl_types.Request
+    client: operator_client.OperatorClient
+    surroundings: _ctl_types.Surroundings
+
+    async def check(self, file: str) -> _ctl_types.Result:
+        """Check a configuration file."""
+        configuration_file.read(pathlib.Path(file))
+        return _ctl_types.Result({"file": file, "mistakes": 0}, f"{file}: no mistakes")
+
+    async def apply(self, file: str) -> _ctl_types.Result:
+        """Put a configuration file in force."""
+        wanted = configuration_file.read(pathlib.Path(file))
+        base = self.request.base_revision
+        current = await self.client.configuration()
+        self._note_undrained(current.configuration, wanted)
+        change_id = self.request.change_id or self._new_id()
+        base = current.revision if base is None else base
+        self.surroundings.note(f"change_id={change_id} base_revision={base}")
+        accepted = await self.client.apply(change_id, base, wanted)
+        return await self._accepted(accepted)
+
+    async def diff(self, file: str) -> _ctl_types.Result:
+        """Show what applying a file would change."""
+        wanted = configuration_file.read(pathlib.Path(file))
+        current = await self.client.configuration()
+        lines = difflib.unified_diff(
+            configuration_file.render(current.configuration).splitlines(),
+            configuration_file.render(wanted).splitlines(),
+            f"revision {current.revision}",
+            file,
+            lineterm="",
+        )
+        text = "\n".join(lines)
+        reply = {"revision": current.revision, "differs": bool(text), "diff": text}
+        return _ctl_types.Result(reply, text or f"{file} equals revision {current.revision}")
+
+    async def history(self) -> _ctl_types.Result:
+        """List the accepted changes."""
+        reply = await self.client.history()
+        return _ctl_types.Result(reply, _ctl_render.history(reply))
+
+    async def status(self) -> _ctl_types.Result:
+        """Show how each control host stands."""
+        reply_by_address: dict[str, operations.StatusReply] = {}
+        problem_by_address: dict[str, str] = {}
+        for address in self.request.settings.control:
+            try:
+                reply_by_address[address] = await self.client.status(address)
+            except errors.UpstreamError as error:
+                problem_by_address[address] = error.problem
+        led = any(reply.has_lease for reply in reply_by_address.values())
+        return _ctl_types.Result(
+            {"hosts": reply_by_address, "unreachable": problem_by_address},
+            _ctl_render.statuses(reply_by_address, problem_by_address),
+            _ctl_types.ExitStatus.OK if led else _ctl_types.ExitStatus.UNREACHABLE,
+        )
+
+    async def members(self) -> _ctl_types.Result:
+        """List the entry hosts."""
+        reply = await self.client.members()
+        return _ctl_types.Result(reply, _ctl_render.members(reply.members))
+
+    async def explain(self) -> _ctl_types.Result:
+        """Ask an entry host where a request would go, and why."""
+        asked = self.request
+        if not asked.account or bool(asked.model) == bool(asked.path):
+            raise _ctl_types.UsageError(
+                "explain needs an account and either a model or a path.",
+                remedy="Give --account=NAME and one of --model=NAME and --path=/services/....",
+            )
+        query = {"account": asked.account, "stream": "true" if asked.stream else "false"}
+        for key in ("model", "path", "method", "labels"):
+            if getattr(asked, key):
+                query[key] = getattr(asked, key)
+        reply = await self._explain(query)
+        return _ctl_types.Result(reply, _ctl_render.tree(reply))
+
+    async def drain(self, kind: str, member_id: str) -> _ctl_types.Result:
+        """Give an upstream no new work, or name an entry host to callers no more."""
+        return await self._change_drained(kind, member_id, drained=True)
+
+    async def undrain(self, kind: str, member_id: str) -> _ctl_types.Result:
+        """End a drain."""
+        return await self._change_drained(kind, member_id, drained=False)
+
+    async def hash_key(self) -> _ctl_types.Result:
+        """Print the digest of the API key on standard input."""
+        key = self.surroundings.read_input().strip()
+        if not key:
+            raise _ctl_types.UsageError(
+                "There is no key on standard input.",
+                remedy="Type the key, or send it through a pipe.",
+            )
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return _ctl_types.Result({"key_sha256": digest}, digest)
+
+    async def keygen(self, folder: str, name: str) -> _ctl_types.Result:
+        """Make the keys with which a process authenticates its links."""
+        secret, public = keys.generate(folder, name)
+        reply = {"secret": str(secret), "public": str(public)}
+        text = f"secret key: {secret}\npublic key: {public}"
+        return _ctl_types.Result(reply, text)
+
+    async def orders_list(self) -> _ctl_types.Result:
+        """List the orders to engines."""
+        reply = await self.client.orders()
+        return _ctl_types.Result(reply, _ctl_render.tree(reply))
+
+    async def orders_issue(self, file: str) -> _ctl_types.Result:
+        """Declare what some engines should hold; control orders it."""
+        desired = settings.load(pathlib.Path(file), order_types.DesiredState)
+        reply = await self.client.declare_order(desired)
+        return _ctl_types.Result(reply, _ctl_render.tree(reply))
+
+    async def voters_add(self, replica_id: str) -> _ctl_types.Result:
+        """Add a control replica."""
+        reply = await self.client.change_voters(add=replica_id)
+        return _ctl_types.Result(reply, f"added {replica_id}")
+
+    async def voters_remove(self, replica_id: str) -> _ctl_types.Result:
+        """Remove a control replica."""
+        reply = await self.client.change_voters(remove=replica_id)
+        return _ctl_types.Result(reply, f"removed {replica_id}")
+
+    async def _explain(self, query: dict[str, str]) -> object:
+        problem = "no entry host is named."
+        for address in self.request.settings.entry:
+            try:
+                return await self.client.explain(address, query)
+            except errors.UpstreamError as error:
+                problem = f"{address}: {error.problem}"
+        raise errors.ControlUnreachableError(
+            f"No entry host answered: {problem}",
+            remedy="Name entry hosts that run with --entry=http://IP:PORT.",
+        )
+
+    async def _change_drained(
+        self, kind: str, member_id: str, *, drained: bool
+    ) -> _ctl_types.Result:
+        if kind not in _DRAIN_FIELD:
+            raise _ctl_types.UsageError(
+                f"{kind!r} can't be drained.", remedy="Write upstream ID or entry ID."
+            )
+        for _ in range(_CONFLICT_TRIES - 1):
+            try:
+                return await self._try_drained(kind, member_id, drained)
+            except errors.OperatorError as error:
+                if error.code is not errors.Code.CHANGE_CONFLICT:
+                    raise
+                self.surroundings.note(f"made anew: {error.problem}")
+        return await self._try_drained(kind, member_id, drained)
+
+    async def _try_drained(self, kind: str, member_id: str, drained: bool) -> _ctl_types.Result:
+        current = await self.client.configuration()
+        field = _DRAIN_FIELD[kind]
+        ids = getattr(current.configuration, field)
+        if (member_id in ids) is drained:
+            word = "drained already" if drained else "not drained"
+            text = f"{kind} {member_id} is {word}; revision {current.revision} stays"
+            return _ctl_types.Result({"revision": current.revision, "changed": False}, text)
+        kept = tuple(item for item in ids if item != member_id)
+        changed = dataclasses.replace(
+            current.configuration, **{field: (*kept, member_id) if drained else kept}
+        )
+        accepted = await self.client.apply(self._new_id(), current.revision, changed)
+        return await self._accepted(accepted)
+
+    async def _accepted(self, accepted: operations.ChangeAccepted) -> _ctl_types.Result:
+        """Report an accepted change, after it is in force if that is asked for."""
+        text = f"accepted as revision {accepted.revision}"
+        reply = {"change_id": accepted.change_id, "revision": accepted.revision}
+        if not self.request.wait:
+            return _ctl_types.Result(reply, text)
+        state = await self._wait(accepted.revision)
+        in_time = not state.waiting
+        status = _ctl_types.ExitStatus.OK if in_time else _ctl_types.ExitStatus.NOT_IN_FORCE
+        text += f"\n{_ctl_render.in_force(state)}"
+        return _ctl_types.Result({**reply, "in_force": in_time, "at": state}, text, status)
+
+    async def _wait(self, revision: int) -> operations.InForceReply:
+        """Return once no live entry host lacks the revision, or when the time is up."""
+        give_up_at = time.monotonic() + self.request.settings.wait_s
+        while True:
+            state = await self.client.in_force(revision)
+            if not state.waiting or time.monotonic() >= give_up_at:
+                return state
+            await curio.sleep(_POLL_S)
+
+    def _note_undrained(
+        self, current: configurations.Configuration, wanted: configurations.Configuration
+    ) -> None:
+        """Warn where a file that does not list a drain ends it."""
+        for kind, field in _DRAIN_FIELD.items():
+            ended = set(getattr(current, field)) - set(getattr(wanted, field))
+            for member_id in sorted(ended):
+                self.surroundings.note(
+                    f"this ends the drain of {kind} {member_id}; "
+                    f"list it under deployment.{field} to keep it"
+                )
+
+    def _new_id(self) -> str:
+        random_bytes = self.surroundings.random_bytes(uuid7.RANDOM_BYTES)
+        return uuid7.make(self.surroundings.time_ms(), random_bytes)
--- /dev/null
+++ b/src/medlarfork/_ctl_flags.py
@@ -0,0 +1,176 @@
+"""Parse the command line of ``medlarctl``."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+from collections.abc import Sequence
+
+from absl import flags
+
+from medlarfork import _ctl_types, settings
+
+PROGRAM = "medlarctl"
+
+
+class HelpAsked(Exception):
+    """Carry the help text, which was asked for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Command:
+    """Describe one subcommand.
+
+    Attributes:
+        words: What the operator types.
+        arguments: Names of the arguments that follow.
+        method: Name of the method of ``_ctl_commands.Commands``.
+        summary: What it does.
+        needs_control: Whether it talks to control.
+    """
+
+    words: tuple[str, ...]
+    arguments: tuple[str, ...]
+    method: str
+    summary: str
+    needs_control: bool = True
+
+    def usage(self) -> str:
+        """Return how the command is typed."""
+        return " ".join((*self.words, *self.arguments))
+
+
+_COMMANDS = (
+    _Command(("check",), ("FILE",), "check", "check a configuration file", False),
+    _Command(("apply",), ("FILE",), "apply", "put a configuration file in force"),
+    _Command(("diff",), ("FILE",), "diff", "show what applying a file would change"),
+    _Command(("history",), (), "history", "list the accepted changes"),
+    _Command(("status",), (), "status", "show how the control hosts stand"),
+    _Command(("members",), (), "members", "list the entry hosts"),
+    _Command(("explain",), (), "explain", "show where a request would go, and why", False),
+    _Command(("drain",), ("upstream|entry", "ID"), "drain", "give it no new work"),
+    _Command(("undrain",), ("upstream|entry", "ID"), "undrain", "end a drain"),
+    _Command(("hash-key",), (), "hash_key", "print the digest of the key on input", False),
+    _Command(("keygen",), ("FOLDER", "NAME"), "keygen", "make a process's link keys", False),
+    _Command(("orders", "list"), (), "orders_list", "list the orders to engines"),
+    _Command(("orders", "issue"), ("FILE",), "orders_issue", "declare what engines should hold"),
+    _Command(("voters", "add"), ("ID",), "voters_add", "add a control replica"),
+    _Command(("voters", "remove"), ("ID",), "voters_remove", "remove a control replica"),
+)
+
+
+def parse(arguments: Sequence[str]) -> _ctl_types.Request:
+    """Return what the command line asks for.
+
+    Raises:
+        HelpAsked: It asks for help.
+        flags.Error: It has an unknown or malformed flag.
+        errors.MedlarError: Its command, arguments or settings file have mistakes.
+    """
+    values = _define()
+    words = values(list(arguments))[1:]
+    if values["help"].value or words[:1] == ["help"]:
+        raise HelpAsked(_help(values))
+    command = _find(words)
+    chosen = _settings(values)
+    if command.needs_control and not chosen.control:
+        raise _ctl_types.UsageError(
+            f"{' '.join(command.words)} needs the addresses of the control hosts.",
+            remedy="Give --control=http://IP:PORT,... or --settings=FILE.",
+        )
+    return _ctl_types.Request(
+        command=command.method,
+        arguments=tuple(words[len(command.words) :]),
+        settings=chosen,
+        **{name: values[name].value for name in _REQUEST_FLAGS},
+    )
+
+
+_REQUEST_FLAGS = (
+    "wait",
+    "change_id",
+    "base_revision",
+    "account",
+    "model",
+    "path",
+    "method",
+    "stream",
+    "labels",
+)
+
+
+def _define() -> flags.FlagValues:
+    """Return new flags, so that parsing twice in one process leaves nothing behind."""
+    values = flags.FlagValues()
+    # Flags may also follow the command.
+    values.set_gnu_getopt(True)
+    common = {"flag_values": values}
+    flags.DEFINE_bool("help", False, "show this text", short_name="h", **common)
+    flags.DEFINE_string("settings", None, "TOML file with the settings below", **common)
+    flags.DEFINE_list("control", None, "addresses of the control hosts", **common)
+    flags.DEFINE_list("entry", None, "addresses of entry hosts, for explain", **common)
+    flags.DEFINE_string("operator", None, "your name, for the history", **common)
+    flags.DEFINE_string("operator_key_file", None, "file that holds your key", **common)
+    flags.DEFINE_enum("output", None, ["text", "json"], "form of the output", **common)
+    flags.DEFINE_float("patience_s", None, "seconds to look for a leader", **common)
+    flags.DEFINE_float("wait_s", None, "seconds that --wait waits at most", **common)
+    flags.DEFINE_bool("wait", False, "return once the change is in force", **common)
+    flags.DEFINE_string("change_id", "", "id of a change that is sent again", **common)
+    flags.DEFINE_integer("base_revision", None, "revision the file was made from", **common)
+    flags.DEFINE_string("account", "", "explain: client account", **common)
+    flags.DEFINE_string("model", "", "explain: model asked for", **common)
+    flags.DEFINE_string("path", "", "explain: path asked for, /services/...", **common)
+    flags.DEFINE_string("method", "", "explain: HTTP method", **common)
+    flags.DEFINE_bool("stream", False, "explain: whether a stream is asked for", **common)
+    flags.DEFINE_string("labels", "", "explain: caller's labels, k=v,k2=v2", **common)
+    return values
+
+
+def _find(words: list[str]) -> _Command:
+    for command in _COMMANDS:
+        if tuple(words[: len(command.words)]) != command.words:
+            continue
+        if len(words) != len(command.words) + len(command.arguments):
+            raise _ctl_types.UsageError(
+                f"{' '.join(words)!r} has the wrong number of arguments.",
+                remedy=f"Write {PROGRAM} {command.usage()}.",
+            )
+        return command
+    typed = " ".join(words)
+    raise _ctl_types.UsageError(
+        f"There is no command {typed!r}." if typed else "No command is given.",
+        remedy="Use one of " + ", ".join(" ".join(item.words) for item in _COMMANDS) + ".",
+    )
+
+
+def _settings(values: flags.FlagValues) -> _ctl_types.CtlSettings:
+    chosen = _ctl_types.CtlSettings(operator=os.environ.get("USER", ""))
+    if values["settings"].value:
+        chosen = settings.load(pathlib.Path(values["settings"].value), _ctl_types.CtlSettings)
+    given = {
+        field.name: values[field.name].value
+        for field in dataclasses.fields(_ctl_types.CtlSettings)
+        if values[field.name].value is not None
+    }
+    for name in ("control", "entry"):
+        if name in given:
+            given[name] = tuple(given[name])
+    if "operator_key_file" in given:
+        given["operator_key_file"] = pathlib.Path(given["operator_key_file"])
+    if "output" in given:
+        given["output"] = _ctl_types.OutputFormat(given["output"])
+    return dataclasses.replace(chosen, **given)
+
+
+def _help(values: flags.FlagValues) -> str:
+    width = max(len(command.usage()) for command in _COMMANDS)
+    commands = "\n".join(f"  {item.usage().ljust(width)}  {item.summary}" for item in _COMMANDS)
+    options = "\n".join(
+        f"  --{name.ljust(width - 2)}  {values[name].help}" for name in values if len(name) > 1
+    )
+    numbered = "\n".join(f"  {item.value}  {item.meaning}" for item in _ctl_types.ExitStatus)
+    return (
+        f"usage: {PROGRAM} [flags] COMMAND\n\ncommands:\n{commands}\n\nflags:\n{options}"
+        f"\n\nexit status:\n{numbered}"
+    )
--- /dev/null
+++ b/src/medlarfork/_finding.py
@@ -0,0 +1,110 @@
+"""Describe what is wrong with a declared configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from medlarfork import _wording
+from medlarfork import configuration as configurations
+
+
+class FindingKind(enum.StrEnum):
+    """Identify a kind of finding to programs."""
+
+    BAD_DIGEST = "bad_digest"
+    BAD_NAME = "bad_name"
+    DUPLICATE = "duplicate"
+    FLOOR_SHARES = "floor_shares"
+    MATCHES_NOTHING = "matches_nothing"
+    MISSING_SERVICE = "missing_service"
+    OUT_OF_RANGE = "out_of_range"
+    PLAIN_WITH_MODELS = "plain_with_models"
+    PREEMPTIBLE = "preemptible"
+    RESERVED_LABEL = "reserved_label"
+    SAME_PRECEDENCE = "same_precedence"
+    SELECTOR_SYNTAX = "selector_syntax"
+    SHARED_MODEL = "shared_model"
+    TARGET = "target"
+    UNKNOWN_LABEL = "unknown_label"
+    UNKNOWN_VALUE = "unknown_value"
+    UNREACHABLE = "unreachable"
+    WRONG_KIND = "wrong_kind"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """Report one mistake in a configuration.
+
+    Attributes:
+        kind: What sort of mistake it is.
+        key: Where it is, such as ``class.counter.selector``.
+        problem: What is wrong, without a full stop.
+        remedy: What to do about it, as a full sentence.
+        place: The same as ``key`` by position: table, index within it, and field.
+    """
+
+    kind: FindingKind
+    key: str
+    problem: str
+    remedy: str
+    place: tuple[str | int, ...] = ()
+
+    def render(self) -> str:
+        """Return the finding as one line of text."""
+        return f"{self.key}: {_wording.join(self.problem, self.remedy)}"
+
+
+Declared = (
+    configurations.Account
+    | configurations.RequestClass
+    | configurations.Service
+    | configurations.Route
+    | configurations.Call
+    | configurations.LabelKey
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """Name one declared object and where it stands."""
+
+    table: str
+    index: int
+    value: Declared
+
+    @property
+    def name(self) -> str:
+        """Return what the object is known by."""
+        match self.value:
+            case configurations.Call(service, method, path):
+                return f"{service} {method} {path}"
+            case configurations.LabelKey(key):
+                return key
+            case _:
+                return self.value.name
+
+    def finding(self, kind: FindingKind, field: str, problem: str, remedy: str) -> Finding:
+        """Return a finding about one field of the object."""
+        name = f"{self.table}.{self.name}" if self.name else f"{self.table}[{self.index}]"
+        if isinstance(self.value, configurations.Call):
+            name = f"{self.table}[{self.index}]"
+        place = (self.table, self.index, *field.split("."))
+        return Finding(kind, f"{name}.{field}", problem, remedy, place)
+
+
+def items(configuration: configurations.Configuration) -> tuple[Item, ...]:
+    """Return every declared object."""
+    tables = {
+        "account": configuration.accounts,
+        "class": configuration.classes,
+        "service": configuration.services,
+        "route": configuration.routes,
+        "call": configuration.calls,
+        "label": configuration.label_keys,
+    }
+    return tuple(
+        Item(table, index, value)
+        for table, values in tables.items()
+        for index, value in enumerate(values)
+    )
--- /dev/null
+++ b/src/medlarfork/_selector_check.py
@@ -0,0 +1,179 @@
+"""Check selectors: that each can match something, and that no two claim the same requests."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from collections.abc import Iterator, Mapping
+
+from medlarfork import _finding, _label_domains, errors, labels
+from medlarfork import configuration as configurations
+
+_Kind = _finding.FindingKind
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Parsed:
+    """Hold an object with its selector, and the kind of service its requests go to, if fixed."""
+
+    item: _finding.Item
+    selector: labels.Selector
+    kind: configurations.ServiceKind | None = None
+
+
+def syntax_findings(items: tuple[_finding.Item, ...]) -> Iterator[_finding.Finding]:
+    """Yield a finding for each selector that does not parse."""
+    for item in items:
+        text = getattr(item.value, "selector", "")
+        try:
+            labels.Selector.parse(text)
+        except errors.SelectorSyntaxError as error:
+            problem = error.problem.rstrip(".")
+            yield item.finding(_Kind.SELECTOR_SYNTAX, "selector", problem, error.remedy)
+
+
+def findings(
+    configuration: configurations.Configuration, items: tuple[_finding.Item, ...]
+) -> Iterator[_finding.Finding]:
+    """Yield what is wrong with selectors; those that don't parse are passed over."""
+    routed = _label_domains.request_space(configuration, routed=True)
+    asked = _label_domains.request_space(configuration, routed=False)
+    classes = _parsed(configuration, items, configurations.RequestClass)
+    routes = _parsed(configuration, items, configurations.Route)
+    services = _parsed(configuration, items, configurations.Service)
+    yield from _request_selectors(classes, routed, "class")
+    yield from _request_selectors(routes, asked, "route")
+    yield from _upstream_selectors(services, configuration)
+
+
+def _parsed(
+    configuration: configurations.Configuration, items: tuple[_finding.Item, ...], kind: type
+) -> tuple[_Parsed, ...]:
+    found = []
+    for item in items:
+        if not isinstance(item.value, kind):
+            continue
+        try:
+            selector = labels.Selector.parse(item.value.selector)
+        except errors.SelectorSyntaxError:
+            continue
+        found.append(_Parsed(item, selector, _route_kind(configuration, item)))
+    return tuple(found)
+
+
+def _route_kind(
+    configuration: configurations.Configuration, item: _finding.Item
+) -> configurations.ServiceKind | None:
+    if not isinstance(item.value, configurations.Route):
+        return None
+    service = configuration.service_by_name.get(item.value.service)
+    return service.kind if service else None
+
+
+def _request_selectors(
+    parsed: tuple[_Parsed, ...], space: _label_domains.LabelSpace, noun: str
+) -> Iterator[_finding.Finding]:
+    domain_by_key = space.domain_by_key()
+    usable = []
+    for one in parsed:
+        wrong = tuple(_names(one, domain_by_key, "request")) or tuple(_reach(one, space, noun))
+        yield from wrong
+        if not wrong:
+            usable.append(one)
+    for first, second in itertools.combinations(usable, 2):
+        if _claim_the_same(first, second, space):
+            yield _same_precedence(first, second, noun)
+
+
+def _upstream_selectors(
+    parsed: tuple[_Parsed, ...], configuration: configurations.Configuration
+) -> Iterator[_finding.Finding]:
+    domain_by_key = _label_domains.upstream_domains(configuration)
+    for one in parsed:
+        unknown = tuple(_names(one, domain_by_key, "upstream"))
+        yield from unknown
+        requirements = one.selector.requirements
+        if not unknown and not _label_domains.satisfiable(requirements, domain_by_key):
+            yield _contradiction(one, "upstream")
+
+
+def _names(
+    one: _Parsed, domain_by_key: Mapping[str, _label_domains.Domain], carrier: str
+) -> Iterator[_finding.Finding]:
+    """Yield a finding for each label key and value that can't occur."""
+    for requirement in one.selector.requirements:
+        key = requirement.key
+        domain = domain_by_key.get(key)
+        if domain is None:
+            known = ", ".join(sorted(domain_by_key))
+            yield one.item.finding(
+                _Kind.UNKNOWN_LABEL,
+                "selector",
+                f"no {carrier} can carry the label {key}",
+                f"Use one of {known}, or declare {key} as a [[label]].",
+            )
+            continue
+        if domain.values is None:
+            continue
+        for value in sorted(getattr(requirement, "values", frozenset()) - domain.values):
+            yield one.item.finding(
+                _Kind.UNKNOWN_VALUE,
+                "selector",
+                f"the label {key} never has the value {value}",
+                f"Use one of {_some(domain.values)}, or declare {value} first.",
+            )
+
+
+def _reach(one: _Parsed, space: _label_domains.LabelSpace, noun: str) -> Iterator[_finding.Finding]:
+    requirements = one.selector.requirements
+    if not _label_domains.satisfiable(requirements, space.domain_by_key()):
+        yield _contradiction(one, "request")
+    elif not space.has_account(requirements):
+        yield one.item.finding(
+            _Kind.UNREACHABLE,
+            "selector",
+            f"no account's requests can reach this {noun}",
+            "Give an account the labels that the selector asks for, or change the selector.",
+        )
+    elif not space.has_target(requirements, one.kind):
+        yield one.item.finding(
+            _Kind.UNREACHABLE,
+            "selector",
+            f"no model, service or call leads to this {noun}",
+            "Declare a model, service or call whose labels the selector asks for.",
+        )
+
+
+def _contradiction(one: _Parsed, carrier: str) -> _finding.Finding:
+    return one.item.finding(
+        _Kind.MATCHES_NOTHING,
+        "selector",
+        f"its terms contradict each other, so it matches no {carrier}",
+        "Remove one of the terms on the same label.",
+    )
+
+
+def _claim_the_same(first: _Parsed, second: _Parsed, space: _label_domains.LabelSpace) -> bool:
+    if first.item.value.precedence != second.item.value.precedence:
+        return False
+    if first.kind is not second.kind or not first.selector.overlaps(second.selector):
+        return False
+    both = first.selector.requirements + second.selector.requirements
+    return space.has_account(both) and space.has_target(both, first.kind)
+
+
+def _same_precedence(first: _Parsed, second: _Parsed, noun: str) -> _finding.Finding:
+    return second.item.finding(
+        _Kind.SAME_PRECEDENCE,
+        "selector",
+        f"{noun} {first.item.name} can match the same requests at the same precedence, "
+        f"{first.item.value.precedence}",
+        "Give the two different precedence, or make their selectors exclude each other.",
+    )
+
+
+def _some(values: frozenset[str]) -> str:
+    """Return the values as text, cut short where there are many."""
+    shown = sorted(values)[:12]
+    more = len(values) - len(shown)
+    return ", ".join(shown) + (f" and {more} more" if more else "")
--- /dev/null
+++ b/src/medlarfork/configuration_file.py
@@ -0,0 +1,235 @@
+"""Read and write the declared configuration as TOML."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+import pathlib
+import re
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from medlarfork import configuration as configurations
+from medlarfork import configuration_check, errors, settings
+
+_INDEPENDENT_FIELDS = frozenset(
+    {
+        "allow_undated_keys",
+        "deadline_s",
+        "engine_lease_s",
+        "first_token_target_s",
+        "floor_share",
+        "limits",
+        "preemptible",
+        "repeatable",
+        "shards",
+        "slots",
+        "tier",
+        "weight",
+        "whole_target_s",
+    }
+)
+"""Fields that no other object refers to, so a mistake in one hides nothing elsewhere."""
+
+_COMPARING_KINDS = frozenset(
+    {
+        configuration_check.FindingKind.FLOOR_SHARES,
+        configuration_check.FindingKind.SAME_PRECEDENCE,
+    }
+)
+"""Kinds that compare the objects of one table with each other."""
+
+_RELATING_KINDS = frozenset(
+    {
+        configuration_check.FindingKind.PREEMPTIBLE,
+        configuration_check.FindingKind.TARGET,
+    }
+)
+"""Kinds that compare the fields of one object with each other."""
+
+_RELATED_FIELDS = frozenset(
+    {"deadline_s", "first_token_target_s", "preemptible", "repeatable", "whole_target_s"}
+)
+"""The fields that such kinds compare."""
+
+_BARE_KEY = re.compile(r"[A-Za-z0-9_-]+")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Deployment:
+    """Mirror the table ``[deployment]``."""
+
+    name: str = ""
+    engine_lease_s: float = configurations.DEFAULT_LEASE_S
+    allow_undated_keys: bool = True
+    drained_upstreams: tuple[str, ...] = ()
+    drained_entries: tuple[str, ...] = ()
+
+
+def _table(key: str) -> Any:
+    """Return a field for an array of tables that the file names in the singular."""
+    return dataclasses.field(default=(), metadata={"key": key})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _File:
+    """Mirror the whole file."""
+
+    deployment: _Deployment = _Deployment()
+    label_keys: tuple[configurations.LabelKey, ...] = _table("label")
+    accounts: tuple[configurations.Account, ...] = _table("account")
+    classes: tuple[configurations.RequestClass, ...] = _table("class")
+    services: tuple[configurations.Service, ...] = _table("service")
+    routes: tuple[configurations.Route, ...] = _table("route")
+    calls: tuple[configurations.Call, ...] = _table("call")
+
+
+def read(path: pathlib.Path) -> configurations.Configuration:
+    """Read a configuration file and check it as a whole.
+
+    Raises:
+        errors.ConfigurationError: The file can't be read or has mistakes; the message lists all
+            of them, each with its line, key and remedy.
+    """
+    try:
+        document = settings.read_document(path)
+    except errors.SettingsError as error:
+        raise errors.ConfigurationError(error.problem, remedy=error.remedy) from error
+    conversion = settings.convert(document, _File)
+    configuration = _configuration(conversion.value or _File())
+    mistakes = [document.mistake(fault) for fault in conversion.faults]
+    for finding in configuration_check.check(configuration):
+        if _stands(finding, conversion):
+            mistakes.append(_mistake(document, finding, conversion))
+    if mistakes:
+        raise settings.mistakes_error(path, mistakes, errors.ConfigurationError)
+    return configuration
+
+
+def render(configuration: configurations.Configuration) -> str:
+    """Return the configuration as TOML text that ``read`` turns back into an equal one."""
+    blocks = [_block("[deployment]", _deployment(configuration))]
+    for field in dataclasses.fields(_File):
+        if "key" in field.metadata:
+            header = f"[[{field.metadata['key']}]]"
+            blocks += [_block(header, item) for item in getattr(configuration, field.name)]
+    return "\n".join(blocks)
+
+
+def _configuration(file: _File) -> configurations.Configuration:
+    deployment = {
+        field.name: getattr(file.deployment, field.name)
+        for field in dataclasses.fields(_Deployment)
+    }
+    return configurations.Configuration(
+        **deployment,
+        accounts=file.accounts,
+        classes=file.classes,
+        services=file.services,
+        routes=file.routes,
+        calls=file.calls,
+        label_keys=file.label_keys,
+    )
+
+
+def _deployment(configuration: configurations.Configuration) -> _Deployment:
+    names = (field.name for field in dataclasses.fields(_Deployment))
+    return _Deployment(**{name: getattr(configuration, name) for name in names})
+
+
+def _stands(finding: configuration_check.Finding, conversion: settings.Conversion[_File]) -> bool:
+    """Return whether a finding can't be a mere consequence of a fault already listed."""
+    faulty = {fault.path[:2] for fault in conversion.faults}
+    complete = not conversion.dropped and all(
+        fault.path[2:3] and fault.path[2] in _INDEPENDENT_FIELDS for fault in conversion.faults
+    )
+    if finding.kind in configuration_check.WHOLE_KINDS:
+        return complete
+    if finding.kind in _COMPARING_KINDS:
+        return not any(path[0] == finding.place[0] for path in faulty)
+    place = _file_place(conversion, finding)
+    if place in {fault.path[: len(place)] for fault in conversion.faults}:
+        return False
+    faulty_fields = {
+        fault.path[2]
+        for fault in conversion.faults
+        if fault.path[:2] == place[:2] and fault.path[2:]
+    }
+    return finding.kind not in _RELATING_KINDS or not faulty_fields & _RELATED_FIELDS
+
+
+def _mistake(
+    document: settings.Document,
+    finding: configuration_check.Finding,
+    conversion: settings.Conversion[_File],
+) -> settings.Mistake:
+    line = document.lines.line(_file_place(conversion, finding))
+    return settings.Mistake(line, finding.key, finding.problem, finding.remedy)
+
+
+def _file_place(
+    conversion: settings.Conversion[_File], finding: configuration_check.Finding
+) -> tuple[str | int, ...]:
+    """Return a finding's place by its position in the file, where elements were left out."""
+    place = finding.place
+    if len(place) < 2 or not isinstance(place[1], int):
+        return place
+    table, index, *rest = place
+    for dropped in sorted(path for path in conversion.dropped if path[:1] == (table,)):
+        if len(dropped) == 2 and dropped[1] <= index:
+            index += 1
+    return (table, index, *rest)
+
+
+def _block(header: str, item: Any) -> str:
+    return "\n".join((header, *_assignments(item), ""))
+
+
+def _assignments(item: Any) -> Iterator[str]:
+    """Yield a line for each field that differs from its default."""
+    for field in dataclasses.fields(item):
+        value = getattr(item, field.name)
+        default = field.default
+        if field.default_factory is not dataclasses.MISSING:
+            default = field.default_factory()
+        if value != default:
+            yield f"{field.name} = {_value(value)}"
+
+
+def _value(value: Any) -> str:
+    match value:
+        case enum.Enum():
+            return _text(value.value)
+        case bool():
+            return "true" if value else "false"
+        case int() | float():
+            return repr(value)
+        case str():
+            return _text(value)
+        case tuple():
+            return _array(value)
+        case dict():
+            return _inline(f"{_key(key)} = {_value(inner)}" for key, inner in value.items())
+        case _:
+            return _inline(_assignments(value))
+
+
+def _array(values: tuple[Any, ...]) -> str:
+    if len(values) < 2:
+        return f"[{''.join(map(_value, values))}]"
+    rows = "".join(f"    {_value(value)},\n" for value in values)
+    return f"[\n{rows}]"
+
+
+def _inline(assignments: Iterable[str]) -> str:
+    return f"{{ {', '.join(assignments)} }}"
+
+
+def _key(key: str) -> str:
+    return key if _BARE_KEY.fullmatch(key) else _text(key)
+
+
+def _text(text: str) -> str:
+    # JSON's escapes are TOML's too, but TOML wants DEL escaped.
+    return json.dumps(text, ensure_ascii=False).replace("\x7f", "\\u007f")
--- /dev/null
+++ b/src/medlarfork/operator_client.py
@@ -0,0 +1,273 @@
+"""Talk to control as an operator: find the leader, and resend what is safe to resend."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import time
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any, Protocol, TypeVar
+
+import curio
+import msgspec
+
+from medlarfork import configuration as configurations
+from medlarfork import errors, http_client, operations, order_types, replicated_state
+
+T = TypeVar("T")
+
+_RETRY_PAUSE_S = 0.2
+"""Time between two rounds over the control hosts, in seconds."""
+
+_MISDIRECTED = 421
+_NEXT_HOST_CODES = frozenset(
+    {errors.Code.NOT_LEADER.value, errors.Code.NO_QUORUM.value, errors.Code.UNCERTAIN.value}
+)
+"""Refusals that another host, or the same one a little later, may not repeat."""
+
+
+class Http(Protocol):
+    """Send one HTTP request, as ``http_client.HttpClient`` does."""
+
+    async def request(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        *,
+        timeout_s: float | None = None,
+    ) -> http_client.Response:
+        """Return the answer once its head is in."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientSettings:
+    """Say whom to ask and how long.
+
+    Attributes:
+        controls: Base addresses of the control hosts, ``http://IP:PORT``.
+        operator_key: Key that authenticates the operator; empty sends none.
+        operator: Name that the history shows where control authenticates nobody.
+        request_s: How long one request may take, in seconds.
+        patience_s: How long to look for a leader before giving up, in seconds.
+    """
+
+    controls: tuple[str, ...]
+    operator_key: str = ""
+    operator: str = ""
+    request_s: float = 5.0
+    patience_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ErrorDetail:
+    """Hold what a refusal says; absent parts are empty."""
+
+    code: str = ""
+    message: str = ""
+    remedy: str = ""
+    leader_address: str = ""
+    winner: replicated_state.ChangeRecord | None = None
+    findings: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ErrorBody:
+    error: ErrorDetail
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+
+    @property
+    def detail(self) -> ErrorDetail:
+        """Return the refusal that the body holds, as far as it can be read."""
+        try:
+            return msgspec.json.decode(self.body, type=_ErrorBody).error
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return ErrorDetail(message=f"The host answered with status {self.status}.")
+
+
+class OperatorClient:
+    """Send operators' requests to whichever control host leads."""
+
+    def __init__(self, http: Http, settings: ClientSettings) -> None:
+        """Wire the client; the HTTP client is started and closed by its owner."""
+        self._http = http
+        self._settings = settings
+        self._preferred = ""
+
+    async def apply(
+        self, change_id: str, base_revision: int, configuration: configurations.Configuration
+    ) -> operations.ChangeAccepted:
+        """Replace the configuration; resent with the same id until control answers.
+
+        Raises:
+            errors.OperatorError: It was refused, for example because another change came first.
+            errors.ControlUnreachableError: No leader answered in time.
+        """
+        change = operations.ApplyChange(
+            change_id, base_revision, configuration, self._settings.operator
+        )
+        body = msgspec.json.encode(change)
+        accepted = await self._ask("POST", "/v1/changes", _Revision, body)
+        return operations.ChangeAccepted(change_id, accepted.revision)
+
+    async def configuration(self, revision: int | None = None) -> operations.ConfigurationReply:
+        """Return the configuration of a revision; None asks for the current one."""
+        query = "" if revision is None else f"?revision={revision}"
+        return await self._ask("GET", f"/v1/configuration{query}", operations.ConfigurationReply)
+
+    async def history(self) -> operations.HistoryReply:
+        """Return the last accepted changes."""
+        return await self._ask("GET", "/v1/history", operations.HistoryReply)
+
+    async def members(self) -> operations.MembersReply:
+        """Return the entry hosts with the revisions they confirmed."""
+        return await self._ask("GET", "/v1/members", operations.MembersReply)
+
+    async def in_force(self, revision: int) -> operations.InForceReply:
+        """Return which entry hosts have a revision in force."""
+        target = f"/v1/in-force?revision={revision}"
+        return await self._ask("GET", target, operations.InForceReply)
+
+    async def change_voters(self, *, add: str = "", remove: str = "") -> operations.VotersChanged:
+        """Add or remove one control replica; never resent once it may have arrived."""
+        body = msgspec.json.encode(operations.ChangeVoters(add=add, remove=remove))
+        return await self._ask("POST", "/v1/voters", operations.VotersChanged, body, resend=False)
+
+    async def orders(self) -> Any:
+        """Return the orders to engines, as control lists them."""
+        return await self._ask("GET", "/v1/orders", Any)
+
+    async def declare_order(self, desired: order_types.DesiredState) -> Any:
+        """Declare what some engines should hold; repeating it changes nothing."""
+        return await self._ask("POST", "/v1/orders", Any, msgspec.json.encode(desired))
+
+    async def status(self, address: str) -> operations.StatusReply:
+        """Return how one control host stands, whether it leads or not."""
+        answer = await self._send(address, "GET", "/v1/status", b"")
+        return _decoded(answer, operations.StatusReply)
+
+    async def explain(self, entry: str, query: Mapping[str, str]) -> Any:
+        """Ask an entry host which class and service a request would get, and why."""
+        target = f"/v1/explain?{urllib.parse.urlencode(query)}"
+        return _decoded(await self._send(entry, "GET", target, b""), Any)
+
+    async def _ask(
+        self, method: str, target: str, kind: Any, body: bytes = b"", *, resend: bool = True
+    ) -> Any:
+        give_up_at = time.monotonic() + self._settings.patience_s
+        problem = ""
+        while True:
+            answer, problem = await self._round(method, target, body, resend)
+            if answer is not None:
+                return _decoded(answer, kind)
+            if time.monotonic() >= give_up_at:
+                raise errors.ControlUnreachableError(
+                    f"No control leader answered: {problem}",
+                    remedy="Check the addresses in --control and that most control hosts run.",
+                )
+            await curio.sleep(_RETRY_PAUSE_S)
+
+    async def _round(
+        self, method: str, target: str, body: bytes, resend: bool
+    ) -> tuple[_Answer | None, str]:
+        """Ask each host once, going where they point; return an answer or the last problem."""
+        waiting = collections.deque((self._preferred,) if self._preferred else ())
+        waiting.extend(self._settings.controls)
+        asked: set[str] = set()
+        problem = "no address is known."
+        while waiting:
+            address = waiting.popleft()
+            if address in asked:
+                continue
+            asked.add(address)
+            try:
+                answer = await self._send(address, method, target, body)
+            except errors.UpstreamError as error:
+                _check_resend(error, resend)
+                problem = f"{address}: {error.problem}"
+                continue
+            if _is_final(answer, resend):
+                self._preferred = address
+                return answer, ""
+            problem = f"{address}: {answer.detail.message}"
+            if answer.detail.leader_address:
+                waiting.appendleft(answer.detail.leader_address)
+        self._preferred = ""
+        return None, problem
+
+    async def _send(self, address: str, method: str, target: str, body: bytes) -> _Answer:
+        headers = {"Accept": "application/json"}
+        if body:
+            headers["Content-Type"] = "application/json"
+        if self._settings.operator_key:
+            headers["Authorization"] = f"Bearer {self._settings.operator_key}"
+        response = await self._http.request(
+            address, method, target, headers, body, timeout_s=self._settings.request_s
+        )
+        return _Answer(response.status, await response.read())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Revision:
+    revision: int
+
+
+def _is_final(answer: _Answer, resend: bool) -> bool:
+    """Return whether no other host, nor the same one a little later, need be asked."""
+    if answer.status < 400:
+        return True
+    code = answer.detail.code
+    if code == errors.Code.UNCERTAIN.value and not resend:
+        return True
+    return answer.status != _MISDIRECTED and code not in _NEXT_HOST_CODES
+
+
+def _check_resend(error: errors.UpstreamError, resend: bool) -> None:
+    """Raise if the request may have arrived and must not be sent twice."""
+    if resend or isinstance(error, errors.RequestNotSentError):
+        return
+    raise errors.ControlUnreachableError(
+        f"The reply was lost, so the request may have been carried out: {error.problem}",
+        remedy="Look at medlarctl status before you repeat it.",
+        code=errors.Code.UNCERTAIN,
+    ) from error
+
+
+def _decoded(answer: _Answer, kind: Any) -> Any:
+    if answer.status >= 400:
+        raise refusal(answer.detail)
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.OperatorError(
+            f"The reply could not be understood: {error}.",
+            remedy="Run the medlarctl of the same version as the hosts.",
+        ) from error
+
+
+def refusal(detail: ErrorDetail) -> errors.OperatorError:
+    """Return a refusal as an error that names the remedy and, for a conflict, the winner."""
+    problem = detail.message or "The request was refused."
+    winner = detail.winner
+    if winner is not None and winner.change_id not in problem:
+        problem += (
+            f" Change {winner.change_id} of operator {winner.operator} was accepted instead, "
+            f"as revision {winner.revision}."
+        )
+    remedy = detail.remedy or "Correct the request and send it again."
+    # Some messages end with the remedy already.
+    problem = problem.removesuffix(remedy).rstrip()
+    for finding in detail.findings:
+        problem += f"\n{finding}"
+    known = {code.value: code for code in errors.Code}
+    code = known.get(detail.code, errors.Code.BAD_REQUEST)
+    return errors.OperatorError(problem, remedy=remedy, code=code)
--- /dev/null
+++ b/src/medlarfork/settings.py
@@ -0,0 +1,162 @@
+"""Read a program's settings from a TOML file into a frozen data class.
+
+Every mistake in a file is reported at once, each as ``FILE:LINE: key: what is wrong; remedy``.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import pathlib
+import re
+import sys
+import tomllib
+from collections.abc import Iterator, Sequence
+from typing import Any, TypeVar
+
+from medlarfork import _toml_convert, _toml_lines, _wording, errors
+
+T = TypeVar("T")
+
+Conversion = _toml_convert.Conversion
+
+USAGE_STATUS = 2
+"""Exit status of a program that can't start from what it was given."""
+
+_DECODE_LINE = re.compile(r"\(at line (\d+), column \d+\)")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mistake:
+    """Describe one mistake in a file.
+
+    Attributes:
+        line: Line in the file, counted from 1.
+        key: Dotted key; empty if the mistake belongs to the file as a whole.
+        problem: What is wrong, without a full stop.
+        remedy: What to do about it, as a full sentence.
+    """
+
+    line: int
+    key: str
+    problem: str
+    remedy: str
+
+    def render(self, file: pathlib.Path) -> str:
+        """Return the mistake as one line of text."""
+        key = f"{self.key}: " if self.key else ""
+        return f"{file}:{self.line}: {key}{_wording.join(self.problem, self.remedy)}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """Hold a TOML file that has been parsed.
+
+    Attributes:
+        file: Where it was read from.
+        table: Its content.
+        lines: Where each key stands.
+    """
+
+    file: pathlib.Path
+    table: dict[str, Any]
+    lines: _toml_lines.TomlLines
+
+    def mistake(self, fault: _toml_convert.Fault) -> Mistake:
+        """Return a fault with its line."""
+        line = self.lines.line(fault.path)
+        return Mistake(line, dotted(fault.path), fault.problem, fault.remedy)
+
+
+def bounded(
+    default: Any = dataclasses.MISSING,
+    *,
+    minimum: float | None = None,
+    maximum: float | None = None,
+) -> Any:
+    """Return a data-class field whose number must lie in a range; both ends are allowed."""
+    metadata = {"min": minimum, "max": maximum}
+    return dataclasses.field(default=default, metadata=metadata)
+
+
+def load(path: pathlib.Path, kind: type[T]) -> T:
+    """Read a TOML file into a data class.
+
+    Fields may be str, int, float, bool, enums, ``pathlib.Path``, data classes, tuples of any of
+    these, ``dict[str, str]`` and each of them or None. A field's ``metadata`` may name its range
+    as ``min`` and ``max`` (see ``bounded``) and, as ``key``, another name for it in the file.
+
+    Raises:
+        errors.SettingsError: The file can't be read or has mistakes; the message lists them all.
+    """
+    document = read_document(path)
+    conversion = convert(document, kind)
+    if conversion.faults or conversion.value is None:
+        mistakes = [document.mistake(fault) for fault in conversion.faults]
+        raise mistakes_error(path, mistakes)
+    return conversion.value
+
+
+def read_document(path: pathlib.Path) -> Document:
+    """Read and parse a TOML file.
+
+    Raises:
+        errors.SettingsError: The file can't be read or is not TOML.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        mistake = Mistake(1, "", f"can't be read: {error}", "Name a readable TOML file in UTF-8.")
+        raise mistakes_error(path, (mistake,)) from error
+    # Text-mode reading has already turned every line end into one character.
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise mistakes_error(path, (_syntax_mistake(error, text),)) from error
+    return Document(path, table, _toml_lines.TomlLines(text))
+
+
+def convert(document: Document, kind: type[T]) -> Conversion[T]:
+    """Convert a document to a data class as far as its faults allow."""
+    return _toml_convert.convert(document.table, kind)
+
+
+def dotted(path: _toml_lines.Path) -> str:
+    """Return a path as text, such as ``account[2].weight``."""
+    text = ""
+    for part in path:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += f".{part}" if text else part
+    return text
+
+
+def mistakes_error(
+    path: pathlib.Path,
+    mistakes: Sequence[Mistake],
+    kind: type[errors.MedlarError] = errors.SettingsError,
+) -> errors.MedlarError:
+    """Return an error that lists the mistakes in the order of their lines."""
+    ordered = sorted(mistakes, key=lambda mistake: mistake.line)
+    listing = "\n".join(mistake.render(path) for mistake in ordered)
+    count = "1 mistake" if len(mistakes) == 1 else f"{len(mistakes)} mistakes"
+    return kind(f"{listing}\n{path} has {count}.", remedy="Correct the file and try again.")
+
+
+@contextlib.contextmanager
+def exit_on_error() -> Iterator[None]:
+    """Print a settings or configuration error and exit with status 2, without a traceback."""
+    try:
+        yield
+    except (errors.SettingsError, errors.ConfigurationError) as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(USAGE_STATUS) from error
+
+
+def _syntax_mistake(error: tomllib.TOMLDecodeError, text: str) -> Mistake:
+    found = _DECODE_LINE.search(str(error))
+    # The parser says "end of document" where the text stops short.
+    line = int(found[1]) if found else text.count("\n") + 1
+    problem = _DECODE_LINE.sub("", str(error)).strip()
+    return Mistake(line, "", f"not valid TOML: {problem}", "Correct the syntax of this line.")
