Speak HTTP/1.1 to callers and upstreams, count and log

h11 on both sides under curio. One sweeper task keeps all deadlines instead of a timer for each read. A cut answer raises and never looks whole; a request of which no byte left is told apart from one that may have run.

--- /dev/null
+++ b/src/medlarfork/_http_messages.py
@@ -0,0 +1,79 @@
+"""Build and check the parts of HTTP messages that both sides share."""
+
+from __future__ import annotations
+
+import functools
+import http
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from medlarfork import errors, request
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection only; each side sets its own."""
+
+OUTCOME_HEADER = "Medlar-Outcome"
+"""Response header that says what became of the request."""
+
+NOT_RUN = request.Outcome.NOT_RUN
+"""Outcome of every request that is refused before it is handed on."""
+
+MAY_HAVE_RUN = request.Outcome.MAY_HAVE_RUN
+"""Outcome where a handler failed: it is not known how far it came."""
+
+RawHeaders = list[tuple[bytes, bytes]]
+"""Header lines as h11 takes them."""
+
+
+def decode_headers(raw: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Return header values by lower-case name; values of a repeated name are joined."""
+    value_by_name: dict[str, str] = {}
+    for raw_name, raw_value in raw:
+        name = raw_name.decode("latin-1")
+        value = raw_value.decode("latin-1")
+        if name in value_by_name:
+            separator = "; " if name == "cookie" else ", "
+            value = value_by_name[name] + separator + value
+        value_by_name[name] = value
+    return value_by_name
+
+
+def encode_headers(headers: Mapping[str, str]) -> RawHeaders:
+    """Return header lines without those that concern the connection."""
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.items()
+        if name.lower() not in HOP_BY_HOP_HEADERS
+    ]
+
+
+@functools.lru_cache(maxsize=256)
+def reason_phrase(status: int) -> bytes:
+    """Return the standard reason phrase; empty for a status without one."""
+    try:
+        return http.HTTPStatus(status).phrase.encode("ascii")
+    except ValueError:
+        return b""
+
+
+def error_body(error: errors.MedlarError, status: int) -> bytes:
+    """Return an error in the shape that OpenAI's clients understand."""
+    kind = "server_error" if status >= 500 else "invalid_request_error"
+    detail = {"message": str(error), "type": kind, "code": error.code.value, "param": None}
+    return msgspec.json.encode({"error": detail})
+
+
+def error_headers(outcome: request.Outcome) -> dict[str, str]:
+    """Return the headers of an error answer."""
+    return {"Content-Type": "application/json", OUTCOME_HEADER: outcome.value}
--- /dev/null
+++ b/src/medlarfork/http_server.py
@@ -0,0 +1,220 @@
+"""Serve HTTP/1.1 under curio, within limits that no caller can break."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+import time
+
+import curio
+from curio import traps
+
+from medlarfork import (
+    _http_connection,
+    _http_exchange,
+    _http_limits,
+    _http_stream,
+    errors,
+)
+
+Exchange = _http_exchange.Exchange
+RequestHead = _http_exchange.RequestHead
+HttpLimits = _http_limits.HttpLimits
+Handler = _http_connection.Handler
+FaultReporter = _http_connection.FaultReporter
+
+_BACKLOG = 1024
+"""Connections the system holds until they are accepted."""
+
+_REFUSALS = 64
+"""Connections beyond the limit that are told so at once; further ones are just closed."""
+
+_ACCEPT_RETRY_S = 0.1
+"""Pause after the system refused a descriptor, in seconds."""
+
+_LONGEST_SWEEP_S = 0.25
+"""Deadlines are met at most this late, in seconds."""
+
+_SHORTEST_SWEEP_S = 0.01
+"""Deadlines are checked at most this often, in seconds."""
+
+_log = logging.getLogger(__name__)
+
+
+def _log_fault(head: RequestHead, error: Exception) -> None:
+    _log.error("handler failed: %s %s", head.method, head.path, exc_info=error)
+
+
+class HttpServer:
+    """Accept connections and give each request to a handler."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        host: str,
+        port: int,
+        limits: HttpLimits = HttpLimits(),  # noqa: B008 - frozen
+        report: FaultReporter = _log_fault,
+    ) -> None:
+        """Wire the server.
+
+        Args:
+            handler: Answers one exchange.
+            host: IP number to listen on.
+            port: TCP port; 0 lets the system choose.
+            limits: What callers may use.
+            report: Is told of exceptions that the handler did not expect.
+        """
+        self._handler = handler
+        self._host = host
+        self._port = port
+        self._limits = limits
+        self._report = report
+        self._listener: socket.socket | None = None
+        self._acceptor: curio.Task | None = None
+        self._task_by_connection: dict[_http_connection.Connection, curio.Task] = {}
+        self._refusals = 0
+        self._exchanges = 0
+        self._none_left = curio.Event()
+        self._sweeper = _http_stream.Sweeper(_sweep_period(limits))
+
+    @property
+    def address(self) -> str:
+        """Return ``http://IP:PORT`` with the real port."""
+        host = f"[{self._host}]" if ":" in self._host else self._host
+        return f"http://{host}:{self._port}"
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections being served."""
+        return len(self._task_by_connection)
+
+    @property
+    def exchanges(self) -> int:
+        """Return the number of requests in progress."""
+        return self._exchanges
+
+    async def start(self) -> None:
+        """Listen and accept.
+
+        Raises:
+            errors.SettingsError: If the address can't be listened on.
+        """
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        try:
+            listener.bind((self._host, self._port))
+            listener.listen(_BACKLOG)
+        except OSError as error:
+            listener.close()
+            raise errors.SettingsError(
+                f"Can't listen on {self.address}: {error.strerror}.",
+                remedy="Set an address of this host and a free port.",
+            ) from error
+        self._port = listener.getsockname()[1]
+        self._listener = listener
+        await self._sweeper.start()
+        self._acceptor = await curio.spawn(self._accept, listener, daemon=True)
+
+    async def close(self, *, within_s: float) -> None:
+        """Stop accepting, let exchanges in progress finish, and cut what is left.
+
+        Args:
+            within_s: How long the exchanges may take, in seconds.
+        """
+        await self._stop_accepting()
+        cut_at = time.monotonic() + within_s
+        for connection in list(self._task_by_connection):
+            connection.close_when_done()
+        while self._task_by_connection and time.monotonic() < cut_at:
+            self._none_left.clear()
+            await curio.ignore_after(cut_at - time.monotonic(), self._none_left.wait)
+        for task in list(self._task_by_connection.values()):
+            await task.cancel()
+        await self._sweeper.close()
+
+    async def _stop_accepting(self) -> None:
+        if self._acceptor is not None:
+            await self._acceptor.cancel()
+            self._acceptor = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    async def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                accepted, _ = listener.accept()
+            except (BlockingIOError, InterruptedError):
+                await traps._read_wait(listener)
+            except ConnectionError:
+                continue  # The caller went before it was accepted.
+            except OSError as error:
+                _log.error("can't accept: %s", error)
+                await curio.sleep(_ACCEPT_RETRY_S)
+            else:
+                await self._take(accepted)
+
+    async def _take(self, accepted: socket.socket) -> None:
+        """Serve a new connection, or refuse it if there are too many."""
+        try:
+            stream = _http_stream.Stream(accepted, stall_s=self._limits.stall_s)
+        except OSError:
+            accepted.close()
+            return
+        connection = _http_connection.Connection(
+            stream, handler=self._handle, limits=self._limits, report=self._report
+        )
+        if len(self._task_by_connection) >= self._limits.connections:
+            await self._refuse(connection)
+            return
+        task = await curio.spawn(self._serve, connection, daemon=True)
+        self._task_by_connection[connection] = task
+
+    async def _serve(self, connection: _http_connection.Connection) -> None:
+        self._sweeper.add(connection.stream)
+        try:
+            await connection.serve()
+        finally:
+            self._sweeper.discard(connection.stream)
+            self._task_by_connection.pop(connection, None)
+            if not self._task_by_connection:
+                await self._none_left.set()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        self._exchanges += 1
+        try:
+            await self._handler(exchange)
+        finally:
+            self._exchanges -= 1
+
+    async def _refuse(self, connection: _http_connection.Connection) -> None:
+        if self._refusals >= _REFUSALS:
+            await connection.stream.cut()
+            return
+        self._refusals += 1
+        await curio.spawn(self._run_refusal, connection, daemon=True)
+
+    async def _run_refusal(self, connection: _http_connection.Connection) -> None:
+        error = errors.HttpLimitError(
+            f"This host serves {self._limits.connections} connections already.",
+            remedy="Use another entry host, or try again later.",
+            code=errors.Code.OVERLOADED,
+        )
+        self._sweeper.add(connection.stream)
+        try:
+            with contextlib.suppress(OSError, errors.HttpLimitError):
+                await connection.refuse(503, error)
+        finally:
+            self._sweeper.discard(connection.stream)
+            self._refusals -= 1
+            await connection.stream.close()
+
+
+def _sweep_period(limits: HttpLimits) -> float:
+    shortest = min(limits.header_s, limits.body_s, limits.idle_s, limits.stall_s, limits.linger_s)
+    return min(max(shortest / 4, _SHORTEST_SWEEP_S), _LONGEST_SWEEP_S)
--- /dev/null
+++ b/src/medlarfork/logs.py
@@ -0,0 +1,154 @@
+"""Log one line of key=value pairs for each event, on standard error."""
+
+from __future__ import annotations
+
+import datetime
+import logging
+import os
+import re
+import sys
+from collections.abc import Mapping
+from typing import Any, TextIO
+
+import msgspec
+from pythonjsonlogger import core
+
+from medlarfork import errors
+
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
+"""Names of the levels that settings may give."""
+
+REDACTED = "[redacted]"
+"""Stands in a line for a value that must not be logged."""
+
+_SECRET_FIELDS = frozenset(
+    {
+        "api_key",
+        "authorization",
+        "cookie",
+        "password",
+        "private_key",
+        "proxy_authorization",
+        "secret",
+        "secret_key",
+        "token",
+    }
+)
+"""Fields whose value is never logged, whatever it is."""
+
+_SECRET_TEXT = re.compile(r"(?i)\b(bearer|basic)\s+[^\s\"',]+|\bsk-[\w-]{8,}")
+"""Credentials as they may turn up inside any text, such as an exception's."""
+
+_PLAIN_VALUE = re.compile(r"[^\s\"'=\\]+")
+"""Printable values that need no quotes."""
+
+_UNEXPECTED_KEY = re.compile(r"[^A-Za-z0-9_.]")
+"""Characters that a key may not have."""
+
+
+def configure(level: str, process_name: str, *, stream: TextIO | None = None) -> None:
+    """Send every logger's events to standard error.
+
+    Args:
+        level: The lowest level that is logged; one of ``LEVELS``.
+        process_name: Names the process in every line.
+        stream: Where to write instead of standard error.
+
+    Raises:
+        errors.SettingsError: If the level is unknown.
+    """
+    if level.upper() not in LEVELS:
+        raise errors.SettingsError(
+            f"{level!r} is not a log level.", remedy=f"Set one of {', '.join(LEVELS)}."
+        )
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(KeyValueFormatter(process_name))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+
+
+def event(
+    logger: logging.Logger,
+    name: str,
+    /,
+    *,
+    severity: int = logging.INFO,
+    cause: BaseException | None = None,
+    **fields: Any,
+) -> None:
+    """Log an event.
+
+    Args:
+        logger: The logger of the module in which it happened.
+        name: What happened, in snake case.
+        severity: Level, as the standard module numbers them.
+        cause: Exception whose traceback belongs to the event.
+        **fields: Values by key; those that are None are left out.
+    """
+    if logger.isEnabledFor(severity):
+        logger.log(severity, {"event": name, **fields}, exc_info=cause)
+
+
+class KeyValueFormatter(core.BaseJsonFormatter):
+    """Render a log record as one line of key=value pairs."""
+
+    def __init__(self, process_name: str) -> None:
+        """Name the process that the lines come from."""
+        super().__init__()
+        self._process = process_name
+        self._pid = os.getpid()
+
+    def add_fields(
+        self, log_data: dict[str, Any], record: logging.LogRecord, message_dict: dict[str, Any]
+    ) -> None:
+        """Put the fields that every line has before those of the event."""
+        log_data["event"] = message_dict.get("event", "message")
+        log_data["ts"] = _timestamp(record.created)
+        log_data["level"] = record.levelname
+        log_data["process"] = self._process
+        log_data["pid"] = self._pid
+        log_data["logger"] = record.name
+        if record.message:
+            log_data["message"] = record.message
+        for key, value in message_dict.items():
+            log_data.setdefault(key, value)
+
+    def jsonify_log_record(self, log_data: Mapping[str, Any]) -> str:
+        """Render the fields."""
+        return " ".join(
+            f"{_UNEXPECTED_KEY.sub('_', key)}={_render(key, value)}"
+            for key, value in log_data.items()
+            if value is not None
+        )
+
+
+def _timestamp(seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(seconds, tz=datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%S.") + f"{moment.microsecond // 1000:03d}Z"
+
+
+def _render(key: str, value: Any) -> str:
+    if key.lower().replace("-", "_") in _SECRET_FIELDS:
+        return REDACTED
+    match value:
+        case bool():
+            return "true" if value else "false"
+        case int():
+            return str(value)
+        case float():
+            return f"{value:.6g}"
+    text = _SECRET_TEXT.sub(REDACTED, str(value))
+    if text.isprintable() and _PLAIN_VALUE.fullmatch(text):
+        return text
+    return _quote(text)
+
+
+def _quote(text: str) -> str:
+    """Return the text in double quotes with line ends and control characters escaped."""
+    # A lone surrogate can't be encoded, and a terminal may act on C1 control characters.
+    safe = "".join(
+        character if character.isprintable() or ord(character) < 0x80 else f"U+{ord(character):04X}"
+        for character in text
+    )
+    return msgspec.json.encode(safe).decode("utf-8")
--- /dev/null
+++ b/src/medlarfork/telemetry.py
@@ -0,0 +1,173 @@
+"""Count what an entry host does, and render it for Prometheus."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Callable, Iterable
+
+import prometheus_client
+from opentelemetry import metrics as metrics_api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics, resources
+from opentelemetry.sdk.metrics import export
+
+from medlarfork import _tally, entry_types
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of what ``Telemetry.render`` returns."""
+
+BUCKETS_S = (
+    *(0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5),
+    *(1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0, 300.0, 600.0),
+)
+"""Upper bounds of the histograms' buckets, in seconds: from a counter lookup to a review."""
+
+_HISTOGRAM_POINTS = 4096
+"""Pairs of account and class with histograms of their own; further ones share one."""
+
+_COUNTER_POINTS = 16384
+"""Label sets of a counter that are counted apart; further ones share one."""
+
+NO_CODE = "none"
+"""Label value of requests that ended without an error."""
+
+
+class Gauge(enum.StrEnum):
+    """Name the values that are read when the metrics are rendered."""
+
+    QUEUE_LENGTH = "medlar_queue_length"
+    UPSTREAMS = "medlar_upstreams"
+    REVISION = "medlar_configuration_revision"
+    MEMBERS = "medlar_members"
+    EXCHANGES = "medlar_exchanges"
+    CONNECTIONS = "medlar_connections"
+
+
+_GAUGE_HELP = {
+    Gauge.QUEUE_LENGTH: "Requests queued.",
+    Gauge.UPSTREAMS: "Upstreams known.",
+    Gauge.REVISION: "Configuration revision in force.",
+    Gauge.MEMBERS: "Members known.",
+    Gauge.EXCHANGES: "Requests in progress.",
+    Gauge.CONNECTIONS: "Callers' connections open.",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """Hold one value of a gauge."""
+
+    value: float
+    labels: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+ReadGauge = Callable[[], Iterable[Reading]]
+"""Returns the present values of a gauge."""
+
+
+class Telemetry:
+    """Keep the metrics of one process; nothing is shared with other instances."""
+
+    def __init__(self) -> None:
+        """Make the instruments."""
+        self._registry = prometheus_client.CollectorRegistry()
+        self._reader = prometheus.PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self._registry,
+            cardinality_limits=_cardinality_limits(),
+        )
+        self._provider: metrics.MeterProvider | None = None
+        self._requests = _make_tally("account", "class", "outcome", "code")
+        self._attainment = _make_tally("account", "class", "result")
+        self._tokens = _make_tally("account", "class")
+        self._wasted = _make_tally("account", "class", "cause")
+        self._read_by_gauge: dict[Gauge, ReadGauge] = {}
+
+    def observe(self, gauge: Gauge, read: ReadGauge) -> None:
+        """Read a gauge through ``read``; call this before ``start``."""
+        self._read_by_gauge[gauge] = read
+
+    def start(self) -> None:
+        """Start counting."""
+        self._provider = metrics.MeterProvider(
+            metric_readers=[self._reader],
+            resource=resources.Resource.get_empty(),
+            exemplar_filter=metrics.AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        meter = self._provider.get_meter("medlarfork")
+        for name, tally, description in (
+            ("medlar_requests", self._requests, "Requests finished."),
+            ("medlar_attainment", self._attainment, "Requests of classes with targets, by result."),
+            ("medlar_tokens", self._tokens, "Tokens of answers."),
+            ("medlar_wasted_tokens", self._wasted, "Tokens computed and not delivered, by cause."),
+        ):
+            meter.create_observable_counter(
+                name, callbacks=[tally.observe], description=description
+            )
+        self._queued = _make_histogram(meter, "medlar_queue_time", "Arrival to first dispatch.")
+        self._first = _make_histogram(meter, "medlar_first_token_time", "Arrival to first byte.")
+        self._whole = _make_histogram(meter, "medlar_whole_time", "Arrival to the answer's end.")
+        for gauge, read in self._read_by_gauge.items():
+            meter.create_observable_gauge(
+                gauge.value, callbacks=[_make_callback(read)], description=_GAUGE_HELP[gauge]
+            )
+
+    def close(self) -> None:
+        """Stop counting."""
+        if self._provider is not None:
+            self._provider.shutdown()
+            self._provider = None
+
+    def record(self, finished: entry_types.Record) -> None:
+        """Count a finished request."""
+        account = finished.account
+        class_name = finished.class_name
+        self._requests.add(1, account, class_name, finished.outcome.value, finished.code or NO_CODE)
+        if finished.in_target is not None:
+            result = "in_target" if finished.in_target else "missed"
+            self._attainment.add(1, account, class_name, result)
+        if finished.tokens:
+            self._tokens.add(finished.tokens, account, class_name)
+        for wasted in finished.wasted:
+            self._wasted.add(wasted.tokens, account, class_name, wasted.cause)
+        self._record_times(finished)
+
+    def _record_times(self, finished: entry_types.Record) -> None:
+        labels = {"account": finished.account, "class": finished.class_name}
+        self._queued.record(finished.queued_s, labels)
+        self._whole.record(finished.whole_s, labels)
+        if finished.first_token_s is not None:
+            self._first.record(finished.first_token_s, labels)
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+
+def _make_tally(*names: str) -> _tally.Tally:
+    return _tally.Tally(names, most=_COUNTER_POINTS - 1)
+
+
+def _cardinality_limits() -> export.CardinalityLimits:
+    return {metrics.ObservableCounter: _COUNTER_POINTS, metrics.Histogram: _HISTOGRAM_POINTS}
+
+
+def _make_histogram(meter: metrics_api.Meter, name: str, description: str) -> metrics_api.Histogram:
+    return meter.create_histogram(
+        name,
+        unit="s",
+        description=description,
+        explicit_bucket_boundaries_advisory=BUCKETS_S,
+    )
+
+
+def _make_callback(
+    read: ReadGauge,
+) -> Callable[[metrics_api.CallbackOptions], Iterable[metrics_api.Observation]]:
+    def _observe(_: metrics_api.CallbackOptions) -> Iterable[metrics_api.Observation]:
+        return [metrics_api.Observation(reading.value, reading.labels) for reading in read()]
+
+    return _observe
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,388 @@
+"""Test the HTTP client against scripted peers: whole answers, cuts, reuse and cancellation."""
+
+import contextlib
+
+import curio
+import pytest
+
+from medlarfork import errors, http_client, http_server
+
+LONG_S = 20.0
+
+
+def run(main):
+    async def bounded():
+        async with curio.timeout_after(LONG_S):
+            await main()
+
+    curio.run(bounded)
+
+
+async def until(condition):
+    for _ in range(2000):
+        if condition():
+            return
+        await curio.sleep(0.005)
+    raise AssertionError("the condition never held")
+
+
+class Peer:
+    """Accept connections, read a request from each, and play a script of byte strings."""
+
+    def __init__(self, *script, end="close"):
+        self.script = script
+        self.end = end
+        self.requests = []
+        self.ended = 0
+
+    async def start(self):
+        self.listener = curio.socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(10)
+        self.address = f"http://127.0.0.1:{self.listener.getsockname()[1]}"
+        self.tasks = [await curio.spawn(self.accept, daemon=True)]
+
+    async def close(self):
+        for task in self.tasks:
+            await task.cancel()
+        await self.listener.close()
+
+    async def accept(self):
+        while True:
+            sock, _ = await self.listener.accept()
+            self.tasks.append(await curio.spawn(self.play, sock, daemon=True))
+
+    async def play(self, sock):
+        async with sock:
+            if self.end == "refuse":
+                return
+            self.requests.append(await sock.recv(65536))
+            for part in self.script:
+                await sock.sendall(part)
+            if self.end == "hold":
+                with contextlib.suppress(OSError):
+                    while await sock.recv(65536):
+                        pass
+        self.ended += 1
+
+
+@contextlib.asynccontextmanager
+async def client_of(peer=None, **limits):
+    client = http_client.HttpClient(limits=http_client.ClientLimits(**limits))
+    await client.start()
+    if peer is not None:
+        await peer.start()
+    try:
+        yield client
+    finally:
+        await client.close()
+        if peer is not None:
+            await peer.close()
+        assert client.connections == 0
+
+
+async def get(client, address, **more):
+    return await client.request(address, "GET", "/", {}, b"", **more)
+
+
+async def echo(exchange):
+    body = await exchange.read_body()
+    await exchange.respond(200, {"x-host": exchange.head.headers["host"]}, body)
+
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+
+WHOLE = {
+    "length": (OK + b"content-length: 2\r\n\r\nab", True, True),
+    "chunked": (CHUNKED + b"1\r\na\r\n1\r\nb\r\n0\r\n\r\n", True, True),
+    "length, then close": (OK + b"connection: close\r\ncontent-length: 2\r\n\r\nab", True, False),
+    "marked close": (OK + b"connection: close\r\n\r\nab", False, False),
+    "informational first": (b"HTTP/1.1 103 H\r\n\r\n" + OK + b"content-length: 2\r\n\r\nab",) * 1
+    + (True, True),
+    "bytes behind": (OK + b"content-length: 2\r\n\r\nabHTTP", True, False),
+}
+
+
+@pytest.mark.parametrize("name", WHOLE)
+def test_whole_answers(name):
+    sent, framed, reusable = WHOLE[name]
+    peer = Peer(sent, end="close" if not framed else "hold")
+
+    async def main():
+        async with client_of(peer) as client:
+            response = await get(client, peer.address)
+            assert (response.status, response.framed) == (200, framed)
+            assert await response.read() == b"ab"
+            assert response.whole
+            assert client.idle_connections == int(reusable)
+
+    run(main)
+
+
+CUT = {
+    "no answer": b"",
+    "in the status line": b"HTTP/1.1 2",
+    "in the headers": OK + b"content-le",
+    "in the body": OK + b"content-length: 3\r\n\r\nab",
+    "before the body": OK + b"content-length: 3\r\n\r\n",
+    "in a chunk": CHUNKED + b"5\r\nab",
+    "between chunks": CHUNKED + b"2\r\nab\r\n",
+    "in the terminator": CHUNKED + b"2\r\nab\r\n0\r\n",
+    "unmarked close": OK + b"\r\nab",
+    "old unmarked close": b"HTTP/1.0 200 OK\r\n\r\nab",
+    "garbage": b"\x00\x01garbage\r\n\r\n",
+    "bad chunk": CHUNKED + b"zz\r\nab\r\n",
+    "endless headers": OK + b"a: " + b"x" * 5000,
+    "only informational": b"HTTP/1.1 103 H\r\n\r\n" * 20,
+}
+
+
+@pytest.mark.parametrize("name", CUT)
+def test_cut_answers_never_look_whole(name):
+    peer = Peer(CUT[name])
+
+    async def main():
+        async with client_of(peer, header_bytes=4096) as client:
+            received = b""
+            with pytest.raises(errors.UpstreamError) as raised:
+                response = await get(client, peer.address)
+                async for part in response.chunks():
+                    received += part
+            assert raised.value.request_sent
+            assert not isinstance(raised.value, errors.RequestNotSentError)
+            assert received in (b"", b"ab")
+            assert client.connections == 0
+            assert len(peer.requests) == 1
+
+    run(main)
+
+
+def test_chunks_come_before_the_answer_ends():
+    async def main():
+        go_on = curio.Event()
+
+        async def handler(exchange):
+            await exchange.begin(200, {})
+            await exchange.send(b"one")
+            await go_on.wait()
+            await exchange.send(b"two")
+            await exchange.finish()
+
+        server = http_server.HttpServer(handler, host="127.0.0.1", port=0)
+        await server.start()
+        async with client_of() as client:
+            response = await get(client, server.address)
+            assert await response.next_chunk() == b"one"
+            await go_on.set()
+            assert [part async for part in response.chunks()][:1] == [b"two"]
+            assert await response.next_chunk() == b""
+        await server.close(within_s=1)
+
+    run(main)
+
+
+def test_connections_are_reused_and_bodies_kept_apart():
+    async def main():
+        server = http_server.HttpServer(echo, host="127.0.0.1", port=0)
+        await server.start()
+        async with client_of() as client:
+            for size in (0, 1, 100_000, 3_000_000):
+                body = bytes([size % 251]) * size
+                response = await client.request(server.address, "POST", "/", {"a": "b"}, body)
+                assert await response.read() == body
+            assert (server.connections, client.connections) == (1, 1)
+        await server.close(within_s=1)
+
+    run(main)
+
+
+def test_connection_that_died_in_the_pool_is_not_used():
+    async def main():
+        limits = http_server.HttpLimits(idle_s=0.05)
+        server = http_server.HttpServer(echo, host="127.0.0.1", port=0, limits=limits)
+        await server.start()
+        async with client_of() as client:
+            await (await get(client, server.address)).read()
+            assert client.idle_connections == 1
+            await until(lambda: server.connections == 0)
+            response = await get(client, server.address)
+            assert await response.read() == b""
+        await server.close(within_s=1)
+
+    run(main)
+
+
+def test_reused_connection_that_fails_is_not_retried():
+    async def main():
+        calls = []
+
+        async def handler(exchange):
+            calls.append(exchange)
+            if len(calls) == 2:
+                await exchange.abort()
+                return
+            await exchange.respond(200, {}, b"")
+
+        server = http_server.HttpServer(handler, host="127.0.0.1", port=0)
+        await server.start()
+        async with client_of() as client:
+            await (await get(client, server.address)).read()
+            with pytest.raises(errors.UpstreamError) as raised:
+                await get(client, server.address)
+            assert raised.value.request_sent
+            assert len(calls) == 2
+        await server.close(within_s=1)
+
+    run(main)
+
+
+def test_refused_connection_is_known_as_not_sent():
+    async def main():
+        peer = Peer()
+        await peer.start()
+        await peer.close()
+        async with client_of() as client:
+            with pytest.raises(errors.RequestNotSentError) as raised:
+                await get(client, peer.address)
+            assert not raised.value.request_sent
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("address", "method", "target", "headers"),
+    [
+        ("http://nowhere", "GET", "/", {}),
+        ("http://127.0.0.1:99999", "GET", "/", {}),
+        ("http://127.0.0.1:1", "GE T", "/", {}),
+        ("http://127.0.0.1:1", "GET", "/a b", {}),
+        ("http://127.0.0.1:1", "GET", "/", {"a": "b\r\nc: d"}),
+        ("http://127.0.0.1:1", "GET", "/", {"a": "\u4e00"}),
+    ],
+)
+def test_impossible_requests_are_known_as_not_sent(address, method, target, headers):
+    async def main():
+        async with client_of() as client:
+            with pytest.raises(errors.RequestNotSentError):
+                await client.request(address, method, target, headers, b"")
+
+    run(main)
+
+
+def test_too_many_connections_are_refused_here():
+    peer = Peer(end="hold")
+
+    async def main():
+        async with client_of(peer, connections=1) as client:
+            waiting = await curio.spawn(get, client, peer.address)
+            await until(lambda: peer.requests)
+            with pytest.raises(errors.RequestNotSentError) as raised:
+                await get(client, peer.address)
+            assert raised.value.code is errors.Code.OVERLOADED
+            await waiting.cancel()
+
+    run(main)
+
+
+@pytest.mark.parametrize("script", [(), (CHUNKED + b"2\r\nab\r\n",)])
+def test_slow_answer_times_out(script):
+    peer = Peer(*script, end="hold")
+
+    async def main():
+        async with client_of(peer) as client:
+            with pytest.raises(errors.UpstreamError) as raised:
+                response = await get(client, peer.address, timeout_s=0.15)
+                await response.read()
+            assert raised.value.code is errors.Code.REQUEST_TIMEOUT
+            assert raised.value.request_sent
+            await until(lambda: peer.ended == 1)
+
+    run(main)
+
+
+def test_upstream_that_does_not_read_times_out():
+    peer = Peer()
+
+    async def main():
+        async with client_of(peer) as client:
+            await peer.tasks[0].cancel()  # Connections wait in the backlog and nobody reads.
+            with pytest.raises(errors.UpstreamError) as raised:
+                body = b"x" * 20_000_000
+                await client.request(peer.address, "POST", "/", {}, body, timeout_s=0.15)
+            assert raised.value.code is errors.Code.REQUEST_TIMEOUT
+
+    run(main)
+
+
+@pytest.mark.parametrize("script", [(), (CHUNKED + b"2\r\nab\r\n",)])
+def test_cancelling_closes_the_connection(script):
+    peer = Peer(*script, end="hold")
+
+    async def main():
+        async def ask():
+            response = await get(client, peer.address)
+            await response.read()
+
+        async with client_of(peer) as client:
+            task = await curio.spawn(ask)
+            await until(lambda: peer.requests)
+            await task.cancel()
+            assert client.connections == 0
+            await until(lambda: peer.ended == 1)
+
+    run(main)
+
+
+def test_closing_an_unread_answer_cuts_the_connection():
+    peer = Peer(CHUNKED + b"2\r\nab\r\n", end="hold")
+
+    async def main():
+        async with client_of(peer) as client:
+            response = await get(client, peer.address)
+            await response.close()
+            await response.close()
+            assert client.connections == 0
+            await until(lambda: peer.ended == 1)
+
+    run(main)
+
+
+def test_long_body_is_refused():
+    peer = Peer(OK + b"content-length: 100\r\n\r\n" + b"x" * 100)
+
+    async def main():
+        async with client_of(peer, body_bytes=99) as client:
+            response = await get(client, peer.address)
+            with pytest.raises(errors.UpstreamError):
+                await response.read()
+
+    run(main)
+
+
+def test_idle_connections_expire():
+    async def main():
+        server = http_server.HttpServer(echo, host="127.0.0.1", port=0)
+        await server.start()
+        async with client_of(idle_s=0.05) as client:
+            await (await get(client, server.address)).read()
+            assert client.connections == 1
+            await until(lambda: client.connections == 0)
+        await server.close(within_s=1)
+
+    run(main)
+
+
+def test_early_refusal_of_a_long_body_is_read():
+    async def main():
+        limits = http_server.HttpLimits(body_bytes=10)
+        server = http_server.HttpServer(echo, host="127.0.0.1", port=0, limits=limits)
+        await server.start()
+        async with client_of() as client:
+            response = await client.request(server.address, "POST", "/", {}, b"x" * 500_000)
+            assert response.status == 413
+            assert response.headers["medlar-outcome"] == "not_run"
+            await response.read()
+        await server.close(within_s=1)
+
+    run(main)
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,490 @@
+"""Test the HTTP server with raw bytes: limits, malformed input, endings and graceful close."""
+
+import contextlib
+import functools
+import json
+import socket
+
+import curio
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from medlarfork import http_server
+
+LONG_S = 20.0
+HEAD = b"HTTP/1.1 200 "
+
+
+def run(main):
+    async def bounded():
+        async with curio.timeout_after(LONG_S):
+            await main()
+
+    curio.run(bounded)
+
+
+async def until(condition):
+    for _ in range(2000):
+        if condition():
+            return
+        await curio.sleep(0.005)
+    raise AssertionError("the condition never held")
+
+
+async def echo(exchange):
+    body = await exchange.read_body()
+    await exchange.respond(200, {"x-path": exchange.head.path}, exchange.head.path.encode() + body)
+
+
+@contextlib.asynccontextmanager
+async def serving(handler=echo, faults=None, **limits):
+    settings = http_server.HttpLimits(**{"linger_s": 0.2, **limits})
+    report = (lambda head, error: faults.append(error)) if faults is not None else print
+    server = http_server.HttpServer(
+        handler, host="127.0.0.1", port=0, limits=settings, report=report
+    )
+    await server.start()
+    try:
+        yield server
+    finally:
+        await server.close(within_s=0.5)
+        assert server.connections == 0
+        assert server.exchanges == 0
+
+
+async def connect(server):
+    host, port = server.address.removeprefix("http://").split(":")
+    return await curio.open_connection(host, int(port))
+
+
+async def read_all(sock):
+    """Return what comes before the end, and whether the end was a reset."""
+    received = b""
+    try:
+        while data := await sock.recv(65536):
+            received += data
+    except ConnectionResetError:
+        return received, True
+    return received, False
+
+
+async def talk(server, sent):
+    sock = await connect(server)
+    await sock.sendall(sent)
+    received, _ = await read_all(sock)
+    await sock.close()
+    return received
+
+
+async def read_until(sock, mark):
+    received = b""
+    while mark not in received:
+        data = await sock.recv(65536)
+        assert data, received
+        received += data
+    return received
+
+
+def split(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), head.lower(), body
+
+
+GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
+POST = b"POST /p HTTP/1.1\r\nhost: x\r\n"
+
+BAD_INPUT = {
+    "header too long": (GET + b"a: " + b"x" * 5000 + b"\r\n\r\n", 431, "header_too_large"),
+    "endless header": (GET + b"a: " + b"x" * 9000, 431, "header_too_large"),
+    "too many headers": (GET + b"a: b\r\n" * 40 + b"\r\n", 431, "header_too_large"),
+    "target too long": (b"GET /" + b"x" * 600 + b" HTTP/1.1\r\nhost: x\r\n\r\n", 414, None),
+    "declared body": (POST + b"content-length: 1001\r\n\r\n", 413, "body_too_large"),
+    "chunked body": (
+        POST + b"transfer-encoding: chunked\r\n\r\n" + b"190\r\n" + b"x" * 400 + b"\r\n"
+        b"190\r\n" + b"x" * 400 + b"\r\n" + b"190\r\n" + b"x" * 400 + b"\r\n",
+        413,
+        "body_too_large",
+    ),
+    "garbage": (b"\x00\x01\x02\r\n\r\n", 400, "bad_request"),
+    "not http": (b"HELLO\r\n\r\n", 400, "bad_request"),
+    "no host": (b"GET / HTTP/1.1\r\n\r\n", 400, "bad_request"),
+    "bad length": (POST + b"content-length: -1\r\n\r\n", 400, "bad_request"),
+    "two lengths": (POST + b"content-length: 1\r\ncontent-length: 2\r\n\r\n", 400, "bad_request"),
+    "two framings": (
+        POST + b"content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+        "bad_request",
+    ),
+    "bad chunk": (POST + b"transfer-encoding: chunked\r\n\r\nzz\r\n", 400, "bad_request"),
+    "connect": (b"CONNECT a:1 HTTP/1.1\r\nhost: x\r\n\r\n", 400, "bad_request"),
+    "absolute target": (b"GET http://a/ HTTP/1.1\r\nhost: x\r\n\r\n", 400, "bad_request"),
+    "slow head": (GET, 408, "request_timeout"),
+    "slow body": (POST + b"content-length: 10\r\n\r\nabc", 408, "request_timeout"),
+}
+
+
+@pytest.mark.parametrize("name", BAD_INPUT)
+def test_bad_input_is_answered_and_serving_goes_on(name):
+    sent, status, code = BAD_INPUT[name]
+
+    async def main():
+        limits = {"header_bytes": 4096, "header_count": 32, "body_bytes": 1000, "target_bytes": 512}
+        async with serving(header_s=0.1, body_s=0.1, **limits) as server:
+            got, head, body = split(await talk(server, sent))
+            assert got == status
+            assert b"medlar-outcome: not_run" in head
+            assert b"connection: close" in head
+            error = json.loads(body)["error"]
+            assert set(error) == {"message", "type", "code", "param"}
+            assert error["code"] == (code or error["code"])
+            assert error["message"].endswith(".")
+            again = await talk(server, GET + b"connection: close\r\n\r\n")
+            assert again.startswith(HEAD)
+
+    run(main)
+
+
+def test_declared_length_is_refused_before_the_body_is_sent():
+    async def main():
+        async with serving(body_bytes=10) as server:
+            expect = POST + b"expect: 100-continue\r\ncontent-length: 11\r\n\r\n"
+            answer = await talk(server, expect)
+            assert split(answer)[0] == 413
+
+    run(main)
+
+
+def test_expect_continue_is_answered_before_the_body():
+    async def main():
+        async with serving() as server:
+            sock = await connect(server)
+            await sock.sendall(POST + b"expect: 100-continue\r\ncontent-length: 3\r\n\r\n")
+            assert (await read_until(sock, b"\r\n\r\n")).startswith(b"HTTP/1.1 100 ")
+            await sock.sendall(b"abc")
+            assert (await read_until(sock, b"/pabc")).startswith(HEAD)
+            await sock.close()
+
+    run(main)
+
+
+def test_pipelined_requests_are_answered_in_order():
+    async def main():
+        async with serving() as server:
+            requests = [b"GET /%d HTTP/1.1\r\nhost: x\r\n" % n for n in range(20)]
+            sent = b"\r\n".join(requests) + b"connection: close\r\n\r\n"
+            answer = await talk(server, sent)
+            bodies = [part.split(b"\r\n\r\n")[1] for part in answer.split(HEAD)[1:]]
+            assert bodies == [b"/%d" % n for n in range(20)]
+
+    run(main)
+
+
+@pytest.mark.parametrize(("size", "kept"), [(10, True), (500_000, False)])
+def test_unread_body_is_never_taken_for_a_request(size, kept):
+    async def ignore(exchange):
+        await exchange.respond(200, {}, exchange.head.path.encode())
+
+    async def main():
+        async with serving(ignore) as server:
+            sock = await connect(server)
+            body = GET * (size // len(GET)) + b"x" * (size % len(GET))
+            with contextlib.suppress(OSError):
+                await sock.sendall(POST + b"content-length: %d\r\n\r\n" % size + body)
+            received = await read_until(sock, b"/p")
+            assert (b"connection: close" in received.lower()) is not kept
+            if kept:
+                await sock.sendall(b"GET /next HTTP/1.1\r\nhost: x\r\n\r\n")
+                await read_until(sock, b"/next")
+            else:
+                assert b"HTTP" not in (await read_all(sock))[0]
+            await sock.close()
+
+    run(main)
+
+
+def test_breach_after_the_answer_began_cuts_it():
+    async def hasty(exchange):
+        await exchange.begin(200, {})
+        await exchange.read_body()
+
+    async def main():
+        async with serving(hasty, body_bytes=10) as server:
+            sock = await connect(server)
+            await sock.sendall(POST + b"content-length: 11\r\n\r\n")
+            received, was_reset = await read_all(sock)
+            assert was_reset
+            assert received.count(b"HTTP/1.1") <= 1
+            await sock.close()
+
+    run(main)
+
+
+def test_head_has_the_length_and_no_body():
+    async def main():
+        async with serving() as server:
+            answer = await talk(
+                server, b"HEAD /ab HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+            )
+            status, head, body = split(answer)
+            assert (status, body) == (200, b"")
+            assert b"content-length: 3" in head
+
+    run(main)
+
+
+def test_connections_beyond_the_limit_are_told_so():
+    async def main():
+        async with serving(connections=2) as server:
+            held = [await connect(server) for _ in range(2)]
+            await until(lambda: server.connections == 2)
+            status, head, body = split(await talk(server, GET + b"\r\n"))
+            assert status == 503
+            assert b"medlar-outcome: not_run" in head
+            assert b"another entry host" in body
+            await held[0].close()
+            await until(lambda: server.connections == 1)
+            assert (await talk(server, GET + b"connection: close\r\n\r\n")).startswith(HEAD)
+            await held[1].close()
+
+    run(main)
+
+
+def test_silent_connection_is_closed_without_an_answer():
+    async def main():
+        async with serving(idle_s=0.1) as server:
+            assert await talk(server, b"") == b""
+            await until(lambda: server.connections == 0)
+
+    run(main)
+
+
+def test_unexpected_exception_is_answered_and_reported():
+    async def fail(exchange):
+        raise ValueError("secret detail")
+
+    async def main():
+        faults = []
+        async with serving(fail, faults=faults) as server:
+            answer = await talk(server, GET + b"connection: close\r\n\r\n")
+            assert split(answer)[0] == 500
+            assert b"secret detail" not in answer
+            assert b"may_have_run" in answer
+            assert isinstance(faults[0], ValueError)
+
+    run(main)
+
+
+@pytest.mark.parametrize("headers", [{}, {"content-length": "100"}])
+@pytest.mark.parametrize("ending", ["abort", "raise", "return"])
+def test_unfinished_answer_never_looks_whole(headers, ending):
+    async def handler(exchange):
+        await exchange.begin(200, headers)
+        await exchange.send(b"part")
+        if ending == "abort":
+            await exchange.abort()
+        if ending == "raise":
+            raise ValueError
+
+    async def main():
+        faults = []
+        async with serving(handler, faults=faults) as server:
+            sock = await connect(server)
+            await sock.sendall(b"GET / HTTP/1.0\r\n\r\n" if not headers else GET + b"\r\n")
+            received, was_reset = await read_all(sock)
+            assert was_reset
+            assert b"\r\n0\r\n\r\n" not in received
+            await sock.close()
+
+    run(main)
+
+
+def test_short_answer_with_declared_length_is_cut():
+    async def handler(exchange):
+        await exchange.begin(200, {"content-length": "100"})
+        await exchange.send(b"part")
+        await exchange.finish()
+
+    async def main():
+        faults = []
+        async with serving(handler, faults=faults) as server:
+            sock = await connect(server)
+            await sock.sendall(GET + b"\r\n")
+            assert (await read_all(sock))[1]
+            assert len(faults) == 1
+            await sock.close()
+
+    run(main)
+
+
+def test_parts_are_sent_at_once_and_ended_properly():
+    go_on = []
+
+    async def handler(exchange):
+        event = curio.Event()
+        go_on.append(event)
+        await exchange.begin(200, {})
+        await exchange.send(b"one")
+        await event.wait()
+        await exchange.finish()
+
+    async def main():
+        async with serving(handler) as server:
+            sock = await connect(server)
+            await sock.sendall(GET + b"\r\n")
+            received = await read_until(sock, b"one\r\n")
+            assert b"transfer-encoding: chunked" in received.lower()
+            await go_on[0].set()
+            assert (await read_until(sock, b"0\r\n\r\n")).endswith(b"0\r\n\r\n")
+            await sock.close()
+
+    run(main)
+
+
+def watched(gone, entered):
+    async def handler(exchange):
+        await exchange.read_body()
+        await exchange.begin(200, {})
+        await exchange.send(b"part")
+        watcher = await curio.spawn(exchange.wait_caller_gone)
+        entered.append(exchange)
+        await watcher.join()
+        gone.append(exchange)
+
+    return handler
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "close behind many bytes"])
+def test_caller_that_goes_is_noticed(how):
+    async def main():
+        gone, entered = [], []
+        async with serving(watched(gone, entered)) as server:
+            sock = await connect(server)
+            await sock.sendall(GET + b"\r\n")
+            await read_until(sock, b"part")
+            await until(lambda: entered)
+            if how == "close behind many bytes":
+                await sock.sendall(b"x" * 90_000)
+            if how == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            assert not gone
+            await sock.close()
+            await until(lambda: gone)
+
+    run(main)
+
+
+def test_watching_the_caller_keeps_the_next_request():
+    async def handler(exchange):
+        watcher = await curio.spawn(exchange.wait_caller_gone)
+        if exchange.head.path == "/1":
+            await until(lambda: exchange._h11.trailing_data[0])
+        await watcher.cancel()
+        await exchange.respond(200, {}, exchange.head.path.encode())
+
+    async def main():
+        async with serving(handler) as server:
+            sock = await connect(server)
+            await sock.sendall(b"GET /1 HTTP/1.1\r\nhost: x\r\n\r\n")
+            await until(lambda: server.exchanges == 1)
+            await sock.sendall(b"GET /2 HTTP/1.1\r\nhost: x\r\n\r\n")
+            await read_until(sock, b"/2")
+            await sock.close()
+
+    run(main)
+
+
+def test_caller_that_does_not_read_is_cut():
+    async def handler(exchange):
+        await exchange.begin(200, {})
+        while True:
+            await exchange.send(b"x" * 65536)
+
+    async def main():
+        async with serving(handler, stall_s=0.1) as server:
+            sock = await connect(server)
+            await sock.sendall(GET + b"\r\n")
+            await until(lambda: server.exchanges == 1)
+            await until(lambda: server.connections == 0)
+            await sock.close()
+
+    run(main)
+
+
+def test_close_lets_an_exchange_finish_and_closes_idle_connections():
+    async def main():
+        release = curio.Event()
+
+        async def handler(exchange):
+            await release.wait()
+            await exchange.respond(200, {}, b"whole")
+
+        server = http_server.HttpServer(handler, host="127.0.0.1", port=0)
+        await server.start()
+        idle = await connect(server)
+        busy = await connect(server)
+        await busy.sendall(GET + b"\r\n" + GET + b"\r\n")
+        await until(lambda: server.exchanges == 1 and server.connections == 2)
+        closing = await curio.spawn(functools.partial(server.close, within_s=LONG_S))
+        assert await read_all(idle) == (b"", False)
+        with pytest.raises(ConnectionRefusedError):
+            await connect(server)
+        assert server.exchanges == 1
+        await release.set()
+        received, was_reset = await read_all(busy)
+        assert not was_reset
+        assert received.endswith(b"whole")
+        assert received.count(HEAD) == 1
+        assert b"connection: close" in received.lower()
+        await busy.close()
+        await idle.close()
+        await closing.join()
+        assert server.connections == 0
+
+    run(main)
+
+
+def test_close_cuts_what_takes_too_long():
+    async def main():
+        gone, entered = [], []
+        async with serving(watched(gone, entered)) as server:
+            sock = await connect(server)
+            await sock.sendall(GET + b"\r\n")
+            await until(lambda: entered)
+            await server.close(within_s=0.05)
+            received, was_reset = await read_all(sock)
+            assert was_reset
+            assert b"\r\n0\r\n\r\n" not in received
+            await sock.close()
+
+    run(main)
+
+
+FRAGMENTS = strategies.sampled_from(
+    [
+        *(b"GET / HTTP/1.1\r\n", b"POST /a HTTP/1.1\r\n", b"host: x\r\n", b"\r\n", b"\n", b" "),
+        *(b"content-length: 5\r\n", b"transfer-encoding: chunked\r\n", b"5\r\nhello\r\n"),
+        *(b"0\r\n\r\n", b"hello", b"expect: 100-continue\r\n", b"connection: close\r\n"),
+        *(b"HTTP/1.0", b"upgrade: h2c\r\n", b"content-length: 99999999999999999999\r\n"),
+    ]
+)
+
+
+@hypothesis.settings(max_examples=150)
+@hypothesis.given(strategies.lists(strategies.one_of(FRAGMENTS, strategies.binary(max_size=20))))
+def test_any_bytes_are_answered_or_closed(parts):
+    async def main():
+        faults = []
+        async with serving(faults=faults, header_s=0.5, body_s=0.5) as server:
+            sock = await connect(server)
+            with contextlib.suppress(OSError):
+                for part in parts:
+                    await sock.sendall(part)
+                await sock.shutdown(socket.SHUT_WR)
+            received, _ = await read_all(sock)
+            assert received == b"" or received.startswith(b"HTTP/1.1 ")
+            await sock.close()
+            assert (await talk(server, GET + b"connection: close\r\n\r\n")).startswith(HEAD)
+            assert faults == []
+
+    run(main)
