--- /dev/null
+++ b/src/medlarfork/_replica_election.py
@@ -0,0 +1,115 @@
+"""Ask for votes and grant them."""
+
+from __future__ import annotations
+
+from medlarfork import _replica_messages, _replica_records, _replica_state, replica_types
+
+
+class Campaign:
+    """Collect the answers to one round of vote requests."""
+
+    def __init__(
+        self, state: _replica_state.ReplicaState, *, preliminary: bool, transferred: bool = False
+    ) -> None:
+        """Ask every other voter; a vote of one's own is recorded before it is counted."""
+        self.is_preliminary = preliminary
+        self._state = state
+        self._granted_by: set[_replica_records.Member] = set()
+        if preliminary:
+            self._term = state.term + 1
+            self._granted_by.add(state.me)
+            state.become(replica_types.Role.PRE_CANDIDATE, "")
+        else:
+            self._term = state.term + 1
+            state.enter_term(self._term, state.me)
+            state.become(replica_types.Role.CANDIDATE, "")
+        self._ask(transferred)
+
+    @property
+    def is_won(self) -> bool:
+        """Say whether a majority of the voters, on the disks they are known by, granted it."""
+        state = self._state
+        granted_by = set(self._granted_by)
+        if not self.is_preliminary and state.disk.synced >= state.term_sequence:
+            granted_by.add(state.me)
+        membership = state.membership
+        return len(granted_by.intersection(membership.voters)) >= membership.quorum
+
+    def on_reply(self, sender: str, reply: _replica_messages.VoteReply) -> None:
+        """Count a granted vote of this round."""
+        of_this_round = (
+            reply.asked_term == self._term
+            and reply.preliminary == self.is_preliminary
+            and reply.candidate == self._state.me
+            and reply.voter.replica_id == sender
+        )
+        if of_this_round and reply.granted:
+            self._granted_by.add(reply.voter)
+
+    def _ask(self, transferred: bool) -> None:
+        state = self._state
+        request = _replica_messages.VoteRequest(
+            term=self._term,
+            candidate=state.me,
+            last_index=state.log.last_index,
+            last_term=state.log.last_term,
+            preliminary=self.is_preliminary,
+            transferred=transferred,
+        )
+        for voter in state.membership.voters:
+            if voter != state.me:
+                state.send(voter.replica_id, request)
+
+
+def must_ignore(state: _replica_state.ReplicaState, request: _replica_messages.VoteRequest) -> bool:
+    """Say whether a vote request must not even be answered.
+
+    A leader may count on the silence of all who heard it within the lease, unless it handed over
+    itself. A disk that no membership lists has nothing to vote with.
+    """
+    if not _may_vote(state):
+        return True
+    if request.transferred:
+        return False
+    return state.role is replica_types.Role.LEADER or state.holds_votes
+
+
+def answer(
+    state: _replica_state.ReplicaState, sender: str, request: _replica_messages.VoteRequest
+) -> bool:
+    """Answer a vote request of at most the current term; True if a vote was given."""
+    granted = _is_up_to_date(state, request) and (
+        request.term > state.term if request.preliminary else _is_vote_free(state, request)
+    )
+    votes = granted and not request.preliminary
+    if votes and state.voted_for is None:
+        state.enter_term(request.term, request.candidate)
+    reply = _replica_messages.VoteReply(
+        term=state.term,
+        asked_term=request.term,
+        candidate=request.candidate,
+        voter=state.me,
+        granted=granted,
+        preliminary=request.preliminary,
+    )
+    state.send(sender, reply)
+    return votes
+
+
+def _is_vote_free(
+    state: _replica_state.ReplicaState, request: _replica_messages.VoteRequest
+) -> bool:
+    return request.term == state.term and state.voted_for in (None, request.candidate)
+
+
+def _is_up_to_date(
+    state: _replica_state.ReplicaState, request: _replica_messages.VoteRequest
+) -> bool:
+    own = (state.log.last_term, state.log.last_index)
+    return (request.last_term, request.last_index) >= own
+
+
+def _may_vote(state: _replica_state.ReplicaState) -> bool:
+    if state.membership is None:
+        return state.founder_disk_id != 0
+    return state.me in state.membership.members
--- /dev/null
+++ b/src/medlarfork/_replica_options.py
@@ -0,0 +1,65 @@
+"""Define the options of a replica and check that they fit together."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork import errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaOptions:
+    """Hold a replica's timings and bounds; all replicas of a log use the same timings.
+
+    Attributes:
+        election_timeout_min_seconds: The shortest silence after which a voter campaigns.
+        election_timeout_max_seconds: The longest such silence; each wait is drawn in between.
+        heartbeat_seconds: The period of the leader's heartbeats.
+        lease_seconds: How long a replica that heard from a leader grants no vote.
+        drift_margin_seconds: How much earlier than that a leader stops trusting its lease. It
+            covers clocks whose rates differ by up to ``drift_margin / lease``.
+        batch_entries: The most entries in one message.
+        batch_bytes: The most command bytes in one message, unless one command is larger.
+        in_flight_appends: Unanswered messages with entries to one follower.
+        in_flight_persists: Writes handed to the disk and not yet synced.
+        uncommitted_entries: Entries a leader takes beyond what is committed.
+        snapshot_every_entries: Applied entries between two snapshots.
+        trailing_entries: Entries kept in memory before a snapshot, for followers close behind.
+        snapshot_chunk_bytes: The size of a piece of a snapshot on its way to a follower.
+        apply_batch_entries: The most entries applied for one event.
+    """
+
+    election_timeout_min_seconds: float = 1.0
+    election_timeout_max_seconds: float = 2.0
+    heartbeat_seconds: float = 0.25
+    lease_seconds: float = 1.0
+    drift_margin_seconds: float = 0.1
+    batch_entries: int = 64
+    batch_bytes: int = 256 * 1024
+    in_flight_appends: int = 4
+    in_flight_persists: int = 4
+    uncommitted_entries: int = 4096
+    snapshot_every_entries: int = 1000
+    trailing_entries: int = 200
+    snapshot_chunk_bytes: int = 64 * 1024
+    apply_batch_entries: int = 1024
+
+    def __post_init__(self) -> None:
+        """Refuse timings under which a lease would not be safe.
+
+        Raises:
+            errors.SettingsError: The timings contradict each other.
+        """
+        in_order = (
+            0 < self.heartbeat_seconds < self.lease_seconds - self.drift_margin_seconds
+            and self.drift_margin_seconds > 0
+            and self.lease_seconds
+            <= self.election_timeout_min_seconds
+            < self.election_timeout_max_seconds
+        )
+        if not in_order:
+            raise errors.SettingsError(
+                "The replica's timings contradict each other.",
+                remedy="Keep heartbeat < lease - drift margin and "
+                "lease <= shortest election timeout < longest election timeout.",
+            )
--- /dev/null
+++ b/src/medlarfork/_replica_records.py
@@ -0,0 +1,120 @@
+"""Define what a replica writes to its disk: identity, votes, log entries and snapshots."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from medlarfork import codec, replica_types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """Identify one replica on one disk; 0 stands for a disk that has not been seen yet."""
+
+    replica_id: str
+    disk_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Membership:
+    """Hold who votes and who follows without a vote, each with its disk."""
+
+    voters: tuple[Member, ...]
+    learners: tuple[Member, ...] = ()
+
+    @property
+    def quorum(self) -> int:
+        """Return how many voters are a majority."""
+        return len(self.voters) // 2 + 1
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Return voters and learners."""
+        return self.voters + self.learners
+
+    def member(self, replica_id: str) -> Member | None:
+        """Return the member with this id, whichever disk it has."""
+        for member in self.members:
+            if member.replica_id == replica_id:
+                return member
+        return None
+
+    def without(self, replica_id: str) -> Membership:
+        """Return the membership without a replica."""
+        return Membership(
+            tuple(member for member in self.voters if member.replica_id != replica_id),
+            tuple(member for member in self.learners if member.replica_id != replica_id),
+        )
+
+    def with_learner(self, member: Member) -> Membership:
+        """Return the membership with the replica as a learner on this disk, and in no other way."""
+        rest = self.without(member.replica_id)
+        return Membership(rest.voters, (*rest.learners, member))
+
+    def with_voter(self, member: Member) -> Membership:
+        """Return the membership with the replica as a voter on this disk."""
+        rest = self.without(member.replica_id)
+        return Membership((*rest.voters, member), rest.learners)
+
+    def names(self) -> replica_types.Voters:
+        """Return the ids alone, sorted."""
+        return replica_types.Voters(
+            voters=tuple(sorted(member.replica_id for member in self.voters)),
+            learners=tuple(sorted(member.replica_id for member in self.learners)),
+        )
+
+
+class EntryKind(enum.StrEnum):
+    """Say what a log entry holds."""
+
+    COMMAND = "command"
+    NOOP = "noop"
+    MEMBERSHIP = "membership"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """Hold one log entry. On disk, an entry replaces every earlier one from its index on."""
+
+    index: int
+    term: int
+    kind: EntryKind
+    command: bytes = b""
+    membership: Membership | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DiskRecord:
+    """Identify the disk; the first record of every journal."""
+
+    disk_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FounderRecord:
+    """Bind this disk to the one founder that it will ever accept."""
+
+    founder_disk_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermRecord:
+    """Record the current term and the vote in it."""
+
+    term: int
+    voted_for: Member | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotRecord:
+    """Hold the state machine's state as of an index, and what the log needs to go on from it."""
+
+    index: int
+    term: int
+    membership: Membership
+    state: bytes
+
+
+RECORD_CODEC = codec.Codec((Entry, DiskRecord, FounderRecord, TermRecord, SnapshotRecord))
+"""Encode and decode every record of the journal and the snapshot file."""
--- /dev/null
+++ b/src/medlarfork/_replica_snapshot.py
@@ -0,0 +1,85 @@
+"""Cut an encoded snapshot into pieces and put it together again."""
+
+from __future__ import annotations
+
+import hashlib
+
+from medlarfork import _replica_messages
+
+DIGEST_BYTES = 16
+"""Size of the digest that tells snapshots apart and checks that a whole one arrived."""
+
+
+def digest_of(data: bytes) -> bytes:
+    """Return the digest of an encoded snapshot."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+class SnapshotTransfer:
+    """Hand out the pieces of one snapshot, one at a time.
+
+    The transfer keeps its snapshot, so a newer one taken meanwhile does not start it anew.
+    """
+
+    def __init__(self, index: int, data: bytes, *, chunk_bytes: int) -> None:
+        """Start at the first piece."""
+        self.index = index
+        self.digest = digest_of(data)
+        self.sent_at = 0.0
+        self._data = data
+        self._chunk_bytes = chunk_bytes
+        self._offset = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Say whether the follower holds a part of it, so that a newer one would not do."""
+        return self._offset > 0
+
+    def chunk(self, term: int, now: float) -> _replica_messages.SnapshotChunk:
+        """Return the piece that the follower needs next."""
+        self.sent_at = now
+        piece = self._data[self._offset : self._offset + self._chunk_bytes]
+        return _replica_messages.SnapshotChunk(
+            term, self.index, self.digest, len(self._data), self._offset, piece, now
+        )
+
+    def advance(self, reply: _replica_messages.SnapshotChunkReply) -> bool:
+        """Move to the piece that the follower asks for; False if there is nothing to send.
+
+        The follower may go back, if it restarted, but an answer to an earlier piece may not.
+        """
+        is_late = reply.sent_at < self.sent_at
+        if reply.digest != self.digest or is_late or reply.next_offset == self._offset:
+            return False
+        self._offset = reply.next_offset
+        return True
+
+
+class SnapshotReceiver:
+    """Put the pieces of one snapshot together; a piece of another one starts anew.
+
+    Pieces of the same snapshot from another leader continue it, as the digest is the same.
+    """
+
+    def __init__(self) -> None:
+        """Start with no piece."""
+        self._digest = b""
+        self._data = bytearray()
+
+    def accept(self, chunk: _replica_messages.SnapshotChunk) -> int:
+        """Take a piece if it is the next one and return the offset wanted next."""
+        if chunk.digest != self._digest:
+            self._digest = chunk.digest
+            self._data = bytearray()
+        if chunk.offset == len(self._data):
+            self._data += chunk.data
+        return len(self._data)
+
+    def whole(self, chunk: _replica_messages.SnapshotChunk) -> bytes | None:
+        """Return the snapshot once complete, and forget it."""
+        if chunk.digest != self._digest or len(self._data) < chunk.total_bytes:
+            return None
+        data = bytes(self._data)
+        self._digest = b""
+        self._data = bytearray()
+        return data if digest_of(data) == chunk.digest else None
--- /dev/null
+++ b/src/medlarfork/journal.py
@@ -0,0 +1,187 @@
+"""Keep a replica's records on disk: one file that is appended to and synced.
+
+A snapshot is the first record of a new file, which replaces the old one by a rename; so snapshot
+and journal always fit together. Every frame is checked at start. A bad end of the file that was
+never reported as synced is cut off; anything else that is wrong is refused, since a replica that
+forgot what it promised must not vote.
+
+The calls block; run them in a thread, one at a time.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import pathlib
+from collections.abc import Iterable
+from typing import IO, NoReturn
+
+from medlarfork import _journal_format, errors, replica_types
+
+JOURNAL_NAME = "journal"
+"""The file with the snapshot and the records after it."""
+
+NEW_JOURNAL_NAME = "journal.new"
+"""A file that is being written and will replace the journal."""
+
+LOCK_NAME = "lock"
+"""The file whose lock keeps a second process away."""
+
+
+class Journal:
+    """Own the files of one data folder."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Prepare; no file is touched before ``start``."""
+        self._folder = folder
+        self._path = folder / JOURNAL_NAME
+        self._lock: IO[bytes] | None = None
+        self._file: IO[bytes] | None = None
+        self._salt = b""
+        self._checksum = 0
+
+    def start(self) -> replica_types.Restored:
+        """Lock the folder, creating it if need be, and read what it holds.
+
+        Raises:
+            errors.JournalError: Another process uses the folder.
+            errors.DamagedJournalError: The journal is damaged elsewhere than at its torn tail.
+        """
+        self._folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        self._take_lock()
+        (self._folder / NEW_JOURNAL_NAME).unlink(missing_ok=True)
+        if not self._path.exists():
+            self._replace((), has_snapshot=False)
+            _sync_folder(self._folder.parent)
+            return replica_types.Restored()
+        contents = _journal_format.decode(self._path.read_bytes())
+        if contents.is_damaged or contents.header is None:
+            self._raise_damaged(contents.good_bytes)
+        self._open(contents.header.salt, contents.checksum)
+        self._cut_tail(contents.good_bytes)
+        return _restored(contents.records, contents.header.has_snapshot)
+
+    def close(self) -> None:
+        """Close the files and release the lock."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+        if self._lock is not None:
+            self._lock.close()
+            self._lock = None
+
+    def append_and_sync(self, records: Iterable[bytes]) -> None:
+        """Append records with a single sync; return once they are on disk.
+
+        Raises:
+            errors.JournalError: The write or the sync failed. What is on disk is unknown from
+                then on, so the journal takes no further write and the process must end.
+        """
+        file = self._writable()
+        frames, checksum = _journal_format.encode_frames(
+            records, salt=self._salt, checksum=self._checksum
+        )
+        try:
+            _write_and_sync(file, frames)
+        except OSError as error:
+            self._raise_failed(error)
+        self._checksum = checksum
+
+    def save_snapshot(self, snapshot: bytes, records: Iterable[bytes]) -> None:
+        """Replace everything by a snapshot and records; return once they are on disk.
+
+        Raises:
+            errors.JournalError: As ``append_and_sync``.
+        """
+        self._writable()
+        try:
+            self._replace((snapshot, *records), has_snapshot=True)
+        except OSError as error:
+            self._raise_failed(error)
+
+    def _replace(self, records: tuple[bytes, ...], *, has_snapshot: bool) -> None:
+        salt = os.urandom(_journal_format.SALT_BYTES)
+        first = _journal_format.first_checksum(salt)
+        frames, checksum = _journal_format.encode_frames(records, salt=salt, checksum=first)
+        size_bytes = _journal_format.HEADER_BYTES + len(frames)
+        header = _journal_format.Header(salt, has_snapshot, synced_bytes=size_bytes)
+        new_path = self._folder / NEW_JOURNAL_NAME
+        with new_path.open("wb", buffering=0) as file:
+            _write_and_sync(file, _journal_format.encode_header(header) + frames)
+        new_path.rename(self._path)
+        _sync_folder(self._folder)
+        self._open(salt, checksum)
+
+    def _open(self, salt: bytes, checksum: int) -> None:
+        if self._file is not None:
+            self._file.close()
+        self._file = self._path.open("ab", buffering=0)
+        self._salt = salt
+        self._checksum = checksum
+
+    def _cut_tail(self, good_bytes: int) -> None:
+        file = self._writable()
+        if file.seek(0, os.SEEK_END) > good_bytes:
+            file.truncate(good_bytes)
+        os.fsync(file.fileno())
+
+    def _writable(self) -> IO[bytes]:
+        if self._file is None:
+            raise errors.JournalError(
+                f"The journal in {self._folder} takes no writes.",
+                remedy="End the process and start it again.",
+            )
+        return self._file
+
+    def _take_lock(self) -> None:
+        lock = (self._folder / LOCK_NAME).open("ab")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            lock.close()
+            raise errors.JournalError(
+                f"Another process uses the data folder {self._folder}.",
+                remedy="Give every replica a data folder of its own.",
+            ) from error
+        self._lock = lock
+
+    def _raise_failed(self, error: OSError) -> NoReturn:
+        """Refuse all further writes: after a failed sync, a second one may falsely succeed."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+        raise errors.JournalError(
+            f"Writing to the data folder {self._folder} failed: {error}.",
+            remedy="Check the disk, then start the process again.",
+        ) from error
+
+    def _raise_damaged(self, good_bytes: int) -> NoReturn:
+        self.close()
+        raise errors.DamagedJournalError(
+            f"{self._path} is damaged after byte {good_bytes}.",
+            remedy="Move the data folder away and start the replica with an empty one: "
+            "it returns without a vote until it has caught up.",
+        )
+
+
+def _restored(records: tuple[bytes, ...], has_snapshot: bool) -> replica_types.Restored:
+    if has_snapshot:
+        return replica_types.Restored(records[1:], records[0], fresh=False)
+    return replica_types.Restored(records, None, fresh=not records)
+
+
+def _write_and_sync(file: IO[bytes], data: bytes) -> None:
+    """Write all of the data, which one call need not do, and sync it."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[file.write(rest) :]
+    os.fsync(file.fileno())
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
+    """Make a rename in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/src/medlarfork/replica.py
@@ -0,0 +1,350 @@
+"""Run one replica of a replicated log: a pure part, driven by events and the time.
+
+Agreement is Raft with a preliminary vote, a leader's lease, pipelined appends, snapshots and
+changes of one voter at a time. Terms, votes and entries are synced before they are spoken of.
+
+**A voter is a replica on one disk.** A replica draws a random disk id when its data folder is
+empty, and memberships in the log name both. A replica that comes back on another disk is therefore
+another member: its votes and acknowledgements count for nothing. The leader that hears from it
+takes the lost disk out of the voters and adds the new one as a learner, in one committed change;
+once the learner has caught up, a second one makes it a voter. Consecutive memberships differ by
+one voter, so their majorities overlap. Say A lost its disk after A and B had committed an entry
+that C lacks: C then needs the vote of B, who refuses a shorter log, and B can't change the
+membership before C holds the entry too.
+
+**Founding.** Nothing has to be set for the first start; see ``_replica_founding``. All initial
+voters must be up for it, and if the founder's disk is lost within that moment, all folders have
+to be emptied. A setting for the first start would be simpler, but left in place it would let
+replicas that lost their disks found a second log beside the first.
+
+**Time.** The lease needs clocks that go on while the process is stopped and whose rates differ by
+less than the drift margin covers. Where whole machines may be suspended, pass a clock that counts
+the time of suspension. A clock that goes backwards ends leadership and starts every wait anew.
+
+**Randomness.** The generator must differ on every start of every replica; a repeated disk id
+would undo the above. So would a data folder that is copied or restored from a backup.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random as random_module
+from typing import Any
+
+from medlarfork import (
+    _replica_election,
+    _replica_follower,
+    _replica_founding,
+    _replica_leader,
+    _replica_messages,
+    _replica_options,
+    _replica_records,
+    _replica_state,
+    node,
+    replica_types,
+)
+
+ReplicaOptions = _replica_options.ReplicaOptions
+
+REPLICA_MESSAGES = _replica_messages.REPLICA_MESSAGES
+"""The message classes that replicas exchange, for the codec of the links."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaStatus:
+    """Describe a replica to operators; ``voters`` is None until it knows the membership."""
+
+    role: replica_types.Role
+    term: int
+    leader_id: str
+    commit_index: int
+    applied_index: int
+    last_index: int
+    voters: replica_types.Voters | None
+    is_voter: bool
+
+
+class Replica:
+    """Turn events of a replica into actions (see ``replica_types``)."""
+
+    def __init__(
+        self,
+        *,
+        replica_id: str,
+        initial_voters: replica_types.Voters,
+        restored: replica_types.Restored,
+        random: random_module.Random,
+        options: ReplicaOptions = ReplicaOptions(),  # noqa: B008 - it is immutable
+    ) -> None:
+        """Rebuild the replica from its disk; ``initial_voters`` only matter for founding."""
+        self._state = _replica_state.ReplicaState(replica_id, restored, random, options)
+        self._founding = _replica_founding.Founding(self._state, initial_voters)
+        self._follower = _replica_follower.Follower(self._state)
+        self._follower.on_new_term()
+        self._leader: _replica_leader.Leader | None = None
+        self._campaign: _replica_election.Campaign | None = None
+        self._election_due = math.inf
+        self._wake_at = math.inf
+        self._is_started = False
+        self._is_taking_snapshot = False
+        self._snapshot_sequence = 0
+
+    @property
+    def status(self) -> ReplicaStatus:
+        """Return what operators want to know."""
+        state = self._state
+        membership = state.membership
+        return ReplicaStatus(
+            role=state.role,
+            term=state.term,
+            leader_id=state.leader_id,
+            commit_index=state.commit_index,
+            applied_index=state.applied_index,
+            last_index=state.log.last_index,
+            voters=None if membership is None else membership.names(),
+            is_voter=state.is_voter,
+        )
+
+    def holds_lease(self, now: float) -> bool:
+        """Say whether this replica alone leads and has applied all that was ever accepted."""
+        if self._leader is None or now < self._state.now:
+            return False
+        return self._leader.holds_lease(now)
+
+    def handle(self, event: Any, now: float) -> tuple[Any, ...]:
+        """Handle an event at a monotonic time in seconds and return the actions, in order."""
+        if isinstance(event, node.Started):
+            self._start(now)
+        if not self._is_started:
+            return ()
+        self._set_time(now)
+        self._stop_leading_if_over()
+        self._dispatch(event)
+        self._on_time()
+        self._settle()
+        actions = tuple(self._state.actions)
+        self._state.actions.clear()
+        return actions
+
+    def _start(self, now: float) -> None:
+        state = self._state
+        self._is_started = True
+        state.now = now
+        state.heard_at = now
+        self._arm_election()
+        if state.snapshot is not None:
+            restore = replica_types.RestoreSnapshot(state.snapshot.index, state.snapshot.state)
+            state.actions.append(restore)
+
+    def _set_time(self, now: float) -> None:
+        state = self._state
+        went_back = now < state.now
+        state.now = now
+        if went_back:
+            state.heard_at = now
+            self._wake_at = math.inf
+            self._follow("")
+
+    def _dispatch(self, event: Any) -> None:
+        match event:
+            case node.MessageReceived(sender=sender, message=message):
+                self._receive(sender, message)
+            case node.TimeDue():
+                self._wake_at = math.inf
+            case node.Synced(token=token):
+                self._state.disk.on_synced(token)
+                self._state.log.sync_up_to(self._state.disk.synced)
+            case replica_types.SnapshotTaken():
+                self._on_snapshot_taken(event)
+            case replica_types.Propose(proposal_id=proposal_id, command=command):
+                if self._leader is None:
+                    self._refuse(proposal_id)
+                else:
+                    self._leader.propose(proposal_id, command)
+            case replica_types.ChangeVoters(proposal_id=proposal_id):
+                if self._leader is None:
+                    self._refuse(proposal_id)
+                else:
+                    self._leader.change_voters(event)
+            case replica_types.TransferLeadership():
+                if self._leader is not None:
+                    self._leader.transfer()
+
+    def _receive(self, sender: str, message: Any) -> None:
+        match message:
+            case _replica_messages.VoteRequest():
+                self._on_vote_request(sender, message)
+            case _replica_messages.VoteReply():
+                if self._is_current(message.term) and self._campaign is not None:
+                    self._campaign.on_reply(sender, message)
+            case _replica_messages.AppendRequest():
+                if self._accept_leader(sender, message):
+                    self._follower.on_append(sender, message)
+            case _replica_messages.SnapshotChunk():
+                if self._accept_leader(sender, message):
+                    self._follower.on_chunk(sender, message)
+            case _replica_messages.AppendReply():
+                if self._is_current(message.term) and self._leader is not None:
+                    self._leader.on_append_reply(sender, message)
+            case _replica_messages.SnapshotChunkReply():
+                if self._is_current(message.term) and self._leader is not None:
+                    self._leader.on_chunk_reply(sender, message)
+            case _replica_messages.TimeoutNow(term=term):
+                if term == self._state.term and self._leader is None and self._state.is_voter:
+                    self._campaign_for_vote(transferred=True)
+            case _replica_messages.FoundRequest():
+                self._founding.on_request(sender, message)
+            case _replica_messages.FoundReply():
+                self._founding.on_reply(sender, message)
+
+    def _is_current(self, term: int) -> bool:
+        """Move on to a later term; say whether a reply of this term still matters."""
+        if term > self._state.term:
+            self._enter_term(term)
+            self._follow("")
+            return False
+        return True
+
+    def _on_vote_request(self, sender: str, request: _replica_messages.VoteRequest) -> None:
+        state = self._state
+        if request.candidate.replica_id != sender or _replica_election.must_ignore(state, request):
+            return
+        if not request.preliminary and request.term > state.term:
+            self._enter_term(request.term)
+            self._follow("")
+        if _replica_election.answer(state, sender, request):
+            self._arm_election()
+
+    def _accept_leader(
+        self,
+        sender: str,
+        message: _replica_messages.AppendRequest | _replica_messages.SnapshotChunk,
+    ) -> bool:
+        """Follow the sender, or tell it that its term is over."""
+        state = self._state
+        if message.term < state.term:
+            reply = _replica_messages.AppendReply(
+                state.term, state.me, False, 0, state.log.last_index, message.sent_at
+            )
+            state.send(sender, reply)
+            return False
+        if message.term > state.term:
+            self._enter_term(message.term)
+        state.heard_at = state.now
+        if state.role is not replica_types.Role.FOLLOWER or state.leader_id != sender:
+            self._follow(sender)
+        self._arm_election()
+        return True
+
+    def _enter_term(self, term: int) -> None:
+        self._state.enter_term(term, None)
+        self._follower.on_new_term()
+
+    def _follow(self, leader_id: str) -> None:
+        """Stop leading or campaigning."""
+        state = self._state
+        was_leading = self._leader is not None
+        self._leader = None
+        self._campaign = None
+        state.become(replica_types.Role.FOLLOWER, leader_id)
+        if was_leading:
+            state.refuse_open_proposals()
+        self._arm_election()
+
+    def _refuse(self, proposal_id: str) -> None:
+        refusal = replica_types.ProposalRefused(proposal_id, self._state.leader_id, uncertain=False)
+        self._state.actions.append(refusal)
+
+    def _arm_election(self) -> None:
+        options = self._state.options
+        wait = self._state.random.uniform(
+            options.election_timeout_min_seconds, options.election_timeout_max_seconds
+        )
+        self._election_due = self._state.now + wait
+
+    def _stop_leading_if_over(self) -> None:
+        if self._leader is not None and self._leader.is_over:
+            self._follow("")
+
+    def _on_time(self) -> None:
+        self._founding.on_due()
+        if self._leader is not None:
+            self._leader.on_due()
+        elif self._state.now >= self._election_due:
+            self._on_silence()
+
+    def _on_silence(self) -> None:
+        """Campaign, or only note that there is no leader if this replica has no vote."""
+        state = self._state
+        if state.is_voter:
+            self._arm_election()
+            self._campaign = _replica_election.Campaign(state, preliminary=True)
+            return
+        if state.leader_id:
+            self._follow("")
+        self._arm_election()
+
+    def _campaign_for_vote(self, *, transferred: bool = False) -> None:
+        self._arm_election()
+        self._campaign = _replica_election.Campaign(
+            self._state, preliminary=False, transferred=transferred
+        )
+        self._follower.on_new_term()
+
+    def _settle(self) -> None:
+        """Draw every conclusion from the event and hand out what the disk allows."""
+        state = self._state
+        self._count_votes()
+        if self._leader is not None:
+            self._leader.advance()
+        state.apply()
+        self._take_snapshot_if_due()
+        state.actions.extend(state.disk.flush())
+        state.actions.extend(state.disk.release())
+        self._wake()
+
+    def _count_votes(self) -> None:
+        if self._campaign is not None and self._campaign.is_preliminary and self._campaign.is_won:
+            self._campaign_for_vote()
+        if self._campaign is not None and self._campaign.is_won:
+            self._campaign = None
+            self._state.become(replica_types.Role.LEADER, self._state.me.replica_id)
+            self._leader = _replica_leader.Leader(self._state)
+            self._leader.on_due()
+
+    def _take_snapshot_if_due(self) -> None:
+        state = self._state
+        if self._is_taking_snapshot or self._snapshot_sequence > state.disk.synced:
+            return
+        snapshot_index = 0 if state.snapshot is None else state.snapshot.index
+        if state.applied_index - snapshot_index >= state.options.snapshot_every_entries:
+            self._is_taking_snapshot = True
+            state.actions.append(replica_types.TakeSnapshot(state.applied_index))
+
+    def _on_snapshot_taken(self, event: replica_types.SnapshotTaken) -> None:
+        state = self._state
+        self._is_taking_snapshot = False
+        is_old = state.snapshot is not None and event.index <= state.snapshot.index
+        if is_old or event.index > state.applied_index:
+            return
+        snapshot = _replica_records.SnapshotRecord(
+            index=event.index,
+            term=state.log.term_at(event.index) or 0,
+            membership=state.log.membership_at(event.index),
+            state=event.state,
+        )
+        state.save_snapshot(snapshot, _replica_records.RECORD_CODEC.pack(snapshot))
+        self._snapshot_sequence = state.disk.written
+        state.log.compact(event.index - state.options.trailing_entries)
+
+    def _wake(self) -> None:
+        """Ask for the next event by time unless an earlier one is on its way."""
+        state = self._state
+        due = self._leader.due if self._leader is not None else self._election_due
+        due = min(due, self._founding.due)
+        if state.applied_index < state.commit_index:
+            due = state.now
+        if self._wake_at <= state.now or due < self._wake_at:
+            self._wake_at = due
+            state.actions.append(node.Wake(due))
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,334 @@
+"""Each guard of the replicated log, in the situation that it is there for."""
+
+import random
+
+import pytest
+
+from medlarfork import _replica_messages, _replica_records, errors, node, replica, replica_types
+from tests import replica_cluster
+
+
+@pytest.fixture
+def cluster():
+    """Return three replicas, of which "a" leads."""
+    three = replica_cluster.Cluster(3)
+    three.isolated.add("c")
+    while three.leader() is None or three.leader().replica_id != "a":
+        three = replica_cluster.Cluster(3, seed=three.random.random())
+        three.lead()
+    three.accept("first")
+    three.run(1)
+    return three
+
+
+def make_replica(records=(), *, options=replica_cluster.OPTIONS, voters=("a", "b", "c")):
+    """Return a started replica "b" of members with the disks 1, 2, 3, and its first actions."""
+    members = [_replica_records.Member(voter, at + 1) for at, voter in enumerate(voters)]
+    first = _replica_records.Entry(
+        1,
+        0,
+        _replica_records.EntryKind.MEMBERSHIP,
+        membership=_replica_records.Membership(tuple(members)),
+    )
+    own = voters.index("b") + 1
+    journal = (_replica_records.DiskRecord(own), first, *records)
+    packed = tuple(_replica_records.RECORD_CODEC.pack(record) for record in journal)
+    made = replica.Replica(
+        replica_id="b",
+        initial_voters=replica_types.Voters(voters),
+        restored=replica_types.Restored(packed, None, fresh=False),
+        random=random.Random(1),
+        options=options,
+    )
+    return made, made.handle(node.Started(), 0.0)
+
+
+def vote_request(term, *, preliminary=False):
+    candidate = _replica_records.Member("a", 1)
+    request = _replica_messages.VoteRequest(term, candidate, 9, term - 1, preliminary)
+    return node.MessageReceived("a", request)
+
+
+def sent(actions, kind):
+    return [
+        action.message
+        for action in actions
+        if isinstance(action, node.Send) and isinstance(action.message, kind)
+    ]
+
+
+def test_a_healed_replica_does_not_depose_the_leader(cluster):
+    term = cluster.leader().replica.status.term
+    cluster.isolated.add("c")
+    cluster.run(20)
+    cluster.isolated.clear()
+    cluster.run(5)
+    assert cluster.leader().replica_id == "a"
+    assert cluster.leader().replica.status.term == term
+
+
+def test_an_isolated_leader_stops_before_another_leads(cluster):
+    cluster.isolated.add("a")
+    cluster.propose("a", "late")
+    cluster.run_until(lambda: cluster.lease_holder() is None)
+    cluster.run_until(lambda: cluster.lease_holder() is not None)
+    assert not cluster.host_by_id["a"].is_leader
+    refusal = cluster.refused_by_id["late"]
+    assert refusal.uncertain
+
+
+def test_no_vote_is_granted_within_the_lease_after_a_heartbeat_or_a_start():
+    follower, _ = make_replica()
+    assert not sent(follower.handle(vote_request(5, preliminary=True), 0.9), object)
+    heartbeat = _replica_messages.AppendRequest(3, 0, 0, (), 0, 0.0)
+    follower.handle(node.MessageReceived("c", heartbeat), 1.0)
+    assert not sent(follower.handle(vote_request(5), 1.9), object)
+    assert follower.status.term == 3
+    follower.handle(vote_request(5), 2.01)
+    assert follower.status.term == 5
+
+
+def test_a_vote_waits_for_its_sync_and_is_given_once():
+    follower, _ = make_replica()
+    actions = follower.handle(vote_request(5), 1.1)
+    assert not sent(actions, _replica_messages.VoteReply)
+    (write,) = [action for action in actions if isinstance(action, node.Persist)]
+    actions = follower.handle(node.Synced(write.token), 1.1)
+    assert sent(actions, _replica_messages.VoteReply)[0].granted
+    other = _replica_messages.VoteRequest(5, _replica_records.Member("c", 3), 9, 4)
+    (reply,) = sent(
+        follower.handle(node.MessageReceived("c", other), 1.2), _replica_messages.VoteReply
+    )
+    assert not reply.granted
+
+
+def test_a_leader_counts_its_own_entry_only_once_synced(cluster):
+    cluster.host_by_id["a"].is_disk_slow = True
+    cluster.isolated.add("c")
+    cluster.propose("a", "waits")
+    cluster.run(2)
+    assert "waits" not in cluster.accepted_by_id
+    cluster.host_by_id["a"].is_disk_slow = False
+    cluster.run(0.5)
+    assert "waits" in cluster.accepted_by_id
+
+
+def lead_by_hand(records, *, term):
+    """Return a replica "b" that has just become leader, without a commit in its term."""
+    made, actions = make_replica(records)
+    for _ in range(3):
+        for action in actions:
+            if isinstance(action, node.Persist):
+                made.handle(node.Synced(action.token), 5.0)
+        actions = made.handle(node.TimeDue(), 5.0)
+        voter = _replica_records.Member("a", 1)
+        me = _replica_records.Member("b", 2)
+        for preliminary in (True, False):
+            reply = _replica_messages.VoteReply(
+                term - preliminary, term, me, voter, True, preliminary
+            )
+            actions += made.handle(node.MessageReceived("a", reply), 5.0)
+    assert made.status.role is replica_types.Role.LEADER
+    return made
+
+
+def ack(term, index, *, follower=("a", 1), sent_at=5.0):
+    member = _replica_records.Member(*follower)
+    return node.MessageReceived(
+        follower[0], _replica_messages.AppendReply(term, member, True, index, index, sent_at)
+    )
+
+
+def test_entries_of_earlier_terms_commit_only_with_one_of_the_own_term():
+    command = _replica_records.EntryKind.COMMAND
+    records = (
+        _replica_records.TermRecord(2, None),
+        _replica_records.Entry(2, 2, command, b"old"),
+    )
+    leader = lead_by_hand(records, term=3)
+    leader.handle(ack(3, 2), 5.1)
+    assert leader.status.commit_index == 0
+    leader.handle(ack(3, 3), 5.1)
+    assert leader.status.commit_index in (0, 3)
+
+
+def test_acknowledgements_of_another_term_or_disk_do_not_count():
+    leader = lead_by_hand((_replica_records.TermRecord(2, None),), term=3)
+    leader.handle(node.Synced(99), 5.1)
+    leader.handle(ack(2, 2), 5.1)
+    leader.handle(ack(3, 2, follower=("a", 77)), 5.1)
+    assert leader.status.commit_index == 0
+    leader.handle(ack(3, 2), 5.2)
+    assert leader.status.commit_index == 2
+
+
+def test_a_lost_disk_returns_without_a_vote(cluster):
+    cluster.lose_disk("b")
+    cluster.isolated.add("a")
+    cluster.start("b")
+    cluster.run(20)
+    assert cluster.leader() is None
+    cluster.isolated.clear()
+    cluster.run_until(lambda: cluster.is_voting("b"))
+    assert cluster.accepted_by_id["first"] in dict(cluster.host_by_id["b"].commands)
+
+
+def test_a_lost_disk_does_not_let_a_lagging_replica_lead(cluster):
+    cluster.isolated.add("c")
+    cluster.accept("only on a and b")
+    cluster.crash("b")
+    cluster.lose_disk("a")
+    cluster.start("a")
+    cluster.isolated.clear()
+    cluster.run(20)
+    assert cluster.leader() is None
+    cluster.start("b")
+    cluster.accept("after")
+    cluster.run_until(lambda: cluster.is_voting("a"))
+    cluster.run(1)
+    assert all(len(host.commands) == 3 for host in cluster.host_by_id.values())
+
+
+def test_a_second_disk_may_be_lost_right_after_the_first_returned(cluster):
+    for replica_id in "bcab":
+        cluster.accept(f"before {replica_id}")
+        cluster.lose_disk(replica_id)
+        cluster.start(replica_id)
+        cluster.run_until(lambda lost=replica_id: cluster.is_voting(lost))
+    cluster.accept("last")
+    assert len(cluster.leader().commands) == 6
+
+
+def test_a_log_is_not_founded_beside_an_existing_one(cluster):
+    cluster.crash("c")
+    for replica_id in "ab":
+        cluster.lose_disk(replica_id)
+        cluster.start(replica_id)
+    cluster.run(20)
+    cluster.start("c")
+    cluster.run(20)
+    assert cluster.leader() is None
+
+
+def test_a_far_behind_replica_gets_the_snapshot_in_pieces_and_resumes(cluster):
+    cluster.isolated.add("c")
+    for number in range(40):
+        cluster.accept(f"p{number}")
+    cluster.isolated.clear()
+    chunks = []
+    host = cluster.host_by_id["c"]
+    for _ in range(2000):
+        for packet in list(cluster.packets):
+            if isinstance(packet.message, _replica_messages.SnapshotChunk):
+                chunks.append(packet.message)
+                if len(chunks) == 4:
+                    cluster.packets.remove(packet)
+        cluster.step()
+        if len(host.commands) == 41:
+            break
+    assert len(host.commands) == 41
+    assert max(len(chunk.data) for chunk in chunks) <= cluster.options.snapshot_chunk_bytes
+    offsets = [chunk.offset for chunk in chunks]
+    assert offsets == sorted(offsets)
+    assert len(offsets) == len(set(offsets)) + 1
+
+
+def test_compaction_bounds_journal_and_memory(cluster):
+    for number in range(100):
+        cluster.accept(f"p{number}")
+    cluster.run(1)
+    bound = cluster.options.snapshot_every_entries + cluster.options.trailing_entries + 4
+    for host in cluster.host_by_id.values():
+        assert len(host.disk.records) <= bound + 8
+        assert host.state.log.last_index - host.state.log.base_index <= bound
+
+
+def test_leadership_is_handed_over_at_once_and_without_a_lease(cluster):
+    before = cluster.time
+    cluster.post("a", replica_types.TransferLeadership())
+    assert not cluster.host_by_id["a"].replica.holds_lease(cluster.now(cluster.host_by_id["a"]))
+    cluster.propose("a", "meanwhile")
+    assert not cluster.refused_by_id["meanwhile"].uncertain
+    cluster.run_until(
+        lambda: cluster.leader() is not None and not cluster.host_by_id["a"].is_leader
+    )
+    assert cluster.time - before < cluster.options.election_timeout_min_seconds
+
+
+def test_a_transfer_whose_target_stays_silent_ends_leadership(cluster):
+    cluster.post("a", replica_types.TransferLeadership())
+    cluster.packets.clear()
+    for _ in range(60):
+        kept = [
+            p for p in cluster.packets if not isinstance(p.message, _replica_messages.TimeoutNow)
+        ]
+        cluster.packets = kept
+        cluster.step()
+    leader = cluster.leader()
+    assert leader is None or leader.replica.status.term > 1
+
+
+def test_voters_change_one_at_a_time_with_a_learner_first(cluster):
+    cluster.start("d")
+    cluster.post("a", replica_types.ChangeVoters("add d", add="d"))
+    cluster.post("a", replica_types.ChangeVoters("too early", remove="b"))
+    cluster.run_until(lambda: cluster.is_voting("d"))
+    assert "add d" in cluster.accepted_by_id
+    assert "too early" in cluster.refused_by_id
+    cluster.post("a", replica_types.ChangeVoters("remove a", remove="a"))
+    cluster.run_until(lambda: cluster.lease_holder() not in (None, cluster.host_by_id["a"]))
+    cluster.accept("after")
+    assert cluster.leader().replica.status.voters == replica_types.Voters(("b", "c", "d"))
+
+
+def test_proposals_beyond_the_bound_are_refused_as_not_taken():
+    options = replica.ReplicaOptions(uncommitted_entries=3)
+    alone, _ = make_replica(options=options, voters=("b",))
+    for token in range(1, 4):
+        alone.handle(node.TimeDue(), 9.0)
+        alone.handle(node.Synced(token), 9.0)
+    assert alone.holds_lease(9.0)
+    actions = [
+        action
+        for number in range(5)
+        for action in alone.handle(replica_types.Propose(f"p{number}", b""), 9.0)
+    ]
+    refused = [action for action in actions if isinstance(action, replica_types.ProposalRefused)]
+    assert [action.proposal_id for action in refused] == ["p3", "p4"]
+    assert not any(action.uncertain for action in refused)
+
+
+def test_one_event_applies_a_bounded_number_of_entries():
+    options = replica.ReplicaOptions(apply_batch_entries=10)
+    command = _replica_records.EntryKind.COMMAND
+    records = [_replica_records.Entry(index, 0, command) for index in range(2, 27)]
+    alone, _ = make_replica(records, options=options, voters=("b",))
+    alone.handle(node.TimeDue(), 9.0)
+    counts = []
+    for event in (node.Synced(1), node.Synced(2), node.TimeDue(), node.TimeDue()):
+        actions = alone.handle(event, 9.0)
+        counts.append(sum(isinstance(action, replica_types.Apply) for action in actions))
+        is_waking_at_once = node.Wake(9.0) in actions
+        assert is_waking_at_once == (0 < sum(counts) < 25)
+    assert sorted(counts) == [0, 5, 10, 10][: len(counts)] or sum(counts) == 25
+
+
+def test_a_clock_that_goes_backwards_ends_leadership(cluster):
+    cluster.host_by_id["a"].offset -= 50
+    cluster.post("a", node.TimeDue())
+    assert not cluster.host_by_id["a"].is_leader
+
+
+def test_an_idle_log_only_sends_heartbeats(cluster):
+    cluster.run(2)
+    cluster.actions.clear()
+    cluster.run(10)
+    messages = [action for _, action in cluster.actions if isinstance(action, node.Send)]
+    per_second = 2 * 2 / cluster.options.heartbeat_seconds
+    assert len(messages) <= 10 * per_second
+    assert not any(isinstance(action, node.Persist) for _, action in cluster.actions)
+
+
+def test_timings_that_break_the_lease_are_refused():
+    with pytest.raises(errors.SettingsError):
+        replica.ReplicaOptions(lease_seconds=1.5)
--- /dev/null
+++ b/tests/test_replica_machine.py
@@ -0,0 +1,213 @@
+"""Drive clusters of replicas through random faults; the cluster checks the promises at each step.
+
+At the end of each example all faults are taken back, and the cluster must work again with
+everything that it ever accepted.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from medlarfork import replica_types
+from tests import replica_cluster
+
+RATES = st.sampled_from([0.96, 1.0, 1.04])
+OFFSETS = st.sampled_from([-90.0, 0.0, 5000.0])
+PLACES = st.integers(0, 10_000)
+EXTRA_ID = "x"
+
+
+class ReplicaMachine(stateful.RuleBasedStateMachine):
+    count = 3
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = replica_cluster.Cluster(self.count, seed=self.count)
+        self.cluster.lead()
+        self.proposals = 0
+
+    def host(self, place):
+        hosts = list(self.cluster.host_by_id.values())
+        return hosts[place % len(hosts)]
+
+    def next_id(self):
+        self.proposals += 1
+        return f"p{self.proposals}"
+
+    def may_lose_disk(self, host):
+        """Say whether the promise covers one more lost disk: a majority must keep its own."""
+        membership = self.cluster.membership[1]
+        missing = 0
+        for member in membership.members:
+            other = self.cluster.host_by_id[member.replica_id]
+            is_whole = member in membership.voters and member.disk_id in other.disk_ids()
+            missing += other is not host and not is_whole
+        return missing < (self.count - 1) // 2
+
+    @stateful.rule(place=PLACES)
+    def propose(self, place):
+        self.cluster.propose(self.host(place).replica_id, self.next_id())
+
+    @stateful.rule(count=st.integers(1, 20))
+    def propose_to_leader(self, count):
+        leader = self.cluster.leader()
+        for _ in range(count if leader else 0):
+            self.cluster.propose(leader.replica_id, self.next_id())
+
+    @stateful.rule(steps=st.integers(1, 30), seconds=st.sampled_from([0.01, 0.05, 0.3]))
+    def run(self, steps, seconds):
+        for _ in range(steps):
+            self.cluster.step(seconds)
+
+    @stateful.rule()
+    def run_until_led(self):
+        for _ in range(80):
+            if self.cluster.lease_holder() is None:
+                self.cluster.step()
+
+    @stateful.rule(seconds=st.sampled_from([0.5, 1.0, 5.0]))
+    def let_time_pass(self, seconds):
+        self.cluster.time += seconds
+        self.cluster.check_leases()
+
+    @stateful.rule(place=PLACES)
+    def deliver_one(self, place):
+        if self.cluster.packets:
+            self.cluster.deliver(self.cluster.packets.pop(place % len(self.cluster.packets)))
+
+    @stateful.rule(place=PLACES)
+    def duplicate(self, place):
+        packets = self.cluster.packets
+        if packets:
+            packets.append(packets[place % len(packets)])
+
+    @stateful.rule(place=PLACES, count=st.integers(1, 4))
+    def drop(self, place, count):
+        for _ in range(count):
+            if self.cluster.packets:
+                self.cluster.packets.pop(place % len(self.cluster.packets))
+
+    @stateful.rule()
+    def reverse(self):
+        self.cluster.packets.reverse()
+
+    @stateful.rule(place=PLACES, kept_writes=st.integers(0, 3))
+    def crash(self, place, kept_writes):
+        self.cluster.crash(self.host(place).replica_id, kept_writes=kept_writes)
+
+    @stateful.rule(place=PLACES, offset=OFFSETS, rate=RATES)
+    def restart(self, place, offset, rate):
+        host = self.host(place)
+        self.cluster.crash(host.replica_id)
+        self.cluster.start(host.replica_id, offset=offset, rate=rate)
+
+    @stateful.rule(place=PLACES, offset=OFFSETS, is_leader=st.booleans())
+    def lose_disk(self, place, offset, is_leader):
+        host = self.host(place)
+        if is_leader:
+            host = self.cluster.leader() or host
+        if self.may_lose_disk(host):
+            self.cluster.lose_disk(host.replica_id)
+            self.cluster.start(host.replica_id, offset=offset)
+
+    @stateful.rule(place=PLACES)
+    def isolate(self, place):
+        self.cluster.isolated.add(self.host(place).replica_id)
+
+    @stateful.rule(place=PLACES, other=PLACES)
+    def block_one_way(self, place, other):
+        self.cluster.blocked.add((self.host(place).replica_id, self.host(other).replica_id))
+
+    @stateful.rule(place=PLACES, is_frozen=st.booleans())
+    def cut_follower_off(self, place, is_frozen):
+        """Part one follower from the leader, and perhaps freeze the leader as it campaigns."""
+        leader = self.cluster.leader()
+        follower = self.host(place)
+        if leader is None or follower.replica is None:
+            return
+        self.cluster.blocked.add((leader.replica_id, follower.replica_id))
+        self.cluster.blocked.add((follower.replica_id, leader.replica_id))
+        for _ in range(40):
+            if follower.replica.status.role is replica_types.Role.PRE_CANDIDATE:
+                break
+            self.cluster.step()
+        if is_frozen:
+            self.cluster.freeze(leader.replica_id)
+        self.cluster.run(0.5)
+
+    @stateful.rule()
+    def heal(self):
+        self.cluster.isolated.clear()
+        self.cluster.blocked.clear()
+
+    @stateful.rule(place=PLACES)
+    def freeze(self, place):
+        host = self.host(place)
+        if host.replica is not None and host.frozen_events is None:
+            self.cluster.freeze(host.replica_id)
+
+    @stateful.rule(place=PLACES)
+    def thaw(self, place):
+        self.cluster.thaw(self.host(place).replica_id)
+
+    @stateful.rule(place=PLACES)
+    def turn_slow_disk(self, place):
+        host = self.host(place)
+        host.is_disk_slow = not host.is_disk_slow
+
+    @stateful.rule()
+    def transfer(self):
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.cluster.post(leader.replica_id, replica_types.TransferLeadership())
+
+    @stateful.rule()
+    def add_voter(self):
+        leader = self.cluster.leader()
+        if leader is not None and not self.is_large:
+            if EXTRA_ID not in self.cluster.host_by_id:
+                self.cluster.start(EXTRA_ID)
+            event = replica_types.ChangeVoters(self.next_id(), add=EXTRA_ID)
+            self.cluster.post(leader.replica_id, event)
+
+    @stateful.rule(place=PLACES)
+    def remove_voter(self, place):
+        leader = self.cluster.leader()
+        if leader is not None and self.is_large:
+            event = replica_types.ChangeVoters(self.next_id(), remove=self.host(place).replica_id)
+            self.cluster.post(leader.replica_id, event)
+
+    @property
+    def is_large(self):
+        return len(self.cluster.membership[1].members) > self.count
+
+    def teardown(self):
+        cluster = self.cluster
+        self.heal()
+        for host in list(cluster.host_by_id.values()):
+            host.is_disk_slow = False
+            cluster.thaw(host.replica_id)
+            if host.replica is None:
+                cluster.start(host.replica_id)
+        cluster.accept("last")
+        cluster.run_until(self.do_all_members_vote)
+        cluster.accept("very last")
+        expected = len(cluster.command_by_index)
+        members = [
+            cluster.host_by_id[member.replica_id] for member in cluster.membership[1].members
+        ]
+        cluster.run_until(lambda: all(len(host.commands) == expected for host in members))
+
+    def do_all_members_vote(self):
+        members = self.cluster.membership[1].members
+        return all(self.cluster.is_voting(member.replica_id) for member in members)
+
+
+class FiveReplicaMachine(ReplicaMachine):
+    count = 5
+
+
+TestThreeReplicas = ReplicaMachine.TestCase
+TestThreeReplicas.settings = hypothesis.settings(max_examples=150, stateful_step_count=60)
+TestFiveReplicas = FiveReplicaMachine.TestCase
+TestFiveReplicas.settings = hypothesis.settings(max_examples=60, stateful_step_count=60)
