--- /dev/null
+++ b/src/medlarfork/_control_log.py
@@ -0,0 +1,136 @@
+"""Join the replica's log to the replicated state: commands go in, applied replies come out."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+from typing import Any, Protocol
+
+from medlarfork import replica, replica_types, replicated_state
+
+
+class ReplicaPart(Protocol):
+    """Keep the replicated log; ``replica.Replica`` is the real one."""
+
+    @property
+    def status(self) -> replica.ReplicaStatus:
+        """Return what operators want to know."""
+        ...
+
+    def handle(self, event: Any, now: float) -> tuple[Any, ...]:
+        """Handle an event and return the actions, in order."""
+        ...
+
+    def holds_lease(self, now: float) -> bool:
+        """Return whether no other replica can lead at this time."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """Tell that a command was applied; ``proposal_id`` is set where it was proposed."""
+
+    proposal_id: str
+    term: int
+    reply: Any
+
+
+class ControlLog:
+    """Propose commands, and apply what is committed to the state.
+
+    Attributes:
+        role: What the replica last said it is.
+        term: The term in which it said so.
+        leader_id: Who leads as far as it knows; empty if unknown.
+    """
+
+    def __init__(
+        self,
+        replica_id: str,
+        part: ReplicaPart,
+        state: replicated_state.ReplicatedState,
+    ) -> None:
+        """Join a replica and a state, both of which start empty or as restored."""
+        self.replica_id = replica_id
+        self.state = state
+        self.role = replica_types.Role.FOLLOWER
+        self.term = 0
+        self.leader_id = ""
+        self._replica = part
+        self._events: collections.deque[Any] = collections.deque()
+        self._proposals = 0
+        self._wall_offset_ms: float | None = None
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether the replica leads, as far as it knows."""
+        return self.role is replica_types.Role.LEADER
+
+    @property
+    def other_leader_id(self) -> str:
+        """Return who else leads; a leader that may not answer can't know, so it is empty then."""
+        return "" if self.is_leader else self.leader_id
+
+    @property
+    def status(self) -> replica.ReplicaStatus:
+        """Return how the replica stands."""
+        return self._replica.status
+
+    def holds_lease(self, now: float) -> bool:
+        """Return whether no other replica can lead at this time."""
+        return self.is_leader and self._replica.holds_lease(now)
+
+    def set_wall_clock(self, unix_ms: int, now: float) -> None:
+        """Note the wall-clock time that belongs to a monotonic time."""
+        self._wall_offset_ms = unix_ms - now * 1000
+
+    def unix_ms(self, now: float) -> int:
+        """Return the time for a command; never before the time of one already applied."""
+        if self._wall_offset_ms is None:
+            return self.state.log_time_ms
+        return max(int(self._wall_offset_ms + now * 1000), self.state.log_time_ms)
+
+    def feed(self, event: Any) -> None:
+        """Let an event wait for ``run``."""
+        self._events.append(event)
+
+    def propose(self, command: replicated_state.Command, proposal_id: str = "") -> str:
+        """Let a command wait for ``run`` and return its proposal's id."""
+        proposal_id = proposal_id or self.new_proposal_id()
+        packed = replicated_state.COMMANDS.pack(command)
+        self.feed(replica_types.Propose(proposal_id, packed))
+        return proposal_id
+
+    def new_proposal_id(self) -> str:
+        """Return an id that this process has not used before."""
+        self._proposals += 1
+        return f"{self.replica_id}-{self._proposals}"
+
+    def run(self, now: float) -> Iterator[Any]:
+        """Feed the waiting events to the replica and return what is left to do, in order.
+
+        Each event is fed only after the actions of the one before: otherwise a later record
+        could reach the journal before an earlier one. The result holds ``Applied``, the
+        replica's ``RoleChanged`` and ``ProposalRefused``, and actions for the outside.
+        """
+        while self._events:
+            for action in self._replica.handle(self._events.popleft(), now):
+                yield from self._perform(action)
+
+    def _perform(self, action: Any) -> Iterator[Any]:
+        match action:
+            case replica_types.Apply(_, term, command, proposal_id):
+                reply = self.state.apply(command) if command else None
+                yield Applied(proposal_id, term, reply)
+            case replica_types.VotersChanged(_, _, proposal_id):
+                yield Applied(proposal_id, self.term, None)
+            case replica_types.RoleChanged(role, term, leader_id):
+                self.role, self.term, self.leader_id = role, term, leader_id
+                yield action
+            case replica_types.RestoreSnapshot(_, state):
+                self.state.restore(state)
+            case replica_types.TakeSnapshot(index):
+                self.feed(replica_types.SnapshotTaken(index, self.state.encode()))
+            case _:
+                yield action
--- /dev/null
+++ b/src/medlarfork/_disk_writer.py
@@ -0,0 +1,77 @@
+"""Write a replica's records from a thread, so that a sync stops nothing else."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from medlarfork import journal, node, replica_types
+
+Write = node.Persist | replica_types.SaveSnapshot
+
+
+class DiskWriter:
+    """Perform writes in order; those that wait while another is under way share one sync."""
+
+    def __init__(
+        self,
+        target: journal.Journal,
+        *,
+        on_synced: Callable[[node.Synced], Awaitable[None]],
+        on_failed: Callable[[Exception], Awaitable[None]],
+    ) -> None:
+        """Write to a journal that is started and closed by its owner."""
+        self._journal = target
+        self._on_synced = on_synced
+        self._on_failed = on_failed
+        self._waiting: collections.deque[Write] = collections.deque()
+        self._wakeup = curio.Event()
+        self._task: curio.Task | None = None
+
+    async def start(self) -> None:
+        """Start writing."""
+        self._task = await curio.spawn(self._run, daemon=True)
+
+    async def close(self) -> None:
+        """Stop; a write under way is finished first, and what waits is dropped."""
+        self._waiting.clear()
+        if self._task is not None:
+            await self._task.cancel()
+            self._task = None
+
+    async def write(self, action: Write) -> None:
+        """Let a write wait for its turn."""
+        self._waiting.append(action)
+        await self._wakeup.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wakeup.wait()
+            self._wakeup.clear()
+            while self._waiting:
+                try:
+                    # A cancelled thread would go on writing after the files are closed.
+                    async with curio.disable_cancellation():
+                        token = await self._write_next()
+                except Exception as error:
+                    await self._on_failed(error)
+                    return
+                await self._on_synced(node.Synced(token))
+
+    async def _write_next(self) -> int:
+        """Write what may share a sync and return the last one's token."""
+        action = self._waiting.popleft()
+        if isinstance(action, replica_types.SaveSnapshot):
+            await curio.run_in_thread(self._journal.save_snapshot, action.snapshot, action.records)
+            return action.token
+        records = list(action.records)
+        token = action.token
+        while self._waiting and isinstance(self._waiting[0], node.Persist):
+            following = self._waiting.popleft()
+            assert isinstance(following, node.Persist)
+            records.extend(following.records)
+            token = following.token
+        await curio.run_in_thread(self._journal.append_and_sync, records)
+        return token
--- /dev/null
+++ b/src/medlarfork/_operator_service.py
@@ -0,0 +1,219 @@
+"""Answer operators' requests on a control replica."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from medlarfork import (
+    _control_log,
+    _heartbeat_service,
+    _operator_reads,
+    configuration,
+    control_types,
+    errors,
+    operations,
+    replica_types,
+    replicated_state,
+)
+
+CALL_LIMIT = 1_000
+"""Most operators' requests in progress at once; more are refused."""
+
+HISTORY_LIMIT = 1_000
+"""Most changes in one answer."""
+
+Check = Callable[[configuration.Configuration], tuple[str, ...]]
+"""Return what is wrong with a configuration; an empty tuple accepts it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call:
+    """Hold a request that waits for the log."""
+
+    call_id: str
+    request: operations.Request
+
+
+class OperatorService:
+    """Answer reads at once and the rest when the log has decided it."""
+
+    def __init__(
+        self,
+        log: _control_log.ControlLog,
+        heartbeats: _heartbeat_service.HeartbeatService,
+        check: Check,
+        http_address_by_replica_id: Mapping[str, str],
+    ) -> None:
+        """Start with nothing in progress."""
+        self._log = log
+        self._heartbeats = heartbeats
+        self._check = check
+        self._http_address_by_replica_id = http_address_by_replica_id
+        self._call_by_proposal: dict[str, _Call] = {}
+
+    @property
+    def in_progress(self) -> bool:
+        """Return whether any call waits for the log."""
+        return bool(self._call_by_proposal)
+
+    def take(self, call_id: str, request: operations.Request, now: float) -> list[Any]:
+        """Answer a request, or propose what it asks for."""
+        reply = self._reply(call_id, request, now)
+        return [] if reply is None else _answer(call_id, reply)
+
+    def applied(self, applied: _control_log.Applied) -> list[Any]:
+        """Return the answer that an applied proposal leads to, if a call waits for it."""
+        call = self._call_by_proposal.pop(applied.proposal_id, None)
+        return [] if call is None else _answer(call.call_id, _reply_to(call.request, applied.reply))
+
+    def refused(self, refused: replica_types.ProposalRefused) -> list[Any]:
+        """Return the answer that a refused proposal leads to, if a call waits for it."""
+        call = self._call_by_proposal.pop(refused.proposal_id, None)
+        if call is None:
+            return []
+        reply = _operator_reads.uncertain() if refused.uncertain else self._not_leader()
+        return _answer(call.call_id, reply)
+
+    def end(self) -> list[Any]:
+        """End the leadership: nothing that waits is certain any more."""
+        calls = tuple(self._call_by_proposal.values())
+        self._call_by_proposal.clear()
+        uncertain = _operator_reads.uncertain()
+        return [action for call in calls for action in _answer(call.call_id, uncertain)]
+
+    def _reply(
+        self, call_id: str, request: operations.Request, now: float
+    ) -> operations.Reply | None:
+        """Return the reply, or None if it waits for the log."""
+        if isinstance(request, operations.GetStatus):
+            return self.status(now)
+        leases = self._heartbeats.leases
+        if leases is None:
+            return self._not_leader()
+        if not self._log.holds_lease(now):
+            return _operator_reads.no_quorum()
+        match request:
+            case operations.GetConfiguration(revision):
+                return _operator_reads.configuration(self._log.state, revision)
+            case operations.GetHistory(limit):
+                records = self._log.state.history(min(limit, HISTORY_LIMIT))
+                return operations.HistoryReply(records)
+            case operations.GetMembers():
+                return _operator_reads.members(leases)
+            case operations.GetInForce(revision):
+                return _operator_reads.in_force(leases, revision)
+            case _:
+                return self._propose(call_id, request, now)
+
+    def _propose(
+        self, call_id: str, request: operations.Request, now: float
+    ) -> operations.Refused | None:
+        if len(self._call_by_proposal) >= CALL_LIMIT:
+            return _operator_reads.overloaded()
+        refused = self._refusal(request)
+        if refused is not None:
+            return refused
+        at_ms = self._log.unix_ms(now)
+        match request:
+            case operations.ApplyChange(change_id, base_revision, whole, operator):
+                command: replicated_state.Command = replicated_state.ConfigurationChange(
+                    change_id, base_revision, operator, whole, at_ms
+                )
+            case operations.TakeFence(name, holder):
+                command = replicated_state.FenceTaken(at_ms, name, holder)
+            case operations.AskSubState(name, asked):
+                command = replicated_state.SubStateCommand(at_ms, name, asked)
+            case operations.ChangeVoters(add, remove):
+                proposal_id = self._log.new_proposal_id()
+                self._log.feed(replica_types.ChangeVoters(proposal_id, add, remove))
+                self._call_by_proposal[proposal_id] = _Call(call_id, request)
+                return None
+        self._call_by_proposal[self._log.propose(command)] = _Call(call_id, request)
+        return None
+
+    def _refusal(self, request: operations.Request) -> operations.Refused | None:
+        match request:
+            case operations.ApplyChange(change_id, _, whole):
+                # A resent change gets its first answer, even if checks have become stricter.
+                if self._log.state.remembers(change_id):
+                    return None
+                findings = self._check(whole)
+                return _operator_reads.invalid(findings) if findings else None
+            case operations.AskSubState(name) if not self._log.state.has_sub_state(name):
+                return operations.Refused(
+                    errors.Code.NOT_FOUND, f"There is no {name!r} here.", "Correct the name."
+                )
+            case operations.ChangeVoters(add, remove) if bool(add) == bool(remove):
+                return operations.Refused(
+                    errors.Code.BAD_REQUEST,
+                    "Replicas are changed one at a time.",
+                    "Name either one replica to add or one to remove.",
+                )
+            case operations.ChangeVoters(add) if add:
+                return self._refusal_to_add(add)
+            case _:
+                return None
+
+    def _refusal_to_add(self, replica_id: str) -> operations.Refused | None:
+        if replica_id in self._http_address_by_replica_id:
+            return None
+        return operations.Refused(
+            errors.Code.NOT_FOUND,
+            f"Replica {replica_id!r} is not in this replica's settings.",
+            "Add its addresses to the settings of all replicas and restart them one by one.",
+        )
+
+    def _not_leader(self) -> operations.Refused:
+        leader_id = self._log.other_leader_id
+        address = self._http_address_by_replica_id.get(leader_id, "")
+        return _operator_reads.not_leader(leader_id, address)
+
+    def status(self, now: float) -> operations.StatusReply:
+        """Return how this replica stands."""
+        status = self._log.status
+        voters = status.voters or replica_types.Voters(())
+        leases = self._heartbeats.leases
+        return operations.StatusReply(
+            replica_id=self._log.replica_id,
+            role=status.role,
+            term=status.term,
+            leader_id=status.leader_id,
+            has_lease=leases is not None and self._log.holds_lease(now),
+            commit_index=status.commit_index,
+            voters=voters.voters,
+            learners=voters.learners,
+            revision=self._log.state.current.revision,
+            claims=self._log.state.claim_count,
+            log_time_ms=self._log.state.log_time_ms,
+            members=() if leases is None else _operator_reads.member_statuses(leases),
+        )
+
+
+def _answer(call_id: str, reply: operations.Reply) -> list[Any]:
+    return [control_types.OperatorAnswered(call_id, reply)]
+
+
+def _reply_to(request: operations.Request, applied: Any) -> operations.Reply:
+    match request:
+        case operations.ApplyChange():
+            return _operator_reads.change_reply(applied)
+        case operations.TakeFence() if applied.number == 0:
+            return operations.Refused(
+                errors.Code.OVERLOADED,
+                "The table of fences is full; the fence was not taken.",
+                "Use the name of an existing fence.",
+            )
+        case operations.TakeFence():
+            return operations.FenceReply(applied.name, applied.holder, applied.number)
+        case operations.AskSubState() if isinstance(applied, replicated_state.SubStateRefused):
+            return operations.Refused(
+                errors.Code.BAD_REQUEST, applied.message, "Send a command of this version."
+            )
+        case operations.AskSubState(name):
+            return operations.SubStateReply(name, applied)
+        case operations.ChangeVoters(add, remove):
+            return operations.VotersChanged(add, remove)
+        case _:
+            raise AssertionError(f"{type(request).__name__} is not decided by the log")
--- /dev/null
+++ b/src/medlarfork/control.py
@@ -0,0 +1,237 @@
+"""Run one control replica as a node: the log, the state it leads to, and the leader's duties.
+
+The leader answers entry hosts and operators; every other replica points to it. A leader answers
+only while it holds its lease and after it has applied all that was committed before its term, so
+nothing it says is older than what an earlier leader acknowledged.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from medlarfork import (
+    _claim_service,
+    _control_log,
+    _heartbeat_service,
+    _operator_service,
+    claim,
+    control_types,
+    heartbeat,
+    node,
+    operations,
+    replica_types,
+    replicated_state,
+)
+
+TRANSFER_RETRY_S = 0.5
+"""How long a stopping leader waits before it tries again to hand leadership over, in seconds."""
+
+STOP_LIMIT_S = 10.0
+"""How long a stop may wait for leadership and calls, in seconds."""
+
+
+class ControlNode:
+    """Turn the events of one control replica into actions."""
+
+    def __init__(
+        self,
+        *,
+        replica_id: str,
+        replica: _control_log.ReplicaPart,
+        state: replicated_state.ReplicatedState,
+        check: _operator_service.Check,
+        http_address_by_replica_id: Mapping[str, str],
+    ) -> None:
+        """Wire the parts together.
+
+        Args:
+            check: Returns what is wrong with a configuration; an empty tuple accepts it.
+            http_address_by_replica_id: All replicas, this one included, with the addresses that
+                operators reach them at. Messages of the log are taken only from these.
+        """
+        self._log = _control_log.ControlLog(replica_id, replica, state)
+        self._heartbeats = _heartbeat_service.HeartbeatService(self._log)
+        self._claims = _claim_service.ClaimService(self._log, self._heartbeats)
+        self._operators = _operator_service.OperatorService(
+            self._log, self._heartbeats, check, http_address_by_replica_id
+        )
+        self._replica_ids = frozenset(http_address_by_replica_id)
+        self._leads = False
+        self._ready_proposal = ""
+        self._noted_revision = state.current.revision
+        self._wake_at = math.inf
+        self._stop_limit_at = math.inf
+        self._transfer_at = math.inf
+        self._stopped = False
+        self._actions: list[Any] = []
+
+    def handle(self, event: Any, now: float) -> tuple[Any, ...]:
+        """Handle an event at a monotonic time in seconds and return the actions, in order."""
+        self._actions = []
+        self._heartbeats.expire(now)
+        self._take(event, now)
+        if self._leads and self._heartbeats.leases is None and not self._ready_proposal:
+            self._propose_marker(now)
+        self._run_log(now)
+        self._actions += self._heartbeats.keep(now)
+        self._run_log(now)
+        while self._claims.propose(now):
+            self._run_log(now)
+        self._go_on_stopping(now)
+        self._arm_wake(now)
+        return tuple(self._actions)
+
+    def status(self, now: float) -> operations.StatusReply:
+        """Return how this replica stands."""
+        return self._operators.status(now)
+
+    def _take(self, event: Any, now: float) -> None:
+        match event:
+            case node.MessageReceived(sender, message):
+                self._take_message(sender, message, now)
+            case control_types.OperatorAsked(call_id, request):
+                self._actions += self._operators.take(call_id, request, now)
+            case control_types.WallClock(unix_ms):
+                self._log.set_wall_clock(unix_ms, now)
+            case control_types.StopAsked():
+                self._stop_limit_at = min(self._stop_limit_at, now + STOP_LIMIT_S)
+                self._transfer_at = now
+            case _:
+                self._log.feed(event)
+
+    def _take_message(self, sender: str, message: Any, now: float) -> None:
+        match message:
+            case heartbeat.Heartbeat() if sender == message.member.entry_id:
+                self._take_heartbeat(message, now)
+            case claim.ClaimRequest() | claim.ClaimFinish() | claim.ClaimAbandon() if (
+                sender == message.holder.entry_id
+            ):
+                self._take_claim(sender, message, now)
+            case heartbeat.Heartbeat() | claim.ClaimRequest():
+                self._reject(sender, message)
+            case claim.ClaimFinish() | claim.ClaimAbandon():
+                self._reject(sender, message)
+            case _ if sender in self._replica_ids:
+                self._log.feed(node.MessageReceived(sender, message))
+            case _:
+                self._reject(sender, message)
+
+    def _take_heartbeat(self, beat: heartbeat.Heartbeat, now: float) -> None:
+        if self._heartbeats.leases is None or not self._log.holds_lease(now):
+            self._send_not_leader(beat.member.entry_id)
+            return
+        self._actions += self._heartbeats.take(beat, now)
+
+    def _take_claim(self, sender: str, message: _claim_service.Message, now: float) -> None:
+        if self._heartbeats.leases is None or self._is_stopping:
+            self._send_not_leader(sender)
+        elif not self._log.holds_lease(now):
+            self._actions += self._claims.refuse_without_quorum(sender, message)
+        else:
+            self._actions += self._claims.take(sender, message)
+
+    def _reject(self, sender: str, message: Any) -> None:
+        kind = type(message).__name__
+        self._actions.append(control_types.MessageRejected(sender, kind))
+
+    def _send_not_leader(self, to: str) -> None:
+        reply = heartbeat.NotLeader(self._log.other_leader_id, self._log.term)
+        self._actions.append(node.Send(to, reply))
+
+    def _run_log(self, now: float) -> None:
+        for action in self._log.run(now):
+            match action:
+                case _control_log.Applied():
+                    self._take_applied(action, now)
+                case replica_types.RoleChanged():
+                    self._change_role(action, now)
+                case replica_types.ProposalRefused(proposal_id):
+                    self._note_refusal(proposal_id)
+                    self._actions += self._operators.refused(action)
+                    self._actions += self._claims.refused(proposal_id)
+                case _:
+                    self._actions.append(action)
+
+    def _note_refusal(self, proposal_id: str) -> None:
+        self._heartbeats.refused(proposal_id)
+        if proposal_id == self._ready_proposal:
+            self._ready_proposal = ""
+
+    def _take_applied(self, applied: _control_log.Applied, now: float) -> None:
+        self._note_revision()
+        if not applied.proposal_id or not self._leads:
+            return
+        if applied.proposal_id == self._ready_proposal:
+            self._ready_proposal = ""
+            self._heartbeats.begin(applied.term, now)
+            self._actions.append(control_types.LeaderReady(applied.term))
+        self._heartbeats.applied(applied.proposal_id)
+        self._actions += self._operators.applied(applied)
+        self._actions += self._claims.applied(applied, now)
+
+    def _note_revision(self) -> None:
+        revision = self._log.state.current.revision
+        if revision == self._noted_revision:
+            return
+        self._noted_revision = revision
+        if not self._leads:
+            return
+        (record,) = self._log.state.history(1)
+        self._actions.append(
+            control_types.ChangeApplied(revision, record.change_id, record.operator)
+        )
+        self._actions += self._heartbeats.notices()
+
+    def _change_role(self, changed: replica_types.RoleChanged, now: float) -> None:
+        self._actions.append(control_types.LeaderChanged(changed.leader_id, changed.term))
+        leads = changed.role is replica_types.Role.LEADER
+        if leads and not self._leads:
+            self._propose_marker(now)
+        if self._leads and not leads:
+            self._ready_proposal = ""
+            self._heartbeats.end()
+            self._actions += self._operators.end()
+            self._actions += self._claims.end()
+        self._leads = leads
+
+    def _propose_marker(self, now: float) -> None:
+        """Propose what proves, once applied, that all earlier entries have been applied."""
+        marker = replicated_state.MembersChanged(self._log.unix_ms(now), (), ())
+        self._ready_proposal = self._log.propose(marker)
+
+    def _go_on_stopping(self, now: float) -> None:
+        if self._stopped or not self._is_stopping:
+            return
+        if self._log.is_leader and self._has_others() and now < self._stop_limit_at:
+            if now >= self._transfer_at:
+                self._transfer_at = now + TRANSFER_RETRY_S
+                self._log.feed(replica_types.TransferLeadership())
+                self._run_log(now)
+            return
+        in_progress = self._operators.in_progress or self._claims.in_progress
+        if in_progress and now < self._stop_limit_at:
+            return
+        self._actions += self._operators.end()
+        self._actions += self._claims.end()
+        self._actions.append(control_types.Stopped())
+        self._stopped = True
+
+    @property
+    def _is_stopping(self) -> bool:
+        return self._stop_limit_at < math.inf
+
+    def _has_others(self) -> bool:
+        voters = self._log.status.voters
+        return voters is not None and len(voters.voters) > 1
+
+    def _arm_wake(self, now: float) -> None:
+        if self._wake_at <= now:
+            self._wake_at = math.inf
+        wanted = self._heartbeats.next_time()
+        if not self._stopped:
+            wanted = min(wanted, self._stop_limit_at, self._transfer_at)
+        if wanted < self._wake_at:
+            self._wake_at = wanted
+            self._actions.append(node.Wake(wanted))
--- /dev/null
+++ b/src/medlarfork/control_program.py
@@ -0,0 +1,315 @@
+"""Run a control replica: wire its node to the disk, other processes and operators."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import pathlib
+import random
+import secrets
+import time
+from typing import Any
+
+import curio
+from absl import app, flags
+
+from medlarfork import (
+    _control_metrics,
+    _disk_writer,
+    _stop_signal,
+    configuration,
+    configuration_check,
+    control,
+    control_settings,
+    control_types,
+    errors,
+    http_server,
+    journal,
+    keys,
+    lease_table,
+    link,
+    logs,
+    node,
+    operations,
+    operations_api,
+    orders,
+    replica,
+    replica_types,
+    replicated_state,
+    runner,
+    settings,
+    wire,
+)
+
+_SETTINGS = flags.DEFINE_string("settings", None, "TOML file with this replica's settings.")
+
+_log = logging.getLogger(__name__)
+
+_CLOCK_PERIOD_S = 1.0
+"""Time between two readings of the wall clock, in seconds."""
+
+_ANSWER_LIMIT_S = 20.0
+"""How long an operator's request may wait for the log, in seconds."""
+
+_CUT_WITHIN_S = 2.0
+"""How long connections may take to close at the end, in seconds."""
+
+_LINK_LINGER_S = 0.05
+"""How long the last messages may take to leave the process, in seconds."""
+
+_MILLION = 1_000_000
+
+
+class ControlProgram:
+    """Own the parts of one control replica's process."""
+
+    def __init__(self, given: control_settings.ControlSettings) -> None:
+        """Prepare the parts; nothing is opened before ``start``."""
+        control_settings.check(given)
+        own = given.own_address
+        host, port = _host_and_port(own.http_address)
+        self._given = given
+        self._journal = journal.Journal(given.data_folder)
+        self._writer = _disk_writer.DiskWriter(
+            self._journal, on_synced=self._post, on_failed=self._fail
+        )
+        self._metrics = _control_metrics.ControlMetrics(self._status)
+        self._link = link.Link(
+            identity=given.replica_id,
+            codec=wire.make_codec(),
+            bind=own.link_address,
+            keys=_load_keys(given),
+        )
+        api = operations_api.OperationsApi(
+            self._ask,
+            operators=given.operators,
+            allow_anyone=given.allow_anyone,
+            render_metrics=self._metrics.render,
+        )
+        self._server = http_server.HttpServer(api.serve, host=host, port=port)
+        self._replies_by_call: dict[str, curio.Queue] = {}
+        self._call_numbers = itertools.count()
+        self._stopped = curio.Event()
+        self._failure: Exception | None = None
+        self._tasks: list[curio.Task] = []
+
+    @property
+    def http_address(self) -> str:
+        """Return ``http://IP:PORT`` for operators."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Read the disk, open the link and the HTTP server, and start the node.
+
+        Raises:
+            errors.MedlarError: The disk is damaged or in use, or an address can't be had.
+        """
+        restored = await curio.run_in_thread(self._journal.start)
+        self._node = _make_node(self._given, restored)
+        self._runner = runner.Runner(self._node, perform=self._perform)
+        await self._link.start()
+        for address in self._given.replicas:
+            if address.replica_id != self._given.replica_id:
+                self._link.connect(address.replica_id, address.link_address)
+        self._metrics.start()
+        await self._writer.start()
+        await self._post(control_types.WallClock(_unix_ms()))
+        await self._runner.start()
+        self._tasks = [
+            await curio.spawn(self._receive, daemon=True),
+            await curio.spawn(self._read_clock, daemon=True),
+        ]
+        await self._server.start()
+        logs.event(_log, "started", http=self.http_address, link=self._link.address)
+
+    async def stop(self) -> None:
+        """Hand leadership over and return once no operator's call is in progress."""
+        logs.event(_log, "stopping")
+        await self._post(control_types.StopAsked())
+        await self._stopped.wait()
+
+    async def wait_failed(self) -> None:
+        """Return if the disk has failed; the process must end then."""
+        await self._stopped.wait()
+
+    async def close(self) -> None:
+        """Close everything."""
+        await self._server.close(within_s=_CUT_WITHIN_S)
+        for task in self._tasks:
+            await task.cancel()
+        await self._runner.close()
+        await self._writer.close()
+        await curio.sleep(_LINK_LINGER_S)
+        await self._link.close()
+        self._metrics.close()
+        self._journal.close()
+        logs.event(_log, "stopped")
+
+    @property
+    def failure(self) -> Exception | None:
+        """Return why the disk could not be written, if that happened."""
+        return self._failure
+
+    async def _post(self, event: Any) -> None:
+        await self._runner.post(event)
+
+    async def _perform(self, action: Any) -> None:
+        match action:
+            case node.Send(to, message):
+                self._link.send(to, message)
+            case node.Persist() | replica_types.SaveSnapshot():
+                await self._writer.write(action)
+            case control_types.OperatorAnswered(call_id, reply):
+                replies = self._replies_by_call.get(call_id)
+                if replies is not None:
+                    await replies.put(reply)
+            case control_types.Stopped():
+                await self._stopped.set()
+            case _:
+                _log_action(action)
+
+    async def _fail(self, error: Exception) -> None:
+        """End the process: what is on disk is no longer known."""
+        logs.event(_log, "disk_failed", severity=logging.CRITICAL, cause=error)
+        self._failure = error
+        await self._stopped.set()
+
+    async def _receive(self) -> None:
+        while True:
+            await self._post(await self._link.receive())
+
+    async def _read_clock(self) -> None:
+        while True:
+            await curio.sleep(_CLOCK_PERIOD_S)
+            await self._post(control_types.WallClock(_unix_ms()))
+
+    async def _ask(self, request: operations.Request) -> operations.Reply:
+        call_id = str(next(self._call_numbers))
+        replies = self._replies_by_call[call_id] = curio.Queue()
+        try:
+            await self._post(control_types.OperatorAsked(call_id, request))
+            reply = await curio.ignore_after(_ANSWER_LIMIT_S, replies.get)
+        finally:
+            del self._replies_by_call[call_id]
+        return _late() if reply is None else reply
+
+    def _status(self) -> operations.StatusReply:
+        return self._node.status(time.monotonic())
+
+
+def _make_node(
+    given: control_settings.ControlSettings, restored: replica_types.Restored
+) -> control.ControlNode:
+    ids = tuple(address.replica_id for address in given.replicas)
+    part = replica.Replica(
+        replica_id=given.replica_id,
+        initial_voters=replica_types.Voters(given.initial_voters or ids),
+        restored=restored,
+        random=random.Random(secrets.randbits(128)),
+    )
+    limits = replicated_state.ClaimLimits(
+        retention_ms=given.claim_retention_s * 1000, claims=given.claim_limit
+    )
+    state = replicated_state.ReplicatedState(
+        claim_limits=limits, sub_states=(lease_table.LeaseTable(), orders.OrderBoard())
+    )
+    return control.ControlNode(
+        replica_id=given.replica_id,
+        replica=part,
+        state=state,
+        check=_findings,
+        http_address_by_replica_id={item.replica_id: item.http_address for item in given.replicas},
+    )
+
+
+def _findings(whole: configuration.Configuration) -> tuple[str, ...]:
+    return tuple(finding.render() for finding in configuration_check.check(whole))
+
+
+def _late() -> operations.Refused:
+    return operations.Refused(
+        errors.Code.UNCERTAIN,
+        "The request was not decided in time; it may still take effect.",
+        "Send the same request with the same id again; it takes effect once.",
+    )
+
+
+def _log_action(action: Any) -> None:
+    match action:
+        case control_types.LeaderChanged(leader_id, term):
+            logs.event(_log, "leader_changed", leader=leader_id, term=term)
+        case control_types.LeaderReady(term):
+            logs.event(_log, "leader_ready", term=term)
+        case control_types.ChangeApplied(revision, change_id, operator):
+            logs.event(
+                _log, "change_applied", revision=revision, change=change_id, operator=operator
+            )
+        case control_types.ViewPublished(version, joined, left):
+            logs.event(
+                _log,
+                "view_published",
+                view=f"{version[0]}.{version[1]}",
+                joined=",".join(joined) or None,
+                left=",".join(left) or None,
+            )
+        case control_types.MessageRejected(sender, kind):
+            logs.event(_log, "message_rejected", severity=logging.WARNING, sender=sender, kind=kind)
+
+
+def _host_and_port(http_address: str) -> tuple[str, int]:
+    host, _, port = http_address.removeprefix("http://").rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        raise errors.SettingsError(
+            f"{http_address!r} is not an HTTP address.", remedy="Write it as http://IP:PORT."
+        )
+    return host.strip("[]"), int(port)
+
+
+def _load_keys(given: control_settings.ControlSettings) -> keys.LinkKeys | None:
+    if not given.keys_folder:
+        return None
+    return keys.LinkKeys.load(pathlib.Path(given.keys_folder), given.replica_id)
+
+
+def _unix_ms() -> int:
+    return time.time_ns() // _MILLION
+
+
+async def _run_until_stopped(given: control_settings.ControlSettings) -> None:
+    told_to_stop = _stop_signal.StopSignal()
+    told_to_stop.start()
+    program = ControlProgram(given)
+    try:
+        await program.start()
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(told_to_stop.wait)
+            await group.spawn(program.wait_failed)
+        if program.failure is None:
+            await program.stop()
+        await program.close()
+    finally:
+        told_to_stop.close()
+    if program.failure is not None:
+        raise SystemExit(1)
+
+
+def _main(arguments: list[str]) -> None:
+    del arguments
+    with settings.exit_on_error():
+        if not _SETTINGS.value:
+            raise errors.SettingsError(
+                "No settings file is named.", remedy="Start with --settings=FILE."
+            )
+        given = settings.load(pathlib.Path(_SETTINGS.value), control_settings.ControlSettings)
+        control_settings.check(given)
+        logs.configure(given.log_level, given.replica_id)
+    curio.run(_run_until_stopped, given)
+
+
+def run() -> None:
+    """Start the program from the command line."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/medlarfork/control_settings.py
@@ -0,0 +1,103 @@
+"""Define the settings file of ``medlar-control``."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+from medlarfork import errors, settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaAddress:
+    """Say where one control replica is reached.
+
+    Attributes:
+        replica_id: Stable identity; also the name of its link key.
+        link_address: ``tcp://IP:PORT`` for the system's processes.
+        http_address: ``http://IP:PORT`` for operators.
+    """
+
+    replica_id: str
+    link_address: str
+    http_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operator:
+    """Name an operator and the hex SHA-256 digest of the key that authenticates them."""
+
+    name: str
+    key_sha256: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Hold the settings of one control replica.
+
+    Attributes:
+        replica_id: Which of ``replicas`` this is.
+        data_folder: Folder for everything that must survive; on a disk of this host.
+        replicas: All control replicas, this one included; the same on all of them.
+        initial_voters: Who founds the log at the very first start; empty for all replicas.
+        operators: Who may use the operators' interface.
+        allow_anyone: True to let anyone use it, if ``operators`` is empty; for trials only.
+        keys_folder: Folder of link keys (see ``medlarctl keygen``); empty for no authentication.
+        claim_retention_s: How long idempotency keys are remembered, in seconds.
+        claim_limit: Most idempotency keys remembered; the same on all replicas.
+        log_level: Lowest level that is logged.
+    """
+
+    replica_id: str
+    data_folder: pathlib.Path
+    replicas: tuple[ReplicaAddress, ...]
+    initial_voters: tuple[str, ...] = ()
+    operators: tuple[Operator, ...] = ()
+    allow_anyone: bool = False
+    keys_folder: str = ""
+    claim_retention_s: int = settings.bounded(24 * 3600, minimum=60, maximum=7 * 24 * 3600)
+    claim_limit: int = settings.bounded(100_000, minimum=1, maximum=10_000_000)
+    log_level: str = "INFO"
+
+    @property
+    def own_address(self) -> ReplicaAddress:
+        """Return where this replica is reached.
+
+        Raises:
+            errors.SettingsError: It is not among ``replicas``.
+        """
+        for address in self.replicas:
+            if address.replica_id == self.replica_id:
+                return address
+        raise errors.SettingsError(
+            f"Replica {self.replica_id!r} is not in replicas.",
+            remedy="List all control replicas with their addresses, this one included.",
+        )
+
+
+def check(given: ControlSettings) -> None:
+    """Check what no single field shows.
+
+    Raises:
+        errors.SettingsError: The settings contradict each other.
+    """
+    ids = [address.replica_id for address in given.replicas]
+    if len(set(ids)) != len(ids):
+        raise errors.SettingsError(
+            "Two replicas have the same replica_id.", remedy="Give each an id of its own."
+        )
+    if not set(given.initial_voters) <= set(ids):
+        raise errors.SettingsError(
+            "initial_voters names a replica that is not in replicas.",
+            remedy="List its addresses in replicas.",
+        )
+    if not given.operators and not given.allow_anyone:
+        raise errors.SettingsError(
+            "No operator is named, so nobody could change the configuration.",
+            remedy="Add an [[operators]] table with name and key_sha256.",
+        )
+    if given.operators and given.allow_anyone:
+        raise errors.SettingsError(
+            "allow_anyone is set although operators are named.", remedy="Remove one of the two."
+        )
+    _ = given.own_address
--- /dev/null
+++ b/src/medlarfork/lease_table.py
@@ -0,0 +1,112 @@
+"""Keep the fenced leases of a replicated log: who holds each, and its fence number.
+
+The table reads no clock. A lease's time is measured only by its holder and by whoever waits it
+out, each on its own monotonic clock.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from medlarfork import codec, lease_types
+
+COMMANDS = codec.Codec((lease_types.TakeLease, lease_types.RenewLease, lease_types.ReleaseLease))
+"""Packs the commands of a lease table."""
+
+REPLIES = codec.Codec((lease_types.LeaseReply,))
+"""Packs the replies of a lease table."""
+
+MAX_LEASES = 1_000
+"""How many lease names the table holds; takes of further names are refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Lease:
+    """Hold one lease's state; ``attempt`` is the holder's that took it."""
+
+    version: lease_types.LeaseVersion = lease_types.LeaseVersion()
+    holder: str = ""
+    attempt: int = 0
+    duration_s: float = 0.0
+
+
+class LeaseTable:
+    """Apply lease commands in log order; deterministic."""
+
+    name = "leases"
+
+    def __init__(self) -> None:
+        """Start without leases."""
+        self._lease_by_name: dict[str, _Lease] = {}
+
+    def apply(self, command: bytes, now_ms: int) -> bytes:
+        """Apply a packed command; ``now_ms`` is not used, so that clock steps change nothing.
+
+        Raises:
+            errors.LinkError: The bytes are no command of this version.
+        """
+        return REPLIES.pack(self.decide(COMMANDS.unpack(command)))
+
+    def decide(self, command: Any) -> lease_types.LeaseReply:
+        """Apply a command and return the reply."""
+        lease = self._lease_by_name.get(command.name, _Lease())
+        changed = self._changed(lease, command)
+        if changed is not None:
+            self._lease_by_name[command.name] = changed
+        after = changed or lease
+        return lease_types.LeaseReply(
+            changed is not None, after.version, after.holder, after.duration_s
+        )
+
+    def fence(self, name: str) -> int:
+        """Return the fence of the last holder of a lease; 0 if nobody ever held it."""
+        return self._lease_by_name.get(name, _Lease()).version.fence
+
+    def encode(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        return msgspec.msgpack.encode(self._lease_by_name, order="deterministic")
+
+    def restore(self, state: bytes) -> None:
+        """Replace the state by an encoded one; empty bytes mean the first state."""
+        if not state:
+            self._lease_by_name = {}
+            return
+        self._lease_by_name = msgspec.msgpack.decode(state, type=dict[str, _Lease])
+
+    def _changed(self, lease: _Lease, command: Any) -> _Lease | None:
+        match command:
+            case lease_types.TakeLease():
+                return self._take(lease, command)
+            case lease_types.RenewLease():
+                return _renew(lease, command)
+            case lease_types.ReleaseLease():
+                return _release(lease, command)
+            case _:
+                return None
+
+    def _take(self, lease: _Lease, command: lease_types.TakeLease) -> _Lease | None:
+        if lease.holder == command.holder and lease.attempt == command.attempt:
+            return lease
+        if lease.version != command.seen:
+            return None
+        if command.name not in self._lease_by_name and len(self._lease_by_name) >= MAX_LEASES:
+            return None
+        version = lease_types.LeaseVersion(lease.version.fence + 1, 0)
+        return _Lease(version, command.holder, command.attempt, command.duration_s)
+
+
+def _renew(
+    lease: _Lease, command: lease_types.RenewLease | lease_types.ReleaseLease
+) -> _Lease | None:
+    if not lease.holder or lease.version.fence != command.fence:
+        return None
+    version = dataclasses.replace(lease.version, renewals=lease.version.renewals + 1)
+    return dataclasses.replace(lease, version=version)
+
+
+def _release(lease: _Lease, command: lease_types.ReleaseLease) -> _Lease | None:
+    renewed = _renew(lease, command)
+    return None if renewed is None else dataclasses.replace(renewed, holder="")
--- /dev/null
+++ b/src/medlarfork/replicated_state.py
@@ -0,0 +1,294 @@
+"""Apply the commands of the replicated log: changes, claims, fences, members and sub-states.
+
+Applying is deterministic: replicas that apply the same commands hold the same state and give
+the same replies. Time is only what the commands carry, and it never goes back.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+import msgspec
+
+from medlarfork import _change_table, _claim_table, claim, codec, errors, heartbeat, member
+
+ChangeLimits = _change_table.ChangeLimits
+ChangeRecord = _change_table.ChangeRecord
+ChangeAnswer = _change_table.ChangeAnswer
+ConfigurationChange = _change_table.ConfigurationChange
+ClaimLimits = _claim_table.ClaimLimits
+
+
+class SubState(Protocol):
+    """Keep a part of the replicated state that another module decides."""
+
+    @property
+    def name(self) -> str:
+        """Return the unique name that its commands carry."""
+        ...
+
+    def apply(self, command: bytes, now_ms: int) -> bytes:
+        """Apply a command at a log time and return the reply; must be deterministic."""
+        ...
+
+    def encode(self) -> bytes:
+        """Return the whole sub-state for a snapshot."""
+        ...
+
+    def restore(self, state: bytes) -> None:
+        """Replace the sub-state by an encoded one; empty bytes mean its first state."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimOperation:
+    """Hold one operation on claims; exactly one of the fields is set."""
+
+    request: claim.ClaimRequest | None = None
+    finish: claim.ClaimFinish | None = None
+    abandon: claim.ClaimAbandon | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimBatch:
+    """Command: apply claim operations in order; several share one log entry and one sync."""
+
+    at_ms: int
+    operations: tuple[ClaimOperation, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceTaken:
+    """Command: make ``holder`` the holder of a fence; each new holder has a higher number."""
+
+    at_ms: int
+    name: str
+    holder: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """Command: note which entry hosts joined or left, so that a new leader knows them."""
+
+    at_ms: int
+    joined: tuple[member.Member, ...]
+    left: tuple[member.Member, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubStateCommand:
+    """Command: hand a command to the sub-state of that name."""
+
+    at_ms: int
+    name: str
+    command: bytes
+
+
+Command = ConfigurationChange | ClaimBatch | FenceTaken | MembersChanged | SubStateCommand
+
+COMMANDS = codec.Codec(
+    (ConfigurationChange, ClaimBatch, FenceTaken, MembersChanged, SubStateCommand)
+)
+"""Encodes the commands for the log."""
+
+FENCE_LIMIT = 10_000
+"""Most fences that are kept; a further name is refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fence:
+    """Say who holds a fence under which number; number 0 means that the table is full."""
+
+    name: str
+    holder: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubStateRefused:
+    """Say that a sub-state did not take a command; nothing was changed."""
+
+    name: str
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Snapshot:
+    """Hold the whole state."""
+
+    log_time_ms: int
+    changes: _change_table.ChangeTableState
+    claims: _claim_table.ClaimTableState
+    fences: tuple[Fence, ...]
+    members: tuple[member.Member, ...]
+    sub_states: dict[str, bytes]
+
+
+class ReplicatedState:
+    """Hold the state that all control replicas agree on."""
+
+    def __init__(
+        self,
+        *,
+        change_limits: ChangeLimits | None = None,
+        claim_limits: ClaimLimits | None = None,
+        sub_states: Iterable[SubState] = (),
+    ) -> None:
+        """Start empty; the limits and sub-states must be the same on all replicas."""
+        self._change_limits = change_limits or ChangeLimits()
+        self._claim_limits = claim_limits or ClaimLimits()
+        self._sub_state_by_name = {sub_state.name: sub_state for sub_state in sub_states}
+        self._log_time_ms = 0
+        self._changes = _change_table.ChangeTable(self._change_limits)
+        self._claims = _claim_table.ClaimTable(self._claim_limits)
+        self._fence_by_name: dict[str, Fence] = {}
+        self._member_by_id: dict[str, member.Member] = {}
+
+    @property
+    def log_time_ms(self) -> int:
+        """Return the highest time that a command has carried, in Unix milliseconds."""
+        return self._log_time_ms
+
+    @property
+    def current(self) -> heartbeat.RevisionedConfiguration:
+        """Return the configuration in force with its revision."""
+        return self._changes.current
+
+    @property
+    def claim_count(self) -> int:
+        """Return the number of claims kept."""
+        return len(self._claims)
+
+    @property
+    def member_by_id(self) -> dict[str, member.Member]:
+        """Return the entry hosts that joined and have not left, keyed by id."""
+        return self._member_by_id
+
+    def configuration_at(self, revision: int) -> heartbeat.RevisionedConfiguration | None:
+        """Return the configuration of a revision, if it is still kept."""
+        found = self._changes.configuration_at(revision)
+        return None if found is None else heartbeat.RevisionedConfiguration(revision, found)
+
+    def history(self, limit: int) -> tuple[ChangeRecord, ...]:
+        """Return the records of the last accepted changes, newest first."""
+        return self._changes.history(limit)
+
+    def remembers(self, change_id: str) -> bool:
+        """Return whether the answer to a change is kept."""
+        return self._changes.remembers(change_id)
+
+    def fence(self, name: str) -> Fence | None:
+        """Return the fence of that name, if anyone ever held it."""
+        return self._fence_by_name.get(name)
+
+    def claim_holder(self, key: claim.ClaimKey) -> claim.Holder | None:
+        """Return who holds the unfinished claim, if anyone does."""
+        return self._claims.holder_of(key)
+
+    def has_sub_state(self, name: str) -> bool:
+        """Return whether a sub-state of that name is registered."""
+        return name in self._sub_state_by_name
+
+    def apply(self, command: bytes) -> Any:
+        """Apply a packed command and return its reply.
+
+        The reply is a ``ChangeAnswer``, a tuple with a ``ClaimReply`` or ``ClaimRecorded`` for
+        each claim operation, a ``Fence``, a sub-state's bytes or ``SubStateRefused``, or None.
+        """
+        decoded = COMMANDS.unpack(command)
+        match decoded:
+            case ConfigurationChange():
+                self._advance(decoded.accepted_at_ms)
+                return self._changes.decide(decoded, self._log_time_ms)
+            case ClaimBatch():
+                self._advance(decoded.at_ms)
+                return tuple(self._apply_claim(item) for item in decoded.operations)
+            case FenceTaken():
+                self._advance(decoded.at_ms)
+                return self._take_fence(decoded)
+            case MembersChanged():
+                self._advance(decoded.at_ms)
+                return self._note_members(decoded)
+            case SubStateCommand():
+                self._advance(decoded.at_ms)
+                return self._apply_to_sub_state(decoded)
+
+    def encode(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        snapshot = _Snapshot(
+            self._log_time_ms,
+            self._changes.state(),
+            self._claims.state(),
+            tuple(self._fence_by_name.values()),
+            tuple(self._member_by_id.values()),
+            {name: item.encode() for name, item in self._sub_state_by_name.items()},
+        )
+        return msgspec.msgpack.encode(snapshot)
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state by an encoded one.
+
+        Raises:
+            errors.DamagedJournalError: The bytes are no snapshot of this version.
+        """
+        try:
+            snapshot = msgspec.msgpack.decode(state, type=_Snapshot)
+        except msgspec.MsgspecError as error:
+            raise errors.DamagedJournalError(
+                f"The snapshot can't be decoded: {error}.",
+                remedy="Start the replica with the version that wrote it, or as a new replica.",
+            ) from error
+        self._log_time_ms = snapshot.log_time_ms
+        self._changes = _change_table.ChangeTable(self._change_limits, snapshot.changes)
+        self._claims = _claim_table.ClaimTable(self._claim_limits, snapshot.claims)
+        self._fence_by_name = {fence.name: fence for fence in snapshot.fences}
+        self._member_by_id = {item.entry_id: item for item in snapshot.members}
+        for name, sub_state in self._sub_state_by_name.items():
+            sub_state.restore(snapshot.sub_states.get(name, b""))
+
+    def _advance(self, at_ms: int) -> None:
+        # A leader's clock may step back; what has expired must stay expired.
+        self._log_time_ms = max(self._log_time_ms, at_ms)
+        self._claims.expire(self._log_time_ms)
+
+    def _apply_claim(self, operation: ClaimOperation) -> claim.ClaimReply | claim.ClaimRecorded:
+        if operation.request is not None:
+            return self._claims.request(operation.request, self._log_time_ms)
+        if operation.finish is not None:
+            self._claims.finish(operation.finish, self._log_time_ms)
+            return claim.ClaimRecorded(operation.finish.key, operation.finish.holder)
+        assert operation.abandon is not None
+        self._claims.abandon(operation.abandon, self._log_time_ms)
+        return claim.ClaimRecorded(operation.abandon.key, operation.abandon.holder)
+
+    def _apply_to_sub_state(self, command: SubStateCommand) -> bytes | SubStateRefused:
+        sub_state = self._sub_state_by_name.get(command.name)
+        if sub_state is None:
+            return SubStateRefused(command.name, "This version has no such part.")
+        try:
+            return sub_state.apply(command.command, self._log_time_ms)
+        except errors.MedlarError as error:
+            # Raised on, it would stop every replica at the same entry at each start.
+            return SubStateRefused(command.name, str(error))
+
+    def _take_fence(self, taken: FenceTaken) -> Fence:
+        held = self._fence_by_name.get(taken.name)
+        if held is None and len(self._fence_by_name) >= FENCE_LIMIT:
+            return Fence(taken.name, "", 0)
+        if held is None or held.holder != taken.holder:
+            number = 1 if held is None else held.number + 1
+            held = Fence(taken.name, taken.holder, number)
+            self._fence_by_name[taken.name] = held
+        return held
+
+    def _note_members(self, changed: MembersChanged) -> None:
+        for left in changed.left:
+            known = self._member_by_id.get(left.entry_id)
+            if known is not None and known.incarnation <= left.incarnation:
+                del self._member_by_id[left.entry_id]
+        for joined in changed.joined:
+            known = self._member_by_id.get(joined.entry_id)
+            if known is None or known.incarnation <= joined.incarnation:
+                self._member_by_id[joined.entry_id] = joined
