--- /dev/null
+++ b/src/medlarfork/_engine_progress.py
@@ -0,0 +1,94 @@
+"""Hold where the order planner stands with one engine, and judge its orders by its state."""
+
+from __future__ import annotations
+
+import enum
+
+from medlarfork import order_types
+
+
+class Phase(enum.Enum):
+    """Name what the planner does next with an engine at its ``due`` time.
+
+    UNREAD: read its state.
+    READING: give the read up.
+    IDLE: nothing, or decide again if ``due`` is finite.
+    QUEUED: nothing; the weight store decides when its load starts.
+    MARKING: propose again to take it out of or back into service.
+    DRAINING: go on as if it had drained.
+    RECORDING: propose again to record its order.
+    SENT: take its order's result as unknown.
+    RESOLVING: propose again to record its order's result.
+    """
+
+    UNREAD = enum.auto()
+    READING = enum.auto()
+    IDLE = enum.auto()
+    QUEUED = enum.auto()
+    MARKING = enum.auto()
+    DRAINING = enum.auto()
+    RECORDING = enum.auto()
+    SENT = enum.auto()
+    RESOLVING = enum.auto()
+
+
+class EngineProgress:
+    """Hold the mutable progress with one engine.
+
+    Attributes:
+        order: Its order in progress, if any.
+        result: The result being recorded while RESOLVING.
+        settled_at: Monotonic time from which its order can't be carried out any more.
+        read_number: Number of the last read, repeated by the answer.
+        drained: Whether it runs no requests since it was taken out of service.
+        mark_number: Number of the last proposal of MARKING; older ones are ignored.
+        marking_in: Whether MARKING puts it back into service.
+        wanted: The weights it waits for while QUEUED.
+        last_action: The action of the last order.
+        repeats: How often that action has been ordered in a row.
+        retry_at: Monotonic time before which that action isn't ordered again.
+    """
+
+    def __init__(self, upstream_id: str) -> None:
+        """Start unread."""
+        self.upstream_id = upstream_id
+        self.phase = Phase.UNREAD
+        self.order: order_types.Order | None = None
+        self.result = order_types.OrderResult.UNKNOWN
+        self.settled_at = 0.0
+        self.read_number = 0
+        self.drained = False
+        self.marking_in = False
+        self.mark_number = 0
+        self.wanted: order_types.Weights | None = None
+        self.last_action: order_types.OrderAction | None = None
+        self.repeats = 0
+        self.retry_at = 0.0
+
+
+def has_effect(action: order_types.OrderAction, state: order_types.EngineState) -> bool:
+    """Return whether an engine's state shows what an action asks for."""
+    match action:
+        case order_types.LoadWeights(weights):
+            return order_types.LoadedWeights(weights.name, weights.version) in state.weights
+        case order_types.ChangeRole(role):
+            return state.role == role
+
+
+def judge(
+    order: order_types.Order, state: order_types.EngineState, *, settled: bool
+) -> order_types.OrderResult | None:
+    """Return how an order of unknown result ended by the engine's state; None if still open.
+
+    Args:
+        order: The order in progress.
+        state: The engine's state, read after the order was sent.
+        settled: Whether so much time has passed that it can't be carried out any more.
+    """
+    if state.executing == order.order_id:
+        return None
+    if has_effect(order.action, state):
+        return order_types.OrderResult.DONE
+    if settled or order.order_id in state.order_ids:
+        return order_types.OrderResult.FAILED
+    return None
--- /dev/null
+++ b/src/medlarfork/_flow_claim.py
@@ -0,0 +1,108 @@
+"""Handle the events of a request that waits for its claim."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from medlarfork import (
+    _flow_end,
+    _flow_wait,
+    answers,
+    claim,
+    deduplicate,
+    entry_flow,
+    entry_types,
+)
+
+if TYPE_CHECKING:
+    from medlarfork import flow_machine
+
+
+def ask(
+    flow: entry_flow.Flow, around: flow_machine.Surroundings, holder: claim.Holder, now: float
+) -> entry_flow.Step:
+    """Ask control for the claim, the first time or again."""
+    heard_at = flow.state.heard_at if isinstance(flow.state, entry_flow.Claiming) else now
+    contended = isinstance(flow.state, entry_flow.Claiming) and flow.state.contended
+    ask_at = now + around.options.claim_resend_s
+    state = entry_flow.Claiming(heard_at, ask_at, contended)
+    claim_request = claim.ClaimRequest(
+        deduplicate.key_of(flow.asked), holder, flow.asked.body_sha256
+    )
+    flow = dataclasses.replace(flow, state=state)
+    return entry_flow.Step(flow, (entry_flow.AskClaim(claim_request),))
+
+
+def handle(
+    flow: entry_flow.Flow,
+    state: entry_flow.Claiming,
+    event: Any,
+    around: flow_machine.Surroundings,
+    holder: claim.Holder,
+    now: float,
+) -> entry_flow.Step:
+    """Apply one event while control has not decided."""
+    match event:
+        case claim.ClaimReply():
+            return _on_reply(flow, event, around, holder, now)
+        case entry_flow.Due():
+            return _on_due(flow, state, around, holder, now)
+        case entry_types.CallerGone():
+            return _flow_end.caller_gone(flow, holder, now)
+        case entry_flow.Stop():
+            return _flow_end.fail(flow, answers.drained_error(), holder, now)
+        case _:
+            return entry_flow.Step(flow)
+
+
+def _on_reply(
+    flow: entry_flow.Flow,
+    reply: claim.ClaimReply,
+    around: flow_machine.Surroundings,
+    holder: claim.Holder,
+    now: float,
+) -> entry_flow.Step:
+    match deduplicate.decide(reply):
+        case deduplicate.GoOn():
+            return _flow_wait.queue(flow, around, holder, now)
+        case deduplicate.AskAgain():
+            ask_at = now + around.options.claim_poll_s
+            state = entry_flow.Claiming(heard_at=now, ask_at=ask_at, contended=True)
+            return entry_flow.Step(dataclasses.replace(flow, state=state))
+        case deduplicate.Replay(stored):
+            return _flow_end.replay(flow, stored, now)
+        case deduplicate.Refuse() as refuse:
+            return _refuse(flow, refuse, holder, now)
+
+
+def _on_due(
+    flow: entry_flow.Flow,
+    state: entry_flow.Claiming,
+    around: flow_machine.Surroundings,
+    holder: claim.Holder,
+    now: float,
+) -> entry_flow.Step:
+    if now >= flow.asked.deadline_at:
+        if state.contended:
+            return _refuse(flow, deduplicate.still_running(), holder, now)
+        return _flow_end.fail(flow, answers.deadline_error(ran=False), holder, now)
+    # While a duplicate is waited for, control is asked only at each poll.
+    if now >= state.heard_at + _patience_s(state, around):
+        refuse = deduplicate.silent_control(contended=state.contended)
+        return _refuse(flow, refuse, holder, now)
+    if now >= state.ask_at:
+        return ask(flow, around, holder, now)
+    return entry_flow.Step(flow)
+
+
+def _patience_s(state: entry_flow.Claiming, around: flow_machine.Surroundings) -> float:
+    options = around.options
+    return options.claim_patience_s + (options.claim_poll_s if state.contended else 0.0)
+
+
+def _refuse(
+    flow: entry_flow.Flow, refuse: deduplicate.Refuse, holder: claim.Holder, now: float
+) -> entry_flow.Step:
+    flow = dataclasses.replace(flow, claimed=refuse.abandon)
+    return _flow_end.fail(flow, refuse.error, holder, now, outcome=refuse.outcome)
--- /dev/null
+++ b/src/medlarfork/_flow_run.py
@@ -0,0 +1,238 @@
+"""Handle the events of a request with an attempt at an upstream."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from medlarfork import (
+    _flow_end,
+    _flow_wait,
+    answers,
+    claim,
+    dispatch,
+    entry_flow,
+    entry_types,
+    ticket,
+)
+
+if TYPE_CHECKING:
+    from medlarfork import flow_machine
+
+_CAUSE_BY_RESULT = {
+    entry_types.AttemptResult.COMPLETE: ticket.ReleaseCause.FINISHED,
+    entry_types.AttemptResult.REFUSED: ticket.ReleaseCause.REFUSED,
+    entry_types.AttemptResult.NOT_SENT: ticket.ReleaseCause.FAILED,
+    entry_types.AttemptResult.BROKEN: ticket.ReleaseCause.FAILED,
+}
+
+
+def start(
+    flow: entry_flow.Flow, waiting: entry_flow.Waiting, grant: ticket.Grant, now: float
+) -> entry_flow.Step:
+    """Dispatch to the upstream that the grant names."""
+    asked = flow.asked
+    state = entry_flow.Running(
+        waiting.ticket_id, waiting.pool, waiting.owner, grant.upstream_id, started_at=now
+    )
+    queued_s = now - asked.arrived_at if flow.queued_s is None else flow.queued_s
+    flow = dataclasses.replace(flow, state=state, dispatches=flow.dispatches + 1, queued_s=queued_s)
+    action = entry_types.Dispatch(
+        asked.request_id,
+        waiting.ticket_id,
+        grant.upstream_id,
+        grant.address,
+        resume_offset=flow.tokens,
+        timeout_s=asked.deadline_at - now,
+        assemble=flow.resumable and not asked.stream,
+        key=asked.key,
+        tier=asked.tier,
+    )
+    return entry_flow.Step(flow, (action,))
+
+
+def handle(
+    flow: entry_flow.Flow,
+    state: entry_flow.Running,
+    event: Any,
+    around: flow_machine.Surroundings,
+    holder: claim.Holder,
+    now: float,
+) -> entry_flow.Step:
+    """Apply one event while the attempt runs."""
+    match event:
+        case entry_types.AttemptStarted(attempt_id) if attempt_id == state.ticket_id:
+            return entry_flow.Step(with_first_byte(flow, state, now))
+        case entry_types.AttemptEnded(attempt_id) if attempt_id == state.ticket_id:
+            return on_ended(flow, state, event, around, holder, now)
+        case entry_flow.FromPeer(sender, message):
+            return _on_peer(flow, state, sender, message, around, now)
+        case entry_flow.OwnersChanged(restarted):
+            return _on_owners(flow, state, restarted, around, now)
+        case entry_flow.Due() if now >= flow.asked.deadline_at:
+            return _cancel(flow, state, entry_flow.StopCause.DEADLINE)
+        case entry_types.CallerGone():
+            return _cancel(flow, state, entry_flow.StopCause.CALLER_GONE)
+        case entry_flow.Stop():
+            return _cancel(flow, state, entry_flow.StopCause.DRAINED)
+        case _:
+            return entry_flow.Step(flow)
+
+
+def with_first_byte(
+    flow: entry_flow.Flow, state: entry_flow.Running, now: float
+) -> entry_flow.Flow:
+    """Return the flow after the first byte of an attempt's answer.
+
+    Whether anything has reached the caller is said by the attempt's end: the connection may
+    hold the beginning of an answer back.
+    """
+    state = dataclasses.replace(state, first_byte_at=now)
+    first_byte_at = now if flow.first_byte_at is None else flow.first_byte_at
+    return dataclasses.replace(flow, state=state, first_byte_at=first_byte_at)
+
+
+def _cancel(
+    flow: entry_flow.Flow, state: entry_flow.Running, cause: entry_flow.StopCause
+) -> entry_flow.Step:
+    flow = dataclasses.replace(flow, state=entry_flow.Stopping(state, cause))
+    return entry_flow.Step(flow, (entry_types.CancelAttempt(state.ticket_id),))
+
+
+def _on_peer(
+    flow: entry_flow.Flow,
+    state: entry_flow.Running,
+    sender: str,
+    message: Any,
+    around: flow_machine.Surroundings,
+    now: float,
+) -> entry_flow.Step:
+    match message:
+        case ticket.Grant():
+            return entry_flow.Step(flow, on_other_grant(flow, state, sender, message, around, now))
+        case ticket.Preempt(ticket_id) if ticket_id == state.ticket_id and sender == state.owner:
+            if not flow.resumable:
+                return entry_flow.Step(flow)
+            return _cancel(flow, state, entry_flow.StopCause.PREEMPTED)
+        case _:
+            return entry_flow.Step(flow)
+
+
+def on_other_grant(
+    flow: entry_flow.Flow,
+    state: entry_flow.Running,
+    sender: str,
+    grant: ticket.Grant,
+    around: flow_machine.Surroundings,
+    now: float,
+) -> tuple[Any, ...]:
+    """Give back a grant beside the one in use; a copy of that one changes nothing."""
+    same_ticket = sender == state.owner and grant.ticket_id == state.ticket_id
+    if same_ticket and grant.upstream_id == state.upstream_id:
+        return ()
+    unused = _flow_wait.give_back_unused(sender, grant)
+    if not same_ticket:
+        return (unused,)
+    # The owner has lost its memory of the first grant.
+    return (unused, _announce_running(flow, state, state.owner, around, now))
+
+
+def _on_owners(
+    flow: entry_flow.Flow,
+    state: entry_flow.Running,
+    restarted: frozenset[str],
+    around: flow_machine.Surroundings,
+    now: float,
+) -> entry_flow.Step:
+    owners = around.owners(state.pool)
+    if not owners or (state.owner == owners[0] and state.owner not in restarted):
+        return entry_flow.Step(flow)
+    flow = dataclasses.replace(flow, state=dataclasses.replace(state, owner=owners[0]))
+    announced = _announce_running(flow, state, owners[0], around, now)
+    return entry_flow.Step(flow, (announced,))
+
+
+def _announce_running(
+    flow: entry_flow.Flow,
+    state: entry_flow.Running,
+    owner: str,
+    around: flow_machine.Surroundings,
+    now: float,
+) -> entry_flow.ToOwner:
+    entry_id = around.options.entry_id
+    asked = _flow_wait.make_ticket(flow, state.ticket_id, state.pool, entry_id, now)
+    running = ticket.Running(asked, state.upstream_id, now - state.started_at)
+    return entry_flow.ToOwner(owner, running)
+
+
+def on_ended(
+    flow: entry_flow.Flow,
+    state: entry_flow.Running,
+    event: entry_types.AttemptEnded,
+    around: flow_machine.Surroundings,
+    holder: claim.Holder,
+    now: float,
+) -> entry_flow.Step:
+    """Give the slot back and finish, retry or fail."""
+    released = release(flow, state, event, _CAUSE_BY_RESULT[event.result], now)
+    started = state.first_byte_at is not None
+    flow = dataclasses.replace(flow, relayed=flow.relayed or event.relayed)
+    ended = dispatch.Ended(event, flow.relayed, flow.asked.repeatable, started)
+    match dispatch.decide(ended):
+        case dispatch.Complete():
+            flow = dataclasses.replace(flow, tokens=max(flow.tokens, event.tokens))
+            step = _flow_end.complete(flow, event, holder, now)
+        case dispatch.Fail(error):
+            flow = dataclasses.replace(flow, uncertain=True, tokens=event.tokens)
+            step = _flow_end.fail(flow, error, holder, now)
+        case dispatch.Again() as again:
+            avoid = tuple(dict.fromkeys((*flow.avoid, state.upstream_id)))
+            flow = dataclasses.replace(kept(flow, again), avoid=avoid)
+            step = _retry(flow, again, around, holder, now)
+    return entry_flow.Step(step.flow, (released, *step.effects))
+
+
+def _retry(
+    flow: entry_flow.Flow,
+    again: dispatch.Again,
+    around: flow_machine.Surroundings,
+    holder: claim.Holder,
+    now: float,
+) -> entry_flow.Step:
+    if now >= flow.asked.deadline_at:
+        error = answers.deadline_error(ran=flow.uncertain)
+        return _flow_end.fail(flow, error, holder, now)
+    retries = flow.retries + 1
+    exhausted = retries >= around.options.attempts_limit
+    if exhausted or not around.spend_retry(flow.asked.service):
+        return _flow_end.fail(flow, again.otherwise, holder, now)
+    return _flow_wait.queue(dataclasses.replace(flow, retries=retries), around, holder, now)
+
+
+def kept(flow: entry_flow.Flow, again: dispatch.Again) -> entry_flow.Flow:
+    """Return the flow with what an ended attempt leaves behind."""
+    tokens = again.resume_offset if again.ran else max(flow.tokens, again.resume_offset)
+    flow = _flow_end.waste(flow, "retry", again.discarded)
+    return dataclasses.replace(flow, tokens=tokens, uncertain=flow.uncertain or again.ran)
+
+
+def release(
+    flow: entry_flow.Flow,
+    state: entry_flow.Running,
+    event: entry_types.AttemptEnded,
+    cause: ticket.ReleaseCause,
+    now: float,
+) -> entry_flow.GiveBack:
+    """Return the slot of an ended attempt."""
+    first_token_s = None
+    if state.first_byte_at is not None:
+        first_token_s = state.first_byte_at - state.started_at
+    given_back = ticket.Release(
+        state.ticket_id,
+        state.pool,
+        cause,
+        first_token_s,
+        whole_s=now - state.started_at,
+        tokens=max(event.tokens - flow.tokens, 0),
+    )
+    return entry_flow.GiveBack(state.owner, given_back)
--- /dev/null
+++ b/src/medlarfork/_link_sockets.py
@@ -0,0 +1,139 @@
+"""Open the ZeroMQ sockets of a link."""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+
+import zmq
+
+from medlarfork import _zap, errors, keys
+
+ROUTE_SEPARATOR = b"/"
+"""Stands between the name and the random part of a routing id."""
+
+_NONCE_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkOptions:
+    """Bound what a link holds and how long it takes to notice a lost peer.
+
+    Attributes:
+        queue_limit: Messages queued for each peer, each way, and received but not yet taken.
+        message_bytes: Largest message that is sent or accepted, in bytes.
+        route_limit: Peers that can be answered without a connection of our own.
+        socket_limit: Sockets at once; bounds the peers connected to.
+        heartbeat_s: Time between heartbeats on each connection, in seconds.
+        silence_s: Silence after which a connection is given up, in seconds.
+        reconnect_s: First wait before a reconnect, in seconds.
+        reconnect_limit_s: Longest wait before a reconnect, in seconds.
+        linger_s: How long ``close`` may wait for messages that have just been sent, in seconds.
+    """
+
+    queue_limit: int = 1000
+    message_bytes: int = 4 << 20
+    route_limit: int = 4096
+    socket_limit: int = 4096
+    heartbeat_s: float = 2.0
+    silence_s: float = 6.0
+    reconnect_s: float = 0.1
+    reconnect_limit_s: float = 2.0
+    linger_s: float = 0.1
+
+
+class LinkSockets:
+    """Open sockets with the bounds and times of one link."""
+
+    def __init__(self, context: zmq.Context, options: LinkOptions) -> None:
+        """Prepare for one ZeroMQ context."""
+        self._context = context
+        self._options = options
+
+    def open_router(self, address: str, own: keys.LinkKeys | None) -> zmq.Socket:
+        """Listen for peers.
+
+        Raises:
+            zmq.ZMQError: The address can't be bound.
+        """
+        socket = self._open(zmq.ROUTER, own)
+        # A peer that reconnects after a silent cut takes its route back from the dead connection.
+        socket.router_handover = 1
+        # Without this a message to a route that is gone would vanish uncounted.
+        socket.router_mandatory = 1
+        if own is not None:
+            socket.zap_domain = _zap.ZAP_DOMAIN
+            socket.setsockopt(zmq.ZAP_ENFORCE_DOMAIN, 1)
+            socket.curve_server = 1
+        try:
+            socket.bind(address)
+        except zmq.ZMQError:
+            socket.close()
+            raise
+        return socket
+
+    def open_dealer(
+        self, identity: str, peer_id: str, address: str, own: keys.LinkKeys | None
+    ) -> zmq.Socket:
+        """Connect to a peer.
+
+        Raises:
+            errors.LinkError: The peer's public key is not known.
+            zmq.ZMQError: The address is malformed.
+        """
+        server_key = None if own is None else _server_key(own, peer_id)
+        socket = self._open(zmq.DEALER, own)
+        socket.routing_id = _new_route(identity)
+        socket.immediate = 1
+        if server_key is not None:
+            socket.curve_serverkey = server_key
+        try:
+            socket.connect(address)
+        except zmq.ZMQError:
+            socket.close()
+            raise
+        return socket
+
+    def _open(self, kind: int, own: keys.LinkKeys | None) -> zmq.Socket:
+        options = self._options
+        socket = self._context.socket(kind)
+        socket.linger = _milliseconds(options.linger_s)
+        socket.sndhwm = options.queue_limit
+        socket.rcvhwm = options.queue_limit
+        socket.maxmsgsize = options.message_bytes
+        socket.heartbeat_ivl = _milliseconds(options.heartbeat_s)
+        socket.heartbeat_timeout = _milliseconds(options.silence_s)
+        socket.heartbeat_ttl = _milliseconds(options.silence_s)
+        # A refused peer is cut only when the handshake times out, and then tries again.
+        socket.handshake_ivl = _milliseconds(options.silence_s)
+        socket.tcp_keepalive = 1
+        socket.reconnect_ivl = _milliseconds(options.reconnect_s)
+        socket.reconnect_ivl_max = _milliseconds(options.reconnect_limit_s)
+        if own is not None:
+            socket.curve_publickey = own.public
+            socket.curve_secretkey = own.secret
+        return socket
+
+
+def _server_key(own: keys.LinkKeys, peer_id: str) -> bytes:
+    known = own.public_by_name.get(peer_id)
+    if known is None:
+        raise errors.LinkError(
+            f"The public key of {peer_id} is not known.",
+            remedy=f"Copy {peer_id}{keys.PUBLIC_SUFFIX} into the folder of keys.",
+        )
+    return known
+
+
+def _new_route(identity: str) -> bytes:
+    """Return a routing id for one connection.
+
+    Its random part is known to this peer only, so that no other holder of a key can take the
+    connection over there.
+    """
+    nonce = secrets.token_hex(_NONCE_BYTES)
+    return identity.encode() + ROUTE_SEPARATOR + nonce.encode()
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
--- /dev/null
+++ b/src/medlarfork/_load_arrivals.py
@@ -0,0 +1,64 @@
+"""Draw when requests arrive and what they ask for; the same seed draws the same."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from medlarfork import _load_experiment
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """Describe one request to send.
+
+    Attributes:
+        number: Counts the requests of its class from 0.
+        at_s: When it arrives, in seconds from the start.
+        tokens: Length of its answer, in tokens.
+        group: Which shared beginning its prompt has.
+        key_random: Random bytes of its idempotency key.
+    """
+
+    number: int
+    at_s: float
+    tokens: int
+    group: int
+    key_random: bytes
+
+
+_KEY_BYTES = 10
+
+
+def arrivals(
+    load_class: _load_experiment.LoadClass, *, seed: int, duration_s: float
+) -> Iterator[Arrival]:
+    """Yield the arrivals of one class in order: a Poisson process whose rate follows the bursts."""
+    generator = random.Random(f"{seed}/{load_class.name}")
+    highest = load_class.rate_per_s * max(1.0, load_class.burst_factor)
+    at_s = 0.0
+    number = 0
+    while highest > 0:
+        at_s += generator.expovariate(highest)
+        if at_s >= duration_s:
+            return
+        # Drawn at the highest rate and thinned out to the rate of the moment.
+        if generator.random() * highest >= rate_at(load_class, at_s):
+            continue
+        yield Arrival(
+            number,
+            at_s,
+            generator.randint(load_class.tokens_min, load_class.tokens_max),
+            generator.randrange(load_class.prompt_groups),
+            generator.randbytes(_KEY_BYTES),
+        )
+        number += 1
+
+
+def rate_at(load_class: _load_experiment.LoadClass, at_s: float) -> float:
+    """Return the arrival rate at a time, per second."""
+    period_s = load_class.burst_on_s + load_class.burst_off_s
+    if load_class.burst_on_s <= 0 or at_s % period_s < load_class.burst_off_s:
+        return load_class.rate_per_s
+    return load_class.rate_per_s * load_class.burst_factor
--- /dev/null
+++ b/src/medlarfork/_load_caller.py
@@ -0,0 +1,187 @@
+"""Send one request of a load run as a well-behaved caller does, and say how it went."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+import curio
+
+from medlarfork import (
+    _load_directory,
+    _load_experiment,
+    _load_request,
+    errors,
+    http_client,
+    sse,
+)
+from medlarfork import request as requests
+
+_NO_WAIT_S = 0.05
+"""Wait before a request that was not run is sent again, if the answer names no time."""
+
+_RETRIED_STATUSES = frozenset({0, 429, 503})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """Say how one sending of a request ended.
+
+    Attributes:
+        outcome: What became of it, as far as the caller knows.
+        status: HTTP status; 0 if there was none.
+        first_byte_at: Monotonic time of the answer's first body byte, if any.
+        tokens: Tokens received.
+        verdict: For a complete answer: whether it is the right one.
+        retry_after_s: When the answer says to try again, in seconds.
+    """
+
+    outcome: requests.Outcome
+    status: int = 0
+    first_byte_at: float | None = None
+    tokens: int = 0
+    verdict: _load_request.Verdict | None = None
+    retry_after_s: float = _NO_WAIT_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """Say how a request ended, over all its attempts.
+
+    Attributes:
+        last: The last attempt.
+        retries: Attempts beyond the first.
+        first_byte_s: From its arrival to the first byte of its answer, in seconds.
+        whole_s: From its arrival to its end, in seconds.
+        wasted_tokens: Tokens received in answers that never ended.
+    """
+
+    last: Attempt
+    retries: int
+    first_byte_s: float | None
+    whole_s: float
+    wasted_tokens: int
+
+
+class LoadCaller:
+    """Send requests and repeat those that were not run, within bounds."""
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        directory: _load_directory.LoadDirectory,
+        experiment: _load_experiment.Experiment,
+    ) -> None:
+        """Wire the caller."""
+        self._client = client
+        self._directory = directory
+        self._experiment = experiment
+
+    async def send(
+        self, request: _load_request.LoadRequest, *, due_at: float, timeout_s: float
+    ) -> Result:
+        """Send a request until it was run, given up or sent too often.
+
+        Args:
+            due_at: Monotonic time at which it arrived; all times count from here.
+            timeout_s: Time after which the caller gives up.
+        """
+        give_up_at = due_at + timeout_s
+        tried: frozenset[str] = frozenset()
+        wasted = 0
+        for retries in range(self._experiment.retries + 1):
+            address = await self._directory.pick(but=tried)
+            last = await self._attempt(address, request, give_up_at)
+            if last.outcome is not requests.Outcome.COMPLETED:
+                wasted += last.tokens
+            wait_s = min(last.retry_after_s, self._experiment.retry_wait_limit_s)
+            over = time.monotonic() + wait_s >= give_up_at
+            if over or retries == self._experiment.retries or not _may_retry(last):
+                break
+            tried = tried | {address}
+            await curio.sleep(wait_s)
+        first_byte_s = None if last.first_byte_at is None else last.first_byte_at - due_at
+        return Result(last, retries, first_byte_s, time.monotonic() - due_at, wasted)
+
+    async def _attempt(
+        self, address: str, request: _load_request.LoadRequest, give_up_at: float
+    ) -> Attempt:
+        left_s = max(give_up_at - time.monotonic(), 0.001)
+        try:
+            response = await self._client.request(
+                address,
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+                timeout_s=left_s,
+            )
+        except errors.UpstreamError as error:
+            return Attempt(_outcome_of(error))
+        if response.status == 200 and request.stream:
+            return await _read_stream(response, request)
+        return await _read_whole(response, request)
+
+
+def _may_retry(attempt: Attempt) -> bool:
+    return attempt.outcome is requests.Outcome.NOT_RUN and attempt.status in _RETRIED_STATUSES
+
+
+def _outcome_of(error: errors.UpstreamError) -> requests.Outcome:
+    return requests.Outcome.MAY_HAVE_RUN if error.request_sent else requests.Outcome.NOT_RUN
+
+
+async def _read_stream(
+    response: http_client.Response, request: _load_request.LoadRequest
+) -> Attempt:
+    """Read a streamed answer; only ``[DONE]`` and the connection's proper end complete it."""
+    splitter = sse.Splitter()
+    parts: list[str] = []
+    first_at: float | None = None
+    done = False
+    try:
+        async for data in response.chunks():
+            first_at = first_at or time.monotonic()
+            for event in splitter.feed(data):
+                done = done or event.data == sse.DONE
+                parts.append(_load_request.text_of(event))
+    except errors.UpstreamError:
+        done = False
+    finally:
+        await response.close()
+    tokens = sum(1 for part in parts if part)
+    if not done:
+        return Attempt(requests.Outcome.MAY_HAVE_RUN, response.status, first_at, tokens)
+    verdict = _load_request.judge_text(request, "".join(parts))
+    return Attempt(requests.Outcome.COMPLETED, response.status, first_at, tokens, verdict)
+
+
+async def _read_whole(
+    response: http_client.Response, request: _load_request.LoadRequest
+) -> Attempt:
+    try:
+        body = await response.read()
+    except errors.UpstreamError:
+        return Attempt(requests.Outcome.MAY_HAVE_RUN, response.status)
+    if response.status != 200:
+        outcome = _named_outcome(response)
+        return Attempt(outcome, response.status, retry_after_s=_retry_after_s(response))
+    first_at = time.monotonic()
+    verdict, tokens = _load_request.judge_body(request, body)
+    return Attempt(requests.Outcome.COMPLETED, response.status, first_at, tokens, verdict)
+
+
+def _named_outcome(response: http_client.Response) -> requests.Outcome:
+    named = response.headers.get("medlar-outcome", "")
+    if named == requests.Outcome.NOT_RUN:
+        return requests.Outcome.NOT_RUN
+    # Without a word on it, an error may have come after the request took effect.
+    return requests.Outcome.MAY_HAVE_RUN
+
+
+def _retry_after_s(response: http_client.Response) -> float:
+    for name, unit_s in (("retry-after-ms", 0.001), ("retry-after", 1.0)):
+        value = response.headers.get(name, "")
+        if value.isascii() and value.isdigit():
+            return int(value) * unit_s
+    return _NO_WAIT_S
--- /dev/null
+++ b/src/medlarfork/_load_report.py
@@ -0,0 +1,209 @@
+"""Sum up a load run: a line for each class, and the same as JSON."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import statistics
+
+from medlarfork import _load_caller, _load_experiment, _load_request, request
+
+_PERCENTILES = (50, 95, 99)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Percentiles:
+    """Hold percentiles of a time, in seconds; None without enough answers."""
+
+    p50: float | None = None
+    p95: float | None = None
+    p99: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClassReport:
+    """Sum up one class.
+
+    Attributes:
+        name: The class.
+        sent: Requests begun.
+        completed: Answers that came to their proper end.
+        not_run: Requests that were finally said not to have run.
+        may_have_run: Requests of which the caller doesn't know.
+        errors: Those of ``may_have_run`` that had no HTTP status, such as a cut connection.
+        unfinished: Requests still in progress when the run ended.
+        skipped: Arrivals that were not sent because too many were in progress.
+        retries: Sendings beyond the first.
+        attainment: Share of the requests sent that were completed within all targets.
+        goodput_per_s: Right answers within all targets, per second of arrivals.
+        wasted_tokens: Tokens received in answers that never ended.
+        cut: Complete answers that lack their end.
+        foreign: Complete answers to something else.
+        doubled: Calls that were executed more than once and must not be.
+        first_byte: Time to the first byte of completed answers.
+        whole: Time to the end of completed answers.
+    """
+
+    name: str
+    sent: int
+    completed: int
+    not_run: int
+    may_have_run: int
+    errors: int
+    unfinished: int
+    skipped: int
+    retries: int
+    attainment: float
+    goodput_per_s: float
+    wasted_tokens: int
+    cut: int
+    foreign: int
+    doubled: int
+    first_byte: Percentiles
+    whole: Percentiles
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Sum up a run.
+
+    Attributes:
+        seed: Seed of the run.
+        duration_s: How long requests arrived.
+        latest_s: How late the latest request was sent, because this process was busy.
+        classes: A report for each class.
+    """
+
+    seed: int
+    duration_s: float
+    latest_s: float
+    classes: tuple[ClassReport, ...]
+
+    @property
+    def good(self) -> bool:
+        """Return whether the run completed and no complete answer was wrong."""
+        return not any(
+            item.cut or item.foreign or item.doubled or item.unfinished or item.skipped
+            for item in self.classes
+        )
+
+
+class ClassTally:
+    """Collect the results of one class.
+
+    Attributes:
+        sent: Requests begun.
+        skipped: Arrivals that were not sent.
+    """
+
+    def __init__(self, load_class: _load_experiment.LoadClass) -> None:
+        """Start empty."""
+        self.sent = 0
+        self.skipped = 0
+        self._class = load_class
+        self._finished = 0
+        self._good = 0
+        self._retries = 0
+        self._wasted_tokens = 0
+        self._errors = 0
+        self._by_outcome: collections.Counter[request.Outcome] = collections.Counter()
+        self._by_verdict: collections.Counter[_load_request.Verdict] = collections.Counter()
+        self._first_byte_s: list[float] = []
+        self._whole_s: list[float] = []
+
+    def add(self, result: _load_caller.Result) -> None:
+        """Count one result."""
+        last = result.last
+        self._finished += 1
+        self._retries += result.retries
+        self._wasted_tokens += result.wasted_tokens
+        self._by_outcome[last.outcome] += 1
+        if last.outcome is request.Outcome.MAY_HAVE_RUN and last.status == 0:
+            self._errors += 1
+        if last.verdict is None:
+            return
+        self._by_verdict[last.verdict] += 1
+        self._whole_s.append(result.whole_s)
+        if result.first_byte_s is not None:
+            self._first_byte_s.append(result.first_byte_s)
+        if last.verdict is _load_request.Verdict.OWN and self._in_target(result):
+            self._good += 1
+
+    def report(self, duration_s: float) -> ClassReport:
+        """Return the sum of what was collected."""
+        return ClassReport(
+            name=self._class.name,
+            sent=self.sent,
+            completed=self._by_outcome[request.Outcome.COMPLETED],
+            not_run=self._by_outcome[request.Outcome.NOT_RUN],
+            may_have_run=self._by_outcome[request.Outcome.MAY_HAVE_RUN],
+            errors=self._errors,
+            unfinished=self.sent - self._finished,
+            skipped=self.skipped,
+            retries=self._retries,
+            attainment=self._good / self.sent if self.sent else 1.0,
+            goodput_per_s=self._good / duration_s,
+            wasted_tokens=self._wasted_tokens,
+            cut=self._by_verdict[_load_request.Verdict.CUT],
+            foreign=self._by_verdict[_load_request.Verdict.FOREIGN],
+            doubled=self._by_verdict[_load_request.Verdict.DOUBLED],
+            first_byte=percentiles(self._first_byte_s),
+            whole=percentiles(self._whole_s),
+        )
+
+    def _in_target(self, result: _load_caller.Result) -> bool:
+        first_s, whole_s = self._class.first_token_target_s, self._class.whole_target_s
+        if first_s is not None and (result.first_byte_s is None or result.first_byte_s > first_s):
+            return False
+        return whole_s is None or result.whole_s <= whole_s
+
+
+def percentiles(values: list[float]) -> Percentiles:
+    """Return the percentiles of some times."""
+    if not values:
+        return Percentiles()
+    if len(values) == 1:
+        return Percentiles(*values * len(_PERCENTILES))
+    cuts = statistics.quantiles(values, n=100, method="inclusive")
+    return Percentiles(*(cuts[percent - 1] for percent in _PERCENTILES))
+
+
+def render(report: LoadReport) -> str:
+    """Return a table for people."""
+    head = (
+        "class sent completed not_run may_have_run errors unfinished skipped retries attainment"
+        " goodput/s wasted_tokens cut foreign doubled"
+        " first_p50 first_p95 first_p99 whole_p50 whole_p95 whole_p99"
+    )
+    rows = [head.split()] + [_row(item) for item in report.classes]
+    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
+    lines = ["  ".join(_pad(row, widths)) for row in rows]
+    lines.append(
+        f"seed={report.seed} duration_s={report.duration_s:g} latest_s={report.latest_s:.3f}"
+    )
+    return "\n".join(lines)
+
+
+def _row(item: ClassReport) -> list[str]:
+    counts = (
+        *(item.sent, item.completed, item.not_run, item.may_have_run, item.errors),
+        *(item.unfinished, item.skipped, item.retries),
+    )
+    checks = (item.wasted_tokens, item.cut, item.foreign, item.doubled)
+    times = (
+        *(item.first_byte.p50, item.first_byte.p95, item.first_byte.p99),
+        *(item.whole.p50, item.whole.p95, item.whole.p99),
+    )
+    return [
+        item.name,
+        *(str(count) for count in counts),
+        f"{item.attainment:.3f}",
+        f"{item.goodput_per_s:.2f}",
+        *(str(count) for count in checks),
+        *("-" if time_s is None else f"{time_s:.3f}" for time_s in times),
+    ]
+
+
+def _pad(row: list[str], widths: list[int]) -> list[str]:
+    first, *others = [cell.rjust(width) for cell, width in zip(row, widths, strict=True)]
+    return [first.strip().ljust(widths[0]), *others]
--- /dev/null
+++ b/src/medlarfork/_load_request.py
@@ -0,0 +1,164 @@
+"""Build the requests of a load run and check that an answer is its own and whole."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+from typing import Any
+
+import msgspec
+
+from medlarfork import _load_arrivals, _load_experiment, _standin_text, sse, uuid7
+
+CHAT_PATH = "/v1/chat/completions"
+"""Where chat completions are asked for."""
+
+_WORD = "lorem"
+
+
+class Verdict(enum.StrEnum):
+    """Say what a caller thinks of an answer that came to its end."""
+
+    OWN = "own"
+    CUT = "cut"
+    FOREIGN = "foreign"
+    DOUBLED = "doubled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadRequest:
+    """Hold a request that is ready to be sent, and what its answer must be.
+
+    Attributes:
+        method: HTTP method.
+        target: Path at the entry host.
+        headers: Headers, without those of the connection.
+        body: The whole body.
+        stream: Whether the answer comes as events.
+        expected: The text of the answer; the path of an echoed call.
+        key: Its idempotency key, if any.
+        repeatable: Whether a second execution is allowed.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    stream: bool
+    expected: str
+    key: str = ""
+    repeatable: bool = True
+
+
+def build(
+    load_class: _load_experiment.LoadClass,
+    arrival: _load_arrivals.Arrival,
+    *,
+    seed: int,
+    time_ms: int,
+) -> LoadRequest:
+    """Return the request of one arrival.
+
+    Args:
+        time_ms: Milliseconds since 1970, for the idempotency key.
+    """
+    headers = {
+        "Authorization": f"Bearer {load_class.account_key}",
+        "Content-Type": "application/json",
+    }
+    if load_class.labels:
+        headers["Medlar-Labels"] = load_class.labels
+    match load_class.kind:
+        case _load_experiment.LoadKind.CHAT:
+            return _build_chat(load_class, arrival, headers, seed)
+        case _load_experiment.LoadKind.CALL:
+            return _build_call(load_class, arrival, headers, time_ms)
+
+
+def judge_text(request: LoadRequest, text: str) -> Verdict:
+    """Return whether a chat answer that ended properly is the expected one."""
+    if text == request.expected:
+        return Verdict.OWN
+    return Verdict.CUT if request.expected.startswith(text) else Verdict.FOREIGN
+
+
+def judge_body(request: LoadRequest, body: bytes) -> tuple[Verdict, int]:
+    """Return whether a whole body is the expected one, and its tokens."""
+    try:
+        answer = json.loads(body)
+        if request.target == CHAT_PATH:
+            text = answer["choices"][0]["message"]["content"]
+            return judge_text(request, text), answer["usage"]["completion_tokens"]
+        return _judge_echo(request, answer), 0
+    except ValueError:
+        return Verdict.CUT, 0
+    except (KeyError, IndexError, TypeError):
+        return Verdict.FOREIGN, 0
+
+
+def text_of(event: sse.Event) -> str:
+    """Return the text that one event of a streamed chat answer adds."""
+    try:
+        choices = json.loads(event.data)["choices"]
+        return "".join(choice["delta"]["content"] or "" for choice in choices)
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
+def _judge_echo(request: LoadRequest, answer: dict[str, Any]) -> Verdict:
+    if answer["method"] != request.method or not request.target.endswith(answer["path"]):
+        return Verdict.FOREIGN
+    if not answer["path"].endswith(request.expected):
+        return Verdict.FOREIGN
+    if request.key and answer["key"] and answer["key"] != request.key:
+        return Verdict.FOREIGN
+    if not request.repeatable and answer["count"] > 1:
+        return Verdict.DOUBLED
+    return Verdict.OWN
+
+
+def _build_chat(
+    load_class: _load_experiment.LoadClass,
+    arrival: _load_arrivals.Arrival,
+    headers: dict[str, str],
+    seed: int,
+) -> LoadRequest:
+    beginning = f"You answer group {arrival.group} of class {load_class.name}."
+    words = " ".join([_WORD] * load_class.prompt_words)
+    question = f"{seed}/{load_class.name}/{arrival.number} [tokens={arrival.tokens}] {words}"
+    messages = [
+        {"role": "system", "content": beginning},
+        {"role": "user", "content": question},
+    ]
+    max_tokens = load_class.max_tokens or None
+    body = {"model": load_class.model, "messages": messages, "stream": load_class.stream}
+    if max_tokens is not None:
+        body["max_tokens"] = max_tokens
+    answer = _standin_text.answer(load_class.model, messages, max_tokens)
+    return LoadRequest(
+        "POST", CHAT_PATH, headers, msgspec.json.encode(body), load_class.stream, answer.text()
+    )
+
+
+def _build_call(
+    load_class: _load_experiment.LoadClass,
+    arrival: _load_arrivals.Arrival,
+    headers: dict[str, str],
+    time_ms: int,
+) -> LoadRequest:
+    path = load_class.path.replace("{number}", str(arrival.number))
+    key = ""
+    if load_class.idempotency_keys:
+        key = uuid7.make(time_ms, arrival.key_random)
+        headers = headers | {"Idempotency-Key": key}
+    return LoadRequest(
+        load_class.method,
+        f"/services/{load_class.service}{path}",
+        headers,
+        b"",
+        stream=False,
+        expected=path,
+        key=key,
+        repeatable=load_class.repeatable,
+    )
--- /dev/null
+++ b/src/medlarfork/_standin_cache.py
@@ -0,0 +1,61 @@
+"""Keep a stand-in engine's prompt-prefix cache and report its changes late and with gaps."""
+
+from __future__ import annotations
+
+import collections
+
+from medlarfork import upstream
+
+_LOST_EVERY = 7
+"""Every so many events one is never reported."""
+
+_PENDING_LIMIT = 1000
+"""Events that wait to be reported; the oldest are lost beyond this."""
+
+
+class PrefixCache:
+    """Remember the prefixes used last."""
+
+    def __init__(self, *, limit: int, lag_s: float) -> None:
+        """Start empty.
+
+        Args:
+            limit: Prefixes kept.
+            lag_s: How late changes are reported, in seconds.
+        """
+        self._limit = limit
+        self._lag_s = lag_s
+        self._prefixes: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._pending: collections.deque[tuple[float, upstream.CacheEvent]] = collections.deque(
+            maxlen=_PENDING_LIMIT
+        )
+        self._number = 0
+
+    @property
+    def used(self) -> float:
+        """Return the share of the cache that is in use, 0 to 1."""
+        return len(self._prefixes) / self._limit if self._limit else 1.0
+
+    def use(self, prefix: str, now: float) -> bool:
+        """Return whether a prefix is cached, and cache it."""
+        hit = prefix in self._prefixes
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        if not hit:
+            self._note(upstream.CacheChange.STORED, prefix, now)
+        if len(self._prefixes) > self._limit:
+            evicted, _ = self._prefixes.popitem(last=False)
+            self._note(upstream.CacheChange.EVICTED, evicted, now)
+        return hit
+
+    def take_events(self, now: float) -> tuple[upstream.CacheEvent, ...]:
+        """Return the changes that are old enough to be reported, once each."""
+        due = []
+        while self._pending and self._pending[0][0] <= now - self._lag_s:
+            due.append(self._pending.popleft()[1])
+        return tuple(due)
+
+    def _note(self, change: upstream.CacheChange, prefix: str, now: float) -> None:
+        self._number += 1
+        if self._number % _LOST_EVERY:
+            self._pending.append((now, upstream.CacheEvent(self._number, change, prefix)))
--- /dev/null
+++ b/src/medlarfork/_standin_host.py
@@ -0,0 +1,170 @@
+"""Serve a stand-in over HTTP, announce it, and stop it gracefully."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import curio
+import msgspec
+
+from medlarfork import (
+    _standin_faults,
+    _standin_openai,
+    _stop_signal,
+    announcer,
+    errors,
+    http_server,
+    upstream,
+)
+
+RUN_HEADER = "medlar-request-id"
+"""Header that carries the router's id of a request."""
+
+_JSON = {"Content-Type": "application/json"}
+_NOT_RUN = _JSON | {"Retry-After": "1", "Medlar-Outcome": "not_run"}
+_IDLE_POLL_S = 0.02
+
+
+class StandinHost:
+    """Run the parts that all stand-ins share.
+
+    Attributes:
+        stopping: Whether new work is refused.
+        busy: Requests for work in progress.
+    """
+
+    def __init__(
+        self,
+        answer: http_server.Handler,
+        *,
+        host: str,
+        port: int,
+        drain_s: float,
+    ) -> None:
+        """Wire the server; ``drain_s`` bounds how long a graceful stop may take, in seconds."""
+        self.stopping = False
+        self.busy = 0
+        self._drain_s = drain_s
+        self._server = http_server.HttpServer(answer, host=host, port=port)
+        self._announcer: announcer.Announcer | None = None
+
+    @property
+    def address(self) -> str:
+        """Return ``http://IP:PORT`` with the real port."""
+        return self._server.address
+
+    async def start(
+        self,
+        *,
+        entries: Iterable[str],
+        key: str,
+        describe: Callable[[], upstream.Announcement],
+    ) -> None:
+        """Listen, then announce."""
+        await self._server.start()
+        self._announcer = announcer.Announcer(seeds=entries, key=key, describe=describe)
+        await self._announcer.start()
+
+    async def stop(self) -> None:
+        """Refuse new work, announce that it leaves, finish what runs, then close."""
+        self.stopping = True
+        if self._announcer is not None:
+            await self._announcer.leave()
+        with contextlib.suppress(curio.TaskTimeout):
+            async with curio.timeout_after(self._drain_s):
+                while self.busy:
+                    await curio.sleep(_IDLE_POLL_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Close at once."""
+        if self._announcer is not None:
+            await self._announcer.close()
+            self._announcer = None
+        await self._server.close(within_s=0.0)
+
+    @contextlib.contextmanager
+    def working(self) -> Any:
+        """Count a request as work in progress."""
+        self.busy += 1
+        try:
+            yield
+        finally:
+            self.busy -= 1
+
+
+async def serve_until_signal(
+    start: Callable[[], Awaitable[None]], host: StandinHost, name: str
+) -> None:
+    """Run a stand-in until SIGTERM or SIGINT, then stop it gracefully."""
+    told_to_stop = _stop_signal.StopSignal()
+    told_to_stop.start()
+    await start()
+    print(f"event=listening name={name} address={host.address}", flush=True)
+    await told_to_stop.wait()
+    await host.stop()
+    told_to_stop.close()
+    print(f"event=stopped name={name}", flush=True)
+
+
+async def run_while_wanted(
+    exchange: http_server.Exchange, work: Callable[[], Awaitable[None]]
+) -> None:
+    """Run work until it ends, or cancel it when the caller goes away."""
+    async with curio.TaskGroup(wait=any) as group:
+        worker = await group.spawn(work)
+        await group.spawn(exchange.wait_caller_gone)
+    if worker is group.completed:
+        with contextlib.suppress(errors.CallerGoneError):
+            _ = worker.result
+
+
+async def respond(exchange: http_server.Exchange, value: Any, status: int = 200) -> None:
+    """Answer with JSON."""
+    await exchange.respond(status, _JSON, msgspec.json.encode(value))
+
+
+async def respond_error(
+    exchange: http_server.Exchange, status: int, problem: str, code: errors.Code
+) -> None:
+    """Answer with an error."""
+    await respond(exchange, _error_body(problem, code), status)
+
+
+async def respond_faults(
+    exchange: http_server.Exchange, switches: _standin_faults.FaultSwitches, body: bytes
+) -> None:
+    """Switch faults and answer with those that are on."""
+    try:
+        switches.switch(body)
+    except errors.UpstreamError as error:
+        await respond_error(exchange, 400, str(error), error.code)
+    else:
+        await respond(exchange, switches.faults)
+
+
+async def refuse(exchange: http_server.Exchange) -> None:
+    """Refuse work that has not been run."""
+    body = msgspec.json.encode(
+        _error_body("This upstream takes no new work.", errors.Code.DRAINING)
+    )
+    await exchange.respond(503, _NOT_RUN, body)
+
+
+def _error_body(problem: str, code: errors.Code) -> _standin_openai.ErrorBody:
+    return _standin_openai.ErrorBody(_standin_openai.Problem(problem, "standin_error", code.value))
+
+
+def to_int(text: str, default: int) -> int:
+    """Return a header's number, or the default if it has none."""
+    return int(text) if text.isascii() and text.isdigit() else default
+
+
+@functools.cache
+def started_at() -> int:
+    """Return when this process began to answer, in seconds since 1970."""
+    return int(time.time())
--- /dev/null
+++ b/src/medlarfork/_standin_lag.py
@@ -0,0 +1,29 @@
+"""Report a stand-in's load with a lag, as real engines do."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from medlarfork import upstream
+
+_SAMPLES = 1000
+
+
+class LoadLag:
+    """Keep samples of the load and report an old one."""
+
+    def __init__(self, lag_s: float) -> None:
+        """Report loads that are at least ``lag_s`` seconds old."""
+        self._lag_s = lag_s
+        self._samples: collections.deque[tuple[float, upstream.Load]] = collections.deque(
+            [(0.0, upstream.Load())], maxlen=_SAMPLES
+        )
+
+    def report(self, load: upstream.Load, now: float) -> upstream.Load:
+        """Take the load of now and return the newest that is old enough."""
+        self._samples.append((now, load))
+        while len(self._samples) > 1 and self._samples[1][0] <= now - self._lag_s:
+            self._samples.popleft()
+        taken_at, reported = self._samples[0]
+        return dataclasses.replace(reported, age_s=now - taken_at if taken_at else 0.0)
--- /dev/null
+++ b/src/medlarfork/_standin_text.py
@@ -0,0 +1,65 @@
+"""Make up the stand-in engine's answers: the same prompt always leads to the same text.
+
+Any engine can therefore continue another's answer, and a load generator can check that an
+answer is whole and belongs to its request.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import re
+from typing import Any
+
+import msgspec
+
+_TOKEN_DIGITS = 6
+_SHORTEST = 8
+_SPREAD = 120
+_LENGTH = re.compile(r"\[tokens=(\d{1,6})\]")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Describe the answer to one prompt.
+
+    Attributes:
+        digest: Digest of model and prompt.
+        count: Tokens of the whole answer.
+        finish_reason: ``stop``, or ``length`` if the caller's bound ended it.
+    """
+
+    digest: str
+    count: int
+    finish_reason: str
+
+    def token(self, index: int) -> str:
+        """Return the text of one token, counted from 0."""
+        return " " + _hash(f"{self.digest}:{index}")[:_TOKEN_DIGITS]
+
+    def text(self) -> str:
+        """Return the whole answer."""
+        return "".join(self.token(index) for index in range(self.count))
+
+
+def answer(model: str, messages: Any, max_tokens: int | None) -> Answer:
+    """Return the answer to a prompt.
+
+    A prompt with ``[tokens=N]`` asks for an answer of N tokens; else the length is made up.
+    """
+    prompt = msgspec.json.encode((model, messages), order="deterministic").decode()
+    digest = _hash(prompt)
+    asked = _LENGTH.search(prompt)
+    natural = int(asked[1]) if asked else _SHORTEST + int(digest[:4], 16) % _SPREAD
+    if max_tokens is not None and max_tokens < natural:
+        return Answer(digest, max_tokens, "length")
+    return Answer(digest, natural, "stop")
+
+
+def prompt_tokens(messages: Any) -> int:
+    """Return how many tokens a prompt counts as."""
+    return max(1, len(msgspec.json.encode(messages).split()))
+
+
+def _hash(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
--- /dev/null
+++ b/src/medlarfork/announcer.py
@@ -0,0 +1,156 @@
+"""Announce an upstream to entry hosts for as long as it runs, and that it leaves."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import time
+from collections.abc import Callable, Iterable
+
+import curio
+import msgspec
+
+from medlarfork import errors, http_client, upstream
+
+ANNOUNCEMENTS_PATH = "/v1/announcements"
+"""Where entry hosts take announcements."""
+
+_TARGETS = 2
+_POST_TIMEOUT_S = 1.0
+_FIRST_PERIOD_S = 0.5
+_SHORTEST_PERIOD_S = 0.02
+_LONGEST_PERIOD_S = 30.0
+_LEAVE_TRIES = 5
+_LEAVE_PAUSE_S = 0.2
+_ADDRESS_LIMIT = 64
+
+
+class Announcer:
+    """Post announcements to the entry hosts that the last reply named.
+
+    Attributes:
+        failures: Posts that got no good reply.
+    """
+
+    def __init__(
+        self,
+        *,
+        seeds: Iterable[str],
+        key: str,
+        describe: Callable[[], upstream.Announcement],
+    ) -> None:
+        """Prepare to announce.
+
+        Args:
+            seeds: Base addresses of any entry hosts, tried when the named ones fail.
+            key: Key that entry hosts expect of announcements.
+            describe: Returns the announcement of now; its incarnation, sequence and state are
+                filled in here.
+        """
+        self.failures = 0
+        self._seeds = tuple(dict.fromkeys(seeds))
+        self._key = key
+        self._describe = describe
+        self._incarnation = time.time_ns() // 1_000_000
+        self._sequence = itertools.count(1)
+        self._targets: tuple[str, ...] = ()
+        self._period_s = _FIRST_PERIOD_S
+        self._client = http_client.HttpClient()
+        self._task: curio.Task | None = None
+
+    async def start(self) -> None:
+        """Announce from now on."""
+        await self._client.start()
+        if self._seeds:
+            self._task = await curio.spawn(self._repeat, daemon=True)
+
+    async def close(self) -> None:
+        """Stop announcing without a word."""
+        await self._stop()
+        await self._client.close()
+
+    async def leave(self) -> bool:
+        """Announce to every known entry host that the upstream leaves.
+
+        Returns:
+            Whether at least one of them took note.
+        """
+        await self._stop()
+        addresses = tuple(dict.fromkeys((*self._targets, *self._seeds)))
+        for _ in range(_LEAVE_TRIES if addresses else 0):
+            if await self._post_all(addresses, upstream.UpstreamState.LEAVING):
+                return True
+            await curio.sleep(_LEAVE_PAUSE_S)
+        return not addresses
+
+    async def announce(self) -> bool:
+        """Announce once to the named entry hosts, or else to the first seed that answers.
+
+        Returns:
+            Whether anybody took note.
+        """
+        replies = await self._post_all(self._targets[:_TARGETS], upstream.UpstreamState.READY)
+        if not replies:
+            replies = await self._post_to_seeds()
+        if not replies:
+            self._targets = ()
+            return False
+        self._follow(replies[0])
+        return True
+
+    async def _stop(self) -> None:
+        if self._task is not None:
+            await self._task.cancel()
+            self._task = None
+
+    async def _repeat(self) -> None:
+        while True:
+            await self.announce()
+            await curio.sleep(self._period_s)
+
+    async def _post_to_seeds(self) -> list[upstream.AnnouncementReply]:
+        for seed in self._seeds:
+            replies = await self._post_all((seed,), upstream.UpstreamState.READY)
+            if replies:
+                return replies
+        return []
+
+    async def _post_all(
+        self, addresses: tuple[str, ...], state: upstream.UpstreamState
+    ) -> list[upstream.AnnouncementReply]:
+        """Post one announcement to several entry hosts at once and return the good replies."""
+        if not addresses:
+            return []
+        body = msgspec.json.encode(self._next(state))
+        async with curio.TaskGroup() as group:
+            for address in addresses:
+                await group.spawn(self._post, address, body)
+        return [reply for reply in group.results if reply is not None]
+
+    def _next(self, state: upstream.UpstreamState) -> upstream.Announcement:
+        return dataclasses.replace(
+            self._describe(),
+            incarnation=self._incarnation,
+            sequence=next(self._sequence),
+            state=state,
+        )
+
+    async def _post(self, address: str, body: bytes) -> upstream.AnnouncementReply | None:
+        headers = {"Content-Type": "application/json"}
+        if self._key:
+            headers["Authorization"] = f"Bearer {self._key}"
+        try:
+            response = await self._client.request(
+                address, "POST", ANNOUNCEMENTS_PATH, headers, body, timeout_s=_POST_TIMEOUT_S
+            )
+            answer = await response.read()
+            if response.status == 200:
+                return msgspec.json.decode(answer, type=upstream.AnnouncementReply)
+        except (errors.UpstreamError, msgspec.MsgspecError):
+            pass
+        self.failures += 1
+        return None
+
+    def _follow(self, reply: upstream.AnnouncementReply) -> None:
+        self._targets = reply.announce_to[:_ADDRESS_LIMIT]
+        self._period_s = min(max(reply.period_s, _SHORTEST_PERIOD_S), _LONGEST_PERIOD_S)
--- /dev/null
+++ b/src/medlarfork/control_session.py
@@ -0,0 +1,205 @@
+"""Keep an entry host's session with control: heartbeats, revision, view and proof of currency."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import random
+from collections.abc import Callable
+from typing import Any
+
+from medlarfork import (
+    configuration,
+    configuration_delta,
+    entry_options,
+    entry_types,
+    errors,
+    heartbeat,
+    member,
+    node,
+)
+
+_REMEMBERED_HEARTBEATS = 32
+_NOTICE_PAUSE_S = 0.05
+"""Least time between heartbeats that notices bring about, in seconds."""
+
+_LEADER_SILENCE_S = 1.5 * heartbeat.HEARTBEAT_PERIOD_S
+"""How long a known leader may leave heartbeats unanswered before another replica is asked."""
+
+_STRANGER_SILENCE_S = 0.9 * heartbeat.HEARTBEAT_PERIOD_S
+"""The same for a replica that has not answered yet."""
+
+_FIRST_NUMBER_BITS = 31
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewApplied:
+    """Action: a newer view is in force here; ``previous`` is the one before."""
+
+    previous: member.View
+
+
+class ControlSession:
+    """Send a heartbeat each second and apply what the leader answers, upwards only."""
+
+    def __init__(
+        self,
+        options: entry_options.EntryNodeOptions,
+        *,
+        generator: random.Random,
+        member_now: Callable[[], member.Member],
+    ) -> None:
+        """Start without a configuration; ``member_now`` describes this host in heartbeats."""
+        self._options = options
+        self._member_now = member_now
+        # A reply to an earlier incarnation's heartbeat must not prove anything to this one.
+        self._number = generator.getrandbits(_FIRST_NUMBER_BITS)
+        self._sent_at_by_number: collections.OrderedDict[int, float] = collections.OrderedDict()
+        self._sent_at = -math.inf
+        self._heard_at = -math.inf
+        self._proved_at = -math.inf
+        self._lease_from = -math.inf
+        self._target = 0
+        self._asked_since = math.inf
+        self._base_is_damaged = False
+        self._current = heartbeat.RevisionedConfiguration(0, configuration.Configuration())
+        self.view = member.View()
+        self.wake_at = -math.inf
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force; 0 if there is none yet."""
+        return self._current.revision
+
+    @property
+    def configuration(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+        return self._current.configuration
+
+    @property
+    def leader_id(self) -> str:
+        """Return the replica that is asked at the moment."""
+        return self._options.control_ids[self._target] if self._options.control_ids else ""
+
+    def proof_age_s(self, now: float) -> float:
+        """Return how long ago the configuration was proved current."""
+        return now - self._proved_at
+
+    def is_proven(self, now: float) -> bool:
+        """Return whether the configuration was proved current lately."""
+        return self.proof_age_s(now) <= self._options.proof_s
+
+    def holds_lease(self, now: float) -> bool:
+        """Return whether control can't have given up this host's membership."""
+        return now - self._lease_from < heartbeat.MEMBER_LEASE_S
+
+    def handle(self, event: Any, now: float) -> tuple[Any, ...]:
+        """Handle a message of a control replica or a due time."""
+        match event:
+            case node.Started():
+                return self._beat(now)
+            case node.TimeDue():
+                return self._beat(now) if now >= self.wake_at else ()
+            case node.MessageReceived(sender, message) if sender in self._options.control_ids:
+                return self._on_message(sender, message, now)
+            case _:
+                return ()
+
+    def beat(self, now: float, *, leaving: bool = False) -> tuple[Any, ...]:
+        """Send a heartbeat at once, as when this host's state has changed."""
+        return self._beat(now, leaving=leaving)
+
+    def _on_message(self, sender: str, message: Any, now: float) -> tuple[Any, ...]:
+        match message:
+            case heartbeat.HeartbeatReply():
+                return self._on_reply(sender, message, now)
+            case heartbeat.NotLeader(leader_id):
+                return self._on_not_leader(sender, leader_id, now)
+            case heartbeat.RevisionNotice(revision, version):
+                if revision > self.revision or version > self.view.version:
+                    self.wake_at = min(self.wake_at, self._sent_at + _NOTICE_PAUSE_S)
+                return self._beat(now) if now >= self.wake_at else ()
+            case _:
+                return ()
+
+    def _beat(self, now: float, *, leaving: bool = False) -> tuple[Any, ...]:
+        self.wake_at = now + heartbeat.HEARTBEAT_PERIOD_S
+        if not self._options.control_ids:
+            return ()
+        if self._target_is_silent(now):
+            self._turn_to((self._target + 1) % len(self._options.control_ids))
+        self._asked_since = min(self._asked_since, now)
+        self._number += 1
+        self._sent_at = now
+        self._sent_at_by_number[self._number] = now
+        if len(self._sent_at_by_number) > _REMEMBERED_HEARTBEATS:
+            self._sent_at_by_number.popitem(last=False)
+        # Revision 0 makes control send the whole configuration.
+        revision = 0 if self._base_is_damaged else self.revision
+        beat = heartbeat.Heartbeat(
+            self._member_now(), self._number, revision, self.view.version, leaving
+        )
+        return (node.Send(self.leader_id, beat),)
+
+    def _on_not_leader(self, sender: str, leader_id: str, now: float) -> tuple[Any, ...]:
+        if sender != self.leader_id:
+            return ()
+        if leader_id in self._options.control_ids and leader_id != sender:
+            self._turn_to(self._options.control_ids.index(leader_id))
+            return self._beat(now)
+        # That replica knows no leader: ask another at the next period, not in a busy circle.
+        self._turn_to((self._target + 1) % len(self._options.control_ids))
+        return ()
+
+    def _target_is_silent(self, now: float) -> bool:
+        if self._heard_at >= self._asked_since:
+            return now - self._heard_at >= _LEADER_SILENCE_S
+        return now - self._asked_since >= _STRANGER_SILENCE_S
+
+    def _turn_to(self, target: int) -> None:
+        self._target = target
+        self._asked_since = math.inf
+
+    def _on_reply(
+        self, sender: str, reply: heartbeat.HeartbeatReply, now: float
+    ) -> tuple[Any, ...]:
+        sent_at = self._sent_at_by_number.get(reply.number)
+        if sent_at is None:
+            return ()
+        self._heard_at = now
+        self._asked_since = min(self._asked_since, now)
+        self._target = self._options.control_ids.index(sender)
+        # The leader renewed the lease when it got the heartbeat, which was after it was sent.
+        self._lease_from = max(self._lease_from, sent_at)
+        actions = [*self._apply_configuration(reply), *self._apply_view(reply)]
+        if self.revision >= reply.revision > 0:
+            self._proved_at = max(self._proved_at, sent_at)
+        return tuple(actions)
+
+    def _apply_configuration(self, reply: heartbeat.HeartbeatReply) -> tuple[Any, ...]:
+        newer = self._newer(reply)
+        if newer is None or newer.revision <= self.revision:
+            return ()
+        self._current = newer
+        self._base_is_damaged = False
+        return (entry_types.ConfigurationApplied(newer.revision),)
+
+    def _newer(self, reply: heartbeat.HeartbeatReply) -> heartbeat.RevisionedConfiguration | None:
+        if reply.whole is not None:
+            return reply.whole
+        delta = reply.delta
+        if delta is None or delta.base_revision != self.revision:
+            return None
+        try:
+            return configuration_delta.apply(self._current, delta)
+        except errors.ConfigurationError:
+            self._base_is_damaged = True
+            return None
+
+    def _apply_view(self, reply: heartbeat.HeartbeatReply) -> tuple[ViewApplied, ...]:
+        if reply.view is None or reply.view.version <= self.view.version:
+            return ()
+        previous = self.view
+        self.view = reply.view
+        return (ViewApplied(previous),)
--- /dev/null
+++ b/src/medlarfork/conversation.py
@@ -0,0 +1,207 @@
+"""Hold one caller's connection while its request is decided, and write what it is to get."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Mapping
+from typing import Any
+
+import curio
+
+from medlarfork import entry_types, errors, http_server, outgoing, relay, request
+
+OUTCOME_HEADER = "Medlar-Outcome"
+
+_NOT_RETURNED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "medlar-outcome",
+        "medlar-request-id",
+        "medlar-resume-offset",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Upstream headers that concern its own connection, or that the entry host sets."""
+
+
+class Conversation:
+    """Own one exchange with a caller; the node's actions for it arrive through ``tell``.
+
+    Attributes:
+        raw: The request as it was read.
+        exchange: The caller's side.
+        attempt: The task of the attempt that runs, if any.
+        watcher: The task that notices the caller's leaving, once one was worth starting.
+        opened_at: Monotonic time of the request, in seconds.
+    """
+
+    def __init__(
+        self, raw: entry_types.RawRequest, exchange: http_server.Exchange, opened_at: float
+    ) -> None:
+        """Begin with nothing written."""
+        self.raw = raw
+        self.exchange = exchange
+        self.opened_at = opened_at
+        self.attempt: curio.Task | None = None
+        self.watcher: curio.Task | None = None
+        self._relay: relay.Relay | None = None
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._held: list[bytes] = []
+        self._told: collections.deque[Any] = collections.deque()
+        self._something_told = curio.Event()
+
+    async def tell(self, action: Any) -> None:
+        """Leave an action of the node for the task that serves the caller."""
+        self._told.append(action)
+        await self._something_told.set()
+
+    async def next_action(self) -> Any:
+        """Wait for an action of the node."""
+        while not self._told:
+            self._something_told.clear()
+            await self._something_told.wait()
+        return self._told.popleft()
+
+    @property
+    def tokens(self) -> int:
+        """Return the output tokens of the answer so far."""
+        return self._relay.tokens if self._relay is not None else 0
+
+    @property
+    def resumable(self) -> bool:
+        """Return whether the answer so far proves its offset."""
+        return self._relay is not None and self._relay.resumable
+
+    @property
+    def relayed(self) -> bool:
+        """Return whether any byte of an answer has gone to the caller."""
+        return self.exchange.started
+
+    @property
+    def begun(self) -> bool:
+        """Return whether any of the answer's content has arrived."""
+        return self.tokens > 0 or bool(self._held)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of a whole answer that waits for its end, in bytes."""
+        return sum(len(part) for part in self._held)
+
+    def begin_attempt(
+        self, dispatch: entry_types.Dispatch, status: int, headers: Mapping[str, str]
+    ) -> None:
+        """Take bytes of this attempt from now on.
+
+        Raises:
+            errors.UpstreamError: The upstream's answer can't be joined to what there is already.
+        """
+        if self._relay is None:
+            stream = outgoing.asks_for_stream(self.raw)
+            self._relay = relay.Relay(stream=stream, assemble=dispatch.assemble)
+        self._relay.begin(
+            dispatch.attempt_id,
+            resume_offset=dispatch.resume_offset,
+            status=status,
+            headers=headers,
+        )
+        if self.relayed:
+            return
+        self._status = status
+        self._headers = _returned_headers(headers, dispatch)
+        self._held.clear()
+
+    def hold(self, attempt_id: str, data: bytes) -> None:
+        """Keep bytes of an answer that is to go out in one piece."""
+        passed = self._feed(attempt_id, data)
+        if passed:
+            self._held.append(passed)
+
+    async def pass_on(self, attempt_id: str, data: bytes) -> bool:
+        """Write bytes to the caller at once, after those held; return whether any were written.
+
+        Raises:
+            errors.CallerGoneError: The caller can't be reached any more.
+            errors.UpstreamError: The bytes don't go on where they should.
+        """
+        passed = self._feed(attempt_id, data)
+        if self._held:
+            passed = b"".join(self._held) + passed
+            self._held.clear()
+        if not passed:
+            return False
+        if not self.exchange.started:
+            await self.exchange.begin(self._status, self._answer_headers())
+        await self.exchange.send(passed)
+        return True
+
+    def check_end(self) -> None:
+        """Check that the answer reached its own end, not only that of its connection.
+
+        Raises:
+            errors.UpstreamError: It did not.
+        """
+        if self._relay is None or not self._relay.complete:
+            raise errors.UpstreamError(
+                "The upstream's stream stopped before its end.",
+                remedy="Check the upstream's log.",
+            )
+
+    async def finish(self, *, complete: bool) -> None:
+        """End the relayed answer; cut it if it is not whole."""
+        if not complete:
+            await self.exchange.abort()
+        elif self.exchange.started:
+            await self.exchange.finish()
+        else:
+            await self.exchange.respond(self._status, self._answer_headers(), self.whole())
+
+    async def answer(self, action: entry_types.Answer) -> None:
+        """Write an answer of the entry host's own."""
+        headers = {
+            "Content-Type": action.content_type,
+            outgoing.REQUEST_ID_HEADER: action.request_id,
+            OUTCOME_HEADER: action.outcome.value,
+            **action.headers,
+        }
+        await self.exchange.respond(action.status, headers, action.body)
+
+    def whole(self) -> bytes:
+        """Return the answer that is to go out in one piece."""
+        if self._relay is not None and self._relay.assembles:
+            return self._relay.whole()
+        return b"".join(self._held)
+
+    @property
+    def content_type(self) -> str:
+        """Return the content type of the answer."""
+        return self._headers.get("content-type", "application/octet-stream")
+
+    def _feed(self, attempt_id: str, data: bytes) -> bytes:
+        return self._relay.feed(attempt_id, data) if self._relay is not None else b""
+
+    def _answer_headers(self) -> dict[str, str]:
+        headers = dict(self._headers)
+        if self._relay is not None and self._relay.assembles:
+            headers["content-type"] = "application/json"
+        # A stream's outcome is not known when its head is written: its proper end says it.
+        if not self.exchange.started and not self._streams():
+            headers[OUTCOME_HEADER] = request.Outcome.COMPLETED.value
+        return headers
+
+    def _streams(self) -> bool:
+        return self.content_type.startswith("text/event-stream") and not (
+            self._relay is not None and self._relay.assembles
+        )
+
+
+def _returned_headers(headers: Mapping[str, str], dispatch: entry_types.Dispatch) -> dict[str, str]:
+    returned = {name: value for name, value in headers.items() if name not in _NOT_RETURNED}
+    returned[outgoing.REQUEST_ID_HEADER] = dispatch.request_id
+    if dispatch.key:
+        returned[outgoing.KEY_HEADER] = dispatch.key
+    return returned
--- /dev/null
+++ b/src/medlarfork/entries_answer.py
@@ -0,0 +1,75 @@
+"""Answer which entry hosts a caller should use, and for how long."""
+
+from __future__ import annotations
+
+import math
+import random
+import urllib.parse
+from collections.abc import Iterable
+
+import msgspec
+
+from medlarfork import configuration, member
+
+_ENTRIES_LIMIT = 16
+"""Most entry hosts named in one answer."""
+
+_LEAST_FREE_SHARE = 0.05
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """Name one entry host to a caller."""
+
+    address: str
+    data_centre: str
+
+
+class EntriesAnswer(msgspec.Struct, frozen=True):
+    """Hold the body of ``GET /v1/entries``; the first entry is the one to try first."""
+
+    entries: tuple[Entry, ...]
+    lifetime_s: float
+
+
+def nameable(
+    view: member.View, declared: configuration.Configuration, *, but: Iterable[str] = ()
+) -> tuple[member.Member, ...]:
+    """Return the entry hosts that may be named to callers."""
+    left_out = frozenset(declared.drained_entries) | frozenset(but)
+    return tuple(
+        item
+        for item in view.members
+        if item.state is member.MemberState.SERVING and item.entry_id not in left_out
+    )
+
+
+def asked_data_centre(query: str) -> str:
+    """Return the data centre that the caller's query names as its own, if any."""
+    return dict(urllib.parse.parse_qsl(query)).get("dc", "")
+
+
+def build(
+    members: Iterable[member.Member],
+    *,
+    data_centre: str,
+    lifetime_s: float,
+    generator: random.Random,
+) -> EntriesAnswer:
+    """Order the hosts: the caller's data centre first, then by chance, weighted by free share.
+
+    Chance spreads callers that ask at the same time; a fixed order would send all of them to
+    the host that was idle a second ago.
+    """
+    keyed = [(_order(item, data_centre, generator), item) for item in members]
+    keyed.sort(key=lambda pair: pair[0])
+    entries = tuple(Entry(item.http_address, item.data_centre) for _, item in keyed)
+    return EntriesAnswer(entries[:_ENTRIES_LIMIT], lifetime_s)
+
+
+def _order(
+    item: member.Member, data_centre: str, generator: random.Random
+) -> tuple[bool, float, str]:
+    free_share = max(1.0 - item.load, _LEAST_FREE_SHARE)
+    # Smallest of exponential variables: each host comes first in proportion to its free share.
+    waiting = -math.log(1.0 - generator.random()) / free_share
+    return item.data_centre != data_centre, waiting, item.entry_id
--- /dev/null
+++ b/src/medlarfork/entry.py
@@ -0,0 +1,302 @@
+"""Decide everything an entry host does: its one door, and the line of filters of a request.
+
+A request passes parse, identify, classify, deduplicate and admit in ``EntryNode._take``; then
+its flow (``flow_machine``) waits for its claim and its slot, dispatches, retries and records.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from medlarfork import (
+    admit,
+    answers,
+    claim,
+    classify,
+    control_session,
+    deduplicate,
+    drain,
+    entry_flow,
+    entry_options,
+    entry_pools,
+    entry_queries,
+    entry_requests,
+    entry_status,
+    entry_types,
+    errors,
+    explain,
+    identify,
+    member,
+    node,
+    owned_pool,
+    ownership,
+    parse,
+    pool,
+    pool_directory,
+    record,
+    ticket,
+)
+
+_STATUS_BY_CODE = {errors.Code.NOT_FOUND: 404, errors.Code.MODEL_NOT_FOUND: 404}
+"""HTTP statuses of errors that don't carry their own; 400 for the others."""
+
+
+class EntryNode:
+    """Turn events into actions; see ``entry_types`` for both."""
+
+    def __init__(
+        self,
+        *,
+        settings: entry_options.EntryNodeOptions,
+        random: random.Random,
+        make_scheduler: Callable[[str], owned_pool.Scheduler] | None = None,
+    ) -> None:
+        """Create the node of one process.
+
+        Args:
+            settings: Its options.
+            random: Seeded generator; the only source of chance.
+            make_scheduler: Makes the scheduler of a pool by its name; ``pool.Pool`` by default.
+        """
+        self._options = settings
+        self._random = random
+        self._stage: drain.Stage = drain.Serving()
+        self._wake_asked_at = math.inf
+        self._directory = pool_directory.PoolDirectory(settings.entry_id)
+        self._pools = entry_pools.EntryPools(
+            settings.entry_id, self._directory, make_scheduler or self._make_scheduler
+        )
+        self._session = control_session.ControlSession(
+            settings, generator=random, member_now=self._member
+        )
+        self._requests = entry_requests.EntryRequests(settings, self._session, random)
+        self._queries = entry_queries.EntryQueries(
+            settings, self._session, self._requests, self._pools, self._directory, random
+        )
+
+    def handle(self, event: Any, now: float) -> tuple[Any, ...]:
+        """Handle an event at a monotonic time in seconds and return the actions, in order."""
+        actions = self._follow(self._on_event(event, now), now)
+        actions += self._follow(self._advance_stage(now), now)
+        actions += self._wake(now)
+        return tuple(actions)
+
+    @property
+    def view(self) -> member.View:
+        """Return the entry hosts that hold a lease, as last heard from control."""
+        return self._session.view
+
+    def entries(self, raw: entry_types.RawRequest, now: float) -> entry_types.Answer:
+        """Answer ``GET /v1/entries``."""
+        named = isinstance(self._stage, drain.Serving)
+        return self._queries.entries(raw, now, named=named)
+
+    def models(self, raw: entry_types.RawRequest) -> entry_types.Answer:
+        """Answer ``GET /v1/models``."""
+        return self._queries.models(raw)
+
+    def status(self, now: float) -> entry_status.EntryStatus:
+        """Describe this host to operators."""
+        return self._queries.status(now, type(self._stage).__name__.lower())
+
+    def explain(self, raw: entry_types.RawRequest, account: str, now: float) -> explain.Explanation:
+        """Explain where a request of an account would go.
+
+        Raises:
+            errors.MedlarError: The account is not declared, or the request would be refused.
+        """
+        return self._queries.explain(raw, account, now)
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether this host takes requests."""
+        standing = self._queries.standing(now, refusing=drain.refuses(self._stage))
+        return standing.usable and not standing.refusing
+
+    def _on_event(self, event: Any, now: float) -> Iterable[Any]:
+        match event:
+            case entry_types.RequestArrived(raw):
+                return self._arrive(raw, now)
+            case entry_types.CallerGone(request_id):
+                return self._requests.handle(request_id, event, now)
+            case entry_types.AttemptStarted(attempt_id) | entry_types.AttemptEnded(attempt_id):
+                request_id = entry_flow.request_id_of(attempt_id)
+                return self._requests.handle(request_id, event, now)
+            case entry_types.AnnouncementReceived(call_id, announcement):
+                reply = self._directory.reply(announcement, self._session.view)
+                answered = entry_types.AnnouncementAnswered(call_id, reply)
+                return (*self._directory.announce(announcement, now), answered)
+            case _ if isinstance(self._stage, drain.Stopped):
+                return ()
+            case node.MessageReceived(sender, message):
+                return self._on_message(sender, message, now)
+            case node.Started():
+                return self._session.handle(event, now)
+            case node.TimeDue():
+                return self._on_time(event, now)
+            case entry_types.DrainAsked() if isinstance(self._stage, drain.Serving):
+                self._stage = drain.begin(self._options, now)
+                return self._session.beat(now)
+            case _:
+                return ()
+
+    def _arrive(self, raw: entry_types.RawRequest, now: float) -> Iterable[Any]:
+        try:
+            return self._take(raw, now)
+        except errors.MedlarError as error:
+            status = _STATUS_BY_CODE.get(error.code, 400)
+            headers: dict[str, str] = {}
+            if isinstance(error, errors.RequestRefusedError):
+                status, headers = error.status, error.headers
+            answer = answers.refusal(raw.request_id, error, status=status, headers=headers)
+            return answer, record.refused(answer, error, self._session.revision)
+
+    def _take(self, raw: entry_types.RawRequest, now: float) -> Iterable[Any]:
+        """Pass a request along the filters that need no other process."""
+        declared = self._session.configuration
+        standing = self._queries.standing(now, refusing=drain.refuses(self._stage))
+        admit.check_standing(standing)
+        parsed = parse.parse(raw)
+        account = identify.identify(declared, raw.headers)
+        asked = classify.assign(declared, account, parsed, now=now)
+        deduplicate.check_key(declared, asked)
+        self._requests.admission.admit(len(raw.body), standing, repeatable=asked.repeatable)
+        return self._requests.begin(asked, len(raw.body), now)
+
+    def _on_message(self, sender: str, message: Any, now: float) -> Iterable[Any]:
+        match message:
+            case ticket.Ticket() | ticket.Running() | ticket.Withdraw() | ticket.Release():
+                return self._pools.on_message(sender, message, now)
+            case ticket.Released():
+                self._requests.confirm_release(sender, message)
+                return ()
+            case ticket.Grant() | ticket.Shed() | ticket.Preempt() | ticket.Queued():
+                return self._requests.on_peer(sender, message, now)
+            case ticket.PoolSummary():
+                self._requests.shards.learn(message)
+                return ()
+            case entry_types.UpstreamSeen():
+                return self._directory.seen(message, now)
+            case _ if sender in self._options.control_ids:
+                return self._on_control(sender, message, now)
+            case _:
+                return ()
+
+    def _on_control(self, sender: str, message: Any, now: float) -> Iterable[Any]:
+        match message:
+            case claim.ClaimReply():
+                return self._requests.on_claim_reply(message, now)
+            case claim.ClaimRecorded():
+                self._requests.confirm_claim(message)
+                return ()
+            case _:
+                return self._session.handle(node.MessageReceived(sender, message), now)
+
+    def _on_time(self, event: node.TimeDue, now: float) -> Iterable[Any]:
+        yield from self._session.handle(event, now)
+        yield from self._directory.expire(now)
+        yield from self._pools.take_due(now)
+        yield from self._requests.take_due(now)
+
+    def _follow(self, actions: Iterable[Any], now: float) -> list[Any]:
+        """Carry out what stays inside this node until only actions for outside are left."""
+        left: list[Any] = []
+        waiting = collections.deque(actions)
+        while waiting:
+            action = waiting.popleft()
+            match action:
+                case node.Send(to, message) if to == self._options.entry_id:
+                    waiting.extend(self._on_message(to, message, now))
+                case pool_directory.ToPool(pool_name, event):
+                    waiting.extend(self._pools.handle(pool_name, event, now))
+                case control_session.ViewApplied(previous):
+                    waiting.extend(self._on_view(previous, now))
+                case entry_types.ConfigurationApplied():
+                    left.append(action)
+                    waiting.extend(self._reconfigure(frozenset(), now))
+                case _:
+                    left.append(action)
+        return left
+
+    def _on_view(self, previous: member.View, now: float) -> Iterable[Any]:
+        current = self._session.view.member_by_id
+        lost = {
+            item.entry_id
+            for item in previous.members
+            if item.entry_id not in current
+            or current[item.entry_id].incarnation != item.incarnation
+        }
+        if self._options.entry_id in lost:
+            # The others have dropped what this host told them, but its own pools have not.
+            lost.remove(self._options.entry_id)
+            return self._reconfigure(frozenset(current), now)
+        told = [sent for item in sorted(lost) for sent in self._pools.entry_gone(item, now)]
+        return (*told, *self._reconfigure(frozenset(lost), now))
+
+    def _reconfigure(self, restarted: frozenset[str], now: float) -> Iterable[Any]:
+        """Put the session's configuration and view in force; takes time linear in all state."""
+        declared = self._session.configuration
+        owned = ownership.Ownership(self._options.entry_id, declared, self._session.view)
+        self._requests.owned = owned
+        names = frozenset(name for item in declared.services for name in owned.pools(item.name))
+        self._requests.shards.keep_only(names)
+        moved = self._directory.apply(declared, owned, now)
+        handed = self._pools.apply(declared, owned, now)
+        changed = entry_flow.OwnersChanged(restarted)
+        return (*handed, *moved, *self._requests.handle_all(changed, now))
+
+    def _advance_stage(self, now: float) -> Iterable[Any]:
+        """Take a graceful stop further."""
+        before = self._stage
+        burden = drain.Burden(len(self._requests), self._requests.unconfirmed)
+        self._stage = drain.advance(before, burden, self._options, now)
+        if type(self._stage) is type(before):
+            return ()
+        match self._stage:
+            case drain.Cutting():
+                return self._requests.handle_all(entry_flow.Stop(), now)
+            case drain.Stopped():
+                leaving = self._session.beat(now, leaving=True)
+                return (*self._pools.close(), *leaving, entry_types.Drained())
+            case _:
+                return ()
+
+    def _wake(self, now: float) -> list[node.Wake]:
+        at = min(
+            self._session.wake_at,
+            self._directory.wake_at(),
+            self._pools.wake_at(),
+            self._requests.wake_at(),
+            drain.wake_at(self._stage),
+        )
+        if isinstance(self._stage, drain.Stopped) or at == math.inf:
+            return []
+        if now < self._wake_asked_at <= at:
+            return []
+        self._wake_asked_at = at
+        return [node.Wake(at)]
+
+    def _member(self) -> member.Member:
+        options = self._options
+        serving = isinstance(self._stage, drain.Serving)
+        return member.Member(
+            options.entry_id,
+            options.incarnation,
+            member.MemberState.SERVING if serving else member.MemberState.DRAINING,
+            options.link_address,
+            options.http_address,
+            options.data_centre,
+            self._requests.admission.load,
+        )
+
+    def _make_scheduler(self, name: str) -> pool.Pool:
+        seeded = random.Random(self._random.getrandbits(64))
+        return pool.Pool(
+            name=name,
+            entry_id=self._options.entry_id,
+            random=seeded,
+            options=pool.PoolOptions(),
+        )
--- /dev/null
+++ b/src/medlarfork/entry_api.py
@@ -0,0 +1,178 @@
+"""Serve an entry host's HTTP paths that are not requests to a service."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import time
+import urllib.parse
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from medlarfork import (
+    entry,
+    entry_types,
+    errors,
+    http_server,
+    parse,
+    telemetry,
+    upstream,
+)
+
+_JSON = {"Content-Type": "application/json"}
+_ANNOUNCEMENT_PATH = "/v1/announcements"
+
+
+class _ErrorDetail(msgspec.Struct, frozen=True):
+    message: str
+    type: str
+    code: str
+    param: None = None
+
+
+class _ErrorBody(msgspec.Struct, frozen=True):
+    error: _ErrorDetail
+
+
+class EntryApi:
+    """Answer health checks, metrics, ``/v1/entries``, ``/v1/models`` and operators' questions."""
+
+    def __init__(
+        self,
+        node: entry.EntryNode,
+        metrics: telemetry.Telemetry,
+        *,
+        announce_key_sha256: Iterable[str],
+        operator_key_sha256: Iterable[str],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Answer from these parts; empty key digests let everybody announce, nobody ask."""
+        self._node = node
+        self._metrics = metrics
+        self._announce_keys = tuple(announce_key_sha256)
+        self._operator_keys = tuple(operator_key_sha256)
+        self._clock = clock
+
+    def is_announcement(self, head: http_server.RequestHead) -> bool:
+        """Return whether a request is an upstream's announcement."""
+        return head.path == _ANNOUNCEMENT_PATH and head.method == "POST"
+
+    def may_announce(self, head: http_server.RequestHead) -> bool:
+        """Return whether the sender may announce upstreams."""
+        return not self._announce_keys or _has_key(head, self._announce_keys)
+
+    async def refuse_announcement(self, exchange: http_server.Exchange) -> None:
+        """Answer an announcement whose key is wrong."""
+        error = errors.OperatorError(
+            "The announcement carries no valid key.",
+            remedy="Send 'Authorization: Bearer KEY' with the upstreams' announcement key.",
+            code=errors.Code.INVALID_API_KEY,
+        )
+        await _respond_error(exchange, 401, error)
+
+    async def read_announcement(
+        self, exchange: http_server.Exchange
+    ) -> upstream.Announcement | None:
+        """Read an announcement; a malformed one is answered here and gives None."""
+        body = await exchange.read_body()
+        try:
+            return msgspec.json.decode(body, type=upstream.Announcement)
+        except msgspec.MsgspecError as problem:
+            error = errors.OperatorError(
+                f"The announcement can't be read: {problem}.",
+                remedy="Send the JSON object that docs/operators describes.",
+            )
+            await _respond_error(exchange, 400, error)
+            return None
+
+    async def answer_announcement(
+        self, exchange: http_server.Exchange, reply: upstream.AnnouncementReply
+    ) -> None:
+        """Answer an announcement."""
+        await exchange.respond(200, _JSON, msgspec.json.encode(reply))
+
+    async def serve(self, exchange: http_server.Exchange, request_id: str) -> bool:
+        """Answer the request if its path is one of these; return whether it was."""
+        head = exchange.head
+        if head.method not in ("GET", "HEAD"):
+            return False
+        match head.path:
+            case "/healthz":
+                await exchange.respond(200, {"Content-Type": "text/plain"}, b"ok\n")
+            case "/readyz":
+                await self._readiness(exchange)
+            case "/metrics":
+                body = self._metrics.render()
+                await exchange.respond(200, {"Content-Type": telemetry.CONTENT_TYPE}, body)
+            case "/v1/entries":
+                answer = self._node.entries(_raw(request_id, head), self._clock())
+                await exchange.respond(answer.status, _JSON, answer.body)
+            case "/v1/models":
+                answer = self._node.models(_raw(request_id, head))
+                await exchange.respond(answer.status, {**_JSON, **answer.headers}, answer.body)
+            case "/v1/status" | "/v1/explain":
+                await self._serve_operator(exchange, request_id)
+            case _:
+                return False
+        return True
+
+    async def _readiness(self, exchange: http_server.Exchange) -> None:
+        ready = self._node.is_ready(self._clock())
+        body = b"ready\n" if ready else b"not ready\n"
+        await exchange.respond(200 if ready else 503, {"Content-Type": "text/plain"}, body)
+
+    async def _serve_operator(self, exchange: http_server.Exchange, request_id: str) -> None:
+        if not _has_key(exchange.head, self._operator_keys):
+            error = errors.OperatorError(
+                "The request carries no valid operator key.",
+                remedy="Send 'Authorization: Bearer KEY' with an operator's key.",
+                code=errors.Code.INVALID_API_KEY,
+            )
+            await _respond_error(exchange, 401, error)
+        elif exchange.head.path == "/v1/status":
+            status = self._node.status(self._clock())
+            await exchange.respond(200, _JSON, msgspec.json.encode(status))
+        else:
+            await self._explain(exchange, request_id)
+
+    async def _explain(self, exchange: http_server.Exchange, request_id: str) -> None:
+        asked = dict(urllib.parse.parse_qsl(exchange.head.query))
+        raw = _explained_request(request_id, asked)
+        try:
+            explanation = self._node.explain(raw, asked.get("account", ""), self._clock())
+        except errors.MedlarError as error:
+            await _respond_error(exchange, 404, error)
+        else:
+            await exchange.respond(200, _JSON, msgspec.json.encode(explanation))
+
+
+def _explained_request(request_id: str, asked: dict[str, str]) -> entry_types.RawRequest:
+    """Return the request that an operator asks about."""
+    headers = {"medlar-labels": asked.get("labels", "")}
+    if "path" in asked:
+        method = asked.get("method", "GET")
+        return entry_types.RawRequest(request_id, method, asked["path"], "", headers, b"")
+    body = msgspec.json.encode({"model": asked.get("model", ""), "messages": []})
+    return entry_types.RawRequest(request_id, "POST", parse.CHAT_PATH, "", headers, body)
+
+
+def _raw(request_id: str, head: http_server.RequestHead) -> entry_types.RawRequest:
+    return entry_types.RawRequest(request_id, head.method, head.path, head.query, head.headers, b"")
+
+
+def _has_key(head: http_server.RequestHead, digests: tuple[str, ...]) -> bool:
+    scheme, _, key = head.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        return False
+    digest = hashlib.sha256(key.strip().encode("utf-8", "surrogateescape")).hexdigest()
+    # Every digest is compared, so that the time taken says nothing about which one matched.
+    matches = [hmac.compare_digest(digest, known) for known in digests]
+    return any(matches)
+
+
+async def _respond_error(
+    exchange: http_server.Exchange, status: int, error: errors.MedlarError
+) -> None:
+    detail = _ErrorDetail(str(error), "invalid_request_error", error.code.value)
+    await exchange.respond(status, _JSON, msgspec.json.encode(_ErrorBody(detail)))
--- /dev/null
+++ b/src/medlarfork/entry_queries.py
@@ -0,0 +1,173 @@
+"""Answer what callers and operators ask of an entry host, without changing anything."""
+
+from __future__ import annotations
+
+import random
+
+from medlarfork import (
+    admit,
+    answers,
+    configuration,
+    control_session,
+    entries_answer,
+    entry_flow,
+    entry_options,
+    entry_pools,
+    entry_requests,
+    entry_settings,
+    entry_status,
+    entry_types,
+    errors,
+    explain,
+    identify,
+    member,
+    parse,
+    pool_directory,
+)
+
+_OTHERS_LIMIT = 4
+"""Other entry hosts named in a refusal."""
+
+
+class EntryQueries:
+    """Read from the parts of an entry node."""
+
+    def __init__(
+        self,
+        options: entry_options.EntryNodeOptions,
+        session: control_session.ControlSession,
+        requests: entry_requests.EntryRequests,
+        pools: entry_pools.EntryPools,
+        directory: pool_directory.PoolDirectory,
+        generator: random.Random,
+    ) -> None:
+        """Read from these parts."""
+        self._options = options
+        self._session = session
+        self._requests = requests
+        self._pools = pools
+        self._directory = directory
+        self._generator = generator
+
+    def standing(self, now: float, *, refusing: bool) -> admit.Standing:
+        """Return how this host stands."""
+        proven = self._session.is_proven(now)
+        serve = self._options.unproven is entry_settings.UnprovenPolicy.SERVE
+        usable = self._session.revision > 0 and (proven or serve)
+        others = ()
+        if refusing or not usable or self._requests.admission.load >= 1.0:
+            others = self._others()
+        return admit.Standing(refusing, usable, proven, others)
+
+    def entries(
+        self, raw: entry_types.RawRequest, now: float, *, named: bool
+    ) -> entry_types.Answer:
+        """Answer ``GET /v1/entries``; ``named`` says whether this host may be named."""
+        but = () if named and self.standing(now, refusing=False).usable else (self._entry_id,)
+        members = self._nameable(but)
+        # A host that can't vouch for itself is still better than none at all.
+        members = members or self._nameable(())
+        data_centre = entries_answer.asked_data_centre(raw.query) or self._options.data_centre
+        body = entries_answer.build(
+            members,
+            data_centre=data_centre,
+            lifetime_s=self._options.entries_lifetime_s,
+            generator=self._generator,
+        )
+        return answers.json(raw.request_id, body)
+
+    def models(self, raw: entry_types.RawRequest) -> entry_types.Answer:
+        """Answer ``GET /v1/models`` for the account whose key the request carries."""
+        declared = self._session.configuration
+        try:
+            admit.check_standing(admit.Standing(False, self._session.revision > 0, False, ()))
+            identify.identify(declared, raw.headers)
+        except errors.RequestRefusedError as error:
+            return answers.refusal(
+                raw.request_id, error, status=error.status, headers=error.headers
+            )
+        models = [
+            {"id": model, "object": "model", "created": 0, "owned_by": service.name}
+            for model, service in declared.service_by_model.items()
+        ]
+        return answers.json(raw.request_id, {"object": "list", "data": models})
+
+    def explain(self, raw: entry_types.RawRequest, account: str, now: float) -> explain.Explanation:
+        """Explain where a request of an account would go.
+
+        Raises:
+            errors.MedlarError: The account is not declared, or the request would be refused.
+        """
+        declared = self._session.configuration
+        found = declared.account_by_name.get(account)
+        if found is None:
+            raise errors.OperatorError(
+                f"There is no client account {account[:80]!r}.",
+                remedy="Name one of the accounts of the configuration in force.",
+                code=errors.Code.NOT_FOUND,
+            )
+        return explain.build(
+            declared,
+            self._session.revision,
+            found,
+            parse.parse(raw),
+            self._requests.owned,
+            self._directory,
+            now,
+        )
+
+    def status(self, now: float, stage: str) -> entry_status.EntryStatus:
+        """Describe this host to operators; takes time linear in what is in progress."""
+        age_s = self._session.proof_age_s(now)
+        return entry_status.EntryStatus(
+            entry_id=self._entry_id,
+            incarnation=self._options.incarnation,
+            stage=stage,
+            revision=self._session.revision,
+            view_version=self._session.view.version,
+            proven=self._session.is_proven(now),
+            proof_age_s=None if age_s == float("inf") else age_s,
+            leader_id=self._session.leader_id,
+            requests=len(self._requests),
+            queued=self._requests.count(entry_flow.Waiting),
+            claiming=self._requests.count(entry_flow.Claiming),
+            held_bytes=self._requests.admission.held_bytes,
+            unconfirmed=self._requests.unconfirmed,
+            members=self._session.view.members,
+            pools=self._pools.summaries(now),
+            upstreams=tuple(_upstream_status(item, now) for item in self._directory.leases),
+        )
+
+    @property
+    def _entry_id(self) -> str:
+        return self._options.entry_id
+
+    def _declared(self) -> configuration.Configuration:
+        return self._session.configuration
+
+    def _nameable(self, but: tuple[str, ...]) -> tuple[member.Member, ...]:
+        return entries_answer.nameable(self._session.view, self._declared(), but=but)
+
+    def _others(self) -> tuple[str, ...]:
+        members = self._nameable((self._entry_id,))
+        body = entries_answer.build(
+            members,
+            data_centre=self._options.data_centre,
+            lifetime_s=self._options.entries_lifetime_s,
+            generator=self._generator,
+        )
+        return tuple(entry.address for entry in body.entries[:_OTHERS_LIMIT])
+
+
+def _upstream_status(
+    lease: pool_directory.UpstreamLease, now: float
+) -> entry_status.UpstreamStatus:
+    announcement = lease.announcement
+    return entry_status.UpstreamStatus(
+        announcement.upstream_id,
+        announcement.address,
+        lease.pool,
+        str(announcement.state),
+        now - lease.heard_at,
+        lease.conflicts,
+    )
--- /dev/null
+++ b/src/medlarfork/entry_requests.py
@@ -0,0 +1,186 @@
+"""Hold the requests in progress on an entry host and perform what their flows ask for."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Any
+
+from medlarfork import (
+    _outbox,
+    _shard_choice,
+    _timer_heap,
+    admit,
+    claim,
+    configuration,
+    control_session,
+    deduplicate,
+    dispatch,
+    entry_flow,
+    entry_options,
+    flow_machine,
+    member,
+    node,
+    ownership,
+    request,
+    ticket,
+)
+
+_RELEASES_LIMIT = 20_000
+_RELEASE_PATIENCE_S = 20.0
+_CLAIMS_LIMIT = 10_000
+_CLAIM_PATIENCE_S = 600.0
+
+
+class EntryRequests:
+    """Keep each request's flow, timer and share of the bounds; the flows' surroundings."""
+
+    def __init__(
+        self,
+        options: entry_options.EntryNodeOptions,
+        session: control_session.ControlSession,
+        generator: random.Random,
+    ) -> None:
+        """Start with no request in progress."""
+        self.options = options
+        self.owned = ownership.Ownership(
+            options.entry_id, configuration.Configuration(), member.View()
+        )
+        self.shards = _shard_choice.ShardChoice(generator)
+        self.admission = admit.Admission(
+            request_limit=options.request_limit, bytes_limit=options.held_bytes_limit
+        )
+        self._session = session
+        self._budgets = dispatch.RetryBudgets(share=options.retry_share, burst=options.retry_burst)
+        self._machine = flow_machine.FlowMachine(self)
+        self._flow_by_id: dict[str, entry_flow.Flow] = {}
+        self._timers = _timer_heap.TimerHeap()
+        self._releases = _outbox.Outbox(limit=_RELEASES_LIMIT, patience_s=_RELEASE_PATIENCE_S)
+        self._claims = _outbox.Outbox(limit=_CLAIMS_LIMIT, patience_s=_CLAIM_PATIENCE_S)
+
+    def __len__(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._flow_by_id)
+
+    @property
+    def unconfirmed(self) -> int:
+        """Return the number of messages whose receipt has not been confirmed."""
+        return len(self._releases) + len(self._claims)
+
+    def count(self, state: type) -> int:
+        """Return the number of requests in a state; takes time linear in the requests."""
+        return sum(isinstance(flow.state, state) for flow in self._flow_by_id.values())
+
+    def wake_at(self) -> float:
+        """Return when the next timer is due."""
+        earliest = min(self._releases.earliest(), self._claims.earliest())
+        return min(earliest, self._timers.earliest())
+
+    def choose_pool(self, service: str, now: float) -> str:
+        """Return the pool to queue at; an empty text if the service has none any more."""
+        return self.shards.choose(self.owned.pools(service))
+
+    def owners(self, pool: str) -> tuple[str, ...]:
+        """Return the entry hosts to ask for the pool, best first."""
+        return self.owned.owners(pool)
+
+    def spend_retry(self, service: str) -> bool:
+        """Take one retry of the service's budget."""
+        return self._budgets.spend(service)
+
+    def holds_lease(self, now: float) -> bool:
+        """Return whether control can't have given this host up as lost."""
+        return self._session.holds_lease(now)
+
+    def begin(self, asked: request.Request, body_bytes: int, now: float) -> tuple[Any, ...]:
+        """Take an admitted request."""
+        self._budgets.earn(asked.service)
+        request_class = self._session.configuration.class_by_name[asked.class_name]
+        state = entry_flow.Claiming(heard_at=now, ask_at=now)
+        flow = entry_flow.Flow(asked, request_class, self._session.revision, body_bytes, state)
+        self._flow_by_id[asked.request_id] = flow
+        return self._after(asked.request_id, self._machine.begin(flow, now), now)
+
+    def handle(self, request_id: str, event: Any, now: float) -> tuple[Any, ...]:
+        """Apply an event to one request; without effect if it is not in progress any more."""
+        flow = self._flow_by_id.get(request_id)
+        if flow is None:
+            return ()
+        return self._after(request_id, self._machine.handle(flow, event, now), now)
+
+    def handle_all(self, event: Any, now: float) -> tuple[Any, ...]:
+        """Apply an event to every request in progress."""
+        ids = tuple(self._flow_by_id)
+        return tuple(action for item in ids for action in self.handle(item, event, now))
+
+    def on_peer(self, sender: str, message: Any, now: float) -> tuple[Any, ...]:
+        """Apply what a pool's owner said of a ticket."""
+        request_id = entry_flow.request_id_of(message.ticket_id)
+        if request_id in self._flow_by_id:
+            return self.handle(request_id, entry_flow.FromPeer(sender, message), now)
+        if not isinstance(message, ticket.Grant):
+            return ()
+        release = ticket.Release(message.ticket_id, message.pool, ticket.ReleaseCause.UNUSED)
+        return self._give_back(sender, release, now)
+
+    def on_claim_reply(self, reply: claim.ClaimReply, now: float) -> tuple[Any, ...]:
+        """Apply control's answer to a claim request of this incarnation."""
+        holder = reply.holder
+        mine = (holder.entry_id, holder.incarnation)
+        if mine != (self.options.entry_id, self.options.incarnation):
+            return ()
+        flow = self._flow_by_id.get(holder.request_id)
+        if flow is None or deduplicate.key_of(flow.asked) != reply.key:
+            return ()
+        return self.handle(holder.request_id, reply, now)
+
+    def confirm_release(self, sender: str, released: ticket.Released) -> None:
+        """Stop resending a release."""
+        self._releases.confirm((sender, released.ticket_id))
+
+    def confirm_claim(self, recorded: claim.ClaimRecorded) -> None:
+        """Stop resending what became of a claim."""
+        self._claims.confirm((recorded.key, recorded.holder))
+
+    def take_due(self, now: float) -> tuple[Any, ...]:
+        """Apply the timers that are due and resend what is not confirmed."""
+        actions: list[Any] = []
+        while (request_id := self._timers.pop_due(now)) is not None:
+            actions += self.handle(str(request_id), entry_flow.Due(), now)
+        letters = (*self._releases.take_due(now), *self._claims.take_due(now))
+        for letter in letters:
+            actions += self._to_leader(letter.message, letter.to)
+        return tuple(actions)
+
+    def _after(self, request_id: str, step: entry_flow.Step, now: float) -> tuple[Any, ...]:
+        if step.flow is None:
+            flow = self._flow_by_id.pop(request_id)
+            self._timers.clear(request_id)
+            self.admission.leave(flow.body_bytes)
+        else:
+            self._flow_by_id[request_id] = step.flow
+            self._timers.set(request_id, entry_flow.wake_at(step.flow))
+        return tuple(action for effect in step.effects for action in self._perform(effect, now))
+
+    def _perform(self, effect: Any, now: float) -> Iterator[Any]:
+        match effect:
+            case entry_flow.ToOwner(owner, message):
+                yield node.Send(owner, message)
+            case entry_flow.GiveBack(owner, release):
+                yield from self._give_back(owner, release, now)
+            case entry_flow.AskClaim(claim_request):
+                yield from self._to_leader(claim_request)
+            case entry_flow.Settle(message):
+                self._claims.put((message.key, message.holder), "", message, now)
+                yield from self._to_leader(message)
+            case action:
+                yield action
+
+    def _give_back(self, owner: str, release: ticket.Release, now: float) -> tuple[node.Send, ...]:
+        if owner != self.options.entry_id:
+            self._releases.put((owner, release.ticket_id), owner, release, now)
+        return (node.Send(owner, release),)
+
+    def _to_leader(self, message: Any, to: str = "") -> tuple[node.Send, ...]:
+        to = to or self._session.leader_id
+        return (node.Send(to, message),) if to else ()
--- /dev/null
+++ b/src/medlarfork/explain.py
@@ -0,0 +1,126 @@
+"""Explain where a request would go, and why."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork import (
+    classify,
+    configuration,
+    ownership,
+    pool_directory,
+    request,
+    upstream,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """Say whether an upstream is a candidate, and why.
+
+    Attributes:
+        selected: Whether it may get the request now.
+        reason: Why, in plain words.
+    """
+
+    upstream_id: str
+    address: str
+    selected: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolExplanation:
+    """Describe one pool of the service.
+
+    Attributes:
+        owner: The entry host that schedules it.
+        standby: The entry host that takes over from the owner; empty if there is none.
+        known_here: Whether this host hears the pool's announcements; if not, ask the owner.
+    """
+
+    pool: str
+    owner: str
+    standby: str
+    known_here: bool
+    candidates: tuple[Candidate, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """Explain one request.
+
+    Attributes:
+        request: The request as it was classified.
+        request_class: Its class, with targets and deadline.
+        classes: For each class, whether its selector matches and why not.
+        routes: The same for each route.
+        revision: The configuration revision this rests on.
+    """
+
+    request: request.Request
+    request_class: configuration.RequestClass
+    classes: tuple[classify.SelectorMatch, ...]
+    routes: tuple[classify.SelectorMatch, ...]
+    pools: tuple[PoolExplanation, ...]
+    revision: int
+
+
+def build(
+    declared: configuration.Configuration,
+    revision: int,
+    account: configuration.Account,
+    parsed: classify.ParsedRequest,
+    owned: ownership.Ownership,
+    directory: pool_directory.PoolDirectory,
+    now: float,
+) -> Explanation:
+    """Explain a request that has been parsed and identified.
+
+    Raises:
+        errors.MedlarError: It would be refused before it is classified.
+    """
+    asked = classify.assign(declared, account, parsed, now=now)
+    routed = classify.route_labels(declared, account, parsed)
+    return Explanation(
+        asked,
+        declared.class_by_name[asked.class_name],
+        classify.explain_class(declared, asked.labels),
+        classify.explain_route(declared, routed),
+        tuple(_pool(pool, declared, owned, directory) for pool in owned.pools(asked.service)),
+        revision,
+    )
+
+
+def _pool(
+    pool: str,
+    declared: configuration.Configuration,
+    owned: ownership.Ownership,
+    directory: pool_directory.PoolDirectory,
+) -> PoolExplanation:
+    owner, *others = owned.hearers(pool)
+    leases = directory.leases if owned.serves(pool) else ()
+    return PoolExplanation(
+        pool,
+        owner,
+        others[0] if others else "",
+        owned.serves(pool),
+        tuple(_candidate(lease, pool, declared) for lease in leases),
+    )
+
+
+def _candidate(
+    lease: pool_directory.UpstreamLease, pool: str, declared: configuration.Configuration
+) -> Candidate:
+    announcement = lease.announcement
+    selected = False
+    if lease.pool != pool:
+        reason = f"it belongs to the pool {lease.pool}"
+    elif announcement.state is upstream.UpstreamState.LEAVING:
+        reason = "it is leaving"
+    elif announcement.upstream_id in declared.drained_upstreams:
+        reason = "operators have drained it"
+    else:
+        selected = True
+        reason = f"its labels match the selector of {pool.rpartition('/')[0]}"
+    return Candidate(announcement.upstream_id, announcement.address, selected, reason)
--- /dev/null
+++ b/src/medlarfork/identify.py
@@ -0,0 +1,42 @@
+"""Identify the client account of a request by its API key."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+
+from medlarfork import configuration, errors
+
+_SCHEME = "bearer "
+
+
+def identify(
+    declared: configuration.Configuration, headers: Mapping[str, str]
+) -> configuration.Account:
+    """Return the account whose key the ``Authorization`` header carries.
+
+    The key is hashed before it is looked up, so the time the lookup takes says nothing about
+    the keys that exist.
+
+    Raises:
+        errors.RequestRefusedError: There is no key, or no account has it.
+    """
+    header = headers.get("authorization", "")
+    if not header[: len(_SCHEME)].lower() == _SCHEME:
+        raise _invalid_key("The request carries no API key.")
+    key = header[len(_SCHEME) :].strip()
+    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    account = declared.account_by_key_sha256.get(digest)
+    if account is None:
+        raise _invalid_key("No client account has this API key.")
+    return account
+
+
+def _invalid_key(problem: str) -> errors.RequestRefusedError:
+    return errors.RequestRefusedError(
+        problem,
+        remedy="Send 'Authorization: Bearer KEY' with a key of your client account.",
+        code=errors.Code.INVALID_API_KEY,
+        status=401,
+        headers={"WWW-Authenticate": "Bearer"},
+    )
--- /dev/null
+++ b/src/medlarfork/link.py
@@ -0,0 +1,315 @@
+"""Carry messages between the system's processes over ZeroMQ, under curio.
+
+A link binds one ROUTER socket, which peers connect to, and opens one DEALER socket for each peer
+that it connects to. Messages may be lost, late, repeated or reordered; they are never cut or
+attributed to another sender, if keys are in use.
+
+A link never queues for a peer that it has no connection to (``zmq.IMMEDIATE``): what would be
+delivered after a reconnect is old news by then, and the decision modules repeat what matters.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import Any
+
+import curio
+import zmq
+
+from medlarfork import _link_sockets, _zap, _zmq_wait, codec, errors, keys, node
+
+_BATCH = 64
+"""Most messages taken from one socket before the others get their turn."""
+
+_PARTS = 2
+"""A message is its kind and its body; a routing id comes before them on the ROUTER socket."""
+
+
+LinkOptions = _link_sockets.LinkOptions
+"""Bounds and times of a link."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkCounters:
+    """Count what a link did since its start.
+
+    Attributes:
+        dropped: Messages not sent: no connection, a full queue, or too large.
+        malformed: Messages received that could not be decoded.
+        impostors: Messages received under a name that is not the key's.
+        refused_keys: Connections refused because their key is not known.
+    """
+
+    sent: int = 0
+    received: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    dropped: int = 0
+    malformed: int = 0
+    impostors: int = 0
+    refused_keys: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Peer:
+    """Hold the connection to one peer."""
+
+    peer_id: str
+    address: str
+    socket: zmq.Socket
+
+
+class Link:
+    """Send messages to peers and receive theirs; used by one thread's curio tasks."""
+
+    def __init__(
+        self,
+        *,
+        identity: str,
+        codec: codec.Codec,
+        bind: str,
+        keys: keys.LinkKeys | None = None,
+        options: LinkOptions = LinkOptions(),  # noqa: B008 - frozen
+    ) -> None:
+        """Prepare a link that other processes know as ``identity``.
+
+        Args:
+            bind: ``tcp://IP:PORT`` to listen on; port 0 lets the system choose.
+            keys: Own and known keys; None for links without authentication.
+
+        Raises:
+            errors.LinkError: The identity is malformed or not the one of the keys.
+        """
+        _check_identity(identity, keys)
+        self._identity = identity
+        self._codec = codec
+        self._bind = bind
+        self._keys = keys
+        self._options = options
+        self._peer_by_id: dict[str, _Peer] = {}
+        self._peer_by_socket: dict[zmq.Socket, _Peer] = {}
+        self._route_by_id: collections.OrderedDict[str, bytes] = collections.OrderedDict()
+        self._inbox: curio.Queue = curio.Queue(maxsize=options.queue_limit)
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._context: zmq.Context | None = None
+        self._sockets: _link_sockets.LinkSockets | None = None
+        self._router: zmq.Socket | None = None
+        self._zap: _zap.ZapServer | None = None
+        self._waiter: _zmq_wait.ZmqWait | None = None
+        self._task: curio.Task | None = None
+
+    async def start(self) -> None:
+        """Listen for peers.
+
+        Raises:
+            errors.LinkError: The address can't be bound.
+        """
+        self._context = zmq.Context()
+        self._context.max_sockets = self._options.socket_limit
+        self._sockets = _link_sockets.LinkSockets(self._context, self._options)
+        self._waiter = _zmq_wait.ZmqWait()
+        if self._keys is not None:
+            self._zap = _zap.ZapServer(self._context, self._keys.public_by_name)
+            await self._zap.start()
+        try:
+            self._router = self._sockets.open_router(self._bind, self._keys)
+        except zmq.ZMQError as error:
+            await self.close()
+            raise errors.LinkError(
+                f"The link address {self._bind} can't be listened on: {error}.",
+                remedy="Choose a free port on an IP number of this host.",
+            ) from error
+        self._waiter.add(self._router)
+        self._task = await curio.spawn(self._receive_all, daemon=True)
+
+    async def close(self) -> None:
+        """Close all connections; waits at most ``linger_s`` for what was just sent."""
+        if self._task is not None:
+            await self._task.cancel()
+            self._task = None
+        for peer_id in tuple(self._peer_by_id):
+            self.disconnect(peer_id)
+        if self._router is not None:
+            self._close_socket(self._router)
+            self._router = None
+        if self._zap is not None:
+            await self._zap.close()
+        if self._waiter is not None:
+            self._waiter.close()
+            self._waiter = None
+        if self._context is not None:
+            self._context.term()
+            self._context = None
+            self._sockets = None
+
+    @property
+    def address(self) -> str:
+        """Return the address listened on, with its real port."""
+        return "" if self._router is None else self._router.LAST_ENDPOINT.decode().rstrip("\0")
+
+    @property
+    def counters(self) -> LinkCounters:
+        """Return what was counted since the start."""
+        refused = 0 if self._zap is None else self._zap.refused
+        return LinkCounters(**self._counts, refused_keys=refused)
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Return the ids of the peers connected to, whether the connection stands or not."""
+        return tuple(self._peer_by_id)
+
+    def connect(self, peer_id: str, address: str) -> bool:
+        """Connect to a peer, and again whenever the connection is lost.
+
+        Connecting again to the same address changes nothing; a new address replaces the old.
+
+        Returns:
+            Whether it was done; False if the address is malformed, the peer's key is not known,
+            or the link is closed.
+        """
+        old = self._peer_by_id.get(peer_id)
+        if old is not None and old.address == address:
+            return True
+        if self._sockets is None or self._waiter is None:
+            return False
+        try:
+            socket = self._sockets.open_dealer(self._identity, peer_id, address, self._keys)
+        except (zmq.ZMQError, errors.LinkError):
+            return False
+        self.disconnect(peer_id)
+        peer = _Peer(peer_id, address, socket)
+        self._peer_by_id[peer_id] = peer
+        self._peer_by_socket[socket] = peer
+        self._waiter.add(socket)
+        return True
+
+    def disconnect(self, peer_id: str) -> None:
+        """Close the connection to a peer, if there is one."""
+        peer = self._peer_by_id.pop(peer_id, None)
+        if peer is not None:
+            del self._peer_by_socket[peer.socket]
+            self._close_socket(peer.socket)
+
+    def use_keys(self, known: keys.LinkKeys) -> None:
+        """Use a newly loaded set of known keys; own keys stay as they are."""
+        if self._keys is None or self._zap is None:
+            return
+        self._keys = dataclasses.replace(self._keys, public_by_name=known.public_by_name)
+        self._zap.use_keys(known.public_by_name)
+
+    def send(self, peer_id: str, message: Any) -> bool:
+        """Send a message without ever waiting.
+
+        Returns:
+            Whether it was queued; False if it was dropped. True does not say that it arrives.
+        """
+        kind, body = self._codec.encode(message)
+        size = len(kind) + len(body)
+        if size > self._options.message_bytes or not self._send_parts(peer_id, [kind, body]):
+            self._counts["dropped"] += 1
+            return False
+        self._counts["sent"] += 1
+        self._counts["sent_bytes"] += size
+        return True
+
+    async def receive(self) -> node.MessageReceived:
+        """Return the next message from any peer."""
+        return await self._inbox.get()
+
+    def _send_parts(self, peer_id: str, parts: list[bytes]) -> bool:
+        peer = self._peer_by_id.get(peer_id)
+        if peer is not None:
+            return self._try_send(peer.socket, parts)
+        route = self._route_by_id.get(peer_id)
+        if route is None or self._router is None:
+            return False
+        return self._try_send(self._router, [route, *parts])
+
+    def _try_send(self, socket: zmq.Socket, parts: list[bytes]) -> bool:
+        try:
+            socket.send_multipart(parts, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            # Again: the queue is full or no connection stands; EHOSTUNREACH: the route is gone.
+            return False
+        if socket.EVENTS & zmq.POLLIN and self._waiter is not None:
+            self._waiter.mark(socket)
+        return True
+
+    async def _receive_all(self) -> None:
+        assert self._waiter is not None
+        while True:
+            for socket in await self._waiter.wait():
+                await self._receive_batch(socket)
+            await curio.sleep(0)
+
+    async def _receive_batch(self, socket: zmq.Socket) -> None:
+        for _ in range(_BATCH):
+            if socket.closed:
+                return
+            try:
+                frames = socket.recv_multipart(zmq.NOBLOCK, copy=False)
+            except zmq.Again:
+                return
+            received = self._accept(socket, frames)
+            if received is not None:
+                await self._inbox.put(received)
+        if not socket.closed and self._waiter is not None:
+            self._waiter.mark(socket)
+
+    def _accept(self, socket: zmq.Socket, frames: list[zmq.Frame]) -> node.MessageReceived | None:
+        if socket is self._router:
+            sender = self._sender_of(frames)
+            frames = frames[1:]
+        else:
+            sender = self._peer_by_socket[socket].peer_id
+        if sender is None:
+            return None
+        if len(frames) != _PARTS:
+            self._counts["malformed"] += 1
+            return None
+        kind, body = frames[0].bytes, frames[1].bytes
+        try:
+            message = self._codec.decode(kind, body)
+        except errors.LinkError:
+            self._counts["malformed"] += 1
+            return None
+        self._counts["received"] += 1
+        self._counts["received_bytes"] += len(kind) + len(body)
+        return node.MessageReceived(sender, message)
+
+    def _sender_of(self, frames: list[zmq.Frame]) -> str | None:
+        """Return who sent a message to the ROUTER socket and remember the way back."""
+        route = frames[0].bytes
+        name, separator, _ = route.rpartition(_link_sockets.ROUTE_SEPARATOR)
+        sender = name.decode(errors="replace")
+        if not separator:
+            self._counts["malformed"] += 1
+            return None
+        if self._keys is not None and not self._is_authentic(sender, frames[-1]):
+            self._counts["impostors"] += 1
+            return None
+        self._route_by_id[sender] = route
+        self._route_by_id.move_to_end(sender)
+        if len(self._route_by_id) > self._options.route_limit:
+            self._route_by_id.popitem(last=False)
+        return sender
+
+    def _is_authentic(self, sender: str, frame: zmq.Frame) -> bool:
+        assert self._keys is not None
+        # A key that was taken out of the folder loses its open connections' voice too.
+        return frame.get("User-Id") == sender and sender in self._keys.public_by_name
+
+    def _close_socket(self, socket: zmq.Socket) -> None:
+        if self._waiter is not None:
+            self._waiter.remove(socket)
+        socket.close()
+
+
+def _check_identity(identity: str, own: keys.LinkKeys | None) -> None:
+    keys.check_name(identity)
+    if own is not None and own.name != identity:
+        raise errors.LinkError(
+            f"The keys are those of {own.name}, not of {identity}.",
+            remedy="Load the keys under the process's own name.",
+        )
--- /dev/null
+++ b/src/medlarfork/load_program.py
@@ -0,0 +1,142 @@
+"""Generate load: several classes of requests that arrive whether or not earlier ones are done."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import time
+
+import curio
+import msgspec
+from absl import flags
+
+from medlarfork import (
+    _load_arrivals,
+    _load_caller,
+    _load_directory,
+    _load_experiment,
+    _load_report,
+    _load_request,
+    http_client,
+    settings,
+)
+
+PROGRAM = "medlar-load"
+"""Name of the program."""
+
+BAD_STATUS = 1
+"""Exit status if the run did not complete or a complete answer was wrong."""
+
+_CONNECTIONS = 100_000
+
+
+class LoadProgram:
+    """Run one experiment."""
+
+    def __init__(self, experiment: _load_experiment.Experiment) -> None:
+        """Wire the run."""
+        self._experiment = experiment
+        limits = http_client.ClientLimits(connections=_CONNECTIONS)
+        self._client = http_client.HttpClient(limits=limits)
+        directory = _load_directory.LoadDirectory(
+            self._client, experiment.entries, data_centre=experiment.data_centre
+        )
+        self._caller = _load_caller.LoadCaller(self._client, directory, experiment)
+        self._tallies = [_load_report.ClassTally(item) for item in experiment.classes]
+        self._outstanding = 0
+        self._none_left = curio.Event()
+        self._latest_s = 0.0
+
+    async def run(self) -> _load_report.LoadReport:
+        """Send everything, wait for the answers and return the report."""
+        await self._client.start()
+        started_at = time.monotonic()
+        async with curio.TaskGroup() as group:
+            for load_class, tally in zip(self._experiment.classes, self._tallies, strict=True):
+                await group.spawn(self._send_class, load_class, tally, started_at)
+        await self._wait_for_answers()
+        report = self._report()
+        await self._client.close()
+        return report
+
+    def _report(self) -> _load_report.LoadReport:
+        duration_s = self._experiment.duration_s
+        return _load_report.LoadReport(
+            self._experiment.seed,
+            duration_s,
+            self._latest_s,
+            tuple(tally.report(duration_s) for tally in self._tallies),
+        )
+
+    async def _send_class(
+        self,
+        load_class: _load_experiment.LoadClass,
+        tally: _load_report.ClassTally,
+        started_at: float,
+    ) -> None:
+        arrivals = _load_arrivals.arrivals(
+            load_class, seed=self._experiment.seed, duration_s=self._experiment.duration_s
+        )
+        for arrival in arrivals:
+            due_at = started_at + arrival.at_s
+            await curio.sleep(max(0.0, due_at - time.monotonic()))
+            self._latest_s = max(self._latest_s, time.monotonic() - due_at)
+            if self._outstanding >= self._experiment.outstanding_limit:
+                tally.skipped += 1
+                continue
+            tally.sent += 1
+            self._outstanding += 1
+            await curio.spawn(self._send_one, load_class, tally, arrival, due_at, daemon=True)
+
+    async def _send_one(
+        self,
+        load_class: _load_experiment.LoadClass,
+        tally: _load_report.ClassTally,
+        arrival: _load_arrivals.Arrival,
+        due_at: float,
+    ) -> None:
+        request = _load_request.build(
+            load_class,
+            arrival,
+            seed=self._experiment.seed,
+            time_ms=time.time_ns() // 1_000_000,
+        )
+        result = await self._caller.send(request, due_at=due_at, timeout_s=load_class.timeout_s)
+        tally.add(result)
+        self._outstanding -= 1
+        if not self._outstanding:
+            await self._none_left.set()
+
+    async def _wait_for_answers(self) -> None:
+        give_up_at = time.monotonic() + self._experiment.drain_s
+        while self._outstanding and time.monotonic() < give_up_at:
+            self._none_left.clear()
+            await curio.ignore_after(give_up_at - time.monotonic(), self._none_left.wait)
+
+
+def run() -> None:
+    """Run the program: ``medlar-load EXPERIMENT.toml [--json]``."""
+    values = flags.FlagValues()
+    flags.DEFINE_bool("json", False, "Print the report as JSON.", values)
+    with settings.exit_on_error():
+        path = _experiment_path(values)
+        experiment = settings.load(path, _load_experiment.Experiment)
+        _load_experiment.check(experiment)
+    report = curio.run(LoadProgram(experiment).run)
+    if values["json"].value:
+        print(msgspec.json.format(msgspec.json.encode(report), indent=2).decode())
+    else:
+        print(_load_report.render(report))
+    raise SystemExit(0 if report.good else BAD_STATUS)
+
+
+def _experiment_path(values: flags.FlagValues) -> pathlib.Path:
+    try:
+        arguments = values(sys.argv)
+    except flags.Error as error:
+        print(f"{PROGRAM}: {error}", file=sys.stderr)
+        raise SystemExit(settings.USAGE_STATUS) from error
+    if len(arguments) != 2:
+        print(f"usage: {PROGRAM} EXPERIMENT.toml [--json]", file=sys.stderr)
+        raise SystemExit(settings.USAGE_STATUS)
+    return pathlib.Path(arguments[1])
--- /dev/null
+++ b/src/medlarfork/orders.py
@@ -0,0 +1,218 @@
+"""Keep desired states and the history of orders, as a part of the replicated state.
+
+An order is on the board before it is sent and stays in progress until its result is known, so a
+new holder of the lease finds every order that an older one may have sent.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from medlarfork import codec, errors, labels, order_types
+
+COMMANDS = codec.Codec(
+    (
+        order_types.Declare,
+        order_types.Withdraw,
+        order_types.BeginHolding,
+        order_types.RecordOrder,
+        order_types.RecordResult,
+        order_types.SetInService,
+    )
+)
+"""Packs the commands of an order board."""
+
+REPLIES = codec.Codec((order_types.BoardReply,))
+"""Packs the replies of an order board."""
+
+MAX_DECLARATIONS = 1_000
+"""How many declarations the board holds; further ones are refused."""
+
+MAX_IN_PROGRESS = 20_000
+"""How many orders may be in progress; further ones are refused."""
+
+MAX_HISTORY = 1_000
+"""How many finished orders the board remembers."""
+
+_Verdict = order_types.Verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _BoardState:
+    """Hold the whole board for a snapshot."""
+
+    fence: int
+    last_number: int
+    last_mark: int
+    desired: tuple[order_types.DesiredState, ...]
+    in_progress: tuple[order_types.Order, ...]
+    out_of_service: tuple[str, ...]
+    history: tuple[order_types.FinishedOrder, ...]
+
+
+class OrderBoard:
+    """Apply order commands in log order; deterministic."""
+
+    name = "orders"
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._clear()
+
+    @property
+    def fence(self) -> int:
+        """Return the highest fence that has begun."""
+        return self._fence
+
+    @property
+    def desired_by_name(self) -> dict[str, order_types.DesiredState]:
+        """Return the declarations, keyed by name."""
+        return self._desired_by_name
+
+    @property
+    def order_by_upstream(self) -> dict[str, order_types.Order]:
+        """Return the orders in progress, keyed by the engine's id."""
+        return self._order_by_upstream
+
+    @property
+    def out_of_service(self) -> frozenset[str]:
+        """Return the ids of engines that get no requests because their role changes."""
+        return frozenset(self._out_of_service)
+
+    @property
+    def history(self) -> tuple[order_types.FinishedOrder, ...]:
+        """Return the last finished orders, oldest first."""
+        return tuple(self._history)
+
+    def is_out(self, upstream_id: str) -> bool:
+        """Return whether an engine is out of service."""
+        return upstream_id in self._out_of_service
+
+    def apply(self, command: bytes, now_ms: int) -> bytes:
+        """Apply a packed command at a log time in Unix milliseconds and return the reply.
+
+        Raises:
+            errors.LinkError: The bytes are no command of this version.
+        """
+        return REPLIES.pack(self.decide(COMMANDS.unpack(command), now_ms))
+
+    def decide(self, command: Any, now_ms: int) -> order_types.BoardReply:
+        """Apply a command and return the reply."""
+        return order_types.BoardReply(self._decide(command, now_ms))
+
+    def encode(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        state = _BoardState(
+            self._fence,
+            self._last_number,
+            self._last_mark,
+            tuple(self._desired_by_name.values()),
+            tuple(self._order_by_upstream.values()),
+            tuple(self._out_of_service),
+            tuple(self._history),
+        )
+        return msgspec.msgpack.encode(state)
+
+    def restore(self, state: bytes) -> None:
+        """Replace the state by an encoded one; empty bytes mean the first state."""
+        self._clear()
+        if not state:
+            return
+        held = msgspec.msgpack.decode(state, type=_BoardState)
+        self._fence = held.fence
+        self._last_number = held.last_number
+        self._last_mark = held.last_mark
+        self._desired_by_name = {desired.name: desired for desired in held.desired}
+        self._order_by_upstream = {order.upstream_id: order for order in held.in_progress}
+        self._out_of_service = dict.fromkeys(held.out_of_service)
+        self._history.extend(held.history)
+
+    def _clear(self) -> None:
+        self._fence = 0
+        self._last_number = 0
+        self._last_mark = 0
+        self._desired_by_name: dict[str, order_types.DesiredState] = {}
+        self._order_by_upstream: dict[str, order_types.Order] = {}
+        self._out_of_service: dict[str, None] = {}
+        self._history: collections.deque[order_types.FinishedOrder] = collections.deque(
+            maxlen=MAX_HISTORY
+        )
+
+    def _decide(self, command: Any, now_ms: int) -> _Verdict:
+        match command:
+            case order_types.Declare(desired):
+                return self._declare(desired)
+            case order_types.Withdraw(name):
+                self._desired_by_name.pop(name, None)
+                return _Verdict.ACCEPTED
+            case order_types.BeginHolding(fence):
+                return self._begin(fence)
+            case order_types.RecordOrder(order):
+                return self._record_order(order)
+            case order_types.RecordResult():
+                return self._record_result(command, now_ms)
+            case order_types.SetInService():
+                return self._set_in_service(command)
+            case _:
+                return _Verdict.INVALID
+
+    def _declare(self, desired: order_types.DesiredState) -> _Verdict:
+        try:
+            labels.Selector.parse(desired.selector)
+        except errors.SelectorSyntaxError:
+            return _Verdict.INVALID
+        known = desired.name in self._desired_by_name
+        if not known and len(self._desired_by_name) >= MAX_DECLARATIONS:
+            return _Verdict.FULL
+        self._desired_by_name[desired.name] = desired
+        return _Verdict.ACCEPTED
+
+    def _begin(self, fence: int) -> _Verdict:
+        if fence < self._fence:
+            return _Verdict.STALE_FENCE
+        if fence > self._fence:
+            self._fence = fence
+            self._last_number = 0
+            self._last_mark = 0
+        return _Verdict.ACCEPTED
+
+    def _record_order(self, order: order_types.Order) -> _Verdict:
+        if order.fence != self._fence:
+            return _Verdict.STALE_FENCE
+        if self._order_by_upstream.get(order.upstream_id) == order:
+            return _Verdict.ACCEPTED
+        if order.upstream_id in self._order_by_upstream or order.number <= self._last_number:
+            return _Verdict.CONFLICT
+        if len(self._order_by_upstream) >= MAX_IN_PROGRESS:
+            return _Verdict.FULL
+        self._last_number = order.number
+        self._order_by_upstream[order.upstream_id] = order
+        return _Verdict.ACCEPTED
+
+    def _record_result(self, command: order_types.RecordResult, now_ms: int) -> _Verdict:
+        if command.fence != self._fence:
+            return _Verdict.STALE_FENCE
+        order = self._order_by_upstream.get(command.upstream_id)
+        if order is not None and order.order_id == command.order_id:
+            del self._order_by_upstream[command.upstream_id]
+            finished = order_types.FinishedOrder(order, command.result, now_ms)
+            self._history.append(finished)
+        return _Verdict.ACCEPTED
+
+    def _set_in_service(self, command: order_types.SetInService) -> _Verdict:
+        if command.fence != self._fence:
+            return _Verdict.STALE_FENCE
+        if command.number <= self._last_mark:
+            return _Verdict.CONFLICT
+        self._last_mark = command.number
+        if command.in_service:
+            self._out_of_service.pop(command.upstream_id, None)
+        elif len(self._out_of_service) >= MAX_IN_PROGRESS:
+            return _Verdict.FULL
+        else:
+            self._out_of_service[command.upstream_id] = None
+        return _Verdict.ACCEPTED
--- /dev/null
+++ b/src/medlarfork/outgoing.py
@@ -0,0 +1,101 @@
+"""Build what an entry host sends to an upstream from what the caller sent to it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from medlarfork import entry_types, errors, parse, relay
+
+REQUEST_ID_HEADER = "Medlar-Request-Id"
+ATTEMPT_ID_HEADER = "Medlar-Attempt-Id"
+PRIORITY_HEADER = "Medlar-Priority"
+KEY_HEADER = "Idempotency-Key"
+
+_NOT_FORWARDED = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "medlar-attempt-id",
+        "medlar-labels",
+        "medlar-priority",
+        "medlar-request-id",
+        "medlar-resume-offset",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers of the connection, of the caller's credentials, and those the entry host sets."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """Hold the request of one attempt, ready for the HTTP client."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class _StreamFlag(msgspec.Struct):
+    """Read only whether a chat completion asks for a stream."""
+
+    stream: bool | None = None
+
+
+def build(raw: entry_types.RawRequest, dispatch: entry_types.Dispatch) -> OutgoingRequest:
+    """Return the request of one attempt."""
+    headers = {name: value for name, value in raw.headers.items() if name not in _NOT_FORWARDED}
+    headers[REQUEST_ID_HEADER] = dispatch.request_id
+    headers[ATTEMPT_ID_HEADER] = dispatch.attempt_id
+    headers[PRIORITY_HEADER] = str(dispatch.tier)
+    if dispatch.key:
+        headers[KEY_HEADER] = dispatch.key
+    if dispatch.resume_offset:
+        headers[relay.RESUME_HEADER] = str(dispatch.resume_offset)
+    body = raw.body
+    if dispatch.assemble:
+        body = _as_stream(body)
+        headers.pop("accept", None)
+    return OutgoingRequest(raw.method, _target(raw), headers, body)
+
+
+def asks_for_stream(raw: entry_types.RawRequest) -> bool:
+    """Return whether a caller asked for a stream of events."""
+    if raw.path != parse.CHAT_PATH:
+        return False
+    try:
+        return bool(msgspec.json.decode(raw.body, type=_StreamFlag).stream)
+    except msgspec.MsgspecError:
+        return False
+
+
+def _target(raw: entry_types.RawRequest) -> str:
+    path = raw.path
+    if path.startswith(parse.SERVICES_PATH):
+        _, _, rest = path.removeprefix(parse.SERVICES_PATH).partition("/")
+        path = f"/{rest}"
+    return f"{path}?{raw.query}" if raw.query else path
+
+
+def _as_stream(body: bytes) -> bytes:
+    """Return the same chat completion, asking for a stream with its token counts."""
+    try:
+        asked = msgspec.json.decode(body, type=dict)
+    except msgspec.MsgspecError as error:
+        raise errors.UpstreamError(
+            "The body is not a JSON object.", remedy="Send a chat completion request."
+        ) from error
+    asked["stream"] = True
+    asked["stream_options"] = {"include_usage": True}
+    return msgspec.json.encode(asked)
--- /dev/null
+++ b/src/medlarfork/ownership.py
@@ -0,0 +1,83 @@
+"""Decide which entry hosts own each pool in a view."""
+
+from __future__ import annotations
+
+from medlarfork import configuration, member, rendezvous
+
+ASKED = 3
+"""How many entry hosts are asked for a pool, one after the other."""
+
+SERVED = 2
+"""How many of them, the owner and its standby, hear announcements and accept tickets."""
+
+
+class Ownership:
+    """Rank the live serving entry hosts for each pool of one configuration and view."""
+
+    def __init__(
+        self, entry_id: str, declared: configuration.Configuration, view: member.View
+    ) -> None:
+        """Rank within a configuration and a view; ``entry_id`` is the host that asks."""
+        self._entry_id = entry_id
+        self._candidates = _candidates(entry_id, declared, view)
+        self._owners_by_pool: dict[str, tuple[str, ...]] = {}
+        self._pools_by_service = {
+            service.name: tuple(pool_name(service.name, shard) for shard in range(service.shards))
+            for service in declared.services
+        }
+        self._service_by_pool = {
+            pool: service for service, pools in self._pools_by_service.items() for pool in pools
+        }
+
+    def pools(self, service: str) -> tuple[str, ...]:
+        """Return the service's pools; none if it is not declared."""
+        return self._pools_by_service.get(service, ())
+
+    def service_of(self, pool: str) -> str:
+        """Return the pool's service; an empty text if the pool does not exist."""
+        return self._service_by_pool.get(pool, "")
+
+    def owners(self, pool: str) -> tuple[str, ...]:
+        """Return owner, standby and next of a pool; none if it does not exist."""
+        if pool not in self._service_by_pool:
+            return ()
+        owners = self._owners_by_pool.get(pool)
+        if owners is None:
+            owners = rendezvous.rank(pool, self._candidates)[:ASKED]
+            self._owners_by_pool[pool] = owners
+        return owners
+
+    def hearers(self, pool: str) -> tuple[str, ...]:
+        """Return the owner and the standby of a pool."""
+        return self.owners(pool)[:SERVED]
+
+    def owns(self, pool: str) -> bool:
+        """Return whether the asking host is the pool's owner."""
+        return self.owners(pool)[:1] == (self._entry_id,)
+
+    def serves(self, pool: str) -> bool:
+        """Return whether the asking host accepts tickets of the pool, as owner or standby."""
+        return self._entry_id in self.hearers(pool)
+
+
+def pool_name(service: str, shard: int) -> str:
+    """Return the name of one pool of a service."""
+    return f"{service}/{shard}"
+
+
+def shard_pool(service: configuration.Service, upstream_id: str) -> str:
+    """Return the pool of the service that an upstream belongs to."""
+    return pool_name(service.name, rendezvous.shard(upstream_id, service.shards))
+
+
+def _candidates(
+    entry_id: str, declared: configuration.Configuration, view: member.View
+) -> tuple[str, ...]:
+    drained = frozenset(declared.drained_entries)
+    serving = tuple(
+        item.entry_id
+        for item in view.members
+        if item.state is member.MemberState.SERVING and item.entry_id not in drained
+    )
+    everybody = tuple(item.entry_id for item in view.members)
+    return serving or everybody or (entry_id,)
--- /dev/null
+++ b/src/medlarfork/pool.py
@@ -0,0 +1,400 @@
+"""Schedule one pool: who starts next, on which upstream, and who is refused or preempted."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from medlarfork import (
+    _account_share,
+    _finished_tickets,
+    _floor,
+    _outlook,
+    _pool_ticket,
+    _preemption,
+    _queue_set,
+    _reserve,
+    _running_set,
+    _timers,
+    _upstream_set,
+    node,
+    pool_events,
+    pool_options,
+    pool_view,
+    ticket,
+)
+
+PoolOptions = pool_options.PoolOptions
+
+_HOUSEKEEP_S = 1.0
+"""How often upstreams are compared, in seconds."""
+_PATROL_S = 0.05
+"""How often withheld slots are looked at again while tickets wait for them, in seconds."""
+_MAX_ASIDE = 4
+"""Tickets set aside at once because only upstreams that they avoid are free."""
+
+
+class Pool:
+    """Decide for one pool; see ``pool_events`` for what goes in and out of ``handle``.
+
+    Higher tiers start first. A lower tier starts before them only on its floor, leaves them the
+    slots they are expected to need, and gives slots back to them by preemption. Tickets are
+    refused from the lowest tier's newest upwards, except those refused for their own deadline or
+    their own account's limit.
+    """
+
+    def __init__(
+        self, *, name: str, entry_id: str, random: random.Random, options: PoolOptions
+    ) -> None:
+        """Create the pool of an owner.
+
+        Args:
+            name: Pool name, as ``SERVICE/SHARD``.
+            entry_id: The entry host that owns the pool.
+            random: Seeded generator that spreads retry times.
+            options: Rules and constants.
+        """
+        self.name = name
+        self.entry_id = entry_id
+        self._options = options
+        self._queues = _queue_set.QueueSet(late_last=options.late_last)
+        self._running = _running_set.RunningSet()
+        self._upstreams = _upstream_set.UpstreamSet(options)
+        self._accounts = _account_share.AccountShare()
+        self._floor = _floor.Floor()
+        self._reserve = _reserve.Reserve(options.withhold_deviations, options.withhold_max_share)
+        self._outlook = _outlook.Outlook(options, random)
+        self._preemption = _preemption.Preemption(options)
+        self._finished = _finished_tickets.FinishedTickets()
+        self._timers = _timers.Timers()
+        self._housekeep_at: float | None = None
+        self._wake_at: float | None = None
+        self._actions: list[Any] = []
+
+    def handle(self, event: Any, now: float) -> tuple[Any, ...]:
+        """Handle an event at a monotonic time in seconds and return the actions, in order."""
+        self._actions = []
+        self._floor.advance(
+            now, self._upstreams.slots, self._running.count_by_tier, self._queues.count_by_tier
+        )
+        self._housekeep(now)
+        self._apply(event, now)
+        self._look_at_due(now)
+        self._start_tickets(now)
+        self._shed_overflow(now)
+        self._preempt(now)
+        self._set_wake(now)
+        return tuple(self._actions)
+
+    def summary(self, now: float) -> ticket.PoolSummary:
+        """Summarise the load, for entry hosts that choose between a service's pools."""
+        return ticket.PoolSummary(
+            pool=self.name,
+            upstreams=self._upstreams.usable,
+            slots=self._upstreams.slots,
+            running=len(self._running),
+            queued=len(self._queues),
+            drain_per_s=self._outlook.drain_per_s(now),
+        )
+
+    def upstream_views(self) -> tuple[pool_view.UpstreamView, ...]:
+        """Show every upstream."""
+        return tuple(known.view(self._upstreams.health) for known in self._upstreams)
+
+    def tier_views(self, now: float) -> tuple[pool_view.TierView, ...]:
+        """Show every tier that has tickets queued or running."""
+        tiers = sorted({*self._queues.count_by_tier, *self._running.count_by_tier})
+        return tuple(
+            pool_view.TierView(
+                tier=tier,
+                queued=self._queues.count_by_tier.get(tier, 0),
+                running=self._running.count_by_tier.get(tier, 0),
+                withheld=self._withheld(tier, now),
+                floor_slots=self._floor.slots(tier),
+            )
+            for tier in tiers
+        )
+
+    def _apply(self, event: Any, now: float) -> None:
+        match event:
+            case ticket.Ticket():
+                self._arrive(event, now)
+            case ticket.Release():
+                self._release(event, now)
+            case ticket.Withdraw(ticket_id=ticket_id, pool=pool):
+                unused = ticket.Release(ticket_id, pool, ticket.ReleaseCause.UNUSED)
+                self._release(unused, now)
+            case ticket.Running():
+                self._take_over(event, now)
+            case pool_events.UpstreamUp(announcement=announcement):
+                self._upstreams.announce(announcement, now, came_up=True)
+            case pool_events.UpstreamChanged(announcement=announcement):
+                self._upstreams.announce(announcement, now, came_up=False)
+            case pool_events.UpstreamGone(upstream_id=upstream_id):
+                self._upstreams.gone(upstream_id, now)
+            case pool_events.EntryGone(entry_id=entry_id):
+                self._lose_entry(entry_id, now)
+            case pool_events.PolicyChanged():
+                self._configure(event, now)
+            case node.TimeDue() | node.Started():
+                pass
+
+    def _configure(self, event: pool_events.PolicyChanged, now: float) -> None:
+        share_by_tier: dict[int, float] = {}
+        for item in event.classes:
+            share = max(item.floor_share, share_by_tier.get(item.tier, 0.0))
+            share_by_tier[item.tier] = share
+        self._floor.set_shares(share_by_tier)
+        self._accounts.configure(event.accounts, event.service.shards, now)
+        self._upstreams.configure(event.drained_upstreams, event.service.slots, now)
+
+    def _arrive(self, item: ticket.Ticket, now: float) -> None:
+        if self._answer_again(item):
+            return
+        entry = _pool_ticket.QueuedTicket(item, now)
+        resumed = item.resume_offset > 0 or self._preemption.suffered(item.ticket_id)
+        self._outlook.set_times(entry)
+        if not resumed:
+            self._reserve.arrived(item.tier, entry.urgent_at - now, now)
+            limit_s = self._accounts.wait_s(item.account, now, self._outlook.slot_s(item))
+            if limit_s > 0:
+                self._shed(item, ticket.ShedReason.ACCOUNT_LIMIT, now, limit_s)
+                return
+        # A resumed ticket goes to the head, so nothing of its tier is ahead of it.
+        ahead = 0 if resumed else self._queues.count_by_tier.get(item.tier, 0)
+        if self._outlook.is_hopeless(entry, ahead, now):
+            self._shed(item, ticket.ShedReason.HOPELESS, now)
+            return
+        self._accounts.admitted(item.account, counted=not resumed)
+        self._queues.push(entry, at_head=resumed)
+        self._timers.add(self._outlook.hopeless_at(entry), _timers.Kind.EXPIRE, entry)
+        if self._options.preempt and item.target_left_s is not None:
+            wait_s = self._queues.up_to_tier(item.tier) / max(1.0, self._outlook.freed_per_s(now))
+            self._timers.add(entry.urgent_at - wait_s, _timers.Kind.URGENT, entry)
+            self._timers.add(entry.latest_start, _timers.Kind.LATE, entry)
+
+    def _answer_again(self, item: ticket.Ticket) -> bool:
+        running = self._running.get(item.ticket_id)
+        if running is not None:
+            if running.grant is not None:
+                self._actions.append(running.grant)
+            return True
+        if item.ticket_id in self._finished:
+            shed = self._finished.shed(item.ticket_id)
+            if shed is not None:
+                self._actions.append(shed)
+            return True
+        return self._queues.get(item.ticket_id) is not None
+
+    def _release(self, event: ticket.Release, now: float) -> None:
+        entry = self._queues.get(event.ticket_id)
+        if entry is not None:
+            self._queues.remove(entry)
+            self._accounts.ended(entry.ticket.account, 0)
+        else:
+            self._end_running(event, now)
+        if event.ticket_id not in self._finished:
+            self._finished.add(event.ticket_id, None, now)
+
+    def _end_running(self, event: ticket.Release, now: float) -> None:
+        running = self._running.pop(event.ticket_id)
+        if running is None:
+            return
+        item = running.ticket
+        self._upstreams.finish(running, event, now)
+        self._accounts.ended(item.account, event.tokens)
+        if event.cause != ticket.ReleaseCause.UNUSED:
+            self._reserve.released(item.tier, now - running.started)
+        self._outlook.released(item, event, now)
+        preempted = event.cause == ticket.ReleaseCause.PREEMPTED
+        self._preemption.ended(running, preempted=preempted, now=now)
+
+    def _take_over(self, event: ticket.Running, now: float) -> None:
+        item = event.ticket
+        if self._running.get(item.ticket_id) is not None or item.ticket_id in self._finished:
+            return
+        entry = self._queues.get(item.ticket_id)
+        if entry is not None:
+            self._queues.remove(entry)
+        else:
+            self._accounts.admitted(item.account, counted=False)
+        self._run(item, event.upstream_id, now - event.running_s, now + item.time_left_s, now)
+
+    def _run(
+        self, item: ticket.Ticket, upstream_id: str, started: float, expires_at: float, now: float
+    ) -> _pool_ticket.RunningTicket:
+        taken_back_at = expires_at + self._options.release_grace_s
+        running = _pool_ticket.RunningTicket(item, upstream_id, started, taken_back_at)
+        running.number = self._upstreams.start(upstream_id, now)
+        self._running.add(running)
+        self._timers.add(taken_back_at, _timers.Kind.EXPIRE, running)
+        return running
+
+    def _lose_entry(self, entry_id: str, now: float) -> None:
+        for entry in self._queues.of_entry(entry_id):
+            self._queues.remove(entry)
+            self._accounts.ended(entry.ticket.account, 0)
+            self._finished.add(entry.ticket.ticket_id, None, now)
+        for running in self._running.of_entry(entry_id):
+            running.orphaned = True
+            running.expires_at = min(running.expires_at, now + self._options.orphan_s)
+            self._timers.add(running.expires_at, _timers.Kind.EXPIRE, running)
+
+    def _look_at_due(self, now: float) -> None:
+        for kind, item in self._timers.due(now):
+            match item:
+                case _pool_ticket.RunningTicket():
+                    self._take_back(item, now)
+                case _pool_ticket.QueuedTicket() if kind is _timers.Kind.EXPIRE:
+                    self._drop(item, ticket.ShedReason.HOPELESS, now)
+                case _pool_ticket.QueuedTicket():
+                    self._queues.set_urgent(item, kind is _timers.Kind.URGENT)
+        since = self._upstreams.unusable_since
+        if since is not None and now - since >= self._options.no_upstream_grace_s:
+            while (entry := self._queues.newest_of_lowest()) is not None:
+                self._drop(entry, ticket.ShedReason.NO_UPSTREAM, now)
+
+    def _take_back(self, running: _pool_ticket.RunningTicket, now: float) -> None:
+        if running.expires_at > now:
+            return
+        self._running.pop(running.ticket.ticket_id)
+        self._upstreams.finish(running, None, now)
+        self._accounts.ended(running.ticket.account, 0)
+        self._finished.add(running.ticket.ticket_id, None, now)
+
+    def _start_tickets(self, now: float) -> None:
+        aside: list[_pool_ticket.QueuedTicket] = []
+        while self._upstreams.free > 0 and len(aside) < _MAX_ASIDE:
+            tier, by_floor = self._next_tier(now)
+            if tier is None:
+                break
+            entry = self._queues.pop(tier, now, self._cost)
+            if not self._start(entry, by_floor, now):
+                aside.append(entry)
+        for entry in aside:
+            self._queues.push(entry, at_head=True)
+            self._timers.add(self._outlook.hopeless_at(entry), _timers.Kind.EXPIRE, entry)
+
+    def _next_tier(self, now: float) -> tuple[int | None, bool]:
+        top = self._queues.top_tier()
+        if top is None:
+            return None, False
+        if self._options.floors:
+            owed = self._floor.entitled(self._running.count_by_tier, self._queues.count_by_tier)
+            if owed is not None and owed != top:
+                return owed, True
+            if owed is not None:
+                return owed, False
+        if self._upstreams.free <= self._withheld(top, now):
+            return None, False
+        return top, False
+
+    def _withheld(self, tier: int, now: float) -> int:
+        if not self._options.withhold:
+            return 0
+        return self._reserve.withheld(
+            tier,
+            self._upstreams.slots,
+            self._running.count_by_tier,
+            self._outlook.freed_per_s(now),
+            now,
+        )
+
+    def _cost(self, item: ticket.Ticket) -> float:
+        slot_s = self._outlook.slot_s(item) if self._options.charge_time else 1.0
+        return slot_s / self._accounts.weight(item.account)
+
+    def _start(self, entry: _pool_ticket.QueuedTicket, by_floor: bool, now: float) -> bool:
+        item = entry.ticket
+        chosen = self._upstreams.choose(item, item.avoid)
+        if chosen is None:
+            if self._upstreams.other_usable(item.avoid):
+                return False
+            chosen = self._upstreams.choose(item, ())
+        if chosen is None:
+            return False
+        announcement = chosen.announcement
+        running = self._run(item, announcement.upstream_id, now, entry.expires_at, now)
+        running.by_floor = by_floor
+        running.grant = ticket.Grant(
+            ticket_id=item.ticket_id,
+            entry_id=item.entry_id,
+            pool=self.name,
+            upstream_id=announcement.upstream_id,
+            address=announcement.address,
+        )
+        self._actions.append(running.grant)
+        self._preemption.add(running)
+        self._upstreams.prefixes.hint(item.prefix, announcement.upstream_id)
+        return True
+
+    def _shed_overflow(self, now: float) -> None:
+        while len(self._queues) > self._options.max_queued:
+            entry = self._queues.newest_of_lowest()
+            if entry is None:
+                return
+            self._drop(entry, ticket.ShedReason.OVERLOADED, now)
+
+    def _preempt(self, now: float) -> None:
+        if not self._options.preempt:
+            return
+        wanted = 0
+        pending = self._preemption.pending(now)
+        for tier in sorted(self._queues.urgent_by_tier):
+            wanted += self._queues.urgent_by_tier[tier]
+            while pending < wanted:
+                victim = self._preemption.choose(
+                    tier, self._may_spare, self._upstreams.slots, now
+                )
+                if victim is None:
+                    break
+                held = victim.ticket
+                self._actions.append(ticket.Preempt(held.ticket_id, held.entry_id, self.name))
+                pending += 1
+
+    def _may_spare(self, tier: int) -> bool:
+        running = self._running.count_by_tier.get(tier, 0)
+        return not self._options.floors or running > int(self._floor.slots(tier))
+
+    def _drop(
+        self, entry: _pool_ticket.QueuedTicket, reason: ticket.ShedReason, now: float
+    ) -> None:
+        self._queues.remove(entry)
+        self._accounts.ended(entry.ticket.account, 0)
+        self._shed(entry.ticket, reason, now)
+
+    def _shed(
+        self,
+        item: ticket.Ticket,
+        reason: ticket.ShedReason,
+        now: float,
+        limit_s: float | None = None,
+    ) -> None:
+        if limit_s is None:
+            queued = self._queues.count_by_tier.get(item.tier, 0)
+            retry_after_s = self._outlook.retry_after_s(item.tier, queued, now)
+        else:
+            retry_after_s = self._outlook.spread_s(limit_s)
+        shed = ticket.Shed(item.ticket_id, item.entry_id, self.name, reason, retry_after_s)
+        self._finished.add(item.ticket_id, shed, now)
+        self._actions.append(shed)
+
+    def _housekeep(self, now: float) -> None:
+        if self._housekeep_at is not None and now < self._housekeep_at:
+            return
+        self._housekeep_at = now + _HOUSEKEEP_S
+        self._upstreams.housekeep(now)
+        self._preemption.trim(self._running.count_by_tier)
+
+    def _set_wake(self, now: float) -> None:
+        self._timers.trim(len(self._queues) + len(self._running))
+        due = [self._timers.next_at()]
+        if len(self._queues):
+            due.append(now + (_PATROL_S if self._upstreams.free else _HOUSEKEEP_S))
+        if len(self._queues) or len(self._running) or self._upstreams.usable:
+            due.append(self._housekeep_at)
+        at = min((time for time in due if time is not None), default=None)
+        armed = self._wake_at is not None and now < self._wake_at
+        if at is not None and not (armed and self._wake_at <= at):
+            self._wake_at = at
+            self._actions.append(node.Wake(at))
--- /dev/null
+++ b/src/medlarfork/sse.py
@@ -0,0 +1,105 @@
+"""Split a stream of server-sent events into events, however its bytes are cut up."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork import errors
+
+DONE = "[DONE]"
+"""Data of the event that ends a stream of the OpenAI API."""
+
+_LINE_FEED = b"\n"
+_CARRIAGE_RETURN = b"\r"
+_EVENT_BYTES = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """Hold one event.
+
+    Attributes:
+        data: The event's data; its lines are joined by line feeds.
+        id: The event's own id; empty if it has none.
+    """
+
+    data: str
+    id: str = ""
+
+
+class Splitter:
+    """Turn bytes into events; holds at most the bytes of one event."""
+
+    def __init__(self, *, event_bytes: int = _EVENT_BYTES) -> None:
+        """Start at the beginning of a stream.
+
+        Args:
+            event_bytes: Largest event, in bytes.
+        """
+        self._event_bytes = event_bytes
+        self._rest = bytearray()
+        self._searched = 0
+        self._data: list[str] = []
+        self._id = ""
+        self._held = 0
+
+    @property
+    def pending(self) -> bool:
+        """Return whether an event has begun and not ended; it would be cut if the stream ended."""
+        return bool(self._rest or self._data)
+
+    def feed(self, data: bytes) -> tuple[Event, ...]:
+        """Return the events that these bytes complete.
+
+        Raises:
+            errors.UpstreamError: An event is too large or not UTF-8.
+        """
+        self._rest += data
+        events = []
+        start = 0
+        while (end := self._rest.find(_LINE_FEED, max(start, self._searched))) >= 0:
+            event = self._take_line(bytes(self._rest[start:end]).removesuffix(_CARRIAGE_RETURN))
+            if event is not None:
+                events.append(event)
+            start = end + 1
+        del self._rest[:start]
+        self._searched = len(self._rest)
+        self._check_size(self._held + len(self._rest))
+        return tuple(events)
+
+    def _take_line(self, line: bytes) -> Event | None:
+        if not line:
+            return self._end_event()
+        self._held += len(line)
+        self._check_size(self._held)
+        try:
+            name, _, value = line.decode().partition(":")
+        except UnicodeDecodeError as error:
+            raise errors.UpstreamError(
+                "The upstream sent an event that is not UTF-8.",
+                remedy="Check what the upstream streams.",
+            ) from error
+        value = value.removeprefix(" ")
+        if name == "data":
+            self._data.append(value)
+        elif name == "id":
+            self._id = value
+        return None
+
+    def _end_event(self) -> Event | None:
+        data, event_id = self._data, self._id
+        self._data, self._id, self._held = [], "", 0
+        return Event("\n".join(data), event_id) if data else None
+
+    def _check_size(self, size: int) -> None:
+        if size > self._event_bytes:
+            raise errors.UpstreamError(
+                f"The upstream sent an event of more than {self._event_bytes} bytes.",
+                remedy="Check what the upstream streams.",
+            )
+
+
+def encode(data: str, event_id: str = "") -> bytes:
+    """Return the bytes of an event whose data has no line breaks."""
+    head = f"id: {event_id}\n" if event_id else ""
+    return f"{head}data: {data}\n\n".encode()
--- /dev/null
+++ b/src/medlarfork/standin_engine.py
@@ -0,0 +1,284 @@
+"""Stand in for a model engine: a small fake that speaks the OpenAI API.
+
+It batches continuously, streams, cancels, resumes, honours priorities, caches prompt prefixes,
+reports its load with a lag and its cache with gaps, and takes orders. Nothing is ever computed
+but made-up words (see ``_standin_text``).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import time
+
+import curio
+import msgspec
+
+from medlarfork import (
+    _standin_answer,
+    _standin_batch,
+    _standin_cache,
+    _standin_faults,
+    _standin_flags,
+    _standin_host,
+    _standin_lag,
+    _standin_openai,
+    _standin_orders,
+    _standin_text,
+    errors,
+    http_server,
+    parse,
+    settings,
+    upstream,
+)
+
+PROGRAM = "medlar-standin-engine"
+"""Name of the program."""
+
+PRIORITY_HEADER = "medlar-priority"
+"""Header that carries a request's priority; a lower number goes first."""
+
+_DEFAULT_PRIORITY = 9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSettings:
+    """Hold the settings of a stand-in engine.
+
+    Attributes:
+        host: IP number to listen on.
+        port: TCP port; 0 lets the system choose.
+        name: Stable identity of the engine.
+        entries: Base addresses of entry hosts to announce to first.
+        announce_key: Key that entry hosts expect of announcements.
+        labels: Labels to announce.
+        data_centre: Data centre to announce.
+        models: Models loaded at the start.
+        role: Role at the start.
+        slots: Requests computed at once.
+        queue_limit: Requests waiting for a slot; more are refused.
+        first_token_s: Time to the first token of an unknown prompt, in seconds.
+        token_s: Time between tokens when one request runs, in seconds.
+        batch_slowdown: Growth of that time with each further request, as a share.
+        cache_entries: Prompt prefixes kept.
+        cache_lag_s: How late changes of the cache are reported, in seconds.
+        load_lag_s: How old reported loads are, in seconds.
+        load_model_s: Time that loading a model takes, in seconds.
+        checks_fence: Whether orders with an old fencing number are refused.
+        drain_s: Longest time a graceful stop may take, in seconds.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = settings.bounded(0, minimum=0, maximum=65535)
+    name: str = "engine"
+    entries: tuple[str, ...] = ()
+    announce_key: str = ""
+    labels: dict[str, str] = dataclasses.field(default_factory=dict)
+    data_centre: str = ""
+    models: tuple[str, ...] = ("standin",)
+    role: str = "mixed"
+    slots: int = settings.bounded(8, minimum=1, maximum=10_000)
+    queue_limit: int = settings.bounded(1000, minimum=0, maximum=100_000)
+    first_token_s: float = settings.bounded(0.05, minimum=0.0, maximum=600.0)
+    token_s: float = settings.bounded(0.01, minimum=0.0, maximum=600.0)
+    batch_slowdown: float = settings.bounded(0.02, minimum=0.0, maximum=10.0)
+    cache_entries: int = settings.bounded(64, minimum=1, maximum=100_000)
+    cache_lag_s: float = settings.bounded(0.5, minimum=0.0, maximum=600.0)
+    load_lag_s: float = settings.bounded(0.5, minimum=0.0, maximum=600.0)
+    load_model_s: float = settings.bounded(0.2, minimum=0.0, maximum=3600.0)
+    checks_fence: bool = False
+    drain_s: float = settings.bounded(600.0, minimum=0.0, maximum=86400.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineState:
+    """Show an engine's state to tests and operators."""
+
+    models: tuple[str, ...]
+    role: str
+    highest_fence: int
+    orders_applied: int
+    running: int
+    waiting: int
+    tokens_computed: int
+    tokens_cancelled: int
+    executions: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Chat:
+    """Hold a chat request that was accepted."""
+
+    exchange: http_server.Exchange
+    request: _standin_openai.ChatRequest
+    job: _standin_batch.Job
+    resumes: bool
+
+
+class StandinEngine:
+    """Serve the API of a model engine."""
+
+    def __init__(
+        self,
+        options: EngineSettings,
+        *,
+        switches: _standin_faults.FaultSwitches | None = None,
+    ) -> None:
+        """Wire the engine; ``switches`` holds its faults."""
+        self._options = options
+        self._switches = switches or _standin_faults.FaultSwitches()
+        self._cache = _standin_cache.PrefixCache(
+            limit=options.cache_entries, lag_s=options.cache_lag_s
+        )
+        self._orders = _standin_orders.OrderBook(
+            models=options.models, role=options.role, checks_fence=options.checks_fence
+        )
+        self._load = _standin_lag.LoadLag(options.load_lag_s)
+        speed = _standin_batch.BatchOptions(
+            options.slots, options.first_token_s, options.token_s, options.batch_slowdown
+        )
+        self._batch = _standin_batch.Batch(speed, self._cache, self._switches)
+        self.host = _standin_host.StandinHost(
+            self._answer, host=options.host, port=options.port, drain_s=options.drain_s
+        )
+
+    async def start(self) -> None:
+        """Listen and announce."""
+        await self.host.start(
+            entries=self._options.entries, key=self._options.announce_key, describe=self.describe
+        )
+
+    async def stop(self) -> None:
+        """Leave, finish what runs, and close."""
+        await self.host.stop()
+
+    async def close(self) -> None:
+        """Close at once."""
+        await self.host.close()
+
+    @property
+    def state(self) -> EngineState:
+        """Return the engine's state."""
+        return EngineState(
+            models=self._orders.models,
+            role=self._orders.role,
+            highest_fence=self._orders.highest_fence,
+            orders_applied=self._orders.applied,
+            running=self._batch.slots.running,
+            waiting=self._batch.slots.waiting,
+            tokens_computed=self._batch.tokens_computed,
+            tokens_cancelled=self._batch.tokens_cancelled,
+            executions=dict(self._batch.executions),
+        )
+
+    def describe(self) -> upstream.Announcement:
+        """Return what to announce now."""
+        now = time.monotonic()
+        load = upstream.Load(self._batch.slots.running, self._batch.slots.waiting, self._cache.used)
+        return upstream.Announcement(
+            upstream_id=self._options.name,
+            incarnation=0,
+            sequence=0,
+            state=upstream.UpstreamState.READY,
+            address=self.host.address,
+            labels=self._options.labels,
+            data_centre=self._options.data_centre,
+            slots=self._options.slots,
+            models=self._orders.models,
+            role=self._orders.role,
+            checks_fence=self._options.checks_fence,
+            load=self._load.report(load, now),
+            cache_events=self._cache.take_events(now),
+        )
+
+    async def _answer(self, exchange: http_server.Exchange) -> None:
+        body = await exchange.read_body()
+        match exchange.head.method, exchange.head.path:
+            case "POST", "/v1/chat/completions":
+                with self.host.working():
+                    await self._chat(exchange, body)
+            case "GET", "/v1/models":
+                models = tuple(_standin_openai.Model(name) for name in self._orders.models)
+                await _standin_host.respond(exchange, _standin_openai.ModelList(models))
+            case "GET", "/v1/state":
+                await _standin_host.respond(exchange, self.state)
+            case "POST", "/v1/orders":
+                await self._order(exchange, body)
+            case "POST", "/v1/faults":
+                await _standin_host.respond_faults(exchange, self._switches, body)
+            case _:
+                await _standin_host.respond_error(
+                    exchange, 404, "There is no such path.", errors.Code.NOT_FOUND
+                )
+
+    async def _order(self, exchange: http_server.Exchange, body: bytes) -> None:
+        try:
+            order = msgspec.json.decode(body, type=_standin_orders.Order)
+            self._orders.check(order)
+            if order.action is _standin_orders.OrderAction.LOAD_MODEL:
+                await self._switches.work(self._options.load_model_s)
+            # A newer holder may have given an order while the model was being loaded.
+            self._orders.apply(order)
+        except msgspec.MsgspecError as error:
+            await _standin_host.respond_error(exchange, 400, str(error), errors.Code.BAD_REQUEST)
+        except errors.UpstreamError as error:
+            await _standin_host.respond_error(exchange, 409, str(error), error.code)
+        else:
+            await _standin_host.respond(exchange, self.state)
+
+    async def _chat(self, exchange: http_server.Exchange, body: bytes) -> None:
+        try:
+            request = msgspec.json.decode(body, type=_standin_openai.ChatRequest)
+        except msgspec.MsgspecError as error:
+            await _standin_host.respond_error(exchange, 400, str(error), errors.Code.BAD_REQUEST)
+            return
+        if request.model not in self._orders.models:
+            problem = f"The model {request.model} is not loaded."
+            await _standin_host.respond_error(exchange, 404, problem, errors.Code.MODEL_NOT_FOUND)
+            return
+        if self._takes_no_work():
+            await _standin_host.refuse(exchange)
+            return
+        chat = self._accept(exchange, request)
+        await _standin_host.run_while_wanted(exchange, functools.partial(self._compute, chat))
+
+    def _takes_no_work(self) -> bool:
+        full = self._batch.slots.waiting >= self._options.queue_limit
+        busy = self._batch.slots.running >= self._options.slots
+        return self.host.stopping or self._switches.faults.refuse or (busy and full)
+
+    def _accept(
+        self, exchange: http_server.Exchange, request: _standin_openai.ChatRequest
+    ) -> _Chat:
+        headers = exchange.head.headers
+        answer = _standin_text.answer(request.model, request.messages, request.bound)
+        asked = headers.get(_standin_answer.RESUME_HEADER.lower(), "")
+        resumes = bool(asked and request.stream) and not self._switches.faults.ignore_resume
+        job = _standin_batch.Job(
+            request_id=headers.get(_standin_host.RUN_HEADER, ""),
+            answer=answer,
+            offset=min(_standin_host.to_int(asked, 0), answer.count) if resumes else 0,
+            priority=_standin_host.to_int(headers.get(PRIORITY_HEADER, ""), _DEFAULT_PRIORITY),
+            prefix=parse.prompt_prefix(request.model, request.messages),
+        )
+        return _Chat(exchange, request, job, resumes)
+
+    async def _compute(self, chat: _Chat) -> None:
+        writer = _standin_answer.AnswerWriter(
+            chat.exchange, chat.request, chat.job, resumes=chat.resumes
+        )
+        try:
+            await self._batch.run(
+                chat.job, begin=writer.begin, deliver=writer.deliver, finish=writer.finish
+            )
+        except errors.UpstreamError:
+            await chat.exchange.abort()
+
+
+def run() -> None:
+    """Run the program."""
+    with settings.exit_on_error():
+        arguments = _standin_flags.main_arguments(EngineSettings, PROGRAM)
+        options = _standin_flags.parse(EngineSettings, arguments)
+        engine = StandinEngine(options)
+        curio.run(_standin_host.serve_until_signal, engine.start, engine.host, options.name)
--- /dev/null
+++ b/src/medlarfork/standin_service.py
@@ -0,0 +1,194 @@
+"""Stand in for a plain service: echo each call and count how often it was executed."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import functools
+
+import curio
+
+from medlarfork import (
+    _standin_faults,
+    _standin_flags,
+    _standin_host,
+    _standin_slots,
+    http_server,
+    settings,
+    upstream,
+)
+
+PROGRAM = "medlar-standin-service"
+"""Name of the program."""
+
+KEY_HEADER = "idempotency-key"
+"""Header that carries a call's idempotency key."""
+
+_KEPT = 100_000
+"""Keys and request ids whose executions are remembered."""
+
+_PRIORITY = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    """Hold the settings of a stand-in service.
+
+    Attributes:
+        host: IP number to listen on.
+        port: TCP port; 0 lets the system choose.
+        name: Stable identity of the service's process.
+        entries: Base addresses of entry hosts to announce to first.
+        announce_key: Key that entry hosts expect of announcements.
+        labels: Labels to announce.
+        data_centre: Data centre to announce.
+        slots: Calls executed at once.
+        delay_s: Time that a call takes, in seconds.
+        drain_s: Longest time a graceful stop may take, in seconds.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = settings.bounded(0, minimum=0, maximum=65535)
+    name: str = "service"
+    entries: tuple[str, ...] = ()
+    announce_key: str = ""
+    labels: dict[str, str] = dataclasses.field(default_factory=dict)
+    data_centre: str = ""
+    slots: int = settings.bounded(8, minimum=1, maximum=10_000)
+    delay_s: float = settings.bounded(0.0, minimum=0.0, maximum=3600.0)
+    drain_s: float = settings.bounded(600.0, minimum=0.0, maximum=86400.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallReply:
+    """Echo a call.
+
+    Attributes:
+        count: How often the call was executed here, by its key or else by its request id;
+            1 if it has neither.
+    """
+
+    path: str
+    method: str
+    count: int
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Executions:
+    """Report what was executed.
+
+    Attributes:
+        total: Executions since the start.
+        by_key: Executions by idempotency key.
+        by_request_id: Executions by the router's request id.
+    """
+
+    total: int
+    by_key: dict[str, int]
+    by_request_id: dict[str, int]
+
+
+class StandinService:
+    """Serve any path as a call."""
+
+    def __init__(
+        self,
+        options: ServiceSettings,
+        *,
+        switches: _standin_faults.FaultSwitches | None = None,
+    ) -> None:
+        """Wire the service; ``switches`` holds its faults."""
+        self._options = options
+        self._switches = switches or _standin_faults.FaultSwitches()
+        self._slots = _standin_slots.Slots(options.slots)
+        self._total = 0
+        self._count_by_key: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._count_by_request_id: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self.host = _standin_host.StandinHost(
+            self._answer, host=options.host, port=options.port, drain_s=options.drain_s
+        )
+
+    async def start(self) -> None:
+        """Listen and announce."""
+        await self.host.start(
+            entries=self._options.entries, key=self._options.announce_key, describe=self.describe
+        )
+
+    async def stop(self) -> None:
+        """Leave, finish what runs, and close."""
+        await self.host.stop()
+
+    async def close(self) -> None:
+        """Close at once."""
+        await self.host.close()
+
+    @property
+    def executions(self) -> Executions:
+        """Return what was executed."""
+        return Executions(self._total, dict(self._count_by_key), dict(self._count_by_request_id))
+
+    def describe(self) -> upstream.Announcement:
+        """Return what to announce now."""
+        return upstream.Announcement(
+            upstream_id=self._options.name,
+            incarnation=0,
+            sequence=0,
+            state=upstream.UpstreamState.READY,
+            address=self.host.address,
+            labels=self._options.labels,
+            data_centre=self._options.data_centre,
+            slots=self._options.slots,
+            load=upstream.Load(self._slots.running, self._slots.waiting),
+        )
+
+    async def _answer(self, exchange: http_server.Exchange) -> None:
+        body = await exchange.read_body()
+        match exchange.head.method, exchange.head.path:
+            case "GET", "/_executions":
+                await _standin_host.respond(exchange, self.executions)
+            case "POST", "/_faults" | "/v1/faults":
+                await _standin_host.respond_faults(exchange, self._switches, body)
+            case _ if self.host.stopping or self._switches.faults.refuse:
+                await _standin_host.refuse(exchange)
+            case _:
+                with self.host.working():
+                    call = functools.partial(self._call, exchange)
+                    await _standin_host.run_while_wanted(exchange, call)
+
+    async def _call(self, exchange: http_server.Exchange) -> None:
+        head = exchange.head
+        key = head.headers.get(KEY_HEADER, "")
+        async with self._slots.hold(_PRIORITY):
+            # Counted before the work: a call that is cut half-way has had its effect.
+            count = self._execute(key, head.headers.get(_standin_host.RUN_HEADER, ""))
+            await self._switches.work(self._options.delay_s)
+        if self._switches.faults.cut_before_reply:
+            await exchange.abort()
+            return
+        await _standin_host.respond(exchange, CallReply(head.path, head.method, count, key))
+
+    def _execute(self, key: str, request_id: str) -> int:
+        self._total += 1
+        by_request_id = _count(self._count_by_request_id, request_id)
+        by_key = _count(self._count_by_key, key)
+        self._switches.count_call()
+        return by_key or by_request_id or 1
+
+
+def _count(counts: collections.OrderedDict[str, int], name: str) -> int:
+    if not name:
+        return 0
+    counts[name] = counts.get(name, 0) + 1
+    if len(counts) > _KEPT:
+        counts.popitem(last=False)
+    return counts.get(name, 0)
+
+
+def run() -> None:
+    """Run the program."""
+    with settings.exit_on_error():
+        arguments = _standin_flags.main_arguments(ServiceSettings, PROGRAM)
+        options = _standin_flags.parse(ServiceSettings, arguments)
+        service = StandinService(options)
+        curio.run(_standin_host.serve_until_signal, service.start, service.host, options.name)
--- /dev/null
+++ b/src/medlarfork/upstream_attempt.py
@@ -0,0 +1,159 @@
+"""Carry out one attempt: send the request to an upstream and bring its answer to the caller."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from medlarfork import (
+    claim,
+    conversation,
+    entry_types,
+    errors,
+    http_client,
+    logs,
+    outgoing,
+    request,
+)
+
+_log = logging.getLogger(__name__)
+
+HOLD_BYTES = 64 << 10
+"""Answers up to this size go out in one piece with their length; longer ones as they come."""
+
+STORED_BYTES = 16 << 10
+"""Largest answer that is kept for duplicates of a not-repeatable request, in bytes."""
+
+_TOO_MANY_REQUESTS = 429
+_EVENT_STREAM = "text/event-stream"
+
+
+class UpstreamAttempt:
+    """Run one attempt to its end and report it exactly once, also when it is cancelled."""
+
+    def __init__(
+        self,
+        dispatch: entry_types.Dispatch,
+        held: conversation.Conversation,
+        client: http_client.HttpClient,
+        post: Callable[[Any], Awaitable[None]],
+    ) -> None:
+        """Prepare an attempt; ``post`` hands events to the node."""
+        self._dispatch = dispatch
+        self._held = held
+        self._client = client
+        self._post = post
+        self._status = 0
+        self._started = False
+
+    async def run(self) -> None:
+        """Run the attempt."""
+        try:
+            ended = await self._exchange()
+        except errors.CallerGoneError:
+            await self._held.tell(entry_types.CallerGone(self._dispatch.request_id))
+            await self._wait_for_cancel()
+            return
+        except errors.RequestNotSentError as error:
+            ended = self._ended(entry_types.AttemptResult.NOT_SENT, str(error))
+        except errors.MedlarError as error:
+            ended = self._ended(entry_types.AttemptResult.BROKEN, str(error))
+        except Exception as error:
+            # A mistake of ours must not leave the slot and the caller waiting for ever.
+            logs.event(_log, "attempt_failed", severity=logging.ERROR, cause=error)
+            ended = self._ended(entry_types.AttemptResult.BROKEN, type(error).__name__)
+        except curio.CancelledError:
+            await self._post(self._ended(entry_types.AttemptResult.BROKEN, "cancelled"))
+            raise
+        await self._post(ended)
+
+    async def _wait_for_cancel(self) -> None:
+        """Wait until the node, told of the caller's leaving, cancels this attempt."""
+        try:
+            await curio.sleep(self._dispatch.timeout_s)
+        finally:
+            await self._post(self._ended(entry_types.AttemptResult.BROKEN, "the caller has gone"))
+
+    async def _exchange(self) -> entry_types.AttemptEnded:
+        """Exchange request and answer; how the attempt ended is the result."""
+        asked = outgoing.build(self._held.raw, self._dispatch)
+        response = await self._client.request(
+            self._dispatch.address,
+            asked.method,
+            asked.target,
+            asked.headers,
+            asked.body,
+            timeout_s=self._dispatch.timeout_s,
+        )
+        try:
+            self._status = response.status
+            if _is_refusal(response):
+                await response.read()
+                return self._ended(entry_types.AttemptResult.REFUSED, "refused by the upstream")
+            await self._relay(response)
+        finally:
+            await response.close()
+        return self._ended(entry_types.AttemptResult.COMPLETE, "", answer=self._stored())
+
+    async def _relay(self, response: http_client.Response) -> None:
+        """Bring the answer's body to the caller."""
+        held = self._held
+        attempt_id = self._dispatch.attempt_id
+        held.begin_attempt(self._dispatch, response.status, response.headers)
+        streams = response.headers.get("content-type", "").startswith(_EVENT_STREAM)
+        at_once = streams and not self._dispatch.assemble
+        async for chunk in response.chunks():
+            if not at_once:
+                held.hold(attempt_id, chunk)
+                at_once = held.held_bytes > HOLD_BYTES
+                chunk = b""
+            written = at_once and await held.pass_on(attempt_id, chunk)
+            await self._tell_started(written or held.begun)
+        held.check_end()
+
+    async def _tell_started(self, begun: bool) -> None:
+        if begun and not self._started:
+            self._started = True
+            await self._post(entry_types.AttemptStarted(self._dispatch.attempt_id))
+
+    def _stored(self) -> claim.StoredAnswer | None:
+        """Return what to keep of a not-repeatable request's answer."""
+        if not self._dispatch.key:
+            return None
+        body = b"" if self._held.relayed else self._held.whole()
+        kept = not self._held.relayed and len(body) <= STORED_BYTES
+        content_type = self._held.content_type
+        return claim.StoredAnswer(self._status, content_type, body if kept else b"", kept)
+
+    def _ended(
+        self,
+        result: entry_types.AttemptResult,
+        error: str,
+        *,
+        answer: claim.StoredAnswer | None = None,
+    ) -> entry_types.AttemptEnded:
+        held = self._held
+        return entry_types.AttemptEnded(
+            self._dispatch.attempt_id,
+            result,
+            status=self._status,
+            tokens=held.tokens,
+            relayed=held.relayed,
+            resumable=held.resumable,
+            answer=answer,
+            error=error,
+        )
+
+
+def _is_refusal(response: http_client.Response) -> bool:
+    """Return whether the upstream says that it has not begun to execute the request.
+
+    A bare 503 does not say that: it may come from the middle of an execution.
+    """
+    if response.status == _TOO_MANY_REQUESTS:
+        return True
+    outcome = response.headers.get(conversation.OUTCOME_HEADER.lower())
+    return outcome == request.Outcome.NOT_RUN.value
