--- /dev/null
+++ b/tests/test_control_session.py
@@ -0,0 +1,133 @@
+"""Test heartbeats, the order of revisions and views, and the proof of currency."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+
+from medlarfork import (
+    configuration_delta,
+    control_session,
+    entry_options,
+    entry_types,
+    heartbeat,
+    member,
+    node,
+)
+from tests import entry_world
+
+FIRST = heartbeat.RevisionedConfiguration(1, entry_world.declared())
+SECOND = heartbeat.RevisionedConfiguration(
+    2, dataclasses.replace(FIRST.configuration, engine_lease_s=9.0)
+)
+OPTIONS = entry_options.EntryNodeOptions("e1", 1, control_ids=("c1", "c2", "c3"))
+
+
+class Driven:
+    """Hold a session and its last heartbeat."""
+
+    def __init__(self):
+        self.session = control_session.ControlSession(
+            OPTIONS,
+            generator=random.Random(1),
+            member_now=lambda: entry_world.member_of("e1"),
+        )
+        self.sent = []
+        self.note(self.session.handle(node.Started(), 0.0))
+
+    def note(self, actions):
+        self.sent += [item for item in actions if isinstance(item, node.Send)]
+        return [item for item in actions if not isinstance(item, node.Send)]
+
+    def reply(self, now, number=0, sender="c1", **parts):
+        number = number or self.sent[-1].message.number
+        message = heartbeat.HeartbeatReply(number, 1, parts.pop("revision", 1), **parts)
+        return self.note(self.session.handle(node.MessageReceived(sender, message), now))
+
+    def tick(self, now):
+        return self.note(self.session.handle(node.TimeDue(), now))
+
+
+@pytest.fixture
+def driven():
+    return Driven()
+
+
+def test_the_first_reply_puts_configuration_and_view_in_force(driven):
+    view = member.View((1, 1), (entry_world.member_of("e1"),))
+    applied = driven.reply(0.1, whole=FIRST, view=view)
+    assert applied[0] == entry_types.ConfigurationApplied(1)
+    assert (driven.session.revision, driven.session.view) == (1, view)
+
+
+def test_revisions_and_views_never_go_back(driven):
+    newer, older = member.View((2, 1)), member.View((1, 9))
+    driven.reply(0.1, revision=2, whole=SECOND, view=newer)
+    assert driven.reply(0.2, whole=FIRST, view=older) == []
+    assert (driven.session.revision, driven.session.view) == (2, newer)
+
+
+def test_a_delta_applies_only_to_its_own_base(driven):
+    delta = configuration_delta.make(FIRST, SECOND)
+    assert driven.reply(0.1, revision=2, delta=delta) == []
+    driven.reply(0.2, whole=FIRST)
+    driven.reply(0.3, revision=2, delta=delta)
+    assert driven.session.configuration == SECOND.configuration
+    assert driven.reply(0.4, revision=2, delta=delta) == []
+
+
+def test_a_damaged_delta_makes_the_session_ask_for_the_whole(driven):
+    driven.reply(0.1, whole=FIRST)
+    damaged = heartbeat.ConfigurationDelta(1, 2, {"account/x": b"{"}, ())
+    driven.reply(0.2, revision=2, delta=damaged)
+    driven.tick(1.0)
+    assert (driven.session.revision, driven.sent[-1].message.revision) == (1, 0)
+
+
+def test_the_proof_counts_from_when_the_answered_heartbeat_was_sent(driven):
+    driven.reply(3.0, whole=FIRST)
+    assert driven.session.proof_age_s(3.0) == 3.0
+    assert driven.session.is_proven(5.0) and not driven.session.is_proven(5.1)
+    assert driven.session.holds_lease(2.9) and not driven.session.holds_lease(3.0)
+
+
+def test_a_reply_that_names_a_revision_not_held_proves_nothing(driven):
+    driven.reply(0.1, whole=FIRST)
+    driven.tick(1.0)
+    driven.reply(1.1, revision=2)
+    assert driven.session.proof_age_s(1.1) == 1.1
+
+
+@pytest.mark.parametrize(("number", "sender"), [(1, "c1"), (0, "e2")])
+def test_replies_to_nobodys_heartbeat_or_from_strangers_are_ignored(driven, number, sender):
+    assert driven.reply(0.1, number=number, sender=sender, whole=FIRST) == []
+    assert driven.session.revision == 0
+
+
+def test_a_silent_replica_is_passed_over_and_a_named_leader_is_asked_at_once(driven):
+    driven.tick(1.0)
+    assert [item.to for item in driven.sent] == ["c1", "c2"]
+    hint = heartbeat.NotLeader("c1", 1)
+    driven.note(driven.session.handle(node.MessageReceived("c2", hint), 1.1))
+    assert driven.sent[-1].to == "c1"
+    unknown = heartbeat.NotLeader("", 1)
+    assert driven.note(driven.session.handle(node.MessageReceived("c1", unknown), 1.2)) == []
+    driven.tick(2.1)
+    assert [item.to for item in driven.sent[2:]] == ["c1", "c2"]
+
+
+def test_a_leader_that_falls_silent_is_passed_over(driven):
+    driven.reply(0.1, whole=FIRST)
+    for now in (1.0, 2.0, 3.0):
+        driven.tick(now)
+    assert [item.to for item in driven.sent] == ["c1", "c1", "c2", "c3"]
+
+
+def test_a_notice_of_something_newer_brings_a_heartbeat_at_once(driven):
+    driven.reply(0.1, whole=FIRST)
+    for revision, beats in ((1, 1), (2, 2)):
+        notice = heartbeat.RevisionNotice(revision, (0, 0))
+        driven.note(driven.session.handle(node.MessageReceived("c1", notice), 0.2))
+        assert len(driven.sent) == beats
--- /dev/null
+++ b/tests/test_entry_golden.py
@@ -0,0 +1,138 @@
+"""Compare whole sessions with golden files: each event that goes in, and the actions it leads to.
+
+Set MEDLAR_REGENERATE_GOLDEN=1 to write the files anew, and read the difference.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+
+import pytest
+
+from medlarfork import claim, entry_types, heartbeat, node, ticket, upstream
+from tests import entry_world
+
+FOLDER = pathlib.Path(__file__).parent / "golden"
+LEFT_OUT = (node.Wake, heartbeat.Heartbeat, heartbeat.HeartbeatReply, ticket.Released)
+LONGEST = 120
+"""Characters of one field; longer ones are cut so that a line can be read."""
+
+Result = entry_types.AttemptResult
+
+
+def text(value):
+    """Write a message without the fields that have their default value."""
+    if isinstance(value, entry_types.RawRequest):
+        return f"{value.request_id} {value.method} {value.path} {value.body.decode()}"
+    if isinstance(value, upstream.Announcement):
+        return f"{value.upstream_id} {value.state} sequence={value.sequence}"
+    if not dataclasses.is_dataclass(value):
+        return f"{value:.3f}" if isinstance(value, float) else str(value)
+    parts = [
+        f"{field.name}={text(getattr(value, field.name))[:LONGEST]}"
+        for field in dataclasses.fields(value)
+        if field.name not in ("holder", "body_sha256")
+        and getattr(value, field.name) != field.default
+        and getattr(value, field.name) not in ((), {}, "")
+    ]
+    return f"{type(value).__name__}({', '.join(parts)})"
+
+
+def sent(item):
+    return f"to {item.to}: {text(item.message)}" if isinstance(item, node.Send) else text(item)
+
+
+def is_left_out(item):
+    return isinstance(getattr(item, "message", item), LEFT_OUT)
+
+
+def render(world, start):
+    lines = []
+    for at, entry_id, event, actions in world.seen:
+        shown = [item for item in actions if not is_left_out(item)]
+        if is_left_out(event) or (isinstance(event, node.TimeDue) and not shown):
+            continue
+        received = isinstance(event, node.MessageReceived)
+        came = f"from {event.sender}: {text(event.message)}" if received else text(event)
+        lines.append(f"{at - start:7.3f} {entry_id} < {came}")
+        lines += [f"           > {sent(item)}" for item in shown]
+    return "\n".join(lines) + "\n"
+
+
+def chat(world):
+    world.post("e1", entry_world.chat("r1"))
+    world.run(0.05)
+    world.post("e1", entry_types.AttemptStarted("r1.1"))
+    world.run(0.2)
+    ended = entry_types.AttemptEnded("r1.1", Result.COMPLETE, 200, 12, relayed=True)
+    world.post("e1", ended)
+
+
+def not_repeatable_call_with_duplicate(world):
+    world.post("e1", entry_world.hold("r1", "key-1"))
+    world.run(0.05)
+    world.post("e2", entry_world.hold("r2", "key-1"))
+    world.run(0.2)
+    answer = claim.StoredAnswer(201, "application/json", b'{"held":1}')
+    ended = entry_types.AttemptEnded("r1.1", Result.COMPLETE, 201, relayed=True, answer=answer)
+    world.post("e1", ended)
+    world.run(0.5)
+
+
+def preemption_and_resumption(world):
+    for number in (1, 2):
+        world.post("e1", entry_world.chat(f"long{number}", model="long"))
+    world.run(0.05)
+    for number in (1, 2):
+        world.post("e1", entry_types.AttemptStarted(f"long{number}.1"))
+    world.post("e2", entry_world.chat("quick"))
+    world.run(0.01)
+    paused = world.take(entry_types.CancelAttempt)[0].attempt_id
+    ended = entry_types.AttemptEnded(paused, Result.BROKEN, 200, 7, relayed=True, resumable=True)
+    world.post("e1", ended)
+    world.run(0.05)
+    world.post("e2", entry_types.AttemptEnded("quick.1", Result.COMPLETE, 200, 3, relayed=True))
+    world.run(0.05)
+    done = entry_types.AttemptEnded(
+        paused.replace(".1", ".2"), Result.COMPLETE, 200, 20, relayed=True
+    )
+    world.post("e1", done)
+    world.run(0.05)
+
+
+def engine_lost_in_a_stream(world):
+    world.announce("e2", "u2")
+    world.run(0.05)
+    world.post("e1", entry_world.chat("r1"))
+    world.run(0.05)
+    world.post("e1", entry_types.AttemptStarted("r1.1"))
+    cut = entry_types.AttemptEnded(
+        "r1.1", Result.BROKEN, 200, 5, relayed=True, resumable=True, error="connection reset"
+    )
+    world.post("e1", cut)
+    world.run(0.05)
+    cut = entry_types.AttemptEnded("r1.2", Result.BROKEN, 200, 8, relayed=True, error="reset")
+    world.post("e1", cut)
+    world.run(0.05)
+
+
+@pytest.mark.parametrize(
+    "session",
+    [chat, not_repeatable_call_with_duplicate, preemption_and_resumption, engine_lost_in_a_stream],
+)
+def test_a_session_equals_its_golden_file(session):
+    world = entry_world.World(("e1", "e2"))
+    world.announce("e1", "u1")
+    world.announce("e1", "d1", app="desk")
+    world.run(0.05)
+    world.keeps_seen = True
+    start = world.now
+    session(world)
+    file = FOLDER / f"entry_{session.__name__}.txt"
+    got = render(world, start)
+    if os.environ.get("MEDLAR_REGENERATE_GOLDEN") == "1":
+        FOLDER.mkdir(exist_ok=True)
+        file.write_text(got)
+    assert got == file.read_text()
--- /dev/null
+++ b/tests/test_entry_machine.py
@@ -0,0 +1,235 @@
+"""Drive three entry nodes through losses, copies, cuts, crashes and changes; check at every step.
+
+Engines are counters: an attempt may have executed from its dispatch until its upstream refuses.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from medlarfork import (
+    claim,
+    entry_types,
+    heartbeat,
+    node,
+    request,
+    ticket,
+    upstream,
+)
+from tests import entry_world
+
+ENTRY_IDS = ("e1", "e2", "e3")
+UPSTREAM_IDS = ("u1", "u2", "d1")
+LEASE_S = 3.0
+SLACK_S = 1.0
+"""Time for announcements and grants on their way."""
+
+entry_ids = st.sampled_from(ENTRY_IDS)
+upstream_ids = st.sampled_from(UPSTREAM_IDS)
+Result = entry_types.AttemptResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """Hold one open attempt of the fake engines."""
+
+    entry_id: str
+    request_id: str
+    key: str
+    resume_offset: int
+
+
+class EntryMachine(stateful.RuleBasedStateMachine):
+    """Check what must hold whatever happens."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = entry_world.World(ENTRY_IDS)
+        self.number = 0
+        self.incarnation = 1
+        self.open_by_id: dict[str, Attempt] = {}
+        self.executed_by_key = collections.Counter()
+        self.executed_by_request = collections.Counter()
+        self.finals_by_request = collections.Counter()
+        self.home_by_request: dict[str, str] = {}
+        self.ready_at = dict.fromkeys(UPSTREAM_IDS, -1e9)
+        self.revision_by_id = dict.fromkeys(ENTRY_IDS, 0)
+        self.dispatched: set[str] = set()
+        for item in UPSTREAM_IDS:
+            self.announce(item, "e1")
+        self.settle()
+
+    def settle(self):
+        """Let the fake engines act on what the nodes have asked for."""
+        while self.world.out:
+            entry_id, action = self.world.out.pop(0)
+            match action:
+                case entry_types.Dispatch():
+                    self.on_dispatch(entry_id, action)
+                case entry_types.CancelAttempt(attempt_id):
+                    self.end(attempt_id, Result.BROKEN)
+                case entry_types.Answer(request_id) | entry_types.FinishRelay(request_id):
+                    self.finals_by_request[request_id] += 1
+                    assert self.finals_by_request[request_id] == 1
+                case entry_types.Record():
+                    self.on_record(action)
+                case entry_types.ConfigurationApplied(revision):
+                    assert revision > self.revision_by_id[entry_id]
+                    self.revision_by_id[entry_id] = revision
+
+    def on_dispatch(self, entry_id, action):
+        assert action.attempt_id not in self.dispatched
+        self.dispatched.add(action.attempt_id)
+        open_for = [item.request_id for item in self.open_by_id.values()]
+        assert action.request_id not in open_for, "two attempts at once"
+        silent_s = self.world.now - self.ready_at[action.upstream_id]
+        assert silent_s <= LEASE_S + SLACK_S, "dispatched to an upstream that is gone"
+        attempt = Attempt(entry_id, action.request_id, action.key, action.resume_offset)
+        self.open_by_id[action.attempt_id] = attempt
+        self.executed_by_request[action.request_id] += 1
+        if action.key:
+            self.executed_by_key[action.key] += 1
+            assert self.executed_by_key[action.key] == 1, "ran twice"
+
+    def on_record(self, record):
+        if record.outcome is request.Outcome.NOT_RUN:
+            assert self.executed_by_request[record.request_id] == 0
+        del self.home_by_request[record.request_id]
+        if record.status != 499:
+            assert self.finals_by_request[record.request_id] == 1
+
+    def end(self, attempt_id, result, relayed=False):
+        attempt = self.open_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return
+        if result in (Result.REFUSED, Result.NOT_SENT):
+            self.executed_by_request[attempt.request_id] -= 1
+            if attempt.key:
+                self.executed_by_key[attempt.key] -= 1
+        tokens = attempt.resume_offset + 2
+        if relayed:
+            self.world.post(attempt.entry_id, entry_types.AttemptStarted(attempt_id))
+        answer = claim.StoredAnswer(200, "text/plain", b"x")
+        ended = entry_types.AttemptEnded(
+            attempt_id, result, 200, tokens, relayed, bool(tokens % 3), answer
+        )
+        self.world.post(attempt.entry_id, ended)
+
+    @stateful.rule(
+        upstream_id=upstream_ids,
+        entry_id=entry_ids,
+        leaving=st.sampled_from((False,) * 5 + (True,)),
+    )
+    def announce(self, upstream_id, entry_id, leaving=False):
+        state = upstream.UpstreamState.LEAVING if leaving else upstream.UpstreamState.READY
+        app = "desk" if upstream_id == "d1" else "lm"
+        if not leaving:
+            self.ready_at[upstream_id] = self.world.now
+        incarnation = int(self.world.now * 1000)
+        self.world.announce(entry_id, upstream_id, app=app, state=state, incarnation=incarnation)
+
+    @stateful.rule(entry_id=entry_ids, model=st.sampled_from(("small", "long")))
+    def arrive_chat(self, entry_id, model):
+        self.arrive(entry_id, lambda item: entry_world.chat(item, model=model))
+
+    @stateful.rule(entry_id=entry_ids, key=st.sampled_from(("k1", "k2", "k3", "")))
+    def arrive_hold(self, entry_id, key):
+        self.arrive(entry_id, lambda item: entry_world.hold(item, key))
+
+    def arrive(self, entry_id, make):
+        self.number += 1
+        request_id = f"r{self.number}"
+        self.home_by_request[request_id] = entry_id
+        self.world.post(entry_id, make(request_id))
+
+    @stateful.rule(chosen=st.integers(0, 99), result=st.sampled_from(Result), relayed=st.booleans())
+    def end_attempt(self, chosen, result, relayed):
+        if self.open_by_id:
+            refused = result in (Result.REFUSED, Result.NOT_SENT)
+            attempt_id = sorted(self.open_by_id)[chosen % len(self.open_by_id)]
+            self.end(attempt_id, result, relayed and not refused)
+
+    @stateful.rule(chosen=st.integers(0, 99))
+    def leave(self, chosen):
+        if self.home_by_request:
+            request_id = sorted(self.home_by_request)[chosen % len(self.home_by_request)]
+            home = self.home_by_request[request_id]
+            self.world.post(home, entry_types.CallerGone(request_id))
+
+    @stateful.rule(chosen=st.integers(0, 99), owner=entry_ids)
+    def preempt(self, chosen, owner):
+        if self.open_by_id:
+            attempt_id = sorted(self.open_by_id)[chosen % len(self.open_by_id)]
+            home = self.open_by_id[attempt_id].entry_id
+            message = ticket.Preempt(attempt_id, home, "lm/0")
+            self.world.post(home, node.MessageReceived(owner, message))
+
+    @stateful.rule(seconds=st.sampled_from((0.01, 0.2, 1.0, 4.0)))
+    def wait(self, seconds):
+        for _ in range(10):
+            self.world.run(seconds / 10)
+            self.settle()
+
+    @stateful.rule(
+        loss=st.sampled_from((0.0, 0.3)),
+        copies=st.sampled_from((0.0, 0.3)),
+        delay_s=st.sampled_from((0.001, 0.2)),
+    )
+    def change_network(self, loss, copies, delay_s):
+        self.world.loss, self.world.copies, self.world.delay_s = loss, copies, delay_s
+
+    @stateful.rule(cut=st.sampled_from(((), ("e1",), ("e2",), ("c1", "c2", "c3"))))
+    def cut_off(self, cut):
+        self.world.cut = set(cut)
+
+    @stateful.rule(drained=st.sampled_from(((), ("u1",))))
+    def change_configuration(self, drained):
+        revision = self.world.control.revised.revision + 1
+        changed = entry_world.declared(drained_upstreams=drained)
+        self.world.control.revised = heartbeat.RevisionedConfiguration(revision, changed)
+
+    @stateful.rule(entry_id=entry_ids)
+    def crash(self, entry_id):
+        self.incarnation += 1
+        self.world.node_by_id[entry_id] = entry_world.make_node(
+            entry_id, seed=self.incarnation, incarnation=self.incarnation
+        )
+        self.revision_by_id[entry_id] = 0
+        for attempt_id, attempt in tuple(self.open_by_id.items()):
+            if attempt.entry_id == entry_id:
+                del self.open_by_id[attempt_id]
+        for request_id, home in tuple(self.home_by_request.items()):
+            if home == entry_id:
+                del self.home_by_request[request_id]
+        self.world.post(entry_id, node.Started())
+
+    @stateful.invariant()
+    def check(self):
+        self.settle()
+
+    def teardown(self):
+        """Heal everything: every request ends and every slot comes back."""
+        self.settle()
+        self.change_network(0.0, 0.0, 0.001)
+        self.world.cut = set()
+        for _ in range(120):
+            for attempt_id in sorted(self.open_by_id):
+                self.end(attempt_id, Result.COMPLETE)
+            for upstream_id in UPSTREAM_IDS:
+                self.announce(upstream_id, "e3")
+            self.world.run(1.0)
+            self.settle()
+        assert not self.home_by_request
+        for entry in self.world.node_by_id.values():
+            status = entry.status(self.world.now)
+            assert (status.requests, status.held_bytes, status.unconfirmed) == (0, 0, 0)
+            assert all(item.running == item.queued == 0 for item in status.pools)
+            assert status.revision == self.world.control.revised.revision
+
+
+TestEntryMachine = EntryMachine.TestCase
+TestEntryMachine.settings = settings(max_examples=25, stateful_step_count=40)
--- /dev/null
+++ b/tests/test_order_client.py
@@ -0,0 +1,103 @@
+import curio
+import msgspec
+import pytest
+
+from medlarfork import errors, order_client, order_types
+
+LOAD = order_types.LoadWeights(order_types.Weights("m", "v1", 10), 5.0)
+
+
+class FakeResponse:
+    def __init__(self, status, body=b""):
+        self.status = status
+        self.headers = {}
+        self.body = body
+        self.closed = False
+
+    async def read(self):
+        return self.body
+
+    async def close(self):
+        self.closed = True
+
+
+class FakeClient:
+    """Answer with one response or raise one error; keep what was asked."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.asked = []
+
+    async def request(self, address, method, target, headers, body, *, timeout_s=None):
+        self.asked.append((address, method, target, body, timeout_s))
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+
+def order(action=LOAD, not_after=10.0):
+    return order_types.OrderEngine("e1", "http://127.0.0.1:1", 3, "3-1", action, not_after, 60.0)
+
+
+def send(outcome, action=LOAD, now=9.0):
+    fake = FakeClient(outcome)
+    client = order_client.OrderClient(fake, clock=lambda: now)
+    return fake, curio.run(client.order, order(action))
+
+
+@pytest.mark.parametrize(
+    ("outcome", "result"),
+    [
+        (FakeResponse(200), order_types.OrderResult.DONE),
+        (FakeResponse(409), order_types.OrderResult.REFUSED_FENCE),
+        (FakeResponse(422), order_types.OrderResult.FAILED),
+        (FakeResponse(500), order_types.OrderResult.UNKNOWN),
+        (errors.UpstreamError("cut", remedy="x."), order_types.OrderResult.UNKNOWN),
+        (errors.RequestNotSentError("no", remedy="x."), order_types.OrderResult.FAILED),
+    ],
+)
+def test_answers_become_results(outcome, result):
+    fake, done = send(outcome)
+    assert done == order_types.OrderDone("3-1", result)
+    assert len(fake.asked) == 1
+
+
+def test_an_order_is_not_sent_after_its_time():
+    fake, done = send(FakeResponse(200), now=10.0)
+    assert fake.asked == []
+    assert done.result is order_types.OrderResult.FAILED
+
+
+@pytest.mark.parametrize(
+    ("action", "told"),
+    [
+        (LOAD, {"action": "load_model", "name": "m", "version": "v1", "bytes_per_second": 5.0}),
+        (order_types.ChangeRole("decode"), {"action": "change_role", "role": "decode"}),
+    ],
+)
+def test_an_order_carries_its_id_fence_and_action(action, told):
+    fake, _ = send(FakeResponse(200), action)
+    _, method, target, body, timeout_s = fake.asked[0]
+    sent = msgspec.json.decode(body)
+    assert (method, target, timeout_s) == ("POST", "/v1/orders", 60.0)
+    assert {"order_id": "3-1", "fence": 3} | told == {
+        key: value for key, value in sent.items() if key != "size_bytes"
+    }
+
+
+@pytest.mark.parametrize(
+    ("outcome", "state"),
+    [
+        (
+            FakeResponse(200, b'{"incarnation":4,"weights":[{"name":"m","version":"v1"}]}'),
+            order_types.EngineState(4, (order_types.LoadedWeights("m", "v1"),)),
+        ),
+        (FakeResponse(200, b"not json"), None),
+        (FakeResponse(503), None),
+        (errors.UpstreamError("cut", remedy="x."), None),
+    ],
+)
+def test_a_state_is_read_back(outcome, state):
+    client = order_client.OrderClient(FakeClient(outcome))
+    action = order_types.ReadBack("e1", "http://127.0.0.1:1", 7)
+    assert curio.run(client.read_back, action) == order_types.ReadBackDone("e1", 7, state)
--- /dev/null
+++ b/tests/test_order_planner.py
@@ -0,0 +1,176 @@
+"""Drive lease, board and planner through faults and check them at every step."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from medlarfork import inventory, lease_types, node, order_types
+from tests import order_world
+
+PICK = st.integers(0, 1_000)
+
+
+class OrdersUnderFaults(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.world = order_world.World()
+
+    def index(self, items, pick):
+        hypothesis.assume(items)
+        return pick % len(items)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.3, 0.9, 2.0]))
+    def advance(self, seconds):
+        self.world.advance(seconds)
+
+    @stateful.rule(pick=PICK, keep=st.booleans())
+    def commit(self, pick, keep):
+        world = self.world
+        world.commit(self.index(world.proposals, pick), keep=keep and pick % 5 == 0)
+
+    @stateful.rule(steps=st.integers(5, 40))
+    def run_well(self, steps):
+        for _ in range(steps):
+            self.world.step()
+            self.world.check()
+
+    @stateful.rule(pick=PICK)
+    def lose_proposal(self, pick):
+        self.world.proposals.pop(self.index(self.world.proposals, pick))
+
+    @stateful.rule(pick=PICK, keep=st.booleans(), lose_answer=st.booleans())
+    def deliver(self, pick, keep, lose_answer):
+        index = self.index(self.world.sent, pick)
+        self.world.deliver(index, keep=keep, lose_answer=lose_answer)
+
+    @stateful.rule(pick=PICK)
+    def lose_answer_early(self, pick):
+        self.world.lose_answer_early(self.index(self.world.sent, pick))
+
+    @stateful.rule(pick=PICK, lost=st.booleans(), keep=st.booleans())
+    def answer_read(self, pick, lost, keep):
+        self.world.answer_read(self.index(self.world.reads, pick), lost=lost, keep=keep)
+
+    @stateful.rule(pick=st.integers(0, 2))
+    def freeze(self, pick):
+        self.world.holders[pick].frozen = True
+
+    @stateful.rule(pick=st.integers(0, 2))
+    def thaw(self, pick):
+        self.world.holders[pick].frozen = False
+        self.world.holders[pick].run()
+
+    @stateful.rule(pick=st.integers(0, 2))
+    def restart_holder(self, pick):
+        self.world.holders[pick].restart()
+
+    @stateful.rule(pick=st.integers(0, 2), won=st.booleans())
+    def change_leadership(self, pick, won):
+        event = lease_types.LeadershipWon() if won else lease_types.LeadershipLost()
+        self.world.holders[pick].take(event)
+
+    @stateful.rule(pick=st.integers(0, 3))
+    def restart_engine(self, pick):
+        self.world.restart_engine(pick)
+
+    @stateful.invariant()
+    def safe(self):
+        self.world.check()
+
+    def teardown(self):
+        assert self.world.settle(), "the desired state was not reached after the faults ended"
+
+
+OrdersUnderFaults.TestCase.settings = hypothesis.settings(
+    max_examples=50, stateful_step_count=40, suppress_health_check=list(hypothesis.HealthCheck)
+)
+test_orders_under_faults = OrdersUnderFaults.TestCase
+
+
+def test_desired_state_is_reached_without_faults():
+    world = order_world.World()
+    assert world.settle()
+    executed = [order for engine in world.engines for order in engine.executed]
+    assert len(executed) == 3 * len(world.engines)
+
+
+def test_a_rack_that_returns_is_loaded_at_the_rate_and_soon_holds_every_model():
+    weights = tuple(order_types.Weights(f"model-{number}", "v1", 10) for number in range(23))
+    desired = order_types.DesiredState("all", weights=weights)
+    engines = [order_world.Engine(f"e{number}", checks_fence=True) for number in range(40)]
+    for engine in engines:
+        engine.role = ""
+    world = order_world.World(engines, desired)
+    loads = []
+    for engine in engines:
+        engine.on_executed = lambda order: loads.append((world.now, order.action.weights.name))
+    assert world.settle(limit=40_000)
+    assert len(loads) == 40 * 23
+    assert len({name for _, name in loads[:40]}) == 23, "one load an engine holds every model"
+    lanes, rate = order_world.STORE.lanes, order_world.STORE.bytes_per_second
+    for position, (start, _) in enumerate(loads):
+        within = sum(1 for at, _ in loads[position : position + 60] if at < start + 10.0)
+        assert within * 10 <= rate * 10.0 + lanes * 10
+
+
+def test_a_new_holder_waits_before_its_first_order_to_an_engine_that_does_not_check():
+    world = order_world.World()
+    first = {}
+    for engine in world.engines:
+        engine.on_executed = lambda order: first.setdefault(order.upstream_id, world.now)
+    assert world.settle()
+    acquired_at = 100.0
+    assert first["checks-1"] < acquired_at + order_world.MAX_ORDER_S
+    assert first["plain-1"] >= acquired_at + order_world.MAX_ORDER_S
+
+
+def test_a_refused_fence_ends_the_holding():
+    world = order_world.World()
+    while not world.sent:
+        world.step()
+    holder, order = world.sent[0].holder, world.sent[0].order
+    refused = order_types.OrderResult.REFUSED_FENCE
+    actions = holder.planner.handle(order_types.OrderDone(order.order_id, refused), holder.clock())
+    assert actions == (order_types.Deposed(order.fence),)
+    assert holder.planner.handle(node.TimeDue(), holder.clock()) == ()
+
+
+def test_an_order_of_unknown_result_is_repeated_only_if_its_effect_is_missing():
+    world = order_world.World()
+    while not world.sent:
+        world.step()
+    sent = world.sent[0]
+    world.lose_answer_early(0)
+    world.advance(0.1)
+    assert all(read.upstream_id != sent.order.upstream_id or read.state for _, read in world.reads)
+    while world.now < sent.at + order_world.MAX_ORDER_S - 0.2:
+        if world.proposals:
+            world.commit(0)
+        elif world.reads:
+            world.answer_read(0)
+        else:
+            world.advance(0.1)
+        mine = [s for s in world.sent if s.order.upstream_id == sent.order.upstream_id]
+        assert len(mine) == 1
+    assert world.settle()
+
+
+def test_an_engine_that_is_gone_is_dropped_with_its_order():
+    world = order_world.World()
+    while not world.sent:
+        world.step()
+    sent = world.sent[0]
+    engine = world.engine_by_id[sent.order.upstream_id]
+    gone = dataclasses.replace(engine.notice(), gone=True)
+    for holder in world.holders:
+        holder.take(inventory.InventoryReport("entry", (gone,)))
+    world.engines.remove(engine)
+    world.sent.remove(sent)
+    assert world.settle()
+    world.advance(2 * order_world.MAX_ORDER_S)
+    assert world.settle()
+    for _ in range(40):
+        world.step()
+    assert sent.holder.board.order_by_upstream == {}
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,135 @@
+"""Test that answers are counted, joined only where proved, and never mixed."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from medlarfork import assembled_answer, errors, relay, sse
+
+STREAM = {"content-type": "text/event-stream; charset=utf-8"}
+
+
+def part(text: str, number: int | str | None) -> bytes:
+    chunk = {"id": "x", "choices": [{"index": 0, "delta": {"content": text}}]}
+    return sse.encode(json.dumps(chunk), "" if number is None else str(number))
+
+
+def resumed(offset: int) -> dict[str, str]:
+    return {**STREAM, "medlar-resume-offset": str(offset)}
+
+
+@pytest.fixture
+def streaming() -> relay.Relay:
+    made = relay.Relay(stream=True)
+    made.begin("a.1", resume_offset=0, status=200, headers=STREAM)
+    return made
+
+
+def test_only_whole_events_are_relayed_and_tokens_are_counted(streaming):
+    assert streaming.feed("a.1", part("x", 1) + part("y", 2)[:-1]) == part("x", 1)
+    assert (streaming.tokens, streaming.resumable, streaming.complete) == (1, True, False)
+    assert streaming.feed("a.1", b"\n" + sse.encode(sse.DONE)) == part("y", 2) + sse.encode(
+        sse.DONE
+    )
+    assert (streaming.tokens, streaming.complete) == (2, True)
+
+
+def test_bytes_of_another_attempt_are_discarded(streaming):
+    streaming.feed("a.1", part("x", 1))
+    streaming.begin("a.2", resume_offset=1, status=200, headers=resumed(1))
+    assert streaming.feed("a.1", part("y", 2)) == b""
+    assert (streaming.tokens, streaming.discarded_bytes) == (1, len(part("y", 2)))
+    assert streaming.feed("a.2", part("z", 2)) == part("z", 2)
+
+
+@pytest.mark.parametrize(
+    ("offset", "headers"),
+    [(1, STREAM), (1, resumed(0)), (2, resumed(2)), (0, STREAM), (1, {"content-type": "a/b"})],
+)
+def test_a_resumption_without_proof_is_refused(streaming, offset, headers):
+    streaming.feed("a.1", part("x", 1))
+    with pytest.raises(errors.UpstreamError):
+        streaming.begin("a.2", resume_offset=offset, status=200, headers=headers)
+    assert streaming.feed("a.2", part("y", 2)) == b""
+
+
+def test_a_resumed_stream_that_repeats_a_token_is_broken(streaming):
+    streaming.feed("a.1", part("x", 1))
+    streaming.begin("a.2", resume_offset=1, status=200, headers=resumed(1))
+    with pytest.raises(errors.UpstreamError):
+        streaming.feed("a.2", part("x", 1))
+
+
+@pytest.mark.parametrize("number", [None, "9" * 5000, "abc", "x7", 0, 1])
+def test_ids_that_do_not_count_tokens_make_a_stream_not_resumable(streaming, number):
+    streaming.feed("a.1", part("x", 1))
+    streaming.feed("a.1", part("y", number))
+    assert (streaming.tokens, streaming.resumable) == (2, False)
+
+
+def test_a_stream_without_its_own_end_is_not_complete(streaming):
+    streaming.feed("a.1", part("x", 1) + sse.encode(sse.DONE)[:-1])
+    assert not streaming.complete
+    streaming.feed("a.1", b"\n")
+    with pytest.raises(errors.UpstreamError):
+        streaming.feed("a.1", part("y", 2))
+
+
+@pytest.mark.parametrize("data", ["[]", "{", '{"choices": 1}', '{"choices": [{"delta": []}]}'])
+def test_an_event_of_another_shape_is_broken(streaming, data):
+    with pytest.raises(errors.UpstreamError):
+        streaming.feed("a.1", sse.encode(data))
+
+
+def test_an_opaque_answer_passes_byte_for_byte():
+    made = relay.Relay(stream=False)
+    made.begin("a.1", resume_offset=0, status=200, headers={"content-type": "text/plain"})
+    assert made.feed("a.1", b"\x00ab") == b"\x00ab"
+    assert (made.resumable, made.complete) == (False, True)
+    made.begin("a.2", resume_offset=0, status=200, headers={})
+    assert made.feed("a.2", b"again") == b"again"
+    with pytest.raises(errors.UpstreamError):
+        made.begin("a.3", resume_offset=0, status=200, headers={}, relayed=True)
+    assert not made.complete
+
+
+def test_a_restart_from_the_beginning_forgets_what_was_assembled():
+    made = relay.Relay(stream=False, assemble=True)
+    made.begin("a.1", resume_offset=0, status=200, headers=STREAM)
+    assert made.feed("a.1", part("old", None)) == b""
+    made.begin("a.2", resume_offset=0, status=200, headers=STREAM)
+    made.feed("a.2", part("new", 1) + sse.encode(sse.DONE))
+    assert json.loads(made.whole())["choices"][0]["message"]["content"] == "new"
+    assert not made.relayed
+
+
+@given(st.lists(st.text("abc", min_size=1, max_size=3), max_size=8), st.data())
+def test_an_assembled_answer_equals_the_joined_parts_however_it_is_cut(texts, data):
+    made = relay.Relay(stream=False, assemble=True)
+    kept = 0
+    for attempt in range(1, 4):
+        headers = resumed(kept) if kept else STREAM
+        made.begin(f"a.{attempt}", resume_offset=kept, status=200, headers=headers)
+        stream = b"".join(part(text, kept + at + 1) for at, text in enumerate(texts[kept:]))
+        stream += sse.encode(sse.DONE)
+        last = attempt == 3
+        cut = len(stream) if last else data.draw(st.integers(0, len(stream)))
+        made.feed(f"a.{attempt}", stream[:cut])
+        kept = made.tokens
+    content = json.loads(made.whole())["choices"][0]["message"]["content"]
+    assert (made.complete, content or "") == (True, "".join(texts))
+
+
+def test_tool_calls_are_merged_by_index():
+    answer = assembled_answer.AssembledAnswer(limit_bytes=100)
+    for function in ({"name": "f", "arguments": ""}, {"arguments": "{}"}):
+        calls = [{"index": 0, "id": "c1", "function": function}]
+        answer.add({"choices": [{"delta": {"tool_calls": calls}}]}, 50)
+    message = json.loads(answer.encode())["choices"][0]["message"]
+    assert message["tool_calls"][0]["function"] == {"name": "f", "arguments": "{}"}
+    with pytest.raises(errors.UpstreamError):
+        answer.add({}, 1)
--- /dev/null
+++ b/tests/test_sse.py
@@ -0,0 +1,37 @@
+"""Server-sent events are split alike however the bytes are cut."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from medlarfork import errors, sse
+
+STREAM = b': hello\n\nid: 1\ndata: {"a": "\xc3\xa9"}\n\r\ndata: x\r\ndata:y\n\ndata: [DONE]\n\n'
+EVENTS = (sse.Event('{"a": "é"}', "1"), sse.Event("x\ny"), sse.Event(sse.DONE))
+
+
+@hypothesis.given(strategies.lists(strategies.integers(0, len(STREAM)), max_size=6))
+def test_any_cut_gives_the_same_events(cuts: list[int]) -> None:
+    splitter = sse.Splitter()
+    edges = [0, *sorted(cuts), len(STREAM)]
+    events = []
+    for start, end in zip(edges, edges[1:], strict=False):
+        events.extend(splitter.feed(STREAM[start:end]))
+    assert tuple(events) == EVENTS
+    assert not splitter.pending
+
+
+def test_an_event_that_has_not_ended_is_pending_and_not_returned() -> None:
+    splitter = sse.Splitter()
+    assert splitter.feed(b"data: [DONE]\n") == ()
+    assert splitter.pending
+
+
+@pytest.mark.parametrize("flood", [b"x" * 101, b"data: 1234\n" * 11])
+def test_an_event_without_end_is_refused(flood: bytes) -> None:
+    with pytest.raises(errors.UpstreamError):
+        sse.Splitter(event_bytes=100).feed(flood)
+
+
+def test_what_encode_writes_is_read_back() -> None:
+    assert sse.Splitter().feed(sse.encode("{}", "7")) == (sse.Event("{}", "7"),)
--- /dev/null
+++ b/tests/test_standin_engine.py
@@ -0,0 +1,351 @@
+"""The stand-in engine streams, resumes, cancels, fences and fails as it is told to."""
+
+import contextlib
+import json
+import pathlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from medlarfork import (
+    _standin_cache,
+    _standin_faults,
+    _standin_flags,
+    _standin_lag,
+    _standin_text,
+    errors,
+    http_client,
+    sse,
+    standin_engine,
+    upstream,
+)
+
+TIMEOUT_S = 20
+TRIES = 400
+PAUSE_S = 0.01
+MESSAGES = [{"role": "user", "content": "Appraise this chair. [tokens=12]"}]
+ANSWER = _standin_text.answer("standin", MESSAGES, None)
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        async with curio.timeout_after(TIMEOUT_S):
+            await main()
+
+    curio.run(bounded)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    for _ in range(TRIES):
+        if condition():
+            return
+        await curio.sleep(PAUSE_S)
+    raise AssertionError("the condition did not come true")
+
+
+class Caller:
+    def __init__(self, client: http_client.HttpClient, address: str) -> None:
+        self.client = client
+        self.address = address
+
+    async def open(
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> http_client.Response:
+        data = b"" if body is None else json.dumps(body).encode()
+        return await self.client.request(self.address, method, path, headers or {}, data)
+
+    async def call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        response = await self.open(method, path, body)
+        return response.status, json.loads(await response.read())
+
+    async def chat(
+        self, headers: dict[str, str] | None = None, **body: Any
+    ) -> http_client.Response:
+        whole = {"model": "standin", "messages": MESSAGES} | body
+        return await self.open("POST", "/v1/chat/completions", whole, headers)
+
+    async def stream(
+        self, headers: dict[str, str] | None = None, **body: Any
+    ) -> tuple[dict[str, str], list[sse.Event]]:
+        response = await self.chat(headers, stream=True, **body)
+        splitter = sse.Splitter()
+        events = []
+        async for data in response.chunks():
+            events.extend(splitter.feed(data))
+        return response.headers, events
+
+
+@contextlib.asynccontextmanager
+async def running(**options: Any) -> AsyncIterator[tuple[standin_engine.StandinEngine, Caller]]:
+    speed = {"first_token_s": 0.0, "token_s": 0.0, "load_model_s": 0.0}
+    crashes: list[int] = options.pop("crashes", [])
+    switches = _standin_faults.FaultSwitches(crash=lambda: crashes.append(1))
+    engine = standin_engine.StandinEngine(
+        standin_engine.EngineSettings(**(speed | options)), switches=switches
+    )
+    await engine.start()
+    client = http_client.HttpClient()
+    await client.start()
+    try:
+        yield engine, Caller(client, engine.host.address)
+    finally:
+        await client.close()
+        await engine.close()
+
+
+def text_of(events: list[sse.Event]) -> str:
+    parts = []
+    for event in events[:-1]:
+        for choice in json.loads(event.data)["choices"]:
+            parts.append(choice["delta"]["content"] or "")
+    return "".join(parts)
+
+
+def test_a_stream_numbers_its_tokens_and_ends_with_usage_and_done() -> None:
+    async def main() -> None:
+        async with running() as (_, caller):
+            _, events = await caller.stream(stream_options={"include_usage": True})
+        assert text_of(events) == ANSWER.text()
+        assert [event.id for event in events[:12]] == [str(count) for count in range(1, 13)]
+        assert json.loads(events[12].data)["choices"][0]["finish_reason"] == "stop"
+        assert json.loads(events[13].data)["usage"]["completion_tokens"] == 12
+        assert events[14] == sse.Event(sse.DONE)
+
+    run(main)
+
+
+def test_a_whole_answer_has_the_same_text_and_keeps_the_callers_bound() -> None:
+    async def main() -> None:
+        async with running() as (_, caller):
+            response = await caller.chat(max_tokens=5)
+            completion = json.loads(await response.read())
+            assert (await caller.call("GET", "/v1/models"))[1]["data"][0]["id"] == "standin"
+        choice = completion["choices"][0]
+        assert choice["message"]["content"] == ANSWER.text()[: 5 * 7]
+        assert choice["finish_reason"] == "length"
+        assert completion["usage"]["completion_tokens"] == 5
+
+    run(main)
+
+
+def test_another_engine_continues_an_answer_and_proves_where() -> None:
+    async def main() -> None:
+        async with running() as (_, first), running() as (_, second):
+            _, whole = await first.stream()
+            headers, rest = await second.stream({"Medlar-Resume-Offset": "7"})
+        assert headers["medlar-resume-offset"] == "7"
+        assert rest[0].id == "8"
+        assert text_of(whole[:7] + rest) == ANSWER.text()
+
+    run(main)
+
+
+def test_an_engine_told_to_ignore_offsets_gives_no_proof() -> None:
+    async def main() -> None:
+        async with running() as (_, caller):
+            assert (await caller.call("POST", "/v1/faults", {"ignore_resume": True}))[0] == 200
+            headers, events = await caller.stream({"Medlar-Resume-Offset": "7"})
+        assert "medlar-resume-offset" not in headers
+        assert events[0].id == "1"
+
+    run(main)
+
+
+def test_a_caller_that_goes_away_frees_its_slot_and_its_tokens_count_as_cancelled() -> None:
+    async def main() -> None:
+        async with running(slots=1, token_s=0.002) as (engine, caller):
+            endless = [{"role": "user", "content": "[tokens=100000]"}]
+            response = await caller.chat(messages=endless, stream=True)
+            await until(lambda: engine.state.tokens_computed >= 3)
+            waiting = await curio.spawn(caller.chat, {}, daemon=True)
+            await until(lambda: engine.state.waiting == 1)
+            await response.close()
+            await (await waiting.join()).read()
+            state = engine.state
+        assert state.tokens_cancelled >= 3
+        assert state.tokens_computed == state.tokens_cancelled + ANSWER.count
+        assert (state.running, state.waiting) == (0, 0)
+
+    run(main)
+
+
+def test_a_caller_that_goes_away_while_waiting_is_never_executed() -> None:
+    async def main() -> None:
+        async with running(slots=1, token_s=0.002) as (engine, caller):
+            endless = [{"role": "user", "content": "[tokens=100000]"}]
+            response = await caller.chat(messages=endless, stream=True)
+            waiting = await curio.spawn(caller.chat, {"Medlar-Request-Id": "r1"}, daemon=True)
+            await until(lambda: engine.state.waiting == 1)
+            await waiting.cancel()
+            await until(lambda: engine.state.waiting == 0)
+            await response.close()
+            await until(lambda: engine.state.running == 0)
+            assert engine.state.executions == {}
+
+    run(main)
+
+
+def test_waiting_requests_start_by_priority_then_by_arrival() -> None:
+    order: list[str] = []
+
+    async def ask(caller: Caller, name: str, priority: str) -> None:
+        headers = {"Medlar-Priority": priority, "Medlar-Request-Id": name}
+        await (await caller.chat(headers)).read()
+
+    async def main() -> None:
+        async with running(slots=1) as (engine, caller):
+            await caller.call("POST", "/v1/faults", {"freeze_s": 60})
+            tasks = [await curio.spawn(ask, caller, "held", "1")]
+            await until(lambda: engine.state.running == 1)
+            for count, (name, priority) in enumerate([("c", "3"), ("a", "1"), ("b", "1")], 1):
+                tasks.append(await curio.spawn(ask, caller, name, priority))
+                await until(lambda count=count: engine.state.waiting == count)
+            await caller.call("POST", "/v1/faults", {})
+            for task in tasks:
+                await task.join()
+            order.extend(engine.state.executions)
+
+    run(main)
+    assert order == ["held", "a", "b", "c"]
+
+
+@pytest.mark.parametrize("checks_fence", [True, False])
+def test_old_fencing_numbers_are_refused_only_by_engines_that_check(checks_fence: bool) -> None:
+    async def main() -> None:
+        async with running(checks_fence=checks_fence) as (engine, caller):
+            new = {"fence": 7, "action": "load_model", "model": "large"}
+            old = {"fence": 6, "action": "set_role", "role": "decode"}
+            assert (await caller.call("POST", "/v1/orders", new))[0] == 200
+            status, _ = await caller.call("POST", "/v1/orders", old)
+            assert status == (409 if checks_fence else 200)
+            assert engine.state.role == ("mixed" if checks_fence else "decode")
+            assert engine.state.models == ("standin", "large")
+            assert engine.state.highest_fence == 7
+
+    run(main)
+
+
+def test_an_order_outrun_by_a_newer_one_while_loading_is_refused() -> None:
+    async def main() -> None:
+        async with running(checks_fence=True) as (engine, caller):
+            await caller.call("POST", "/v1/faults", {"freeze_s": 60})
+            old = {"fence": 6, "action": "load_model", "model": "old"}
+            loading = await curio.spawn(caller.call, "POST", "/v1/orders", old)
+            await until(lambda: engine.state.highest_fence == 6)
+            new = {"fence": 7, "action": "set_role", "role": "decode"}
+            assert (await caller.call("POST", "/v1/orders", new))[0] == 200
+            await caller.call("POST", "/v1/faults", {})
+            assert (await loading.join())[0] == 409
+            assert engine.state.models == ("standin",)
+
+    run(main)
+
+
+def test_a_stopping_engine_refuses_new_work_and_finishes_what_runs() -> None:
+    async def main() -> None:
+        async with running(token_s=0.002) as (engine, caller):
+            begun = await curio.spawn(caller.stream)
+            await until(lambda: engine.state.running == 1)
+            stop = await curio.spawn(engine.stop)
+            await until(lambda: engine.host.stopping)
+            refused = await caller.chat()
+            await refused.read()
+            assert (refused.status, refused.headers["medlar-outcome"]) == (503, "not_run")
+            assert refused.headers["retry-after"] == "1"
+            assert text_of((await begun.join())[1]) == ANSWER.text()
+            await stop.join()
+            with pytest.raises(errors.RequestNotSentError):
+                await caller.chat()
+
+    run(main)
+
+
+def test_faults_cut_refuse_and_crash() -> None:
+    crashes: list[int] = []
+
+    async def main() -> None:
+        async with running(crashes=crashes) as (engine, caller):
+            await caller.call("POST", "/v1/faults", {"cut_after_tokens": 3})
+            with pytest.raises(errors.UpstreamError):
+                await caller.stream()
+            assert engine.state.tokens_cancelled == 4
+            await caller.call("POST", "/v1/faults", {"refuse": True})
+            refused = await caller.chat()
+            await refused.read()
+            assert refused.headers["medlar-outcome"] == "not_run"
+            await caller.call("POST", "/v1/faults", {"crash_after_tokens": 12})
+            assert crashes == []
+            await caller.stream()
+            assert crashes == [1]
+            assert (await caller.call("POST", "/v1/faults", {"sloow": 2}))[0] == 400
+
+    run(main)
+
+
+def test_a_full_queue_and_bad_requests_are_refused() -> None:
+    async def main() -> None:
+        async with running(slots=1, queue_limit=0) as (engine, caller):
+            assert (await caller.chat(model="unknown")).status == 404
+            assert (await caller.call("POST", "/v1/chat/completions", {}))[0] == 400
+            assert (await caller.call("GET", "/nowhere"))[0] == 404
+            await caller.call("POST", "/v1/faults", {"freeze_s": 60})
+            held = await curio.spawn(caller.chat, daemon=True)
+            await until(lambda: engine.state.running == 1)
+            assert (await caller.chat()).status == 503
+            await held.cancel()
+
+    run(main)
+
+
+def test_cache_changes_are_reported_late_with_gaps_and_evictions() -> None:
+    cache = _standin_cache.PrefixCache(limit=2, lag_s=1.0)
+    assert [cache.use(prefix, 0.0) for prefix in "abac"] == [False, False, True, False]
+    assert not cache.use("b", 0.5)
+    assert cache.take_events(0.9) == ()
+    first = cache.take_events(1.0)
+    assert [(event.change.value, event.prefix) for event in first] == [
+        ("stored", "a"),
+        ("stored", "b"),
+        ("stored", "c"),
+        ("evicted", "b"),
+    ]
+    cache.use("d", 2.0)
+    later = cache.take_events(9.0)
+    assert [event.number for event in first + later] == [1, 2, 3, 4, 5, 6, 8]
+
+
+def test_loads_are_reported_late() -> None:
+    lag = _standin_lag.LoadLag(1.0)
+    assert lag.report(upstream.Load(running=1), 10.0) == upstream.Load()
+    assert lag.report(upstream.Load(running=2), 10.5) == upstream.Load()
+    assert lag.report(upstream.Load(running=3), 11.2) == upstream.Load(running=1, age_s=11.2 - 10.0)
+
+
+def test_settings_come_from_flags_over_a_file(tmp_path: pathlib.Path) -> None:
+    file = tmp_path / "engine.toml"
+    file.write_text('name = "e1"\nslots = 3\nmodels = ["a"]\n')
+    line = ["engine", f"--settings={file}", "--slots=4", "--labels=pool=x,size=l", "--checks_fence"]
+    parsed = _standin_flags.parse(standin_engine.EngineSettings, line)
+    assert (parsed.name, parsed.slots, parsed.models) == ("e1", 4, ("a",))
+    assert parsed.labels == {"pool": "x", "size": "l"}
+    assert parsed.checks_fence
+
+
+@pytest.mark.parametrize("flag", ["--slots=0", "--slots=x", "--nosuch=1", "extra", "--labels=a"])
+def test_wrong_flags_name_the_remedy(flag: str) -> None:
+    with pytest.raises(errors.SettingsError):
+        _standin_flags.parse(standin_engine.EngineSettings, ["engine", flag])
+
+
+def test_the_description_holds_what_was_set() -> None:
+    async def main() -> None:
+        async with running(name="e1", data_centre="salvador", labels={"a": "b"}) as (engine, _):
+            text = msgspec.json.encode(engine.describe())
+            described = msgspec.json.decode(text, type=upstream.Announcement)
+            assert (described.upstream_id, described.data_centre) == ("e1", "salvador")
+            assert described.address == engine.host.address
+
+    run(main)
