--- a/src/medlarfork/journal.py
+++ b/src/medlarfork/journal.py
@@ -1,9 +1,13 @@
 """Keep a replica's records on disk: one file that is appended to and synced.
 
 A snapshot is the first record of a new file, which replaces the old one by a rename; so snapshot
-and journal always fit together. Every frame is checked at start. A bad end of the file that was
-never reported as synced is cut off; anything else that is wrong is refused, since a replica that
-forgot what it promised must not vote.
+and journal always fit together. Every frame is checked at start. A bad end of the file is cut off:
+a write was under way there that was never reported as synced. Anything else that is wrong is
+refused, since a replica that forgot what it promised must not vote.
+
+Two cases look alike in the file and are treated alike. A power cut that loses the beginning of an
+unsynced write but keeps its end is refused like damage, which is safe. A last record that decays
+after its sync is cut off like a torn one, which is not; only the disk itself can prevent that.
 
 The calls block; run them in a thread, one at a time.
 """
--- a/src/medlarfork/replica.py
+++ b/src/medlarfork/replica.py
@@ -5,12 +5,13 @@
 
 **A voter is a replica on one disk.** A replica draws a random disk id when its data folder is
 empty, and memberships in the log name both. A replica that comes back on another disk is therefore
-another member: its votes and acknowledgements count for nothing. The leader that hears from it
-takes the lost disk out of the voters and adds the new one as a learner, in one committed change;
-once the learner has caught up, a second one makes it a voter. Consecutive memberships differ by
-one voter, so their majorities overlap. Say A lost its disk after A and B had committed an entry
-that C lacks: C then needs the vote of B, who refuses a shorter log, and B can't change the
-membership before C holds the entry too.
+another member: its votes and acknowledgements count for nothing, and it answers no vote request
+before its own log lists it. The leader that hears from it takes the lost disk out of the voters
+and adds the new one as a learner, in one committed change; once the learner has caught up, a
+second one makes it a voter. Consecutive memberships differ by one voter, so their majorities
+overlap. Say A lost its disk after A and B had committed an entry that C lacks: C then needs the
+vote of B, who refuses a shorter log, and B can't change the membership before C holds the entry
+too. Until the return is complete, all other voters of a log of three are needed for a majority.
 
 **Founding.** Nothing has to be set for the first start; see ``_replica_founding``. All initial
 voters must be up for it, and if the founder's disk is lost within that moment, all folders have
@@ -21,6 +22,10 @@
 less than the drift margin covers. Where whole machines may be suspended, pass a clock that counts
 the time of suspension. A clock that goes backwards ends leadership and starts every wait anew.
 
+**Order.** Writes must reach the disk in the order of their actions, and an event that an action
+leads to, such as ``SnapshotTaken``, is handed in after the actions before it were performed.
+``Synced`` covers every earlier write too.
+
 **Randomness.** The generator must differ on every start of every replica; a repeated disk id
 would undo the above. So would a data folder that is copied or restored from a backup.
 """
@@ -33,13 +38,13 @@
 from typing import Any
 
 from medlarfork import (
+    _replica_compaction,
     _replica_election,
     _replica_follower,
     _replica_founding,
     _replica_leader,
     _replica_messages,
     _replica_options,
-    _replica_records,
     _replica_state,
     node,
     replica_types,
@@ -82,13 +87,12 @@
         self._founding = _replica_founding.Founding(self._state, initial_voters)
         self._follower = _replica_follower.Follower(self._state)
         self._follower.on_new_term()
+        self._compaction = _replica_compaction.Compaction(self._state)
         self._leader: _replica_leader.Leader | None = None
         self._campaign: _replica_election.Campaign | None = None
         self._election_due = math.inf
         self._wake_at = math.inf
         self._is_started = False
-        self._is_taking_snapshot = False
-        self._snapshot_sequence = 0
 
     @property
     def status(self) -> ReplicaStatus:
@@ -156,7 +160,7 @@
                 self._state.disk.on_synced(token)
                 self._state.log.sync_up_to(self._state.disk.synced)
             case replica_types.SnapshotTaken():
-                self._on_snapshot_taken(event)
+                self._compaction.on_taken(event)
             case replica_types.Propose(proposal_id=proposal_id, command=command):
                 if self._leader is None:
                     self._refuse(proposal_id)
@@ -229,10 +233,11 @@
             )
             state.send(sender, reply)
             return False
-        if message.term > state.term:
+        is_new = message.term > state.term
+        if is_new:
             self._enter_term(message.term)
         state.heard_at = state.now
-        if state.role is not replica_types.Role.FOLLOWER or state.leader_id != sender:
+        if is_new or state.role is not replica_types.Role.FOLLOWER or state.leader_id != sender:
             self._follow(sender)
         self._arm_election()
         return True
@@ -299,7 +304,7 @@
         if self._leader is not None:
             self._leader.advance()
         state.apply()
-        self._take_snapshot_if_due()
+        self._compaction.ask_if_due()
         state.actions.extend(state.disk.flush())
         state.actions.extend(state.disk.release())
         self._wake()
@@ -313,31 +318,6 @@
             self._leader = _replica_leader.Leader(self._state)
             self._leader.on_due()
 
-    def _take_snapshot_if_due(self) -> None:
-        state = self._state
-        if self._is_taking_snapshot or self._snapshot_sequence > state.disk.synced:
-            return
-        snapshot_index = 0 if state.snapshot is None else state.snapshot.index
-        if state.applied_index - snapshot_index >= state.options.snapshot_every_entries:
-            self._is_taking_snapshot = True
-            state.actions.append(replica_types.TakeSnapshot(state.applied_index))
-
-    def _on_snapshot_taken(self, event: replica_types.SnapshotTaken) -> None:
-        state = self._state
-        self._is_taking_snapshot = False
-        is_old = state.snapshot is not None and event.index <= state.snapshot.index
-        if is_old or event.index > state.applied_index:
-            return
-        snapshot = _replica_records.SnapshotRecord(
-            index=event.index,
-            term=state.log.term_at(event.index) or 0,
-            membership=state.log.membership_at(event.index),
-            state=event.state,
-        )
-        state.save_snapshot(snapshot, _replica_records.RECORD_CODEC.pack(snapshot))
-        self._snapshot_sequence = state.disk.written
-        state.log.compact(event.index - state.options.trailing_entries)
-
     def _wake(self) -> None:
         """Ask for the next event by time unless an earlier one is on its way."""
         state = self._state
