Render metrics aside; report the first byte only when the caller has it

The pipe told the node of a first byte when the upstream's first byte arrived, also for answers that are held to go out in one piece. A held answer that broke would have been cut instead of answered or retried, since the node took it for relayed. It is told when a byte has reached the caller now.

A connection whose write had failed was kept in the client's pool; it is closed now.

--- a/src/medlarfork/_http_answer.py
+++ b/src/medlarfork/_http_answer.py
@@ -33,7 +33,7 @@
         closed: Whether the connection has been closed.
     """
 
-    __slots__ = ("_h11", "_pool", "address", "body_bytes", "closed", "stream")
+    __slots__ = ("_broken", "_h11", "_pool", "address", "body_bytes", "closed", "stream")
 
     def __init__(
         self,
@@ -50,6 +50,7 @@
         self.body_bytes = body_bytes
         self.closed = False
         self._pool = pool
+        self._broken = False
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
 
     async def exchange(self, head: h11.Request, body: bytes, give_up_at: float) -> Response:
@@ -95,7 +96,8 @@
         if self.closed:
             return
         reusable = (
-            self._h11.our_state is h11.DONE
+            not self._broken
+            and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
             and not self._h11.trailing_data[0]
         )
@@ -134,7 +136,7 @@
         except TimeoutError as error:
             raise self._timed_out() from error
         except OSError:
-            pass  # The upstream may have answered before it had read everything.
+            self._broken = True  # It may have answered before it had read everything.
 
     async def _read_head(self) -> h11.Response:
         for _ in range(_MOST_INFORMATIONAL):
--- a/src/medlarfork/_http_stream.py
+++ b/src/medlarfork/_http_stream.py
@@ -38,6 +38,7 @@
         return "descriptor"
 
     def fileno(self) -> int:
+        """Return the number that the system knows the socket by."""
         return self._number
 
 
--- a/src/medlarfork/_tally.py
+++ b/src/medlarfork/_tally.py
@@ -39,7 +39,9 @@
 
     def observe(self, _: metrics.CallbackOptions) -> Iterable[metrics.Observation]:
         """Return all counts, as the SDK asks for them."""
+        # Another thread may be rendering: it gets a copy, which is made in one step.
+        counts = list(self._value_by_labels.items())
         return [
             metrics.Observation(value, dict(zip(self._names, labels, strict=True)))
-            for labels, value in self._value_by_labels.items()
+            for labels, value in counts
         ]
--- a/src/medlarfork/conversation.py
+++ b/src/medlarfork/conversation.py
@@ -82,11 +82,6 @@
         """Return whether any byte of an answer has gone to the caller."""
         return self.exchange.started
 
-    @property
-    def begun(self) -> bool:
-        """Return whether any of the answer's content has arrived."""
-        return self.tokens > 0 or bool(self._held)
-
     @property
     def held_bytes(self) -> int:
         """Return the size of a whole answer that waits for its end, in bytes."""
--- a/src/medlarfork/entry_api.py
+++ b/src/medlarfork/entry_api.py
@@ -103,7 +103,7 @@
             case "/readyz":
                 await self._readiness(exchange)
             case "/metrics":
-                body = self._metrics.render()
+                body = await self._metrics.render_aside()
                 await exchange.respond(200, {"Content-Type": telemetry.CONTENT_TYPE}, body)
             case "/v1/entries":
                 answer = self._node.entries(_raw(request_id, head), self._clock())
--- a/src/medlarfork/http_server.py
+++ b/src/medlarfork/http_server.py
@@ -75,7 +75,7 @@
         self._listener: socket.socket | None = None
         self._acceptor: curio.Task | None = None
         self._task_by_connection: dict[_http_connection.Connection, curio.Task] = {}
-        self._refusals = 0
+        self._refusal_by_connection: dict[_http_connection.Connection, curio.Task] = {}
         self._exchanges = 0
         self._none_left = curio.Event()
         self._sweeper = _http_stream.Sweeper(_sweep_period(limits))
@@ -133,7 +133,8 @@
         while self._task_by_connection and time.monotonic() < cut_at:
             self._none_left.clear()
             await curio.ignore_after(cut_at - time.monotonic(), self._none_left.wait)
-        for task in list(self._task_by_connection.values()):
+        left = [*self._task_by_connection.values(), *self._refusal_by_connection.values()]
+        for task in left:
             await task.cancel()
         await self._sweeper.close()
 
@@ -141,23 +142,39 @@
         if self._acceptor is not None:
             await self._acceptor.cancel()
             self._acceptor = None
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        if self._listener is None:
+            return
+        # Callers in the backlog believe themselves connected; closing it would reset them.
+        with contextlib.suppress(OSError):
+            while await self._accept_one(self._listener):
+                pass
+        self._listener.close()
+        self._listener = None
 
     async def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                accepted, _ = listener.accept()
-            except (BlockingIOError, InterruptedError):
+                while await self._accept_one(listener):
+                    pass
                 await traps._read_wait(listener)
-            except ConnectionError:
-                continue  # The caller went before it was accepted.
             except OSError as error:
                 _log.error("can't accept: %s", error)
                 await curio.sleep(_ACCEPT_RETRY_S)
-            else:
-                await self._take(accepted)
+
+    async def _accept_one(self, listener: socket.socket) -> bool:
+        """Take a connection from the backlog; return whether there may be more.
+
+        Raises:
+            OSError: If the system has no descriptor left.
+        """
+        try:
+            accepted, _ = listener.accept()
+        except (BlockingIOError, InterruptedError):
+            return False
+        except ConnectionError:
+            return True  # The caller went before it was accepted.
+        await self._take(accepted)
+        return True
 
     async def _take(self, accepted: socket.socket) -> None:
         """Serve a new connection, or refuse it if there are too many."""
@@ -193,11 +210,11 @@
             self._exchanges -= 1
 
     async def _refuse(self, connection: _http_connection.Connection) -> None:
-        if self._refusals >= _REFUSALS:
+        if len(self._refusal_by_connection) >= _REFUSALS:
             await connection.stream.cut()
             return
-        self._refusals += 1
-        await curio.spawn(self._run_refusal, connection, daemon=True)
+        task = await curio.spawn(self._run_refusal, connection, daemon=True)
+        self._refusal_by_connection[connection] = task
 
     async def _run_refusal(self, connection: _http_connection.Connection) -> None:
         error = errors.HttpLimitError(
@@ -211,7 +228,7 @@
                 await connection.refuse(503, error)
         finally:
             self._sweeper.discard(connection.stream)
-            self._refusals -= 1
+            self._refusal_by_connection.pop(connection, None)
             await connection.stream.close()
 
 
--- a/src/medlarfork/telemetry.py
+++ b/src/medlarfork/telemetry.py
@@ -6,6 +6,7 @@
 import enum
 from collections.abc import Callable, Iterable
 
+import curio
 import prometheus_client
 from opentelemetry import metrics as metrics_api
 from opentelemetry.exporter import prometheus
@@ -66,6 +67,9 @@
 """Returns the present values of a gauge."""
 
 
+_Callback = Callable[[metrics_api.CallbackOptions], Iterable[metrics_api.Observation]]
+
+
 class Telemetry:
     """Keep the metrics of one process; nothing is shared with other instances."""
 
@@ -84,6 +88,8 @@
         self._tokens = _make_tally("account", "class")
         self._wasted = _make_tally("account", "class", "cause")
         self._read_by_gauge: dict[Gauge, ReadGauge] = {}
+        self._readings_by_gauge: dict[Gauge, tuple[Reading, ...]] = {}
+        self._rendering = curio.Lock()
 
     def observe(self, gauge: Gauge, read: ReadGauge) -> None:
         """Read a gauge through ``read``; call this before ``start``."""
@@ -110,9 +116,9 @@
         self._queued = _make_histogram(meter, "medlar_queue_time", "Arrival to first dispatch.")
         self._first = _make_histogram(meter, "medlar_first_token_time", "Arrival to first byte.")
         self._whole = _make_histogram(meter, "medlar_whole_time", "Arrival to the answer's end.")
-        for gauge, read in self._read_by_gauge.items():
+        for gauge in self._read_by_gauge:
             meter.create_observable_gauge(
-                gauge.value, callbacks=[_make_callback(read)], description=_GAUGE_HELP[gauge]
+                gauge.value, callbacks=[self._make_callback(gauge)], description=_GAUGE_HELP[gauge]
             )
 
     def close(self) -> None:
@@ -143,9 +149,31 @@
             self._first.record(finished.first_token_s, labels)
 
     def render(self) -> bytes:
-        """Return all metrics in Prometheus' text format."""
+        """Return all metrics in Prometheus' text format.
+
+        It takes about a second for a thousand pairs of account and class; nothing else runs
+        meanwhile.
+        """
+        self._read_gauges()
         return prometheus_client.generate_latest(self._registry)
 
+    async def render_aside(self) -> bytes:
+        """Return the same as ``render``, while other tasks go on; gauges are read here."""
+        async with self._rendering:
+            self._read_gauges()
+            return await curio.run_in_thread(prometheus_client.generate_latest, self._registry)
+
+    def _make_callback(self, gauge: Gauge) -> _Callback:
+        def _observe(_: metrics_api.CallbackOptions) -> Iterable[metrics_api.Observation]:
+            readings = self._readings_by_gauge.get(gauge, ())
+            return [metrics_api.Observation(item.value, item.labels) for item in readings]
+
+        return _observe
+
+    def _read_gauges(self) -> None:
+        for gauge, read in self._read_by_gauge.items():
+            self._readings_by_gauge[gauge] = tuple(read())
+
 
 def _make_tally(*names: str) -> _tally.Tally:
     return _tally.Tally(names, most=_COUNTER_POINTS - 1)
@@ -162,12 +190,3 @@
         description=description,
         explicit_bucket_boundaries_advisory=BUCKETS_S,
     )
-
-
-def _make_callback(
-    read: ReadGauge,
-) -> Callable[[metrics_api.CallbackOptions], Iterable[metrics_api.Observation]]:
-    def _observe(_: metrics_api.CallbackOptions) -> Iterable[metrics_api.Observation]:
-        return [metrics_api.Observation(reading.value, reading.labels) for reading in read()]
-
-    return _observe
--- a/src/medlarfork/upstream_attempt.py
+++ b/src/medlarfork/upstream_attempt.py
@@ -105,17 +105,18 @@
         held.begin_attempt(self._dispatch, response.status, response.headers)
         streams = response.headers.get("content-type", "").startswith(_EVENT_STREAM)
         at_once = streams and not self._dispatch.assemble
-        async for chunk in response.chunks():
+        while chunk := await response.next_chunk():
             if not at_once:
                 held.hold(attempt_id, chunk)
                 at_once = held.held_bytes > HOLD_BYTES
                 chunk = b""
-            written = at_once and await held.pass_on(attempt_id, chunk)
-            await self._tell_started(written or held.begun)
+            if at_once and await held.pass_on(attempt_id, chunk):
+                await self._tell_started()
         held.check_end()
 
-    async def _tell_started(self, begun: bool) -> None:
-        if begun and not self._started:
+    async def _tell_started(self) -> None:
+        """Report the first byte that has reached the caller; what is held has not."""
+        if not self._started:
             self._started = True
             await self._post(entry_types.AttemptStarted(self._dispatch.attempt_id))
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import curio
 import pytest
 
 from medlarfork import _tally, entry_types, request, telemetry
@@ -96,6 +97,30 @@
     made.close()
 
 
+def test_rendering_aside_gives_the_same_and_lets_other_tasks_run(counted):
+    for number in range(100):
+        counted.record(dataclasses.replace(RECORD, account=f"a{number}"))
+
+    async def main():
+        turns = 0
+
+        async def turn():
+            nonlocal turns
+            while True:
+                turns += 1
+                counted.record(dataclasses.replace(RECORD, account=f"b{turns % 50}"))
+                await curio.sleep(0)
+
+        task = await curio.spawn(turn)
+        aside = await counted.render_aside()
+        assert turns > 1
+        await task.cancel()
+        assert await counted.render_aside() == counted.render()
+        assert b'account="a99"' in aside
+
+    curio.run(main)
+
+
 def test_label_values_can_not_break_the_format(counted):
     counted.record(dataclasses.replace(RECORD, account='a"} 9\nevil 1'))
     assert not [line for line in lines(counted) if line.startswith("evil")]
