--- a/src/medlarfork/control_session.py
+++ b/src/medlarfork/control_session.py
@@ -16,6 +16,8 @@
     entry_types,
     errors,
     heartbeat,
+    inventory,
+    inventory_reporter,
     member,
     node,
 )
@@ -40,8 +42,19 @@
     previous: member.View
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutOfServiceApplied:
+    """Action: another list of upstreams is out of service from now on."""
+
+    upstream_ids: tuple[str, ...]
+
+
 class ControlSession:
-    """Send a heartbeat each second and apply what the leader answers, upwards only."""
+    """Send a heartbeat each second and apply what the leader answers, upwards only.
+
+    Attributes:
+        upstreams: Reports the upstreams whose pools are owned here.
+    """
 
     def __init__(
         self,
@@ -64,6 +77,8 @@
         self._asked_since = math.inf
         self._base_is_damaged = False
         self._current = heartbeat.RevisionedConfiguration(0, configuration.Configuration())
+        self._out_of_service_version = 0
+        self.upstreams = inventory_reporter.InventoryReporter(options.entry_id)
         self.view = member.View()
         self.wake_at = -math.inf
 
@@ -110,14 +125,26 @@
         """Send a heartbeat at once, as when this host's state has changed."""
         return self._beat(now, leaving=leaving)
 
+    def report(self) -> tuple[Any, ...]:
+        """Send control what has changed among the upstreams."""
+        reports = self.upstreams.take_reports() if self._options.control_ids else ()
+        return tuple(node.Send(self.leader_id, report) for report in reports)
+
     def _on_message(self, sender: str, message: Any, now: float) -> tuple[Any, ...]:
         match message:
             case heartbeat.HeartbeatReply():
                 return self._on_reply(sender, message, now)
             case heartbeat.NotLeader(leader_id):
                 return self._on_not_leader(sender, leader_id, now)
-            case heartbeat.RevisionNotice(revision, version):
-                if revision > self.revision or version > self.view.version:
+            case inventory.ResendInventory(entry_id) if entry_id == self._options.entry_id:
+                self.upstreams.resend()
+                return ()
+            case heartbeat.RevisionNotice(revision, version, out_version):
+                if sender != self.leader_id and version[:1] > self.view.version[:1]:
+                    # A newer term's leader; the one asked so far may never answer again.
+                    self._turn_to(self._options.control_ids.index(sender))
+                out_is_newer = out_version > self._out_of_service_version
+                if revision > self.revision or version > self.view.version or out_is_newer:
                     self.wake_at = min(self.wake_at, self._sent_at + _NOTICE_PAUSE_S)
                 return self._beat(now) if now >= self.wake_at else ()
             case _:
@@ -138,7 +165,13 @@
         # Revision 0 makes control send the whole configuration.
         revision = 0 if self._base_is_damaged else self.revision
         beat = heartbeat.Heartbeat(
-            self._member_now(), self._number, revision, self.view.version, leaving
+            self._member_now(),
+            self._number,
+            revision,
+            self.view.version,
+            leaving,
+            self.upstreams.digest,
+            self._out_of_service_version,
         )
         return (node.Send(self.leader_id, beat),)
 
@@ -172,7 +205,11 @@
         self._target = self._options.control_ids.index(sender)
         # The leader renewed the lease when it got the heartbeat, which was after it was sent.
         self._lease_from = max(self._lease_from, sent_at)
-        actions = [*self._apply_configuration(reply), *self._apply_view(reply)]
+        actions = [
+            *self._apply_configuration(reply),
+            *self._apply_view(reply),
+            *self._apply_out_of_service(reply),
+        ]
         if self.revision >= reply.revision > 0:
             self._proved_at = max(self._proved_at, sent_at)
         return tuple(actions)
@@ -203,3 +240,12 @@
         previous = self.view
         self.view = reply.view
         return (ViewApplied(previous),)
+
+    def _apply_out_of_service(
+        self, reply: heartbeat.HeartbeatReply
+    ) -> tuple[OutOfServiceApplied, ...]:
+        out = reply.out_of_service
+        if out is None or out.version <= self._out_of_service_version:
+            return ()
+        self._out_of_service_version = out.version
+        return (OutOfServiceApplied(out.upstream_ids),)
--- a/src/medlarfork/entry.py
+++ b/src/medlarfork/entry.py
@@ -37,6 +37,7 @@
     parse,
     pool,
     pool_directory,
+    pool_events,
     record,
     ticket,
 )
@@ -82,6 +83,7 @@
         """Handle an event at a monotonic time in seconds and return the actions, in order."""
         actions = self._follow(self._on_event(event, now), now)
         actions += self._follow(self._advance_stage(now), now)
+        actions += self._session.report()
         actions += self._wake(now)
         return tuple(actions)
 
@@ -211,7 +213,10 @@
                 case node.Send(to, message) if to == self._options.entry_id:
                     waiting.extend(self._on_message(to, message, now))
                 case pool_directory.ToPool(pool_name, event):
+                    self._note_upstream(pool_name, event)
                     waiting.extend(self._pools.handle(pool_name, event, now))
+                case control_session.OutOfServiceApplied(upstream_ids):
+                    waiting.extend(self._pools.set_out_of_service(upstream_ids, now))
                 case control_session.ViewApplied(previous):
                     waiting.extend(self._on_view(previous, now))
                 case entry_types.ConfigurationApplied():
@@ -221,6 +226,14 @@
                     left.append(action)
         return left
 
+    def _note_upstream(self, pool_name: str, event: pool_events.UpstreamEvent) -> None:
+        """Tell control of an upstream whose pool is owned here."""
+        match event:
+            case pool_events.UpstreamGone(upstream_id):
+                self._session.upstreams.forget(upstream_id)
+            case _ if self._requests.owned.owns(pool_name):
+                self._session.upstreams.note(event.announcement)
+
     def _on_view(self, previous: member.View, now: float) -> Iterable[Any]:
         current = self._session.view.member_by_id
         lost = {
@@ -239,12 +252,17 @@
     def _reconfigure(self, restarted: frozenset[str], now: float) -> Iterable[Any]:
         """Put the session's configuration and view in force; takes time linear in all state."""
         declared = self._session.configuration
-        owned = ownership.Ownership(self._options.entry_id, declared, self._session.view)
+        view, before = self._session.view, self._requests.owned
+        owned = ownership.Ownership(self._options.entry_id, declared, view, before)
         self._requests.owned = owned
         names = frozenset(name for item in declared.services for name in owned.pools(item.name))
         self._requests.shards.keep_only(names)
         moved = self._directory.apply(declared, owned, now)
         handed = self._pools.apply(declared, owned, now)
+        leases = self._directory.leases
+        self._session.upstreams.keep(
+            lease.announcement for lease in leases if owned.owns(lease.pool)
+        )
         changed = entry_flow.OwnersChanged(restarted)
         return (*handed, *moved, *self._requests.handle_all(changed, now))
 
--- a/src/medlarfork/entry_pools.py
+++ b/src/medlarfork/entry_pools.py
@@ -41,6 +41,7 @@
         self._owned = ownership.Ownership(entry_id, self._declared, member.View())
         self._pool_by_name: dict[str, owned_pool.OwnedPool] = {}
         self._owned_before: frozenset[str] = frozenset()
+        self._out_of_service: tuple[str, ...] = ()
         self._timers = _timer_heap.TimerHeap()
 
     def __len__(self) -> int:
@@ -70,6 +71,14 @@
                 told += self._ensure(name, now)
         return tuple(told)
 
+    def set_out_of_service(
+        self, upstream_ids: tuple[str, ...], now: float
+    ) -> tuple[node.Send, ...]:
+        """Give these upstreams no new work from now on, and others that were out some again."""
+        self._out_of_service = upstream_ids
+        names = tuple(self._pool_by_name)
+        return tuple(sent for name in names for sent in self.handle(name, self._policy(name), now))
+
     def on_message(
         self,
         sender: str,
@@ -147,7 +156,10 @@
         declared = self._declared
         service = declared.service_by_name[self._owned.service_of(pool)]
         return pool_events.PolicyChanged(
-            declared.classes, declared.accounts, service, declared.drained_upstreams
+            declared.classes,
+            declared.accounts,
+            service,
+            (*declared.drained_upstreams, *self._out_of_service),
         )
 
     def _give_up(self) -> tuple[node.Send, ...]:
--- a/src/medlarfork/entry_queries.py
+++ b/src/medlarfork/entry_queries.py
@@ -63,7 +63,7 @@
         self, raw: entry_types.RawRequest, now: float, *, named: bool
     ) -> entry_types.Answer:
         """Answer ``GET /v1/entries``; ``named`` says whether this host may be named."""
-        but = () if named and self.standing(now, refusing=False).usable else (self._entry_id,)
+        but = () if named and self._session.is_proven(now) else (self._entry_id,)
         members = self._nameable(but)
         # A host that can't vouch for itself is still better than none at all.
         members = members or self._nameable(())
--- a/src/medlarfork/ownership.py
+++ b/src/medlarfork/ownership.py
@@ -15,12 +15,27 @@
     """Rank the live serving entry hosts for each pool of one configuration and view."""
 
     def __init__(
-        self, entry_id: str, declared: configuration.Configuration, view: member.View
+        self,
+        entry_id: str,
+        declared: configuration.Configuration,
+        view: member.View,
+        previous: Ownership | None = None,
     ) -> None:
-        """Rank within a configuration and a view; ``entry_id`` is the host that asks."""
+        """Rank within a configuration and a view.
+
+        Args:
+            entry_id: The host that asks.
+            previous: The ranking before this one; it saves most of the work if few entry hosts
+                came or went since.
+        """
         self._entry_id = entry_id
-        self._candidates = _candidates(entry_id, declared, view)
+        self._candidates = frozenset(_candidates(entry_id, declared, view))
         self._owners_by_pool: dict[str, tuple[str, ...]] = {}
+        self._previous_by_pool: dict[str, tuple[str, ...]] = {}
+        self._joined: frozenset[str] = frozenset()
+        if previous is not None:
+            self._previous_by_pool = previous._owners_by_pool
+            self._joined = self._candidates - previous._candidates
         self._pools_by_service = {
             service.name: tuple(pool_name(service.name, shard) for shard in range(service.shards))
             for service in declared.services
@@ -43,10 +58,20 @@
             return ()
         owners = self._owners_by_pool.get(pool)
         if owners is None:
-            owners = rendezvous.rank(pool, self._candidates)[:ASKED]
+            owners = rendezvous.rank(pool, self._contenders(pool))[:ASKED]
             self._owners_by_pool[pool] = owners
         return owners
 
+    def _contenders(self, pool: str) -> frozenset[str]:
+        """Return the hosts among which the pool's best are.
+
+        While none of the best has gone, only those and the newcomers can be among the best.
+        """
+        before = frozenset(self._previous_by_pool.get(pool, ()))
+        if before and before <= self._candidates:
+            return before | self._joined
+        return self._candidates
+
     def hearers(self, pool: str) -> tuple[str, ...]:
         """Return the owner and the standby of a pool."""
         return self.owners(pool)[:SERVED]
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -197,6 +197,7 @@
         self.loss = 0.0
         self.copies = 0.0
         self.delay_s = 0.001
+        self.jitter = (0.5, 1.5)
         self.chance = random.Random(7)
         self._order = itertools.count()
         self._due: list[tuple[float, int, str, Any]] = []
@@ -247,7 +248,7 @@
         if sender in self.cut or to in self.cut or self.chance.random() < self.loss:
             return
         for _ in range(2 if self.chance.random() < self.copies else 1):
-            at = self.now + self.chance.uniform(0.5, 1.5) * self.delay_s
+            at = self.now + self.chance.uniform(*self.jitter) * self.delay_s
             self._push(at, to, node.MessageReceived(sender, message))
 
     def _push(self, at: float, to: str, event: Any) -> None:
--- a/tests/test_control_session.py
+++ b/tests/test_control_session.py
@@ -76,6 +76,8 @@
     driven.reply(0.3, revision=2, delta=delta)
     assert driven.session.configuration == SECOND.configuration
     assert driven.reply(0.4, revision=2, delta=delta) == []
+    driven.tick(1.0)
+    assert driven.sent[-1].message.revision == 2
 
 
 def test_a_damaged_delta_makes_the_session_ask_for_the_whole(driven):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,13 +6,20 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from medlarfork import (
     claim,
     entry_settings,
     entry_types,
+    errors,
     heartbeat,
+    identify,
+    member,
     node,
+    parse,
+    rendezvous,
     request,
     ticket,
     upstream,
@@ -104,10 +111,11 @@
 
 def test_bounds_on_requests_and_bytes_are_kept_and_given_back():
     world = entry_world.World(request_limit=1)
+    world.announce("e1", "u1")
     world.post("e1", entry_world.chat("r1"))
     world.post("e1", entry_world.chat("r2"))
     assert answered(world) == (503, "overloaded", "not_run")
-    world.post("e1", entry_types.CallerGone("r1"))
+    end(world, "r1.1", Result.COMPLETE)
     world.post("e1", entry_world.chat("r3"))
     assert not world.take(entry_types.Answer)
     small = entry_world.World(held_bytes_limit=10)
@@ -220,14 +228,18 @@
     assert only(world.take(entry_types.FinishRelay)).complete is True
 
 
-def test_a_shed_request_learns_when_to_try_again(world):
+@pytest.mark.parametrize(
+    ("seconds", "whole", "milliseconds"), [(1.2, "2", "1200"), (0.0, "1", "0")]
+)
+def test_a_shed_request_learns_when_to_try_again(world, seconds, whole, milliseconds):
     for request_id in ("r1", "r2", "r3"):
         world.post("e1", entry_world.chat(request_id))
-    shed = ticket.Shed("r3.1", "e1", "lm/0", ticket.ShedReason.OVERLOADED, 1.2)
+    shed = ticket.Shed("r3.1", "e1", "lm/0", ticket.ShedReason.OVERLOADED, seconds)
     world.post("e1", node.MessageReceived("e1", shed))
     answer = world.take(entry_types.Answer)[0]
     assert (answer.status, answer.outcome) == (503, Outcome.NOT_RUN)
-    assert (answer.headers["Retry-After"], answer.headers["Retry-After-Ms"]) == ("2", "1200")
+    headers = answer.headers
+    assert (headers["Retry-After"], headers["Retry-After-Ms"]) == (whole, milliseconds)
 
 
 def test_a_caller_that_leaves_frees_its_slot(world):
@@ -300,9 +312,12 @@
     replay = only(world.take(entry_types.Answer))
     assert (replay.request_id, replay.status, replay.body) == ("h2", 201, b"held")
     assert replay.headers == {"Medlar-Replayed": "true", "Idempotency-Key": "k1"}
-    world.post("e1", entry_world.hold("h3", "k1", b"other"))
-    world.run(0.1)
-    assert only(world.take(entry_types.Answer)).status == 422
+    headers = {"idempotency-key": "k1"}
+    other = entry_world.arrival("h4", "POST", "/services/desk/holds2", b"{}", headers)
+    for reused in (entry_world.hold("h3", "k1", b"other"), other):
+        world.post("e1", reused)
+        world.run(0.1)
+        assert only(world.take(entry_types.Answer)).status == 422
 
 
 def test_a_broken_call_is_never_sent_again(world):
@@ -318,6 +333,20 @@
     assert not world.take(entry_types.Dispatch)
 
 
+@pytest.mark.parametrize("gone", [True, False])
+def test_a_call_that_was_cancelled_after_its_dispatch_may_have_run(world, gone):
+    world.post("e1", entry_world.hold("h1", "k1"))
+    world.run(0.1)
+    if gone:
+        world.post("e1", entry_types.CallerGone("h1"))
+    world.run(20.0)
+    assert only(world.take(entry_types.CancelAttempt)).attempt_id == "h1.1"
+    end(world, "h1.1", Result.BROKEN)
+    assert only(world.take(entry_types.Record)).outcome is Outcome.MAY_HAVE_RUN
+    world.run(0.1)
+    assert world.control.claim_by_key[claim.ClaimKey("shop", "k1")][1:3] == [None, True]
+
+
 def test_a_call_that_the_upstream_refused_queues_again_under_its_claim(world):
     world.post("e1", entry_world.hold("h1", "k1"))
     world.run(0.1)
@@ -354,23 +383,39 @@
     assert world.node_by_id["e1"].status(world.now).unconfirmed == 0
 
 
-def test_a_claimed_call_is_not_dispatched_once_control_may_count_this_host_as_lost():
-    world = entry_world.World()
-    world.post("e1", entry_world.hold("h1", "k1"))
+@pytest.mark.parametrize(("periods", "dispatches"), [(1, True), (4, False)])
+def test_a_claimed_call_is_not_dispatched_once_control_may_count_this_host_as_lost(
+    world, periods, dispatches
+):
+    for number in (1, 2, 3):
+        world.post("e1", entry_world.hold(f"h{number}"))
     world.run(0.1)
+    first, _ = world.take(entry_types.Dispatch)
     world.cut |= {"c1", "c2", "c3"}
+    for _ in range(periods):
+        world.run(0.9)
+        world.announce("e1", "d1", app="desk")
+    end(world, first.attempt_id, Result.COMPLETE)
+    assert bool(world.take(entry_types.Dispatch)) is dispatches
+    refused = [item.status for item in world.take(entry_types.Answer)]
+    assert refused == ([] if dispatches else [503])
+
+
+def test_a_duplicate_of_a_call_that_does_not_end_is_told_that_it_may_have_run(world):
+    world.post("e1", entry_world.hold("h1", "k1"))
+    world.run(10.0)
+    world.post("e1", entry_world.hold("h2", "k1"))
     world.run(1.0)
-    world.announce("e1", "d1", app="desk", state=upstream.UpstreamState.READY)
-    assert len(world.take(entry_types.Dispatch)) == 1
-    late = entry_world.World()
-    late.post("e1", entry_world.hold("h1", "k1"))
-    late.run(0.1)
-    late.cut |= {"c1", "c2", "c3"}
-    for _ in range(4):
-        late.run(0.9)
-        late.announce("e1", "x1", app="none")
-    late.announce("e1", "d1", app="desk")
-    assert not late.take(entry_types.Dispatch)
+    world.cut |= {"c1", "c2", "c3"}
+    world.run(3.1)
+    assert answered(world) == (409, "uncertain", "may_have_run")
+    world.cut.clear()
+    world.run(3.0)
+    world.post("e1", entry_world.hold("h3", "k1"))
+    world.take(entry_types.Dispatch)
+    world.run(20.1)
+    answer = only(world.take(entry_types.Answer))
+    assert (answer.request_id, answer.status, answer.outcome) == ("h3", 409, "may_have_run")
 
 
 def test_an_undated_key_is_refused_where_the_configuration_asks_for_dates(world):
@@ -465,6 +510,7 @@
         world.run(0.2)
     assert len(world.take(entry_types.Drained)) == 1
     assert [item.entry_id for item in world.control.view.members] == ["e2"]
+    assert handled(world, "c1", heartbeat.RevisionNotice(9, (9, 9))) == []
     world.run(3.0)
     assert [item.entry_id for item in world.control.view.members] == ["e2"]
 
@@ -485,6 +531,28 @@
     assert len(world.take(entry_types.Drained)) == 1
 
 
+def test_entries_put_the_near_data_centre_first_and_leave_out_who_can_not_vouch_for_itself():
+    world = entry_world.World(("e1", "e2", "e3"))
+    near = entry_types.RawRequest("q", "GET", "/v1/entries", "dc=north", {}, b"")
+    view = tuple(
+        dataclasses.replace(item, data_centre="north" if item.entry_id == "e3" else "south")
+        for item in world.control.view.members
+    )
+    world.control.refresh = lambda now: None
+    world.control.view = member.View((9, 0), view)
+    world.run(1.1)
+    node_ = world.node_by_id["e1"]
+    firsts = {json.loads(node_.entries(near, world.now).body)["entries"][0]["address"]}
+    assert firsts == {"http://e3"}
+    spread = [json.loads(node_.entries(near, world.now).body)["entries"][1] for _ in range(30)]
+    assert {item["address"] for item in spread} == {"http://e1", "http://e2"}
+    world.cut |= {"c1", "c2", "c3"}
+    world.run(6.0)
+    body = json.loads(node_.entries(near, world.now).body)
+    assert [item["address"] for item in body["entries"]] == ["http://e3", "http://e2"]
+    assert body["lifetime_s"] == 10.0
+
+
 def test_models_explain_and_status_tell_what_there_is(world):
     entry = world.node_by_id["e1"]
     listed = json.loads(entry.models(entry_world.arrival("q", "GET", "/v1/models").raw).body)
@@ -496,3 +564,116 @@
         ("d1", False),
     ]
     assert entry.status(world.now).revision == 1
+
+
+@given(
+    method=st.sampled_from(("GET", "POST")),
+    path=st.sampled_from(("/v1/chat/completions", "/services/desk/a%2Fb", "/services/desk", "/x")),
+    body=st.sampled_from(
+        (b"", b"[]", b'{"model": "small"}', b'{"model": "small", "messages": []}', b"\xff")
+    ),
+    scheme=st.sampled_from(("Bearer ", "bearer ", "Basic ", "")),
+    key=st.sampled_from((entry_world.KEY, "other", "")),
+)
+def test_parse_and_identify_agree_with_a_naive_version(method, path, body, scheme, key):
+    raw = entry_types.RawRequest("r", method, path, "", {"authorization": scheme + key}, body)
+
+    def naive():
+        if path.startswith("/services/"):
+            found = ("desk", path.removeprefix("/services/desk") or "/")
+        elif path != "/v1/chat/completions":
+            return 404
+        elif method != "POST":
+            return 405
+        else:
+            try:
+                found = json.loads(body)["model"]
+                json.loads(body)["messages"]
+            except (ValueError, KeyError, TypeError):
+                return 400
+        return found if scheme.lower() == "bearer " and key == entry_world.KEY else 401
+
+    try:
+        parsed = parse.parse(raw)
+        identify.identify(entry_world.declared(), raw.headers)
+        got = parsed.model or (parsed.service, parsed.path)
+    except errors.RequestRefusedError as error:
+        got = error.status
+    assert got == naive()
+
+
+def test_a_claim_granted_to_an_earlier_incarnation_is_not_used(world):
+    world.cut |= {"c1", "c2", "c3"}
+    world.post("e1", entry_world.hold("h1", "k1"))
+    holder = claim.Holder("e1", 0, "h1")
+    reply = claim.ClaimReply(claim.ClaimKey("shop", "k1"), holder, claim.Verdict.GRANTED)
+    assert handled(world, "c1", reply) == []
+    other = dataclasses.replace(reply, holder=claim.Holder("e1", 1, "h1"))
+    assert handled(world, "e2", other) == []
+    assert not world.take(entry_types.Dispatch)
+
+
+def test_a_release_is_sent_again_until_the_owner_confirms_it():
+    world = entry_world.World(("e1", "e2"))
+    pool = world.node_by_id["e1"].explain(entry_world.chat("x").raw, "shop", world.now).pools[0]
+    world.announce(pool.owner, "u1")
+    world.post(pool.standby, entry_world.chat("r1"))
+    world.run(0.1)
+    world.cut.add(pool.owner)
+    end(world, "r1.1", Result.COMPLETE, pool.standby)
+    world.run(0.1)
+    world.cut.clear()
+    world.run(1.0)
+    pools = world.node_by_id[pool.owner].status(world.now).pools
+    assert [item.running for item in pools if item.pool == "lm/0"] == [0]
+    assert world.node_by_id[pool.standby].status(world.now).unconfirmed == 0
+
+
+def test_a_release_to_a_host_that_never_answers_is_given_up(world):
+    grant = ticket.Grant("r9.1", "e1", "lm/0", "u1", "http://u1")
+    world.post("e1", node.MessageReceived("e2", grant))
+    world.run(10.0)
+    assert world.node_by_id["e1"].status(world.now).unconfirmed == 1
+    world.run(15.0)
+    assert world.node_by_id["e1"].status(world.now).unconfirmed == 0
+
+
+def test_a_new_owner_takes_over_what_runs_and_what_waits(world):
+    for request_id in ("r1", "r2", "r3"):
+        world.post("e1", entry_world.chat(request_id))
+    world.jitter = (1.0, 1.0)
+    newcomers = [f"e{number}" for number in range(2, 20)]
+    first = next(item for item in newcomers if rendezvous.rank("lm/0", ("e1", item))[0] == item)
+    world.node_by_id[first] = entry_world.make_node(first)
+    world.post(first, node.Started())
+    world.run(1.2)
+    held = {item.pool: item for item in world.node_by_id[first].status(world.now).pools}
+    assert (held["lm/0"].running, held["lm/0"].queued) == (2, 1)
+    left = world.node_by_id["e1"].status(world.now).pools
+    assert "lm/0" not in {item.pool for item in left}
+    world.take(entry_types.Dispatch)
+    end(world, "r1.1", Result.COMPLETE)
+    world.run(0.1)
+    assert dispatched(world).attempt_id == "r3.2"
+
+
+def test_a_host_that_is_left_out_of_the_view_keeps_its_own_slots(world):
+    for request_id in ("r1", "r2"):
+        world.post("e1", entry_world.chat(request_id, model="long"))
+    world.take(entry_types.Dispatch)
+    world.control.refresh = lambda now: None
+    world.control.view = member.View((9, 9))
+    for _ in range(20):
+        world.run(2.0)
+        world.announce("e1", "u1")
+    world.post("e1", entry_world.chat("r3"))
+    assert not world.take(entry_types.Dispatch)
+
+
+def test_messages_about_tickets_of_others_are_ignored(world):
+    foreign = ticket.Ticket("x.1", "e2", "lm/0", "shop", "chat", 1, 0.0, 9.0)
+    assert handled(world, "e3", foreign) == []
+    assert handled(world, "e3", ticket.Running(foreign, "u1", 0.0)) == []
+    elsewhere = dataclasses.replace(foreign, pool="none/0")
+    shed = only(handled(world, "e2", elsewhere)).message
+    assert shed.reason is ticket.ShedReason.NOT_OWNER
--- a/tests/test_entry_machine.py
+++ b/tests/test_entry_machine.py
@@ -51,6 +51,7 @@
         self.world = entry_world.World(ENTRY_IDS)
         self.number = 0
         self.incarnation = 1
+        self.incarnation_by_id = dict.fromkeys(ENTRY_IDS, 1)
         self.open_by_id: dict[str, Attempt] = {}
         self.executed_by_key = collections.Counter()
         self.executed_by_request = collections.Counter()
@@ -58,7 +59,10 @@
         self.home_by_request: dict[str, str] = {}
         self.ready_at = dict.fromkeys(UPSTREAM_IDS, -1e9)
         self.revision_by_id = dict.fromkeys(ENTRY_IDS, 0)
-        self.dispatched: set[str] = set()
+        self.dispatched: dict[str, str] = {}
+        self.silent: set[str] = set()
+        self.relayed: set[str] = set()
+        self.tokens_by_request: dict[str, int | None] = {}
         for item in UPSTREAM_IDS:
             self.announce(item, "e1")
         self.settle()
@@ -83,7 +87,9 @@
 
     def on_dispatch(self, entry_id, action):
         assert action.attempt_id not in self.dispatched
-        self.dispatched.add(action.attempt_id)
+        self.dispatched[action.attempt_id] = entry_id
+        kept = self.tokens_by_request.get(action.request_id, 0)
+        assert action.resume_offset == kept, "goes on where it can't be joined"
         open_for = [item.request_id for item in self.open_by_id.values()]
         assert action.request_id not in open_for, "two attempts at once"
         silent_s = self.world.now - self.ready_at[action.upstream_id]
@@ -106,16 +112,24 @@
         attempt = self.open_by_id.pop(attempt_id, None)
         if attempt is None:
             return
-        if result in (Result.REFUSED, Result.NOT_SENT):
+        refused = result in (Result.REFUSED, Result.NOT_SENT)
+        if refused:
             self.executed_by_request[attempt.request_id] -= 1
             if attempt.key:
                 self.executed_by_key[attempt.key] -= 1
-        tokens = attempt.resume_offset + 2
+        tokens = attempt.resume_offset + (0 if refused else 2)
+        resumable = bool(tokens % 3)
+        if not refused:
+            if relayed:
+                self.relayed.add(attempt.request_id)
+            lost = None if attempt.request_id in self.relayed else 0
+            self.tokens_by_request[attempt.request_id] = tokens if resumable else lost
         if relayed:
             self.world.post(attempt.entry_id, entry_types.AttemptStarted(attempt_id))
+        reached = attempt.request_id in self.relayed
         answer = claim.StoredAnswer(200, "text/plain", b"x")
         ended = entry_types.AttemptEnded(
-            attempt_id, result, 200, tokens, relayed, bool(tokens % 3), answer
+            attempt_id, result, 200, tokens, reached, resumable, answer
         )
         self.world.post(attempt.entry_id, ended)
 
@@ -145,34 +159,56 @@
         request_id = f"r{self.number}"
         self.home_by_request[request_id] = entry_id
         self.world.post(entry_id, make(request_id))
+        self.pause()
 
+    def pause(self):
+        """Let messages of a healthy network arrive."""
+        self.world.run(0.02)
+        self.settle()
+
+    @stateful.precondition(lambda self: self.open_by_id)
     @stateful.rule(chosen=st.integers(0, 99), result=st.sampled_from(Result), relayed=st.booleans())
     def end_attempt(self, chosen, result, relayed):
-        if self.open_by_id:
-            refused = result in (Result.REFUSED, Result.NOT_SENT)
-            attempt_id = sorted(self.open_by_id)[chosen % len(self.open_by_id)]
-            self.end(attempt_id, result, relayed and not refused)
+        refused = result in (Result.REFUSED, Result.NOT_SENT)
+        attempt_id = sorted(self.open_by_id)[chosen % len(self.open_by_id)]
+        self.end(attempt_id, result, relayed and not refused)
+        self.pause()
 
+    @stateful.precondition(lambda self: self.home_by_request)
     @stateful.rule(chosen=st.integers(0, 99))
     def leave(self, chosen):
-        if self.home_by_request:
-            request_id = sorted(self.home_by_request)[chosen % len(self.home_by_request)]
-            home = self.home_by_request[request_id]
-            self.world.post(home, entry_types.CallerGone(request_id))
+        request_id = sorted(self.home_by_request)[chosen % len(self.home_by_request)]
+        home = self.home_by_request[request_id]
+        self.world.post(home, entry_types.CallerGone(request_id))
 
+    @stateful.precondition(lambda self: self.open_by_id)
     @stateful.rule(chosen=st.integers(0, 99), owner=entry_ids)
     def preempt(self, chosen, owner):
-        if self.open_by_id:
-            attempt_id = sorted(self.open_by_id)[chosen % len(self.open_by_id)]
-            home = self.open_by_id[attempt_id].entry_id
-            message = ticket.Preempt(attempt_id, home, "lm/0")
-            self.world.post(home, node.MessageReceived(owner, message))
+        attempt_id = sorted(self.open_by_id)[chosen % len(self.open_by_id)]
+        home = self.open_by_id[attempt_id].entry_id
+        message = ticket.Preempt(attempt_id, home, "lm/0")
+        self.world.post(home, node.MessageReceived(owner, message))
 
     @stateful.rule(seconds=st.sampled_from((0.01, 0.2, 1.0, 4.0)))
     def wait(self, seconds):
-        for _ in range(10):
+        for step in range(10):
             self.world.run(seconds / 10)
             self.settle()
+            for upstream_id in sorted(set(UPSTREAM_IDS) - self.silent):
+                self.announce(upstream_id, ENTRY_IDS[step % 3])
+
+    @stateful.rule(silent=st.sampled_from(((), (), ("u1",), ("d1",))))
+    def fall_silent(self, silent):
+        self.silent = set(silent)
+
+    @stateful.rule(chosen=st.integers(0, 99), result=st.sampled_from(Result))
+    def repeat_an_old_end(self, chosen, result):
+        old = sorted(set(self.dispatched) - set(self.open_by_id))
+        if old:
+            attempt_id = old[chosen % len(old)]
+            late = entry_types.AttemptEnded(attempt_id, result, 200, 1, True)
+            self.world.post(self.dispatched[attempt_id], entry_types.AttemptStarted(attempt_id))
+            self.world.post(self.dispatched[attempt_id], late)
 
     @stateful.rule(
         loss=st.sampled_from((0.0, 0.3)),
@@ -199,6 +235,7 @@
             entry_id, seed=self.incarnation, incarnation=self.incarnation
         )
         self.revision_by_id[entry_id] = 0
+        self.incarnation_by_id[entry_id] = self.incarnation
         for attempt_id, attempt in tuple(self.open_by_id.items()):
             if attempt.entry_id == entry_id:
                 del self.open_by_id[attempt_id]
@@ -216,7 +253,7 @@
         self.settle()
         self.change_network(0.0, 0.0, 0.001)
         self.world.cut = set()
-        for _ in range(120):
+        for _ in range(75):
             for attempt_id in sorted(self.open_by_id):
                 self.end(attempt_id, Result.COMPLETE)
             for upstream_id in UPSTREAM_IDS:
@@ -224,6 +261,9 @@
             self.world.run(1.0)
             self.settle()
         assert not self.home_by_request
+        for holder, _, finished, _ in self.world.control.claim_by_key.values():
+            current = self.incarnation_by_id[holder.entry_id] == holder.incarnation
+            assert finished or not current, "a claim is left behind"
         for entry in self.world.node_by_id.values():
             status = entry.status(self.world.now)
             assert (status.requests, status.held_bytes, status.unconfirmed) == (0, 0, 0)
@@ -232,4 +272,4 @@
 
 
 TestEntryMachine = EntryMachine.TestCase
-TestEntryMachine.settings = settings(max_examples=25, stateful_step_count=40)
+TestEntryMachine.settings = settings(max_examples=80, stateful_step_count=50)
