Plan orders to engines under a fenced lease

A holder's number grows with each holder; engines that check it refuse an older one, and for the others a new holder waits out the old lease and the longest order before its first. Engines are read back before they are ordered, so that an order whose effect is there is not repeated. Loads keep to the weight store's rate.

--- a/src/medlarfork/_engine_progress.py
+++ b/src/medlarfork/_engine_progress.py
@@ -6,6 +6,9 @@
 
 from medlarfork import order_types
 
+MAX_REPEATS = 6
+"""After how many fruitless repeats of one action the wait between them grows no more."""
+
 
 class Phase(enum.Enum):
     """Name what the planner does next with an engine at its ``due`` time.
@@ -32,6 +35,18 @@
     RESOLVING = enum.auto()
 
 
+_REASON_BY_PHASE = {
+    Phase.UNREAD: "its state has to be read",
+    Phase.READING: "its state is being read",
+    Phase.QUEUED: "the weight store has no free lane",
+    Phase.MARKING: "the log has to take it out of service or put it back",
+    Phase.DRAINING: "its running requests have to finish",
+    Phase.RECORDING: "the log has to record the order",
+    Phase.RESOLVING: "the log has to record the result",
+}
+"""What operators are told of an engine that waits."""
+
+
 class EngineProgress:
     """Hold the mutable progress with one engine.
 
@@ -39,6 +54,7 @@
         order: Its order in progress, if any.
         result: The result being recorded while RESOLVING.
         settled_at: Monotonic time from which its order can't be carried out any more.
+        first_read_at: Monotonic time before which it isn't read, for older holders' orders.
         read_number: Number of the last read, repeated by the answer.
         drained: Whether it runs no requests since it was taken out of service.
         mark_number: Number of the last proposal of MARKING; older ones are ignored.
@@ -56,6 +72,7 @@
         self.order: order_types.Order | None = None
         self.result = order_types.OrderResult.UNKNOWN
         self.settled_at = 0.0
+        self.first_read_at = 0.0
         self.read_number = 0
         self.drained = False
         self.marking_in = False
@@ -65,6 +82,32 @@
         self.repeats = 0
         self.retry_at = 0.0
 
+    def waiting(self, now: float) -> order_types.Waiting | None:
+        """Return what it waits for; None if it needs nothing or carries an order out."""
+        reason = _REASON_BY_PHASE.get(self.phase)
+        if self.phase is Phase.UNREAD and now < self.first_read_at:
+            reason = "an order of an older holder may still be under way"
+        elif self.phase is Phase.IDLE and self.last_action is not None and now < self.retry_at:
+            reason = "its last order had no effect; it is repeated later"
+        if reason is None:
+            return None
+        wanted = self.wanted if self.phase is Phase.QUEUED else None
+        held = None if wanted is None else order_types.LoadedWeights(wanted.name, wanted.version)
+        return order_types.Waiting(self.upstream_id, reason, held)
+
+    def note_ordered(self, action: order_types.OrderAction) -> None:
+        """Count how often the action was ordered in a row."""
+        self.repeats = self.repeats + 1 if self.last_action == action else 0
+        self.last_action = action
+
+    def note_ended(self, now: float, wait_s: float) -> None:
+        """Set when the action may be ordered again, later with each repeat."""
+        self.retry_at = now + wait_s * 2 ** min(self.repeats, MAX_REPEATS)
+
+    def is_held_back(self, action: order_types.OrderAction, now: float) -> bool:
+        """Return whether the action was ordered in vain and has to wait still."""
+        return self.last_action == action and now < self.retry_at
+
 
 def has_effect(action: order_types.OrderAction, state: order_types.EngineState) -> bool:
     """Return whether an engine's state shows what an action asks for."""
--- a/src/medlarfork/_order_session.py
+++ b/src/medlarfork/_order_session.py
@@ -22,9 +22,6 @@
 BATCH = 200
 """How many engines one call advances; the others follow at once in calls of their own."""
 
-MAX_REPEATS = 6
-"""After how many fruitless repeats of one action the wait between them grows no more."""
-
 _Phase = _engine_progress.Phase
 _Engine = _engine_progress.EngineProgress
 _Result = order_types.OrderResult
@@ -73,6 +70,11 @@
         self._actions.clear()
         return actions
 
+    def waiting(self, now: float) -> tuple[order_types.Waiting, ...]:
+        """Return which engines wait for what before their next order."""
+        found = (engine.waiting(now) for engine in self._engine_by_id.values())
+        return tuple(waiting for waiting in found if waiting is not None)
+
     def next_wake(self, now: float) -> float:
         """Return the monotonic time at which ``advance`` has something to do."""
         granted_at = self._store.next_grant_at(now)
@@ -191,8 +193,7 @@
         engine = self._engine_by_order.get(command.order_id)
         if engine is None or engine.phase is not _Phase.RESOLVING:
             return
-        wait = self._settings.poll_s * 2 ** min(engine.repeats, MAX_REPEATS)
-        engine.retry_at = now + wait
+        engine.note_ended(now, self._settings.poll_s)
         self._drop_order(engine)
         self._set(engine, _Phase.UNREAD, now)
 
@@ -216,6 +217,7 @@
             # An older holder's order may be on its way still, and the engine would obey it.
             first_read = max(first_read, self._clear_of_older_at)
         engine = _Engine(upstream_id)
+        engine.first_read_at = first_read
         self._engine_by_id[upstream_id] = engine
         self._set(engine, _Phase.UNREAD, first_read)
         order = self._board.order_by_upstream.get(upstream_id)
@@ -332,7 +334,7 @@
         self._set(engine, _Phase.QUEUED, math.inf)
 
     def _is_held_back(self, engine: _Engine, action: order_types.OrderAction, now: float) -> bool:
-        if engine.last_action != action or now >= engine.retry_at:
+        if not engine.is_held_back(action, now):
             return False
         self._set(engine, _Phase.IDLE, engine.retry_at)
         return True
@@ -343,15 +345,8 @@
         self._order(engine, action, now)
 
     def _order(self, engine: _Engine, action: order_types.OrderAction, now: float) -> None:
-        engine.repeats = engine.repeats + 1 if engine.last_action == action else 0
-        engine.last_action = action
-        engine.order = order_types.Order(
-            fence=self.fence,
-            number=self._number(),
-            upstream_id=engine.upstream_id,
-            load=action if isinstance(action, order_types.LoadWeights) else None,
-            change_role=action if isinstance(action, order_types.ChangeRole) else None,
-        )
+        engine.note_ordered(action)
+        engine.order = order_types.Order.of(self.fence, self._number(), engine.upstream_id, action)
         self._engine_by_order[engine.order.order_id] = engine
         self._record(engine, now)
 
--- a/src/medlarfork/order_client.py
+++ b/src/medlarfork/order_client.py
@@ -1,4 +1,10 @@
-"""Send orders to engines and read their state over HTTP, and turn the answers into events."""
+"""Send orders to engines and read their state over HTTP, and turn the answers into events.
+
+Engines are told ``POST /v1/orders`` with ``order_id``, ``fence`` and ``action``. The actions
+``load_model`` and ``load_adapter`` carry ``name``, ``version``, ``size_bytes`` and
+``bytes_per_second``, the action ``change_role`` carries ``role``. They are read by
+``GET /v1/state``. ``order_protocol`` defines both and what the statuses mean.
+"""
 
 from __future__ import annotations
 
@@ -7,13 +13,7 @@
 
 import msgspec
 
-from medlarfork import errors, http_client, order_types
-
-ORDERS_TARGET = "/v1/orders"
-"""Where engines take orders."""
-
-STATE_TARGET = "/v1/state"
-"""Where engines tell their state."""
+from medlarfork import errors, fenced_lease, http_client, order_protocol, order_types
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _CONFLICT = 409
@@ -30,24 +30,26 @@
         self,
         client: http_client.HttpClient,
         *,
+        lease: fenced_lease.FencedLease,
         read_timeout_s: float = 5.0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Use a started client and the clock that the lease is measured by."""
+        """Use a started client, the planner's lease and the clock it is measured by."""
         self._client = client
+        self._lease = lease
         self._read_timeout_s = read_timeout_s
         self._clock = clock
 
     async def order(self, action: order_types.OrderEngine) -> order_types.OrderDone:
-        """Send an order, unless its time has passed, and return how it ended."""
-        body = _order_body(action)
-        if self._clock() >= action.not_after:
+        """Send an order, unless its holding has ended since, and return how it ended."""
+        body = order_protocol.encode(action)
+        if not self._may_send(action):
             return order_types.OrderDone(action.order_id, _Result.FAILED)
         try:
             response = await self._client.request(
                 action.address,
                 "POST",
-                ORDERS_TARGET,
+                order_protocol.ORDERS_TARGET,
                 _JSON_HEADERS,
                 body,
                 timeout_s=action.timeout_s,
@@ -59,11 +61,22 @@
             return order_types.OrderDone(action.order_id, _Result.UNKNOWN)
         return order_types.OrderDone(action.order_id, _result(response.status))
 
+    def _may_send(self, action: order_types.OrderEngine) -> bool:
+        # The task may have been delayed: the lease may have run out or been given up since.
+        now = self._clock()
+        held = self._lease.may_act(now) and self._lease.fence == action.fence
+        return held and now < action.not_after
+
     async def read_back(self, action: order_types.ReadBack) -> order_types.ReadBackDone:
         """Read an engine's state; the event carries None if it gave none."""
         try:
             response = await self._client.request(
-                action.address, "GET", STATE_TARGET, {}, b"", timeout_s=self._read_timeout_s
+                action.address,
+                "GET",
+                order_protocol.STATE_TARGET,
+                {},
+                b"",
+                timeout_s=self._read_timeout_s,
             )
             try:
                 body = await response.read()
@@ -77,22 +90,6 @@
         return order_types.ReadBackDone(action.upstream_id, action.number, state)
 
 
-def _order_body(action: order_types.OrderEngine) -> bytes:
-    head = {"order_id": action.order_id, "fence": action.fence}
-    match action.action:
-        case order_types.LoadWeights(weights, bytes_per_second):
-            told = {
-                "action": f"load_{weights.kind}",
-                "name": weights.name,
-                "version": weights.version,
-                "size_bytes": weights.size_bytes,
-                "bytes_per_second": bytes_per_second,
-            }
-        case order_types.ChangeRole(role):
-            told = {"action": "change_role", "role": role}
-    return msgspec.json.encode(head | told)
-
-
 def _result(status: int) -> order_types.OrderResult:
     if 200 <= status < 300:
         return _Result.DONE
--- a/src/medlarfork/order_planner.py
+++ b/src/medlarfork/order_planner.py
@@ -68,6 +68,10 @@
             _pass_on(session, event, now)
         return self._end_event(session, now)
 
+    def waiting(self, now: float) -> tuple[order_types.Waiting, ...]:
+        """Return which engines wait for what; nothing unless the lease is held."""
+        return () if self._session is None else self._session.waiting(now)
+
     def _begin(self, fence: int, now: float) -> tuple[Any, ...]:
         self._started = False
         self._session = _order_session.OrderSession(
@@ -96,7 +100,8 @@
         command, verdict = committed.command, committed.reply.verdict
         match command:
             case order_types.Declare() | order_types.Withdraw():
-                session.on_declarations()
+                if verdict is order_types.Verdict.ACCEPTED:
+                    session.on_declarations()
                 return
         if _fence_of(command) != session.fence:
             return
--- a/src/medlarfork/order_types.py
+++ b/src/medlarfork/order_types.py
@@ -93,6 +93,13 @@
     load: LoadWeights | None = None
     change_role: ChangeRole | None = None
 
+    @classmethod
+    def of(cls, fence: int, number: int, upstream_id: str, action: OrderAction) -> Order:
+        """Return the order of an action."""
+        if isinstance(action, LoadWeights):
+            return cls(fence, number, upstream_id, load=action)
+        return cls(fence, number, upstream_id, change_role=action)
+
     @property
     def order_id(self) -> str:
         """Return the identity as engines get it."""
@@ -115,14 +122,37 @@
     ended_at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declared:
+    """Keep a declaration with the change that made it, at a log time in Unix milliseconds."""
+
+    desired: DesiredState
+    revision: int
+    change_id: str
+    operator: str
+    base_revision: int
+    accepted_at_ms: int
+
+
 # Commands of the order board.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Declare:
-    """Command: add or replace a declaration."""
+    """Command: add or replace a declaration.
+
+    Attributes:
+        desired: The declaration.
+        change_id: Made by the operator's program, one for each change; its answer is repeated.
+            Empty if the answer need not be remembered.
+        base_revision: The board's revision that the operator saw; 0 for an empty board.
+        operator: Who declares it.
+    """
 
     desired: DesiredState
+    change_id: str = ""
+    base_revision: int = 0
+    operator: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,7 +207,9 @@
 
     ACCEPTED: it is in force.
     STALE_FENCE: a newer holder has begun.
-    CONFLICT: the engine has another order in progress, or the order's number was used before.
+    CONFLICT: the engine has another order in progress, or the order's number was used before; or
+        the declaration was changed after the operator saw it.
+    KEY_REUSED: the change id was used for another change.
     FULL: the board holds as much as it may.
     INVALID: the declaration's selector does not parse, or the command is not known.
     """
@@ -185,15 +217,24 @@
     ACCEPTED = "accepted"
     STALE_FENCE = "stale_fence"
     CONFLICT = "conflict"
+    KEY_REUSED = "key_reused"
     FULL = "full"
     INVALID = "invalid"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BoardReply:
-    """Answer a command of the order board."""
+    """Answer a command of the order board.
+
+    Attributes:
+        verdict: What became of it.
+        revision: For declarations: the board's revision after the command.
+        winner: For a conflict of declarations: the one that is in force instead.
+    """
 
     verdict: Verdict
+    revision: int = 0
+    winner: Declared | None = None
 
 
 # Messages and events.
@@ -265,6 +306,15 @@
     upstream_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """Say what an engine waits for before its next order; ``weights`` if that is a load."""
+
+    upstream_id: str
+    reason: str
+    weights: LoadedWeights | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderEngine:
     """Action: send an order once; never send it again, nor after ``not_after``.
--- a/src/medlarfork/orders.py
+++ b/src/medlarfork/orders.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from medlarfork import codec, errors, labels, order_types
+from medlarfork import _declarations, codec, order_types
 
 COMMANDS = codec.Codec(
     (
@@ -29,9 +29,6 @@
 REPLIES = codec.Codec((order_types.BoardReply,))
 """Packs the replies of an order board."""
 
-MAX_DECLARATIONS = 1_000
-"""How many declarations the board holds; further ones are refused."""
-
 MAX_IN_PROGRESS = 20_000
 """How many orders may be in progress; further ones are refused."""
 
@@ -48,9 +45,10 @@
     fence: int
     last_number: int
     last_mark: int
-    desired: tuple[order_types.DesiredState, ...]
+    declarations: _declarations.DeclarationsState
     in_progress: tuple[order_types.Order, ...]
     out_of_service: tuple[str, ...]
+    out_of_service_version: int
     history: tuple[order_types.FinishedOrder, ...]
 
 
@@ -71,7 +69,22 @@
     @property
     def desired_by_name(self) -> dict[str, order_types.DesiredState]:
         """Return the declarations, keyed by name."""
-        return self._desired_by_name
+        return {name: held.desired for name, held in self.declared_by_name.items()}
+
+    @property
+    def declared_by_name(self) -> dict[str, order_types.Declared]:
+        """Return the declarations with the changes that made them, keyed by name."""
+        return self._declarations.declared_by_name
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last accepted declaration."""
+        return self._declarations.revision
+
+    @property
+    def out_of_service_version(self) -> int:
+        """Return what grows with each change of ``out_of_service``."""
+        return self._out_version
 
     @property
     def order_by_upstream(self) -> dict[str, order_types.Order]:
@@ -102,7 +115,13 @@
 
     def decide(self, command: Any, now_ms: int) -> order_types.BoardReply:
         """Apply a command and return the reply."""
-        return order_types.BoardReply(self._decide(command, now_ms))
+        match command:
+            case order_types.Declare():
+                return self._declarations.declare(command, now_ms)
+            case order_types.Withdraw(name):
+                return self._declarations.withdraw(name)
+            case _:
+                return order_types.BoardReply(self._decide(command, now_ms))
 
     def encode(self) -> bytes:
         """Return the whole state for a snapshot."""
@@ -110,9 +129,10 @@
             self._fence,
             self._last_number,
             self._last_mark,
-            tuple(self._desired_by_name.values()),
+            self._declarations.state(),
             tuple(self._order_by_upstream.values()),
             tuple(self._out_of_service),
+            self._out_version,
             tuple(self._history),
         )
         return msgspec.msgpack.encode(state)
@@ -126,29 +146,26 @@
         self._fence = held.fence
         self._last_number = held.last_number
         self._last_mark = held.last_mark
-        self._desired_by_name = {desired.name: desired for desired in held.desired}
+        self._declarations = _declarations.Declarations(held.declarations)
         self._order_by_upstream = {order.upstream_id: order for order in held.in_progress}
         self._out_of_service = dict.fromkeys(held.out_of_service)
+        self._out_version = held.out_of_service_version
         self._history.extend(held.history)
 
     def _clear(self) -> None:
         self._fence = 0
         self._last_number = 0
         self._last_mark = 0
-        self._desired_by_name: dict[str, order_types.DesiredState] = {}
+        self._declarations = _declarations.Declarations()
         self._order_by_upstream: dict[str, order_types.Order] = {}
         self._out_of_service: dict[str, None] = {}
+        self._out_version = 0
         self._history: collections.deque[order_types.FinishedOrder] = collections.deque(
             maxlen=MAX_HISTORY
         )
 
     def _decide(self, command: Any, now_ms: int) -> _Verdict:
         match command:
-            case order_types.Declare(desired):
-                return self._declare(desired)
-            case order_types.Withdraw(name):
-                self._desired_by_name.pop(name, None)
-                return _Verdict.ACCEPTED
             case order_types.BeginHolding(fence):
                 return self._begin(fence)
             case order_types.RecordOrder(order):
@@ -160,17 +177,6 @@
             case _:
                 return _Verdict.INVALID
 
-    def _declare(self, desired: order_types.DesiredState) -> _Verdict:
-        try:
-            labels.Selector.parse(desired.selector)
-        except errors.SelectorSyntaxError:
-            return _Verdict.INVALID
-        known = desired.name in self._desired_by_name
-        if not known and len(self._desired_by_name) >= MAX_DECLARATIONS:
-            return _Verdict.FULL
-        self._desired_by_name[desired.name] = desired
-        return _Verdict.ACCEPTED
-
     def _begin(self, fence: int) -> _Verdict:
         if fence < self._fence:
             return _Verdict.STALE_FENCE
@@ -215,4 +221,5 @@
             return _Verdict.FULL
         else:
             self._out_of_service[command.upstream_id] = None
+        self._out_version += 1
         return _Verdict.ACCEPTED
--- a/tests/test_fenced_lease.py
+++ b/tests/test_fenced_lease.py
@@ -1,3 +1,5 @@
+"""A lease is held by one process at a time, also when processes freeze."""
+
 import pytest
 
 from medlarfork import fenced_lease, lease_table, lease_types, node
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -1,3 +1,5 @@
+"""The inventory follows notices and finds lost ones by digests."""
+
 import dataclasses
 
 import pytest
--- a/tests/test_order_planner.py
+++ b/tests/test_order_planner.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from medlarfork import inventory, lease_types, node, order_types
+from medlarfork import _fleet, inventory, lease_types, node, order_types, orders
 from tests import order_world
 
 PICK = st.integers(0, 1_000)
@@ -71,6 +71,10 @@
         event = lease_types.LeadershipWon() if won else lease_types.LeadershipLost()
         self.world.holders[pick].take(event)
 
+    @stateful.rule(pick=st.integers(0, 2))
+    def stop_holding(self, pick):
+        self.world.holders[pick].take(lease_types.Stopping())
+
     @stateful.rule(pick=st.integers(0, 3))
     def restart_engine(self, pick):
         self.world.restart_engine(pick)
@@ -174,3 +178,82 @@
     for _ in range(40):
         world.step()
     assert sent.holder.board.order_by_upstream == {}
+
+
+def until_sent():
+    world = order_world.World()
+    while not world.sent:
+        world.step()
+    return world, world.sent[0]
+
+
+def test_an_order_recorded_after_the_lease_ended_is_not_sent():
+    world = order_world.World()
+    record = None
+    while not isinstance(record, order_types.RecordOrder):
+        world.step()
+        record = world.proposals[0] if world.proposals else None
+    holder = next(holder for holder in world.holders if holder.lease.may_act(holder.clock()))
+    reply = order_types.BoardReply(order_types.Verdict.ACCEPTED)
+    late = holder.lease.valid_until + 0.1
+    actions = holder.planner.handle(order_types.BoardCommitted(record, reply), late)
+    assert not any(isinstance(action, order_types.OrderEngine) for action in actions)
+
+
+def test_nothing_is_read_or_ordered_before_the_board_refuses_older_holders():
+    world = order_world.World()
+    while not any(isinstance(item, order_types.BeginHolding) for item in world.proposals):
+        world.step()
+    world.advance(0.2)
+    assert not world.reads
+    while not world.log or not isinstance(world.log[-1], order_types.BeginHolding):
+        world.commit(len(world.proposals) - 1)
+    assert world.reads
+
+
+def test_a_state_read_before_an_engine_restarted_is_not_used():
+    world = order_world.World()
+    assert world.settle()
+    world.restart_engine(0)
+    holder, old_read = world.reads[0]
+    world.restart_engine(0)
+    world.answer_read(0)
+    assert world.proposals == []
+    assert world.reads[0][1].number > old_read.number
+    assert world.settle()
+
+
+def test_a_new_holder_waits_for_an_open_order_of_an_older_one():
+    world, sent = until_sent()
+    engine = world.engine_by_id[sent.order.upstream_id]
+    world.sent = [sent]
+    sent.holder.take(lease_types.Stopping())
+    world.holders.remove(sent.holder)
+    while world.now < sent.at + order_world.MAX_ORDER_S - 0.2:
+        if world.proposals:
+            world.commit(0)
+        elif world.reads:
+            world.answer_read(0)
+        else:
+            world.advance(0.1)
+    assert any(holder.lease.may_act(holder.clock()) for holder in world.holders)
+    to_engine = [item for item in world.sent if item.order.upstream_id == engine.engine_id]
+    assert to_engine == [sent]
+    world.deliver(world.sent.index(sent))
+    assert world.settle()
+
+
+def test_an_engine_that_went_while_out_counts_until_it_is_put_back():
+    board, upstreams = orders.OrderBoard(), inventory.Inventory()
+    desired = order_types.DesiredState("all", role="decode", max_unavailable=0.5)
+    board.decide(order_types.Declare(desired), 0)
+    board.decide(order_types.BeginHolding(1), 0)
+    board.decide(order_types.SetInService(1, 1, "gone", False), 0)
+    notices = tuple(inventory.UpstreamNotice(f"e{number}", 1, "") for number in range(2))
+    upstreams.apply(inventory.InventoryReport("entry", notices))
+    fleet = _fleet.Fleet(board, upstreams)
+    assert all(fleet.desired(notice.upstream_id) == desired for notice in notices)
+    assert not fleet.take_out("e0", desired)
+    board.decide(order_types.SetInService(1, 2, "gone", True), 0)
+    assert fleet.take_out("e0", desired)
+    assert not fleet.take_out("e1", desired)
--- a/tests/test_weight_store.py
+++ b/tests/test_weight_store.py
@@ -1,3 +1,5 @@
+"""Loads are granted as a naive plan grants them and never draw more than the rate."""
+
 import hypothesis
 import pytest
 from hypothesis import strategies as st
