--- a/src/medlarfork/_claim_table.py
+++ b/src/medlarfork/_claim_table.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import heapq
+import sys
 
 from medlarfork import claim, uuid7
 
@@ -75,8 +76,11 @@
         """Start empty or from a snapshot."""
         state = state or ClaimTableState()
         self._limits = limits
-        self._entry_by_key = {entry.key: entry for entry in state.entries}
-        self._expiries = [(entry.expires_at_ms, _order(entry.key)) for entry in state.entries]
+        entries = (_interned(entry) for entry in state.entries)
+        self._entry_by_key = {entry.key: entry for entry in entries}
+        self._expiries = [
+            (entry.expires_at_ms, _order(key)) for key, entry in self._entry_by_key.items()
+        ]
         heapq.heapify(self._expiries)
         self._answered = collections.OrderedDict.fromkeys(state.answered)
         self._answers_bytes = sum(self._answer_size(key) for key in self._answered)
@@ -159,10 +163,9 @@
         # The entry must outlive the key: otherwise a key from a fast clock could run again.
         kept_from_ms = now_ms if key_ms is None else max(now_ms, key_ms)
         expires_at_ms = kept_from_ms + self._limits.retention_ms
-        self._entry_by_key[asked.key] = ClaimEntry(
-            asked.key, asked.holder, asked.body_sha256, expires_at_ms
-        )
-        heapq.heappush(self._expiries, (expires_at_ms, _order(asked.key)))
+        entry = _interned(ClaimEntry(asked.key, asked.holder, asked.body_sha256, expires_at_ms))
+        self._entry_by_key[entry.key] = entry
+        heapq.heappush(self._expiries, (expires_at_ms, _order(entry.key)))
         return claim.Verdict.GRANTED
 
     def _out_of_time(self, key_ms: int, now_ms: int) -> bool:
@@ -195,6 +198,13 @@
         return 0 if answer is None else len(answer.body)
 
 
+def _interned(entry: ClaimEntry) -> ClaimEntry:
+    """Return the entry with one copy of each name that many entries share."""
+    key = claim.ClaimKey(sys.intern(entry.key.account), entry.key.key)
+    holder = dataclasses.replace(entry.holder, entry_id=sys.intern(entry.holder.entry_id))
+    return dataclasses.replace(entry, key=key, holder=holder)
+
+
 def _verdict_on(entry: ClaimEntry, asker: claim.Holder) -> claim.Verdict:
     if not entry.finished:
         granted = entry.holder == asker
--- a/src/medlarfork/_control_log.py
+++ b/src/medlarfork/_control_log.py
@@ -34,6 +34,7 @@
     proposal_id: str
     term: int
     reply: Any
+    command: bytes = b""
 
 
 class ControlLog:
@@ -122,7 +123,7 @@
         match action:
             case replica_types.Apply(_, term, command, proposal_id):
                 reply = self.state.apply(command) if command else None
-                yield Applied(proposal_id, term, reply)
+                yield Applied(proposal_id, term, reply, command)
             case replica_types.VotersChanged(_, _, proposal_id):
                 yield Applied(proposal_id, self.term, None)
             case replica_types.RoleChanged(role, term, leader_id):
--- a/src/medlarfork/_ctl_commands.py
+++ b/src/medlarfork/_ctl_commands.py
@@ -9,6 +9,7 @@
 import time
 
 import curio
+import msgspec
 
 from medlarfork import (
     _ctl_render,
@@ -143,13 +144,18 @@
     async def orders_list(self) -> _ctl_types.Result:
         """List the orders to engines."""
         reply = await self.client.orders()
-        return _ctl_types.Result(reply, _ctl_render.tree(reply))
+        return _ctl_types.Result(reply, _ctl_render.tree(msgspec.to_builtins(reply)))
 
     async def orders_issue(self, file: str) -> _ctl_types.Result:
         """Declare what some engines should hold; control orders it."""
         desired = settings.load(pathlib.Path(file), order_types.DesiredState)
-        reply = await self.client.declare_order(desired)
-        return _ctl_types.Result(reply, _ctl_render.tree(reply))
+        base = self.request.base_revision
+        base = (await self.client.orders()).revision if base is None else base
+        change_id = self.request.change_id or self._new_id()
+        self.surroundings.note(f"change_id={change_id} base_revision={base}")
+        declare = order_types.Declare(desired, change_id, base, self.request.settings.operator)
+        accepted = await self.client.declare_order(declare)
+        return _ctl_types.Result(accepted, f"accepted as revision {accepted.revision}")
 
     async def voters_add(self, replica_id: str) -> _ctl_types.Result:
         """Add a control replica."""
--- a/src/medlarfork/_heartbeat_service.py
+++ b/src/medlarfork/_heartbeat_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 from medlarfork import (
@@ -20,9 +21,14 @@
 class HeartbeatService:
     """Keep the members' leases for one leadership after the other."""
 
-    def __init__(self, log: _control_log.ControlLog) -> None:
-        """Start as a replica that does not lead."""
+    def __init__(
+        self,
+        log: _control_log.ControlLog,
+        out_of_service: Callable[[], heartbeat.OutOfService] = heartbeat.OutOfService,
+    ) -> None:
+        """Start as a replica that does not lead; ``out_of_service`` lists such upstreams."""
         self._log = log
+        self._out_of_service = out_of_service
         self._deltas = _delta_source.DeltaSource(log.state)
         self._leases: _member_leases.MemberLeases | None = None
         self._lease_lapsed = False
@@ -82,7 +88,9 @@
         if self._leases is None:
             return []
         revision = self._log.state.current.revision
-        notice = heartbeat.RevisionNotice(revision, self._leases.view.version)
+        notice = heartbeat.RevisionNotice(
+            revision, self._leases.view.version, self._out_of_service().version
+        )
         return [node.Send(lease.member.entry_id, notice) for lease in self._leases.leases]
 
     def applied(self, proposal_id: str) -> None:
@@ -110,6 +118,7 @@
         if beat.revision != current.revision:
             delta = self._deltas.since(beat.revision)
             whole = current if delta is None else None
+        out = self._out_of_service()
         return heartbeat.HeartbeatReply(
             number=beat.number,
             term=self._log.term,
@@ -118,6 +127,7 @@
             delta=delta,
             view=view if beat.view_version < view.version else None,
             incarnation=beat.member.incarnation,
+            out_of_service=out if beat.out_of_service_version < out.version else None,
         )
 
     def _publish(self, now: float) -> list[Any]:
--- a/src/medlarfork/_operator_reads.py
+++ b/src/medlarfork/_operator_reads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork import _member_leases, errors, operations, replicated_state
+from medlarfork import _member_leases, errors, operations, order_desk, replicated_state
 
 
 def configuration(
@@ -48,6 +48,29 @@
     )
 
 
+def orders(desk: order_desk.OrderDesk | None, now: float) -> operations.Reply:
+    """Return what engines are ordered, or a refusal if this deployment orders none."""
+    if desk is None:
+        return no_sub_state("orders")
+    board = desk.board
+    return operations.OrdersReply(
+        revision=board.revision,
+        fence=desk.fence,
+        desired=tuple(board.declared_by_name.values()),
+        in_progress=tuple(board.order_by_upstream.values()),
+        waiting=desk.waiting(now),
+        out_of_service=tuple(sorted(board.out_of_service)),
+        history=board.history,
+    )
+
+
+def no_sub_state(name: str) -> operations.Refused:
+    """Return the refusal of a name that no part of the state has."""
+    return operations.Refused(
+        errors.Code.NOT_FOUND, f"There is no {name!r} here.", "Correct the name."
+    )
+
+
 def change_reply(answer: replicated_state.ChangeAnswer) -> operations.Reply:
     """Return the reply to a change that the log has decided."""
     match answer.code:
--- a/src/medlarfork/_operator_service.py
+++ b/src/medlarfork/_operator_service.py
@@ -14,6 +14,7 @@
     control_types,
     errors,
     operations,
+    order_desk,
     replica_types,
     replicated_state,
 )
@@ -45,8 +46,10 @@
         heartbeats: _heartbeat_service.HeartbeatService,
         check: Check,
         http_address_by_replica_id: Mapping[str, str],
+        desk: order_desk.OrderDesk | None = None,
     ) -> None:
         """Start with nothing in progress."""
+        self._desk = desk
         self._log = log
         self._heartbeats = heartbeats
         self._check = check
@@ -104,6 +107,8 @@
                 return _operator_reads.members(leases)
             case operations.GetInForce(revision):
                 return _operator_reads.in_force(leases, revision)
+            case operations.GetOrders():
+                return _operator_reads.orders(self._desk, now)
             case _:
                 return self._propose(call_id, request, now)
 
@@ -121,8 +126,6 @@
                 command: replicated_state.Command = replicated_state.ConfigurationChange(
                     change_id, base_revision, operator, whole, at_ms
                 )
-            case operations.TakeFence(name, holder):
-                command = replicated_state.FenceTaken(at_ms, name, holder)
             case operations.AskSubState(name, asked):
                 command = replicated_state.SubStateCommand(at_ms, name, asked)
             case operations.ChangeVoters(add, remove):
@@ -141,10 +144,8 @@
                     return None
                 findings = self._check(whole)
                 return _operator_reads.invalid(findings) if findings else None
-            case operations.AskSubState(name) if not self._log.state.has_sub_state(name):
-                return operations.Refused(
-                    errors.Code.NOT_FOUND, f"There is no {name!r} here.", "Correct the name."
-                )
+            case operations.AskSubState(name) if self._log.state.sub_state(name) is None:
+                return _operator_reads.no_sub_state(name)
             case operations.ChangeVoters(add, remove) if bool(add) == bool(remove):
                 return operations.Refused(
                     errors.Code.BAD_REQUEST,
@@ -199,14 +200,6 @@
     match request:
         case operations.ApplyChange():
             return _operator_reads.change_reply(applied)
-        case operations.TakeFence() if applied.number == 0:
-            return operations.Refused(
-                errors.Code.OVERLOADED,
-                "The table of fences is full; the fence was not taken.",
-                "Use the name of an existing fence.",
-            )
-        case operations.TakeFence():
-            return operations.FenceReply(applied.name, applied.holder, applied.number)
         case operations.AskSubState() if isinstance(applied, replicated_state.SubStateRefused):
             return operations.Refused(
                 errors.Code.BAD_REQUEST, applied.message, "Send a command of this version."
--- a/src/medlarfork/_pool_ticket.py
+++ b/src/medlarfork/_pool_ticket.py
@@ -13,7 +13,7 @@
     """Hold a ticket that waits for a slot; all times are the pool's own monotonic seconds."""
 
     __slots__ = ("arrived", "expires_at", "latest_start", "live", "order_key", "target_at",
-                 "ticket", "urgent", "urgent_at")  # fmt: skip
+                 "ticket", "urgent", "was_urgent", "urgent_at")  # fmt: skip
 
     def __init__(self, item: ticket.Ticket, now: float) -> None:
         """Convert the ticket's durations to times."""
@@ -25,6 +25,7 @@
         self.urgent_at = self.target_at
         self.order_key = self.arrived
         self.urgent = False
+        self.was_urgent = False
         self.live = True
 
 
--- a/src/medlarfork/_queue_set.py
+++ b/src/medlarfork/_queue_set.py
@@ -42,6 +42,11 @@
         self._unindex(entry)
         return entry
 
+    def put_back(self, entry: _pool_ticket.QueuedTicket) -> None:
+        """Queue a ticket again that was popped but could not be placed."""
+        self.push(entry, at_head=True)
+        self.set_urgent(entry, entry.was_urgent)
+
     def remove(self, entry: _pool_ticket.QueuedTicket) -> None:
         """Take a ticket out."""
         self._queue_by_tier[entry.ticket.tier].remove(entry)
@@ -82,6 +87,7 @@
 
     def _unindex(self, entry: _pool_ticket.QueuedTicket) -> None:
         item = entry.ticket
+        entry.was_urgent = entry.urgent
         self.set_urgent(entry, False)
         del self._entry_by_id[item.ticket_id]
         ids = self._ids_by_entry[item.entry_id]
--- a/src/medlarfork/_reserve.py
+++ b/src/medlarfork/_reserve.py
@@ -15,6 +15,8 @@
 """Least weight of the newest observation in a tier's means."""
 _NEGLIGIBLE = 0.25
 """Part of a slot that is not rounded up to a whole one."""
+_TRUST = 0.25
+"""How far the mean rate of freed slots is relied on; they are freed in clusters."""
 _MAX_SLACK_S = 60.0
 """Longest slack that matters, in seconds."""
 
@@ -81,7 +83,8 @@
             demand = per_s * self._mean_s(self._slot_by_tier, higher)
             most = demand + self._deviations * math.sqrt(demand)
             spare_per_s = max(0.0, freed_per_s - per_s)
-            risk = math.exp(-spare_per_s * self._mean_s(self._slack_by_tier, higher))
+            slack_s = self._mean_s(self._slack_by_tier, higher)
+            risk = math.exp(-spare_per_s * slack_s * _TRUST)
             wanted += max(0.0, most - running_by_tier.get(higher, 0)) * risk
         return min(math.ceil(wanted - _NEGLIGIBLE), int(slots * self._max_share))
 
--- a/src/medlarfork/_standin_host.py
+++ b/src/medlarfork/_standin_host.py
@@ -57,6 +57,11 @@
         """Return ``http://IP:PORT`` with the real port."""
         return self._server.address
 
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation that is announced; 0 before the start."""
+        return 0 if self._announcer is None else self._announcer.incarnation
+
     async def start(
         self,
         *,
--- a/src/medlarfork/_tier_queue.py
+++ b/src/medlarfork/_tier_queue.py
@@ -16,6 +16,11 @@
 _MAX_IDLE_ACCOUNTS = 1024
 """Accounts without queued tickets whose past use is remembered."""
 
+_Item = tuple[float, int, _pool_ticket.QueuedTicket]
+"""Key, a number that settles ties, and the ticket."""
+_Place = tuple[float, float, int, str]
+"""An account's virtual time, the key and number of its first ticket, and its name."""
+
 
 class _FairClock:
     """Keep each account's virtual time: its use of the tier divided by its weight."""
@@ -42,67 +47,83 @@
 
 
 class _FairLane:
-    """Hold queued tickets in one heap per account and the accounts by virtual time."""
+    """Hold queued tickets in one heap per account, and the accounts by virtual time.
+
+    Accounts of equal virtual time go by their first tickets. An account's place is looked up
+    again when it is reached, since its virtual time or first ticket may have changed meanwhile.
+    """
 
     def __init__(self, clock: _FairClock) -> None:
         self._clock = clock
-        self._heap_by_account: dict[str, list[tuple[float, int, _pool_ticket.QueuedTicket]]] = {}
-        self._accounts: list[tuple[float, int, str]] = []
+        self._heap_by_account: dict[str, list[_Item]] = {}
+        self._place_by_account: dict[str, _Place] = {}
+        self._places: list[_Place] = []
         self._number = itertools.count()
-        self.held = 0
 
     def push(self, entry: _pool_ticket.QueuedTicket, key: float) -> None:
         """Add a ticket to its account; the lowest key starts first."""
         account = entry.ticket.account
-        heap = self._heap_by_account.get(account)
-        if heap is None:
-            heap = self._heap_by_account[account] = []
-            self._push_account(account)
-        heapq.heappush(heap, (key, next(self._number), entry))
-        self.held += 1
-
-    def pop(self) -> tuple[float, _pool_ticket.QueuedTicket] | None:
+        heap = self._heap_by_account.setdefault(account, [])
+        item = (key, next(self._number), entry)
+        heapq.heappush(heap, item)
+        if heap[0] is item:
+            self._place(account)
+
+    def pop(self) -> _pool_ticket.QueuedTicket | None:
         """Take the first live ticket of the account that has used least."""
-        while self._accounts:
-            tag, _, account = heapq.heappop(self._accounts)
-            if tag < self._clock.tag(account):
-                self._push_account(account)
+        while self._places:
+            place = heapq.heappop(self._places)
+            account = place[3]
+            if self._place_by_account.get(account) is not place:
                 continue
-            first = self._pop_live(account)
-            if self._heap_by_account[account]:
-                self._push_account(account)
+            current = self._current_place(account)
+            if current is None:
+                self._remove_account(account)
+            elif current != place:
+                self._place(account)
             else:
-                del self._heap_by_account[account]
-            if first is not None:
-                return first
+                return self._take_first(account)
         return None
 
     def rebuild(self) -> None:
-        """Drop entries that are no longer queued."""
-        live = [
-            (key, entry)
-            for heap in self._heap_by_account.values()
-            for key, _, entry in sorted(heap)
-            if entry.live
-        ]
+        """Drop tickets that are not queued any more."""
+        heaps = self._heap_by_account
         self._heap_by_account = {}
-        self._accounts = []
-        self.held = 0
-        for key, entry in live:
-            self.push(entry, key)
+        self._place_by_account = {}
+        self._places = []
+        for account, heap in heaps.items():
+            live = [item for item in heap if item[2].live]
+            if live:
+                heapq.heapify(live)
+                self._heap_by_account[account] = live
+                self._place(account)
+
+    def _take_first(self, account: str) -> _pool_ticket.QueuedTicket:
+        heap = self._heap_by_account[account]
+        entry = heapq.heappop(heap)[2]
+        if heap:
+            self._place(account)
+        else:
+            self._remove_account(account)
+        return entry
 
-    def _push_account(self, account: str) -> None:
-        item = (self._clock.tag(account), next(self._number), account)
-        heapq.heappush(self._accounts, item)
+    def _place(self, account: str) -> None:
+        place = self._current_place(account)
+        if place is None:
+            self._remove_account(account)
+            return
+        self._place_by_account[account] = place
+        heapq.heappush(self._places, place)
 
-    def _pop_live(self, account: str) -> tuple[float, _pool_ticket.QueuedTicket] | None:
+    def _current_place(self, account: str) -> _Place | None:
         heap = self._heap_by_account[account]
-        while heap:
-            key, _, entry = heapq.heappop(heap)
-            self.held -= 1
-            if entry.live:
-                return key, entry
-        return None
+        while heap and not heap[0][2].live:
+            heapq.heappop(heap)
+        return (self._clock.tag(account), *heap[0][:2], account) if heap else None
+
+    def _remove_account(self, account: str) -> None:
+        del self._heap_by_account[account]
+        self._place_by_account.pop(account, None)
 
 
 class TierQueue:
@@ -116,10 +137,10 @@
         """Create an empty queue."""
         self._late_last = late_last
         self._clock = _FairClock()
-        self._resumed: list[tuple[float, int, _pool_ticket.QueuedTicket]] = []
+        self._resumed: list[_Item] = []
         self._on_time = _FairLane(self._clock)
         self._late = _FairLane(self._clock)
-        self._newest: list[tuple[float, int, _pool_ticket.QueuedTicket]] = []
+        self._newest: list[_Item] = []
         self._number = itertools.count()
         self._count = 0
 
@@ -142,8 +163,8 @@
         entry = self._pop_resumed()
         if entry is None:
             entry = self._pop_on_time(now)
-            if entry is None and (late := self._late.pop()) is not None:
-                entry = late[1]
+            if entry is None:
+                entry = self._late.pop()
             if entry is None:
                 raise IndexError("pop from an empty queue")
             self._clock.charge(entry.ticket.account, cost_of(entry.ticket))
@@ -171,8 +192,7 @@
         return None
 
     def _pop_on_time(self, now: float) -> _pool_ticket.QueuedTicket | None:
-        while (first := self._on_time.pop()) is not None:
-            entry = first[1]
+        while (entry := self._on_time.pop()) is not None:
             if not self._late_last or entry.latest_start >= now:
                 return entry
             self._late.push(entry, -entry.arrived)
--- a/src/medlarfork/_upstream_health.py
+++ b/src/medlarfork/_upstream_health.py
@@ -8,7 +8,11 @@
 from medlarfork import pool_options, ticket
 
 _SMOOTHING = 0.2
-"""Weight of the newest observation in an upstream's slowness."""
+"""Weight of the newest observation in an upstream's slowness, by time per token."""
+_SHORT_SMOOTHING = 0.05
+"""The same for an answer judged as a whole; these differ much among themselves."""
+_MAX_RATIO = 10.0
+"""Largest slowness that one observation counts as."""
 _REFERENCE_SMOOTHING = 0.05
 """Weight of the newest observation in a class's usual time."""
 _ENOUGH = 5
@@ -21,8 +25,10 @@
 """Good answers in a row that end probing."""
 _MAX_EJECT_S = 120.0
 """Longest ejection, in seconds."""
-_MAX_CLASSES = 256
-"""Classes whose usual time is remembered."""
+_MAX_KINDS = 256
+"""Classes, streamed and short, whose usual time is remembered."""
+_MIN_TOKENS = 8
+"""Tokens from which an answer is judged by its time per token."""
 _SLOWED = 1.5
 """Slowness relative to the peers' median at which the concurrency limit shrinks."""
 _SHRINK = 0.8
@@ -58,7 +64,7 @@
         """Create an empty set of records."""
         self._options = options
         self._record_by_id: dict[str, UpstreamRecord] = {}
-        self._usual_s_by_class: dict[str, float] = {}
+        self._usual_s_by_kind: dict[tuple[str, bool], float] = {}
         self._median = 0.0
 
     def add(self, upstream_id: str) -> None:
@@ -151,7 +157,8 @@
         ratio = self._ratio(class_name, release)
         if ratio is None:
             return False
-        weight = max(_SMOOTHING, 1 / (record.observations + 1))
+        streamed = release.tokens >= _MIN_TOKENS
+        weight = _SMOOTHING if streamed else _SHORT_SMOOTHING
         record.slowness += weight * (ratio - record.slowness)
         record.observations += 1
         if record.observations == _SOUND:
@@ -175,19 +182,26 @@
         return False
 
     def _ratio(self, class_name: str, release: ticket.Release) -> float | None:
-        if release.tokens > 1:
-            unit_s = release.whole_s / release.tokens
+        """Return the time per token, or per short answer, relative to what is usual."""
+        streamed = release.tokens >= _MIN_TOKENS
+        if streamed:
+            # The first token's time depends on the prompt, and on what a resumed stream redoes.
+            decoding_s = release.whole_s - (release.first_token_s or 0.0)
+            unit_s = decoding_s / (release.tokens - 1)
         elif release.cause == ticket.ReleaseCause.FINISHED:
             unit_s = release.whole_s
         else:
             return None
-        usual_s = self._usual_s_by_class.get(class_name, unit_s)
-        if len(self._usual_s_by_class) < _MAX_CLASSES or class_name in self._usual_s_by_class:
+        key = (class_name, streamed)
+        usual_s = self._usual_s_by_kind.get(key, unit_s)
+        if len(self._usual_s_by_kind) < _MAX_KINDS or key in self._usual_s_by_kind:
             learnt = usual_s + _REFERENCE_SMOOTHING * (unit_s - usual_s)
-            self._usual_s_by_class[class_name] = learnt
-        return unit_s / usual_s if usual_s > 0 else 1.0
+            self._usual_s_by_kind[key] = learnt
+        return min(_MAX_RATIO, unit_s / usual_s) if usual_s > 0 else 1.0
 
     def _eject(self, upstream_id: str, record: UpstreamRecord, now: float) -> bool:
+        if record.ejected_until is not None:
+            return False
         if not self._options.eject or not self._may_eject():
             return False
         record.ejections += 1
--- a/src/medlarfork/_upstream_set.py
+++ b/src/medlarfork/_upstream_set.py
@@ -95,7 +95,7 @@
         self.usable = 0
         self.slots = 0
         self.free = 0
-        self.unusable_since: float | None = None
+        self._unusable_since: float | None = None
 
     def __iter__(self) -> Iterator[Upstream]:
         """Return every upstream, also unusable ones whose requests still run."""
@@ -211,6 +211,15 @@
         )
         return self.usable > avoided
 
+    def unusable_s(self, now: float) -> float:
+        """Return for how long the pool has had no usable upstream."""
+        if self.usable:
+            self._unusable_since = None
+            return 0.0
+        if self._unusable_since is None:
+            self._unusable_since = now
+        return now - self._unusable_since
+
     def refresh_all(self, now: float) -> None:
         """Recompute every upstream."""
         for known in self._upstream_by_id.values():
@@ -231,10 +240,7 @@
         self._count(known, 1)
         if known.free:
             self._push(known)
-        if self.usable:
-            self.unusable_since = None
-        elif self.unusable_since is None:
-            self.unusable_since = now
+        self.unusable_s(now)
 
     def _add(self, announcement: upstream.Announcement, now: float) -> Upstream:
         replaced = self._upstream_by_id.get(announcement.upstream_id)
--- a/src/medlarfork/announcer.py
+++ b/src/medlarfork/announcer.py
@@ -58,6 +58,11 @@
         self._client = http_client.HttpClient()
         self._task: curio.Task | None = None
 
+    @property
+    def incarnation(self) -> int:
+        """Return what grows with each start of the upstream."""
+        return self._incarnation
+
     async def start(self) -> None:
         """Announce from now on."""
         await self._client.start()
--- a/src/medlarfork/control.py
+++ b/src/medlarfork/control.py
@@ -19,8 +19,12 @@
     claim,
     control_types,
     heartbeat,
+    inventory,
+    lease_types,
     node,
     operations,
+    order_desk,
+    order_types,
     replica_types,
     replicated_state,
 )
@@ -43,6 +47,7 @@
         state: replicated_state.ReplicatedState,
         check: _operator_service.Check,
         http_address_by_replica_id: Mapping[str, str],
+        desk: order_desk.OrderDesk | None = None,
     ) -> None:
         """Wire the parts together.
 
@@ -50,17 +55,21 @@
             check: Returns what is wrong with a configuration; an empty tuple accepts it.
             http_address_by_replica_id: All replicas, this one included, with the addresses that
                 operators reach them at. Messages of the log are taken only from these.
+            desk: Orders engines while this replica leads; None to order none.
         """
         self._log = _control_log.ControlLog(replica_id, replica, state)
-        self._heartbeats = _heartbeat_service.HeartbeatService(self._log)
+        self._desk = desk
+        out_of_service = heartbeat.OutOfService if desk is None else lambda: desk.out_of_service
+        self._heartbeats = _heartbeat_service.HeartbeatService(self._log, out_of_service)
         self._claims = _claim_service.ClaimService(self._log, self._heartbeats)
         self._operators = _operator_service.OperatorService(
-            self._log, self._heartbeats, check, http_address_by_replica_id
+            self._log, self._heartbeats, check, http_address_by_replica_id, desk
         )
         self._replica_ids = frozenset(http_address_by_replica_id)
         self._leads = False
         self._ready_proposal = ""
         self._noted_revision = state.current.revision
+        self._noted_out_of_service = 0
         self._wake_at = math.inf
         self._stop_limit_at = math.inf
         self._transfer_at = math.inf
@@ -79,6 +88,8 @@
         self._run_log(now)
         while self._claims.propose(now):
             self._run_log(now)
+        self._forget_lost_entries(now)
+        self._run_log(now)
         self._go_on_stopping(now)
         self._arm_wake(now)
         return tuple(self._actions)
@@ -95,7 +106,14 @@
                 self._actions += self._operators.take(call_id, request, now)
             case control_types.WallClock(unix_ms):
                 self._log.set_wall_clock(unix_ms, now)
+            case order_types.OrderDone() | order_types.ReadBackDone():
+                self._tell_desk(event, now)
+            case node.TimeDue():
+                self._tell_desk(event, now)
+                self._log.feed(event)
             case control_types.StopAsked():
+                # A lease that is given up need not be waited out by the next leader.
+                self._tell_desk(lease_types.Stopping(), now)
                 self._stop_limit_at = min(self._stop_limit_at, now + STOP_LIMIT_S)
                 self._transfer_at = now
             case _:
@@ -109,7 +127,9 @@
                 sender == message.holder.entry_id
             ):
                 self._take_claim(sender, message, now)
-            case heartbeat.Heartbeat() | claim.ClaimRequest():
+            case inventory.InventoryReport(entry_id) if sender == entry_id:
+                self._tell_desk(message, now)
+            case heartbeat.Heartbeat() | claim.ClaimRequest() | inventory.InventoryReport():
                 self._reject(sender, message)
             case claim.ClaimFinish() | claim.ClaimAbandon():
                 self._reject(sender, message)
@@ -123,6 +143,7 @@
             self._send_not_leader(beat.member.entry_id)
             return
         self._actions += self._heartbeats.take(beat, now)
+        self._tell_desk(order_desk.EntryHeard(beat.member.entry_id, beat.inventory_digest), now)
 
     def _take_claim(self, sender: str, message: _claim_service.Message, now: float) -> None:
         if self._heartbeats.leases is None or self._is_stopping:
@@ -161,12 +182,16 @@
 
     def _take_applied(self, applied: _control_log.Applied, now: float) -> None:
         self._note_revision()
+        self._note_sub_state(applied, now)
         if not applied.proposal_id or not self._leads:
             return
         if applied.proposal_id == self._ready_proposal:
             self._ready_proposal = ""
             self._heartbeats.begin(applied.term, now)
             self._actions.append(control_types.LeaderReady(applied.term))
+            # Entry hosts may still ask the old leader, which may never answer again.
+            self._actions += self._heartbeats.notices()
+            self._tell_desk(lease_types.LeadershipWon(), now)
         self._heartbeats.applied(applied.proposal_id)
         self._actions += self._operators.applied(applied)
         self._actions += self._claims.applied(applied, now)
@@ -192,10 +217,40 @@
         if self._leads and not leads:
             self._ready_proposal = ""
             self._heartbeats.end()
+            self._tell_desk(lease_types.LeadershipLost(), now)
             self._actions += self._operators.end()
             self._actions += self._claims.end()
         self._leads = leads
 
+    def _tell_desk(self, event: Any, now: float) -> None:
+        if self._desk is None:
+            return
+        for action in self._desk.handle(event, now):
+            match action:
+                case order_desk.ProposeToSubState(name, packed):
+                    at_ms = self._log.unix_ms(now)
+                    self._log.propose(replicated_state.SubStateCommand(at_ms, name, packed))
+                case _:
+                    self._actions.append(action)
+
+    def _note_sub_state(self, applied: _control_log.Applied, now: float) -> None:
+        """Tell the desk of a sub-state's command; only those are answered by bytes."""
+        if self._desk is None or not self._leads or not isinstance(applied.reply, bytes):
+            return
+        command = replicated_state.COMMANDS.unpack(applied.command)
+        told = order_desk.CommandApplied(command.name, command.command, applied.reply)
+        self._tell_desk(told, now)
+        version = self._desk.out_of_service.version
+        if version != self._noted_out_of_service:
+            self._noted_out_of_service = version
+            self._actions += self._heartbeats.notices()
+
+    def _forget_lost_entries(self, now: float) -> None:
+        for action in tuple(self._actions):
+            if isinstance(action, control_types.ViewPublished):
+                for entry_id in action.left:
+                    self._tell_desk(order_desk.EntryLost(entry_id), now)
+
     def _propose_marker(self, now: float) -> None:
         """Propose what proves, once applied, that all earlier entries have been applied."""
         marker = replicated_state.MembersChanged(self._log.unix_ms(now), (), ())
@@ -230,6 +285,8 @@
         if self._wake_at <= now:
             self._wake_at = math.inf
         wanted = self._heartbeats.next_time()
+        if self._desk is not None:
+            wanted = min(wanted, self._desk.wake_at)
         if not self._stopped:
             wanted = min(wanted, self._stop_limit_at, self._transfer_at)
         if wanted < self._wake_at:
--- a/src/medlarfork/control_program.py
+++ b/src/medlarfork/control_program.py
@@ -16,6 +16,7 @@
 from medlarfork import (
     _control_metrics,
     _disk_writer,
+    _order_sender,
     _stop_signal,
     configuration,
     configuration_check,
@@ -32,12 +33,16 @@
     node,
     operations,
     operations_api,
+    order_desk,
+    order_types,
     orders,
+    planner_settings,
     replica,
     replica_types,
     replicated_state,
     runner,
     settings,
+    weight_store,
     wire,
 )
 
@@ -87,6 +92,10 @@
             render_metrics=self._metrics.render,
         )
         self._server = http_server.HttpServer(api.serve, host=host, port=port)
+        self._desk = _make_desk(given)
+        self._orders = _order_sender.OrderSender(
+            self._desk.lease, self._post, read_timeout_s=_planner_settings(given).read_timeout_s
+        )
         self._replies_by_call: dict[str, curio.Queue] = {}
         self._call_numbers = itertools.count()
         self._stopped = curio.Event()
@@ -105,7 +114,7 @@
             errors.MedlarError: The disk is damaged or in use, or an address can't be had.
         """
         restored = await curio.run_in_thread(self._journal.start)
-        self._node = _make_node(self._given, restored)
+        self._node = _make_node(self._given, restored, self._desk)
         self._runner = runner.Runner(self._node, perform=self._perform)
         await self._link.start()
         for address in self._given.replicas:
@@ -113,6 +122,7 @@
                 self._link.connect(address.replica_id, address.link_address)
         self._metrics.start()
         await self._writer.start()
+        await self._orders.start()
         await self._post(control_types.WallClock(_unix_ms()))
         await self._runner.start()
         self._tasks = [
@@ -137,6 +147,7 @@
         await self._server.close(within_s=_CUT_WITHIN_S)
         for task in self._tasks:
             await task.cancel()
+        await self._orders.close()
         await self._runner.close()
         await self._writer.close()
         await curio.sleep(_LINK_LINGER_S)
@@ -159,6 +170,9 @@
                 self._link.send(to, message)
             case node.Persist() | replica_types.SaveSnapshot():
                 await self._writer.write(action)
+            case order_types.OrderEngine() | order_types.ReadBack():
+                _log_action(action)
+                await self._orders.send(action)
             case control_types.OperatorAnswered(call_id, reply):
                 replies = self._replies_by_call.get(call_id)
                 if replies is not None:
@@ -197,8 +211,29 @@
         return self._node.status(time.monotonic())
 
 
+def _planner_settings(
+    given: control_settings.ControlSettings,
+) -> planner_settings.PlannerSettings:
+    store = weight_store.StoreSettings(given.weight_bytes_per_second, given.weight_lanes)
+    return planner_settings.PlannerSettings(
+        store,
+        max_order_s=given.order_limit_s,
+        answer_timeout_s=given.order_answer_s,
+        drain_s=given.drain_s,
+    )
+
+
+def _make_desk(given: control_settings.ControlSettings) -> order_desk.OrderDesk:
+    # Each start is another holder: what an earlier process ordered may still be under way.
+    holder = f"{given.replica_id}-{secrets.token_hex(8)}"
+    options = order_desk.DeskOptions(holder, _planner_settings(given), given.order_lease_s)
+    return order_desk.OrderDesk(options, board=orders.OrderBoard(), table=lease_table.LeaseTable())
+
+
 def _make_node(
-    given: control_settings.ControlSettings, restored: replica_types.Restored
+    given: control_settings.ControlSettings,
+    restored: replica_types.Restored,
+    desk: order_desk.OrderDesk,
 ) -> control.ControlNode:
     ids = tuple(address.replica_id for address in given.replicas)
     part = replica.Replica(
@@ -211,7 +246,7 @@
         retention_ms=given.claim_retention_s * 1000, claims=given.claim_limit
     )
     state = replicated_state.ReplicatedState(
-        claim_limits=limits, sub_states=(lease_table.LeaseTable(), orders.OrderBoard())
+        claim_limits=limits, sub_states=(desk.table, desk.board)
     )
     return control.ControlNode(
         replica_id=given.replica_id,
@@ -219,6 +254,7 @@
         state=state,
         check=_findings,
         http_address_by_replica_id={item.replica_id: item.http_address for item in given.replicas},
+        desk=desk,
     )
 
 
@@ -238,6 +274,8 @@
     match action:
         case control_types.LeaderChanged(leader_id, term):
             logs.event(_log, "leader_changed", leader=leader_id, term=term)
+        case order_types.OrderEngine(upstream_id, _, _, order_id):
+            logs.event(_log, "order_sent", order_id=order_id, upstream=upstream_id)
         case control_types.LeaderReady(term):
             logs.event(_log, "leader_ready", term=term)
         case control_types.ChangeApplied(revision, change_id, operator):
--- a/src/medlarfork/control_settings.py
+++ b/src/medlarfork/control_settings.py
@@ -46,6 +46,13 @@
         claim_retention_s: How long idempotency keys are remembered, in seconds.
         claim_limit: Most idempotency keys remembered; the same on all replicas.
         log_level: Lowest level that is logged.
+        order_lease_s: How long the lease for ordering engines lasts without renewal, in seconds.
+        order_limit_s: Longest time from sending an order until an engine that checks no fences
+            can't carry it out any more, in seconds; it has to exceed the longest load.
+        order_answer_s: How long an order's answer is waited for, in seconds.
+        drain_s: Longest wait for the requests of an engine whose role changes, in seconds.
+        weight_bytes_per_second: Rate that the weight store allows to all loads together.
+        weight_lanes: Loads that share that rate at once.
     """
 
     replica_id: str
@@ -58,6 +65,12 @@
     claim_retention_s: int = settings.bounded(24 * 3600, minimum=60, maximum=7 * 24 * 3600)
     claim_limit: int = settings.bounded(100_000, minimum=1, maximum=10_000_000)
     log_level: str = "INFO"
+    order_lease_s: float = settings.bounded(6.0, minimum=0.5, maximum=600.0)
+    order_limit_s: float = settings.bounded(600.0, minimum=0.5, maximum=86400.0)
+    order_answer_s: float = settings.bounded(540.0, minimum=0.1, maximum=86400.0)
+    drain_s: float = settings.bounded(120.0, minimum=0.0, maximum=86400.0)
+    weight_bytes_per_second: float = settings.bounded(1e9, minimum=1.0, maximum=1e15)
+    weight_lanes: int = settings.bounded(4, minimum=2, maximum=1_000)
 
     @property
     def own_address(self) -> ReplicaAddress:
@@ -100,4 +113,9 @@
         raise errors.SettingsError(
             "allow_anyone is set although operators are named.", remedy="Remove one of the two."
         )
+    if given.order_answer_s >= given.order_limit_s:
+        raise errors.SettingsError(
+            "order_answer_s does not lie below order_limit_s.",
+            remedy="Set order_limit_s well above the longest load and the answer's time limit.",
+        )
     _ = given.own_address
--- a/src/medlarfork/heartbeat.py
+++ b/src/medlarfork/heartbeat.py
@@ -28,6 +28,8 @@
         revision: Configuration revision in force at the sender.
         view_version: Version of the view it holds.
         leaving: True in the last heartbeat before the process exits.
+        inventory_digest: Digest of the notices of upstreams sent so far; see ``inventory``.
+        out_of_service_version: Version of the list of upstreams out of service it has applied.
     """
 
     member: member.Member
@@ -35,6 +37,8 @@
     revision: int
     view_version: tuple[int, int]
     leaving: bool = False
+    inventory_digest: int = 0
+    out_of_service_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +62,14 @@
     removed: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutOfService:
+    """List the upstreams that get no new work while they are changed; higher versions count."""
+
+    version: int = 0
+    upstream_ids: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeartbeatReply:
     """Answer a heartbeat; absent parts have not changed.
@@ -70,6 +82,7 @@
         delta: The change since the sender's revision, if that is shorter.
         view: The current view, if the sender's is older.
         incarnation: The heartbeat's incarnation; a reply to an earlier one proves nothing now.
+        out_of_service: The upstreams out of service, if the sender's list is older.
     """
 
     number: int
@@ -79,6 +92,7 @@
     delta: ConfigurationDelta | None = None
     view: member.View | None = None
     incarnation: int = 0
+    out_of_service: OutOfService | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,10 +105,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RevisionNotice:
-    """Tell an entry host at once that a newer revision or view exists; it then sends a heartbeat.
+    """Tell an entry host at once that something newer exists; it then sends a heartbeat.
 
     A lost notice costs one heartbeat period.
     """
 
     revision: int
     view_version: tuple[int, int]
+    out_of_service_version: int = 0
--- a/src/medlarfork/operations.py
+++ b/src/medlarfork/operations.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from medlarfork import configuration, errors, member, replicated_state
+from medlarfork import configuration, errors, member, order_types, replicated_state
 
 HISTORY_LIMIT = 100
 """Changes listed if a request names no number."""
@@ -68,14 +68,6 @@
     remove: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TakeFence:
-    """Take a fence; a new holder gets a higher number than all before it."""
-
-    name: str
-    holder: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskSubState:
     """Hand a command to a registered part of the replicated state."""
@@ -84,6 +76,11 @@
     command: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetOrders:
+    """Ask what engines should hold, which orders are in progress, and what waits."""
+
+
 Request = (
     ApplyChange
     | GetConfiguration
@@ -92,8 +89,8 @@
     | GetMembers
     | GetInForce
     | ChangeVoters
-    | TakeFence
     | AskSubState
+    | GetOrders
 )
 
 
@@ -189,20 +186,34 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class FenceReply:
-    """Say who holds a fence under which number."""
+class SubStateReply:
+    """Hand over the reply of a registered part of the replicated state."""
 
     name: str
-    holder: str
-    number: int
+    reply: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SubStateReply:
-    """Hand over the reply of a registered part of the replicated state."""
+class OrdersReply:
+    """List the orders to engines and what they come from.
 
-    name: str
-    reply: bytes
+    Attributes:
+        revision: Revision of the last accepted declaration; the base of the next.
+        fence: Fence of the last holder of the lease under which engines are ordered.
+        desired: The declarations in force.
+        in_progress: Orders whose result is not known yet.
+        waiting: Engines that wait for something before their next order.
+        out_of_service: Engines that get no new work.
+        history: The last finished orders, oldest first.
+    """
+
+    revision: int
+    fence: int
+    desired: tuple[order_types.Declared, ...]
+    in_progress: tuple[order_types.Order, ...]
+    waiting: tuple[order_types.Waiting, ...]
+    out_of_service: tuple[str, ...]
+    history: tuple[order_types.FinishedOrder, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,7 +249,7 @@
     | StatusReply
     | InForceReply
     | VotersChanged
-    | FenceReply
     | SubStateReply
+    | OrdersReply
     | Refused
 )
--- a/src/medlarfork/operations_api.py
+++ b/src/medlarfork/operations_api.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from medlarfork import control_settings, errors, http_server, operations
+from medlarfork import _orders_api, control_settings, errors, http_server, operations
 
 Ask = Callable[[operations.Request], Awaitable[operations.Reply]]
 """Put a request to the control node and return its reply."""
@@ -98,7 +98,8 @@
         except (ValueError, msgspec.MsgspecError) as error:
             await _respond(exchange, _unreadable(error))
             return
-        await _respond(exchange, await self._ask(request))
+        reply = _orders_api.reply_to(request, await self._ask(request))
+        await _respond(exchange, reply)
 
     def _operator(self, authorization: str) -> str | None:
         """Return the operator's name; empty if anyone may ask, None if this one may not."""
@@ -148,6 +149,8 @@
     ("GET", "/v1/in-force"): _get_in_force,
     ("GET", "/v1/members"): lambda query, body, operator: operations.GetMembers(),
     ("POST", "/v1/voters"): _change_voters,
+    ("GET", "/v1/orders"): _orders_api.list_orders,
+    ("POST", "/v1/orders"): _orders_api.declare,
 }
 
 
@@ -175,7 +178,7 @@
     )
 
 
-async def _respond(exchange: http_server.Exchange, reply: operations.Reply) -> None:
+async def _respond(exchange: http_server.Exchange, reply: Any) -> None:
     if not isinstance(reply, operations.Refused):
         await exchange.respond(200, _JSON, msgspec.json.encode(reply))
         return
--- a/src/medlarfork/operator_client.py
+++ b/src/medlarfork/operator_client.py
@@ -142,13 +142,14 @@
         body = msgspec.json.encode(operations.ChangeVoters(add=add, remove=remove))
         return await self._ask("POST", "/v1/voters", operations.VotersChanged, body, resend=False)
 
-    async def orders(self) -> Any:
-        """Return the orders to engines, as control lists them."""
-        return await self._ask("GET", "/v1/orders", Any)
-
-    async def declare_order(self, desired: order_types.DesiredState) -> Any:
-        """Declare what some engines should hold; repeating it changes nothing."""
-        return await self._ask("POST", "/v1/orders", Any, msgspec.json.encode(desired))
+    async def orders(self) -> operations.OrdersReply:
+        """Return what engines should hold, which orders are in progress, and what waits."""
+        return await self._ask("GET", "/v1/orders", operations.OrdersReply)
+
+    async def declare_order(self, declare: order_types.Declare) -> operations.ChangeAccepted:
+        """Declare what some engines should hold; sending it again gets the first answer."""
+        body = msgspec.json.encode(declare)
+        return await self._ask("POST", "/v1/orders", operations.ChangeAccepted, body)
 
     async def status(self, address: str) -> operations.StatusReply:
         """Return how one control host stands, whether it leads or not."""
--- a/src/medlarfork/pool.py
+++ b/src/medlarfork/pool.py
@@ -6,17 +6,11 @@
 from typing import Any
 
 from medlarfork import (
-    _account_share,
     _finished_tickets,
-    _floor,
-    _outlook,
+    _pool_parts,
     _pool_ticket,
-    _preemption,
-    _queue_set,
-    _reserve,
-    _running_set,
+    _starter,
     _timers,
-    _upstream_set,
     node,
     pool_events,
     pool_options,
@@ -30,8 +24,6 @@
 """How often upstreams are compared, in seconds."""
 _PATROL_S = 0.05
 """How often withheld slots are looked at again while tickets wait for them, in seconds."""
-_MAX_ASIDE = 4
-"""Tickets set aside at once because only upstreams that they avoid are free."""
 
 
 class Pool:
@@ -57,16 +49,16 @@
         self.name = name
         self.entry_id = entry_id
         self._options = options
-        self._queues = _queue_set.QueueSet(late_last=options.late_last)
-        self._running = _running_set.RunningSet()
-        self._upstreams = _upstream_set.UpstreamSet(options)
-        self._accounts = _account_share.AccountShare()
-        self._floor = _floor.Floor()
-        self._reserve = _reserve.Reserve(options.withhold_deviations, options.withhold_max_share)
-        self._outlook = _outlook.Outlook(options, random)
-        self._preemption = _preemption.Preemption(options)
+        self._parts = parts = _pool_parts.PoolParts(options, random)
+        self._queues = parts.queues
+        self._running = parts.running
+        self._upstreams = parts.upstreams
+        self._accounts = parts.accounts
+        self._outlook = parts.outlook
+        self._timers = parts.timers
+        self._preemption = parts.preemption
         self._finished = _finished_tickets.FinishedTickets()
-        self._timers = _timers.Timers()
+        self._starter = _starter.Starter(name, options, parts)
         self._housekeep_at: float | None = None
         self._wake_at: float | None = None
         self._actions: list[Any] = []
@@ -74,13 +66,13 @@
     def handle(self, event: Any, now: float) -> tuple[Any, ...]:
         """Handle an event at a monotonic time in seconds and return the actions, in order."""
         self._actions = []
-        self._floor.advance(
-            now, self._upstreams.slots, self._running.count_by_tier, self._queues.count_by_tier
-        )
+        if self._options.floors:
+            running, queued = self._running.count_by_tier, self._queues.count_by_tier
+            self._parts.floor.advance(now, self._upstreams.slots, running, queued)
         self._housekeep(now)
         self._apply(event, now)
         self._look_at_due(now)
-        self._start_tickets(now)
+        self._actions += self._starter.start(now)
         self._shed_overflow(now)
         self._preempt(now)
         self._set_wake(now)
@@ -109,8 +101,8 @@
                 tier=tier,
                 queued=self._queues.count_by_tier.get(tier, 0),
                 running=self._running.count_by_tier.get(tier, 0),
-                withheld=self._withheld(tier, now),
-                floor_slots=self._floor.slots(tier),
+                withheld=self._starter.withheld(tier, now),
+                floor_slots=self._parts.floor.slots(tier),
             )
             for tier in tiers
         )
@@ -144,7 +136,7 @@
         for item in event.classes:
             share = max(item.floor_share, share_by_tier.get(item.tier, 0.0))
             share_by_tier[item.tier] = share
-        self._floor.set_shares(share_by_tier)
+        self._parts.floor.set_shares(share_by_tier)
         self._accounts.configure(event.accounts, event.service.shards, now)
         self._upstreams.configure(event.drained_upstreams, event.service.slots, now)
 
@@ -155,7 +147,7 @@
         resumed = item.resume_offset > 0 or self._preemption.suffered(item.ticket_id)
         self._outlook.set_times(entry)
         if not resumed:
-            self._reserve.arrived(item.tier, entry.urgent_at - now, now)
+            self._parts.reserve.arrived(item.tier, entry.urgent_at - now, now)
             limit_s = self._accounts.wait_s(item.account, now, self._outlook.slot_s(item))
             if limit_s > 0:
                 self._shed(item, ticket.ShedReason.ACCOUNT_LIMIT, now, limit_s)
@@ -204,7 +196,7 @@
         self._upstreams.finish(running, event, now)
         self._accounts.ended(item.account, event.tokens)
         if event.cause != ticket.ReleaseCause.UNUSED:
-            self._reserve.released(item.tier, now - running.started)
+            self._parts.reserve.released(item.tier, now - running.started)
         self._outlook.released(item, event, now)
         preempted = event.cause == ticket.ReleaseCause.PREEMPTED
         self._preemption.ended(running, preempted=preempted, now=now)
@@ -218,17 +210,8 @@
             self._queues.remove(entry)
         else:
             self._accounts.admitted(item.account, counted=False)
-        self._run(item, event.upstream_id, now - event.running_s, now + item.time_left_s, now)
-
-    def _run(
-        self, item: ticket.Ticket, upstream_id: str, started: float, expires_at: float, now: float
-    ) -> _pool_ticket.RunningTicket:
-        taken_back_at = expires_at + self._options.release_grace_s
-        running = _pool_ticket.RunningTicket(item, upstream_id, started, taken_back_at)
-        running.number = self._upstreams.start(upstream_id, now)
-        self._running.add(running)
-        self._timers.add(taken_back_at, _timers.Kind.EXPIRE, running)
-        return running
+        started, expires_at = now - event.running_s, now + item.time_left_s
+        self._starter.run(item, event.upstream_id, started, expires_at, now)
 
     def _lose_entry(self, entry_id: str, now: float) -> None:
         for entry in self._queues.of_entry(entry_id):
@@ -249,8 +232,8 @@
                     self._drop(item, ticket.ShedReason.HOPELESS, now)
                 case _pool_ticket.QueuedTicket():
                     self._queues.set_urgent(item, kind is _timers.Kind.URGENT)
-        since = self._upstreams.unusable_since
-        if since is not None and now - since >= self._options.no_upstream_grace_s:
+        unusable_s = self._upstreams.unusable_s(now)
+        if not self._upstreams.usable and unusable_s >= self._options.no_upstream_grace_s:
             while (entry := self._queues.newest_of_lowest()) is not None:
                 self._drop(entry, ticket.ShedReason.NO_UPSTREAM, now)
 
@@ -262,72 +245,6 @@
         self._accounts.ended(running.ticket.account, 0)
         self._finished.add(running.ticket.ticket_id, None, now)
 
-    def _start_tickets(self, now: float) -> None:
-        aside: list[_pool_ticket.QueuedTicket] = []
-        while self._upstreams.free > 0 and len(aside) < _MAX_ASIDE:
-            tier, by_floor = self._next_tier(now)
-            if tier is None:
-                break
-            entry = self._queues.pop(tier, now, self._cost)
-            if not self._start(entry, by_floor, now):
-                aside.append(entry)
-        for entry in aside:
-            self._queues.push(entry, at_head=True)
-            self._timers.add(self._outlook.hopeless_at(entry), _timers.Kind.EXPIRE, entry)
-
-    def _next_tier(self, now: float) -> tuple[int | None, bool]:
-        top = self._queues.top_tier()
-        if top is None:
-            return None, False
-        if self._options.floors:
-            owed = self._floor.entitled(self._running.count_by_tier, self._queues.count_by_tier)
-            if owed is not None and owed != top:
-                return owed, True
-            if owed is not None:
-                return owed, False
-        if self._upstreams.free <= self._withheld(top, now):
-            return None, False
-        return top, False
-
-    def _withheld(self, tier: int, now: float) -> int:
-        if not self._options.withhold:
-            return 0
-        return self._reserve.withheld(
-            tier,
-            self._upstreams.slots,
-            self._running.count_by_tier,
-            self._outlook.freed_per_s(now),
-            now,
-        )
-
-    def _cost(self, item: ticket.Ticket) -> float:
-        slot_s = self._outlook.slot_s(item) if self._options.charge_time else 1.0
-        return slot_s / self._accounts.weight(item.account)
-
-    def _start(self, entry: _pool_ticket.QueuedTicket, by_floor: bool, now: float) -> bool:
-        item = entry.ticket
-        chosen = self._upstreams.choose(item, item.avoid)
-        if chosen is None:
-            if self._upstreams.other_usable(item.avoid):
-                return False
-            chosen = self._upstreams.choose(item, ())
-        if chosen is None:
-            return False
-        announcement = chosen.announcement
-        running = self._run(item, announcement.upstream_id, now, entry.expires_at, now)
-        running.by_floor = by_floor
-        running.grant = ticket.Grant(
-            ticket_id=item.ticket_id,
-            entry_id=item.entry_id,
-            pool=self.name,
-            upstream_id=announcement.upstream_id,
-            address=announcement.address,
-        )
-        self._actions.append(running.grant)
-        self._preemption.add(running)
-        self._upstreams.prefixes.hint(item.prefix, announcement.upstream_id)
-        return True
-
     def _shed_overflow(self, now: float) -> None:
         while len(self._queues) > self._options.max_queued:
             entry = self._queues.newest_of_lowest()
@@ -343,9 +260,7 @@
         for tier in sorted(self._queues.urgent_by_tier):
             wanted += self._queues.urgent_by_tier[tier]
             while pending < wanted:
-                victim = self._preemption.choose(
-                    tier, self._may_spare, self._upstreams.slots, now
-                )
+                victim = self._preemption.choose(tier, self._may_spare, self._upstreams.slots, now)
                 if victim is None:
                     break
                 held = victim.ticket
@@ -354,7 +269,7 @@
 
     def _may_spare(self, tier: int) -> bool:
         running = self._running.count_by_tier.get(tier, 0)
-        return not self._options.floors or running > int(self._floor.slots(tier))
+        return not self._options.floors or running > int(self._parts.floor.slots(tier))
 
     def _drop(
         self, entry: _pool_ticket.QueuedTicket, reason: ticket.ShedReason, now: float
--- a/src/medlarfork/pool_events.py
+++ b/src/medlarfork/pool_events.py
@@ -57,6 +57,9 @@
     upstream_id: str
 
 
+UpstreamEvent = UpstreamUp | UpstreamChanged | UpstreamGone
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryGone:
     """Drop a lost entry host's queued tickets.
--- a/src/medlarfork/pool_options.py
+++ b/src/medlarfork/pool_options.py
@@ -57,7 +57,7 @@
     withhold_max_share: float = 0.5
     preempt: bool = True
     preempt_per_slot_s: float = 1.0
-    preempt_per_request: int = 5
+    preempt_per_request: int = 10
     preempt_cooldown_s: float = 1.0
     shed_hopeless: bool = True
     affinity: bool = True
--- a/src/medlarfork/replicated_state.py
+++ b/src/medlarfork/replicated_state.py
@@ -1,4 +1,4 @@
-"""Apply the commands of the replicated log: changes, claims, fences, members and sub-states.
+"""Apply the commands of the replicated log: changes, claims, members and sub-states.
 
 Applying is deterministic: replicas that apply the same commands hold the same state and give
 the same replies. Time is only what the commands carry, and it never goes back.
@@ -59,15 +59,6 @@
     operations: tuple[ClaimOperation, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FenceTaken:
-    """Command: make ``holder`` the holder of a fence; each new holder has a higher number."""
-
-    at_ms: int
-    name: str
-    holder: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersChanged:
     """Command: note which entry hosts joined or left, so that a new leader knows them."""
@@ -86,25 +77,11 @@
     command: bytes
 
 
-Command = ConfigurationChange | ClaimBatch | FenceTaken | MembersChanged | SubStateCommand
+Command = ConfigurationChange | ClaimBatch | MembersChanged | SubStateCommand
 
-COMMANDS = codec.Codec(
-    (ConfigurationChange, ClaimBatch, FenceTaken, MembersChanged, SubStateCommand)
-)
+COMMANDS = codec.Codec((ConfigurationChange, ClaimBatch, MembersChanged, SubStateCommand))
 """Encodes the commands for the log."""
 
-FENCE_LIMIT = 10_000
-"""Most fences that are kept; a further name is refused."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fence:
-    """Say who holds a fence under which number; number 0 means that the table is full."""
-
-    name: str
-    holder: str
-    number: int
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubStateRefused:
@@ -121,7 +98,6 @@
     log_time_ms: int
     changes: _change_table.ChangeTableState
     claims: _claim_table.ClaimTableState
-    fences: tuple[Fence, ...]
     members: tuple[member.Member, ...]
     sub_states: dict[str, bytes]
 
@@ -143,7 +119,6 @@
         self._log_time_ms = 0
         self._changes = _change_table.ChangeTable(self._change_limits)
         self._claims = _claim_table.ClaimTable(self._claim_limits)
-        self._fence_by_name: dict[str, Fence] = {}
         self._member_by_id: dict[str, member.Member] = {}
 
     @property
@@ -179,23 +154,19 @@
         """Return whether the answer to a change is kept."""
         return self._changes.remembers(change_id)
 
-    def fence(self, name: str) -> Fence | None:
-        """Return the fence of that name, if anyone ever held it."""
-        return self._fence_by_name.get(name)
-
     def claim_holder(self, key: claim.ClaimKey) -> claim.Holder | None:
         """Return who holds the unfinished claim, if anyone does."""
         return self._claims.holder_of(key)
 
-    def has_sub_state(self, name: str) -> bool:
-        """Return whether a sub-state of that name is registered."""
-        return name in self._sub_state_by_name
+    def sub_state(self, name: str) -> SubState | None:
+        """Return the registered sub-state of that name, if there is one."""
+        return self._sub_state_by_name.get(name)
 
     def apply(self, command: bytes) -> Any:
         """Apply a packed command and return its reply.
 
         The reply is a ``ChangeAnswer``, a tuple with a ``ClaimReply`` or ``ClaimRecorded`` for
-        each claim operation, a ``Fence``, a sub-state's bytes or ``SubStateRefused``, or None.
+        each claim operation, a sub-state's bytes or ``SubStateRefused``, or None.
         """
         decoded = COMMANDS.unpack(command)
         match decoded:
@@ -205,9 +176,6 @@
             case ClaimBatch():
                 self._advance(decoded.at_ms)
                 return tuple(self._apply_claim(item) for item in decoded.operations)
-            case FenceTaken():
-                self._advance(decoded.at_ms)
-                return self._take_fence(decoded)
             case MembersChanged():
                 self._advance(decoded.at_ms)
                 return self._note_members(decoded)
@@ -221,7 +189,6 @@
             self._log_time_ms,
             self._changes.state(),
             self._claims.state(),
-            tuple(self._fence_by_name.values()),
             tuple(self._member_by_id.values()),
             {name: item.encode() for name, item in self._sub_state_by_name.items()},
         )
@@ -243,7 +210,6 @@
         self._log_time_ms = snapshot.log_time_ms
         self._changes = _change_table.ChangeTable(self._change_limits, snapshot.changes)
         self._claims = _claim_table.ClaimTable(self._claim_limits, snapshot.claims)
-        self._fence_by_name = {fence.name: fence for fence in snapshot.fences}
         self._member_by_id = {item.entry_id: item for item in snapshot.members}
         for name, sub_state in self._sub_state_by_name.items():
             sub_state.restore(snapshot.sub_states.get(name, b""))
@@ -273,16 +239,6 @@
             # Raised on, it would stop every replica at the same entry at each start.
             return SubStateRefused(command.name, str(error))
 
-    def _take_fence(self, taken: FenceTaken) -> Fence:
-        held = self._fence_by_name.get(taken.name)
-        if held is None and len(self._fence_by_name) >= FENCE_LIMIT:
-            return Fence(taken.name, "", 0)
-        if held is None or held.holder != taken.holder:
-            number = 1 if held is None else held.number + 1
-            held = Fence(taken.name, taken.holder, number)
-            self._fence_by_name[taken.name] = held
-        return held
-
     def _note_members(self, changed: MembersChanged) -> None:
         for left in changed.left:
             known = self._member_by_id.get(left.entry_id)
--- a/src/medlarfork/wire.py
+++ b/src/medlarfork/wire.py
@@ -8,6 +8,7 @@
     codec,
     entry_types,
     heartbeat,
+    inventory,
     ticket,
 )
 
@@ -36,6 +37,8 @@
     heartbeat.HeartbeatReply,
     heartbeat.NotLeader,
     heartbeat.RevisionNotice,
+    inventory.InventoryReport,
+    inventory.ResendInventory,
 )
 """Messages between entry hosts and control replicas."""
 
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Test the system with real processes that fail, while requests run."""
--- /dev/null
+++ b/tests/processes/test_entry_loss.py
@@ -0,0 +1,77 @@
+"""Lose entry hosts while requests that must not run twice are on their way."""
+
+import pytest
+
+from tests.processes import callers
+
+OTHER = {"entry-1": "entry-2", "entry-2": "entry-1"}
+
+
+# One of the two owns the service's pool, so both its owner and another host are lost.
+@pytest.mark.parametrize("lost", OTHER)
+def test_a_resent_call_never_runs_again_after_its_entry_host_is_killed(
+    make_deployment, threads, new_key, lost
+):
+    deployment = make_deployment()
+    deployment.start_service("desk-1", delay_s=1.0)
+    key = new_key()
+    first = threads.submit(callers.hold, deployment.address(lost), key)
+    deployment.wait_for_execution("desk-1", key)
+
+    deployment.processes.kill(lost)
+
+    with pytest.raises(callers.CUT_ERRORS):
+        first.result()
+    answers = [callers.hold(deployment.address(OTHER[lost]), key) for _ in range(3)]
+    for answer in answers:
+        assert answer.outcome == "may_have_run", answer
+    assert answers[-1].error["code"] == "uncertain"
+    assert callers.hold(deployment.address(OTHER[lost]), new_key()).outcome == "completed"
+    assert deployment.executions("desk-1")[key] == 1
+
+
+@pytest.mark.parametrize("lost", OTHER)
+def test_a_call_still_queued_when_its_entry_host_is_killed_runs_at_most_once(
+    make_deployment, threads, new_key, lost
+):
+    deployment = make_deployment()
+    deployment.start_service("desk-1", slots=1, delay_s=2.5)
+    other, key, occupying = OTHER[lost], new_key(), new_key()
+    holding = threads.submit(callers.hold, deployment.address(other), occupying)
+    deployment.wait_for_execution("desk-1", occupying)
+    threads.submit(callers.try_hold, deployment.address(lost), key)
+    deployment.wait(lambda: deployment.entry_status(lost)["queued"] == 1, "the queued call")
+
+    deployment.processes.kill(lost)
+    resent = callers.hold(deployment.address(other), key)
+
+    assert holding.result().outcome == "completed"
+    # Calls start in the order of their arrival, so whatever was to run has begun after this one.
+    assert callers.hold(deployment.address(other), new_key()).outcome == "completed"
+    executions = deployment.executions("desk-1").get(key, 0)
+    assert executions <= 1
+    assert resent.outcome in ("completed", "may_have_run", "not_run")
+    assert (resent.outcome, executions) != ("not_run", 1)
+    assert (resent.outcome, executions) != ("completed", 0)
+
+
+def test_duplicates_at_two_entry_hosts_at_once_run_once_and_get_one_answer(
+    make_deployment, threads, new_key
+):
+    deployment = make_deployment()
+    deployment.start_service("desk-1", delay_s=0.4)
+    keys = [new_key() for _ in range(6)]
+    asked = [
+        (key, threads.submit(callers.hold, address, key))
+        for key in keys
+        for address in deployment.entry_addresses
+    ]
+
+    for key in keys:
+        first, second = [call.result() for asked_key, call in asked if asked_key == key]
+        assert (first.status, first.outcome) == (200, "completed"), first
+        assert (second.status, second.outcome) == (200, "completed"), second
+        assert first.body == second.body
+        assert [first.replayed, second.replayed].count(True) == 1
+        assert first.headers["idempotency-key"] == second.headers["idempotency-key"] == key
+    assert deployment.executions("desk-1") == dict.fromkeys(keys, 1)
--- /dev/null
+++ b/tests/processes/test_graceful_stop.py
@@ -0,0 +1,154 @@
+"""Stop each role with SIGTERM while requests run: nothing in progress is cut."""
+
+import time
+
+import pytest
+
+from tests.processes import callers
+
+LEAVING_S = 3.0
+"""How long after its SIGTERM an engine may still be given new work."""
+
+LIFETIME_S = 1.0
+"""How long callers may keep the answer of /v1/entries in these deployments."""
+
+LONG = "a long story [tokens=350]"
+SHORT = "a short one [tokens=2]"
+OTHER = {"entry-1": "entry-2", "entry-2": "entry-1"}
+
+
+def _whole(stream):
+    stream.read_all()
+    return stream.done and stream.ended
+
+
+def test_a_stopping_engine_finishes_its_streams_and_is_given_nothing_new(make_deployment, threads):
+    deployment = make_deployment()
+    for name in ("engine-1", "engine-2"):
+        deployment.start_engine(name, token_s=0.02)
+    streams = [
+        callers.ChatStream(address, LONG).read_tokens(3)
+        for address in deployment.entry_addresses * 3
+    ]
+    assert deployment.engine_state("engine-1")["running"]
+    reading = [threads.submit(_whole, stream) for stream in streams]
+
+    asked = []
+    stopped_at = time.monotonic()
+    deployment.processes.terminate("engine-1")
+    while deployment.processes.running("engine-1"):
+        for address in deployment.entry_addresses:
+            asked.append((time.monotonic(), callers.chat(address, SHORT)))
+
+    assert deployment.processes.wait("engine-1") == 0
+    assert all(item.result() for item in reading)
+    assert len({stream.text for stream in streams}) == 1
+    assert {stream.tokens for stream in streams} == {350}
+    assert {answer.outcome for _, answer in asked} == {"completed"}
+    late = [answer for asked_at, answer in asked if asked_at > stopped_at + LEAVING_S]
+    assert late
+    # The engine refuses new work, so an answer at the first attempt did not go there.
+    assert {deployment.attempts(answer.request_id) for answer in late} == {1}
+
+
+def test_a_stopping_service_finishes_its_calls(make_deployment, threads, new_key):
+    deployment = make_deployment()
+    deployment.start_service("desk-1", delay_s=2.0)
+    key = new_key()
+    calls = [
+        threads.submit(callers.hold, deployment.address("entry-1"), key),
+        threads.submit(callers.search, deployment.address("entry-2")),
+    ]
+    deployment.wait(lambda: deployment.total("desk-1") == 2, "both executions")
+
+    stopped = deployment.processes.stop(["desk-1"])
+
+    assert stopped == {"desk-1": 0}
+    for call in calls:
+        assert (call.result().status, call.result().outcome) == (200, "completed")
+    refused = callers.hold(deployment.address("entry-1"), new_key())
+    assert (refused.status, refused.outcome) == (503, "not_run")
+    assert callers.hold(deployment.address("entry-2"), key).replayed
+
+
+def _is_named(deployment, name):
+    """Return whether any entry host that answers still names this one to callers."""
+    for address in deployment.entry_addresses:
+        answer = callers.try_ask(address, "GET", "/v1/entries")
+        if answer is not None:
+            addresses = [entry["address"] for entry in answer.json["entries"]]
+            if deployment.address(name) in addresses:
+                return True
+    return False
+
+
+# One of the two owns the service's pools, so both its owner and another host are stopped.
+@pytest.mark.parametrize("stopping", OTHER)
+def test_a_stopping_entry_host_is_left_out_first_and_cuts_nothing(
+    make_deployment, threads, new_key, stopping
+):
+    deployment = make_deployment(entry_settings=f"entries_lifetime_s = {LIFETIME_S}\n")
+    deployment.start_engine("engine-1", token_s=0.02)
+    deployment.start_service("desk-1", delay_s=0.2)
+    address, other = deployment.address(stopping), deployment.address(OTHER[stopping])
+    streams = [callers.ChatStream(address, LONG).read_tokens(3) for _ in range(3)]
+    reading = [threads.submit(_whole, stream) for stream in streams]
+    assert _is_named(deployment, stopping)
+
+    with callers.Watch(lambda: callers.hold(other, new_key())) as elsewhere:
+        deployment.processes.terminate(stopping)
+        named_at = time.monotonic()
+        while True:
+            asked_at = time.monotonic()
+            if _is_named(deployment, stopping):
+                named_at = asked_at
+            answer = callers.hold(address, new_key())
+            if answer.status != 200:
+                break
+        refused_at = time.monotonic()
+        assert deployment.processes.wait(stopping) == 0
+
+    assert (answer.status, answer.outcome) == (503, "not_run")
+    assert answer.error["code"] == "draining"
+    assert answer.headers["medlar-entries"] == other
+    assert refused_at - named_at >= LIFETIME_S
+    assert all(item.result() for item in reading)
+    assert {stream.tokens for stream in streams} == {350}
+    assert {held.outcome for held in elsewhere.seen} == {"completed"}
+    assert set(deployment.executions("desk-1").values()) == {1}
+    deployment.wait_for_members([OTHER[stopping]])
+    assert callers.chat(other, SHORT).outcome == "completed"
+
+
+def test_a_stopping_control_leader_hands_over_without_refusing_a_claim(
+    make_deployment, threads, new_key
+):
+    deployment = make_deployment()
+    deployment.start_service("desk-1", delay_s=0.05)
+    leader = deployment.wait_for_leader()
+    operator = deployment.operator
+    base, configuration = operator.configuration()
+    change_id = new_key()
+
+    def _hold_everywhere():
+        return [callers.hold(address, new_key()) for address in deployment.entry_addresses]
+
+    with callers.Watch(_hold_everywhere, period_s=0.0) as watch:
+        deployment.wait(lambda: len(watch.seen) >= 3, "some calls before the stop")
+        renamed = {**configuration, "name": "while stopping"}
+        changing = threads.submit(operator.change, change_id, base, renamed)
+
+        stopped = deployment.processes.stop([leader])
+
+        assert stopped == {leader: 0}
+        assert deployment.wait_for_leader() != leader
+        seen = len(watch.seen)
+        deployment.wait(lambda: len(watch.seen) >= seen + 5, "some calls after the stop")
+    answers = [answer for both in watch.seen for answer in both]
+    assert {(answer.status, answer.outcome) for answer in answers} == {(200, "completed")}
+    executions = deployment.executions("desk-1")
+    assert len(executions) == len(answers)
+    assert set(executions.values()) == {1}
+    assert (changing.result().status, changing.result().json["revision"]) == (200, base + 1)
+    assert operator.history()[base + 1] == change_id
+    deployment.wait_for_revision(base + 1)
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -21,6 +21,7 @@
     member,
     operations,
     operator_client,
+    order_types,
     uuid7,
     wire,
 )
@@ -137,6 +138,36 @@
     _run(settings_by_id, _body)
 
 
+def test_orders_are_declared_and_listed(settings_by_id):
+    async def _body(site):
+        desired = order_types.DesiredState("all-8b", "engine=lm")
+        first, second, third = (_change_id(number) for number in (1, 2, 3))
+        declare = order_types.Declare(desired, first, 0, "somebody")
+        accepted = operations.ChangeAccepted(first, 1)
+        for _ in range(2):
+            assert await site.client.declare_order(declare) == accepted
+        listed = await site.client.orders()
+        (declared,) = listed.desired
+        assert (listed.revision, declared.desired) == (1, desired)
+        assert (declared.change_id, declared.operator) == (first, "ana")
+        for wrong, code in (
+            (dataclasses.replace(declare, change_id=second), "change_conflict"),
+            (dataclasses.replace(declare, base_revision=1), "key_reused"),
+            (dataclasses.replace(declare, change_id="x"), "bad_request"),
+            (
+                order_types.Declare(order_types.DesiredState("bad", "=="), third, 1),
+                "bad_request",
+            ),
+        ):
+            with pytest.raises(errors.OperatorError) as caught:
+                await site.client.declare_order(wrong)
+            assert caught.value.code == code
+            if code == "change_conflict":
+                assert f"Change {first} of operator ana" in str(caught.value)
+
+    _run(settings_by_id, _body)
+
+
 def test_an_entry_host_gets_the_configuration_and_a_claim(settings_by_id):
     async def _body(site):
         await site.client.apply(_change_id(1), 0, configuration.Configuration(name="first"))
@@ -191,6 +222,30 @@
     return _Got(response.status, await response.read())
 
 
+def test_a_second_program_on_one_folder_is_refused(settings_by_id):
+    async def _body(site):
+        second = control_program.ControlProgram(settings_by_id["c1"])
+        with pytest.raises(errors.JournalError):
+            await second.start()
+
+    _run(settings_by_id, _body)
+
+
+def test_a_failed_disk_ends_the_program(settings_by_id):
+    async def _body(site):
+        leader_id = await site.leader()
+        program = site.program_by_id[leader_id]
+        # The journal's file is gone from under it, as after an input/output error.
+        program._journal.close()
+        whole = configuration.Configuration()
+        asked = await curio.spawn(site.client.apply, _change_id(1), 0, whole, daemon=True)
+        await curio.timeout_after(20, program.wait_failed)
+        await asked.cancel()
+        assert isinstance(program.failure, errors.JournalError)
+
+    _run(settings_by_id, _body)
+
+
 def test_requests_that_can_not_be_answered_are_refused(settings_by_id):
     async def _body(site):
         leader_id = await site.leader()
--- /dev/null
+++ b/tests/test_pool_differential.py
@@ -0,0 +1,111 @@
+"""Feed the same events to the pool and to the naive one: same grants and sheds, in order."""
+
+import dataclasses
+import random
+
+import pytest
+
+from medlarfork import (
+    configuration,
+    naive_pool,
+    node,
+    pool,
+    pool_events,
+    pool_options,
+    ticket,
+    upstream,
+)
+
+_POOL = "lm/0"
+_OPTIONS = dataclasses.replace(pool_options.PLAIN, max_queued=25)
+_SERVICE = configuration.Service("lm", configuration.ServiceKind.MODEL, "", slots=2)
+_ACCOUNTS = (
+    configuration.Account("a", weight=2.0),
+    configuration.Account("b", limits=configuration.AccountLimits(concurrent=5)),
+    configuration.Account("c", limits=configuration.AccountLimits(requests_per_second=2.0)),
+    configuration.Account("d", limits=configuration.AccountLimits(tokens_per_minute=300)),
+)
+
+
+def _announcement(generator, upstream_id, sequence):
+    states = [upstream.UpstreamState.READY] * 9 + [upstream.UpstreamState.LEAVING]
+    return upstream.Announcement(
+        upstream_id, 1 + sequence // 60, sequence, generator.choice(states), f"http://{upstream_id}",
+        slots=generator.choice([0, 1, 3]),
+    )  # fmt: skip
+
+
+def _ticket(generator, number):
+    return ticket.Ticket(
+        ticket_id=f"r{number}/1",
+        entry_id=generator.choice(["e1", "e2"]),
+        pool=_POOL,
+        account=generator.choice("abcde"),
+        class_name="any",
+        tier=generator.choice([1, 2, 3, 4]),
+        waited_s=generator.choice([0.0, 0.0, 0.5]),
+        time_left_s=generator.choice([0.0, 1.0, 5.0, 30.0]),
+        resume_offset=generator.choice([0, 0, 0, 7]),
+    )
+
+
+def _events(seed, length=1500):
+    """Yield (time, event) with duplicates, stale ids and upstreams that come and go."""
+    generator = random.Random(seed)
+    now = 0.0
+    asked = []
+    yield now, pool_events.PolicyChanged((), _ACCOUNTS, _SERVICE)
+    for step in range(length):
+        now += generator.expovariate(12.0)
+        upstream_id = generator.choice(["u1", "u2", "u3", "u4"])
+        known = generator.choice(asked[-40:]) if asked else _ticket(generator, 0)
+        match generator.choices(range(8), [40, 30, 4, 4, 8, 3, 2, 2])[0]:
+            case 0:
+                asked.append(_ticket(generator, step))
+                yield now, asked[-1]
+            case 1:
+                cause = generator.choice(list(ticket.ReleaseCause))
+                yield now, ticket.Release(known.ticket_id, _POOL, cause, 0.1, 0.5, 20)
+            case 2:
+                yield now, ticket.Withdraw(known.ticket_id, _POOL)
+            case 3:
+                yield now, known
+            case 4:
+                yield now, pool_events.UpstreamUp(_announcement(generator, upstream_id, step))
+            case 5:
+                changed = _announcement(generator, upstream_id, step)
+                yield now, pool_events.UpstreamChanged(changed)
+            case 6:
+                drained = tuple(generator.sample(["u1", "u2", "u3", "u4"], 1))
+                yield now, pool_events.PolicyChanged((), _ACCOUNTS, _SERVICE, drained)
+            case 7:
+                now += generator.choice([0.0, 0.0, 6.0])
+                yield now, node.TimeDue()
+
+
+def _decisions(actions):
+    """Keep grants and sheds; how long to wait before a retry is the pool's own estimate."""
+    kept = [action for action in actions if isinstance(action, ticket.Grant | ticket.Shed)]
+    return [
+        (
+            dataclasses.replace(action, retry_after_s=0.0)
+            if isinstance(action, ticket.Shed)
+            else action
+        )
+        for action in kept
+    ]
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_pool_decides_like_the_naive_one(seed):
+    real = pool.Pool(name=_POOL, entry_id="e", random=random.Random(seed), options=_OPTIONS)
+    naive = naive_pool.NaivePool(name=_POOL, options=_OPTIONS)
+    granted = shed = 0
+    for step, (now, event) in enumerate(_events(seed)):
+        got = _decisions(real.handle(event, now))
+        expected = _decisions(naive.handle(event, now))
+        assert got == expected, f"step {step} at {now}: {event}"
+        granted += sum(isinstance(action, ticket.Grant) for action in got)
+        shed += sum(isinstance(action, ticket.Shed) for action in got)
+    assert granted > 200
+    assert shed > 50
