--- a/measure/_cases.py
+++ b/measure/_cases.py
@@ -33,7 +33,8 @@
     """Say which policies run a case, and which classes' own demand fits the capacity.
 
     Attributes:
-        protected: Classes whose demand, with all above, stays below 0.85 of the capacity.
+        protected: Classes, or their accounts within their share ("others"), whose demand with all
+            above stays below 0.85 of the capacity.
         overload: Whether the whole demand is above the capacity.
     """
 
@@ -134,7 +135,7 @@
         Plan(burst, _MAIN, ("counter",), True),
         Plan(straggler, _MAIN, top, True),
         Plan(crash, _MAIN, top, True),
-        Plan(hog, _MAIN, ("counter",), True),
+        Plan(hog, _MAIN, ("counter", "chat others"), True),
         Plan(_hour(300.0 if quick else 3600.0), _MAIN, (), True),
         Plan(leave, _MAIN, top, True),
     )
--- a/measure/_virtual.py
+++ b/measure/_virtual.py
@@ -237,7 +237,7 @@
         self.shed_ids: set[str] = set()
         self.tokens_computed = 0.0
         self.tokens_useful = 0.0
-        self.slot_s_by_class: dict[str, float] = {}
+        self.slot_s_by_class_account: dict[tuple[str, str], float] = {}
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._number = itertools.count()
 
@@ -267,9 +267,9 @@
         """Count the tokens that an attempt has cost."""
         spent_s = (self.now - attempt.begun) * attempt.speed
         self.tokens_computed += spent_s * TOKENS_PER_S
-        name = attempt.request.load.declared.name
+        key = (attempt.request.load.declared.name, attempt.request.account)
         held_s = max(0.0, min(self.now, self.case.duration_s) - attempt.begun)
-        self.slot_s_by_class[name] = self.slot_s_by_class.get(name, 0.0) + held_s
+        self.slot_s_by_class_account[key] = self.slot_s_by_class_account.get(key, 0.0) + held_s
 
     def attempt_ended(self, attempt: Attempt, cause: ticket.ReleaseCause) -> None:
         """Note a whole answer, then tell the side."""
--- a/measure/policy.py
+++ b/measure/policy.py
@@ -160,7 +160,7 @@
         attainment={name: met[name] / len(rows) for name, rows in groups.items()},
         of_idle={name: met[name] / max(1, idle[name]) for name in groups},
         shed={name: _shed_share(simulation, rows) for name, rows in groups.items()},
-        slot_share={name: _slot_share(simulation, name) for name in groups},
+        slot_share={name: _slot_share(simulation, rows) for name, rows in groups.items()},
         goodput_per_s=sum(met[load.declared.name] for load in case.loads) / case.duration_s,
         wasted=max(0.0, 1 - simulation.tokens_useful / simulation.tokens_computed),
         preemptions=owner.preemptions if isinstance(owner, _sides.Owner) else 0,
@@ -184,9 +184,10 @@
     return sum(request.request_id in simulation.shed_ids for request in rows) / len(rows)
 
 
-def _slot_share(simulation: _virtual.Simulation, name: str) -> float:
+def _slot_share(simulation: _virtual.Simulation, rows: list[_virtual.Request]) -> float:
     case = simulation.case
-    held_s = simulation.slot_s_by_class.get(name, 0.0)
+    keys = {(request.load.declared.name, request.account) for request in rows}
+    held_s = sum(simulation.slot_s_by_class_account.get(key, 0.0) for key in keys)
     return held_s / (case.engines * case.slots * case.duration_s)
 
 
