Read and write chunks through h11 again

Both sides are to speak HTTP through the library, and a second reader of the same grammar is where two ends come to disagree, so it is taken out.

--- a/src/medlarfork/_http_answer.py
+++ b/src/medlarfork/_http_answer.py
@@ -9,8 +9,6 @@
 
 from medlarfork import _http_messages, _http_stream, errors
 
-_HEAD_END = b"\r\n\r\n"
-
 _MOST_INFORMATIONAL = 8
 """Informational answers accepted before the real one."""
 
@@ -36,9 +34,7 @@
     """
 
     __slots__ = (
-        "_ahead",
         "_broken",
-        "_chunked",
         "_h11",
         "_pool",
         "_spent",
@@ -64,9 +60,7 @@
         self.closed = False
         self._pool = pool
         self._broken = False
-        self._ahead = b""  # Came with the head, and has not been given to h11.
         self._spent = True  # Whether h11 has nothing left to make an event of.
-        self._chunked = False  # Whether h11 has seen nothing yet of a chunked body.
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
 
     async def exchange(self, head: h11.Request, body: bytes, give_up_at: float) -> Response:
@@ -85,9 +79,6 @@
         self._spent = True
         response = await self._read_head()
         headers = _http_messages.decode_headers(response.headers)
-        chunked = headers.get("transfer-encoding", "").lower() == "chunked"
-        clean = not self._h11.trailing_data[0]
-        self._chunked = chunked and clean and not _is_bodiless(head, response)
         framed = _is_framed(head, response, headers)
         return Response(self, response.status_code, headers, framed)
 
@@ -103,24 +94,6 @@
                 return event
             self._feed(await self._receive())
 
-    async def next_chunks(self) -> bytes:
-        """Return what the next whole chunks hold; nothing if h11 has to read what came.
-
-        Reading each token's chunk through h11 would cost more than all else that a relayed token
-        costs here. h11 still reads the head, chunks that were cut up, and the body's end.
-
-        Raises:
-            errors.UpstreamError: If the connection fails.
-        """
-        if not self._chunked:
-            return b""
-        data = await self._receive()
-        joined = _http_messages.join_chunks(data)
-        if not joined:
-            self._chunked = False
-            self._feed(data)
-        return joined
-
     def buffered_event(self) -> h11.Event | None:
         """Return the next event that needs no further bytes, if any."""
         if self._spent:
@@ -141,7 +114,6 @@
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
             and not self._h11.trailing_data[0]
-            and not self._ahead
         )
         if not reusable or self.stream.expired:
             await self.close()
@@ -182,26 +154,14 @@
 
     async def _read_head(self) -> h11.Response:
         for _ in range(_MOST_INFORMATIONAL):
-            event = await self._next_head()
+            event = await self.next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._failed("it ended before an answer")
         raise self._failed("it sent too many informational answers")
 
-    async def _next_head(self) -> h11.Event:
-        """Return the next event, and keep what comes after a head from h11."""
-        while True:
-            event = self.buffered_event()
-            if event is not None:
-                return event
-            head, end, self._ahead = (await self._receive()).partition(_HEAD_END)
-            self._feed(head + end)
-
     async def _receive(self) -> bytes:
-        if self._ahead:
-            ahead, self._ahead = self._ahead, b""
-            return ahead
         try:
             data = await self.stream.receive()
         except OSError as error:
@@ -299,9 +259,6 @@
 
     async def _next_chunk(self) -> bytes:
         """Join what one read brought, so that many small chunks cost one write further on."""
-        chunks = await self._connection.next_chunks()
-        if chunks:
-            return chunks
         event = await self._connection.next_event()
         parts: list[bytes] = []
         while isinstance(event, h11.Data):
--- a/src/medlarfork/_http_exchange.py
+++ b/src/medlarfork/_http_exchange.py
@@ -50,7 +50,6 @@
     """
 
     __slots__ = (
-        "_chunked",
         "_closing",
         "_h11",
         "_limits",
@@ -77,7 +76,6 @@
         self._stream = stream
         self._limits = limits
         self._closing = False
-        self._chunked = False
 
     def close_after(self) -> None:
         """Close the connection after this answer instead of keeping it alive."""
@@ -117,18 +115,12 @@
 
     async def begin(self, status: int, headers: Mapping[str, str]) -> None:
         """Write the head of a streamed answer: chunked, unless ``headers`` give the length."""
-        head = self._start(status, _http_messages.encode_headers(headers))
-        self._chunked = _http_messages.CHUNKED_LINE in head
-        await self._write(head)
+        await self._write(self._start(status, _http_messages.encode_headers(headers)))
 
     async def send(self, data: bytes) -> None:
         """Write a part of a streamed answer at once; wait while the caller reads slowly."""
         if not data or self.head.method == "HEAD":
             return
-        if self._chunked and not self.finished:
-            # A part does not change the state of h11, which takes long to find that out.
-            await self._write(_http_messages.encode_chunk(data))
-            return
         await self._write(self._h11.send(h11.Data(data=data)))
 
     async def finish(self) -> None:
--- a/src/medlarfork/_http_messages.py
+++ b/src/medlarfork/_http_messages.py
@@ -4,7 +4,6 @@
 
 import functools
 import http
-import re
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -33,11 +32,6 @@
 MAY_HAVE_RUN = request.Outcome.MAY_HAVE_RUN
 """Outcome where a handler failed: it is not known how far it came."""
 
-CHUNKED_LINE = b"\r\nTransfer-Encoding: chunked\r\n"
-"""What h11 writes into the head of a message whose body is chunked."""
-
-_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
-
 RawHeaders = list[tuple[bytes, bytes]]
 """Header lines as h11 takes them."""
 
@@ -64,29 +58,6 @@
     ]
 
 
-def encode_chunk(data: bytes) -> bytes:
-    """Return one chunk of a chunked body; ``data`` must not be empty."""
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-def join_chunks(data: bytes) -> bytes:
-    """Return what the chunks hold if the bytes are whole plain chunks; else nothing.
-
-    The chunk that ends a body is not among them, and neither are chunks with extensions.
-    """
-    parts = []
-    start = 0
-    while start < len(data):
-        found = _CHUNK_SIZE.match(data, start)
-        if found is None:
-            return b""
-        start = found.end() + int(found[1], 16) + 2
-        if start == found.end() + 2 or data[start - 2 : start] != b"\r\n":
-            return b""
-        parts.append(data[found.end() : start - 2])
-    return b"".join(parts)
-
-
 @functools.lru_cache(maxsize=256)
 def reason_phrase(status: int) -> bytes:
     """Return the standard reason phrase; empty for a status without one."""
--- a/tests/test_http_answer.py
+++ b/tests/test_http_answer.py
@@ -8,10 +8,9 @@
 import curio
 import h11
 import hypothesis
-import pytest
 from hypothesis import strategies
 
-from medlarfork import _http_answer, _http_messages, errors
+from medlarfork import _http_answer, errors
 
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 CHUNKS = b"1\r\na\r\n00A\r\n\r\n0\r\n\r\nbcd\r\n2;x=y\r\nef\r\n1\r\ng\r\n"
@@ -104,12 +103,3 @@
 def test_a_connection_with_bytes_behind_an_answer_is_not_kept():
     assert read([HEAD + b"HTTP"], method="HEAD") == (b"", True, False)
     assert read([HEAD, CHUNKS, END + b"HTTP"]) == (BODY, True, False)
-
-
-@pytest.mark.parametrize(
-    "data", [b"1\r\na\r", b"1\r\nab\r", b"0\r\n\r\n", b"1 \r\na\r\n", b"-1\r\n"]
-)
-def test_only_whole_plain_chunks_are_joined(data):
-    assert _http_messages.join_chunks(b"1\r\nx\r\n" + data) == b""
-    assert _http_messages.join_chunks(b"1\r\nx\r\n") == b"x"
-    assert _http_messages.join_chunks(_http_messages.encode_chunk(b"y" * 300)) == b"y" * 300
