--- a/measure/claim_table.py
+++ b/measure/claim_table.py
@@ -1,7 +1,8 @@
-"""Measure what a finished claim costs as their number grows: time, memory and snapshots.
+"""Measure what claims cost as their number grows: time, memory and snapshots.
 
 Run as ``python -m measure.claim_table [--quick]``. Claims are of 220 accounts, under UUIDv7 keys
-a millisecond apart, and finished with an answer that is too large to be kept.
+a millisecond apart, and finished with an answer that is too large to be kept; one column is for
+claims that still run.
 """
 
 from __future__ import annotations
@@ -36,6 +37,7 @@
 
     claims: int
     bytes_per_claim: float
+    bytes_per_running_claim: float
     us_per_claim: float
     encode_ms: float
     encode_slowest_ms: float
@@ -75,21 +77,22 @@
     return replicated_state.ReplicatedState(claim_limits=limits)
 
 
-def _fill(state: replicated_state.ReplicatedState, claims: int) -> None:
+def _fill(state: replicated_state.ReplicatedState, claims: int, *, finished: bool = True) -> None:
     for start in range(0, claims, 10_000):
-        for command in _commands(start, min(10_000, claims - start)):
+        commands = _commands(start, min(10_000, claims - start))
+        for command in commands if finished else commands[::2]:
             state.apply(command)
     if state.claim_count != claims:
         raise RuntimeError(f"{state.claim_count} claims are kept of {claims}.")
 
 
-def _memory(claims: int) -> float:
+def _memory(claims: int, *, finished: bool) -> float:
     """Return the bytes that the state has grown by, for each claim."""
     state = _make_state(claims)
     gc.collect()
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
-    _fill(state, claims)
+    _fill(state, claims, finished=finished)
     gc.collect()
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
@@ -97,7 +100,8 @@
 
 
 def _measure(claims: int) -> Cost:
-    bytes_per_claim = _memory(claims)
+    bytes_per_claim = _memory(claims, finished=True)
+    bytes_per_running_claim = _memory(claims, finished=False)
     state = _make_state(claims)
     _fill(state, claims)
     encodes = []
@@ -118,6 +122,7 @@
     return Cost(
         claims,
         bytes_per_claim,
+        bytes_per_running_claim,
         took_us / _TIMED,
         median_ms,
         max(encodes),
@@ -131,13 +136,14 @@
     _FLAGS(arguments)
     sizes = _SIZES[:-1] if _FLAGS.quick else _SIZES
     print(
-        f"{'claims':>9} {'B/claim':>8} {'us/claim':>9} {'encode ms':>10} {'slowest':>8} "
-        f"{'restore ms':>11} {'snapshot B':>11}"
+        f"{'claims':>9} {'B/claim':>8} {'running':>8} {'us/claim':>9} {'encode ms':>10} "
+        f"{'slowest':>8} {'restore ms':>11} {'snapshot B':>11}"
     )
     for size in sizes:
         cost = _measure(size)
         print(
-            f"{cost.claims:>9} {cost.bytes_per_claim:>8.0f} {cost.us_per_claim:>9.1f} "
+            f"{cost.claims:>9} {cost.bytes_per_claim:>8.0f} "
+            f"{cost.bytes_per_running_claim:>8.0f} {cost.us_per_claim:>9.1f} "
             f"{cost.encode_ms:>10.2f} {cost.encode_slowest_ms:>8.2f} {cost.restore_ms:>11.1f} "
             f"{cost.snapshot_bytes_per_claim:>11.1f}",
             flush=True,
--- a/src/medlarfork/_claim_settlements.py
+++ b/src/medlarfork/_claim_settlements.py
@@ -62,7 +62,7 @@
         """Forget a settlement that control has recorded."""
         self._outbox.confirm((recorded.key, recorded.holder))
 
-    def take_due(self, now: float) -> tuple[_outbox.Letter, ...]:
+    def take_due(self, now: float) -> tuple[_outbox.PendingMessage, ...]:
         """Return the settlements to send again now."""
         return self._outbox.take_due(now)
 
--- a/src/medlarfork/_claim_table.py
+++ b/src/medlarfork/_claim_table.py
@@ -33,8 +33,8 @@
         answers: Most answers kept; the oldest are dropped first.
     """
 
-    retention_ms: int = 24 * 3600 * 1000
-    claims: int = 100_000
+    retention_ms: int = 3600 * 1000
+    claims: int = 1_000_000
     answer_bytes: int = 16 * 1024
     answers_bytes: int = 4 * 1024 * 1024
     key_ahead_ms: int = 3600 * 1000
@@ -74,7 +74,7 @@
         accounts: The accounts in the order of the numbers that the rows hold.
         holders: Who holds the running claims, by digest.
         answers: The kept answers, by digest, oldest first.
-        refused_up_to_ms: Keys of this time and before are refused for good.
+        refused_before_ms: Keys of before this time are refused for good.
     """
 
     digests: bytes
@@ -82,7 +82,7 @@
     accounts: tuple[str, ...]
     holders: tuple[tuple[bytes, claim.Holder], ...]
     answers: tuple[tuple[bytes, claim.StoredAnswer], ...]
-    refused_up_to_ms: int = 0
+    refused_before_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,7 +117,7 @@
         self._answer_by_digest: collections.OrderedDict[bytes, claim.StoredAnswer]
         self._answer_by_digest = collections.OrderedDict()
         self._answers_bytes = 0
-        self._refused_up_to_ms = 0
+        self._refused_before_ms = 0
         self._abandoned = collections.OrderedDict.fromkeys(state.abandoned)
         packed = state.entries if isinstance(state.entries, PackedClaims) else None
         names = packed.accounts if packed else ()
@@ -142,7 +142,7 @@
             self._shares.names,
             tuple(self._holder_by_digest.items()),
             tuple(self._answer_by_digest.items()),
-            self._refused_up_to_ms,
+            self._refused_before_ms,
         )
         return ClaimTableState(packed, abandoned=tuple(self._abandoned))
 
@@ -191,8 +191,8 @@
     def expire(self, now_ms: int) -> None:
         """Drop claims past retention, a bounded number in one step."""
         # A longer retention, set later, must not make keys fresh whose claims are gone.
-        refused_up_to_ms = now_ms - self._limits.retention_ms
-        self._refused_up_to_ms = max(self._refused_up_to_ms, refused_up_to_ms)
+        refused_before_ms = self._oldest_fresh_ms(now_ms)
+        self._refused_before_ms = max(self._refused_before_ms, refused_before_ms)
         for digest, row in itertools.islice(self._rows.expired(now_ms), _EXPIRED_PER_STEP):
             self._drop(digest, row)
 
@@ -234,10 +234,13 @@
                 return claim.Verdict.DONE if kept else claim.Verdict.ALREADY_RAN
 
     def _out_of_time(self, key_ms: int, now_ms: int) -> bool:
-        if key_ms <= max(self._refused_up_to_ms, now_ms - self._limits.retention_ms):
+        if key_ms < max(self._refused_before_ms, self._oldest_fresh_ms(now_ms)):
             return True
         return key_ms > now_ms + self._limits.key_ahead_ms
 
+    def _oldest_fresh_ms(self, now_ms: int) -> int:
+        return now_ms - self._limits.retention_ms + 1
+
     def _add(self, digest: bytes, asked: claim.ClaimRequest, expires_at_ms: int) -> None:
         account = self._shares.number_of(asked.key.account)
         self._shares.add(account)
@@ -270,7 +273,7 @@
         for account, count in self._rows.restore(packed.digests, packed.rows).items():
             self._shares.add(account, count)
         self._holder_by_digest.update(packed.holders)
-        self._refused_up_to_ms = packed.refused_up_to_ms
+        self._refused_before_ms = packed.refused_before_ms
         for digest, answer in packed.answers:
             self._keep_answer(digest, answer)
 
