--- a/measure/_cases.py
+++ b/measure/_cases.py
@@ -55,6 +55,8 @@
 _VIEWS = Policy("A own views", _sides.OwnViews)
 _BY_OWNER = _owner("B strict tiers", _STRICT)
 _CURRENT = _owner(CURRENT, pool.PoolOptions())
+_UNMOVED = _owner("current, nothing moved", pool.PoolOptions(move_stalled=False))
+_ANYWHERE = _owner("current, no affinity", pool.PoolOptions(affinity=False))
 _MAIN = (_NAIVE, _BY_OWNER, _CURRENT)
 _ALL = (
     _NAIVE,
@@ -92,6 +94,22 @@
     return _virtual.Case("hour of counter", (counter, review), 2, 2, duration_s)
 
 
+def _freeze(duration_s: float) -> Plan:
+    faults = (_virtual.Fault(20.0, 0, "freeze"),)
+    case = _virtual.Case(
+        "an engine freezes", _loads(0.05, 0.4, 0.3), duration_s=duration_s, faults=faults
+    )
+    return Plan(case, (_NAIVE, _UNMOVED, _CURRENT), (), False)
+
+
+def _prefixes(duration_s: float) -> Plan:
+    loads = _with_chat(_loads(0.05, 0.5, 0.1), prefixes=24)
+    case = _virtual.Case(
+        "shared prefixes", loads, duration_s=duration_s, report_lag_s=2.0, cached=8
+    )
+    return Plan(case, (_NAIVE, _ANYWHERE, _CURRENT), ("counter", "chat"), False)
+
+
 def plans(*, quick: bool) -> tuple[Plan, ...]:
     """Return what is run; ``quick`` runs shorter ones."""
     long_s, short_s = (60.0, 45.0) if quick else (120.0, 60.0)
@@ -138,4 +156,6 @@
         Plan(hog, _MAIN, ("counter", "chat others"), True),
         Plan(_hour(300.0 if quick else 3600.0), _MAIN, (), True),
         Plan(leave, _MAIN, top, True),
+        _freeze(short_s),
+        _prefixes(short_s),
     )
--- a/measure/_sides.py
+++ b/measure/_sides.py
@@ -207,6 +207,7 @@
             time_left_s=request.deadline_at - now,
             target_left_s=request.target_at - now,
             preemptible=declared.preemptible,
+            prefix=request.prefix,
             resume_offset=int(done_s * _virtual.TOKENS_PER_S),
             avoid=avoid,
         )
@@ -236,6 +237,7 @@
     def _announce(
         self, engine: _virtual.Engine, running: int, waiting: int
     ) -> upstream.Announcement:
+        now, lag_s = self._simulation.now, self._simulation.case.report_lag_s
         state = upstream.UpstreamState.LEAVING if engine.leaving else upstream.UpstreamState.READY
         return upstream.Announcement(
             upstream_id=engine.upstream_id,
@@ -244,7 +246,8 @@
             state=state,
             address="",
             slots=engine.slots,
-            load=upstream.Load(running, waiting, 0.0, self._simulation.case.report_lag_s),
+            load=upstream.Load(running, waiting, 0.0, lag_s),
+            cache_events=engine.cache.take_events(now - lag_s),
         )
 
     def _handle(self, event: object) -> None:
@@ -279,6 +282,11 @@
                 raise BrokenInvariantError(f"{shed.ticket_id} was shed before a lower tier")
 
     def _check_preempt(self, action: ticket.Preempt) -> None:
+        if action.stalled:
+            attempt = self._attempt_by_ticket.get(action.ticket_id)
+            if attempt is not None and self._simulation.now < attempt.engine.frozen_at:
+                raise BrokenInvariantError(f"{action.ticket_id} was moved from a sound engine")
+            return
         declared = self._request_by_ticket[action.ticket_id][0].load.declared
         waiting = [view.tier for view in self._views() if view.queued]
         if not waiting or min(waiting) >= declared.tier or not declared.preemptible:
--- a/measure/_virtual.py
+++ b/measure/_virtual.py
@@ -8,10 +8,12 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
 
+from measure import _prefix_cache
 from medlarfork import configuration, ticket
 
 TOKENS_PER_S = 50.0
@@ -20,6 +22,8 @@
 """Engine time that resuming a stream costs, all of it wasted."""
 HOP_S = 0.0005
 """One way between two entry hosts, in seconds."""
+PREFILL_S = 0.3
+"""Engine time that a prompt costs whose prefix is not cached."""
 REPORT_S = 1.0
 """Time between two announcements of an engine."""
 LEASE_S = 3.0
@@ -38,6 +42,7 @@
         bursts: ``(start, end, factor)`` of the demand; later ones go first.
         on_off_s: Mean length of random on and off phases (1.8 and 0.2 of the demand); 0 for none.
         hog_factor: How many times its share the first account sends.
+        prefixes: Different prompt prefixes, of which each request has one; 0 for none.
     """
 
     declared: configuration.RequestClass
@@ -47,11 +52,12 @@
     bursts: tuple[tuple[float, float, float], ...] = ()
     on_off_s: float = 0.0
     hog_factor: float = 1.0
+    prefixes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
-    """Change an engine at a time; ``kind`` is slow, crash, restart or leave."""
+    """Change an engine at a time; ``kind`` is slow, freeze, crash, restart or leave."""
 
     at: float
     engine: int
@@ -60,7 +66,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Case:
-    """Describe one measured situation."""
+    """Describe one measured situation.
+
+    Attributes:
+        cached: Prompt prefixes that one engine holds.
+    """
 
     name: str
     loads: tuple[ClassLoad, ...]
@@ -70,6 +80,7 @@
     accounts: int = 10
     report_lag_s: float = 1.0
     faults: tuple[Fault, ...] = ()
+    cached: int = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +92,7 @@
     account: str
     arrived: float
     work_s: float
+    prefix: str = ""
 
     @property
     def tokens(self) -> int:
@@ -101,7 +113,8 @@
 class Attempt:
     """Hold one dispatch of a request to an engine."""
 
-    __slots__ = ("begun", "done_before_s", "engine", "number", "over", "request", "speed")
+    __slots__ = ("begun", "done_before_s", "engine", "number", "over", "prefill_s", "request",
+                 "speed")  # fmt: skip
 
     def __init__(self, request: Request, number: int, done_before_s: float) -> None:
         """Prepare an attempt that resumes after ``done_before_s`` of work."""
@@ -111,17 +124,19 @@
         self.engine: Engine | None = None
         self.begun: float | None = None
         self.speed = 1.0
+        self.prefill_s = 0.0
         self.over = False
 
     def overhead_s(self) -> float:
-        """Return the engine time that resuming costs."""
-        return RESUME_S if self.done_before_s else 0.0
+        """Return the engine time that resuming and an unknown prompt cost."""
+        return self.prefill_s + (RESUME_S if self.done_before_s else 0.0)
 
     def work_done_s(self, now: float) -> float:
         """Return the useful work of this attempt so far."""
         if self.begun is None:
             return 0.0
-        spent_s = (now - self.begun) * self.speed - self.overhead_s()
+        until = min(now, self.engine.frozen_at)
+        spent_s = max(0.0, until - self.begun) * self.speed - self.overhead_s()
         return min(max(0.0, spent_s), self.request.work_s - self.done_before_s)
 
 
@@ -162,6 +177,8 @@
         self.up = True
         self.leaving = False
         self.incarnation = 1
+        self.frozen_at = math.inf
+        self.cache = _prefix_cache.PrefixCache(simulation.case.cached, random.Random(number))
         self.running: list[Attempt] = []
         self.waiting: list[Attempt] = []
 
@@ -200,12 +217,16 @@
             attempt = self.waiting.pop(0)
             attempt.begun = self._simulation.now
             attempt.speed = self.speed
+            prefix = attempt.request.prefix
+            if prefix and not self.cache.use(prefix, self._simulation.now):
+                attempt.prefill_s = PREFILL_S
+            self._simulation.began(attempt)
             self.running.append(attempt)
             left_s = attempt.request.work_s - attempt.done_before_s + attempt.overhead_s()
             self._simulation.after(left_s / self.speed, lambda done=attempt: self._finish(done))
 
     def _finish(self, attempt: Attempt) -> None:
-        if attempt.over:
+        if attempt.over or self._simulation.now >= self.frozen_at:
             return
         self._end(attempt)
         self._begin()
@@ -235,6 +256,9 @@
         self.requests = generate(case, seed)
         self.completed_at_by_id: dict[str, float] = {}
         self.shed_ids: set[str] = set()
+        self.first_token_s_by_id: dict[str, float] = {}
+        self.prefix_hits = 0
+        self.prefix_uses = 0
         self.tokens_computed = 0.0
         self.tokens_useful = 0.0
         self.slot_s_by_class_account: dict[tuple[str, str], float] = {}
@@ -263,9 +287,18 @@
             self.now, _, action = heapq.heappop(self._heap)
             action()
 
+    def began(self, attempt: Attempt) -> None:
+        """Note when a request's first token comes, and whether its prompt was known."""
+        request = attempt.request
+        first_at = self.now + (attempt.overhead_s() + 1 / TOKENS_PER_S) / attempt.speed
+        self.first_token_s_by_id.setdefault(request.request_id, first_at - request.arrived)
+        self.prefix_uses += bool(request.prefix)
+        self.prefix_hits += bool(request.prefix) and not attempt.prefill_s
+
     def computed(self, attempt: Attempt) -> None:
         """Count the tokens that an attempt has cost."""
-        spent_s = (self.now - attempt.begun) * attempt.speed
+        until = min(self.now, attempt.engine.frozen_at)
+        spent_s = max(0.0, until - attempt.begun) * attempt.speed
         self.tokens_computed += spent_s * TOKENS_PER_S
         key = (attempt.request.load.declared.name, attempt.request.account)
         held_s = max(0.0, min(self.now, self.case.duration_s) - attempt.begun)
@@ -289,7 +322,7 @@
 
     def _report(self) -> None:
         for engine in self.engines:
-            if engine.up:
+            if engine.up and self.now < engine.frozen_at:
                 counts = (engine, len(engine.running), len(engine.waiting))
                 self.after(self.case.report_lag_s, lambda seen=counts: self.side.report(*seen))
         if self.now < self.case.duration_s:
@@ -300,6 +333,9 @@
         match fault.kind:
             case "slow":
                 engine.speed = 0.2
+            case "freeze":
+                engine.frozen_at = self.now
+                self.after(LEASE_S, lambda: self.side.engine_changed(engine, "gone"))
             case "crash":
                 engine.crash()
                 self.after(LEASE_S, lambda: self.side.engine_changed(engine, "gone"))
@@ -343,5 +379,7 @@
         work_s = load.mean_s if load.fixed else generator.expovariate(1 / load.mean_s)
         account = generator.choices(range(case.accounts), weights)[0]
         request_id = f"{load.declared.name}-{len(requests)}"
-        requests.append(Request(request_id, load, f"account-{account}", now, work_s))
+        # Drawn last, so that cases without prefixes stay what they were.
+        prefix = f"prefix-{generator.randrange(load.prefixes)}" if load.prefixes else ""
+        requests.append(Request(request_id, load, f"account-{account}", now, work_s, prefix))
     return requests
--- a/measure/policy.py
+++ b/measure/policy.py
@@ -59,6 +59,8 @@
         goodput_per_s: Answers within target, a second.
         wasted: Share of the computed tokens that reached nobody.
         preemptions: Streams preempted in a run.
+        first_token_s: Mean time to the first token of chat, in seconds.
+        prefix_hits: Share of the attempts with a prefix that found it cached.
     """
 
     case: str
@@ -69,6 +71,8 @@
     goodput_per_s: Figure
     wasted: Figure
     preemptions: Figure
+    first_token_s: Figure
+    prefix_hits: Figure
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +86,8 @@
     goodput_per_s: float
     wasted: float
     preemptions: float
+    first_token_s: float
+    prefix_hits: float
 
 
 def measure(*, quick: bool) -> tuple[PolicyResult, ...]:
@@ -100,8 +106,11 @@
     for result in results:
         head = (
             f"{result.case} | {result.policy}: goodput {result.goodput_per_s.median:.2f}/s, "
-            f"wasted {result.wasted.median:.2%}, preemptions {result.preemptions.median:.0f}"
+            f"wasted {result.wasted.median:.2%}, preemptions {result.preemptions.median:.0f}, "
+            f"first token of chat {result.first_token_s.median:.3f} s"
         )
+        if result.prefix_hits.median:
+            head += f", prefix hits {result.prefix_hits.median:.1%}"
         lines.append(head)
         lines += [f"    {_class_line(row)}" for row in result.classes]
     return "\n".join(lines)
@@ -164,6 +173,8 @@
         goodput_per_s=sum(met[load.declared.name] for load in case.loads) / case.duration_s,
         wasted=max(0.0, 1 - simulation.tokens_useful / simulation.tokens_computed),
         preemptions=owner.preemptions if isinstance(owner, _sides.Owner) else 0,
+        first_token_s=_first_token_s(simulation),
+        prefix_hits=simulation.prefix_hits / max(1, simulation.prefix_uses),
     )
 
 
@@ -180,6 +191,12 @@
     return request.arrived + 2 * _virtual.HOP_S + request.work_s <= request.target_at
 
 
+def _first_token_s(simulation: _virtual.Simulation) -> float:
+    names = {item.request_id: item.load.declared.name for item in simulation.requests}
+    firsts = simulation.first_token_s_by_id.items()
+    return statistics.fmean([first for key, first in firsts if names[key] == "chat"] or [0.0])
+
+
 def _shed_share(simulation: _virtual.Simulation, rows: list[_virtual.Request]) -> float:
     return sum(request.request_id in simulation.shed_ids for request in rows) / len(rows)
 
@@ -211,6 +228,8 @@
         goodput_per_s=_figure([run.goodput_per_s for run in runs]),
         wasted=_figure([run.wasted for run in runs]),
         preemptions=_figure([run.preemptions for run in runs]),
+        first_token_s=_figure([run.first_token_s for run in runs]),
+        prefix_hits=_figure([run.prefix_hits for run in runs]),
     )
 
 
--- a/src/medlarfork/_floor.py
+++ b/src/medlarfork/_floor.py
@@ -24,6 +24,7 @@
         self._credit_by_tier: dict[int, float] = {}
         self._advanced = 0.0
         self._slots = 0
+        self._earned_by_tier: dict[int, float] = {}
 
     def set_shares(self, share_by_tier: Mapping[int, float]) -> None:
         """Replace the shares; together they never exceed the whole."""
@@ -31,6 +32,7 @@
         self._share_by_tier = {tier: share / total for tier, share in share_by_tier.items()}
         credits = self._credit_by_tier
         self._credit_by_tier = {tier: credits.get(tier, 0.0) for tier in share_by_tier}
+        self._set_slots(self._slots)
 
     def advance(
         self,
@@ -42,18 +44,22 @@
         """Count the time since the last call, during which the given numbers held."""
         elapsed = max(0.0, now - self._advanced)
         self._advanced = now
-        self._slots = slots
+        if slots != self._slots:
+            self._set_slots(slots)
         for tier, credit in self._credit_by_tier.items():
-            earned = self.slots(tier)
-            used = min(running_by_tier.get(tier, 0), math.ceil(earned))
+            running = running_by_tier.get(tier, 0)
             # Only a tier with work queued saves up; one without just pays off its debt.
-            most = _MAX_CREDIT_S if queued_by_tier.get(tier) else 0.0
+            most = _MAX_CREDIT_S if tier in queued_by_tier else 0.0
+            if not running and credit == most:
+                continue
+            earned = self._earned_by_tier[tier]
+            used = min(running, math.ceil(earned))
             changed = credit + (earned - used) * elapsed
             self._credit_by_tier[tier] = min(most, max(-_MAX_DEBT_S, changed))
 
     def slots(self, tier: int) -> float:
         """Return the tier's floor in slots."""
-        return self._share_by_tier.get(tier, 0.0) * self._slots
+        return self._earned_by_tier.get(tier, 0.0)
 
     def entitled(
         self, running_by_tier: Mapping[int, int], queued_by_tier: Mapping[int, int]
@@ -62,7 +68,11 @@
         owed = [
             (credit, tier)
             for tier, credit in self._credit_by_tier.items()
-            if credit > 0 and queued_by_tier.get(tier)
+            if credit > 0 and tier in queued_by_tier
             if running_by_tier.get(tier, 0) < math.ceil(self.slots(tier))
         ]
         return max(owed)[1] if owed else None
+
+    def _set_slots(self, slots: int) -> None:
+        self._slots = slots
+        self._earned_by_tier = {tier: share * slots for tier, share in self._share_by_tier.items()}
--- a/src/medlarfork/_flow_run.py
+++ b/src/medlarfork/_flow_run.py
@@ -111,13 +111,19 @@
         case ticket.Grant():
             return entry_flow.Step(flow, on_other_grant(flow, state, sender, message, around, now))
         case ticket.Preempt(ticket_id) if ticket_id == state.ticket_id and sender == state.owner:
-            if not flow.resumable:
+            if not (flow.resumable or (message.stalled and _may_move(flow, state))):
                 return entry_flow.Step(flow)
             return _cancel(flow, state, entry_flow.StopCause.PREEMPTED)
         case _:
             return entry_flow.Step(flow)
 
 
+def _may_move(flow: entry_flow.Flow, state: entry_flow.Running) -> bool:
+    """Return whether the request can go on, or start again, at another upstream."""
+    fresh = state.first_byte_at is None and not flow.relayed
+    return flow.asked.repeatable and (fresh or bool(flow.asked.model))
+
+
 def on_other_grant(
     flow: entry_flow.Flow,
     state: entry_flow.Running,
--- a/src/medlarfork/_outlook.py
+++ b/src/medlarfork/_outlook.py
@@ -13,6 +13,8 @@
 """Share of requests that are shorter than the time which an on-time ticket still has."""
 _HIGH = 0.9
 """Share of requests that are shorter than the time left once a ticket has become urgent."""
+_UNKNOWN = (0.0, 0.0, 0.0)
+"""Usual, median and long service time while too little is known."""
 _FAST_S = 10.0
 """Window that notices a change of the drain rate, in seconds."""
 _SLOW_S = 60.0
@@ -66,6 +68,8 @@
 
     def wait_s(self, tier: int, ahead: int, now: float) -> float:
         """Return how long ``ahead`` tickets of a tier take to start; 0 while unknown."""
+        if not ahead:
+            return 0.0
         rates = self._drained_by_tier.get(tier, ())
         per_s = max((rate.per_s(now) for rate in rates), default=0.0)
         return ahead / per_s if per_s > 0 else 0.0
@@ -81,10 +85,14 @@
         return min(_MAX_RETRY_S, max(_MIN_RETRY_S, wait_s) * spread)
 
     def set_times(self, entry: _pool_ticket.QueuedTicket) -> None:
-        """Work out when a ticket must start to meet its target, and its place in the order."""
+        """Work out when a ticket must start to meet its target or deadline, and its place."""
         item = entry.ticket
-        entry.latest_start = entry.target_at - self._service_s(item, _USUAL)
-        entry.urgent_at = entry.target_at - self._service_s(item, _HIGH)
+        usual_s, median_s, high_s = self._service_s(item)
+        entry.latest_start = entry.target_at - usual_s
+        entry.urgent_at = entry.target_at - high_s
+        entry.hopeless_at = entry.expires_at
+        if self._options.shed_hopeless:
+            entry.hopeless_at -= median_s
         match self._options.order:
             case pool_options.Order.ARRIVAL:
                 entry.order_key = entry.arrived
@@ -93,18 +101,13 @@
             case pool_options.Order.LAXITY:
                 entry.order_key = min(entry.latest_start, entry.expires_at)
 
-    def hopeless_at(self, entry: _pool_ticket.QueuedTicket) -> float:
-        """Return when a ticket that has not started can't be answered in time any more."""
-        if not self._options.shed_hopeless:
-            return entry.expires_at
-        return entry.expires_at - self._service_s(entry.ticket, _HOPELESS)
-
     def is_hopeless(self, entry: _pool_ticket.QueuedTicket, queued: int, now: float) -> bool:
         """Return whether an arriving ticket can't be answered in time."""
         wait_s = self.wait_s(entry.ticket.tier, queued, now) if self._options.shed_hopeless else 0
-        return now + wait_s >= self.hopeless_at(entry)
+        return now + wait_s >= entry.hopeless_at
 
-    def _service_s(self, item: ticket.Ticket, share: float) -> float:
+    def _service_s(self, item: ticket.Ticket) -> tuple[float, ...]:
         if item.resume_offset > 0 or math.isinf(item.time_left_s):
-            return 0.0
-        return self._lengths.quantile(item.class_name, item.account, share) or 0.0
+            return _UNKNOWN
+        shares = (_USUAL, _HOPELESS, _HIGH)
+        return self._lengths.quantiles(item.class_name, item.account, shares) or _UNKNOWN
--- a/src/medlarfork/_pool_parts.py
+++ b/src/medlarfork/_pool_parts.py
@@ -12,6 +12,7 @@
     _queue_set,
     _reserve,
     _running_set,
+    _stall,
     _timers,
     _upstream_set,
     pool_options,
@@ -31,4 +32,5 @@
         self.reserve = _reserve.Reserve(options.withhold_deviations, options.withhold_max_share)
         self.outlook = _outlook.Outlook(options, generator)
         self.preemption = _preemption.Preemption(options)
+        self.stall = _stall.Stall(options)
         self.timers = _timers.Timers()
--- a/src/medlarfork/_pool_ticket.py
+++ b/src/medlarfork/_pool_ticket.py
@@ -12,8 +12,8 @@
 class QueuedTicket:
     """Hold a ticket that waits for a slot; all times are the pool's own monotonic seconds."""
 
-    __slots__ = ("arrived", "expires_at", "latest_start", "live", "order_key", "target_at",
-                 "ticket", "urgent", "was_urgent", "urgent_at")  # fmt: skip
+    __slots__ = ("arrived", "expires_at", "hopeless_at", "latest_start", "live", "order_key",
+                 "target_at", "ticket", "urgent", "was_urgent", "urgent_at")  # fmt: skip
 
     def __init__(self, item: ticket.Ticket, now: float) -> None:
         """Convert the ticket's durations to times."""
@@ -21,6 +21,7 @@
         self.arrived = now - item.waited_s
         self.expires_at = now + item.time_left_s
         self.target_at = math.inf if item.target_left_s is None else now + item.target_left_s
+        self.hopeless_at = self.expires_at
         self.latest_start = self.target_at
         self.urgent_at = self.target_at
         self.order_key = self.arrived
@@ -33,7 +34,7 @@
     """Hold a granted ticket until it is released."""
 
     __slots__ = ("by_floor", "expires_at", "grant", "live", "number", "orphaned",
-                 "preempt_asked", "started", "ticket", "upstream_id")  # fmt: skip
+                 "preempt_asked", "stalled_at", "started", "ticket", "upstream_id")  # fmt: skip
 
     def __init__(
         self, item: ticket.Ticket, upstream_id: str, started: float, expires_at: float
@@ -48,6 +49,7 @@
         self.live = True
         self.orphaned = False
         self.preempt_asked: float | None = None
+        self.stalled_at: float | None = None
         self.grant: ticket.Grant | None = None
 
 
--- a/src/medlarfork/_preemption.py
+++ b/src/medlarfork/_preemption.py
@@ -130,7 +130,7 @@
         return chosen
 
     def _is_allowed(self, running: _pool_ticket.RunningTicket, now: float) -> bool:
-        if running.orphaned or self._is_pending(running, now):
+        if running.orphaned or running.stalled_at is not None or self._is_pending(running, now):
             return False
         times, last = self._suffering(running)
         if times >= self._options.preempt_per_request:
--- a/src/medlarfork/_reserve.py
+++ b/src/medlarfork/_reserve.py
@@ -62,6 +62,10 @@
         """Learn how long a ticket of the tier held its slot."""
         self._slot_by_tier.setdefault(tier, _Mean()).add(slot_s)
 
+    def is_top(self, tier: int) -> bool:
+        """Return whether no arrival at a higher tier has been seen."""
+        return all(higher >= tier for higher in self._rates_by_tier)
+
     def withheld(
         self,
         tier: int,
--- a/src/medlarfork/_starter.py
+++ b/src/medlarfork/_starter.py
@@ -52,7 +52,7 @@
 
     def withheld(self, tier: int, now: float) -> int:
         """Return how many free slots a tier must leave to those above it."""
-        if not self._options.withhold:
+        if not self._options.withhold or self._parts.reserve.is_top(tier):
             return 0
         return self._parts.reserve.withheld(
             tier,
@@ -70,9 +70,10 @@
         self, entry: _pool_ticket.QueuedTicket, by_floor: bool, now: float
     ) -> ticket.Grant | None:
         item = entry.ticket
-        chosen = self._parts.upstreams.choose(item, item.avoid)
+        avoid = self._parts.stall.avoid(item)
+        chosen = self._parts.upstreams.choose(item, avoid)
         if chosen is None:
-            if self._parts.upstreams.other_usable(item.avoid):
+            if self._parts.upstreams.other_usable(avoid):
                 return None
             chosen = self._parts.upstreams.choose(item, ())
         if chosen is None:
@@ -97,7 +98,7 @@
         """Count a ticket as running, and see to it that its slot comes back some day."""
         taken_back_at = expires_at + self._options.release_grace_s
         running = _pool_ticket.RunningTicket(item, upstream_id, started, taken_back_at)
-        running.number = self._parts.upstreams.start(upstream_id, now)
+        running.number = self._parts.upstreams.start(upstream_id, started, now)
         self._parts.running.add(running)
         self._parts.timers.add(taken_back_at, _timers.Kind.EXPIRE, running)
         return running
--- a/src/medlarfork/_upstream_health.py
+++ b/src/medlarfork/_upstream_health.py
@@ -86,11 +86,26 @@
             return 1.0
         return record.slowness / self._median
 
+    def burden(self, upstream_id: str) -> tuple[float, bool]:
+        """Return the relative slowness, at least 1, and whether the upstream is probed."""
+        record = self._record_by_id.get(upstream_id)
+        if record is None:
+            return 1.0, False
+        probing = record.ejected_until is None and record.probes_left > 0
+        if not self._options.eject or self._median <= 0:
+            return 1.0, probing
+        return max(1.0, record.slowness / self._median), probing
+
     def ejected(self, upstream_id: str) -> bool:
         """Return whether an upstream gets no grants for now."""
         record = self._record_by_id.get(upstream_id)
         return record is not None and record.ejected_until is not None
 
+    def ejected_until(self, upstream_id: str) -> float | None:
+        """Return when an upstream's ejection ends; None if there is none."""
+        record = self._record_by_id.get(upstream_id)
+        return None if record is None else record.ejected_until
+
     def probing(self, upstream_id: str) -> bool:
         """Return whether an upstream is being tried with one request at a time."""
         record = self._record_by_id.get(upstream_id)
--- a/src/medlarfork/_upstream_set.py
+++ b/src/medlarfork/_upstream_set.py
@@ -25,9 +25,9 @@
 class Upstream:
     """Hold the scheduling state of one upstream."""
 
-    __slots__ = ("announcement", "drained", "foreign", "free", "granted", "limit", "number",
-                 "peaks", "peaks_since", "running", "slots", "up", "up_since", "usable",
-                 "version")  # fmt: skip
+    __slots__ = ("announcement", "drained", "foreign", "free", "gone_at", "granted", "limit",
+                 "number", "peaks", "peaks_since", "read_at", "running", "slots",
+                 "up", "up_since", "usable", "version")  # fmt: skip
 
     def __init__(self, announcement: upstream.Announcement, number: int, now: float) -> None:
         """Create the state of an upstream that has just come up."""
@@ -45,6 +45,8 @@
         self.foreign = 0
         self.peaks = [0, 0]
         self.peaks_since = now
+        self.gone_at = math.inf
+        self.read_at = now
         self.version = 0
 
     def note_running(self, now: float) -> None:
@@ -58,7 +60,9 @@
         """Return the load relative to the limit, counting the next request."""
         return (self.running + self.foreign + 1) / max(1, self.limit)
 
-    def view(self, health: _upstream_health.UpstreamHealth) -> pool_view.UpstreamView:
+    def view(
+        self, health: _upstream_health.UpstreamHealth, slow_start_s: float
+    ) -> pool_view.UpstreamView:
         """Return a read-only copy."""
         upstream_id = self.announcement.upstream_id
         return pool_view.UpstreamView(
@@ -73,6 +77,8 @@
             running=self.running,
             foreign=self.foreign,
             slowness=health.relative_slowness(upstream_id),
+            ejected_until=health.ejected_until(upstream_id),
+            full_at=self.up_since + slow_start_s,
         )
 
 
@@ -96,6 +102,8 @@
         self.slots = 0
         self.free = 0
         self._unusable_since: float | None = None
+        self._took_over_at = -math.inf
+        self._settled_at = -math.inf
 
     def __iter__(self) -> Iterator[Upstream]:
         """Return every upstream, also unusable ones whose requests still run."""
@@ -111,7 +119,15 @@
         self._default_slots = max(1, default_slots)
         self.refresh_all(now)
 
-    def announce(self, announcement: upstream.Announcement, now: float, *, came_up: bool) -> None:
+    def take_over(self, now: float) -> None:
+        """Grant unproved slots again only after the settling time."""
+        self._took_over_at = now
+        self._settled_at = now + self._options.settle_s
+        self.refresh_all(now)
+
+    def announce(
+        self, announcement: upstream.Announcement, now: float, *, came_up: bool, age_s: float = 0.0
+    ) -> None:
         """Apply an announcement unless a newer one of the upstream is known."""
         known = self._upstream_by_id.get(announcement.upstream_id)
         if not came_up and (known is None or not known.up):
@@ -126,6 +142,7 @@
         if known.announcement.state != upstream.UpstreamState.LEAVING:
             known.announcement = announcement
         known.foreign = self._foreign(known, announcement.load)
+        known.read_at = now - age_s - announcement.load.age_s
         self.prefixes.apply(announcement.upstream_id, announcement.cache_events)
         was_usable = known.usable
         self.refresh(known, now)
@@ -137,12 +154,13 @@
         known = self._upstream_by_id.get(upstream_id)
         if known is not None:
             known.up = False
+            known.gone_at = now
             self.prefixes.forget(upstream_id)
             self.refresh(known, now)
             self._forget_if_done(known)
             self._check_panic(now)
 
-    def start(self, upstream_id: str, now: float) -> int:
+    def start(self, upstream_id: str, started: float, now: float) -> int:
         """Count a request in; return the number of the upstream's present run."""
         known = self._upstream_by_id.get(upstream_id)
         if known is None:
@@ -150,8 +168,11 @@
         self._grants += 1
         known.granted = self._grants
         known.running += 1
+        if started < known.read_at and known.foreign:
+            # An earlier owner's grant, which the reading counts.
+            known.foreign -= 1
         known.note_running(now)
-        self.refresh(known, now)
+        self._recount(known, now)
         return known.number
 
     def finish(
@@ -235,7 +256,7 @@
         known.usable = known.up and ready and not known.drained and not ejected
         known.slots = known.announcement.slots or self._default_slots
         known.limit = min(self.health.limit(upstream_id, known.slots), self._ramp(known, now))
-        known.free = max(0, known.limit - known.running - known.foreign) if known.usable else 0
+        known.free = self._free(known, now)
         known.version += 1
         self._count(known, 1)
         if known.free:
@@ -276,6 +297,22 @@
         explained = max(known.running, *known.peaks)
         return max(0, load.running + load.waiting - explained)
 
+    def _recount(self, known: Upstream, now: float) -> None:
+        """Recompute free slots alone, after a start: nothing else has changed."""
+        free = self._free(known, now)
+        if known.usable:
+            self.free += free - known.free
+        known.free = free
+        known.version += 1
+        if free:
+            self._push(known)
+
+    def _free(self, known: Upstream, now: float) -> int:
+        unproved = now < self._settled_at and known.read_at < self._took_over_at
+        if unproved or not known.usable:
+            return 0
+        return max(0, known.limit - known.running - known.foreign)
+
     def _ramp(self, known: Upstream, now: float) -> int:
         ramp_s = self._options.slow_start_s
         elapsed = now - known.up_since
@@ -285,8 +322,9 @@
 
     def _push(self, known: Upstream) -> None:
         upstream_id = known.announcement.upstream_id
-        cost = known.share() * max(1.0, self.health.relative_slowness(upstream_id))
-        if self.health.probing(upstream_id):
+        slowness, probing = self.health.burden(upstream_id)
+        cost = known.share() * slowness
+        if probing:
             cost += known.slots
         entry = (cost, known.granted, upstream_id, known.number, known.version)
         heapq.heappush(self._heap, entry)
--- a/src/medlarfork/entry_pools.py
+++ b/src/medlarfork/entry_pools.py
@@ -14,6 +14,7 @@
     ownership,
     pool_directory,
     pool_events,
+    pool_view,
     ticket,
 )
 
@@ -56,6 +57,14 @@
         """Return the load of each pool that runs here."""
         return tuple(found.summary(now) for found in self._pool_by_name.values())
 
+    def upstream_views(self) -> dict[tuple[str, str], pool_view.UpstreamView]:
+        """Return how the pools that run here see their upstreams, by pool and upstream id."""
+        return {
+            (pool, view.upstream_id): view
+            for pool, found in self._pool_by_name.items()
+            for view in found.upstream_views()
+        }
+
     def apply(
         self, declared: configuration.Configuration, owned: ownership.Ownership, now: float
     ) -> tuple[node.Send, ...]:
@@ -65,10 +74,13 @@
         for name in tuple(self._pool_by_name):
             told += self.handle(name, self._policy(name), now)
         names = [pool for service in declared.services for pool in owned.pools(service.name)]
-        self._owned_before = frozenset(pool for pool in names if owned.owns(pool))
+        owned_now = frozenset(pool for pool in names if owned.owns(pool))
         for name in names:
-            if name in self._owned_before:
+            if name in owned_now:
                 told += self._ensure(name, now)
+            if name in owned_now - self._owned_before:
+                told += self.handle(name, pool_events.TookOver(), now)
+        self._owned_before = owned_now
         return tuple(told)
 
     def set_out_of_service(
@@ -149,7 +161,8 @@
         self._pool_by_name[pool] = owned_pool.OwnedPool(pool, self._make_scheduler(pool))
         told = [*self.handle(pool, self._policy(pool), now)]
         for lease in self._directory.in_pool(pool):
-            told += self.handle(pool, pool_events.UpstreamUp(lease.announcement), now)
+            age_s = now - lease.heard_at
+            told += self.handle(pool, pool_events.UpstreamUp(lease.announcement, age_s), now)
         return tuple(told)
 
     def _policy(self, pool: str) -> pool_events.PolicyChanged:
--- a/src/medlarfork/owned_pool.py
+++ b/src/medlarfork/owned_pool.py
@@ -6,7 +6,7 @@
 import math
 from typing import Any, Protocol
 
-from medlarfork import node, pool_events, ticket
+from medlarfork import node, pool_events, pool_view, ticket
 
 _RETRY_AFTER_S = 1.0
 
@@ -25,6 +25,10 @@
         """Return the pool's load."""
         ...
 
+    def upstream_views(self) -> tuple[pool_view.UpstreamView, ...]:
+        """Show every upstream."""
+        ...
+
 
 class OwnedPool:
     """Hand events to the scheduler, and turn the queue away when the pool is given up."""
@@ -50,6 +54,10 @@
         """Return the pool's load."""
         return self._scheduler.summary(now)
 
+    def upstream_views(self) -> tuple[pool_view.UpstreamView, ...]:
+        """Show every upstream."""
+        return self._scheduler.upstream_views()
+
     def handle(self, event: Any, now: float) -> tuple[Any, ...]:
         """Handle an event and return what to tell the holders of tickets."""
         match event:
--- a/src/medlarfork/pool.py
+++ b/src/medlarfork/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
@@ -59,8 +60,9 @@
         self._preemption = parts.preemption
         self._finished = _finished_tickets.FinishedTickets()
         self._starter = _starter.Starter(name, options, parts)
-        self._housekeep_at: float | None = None
-        self._wake_at: float | None = None
+        self._housekeep_at = -math.inf
+        self._wake_at = -math.inf
+        self._arrived: _pool_ticket.QueuedTicket | None = None
         self._actions: list[Any] = []
 
     def handle(self, event: Any, now: float) -> tuple[Any, ...]:
@@ -73,6 +75,7 @@
         self._apply(event, now)
         self._look_at_due(now)
         self._actions += self._starter.start(now)
+        self._watch_arrived(now)
         self._shed_overflow(now)
         self._preempt(now)
         self._set_wake(now)
@@ -91,7 +94,8 @@
 
     def upstream_views(self) -> tuple[pool_view.UpstreamView, ...]:
         """Show every upstream."""
-        return tuple(known.view(self._upstreams.health) for known in self._upstreams)
+        health, slow_start_s = self._upstreams.health, self._options.slow_start_s
+        return tuple(known.view(health, slow_start_s) for known in self._upstreams)
 
     def tier_views(self, now: float) -> tuple[pool_view.TierView, ...]:
         """Show every tier that has tickets queued or running."""
@@ -118,12 +122,15 @@
                 self._release(unused, now)
             case ticket.Running():
                 self._take_over(event, now)
-            case pool_events.UpstreamUp(announcement=announcement):
-                self._upstreams.announce(announcement, now, came_up=True)
-            case pool_events.UpstreamChanged(announcement=announcement):
-                self._upstreams.announce(announcement, now, came_up=False)
+            case pool_events.UpstreamUp(announcement, age_s):
+                self._upstreams.announce(announcement, now, came_up=True, age_s=age_s)
+            case pool_events.UpstreamChanged(announcement, age_s):
+                self._upstreams.announce(announcement, now, came_up=False, age_s=age_s)
             case pool_events.UpstreamGone(upstream_id=upstream_id):
                 self._upstreams.gone(upstream_id, now)
+            case pool_events.TookOver():
+                self._upstreams.take_over(now)
+                self._housekeep_at = now + min(_HOUSEKEEP_S, self._options.settle_s)
             case pool_events.EntryGone(entry_id=entry_id):
                 self._lose_entry(entry_id, now)
             case pool_events.PolicyChanged():
@@ -159,11 +166,23 @@
             return
         self._accounts.admitted(item.account, counted=not resumed)
         self._queues.push(entry, at_head=resumed)
-        self._timers.add(self._outlook.hopeless_at(entry), _timers.Kind.EXPIRE, entry)
-        if self._options.preempt and item.target_left_s is not None:
-            wait_s = self._queues.up_to_tier(item.tier) / max(1.0, self._outlook.freed_per_s(now))
+        self._arrived = entry
+
+    def _watch_arrived(self, now: float) -> None:
+        """Set the timers of a ticket that has just arrived and was not started at once."""
+        entry, self._arrived = self._arrived, None
+        if entry is None or not entry.live:
+            return
+        self._timers.add(entry.hopeless_at, _timers.Kind.EXPIRE, entry)
+        tier = entry.ticket.tier
+        if not self._options.preempt or entry.ticket.target_left_s is None:
+            return
+        wait_s = self._queues.up_to_tier(tier) / max(1.0, self._outlook.freed_per_s(now))
+        if entry.urgent_at - wait_s > now:
             self._timers.add(entry.urgent_at - wait_s, _timers.Kind.URGENT, entry)
-            self._timers.add(entry.latest_start, _timers.Kind.LATE, entry)
+        elif entry.latest_start > now:
+            self._queues.set_urgent(entry, True)
+        self._timers.add(entry.latest_start, _timers.Kind.LATE, entry)
 
     def _answer_again(self, item: ticket.Ticket) -> bool:
         running = self._running.get(item.ticket_id)
@@ -198,12 +217,17 @@
         if event.cause != ticket.ReleaseCause.UNUSED:
             self._parts.reserve.released(item.tier, now - running.started)
         self._outlook.released(item, event, now)
+        self._parts.stall.ended(item, event.cause)
         preempted = event.cause == ticket.ReleaseCause.PREEMPTED
         self._preemption.ended(running, preempted=preempted, now=now)
 
     def _take_over(self, event: ticket.Running, now: float) -> None:
         item = event.ticket
-        if self._running.get(item.ticket_id) is not None or item.ticket_id in self._finished:
+        known = self._running.get(item.ticket_id)
+        if known is not None:
+            self._adopt(known, event, now)
+            return
+        if not self._finished.adopt(item.ticket_id):
             return
         entry = self._queues.get(item.ticket_id)
         if entry is not None:
@@ -211,7 +235,15 @@
         else:
             self._accounts.admitted(item.account, counted=False)
         started, expires_at = now - event.running_s, now + item.time_left_s
-        self._starter.run(item, event.upstream_id, started, expires_at, now)
+        running = self._starter.run(item, event.upstream_id, started, expires_at, now)
+        self._preemption.add(running)
+
+    def _adopt(self, known: _pool_ticket.RunningTicket, event: ticket.Running, now: float) -> None:
+        """Give a lost entry host's ticket its slot back: the host is there again and runs it."""
+        if known.orphaned:
+            known.orphaned = False
+            known.expires_at = now + event.ticket.time_left_s + self._options.release_grace_s
+            self._timers.add(known.expires_at, _timers.Kind.EXPIRE, known)
 
     def _lose_entry(self, entry_id: str, now: float) -> None:
         for entry in self._queues.of_entry(entry_id):
@@ -232,8 +264,9 @@
                     self._drop(item, ticket.ShedReason.HOPELESS, now)
                 case _pool_ticket.QueuedTicket():
                     self._queues.set_urgent(item, kind is _timers.Kind.URGENT)
-        unusable_s = self._upstreams.unusable_s(now)
-        if not self._upstreams.usable and unusable_s >= self._options.no_upstream_grace_s:
+        if self._upstreams.usable:
+            return
+        if self._upstreams.unusable_s(now) >= self._options.no_upstream_grace_s:
             while (entry := self._queues.newest_of_lowest()) is not None:
                 self._drop(entry, ticket.ShedReason.NO_UPSTREAM, now)
 
@@ -243,7 +276,7 @@
         self._running.pop(running.ticket.ticket_id)
         self._upstreams.finish(running, None, now)
         self._accounts.ended(running.ticket.account, 0)
-        self._finished.add(running.ticket.ticket_id, None, now)
+        self._finished.take_back(running.ticket.ticket_id, now)
 
     def _shed_overflow(self, now: float) -> None:
         while len(self._queues) > self._options.max_queued:
@@ -253,7 +286,7 @@
             self._drop(entry, ticket.ShedReason.OVERLOADED, now)
 
     def _preempt(self, now: float) -> None:
-        if not self._options.preempt:
+        if not self._options.preempt or not any(self._queues.urgent_by_tier.values()):
             return
         wanted = 0
         pending = self._preemption.pending(now)
@@ -267,6 +300,14 @@
                 self._actions.append(ticket.Preempt(held.ticket_id, held.entry_id, self.name))
                 pending += 1
 
+    def _move_stalled(self, now: float) -> None:
+        """Ask for tickets back from upstreams that are lost."""
+        stall = self._parts.stall
+        for known in self._upstreams:
+            if known.running and self._upstreams.usable and stall.is_lost(known, now):
+                running = self._running.at_upstream(known.announcement.upstream_id)
+                self._actions += stall.ask(running, now)
+
     def _may_spare(self, tier: int) -> bool:
         running = self._running.count_by_tier.get(tier, 0)
         return not self._options.floors or running > int(self._parts.floor.slots(tier))
@@ -295,21 +336,22 @@
         self._actions.append(shed)
 
     def _housekeep(self, now: float) -> None:
-        if self._housekeep_at is not None and now < self._housekeep_at:
+        if now < self._housekeep_at:
             return
         self._housekeep_at = now + _HOUSEKEEP_S
         self._upstreams.housekeep(now)
+        if self._options.move_stalled:
+            self._move_stalled(now)
         self._preemption.trim(self._running.count_by_tier)
 
     def _set_wake(self, now: float) -> None:
-        self._timers.trim(len(self._queues) + len(self._running))
-        due = [self._timers.next_at()]
-        if len(self._queues):
-            due.append(now + (_PATROL_S if self._upstreams.free else _HOUSEKEEP_S))
-        if len(self._queues) or len(self._running) or self._upstreams.usable:
-            due.append(self._housekeep_at)
-        at = min((time for time in due if time is not None), default=None)
-        armed = self._wake_at is not None and now < self._wake_at
-        if at is not None and not (armed and self._wake_at <= at):
+        queued, running = len(self._queues), len(self._running)
+        self._timers.trim(queued + running)
+        at = self._timers.next_at()
+        if queued:
+            at = min(at, now + (_PATROL_S if self._upstreams.free else _HOUSEKEEP_S))
+        if (queued or running or self._upstreams.usable) and self._housekeep_at < at:
+            at = self._housekeep_at
+        if at < math.inf and not now < self._wake_at <= at:
             self._wake_at = at
             self._actions.append(node.Wake(at))
--- a/src/medlarfork/pool_directory.py
+++ b/src/medlarfork/pool_directory.py
@@ -76,7 +76,7 @@
         self._owned = ownership.Ownership(entry_id, self._declared, member.View())
         self._lease_by_id: dict[str, UpstreamLease] = {}
         self._last_by_id: collections.OrderedDict[str, _LastHeard] = collections.OrderedDict()
-        self._timers = _timer_heap.TimerHeap()
+        self._timers = _timer_heap.TimerHeap[str]()
 
     def __len__(self) -> int:
         """Return the number of upstreams in use."""
@@ -105,7 +105,7 @@
         for upstream_id, lease in tuple(self._lease_by_id.items()):
             pool, conflicts = self._match(lease.announcement)
             if pool != lease.pool or conflicts != lease.conflicts or not owned.serves(pool):
-                actions += self._placed(lease.announcement, lease.heard_at)
+                actions += self._placed(lease.announcement, lease.heard_at, now)
             known = before.hearers(lease.pool) if pool == lease.pool else ()
             new = [item for item in owned.hearers(pool) if item not in known]
             actions += self._pass_on(lease.announcement, new, now - lease.heard_at)
@@ -119,20 +119,20 @@
             return ()
         pool, _ = self._match(announcement)
         hearers = self._owned.hearers(pool)
-        return (*self._keep(announcement, now), *self._pass_on(announcement, hearers, 0.0))
+        return (*self._keep(announcement, now, now), *self._pass_on(announcement, hearers, 0.0))
 
     def seen(self, message: entry_types.UpstreamSeen, now: float) -> tuple[Any, ...]:
         """Take an announcement that another entry host passed on."""
         age_s = max(message.age_s, 0.0)
         if age_s >= self._declared.engine_lease_s or not self._is_news(message.announcement):
             return ()
-        return tuple(self._keep(message.announcement, now - age_s))
+        return tuple(self._keep(message.announcement, now - age_s, now))
 
     def expire(self, now: float) -> tuple[Any, ...]:
         """Drop the upstreams that have been silent for the lease."""
         actions: list[Any] = []
         while (upstream_id := self._timers.pop_due(now)) is not None:
-            actions += self._drop(str(upstream_id))
+            actions += self._drop(upstream_id)
         return tuple(actions)
 
     def reply(
@@ -166,13 +166,17 @@
             self._last_by_id.popitem(last=False)
         return True
 
-    def _keep(self, announcement: upstream.Announcement, heard_at: float) -> Iterator[Any]:
-        yield from self._placed(announcement, heard_at)
+    def _keep(
+        self, announcement: upstream.Announcement, heard_at: float, now: float
+    ) -> Iterator[Any]:
+        yield from self._placed(announcement, heard_at, now)
         if announcement.upstream_id in self._lease_by_id:
             lease_s = self._declared.engine_lease_s
             self._timers.set(announcement.upstream_id, heard_at + lease_s)
 
-    def _placed(self, announcement: upstream.Announcement, heard_at: float) -> list[ToPool]:
+    def _placed(
+        self, announcement: upstream.Announcement, heard_at: float, now: float
+    ) -> list[ToPool]:
         """Note where the upstream belongs now, and return what its old and new pool hear."""
         upstream_id = announcement.upstream_id
         pool, conflicts = self._match(announcement)
@@ -184,8 +188,8 @@
         moved = [] if old is None or old.pool == pool else self._drop(upstream_id)
         self._lease_by_id[upstream_id] = UpstreamLease(announcement, heard_at, pool, conflicts)
         if old is not None and old.pool == pool:
-            return [ToPool(pool, pool_events.UpstreamChanged(announcement))]
-        return [*moved, ToPool(pool, pool_events.UpstreamUp(announcement))]
+            return [ToPool(pool, pool_events.UpstreamChanged(announcement, now - heard_at))]
+        return [*moved, ToPool(pool, pool_events.UpstreamUp(announcement, now - heard_at))]
 
     def _drop(self, upstream_id: str) -> list[ToPool]:
         lease = self._lease_by_id.pop(upstream_id, None)
--- a/src/medlarfork/pool_events.py
+++ b/src/medlarfork/pool_events.py
@@ -35,9 +35,13 @@
     """Add an upstream whose lease has begun; the sender enforces the lease.
 
     A repeated one, or one for a known upstream, counts as ``UpstreamChanged``.
+
+    Attributes:
+        age_s: How long ago the announcement was heard.
     """
 
     announcement: upstream.Announcement
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,9 +49,13 @@
     """Hand over a newer announcement of an upstream that is up, with its load and cache events.
 
     State LEAVING ends new grants for the rest of the incarnation; running ones go on.
+
+    Attributes:
+        age_s: How long ago the announcement was heard.
     """
 
     announcement: upstream.Announcement
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +68,15 @@
 UpstreamEvent = UpstreamUp | UpstreamChanged | UpstreamGone
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TookOver:
+    """Say that the pool now decides for its upstreams in another owner's place.
+
+    What that one granted may not be known yet, so that for a while only slots are granted which
+    a reading of the upstream's load since then shows free.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryGone:
     """Drop a lost entry host's queued tickets.
--- a/src/medlarfork/pool_options.py
+++ b/src/medlarfork/pool_options.py
@@ -43,6 +43,9 @@
         adapt_concurrency: Whether an upstream's limit follows its observed slowdown.
         slow_start_s: How long a new or returned upstream takes to reach its full limit.
         no_upstream_grace_s: How long tickets wait while the pool has no usable upstream.
+        move_stalled: Whether repeatable tickets are asked back from upstreams that are gone.
+        settle_s: How long a new owner grants no slot that no reading of the upstream's load since
+            then shows free; earlier grants may not be known yet.
         orphan_s: How long a lost entry host's running tickets keep their slots.
         release_grace_s: How long past its deadline a grant may stay unreleased.
     """
@@ -57,8 +60,8 @@
     withhold_max_share: float = 0.5
     preempt: bool = True
     preempt_per_slot_s: float = 1.0
-    preempt_per_request: int = 10
-    preempt_cooldown_s: float = 1.0
+    preempt_per_request: int = 50
+    preempt_cooldown_s: float = 0.25
     shed_hopeless: bool = True
     affinity: bool = True
     affinity_load_bound: float = 1.25
@@ -71,6 +74,8 @@
     adapt_concurrency: bool = True
     slow_start_s: float = 5.0
     no_upstream_grace_s: float = 2.0
+    move_stalled: bool = True
+    settle_s: float = 1.0
     orphan_s: float = 30.0
     release_grace_s: float = 5.0
 
@@ -87,5 +92,6 @@
     eject=False,
     adapt_concurrency=False,
     slow_start_s=0.0,
+    move_stalled=False,
 )
 """Strict tiers and limits only: every adaptive rule is off."""
--- a/src/medlarfork/ticket.py
+++ b/src/medlarfork/ticket.py
@@ -145,11 +145,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Preempt:
-    """Ask the holder to cancel a granted stream, keep what it has, and queue to resume it."""
+    """Ask the holder to cancel a granted stream, keep what it has, and queue to resume it.
+
+    Attributes:
+        stalled: Whether its upstream is gone. Then also a repeatable request that is not
+            preemptible is asked for, to go on or to start again elsewhere.
+    """
 
     ticket_id: str
     entry_id: str
     pool: str
+    stalled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -677,3 +677,22 @@
     elsewhere = dataclasses.replace(foreign, pool="none/0")
     shed = only(handled(world, "e2", elsewhere)).message
     assert shed.reason is ticket.ShedReason.NOT_OWNER
+
+
+def test_a_repeatable_request_at_a_stalled_engine_starts_again_though_it_is_not_preemptible(world):
+    world.post("e1", entry_world.chat("r1"))
+    world.take(entry_types.Dispatch)
+    asked = ticket.Preempt("r1.1", "e1", "lm/0", stalled=True)
+    world.post("e1", node.MessageReceived("e1", asked))
+    assert only(world.take(entry_types.CancelAttempt)).attempt_id == "r1.1"
+    end(world, "r1.1", Result.BROKEN)
+    assert dispatched(world).attempt_id == "r1.2"
+
+
+def test_what_must_not_run_twice_is_not_moved_from_a_stalled_upstream(world):
+    world.post("e1", entry_world.hold("r1", "k"))
+    world.run(0.1)
+    world.take(entry_types.Dispatch)
+    asked = ticket.Preempt("r1.1", "e1", "desk/0", stalled=True)
+    world.post("e1", node.MessageReceived("e1", asked))
+    assert not world.take(entry_types.CancelAttempt)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -558,3 +558,139 @@
     kinds = (_pool_ticket.QueuedTicket, _pool_ticket.RunningTicket)
     gc.collect()
     assert sum(isinstance(held, kinds) for held in gc.get_objects()) < 600
+
+
+def _running(ticket_id, upstream_id="u1", running_s=3.0, **fields):
+    item = ticket.Ticket(ticket_id, "e1", _POOL, "a", "counter", 1, 0.0, 60.0, **fields)
+    return ticket.Running(item, upstream_id, running_s)
+
+
+def test_a_new_owner_grants_no_unproved_slot_before_the_earlier_grants_are_known():
+    bench = Bench(_STRICT)
+    bench.send(pool_events.UpstreamUp(bench.announce("u1", 2), age_s=0.4))
+    bench.send(pool_events.TookOver())
+    assert bench.ask(ticket_id="early/1") == []
+    for number in range(2):
+        bench.send(_running(f"old{number}/1"))
+    assert bench.wait(0.9) == []
+    assert bench.wait(0.2) == []
+    assert _granted(bench.release("old0/1")) == ["early/1"]
+
+
+def test_a_new_owner_grants_what_a_reading_since_then_shows_free_at_once():
+    bench = Bench(_STRICT)
+    bench.send(pool_events.UpstreamUp(bench.announce("u1", 2), age_s=0.4))
+    bench.send(pool_events.TookOver())
+    bench.now += 0.1
+    late = bench.announce("u1", 2, load=upstream.Load(running=1, age_s=0.2))
+    bench.send(pool_events.UpstreamChanged(late))
+    assert bench.ask() == []
+    fresh = bench.announce("u1", 2, load=upstream.Load(running=1))
+    assert _granted(bench.send(pool_events.UpstreamChanged(fresh))) == ["r1/1"]
+    assert bench.ask() == []
+
+
+def test_a_new_owner_grants_unproved_slots_after_the_settling_time():
+    bench = Bench(_STRICT)
+    bench.send(pool_events.UpstreamUp(bench.announce("u1", 1), age_s=0.4))
+    bench.send(pool_events.TookOver())
+    assert bench.ask() == []
+    assert bench.wait(0.9) == []
+    assert _granted(bench.wait(0.1)) == ["r1/1"]
+
+
+def test_a_running_ticket_that_the_announced_load_counts_is_not_counted_twice(strict):
+    strict.up("u1", slots=4, load=upstream.Load(running=2))
+    strict.send(_running("old/1", running_s=3.0))
+    strict.now += 0.1
+    strict.send(_running("since/1", running_s=0.05))
+    assert sum(len(_granted(strict.ask())) for _ in range(4)) == 1
+
+
+def test_a_host_that_is_back_keeps_the_slots_of_what_it_runs(strict):
+    strict.ask(ticket_id="long/1", left=100.0)
+    strict.ask(ticket_id="next/1", left=300.0)
+    strict.send(pool_events.EntryGone("e1"))
+    strict.wait(10.0)
+    strict.send(_running("long/1"))
+    strict.ask(ticket_id="next/2", left=300.0)
+    assert strict.wait(25.0) == []
+    assert _granted(strict.release("long/1")) == ["next/2"]
+
+
+def test_a_slot_taken_back_is_taken_again_by_a_ticket_that_still_runs(strict):
+    strict.ask(ticket_id="long/1", left=200.0)
+    strict.send(pool_events.EntryGone("e1"))
+    strict.wait(31.0)
+    assert strict.pool.summary(strict.now).running == 0
+    strict.send(_running("long/1"))
+    assert strict.pool.summary(strict.now).running == 1
+    strict.release("long/1")
+    strict.send(_running("long/1"))
+    assert strict.pool.summary(strict.now).running == 0
+
+
+def test_a_new_owner_may_preempt_what_an_earlier_one_granted():
+    bench = Bench(dataclasses.replace(_STRICT, preempt=True))
+    bench.up()
+    item = ticket.Ticket("old/1", "e1", _POOL, "a", "review", 3, 0.0, 60.0, preemptible=True)
+    bench.send(ticket.Running(item, "u1", 3.0))
+    assert _preempted(bench.ask(1, target_left_s=0.5)) == ["old/1"]
+
+
+_MOVING = dataclasses.replace(_STRICT, move_stalled=True)
+
+
+def _gone_with_running(**fields):
+    bench = Bench(_MOVING)
+    bench.up("u1")
+    bench.ask(ticket_id="held/1", **fields)
+    bench.up("u2")
+    bench.wait(0.7)
+    bench.send(pool_events.UpstreamGone("u1"))
+    return bench
+
+
+def test_a_repeatable_ticket_is_asked_back_from_an_upstream_that_is_gone():
+    bench = _gone_with_running(preemptible=True)
+    assert bench.wait(0.9) == []
+    (asked,) = bench.wait(1.1)
+    assert asked == ticket.Preempt("held/1", "e1", _POOL, stalled=True)
+    assert bench.pool.summary(bench.now).running == 1
+    assert bench.wait(1.1) == []
+    assert _preempted(bench.wait(2.1)) == ["held/1"]
+    bench.release("held/1", ticket.ReleaseCause.PREEMPTED)
+    bench.up("u1")
+    assert [grant.upstream_id for grant in bench.ask(ticket_id="held/2")] == ["u2"]
+
+
+def test_a_not_repeatable_ticket_is_never_asked_back():
+    bench = _gone_with_running(repeatable=False)
+    assert bench.wait(20.0) == []
+
+
+@pytest.mark.parametrize("how", ["back", "leaving", "alone"])
+def test_tickets_stay_at_an_upstream_that(how):
+    bench = Bench(_MOVING)
+    bench.up("u1")
+    bench.ask(ticket_id="held/1")
+    if how != "alone":
+        bench.up("u2")
+    if how == "leaving":
+        leaving = bench.announce("u1", state=upstream.UpstreamState.LEAVING)
+        bench.send(pool_events.UpstreamChanged(leaving))
+    bench.send(pool_events.UpstreamGone("u1"))
+    if how == "back":
+        bench.wait(0.5)
+        bench.up("u1")
+    assert bench.wait(5.0) == []
+
+
+def test_a_ticket_granted_at_once_asks_for_no_preemption():
+    bench = Bench(dataclasses.replace(_STRICT, preempt=True))
+    bench.up(slots=2)
+    bench.serve(10, whole_s=0.2)
+    bench.serve(10, whole_s=1.0)
+    assert _granted(bench.ask(1, target_left_s=0.9))
+    (grant,) = bench.ask(3, preemptible=True)
+    assert isinstance(grant, ticket.Grant)
--- a/tests/test_pool_differential.py
+++ b/tests/test_pool_differential.py
@@ -7,7 +7,6 @@
 
 from medlarfork import (
     configuration,
-    naive_pool,
     node,
     pool,
     pool_events,
@@ -15,6 +14,7 @@
     ticket,
     upstream,
 )
+from tests import naive_pool
 
 _POOL = "lm/0"
 _OPTIONS = dataclasses.replace(pool_options.PLAIN, max_queued=25)
--- a/tests/test_pool_machine.py
+++ b/tests/test_pool_machine.py
@@ -39,6 +39,7 @@
         self.upstream_by_running = {}
         self.finals = {}
         self.taken_back_at = {}
+        self.orphans = set()
         self.incarnation_by_upstream = {}
         self.slots_by_upstream = {}
         self.closed = set()
@@ -89,7 +90,11 @@
     def _preempted(self, preempt):
         assert preempt.ticket_id in self.upstream_by_running
         item = self.item_by_id[preempt.ticket_id]
-        assert item.preemptible and item.repeatable
+        assert item.repeatable
+        if preempt.stalled:
+            assert self.upstream_by_running[preempt.ticket_id][0] in self.closed
+            return
+        assert item.preemptible
         assert any(self.item_by_id[held].tier < item.tier for held in self.queued)
 
     @stateful.rule(
@@ -199,14 +204,35 @@
             if self.item_by_id[known].entry_id == entry:
                 orphaned_until = self.now + self.options.orphan_s
                 self.taken_back_at[known] = min(self.taken_back_at[known], orphaned_until)
+                self.orphans.add(known)
+
+    @stateful.precondition(lambda self: self._may_still_run())
+    @stateful.rule(pick=strategies.randoms(use_true_random=False))
+    def announce_running(self, pick):
+        known = pick.choice(self._may_still_run())
+        item = self.item_by_id[known]
+        if known not in self.upstream_by_running or known in self.orphans:
+            self.taken_back_at[known] = self.now + item.time_left_s + self.options.release_grace_s
+            self.orphans.discard(known)
+        here = self.upstream_by_running.get(known) or self.finals.pop(known)
+        self.upstream_by_running[known] = here
+        self._handle(ticket.Running(item, here[0], 0.5))
+
+    def _may_still_run(self):
+        taken_back = [known for known, final in self.finals.items() if isinstance(final, tuple)]
+        return sorted([*self.upstream_by_running, *taken_back])
+
+    @stateful.rule()
+    def take_over(self):
+        self._handle(pool_events.TookOver())
 
     @stateful.rule(elapsed=strategies.sampled_from([0.001, 0.05, 0.4, 3.0]))
     def pass_time(self, elapsed):
         self.now += elapsed
         for known in list(self.upstream_by_running):
             if self.taken_back_at[known] <= self.now:
-                del self.upstream_by_running[known]
-                self.finals[known] = "taken back"
+                # The upstream's name stays in the record: its holder may still claim the slot.
+                self.finals[known] = self.upstream_by_running.pop(known)
         self._handle(node.TimeDue())
 
     @stateful.invariant()
--- /dev/null
+++ b/tests/test_pool_takeover.py
@@ -0,0 +1,84 @@
+"""Check what an entry host tells its pools when it becomes their owner."""
+
+import pytest
+
+from medlarfork import (
+    configuration,
+    entry_pools,
+    member,
+    ownership,
+    pool_directory,
+    pool_events,
+    ticket,
+    upstream,
+)
+
+_DECLARED = configuration.Configuration(
+    services=(configuration.Service("lm", configuration.ServiceKind.MODEL, "app=lm", slots=2),)
+)
+
+
+class Recorder:
+    """Take every event and decide nothing."""
+
+    def __init__(self):
+        self.events = []
+
+    def handle(self, event, now):
+        self.events.append(event)
+        return ()
+
+    def take(self, *kinds):
+        found = [event for event in self.events if isinstance(event, kinds)]
+        self.events = []
+        return found
+
+
+class Host:
+    """Hold the pools of the entry host that is the second to own ``lm/0``."""
+
+    def __init__(self):
+        self.first, self.name = self._owned("", "e1", "e2").owners("lm/0")
+        self.recorder = Recorder()
+        self.directory = pool_directory.PoolDirectory(self.name)
+        self.pools = entry_pools.EntryPools(self.name, self.directory, lambda _: self.recorder)
+        self.apply(0.0, "e1", "e2")
+        ready = upstream.UpstreamState.READY
+        self.said = upstream.Announcement("u1", 1, 1, ready, "http://u1", {"app": "lm"})
+        self.directory.announce(self.said, 0.6)
+
+    def _owned(self, name, *entry_ids):
+        serving = member.MemberState.SERVING
+        members = tuple(member.Member(item, 1, serving, "", "") for item in entry_ids)
+        return ownership.Ownership(name, _DECLARED, member.View((1, 1), members))
+
+    def apply(self, now, *entry_ids):
+        owned = self._owned(self.name, *entry_ids)
+        self.directory.apply(_DECLARED, owned, now)
+        self.pools.apply(_DECLARED, owned, now)
+
+
+@pytest.fixture
+def host():
+    return Host()
+
+
+_TOLD = (pool_events.UpstreamUp, pool_events.TookOver)
+
+
+def test_a_new_owner_hands_over_how_old_its_readings_are_and_that_it_took_over(host):
+    host.apply(1.0, host.name)
+    assert host.recorder.take(*_TOLD) == [
+        pool_events.UpstreamUp(host.said, pytest.approx(0.4)),
+        pool_events.TookOver(),
+    ]
+    host.apply(2.0, host.name)
+    assert host.recorder.take(*_TOLD) == []
+
+
+def test_a_standbys_pool_is_told_when_the_standby_becomes_the_owner(host):
+    asked = ticket.Ticket("r.1", "e3", "lm/0", "a", "chat", 1, 0.0, 9.0)
+    host.pools.on_message("e3", asked, 0.7)
+    assert pool_events.TookOver() not in host.recorder.take(*_TOLD)
+    host.apply(1.0, host.name)
+    assert host.recorder.take(*_TOLD) == [pool_events.TookOver()]
