--- a/examples/scheduler.py
+++ b/examples/scheduler.py
@@ -1,4 +1,4 @@
-"""Embed the pool's scheduler alone: three tiers share one engine with two slots."""
+"""Embed the pool's scheduler alone; run it with ``python -m examples.scheduler``."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 def main() -> None:
-    """Queue more than fits, and print what the pool decides."""
+    """Let three tiers share one engine with two slots, and print what the pool decides."""
     counter, chat, review = _CLASSES
     options = pool.PoolOptions(max_queued=2)
     scheduler = pool.Pool(name=_POOL, entry_id="me", random=random.Random(1), options=options)
--- a/src/medlarfork/_change_table.py
+++ b/src/medlarfork/_change_table.py
@@ -13,6 +13,7 @@
 
 _ENCODER = msgspec.msgpack.Encoder(order="deterministic")
 _COMPRESSION = 1
+"""Level of zlib: the fastest."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_control_log.py
+++ b/src/medlarfork/_control_log.py
@@ -86,11 +86,13 @@
         """Note the wall-clock time of a replica that belongs to a monotonic time here."""
         self._clock.set(replica_id, unix_ms, now)
 
+    def knows_time(self, now: float) -> bool:
+        """Return whether enough wall clocks are known for commands to carry the real time."""
+        return self._agreed_ms(now) is not None
+
     def unix_ms(self, now: float) -> int:
         """Return the time for a command; never before the time of one already applied."""
-        membership = self.status.voters
-        agreed = self._clock.unix_ms(() if membership is None else membership.voters, now)
-        return max(agreed or 0, self.state.log_time_ms)
+        return max(self._agreed_ms(now) or 0, self.state.log_time_ms)
 
     def feed(self, event: Any) -> None:
         """Let an event wait for ``run``."""
@@ -119,6 +121,11 @@
             for action in self._replica.handle(self._events.popleft(), now):
                 yield from self._perform(action)
 
+    def _agreed_ms(self, now: float) -> int | None:
+        membership = self.status.voters
+        voters = (self.replica_id,) if membership is None else membership.voters
+        return self._clock.unix_ms(voters, now)
+
     def _perform(self, action: Any) -> Iterator[Any]:
         match action:
             case replica_types.Apply(_, term, command, proposal_id):
--- a/src/medlarfork/_control_metrics.py
+++ b/src/medlarfork/_control_metrics.py
@@ -22,7 +22,7 @@
     "medlar_members": ("Entry hosts that hold a lease here.", lambda s: len(s.members)),
     "medlar_members_behind": (
         "Entry hosts that have not confirmed the revision.",
-        lambda s: sum(member.revision < s.revision for member in s.members),
+        lambda s: sum(member.revision != s.revision for member in s.members),
     ),
 }
 
--- a/src/medlarfork/_ctl_commands.py
+++ b/src/medlarfork/_ctl_commands.py
@@ -49,20 +49,27 @@
 
     async def apply(self, file: str) -> _ctl_types.Result:
         """Put a configuration file in force."""
-        wanted = configuration_file.read(pathlib.Path(file))
-        base = self.request.base_revision
+        read = configuration_file.load(pathlib.Path(file))
+        wanted = read.configuration
         current = await self.client.configuration()
         self._note_undrained(current.configuration, wanted)
         change_id = self.request.change_id or self._new_id()
-        base = current.revision if base is None else base
+        given = (self.request.base_revision, read.revision, current.revision)
+        base = next(revision for revision in given if revision is not None)
         self.surroundings.note(f"change_id={change_id} base_revision={base}")
         accepted = await self.client.apply(change_id, base, wanted)
         return await self._accepted(accepted)
 
     async def diff(self, file: str) -> _ctl_types.Result:
         """Show what applying a file would change."""
-        wanted = configuration_file.read(pathlib.Path(file))
+        read = configuration_file.load(pathlib.Path(file))
+        wanted = read.configuration
         current = await self.client.configuration()
+        if read.revision not in (None, current.revision):
+            self.surroundings.note(
+                f"{file} was made from revision {read.revision}; the current one is "
+                f"{current.revision}, so apply will refuse it"
+            )
         lines = difflib.unified_diff(
             configuration_file.render(current.configuration).splitlines(),
             configuration_file.render(wanted).splitlines(),
@@ -74,6 +81,12 @@
         reply = {"revision": current.revision, "differs": bool(text), "diff": text}
         return _ctl_types.Result(reply, text or f"{file} equals revision {current.revision}")
 
+    async def fetch(self) -> _ctl_types.Result:
+        """Print the current configuration as a file that names its revision."""
+        current = await self.client.configuration()
+        text = configuration_file.render(current.configuration, current.revision)
+        return _ctl_types.Result(current, text.rstrip("\n"))
+
     async def history(self) -> _ctl_types.Result:
         """List the accepted changes."""
         reply = await self.client.history()
@@ -98,7 +111,7 @@
     async def members(self) -> _ctl_types.Result:
         """List the entry hosts."""
         reply = await self.client.members()
-        return _ctl_types.Result(reply, _ctl_render.members(reply.members))
+        return _ctl_types.Result(reply, _ctl_render.members(reply.members, reply.revision))
 
     async def explain(self) -> _ctl_types.Result:
         """Ask an entry host where a request would go, and why."""
@@ -117,12 +130,18 @@
 
     async def drain(self, kind: str, member_id: str) -> _ctl_types.Result:
         """Give an upstream no new work, or name an entry host to callers no more."""
+        await self._note_unknown(kind, member_id)
         return await self._change_drained(kind, member_id, drained=True)
 
     async def undrain(self, kind: str, member_id: str) -> _ctl_types.Result:
         """End a drain."""
         return await self._change_drained(kind, member_id, drained=False)
 
+    async def new_id(self) -> _ctl_types.Result:
+        """Print an id for a change, so that it can be sent again from the start."""
+        change_id = self._new_id()
+        return _ctl_types.Result({"change_id": change_id}, change_id)
+
     async def hash_key(self) -> _ctl_types.Result:
         """Print the digest of the API key on standard input."""
         key = self.surroundings.read_input().strip()
@@ -217,17 +236,19 @@
         if not self.request.wait:
             return _ctl_types.Result(reply, text)
         state = await self._wait(accepted.revision)
-        in_time = not state.waiting
+        in_time = _is_in_force(state)
         status = _ctl_types.ExitStatus.OK if in_time else _ctl_types.ExitStatus.NOT_IN_FORCE
         text += f"\n{_ctl_render.in_force(state)}"
         return _ctl_types.Result({**reply, "in_force": in_time, "at": state}, text, status)
 
     async def _wait(self, revision: int) -> operations.InForceReply:
-        """Return once no live entry host lacks the revision, or when the time is up."""
+        """Return once it is in force or can't get there, or when the time is up."""
         give_up_at = time.monotonic() + self.request.settings.wait_s
         while True:
             state = await self.client.in_force(revision)
-            if not state.waiting or time.monotonic() >= give_up_at:
+            # A host that is ahead confirms nothing before somebody restarts it.
+            stuck = bool(state.ahead) and set(state.waiting) <= set(state.ahead)
+            if _is_in_force(state) or stuck or time.monotonic() >= give_up_at:
                 return state
             await curio.sleep(_POLL_S)
 
@@ -243,6 +264,31 @@
                     f"list it under deployment.{field} to keep it"
                 )
 
+    async def _note_unknown(self, kind: str, member_id: str) -> None:
+        """Warn if nobody reports what is to be drained; it may still start later."""
+        try:
+            match kind:
+                case "upstream":
+                    known = await self.client.knows_upstream(member_id)
+                case "entry":
+                    members = (await self.client.members()).members
+                    known = any(item.member.entry_id == member_id for item in members)
+                case _:
+                    return
+        except errors.OperatorError as error:
+            self.surroundings.note(f"the id could not be checked: {error.problem}")
+            return
+        if not known:
+            self.surroundings.note(
+                f"control knows no {kind} {member_id} at the moment; if the id is wrong, "
+                f"undo this with: undrain {kind} {member_id}"
+            )
+
     def _new_id(self) -> str:
         random_bytes = self.surroundings.random_bytes(uuid7.RANDOM_BYTES)
         return uuid7.make(self.surroundings.time_ms(), random_bytes)
+
+
+def _is_in_force(state: operations.InForceReply) -> bool:
+    """Return whether some entry host has the revision and no live one lacks it."""
+    return bool(state.confirmed) and not state.waiting
--- a/src/medlarfork/_ctl_flags.py
+++ b/src/medlarfork/_ctl_flags.py
@@ -44,6 +44,7 @@
 _COMMANDS = (
     _Command(("check",), ("FILE",), "check", "check a configuration file", False),
     _Command(("apply",), ("FILE",), "apply", "put a configuration file in force"),
+    _Command(("fetch",), (), "fetch", "print the current configuration as a file"),
     _Command(("diff",), ("FILE",), "diff", "show what applying a file would change"),
     _Command(("history",), (), "history", "list the accepted changes"),
     _Command(("status",), (), "status", "show how the control hosts stand"),
@@ -51,6 +52,7 @@
     _Command(("explain",), (), "explain", "show where a request would go, and why", False),
     _Command(("drain",), ("upstream|entry", "ID"), "drain", "give it no new work"),
     _Command(("undrain",), ("upstream|entry", "ID"), "undrain", "end a drain"),
+    _Command(("new-id",), (), "new_id", "print a new id for --change_id", False),
     _Command(("hash-key",), (), "hash_key", "print the digest of the key on input", False),
     _Command(("keygen",), ("FOLDER", "NAME"), "keygen", "make a process's link keys", False),
     _Command(("orders", "list"), (), "orders_list", "list the orders to engines"),
@@ -117,7 +119,7 @@
     flags.DEFINE_float("wait_s", None, "seconds that --wait waits at most", **common)
     flags.DEFINE_bool("wait", False, "return once the change is in force", **common)
     flags.DEFINE_string("change_id", "", "id of a change that is sent again", **common)
-    flags.DEFINE_integer("base_revision", None, "revision the file was made from", **common)
+    flags.DEFINE_integer("base_revision", None, "revision a change is made from", **common)
     flags.DEFINE_string("account", "", "explain: client account", **common)
     flags.DEFINE_string("model", "", "explain: model asked for", **common)
     flags.DEFINE_string("path", "", "explain: path asked for, /services/...", **common)
--- a/src/medlarfork/_ctl_render.py
+++ b/src/medlarfork/_ctl_render.py
@@ -10,6 +10,21 @@
 
 _EMPTY = "-"
 
+_PROBLEM_WIDTH = 40
+"""Characters of a connection problem that a table shows."""
+
+_AHEAD_REMEDY = (
+    "Revisions of an earlier log are no part of this one. Restart these entry hosts, one after "
+    "the other."
+)
+
+
+_STATUS_HEADINGS = (
+    *("CONTROL", "ID", "ROLE", "TERM", "LEASE", "COMMITTED", "REVISION", "CLAIMS"),
+    "PROBLEM",
+)
+"""Columns of the control hosts; the last one only if a host did not answer."""
+
 
 def table(headings: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
     """Return a plain table whose columns are as wide as their widest cell."""
@@ -40,22 +55,24 @@
     )
 
 
-def members(statuses: Iterable[operations.MemberStatus]) -> str:
-    """Return the entry hosts with the revisions they confirmed."""
-    return table(
+def members(statuses: Sequence[operations.MemberStatus], current: int) -> str:
+    """Return the entry hosts with the revisions they confirmed; ``current`` is control's own."""
+    ahead = [item.member.entry_id for item in statuses if item.revision > current]
+    listed = table(
         ("ENTRY", "STATE", "DATA CENTRE", "REVISION", "LOAD", "ADDRESS"),
         (
             (
                 status.member.entry_id,
                 status.member.state.value,
                 status.member.data_centre,
-                status.revision if status.heard else "unheard",
+                _confirmed(status, current),
                 f"{status.member.load:.2f}",
                 status.member.http_address,
             )
             for status in statuses
         ),
     )
+    return "\n".join((listed, *_ahead(ahead)))
 
 
 def statuses(
@@ -75,18 +92,20 @@
                 reply.commit_index,
                 reply.revision,
                 reply.claims,
+                _EMPTY,
             )
         )
     rows += [
-        (address, _EMPTY, problem, *[_EMPTY] * 5) for address, problem in problem_by_address.items()
+        (address, *[_EMPTY] * 7, _short_problem(problem, address))
+        for address, problem in problem_by_address.items()
     ]
-    headings = ("CONTROL", "ID", "ROLE", "TERM", "LEASE", "COMMITTED", "REVISION", "CLAIMS")
-    parts = [table(headings, rows)]
+    shown = len(_STATUS_HEADINGS) - (0 if problem_by_address else 1)
+    parts = [table(_STATUS_HEADINGS[:shown], [row[:shown] for row in rows])]
     for reply in reply_by_address.values():
         if reply.has_lease:
             parts.append(f"voters: {', '.join(reply.voters)}")
             parts.append(f"learners: {', '.join(reply.learners) or 'none'}")
-            parts.append(members(reply.members))
+            parts.append(members(reply.members, reply.revision))
             break
     return "\n".join(parts)
 
@@ -94,8 +113,14 @@
 def in_force(reply: operations.InForceReply) -> str:
     """Return where a revision is in force."""
     lines = [f"revision {reply.revision} is in force at: {_names(reply.confirmed)}"]
-    if reply.waiting:
-        lines.append(f"not confirmed by: {_names(reply.waiting)}")
+    if not reply.confirmed:
+        # "in force at: nobody" is too easily read as a success.
+        why = "no entry host has confirmed it" if reply.waiting else "no entry host holds a lease"
+        lines = [f"revision {reply.revision} is in force nowhere: {why}"]
+    late = [entry_id for entry_id in reply.waiting if entry_id not in reply.ahead]
+    if late:
+        lines.append(f"not confirmed by: {_names(late)}")
+    lines += _ahead(reply.ahead)
     if reply.lost:
         lines.append(f"out of contact, so no longer members: {_names(reply.lost)}")
     return "\n".join(lines)
@@ -119,6 +144,24 @@
     return moment.strftime("%Y-%m-%d %H:%M:%SZ")
 
 
+def _confirmed(status: operations.MemberStatus, current: int) -> str:
+    if not status.heard:
+        return "unheard"
+    return f"{status.revision} (ahead)" if status.revision > current else str(status.revision)
+
+
+def _ahead(entry_ids: Iterable[str]) -> list[str]:
+    """Return what to do about entry hosts whose revision is above control's own."""
+    listed = ", ".join(entry_ids)
+    return [f"holds a later revision than control has: {listed}", _AHEAD_REMEDY] if listed else []
+
+
+def _short_problem(problem: str, address: str) -> str:
+    """Return a problem that fits a column; the row names the address already."""
+    text = problem.removeprefix(f"Can't connect to {address}: ")
+    return text if len(text) <= _PROBLEM_WIDTH else f"{text[: _PROBLEM_WIDTH - 3]}..."
+
+
 def _entry(start: str, value: Any, indent: int) -> str:
     if isinstance(value, dict | list) and value:
         return f"{start}\n{tree(value, indent + 1)}"
--- a/src/medlarfork/_declarations.py
+++ b/src/medlarfork/_declarations.py
@@ -16,8 +16,6 @@
 MAX_ANSWERS = 1_000
 """How many changes' answers are remembered; the oldest go first."""
 
-_Verdict = order_types.Verdict
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
@@ -77,7 +75,11 @@
         digest = _digest(command)
         known = self._answer_by_id.get(command.change_id)
         if known is not None:
-            return known.reply if known.digest == digest else self._reply(_Verdict.KEY_REUSED)
+            return (
+                known.reply
+                if known.digest == digest
+                else self._reply(order_types.Verdict.KEY_REUSED)
+            )
         reply = self._decide(command, now_ms)
         if command.change_id:
             self._answer_by_id[command.change_id] = _Answer(command.change_id, digest, reply)
@@ -89,21 +91,21 @@
         """Remove a declaration, if there is one."""
         if self._declared_by_name.pop(name, None) is not None:
             self._revision += 1
-        return self._reply(_Verdict.ACCEPTED)
+        return self._reply(order_types.Verdict.ACCEPTED)
 
     def _decide(self, command: order_types.Declare, now_ms: int) -> order_types.BoardReply:
         desired = command.desired
         try:
             labels.Selector.parse(desired.selector)
         except errors.SelectorSyntaxError:
-            return self._reply(_Verdict.INVALID)
+            return self._reply(order_types.Verdict.INVALID)
         if not _is_sound(desired):
-            return self._reply(_Verdict.INVALID)
+            return self._reply(order_types.Verdict.INVALID)
         before = self._declared_by_name.get(desired.name)
         if before is None and len(self._declared_by_name) >= MAX_DECLARATIONS:
-            return self._reply(_Verdict.FULL)
+            return self._reply(order_types.Verdict.FULL)
         if before is not None and before.revision > command.base_revision:
-            return dataclasses.replace(self._reply(_Verdict.CONFLICT), winner=before)
+            return dataclasses.replace(self._reply(order_types.Verdict.CONFLICT), winner=before)
         self._revision += 1
         self._declared_by_name[desired.name] = order_types.Declared(
             desired,
@@ -113,9 +115,9 @@
             command.base_revision,
             now_ms,
         )
-        return self._reply(_Verdict.ACCEPTED)
+        return self._reply(order_types.Verdict.ACCEPTED)
 
-    def _reply(self, verdict: _Verdict) -> order_types.BoardReply:
+    def _reply(self, verdict: order_types.Verdict) -> order_types.BoardReply:
         return order_types.BoardReply(verdict, self._revision)
 
 
--- a/src/medlarfork/_flow_wait.py
+++ b/src/medlarfork/_flow_wait.py
@@ -175,7 +175,7 @@
     if now < state.resend_at:
         return entry_flow.Step(flow)
     if state.asked_at is not None and now >= state.asked_at + options.owner_silence_s:
-        return _ask_next(flow, state, around, holder, now)
+        return _ask_next(flow, state, around, now)
     asked_at = now if state.asked_at is None else state.asked_at
     state = dataclasses.replace(state, asked_at=asked_at, resend_at=now + options.ticket_resend_s)
     flow = dataclasses.replace(flow, state=state)
@@ -187,7 +187,6 @@
     flow: entry_flow.Flow,
     state: entry_flow.Waiting,
     around: flow_machine.Surroundings,
-    holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
     owners = around.owners(state.pool) or (state.owner,)
--- a/src/medlarfork/_http_answer.py
+++ b/src/medlarfork/_http_answer.py
@@ -101,7 +101,7 @@
         try:
             event = self._h11.next_event()
         except h11.RemoteProtocolError as error:
-            raise self._failed(f"it ended or broke HTTP/1.1 ({error})") from error
+            raise self.failure(f"it ended or broke HTTP/1.1 ({error})") from error
         self._spent = event is h11.NEED_DATA
         return None if self._spent else event
 
@@ -136,6 +136,13 @@
             self._pool.forget(self)
             await self.stream.cut()
 
+    def failure(self, why: str) -> errors.UpstreamError:
+        """Return the error for an exchange that failed after its request was sent."""
+        return errors.UpstreamError(
+            f"The exchange with {self.address} failed: {why}.",
+            remedy="The request may have run; repeat it only if that does no harm.",
+        )
+
     async def _send(self, data: bytes) -> None:
         try:
             sent = self.stream.send_now(data)
@@ -158,14 +165,14 @@
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
-                raise self._failed("it ended before an answer")
-        raise self._failed("it sent too many informational answers")
+                raise self.failure("it ended before an answer")
+        raise self.failure("it sent too many informational answers")
 
     async def _receive(self) -> bytes:
         try:
             data = await self.stream.receive()
         except OSError as error:
-            raise self._failed(str(error)) from error
+            raise self.failure(str(error)) from error
         if self.stream.expired:
             raise self._timed_out()
         return data
@@ -174,12 +181,6 @@
         self._h11.receive_data(data)
         self._spent = False
 
-    def _failed(self, why: str) -> errors.UpstreamError:
-        return errors.UpstreamError(
-            f"The exchange with {self.address} failed: {why}.",
-            remedy="The request may have run; repeat it only if that does no harm.",
-        )
-
     def _timed_out(self) -> errors.UpstreamError:
         return errors.UpstreamError(
             f"The exchange with {self.address} took too long.",
@@ -269,13 +270,13 @@
             self.whole = True
             await self._connection.release()
         elif event is not None:
-            raise self._connection._failed("it closed in the middle of its answer")
+            raise self._connection.failure("it closed in the middle of its answer")
         return b"".join(parts)
 
     def _check_end(self) -> None:
         """Refuse an end that a failure would look the same as."""
         if not self.framed and "close" not in self.headers.get("connection", "").lower():
-            raise self._connection._failed("its answer has neither a length nor a marked end")
+            raise self._connection.failure("its answer has neither a length nor a marked end")
 
 
 def _is_bodiless(head: h11.Request, response: h11.Response) -> bool:
--- a/src/medlarfork/_http_messages.py
+++ b/src/medlarfork/_http_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from medlarfork import errors, request
+from medlarfork import errors, header_names, request
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -23,9 +23,6 @@
 )
 """Headers that concern one connection only; each side sets its own."""
 
-OUTCOME_HEADER = "Medlar-Outcome"
-"""Response header that says what became of the request."""
-
 NOT_RUN = request.Outcome.NOT_RUN
 """Outcome of every request that is refused before it is handed on."""
 
@@ -76,4 +73,4 @@
 
 def error_headers(outcome: request.Outcome) -> dict[str, str]:
     """Return the headers of an error answer."""
-    return {"Content-Type": "application/json", OUTCOME_HEADER: outcome.value}
+    return {"Content-Type": "application/json", header_names.OUTCOME: outcome.value}
--- a/src/medlarfork/_length_estimate.py
+++ b/src/medlarfork/_length_estimate.py
@@ -65,6 +65,13 @@
         window = self._window(class_name, account)
         return None if window is None else window.quantile(share)
 
+    def quantiles(
+        self, class_name: str, account: str, shares: tuple[float, ...]
+    ) -> tuple[float, ...] | None:
+        """Return several quantiles in seconds, or None while too little is known."""
+        window = self._window(class_name, account)
+        return None if window is None else tuple(window.quantile(share) for share in shares)
+
     def mean(self, class_name: str, account: str) -> float | None:
         """Return the mean in seconds, or None while too little is known."""
         window = self._window(class_name, account)
--- a/src/medlarfork/_link_sockets.py
+++ b/src/medlarfork/_link_sockets.py
@@ -13,6 +13,7 @@
 """Stands between the name and the random part of a routing id."""
 
 _NONCE_BYTES = 8
+"""Size of the random part of a routing id."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_load_arrivals.py
+++ b/src/medlarfork/_load_arrivals.py
@@ -29,6 +29,7 @@
 
 
 _KEY_BYTES = 10
+"""Size of the random part of an idempotency key."""
 
 
 def arrivals(
--- a/src/medlarfork/_load_caller.py
+++ b/src/medlarfork/_load_caller.py
@@ -13,6 +13,7 @@
     _load_experiment,
     _load_request,
     errors,
+    header_names,
     http_client,
     sse,
 )
@@ -173,7 +174,7 @@
 
 
 def _named_outcome(response: http_client.Response) -> requests.Outcome:
-    named = response.headers.get("medlar-outcome", "")
+    named = response.headers.get(header_names.OUTCOME.lower(), "")
     if named == requests.Outcome.NOT_RUN:
         return requests.Outcome.NOT_RUN
     # Without a word on it, an error may have come after the request took effect.
@@ -181,8 +182,8 @@
 
 
 def _retry_after_s(response: http_client.Response) -> float:
-    for name, unit_s in (("retry-after-ms", 0.001), ("retry-after", 1.0)):
-        value = response.headers.get(name, "")
+    for name, unit_s in ((header_names.RETRY_AFTER_MS, 0.001), (header_names.RETRY_AFTER, 1.0)):
+        value = response.headers.get(name.lower(), "")
         if value.isascii() and value.isdigit():
             return int(value) * unit_s
     return _NO_WAIT_S
--- a/src/medlarfork/_load_directory.py
+++ b/src/medlarfork/_load_directory.py
@@ -10,12 +10,14 @@
 
 from medlarfork import entries_answer, errors, http_client
 
-ENTRIES_PATH = "/v1/entries"
-"""Where callers ask which entry hosts to use."""
-
 _ASK_TIMEOUT_S = 2.0
+"""How long one entry host may take to answer, in seconds."""
+
 _SHORTEST_LIFETIME_S = 0.1
+"""Least time that an answer is kept, whatever it says, in seconds."""
+
 _RETRY_S = 0.5
+"""How long to use what is known after nobody has answered, in seconds."""
 
 
 class LoadDirectory:
@@ -60,8 +62,9 @@
             self._valid_until = time.monotonic() + _RETRY_S
 
     async def _ask(self, address: str) -> entries_answer.EntriesAnswer | None:
+        path = entries_answer.ENTRIES_PATH
         query = urllib.parse.urlencode({"dc": self._data_centre}) if self._data_centre else ""
-        target = f"{ENTRIES_PATH}?{query}" if query else ENTRIES_PATH
+        target = f"{path}?{query}" if query else path
         try:
             response = await self._client.request(
                 address, "GET", target, {}, b"", timeout_s=_ASK_TIMEOUT_S
--- a/src/medlarfork/_load_request.py
+++ b/src/medlarfork/_load_request.py
@@ -9,10 +9,15 @@
 
 import msgspec
 
-from medlarfork import _load_arrivals, _load_experiment, _standin_text, sse, uuid7
-
-CHAT_PATH = "/v1/chat/completions"
-"""Where chat completions are asked for."""
+from medlarfork import (
+    _load_arrivals,
+    _load_experiment,
+    _standin_text,
+    header_names,
+    parse,
+    sse,
+    uuid7,
+)
 
 _WORD = "lorem"
 
@@ -68,7 +73,7 @@
         "Content-Type": "application/json",
     }
     if load_class.labels:
-        headers["Medlar-Labels"] = load_class.labels
+        headers[header_names.LABELS] = load_class.labels
     match load_class.kind:
         case _load_experiment.LoadKind.CHAT:
             return _build_chat(load_class, arrival, headers, seed)
@@ -87,7 +92,7 @@
     """Return whether a whole body is the expected one, and its tokens."""
     try:
         answer = json.loads(body)
-        if request.target == CHAT_PATH:
+        if request.target == parse.CHAT_PATH:
             text = answer["choices"][0]["message"]["content"]
             return judge_text(request, text), answer["usage"]["completion_tokens"]
         return _judge_echo(request, answer), 0
@@ -137,7 +142,12 @@
         body["max_tokens"] = max_tokens
     answer = _standin_text.answer(load_class.model, messages, max_tokens)
     return LoadRequest(
-        "POST", CHAT_PATH, headers, msgspec.json.encode(body), load_class.stream, answer.text()
+        "POST",
+        parse.CHAT_PATH,
+        headers,
+        msgspec.json.encode(body),
+        load_class.stream,
+        answer.text(),
     )
 
 
@@ -151,10 +161,10 @@
     key = ""
     if load_class.idempotency_keys:
         key = uuid7.make(time_ms, arrival.key_random)
-        headers = headers | {"Idempotency-Key": key}
+        headers = headers | {header_names.KEY: key}
     return LoadRequest(
         load_class.method,
-        f"/services/{load_class.service}{path}",
+        f"{parse.SERVICES_PATH}{load_class.service}{path}",
         headers,
         b"",
         stream=False,
--- a/src/medlarfork/_object_check.py
+++ b/src/medlarfork/_object_check.py
@@ -10,7 +10,6 @@
 from medlarfork import _finding, classify, errors, labels
 from medlarfork import configuration as configurations
 
-_Kind = _finding.FindingKind
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _METHOD = re.compile(r"\*|[A-Z]+")
 
@@ -84,7 +83,7 @@
     lease_s = configuration.engine_lease_s
     if not _LEASE_RANGE.holds(lease_s):
         yield _finding.Finding(
-            _Kind.OUT_OF_RANGE,
+            _finding.FindingKind.OUT_OF_RANGE,
             "deployment.engine_lease_s",
             f"{lease_s:g} is out of range",
             f"Write a number {_LEASE_RANGE.text()}.",
@@ -99,7 +98,7 @@
     name = item.name
     if _syntax_problem("account", name) or "/" in name or "*" in name:
         yield item.finding(
-            _Kind.BAD_NAME,
+            _finding.FindingKind.BAD_NAME,
             "name",
             f"{name!r} can't be a name",
             "Use letters, digits, dots, hyphens and underscores only.",
@@ -113,7 +112,7 @@
             value = getattr(value, part)
         if value is not None and not allowed.holds(value):
             yield item.finding(
-                _Kind.OUT_OF_RANGE,
+                _finding.FindingKind.OUT_OF_RANGE,
                 field,
                 f"{value:g} is out of range",
                 f"Write a number {allowed.text()}.",
@@ -127,7 +126,7 @@
     for digest in account.key_sha256:
         if not _DIGEST.fullmatch(digest):
             yield item.finding(
-                _Kind.BAD_DIGEST,
+                _finding.FindingKind.BAD_DIGEST,
                 "key_sha256",
                 f"{digest[:12]!r} is not the SHA-256 digest of a key",
                 "Write the 64 lower-case digits that medlarctl hash-key prints.",
@@ -142,21 +141,21 @@
     for field, target in (("first_token_target_s", first), ("whole_target_s", whole)):
         if target is not None and target > declared.deadline_s:
             yield item.finding(
-                _Kind.TARGET,
+                _finding.FindingKind.TARGET,
                 field,
                 f"{target:g} is longer than deadline_s, {declared.deadline_s:g}",
                 "Lower the target or raise deadline_s.",
             )
     if first is not None and whole is not None and first > whole:
         yield item.finding(
-            _Kind.TARGET,
+            _finding.FindingKind.TARGET,
             "first_token_target_s",
             f"{first:g} is longer than whole_target_s, {whole:g}",
             "Lower it or raise whole_target_s.",
         )
     if declared.preemptible and not declared.repeatable:
         yield item.finding(
-            _Kind.PREEMPTIBLE,
+            _finding.FindingKind.PREEMPTIBLE,
             "preemptible",
             "a class that is not repeatable can't be preempted and resumed",
             "Set preemptible = false, or repeatable = true if its requests may run twice.",
@@ -168,7 +167,7 @@
 ) -> Iterator[_finding.Finding]:
     if service.kind is configurations.ServiceKind.PLAIN and service.models:
         yield item.finding(
-            _Kind.PLAIN_WITH_MODELS,
+            _finding.FindingKind.PLAIN_WITH_MODELS,
             "models",
             "a plain service has no models",
             'Remove models, or set kind = "model".',
@@ -176,7 +175,7 @@
     for model in service.models:
         if _syntax_problem("model", model):
             yield item.finding(
-                _Kind.BAD_NAME,
+                _finding.FindingKind.BAD_NAME,
                 "models",
                 f"{model!r} can't be a model name",
                 "Use letters, digits and the signs _ . - / : only.",
@@ -187,14 +186,14 @@
     yield from _check_labels(item, call.labels)
     if not _METHOD.fullmatch(call.method):
         yield item.finding(
-            _Kind.BAD_NAME,
+            _finding.FindingKind.BAD_NAME,
             "method",
             f"{call.method!r} is not an HTTP method",
             "Write the method in upper case, or * for any.",
         )
     if not call.path.startswith(("/", "*")):
         yield item.finding(
-            _Kind.BAD_NAME,
+            _finding.FindingKind.BAD_NAME,
             "path",
             f"{call.path!r} does not begin with /",
             "Write the path below /services/NAME, beginning with /.",
@@ -209,7 +208,7 @@
     for value in label_key.values or ("any",):
         problem = _syntax_problem(label_key.key, value)
         if problem:
-            yield item.finding(_Kind.BAD_NAME, "key", *problem)
+            yield item.finding(_finding.FindingKind.BAD_NAME, "key", *problem)
 
 
 def _check_labels(item: _finding.Item, declared: dict[str, str]) -> Iterator[_finding.Finding]:
@@ -218,12 +217,12 @@
             yield _reserved(item, "labels", key)
         problem = _syntax_problem(key, value)
         if problem:
-            yield item.finding(_Kind.BAD_NAME, "labels", *problem)
+            yield item.finding(_finding.FindingKind.BAD_NAME, "labels", *problem)
 
 
 def _reserved(item: _finding.Item, field: str, key: str) -> _finding.Finding:
     return item.finding(
-        _Kind.RESERVED_LABEL,
+        _finding.FindingKind.RESERVED_LABEL,
         field,
         f"the label key {key} is taken from the request itself",
         f"Use a key other than {', '.join(classify.DERIVED_KEYS)}.",
--- a/src/medlarfork/_operator_reads.py
+++ b/src/medlarfork/_operator_reads.py
@@ -21,9 +21,9 @@
     return operations.ConfigurationReply(found.revision, current.revision, found.configuration)
 
 
-def members(leases: _member_leases.MemberLeases) -> operations.MembersReply:
-    """Return the entry hosts that hold a lease."""
-    return operations.MembersReply(leases.view.version, member_statuses(leases))
+def members(leases: _member_leases.MemberLeases, current: int) -> operations.MembersReply:
+    """Return the entry hosts that hold a lease; ``current`` is control's own revision."""
+    return operations.MembersReply(leases.view.version, member_statuses(leases), current)
 
 
 def member_statuses(leases: _member_leases.MemberLeases) -> tuple[operations.MemberStatus, ...]:
@@ -35,19 +35,38 @@
     return tuple(sorted(statuses, key=lambda status: status.member.entry_id))
 
 
-def in_force(leases: _member_leases.MemberLeases, revision: int) -> operations.InForceReply:
-    """Return where a revision is in force."""
-    confirmed = [lease for lease in leases.leases if lease.revision >= revision]
-    waiting = [lease for lease in leases.leases if lease.revision < revision]
-    lost = [lease for lease in leases.lost if lease.revision < revision]
+def in_force(
+    leases: _member_leases.MemberLeases, revision: int, current: int
+) -> operations.InForceReply:
+    """Return where a revision is in force; ``current`` is control's own revision.
+
+    No entry host of this log can have a revision above the current one, so such a number counts
+    the changes of an earlier log and confirms none of this one.
+    """
+    confirming = range(revision, current + 1)
+    confirmed = [lease for lease in leases.leases if lease.revision in confirming]
+    waiting = [lease for lease in leases.leases if lease.revision not in confirming]
+    lost = [lease for lease in leases.lost if lease.revision not in confirming]
+    ahead = [lease for lease in waiting if lease.revision > current]
     return operations.InForceReply(
         revision,
         tuple(sorted(lease.member.entry_id for lease in confirmed)),
         tuple(sorted(lease.member.entry_id for lease in waiting)),
         tuple(sorted(lease.entry_id for lease in lost)),
+        tuple(sorted(lease.member.entry_id for lease in ahead)),
     )
 
 
+def known_upstreams(
+    desk: order_desk.OrderDesk | None, upstream_ids: tuple[str, ...]
+) -> operations.Reply:
+    """Return which upstreams are reported, or a refusal if this replica hears no reports."""
+    if desk is None:
+        return no_sub_state("inventory")
+    known = desk.known_upstreams
+    return operations.KnownUpstreams(tuple(item for item in upstream_ids if item in known))
+
+
 def orders(desk: order_desk.OrderDesk | None, now: float) -> operations.Reply:
     """Return what engines are ordered, or a refusal if this deployment orders none."""
     if desk is None:
--- a/src/medlarfork/_operator_service.py
+++ b/src/medlarfork/_operator_service.py
@@ -104,9 +104,12 @@
                 records = self._log.state.history(min(limit, HISTORY_LIMIT))
                 return operations.HistoryReply(records)
             case operations.GetMembers():
-                return _operator_reads.members(leases)
+                return _operator_reads.members(leases, self._log.state.current.revision)
+            case operations.GetUpstreams(upstream_ids):
+                return _operator_reads.known_upstreams(self._desk, upstream_ids)
             case operations.GetInForce(revision):
-                return _operator_reads.in_force(leases, revision)
+                current = self._log.state.current.revision
+                return _operator_reads.in_force(leases, revision, current)
             case operations.GetOrders():
                 return _operator_reads.orders(self._desk, now)
             case _:
--- a/src/medlarfork/_order_session.py
+++ b/src/medlarfork/_order_session.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import math
 from typing import Any
 
 from medlarfork import (
-    _due_queue,
     _engine_progress,
     _fleet,
     _next_step,
+    _timer_heap,
     fenced_lease,
     inventory,
     order_types,
@@ -24,8 +25,6 @@
 
 _Phase = _engine_progress.Phase
 _Engine = _engine_progress.EngineProgress
-_Result = order_types.OrderResult
-_Verdict = order_types.Verdict
 
 
 class OrderSession:
@@ -58,9 +57,9 @@
         self._clear_of_older_at = now + settings.order_time_s
         self._engine_by_id: dict[str, _Engine] = {}
         self._engine_by_order: dict[str, _Engine] = {}
-        self._due = _due_queue.DueQueue()
+        self._timers = _timer_heap.TimerHeap[str]()
         self._replan: collections.deque[str] = collections.deque()
-        self._next_number = 1
+        self._numbers = itertools.count(1)
         self._next_read_at = now
         self._actions: list[Any] = []
 
@@ -80,14 +79,14 @@
         granted_at = self._store.next_grant_at(now)
         if self._replan:
             return now
-        return min(self._due.next_at, math.inf if granted_at is None else granted_at)
+        return min(self._timers.earliest(), math.inf if granted_at is None else granted_at)
 
     def advance(self, now: float) -> None:
         """Take the steps that are due, at most ``BATCH`` of them."""
         for _ in range(min(BATCH, len(self._replan))):
             self._replan_one(self._replan.popleft(), now)
         for _ in range(BATCH):
-            upstream_id = self._due.pop(now)
+            upstream_id = self._timers.pop_due(now)
             if upstream_id is None:
                 break
             self._step(self._engine_by_id[upstream_id], now)
@@ -146,9 +145,9 @@
         if engine is None or engine.phase is not _Phase.SENT:
             return
         match done.result:
-            case _Result.REFUSED_FENCE:
+            case order_types.OrderResult.REFUSED_FENCE:
                 self.deposed = True
-            case _Result.UNKNOWN:
+            case order_types.OrderResult.UNKNOWN:
                 self._set(engine, _Phase.UNREAD, now)
             case _:
                 self._resolve(engine, done.result, now)
@@ -160,12 +159,14 @@
             engine.drained = True
             self._set(engine, _Phase.UNREAD, now)
 
-    def on_recorded(self, order: order_types.Order, verdict: _Verdict, now: float) -> None:
+    def on_recorded(
+        self, order: order_types.Order, verdict: order_types.Verdict, now: float
+    ) -> None:
         """Send an order that is on the board now, if the lease still holds."""
         engine = self._engine_by_order.get(order.order_id)
         if engine is None or engine.phase is not _Phase.RECORDING:
             return
-        if verdict is not _Verdict.ACCEPTED:
+        if verdict is not order_types.Verdict.ACCEPTED:
             self._drop_order(engine)
             self._set(engine, _Phase.UNREAD, now + self._settings.poll_s)
             return
@@ -197,7 +198,9 @@
         self._drop_order(engine)
         self._set(engine, _Phase.UNREAD, now)
 
-    def on_marked(self, command: order_types.SetInService, verdict: _Verdict, now: float) -> None:
+    def on_marked(
+        self, command: order_types.SetInService, verdict: order_types.Verdict, now: float
+    ) -> None:
         """Go on after the board took an engine out of service or put it back."""
         engine = self._engine_by_id.get(command.upstream_id)
         if engine is None or engine.phase is not _Phase.MARKING:
@@ -206,7 +209,7 @@
             return
         self._fleet.taken_out(command.upstream_id)
         engine.drained = False
-        if verdict is _Verdict.ACCEPTED and not command.in_service:
+        if verdict is order_types.Verdict.ACCEPTED and not command.in_service:
             self._set(engine, _Phase.DRAINING, now + self._settings.drain_s)
         else:
             self._set(engine, _Phase.UNREAD, now)
@@ -257,7 +260,7 @@
         if notice is None:
             self._on_unreadable(engine, now)
             return
-        engine.read_number = self._number()
+        engine.read_number = next(self._numbers)
         self._actions.append(
             order_types.ReadBack(engine.upstream_id, notice.address, engine.read_number)
         )
@@ -271,7 +274,7 @@
         if engine.order is not None and now >= engine.settled_at:
             self._store.release(engine.upstream_id)
             if gone:
-                self._resolve(engine, _Result.UNKNOWN, now)
+                self._resolve(engine, order_types.OrderResult.UNKNOWN, now)
                 return
         self._set(engine, _Phase.UNREAD, now + self._settings.poll_s)
 
@@ -346,7 +349,9 @@
 
     def _order(self, engine: _Engine, action: order_types.OrderAction, now: float) -> None:
         engine.note_ordered(action)
-        engine.order = order_types.Order.of(self.fence, self._number(), engine.upstream_id, action)
+        engine.order = order_types.Order.of(
+            self.fence, next(self._numbers), engine.upstream_id, action
+        )
         self._engine_by_order[engine.order.order_id] = engine
         self._record(engine, now)
 
@@ -355,7 +360,7 @@
         self._propose(order_types.RecordOrder(engine.order))
         self._set(engine, _Phase.RECORDING, now + self._settings.retry_s)
 
-    def _resolve(self, engine: _Engine, result: _Result, now: float) -> None:
+    def _resolve(self, engine: _Engine, result: order_types.OrderResult, now: float) -> None:
         assert engine.order is not None
         engine.result = result
         order_id = engine.order.order_id
@@ -364,7 +369,7 @@
 
     def _mark(self, engine: _Engine, in_service: bool, now: float) -> None:
         engine.marking_in = in_service
-        engine.mark_number = self._number()
+        engine.mark_number = next(self._numbers)
         self._propose(
             order_types.SetInService(self.fence, engine.mark_number, engine.upstream_id, in_service)
         )
@@ -373,14 +378,9 @@
     def _propose(self, command: order_types.BoardCommand) -> None:
         self._actions.append(order_types.ProposeCommand(command))
 
-    def _number(self) -> int:
-        number = self._next_number
-        self._next_number += 1
-        return number
-
     def _set(self, engine: _Engine, phase: _Phase, due: float) -> None:
         engine.phase = phase
-        self._due.set(engine.upstream_id, due)
+        self._timers.set(engine.upstream_id, due)
 
     def _drop_order(self, engine: _Engine) -> None:
         assert engine.order is not None
@@ -395,5 +395,5 @@
             return
         self._store.release(engine.upstream_id)
         self._fleet.forget(engine.upstream_id)
-        self._due.set(engine.upstream_id, math.inf)
+        self._timers.clear(engine.upstream_id)
         del self._engine_by_id[engine.upstream_id]
--- a/src/medlarfork/_replica_founding.py
+++ b/src/medlarfork/_replica_founding.py
@@ -45,7 +45,7 @@
         state = self._state
         if state.now < self.due:
             return
-        self._ask_due = state.now + state.options.election_timeout_min_seconds
+        self._ask_due = state.now + state.options.election_timeout_min_s
         request = _replica_messages.FoundRequest(state.me.disk_id)
         for voter_id in self._voter_ids:
             if voter_id != state.me.replica_id:
--- a/src/medlarfork/_replica_leader.py
+++ b/src/medlarfork/_replica_leader.py
@@ -46,7 +46,7 @@
         state = self._state
         if state.now >= self._transfer_ends:
             return True
-        if state.now > max(self._quorum_time(), self._elected_at) + state.options.lease_seconds:
+        if state.now > max(self._quorum_time(), self._elected_at) + state.options.lease_s:
             return True
         left_out = state.me not in state.membership.voters
         return left_out and state.commit_index >= state.log.membership_index
@@ -56,7 +56,7 @@
         if self._transfer_to or self._state.applied_index < self._first_index:
             return False
         options = self._state.options
-        margin = options.lease_seconds - options.drift_margin_seconds
+        margin = options.lease_s - options.drift_margin_s
         return now < self._quorum_time(now) + margin
 
     def propose(self, proposal_id: str, command: bytes) -> None:
@@ -77,7 +77,7 @@
     def transfer(self) -> None:
         """Hand over to the live voter whose log is longest."""
         state = self._state
-        live = state.now - state.options.lease_seconds
+        live = state.now - state.options.lease_s
         targets = [
             progress
             for progress in self._progress_by_id.values()
@@ -87,14 +87,14 @@
             return
         target = max(targets, key=lambda progress: progress.match_index)
         self._transfer_to = target.member.replica_id
-        self._transfer_ends = state.now + state.options.election_timeout_max_seconds
+        self._transfer_ends = state.now + state.options.election_timeout_max_s
         self._hurry(target)
 
     def on_due(self) -> None:
         """Send heartbeats if it is time."""
         if self._state.now < self._heartbeat_due:
             return
-        self._heartbeat_due = self._state.now + self._state.options.heartbeat_seconds
+        self._heartbeat_due = self._state.now + self._state.options.heartbeat_s
         for replica_id, progress in self._progress_by_id.items():
             self._send_heartbeat(replica_id, progress)
 
@@ -252,7 +252,7 @@
         if progress.match_index < progress.round_target:
             return
         took = state.now - progress.round_started_at
-        is_close = took <= state.options.election_timeout_min_seconds
+        is_close = took <= state.options.election_timeout_min_s
         progress.round_target = state.log.last_index
         progress.round_started_at = state.now
         if is_close and self._may_change_membership():
@@ -267,7 +267,7 @@
     def _send_heartbeat(self, replica_id: str, progress: _replica_progress.Progress) -> None:
         """Send a message without entries, and a piece of a snapshot again if it seems lost."""
         state = self._state
-        patience = state.options.election_timeout_min_seconds
+        patience = state.options.election_timeout_min_s
         if progress.transfer is not None and state.now > progress.transfer.sent_at + patience:
             if progress.transfer.has_begun:
                 self._send_chunk(replica_id, progress)
--- a/src/medlarfork/_replica_options.py
+++ b/src/medlarfork/_replica_options.py
@@ -12,11 +12,11 @@
     """Hold a replica's timings and bounds; all replicas of a log use the same timings.
 
     Attributes:
-        election_timeout_min_seconds: The shortest silence after which a voter campaigns.
-        election_timeout_max_seconds: The longest such silence; each wait is drawn in between.
-        heartbeat_seconds: The period of the leader's heartbeats.
-        lease_seconds: How long a replica that heard from a leader grants no vote.
-        drift_margin_seconds: How much earlier than that a leader stops trusting its lease. It
+        election_timeout_min_s: The shortest silence after which a voter campaigns.
+        election_timeout_max_s: The longest such silence; each wait is drawn in between.
+        heartbeat_s: The period of the leader's heartbeats.
+        lease_s: How long a replica that heard from a leader grants no vote.
+        drift_margin_s: How much earlier than that a leader stops trusting its lease. It
             covers clocks whose rates differ by up to ``drift_margin / lease``.
         batch_entries: The most entries in one message.
         batch_bytes: The most command bytes in one message, unless one command is larger.
@@ -29,11 +29,11 @@
         apply_batch_entries: The most entries applied for one event.
     """
 
-    election_timeout_min_seconds: float = 1.0
-    election_timeout_max_seconds: float = 2.0
-    heartbeat_seconds: float = 0.25
-    lease_seconds: float = 1.0
-    drift_margin_seconds: float = 0.1
+    election_timeout_min_s: float = 1.0
+    election_timeout_max_s: float = 2.0
+    heartbeat_s: float = 0.25
+    lease_s: float = 1.0
+    drift_margin_s: float = 0.1
     batch_entries: int = 64
     batch_bytes: int = 256 * 1024
     in_flight_appends: int = 4
@@ -51,11 +51,9 @@
             errors.SettingsError: The timings contradict each other.
         """
         in_order = (
-            0 < self.heartbeat_seconds < self.lease_seconds - self.drift_margin_seconds
-            and self.drift_margin_seconds > 0
-            and self.lease_seconds
-            <= self.election_timeout_min_seconds
-            < self.election_timeout_max_seconds
+            0 < self.heartbeat_s < self.lease_s - self.drift_margin_s
+            and self.drift_margin_s > 0
+            and self.lease_s <= self.election_timeout_min_s < self.election_timeout_max_s
         )
         if not in_order:
             raise errors.SettingsError(
--- a/src/medlarfork/_replica_state.py
+++ b/src/medlarfork/_replica_state.py
@@ -75,7 +75,7 @@
     @property
     def holds_votes(self) -> bool:
         """Say whether a leader may still count on this replica not to vote."""
-        return self.now < self.heard_at + self.options.lease_seconds
+        return self.now < self.heard_at + self.options.lease_s
 
     def send(self, to: str, message: Any, *, after: int = 0) -> None:
         """Send a message once the current term, and the given write, are synced."""
--- a/src/medlarfork/_selector_check.py
+++ b/src/medlarfork/_selector_check.py
@@ -9,8 +9,6 @@
 from medlarfork import _finding, _label_domains, errors, labels
 from medlarfork import configuration as configurations
 
-_Kind = _finding.FindingKind
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Parsed:
@@ -29,7 +27,9 @@
             labels.Selector.parse(text)
         except errors.SelectorSyntaxError as error:
             problem = error.problem.rstrip(".")
-            yield item.finding(_Kind.SELECTOR_SYNTAX, "selector", problem, error.remedy)
+            yield item.finding(
+                _finding.FindingKind.SELECTOR_SYNTAX, "selector", problem, error.remedy
+            )
 
 
 def findings(
@@ -107,7 +107,7 @@
         if domain is None:
             known = ", ".join(sorted(domain_by_key))
             yield one.item.finding(
-                _Kind.UNKNOWN_LABEL,
+                _finding.FindingKind.UNKNOWN_LABEL,
                 "selector",
                 f"no {carrier} can carry the label {key}",
                 f"Use one of {known}, or declare {key} as a [[label]].",
@@ -117,7 +117,7 @@
             continue
         for value in sorted(getattr(requirement, "values", frozenset()) - domain.values):
             yield one.item.finding(
-                _Kind.UNKNOWN_VALUE,
+                _finding.FindingKind.UNKNOWN_VALUE,
                 "selector",
                 f"the label {key} never has the value {value}",
                 f"Use one of {_some(domain.values)}, or declare {value} first.",
@@ -130,14 +130,14 @@
         yield _contradiction(one, "request")
     elif not space.has_account(requirements):
         yield one.item.finding(
-            _Kind.UNREACHABLE,
+            _finding.FindingKind.UNREACHABLE,
             "selector",
             f"no account's requests can reach this {noun}",
             "Give an account the labels that the selector asks for, or change the selector.",
         )
     elif not space.has_target(requirements, one.kind):
         yield one.item.finding(
-            _Kind.UNREACHABLE,
+            _finding.FindingKind.UNREACHABLE,
             "selector",
             f"no model, service or call leads to this {noun}",
             "Declare a model, service or call whose labels the selector asks for.",
@@ -146,7 +146,7 @@
 
 def _contradiction(one: _Parsed, carrier: str) -> _finding.Finding:
     return one.item.finding(
-        _Kind.MATCHES_NOTHING,
+        _finding.FindingKind.MATCHES_NOTHING,
         "selector",
         f"its terms contradict each other, so it matches no {carrier}",
         "Remove one of the terms on the same label.",
@@ -164,7 +164,7 @@
 
 def _same_precedence(first: _Parsed, second: _Parsed, noun: str) -> _finding.Finding:
     return second.item.finding(
-        _Kind.SAME_PRECEDENCE,
+        _finding.FindingKind.SAME_PRECEDENCE,
         "selector",
         f"{noun} {first.item.name} can match the same requests at the same precedence, "
         f"{first.item.value.precedence}",
--- a/src/medlarfork/_standin_answer.py
+++ b/src/medlarfork/_standin_answer.py
@@ -11,15 +11,13 @@
     _standin_host,
     _standin_openai,
     _standin_text,
+    header_names,
     http_server,
     sse,
 )
 
-RESUME_HEADER = "Medlar-Resume-Offset"
-"""Header that asks for the rest of an answer and, in the reply, proves where it goes on."""
-
 _ID_BYTES = 8
-_STREAM = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
+_STREAM = {"Content-Type": sse.MEDIA_TYPE, "Cache-Control": "no-cache"}
 
 
 class AnswerWriter:
@@ -46,7 +44,7 @@
             return
         headers = dict(_STREAM)
         if self._resumes:
-            headers[RESUME_HEADER] = str(self._job.offset)
+            headers[header_names.RESUME_OFFSET] = str(self._job.offset)
         await self._exchange.begin(200, headers)
 
     async def deliver(self, index: int) -> None:
--- a/src/medlarfork/_standin_batch.py
+++ b/src/medlarfork/_standin_batch.py
@@ -13,6 +13,7 @@
 """Share of the first token's time that is left when the prompt's prefix is cached."""
 
 _EXECUTIONS_KEPT = 100_000
+"""Requests whose executions are remembered."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_standin_faults.py
+++ b/src/medlarfork/_standin_faults.py
@@ -17,6 +17,7 @@
 """Exit status of a stand-in that was told to crash."""
 
 _FREEZE_POLL_S = 0.02
+"""Period at which frozen work looks whether it may go on, in seconds."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_standin_host.py
+++ b/src/medlarfork/_standin_host.py
@@ -17,16 +17,15 @@
     _stop_signal,
     announcer,
     errors,
+    header_names,
     http_server,
     upstream,
 )
 
-RUN_HEADER = "medlar-request-id"
-"""Header that carries the router's id of a request."""
-
 _JSON = {"Content-Type": "application/json"}
-_NOT_RUN = _JSON | {"Retry-After": "1", "Medlar-Outcome": "not_run"}
+_NOT_RUN = _JSON | {header_names.RETRY_AFTER: "1", header_names.OUTCOME: "not_run"}
 _IDLE_POLL_S = 0.02
+"""Period at which a stop looks whether work is left, in seconds."""
 
 
 class StandinHost:
--- a/src/medlarfork/_standin_lag.py
+++ b/src/medlarfork/_standin_lag.py
@@ -8,6 +8,7 @@
 from medlarfork import upstream
 
 _SAMPLES = 1000
+"""Most loads kept; under more requests than that within the lag, the lag is shorter."""
 
 
 class LoadLag:
--- a/src/medlarfork/_standin_text.py
+++ b/src/medlarfork/_standin_text.py
@@ -14,8 +14,14 @@
 import msgspec
 
 _TOKEN_DIGITS = 6
+"""Hexadecimal digits of a token."""
+
 _SHORTEST = 8
+"""Tokens of the shortest answer whose length is made up."""
+
 _SPREAD = 120
+"""How many lengths such an answer may have."""
+
 _LENGTH = re.compile(r"\[tokens=(\d{1,6})\]")
 
 
--- a/src/medlarfork/_timer_heap.py
+++ b/src/medlarfork/_timer_heap.py
@@ -5,25 +5,28 @@
 import heapq
 import math
 from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+Key = TypeVar("Key", bound=Hashable)
 
 _SLACK = 64
 """Stale heap entries tolerated beyond twice the number of live ones."""
 
 
-class TimerHeap:
+class TimerHeap(Generic[Key]):
     """Set, move and clear timers in logarithmic time; memory stays linear in the live ones."""
 
     def __init__(self) -> None:
         """Start without timers."""
-        self._due_by_key: dict[Hashable, float] = {}
-        self._heap: list[tuple[float, int, Hashable]] = []
+        self._due_by_key: dict[Key, float] = {}
+        self._heap: list[tuple[float, int, Key]] = []
         self._pushed = 0
 
     def __len__(self) -> int:
         """Return the number of timers that are set."""
         return len(self._due_by_key)
 
-    def set(self, key: Hashable, at: float) -> None:
+    def set(self, key: Key, at: float) -> None:
         """Set or move the key's timer; an infinite time clears it."""
         if at == math.inf:
             self.clear(key)
@@ -36,11 +39,11 @@
         if len(self._heap) > 2 * len(self._due_by_key) + _SLACK:
             self._rebuild()
 
-    def clear(self, key: Hashable) -> None:
+    def clear(self, key: Key) -> None:
         """Clear the key's timer, if it is set."""
         self._due_by_key.pop(key, None)
 
-    def pop_due(self, now: float) -> Hashable | None:
+    def pop_due(self, now: float) -> Key | None:
         """Take one key whose time has come; None if there is none."""
         if self.earliest() > now:
             return None
--- a/src/medlarfork/_timers.py
+++ b/src/medlarfork/_timers.py
@@ -5,6 +5,7 @@
 import enum
 import heapq
 import itertools
+import math
 from collections.abc import Iterator
 
 from medlarfork import _pool_ticket
@@ -44,11 +45,11 @@
             if item.live:
                 yield kind, item
 
-    def next_at(self) -> float | None:
-        """Return when the next timer is due."""
+    def next_at(self) -> float:
+        """Return when the next timer is due; infinity if there is none."""
         while self._heap and not self._heap[0][3].live:
             heapq.heappop(self._heap)
-        return self._heap[0][0] if self._heap else None
+        return self._heap[0][0] if self._heap else math.inf
 
     def trim(self, live: int) -> None:
         """Drop lapsed timers once they outnumber those of ``live`` tickets."""
--- a/src/medlarfork/admit.py
+++ b/src/medlarfork/admit.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from medlarfork import answers, deduplicate, errors
+from medlarfork import answers, deduplicate, errors, header_names
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,10 +82,10 @@
 def _elsewhere(code: errors.Code, problem: str, standing: Standing) -> errors.RequestRefusedError:
     headers = answers.retry_after(1.0)
     if standing.other_addresses:
-        headers[answers.ENTRIES_HEADER] = ", ".join(standing.other_addresses)
+        headers[header_names.ENTRIES] = ", ".join(standing.other_addresses)
     return errors.RequestRefusedError(
         problem,
-        remedy=f"Use another entry host, such as one named in {answers.ENTRIES_HEADER}.",
+        remedy=f"Use another entry host, such as one named in {header_names.ENTRIES}.",
         code=code,
         status=503,
         headers=headers,
--- a/src/medlarfork/announcer.py
+++ b/src/medlarfork/announcer.py
@@ -12,17 +12,27 @@
 
 from medlarfork import errors, http_client, upstream
 
-ANNOUNCEMENTS_PATH = "/v1/announcements"
-"""Where entry hosts take announcements."""
-
 _TARGETS = 2
+"""Entry hosts that hear each announcement: a pool's owner and its standby."""
+
 _POST_TIMEOUT_S = 1.0
+"""How long an entry host may take to reply, in seconds."""
+
 _FIRST_PERIOD_S = 0.5
+"""Period until a reply names another, in seconds."""
+
 _SHORTEST_PERIOD_S = 0.02
+"""Bounds of the period that a reply may name, in seconds."""
+
 _LONGEST_PERIOD_S = 30.0
 _LEAVE_TRIES = 5
+"""How often the leaving is announced if nobody takes note."""
+
 _LEAVE_PAUSE_S = 0.2
+"""Pause between two such tries, in seconds."""
+
 _ADDRESS_LIMIT = 64
+"""Most addresses kept of one reply."""
 
 
 class Announcer:
@@ -146,7 +156,12 @@
             headers["Authorization"] = f"Bearer {self._key}"
         try:
             response = await self._client.request(
-                address, "POST", ANNOUNCEMENTS_PATH, headers, body, timeout_s=_POST_TIMEOUT_S
+                address,
+                "POST",
+                upstream.ANNOUNCEMENTS_PATH,
+                headers,
+                body,
+                timeout_s=_POST_TIMEOUT_S,
             )
             answer = await response.read()
             if response.status == 200:
--- a/src/medlarfork/answers.py
+++ b/src/medlarfork/answers.py
@@ -7,17 +7,10 @@
 
 import msgspec
 
-from medlarfork import claim, entry_types, errors, request, ticket
+from medlarfork import claim, entry_types, errors, header_names, request, ticket
 
-RETRY_AFTER_HEADER = "Retry-After"
-RETRY_AFTER_MS_HEADER = "Retry-After-Ms"
-ENTRIES_HEADER = "Medlar-Entries"
-"""Names other entry hosts that the caller can use instead, separated by commas."""
-
-REPLAYED_HEADER = "Medlar-Replayed"
-"""Marks an answer that was stored when the request ran the first time."""
-
-KEY_HEADER = "Idempotency-Key"
+_STATUS_BY_CODE = {errors.Code.NOT_FOUND: 404, errors.Code.MODEL_NOT_FOUND: 404}
+"""HTTP statuses of errors that don't carry their own; 400 for the others."""
 
 _TYPE_BY_STATUS = {
     401: "authentication_error",
@@ -25,6 +18,13 @@
 }
 
 
+def status_of(error: errors.MedlarError) -> int:
+    """Return the HTTP status that answers an error."""
+    if isinstance(error, errors.RequestRefusedError):
+        return error.status
+    return _STATUS_BY_CODE.get(error.code, 400)
+
+
 def refusal(
     request_id: str,
     error: errors.MedlarError,
@@ -59,7 +59,7 @@
         request.Outcome.COMPLETED,
         stored.body,
         stored.content_type,
-        {REPLAYED_HEADER: "true"},
+        {header_names.REPLAYED: "true"},
     )
 
 
@@ -67,8 +67,8 @@
     """Return the headers that say when to try again: whole seconds, at least one, and ms."""
     bounded_s = min(max(seconds, 0.0), 3600.0)
     return {
-        RETRY_AFTER_HEADER: str(max(1, math.ceil(bounded_s))),
-        RETRY_AFTER_MS_HEADER: str(math.ceil(bounded_s * 1000)),
+        header_names.RETRY_AFTER: str(max(1, math.ceil(bounded_s))),
+        header_names.RETRY_AFTER_MS: str(math.ceil(bounded_s * 1000)),
     }
 
 
--- a/src/medlarfork/configuration_file.py
+++ b/src/medlarfork/configuration_file.py
@@ -60,6 +60,7 @@
 class _Deployment:
     """Mirror the table ``[deployment]``."""
 
+    revision: int | None = None
     name: str = ""
     engine_lease_s: float = configurations.DEFAULT_LEASE_S
     allow_undated_keys: bool = True
@@ -85,7 +86,24 @@
     calls: tuple[configurations.Call, ...] = _table("call")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationFile:
+    """Hold what a file declares.
+
+    Attributes:
+        revision: The revision that the file was made from; None if it does not say.
+    """
+
+    configuration: configurations.Configuration
+    revision: int | None = None
+
+
 def read(path: pathlib.Path) -> configurations.Configuration:
+    """Read a configuration file as ``load`` does, without its revision."""
+    return load(path).configuration
+
+
+def load(path: pathlib.Path) -> ConfigurationFile:
     """Read a configuration file and check it as a whole.
 
     Raises:
@@ -97,19 +115,20 @@
     except errors.SettingsError as error:
         raise errors.ConfigurationError(error.problem, remedy=error.remedy) from error
     conversion = settings.convert(document, _File)
-    configuration = _configuration(conversion.value or _File())
+    file = conversion.value or _File()
+    configuration = _configuration(file)
     mistakes = [document.mistake(fault) for fault in conversion.faults]
     for finding in configuration_check.check(configuration):
         if _stands(finding, conversion):
             mistakes.append(_mistake(document, finding, conversion))
     if mistakes:
         raise settings.mistakes_error(path, mistakes, errors.ConfigurationError)
-    return configuration
+    return ConfigurationFile(configuration, file.deployment.revision)
 
 
-def render(configuration: configurations.Configuration) -> str:
-    """Return the configuration as TOML text that ``read`` turns back into an equal one."""
-    blocks = [_block("[deployment]", _deployment(configuration))]
+def render(configuration: configurations.Configuration, revision: int | None = None) -> str:
+    """Return the configuration as TOML text that ``load`` turns back into an equal one."""
+    blocks = [_block("[deployment]", _deployment(configuration, revision))]
     for field in dataclasses.fields(_File):
         if "key" in field.metadata:
             header = f"[[{field.metadata['key']}]]"
@@ -118,10 +137,7 @@
 
 
 def _configuration(file: _File) -> configurations.Configuration:
-    deployment = {
-        field.name: getattr(file.deployment, field.name)
-        for field in dataclasses.fields(_Deployment)
-    }
+    deployment = {name: getattr(file.deployment, name) for name in _declared_names()}
     return configurations.Configuration(
         **deployment,
         accounts=file.accounts,
@@ -133,9 +149,14 @@
     )
 
 
-def _deployment(configuration: configurations.Configuration) -> _Deployment:
-    names = (field.name for field in dataclasses.fields(_Deployment))
-    return _Deployment(**{name: getattr(configuration, name) for name in names})
+def _deployment(configuration: configurations.Configuration, revision: int | None) -> _Deployment:
+    declared = {name: getattr(configuration, name) for name in _declared_names()}
+    return _Deployment(revision, **declared)
+
+
+def _declared_names() -> list[str]:
+    """Return the keys of ``[deployment]`` that are part of the configuration itself."""
+    return [item.name for item in dataclasses.fields(_Deployment) if item.name != "revision"]
 
 
 def _stands(finding: configuration_check.Finding, conversion: settings.Conversion[_File]) -> bool:
--- a/src/medlarfork/control.py
+++ b/src/medlarfork/control.py
@@ -226,6 +226,7 @@
             self._propose_marker(now)
         if self._leads and not leads:
             self._ready_proposal = ""
+            self._turn_members_away()
             self._heartbeats.end()
             self._tell_desk(lease_types.LeadershipLost(), now)
             self._actions += self._operators.end()
@@ -261,8 +262,17 @@
                 for entry_id in action.left:
                     self._tell_desk(order_desk.EntryLost(entry_id), now)
 
+    def _turn_members_away(self) -> None:
+        """Tell entry hosts to ask another replica, since this one may end before they ask it."""
+        leases = self._heartbeats.leases
+        for lease in () if leases is None else leases.leases:
+            self._send_not_leader(lease.member.entry_id)
+
     def _propose_marker(self, now: float) -> None:
         """Propose what proves, once applied, that all earlier entries have been applied."""
+        # With the log's old time, ids and keys made now would be refused as made too far ahead.
+        if not self._log.knows_time(now):
+            return
         marker = replicated_state.MembersChanged(self._log.unix_ms(now), (), ())
         self._ready_proposal = self._log.propose(marker)
 
--- a/src/medlarfork/control_program.py
+++ b/src/medlarfork/control_program.py
@@ -60,7 +60,8 @@
 _LINK_LINGER_S = 0.05
 """How long the last messages may take to leave the process, in seconds."""
 
-_MILLION = 1_000_000
+_NS_PER_MS = 1_000_000
+"""Nanoseconds in a millisecond."""
 
 
 class ControlProgram:
@@ -310,7 +311,7 @@
 
 
 def _unix_ms() -> int:
-    return time.time_ns() // _MILLION
+    return time.time_ns() // _NS_PER_MS
 
 
 async def _run_until_stopped(given: control_settings.ControlSettings) -> None:
--- a/src/medlarfork/conversation.py
+++ b/src/medlarfork/conversation.py
@@ -8,9 +8,7 @@
 
 import curio
 
-from medlarfork import entry_types, errors, http_server, outgoing, relay, request
-
-OUTCOME_HEADER = "Medlar-Outcome"
+from medlarfork import entry_types, errors, header_names, http_server, outgoing, relay, request, sse
 
 _NOT_RETURNED = frozenset(
     {
@@ -18,9 +16,9 @@
         "content-length",
         "date",
         "keep-alive",
-        "medlar-outcome",
-        "medlar-request-id",
-        "medlar-resume-offset",
+        header_names.OUTCOME.lower(),
+        header_names.REQUEST_ID.lower(),
+        header_names.RESUME_OFFSET.lower(),
         "transfer-encoding",
         "upgrade",
     }
@@ -187,8 +185,8 @@
         """Write an answer of the entry host's own."""
         headers = {
             "Content-Type": action.content_type,
-            outgoing.REQUEST_ID_HEADER: action.request_id,
-            OUTCOME_HEADER: action.outcome.value,
+            header_names.REQUEST_ID: action.request_id,
+            header_names.OUTCOME: action.outcome.value,
             **action.headers,
         }
         await self.exchange.respond(action.status, headers, action.body)
@@ -213,18 +211,18 @@
             headers["content-type"] = "application/json"
         # A stream's outcome is not known when its head is written: its proper end says it.
         if not self.exchange.started and not self._streams():
-            headers[OUTCOME_HEADER] = request.Outcome.COMPLETED.value
+            headers[header_names.OUTCOME] = request.Outcome.COMPLETED.value
         return headers
 
     def _streams(self) -> bool:
-        return self.content_type.startswith("text/event-stream") and not (
+        return self.content_type.startswith(sse.MEDIA_TYPE) and not (
             self._relay is not None and self._relay.assembles
         )
 
 
 def _returned_headers(headers: Mapping[str, str], dispatch: entry_types.Dispatch) -> dict[str, str]:
     returned = {name: value for name, value in headers.items() if name not in _NOT_RETURNED}
-    returned[outgoing.REQUEST_ID_HEADER] = dispatch.request_id
+    returned[header_names.REQUEST_ID] = dispatch.request_id
     if dispatch.key:
-        returned[outgoing.KEY_HEADER] = dispatch.key
+        returned[header_names.KEY] = dispatch.key
     return returned
--- a/src/medlarfork/deduplicate.py
+++ b/src/medlarfork/deduplicate.py
@@ -9,7 +9,16 @@
 
 import dataclasses
 
-from medlarfork import answers, claim, configuration, entry_types, errors, request, uuid7
+from medlarfork import (
+    answers,
+    claim,
+    configuration,
+    entry_types,
+    errors,
+    header_names,
+    request,
+    uuid7,
+)
 
 _FINAL_FOR_HOLDER = frozenset(
     {
@@ -129,7 +138,7 @@
 
 def headers(asked: request.Request) -> dict[str, str]:
     """Return the header that tells the caller the key its request ran under."""
-    return {answers.KEY_HEADER: asked.key} if asked.key else {}
+    return {header_names.KEY: asked.key} if asked.key else {}
 
 
 def stored(asked: request.Request, ended: entry_types.AttemptEnded) -> claim.StoredAnswer | None:
--- a/src/medlarfork/dispatch.py
+++ b/src/medlarfork/dispatch.py
@@ -8,6 +8,7 @@
 from medlarfork import answers, entry_types, errors
 
 _SERVICES_LIMIT = 1024
+"""Services whose budgets are remembered; the one idle for longest is forgotten first."""
 
 
 class RetryBudgets:
--- a/src/medlarfork/entries_answer.py
+++ b/src/medlarfork/entries_answer.py
@@ -11,10 +11,14 @@
 
 from medlarfork import configuration, member
 
+ENTRIES_PATH = "/v1/entries"
+"""Where callers ask which entry hosts to use."""
+
 _ENTRIES_LIMIT = 16
 """Most entry hosts named in one answer."""
 
 _LEAST_FREE_SHARE = 0.05
+"""Free share that a full host counts with, so that it is still named now and then."""
 
 
 class Entry(msgspec.Struct, frozen=True):
--- a/src/medlarfork/entry.py
+++ b/src/medlarfork/entry.py
@@ -42,9 +42,6 @@
     ticket,
 )
 
-_STATUS_BY_CODE = {errors.Code.NOT_FOUND: 404, errors.Code.MODEL_NOT_FOUND: 404}
-"""HTTP statuses of errors that don't carry their own; 400 for the others."""
-
 
 class EntryNode:
     """Turn events into actions; see ``entry_types`` for both."""
@@ -150,10 +147,8 @@
         try:
             return self._take(raw, now)
         except errors.MedlarError as error:
-            status = _STATUS_BY_CODE.get(error.code, 400)
-            headers: dict[str, str] = {}
-            if isinstance(error, errors.RequestRefusedError):
-                status, headers = error.status, error.headers
+            headers = error.headers if isinstance(error, errors.RequestRefusedError) else {}
+            status = answers.status_of(error)
             answer = answers.refusal(raw.request_id, error, status=status, headers=headers)
             return answer, record.refused(answer, error, self._session.revision)
 
--- a/src/medlarfork/entry_api.py
+++ b/src/medlarfork/entry_api.py
@@ -11,9 +11,13 @@
 import msgspec
 
 from medlarfork import (
+    _http_messages,
+    answers,
+    entries_answer,
     entry,
     entry_types,
     errors,
+    header_names,
     http_server,
     parse,
     telemetry,
@@ -21,18 +25,6 @@
 )
 
 _JSON = {"Content-Type": "application/json"}
-_ANNOUNCEMENT_PATH = "/v1/announcements"
-
-
-class _ErrorDetail(msgspec.Struct, frozen=True):
-    message: str
-    type: str
-    code: str
-    param: None = None
-
-
-class _ErrorBody(msgspec.Struct, frozen=True):
-    error: _ErrorDetail
 
 
 class EntryApi:
@@ -56,7 +48,7 @@
 
     def is_announcement(self, head: http_server.RequestHead) -> bool:
         """Return whether a request is an upstream's announcement."""
-        return head.path == _ANNOUNCEMENT_PATH and head.method == "POST"
+        return head.path == upstream.ANNOUNCEMENTS_PATH and head.method == "POST"
 
     def may_announce(self, head: http_server.RequestHead) -> bool:
         """Return whether the sender may announce upstreams."""
@@ -105,7 +97,7 @@
             case "/metrics":
                 body = await self._metrics.render_aside()
                 await exchange.respond(200, {"Content-Type": telemetry.CONTENT_TYPE}, body)
-            case "/v1/entries":
+            case entries_answer.ENTRIES_PATH:
                 answer = self._node.entries(_raw(request_id, head), self._clock())
                 await exchange.respond(answer.status, _JSON, answer.body)
             case "/v1/models":
@@ -142,14 +134,14 @@
         try:
             explanation = self._node.explain(raw, asked.get("account", ""), self._clock())
         except errors.MedlarError as error:
-            await _respond_error(exchange, 404, error)
+            await _respond_error(exchange, answers.status_of(error), error)
         else:
             await exchange.respond(200, _JSON, msgspec.json.encode(explanation))
 
 
 def _explained_request(request_id: str, asked: dict[str, str]) -> entry_types.RawRequest:
     """Return the request that an operator asks about."""
-    headers = {"medlar-labels": asked.get("labels", "")}
+    headers = {header_names.LABELS.lower(): asked.get("labels", "")}
     if "path" in asked:
         method = asked.get("method", "GET")
         return entry_types.RawRequest(request_id, method, asked["path"], "", headers, b"")
@@ -174,5 +166,4 @@
 async def _respond_error(
     exchange: http_server.Exchange, status: int, error: errors.MedlarError
 ) -> None:
-    detail = _ErrorDetail(str(error), "invalid_request_error", error.code.value)
-    await exchange.respond(status, _JSON, msgspec.json.encode(_ErrorBody(detail)))
+    await exchange.respond(status, _JSON, _http_messages.error_body(error, status))
--- a/src/medlarfork/entry_program.py
+++ b/src/medlarfork/entry_program.py
@@ -17,6 +17,7 @@
     _peer_links,
     _settings_flag,
     _stop_signal,
+    _upstream_gauges,
     conversation,
     entry,
     entry_api,
@@ -157,6 +158,7 @@
         observe(telemetry.Gauge.MEMBERS, lambda: _one(len(_status().members)))
         observe(telemetry.Gauge.EXCHANGES, lambda: _one(self._server.exchanges))
         observe(telemetry.Gauge.CONNECTIONS, lambda: _one(self._server.connections))
+        _upstream_gauges.observe(self._metrics, lambda: _status().upstreams)
 
     async def _perform(self, action: Any) -> None:
         match action:
--- a/src/medlarfork/entry_queries.py
+++ b/src/medlarfork/entry_queries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 
 from medlarfork import (
     admit,
@@ -23,6 +24,7 @@
     member,
     parse,
     pool_directory,
+    pool_view,
 )
 
 _OTHERS_LIMIT = 4
@@ -113,12 +115,14 @@
             parse.parse(raw),
             self._requests.owned,
             self._directory,
+            self._pools.upstream_views(),
             now,
         )
 
     def status(self, now: float, stage: str) -> entry_status.EntryStatus:
         """Describe this host to operators; takes time linear in what is in progress."""
         age_s = self._session.proof_age_s(now)
+        views = self._pools.upstream_views()
         return entry_status.EntryStatus(
             entry_id=self._entry_id,
             incarnation=self._options.incarnation,
@@ -135,7 +139,7 @@
             unconfirmed=self._requests.unconfirmed,
             members=self._session.view.members,
             pools=self._pools.summaries(now),
-            upstreams=tuple(_upstream_status(item, now) for item in self._directory.leases),
+            upstreams=tuple(_upstream_status(item, views, now) for item in self._directory.leases),
         )
 
     @property
@@ -160,9 +164,12 @@
 
 
 def _upstream_status(
-    lease: pool_directory.UpstreamLease, now: float
+    lease: pool_directory.UpstreamLease,
+    views: Mapping[tuple[str, str], pool_view.UpstreamView],
+    now: float,
 ) -> entry_status.UpstreamStatus:
     announcement = lease.announcement
+    view = views.get((lease.pool, announcement.upstream_id))
     return entry_status.UpstreamStatus(
         announcement.upstream_id,
         announcement.address,
@@ -170,4 +177,5 @@
         str(announcement.state),
         now - lease.heard_at,
         lease.conflicts,
+        None if view is None else entry_status.use_of(view, now),
     )
--- a/src/medlarfork/entry_requests.py
+++ b/src/medlarfork/entry_requests.py
@@ -28,7 +28,10 @@
 )
 
 _RELEASES_LIMIT = 20_000
+"""Most releases of slots whose receipt has not been confirmed."""
+
 _RELEASE_PATIENCE_S = 20.0
+"""How long a release is sent again, in seconds."""
 
 
 class EntryRequests:
@@ -53,7 +56,7 @@
         self._budgets = dispatch.RetryBudgets(share=options.retry_share, burst=options.retry_burst)
         self._machine = flow_machine.FlowMachine(self)
         self._flow_by_id: dict[str, entry_flow.Flow] = {}
-        self._timers = _timer_heap.TimerHeap()
+        self._timers = _timer_heap.TimerHeap[str]()
         self._releases = _outbox.Outbox(limit=_RELEASES_LIMIT, patience_s=_RELEASE_PATIENCE_S)
         self._claims = _claim_settlements.ClaimSettlements()
 
@@ -149,10 +152,9 @@
         """Apply the timers that are due and resend what is not confirmed."""
         actions: list[Any] = []
         while (request_id := self._timers.pop_due(now)) is not None:
-            actions += self.handle(str(request_id), entry_flow.Due(), now)
-        letters = (*self._releases.take_due(now), *self._claims.take_due(now))
-        for letter in letters:
-            actions += self._to_leader(letter.message, letter.to)
+            actions += self.handle(request_id, entry_flow.Due(), now)
+        for pending in (*self._releases.take_due(now), *self._claims.take_due(now)):
+            actions += self._to_leader(pending.message, pending.to)
         return tuple(actions)
 
     def _after(self, request_id: str, step: entry_flow.Step, now: float) -> tuple[Any, ...]:
--- a/src/medlarfork/entry_status.py
+++ b/src/medlarfork/entry_status.py
@@ -4,7 +4,38 @@
 
 import dataclasses
 
-from medlarfork import member, ticket
+from medlarfork import member, pool_view, ticket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamUse:
+    """Say how a pool that runs here uses an upstream.
+
+    Attributes:
+        ejected_for_s: How long the ejection still lasts, in seconds; None if there is none.
+        limit: Requests at once that the pool gives it now; never more than ``slots``.
+        slowness: Time per token relative to the median of its peers.
+    """
+
+    health: pool_view.Health
+    ejected_for_s: float | None
+    slots: int
+    limit: int
+    running: int
+    slowness: float
+
+
+def use_of(view: pool_view.UpstreamView, now: float) -> UpstreamUse:
+    """Return how a pool uses an upstream at a monotonic time in seconds."""
+    until = view.ejected_until
+    return UpstreamUse(
+        health=view.health(now),
+        ejected_for_s=None if until is None else max(0.0, until - now),
+        slots=view.slots,
+        limit=view.limit,
+        running=view.running,
+        slowness=view.slowness,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,6 +45,7 @@
     Attributes:
         silent_s: How long ago it was last heard, in seconds.
         conflicts: Further services whose selectors match it.
+        use: How its pool uses it; None if the pool does not run on this host.
     """
 
     upstream_id: str
@@ -22,6 +54,7 @@
     state: str
     silent_s: float
     conflicts: tuple[str, ...]
+    use: UpstreamUse | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/entry_types.py
+++ b/src/medlarfork/entry_types.py
@@ -63,7 +63,7 @@
     """Say how an attempt at an upstream ended.
 
     COMPLETE: the upstream's own end was seen; the whole answer is with the connection.
-    REFUSED: the upstream refused before executing (429 or 503 with ``Retry-After``).
+    REFUSED: the upstream refused before executing (429, or ``Medlar-Outcome: not_run``).
     NOT_SENT: no byte of the request left, as when the connection was refused.
     BROKEN: it failed after bytes had left: cut, reset, malformed or timed out.
     """
--- a/src/medlarfork/explain.py
+++ b/src/medlarfork/explain.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Mapping
 
 from medlarfork import (
     classify,
     configuration,
     ownership,
     pool_directory,
+    pool_view,
     request,
     upstream,
 )
 
+_Views = Mapping[tuple[str, str], pool_view.UpstreamView]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -73,10 +77,14 @@
     parsed: classify.ParsedRequest,
     owned: ownership.Ownership,
     directory: pool_directory.PoolDirectory,
+    views: _Views,
     now: float,
 ) -> Explanation:
     """Explain a request that has been parsed and identified.
 
+    Args:
+        views: How the pools that run here see their upstreams, by pool and upstream id.
+
     Raises:
         errors.MedlarError: It would be refused before it is classified.
     """
@@ -87,7 +95,10 @@
         declared.class_by_name[asked.class_name],
         classify.explain_class(declared, asked.labels),
         classify.explain_route(declared, routed),
-        tuple(_pool(pool, declared, owned, directory) for pool in owned.pools(asked.service)),
+        tuple(
+            _pool(pool, declared, owned, directory, views, now)
+            for pool in owned.pools(asked.service)
+        ),
         revision,
     )
 
@@ -97,6 +108,8 @@
     declared: configuration.Configuration,
     owned: ownership.Ownership,
     directory: pool_directory.PoolDirectory,
+    views: _Views,
+    now: float,
 ) -> PoolExplanation:
     owner, *others = owned.hearers(pool)
     leases = directory.leases if owned.serves(pool) else ()
@@ -105,14 +118,19 @@
         owner,
         others[0] if others else "",
         owned.serves(pool),
-        tuple(_candidate(lease, pool, declared) for lease in leases),
+        tuple(_candidate(lease, pool, declared, views, now) for lease in leases),
     )
 
 
 def _candidate(
-    lease: pool_directory.UpstreamLease, pool: str, declared: configuration.Configuration
+    lease: pool_directory.UpstreamLease,
+    pool: str,
+    declared: configuration.Configuration,
+    views: _Views,
+    now: float,
 ) -> Candidate:
     announcement = lease.announcement
+    view = views.get((pool, announcement.upstream_id))
     selected = False
     if lease.pool != pool:
         reason = f"it belongs to the pool {lease.pool}"
@@ -120,7 +138,26 @@
         reason = "it is leaving"
     elif announcement.upstream_id in declared.drained_upstreams:
         reason = "operators have drained it"
+    elif view is not None and view.drained:
+        reason = "an order has taken it out of service"
+    elif view is not None and view.ejected and not view.usable:
+        left_s = max(0.0, (view.ejected_until or now) - now)
+        reason = f"it failed or was slow, and is ejected for another {left_s:.0f} s"
     else:
         selected = True
         reason = f"its labels match the selector of {pool.rpartition('/')[0]}"
+        reason += "" if view is None else _note(view, now)
     return Candidate(announcement.upstream_id, announcement.address, selected, reason)
+
+
+def _note(view: pool_view.UpstreamView, now: float) -> str:
+    """Return what holds a selected upstream back, if anything does."""
+    match view.health(now):
+        case pool_view.Health.EJECTED:
+            return "; it is ejected, but too few others are left"
+        case pool_view.Health.PROBING:
+            return "; after an ejection it is tried with one request at a time"
+        case pool_view.Health.SLOW_START:
+            return f"; it came up lately and gets {view.limit} of {view.slots} requests at once"
+        case _:
+            return ""
--- a/src/medlarfork/keys.py
+++ b/src/medlarfork/keys.py
@@ -25,6 +25,8 @@
 """Ending of files that hold a public key."""
 
 _KEY_BYTES = 32
+"""Size of a CurveZMQ key."""
+
 _SECRET_MODE = 0o600
 _PUBLIC_MODE = 0o644
 _OTHERS = stat.S_IRWXG | stat.S_IRWXO
--- a/src/medlarfork/load_program.py
+++ b/src/medlarfork/load_program.py
@@ -28,6 +28,7 @@
 """Exit status if the run did not complete or a complete answer was wrong."""
 
 _CONNECTIONS = 100_000
+"""Most connections; a load run must never wait for one."""
 
 
 class LoadProgram:
--- a/src/medlarfork/operations.py
+++ b/src/medlarfork/operations.py
@@ -53,6 +53,13 @@
     """Ask for the entry hosts with the revisions they confirmed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetUpstreams:
+    """Ask which of these upstreams entry hosts report at the moment."""
+
+    upstream_ids: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GetInForce:
     """Ask which entry hosts have confirmed a revision."""
@@ -87,6 +94,7 @@
     | GetHistory
     | GetStatus
     | GetMembers
+    | GetUpstreams
     | GetInForce
     | ChangeVoters
     | AskSubState
@@ -132,10 +140,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersReply:
-    """List the entry hosts that hold a lease."""
+    """List the entry hosts that hold a lease; ``revision`` is control's current one."""
 
     view_version: tuple[int, int]
     members: tuple[MemberStatus, ...]
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,15 +175,25 @@
     """Say where a revision is in force.
 
     Attributes:
-        confirmed: Entry hosts that have it or a later one in force.
+        confirmed: Entry hosts that have it or a later one of this log in force.
         waiting: Entry hosts that hold a lease and have not confirmed it.
         lost: Entry hosts that lost their lease within the last minutes before confirming it.
+        ahead: Those of ``waiting`` whose revision is above control's current one. They keep the
+            configuration of an earlier log until they are restarted.
     """
 
     revision: int
     confirmed: tuple[str, ...]
     waiting: tuple[str, ...]
     lost: tuple[str, ...]
+    ahead: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownUpstreams:
+    """List those of the upstreams asked about that entry hosts report at the moment."""
+
+    upstream_ids: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -248,6 +267,7 @@
     | MembersReply
     | StatusReply
     | InForceReply
+    | KnownUpstreams
     | VotersChanged
     | SubStateReply
     | OrdersReply
--- a/src/medlarfork/operations_api.py
+++ b/src/medlarfork/operations_api.py
@@ -137,6 +137,12 @@
     return operations.GetInForce(int(query["revision"]))
 
 
+def _get_upstreams(query: dict[str, str], body: bytes, operator: str) -> operations.Request:
+    if "id" not in query:
+        raise ValueError("the query names no id")
+    return operations.GetUpstreams((query["id"],))
+
+
 def _change_voters(query: dict[str, str], body: bytes, operator: str) -> operations.Request:
     return msgspec.json.decode(body, type=operations.ChangeVoters)
 
@@ -148,6 +154,7 @@
     ("GET", "/v1/status"): lambda query, body, operator: operations.GetStatus(),
     ("GET", "/v1/in-force"): _get_in_force,
     ("GET", "/v1/members"): lambda query, body, operator: operations.GetMembers(),
+    ("GET", "/v1/upstreams"): _get_upstreams,
     ("POST", "/v1/voters"): _change_voters,
     ("GET", "/v1/orders"): _orders_api.list_orders,
     ("POST", "/v1/orders"): _orders_api.declare,
--- a/src/medlarfork/operator_client.py
+++ b/src/medlarfork/operator_client.py
@@ -132,6 +132,12 @@
         """Return the entry hosts with the revisions they confirmed."""
         return await self._ask("GET", "/v1/members", operations.MembersReply)
 
+    async def knows_upstream(self, upstream_id: str) -> bool:
+        """Return whether entry hosts report an upstream of that id at the moment."""
+        target = f"/v1/upstreams?{urllib.parse.urlencode({'id': upstream_id})}"
+        reply = await self._ask("GET", target, operations.KnownUpstreams)
+        return upstream_id in reply.upstream_ids
+
     async def in_force(self, revision: int) -> operations.InForceReply:
         """Return which entry hosts have a revision in force."""
         target = f"/v1/in-force?revision={revision}"
--- a/src/medlarfork/order_client.py
+++ b/src/medlarfork/order_client.py
@@ -17,7 +17,6 @@
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _CONFLICT = 409
-_Result = order_types.OrderResult
 
 
 class OrderClient:
@@ -44,7 +43,7 @@
         """Send an order, unless its holding has ended since, and return how it ended."""
         body = order_protocol.encode(action)
         if not self._may_send(action):
-            return order_types.OrderDone(action.order_id, _Result.FAILED)
+            return order_types.OrderDone(action.order_id, order_types.OrderResult.FAILED)
         try:
             response = await self._client.request(
                 action.address,
@@ -56,9 +55,9 @@
             )
             await response.close()
         except errors.RequestNotSentError:
-            return order_types.OrderDone(action.order_id, _Result.FAILED)
+            return order_types.OrderDone(action.order_id, order_types.OrderResult.FAILED)
         except errors.UpstreamError:
-            return order_types.OrderDone(action.order_id, _Result.UNKNOWN)
+            return order_types.OrderDone(action.order_id, order_types.OrderResult.UNKNOWN)
         return order_types.OrderDone(action.order_id, _result(response.status))
 
     def _may_send(self, action: order_types.OrderEngine) -> bool:
@@ -92,9 +91,9 @@
 
 def _result(status: int) -> order_types.OrderResult:
     if 200 <= status < 300:
-        return _Result.DONE
+        return order_types.OrderResult.DONE
     if status == _CONFLICT:
-        return _Result.REFUSED_FENCE
+        return order_types.OrderResult.REFUSED_FENCE
     if 400 <= status < 500:
-        return _Result.FAILED
-    return _Result.UNKNOWN
+        return order_types.OrderResult.FAILED
+    return order_types.OrderResult.UNKNOWN
--- a/src/medlarfork/order_desk.py
+++ b/src/medlarfork/order_desk.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 from medlarfork import (
@@ -136,6 +136,11 @@
             self._out_of_service = heartbeat.OutOfService(version, listed)
         return self._out_of_service
 
+    @property
+    def known_upstreams(self) -> Collection[str]:
+        """Return the ids of the upstreams that entry hosts report; empty unless it leads."""
+        return self._upstreams.upstream_by_id.keys()
+
     def waiting(self, now: float) -> tuple[order_types.Waiting, ...]:
         """Return what is not being done yet and why; nothing unless the lease is held."""
         return self._planner.waiting(now)
--- a/src/medlarfork/orders.py
+++ b/src/medlarfork/orders.py
@@ -35,8 +35,6 @@
 MAX_HISTORY = 1_000
 """How many finished orders the board remembers."""
 
-_Verdict = order_types.Verdict
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _BoardState:
@@ -164,7 +162,7 @@
             maxlen=MAX_HISTORY
         )
 
-    def _decide(self, command: Any, now_ms: int) -> _Verdict:
+    def _decide(self, command: Any, now_ms: int) -> order_types.Verdict:
         match command:
             case order_types.BeginHolding(fence):
                 return self._begin(fence)
@@ -175,51 +173,51 @@
             case order_types.SetInService():
                 return self._set_in_service(command)
             case _:
-                return _Verdict.INVALID
+                return order_types.Verdict.INVALID
 
-    def _begin(self, fence: int) -> _Verdict:
+    def _begin(self, fence: int) -> order_types.Verdict:
         if fence < self._fence:
-            return _Verdict.STALE_FENCE
+            return order_types.Verdict.STALE_FENCE
         if fence > self._fence:
             self._fence = fence
             self._last_number = 0
             self._last_mark = 0
-        return _Verdict.ACCEPTED
+        return order_types.Verdict.ACCEPTED
 
-    def _record_order(self, order: order_types.Order) -> _Verdict:
+    def _record_order(self, order: order_types.Order) -> order_types.Verdict:
         if order.fence != self._fence:
-            return _Verdict.STALE_FENCE
+            return order_types.Verdict.STALE_FENCE
         if self._order_by_upstream.get(order.upstream_id) == order:
-            return _Verdict.ACCEPTED
+            return order_types.Verdict.ACCEPTED
         if order.upstream_id in self._order_by_upstream or order.number <= self._last_number:
-            return _Verdict.CONFLICT
+            return order_types.Verdict.CONFLICT
         if len(self._order_by_upstream) >= MAX_IN_PROGRESS:
-            return _Verdict.FULL
+            return order_types.Verdict.FULL
         self._last_number = order.number
         self._order_by_upstream[order.upstream_id] = order
-        return _Verdict.ACCEPTED
+        return order_types.Verdict.ACCEPTED
 
-    def _record_result(self, command: order_types.RecordResult, now_ms: int) -> _Verdict:
+    def _record_result(self, command: order_types.RecordResult, now_ms: int) -> order_types.Verdict:
         if command.fence != self._fence:
-            return _Verdict.STALE_FENCE
+            return order_types.Verdict.STALE_FENCE
         order = self._order_by_upstream.get(command.upstream_id)
         if order is not None and order.order_id == command.order_id:
             del self._order_by_upstream[command.upstream_id]
             finished = order_types.FinishedOrder(order, command.result, now_ms)
             self._history.append(finished)
-        return _Verdict.ACCEPTED
+        return order_types.Verdict.ACCEPTED
 
-    def _set_in_service(self, command: order_types.SetInService) -> _Verdict:
+    def _set_in_service(self, command: order_types.SetInService) -> order_types.Verdict:
         if command.fence != self._fence:
-            return _Verdict.STALE_FENCE
+            return order_types.Verdict.STALE_FENCE
         if command.number <= self._last_mark:
-            return _Verdict.CONFLICT
+            return order_types.Verdict.CONFLICT
         self._last_mark = command.number
         if command.in_service:
             self._out_of_service.pop(command.upstream_id, None)
         elif len(self._out_of_service) >= MAX_IN_PROGRESS:
-            return _Verdict.FULL
+            return order_types.Verdict.FULL
         else:
             self._out_of_service[command.upstream_id] = None
         self._out_version += 1
-        return _Verdict.ACCEPTED
+        return order_types.Verdict.ACCEPTED
--- a/src/medlarfork/outgoing.py
+++ b/src/medlarfork/outgoing.py
@@ -6,12 +6,7 @@
 
 import msgspec
 
-from medlarfork import entry_types, errors, parse, relay
-
-REQUEST_ID_HEADER = "Medlar-Request-Id"
-ATTEMPT_ID_HEADER = "Medlar-Attempt-Id"
-PRIORITY_HEADER = "Medlar-Priority"
-KEY_HEADER = "Idempotency-Key"
+from medlarfork import entry_types, errors, header_names, parse
 
 _NOT_FORWARDED = frozenset(
     {
@@ -20,13 +15,13 @@
         "content-length",
         "expect",
         "host",
-        "idempotency-key",
+        header_names.KEY.lower(),
         "keep-alive",
-        "medlar-attempt-id",
-        "medlar-labels",
-        "medlar-priority",
-        "medlar-request-id",
-        "medlar-resume-offset",
+        header_names.ATTEMPT_ID.lower(),
+        header_names.LABELS.lower(),
+        header_names.PRIORITY.lower(),
+        header_names.REQUEST_ID.lower(),
+        header_names.RESUME_OFFSET.lower(),
         "proxy-authorization",
         "te",
         "trailer",
@@ -56,13 +51,13 @@
 def build(raw: entry_types.RawRequest, dispatch: entry_types.Dispatch) -> OutgoingRequest:
     """Return the request of one attempt."""
     headers = {name: value for name, value in raw.headers.items() if name not in _NOT_FORWARDED}
-    headers[REQUEST_ID_HEADER] = dispatch.request_id
-    headers[ATTEMPT_ID_HEADER] = dispatch.attempt_id
-    headers[PRIORITY_HEADER] = str(dispatch.tier)
+    headers[header_names.REQUEST_ID] = dispatch.request_id
+    headers[header_names.ATTEMPT_ID] = dispatch.attempt_id
+    headers[header_names.PRIORITY] = str(dispatch.tier)
     if dispatch.key:
-        headers[KEY_HEADER] = dispatch.key
+        headers[header_names.KEY] = dispatch.key
     if dispatch.resume_offset:
-        headers[relay.RESUME_HEADER] = str(dispatch.resume_offset)
+        headers[header_names.RESUME_OFFSET] = str(dispatch.resume_offset)
     body = raw.body
     if dispatch.assemble:
         body = _as_stream(body)
--- a/src/medlarfork/parse.py
+++ b/src/medlarfork/parse.py
@@ -8,15 +8,19 @@
 
 import msgspec
 
-from medlarfork import classify, entry_types, errors
+from medlarfork import classify, entry_types, errors, header_names
 
 CHAT_PATH = "/v1/chat/completions"
+"""Path of chat completions, as in the OpenAI API."""
+
 SERVICES_PATH = "/services/"
+"""Path below which plain services are called, by their name."""
 
 _PREFIX_CHARACTERS = 1024
 """How much of the first message counts as the prompt's beginning."""
 
 _KEY_CHARACTERS = 200
+"""Longest idempotency key that is accepted."""
 
 
 class _ChatBody(msgspec.Struct, frozen=True):
@@ -73,7 +77,7 @@
         stream=bool(body.stream),
         max_tokens=_max_tokens(body),
         prefix=prompt_prefix(body.model, body.messages),
-        caller_labels=classify.parse_labels(raw.headers.get("medlar-labels", "")),
+        caller_labels=classify.parse_labels(raw.headers.get(header_names.LABELS.lower(), "")),
         key=_key(raw),
         body_sha256=hashlib.sha256(raw.body).hexdigest(),
     )
@@ -114,7 +118,7 @@
         raw.method,
         path=path,
         service=urllib.parse.unquote(name),
-        caller_labels=classify.parse_labels(raw.headers.get("medlar-labels", "")),
+        caller_labels=classify.parse_labels(raw.headers.get(header_names.LABELS.lower(), "")),
         key=_key(raw),
         body_sha256=_call_digest(raw),
     )
@@ -127,7 +131,7 @@
 
 
 def _key(raw: entry_types.RawRequest) -> str:
-    key = raw.headers.get("idempotency-key", "").strip()
+    key = raw.headers.get(header_names.KEY.lower(), "").strip()
     if len(key) > _KEY_CHARACTERS or not (key.isascii() and key.isprintable()):
         raise _bad_request(
             "The Idempotency-Key can't be used.",
--- a/src/medlarfork/relay.py
+++ b/src/medlarfork/relay.py
@@ -15,13 +15,11 @@
 
 import msgspec
 
-from medlarfork import assembled_answer, errors, sse
+from medlarfork import assembled_answer, errors, header_names, sse
 
-RESUME_HEADER = "Medlar-Resume-Offset"
-"""Asks an engine for the rest of an answer and, in its reply, proves where it goes on."""
-
-_EVENT_STREAM = "text/event-stream"
 _ANSWER_BYTES = 16 << 20
+"""Longest answer that is assembled, in bytes."""
+
 _COUNT = re.compile(r"[0-9]{1,9}")
 
 
@@ -144,7 +142,7 @@
         Raises:
             errors.UpstreamError: The upstream does not prove that it goes on where asked.
         """
-        streams = headers.get("content-type", "").partition(";")[0].strip() == _EVENT_STREAM
+        streams = headers.get("content-type", "").partition(";")[0].strip() == sse.MEDIA_TYPE
         mode = self._asked if streams and status == 200 else Mode.OPAQUE
         self._attempt = _Attempt(attempt_id, resume_offset, mode)
         self._splitter = sse.Splitter()
@@ -186,13 +184,14 @@
     def _check_resumption(self, headers: Mapping[str, str]) -> None:
         """Refuse an answer that can't be joined to what there is already."""
         offset = self._attempt.offset
-        proved = headers.get(RESUME_HEADER.lower(), "0" if offset == 0 else "")
+        proved = headers.get(header_names.RESUME_OFFSET.lower(), "0" if offset == 0 else "")
         joins = self.resumable and offset == self.tokens and proved == str(offset)
         if self._attempt.mode is Mode.OPAQUE or not joins:
             self._attempt = _Attempt("", 0, Mode.OPAQUE)
             raise errors.UpstreamError(
                 f"The upstream does not prove that its answer goes on after {offset} tokens.",
-                remedy=f"Let engines of preemptible classes reply with {RESUME_HEADER}.",
+                remedy="Let engines of preemptible classes reply with "
+                f"{header_names.RESUME_OFFSET}.",
             )
 
     def _take(self, event: sse.Event) -> bytes:
--- a/src/medlarfork/replica.py
+++ b/src/medlarfork/replica.py
@@ -264,7 +264,7 @@
     def _arm_election(self) -> None:
         options = self._state.options
         wait = self._state.random.uniform(
-            options.election_timeout_min_seconds, options.election_timeout_max_seconds
+            options.election_timeout_min_s, options.election_timeout_max_s
         )
         self._election_due = self._state.now + wait
 
--- a/src/medlarfork/sse.py
+++ b/src/medlarfork/sse.py
@@ -7,12 +7,16 @@
 
 from medlarfork import errors
 
+MEDIA_TYPE = "text/event-stream"
+"""Content type of a stream of events."""
+
 DONE = "[DONE]"
 """Data of the event that ends a stream of the OpenAI API."""
 
 _LINE_FEED = b"\n"
 _CARRIAGE_RETURN = b"\r"
 _EVENT_BYTES = 1 << 20
+"""Longest event that is accepted, in bytes."""
 
 _PLAIN_EVENT = re.compile(rb"(?:id: ([^\r\n]+)\n)?data: ([^\r\n]*)\n\n")
 """An event in the very form that ``encode`` writes, as most engines send them."""
--- a/src/medlarfork/standin_engine.py
+++ b/src/medlarfork/standin_engine.py
@@ -26,6 +26,7 @@
     _standin_orders,
     _standin_text,
     errors,
+    header_names,
     http_server,
     order_protocol,
     order_types,
@@ -37,10 +38,8 @@
 PROGRAM = "medlar-standin-engine"
 """Name of the program."""
 
-PRIORITY_HEADER = "medlar-priority"
-"""Header that carries a request's priority; a lower number goes first."""
-
 _DEFAULT_PRIORITY = 9
+"""Priority of a request that names none."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,7 +206,7 @@
     async def _answer(self, exchange: http_server.Exchange) -> None:
         body = await exchange.read_body()
         match exchange.head.method, exchange.head.path:
-            case "POST", "/v1/chat/completions":
+            case "POST", parse.CHAT_PATH:
                 with self.host.working():
                     await self._chat(exchange, body)
             case "GET", "/v1/models":
@@ -264,13 +263,14 @@
     ) -> _Chat:
         headers = exchange.head.headers
         answer = _standin_text.answer(request.model, request.messages, request.bound)
-        asked = headers.get(_standin_answer.RESUME_HEADER.lower(), "")
+        asked = headers.get(header_names.RESUME_OFFSET.lower(), "")
+        priority = headers.get(header_names.PRIORITY.lower(), "")
         resumes = bool(asked and request.stream) and not self._switches.faults.ignore_resume
         job = _standin_batch.Job(
-            request_id=headers.get(_standin_host.RUN_HEADER, ""),
+            request_id=headers.get(header_names.REQUEST_ID.lower(), ""),
             answer=answer,
             offset=min(_standin_host.to_int(asked, 0), answer.count) if resumes else 0,
-            priority=_standin_host.to_int(headers.get(PRIORITY_HEADER, ""), _DEFAULT_PRIORITY),
+            priority=_standin_host.to_int(priority, _DEFAULT_PRIORITY),
             prefix=parse.prompt_prefix(request.model, request.messages),
         )
         return _Chat(exchange, request, job, resumes)
--- a/src/medlarfork/standin_service.py
+++ b/src/medlarfork/standin_service.py
@@ -13,6 +13,7 @@
     _standin_flags,
     _standin_host,
     _standin_slots,
+    header_names,
     http_server,
     settings,
     upstream,
@@ -21,13 +22,11 @@
 PROGRAM = "medlar-standin-service"
 """Name of the program."""
 
-KEY_HEADER = "idempotency-key"
-"""Header that carries a call's idempotency key."""
-
 _KEPT = 100_000
 """Keys and request ids whose executions are remembered."""
 
 _PRIORITY = 0
+"""Priority of every call: slots go to calls in order of arrival."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,10 +157,10 @@
 
     async def _call(self, exchange: http_server.Exchange) -> None:
         head = exchange.head
-        key = head.headers.get(KEY_HEADER, "")
+        key = head.headers.get(header_names.KEY.lower(), "")
         async with self._slots.hold(_PRIORITY):
             # Counted before the work: a call that is cut half-way has had its effect.
-            count = self._execute(key, head.headers.get(_standin_host.RUN_HEADER, ""))
+            count = self._execute(key, head.headers.get(header_names.REQUEST_ID.lower(), ""))
             await self._switches.work(self._options.delay_s)
         if self._switches.faults.cut_before_reply:
             await exchange.abort()
--- a/src/medlarfork/telemetry.py
+++ b/src/medlarfork/telemetry.py
@@ -43,6 +43,9 @@
     MEMBERS = "medlar_members"
     EXCHANGES = "medlar_exchanges"
     CONNECTIONS = "medlar_connections"
+    UPSTREAM_HEALTH = "medlar_upstream_health"
+    UPSTREAM_LIMIT = "medlar_upstream_limit"
+    UPSTREAM_RUNNING = "medlar_upstream_running"
 
 
 _GAUGE_HELP = {
@@ -52,6 +55,9 @@
     Gauge.MEMBERS: "Members known.",
     Gauge.EXCHANGES: "Requests in progress.",
     Gauge.CONNECTIONS: "Callers' connections open.",
+    Gauge.UPSTREAM_HEALTH: "1 for the present health of each upstream of the pools run here.",
+    Gauge.UPSTREAM_LIMIT: "Requests at once that an upstream is given now.",
+    Gauge.UPSTREAM_RUNNING: "Requests that run at an upstream.",
 }
 
 
--- a/src/medlarfork/upstream.py
+++ b/src/medlarfork/upstream.py
@@ -5,6 +5,9 @@
 import dataclasses
 import enum
 
+ANNOUNCEMENTS_PATH = "/v1/announcements"
+"""Where entry hosts take announcements."""
+
 
 class UpstreamState(enum.StrEnum):
     """Say whether an upstream accepts new work."""
--- a/src/medlarfork/upstream_attempt.py
+++ b/src/medlarfork/upstream_attempt.py
@@ -13,10 +13,12 @@
     conversation,
     entry_types,
     errors,
+    header_names,
     http_client,
     logs,
     outgoing,
     request,
+    sse,
 )
 
 _log = logging.getLogger(__name__)
@@ -28,7 +30,6 @@
 """Largest answer that is kept for duplicates of a not-repeatable request, in bytes."""
 
 _TOO_MANY_REQUESTS = 429
-_EVENT_STREAM = "text/event-stream"
 
 
 class UpstreamAttempt:
@@ -107,7 +108,7 @@
         held = self._held
         attempt_id = self._dispatch.attempt_id
         held.begin_attempt(self._dispatch, response.status, response.headers)
-        streams = response.headers.get("content-type", "").startswith(_EVENT_STREAM)
+        streams = response.headers.get("content-type", "").startswith(sse.MEDIA_TYPE)
         at_once = streams and not self._dispatch.assemble
         while chunk := await response.next_chunk():
             if not at_once:
@@ -160,5 +161,5 @@
     """
     if response.status == _TOO_MANY_REQUESTS:
         return True
-    outcome = response.headers.get(conversation.OUTCOME_HEADER.lower())
+    outcome = response.headers.get(header_names.OUTCOME.lower())
     return outcome == request.Outcome.NOT_RUN.value
--- a/src/medlarfork/uuid7.py
+++ b/src/medlarfork/uuid7.py
@@ -8,6 +8,8 @@
 """How many random bytes one UUID takes."""
 
 _TIME_LIMIT_MS = 1 << 48
+"""First time that does not fit, in milliseconds since 1970."""
+
 _VERSION = 0x7
 _VARIANT = 0b10
 _FORM = re.compile(r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}")
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of medlarfork, one module for each module tested."""
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -13,6 +13,7 @@
 from tests.processes import callers
 
 TIMEOUT_S = 110
+JUST_HEARD_S = 0.5
 
 
 def _digest(key):
@@ -101,6 +102,26 @@
     def engine_state(self, name):
         return self.get_json(f"{self.standin_address(name)}/v1/state")
 
+    def ask_first(self, entry, control):
+        """Let an entry host ask a control replica before the others, from its next start on."""
+        settings = self.folder / f"{entry}.toml"
+        head, *blocks = settings.read_text().split("[[controls]]\n")
+        blocks.sort(key=lambda block: f'"{control}"' not in block)
+        parts = [head, *(f"{block.rstrip()}\n" for block in blocks)]
+        settings.write_text("[[controls]]\n".join(parts))
+
+    def wait_for_announcement(self, name):
+        """Wait until a restarted stand-in answers and an entry host has just heard it."""
+
+        def _is_heard():
+            statuses = [self.entry_status(entry) for entry in self.entry_names]
+            heard = [item for status in statuses for item in status["upstreams"]]
+            silences = [item["silent_s"] for item in heard if item["upstream_id"] == name]
+            return min(silences, default=JUST_HEARD_S) < JUST_HEARD_S
+
+        models = f"{self.standin_address(name)}/v1/models"
+        self.wait(lambda: local_processes.answers(models) and _is_heard(), f"{name} again")
+
     def running_engine(self, names):
         """Return the one of these engines that computes something; None if none does."""
         for name in names:
@@ -183,7 +204,8 @@
     yield _make
     processes.close()
     for log in sorted(pathlib.Path(tmp_path).glob("*.log")):
-        assert "Traceback" not in log.read_text(), f"an exception was logged in {log}"
+        _, logged, details = log.read_text().partition("Traceback")
+        assert not logged, f"an exception was logged in {log}:\n{details[:3000]}"
 
 
 @pytest.fixture
--- a/tests/processes/test_bad_input.py
+++ b/tests/processes/test_bad_input.py
@@ -156,23 +156,29 @@
     _assert_serves(deployment)
 
 
-def test_a_caller_that_leaves_the_queue_or_a_whole_answer_costs_nothing_more(deployment):
-    address = deployment.address("entry-1")
-    parts = [_head(f"Content-Length: {len(callers.chat_body(LONG))}"), callers.chat_body(LONG)]
-    with contextlib.ExitStack() as left:
-        for _ in range(4):
-            dialled = left.enter_context(_dial(deployment))
-            for part in parts:
-                dialled.sendall(part)
-        deployment.wait(lambda: deployment.entry_status("entry-1")["queued"] == 2, "a queue")
+def test_callers_that_leave_the_queue_or_a_whole_answer_cost_nothing_more(deployment):
+    body = callers.chat_body(LONG)
+    asked = _head(f"Content-Length: {len(body)}") + body
+
+    def _requests():
+        return deployment.entry_status("entry-1")["requests"]
+
+    with contextlib.ExitStack() as running:
+        for _ in range(2):
+            running.enter_context(_dial(deployment)).sendall(asked)
         deployment.wait(lambda: deployment.engine_state("engine-1")["running"] == 2, "full slots")
+        with contextlib.ExitStack() as queued:
+            for _ in range(2):
+                queued.enter_context(_dial(deployment)).sendall(asked)
+            deployment.wait(lambda: deployment.entry_status("entry-1")["queued"] == 2, "a queue")
+        deployment.wait(lambda: _requests() == 2, "an empty queue")
+    deployment.wait(lambda: _requests() == 0, "no request left")
 
-    deployment.wait(lambda: deployment.entry_status("entry-1")["requests"] == 0, "no request left")
     deployment.wait(lambda: deployment.engine_state("engine-1")["running"] == 0, "a free engine")
     state = deployment.engine_state("engine-1")
     assert len(state["executions"]) == 2
     assert state["tokens_computed"] < 2000
-    assert callers.chat(address, "hello [tokens=3]").outcome == "completed"
+    _assert_serves(deployment)
 
 
 def test_an_upstream_that_cuts_its_answers_is_not_passed_off_as_whole(deployment, new_key):
--- a/tests/processes/test_control_loss.py
+++ b/tests/processes/test_control_loss.py
@@ -1,7 +1,6 @@
 """Freeze, kill and wipe control replicas while configuration changes and claims go on."""
 
 import hashlib
-import pathlib
 import socket
 import subprocess
 import time
@@ -256,7 +255,7 @@
     host is killed, and will ask the old leader first of all.
     """
     behind = deployment.wait_for_leader()
-    _ask_first(deployment, "entry-1", behind)
+    deployment.ask_first("entry-1", behind)
     deployment.processes.freeze(behind)
     for name in deployment.control_names:
         if name != behind:
@@ -335,14 +334,6 @@
     assert deployment.total("desk-1") == 0
 
 
-def _ask_first(deployment, entry, control):
-    """Put a control replica first in an entry host's settings."""
-    settings = pathlib.Path(deployment.folder / f"{entry}.toml")
-    head, *blocks = settings.read_text().split("[[controls]]\n")
-    blocks.sort(key=lambda block: f'"{control}"' not in block)
-    settings.write_text("".join([head, *(f"[[controls]]\n{block.rstrip()}\n" for block in blocks)]))
-
-
 def test_all_replicas_killed_after_hundreds_of_changes_come_back_with_all_of_them(
     make_deployment, new_key
 ):
--- a/tests/processes/test_engine_loss.py
+++ b/tests/processes/test_engine_loss.py
@@ -27,7 +27,7 @@
         assert (stream.text, stream.done, stream.ended) == (undisturbed, True, True)
         assert deployment.attempts(stream.request_id) >= 2
         deployment.processes.restart(lost)
-        deployment.wait_for_upstreams(ENGINES)
+        deployment.wait_for_announcement(lost)
 
 
 def test_a_whole_answer_survives_its_engine(make_deployment, threads):
--- a/tests/processes/test_graceful_stop.py
+++ b/tests/processes/test_graceful_stop.py
@@ -126,6 +126,11 @@
     deployment = make_deployment()
     deployment.start_service("desk-1", delay_s=0.05)
     leader = deployment.wait_for_leader()
+    # This entry host has never talked to the other replicas, so only the leader can reach it.
+    deployment.processes.kill("entry-2")
+    deployment.ask_first("entry-2", leader)
+    deployment.restart("entry-2")
+    deployment.wait_for_members(deployment.entry_names)
     operator = deployment.operator
     base, configuration = operator.configuration()
     change_id = new_key()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,6 +5,7 @@
 import pytest
 
 from medlarfork import (
+    _control_metrics,
     _log_clock,
     claim,
     configuration,
@@ -227,6 +228,23 @@
     assert reply == operations.InForceReply(1, ("e1",), ("e2",), ("e3",))
 
 
+def test_a_host_ahead_of_control_has_confirmed_nothing(leader):
+    leader.handle(_beat("e1"), 0.0)
+    leader.handle(_beat("e2"), 0.0)
+    _ask(leader, _change(1, 0), 0.1)
+    leader.handle(_beat("e1", 2, revision=9), 0.2)
+    leader.handle(_beat("e2", 2, revision=1), 0.2)
+    (reply,) = _ask(leader, operations.GetInForce(1), 0.3)
+    assert reply == operations.InForceReply(1, ("e2",), ("e1",), (), ("e1",))
+    (members,) = _ask(leader, operations.GetMembers(), 0.3)
+    assert members.revision == 1
+    read_behind = _control_metrics._VALUE_BY_NAME["medlar_members_behind"][1]
+    assert read_behind(leader.status(0.4)) == 1
+    leader.handle(node.TimeDue(), 3.5)
+    (reply,) = _ask(leader, operations.GetInForce(1), 3.5)
+    assert (reply.confirmed, reply.lost) == ((), ("e1",))
+
+
 def test_a_new_leader_waits_a_full_lease_before_it_calls_a_member_lost(control_node, state):
     noted = _beat("e9").message.member
     command = replicated_state.MembersChanged(0, (noted,), ())
@@ -455,6 +473,7 @@
     )
     built.handle(node.Started(), 0.0)
     built.handle(control_types.WallClock(1_000_000), 0.0)
+    built.handle(node.MessageReceived("c2", _log_clock.ClockReading(1_000_000)), 0.0)
     built.handle(_role(replica_types.Role.LEADER, 2, "c1"), 0.0)
     return built, desk
 
@@ -474,6 +493,14 @@
     assert not desk.lease.may_act(0.3)
 
 
+def test_control_tells_which_upstreams_are_reported(ordering):
+    leader, _ = ordering
+    asked = operations.GetUpstreams(("u1", "u2"))
+    assert _ask(leader, asked, 0.1) == [operations.KnownUpstreams(())]
+    leader.handle(_reported(), 0.1)
+    assert _ask(leader, asked, 0.2) == [operations.KnownUpstreams(("u1",))]
+
+
 def test_a_report_in_anothers_name_is_rejected(ordering):
     leader, _ = ordering
     (rejected,) = leader.handle(_reported("e2"), 0.1)
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -197,6 +197,7 @@
         self.disk_by_id = {name: _Disk() for name in _REPLICA_IDS}
         self.disk_free_at = dict.fromkeys(_REPLICA_IDS, 0.0)
         self.process_by_id = {}
+        self.clock_step_by_id = dict.fromkeys(_REPLICA_IDS, 0)
         self.entry_by_id = {}
         self.isolated = set()
         self.cut_off = set()
@@ -217,7 +218,15 @@
     def start(self, name):
         self.process_by_id[name] = process = _Process(self, name)
         process.post(node.Started())
-        process.post(control_types.WallClock(int(_EPOCH_MS + self.now * 1000)))
+        self.read_clock(process)
+
+    def read_clock(self, process):
+        """Tell a process its wall clock each second, as long as it runs."""
+        if self.process_by_id.get(process.replica_id) is not process:
+            return
+        step_ms = self.clock_step_by_id[process.replica_id]
+        process.post(control_types.WallClock(int(_EPOCH_MS + self.now * 1000) + step_ms))
+        self.at(self.now + 1.0, lambda: self.read_clock(process))
 
     def at(self, time, action):
         heapq.heappush(self.events, (time, next(self.sequence), action))
@@ -425,9 +434,8 @@
         step_ms=strategies.sampled_from((-86_400_000, -5_000, 5_000)),
     )
     def step_a_clock(self, name, step_ms):
-        if name in self.world.process_by_id:
-            unix_ms = int(_EPOCH_MS + self.world.now * 1000) + step_ms
-            self.world.process_by_id[name].post(control_types.WallClock(unix_ms))
+        """Step it from its next reading on; an earlier step is undone."""
+        self.world.clock_step_by_id[name] = step_ms
 
     @stateful.rule(name=strategies.sampled_from(_REPLICA_IDS))
     def stop_gracefully(self, name):
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -1,6 +1,7 @@
 """Test three control programs over real sockets and disks, in one curio kernel."""
 
 import dataclasses
+import errno
 import hashlib
 import socket
 import time
@@ -17,6 +18,7 @@
     errors,
     heartbeat,
     http_client,
+    journal,
     link,
     member,
     operations,
@@ -231,12 +233,19 @@
     _run(settings_by_id, _body)
 
 
-def test_a_failed_disk_ends_the_program(settings_by_id):
+def test_a_failed_disk_ends_the_program(settings_by_id, monkeypatch):
+    write_and_sync = journal._write_and_sync
+
     async def _body(site):
         leader_id = await site.leader()
         program = site.program_by_id[leader_id]
-        # The journal's file is gone from under it, as after an input/output error.
-        program._journal.close()
+
+        def _fail_for_the_leader(file, data):
+            if file is program._journal._file:
+                raise OSError(errno.EIO, "Input/output error")
+            write_and_sync(file, data)
+
+        monkeypatch.setattr(journal, "_write_and_sync", _fail_for_the_leader)
         whole = configuration.Configuration()
         asked = await curio.spawn(site.client.apply, _change_id(1), 0, whole, daemon=True)
         await curio.timeout_after(20, program.wait_failed)
@@ -256,6 +265,8 @@
             (leader_id, "/v1/configuration?revision=x", "GET", b"", "secret-key", 400),
             (leader_id, "/v1/configuration?revision=9", "GET", b"", "secret-key", 404),
             (leader_id, "/v1/in-force", "GET", b"", "secret-key", 400),
+            (leader_id, "/v1/upstreams", "GET", b"", "secret-key", 400),
+            (leader_id, "/v1/upstreams?id=u1", "GET", b"", "secret-key", 200),
             (leader_id, "/v1/changes", "POST", b"{", "secret-key", 400),
             (follower_id, "/v1/history", "GET", b"", "secret-key", 421),
             (leader_id, "/healthz", "GET", b"", "none", 200),
--- a/tests/test_ctl_program.py
+++ b/tests/test_ctl_program.py
@@ -50,10 +50,15 @@
         self.requests = []
         self.leader_address = None
         self.refuse = None
+        self.refuse_path = None
         self.refusals = []
         self.lose_replies = 0
         self.accepted_by_id = {}
         self.waiting_polls = 0
+        self.members = (operations.MemberStatus(HOST, 6, True),)
+        self.ahead = ()
+        self.absent_polls = 0
+        self.upstream_ids = ()
         self.address = ""
         self._started = queue.Queue()
         self._stop = curio.UniversalEvent()
@@ -98,6 +103,8 @@
             )  # fmt: skip
         if self.refuse is not None:
             return self.refuse
+        if self.refuse_path == head.path:
+            return operations.Refused(errors.Code.NOT_FOUND, "No such path.", "Use another.")
         match head.path:
             case "/v1/configuration":
                 return operations.ConfigurationReply(
@@ -108,14 +115,16 @@
             case "/v1/history":
                 return operations.HistoryReply(tuple(self.records))
             case "/v1/members":
-                return operations.MembersReply((1, 2), self._members())
+                return operations.MembersReply((1, 2), self.members, self.revision)
             case "/v1/in-force":
                 return self._in_force()
             case "/v1/status":
                 return operations.StatusReply(
                     "c1", "leader", 3, "c1", True, 40, ("c1", "c2"), (), self.revision, 5, 0,
-                    self._members(),
+                    self.members,
                 )  # fmt: skip
+            case "/v1/upstreams":
+                return operations.KnownUpstreams(self.upstream_ids)
             case "/v1/voters":
                 asked = msgspec.json.decode(body, type=operations.ChangeVoters)
                 return operations.VotersChanged(asked.add, asked.remove)
@@ -127,16 +136,15 @@
                 declared = msgspec.json.decode(body, type=order_types.Declare)
                 return operations.ChangeAccepted(declared.change_id, self.revision + 1)
 
-    def _members(self):
-        return (operations.MemberStatus(HOST, 6, True),)
-
     def _in_force(self):
         waiting = self.waiting_polls > 0
         self.waiting_polls -= 1
-        names = ("entry-1",)
-        return operations.InForceReply(
-            self.revision, () if waiting else names, names if waiting else (), ("entry-9",)
-        )
+        members = () if self.absent_polls > 0 else self.members
+        self.absent_polls -= 1
+        names = tuple(status.member.entry_id for status in members)
+        late = names if waiting else self.ahead
+        confirmed = tuple(name for name in names if name not in late)
+        return operations.InForceReply(self.revision, confirmed, late, ("entry-9",), self.ahead)
 
     def _change(self, change):
         if change.change_id in self.accepted_by_id:
@@ -253,6 +261,52 @@
     assert control.revision == 8
 
 
+def test_new_id_prints_an_id_for_a_change(ctl):
+    status, out, err = ctl("new-id")
+    assert (status, err) == (0, "")
+    assert uuid7.time_ms(out.strip()) is not None
+    assert ctl("new-id")[1] != out
+
+
+def test_a_fetched_file_carries_its_base(ctl, control, tmp_path):
+    control.configuration = configuration_file.read(EXAMPLE)
+    status, out, _ = ctl("fetch", controls=[control])
+    assert status == 0
+    file = tmp_path / "fetched.toml"
+    file.write_text(out)
+    assert configuration_file.load(file) == configuration_file.ConfigurationFile(
+        control.configuration, 7
+    )
+    assert ctl("check", str(file))[0] == 0
+    assert "equals revision 7" in ctl("diff", str(file), controls=[control])[1]
+    status, _, err = ctl("apply", str(file), controls=[control])
+    assert status == 0
+    assert "base_revision=7" in err
+
+
+def test_a_fetched_file_does_not_overwrite_a_later_change(ctl, control, tmp_path):
+    file = tmp_path / "fetched.toml"
+    file.write_text(ctl("fetch", controls=[control])[1])
+    control.revision = 8
+    control.configuration = configurations.Configuration(name="changed meanwhile")
+    err = ctl("diff", str(file), controls=[control])[2]
+    assert "was made from revision 7; the current one is 8" in err
+    status, _, err = ctl("apply", str(file), controls=[control])
+    assert status == 1
+    assert "winning-id" in err
+    assert control.configuration.name == "changed meanwhile"
+    assert ctl("apply", str(file), "--base_revision=8", controls=[control])[0] == 0
+
+
+def test_a_fetched_file_is_sent_again_with_its_base(ctl, control, tmp_path):
+    file = tmp_path / "fetched.toml"
+    file.write_text(ctl("fetch", controls=[control])[1])
+    again = ("apply", str(file), f"--change_id={uuid7.make(1, bytes(10))}")
+    assert [ctl(*again, controls=[control])[:2] for _ in range(2)] == [
+        (0, "accepted as revision 8\n")
+    ] * 2
+
+
 def test_a_conflict_exits_with_1_and_names_the_winner(ctl, control):
     status, out, err = ctl("apply", str(EXAMPLE), "--base_revision=5", controls=[control])
     assert (status, out) == (1, "")
@@ -318,6 +372,41 @@
     assert "not confirmed by: entry-1" in out
 
 
+def test_wait_without_an_entry_host_is_no_success(ctl, control):
+    control.members = ()
+    status, out, _ = ctl("apply", str(EXAMPLE), "--wait", "--wait_s=0", controls=[control])
+    assert status == 4
+    assert "revision 8 is in force nowhere: no entry host holds a lease" in out
+    status, out, _ = ctl(
+        "apply", str(EXAMPLE), "--wait", "--wait_s=0", "--output=json", controls=[control]
+    )
+    assert (status, json.loads(out)["in_force"]) == (4, False)
+
+
+def test_wait_gives_an_entry_host_time_to_start(ctl, control):
+    control.absent_polls = 2
+    assert ctl("apply", str(EXAMPLE), "--wait", controls=[control])[0] == 0
+    assert paths(control).count("/v1/in-force") == 3
+
+
+def test_wait_names_hosts_that_are_ahead_and_returns_at_once(ctl, control):
+    control.ahead = ("entry-1",)
+    status, out, _ = ctl("apply", str(EXAMPLE), "--wait", controls=[control])
+    assert status == 4
+    assert "is in force at" not in out
+    assert "holds a later revision than control has: entry-1" in out
+    assert "Restart" in out
+    assert paths(control).count("/v1/in-force") == 1
+
+
+def test_members_and_status_name_hosts_that_are_ahead(ctl, control):
+    control.members = (operations.MemberStatus(HOST, 9, True),)
+    for command in ("members", "status"):
+        out = ctl(command, controls=[control])[1]
+        assert "entry-1  serving  fortaleza    9 (ahead)" in out
+        assert "holds a later revision than control has: entry-1" in out
+
+
 def test_the_leader_is_found_past_a_dead_and_a_following_host(ctl, control, second):
     control.leader_address = second.address
     status, out, _ = ctl("members", controls=[DEAD, control])
@@ -366,6 +455,18 @@
     assert "voters: c1, c2" in out
 
 
+def test_status_shows_a_problem_in_a_column_of_its_own(ctl, control):
+    assert "PROBLEM" not in ctl("status", controls=[control])[1]
+    out = ctl("status", controls=[control, DEAD])[1]
+    lines = out.splitlines()
+    assert lines[0].split()[-1] == "PROBLEM"
+    assert lines[2].split()[:3] == [DEAD, "-", "-"]
+    assert lines[2].index("[Errno 111]") == lines[0].index("PROBLEM")
+    assert max(map(len, lines)) <= 120
+    reply = json.loads(ctl("status", "--output=json", controls=[control, DEAD])[1])
+    assert f"Can't connect to {DEAD}" in reply["unreachable"][DEAD]
+
+
 def test_drain_and_undrain_change_only_that(ctl, control):
     before = configuration_file.read(EXAMPLE)
     control.configuration = before
@@ -379,6 +480,24 @@
     assert control.revision == 10
 
 
+def test_drain_warns_of_an_id_that_nobody_knows(ctl, control):
+    control.upstream_ids = ("u1",)
+    for kind, known, unknown in (("upstream", "u1", "u9"), ("entry", "entry-1", "entry-7")):
+        status, _, err = ctl("drain", kind, unknown, controls=[control])
+        assert status == 0
+        assert f"control knows no {kind} {unknown} at the moment" in err
+        assert "knows no" not in ctl("drain", kind, known, controls=[control])[2]
+        assert "knows no" not in ctl("undrain", kind, unknown, controls=[control])[2]
+    assert control.configuration.drained_upstreams == ("u1",)
+
+
+def test_a_drain_that_can_not_be_checked_goes_on(ctl, control):
+    control.refuse_path = "/v1/upstreams"
+    status, _, err = ctl("drain", "upstream", "u1", controls=[control])
+    assert status == 0
+    assert "could not be checked" in err
+
+
 def test_a_drain_is_made_anew_after_a_conflict(ctl, control):
     control.refusals = [conflict(7), conflict(7)]
     status, _, err = ctl("drain", "upstream", "u1", controls=[control])
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -6,24 +6,7 @@
 import pytest
 
 from medlarfork import errors, http_client, http_server
-
-LONG_S = 20.0
-
-
-def run(main):
-    async def bounded():
-        async with curio.timeout_after(LONG_S):
-            await main()
-
-    curio.run(bounded)
-
-
-async def until(condition):
-    for _ in range(2000):
-        if condition():
-            return
-        await curio.sleep(0.005)
-    raise AssertionError("the condition never held")
+from tests import curio_world
 
 
 class Peer:
@@ -120,7 +103,7 @@
             assert response.whole
             assert client.idle_connections == int(reusable)
 
-    run(main)
+    curio_world.run(main)
 
 
 CUT = {
@@ -158,7 +141,7 @@
             assert client.connections == 0
             assert len(peer.requests) == 1
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_chunks_come_before_the_answer_ends():
@@ -182,7 +165,7 @@
             assert await response.next_chunk() == b""
         await server.close(within_s=1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_connections_are_reused_and_bodies_kept_apart():
@@ -197,7 +180,7 @@
             assert (server.connections, client.connections) == (1, 1)
         await server.close(within_s=1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_connection_that_died_in_the_pool_is_not_used():
@@ -208,12 +191,12 @@
         async with client_of() as client:
             await (await get(client, server.address)).read()
             assert client.idle_connections == 1
-            await until(lambda: server.connections == 0)
+            await curio_world.until(lambda: server.connections == 0)
             response = await get(client, server.address)
             assert await response.read() == b""
         await server.close(within_s=1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_reused_connection_that_fails_is_not_retried():
@@ -237,7 +220,7 @@
             assert len(calls) == 2
         await server.close(within_s=1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_refused_connection_is_known_as_not_sent():
@@ -250,7 +233,7 @@
                 await get(client, peer.address)
             assert not raised.value.request_sent
 
-    run(main)
+    curio_world.run(main)
 
 
 @pytest.mark.parametrize(
@@ -270,7 +253,7 @@
             with pytest.raises(errors.RequestNotSentError):
                 await client.request(address, method, target, headers, b"")
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_too_many_connections_are_refused_here():
@@ -279,13 +262,13 @@
     async def main():
         async with client_of(peer, connections=1) as client:
             waiting = await curio.spawn(get, client, peer.address)
-            await until(lambda: peer.requests)
+            await curio_world.until(lambda: peer.requests)
             with pytest.raises(errors.RequestNotSentError) as raised:
                 await get(client, peer.address)
             assert raised.value.code is errors.Code.OVERLOADED
             await waiting.cancel()
 
-    run(main)
+    curio_world.run(main)
 
 
 @pytest.mark.parametrize("script", [(), (CHUNKED + b"2\r\nab\r\n",)])
@@ -299,9 +282,9 @@
                 await response.read()
             assert raised.value.code is errors.Code.REQUEST_TIMEOUT
             assert raised.value.request_sent
-            await until(lambda: peer.ended == 1)
+            await curio_world.until(lambda: peer.ended == 1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_upstream_that_does_not_read_times_out():
@@ -315,7 +298,7 @@
                 await client.request(peer.address, "POST", "/", {}, body, timeout_s=0.15)
             assert raised.value.code is errors.Code.REQUEST_TIMEOUT
 
-    run(main)
+    curio_world.run(main)
 
 
 @pytest.mark.parametrize("script", [(), (CHUNKED + b"2\r\nab\r\n",)])
@@ -329,12 +312,12 @@
 
         async with client_of(peer) as client:
             task = await curio.spawn(ask)
-            await until(lambda: peer.requests)
+            await curio_world.until(lambda: peer.requests)
             await task.cancel()
             assert client.connections == 0
-            await until(lambda: peer.ended == 1)
+            await curio_world.until(lambda: peer.ended == 1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_closing_an_unread_answer_cuts_the_connection():
@@ -346,9 +329,9 @@
             await response.close()
             await response.close()
             assert client.connections == 0
-            await until(lambda: peer.ended == 1)
+            await curio_world.until(lambda: peer.ended == 1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_long_body_is_refused():
@@ -360,7 +343,7 @@
             with pytest.raises(errors.UpstreamError):
                 await response.read()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_idle_connections_expire():
@@ -370,10 +353,10 @@
         async with client_of(idle_s=0.05) as client:
             await (await get(client, server.address)).read()
             assert client.connections == 1
-            await until(lambda: client.connections == 0)
+            await curio_world.until(lambda: client.connections == 0)
         await server.close(within_s=1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_early_refusal_of_a_long_body_is_read():
@@ -388,7 +371,7 @@
             await response.read()
         await server.close(within_s=1)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_answer_that_came_before_the_upstream_broke_off_is_read():
@@ -401,4 +384,4 @@
             assert await response.read() == b"ab"
             assert client.connections == 0
 
-    run(main)
+    curio_world.run(main)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -11,27 +11,12 @@
 from hypothesis import strategies
 
 from medlarfork import http_server
+from tests import curio_world
 
 LONG_S = 20.0
 HEAD = b"HTTP/1.1 200 "
 
 
-def run(main):
-    async def bounded():
-        async with curio.timeout_after(LONG_S):
-            await main()
-
-    curio.run(bounded)
-
-
-async def until(condition):
-    for _ in range(2000):
-        if condition():
-            return
-        await curio.sleep(0.005)
-    raise AssertionError("the condition never held")
-
-
 async def echo(exchange):
     body = await exchange.read_body()
     await exchange.respond(200, {"x-path": exchange.head.path}, exchange.head.path.encode() + body)
@@ -142,7 +127,7 @@
             again = await talk(server, GET + b"connection: close\r\n\r\n")
             assert again.startswith(HEAD)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_declared_length_is_refused_before_the_body_is_sent():
@@ -152,7 +137,7 @@
             answer = await talk(server, expect)
             assert split(answer)[0] == 413
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_expect_continue_is_answered_before_the_body():
@@ -165,7 +150,7 @@
             assert (await read_until(sock, b"/pabc")).startswith(HEAD)
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_headers_of_another_connection_are_not_passed_on():
@@ -184,7 +169,7 @@
             assert b"connection" not in received
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_pipelined_requests_are_answered_in_order():
@@ -196,7 +181,7 @@
             bodies = [part.split(b"\r\n\r\n")[1] for part in answer.split(HEAD)[1:]]
             assert bodies == [b"/%d" % n for n in range(20)]
 
-    run(main)
+    curio_world.run(main)
 
 
 @pytest.mark.parametrize(("size", "kept"), [(10, True), (500_000, False)])
@@ -219,7 +204,7 @@
                 assert b"HTTP" not in (await read_all(sock))[0]
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_breach_after_the_answer_began_cuts_it():
@@ -238,7 +223,7 @@
             assert faults == []
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_refusal_reaches_a_caller_that_still_sends():
@@ -252,7 +237,7 @@
             assert json.loads(split(received)[2])["error"]["code"] == "body_too_large"
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_head_has_the_length_and_no_body():
@@ -265,24 +250,24 @@
             assert (status, body) == (200, b"")
             assert b"content-length: 3" in head
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_connections_beyond_the_limit_are_told_so():
     async def main():
         async with serving(connections=2) as server:
             held = [await connect(server) for _ in range(2)]
-            await until(lambda: server.connections == 2)
+            await curio_world.until(lambda: server.connections == 2)
             status, head, body = split(await talk(server, GET + b"\r\n"))
             assert status == 503
             assert b"medlar-outcome: not_run" in head
             assert b"another entry host" in body
             await held[0].close()
-            await until(lambda: server.connections == 1)
+            await curio_world.until(lambda: server.connections == 1)
             assert (await talk(server, GET + b"connection: close\r\n\r\n")).startswith(HEAD)
             await held[1].close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_refusals_are_bounded_and_end_with_the_server(monkeypatch):
@@ -301,16 +286,16 @@
             for sock in told:
                 await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_silent_connection_is_closed_without_an_answer():
     async def main():
         async with serving(idle_s=0.1) as server:
             assert await talk(server, b"") == b""
-            await until(lambda: server.connections == 0)
+            await curio_world.until(lambda: server.connections == 0)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_unexpected_exception_is_answered_and_reported():
@@ -326,7 +311,7 @@
             assert b"may_have_run" in answer
             assert isinstance(faults[0], ValueError)
 
-    run(main)
+    curio_world.run(main)
 
 
 @pytest.mark.parametrize("headers", [{}, {"content-length": "100"}])
@@ -350,7 +335,7 @@
             assert b"\r\n0\r\n\r\n" not in received
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_short_answer_with_declared_length_is_cut():
@@ -368,7 +353,7 @@
             assert len(faults) == 1
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_parts_are_sent_at_once_and_ended_properly():
@@ -392,7 +377,7 @@
             assert (await read_until(sock, b"0\r\n\r\n")).endswith(b"0\r\n\r\n")
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 @pytest.mark.parametrize(("version", "headers"), [(b"1.1", {"content-length": "7"}), (b"1.0", {})])
@@ -408,7 +393,7 @@
             asked = b"GET / HTTP/%b\r\nhost: x\r\nconnection: close\r\n\r\n" % version
             assert split(await talk(server, asked))[2] == b"onemore"
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_part_whose_sender_was_cancelled_is_whole_before_the_next_one():
@@ -418,7 +403,7 @@
     async def handler(exchange):
         await exchange.begin(200, {})
         sender = await curio.spawn(exchange.send, b"a" * size)
-        await until(lambda: sender.state == "WRITE_WAIT")
+        await curio_world.until(lambda: sender.state == "WRITE_WAIT")
         await sender.cancel()
         waiting.append(True)
         await exchange.send(b"b")
@@ -428,13 +413,13 @@
         async with serving(handler) as server:
             sock = await connect(server)
             await sock.sendall(GET + b"connection: close\r\n\r\n")
-            await until(lambda: waiting)
+            await curio_world.until(lambda: waiting)
             received, _ = await read_all(sock)
             chunks = b"%x\r\n%b\r\n1\r\nb\r\n0\r\n\r\n" % (size, b"a" * size)
             assert split(received)[2] == chunks
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_part_after_the_end_is_refused():
@@ -450,7 +435,7 @@
             assert b"late" not in answer
             assert len(faults) == 1
 
-    run(main)
+    curio_world.run(main)
 
 
 def watched(gone, entered):
@@ -474,23 +459,23 @@
             sock = await connect(server)
             await sock.sendall(GET + b"\r\n")
             await read_until(sock, b"part")
-            await until(lambda: entered)
+            await curio_world.until(lambda: entered)
             if how == "close behind many bytes":
                 await sock.sendall(b"x" * 90_000)
             if how == "reset":
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             assert not gone
             await sock.close()
-            await until(lambda: gone)
+            await curio_world.until(lambda: gone)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_watching_the_caller_keeps_the_next_request():
     async def handler(exchange):
         watcher = await curio.spawn(exchange.wait_caller_gone)
         if exchange.head.path == "/1":
-            await until(lambda: exchange._h11.trailing_data[0])
+            await curio_world.until(lambda: exchange._h11.trailing_data[0])
         await watcher.cancel()
         await exchange.respond(200, {}, exchange.head.path.encode())
 
@@ -498,12 +483,12 @@
         async with serving(handler) as server:
             sock = await connect(server)
             await sock.sendall(b"GET /1 HTTP/1.1\r\nhost: x\r\n\r\n")
-            await until(lambda: server.exchanges == 1)
+            await curio_world.until(lambda: server.exchanges == 1)
             await sock.sendall(b"GET /2 HTTP/1.1\r\nhost: x\r\n\r\n")
             await read_until(sock, b"/2")
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_caller_that_does_not_read_is_cut():
@@ -516,11 +501,11 @@
         async with serving(handler, stall_s=0.1) as server:
             sock = await connect(server)
             await sock.sendall(GET + b"\r\n")
-            await until(lambda: server.exchanges == 1)
-            await until(lambda: server.connections == 0)
+            await curio_world.until(lambda: server.exchanges == 1)
+            await curio_world.until(lambda: server.connections == 0)
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_close_lets_an_exchange_finish_and_closes_idle_connections():
@@ -536,7 +521,7 @@
         idle = await connect(server)
         busy = await connect(server)
         await busy.sendall(GET + b"\r\n" + GET + b"\r\n")
-        await until(lambda: server.exchanges == 1 and server.connections == 2)
+        await curio_world.until(lambda: server.exchanges == 1 and server.connections == 2)
         closing = await curio.spawn(functools.partial(server.close, within_s=LONG_S))
         assert await read_all(idle) == (b"", False)
         with pytest.raises(ConnectionRefusedError):
@@ -553,14 +538,14 @@
         await closing.join()
         assert server.connections == 0
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_close_serves_callers_that_were_not_accepted_yet():
     async def main():
         async with serving(linger_s=0.05) as server:
             await (await connect(server)).close()
-            await until(lambda: server.connections == 0)
+            await curio_world.until(lambda: server.connections == 0)
             host, port = server.address.removeprefix("http://").split(":")
             # Nothing is awaited from here on, so that the server can't accept before it closes.
             waiting = [socket.create_connection((host, int(port))) for _ in range(3)]
@@ -573,7 +558,7 @@
                 assert not was_reset
                 await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_close_lets_a_stream_finish_and_ends_its_connection():
@@ -592,7 +577,7 @@
             await sock.sendall(GET + b"\r\n")
             await read_until(sock, b"one")
             closing = await curio.spawn(functools.partial(server.close, within_s=LONG_S))
-            await until(lambda: server._listener is None)
+            await curio_world.until(lambda: server._listener is None)
             await release.set()
             received, was_reset = await read_all(sock)
             assert not was_reset
@@ -600,7 +585,7 @@
             await sock.close()
             await closing.join()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_close_cuts_what_takes_too_long():
@@ -609,14 +594,14 @@
         async with serving(watched(gone, entered)) as server:
             sock = await connect(server)
             await sock.sendall(GET + b"\r\n")
-            await until(lambda: entered)
+            await curio_world.until(lambda: entered)
             await server.close(within_s=0.05)
             received, was_reset = await read_all(sock)
             assert was_reset
             assert b"\r\n0\r\n\r\n" not in received
             await sock.close()
 
-    run(main)
+    curio_world.run(main)
 
 
 FRAGMENTS = strategies.sampled_from(
@@ -646,4 +631,4 @@
             assert (await talk(server, GET + b"connection: close\r\n\r\n")).startswith(HEAD)
             assert faults == []
 
-    run(main)
+    curio_world.run(main)
--- a/tests/test_log_clock.py
+++ b/tests/test_log_clock.py
@@ -30,6 +30,13 @@
         return self.verdicts[-1]
 
 
+class _Clockless(machine._World):
+    """Run replicas that are told no wall clock."""
+
+    def read_clock(self, process):
+        pass
+
+
 @pytest.fixture
 def world():
     world = machine._World(1)
@@ -39,9 +46,8 @@
 
 
 def _step(world, name, step_ms):
-    unix_ms = int(machine._EPOCH_MS + world.now * 1000) + step_ms
-    world.process_by_id[name].post(control_types.WallClock(unix_ms))
-    world.run(0.5)
+    world.clock_step_by_id[name] = step_ms
+    world.run(1.5)
 
 
 def _new_key(world):
@@ -99,6 +105,21 @@
     assert clock.unix_ms("abcde", 0.0) == 100
 
 
+def test_a_leader_answers_only_once_it_knows_the_time_of_a_majority():
+    world = _Clockless(1)
+    world.faulty = False
+    world.run(5.0)
+    leader_id = world.process_by_id["c1"].node.status(world.now).leader_id
+    leader = world.process_by_id[leader_id]
+    leader.post(control_types.WallClock(machine._EPOCH_MS))
+    world.run(0.5)
+    assert not world.leader()
+    other = next(name for name in _REPLICAS if name != leader_id)
+    leader.post(node.MessageReceived(other, _log_clock.ClockReading(machine._EPOCH_MS)))
+    world.run(0.5)
+    assert world.leader() == leader_id
+
+
 def test_a_reading_of_somebody_who_is_no_replica_is_rejected(world):
     leader = world.process_by_id[world.leader()].node
     message = node.MessageReceived("e1", _log_clock.ClockReading(1))
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -262,7 +262,7 @@
     cluster.run_until(
         lambda: cluster.leader() is not None and not cluster.host_by_id["a"].is_leader
     )
-    assert cluster.time - before < cluster.options.election_timeout_min_seconds
+    assert cluster.time - before < cluster.options.election_timeout_min_s
 
 
 def test_a_transfer_whose_target_stays_silent_ends_leadership(cluster):
@@ -469,14 +469,14 @@
     cluster.actions.clear()
     cluster.run(10)
     messages = [action for _, action in cluster.actions if isinstance(action, node.Send)]
-    per_second = 2 * 2 / cluster.options.heartbeat_seconds
+    per_second = 2 * 2 / cluster.options.heartbeat_s
     assert len(messages) <= 10 * per_second
     assert not any(isinstance(action, node.Persist) for _, action in cluster.actions)
 
 
 def test_timings_that_break_the_lease_are_refused():
     with pytest.raises(errors.SettingsError):
-        replica.ReplicaOptions(lease_seconds=1.5)
+        replica.ReplicaOptions(lease_s=1.5)
 
 
 def test_the_example_agrees():
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -3,7 +3,7 @@
 import contextlib
 import json
 import pathlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from typing import Any
 
 import curio
@@ -24,30 +24,12 @@
     standin_engine,
     upstream,
 )
+from tests import curio_world
 
-TIMEOUT_S = 20
-TRIES = 400
-PAUSE_S = 0.01
 MESSAGES = [{"role": "user", "content": "Appraise this chair. [tokens=12]"}]
 ANSWER = _standin_text.answer("standin", MESSAGES, None)
 
 
-def run(main: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        async with curio.timeout_after(TIMEOUT_S):
-            await main()
-
-    curio.run(bounded)
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    for _ in range(TRIES):
-        if condition():
-            return
-        await curio.sleep(PAUSE_S)
-    raise AssertionError("the condition did not come true")
-
-
 class Caller:
     def __init__(self, client: http_client.HttpClient, address: str) -> None:
         self.client = client
@@ -116,7 +98,7 @@
         assert json.loads(events[13].data)["usage"]["completion_tokens"] == 12
         assert events[14] == sse.Event(sse.DONE)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_whole_answer_has_the_same_text_and_keeps_the_callers_bound() -> None:
@@ -130,7 +112,7 @@
         assert choice["finish_reason"] == "length"
         assert completion["usage"]["completion_tokens"] == 5
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_another_engine_continues_an_answer_and_proves_where() -> None:
@@ -142,7 +124,7 @@
         assert rest[0].id == "8"
         assert text_of(whole[:7] + rest) == ANSWER.text()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_an_engine_told_to_ignore_offsets_gives_no_proof() -> None:
@@ -153,7 +135,7 @@
         assert "medlar-resume-offset" not in headers
         assert events[0].id == "1"
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_caller_that_goes_away_frees_its_slot_and_its_tokens_count_as_cancelled() -> None:
@@ -161,9 +143,9 @@
         async with running(slots=1, token_s=0.002) as (engine, caller):
             endless = [{"role": "user", "content": "[tokens=100000]"}]
             response = await caller.chat(messages=endless, stream=True)
-            await until(lambda: engine.state.tokens_computed >= 3)
+            await curio_world.until(lambda: engine.state.tokens_computed >= 3)
             waiting = await curio.spawn(caller.chat, {}, daemon=True)
-            await until(lambda: engine.state.waiting == 1)
+            await curio_world.until(lambda: engine.state.waiting == 1)
             await response.close()
             await (await waiting.join()).read()
             state = engine.state
@@ -171,7 +153,7 @@
         assert state.tokens_computed == state.tokens_cancelled + ANSWER.count
         assert (state.running, state.waiting) == (0, 0)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_caller_that_goes_away_while_waiting_is_never_executed() -> None:
@@ -180,14 +162,14 @@
             endless = [{"role": "user", "content": "[tokens=100000]"}]
             response = await caller.chat(messages=endless, stream=True)
             waiting = await curio.spawn(caller.chat, {"Medlar-Request-Id": "r1"}, daemon=True)
-            await until(lambda: engine.state.waiting == 1)
+            await curio_world.until(lambda: engine.state.waiting == 1)
             await waiting.cancel()
-            await until(lambda: engine.state.waiting == 0)
+            await curio_world.until(lambda: engine.state.waiting == 0)
             await response.close()
-            await until(lambda: engine.state.running == 0)
+            await curio_world.until(lambda: engine.state.running == 0)
             assert engine.state.executions == {}
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_waiting_requests_start_by_priority_then_by_arrival() -> None:
@@ -201,16 +183,16 @@
         async with running(slots=1) as (engine, caller):
             await caller.call("POST", "/v1/faults", {"freeze_s": 60})
             tasks = [await curio.spawn(ask, caller, "held", "1")]
-            await until(lambda: engine.state.running == 1)
+            await curio_world.until(lambda: engine.state.running == 1)
             for count, (name, priority) in enumerate([("c", "3"), ("a", "1"), ("b", "1")], 1):
                 tasks.append(await curio.spawn(ask, caller, name, priority))
-                await until(lambda count=count: engine.state.waiting == count)
+                await curio_world.until(lambda count=count: engine.state.waiting == count)
             await caller.call("POST", "/v1/faults", {})
             for task in tasks:
                 await task.join()
             order.extend(engine.state.executions)
 
-    run(main)
+    curio_world.run(main)
     assert order == ["held", "a", "b", "c"]
 
 
@@ -235,7 +217,7 @@
             assert engine.state.models == ("standin", "large")
             assert engine.state.highest_fence == 7
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_an_order_outrun_by_a_newer_one_while_loading_is_refused() -> None:
@@ -244,7 +226,7 @@
             await caller.call("POST", "/v1/faults", {"freeze_s": 60})
             old = load("6-1", 6, "old")
             loading = await curio.spawn(caller.call, "POST", "/v1/orders", old)
-            await until(lambda: engine.state.highest_fence == 6)
+            await curio_world.until(lambda: engine.state.highest_fence == 6)
             assert engine.state.executing == "6-1"
             new = role("7-1", 7, "decode")
             assert (await caller.call("POST", "/v1/orders", new))[0] == 200
@@ -252,7 +234,7 @@
             assert (await loading.join())[0] == 409
             assert engine.state.models == ("standin",)
 
-    run(main)
+    curio_world.run(main)
 
 
 @pytest.mark.parametrize(
@@ -275,7 +257,7 @@
             assert (await caller.call("POST", "/v1/orders", wrong))[0] == 400
             assert engine.state == before
 
-    run(main)
+    curio_world.run(main)
 
 
 @pytest.mark.parametrize(("checks_fence", "executions"), [(True, 1), (False, 2)])
@@ -308,16 +290,16 @@
             assert read.state.order_ids == remembered
             assert set(engine.state.order_executions.values()) == {executions}
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_stopping_engine_refuses_new_work_and_finishes_what_runs() -> None:
     async def main() -> None:
         async with running(token_s=0.002) as (engine, caller):
             begun = await curio.spawn(caller.stream)
-            await until(lambda: engine.state.running == 1)
+            await curio_world.until(lambda: engine.state.running == 1)
             stop = await curio.spawn(engine.stop)
-            await until(lambda: engine.host.stopping)
+            await curio_world.until(lambda: engine.host.stopping)
             refused = await caller.chat()
             await refused.read()
             assert (refused.status, refused.headers["medlar-outcome"]) == (503, "not_run")
@@ -327,7 +309,7 @@
             with pytest.raises(errors.RequestNotSentError):
                 await caller.chat()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_faults_cut_refuse_and_crash() -> None:
@@ -349,7 +331,7 @@
             assert crashes == [1]
             assert (await caller.call("POST", "/v1/faults", {"sloow": 2}))[0] == 400
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_full_queue_and_bad_requests_are_refused() -> None:
@@ -360,11 +342,11 @@
             assert (await caller.call("GET", "/nowhere"))[0] == 404
             await caller.call("POST", "/v1/faults", {"freeze_s": 60})
             held = await curio.spawn(caller.chat, daemon=True)
-            await until(lambda: engine.state.running == 1)
+            await curio_world.until(lambda: engine.state.running == 1)
             assert (await caller.chat()).status == 503
             await held.cancel()
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_cache_changes_are_reported_late_with_gaps_and_evictions() -> None:
@@ -415,4 +397,4 @@
             assert (described.upstream_id, described.data_centre) == ("e1", "salvador")
             assert described.address == engine.host.address
 
-    run(main)
+    curio_world.run(main)
--- a/tests/test_standin_service.py
+++ b/tests/test_standin_service.py
@@ -18,29 +18,11 @@
     standin_service,
     upstream,
 )
+from tests import curio_world
 
-TIMEOUT_S = 20
-TRIES = 400
-PAUSE_S = 0.01
 DEAD = "http://127.0.0.1:1"
 
 
-def run(main: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        async with curio.timeout_after(TIMEOUT_S):
-            await main()
-
-    curio.run(bounded)
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    for _ in range(TRIES):
-        if condition():
-            return
-        await curio.sleep(PAUSE_S)
-    raise AssertionError("the condition did not come true")
-
-
 class FakeEntry:
     """Take announcements as an entry host does."""
 
@@ -123,7 +105,7 @@
             _, executions = await call("GET", "/_executions")
         assert executions == {"total": 3, "by_key": {"k": 2}, "by_request_id": {"r1": 1}}
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_call_that_is_cut_before_its_reply_has_been_counted() -> None:
@@ -142,7 +124,7 @@
             await call("POST", "/holds", Idempotency_Key="k")
             assert crashes == [1]
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_stopping_service_leaves_refuses_and_finishes_what_runs() -> None:
@@ -150,9 +132,9 @@
         async with entries(1) as (entry,), running(entries=(entry.address,)) as (service, call):
             await call("POST", "/v1/faults", {"freeze_s": 60})
             begun = await curio.spawn(call, "POST", "/holds")
-            await until(lambda: service.executions.total == 1)
+            await curio_world.until(lambda: service.executions.total == 1)
             stop = await curio.spawn(service.stop)
-            await until(lambda: service.host.stopping)
+            await curio_world.until(lambda: service.host.stopping)
             assert (await call("POST", "/holds"))[0] == 503
             await call("POST", "/v1/faults", {})
             assert (await begun.join())[0] == 200
@@ -160,7 +142,7 @@
             assert entry.received[-1].state is upstream.UpstreamState.LEAVING
             assert service.executions.total == 1
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_announcements_grow_in_sequence_and_go_where_the_reply_says() -> None:
@@ -168,7 +150,7 @@
         async with entries(4) as (seed, a, b, c):
             seed.announce_to = a.announce_to = b.announce_to = (a.address, b.address, c.address)
             async with announcing(seed.address):
-                await until(lambda: len(a.received) >= 3 and len(b.received) >= 3)
+                await curio_world.until(lambda: len(a.received) >= 3 and len(b.received) >= 3)
             assert len(seed.received) == 1
             assert c.received == []
             assert a.keys == {"Bearer secret"}
@@ -176,7 +158,7 @@
             assert sequences == sorted(set(sequences))
             assert len({item.incarnation for item in seed.received + a.received}) == 1
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_a_failing_entry_host_is_replaced_by_a_seed() -> None:
@@ -184,12 +166,12 @@
         async with entries(2) as (first, second):
             first.announce_to = (first.address,)
             async with announcing(DEAD, first.address, second.address) as announced:
-                await until(lambda: len(first.received) >= 2)
+                await curio_world.until(lambda: len(first.received) >= 2)
                 first.status = 503
-                await until(lambda: len(second.received) >= 2)
+                await curio_world.until(lambda: len(second.received) >= 2)
                 assert announced.failures >= 1
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_one_failing_entry_host_of_two_does_not_silence_the_other() -> None:
@@ -197,9 +179,9 @@
         async with entries(2) as (seed, other):
             seed.announce_to = other.announce_to = (DEAD, other.address)
             async with announcing(seed.address):
-                await until(lambda: len(other.received) >= 3)
+                await curio_world.until(lambda: len(other.received) >= 3)
 
-    run(main)
+    curio_world.run(main)
 
 
 def test_leaving_is_told_to_all_and_repeated_until_one_takes_note() -> None:
@@ -207,11 +189,11 @@
         async with entries(2) as (seed, other):
             seed.announce_to = other.announce_to = (other.address,)
             async with announcing(DEAD, seed.address) as announced:
-                await until(lambda: bool(other.received))
+                await curio_world.until(lambda: bool(other.received))
                 seed.status = other.status = 503
                 failures = announced.failures
                 leaving = await curio.spawn(announced.leave)
-                await until(lambda: announced.failures >= failures + 3)
+                await curio_world.until(lambda: announced.failures >= failures + 3)
                 other.status = 200
                 assert await leaving.join()
             last = other.received[-1]
@@ -219,4 +201,4 @@
             assert last.sequence > other.received[-2].sequence
             assert all(item.state is upstream.UpstreamState.READY for item in other.received[:-1])
 
-    run(main)
+    curio_world.run(main)
