--- a/examples/local_deployment.py
+++ b/examples/local_deployment.py
@@ -69,7 +69,6 @@
         self.processes = processes
         self.control_names = tuple(f"control-{number + 1}" for number in range(controls))
         self.entry_names = tuple(f"entry-{number + 1}" for number in range(entries))
-        self._data_centres = data_centres
         self._port_by_name = {
             name: local_processes.free_port() for name in (*self.control_names, *self.entry_names)
         }
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -83,7 +83,7 @@
         options = entry_options.EntryNodeOptions(
             entry_id=_SELF, incarnation=1, control_ids=(_CONTROL,)
         )
-        self.node = entry.EntryNode(settings=options, random=random.Random(1))
+        self.node = entry.EntryNode(options=options, random=random.Random(1))
         self.now = 0.0
         self._members = tuple(_member(number) for number in range(hosts))
         self._sequence = itertools.count(1)
--- a/src/medlarfork/_http_answer.py
+++ b/src/medlarfork/_http_answer.py
@@ -260,7 +260,7 @@
 
     async def _next_chunk(self) -> bytes:
         """Join what one read brought, so that many small chunks cost one write further on."""
-        event = await self._connection.next_event()
+        event: h11.Event | None = await self._connection.next_event()
         parts: list[bytes] = []
         while isinstance(event, h11.Data):
             parts.append(event.data)
--- a/src/medlarfork/control_program.py
+++ b/src/medlarfork/control_program.py
@@ -4,7 +4,6 @@
 
 import itertools
 import logging
-import pathlib
 import random
 import secrets
 import time
@@ -82,7 +81,7 @@
             identity=given.replica_id,
             codec=wire.make_codec(),
             bind=own.link_address,
-            keys=_load_keys(given),
+            keys=keys.load_if_named(given.keys_folder, given.replica_id),
         )
         api = operations_api.OperationsApi(
             self._ask,
@@ -304,12 +303,6 @@
     return host.strip("[]"), int(port)
 
 
-def _load_keys(given: control_settings.ControlSettings) -> keys.LinkKeys | None:
-    if not given.keys_folder:
-        return None
-    return keys.LinkKeys.load(pathlib.Path(given.keys_folder), given.replica_id)
-
-
 def _unix_ms() -> int:
     return time.time_ns() // _NS_PER_MS
 
--- a/src/medlarfork/entries_answer.py
+++ b/src/medlarfork/entries_answer.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import random
 import urllib.parse
 from collections.abc import Iterable
 
-import msgspec
-
 from medlarfork import configuration, member
 
 ENTRIES_PATH = "/v1/entries"
@@ -21,14 +20,16 @@
 """Free share that a full host counts with, so that it is still named now and then."""
 
 
-class Entry(msgspec.Struct, frozen=True):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
     """Name one entry host to a caller."""
 
     address: str
     data_centre: str
 
 
-class EntriesAnswer(msgspec.Struct, frozen=True):
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesAnswer:
     """Hold the body of ``GET /v1/entries``; the first entry is the one to try first."""
 
     entries: tuple[Entry, ...]
--- a/src/medlarfork/entry.py
+++ b/src/medlarfork/entry.py
@@ -49,31 +49,31 @@
     def __init__(
         self,
         *,
-        settings: entry_options.EntryNodeOptions,
+        options: entry_options.EntryNodeOptions,
         random: random.Random,
         make_scheduler: Callable[[str], owned_pool.Scheduler] | None = None,
     ) -> None:
         """Create the node of one process.
 
         Args:
-            settings: Its options.
+            options: Its options.
             random: Seeded generator; the only source of chance.
             make_scheduler: Makes the scheduler of a pool by its name; ``pool.Pool`` by default.
         """
-        self._options = settings
+        self._options = options
         self._random = random
         self._stage: drain.Stage = drain.Serving()
         self._wake_asked_at = math.inf
-        self._directory = pool_directory.PoolDirectory(settings.entry_id)
+        self._directory = pool_directory.PoolDirectory(options.entry_id)
         self._pools = entry_pools.EntryPools(
-            settings.entry_id, self._directory, make_scheduler or self._make_scheduler
+            options.entry_id, self._directory, make_scheduler or self._make_scheduler
         )
         self._session = control_session.ControlSession(
-            settings, generator=random, member_now=self._member
+            options, generator=random, member_now=self._member
         )
-        self._requests = entry_requests.EntryRequests(settings, self._session, random)
+        self._requests = entry_requests.EntryRequests(options, self._session, random)
         self._queries = entry_queries.EntryQueries(
-            settings, self._session, self._requests, self._pools, self._directory, random
+            options, self._session, self._requests, self._pools, self._directory, random
         )
 
     def handle(self, event: Any, now: float) -> tuple[Any, ...]:
--- a/src/medlarfork/entry_program.py
+++ b/src/medlarfork/entry_program.py
@@ -5,7 +5,6 @@
 import collections
 import contextlib
 import logging
-import pathlib
 import random
 import secrets
 import time
@@ -74,7 +73,7 @@
             identity=given.entry_id,
             codec=wire.make_codec(),
             bind=given.link_address,
-            keys=_load_keys(given),
+            keys=keys.load_if_named(given.keys_folder, given.entry_id),
         )
         self._peer_links = _peer_links.PeerLinks(self._link)
 
@@ -140,7 +139,7 @@
             drain_limit_s=given.drain_limit_s,
             request_limit=given.request_limit,
         )
-        return entry.EntryNode(settings=options, random=random.Random(secrets.randbits(64)))
+        return entry.EntryNode(options=options, random=random.Random(secrets.randbits(64)))
 
     def _observe(self) -> None:
         """Tell the metrics where to read their gauges."""
@@ -297,12 +296,6 @@
         held.attempt = None
 
 
-def _load_keys(given: entry_settings.EntrySettings) -> keys.LinkKeys | None:
-    if not given.keys_folder:
-        return None
-    return keys.LinkKeys.load(pathlib.Path(given.keys_folder), given.entry_id)
-
-
 def _log_record(record: entry_types.Record) -> None:
     logs.event(
         _log,
--- a/src/medlarfork/entry_queries.py
+++ b/src/medlarfork/entry_queries.py
@@ -56,7 +56,7 @@
         proven = self._session.is_proven(now)
         serve = self._options.unproven is entry_settings.UnprovenPolicy.SERVE
         usable = self._session.revision > 0 and (proven or serve)
-        others = ()
+        others: tuple[str, ...] = ()
         if refusing or not usable or self._requests.admission.load >= 1.0:
             others = self._others()
         return admit.Standing(refusing, usable, proven, others)
--- a/src/medlarfork/keys.py
+++ b/src/medlarfork/keys.py
@@ -72,6 +72,15 @@
         return cls(name, public, secret, public_by_name)
 
 
+def load_if_named(folder: str, name: str) -> LinkKeys | None:
+    """Load keys as ``LinkKeys.load`` does; None if no folder is named: no authentication then.
+
+    Raises:
+        errors.LinkError: A file is missing or damaged, or others can read the secret.
+    """
+    return LinkKeys.load(folder, name) if folder else None
+
+
 def generate(folder: str | os.PathLike[str], name: str) -> tuple[pathlib.Path, pathlib.Path]:
     """Write a new ``NAME.key``, readable by its owner only, and ``NAME.pub``.
 
--- a/src/medlarfork/outgoing.py
+++ b/src/medlarfork/outgoing.py
@@ -42,7 +42,7 @@
     body: bytes
 
 
-class _StreamFlag(msgspec.Struct):
+class _StreamFlag(msgspec.Struct, frozen=True):
     """Read only whether a chat completion asks for a stream."""
 
     stream: bool | None = None
--- a/src/medlarfork/relay.py
+++ b/src/medlarfork/relay.py
@@ -23,7 +23,7 @@
 _COUNT = re.compile(r"[0-9]{1,9}")
 
 
-class _ToolCall(msgspec.Struct):
+class _ToolCall(msgspec.Struct, frozen=True):
     """Check the shape of a part of a tool call."""
 
     index: int = 0
@@ -31,7 +31,7 @@
     function: dict[str, str | None] | None = None
 
 
-class _Delta(msgspec.Struct):
+class _Delta(msgspec.Struct, frozen=True):
     """Check the shape of a choice's next part."""
 
     content: Any = None
@@ -39,14 +39,14 @@
     tool_calls: list[_ToolCall] | None = None
 
 
-class _Choice(msgspec.Struct):
+class _Choice(msgspec.Struct, frozen=True):
     """Check the shape of a choice."""
 
     delta: _Delta | None = None
     finish_reason: str | None = None
 
 
-class _Chunk(msgspec.Struct):
+class _Chunk(msgspec.Struct, frozen=True):
     """Check the shape of what counting and assembling read of an event."""
 
     choices: list[_Choice] | None = None
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -106,7 +106,7 @@
         control_ids=("c1", "c2", "c3"),
         **options,
     )
-    return entry.EntryNode(settings=settings, random=random.Random(seed))
+    return entry.EntryNode(options=settings, random=random.Random(seed))
 
 
 class FakeControl:
