--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -45,6 +45,7 @@
     Part("http_overhead"),
     Part("link_latency"),
     Part("control_throughput"),
+    Part("in_force"),
     Part("log_recovery"),
     Part("capacity"),
     Part("star_traffic"),
