Let idle test workers take over waiting tests

Cause: tests were dealt out to 4 workers in advance, so one worker ended with a row of process tests, which wait ten seconds each, while the others were done.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(BIN)/python -m examples.demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 8 --dist worksteal
 
 measure: $(STAMP)
 	$(BIN)/python -m measure
