--- a/Makefile
+++ b/Makefile
@@ -21,12 +21,12 @@
 	$(BIN)/python -m measure
 
 lint: $(STAMP)
-	$(BIN)/ruff check src tests examples measure
-	$(BIN)/black --check --quiet src tests examples measure
+	$(BIN)/ruff check src platform tests examples measure
+	$(BIN)/black --check --quiet src platform tests examples measure
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix --quiet src tests examples measure
-	$(BIN)/black --quiet src tests examples measure
+	$(BIN)/ruff check --fix --quiet src platform tests examples measure
+	$(BIN)/black --quiet src platform tests examples measure
 
 # Rewrites the golden session files; review the diff before committing it.
 golden: $(STAMP)
--- a/src/medlarfork/_http_answer.py
+++ b/src/medlarfork/_http_answer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 from collections.abc import AsyncIterator
 from typing import Protocol
 
@@ -13,6 +15,14 @@
 """Informational answers accepted before the real one."""
 
 
+_TIMEOUT = re.compile(r"\btimeout=(\d{1,6})")
+"""The time in a Keep-Alive header, in whole seconds."""
+
+_IDLE_MARGIN_S = 0.5
+"""How much sooner than its upstream an idle connection is closed: a request sent just before the
+upstream closes would be lost, and can't always be sent again."""
+
+
 class Pool(Protocol):
     """Take connections back."""
 
@@ -31,6 +41,7 @@
         stream: The connection's socket.
         body_bytes: Longest body that is collected, in bytes.
         closed: Whether the connection has been closed.
+        idle_s: How long the upstream keeps it open between requests, as far as it said.
     """
 
     __slots__ = (
@@ -41,6 +52,7 @@
         "address",
         "body_bytes",
         "closed",
+        "idle_s",
         "stream",
     )
 
@@ -58,6 +70,7 @@
         self.stream = stream
         self.body_bytes = body_bytes
         self.closed = False
+        self.idle_s = math.inf
         self._pool = pool
         self._broken = False
         self._spent = True  # Whether h11 has nothing left to make an event of.
@@ -80,6 +93,7 @@
         response = await self._read_head()
         headers = _http_messages.decode_headers(response.headers)
         framed = _is_framed(head, response, headers)
+        self.idle_s = _idle_s(headers.get("keep-alive", ""))
         return Response(self, response.status_code, headers, framed)
 
     async def next_event(self) -> h11.Event:
@@ -279,6 +293,14 @@
             raise self._connection.failure("its answer has neither a length nor a marked end")
 
 
+def _idle_s(keep_alive: str) -> float:
+    """Return how long an idle connection may be used, by the upstream's Keep-Alive header."""
+    found = _TIMEOUT.search(keep_alive)
+    if found is None:
+        return math.inf
+    return int(found[1]) - _IDLE_MARGIN_S
+
+
 def _is_bodiless(head: h11.Request, response: h11.Response) -> bool:
     return head.method == b"HEAD" or response.status_code in (204, 304)
 
--- a/src/medlarfork/_http_limits.py
+++ b/src/medlarfork/_http_limits.py
@@ -20,6 +20,8 @@
         stall_s: Time a caller may read nothing while an answer is being written, in seconds.
         linger_s: Time to wait for a caller's end after the last answer, in seconds.
         connections: Connections open at once.
+        unacknowledged_s: Time after which a connection is given up whose peer acknowledges
+            nothing, in seconds; 0 leaves that to the system.
     """
 
     target_bytes: int = 8 * 1024
@@ -32,3 +34,4 @@
     stall_s: float = 30.0
     linger_s: float = 1.0
     connections: int = 4096
+    unacknowledged_s: float = 0.0
--- a/src/medlarfork/_http_pool.py
+++ b/src/medlarfork/_http_pool.py
@@ -31,6 +31,8 @@
         exchange_s: Time to the end of an answer where the request names none, in seconds.
         header_bytes: Length of an answer's head.
         body_bytes: Length of a body that ``Response.read`` collects.
+        unacknowledged_s: Time after which a connection is given up whose peer acknowledges
+            nothing, in seconds; 0 leaves that to the system.
     """
 
     connections: int = 4096
@@ -40,6 +42,7 @@
     exchange_s: float = 600.0
     header_bytes: int = 32 * 1024
     body_bytes: int = 32 * 1024 * 1024
+    unacknowledged_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,7 +116,11 @@
                 del self._idle_by_address[connection.address]
             await connection.close()
             return
-        kept.append(_Idle(connection, time.monotonic() + self._limits.idle_s))
+        idle_s = min(self._limits.idle_s, connection.idle_s)
+        if idle_s <= 0:
+            await connection.close()
+            return
+        kept.append(_Idle(connection, time.monotonic() + idle_s))
 
     def forget(self, connection: _http_answer.ClientConnection) -> None:
         """Stop counting a connection that has been closed."""
@@ -135,7 +142,7 @@
             connected = await _connect(address, within_s)
         finally:
             self._opening -= 1
-        stream = _http_stream.Stream(connected)
+        stream = _http_stream.Stream(connected, unacknowledged_s=self._limits.unacknowledged_s)
         connection = _http_answer.ClientConnection(
             address,
             stream,
--- a/src/medlarfork/_http_stream.py
+++ b/src/medlarfork/_http_stream.py
@@ -64,15 +64,26 @@
         "expired",
     )
 
-    def __init__(self, connected: socket.socket, *, stall_s: float = math.inf) -> None:
+    def __init__(
+        self,
+        connected: socket.socket,
+        *,
+        stall_s: float = math.inf,
+        unacknowledged_s: float = 0.0,
+    ) -> None:
         """Take over a connected socket.
 
         Args:
             connected: The socket; it is made non-blocking.
             stall_s: How long a write may make no progress, in seconds.
+            unacknowledged_s: How long the peer may acknowledge nothing before the system gives
+                the connection up, in seconds; 0 for the system's own time.
         """
         connected.setblocking(False)
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if unacknowledged_s:
+            unacknowledged_ms = round(unacknowledged_s * 1000)
+            connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
         self._socket = connected
         self._descriptor = _Descriptor(connected.fileno())
         self._stall_s = stall_s
--- /dev/null
+++ b/src/medlarfork/coordination/coordinator.py
@@ -0,0 +1,308 @@
+"""Decide everything that a coordinator does: its one door.
+
+A coordinator is one replica of the control plane of a routed deployment. What operators declare is
+in the replicated log. Which upstreams and entry hosts there are is soft: every replica hears it,
+passes it on, and forgets it at a restart. The leader also owns the placement of requests; nothing
+that must hold rests on that, so entry hosts go on without it.
+
+The times are those of a clock that counts while the machine is suspended: the leader's lease, and
+with it the right to answer reads, must run out while it stands still.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+from collections.abc import Callable
+from typing import Any
+
+from medlarfork import node, replica, replica_types
+from medlarfork.coordination import (
+    coordination_messages,
+    coordinator_types,
+    entry_directory,
+    entry_feed,
+    member_desk,
+    routing_desk,
+    routing_state,
+    upstream_desk,
+    upstream_registry,
+)
+from medlarfork.placement import owner, placement_messages
+from medlarfork.routes import routing
+
+TICK_S = 0.1
+"""How often timed work is looked at, in seconds: a fraction of every limit that rests on it."""
+
+STATUS_PERIOD_S = 0.4
+"""How often each entry host is told what this replica believes, in seconds."""
+
+Decode = Callable[[bytes], routing.Routing]
+"""Decodes an operator's body that was checked before."""
+
+
+class Coordinator:
+    """Turn the events of one replica into actions."""
+
+    def __init__(
+        self,
+        *,
+        replica_id: str,
+        boot: int,
+        part: replica.Replica,
+        seeds: tuple[str, ...],
+        announce_period_s: float,
+        ttl_s: float,
+        decode: Decode,
+    ) -> None:
+        """Wire the parts together.
+
+        Args:
+            replica_id: Names this replica; others find its address by it.
+            boot: Differs at every start.
+            part: The replicated log.
+            seeds: Replicas that the settings name.
+            announce_period_s: How often upstreams announce themselves, in seconds.
+            ttl_s: How long callers keep an answer of the directory, in seconds.
+            decode: Decodes an operator's body.
+        """
+        self._replica_id = replica_id
+        self._replica = part
+        self._decode = decode
+        self._state = routing_state.RoutingState()
+        self._routing_desk = routing_desk.RoutingDesk(replica_id, self._state)
+        self._registry = upstream_registry.UpstreamRegistry(announce_period_s=announce_period_s)
+        self._upstreams = upstream_desk.UpstreamDesk(self._registry)
+        self._members = member_desk.MemberDesk(replica_id, seeds)
+        self._entries = entry_directory.EntryDirectory(ttl_s=ttl_s)
+        self._feed = entry_feed.EntryFeed(boot=boot)
+        self._owner = owner.Owner()
+        self._role = replica_types.Role.FOLLOWER
+        self._leader_id = ""
+        self._term = 0
+        self._status_due = -math.inf
+        self._tick_due = -math.inf
+        self._entry_ids: frozenset[str] = frozenset()
+        self._actions: list[Any] = []
+        self._now = 0.0
+
+    def handle(self, event: Any, now: float) -> tuple[Any, ...]:
+        """Handle an event at a time in seconds and return the actions, in order."""
+        self._actions = []
+        self._now = now
+        match event:
+            case node.MessageReceived(sender, message):
+                self._take_message(sender, message)
+            case coordinator_types.OperationReceived(operation_id, operation):
+                self._take_operation(operation_id, operation)
+            case coordinator_types.SeedsChanged(seeds):
+                self._members.use_seeds(seeds)
+            case _:
+                self._run_log(event)
+        self._push_view()
+        if now >= self._tick_due:
+            self._tick()
+        return tuple(self._actions)
+
+    @property
+    def leads(self) -> bool:
+        """Return whether this replica leads, as far as it knows."""
+        return self._role is replica_types.Role.LEADER
+
+    def _holds_lease(self) -> bool:
+        return self._replica.holds_lease(self._now)
+
+    def _take_message(self, sender: str, message: Any) -> None:
+        match message:
+            case coordination_messages.EntryStatus():
+                self._take_entry_status(sender, message)
+            case coordination_messages.ReplicaHello(known, wants_upstreams):
+                self._members.hear(sender, self._now)
+                self._members.learn(known)
+                if wants_upstreams:
+                    self._actions.append(node.Send(sender, self._upstreams.whole()))
+            case coordination_messages.UpstreamGossip():
+                self._members.hear(sender, self._now)
+                self._members.got_upstreams()
+                self._actions += self._upstreams.on_gossip(sender, message, self._now)
+            case coordination_messages.GossipReceipt():
+                self._actions += self._upstreams.on_receipt(sender, message)
+            case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
+                self._actions += self._owner.handle(sender, message, self._now)
+            case _:
+                self._members.hear(sender, self._now)
+                self._run_log(node.MessageReceived(sender, message))
+
+    def _take_entry_status(self, sender: str, status: coordination_messages.EntryStatus) -> None:
+        is_new = sender not in self._entry_ids
+        self._entries.hear(sender, status, self._now)
+        if is_new:
+            self._entry_ids |= {sender}
+            self._note("entry_host_heard", entry=sender, ready=status.is_ready)
+            self._actions.append(node.Send(sender, self._own_status()))
+        whole = self._registry.whole()
+        self._actions += self._feed.complete_view(sender, status, whole, self._now)
+        self._actions += self._feed.push_routing(
+            {sender: status}, self._state.current, leads=self.leads, now=self._now
+        )
+
+    def _take_operation(self, operation_id: int, operation: coordinator_types.Operation) -> None:
+        match operation:
+            case coordinator_types.PutRouting():
+                self._put(operation_id, operation)
+            case coordinator_types.GetRouting():
+                reply = self._routing_desk.get(holds_lease=self._holds_lease())
+                if not self.leads and self._leader_id:
+                    reply = coordinator_types.AskLeader(self._leader_id)
+                self._reply(operation_id, reply)
+            case coordinator_types.Announce(announcement):
+                self._actions += self._upstreams.announce(
+                    operation_id, announcement, self._members.peers, self._quorum(), self._now
+                )
+            case coordinator_types.Withdraw(upstream_id):
+                self._actions += self._upstreams.withdraw(
+                    operation_id, upstream_id, self._members.peers, self._quorum(), self._now
+                )
+            case coordinator_types.FindEntries(zone):
+                self._reply(operation_id, self._entries.find(zone, self._now))
+
+    def _put(self, operation_id: int, operation: coordinator_types.PutRouting) -> None:
+        if not self.leads:
+            reply: coordinator_types.Reply = coordinator_types.Unavailable("No leader is known.")
+            if self._leader_id:
+                reply = coordinator_types.AskLeader(self._leader_id)
+            self._reply(operation_id, reply)
+            return
+        results = self._routing_desk.put(
+            operation_id, operation, holds_lease=self._holds_lease(), now=self._now
+        )
+        for result in results:
+            if isinstance(result, replica_types.Propose):
+                self._run_log(result)
+            else:
+                self._actions.append(result)
+
+    def _quorum(self) -> int:
+        """Return how many replicas, this one included, are a majority."""
+        voters = self._replica.status.voters
+        return 1 if voters is None else len(voters.voters) // 2 + 1
+
+    def _run_log(self, event: Any) -> None:
+        """Feed the log; events that its actions lead to are fed after the actions before them."""
+        events = collections.deque((event,))
+        while events:
+            for action in self._replica.handle(events.popleft(), self._now):
+                self._perform(action, events)
+
+    def _perform(self, action: Any, events: collections.deque[Any]) -> None:
+        match action:
+            case replica_types.Apply(_, _, command, proposal_id):
+                self._apply(command, proposal_id)
+            case replica_types.RestoreSnapshot(_, state):
+                self._state.restore(state)
+                self._on_routing()
+            case replica_types.TakeSnapshot(index):
+                taken = replica_types.SnapshotTaken(index, self._state.snapshot())
+                events.append(taken)
+            case replica_types.RoleChanged(role, term, leader_id):
+                self._on_role(role, term, leader_id)
+            case replica_types.ProposalRefused(proposal_id, leader_id, _):
+                self._actions += self._routing_desk.on_refused(proposal_id, leader_id)
+            case replica_types.VotersChanged(index, voters):
+                self._note(
+                    "members_changed",
+                    index=index,
+                    voters=",".join(voters.voters),
+                    learners=",".join(voters.learners) or None,
+                )
+            case _:
+                self._actions.append(action)
+
+    def _apply(self, command: bytes, proposal_id: str) -> None:
+        if command and self._state.apply(command):
+            self._note("routing_applied", version=self._state.current.version)
+            self._on_routing()
+            self._push_routing()
+        self._actions += self._routing_desk.on_applied(proposal_id)
+
+    def _on_routing(self) -> None:
+        if self._state.current.version:
+            self._owner.use_services(self._decode(self._state.current.body).services)
+
+    def _on_role(self, role: replica_types.Role, term: int, leader_id: str) -> None:
+        if leader_id != self._leader_id:
+            self._note("leader_changed", leader=leader_id or None, term=term, role=role.value)
+        was_leading = self.leads
+        self._role, self._term, self._leader_id = role, term, leader_id
+        if self.leads and not was_leading:
+            self._owner = owner.Owner()
+            self._on_routing()
+            self._actions += self._owner.use_upstreams(self._registry.present, self._now)
+            self._push_routing()
+        self._status_due = -math.inf
+        self._tick_due = -math.inf
+
+    def _push_view(self) -> None:
+        change = self._upstreams.take_change()
+        if change.is_empty:
+            return
+        self._actions += self._feed.push_view(change, self._entry_ids)
+        self._actions += self._owner.use_upstreams(self._registry.present, self._now)
+        self._note(
+            "upstreams_changed",
+            present=",".join(item.upstream_id for item in change.present) or None,
+            left=",".join(change.left) or None,
+            silent=",".join(change.silent) or None,
+        )
+
+    def _push_routing(self) -> None:
+        self._actions += self._feed.push_routing(
+            self._entries.status_by_id(self._now),
+            self._state.current,
+            leads=self.leads,
+            now=self._now,
+        )
+
+    def _tick(self) -> None:
+        """Do what is due by time."""
+        self._tick_due = self._now + TICK_S
+        self._actions += self._routing_desk.expire(self._now)
+        self._actions += self._upstreams.on_time(self._members.peers, self._now)
+        self._push_view()
+        self._actions += self._owner.on_time(self._now)
+        self._drop_lost_entries()
+        for action in self._members.on_time(self._replica.status, leads=self.leads, now=self._now):
+            if isinstance(action, replica_types.ChangeVoters):
+                self._note(
+                    "member_change_asked", add=action.add or None, remove=action.remove or None
+                )
+                self._run_log(action)
+            else:
+                self._actions.append(action)
+        if self._now >= self._status_due:
+            self._status_due = self._now + STATUS_PERIOD_S
+            status = self._own_status()
+            self._actions += [node.Send(entry_id, status) for entry_id in self._entry_ids]
+            self._push_routing()
+        self._actions.append(node.Wake(self._tick_due))
+
+    def _drop_lost_entries(self) -> None:
+        present = self._entries.status_by_id(self._now)
+        for entry_id in self._entry_ids - present.keys():
+            self._note("entry_host_silent", entry=entry_id)
+            self._actions += self._owner.forget_entry(entry_id, self._now)
+        self._entry_ids = frozenset(present)
+        self._feed.forget_missing(present)
+
+    def _own_status(self) -> coordination_messages.ReplicaStatus:
+        voters = self._replica.status.voters
+        members = () if voters is None else (*voters.voters, *voters.learners)
+        return coordination_messages.ReplicaStatus(
+            self._leader_id, self._term, members, self._entries.hosts
+        )
+
+    def _reply(self, operation_id: int, reply: coordinator_types.Reply) -> None:
+        self._actions.append(coordinator_types.OperationDone(operation_id, reply))
+
+    def _note(self, event: str, **fields: Any) -> None:
+        self._actions.append(coordinator_types.Noted(event, fields))
--- /dev/null
+++ b/src/medlarfork/coordination/coordinator_types.py
@@ -0,0 +1,121 @@
+"""Define the operations, replies, events and actions of a coordinator."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from medlarfork.coordination import upstream_types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutRouting:
+    """Operation: put a checked version of the routing in force, if it is the highest yet."""
+
+    version: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetRouting:
+    """Operation: read the newest accepted version of the routing."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announce:
+    """Operation: an upstream announces itself."""
+
+    announcement: upstream_types.Announcement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Operation: an upstream leaves for good."""
+
+    upstream_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindEntries:
+    """Operation: a caller in a zone asks which entry hosts to use."""
+
+    zone: str
+
+
+Operation = PutRouting | GetRouting | Announce | Withdraw | FindEntries
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """Reply: done, and durable where that was asked for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskLeader:
+    """Reply: only the leader can do this."""
+
+    leader_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """Reply: not now; the same operation may be sent again, here or elsewhere."""
+
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingFound:
+    """Reply: the newest accepted version, as the operator sent it."""
+
+    version: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesFound:
+    """Reply: entry hosts to use, and for how long to keep this answer, in seconds."""
+
+    addresses: tuple[str, ...]
+    ttl_s: float
+
+
+Reply = Accepted | AskLeader | Unavailable | RoutingFound | EntriesFound
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperationReceived:
+    """Event: an operation came in; ``operation_id`` is the receiver's own."""
+
+    operation_id: int
+    operation: Operation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeedsChanged:
+    """Event: the settings name other replicas to start from."""
+
+    seeds: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperationDone:
+    """Action: answer an operation."""
+
+    operation_id: int
+    reply: Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectReplica:
+    """Action: open a link to another replica, if there is none."""
+
+    replica_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Noted:
+    """Action: log what changed in the coordinator's beliefs; ``fields`` are its inputs."""
+
+    event: str
+    fields: dict[str, Any]
--- /dev/null
+++ b/src/medlarfork/coordination/entry_feed.py
@@ -0,0 +1,116 @@
+"""Feed entry hosts with the routing and with changes of the view of the upstreams.
+
+Each entry host tells with its status what it holds, so whatever is lost is sent again. Of the
+routing, only the newest version is sent, and the next one only after the last was taken or seems
+lost: a storm of changes then costs a slow link no more than it can carry.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Any
+
+from medlarfork import node
+from medlarfork.coordination import coordination_messages, routing_state, upstream_types
+
+RESEND_S = 0.8
+"""Time after which a push that was not confirmed is sent again, in seconds: two periods of the
+entry hosts' status."""
+
+FOLLOWER_DELAY_S = 0.5
+"""How much later a replica that does not lead pushes what an entry host lacks: normally the
+leader has done it by then, and every push takes a share of the entry host's link."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Fed:
+    """Remember what was sent to one entry host, and since when it lacks something."""
+
+    routing_version: int = 0
+    routing_sent_at: float = -1e9
+    lacks_since: float = -1.0
+    whole_sent_at: float = -1e9
+
+
+class EntryFeed:
+    """Decide what is sent to which entry host; pure."""
+
+    def __init__(self, *, boot: int) -> None:
+        """Start with a number that tells this start of the replica from every other."""
+        self._boot = boot
+        self._sequence = 0
+        self._fed_by_id: dict[str, _Fed] = {}
+
+    def push_view(
+        self, change: upstream_types.ViewChange, entry_ids: Iterable[str]
+    ) -> tuple[node.Send, ...]:
+        """Send a change of the view to all entry hosts at once."""
+        if change.is_empty:
+            return ()
+        self._sequence += 1
+        push = coordination_messages.ViewPush(self._boot, self._sequence, change)
+        return tuple(node.Send(entry_id, push) for entry_id in entry_ids)
+
+    def complete_view(
+        self,
+        entry_id: str,
+        status: coordination_messages.EntryStatus,
+        whole: upstream_types.ViewChange,
+        now: float,
+    ) -> tuple[node.Send, ...]:
+        """Send the whole view to an entry host that missed a change of it."""
+        fed = self._fed_by_id.setdefault(entry_id, _Fed())
+        is_current = status.view_boot == self._boot and status.view_sequence >= self._sequence
+        if is_current or now < fed.whole_sent_at + RESEND_S:
+            return ()
+        fed.whole_sent_at = now
+        push = coordination_messages.ViewPush(self._boot, self._sequence, whole)
+        return (node.Send(entry_id, push),)
+
+    def push_routing(
+        self,
+        status_by_id: dict[str, coordination_messages.EntryStatus],
+        current: routing_state.RoutingVersion,
+        *,
+        leads: bool,
+        now: float,
+    ) -> tuple[Any, ...]:
+        """Send the newest routing to the entry hosts that lack it and are ready for it."""
+        sends: list[node.Send] = []
+        for entry_id, status in status_by_id.items():
+            if self._is_due(entry_id, status, current.version, leads=leads, now=now):
+                push = coordination_messages.RoutingPush(current.version, current.packed_body)
+                sends.append(node.Send(entry_id, push))
+        return tuple(sends)
+
+    def forget_missing(self, entry_ids: Iterable[str]) -> None:
+        """Drop what is remembered of entry hosts that are not there any more."""
+        kept = set(entry_ids)
+        for entry_id in tuple(self._fed_by_id):
+            if entry_id not in kept:
+                del self._fed_by_id[entry_id]
+
+    def _is_due(
+        self,
+        entry_id: str,
+        status: coordination_messages.EntryStatus,
+        version: int,
+        *,
+        leads: bool,
+        now: float,
+    ) -> bool:
+        fed = self._fed_by_id.setdefault(entry_id, _Fed())
+        if status.routing_version >= version:
+            fed.lacks_since = -1.0
+            return False
+        if fed.lacks_since < 0:
+            fed.lacks_since = now
+        if not leads and now < fed.lacks_since + FOLLOWER_DELAY_S:
+            return False
+        is_open = fed.routing_version > status.routing_version
+        if is_open and now < fed.routing_sent_at + RESEND_S:
+            return False
+        fed.routing_version = version
+        fed.routing_sent_at = now
+        return True
--- /dev/null
+++ b/src/medlarfork/coordination/operations_format.py
@@ -0,0 +1,150 @@
+"""Define how operations arrive over HTTP and how replies leave: the product's own format.
+
+A deployment whose operators and upstreams speak another format passes another ``OperationsFormat``.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import urllib.parse
+from typing import Protocol
+
+import msgspec
+
+from medlarfork import errors
+from medlarfork.coordination import coordinator_types, upstream_types
+from medlarfork.routes import routing
+
+_JSON = {"Content-Type": "application/json"}
+"""Headers of every reply with a body."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpReply:
+    """Hold a reply as it goes out."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+class OperationsFormat(Protocol):
+    """Translate between HTTP and operations; it decides nothing."""
+
+    def decode(
+        self, method: str, path: str, query: str, body: bytes
+    ) -> coordinator_types.Operation:
+        """Return the operation.
+
+        Raises:
+            errors.RequestRefusedError: There is no such operation, or it can't be read.
+        """
+        ...
+
+    def decode_routing(self, body: bytes) -> routing.Routing:
+        """Return a version of the routing.
+
+        Raises:
+            errors.ConfigurationError: It can't be read in full.
+        """
+        ...
+
+    def encode(self, reply: coordinator_types.Reply, target: str) -> HttpReply:
+        """Return how a reply goes out; ``target`` is what was asked for, with its query."""
+        ...
+
+
+class OwnFormat:
+    """Speak the product's own paths and names.
+
+    ``PUT /v1/routing`` and ``GET /v1/routing`` for operators, ``PUT /v1/upstreams/ID`` and
+    ``DELETE /v1/upstreams/ID`` for upstreams, ``GET /v1/entries?zone=ZONE`` for callers.
+    """
+
+    def __init__(self, *, http_port: int) -> None:
+        """Use the port at which every replica serves operations."""
+        self._http_port = http_port
+
+    def decode(
+        self, method: str, path: str, query: str, body: bytes
+    ) -> coordinator_types.Operation:
+        """Return the operation (see ``OperationsFormat``)."""
+        if path == "/v1/routing" and method == "GET":
+            return coordinator_types.GetRouting()
+        if path == "/v1/routing" and method == "PUT":
+            return coordinator_types.PutRouting(self.decode_routing(body).version, body)
+        if path == "/v1/entries" and method == "GET":
+            zone = urllib.parse.parse_qs(query).get("zone", [""])[0]
+            return coordinator_types.FindEntries(zone)
+        folder, _, upstream_id = path.rpartition("/")
+        if folder == "/v1/upstreams" and method == "DELETE":
+            return coordinator_types.Withdraw(upstream_id)
+        if folder == "/v1/upstreams" and method == "PUT":
+            return coordinator_types.Announce(_announcement(upstream_id, body))
+        raise unknown_operation(method, path)
+
+    def decode_routing(self, body: bytes) -> routing.Routing:
+        """Return a version of the routing (see ``OperationsFormat``)."""
+        try:
+            return msgspec.json.decode(body, type=routing.Routing)
+        except msgspec.MsgspecError as error:
+            raise unreadable_routing(error) from error
+
+    def encode(self, reply: coordinator_types.Reply, target: str) -> HttpReply:
+        """Return how a reply goes out (see ``OperationsFormat``)."""
+        match reply:
+            case coordinator_types.Accepted():
+                return HttpReply(200, _JSON, b"{}")
+            case coordinator_types.RoutingFound(_, body):
+                return HttpReply(200, _JSON, body)
+            case coordinator_types.EntriesFound():
+                return HttpReply(200, _JSON, msgspec.json.encode(reply))
+            case coordinator_types.AskLeader(leader_id):
+                return ask_leader(leader_id, self._http_port, target)
+            case coordinator_types.Unavailable(why):
+                return unavailable(why)
+
+
+def _announcement(upstream_id: str, body: bytes) -> upstream_types.Announcement:
+    try:
+        announced = msgspec.json.decode(body, type=upstream_types.Announcement)
+    except msgspec.MsgspecError as error:
+        raise unreadable_announcement(error) from error
+    return dataclasses.replace(announced, upstream_id=upstream_id)
+
+
+def ask_leader(leader_id: str, http_port: int, target: str) -> HttpReply:
+    """Return the reply that sends the caller to the leader."""
+    return HttpReply(307, {"Location": f"http://{leader_id}:{http_port}{target}"})
+
+
+def unavailable(why: str) -> HttpReply:
+    """Return the reply that asks the caller to come again."""
+    return HttpReply(503, {**_JSON, "Retry-After": "0.2"}, msgspec.json.encode({"why": why}))
+
+
+def unknown_operation(method: str, path: str) -> errors.RequestRefusedError:
+    """Return the error for a request that is no operation."""
+    return errors.RequestRefusedError(
+        f"There is no operation {method} {path[:100]}.",
+        remedy="See docs/operators for the operations of a replica.",
+        code=errors.Code.NOT_FOUND,
+        status=404,
+    )
+
+
+def unreadable_routing(cause: Exception) -> errors.ConfigurationError:
+    """Return the error for a version of the routing that can't be read."""
+    return errors.ConfigurationError(
+        f"The routing can't be read in full: {cause}.", remedy="Correct this and send it again."
+    )
+
+
+def unreadable_announcement(cause: Exception) -> errors.RequestRefusedError:
+    """Return the error for an announcement that can't be read."""
+    return errors.RequestRefusedError(
+        f"The announcement can't be read: {cause}.",
+        remedy="Correct this and send it again.",
+        code=errors.Code.BAD_REQUEST,
+        status=400,
+    )
--- /dev/null
+++ b/src/medlarfork/coordination/upstream_desk.py
@@ -0,0 +1,148 @@
+"""Take announcements of upstreams, and tell the other replicas before a leave is acknowledged.
+
+An entry host that is in contact with control hears every replica that can reach a majority. So a
+leave is acknowledged once a majority of the replicas has it and has passed it on; a replica that
+is cut off acknowledges none, and the upstream tries another one.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from medlarfork import node
+from medlarfork.coordination import (
+    coordination_messages,
+    coordinator_types,
+    upstream_registry,
+    upstream_types,
+)
+
+LEAVE_LIMIT_S = 0.8
+"""How long a leave may wait for a majority, in seconds; upstreams give up after one second."""
+
+
+@dataclasses.dataclass(slots=True)
+class _OpenLeave:
+    operation_id: int
+    until: float
+    needed: int
+    receipts: set[str]
+
+
+class UpstreamDesk:
+    """Keep the registry and pass on what it learns; pure."""
+
+    def __init__(self, registry: upstream_registry.UpstreamRegistry) -> None:
+        """Work on a registry."""
+        self._registry = registry
+        self._refreshed: dict[str, upstream_types.Announcement] = {}
+        self._leave_by_token: dict[int, _OpenLeave] = {}
+        self._tokens = 0
+        self._change = upstream_types.ViewChange()
+
+    def take_change(self) -> upstream_types.ViewChange:
+        """Return what changed since the last call, to be pushed to entry hosts."""
+        change, self._change = self._change, upstream_types.ViewChange()
+        return change
+
+    def announce(
+        self,
+        operation_id: int,
+        announcement: upstream_types.Announcement,
+        peers: tuple[str, ...],
+        quorum: int,
+        now: float,
+    ) -> tuple[Any, ...]:
+        """Take an upstream's own announcement."""
+        if announcement.is_leaving:
+            return self.withdraw(operation_id, announcement.upstream_id, peers, quorum, now)
+        change = self._registry.announce(announcement, now)
+        self._note(change)
+        done = coordinator_types.OperationDone(operation_id, coordinator_types.Accepted())
+        if change.is_empty:
+            self._refreshed[announcement.upstream_id] = announcement
+            return (done,)
+        gossip = coordination_messages.UpstreamGossip((announcement,), change.left)
+        return (*_to_all(peers, gossip), done)
+
+    def withdraw(
+        self, operation_id: int, upstream_id: str, peers: tuple[str, ...], quorum: int, now: float
+    ) -> tuple[Any, ...]:
+        """Take a leave; the answer waits for a majority."""
+        self._note(self._registry.withdraw(upstream_id, now))
+        if quorum <= 1:
+            return (coordinator_types.OperationDone(operation_id, coordinator_types.Accepted()),)
+        self._tokens += 1
+        self._leave_by_token[self._tokens] = _OpenLeave(
+            operation_id, now + LEAVE_LIMIT_S, quorum - 1, set()
+        )
+        gossip = coordination_messages.UpstreamGossip((), (upstream_id,), self._tokens)
+        return _to_all(peers, gossip)
+
+    def on_gossip(
+        self, sender: str, gossip: coordination_messages.UpstreamGossip, now: float
+    ) -> tuple[Any, ...]:
+        """Take what another replica heard."""
+        for upstream_id in gossip.left:
+            self._note(self._registry.withdraw(upstream_id, now))
+        for announcement in gossip.heard:
+            self._note(self._registry.announce(announcement, now))
+        if gossip.token == 0:
+            return ()
+        return (node.Send(sender, coordination_messages.GossipReceipt(gossip.token)),)
+
+    def on_receipt(
+        self, sender: str, receipt: coordination_messages.GossipReceipt
+    ) -> tuple[Any, ...]:
+        """Acknowledge a leave that a majority knows of."""
+        leave = self._leave_by_token.get(receipt.token)
+        if leave is None:
+            return ()
+        leave.receipts.add(sender)
+        if len(leave.receipts) < leave.needed:
+            return ()
+        del self._leave_by_token[receipt.token]
+        return (coordinator_types.OperationDone(leave.operation_id, coordinator_types.Accepted()),)
+
+    def whole(self) -> coordination_messages.UpstreamGossip:
+        """Return all that is known, for a replica that has just started."""
+        whole = self._registry.whole()
+        return coordination_messages.UpstreamGossip(whole.present, whole.left)
+
+    def on_time(self, peers: tuple[str, ...], now: float) -> tuple[Any, ...]:
+        """Pass on refreshing announcements, drop silent upstreams, and end late leaves."""
+        actions: list[Any] = []
+        if self._refreshed:
+            heard = tuple(self._refreshed.values())
+            self._refreshed = {}
+            actions += _to_all(peers, coordination_messages.UpstreamGossip(heard, ()))
+        self._note(self._registry.take_silent(now))
+        for token, leave in tuple(self._leave_by_token.items()):
+            if leave.until <= now:
+                del self._leave_by_token[token]
+                reply = coordinator_types.Unavailable("No majority of replicas could be told.")
+                actions.append(coordinator_types.OperationDone(leave.operation_id, reply))
+        return tuple(actions)
+
+    def _note(self, change: upstream_types.ViewChange) -> None:
+        """Add a change to those that have not been pushed yet; later words replace earlier."""
+        if change.is_empty:
+            return
+        changed = {announcement.upstream_id for announcement in change.present}
+        withdrawn = {*change.left, *change.silent}
+        earlier = self._change
+        self._change = upstream_types.ViewChange(
+            present=tuple(
+                announcement
+                for announcement in earlier.present
+                if announcement.upstream_id not in changed | withdrawn
+            )
+            + change.present,
+            left=earlier.left + change.left,
+            silent=tuple(item for item in earlier.silent if item not in changed) + change.silent,
+        )
+
+
+def _to_all(peers: tuple[str, ...], message: Any) -> tuple[node.Send, ...]:
+    return tuple(node.Send(peer, message) for peer in peers)
--- /dev/null
+++ b/src/medlarfork/coordination/upstream_view.py
@@ -0,0 +1,59 @@
+"""Merge the views of several control replicas into the one that an entry host acts on.
+
+An upstream may take requests while at least one replica lists it and none has seen it leave. So
+neither a replica that restarted, and knows few, nor one that is cut off hides upstreams, and an
+acknowledged leave that reached any replica in contact takes effect.
+"""
+
+from __future__ import annotations
+
+from medlarfork.coordination import upstream_types
+
+MOST_LEFT = 10_000
+"""Incarnations that left and are remembered, the latest ones; a day's changes at full size."""
+
+
+class UpstreamView:
+    """Keep what each replica last said; pure."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._present_by_replica: dict[str, dict[str, upstream_types.Announcement]] = {}
+        self._left: dict[str, None] = {}
+        self._by_id: dict[str, upstream_types.Announcement] = {}
+
+    @property
+    def by_id(self) -> dict[str, upstream_types.Announcement]:
+        """Return the upstreams that may take requests, by incarnation."""
+        return self._by_id
+
+    def apply(self, replica_id: str, change: upstream_types.ViewChange) -> tuple[str, ...]:
+        """Take a replica's change and return the incarnations that may not be used any more."""
+        present = self._present_by_replica.setdefault(replica_id, {})
+        if change.is_whole:
+            present.clear()
+        for announcement in change.present:
+            present[announcement.upstream_id] = announcement
+        for upstream_id in (*change.left, *change.silent):
+            present.pop(upstream_id, None)
+        for upstream_id in change.left:
+            self._left[upstream_id] = None
+        while len(self._left) > MOST_LEFT:
+            del self._left[next(iter(self._left))]
+        return self._rebuild()
+
+    def forget_replica(self, replica_id: str) -> tuple[str, ...]:
+        """Drop what a lost replica said, unless nothing else is known."""
+        if len(self._present_by_replica) > 1:
+            self._present_by_replica.pop(replica_id, None)
+        return self._rebuild()
+
+    def _rebuild(self) -> tuple[str, ...]:
+        previous = self._by_id
+        self._by_id = {
+            upstream_id: announcement
+            for present in self._present_by_replica.values()
+            for upstream_id, announcement in present.items()
+            if upstream_id not in self._left
+        }
+        return tuple(upstream_id for upstream_id in previous if upstream_id not in self._by_id)
--- /dev/null
+++ b/src/medlarfork/gateway/attempt_policy.py
@@ -0,0 +1,61 @@
+"""Decide what follows when an attempt at an upstream has ended: pure rules of repetition.
+
+A request that may not be repeated is sent again only if its upstream proved that it did not run.
+One that may be is sent again within its route's number of attempts. Either draws on the shared
+budget of repeats once an upstream has seen it. What the caller is told follows from whether any
+upstream may have run it: "not run" must be true.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork.placement import placement_messages
+from medlarfork.routes import routing
+
+REJECTIONS_ALLOWED = 3
+"""Upstreams that may refuse one request, or be unreachable for it, before it is given up: each
+costs a round trip, and by the third the service as a whole is refusing."""
+
+SHORTEST_ATTEMPT_MS = 50.0
+"""Time left under which another attempt is not worth beginning, in milliseconds: no upstream can
+answer over two links in less."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """Hold how far a request has come.
+
+    Attributes:
+        runs: Attempts that an upstream may have run.
+        rejections: Attempts that provably did not run.
+        answer_begun: Whether the caller has a part of an answer.
+    """
+
+    runs: int = 0
+    rejections: int = 0
+    answer_begun: bool = False
+
+    def after(self, end: placement_messages.RunEnd) -> Progress:
+        """Return the progress after an attempt that ended without a whole answer."""
+        match end:
+            case placement_messages.RunEnd.REJECTED | placement_messages.RunEnd.UNREACHABLE:
+                return dataclasses.replace(self, rejections=self.rejections + 1)
+            case _:
+                return dataclasses.replace(self, runs=self.runs + 1)
+
+
+def may_try_again(route: routing.Route, progress: Progress, left_ms: float) -> bool:
+    """Say whether the rules allow another attempt; the budget is asked separately."""
+    if left_ms < SHORTEST_ATTEMPT_MS or progress.rejections >= REJECTIONS_ALLOWED:
+        return False
+    if progress.runs == 0:
+        return True
+    return route.may_repeat and progress.runs < route.max_attempts
+
+
+def final_status(progress: Progress, *, in_time: bool) -> int:
+    """Return the status that tells the caller truthfully what became of its request."""
+    if progress.runs == 0:
+        return 503
+    return 502 if in_time else 504
--- /dev/null
+++ b/src/medlarfork/gateway/entry_session.py
@@ -0,0 +1,126 @@
+"""Keep an entry host's session with the replicas: who leads, what is in force, which upstreams.
+
+The highest version of the routing that any replica sent is in force, and none goes back. The
+leader is the one that the latest term names; it counts as present only while it speaks itself.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from medlarfork.coordination import coordination_messages, upstream_types, upstream_view
+
+LEADER_SILENT_S = 1.0
+"""Silence after which the leader is not asked any more: more than two of its periodic messages."""
+
+REPLICA_SILENT_S = 4.0
+"""Silence after which a replica's view of the upstreams does not count any more, in seconds."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    at: float
+    view_boot: int = 0
+    view_sequence: int = 0
+
+
+class EntrySession:
+    """Take the replicas' messages; pure, the time is handed in."""
+
+    def __init__(self, seeds: tuple[str, ...]) -> None:
+        """Start with the replicas that the settings name."""
+        self._replicas: dict[str, None] = dict.fromkeys(seeds)
+        self._heard_by_id: dict[str, _Heard] = {}
+        self._view = upstream_view.UpstreamView()
+        self._term = 0
+        self._leader_id = ""
+        self._members: tuple[str, ...] = ()
+        self.entry_hosts = 1
+        self.routing_version = 0
+
+    @property
+    def replicas(self) -> tuple[str, ...]:
+        """Return the replicas to be connected to."""
+        return tuple(self._replicas)
+
+    @property
+    def upstream_by_id(self) -> dict[str, upstream_types.Announcement]:
+        """Return the upstreams that may take requests."""
+        return self._view.by_id
+
+    def leader(self, now: float) -> str:
+        """Return the leader that spoke lately; empty if there is none."""
+        heard = self._heard_by_id.get(self._leader_id)
+        if heard is None or now - heard.at > LEADER_SILENT_S:
+            return ""
+        return self._leader_id
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Look for further replicas."""
+        self._replicas.update(dict.fromkeys(seeds))
+
+    def take(self, replica_id: str, message: Any, now: float) -> None:
+        """Take a replica's message other than a version of the routing."""
+        heard = self._heard_by_id.setdefault(replica_id, _Heard(now))
+        heard.at = now
+        match message:
+            case coordination_messages.ReplicaStatus():
+                self._take_status(message)
+            case coordination_messages.ViewPush(boot, sequence, change):
+                self._take_view(replica_id, heard, boot, sequence, change)
+
+    def take_routing(self, replica_id: str, version: int, now: float) -> bool:
+        """Say whether an offered version is newer than the one in force."""
+        self._heard_by_id.setdefault(replica_id, _Heard(now)).at = now
+        if version <= self.routing_version:
+            return False
+        self.routing_version = version
+        return True
+
+    def status_for(
+        self, replica_id: str, *, address: str, zone: str, is_ready: bool
+    ) -> coordination_messages.EntryStatus:
+        """Return what a replica is to be told."""
+        heard = self._heard_by_id.get(replica_id, _Heard(0.0))
+        return coordination_messages.EntryStatus(
+            address, zone, is_ready, self.routing_version, heard.view_boot, heard.view_sequence
+        )
+
+    def drop_silent(self, now: float) -> None:
+        """Forget the views of replicas that fell silent, unless all did."""
+        silent = [
+            replica_id
+            for replica_id, heard in self._heard_by_id.items()
+            if now - heard.at > REPLICA_SILENT_S
+        ]
+        if len(silent) == len(self._heard_by_id):
+            return
+        for replica_id in silent:
+            del self._heard_by_id[replica_id]
+            self._view.forget_replica(replica_id)
+            if self._members and replica_id not in self._members:
+                self._replicas.pop(replica_id, None)
+
+    def _take_status(self, status: coordination_messages.ReplicaStatus) -> None:
+        self._replicas.update(dict.fromkeys(status.members))
+        self.entry_hosts = max(status.entry_hosts, 1)
+        if status.term > self._term or (status.term == self._term and status.leader_id):
+            self._term = status.term
+            self._leader_id = status.leader_id
+            self._members = status.members
+
+    def _take_view(
+        self,
+        replica_id: str,
+        heard: _Heard,
+        boot: int,
+        sequence: int,
+        change: upstream_types.ViewChange,
+    ) -> None:
+        """Apply a change; one that does not follow the last is applied but not confirmed."""
+        self._view.apply(replica_id, change)
+        follows = heard.view_boot == boot and sequence == heard.view_sequence + 1
+        if change.is_whole or follows:
+            heard.view_boot = boot
+            heard.view_sequence = sequence
--- /dev/null
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -0,0 +1,246 @@
+"""Run an entry host of a routed deployment: wire its parts to callers, upstreams and replicas."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import signal
+import time
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from medlarfork import _stop_signal, codec, http_client, http_server, link, logs, routed_links
+from medlarfork.coordination import coordination_messages
+from medlarfork.gateway import (
+    entry_session,
+    gateway_metrics,
+    gateway_settings,
+    owner_client,
+    request_handler,
+    request_names,
+)
+from medlarfork.placement import placement_messages
+from medlarfork.routes import routing
+
+_log = logging.getLogger(__name__)
+
+STATUS_PERIOD_S = 0.4
+"""How often replicas are told how this host is, in seconds; see ``entry_directory``."""
+
+DIRECTORY_LAG_S = 3.2
+"""How long callers may still come after this host has left the directory, in seconds: an answer
+of 2 s that some keep for longer, against a grace of which most is left for streams."""
+
+EXIT_MARGIN_S = 0.6
+"""Time before the end of the grace at which whatever is left is cut, in seconds."""
+
+CALLER_LIMITS = http_server.HttpLimits(stall_s=5.0, unacknowledged_s=4.0)
+"""What callers may use; 4 s without an acknowledgement is a connection that is gone."""
+
+UPSTREAM_LIMITS = http_client.ClientLimits(connect_s=1.0, idle_s=20.0, unacknowledged_s=1.5)
+"""What upstreams may use; 1.5 s without an acknowledgement is many round trips in one region."""
+
+Decode = Callable[[bytes], routing.Routing]
+"""Decodes an operator's body that a replica has checked."""
+
+ReadSeeds = Callable[[], tuple[str, ...]]
+"""Reads the seeds that the settings name now."""
+
+
+class GatewayProgram:
+    """Own the sockets and tasks of an entry host."""
+
+    def __init__(
+        self,
+        given: gateway_settings.GatewaySettings,
+        *,
+        names: request_names.RequestNames,
+        decode: Decode,
+        read_seeds: ReadSeeds,
+    ) -> None:
+        """Wire the parts; nothing is opened before ``start``."""
+        self._given = given
+        self._decode = decode
+        self._read_seeds = read_seeds
+        self._session = entry_session.EntrySession(given.seeds)
+        self._link = link.Link(
+            identity=given.entry_id,
+            codec=codec.Codec(routed_links.ROUTED_MESSAGES),
+            bind=f"tcp://{given.link_host}:{given.link_port}",
+            options=routed_links.LINK_OPTIONS,
+        )
+        self._owner = owner_client.OwnerClient(given.entry_id, self._session, self._link.send)
+        self._client = http_client.HttpClient(limits=UPSTREAM_LIMITS)
+        self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
+        self._handler = request_handler.RequestHandler(
+            zone=given.zone,
+            names=names,
+            client=self._client,
+            session=self._session,
+            owner=self._owner,
+            rules=given.budget,
+            metrics=self._metrics,
+        )
+        self._server = _server(self._handler.handle, given.serve, CALLER_LIMITS)
+        self._health = _server(self._serve_health, given.health) if given.health else None
+        self._tasks = curio.TaskGroup()
+        self._was_ready = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent to this host."""
+        return self._handler.has_routing and not self._handler.is_stopping
+
+    async def start(self) -> None:
+        """Open the link and the servers."""
+        await self._link.start()
+        await self._client.start()
+        self._connect_replicas()
+        await self._server.start()
+        if self._health is not None:
+            await self._health.start()
+        await self._tasks.spawn(self._receive)
+        await self._tasks.spawn(self._tell_replicas)
+        logs.event(_log, "started", entry=self._given.entry_id, serve=self._given.serve)
+
+    async def stop(self) -> None:
+        """Leave the directory, go on serving for as long as callers may come, then finish."""
+        began_at = time.monotonic()
+        logs.event(_log, "stopping", exchanges=self._server.exchanges)
+        self._handler.is_stopping = True
+        self._send_status()
+        await curio.sleep(min(DIRECTORY_LAG_S, self._given.grace_s / 2))
+        left_s = self._given.grace_s - EXIT_MARGIN_S - (time.monotonic() - began_at)
+        await self._server.close(within_s=max(left_s, 0.0))
+
+    async def close(self) -> None:
+        """Close everything."""
+        await self._server.close(within_s=0.0)
+        if self._health is not None:
+            await self._health.close(within_s=0.0)
+        await self._tasks.cancel_remaining()
+        await self._client.close()
+        await self._link.close()
+        self._metrics.close()
+        logs.event(_log, "stopped")
+
+    def reload(self) -> None:
+        """Take the seeds that the settings name now."""
+        seeds = self._read_seeds()
+        self._session.use_seeds(seeds)
+        self._connect_replicas()
+        logs.event(_log, "reloaded", seeds=",".join(seeds))
+
+    async def _receive(self) -> None:
+        while True:
+            received = await self._link.receive()
+            await self._take(received.sender, received.message)
+
+    async def _take(self, sender: str, message: Any) -> None:
+        now = time.monotonic()
+        match message:
+            case coordination_messages.RoutingPush(version, packed_body):
+                if self._session.take_routing(sender, version, now):
+                    self._use_routing(sender, packed_body)
+            case coordination_messages.ReplicaStatus():
+                self._session.take(sender, message, now)
+                self._connect_replicas()
+                self._owner.tell_new_owner(now)
+            case coordination_messages.ViewPush(boot, sequence, change):
+                self._session.take(sender, message, now)
+                logs.event(
+                    _log,
+                    "view",
+                    replica=sender,
+                    boot=boot,
+                    sequence=sequence,
+                    present=len(change.present),
+                    left=",".join(change.left) or None,
+                    upstreams=len(self._session.upstream_by_id),
+                )
+            case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
+                await self._owner.take(message)
+            case _:
+                logs.event(_log, "message_unexpected", sender=sender, kind=type(message).__name__)
+
+    def _use_routing(self, sender: str, packed_body: bytes) -> None:
+        whole = self._decode(zlib.decompress(packed_body))
+        self._handler.use(whole)
+        logs.event(
+            _log,
+            "routing_in_force",
+            version=whole.version,
+            replica=sender,
+            routes=len(whole.routes),
+        )
+        self._send_status()
+
+    async def _tell_replicas(self) -> None:
+        while True:
+            self._session.drop_silent(time.monotonic())
+            self._send_status()
+            self._connect_replicas()
+            await curio.sleep(STATUS_PERIOD_S)
+
+    def _send_status(self) -> None:
+        for replica_id in self._session.replicas:
+            status = self._session.status_for(
+                replica_id,
+                address=self._given.serve,
+                zone=self._given.zone,
+                is_ready=self.is_ready,
+            )
+            self._link.send(replica_id, status)
+
+    def _connect_replicas(self) -> None:
+        wanted = self._session.replicas
+        for replica_id in wanted:
+            address = f"tcp://{replica_id}:{self._given.replica_link_port}"
+            self._link.connect(replica_id, address)
+        for replica_id in self._link.peers:
+            if replica_id not in wanted:
+                self._link.disconnect(replica_id)
+
+    async def _serve_health(self, exchange: http_server.Exchange) -> None:
+        if exchange.head.path == routed_links.METRICS_PATH:
+            body = await self._metrics.render_aside()
+            await exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4"}, body)
+            return
+        status = 200 if self.is_ready else 503
+        body = b"ready\n" if self.is_ready else b"not ready\n"
+        await exchange.respond(status, {"Content-Type": "text/plain"}, body)
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "routing_version": self._session.routing_version,
+            "upstreams": len(self._session.upstream_by_id),
+            "exchanges": self._server.exchanges,
+            "connections": self._server.connections,
+            "upstream_connections": self._client.connections,
+            "local_placements": self._owner.local_placements,
+            "link_dropped": self._link.counters.dropped,
+        }
+
+
+def _server(
+    handler: Any,
+    address: str,
+    limits: http_server.HttpLimits = http_server.HttpLimits(),  # noqa: B008 - frozen
+) -> http_server.HttpServer:
+    host, _, port = address.rpartition(":")
+    return http_server.HttpServer(handler, host=host, port=int(port), limits=limits)
+
+
+async def run_until_stopped(program: GatewayProgram) -> None:
+    """Run the program until a signal asks it to stop; a hang-up reloads the settings."""
+    signals = _stop_signal.StopSignal((*_stop_signal.STOP_SIGNALS, signal.SIGHUP))
+    signals.start()
+    with contextlib.closing(signals):
+        await program.start()
+        while await signals.wait() == signal.SIGHUP:
+            program.reload()
+        await program.stop()
+        await program.close()
--- /dev/null
+++ b/src/medlarfork/gateway/owner_client.py
@@ -0,0 +1,190 @@
+"""Ask the owner of placement where to send requests, and do without it while it is silent."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from medlarfork.gateway import entry_session
+from medlarfork.placement import local_choice, placement_messages
+
+ANSWER_LIMIT_S = 0.15
+"""How long the owner may take to say anything, in seconds: many round trips, and little of the
+time within which callers expect an answer."""
+
+QUEUE_CHECK_S = 0.25
+"""How often a request that waits at the owner checks that the owner is there, in seconds."""
+
+LOCAL_RETRY_MS = 300.0
+"""When to come back if no upstream is known, in milliseconds: a replica tells its view within."""
+
+Send = Callable[[str, Any], bool]
+"""Sends a message to a replica; returns whether it was queued."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Ticket:
+    request: placement_messages.PlaceRequest
+    owner_id: str = ""
+    is_queued: bool = False
+    answer: placement_messages.Placed | placement_messages.PlaceRefused | None = None
+    changed: curio.Event = dataclasses.field(default_factory=curio.Event)
+
+
+class OwnerClient:
+    """Hold the tickets of this entry host: those that wait and those that run."""
+
+    def __init__(self, entry_id: str, session: entry_session.EntrySession, send: Send) -> None:
+        """Use a session for who leads, and a link to send by."""
+        self._entry_id = entry_id
+        self._session = session
+        self._send = send
+        self._tickets = 0
+        self._prefix = f"{entry_id}-{time.time_ns():x}"
+        self._ticket_by_id: dict[str, _Ticket] = {}
+        self._runs_by_upstream: dict[str, int] = {}
+        self._told_owner = ""
+        self.local_placements = 0
+
+    def new_ticket_id(self) -> str:
+        """Return an id that was never used before."""
+        self._tickets += 1
+        return f"{self._prefix}-{self._tickets}"
+
+    async def place(
+        self, request: placement_messages.PlaceRequest
+    ) -> placement_messages.Placed | placement_messages.PlaceRefused:
+        """Return where to send a request, or that it can't be served in time."""
+        ticket = _Ticket(request)
+        self._ticket_by_id[request.ticket_id] = ticket
+        try:
+            answer = await self._ask(ticket)
+        except BaseException:
+            self.end(request.ticket_id, placement_messages.RunEnd.CANCELLED, 0.0)
+            raise
+        ticket.answer = answer
+        if isinstance(answer, placement_messages.PlaceRefused):
+            self._ticket_by_id.pop(request.ticket_id, None)
+        else:
+            runs = self._runs_by_upstream
+            runs[answer.upstream_id] = runs.get(answer.upstream_id, 0) + 1
+        return answer
+
+    def first_event(self, ticket_id: str, after_ms: float) -> None:
+        """Report a stream's first event."""
+        ticket = self._ticket_by_id.get(ticket_id)
+        if ticket is not None and ticket.owner_id:
+            self._send(ticket.owner_id, placement_messages.FirstEvent(ticket_id, after_ms))
+
+    def end(self, ticket_id: str, end: placement_messages.RunEnd, after_ms: float) -> None:
+        """Report that a placed request has ended, or is not asked for any more."""
+        ticket = self._ticket_by_id.pop(ticket_id, None)
+        if ticket is None:
+            return
+        if isinstance(ticket.answer, placement_messages.Placed):
+            upstream_id = ticket.answer.upstream_id
+            left = self._runs_by_upstream.get(upstream_id, 1) - 1
+            self._runs_by_upstream[upstream_id] = left
+            if left <= 0:
+                del self._runs_by_upstream[upstream_id]
+        if ticket.owner_id:
+            ended = placement_messages.RunEnded(ticket_id, end, after_ms)
+            self._send(ticket.owner_id, ended)
+
+    async def take(self, message: Any) -> None:
+        """Take the owner's answer."""
+        ticket = self._ticket_by_id.get(message.ticket_id)
+        if ticket is None or ticket.answer is not None:
+            if isinstance(message, placement_messages.Placed) and ticket is None:
+                self._give_back(message.ticket_id)
+            return
+        match message:
+            case placement_messages.Queued():
+                ticket.is_queued = True
+            case _:
+                ticket.answer = message
+        await ticket.changed.set()
+
+    def tell_new_owner(self, now: float) -> None:
+        """Tell a leader that has just come which requests run where."""
+        leader = self._session.leader(now)
+        if not leader or leader == self._told_owner:
+            return
+        self._told_owner = leader
+        for ticket in tuple(self._ticket_by_id.values()):
+            if isinstance(ticket.answer, placement_messages.Placed):
+                running = placement_messages.StillRunning(ticket.request, ticket.answer.upstream_id)
+                ticket.owner_id = leader
+                self._send(leader, running)
+
+    def _give_back(self, ticket_id: str) -> None:
+        """Free a slot that was granted after the request had gone."""
+        leader = self._session.leader(_now())
+        if leader:
+            ended = placement_messages.RunEnded(ticket_id, placement_messages.RunEnd.CANCELLED, 0.0)
+            self._send(leader, ended)
+
+    async def _ask(
+        self, ticket: _Ticket
+    ) -> placement_messages.Placed | placement_messages.PlaceRefused:
+        until = _now() + ticket.request.left_ms / 1000.0
+        while _now() < until:
+            owner_id = self._session.leader(_now())
+            if not owner_id or not self._send(owner_id, ticket.request):
+                return self._choose_alone(ticket)
+            ticket.owner_id = owner_id
+            if not await self._wait_answer(ticket, until):
+                return self._choose_alone(ticket)
+            if ticket.answer is not None:
+                return ticket.answer
+        why = "its time ran out while it waited"
+        return placement_messages.PlaceRefused(ticket.request.ticket_id, LOCAL_RETRY_MS, why)
+
+    async def _wait_answer(self, ticket: _Ticket, until: float) -> bool:
+        """Wait for an answer; return False if the owner has to be done without.
+
+        Returns True without an answer if another owner is to be asked.
+        """
+        limit = min(until, _now() + ANSWER_LIMIT_S)
+        while ticket.answer is None:
+            if not ticket.is_queued and _now() >= limit:
+                return False
+            if ticket.is_queued and _now() >= until:
+                return True
+            if ticket.is_queued and self._session.leader(_now()) != ticket.owner_id:
+                ticket.is_queued = False
+                return True
+            pause = QUEUE_CHECK_S if ticket.is_queued else limit - _now()
+            ticket.changed.clear()
+            await curio.ignore_after(max(pause, 0.001), ticket.changed.wait)
+        return True
+
+    def _choose_alone(
+        self, ticket: _Ticket
+    ) -> placement_messages.Placed | placement_messages.PlaceRefused:
+        request = ticket.request
+        if ticket.owner_id:
+            ended = placement_messages.RunEnded(
+                request.ticket_id, placement_messages.RunEnd.CANCELLED, 0.0
+            )
+            self._send(ticket.owner_id, ended)
+            ticket.owner_id = ""
+        self.local_placements += 1
+        upstreams = tuple(
+            item
+            for item in self._session.upstream_by_id.values()
+            if item.service == request.service
+        )
+        chosen = local_choice.choose(request, upstreams, self._runs_by_upstream, self._entry_id)
+        if not chosen:
+            why = "no upstream of the service is known"
+            return placement_messages.PlaceRefused(request.ticket_id, LOCAL_RETRY_MS, why)
+        return placement_messages.Placed(request.ticket_id, chosen)
+
+
+def _now() -> float:
+    return time.monotonic()
--- /dev/null
+++ b/src/medlarfork/gateway/request_facts.py
@@ -0,0 +1,111 @@
+"""Read what a caller's headers say of its request, and build those that its upstream gets."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from medlarfork import _http_messages, errors
+from medlarfork.gateway import request_names
+from medlarfork.placement import placement_messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """Hold what a caller says of its request.
+
+    Attributes:
+        attempt_id: The caller's id of this attempt; empty if it gave none.
+        deadline_ms: How long the caller waits; None if it did not say.
+        api_key: Its key; empty if it gave none.
+        last_event_id: The last event that it has; empty for none.
+        parts: The parts of its prompt.
+        output_tokens: Tokens that the answer may have.
+    """
+
+    attempt_id: str
+    deadline_ms: float | None
+    api_key: str
+    last_event_id: str
+    parts: tuple[placement_messages.PromptPart, ...]
+    output_tokens: int
+
+
+def read(headers: Mapping[str, str], names: request_names.RequestNames) -> RequestFacts:
+    """Read the headers of a request.
+
+    Raises:
+        errors.RequestRefusedError: A header that placement rests on can't be read.
+    """
+    scheme, _, api_key = headers.get("authorization", "").partition(" ")
+    return RequestFacts(
+        attempt_id=headers.get(names.attempt_id, ""),
+        deadline_ms=_deadline(headers.get(names.deadline_ms)),
+        api_key=api_key.strip() if scheme.lower() == names.key_scheme.lower() else "",
+        last_event_id=headers.get(names.last_event_id, ""),
+        parts=_parts(headers.get(names.prompt_parts, "")),
+        output_tokens=_output_tokens(headers.get(names.token_usage, "")),
+    )
+
+
+def for_upstream(
+    headers: Mapping[str, str],
+    names: request_names.RequestNames,
+    *,
+    upstream_id: str,
+    left_ms: float,
+    account: str,
+    last_event_id: str,
+) -> dict[str, str]:
+    """Return the headers that an upstream gets: the caller's, and those that the system sets."""
+    dropped = names.set_by_system | _http_messages.HOP_BY_HOP_HEADERS
+    sent = {name: value for name, value in headers.items() if name not in dropped}
+    sent[names.expected_upstream] = upstream_id
+    sent[names.deadline_ms] = str(max(1, int(left_ms)))
+    if account:
+        sent[names.account] = account
+    if last_event_id:
+        sent[names.last_event_id] = last_event_id
+    return sent
+
+
+def _deadline(value: str | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        deadline_ms = float(value)
+    except ValueError as error:
+        raise _unreadable("deadline", value) from error
+    if not 0 < deadline_ms < float("inf"):
+        raise _unreadable("deadline", value)
+    return deadline_ms
+
+
+def _parts(value: str) -> tuple[placement_messages.PromptPart, ...]:
+    parts: list[placement_messages.PromptPart] = []
+    for item in value.split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if part_id and tokens.isascii() and tokens.isdigit():
+            parts.append(placement_messages.PromptPart(part_id, int(tokens)))
+        elif item.strip():
+            raise _unreadable("list of prompt parts", value)
+    return tuple(parts)
+
+
+def _output_tokens(value: str) -> int:
+    """Return the most output tokens; 0 where the caller does not say."""
+    if not value:
+        return 0
+    last = value.rpartition(",")[2].strip()
+    if not (last.isascii() and last.isdigit()):
+        raise _unreadable("token usage", value)
+    return int(last)
+
+
+def _unreadable(what: str, value: str) -> errors.RequestRefusedError:
+    return errors.RequestRefusedError(
+        f"The {what} {value[:100]!r} can't be read.",
+        remedy="Correct the header, or leave it out.",
+        code=errors.Code.BAD_REQUEST,
+        status=400,
+    )
--- /dev/null
+++ b/src/medlarfork/gateway/request_handler.py
@@ -0,0 +1,238 @@
+"""Admit callers' requests: find the route, the client account and the deadline, then serve them."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+
+import curio
+
+from medlarfork import _http_messages, errors, http_client, http_server, logs
+from medlarfork.gateway import (
+    entry_session,
+    gateway_metrics,
+    owner_client,
+    request_facts,
+    request_names,
+    request_run,
+    retry_budget,
+)
+from medlarfork.placement import placement_messages
+from medlarfork.routes import route_table, routing
+
+_log = logging.getLogger(__name__)
+
+CLOSED_STATUS = 499
+"""Status in logs and metrics for a request whose caller went before its answer."""
+
+
+class RequestHandler:
+    """Serve the exchanges of an entry host's HTTP server."""
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        names: request_names.RequestNames,
+        client: http_client.HttpClient,
+        session: entry_session.EntrySession,
+        owner: owner_client.OwnerClient,
+        rules: retry_budget.BudgetRules,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        """Wire the handler to what the entry host's requests share."""
+        self._zone = zone
+        self._names = names
+        self._client = client
+        self._session = session
+        self._owner = owner
+        self._rules = rules
+        self._metrics = metrics
+        self._table: route_table.RouteTable | None = None
+        self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._random = random.Random()
+        self.is_stopping = False
+
+    @property
+    def has_routing(self) -> bool:
+        """Return whether a version of the routing is in force."""
+        return self._table is not None
+
+    def use(self, whole: routing.Routing) -> None:
+        """Put a version of the routing in force."""
+        self._table = route_table.RouteTable(whole)
+        for service in whole.services:
+            if service.name not in self._budgets:
+                self._budgets[service.name] = retry_budget.RetryBudget(self._rules)
+
+    async def handle(self, exchange: http_server.Exchange) -> None:
+        """Serve one exchange."""
+        started_at = time.monotonic()
+        if self.is_stopping:
+            exchange.close_after()
+        try:
+            route, account, facts = self._admit(exchange.head)
+        except errors.RequestRefusedError as error:
+            await self._refuse(exchange, error)
+            return
+        body = await exchange.read_body()
+        admitted = self._admitted(exchange, route, account, facts, body, started_at)
+        self._budgets[admitted.service].note_request(started_at)
+        run = request_run.RequestRun(admitted, self._tools())
+        await self._serve(run, admitted)
+        self._record(run.trace, admitted)
+
+    def _admit(
+        self, head: http_server.RequestHead
+    ) -> tuple[routing.Route, routing.Account | None, request_facts.RequestFacts]:
+        """Return the route, the client account and the facts of a request.
+
+        Raises:
+            errors.RequestRefusedError: The request can't be served.
+        """
+        table = self._table
+        if table is None:
+            raise errors.RequestRefusedError(
+                "This entry host has no routing yet.",
+                remedy="Use another entry host, or come back as Retry-After says.",
+                code=errors.Code.STALE_CONFIGURATION,
+                status=503,
+                headers={"Retry-After": "0.500"},
+            )
+        route = table.route(head.headers.get("host", ""), head.path)
+        if route is None:
+            raise errors.RequestRefusedError(
+                "No route begins the request's host and path.",
+                remedy="Correct them, or ask the operators to declare a route.",
+                code=errors.Code.NOT_FOUND,
+                status=404,
+            )
+        facts = request_facts.read(head.headers, self._names)
+        return route, _account(table, route, facts), facts
+
+    def _admitted(
+        self,
+        exchange: http_server.Exchange,
+        route: routing.Route,
+        account: routing.Account | None,
+        facts: request_facts.RequestFacts,
+        body: bytes,
+        started_at: float,
+    ) -> request_run.Admitted:
+        allowed_ms = route.timeout_ms
+        if facts.deadline_ms is not None:
+            allowed_ms = min(allowed_ms, facts.deadline_ms - request_run.ANSWER_EARLY_MS)
+        tier = route.tier
+        if account is not None and account.tier is not None:
+            tier = account.tier
+        return request_run.Admitted(
+            exchange=exchange,
+            facts=facts,
+            route=route,
+            service=route_table.choose_target(route, self._random.random()),
+            account="" if account is None else account.name,
+            tier=tier,
+            body=body,
+            started_at=started_at,
+            deadline_at=started_at + allowed_ms / 1000.0,
+        )
+
+    def _tools(self) -> request_run.Tools:
+        return request_run.Tools(
+            client=self._client,
+            names=self._names,
+            owner=self._owner,
+            budgets=self._budgets,
+            upstream_by_id=self._session.upstream_by_id,
+            zone=self._zone,
+            entry_hosts=self._session.entry_hosts,
+        )
+
+    async def _serve(self, run: request_run.RequestRun, admitted: request_run.Admitted) -> None:
+        """Serve until there is a final answer, the time is over, or the caller has gone."""
+        exchange = admitted.exchange
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                serving = await group.spawn(self._serve_in_time, run, admitted)
+                await group.spawn(exchange.wait_caller_gone)
+            if group.completed is not serving:
+                run.trace.status = CLOSED_STATUS
+                run.trace.reasons.append("its caller has gone")
+                await exchange.abort()
+            elif serving.exception is not None:
+                raise serving.exception
+        except errors.CallerGoneError:
+            run.trace.status = CLOSED_STATUS
+        finally:
+            run.end_ticket(placement_messages.RunEnd.CANCELLED)
+
+    async def _serve_in_time(
+        self, run: request_run.RequestRun, admitted: request_run.Admitted
+    ) -> None:
+        left_s = admitted.deadline_at - time.monotonic()
+        try:
+            await curio.timeout_after(max(left_s, 0.0), run.serve)
+        except curio.TaskTimeout:
+            run.end_ticket(placement_messages.RunEnd.CANCELLED)
+            await run.time_out()
+
+    async def _refuse(
+        self, exchange: http_server.Exchange, error: errors.RequestRefusedError
+    ) -> None:
+        logs.event(
+            _log,
+            "request_refused",
+            request=exchange.head.headers.get(self._names.attempt_id),
+            status=error.status,
+            code=error.code.value,
+            routing=0 if self._table is None else self._table.version,
+        )
+        await exchange.read_body()
+        headers = {"Content-Type": "application/json", **error.headers}
+        body = _http_messages.error_body(error, error.status)
+        await exchange.respond(error.status, headers, body)
+
+    def _record(self, trace: request_run.Trace, admitted: request_run.Admitted) -> None:
+        """Log the request's decisions in one line, and count it."""
+        took_ms = (time.monotonic() - admitted.started_at) * 1000.0
+        self._metrics.count(admitted.account, admitted.route.name, trace.status, took_ms)
+        logs.event(
+            _log,
+            "request",
+            request=admitted.facts.attempt_id or None,
+            route=admitted.route.name,
+            service=admitted.service,
+            account=admitted.account or None,
+            tier=admitted.tier,
+            routing=0 if self._table is None else self._table.version,
+            result=trace.result.value,
+            status=trace.status,
+            upstreams=",".join(trace.upstreams) or None,
+            waited_ms=round(trace.waited_ms, 1),
+            first_ms=round(trace.first_event_ms, 1),
+            took_ms=round(took_ms, 1),
+            allowed_ms=round((admitted.deadline_at - admitted.started_at) * 1000.0),
+            why="; ".join(trace.reasons) or None,
+        )
+
+
+def _account(
+    table: route_table.RouteTable, route: routing.Route, facts: request_facts.RequestFacts
+) -> routing.Account | None:
+    """Return the client account that a request's key belongs to.
+
+    Raises:
+        errors.RequestRefusedError: The route needs a key and the request has no known one.
+    """
+    if route.is_public or not table.needs_keys:
+        return None
+    account = table.account(facts.api_key)
+    if account is None:
+        raise errors.RequestRefusedError(
+            "The request has no key of a known client account.",
+            remedy="Send the key that the operators gave you.",
+            code=errors.Code.INVALID_API_KEY,
+            status=401,
+        )
+    return account
--- /dev/null
+++ b/src/medlarfork/gateway/request_names.py
@@ -0,0 +1,51 @@
+"""Name the headers in which callers, entry hosts and upstreams of a routed deployment speak.
+
+These are the product's own. A deployment whose callers and upstreams use others passes its table.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestNames:
+    """Hold header names in lower case, and the scheme of keys.
+
+    Attributes:
+        attempt_id: The caller's id of this attempt; upstreams return it.
+        deadline_ms: How long the sender waits, in milliseconds.
+        key_scheme: Word before the key in the Authorization header.
+        last_event_id: The last event that the caller has; a stream goes on after it.
+        model: The model that a prompt is for.
+        token_usage: Prompt tokens and most output tokens, with a comma between.
+        prompt_parts: ``ID:TOKENS`` for each part of the prompt, with commas between.
+        expected_upstream: The incarnation that alone may run the request.
+        account: The client account, as the upstream is told.
+        tier: The rank at the upstream, 0 first.
+        not_executed: Set by upstreams that did not run the request.
+        seal: Set by upstreams on their answers; passed on unchanged.
+        load: Running, waiting and slots at the upstream, with commas between.
+        dropped: Further headers that only the system may set; dropped when callers send them.
+    """
+
+    attempt_id: str = "medlar-attempt-id"
+    deadline_ms: str = "medlar-deadline-ms"
+    key_scheme: str = "Bearer"
+    last_event_id: str = "last-event-id"
+    model: str = "medlar-model"
+    token_usage: str = "medlar-token-usage"
+    prompt_parts: str = "medlar-prompt-parts"
+    expected_upstream: str = "medlar-expected-upstream"
+    account: str = "medlar-account"
+    tier: str = "medlar-tier"
+    not_executed: str = "medlar-not-executed"
+    seal: str = "medlar-seal"
+    load: str = "medlar-load"
+    dropped: frozenset[str] = frozenset()
+
+    @property
+    def set_by_system(self) -> frozenset[str]:
+        """Return the headers that callers can't set."""
+        own = {self.expected_upstream, self.account, self.tier, "authorization"}
+        return self.dropped | own
--- /dev/null
+++ b/src/medlarfork/gateway/request_run.py
@@ -0,0 +1,334 @@
+"""Take one request from its placement to its final answer: the pipeline of an entry host.
+
+place → send → relay, and from a failed attempt back to *place* where the rules allow it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import time
+
+from medlarfork import _http_messages, errors, http_client, http_server, sse
+from medlarfork.coordination import upstream_types
+from medlarfork.gateway import (
+    attempt_policy,
+    event_cutter,
+    owner_client,
+    request_facts,
+    request_names,
+    retry_budget,
+    upstream_call,
+)
+from medlarfork.placement import placement_messages
+from medlarfork.routes import routing
+
+ANSWER_EARLY_MS = 20.0
+"""How long before the caller's own deadline a final answer is sent, in milliseconds: its way."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """Hold a request that was read, routed and identified.
+
+    Attributes:
+        exchange: The caller's connection.
+        facts: What its headers say.
+        route: How it is handled.
+        service: The service that was drawn for it.
+        account: The client account; empty on public routes.
+        tier: Its rank.
+        body: Its whole body.
+        started_at: When its head was in, in monotonic seconds.
+        deadline_at: When its caller or route gives up, in monotonic seconds.
+    """
+
+    exchange: http_server.Exchange
+    facts: request_facts.RequestFacts
+    route: routing.Route
+    service: str
+    account: str
+    tier: int
+    body: bytes
+    started_at: float
+    deadline_at: float
+
+
+class Result(enum.StrEnum):
+    """Say what became of a request."""
+
+    ANSWERED = "answered"
+    CUT = "cut"
+    REFUSED = "refused"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+
+
+@dataclasses.dataclass(slots=True)
+class Trace:
+    """Collect what the log line of a request tells.
+
+    Attributes:
+        result: What became of it.
+        status: The status that its caller got; 0 for none.
+        upstreams: The incarnations it was sent to, in order.
+        reasons: Why attempts ended without an answer, in order.
+        waited_ms: Time until it was placed the first time, in milliseconds.
+        first_event_ms: Time to the first event or the whole answer, in milliseconds.
+    """
+
+    result: Result = Result.FAILED
+    status: int = 0
+    upstreams: list[str] = dataclasses.field(default_factory=list)
+    reasons: list[str] = dataclasses.field(default_factory=list)
+    waited_ms: float = 0.0
+    first_event_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """Hold what all requests of an entry host share."""
+
+    client: http_client.HttpClient
+    names: request_names.RequestNames
+    owner: owner_client.OwnerClient
+    budgets: dict[str, retry_budget.RetryBudget]
+    upstream_by_id: dict[str, upstream_types.Announcement]
+    zone: str
+    entry_hosts: int
+
+
+class RequestRun:
+    """Serve one admitted request; ``serve`` returns when its answer has ended."""
+
+    def __init__(self, admitted: Admitted, tools: Tools) -> None:
+        """Prepare; nothing is sent yet."""
+        self.trace = Trace()
+        self._admitted = admitted
+        self._tools = tools
+        self._progress = attempt_policy.Progress()
+        self._excluded: list[str] = []
+        self._retry_after_ms = owner_client.LOCAL_RETRY_MS
+        self._sends = 0
+        self._cutter = event_cutter.EventCutter(admitted.facts.last_event_id)
+        self._ticket_id = ""
+        self._sent_at = 0.0
+
+    async def serve(self) -> None:
+        """Place, send and relay until there is a final answer.
+
+        Raises:
+            errors.CallerGoneError: The caller can't be reached any more.
+        """
+        while True:
+            placed = await self._place()
+            if isinstance(placed, placement_messages.PlaceRefused):
+                self._retry_after_ms = placed.retry_after_ms
+                self.trace.reasons.append(placed.why)
+                await self._give_up()
+                return
+            upstream = self._tools.upstream_by_id.get(placed.upstream_id)
+            if upstream is None:
+                end: placement_messages.RunEnd | None = placement_messages.RunEnd.UNREACHABLE
+                self.trace.reasons.append(f"{placed.upstream_id}: not in this host's view")
+            else:
+                end = await self._attempt(upstream)
+            if end is None:
+                return
+            self._progress = self._progress.after(end)
+            self._excluded.append(placed.upstream_id)
+            if not self._may_try_again(end):
+                await self._give_up()
+                return
+
+    async def time_out(self) -> None:
+        """Give the final answer at the deadline."""
+        self.trace.result = Result.TIMED_OUT
+        if self._sent_at:
+            self._progress = self._progress.after(placement_messages.RunEnd.CANCELLED)
+        await self._finish_without_answer(in_time=False)
+
+    def end_ticket(self, end: placement_messages.RunEnd) -> None:
+        """Tell the owner that the attempt under way has ended."""
+        if self._ticket_id:
+            after_ms = (time.monotonic() - self._sent_at) * 1000.0 if self._sent_at else 0.0
+            self._tools.owner.end(self._ticket_id, end, after_ms)
+            self._ticket_id = ""
+
+    @property
+    def _left_ms(self) -> float:
+        return (self._admitted.deadline_at - time.monotonic()) * 1000.0
+
+    async def _place(self) -> placement_messages.Placed | placement_messages.PlaceRefused:
+        admitted = self._admitted
+        self._sent_at = 0.0
+        request = placement_messages.PlaceRequest(
+            ticket_id=self._tools.owner.new_ticket_id(),
+            service=admitted.service,
+            tier=admitted.tier,
+            left_ms=self._left_ms,
+            target_ms=admitted.route.target_ms,
+            gap_ms=admitted.route.gap_ms,
+            parts=admitted.facts.parts if admitted.route.has_prompt else (),
+            output_tokens=admitted.facts.output_tokens,
+            zone=self._tools.zone,
+            excluded=tuple(self._excluded),
+        )
+        self._ticket_id = request.ticket_id
+        answer = await self._tools.owner.place(request)
+        if isinstance(answer, placement_messages.PlaceRefused):
+            self._ticket_id = ""
+        if not self.trace.upstreams:
+            self.trace.waited_ms = (time.monotonic() - admitted.started_at) * 1000.0
+        return answer
+
+    def _may_try_again(self, end: placement_messages.RunEnd) -> bool:
+        """Ask the rules, and the budget once an upstream has seen the request."""
+        if not attempt_policy.may_try_again(self._admitted.route, self._progress, self._left_ms):
+            return False
+        if self._sends == 0:
+            return True
+        budget = self._tools.budgets[self._admitted.service]
+        if budget.take(time.monotonic(), entry_hosts=self._tools.entry_hosts):
+            return True
+        self.trace.reasons.append("the budget of repeats is used up")
+        return False
+
+    async def _attempt(
+        self, upstream: upstream_types.Announcement
+    ) -> placement_messages.RunEnd | None:
+        """Carry out one attempt; return how it failed, or None if the caller has its answer."""
+        self.trace.upstreams.append(upstream.upstream_id)
+        self._sent_at = time.monotonic()
+        sent = await upstream_call.send(self._tools.client, self._call(upstream), self._tools.names)
+        if isinstance(sent, upstream_call.Failure):
+            if sent.end is not placement_messages.RunEnd.UNREACHABLE:
+                self._sends += 1
+            self.trace.reasons.append(f"{upstream.upstream_id}: {sent.why}")
+            self.end_ticket(sent.end)
+            return sent.end
+        self._sends += 1
+        try:
+            end = await self._relay(sent)
+        except errors.UpstreamError as error:
+            self._cutter.drop_pending()
+            self.trace.reasons.append(f"{upstream.upstream_id}: {error}")
+            end = placement_messages.RunEnd.FAILED
+        finally:
+            # A cancelled or failed relay leaves the upstream at work unless it is told.
+            await sent.close()
+        self.end_ticket(end or placement_messages.RunEnd.COMPLETE)
+        return end
+
+    def _call(self, upstream: upstream_types.Announcement) -> upstream_call.Call:
+        admitted = self._admitted
+        head = admitted.exchange.head
+        headers = request_facts.for_upstream(
+            head.headers,
+            self._tools.names,
+            upstream_id=upstream.upstream_id,
+            left_ms=self._left_ms,
+            account=admitted.account,
+            last_event_id=self._cutter.last_id,
+        )
+        return upstream_call.Call(
+            address=upstream.address,
+            method=head.method,
+            target=f"{head.path}?{head.query}" if head.query else head.path,
+            headers=headers,
+            body=admitted.body,
+            attempt_id=admitted.facts.attempt_id,
+            timeout_s=max(self._left_ms, 1.0) / 1000.0,
+        )
+
+    async def _relay(self, response: http_client.Response) -> placement_messages.RunEnd | None:
+        is_stream = response.headers.get("content-type", "").startswith(sse.MEDIA_TYPE)
+        if response.status < 300 and is_stream:
+            await self._relay_stream(response)
+            return None
+        if self._progress.answer_begun:
+            await response.read()
+            raise errors.UpstreamError(
+                f"The upstream answered {response.status} where a stream was to go on.",
+                remedy="See whether the upstream can resume streams.",
+            )
+        return await self._relay_whole(response)
+
+    async def _relay_whole(
+        self, response: http_client.Response
+    ) -> placement_messages.RunEnd | None:
+        """Pass on an answer that is read whole first, so that a cut one is never begun."""
+        body = await response.read()
+        failed = response.status >= 500
+        if failed and self._may_repeat_failure():
+            self.trace.reasons.append(f"{self.trace.upstreams[-1]}: status {response.status}")
+            return placement_messages.RunEnd.FAILED
+        self.trace.first_event_ms = self._since_start_ms()
+        await self._admitted.exchange.respond(response.status, response.headers, body)
+        self._finish(Result.ANSWERED, response.status)
+        return None
+
+    def _may_repeat_failure(self) -> bool:
+        """Say whether an upstream's own failure is kept from the caller and tried elsewhere."""
+        after = self._progress.after(placement_messages.RunEnd.FAILED)
+        if not attempt_policy.may_try_again(self._admitted.route, after, self._left_ms):
+            return False
+        budget = self._tools.budgets[self._admitted.service]
+        return budget.has_room(time.monotonic(), entry_hosts=self._tools.entry_hosts)
+
+    async def _relay_stream(self, response: http_client.Response) -> None:
+        """Pass on events as they come, each only when it is whole."""
+        exchange = self._admitted.exchange
+        while chunk := await response.next_chunk():
+            whole = self._cutter.feed(chunk)
+            if not whole:
+                continue
+            if not self._progress.answer_begun:
+                await self._begin_stream(response)
+            await exchange.send(whole)
+        if not self._progress.answer_begun:
+            await self._begin_stream(response)
+        await exchange.send(self._cutter.pending)
+        await exchange.finish()
+        self._finish(Result.ANSWERED, response.status)
+
+    async def _begin_stream(self, response: http_client.Response) -> None:
+        after_ms = (time.monotonic() - self._sent_at) * 1000.0
+        self._tools.owner.first_event(self._ticket_id, after_ms)
+        self.trace.first_event_ms = self._since_start_ms()
+        self._progress = dataclasses.replace(self._progress, answer_begun=True)
+        headers = {
+            name: value for name, value in response.headers.items() if name != "content-length"
+        }
+        await self._admitted.exchange.begin(response.status, headers)
+
+    async def _give_up(self) -> None:
+        self.trace.result = Result.FAILED if self._progress.runs else Result.REFUSED
+        await self._finish_without_answer(in_time=self._left_ms > 0)
+
+    async def _finish_without_answer(self, *, in_time: bool) -> None:
+        """Tell the caller at once what is known; an answer that was begun can only be cut."""
+        exchange = self._admitted.exchange
+        if exchange.started:
+            self.trace.result = Result.CUT
+            await exchange.abort()
+            return
+        status = attempt_policy.final_status(self._progress, in_time=in_time)
+        self.trace.status = status
+        headers = {"Content-Type": "application/json"}
+        if status == 503:
+            headers["Retry-After"] = f"{self._retry_after_ms / 1000.0:.3f}"
+        reasons = "; ".join(self.trace.reasons) or "its time ran out"
+        error = errors.MedlarError(
+            f"The request got no answer: {reasons}.",
+            remedy="Come back as Retry-After says." if status == 503 else "It may have run.",
+            code=errors.Code.OVERLOADED if status == 503 else errors.Code.UNCERTAIN,
+        )
+        await exchange.respond(status, headers, _http_messages.error_body(error, status))
+
+    def _finish(self, result: Result, status: int) -> None:
+        self.trace.result = result
+        self.trace.status = status
+
+    def _since_start_ms(self) -> float:
+        return (time.monotonic() - self._admitted.started_at) * 1000.0
--- a/src/medlarfork/http_server.py
+++ b/src/medlarfork/http_server.py
@@ -179,7 +179,11 @@
     async def _take(self, accepted: socket.socket) -> None:
         """Serve a new connection, or refuse it if there are too many."""
         try:
-            stream = _http_stream.Stream(accepted, stall_s=self._limits.stall_s)
+            stream = _http_stream.Stream(
+                accepted,
+                stall_s=self._limits.stall_s,
+                unacknowledged_s=self._limits.unacknowledged_s,
+            )
         except OSError:
             accepted.close()
             return
--- /dev/null
+++ b/src/medlarfork/placement/placement_messages.py
@@ -0,0 +1,121 @@
+"""Define what entry hosts and the owner of placement say to each other about one request.
+
+Any message may be lost or late. A placement is advice on where to send: whether a request may be
+sent, and how often, is decided by the entry host that has it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Name one part of a prompt that several requests may share; parts come in order."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceRequest:
+    """Ask where to send a request.
+
+    Attributes:
+        ticket_id: Names the question; never used twice.
+        service: Whose upstreams may run it.
+        tier: Rank; 0 comes first.
+        left_ms: Time until the caller gives up, in milliseconds.
+        target_ms: Time to the answer or first event that the caller expects, in milliseconds.
+        gap_ms: Longest pause between events that the caller expects; 0 for none.
+        parts: The prompt's parts.
+        output_tokens: Tokens that the answer may have; 0 for plain requests.
+        zone: Where the entry host is.
+        excluded: Upstreams that are not to be used, since they failed this request.
+    """
+
+    ticket_id: str
+    service: str
+    tier: int
+    left_ms: float
+    target_ms: float = 0.0
+    gap_ms: float = 0.0
+    parts: tuple[PromptPart, ...] = ()
+    output_tokens: int = 0
+    zone: str = ""
+    excluded: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """Answer: send it to this incarnation."""
+
+    ticket_id: str
+    upstream_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queued:
+    """Answer: it waits for a slot; another answer follows."""
+
+    ticket_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceRefused:
+    """Answer: it can't be served in time; ``retry_after_ms`` is when that is likely to change."""
+
+    ticket_id: str
+    retry_after_ms: float
+    why: str
+
+
+Answer = Placed | Queued | PlaceRefused
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstEvent:
+    """Report that a stream's first event came, ``after_ms`` after the request was sent."""
+
+    ticket_id: str
+    after_ms: float
+
+
+class RunEnd(enum.StrEnum):
+    """Say how a run at an upstream ended."""
+
+    COMPLETE = "complete"
+    FAILED = "failed"
+    REJECTED = "rejected"
+    UNREACHABLE = "unreachable"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunEnded:
+    """Report that a placed request has ended, or that it is not asked for any more."""
+
+    ticket_id: str
+    end: RunEnd
+    after_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StillRunning:
+    """Tell a new owner of a request that an earlier one placed."""
+
+    request: PlaceRequest
+    upstream_id: str
+
+
+PLACEMENT_MESSAGES: tuple[type, ...] = (
+    PlaceRequest,
+    Placed,
+    Queued,
+    PlaceRefused,
+    FirstEvent,
+    RunEnded,
+    StillRunning,
+)
+"""Every message class of this module, for the codec of the links."""
--- /dev/null
+++ b/src/medlarfork/placement/prompt_cache.py
@@ -0,0 +1,48 @@
+"""Estimate which parts of prompts an engine still holds, from what was sent to it.
+
+Engines let the least recently used parts yield and reuse a part only if all before it are held
+too. What they report of this is late and has gaps, so the owner's own sends are the better source.
+"""
+
+from __future__ import annotations
+
+import collections
+
+from medlarfork.placement import placement_messages
+
+USABLE_SHARE = 0.7
+"""Share of an engine's memory that is counted on for parts; running requests take the rest."""
+
+
+class PromptCache:
+    """Hold the parts sent to one engine, the least recently used first."""
+
+    def __init__(self, memory_tokens: int) -> None:
+        """Start with an empty engine."""
+        self._limit_tokens = memory_tokens * USABLE_SHARE
+        self._tokens_by_part: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._tokens = 0
+
+    def uncached_tokens(self, parts: tuple[placement_messages.PromptPart, ...]) -> int:
+        """Return how many tokens of a prompt the engine has to read."""
+        total = sum(part.tokens for part in parts)
+        for part in parts:
+            if part.part_id not in self._tokens_by_part:
+                break
+            total -= part.tokens
+        return total
+
+    def add(self, parts: tuple[placement_messages.PromptPart, ...]) -> None:
+        """Note that a prompt was sent; later parts yield before the ones they build on."""
+        for part in reversed(parts):
+            self._tokens -= self._tokens_by_part.pop(part.part_id, 0)
+            self._tokens_by_part[part.part_id] = part.tokens
+            self._tokens += part.tokens
+        while self._tokens > self._limit_tokens and self._tokens_by_part:
+            _, tokens = self._tokens_by_part.popitem(last=False)
+            self._tokens -= tokens
+
+    def clear(self) -> None:
+        """Forget everything, as after a restart of the engine."""
+        self._tokens_by_part.clear()
+        self._tokens = 0
--- /dev/null
+++ b/src/medlarfork/placement/read_rate.py
@@ -0,0 +1,37 @@
+"""Learn how fast the engines of a service read prompts, from the time to their first events.
+
+Operators don't declare it. A first event comes after the prompt was read and one step; of the runs
+that nothing else delayed, the fastest tell the rate.
+"""
+
+from __future__ import annotations
+
+DEFAULT_TOKENS_PER_MS = 80.0
+"""Rate assumed until it was measured: between those of the engines that were measured (64, 140)."""
+
+LEAST_TOKENS = 1500
+"""Prompts with fewer tokens to read tell too little: the step outweighs the reading."""
+
+FIXED_MS = 12.0
+"""Time to a first event besides reading: links, one step and the engine's own work, measured."""
+
+_LEARN_SHARE = 0.1
+"""Weight of a new measurement."""
+
+_BOUNDS = (10.0, 1000.0)
+"""Rates outside are measuring errors, in tokens a millisecond."""
+
+
+class ReadRate:
+    """Hold one service's rate."""
+
+    def __init__(self) -> None:
+        """Start from the default."""
+        self.tokens_per_ms = DEFAULT_TOKENS_PER_MS
+
+    def learn(self, tokens: int, after_ms: float) -> None:
+        """Take a run whose reading began at once."""
+        if tokens < LEAST_TOKENS or after_ms <= FIXED_MS:
+            return
+        seen = min(max(tokens / (after_ms - FIXED_MS), _BOUNDS[0]), _BOUNDS[1])
+        self.tokens_per_ms += _LEARN_SHARE * (seen - self.tokens_per_ms)
--- /dev/null
+++ b/src/medlarfork/placement/service_owner.py
@@ -0,0 +1,182 @@
+"""Place the requests of one service: where each runs, who waits, and who is refused."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork.coordination import upstream_types
+from medlarfork.placement import (
+    placement_cost,
+    placement_messages,
+    read_rate,
+    upstream_load,
+)
+
+MOST_WAITING = 2000
+"""Requests that wait for a slot at once; beyond, new ones are refused, which bounds memory."""
+
+SHORTEST_RETRY_MS = 200.0
+"""Least time that a refused caller is told to wait: two round trips and a slot that frees."""
+
+PLAIN_MEMORY_TOKENS = 0
+"""Plain services hold no parts of prompts."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Tell an entry host what was decided."""
+
+    entry_id: str
+    message: placement_messages.Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    entry_id: str
+    request: placement_messages.PlaceRequest
+    since: float
+
+    @property
+    def until(self) -> float:
+        return self.since + self.request.left_ms / 1000.0
+
+
+class ServiceOwner:
+    """Decide for one service; pure, the time is handed in."""
+
+    def __init__(self, memory_tokens: int = PLAIN_MEMORY_TOKENS) -> None:
+        """Start without upstreams."""
+        self.memory_tokens = memory_tokens
+        self.rate = read_rate.ReadRate()
+        self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
+        self._waiting_by_ticket: dict[str, _Waiting] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a slot."""
+        return len(self._waiting_by_ticket)
+
+    def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
+        """Take the upstreams that may be used now; runs on others are left to their ends."""
+        for upstream_id in tuple(self.load_by_id):
+            if upstream_id not in announcements:
+                del self.load_by_id[upstream_id]
+        for upstream_id, announcement in announcements.items():
+            load = self.load_by_id.get(upstream_id)
+            if load is None:
+                load = upstream_load.UpstreamLoad(announcement, self.memory_tokens)
+                self.load_by_id[upstream_id] = load
+            load.announcement = announcement
+
+    def place(
+        self, entry_id: str, request: placement_messages.PlaceRequest, now: float
+    ) -> tuple[Answer, ...]:
+        """Place a request at once, let it wait, or refuse it."""
+        if request.ticket_id in self._waiting_by_ticket:
+            return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
+        answer = self._try(entry_id, request, now)
+        if answer is not None:
+            return (answer,)
+        if len(self._waiting_by_ticket) >= MOST_WAITING:
+            return (self._refuse(entry_id, request, "too many requests wait already"),)
+        self._waiting_by_ticket[request.ticket_id] = _Waiting(entry_id, request, now)
+        return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
+
+    def on_first_event(self, message: placement_messages.FirstEvent, now: float) -> None:
+        """Learn from the time to a first event."""
+        for load in self.load_by_id.values():
+            run = load.run_by_ticket.get(message.ticket_id)
+            if run is None or run.has_begun:
+                continue
+            run.has_begun = True
+            if run.read_alone:
+                self.rate.learn(run.read_tokens, message.after_ms)
+            if all(other.has_begun for other in load.run_by_ticket.values()):
+                load.read_until = min(load.read_until, now)
+
+    def on_ended(self, message: placement_messages.RunEnded, now: float) -> tuple[Answer, ...]:
+        """Free the slot of a run that ended, or drop a request that does not wait any more."""
+        self._waiting_by_ticket.pop(message.ticket_id, None)
+        for load in self.load_by_id.values():
+            load.end(message.ticket_id, message.end, now)
+        return self.serve_waiting(now)
+
+    def on_still_running(
+        self, entry_id: str, message: placement_messages.StillRunning, now: float
+    ) -> None:
+        """Take over a run that an earlier owner placed."""
+        load = self.load_by_id.get(message.upstream_id)
+        if load is None or message.request.ticket_id in load.run_by_ticket:
+            return
+        run = upstream_load.Run(entry_id, message.request, 0, read_alone=False, has_begun=True)
+        load.add(run, 0.0, now)
+
+    def forget_entry(self, entry_id: str, now: float) -> tuple[Answer, ...]:
+        """Free what a lost entry host held; its upstream connections are gone with it."""
+        for ticket_id, waiting in tuple(self._waiting_by_ticket.items()):
+            if waiting.entry_id == entry_id:
+                del self._waiting_by_ticket[ticket_id]
+        for load in self.load_by_id.values():
+            lost = [
+                ticket_id
+                for ticket_id, run in load.run_by_ticket.items()
+                if run.entry_id == entry_id
+            ]
+            for ticket_id in lost:
+                load.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
+        return self.serve_waiting(now)
+
+    def serve_waiting(self, now: float) -> tuple[Answer, ...]:
+        """Place those that wait, the highest tier and the least time left first."""
+        answers: list[Answer] = []
+        order = sorted(
+            self._waiting_by_ticket.values(),
+            key=lambda waiting: (waiting.request.tier, waiting.until),
+        )
+        for waiting in order:
+            ticket_id = waiting.request.ticket_id
+            if waiting.until <= now:
+                del self._waiting_by_ticket[ticket_id]
+                why = "no slot became free in time"
+                answers.append(self._refuse(waiting.entry_id, waiting.request, why))
+                continue
+            answer = self._try(waiting.entry_id, waiting.request, now)
+            if answer is not None:
+                del self._waiting_by_ticket[ticket_id]
+                answers.append(answer)
+        return tuple(answers)
+
+    def _try(
+        self, entry_id: str, request: placement_messages.PlaceRequest, now: float
+    ) -> Answer | None:
+        """Return the placement, or None if the request has to wait."""
+        best: upstream_load.UpstreamLoad | None = None
+        best_cost: placement_cost.Cost | None = None
+        for load in self._candidates(request, now):
+            found = placement_cost.cost(load, request, self.rate.tokens_per_ms, now)
+            if best_cost is None or found.total_ms < best_cost.total_ms:
+                best, best_cost = load, found
+        if best is None or best_cost is None:
+            return None
+        run = upstream_load.Run(
+            entry_id, request, best_cost.read_tokens, read_alone=best_cost.wait_ms <= 0.0
+        )
+        best.add(run, best_cost.read_ms, now)
+        placed = placement_messages.Placed(request.ticket_id, best.announcement.upstream_id)
+        return Answer(entry_id, placed)
+
+    def _candidates(
+        self, request: placement_messages.PlaceRequest, now: float
+    ) -> list[upstream_load.UpstreamLoad]:
+        """Return the upstreams with a free slot; those that failed lately only if all did."""
+        free = [
+            load
+            for load in self.load_by_id.values()
+            if not load.is_full and load.announcement.upstream_id not in request.excluded
+        ]
+        sound = [load for load in free if not load.is_pausing(now)]
+        return sound or free
+
+    def _refuse(self, entry_id: str, request: placement_messages.PlaceRequest, why: str) -> Answer:
+        refused = placement_messages.PlaceRefused(request.ticket_id, SHORTEST_RETRY_MS, why)
+        return Answer(entry_id, refused)
--- /dev/null
+++ b/src/medlarfork/routed_links.py
@@ -0,0 +1,23 @@
+"""List the messages that the processes of a routed deployment exchange over links."""
+
+from __future__ import annotations
+
+from medlarfork import link, replica
+from medlarfork.coordination import coordination_messages
+from medlarfork.placement import placement_messages
+
+ROUTED_MESSAGES: tuple[type, ...] = (
+    *coordination_messages.COORDINATION_MESSAGES,
+    *placement_messages.PLACEMENT_MESSAGES,
+    *replica.REPLICA_MESSAGES,
+)
+"""Every message class, for the codec of the links."""
+
+LINK_OPTIONS = link.LinkOptions(
+    heartbeat_s=0.5, silence_s=1.5, reconnect_s=0.1, reconnect_limit_s=0.5, linger_s=0.05
+)
+"""Times of the links: a connection that went silent is given up after 1.5 s, half of the time that
+a replica needs to be missed, and is tried again twice a second."""
+
+METRICS_PATH = "/metrics"
+"""Path of a process's metrics on its health address."""
--- /dev/null
+++ b/src/medlarfork/routes/routing.py
@@ -0,0 +1,106 @@
+"""Model the configuration of a routed deployment: routes, services and client accounts."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class RouteKind(enum.StrEnum):
+    """Say what may be repeated of a route's requests, and how they are answered."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAMING = "streaming"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Send a share of a route's requests to a service; shares are relative to their sum."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Declare how requests of one host and path prefix are handled.
+
+    Attributes:
+        name: Names the route in logs and metrics.
+        host: Value of the Host header, without a port.
+        path_prefix: Begins and ends with a slash.
+        kind: What may be repeated.
+        timeout_ms: Longest time to a final answer, in milliseconds.
+        target_ms: Time to the answer, or to the first event of a stream, that callers expect.
+        gap_ms: Longest pause between events of a stream that callers expect; 0 if not declared.
+        tier: Rank; 0 comes first.
+        targets: Services that requests are split over.
+        max_attempts: Upstreams that one request may be sent to.
+        is_public: Whether requests need no key.
+        has_prompt: Whether requests name the parts of their prompt, which upstreams cache.
+        may_resume: Whether a broken stream may go on at another upstream.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_ms: float
+    targets: tuple[Target, ...]
+    target_ms: float = 0.0
+    gap_ms: float = 0.0
+    tier: int = 0
+    max_attempts: int = 1
+    is_public: bool = False
+    has_prompt: bool = False
+    may_resume: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request that may have run can be sent once more."""
+        return self.kind is RouteKind.SAFE or self.may_resume
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineFacts:
+    """Describe the model engines of a service.
+
+    Attributes:
+        slots: Requests that one engine runs at once.
+        memory_tokens: Tokens that one engine keeps for running requests and cached parts.
+        event_tokens: Tokens in one event of a stream.
+    """
+
+    slots: int
+    memory_tokens: int
+    event_tokens: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """Declare a group of equal upstreams; ``engine`` is None for plain services."""
+
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 64
+    engine: EngineFacts | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Account:
+    """Declare a client account; its tier, if set, goes before that of the route."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    tier: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Routing:
+    """Hold one version of a deployment's configuration; the operator chooses its number."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    accounts: tuple[Account, ...] = ()
--- /dev/null
+++ b/src/medlarfork/routes/routing_check.py
@@ -0,0 +1,74 @@
+"""Check a version of the routing as a whole before it is accepted."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterator
+
+from medlarfork import errors
+from medlarfork.routes import routing
+
+
+def check(whole: routing.Routing) -> tuple[str, ...]:
+    """Return what is wrong, one sentence each; nothing if the version can be put in force."""
+    return (
+        *_service_faults(whole),
+        *_route_faults(whole),
+        *_shared_places(whole),
+        *_shared_keys(whole),
+    )
+
+
+def require_valid(whole: routing.Routing) -> None:
+    """Refuse a version that can't be put in force.
+
+    Raises:
+        errors.ConfigurationError: It has faults; the message lists them.
+    """
+    faults = check(whole)
+    if faults:
+        raise errors.ConfigurationError(
+            " ".join(faults), remedy="Correct this and send the version again."
+        )
+
+
+def _service_faults(whole: routing.Routing) -> Iterator[str]:
+    count_by_name = collections.Counter(service.name for service in whole.services)
+    for name, count in count_by_name.items():
+        if count > 1:
+            yield f"Service {name!r} is declared {count} times."
+
+
+def _route_faults(whole: routing.Routing) -> Iterator[str]:
+    known = {service.name for service in whole.services}
+    for route in whole.routes:
+        for target in route.targets:
+            if target.service not in known:
+                yield f"Route {route.name!r} names the unknown service {target.service!r}."
+            if target.weight < 0:
+                yield f"Route {route.name!r} has a negative weight."
+        if sum(target.weight for target in route.targets) <= 0:
+            yield f"The weights of route {route.name!r} add up to 0."
+        if route.timeout_ms <= 0:
+            yield f"The timeout of route {route.name!r} is not above 0."
+        if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+            yield f"The path prefix of route {route.name!r} must begin and end with a slash."
+
+
+def _shared_places(whole: routing.Routing) -> Iterator[str]:
+    count_by_place = collections.Counter(
+        (route.host.lower(), route.path_prefix) for route in whole.routes
+    )
+    for (host, prefix), count in count_by_place.items():
+        if count > 1:
+            yield f"{count} routes share the host {host!r} and the path prefix {prefix!r}."
+
+
+def _shared_keys(whole: routing.Routing) -> Iterator[str]:
+    owner_by_key: dict[str, str] = {}
+    for account in whole.accounts:
+        for key in account.api_keys:
+            owner = owner_by_key.setdefault(key, account.name)
+            if owner != account.name:
+                # The key itself is a secret and is not repeated here.
+                yield f"Accounts {owner!r} and {account.name!r} share a key."
--- /dev/null
+++ b/tests/routed/test_entry_feed.py
@@ -0,0 +1,60 @@
+import pytest
+
+from medlarfork.coordination import (
+    coordination_messages,
+    entry_feed,
+    routing_state,
+    upstream_types,
+)
+
+
+@pytest.fixture
+def feed():
+    return entry_feed.EntryFeed(boot=7)
+
+
+def _status(version=0, boot=0, sequence=0):
+    return coordination_messages.EntryStatus("a", "z", True, version, boot, sequence)
+
+
+def _versions(sends):
+    return [send.message.version for send in sends]
+
+
+def _push(feed, held, version, now, *, leads=True):
+    current = routing_state.RoutingVersion(version, b"x")
+    return feed.push_routing({"e": _status(held)}, current, leads=leads, now=now)
+
+
+def test_the_leader_pushes_at_once_and_a_follower_later(feed):
+    assert _versions(_push(feed, 0, 3, 0.0)) == [3]
+    other = entry_feed.EntryFeed(boot=8)
+    assert _push(other, 0, 3, 0.0, leads=False) == ()
+    assert _versions(_push(other, 0, 3, 0.6, leads=False)) == [3]
+
+
+def test_a_storm_has_one_version_under_way_and_the_newest_follows(feed):
+    _push(feed, 0, 1, 0.0)
+    assert _push(feed, 0, 2, 0.06) == ()
+    assert _push(feed, 0, 3, 0.12) == ()
+    assert _versions(_push(feed, 1, 3, 0.2)) == [3]
+
+
+def test_a_lost_push_is_sent_again(feed):
+    _push(feed, 0, 1, 0.0)
+    assert _push(feed, 0, 1, 0.5) == ()
+    assert _versions(_push(feed, 0, 1, 0.9)) == [1]
+
+
+def test_an_entry_host_that_missed_a_change_gets_the_whole_view(feed, make_announcement):
+    whole = upstream_types.ViewChange((make_announcement(),), is_whole=True)
+    feed.push_view(upstream_types.ViewChange((make_announcement(),)), ["e"])
+    assert feed.complete_view("e", _status(boot=7, sequence=1), whole, 0.0) == ()
+    (send,) = feed.complete_view("e", _status(boot=7, sequence=0), whole, 0.0)
+    assert send.message.change.is_whole
+    assert feed.complete_view("e", _status(boot=7, sequence=0), whole, 0.1) == ()
+    assert feed.complete_view("e", _status(boot=6, sequence=1), whole, 2.0)
+
+
+def test_a_change_of_nothing_is_not_sent(feed):
+    assert feed.push_view(upstream_types.ViewChange(), ["e"]) == ()
--- /dev/null
+++ b/tests/routed/test_gateway_parts.py
@@ -0,0 +1,141 @@
+import pytest
+
+from medlarfork import errors
+from medlarfork.gateway import (
+    attempt_policy,
+    event_cutter,
+    request_facts,
+    request_names,
+    retry_budget,
+)
+from medlarfork.placement import placement_messages
+from medlarfork.routes import routing
+
+NAMES = request_names.RequestNames()
+FAILED = placement_messages.RunEnd.FAILED
+REJECTED = placement_messages.RunEnd.REJECTED
+
+
+def test_the_facts_of_a_request_are_read():
+    facts = request_facts.read(
+        {
+            NAMES.attempt_id: "a1",
+            NAMES.deadline_ms: "1500",
+            "authorization": "bearer key-1",
+            NAMES.prompt_parts: "aa:800, bb:10",
+            NAMES.token_usage: "810,80",
+        },
+        NAMES,
+    )
+    assert facts.deadline_ms == 1500.0
+    assert facts.api_key == "key-1"
+    assert [part.tokens for part in facts.parts] == [800, 10]
+    assert facts.output_tokens == 80
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (NAMES.deadline_ms, "soon"),
+        (NAMES.deadline_ms, "nan"),
+        (NAMES.deadline_ms, "0"),
+        (NAMES.prompt_parts, "aa"),
+        (NAMES.prompt_parts, "aa:x"),
+        (NAMES.token_usage, "many"),
+    ],
+)
+def test_unreadable_facts_are_refused(name, value):
+    with pytest.raises(errors.RequestRefusedError):
+        request_facts.read({name: value}, NAMES)
+
+
+def test_what_only_the_system_sets_is_dropped_from_callers():
+    sent = request_facts.for_upstream(
+        {
+            NAMES.expected_upstream: "forged",
+            NAMES.account: "forged",
+            NAMES.tier: "0",
+            "authorization": "Bearer key-1",
+            "connection": "x-own",
+            "x-own": "kept",
+            NAMES.deadline_ms: "99999",
+        },
+        NAMES,
+        upstream_id="u-1",
+        left_ms=0.4,
+        account="shop",
+        last_event_id="12",
+    )
+    assert sent == {
+        "x-own": "kept",
+        NAMES.expected_upstream: "u-1",
+        NAMES.deadline_ms: "1",
+        NAMES.account: "shop",
+        NAMES.last_event_id: "12",
+    }
+
+
+def test_repeats_stay_within_the_budget_in_every_sliding_window():
+    rules = retry_budget.BudgetRules(ratio=0.2, burst=40.0, window_s=10.0)
+    hosts = [retry_budget.RetryBudget(rules) for _ in range(4)]
+    repeats = []
+    requests = []
+    for step in range(3000):
+        now = step * 0.02
+        host = hosts[step % 4]
+        host.note_request(now)
+        requests.append(now)
+        if host.take(now, entry_hosts=4):
+            repeats.append(now)
+    for start in range(50):
+        inside = sum(start <= at < start + 10 for at in repeats)
+        asked = sum(start <= at < start + 10 for at in requests)
+        assert inside <= 0.2 * asked + 40.0
+    assert len(repeats) > 400
+
+
+def test_a_budget_without_requests_still_has_its_share_of_the_burst():
+    budget = retry_budget.RetryBudget(retry_budget.BudgetRules(0.2, 40.0, 10.0))
+    assert sum(budget.take(0.0, entry_hosts=4) for _ in range(40)) == 8
+
+
+@pytest.mark.parametrize("cut", range(1, 30))
+def test_events_are_passed_on_whole_however_they_are_cut(cut):
+    data = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+    cutter = event_cutter.EventCutter()
+    first = cutter.feed(data[:cut])
+    assert first.endswith(b"\n\n") or not first
+    assert first + cutter.feed(data[cut:]) == data
+    assert (cutter.last_id, cutter.events) == ("3", 3)
+
+
+def test_a_cut_event_is_dropped_before_the_stream_goes_on():
+    cutter = event_cutter.EventCutter()
+    assert cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    cutter.drop_pending()
+    assert cutter.last_id == "1"
+    assert cutter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+
+def test_what_may_not_be_repeated_is_sent_again_only_if_it_did_not_run(make_route):
+    route = make_route(kind=routing.RouteKind.UNSAFE, max_attempts=3)
+    start = attempt_policy.Progress()
+    assert attempt_policy.may_try_again(route, start.after(REJECTED), 500.0)
+    assert not attempt_policy.may_try_again(route, start.after(FAILED), 500.0)
+    assert not attempt_policy.may_try_again(route, start.after(REJECTED).after(FAILED), 500.0)
+
+
+def test_attempts_are_bounded_by_the_route_and_by_time(make_route):
+    route = make_route(max_attempts=2)
+    once = attempt_policy.Progress().after(FAILED)
+    assert attempt_policy.may_try_again(route, once, 500.0)
+    assert not attempt_policy.may_try_again(route, once.after(FAILED), 500.0)
+    assert not attempt_policy.may_try_again(route, once, 10.0)
+
+
+def test_not_run_is_said_only_where_it_is_true():
+    nothing = attempt_policy.Progress()
+    assert attempt_policy.final_status(nothing.after(REJECTED), in_time=True) == 503
+    assert attempt_policy.final_status(nothing.after(FAILED), in_time=True) == 502
+    assert attempt_policy.final_status(nothing.after(FAILED), in_time=False) == 504
+    assert attempt_policy.final_status(nothing, in_time=False) == 503
--- /dev/null
+++ b/tests/routed/test_member_desk.py
@@ -0,0 +1,76 @@
+import pytest
+
+from medlarfork import replica, replica_types
+from medlarfork.coordination import member_desk
+
+ME = "r1"
+
+
+def _status(*voters, learners=()):
+    return replica.ReplicaStatus(
+        role=replica_types.Role.LEADER,
+        term=1,
+        leader_id=ME,
+        commit_index=1,
+        applied_index=1,
+        last_index=1,
+        voters=replica_types.Voters(voters, learners),
+        is_voter=True,
+    )
+
+
+def _changes(actions):
+    return [
+        (action.add, action.remove)
+        for action in actions
+        if isinstance(action, replica_types.ChangeVoters)
+    ]
+
+
+@pytest.fixture
+def desk():
+    return member_desk.MemberDesk(ME, ("r1", "r2", "r3"))
+
+
+def test_hellos_go_to_all_known_replicas(desk):
+    actions = desk.on_time(_status(ME, "r2", "r3"), leads=False, now=0.0)
+    assert {action.to for action in actions if hasattr(action, "to")} == {"r2", "r3"}
+
+
+def test_the_leader_adds_a_replica_that_is_heard(desk):
+    desk.hear("r9", 1.0)
+    assert _changes(desk.on_time(_status(ME, "r2", "r3"), leads=False, now=1.0)) == []
+    assert _changes(desk.on_time(_status(ME, "r2", "r3"), leads=True, now=1.1)) == [("r9", "")]
+
+
+def test_a_silent_voter_stays_in_an_odd_group_and_leaves_an_even_one(desk):
+    for now in (0.0, 4.0):
+        desk.hear("r2", now)
+        desk.hear("r4", now)
+        desk.on_time(_status(ME, "r2", "r3", "r4", "r5"), leads=True, now=now)
+    odd = desk.on_time(_status(ME, "r2", "r3", "r4", "r5"), leads=True, now=4.5)
+    assert _changes(odd) == []
+    even = desk.on_time(_status(ME, "r2", "r3", "r4"), leads=True, now=5.0)
+    assert _changes(even) == [("", "r3")]
+
+
+def test_a_new_leader_gives_everyone_time_to_speak(desk):
+    actions = desk.on_time(_status(ME, "r2", "r3", "r4"), leads=True, now=1000.0)
+    assert _changes(actions) == []
+
+
+def test_a_learner_that_fell_silent_is_let_go(desk):
+    for now in (0.0, 4.0):
+        desk.hear("r2", now)
+        desk.hear("r3", now)
+        found = _changes(
+            desk.on_time(_status(ME, "r2", "r3", learners=("r9",)), leads=True, now=now)
+        )
+    assert found == [("", "r9")]
+
+
+def test_a_replica_that_is_gone_for_long_is_not_looked_for(desk):
+    desk.hear("r9", 0.0)
+    desk.on_time(_status(ME, "r2", "r3"), leads=False, now=member_desk.FORGET_S + 1)
+    assert "r9" not in desk.peers
+    assert "r2" in desk.peers
--- /dev/null
+++ b/tests/routed/test_placement.py
@@ -0,0 +1,158 @@
+import pytest
+
+from medlarfork.placement import (
+    local_choice,
+    placement_messages,
+    prompt_cache,
+    read_rate,
+    service_owner,
+)
+
+LONG = (("common", 500), ("matter", 5000), ("own", 6000))
+
+
+@pytest.fixture
+def make_owner(make_announcement):
+    def make(count=2, **changes):
+        owner = service_owner.ServiceOwner(memory_tokens=100_000)
+        owner.use_upstreams(
+            {
+                f"u-{n}": make_announcement(f"u-{n}", address=f"10.0.0.{n}:80", **changes)
+                for n in range(count)
+            }
+        )
+        return owner
+
+    return make
+
+
+def _placed(answers):
+    (answer,) = answers
+    assert isinstance(answer.message, placement_messages.Placed), answer
+    return answer.message.upstream_id
+
+
+def _ended(ticket_id, end=placement_messages.RunEnd.COMPLETE):
+    return placement_messages.RunEnded(ticket_id, end, 1.0)
+
+
+def test_streams_with_tight_pauses_keep_away_from_long_reading(make_owner, make_question):
+    """A long prompt on one engine, then many short streams that allow 200 ms: the load on which
+    least-outstanding placement lost two fifths of the short streams.
+    """
+    owner = make_owner(slots=64)
+    long_at = _placed(owner.place("e", make_question("long", LONG, gap_ms=800.0), 0.0))
+    short = [
+        _placed(owner.place("e", make_question(f"s{n}", (("x", 100),), gap_ms=200.0), 0.01))
+        for n in range(10)
+    ]
+    assert long_at not in short
+
+
+def test_a_long_prompt_avoids_the_engine_with_tight_streams(make_owner, make_question):
+    owner = make_owner(slots=64)
+    short_at = _placed(owner.place("e", make_question("s", (("x", 100),), gap_ms=200.0), 0.0))
+    long_at = _placed(owner.place("e", make_question("long", LONG, gap_ms=800.0), 1.0))
+    assert long_at != short_at
+
+
+def test_requests_about_the_same_matter_stay_where_it_was_read(make_owner, make_question):
+    owner = make_owner(count=4, slots=64)
+    first = _placed(owner.place("e", make_question("a", LONG), 0.0))
+    owner.on_ended(_ended("a"), 1.0)
+    same = _placed(owner.place("e", make_question("b", (*LONG[:2], ("other", 10))), 2.0))
+    assert same == first
+
+
+def test_a_full_service_lets_requests_wait_and_serves_the_highest_tier_first(
+    make_owner, make_question
+):
+    owner = make_owner(count=1, slots=1)
+    _placed(owner.place("e", make_question("runs"), 0.0))
+    for ticket_id, tier in (("low", 2), ("high", 0)):
+        (answer,) = owner.place("e", make_question(ticket_id, tier=tier), 0.1)
+        assert isinstance(answer.message, placement_messages.Queued)
+    (answer,) = owner.on_ended(_ended("runs"), 0.2)
+    assert answer.message.ticket_id == "high"
+
+
+def test_a_request_whose_time_ran_out_while_it_waited_is_refused(make_owner, make_question):
+    owner = make_owner(count=1, slots=1)
+    owner.place("e", make_question("runs"), 0.0)
+    owner.place("e", make_question("late", left_ms=100.0), 0.0)
+    (answer,) = owner.serve_waiting(0.2)
+    assert isinstance(answer.message, placement_messages.PlaceRefused)
+    assert owner.waiting == 0
+
+
+def test_a_withdrawn_request_does_not_get_a_slot(make_owner, make_question):
+    owner = make_owner(count=1, slots=1)
+    owner.place("e", make_question("runs"), 0.0)
+    owner.place("e", make_question("gone"), 0.0)
+    assert owner.on_ended(_ended("gone", placement_messages.RunEnd.CANCELLED), 0.1) == ()
+    assert owner.on_ended(_ended("runs"), 0.2) == ()
+
+
+def test_excluded_and_unreachable_upstreams_are_left_out(make_owner, make_question):
+    owner = make_owner(slots=8)
+    assert _placed(owner.place("e", make_question("a", excluded=("u-0",)), 0.0)) == "u-1"
+    owner.on_ended(_ended("a", placement_messages.RunEnd.UNREACHABLE), 0.1)
+    assert _placed(owner.place("e", make_question("b"), 0.2)) == "u-0"
+    assert _placed(owner.place("e", make_question("c", excluded=("u-0",)), 0.2)) == "u-1"
+
+
+def test_a_lost_entry_host_frees_its_slots(make_owner, make_question):
+    owner = make_owner(count=1, slots=1)
+    owner.place("lost", make_question("a"), 0.0)
+    owner.place("e", make_question("b"), 0.0)
+    (answer,) = owner.forget_entry("lost", 1.0)
+    assert answer.message.ticket_id == "b"
+
+
+def test_a_new_owner_counts_runs_that_an_earlier_one_placed(make_owner, make_question):
+    owner = make_owner(count=1, slots=1)
+    running = placement_messages.StillRunning(make_question("a"), "u-0")
+    owner.on_still_running("e", running, 0.0)
+    (answer,) = owner.place("e", make_question("b"), 0.0)
+    assert isinstance(answer.message, placement_messages.Queued)
+
+
+def test_the_rate_is_learnt_from_runs_that_nothing_delayed(make_owner, make_question):
+    owner = make_owner(slots=64)
+    for n in range(60):
+        owner.place("e", make_question(f"t{n}", ((f"p{n}", 10_000),)), n * 10.0)
+        after_ms = read_rate.FIXED_MS + 10_000 / 140.0
+        owner.on_first_event(placement_messages.FirstEvent(f"t{n}", after_ms), n * 10.0 + 0.1)
+        owner.on_ended(_ended(f"t{n}"), n * 10.0 + 1.0)
+    assert owner.rate.tokens_per_ms == pytest.approx(140.0, rel=0.05)
+
+
+def test_a_part_counts_as_cached_only_if_all_before_it_are():
+    cache = prompt_cache.PromptCache(memory_tokens=100_000)
+    parts = tuple(placement_messages.PromptPart(*part) for part in LONG)
+    assert cache.uncached_tokens(parts) == 11_500
+    cache.add(parts)
+    assert cache.uncached_tokens(parts) == 0
+    changed = (placement_messages.PromptPart("else", 500), *parts[1:])
+    assert cache.uncached_tokens(changed) == 11_500
+
+
+def test_the_least_recently_used_parts_yield_and_the_shared_ones_last():
+    cache = prompt_cache.PromptCache(memory_tokens=round(12_000 / prompt_cache.USABLE_SHARE))
+    cache.add(tuple(placement_messages.PromptPart(*part) for part in LONG))
+    cache.add((placement_messages.PromptPart("new", 4000),))
+    kept = tuple(placement_messages.PromptPart(*part) for part in LONG[:2])
+    assert cache.uncached_tokens(kept) == 0
+
+
+def test_alone_an_entry_host_spreads_its_runs_and_keeps_matters_together(
+    make_announcement, make_question
+):
+    upstreams = tuple(make_announcement(f"u-{n}") for n in range(4))
+    free = local_choice.choose(make_question("a"), upstreams, {"u-0": 1, "u-1": 1, "u-2": 1}, "e")
+    assert free == "u-3"
+    chosen = {
+        local_choice.choose(make_question(f"t{n}", LONG), upstreams, {}, f"e{n}") for n in range(9)
+    }
+    assert len(chosen) == 1
+    assert local_choice.choose(make_question("a"), (), {}, "e") == ""
--- /dev/null
+++ b/tests/routed/test_upstream_desk.py
@@ -0,0 +1,69 @@
+import pytest
+
+from medlarfork.coordination import (
+    coordination_messages,
+    coordinator_types,
+    upstream_desk,
+    upstream_registry,
+)
+
+PEERS = ("r2", "r3", "r4", "r5")
+
+
+@pytest.fixture
+def desk():
+    return upstream_desk.UpstreamDesk(upstream_registry.UpstreamRegistry(announce_period_s=1.0))
+
+
+def _done(actions):
+    return [a.reply for a in actions if isinstance(a, coordinator_types.OperationDone)]
+
+
+def test_a_new_upstream_is_passed_on_at_once(desk, make_announcement):
+    actions = desk.announce(1, make_announcement(), PEERS, 3, 0.0)
+    assert _done(actions) == [coordinator_types.Accepted()]
+    assert [action.to for action in actions[:-1]] == list(PEERS)
+    assert desk.take_change().present
+
+
+def test_a_refreshing_announcement_waits_for_the_next_turn(desk, make_announcement):
+    desk.announce(1, make_announcement(), PEERS, 3, 0.0)
+    assert len(desk.announce(2, make_announcement(sequence=2), PEERS, 3, 1.0)) == 1
+    assert desk.on_time(PEERS, 1.1)[0].message.heard[0].sequence == 2
+
+
+def test_a_leave_is_acknowledged_only_once_a_majority_has_it(desk, make_announcement):
+    desk.announce(1, make_announcement(), PEERS, 3, 0.0)
+    desk.take_change()
+    actions = desk.announce(2, make_announcement(is_leaving=True), PEERS, 3, 1.0)
+    assert _done(actions) == []
+    assert desk.take_change().left == ("u-1",)
+    receipt = coordination_messages.GossipReceipt(actions[0].message.token)
+    assert desk.on_receipt("r2", receipt) == ()
+    assert desk.on_receipt("r2", receipt) == ()
+    assert _done(desk.on_receipt("r3", receipt)) == [coordinator_types.Accepted()]
+
+
+def test_a_replica_that_is_cut_off_acknowledges_no_leave(desk):
+    desk.withdraw(1, "u-1", PEERS, 3, 0.0)
+    (reply,) = _done(desk.on_time(PEERS, upstream_desk.LEAVE_LIMIT_S))
+    assert isinstance(reply, coordinator_types.Unavailable)
+
+
+def test_gossip_is_taken_before_it_is_confirmed(desk, make_announcement):
+    desk.on_gossip("r2", coordination_messages.UpstreamGossip((make_announcement(),), ()), 0.0)
+    gossip = coordination_messages.UpstreamGossip((), ("u-1",), token=5)
+    (send,) = desk.on_gossip("r2", gossip, 0.1)
+    assert (send.to, send.message.token) == ("r2", 5)
+    change = desk.take_change()
+    assert change.left == ("u-1",)
+    assert change.present == ()
+
+
+def test_a_silent_upstream_that_is_heard_again_is_present(desk, make_announcement):
+    desk.announce(1, make_announcement(), PEERS, 3, 0.0)
+    desk.on_time(PEERS, 10.0)
+    desk.announce(2, make_announcement(sequence=2), PEERS, 3, 10.1)
+    change = desk.take_change()
+    assert change.present
+    assert change.silent == ()
--- /dev/null
+++ b/tests/routed/test_upstream_registry.py
@@ -0,0 +1,59 @@
+import pytest
+
+from medlarfork.coordination import upstream_registry
+
+
+@pytest.fixture
+def registry():
+    return upstream_registry.UpstreamRegistry(announce_period_s=1.0)
+
+
+def test_a_new_upstream_is_a_change_and_a_repeated_one_is_none(registry, make_announcement):
+    assert registry.announce(make_announcement(), 0.0).present == (make_announcement(),)
+    assert registry.announce(make_announcement(sequence=2), 1.0).is_empty
+
+
+def test_a_late_announcement_changes_nothing(registry, make_announcement):
+    registry.announce(make_announcement(sequence=5, slots=4), 0.0)
+    assert registry.announce(make_announcement(sequence=4, slots=2), 1.0).is_empty
+    assert registry.present[0].slots == 4
+
+
+def test_leaving_is_final_for_an_incarnation(registry, make_announcement):
+    registry.announce(make_announcement(), 0.0)
+    assert registry.announce(make_announcement(is_leaving=True, sequence=2), 1.0).left == ("u-1",)
+    assert registry.announce(make_announcement(sequence=3), 2.0).is_empty
+    assert registry.present == ()
+
+
+def test_a_silent_upstream_is_dropped_and_comes_back(registry, make_announcement):
+    registry.announce(make_announcement(), 0.0)
+    assert registry.take_silent(3.0).is_empty
+    assert registry.take_silent(4.0).silent == ("u-1",)
+    assert registry.announce(make_announcement(sequence=9), 5.0).present
+
+
+def test_a_new_incarnation_ends_the_one_at_its_address(registry, make_announcement):
+    registry.announce(make_announcement("old"), 0.0)
+    change = registry.announce(make_announcement("new"), 1.0)
+    assert change.left == ("old",)
+    assert registry.announce(make_announcement("old", sequence=9), 2.0).is_empty
+    assert [item.upstream_id for item in registry.present] == ["new"]
+
+
+def test_a_late_word_of_a_silent_incarnation_does_not_displace_its_successor(
+    registry, make_announcement
+):
+    registry.announce(make_announcement("old"), 0.0)
+    registry.take_silent(10.0)
+    registry.announce(make_announcement("new"), 11.0)
+    assert registry.announce(make_announcement("old", sequence=9), 12.0).is_empty
+    assert [item.upstream_id for item in registry.present] == ["new"]
+
+
+def test_what_left_is_remembered_for_long_and_not_for_ever(registry, make_announcement):
+    registry.withdraw("u-1", 0.0)
+    registry.take_silent(upstream_registry.REMEMBER_GONE_S - 1)
+    assert registry.announce(make_announcement(), 1.0).is_empty
+    registry.take_silent(upstream_registry.REMEMBER_GONE_S + 1)
+    assert registry.whole().left == ()
--- /dev/null
+++ b/tests/routed/test_upstream_view.py
@@ -0,0 +1,32 @@
+from medlarfork.coordination import upstream_types, upstream_view
+
+
+def _whole(*present, left=()):
+    return upstream_types.ViewChange(present, left=left, is_whole=True)
+
+
+def test_an_upstream_counts_while_one_replica_lists_it(make_announcement):
+    view = upstream_view.UpstreamView()
+    view.apply("a", _whole(make_announcement()))
+    view.apply("b", _whole())
+    assert set(view.by_id) == {"u-1"}
+    view.apply("a", upstream_types.ViewChange(silent=("u-1",)))
+    assert view.by_id == {}
+
+
+def test_a_leave_that_one_replica_saw_counts_for_all(make_announcement):
+    view = upstream_view.UpstreamView()
+    view.apply("a", _whole(make_announcement()))
+    view.apply("b", _whole(make_announcement()))
+    assert view.apply("b", upstream_types.ViewChange(left=("u-1",))) == ("u-1",)
+    view.apply("a", _whole(make_announcement(sequence=7)))
+    assert view.by_id == {}
+
+
+def test_a_lost_replica_takes_its_upstreams_along_unless_it_was_the_only_one(make_announcement):
+    view = upstream_view.UpstreamView()
+    view.apply("a", _whole(make_announcement()))
+    assert view.forget_replica("a") == ()
+    assert set(view.by_id) == {"u-1"}
+    view.apply("b", _whole())
+    assert view.forget_replica("a") == ("u-1",)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -34,16 +34,26 @@
     "order_desk",
     "inventory_reporter",
     "relay",
+    "routes.routing_check",
+    "routes.route_table",
+    "placement.owner",
+    "placement.local_choice",
+    "coordination.coordinator",
+    "gateway.attempt_policy",
+    "gateway.entry_session",
+    "gateway.event_cutter",
+    "gateway.request_facts",
+    "gateway.retry_budget",
 )
 
 
 def imports_of(module):
-    tree = ast.parse((SOURCE / f"{module}.py").read_text())
+    tree = ast.parse(SOURCE.joinpath(*module.split(".")).with_suffix(".py").read_text())
     for node in ast.walk(tree):
         if isinstance(node, ast.Import):
             yield from (alias.name for alias in node.names)
-        elif isinstance(node, ast.ImportFrom) and node.module == "medlarfork":
-            yield from (f"medlarfork.{alias.name}" for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module.split(".")[0] == "medlarfork":
+            yield from (f"{node.module}.{alias.name}" for alias in node.names)
         elif isinstance(node, ast.ImportFrom):
             yield node.module
 
--- a/tests/test_modules.py
+++ b/tests/test_modules.py
@@ -7,13 +7,21 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _SOURCE = _ROOT / "src" / "medlarfork"
 _CODE = re.compile(r"`(\w+)`")
-_ENTRY = re.compile(r"^(?P<indent> *)- `(?P<module>\w+)`: (?P<line>.+)$", re.MULTILINE)
+_ENTRY = re.compile(r"^(?P<indent> *)- `(?P<module>[\w.]+)`: (?P<line>.+)$", re.MULTILINE)
 
 
 def _entries() -> list[re.Match[str]]:
     return list(_ENTRY.finditer((_ROOT / "docs" / "MODULES.md").read_text()))
 
 
+def _name(path: pathlib.Path) -> str:
+    return ".".join(path.relative_to(_SOURCE).with_suffix("").parts)
+
+
+def _path(module: str) -> pathlib.Path:
+    return _SOURCE.joinpath(*module.split(".")).with_suffix(".py")
+
+
 def _first_line(path: pathlib.Path) -> str:
     docstring = ast.get_docstring(ast.parse(path.read_text()))
     assert docstring, f"{path.name} has no doc comment"
@@ -21,13 +29,13 @@
 
 
 def test_every_module_stands_on_the_page_once():
-    modules = sorted(path.stem for path in _SOURCE.glob("*.py") if path.stem != "__init__")
+    modules = sorted(_name(path) for path in _SOURCE.rglob("*.py") if path.stem != "__init__")
     assert sorted(entry["module"] for entry in _entries()) == modules
 
 
 def test_every_line_is_that_of_the_module():
     listed = {entry["module"]: entry["line"] for entry in _entries()}
-    written = {module: _first_line(_SOURCE / f"{module}.py") for module in listed}
+    written = {module: _first_line(_path(module)) for module in listed}
     assert listed == written
 
 
