--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -23,9 +23,6 @@
 
 _log = logging.getLogger(__name__)
 
-CLOSED_STATUS = 499
-"""Status in logs and metrics for a request whose caller went before its answer."""
-
 
 class RequestHandler:
     """Serve the exchanges of an entry host's HTTP server."""
@@ -150,32 +147,37 @@
         )
 
     async def _serve(self, run: request_run.RequestRun, admitted: request_run.Admitted) -> None:
-        """Serve until there is a final answer, the time is over, or the caller has gone."""
+        """Serve until there is a final answer, the time is over, or the caller has gone.
+
+        The connection is cut only here, after both tasks have ended: closing a descriptor that a
+        task still waits for would mix it up with the next connection that gets its number.
+        """
         exchange = admitted.exchange
         try:
             async with curio.TaskGroup(wait=any) as group:
                 serving = await group.spawn(self._serve_in_time, run, admitted)
                 await group.spawn(exchange.wait_caller_gone)
-            if group.completed is not serving:
-                run.trace.status = CLOSED_STATUS
-                run.trace.reasons.append("its caller has gone")
-                await exchange.abort()
-            elif serving.exception is not None:
-                raise serving.exception
-        except errors.CallerGoneError:
-            run.trace.status = CLOSED_STATUS
         finally:
             run.end_ticket(placement_messages.RunEnd.CANCELLED)
+        if group.completed is not serving:
+            run.note_caller_gone()
+        elif serving.exception is not None:
+            raise serving.exception
+        if not exchange.finished:
+            await exchange.abort()
 
     async def _serve_in_time(
         self, run: request_run.RequestRun, admitted: request_run.Admitted
     ) -> None:
         left_s = admitted.deadline_at - time.monotonic()
         try:
-            await curio.timeout_after(max(left_s, 0.0), run.serve)
-        except curio.TaskTimeout:
-            run.end_ticket(placement_messages.RunEnd.CANCELLED)
-            await run.time_out()
+            try:
+                await curio.timeout_after(max(left_s, 0.0), run.serve)
+            except curio.TaskTimeout:
+                run.end_ticket(placement_messages.RunEnd.CANCELLED)
+                await run.time_out()
+        except errors.CallerGoneError:
+            run.note_caller_gone()
 
     async def _refuse(
         self, exchange: http_server.Exchange, error: errors.RequestRefusedError
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -54,11 +54,16 @@
     deadline_at: float
 
 
+CLOSED_STATUS = 499
+"""Status in logs and metrics for a request whose caller went before its answer."""
+
+
 class Result(enum.StrEnum):
     """Say what became of a request."""
 
     ANSWERED = "answered"
     CUT = "cut"
+    CALLER_GONE = "caller_gone"
     REFUSED = "refused"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
@@ -117,6 +122,9 @@
     async def serve(self) -> None:
         """Place, send and relay until there is a final answer.
 
+        An answer that can't be completed is left to the caller of this to cut, since another
+        task may wait for the connection's end until then.
+
         Raises:
             errors.CallerGoneError: The caller can't be reached any more.
         """
@@ -148,6 +156,11 @@
             self._progress = self._progress.after(placement_messages.RunEnd.CANCELLED)
         await self._finish_without_answer(in_time=False)
 
+    def note_caller_gone(self) -> None:
+        """Note that there is nobody left to be answered."""
+        self.trace.result = Result.CALLER_GONE
+        self.trace.status = CLOSED_STATUS
+
     def end_ticket(self, end: placement_messages.RunEnd) -> None:
         """Tell the owner that the attempt under way has ended."""
         if self._ticket_id:
@@ -311,7 +324,6 @@
         exchange = self._admitted.exchange
         if exchange.started:
             self.trace.result = Result.CUT
-            await exchange.abort()
             return
         status = attempt_policy.final_status(self._progress, in_time=in_time)
         self.trace.status = status
--- /dev/null
+++ b/tests/routed/routed_world.py
@@ -0,0 +1,226 @@
+"""Run a whole routed deployment inside one test: replicas, an entry host, upstreams, callers."""
+
+import contextlib
+import dataclasses
+import itertools
+import json
+import os
+import pathlib
+
+import curio
+
+from medlarfork import errors, http_client, http_server
+from medlarfork.coordination import coordinator_program, coordinator_settings, operations_format
+from medlarfork.gateway import gateway_program, gateway_settings, request_names
+from tests import curio_world
+
+NAMES = request_names.RequestNames()
+HTTP_PORT = 7001
+DIRECTORY_PORT = 7002
+LINK_PORT = 7003
+ENTRY_PORT = 7004
+HEALTH_PORT = 7005
+UPSTREAM_PORT = 7006
+_NETWORKS = itertools.count(1)
+
+
+@dataclasses.dataclass
+class Seen:
+    """Hold one request as an upstream got it."""
+
+    head: http_server.RequestHead
+    body: bytes
+
+
+class Upstream:
+    """Answer requests as a test says, and announce itself.
+
+    An answer that the test's function leaves unfinished is cut.
+    """
+
+    def __init__(self, world, number, answer):
+        self.address = f"{world.network}.{100 + number}:{UPSTREAM_PORT}"
+        self.upstream_id = f"u-{number}"
+        self.seen = []
+        self.cancelled = 0
+        self._world = world
+        self._answer = answer
+        host = self.address.partition(":")[0]
+        self._server = http_server.HttpServer(self._serve, host=host, port=UPSTREAM_PORT)
+
+    async def start(self):
+        await self._server.start()
+        await self.announce()
+
+    async def announce(self, **changes):
+        announced = {
+            "upstream_id": self.upstream_id,
+            "service": "engines",
+            "address": self.address,
+            "zone": "z1",
+            "slots": 4,
+            "sequence": 1,
+        }
+        return await self._world.ask_control(
+            0, "PUT", f"/v1/upstreams/{self.upstream_id}", json.dumps(announced | changes)
+        )
+
+    async def close(self):
+        await self._server.close(within_s=0.0)
+
+    async def _serve(self, exchange):
+        self.seen.append(Seen(exchange.head, await exchange.read_body()))
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                answering = await group.spawn(self._answer, exchange)
+                await group.spawn(exchange.wait_caller_gone)
+            if group.completed is not answering:
+                self.cancelled += 1
+            if not exchange.finished:
+                await exchange.abort()
+        except errors.CallerGoneError:
+            self.cancelled += 1
+
+
+def echo_headers(exchange, **more):
+    """Return the headers of an answer that belongs to its request."""
+    attempt_id = exchange.head.headers.get(NAMES.attempt_id, "")
+    return {NAMES.attempt_id: attempt_id, NAMES.seal: "seal-1"} | more
+
+
+async def answer_plainly(exchange):
+    await exchange.respond(200, echo_headers(exchange), b"done")
+
+
+class World:
+    """Own the processes of a deployment, all in the test's own curio kernel."""
+
+    def __init__(self, folder, replicas=3):
+        self.network = f"127.{10 + os.getpid() % 200}.{next(_NETWORKS) % 250}"
+        self.folder = pathlib.Path(folder)
+        self.client = http_client.HttpClient()
+        self.replica_ids = tuple(f"{self.network}.{n + 1}" for n in range(replicas))
+        self.control_by_id = {}
+        self.entry = None
+        self.upstreams = []
+
+    async def start(self):
+        await self.client.start()
+        for replica_id in self.replica_ids:
+            await self.start_replica(replica_id, may_found=True)
+        await self.start_entry()
+
+    async def start_replica(self, replica_id, *, may_found=False):
+        given = coordinator_settings.CoordinatorSettings(
+            replica_id=replica_id,
+            serve=f"{replica_id}:{HTTP_PORT}",
+            directory=f"{replica_id}:{DIRECTORY_PORT}",
+            link_port=LINK_PORT,
+            seeds=self.replica_ids[:3],
+            may_found=may_found,
+            data_folder=str(self.folder / replica_id),
+        )
+        speaks = operations_format.OwnFormat(http_port=HTTP_PORT)
+        program = coordinator_program.CoordinatorProgram(
+            given, speaks=speaks, read_seeds=lambda: self.replica_ids[:3]
+        )
+        await program.start()
+        self.control_by_id[replica_id] = program
+
+    async def start_entry(self):
+        host = f"{self.network}.50"
+        given = gateway_settings.GatewaySettings(
+            entry_id=host,
+            zone="z1",
+            serve=f"{host}:{ENTRY_PORT}",
+            health=f"{host}:{HEALTH_PORT}",
+            link_host=host,
+            link_port=LINK_PORT,
+            replica_link_port=LINK_PORT,
+            seeds=self.replica_ids[:3],
+            grace_s=2.0,
+        )
+        self.entry = gateway_program.GatewayProgram(
+            given,
+            names=NAMES,
+            decode=operations_format.OwnFormat(http_port=HTTP_PORT).decode_routing,
+            read_seeds=lambda: self.replica_ids[:3],
+        )
+        await self.entry.start()
+
+    async def add_upstream(self, answer=answer_plainly):
+        upstream = Upstream(self, len(self.upstreams) + 1, answer)
+        self.upstreams.append(upstream)
+        await upstream.start()
+        return upstream
+
+    async def close(self):
+        await self.client.close()
+        if self.entry is not None:
+            await self.entry.close()
+        for program in self.control_by_id.values():
+            await program.close()
+        for upstream in self.upstreams:
+            await upstream.close()
+
+    async def ask_control(self, number, method, target, body="", *, port=HTTP_PORT):
+        """Ask one replica, and the leader if it names one."""
+        address = f"http://{self.replica_ids[number]}:{port}"
+        for _ in range(3):
+            response = await self.client.request(address, method, target, {}, body.encode())
+            answer = response.status, await response.read()
+            if response.status != 307:
+                break
+            address = response.headers["location"].removesuffix(target)
+        return answer
+
+    async def put_routing(self, version=1, **route):
+        """Put one route to the service ``engines`` in force, and wait for the entry host."""
+        body = json.dumps(routing_body(version, **route))
+        for _ in range(200):
+            status, _ = await self.ask_control(0, "PUT", "/v1/routing", body)
+            if status != 503:
+                break
+            await curio.sleep(0.05)
+        assert status == 200
+        await curio_world.until(lambda: self.entry._session.routing_version >= version)
+
+    async def until_upstreams(self, count):
+        await curio_world.until(lambda: len(self.entry._session.upstream_by_id) == count)
+
+    async def call(self, path="/p/x", method="POST", body=b"q", **headers):
+        """Send a request as a caller does."""
+        address = f"http://{self.network}.50:{ENTRY_PORT}"
+        sent = {"host": "a.example", NAMES.attempt_id: "attempt-1"} | headers
+        return await self.client.request(address, method, path, sent, body)
+
+
+def routing_body(version, *, accounts=(), **route):
+    """Return a version of the routing with one route, as operators send it."""
+    declared = {
+        "name": "r",
+        "host": "a.example",
+        "path_prefix": "/p/",
+        "kind": "safe",
+        "timeout_ms": 3000,
+        "targets": [{"service": "engines"}],
+    }
+    return {
+        "version": version,
+        "routes": [declared | route],
+        "services": [{"name": "engines"}],
+        "accounts": accounts,
+    }
+
+
+def run(folder, main, *, replicas=3):
+    """Run a test's body with a deployment that has started."""
+
+    async def in_world():
+        world = World(folder, replicas)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(world.close)
+            await world.start()
+            await main(world)
+
+    curio_world.run(in_world)
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -37,9 +37,7 @@
 
 
 def test_streams_with_tight_pauses_keep_away_from_long_reading(make_owner, make_question):
-    """A long prompt on one engine, then many short streams that allow 200 ms: the load on which
-    least-outstanding placement lost two fifths of the short streams.
-    """
+    # On this load, least-outstanding placement lost two fifths of the short streams.
     owner = make_owner(slots=64)
     long_at = _placed(owner.place("e", make_question("long", LONG, gap_ms=800.0), 0.0))
     short = [
--- /dev/null
+++ b/tests/routed/test_routed_deployment.py
@@ -0,0 +1,321 @@
+"""Requests through a whole deployment: HTTP on both sides, links and logs in between."""
+
+import json
+
+import curio
+import pytest
+
+from medlarfork import errors, http_server
+from tests import curio_world
+from tests.routed import routed_world
+from tests.routed.routed_world import NAMES
+
+
+def test_a_request_reaches_its_upstream_and_the_answer_comes_back(tmp_path):
+    async def main(world):
+        upstream = await world.add_upstream()
+        await world.put_routing(accounts=[{"name": "shop", "api_keys": ["k-1"]}])
+        await world.until_upstreams(1)
+        response = await world.call(
+            "/p/x?q=1",
+            authorization="Bearer k-1",
+            **{NAMES.account: "forged", NAMES.deadline_ms: "900"},
+        )
+        assert (response.status, await response.read()) == (200, b"done")
+        assert response.headers[NAMES.seal] == "seal-1"
+        (seen,) = upstream.seen
+        assert (seen.head.path, seen.head.query, seen.body) == ("/p/x", "q=1", b"q")
+        assert seen.head.headers[NAMES.account] == "shop"
+        assert seen.head.headers[NAMES.expected_upstream] == "u-1"
+        assert 0 < int(seen.head.headers[NAMES.deadline_ms]) < 900
+        assert "authorization" not in seen.head.headers
+
+    routed_world.run(tmp_path, main)
+
+
+def test_requests_are_refused_for_what_is_wrong_with_them(tmp_path):
+    async def main(world):
+        assert (await world.call()).status == 503
+        await world.put_routing(accounts=[{"name": "shop", "api_keys": ["k-1"]}])
+        assert (await world.call(authorization="Bearer no")).status == 401
+        assert (await world.call("/none/")).status == 404
+        response = await world.call(authorization="Bearer k-1")
+        assert response.status == 503
+        assert float(response.headers["retry-after"]) > 0
+
+    routed_world.run(tmp_path, main)
+
+
+@pytest.mark.parametrize(("kind", "status", "runs"), [("safe", 200, 2), ("unsafe", 502, 1)])
+def test_a_lost_answer_is_tried_elsewhere_only_if_that_does_no_harm(tmp_path, kind, status, runs):
+    async def main(world):
+        ran = []
+
+        async def fail_once(exchange):
+            ran.append(1)
+            if len(ran) == 1:
+                return
+            await routed_world.answer_plainly(exchange)
+
+        await world.add_upstream(fail_once)
+        await world.add_upstream(fail_once)
+        await world.put_routing(kind=kind, max_attempts=2)
+        await world.until_upstreams(2)
+        assert (await world.call()).status == status
+        assert len(ran) == runs
+
+    routed_world.run(tmp_path, main)
+
+
+def test_a_request_that_was_not_executed_is_sent_elsewhere(tmp_path):
+    async def main(world):
+        refused = []
+
+        async def refuse_once(exchange):
+            if not refused:
+                refused.append(1)
+                headers = routed_world.echo_headers(exchange, **{NAMES.not_executed: "1"})
+                await exchange.respond(503, headers, b"full")
+                return
+            await routed_world.answer_plainly(exchange)
+
+        await world.add_upstream(refuse_once)
+        await world.add_upstream(refuse_once)
+        await world.put_routing(kind="unsafe")
+        await world.until_upstreams(2)
+        assert (await world.call()).status == 200
+
+    routed_world.run(tmp_path, main)
+
+
+def test_a_success_that_belongs_to_another_request_is_not_passed_on(tmp_path):
+    async def main(world):
+        async def answer_another(exchange):
+            await exchange.respond(200, {NAMES.attempt_id: "another"}, b"foreign")
+
+        await world.add_upstream(answer_another)
+        await world.put_routing(kind="unsafe")
+        await world.until_upstreams(1)
+        response = await world.call()
+        assert response.status == 502
+        assert b"foreign" not in await response.read()
+
+    routed_world.run(tmp_path, main)
+
+
+def _event(number):
+    return f"id: {number}\ndata: d{number}\n\n".encode()
+
+
+def _stream(events, *, break_after=None):
+    async def answer(exchange):
+        first = int(exchange.head.headers.get(NAMES.last_event_id, "0")) + 1
+        headers = routed_world.echo_headers(exchange, **{"content-type": "text/event-stream"})
+        await exchange.begin(200, headers)
+        for number in range(first, events + 1):
+            if break_after is not None and number > break_after:
+                await exchange.send(_event(number)[:6])
+                await curio.sleep(0.05)
+                return
+            await exchange.send(_event(number))
+        await exchange.finish()
+
+    return answer
+
+
+def test_a_broken_stream_goes_on_at_another_upstream(tmp_path):
+    async def main(world):
+        answers = [_stream(5, break_after=2), _stream(5)]
+
+        async def next_answer(exchange):
+            await answers.pop(0)(exchange)
+
+        await world.add_upstream(next_answer)
+        await world.add_upstream(next_answer)
+        await world.put_routing(kind="streaming", may_resume=True, max_attempts=2)
+        await world.until_upstreams(2)
+        response = await world.call()
+        assert await response.read() == b"".join(_event(number) for number in range(1, 6))
+
+    routed_world.run(tmp_path, main)
+
+
+def test_a_broken_stream_that_can_not_go_on_does_not_look_complete(tmp_path):
+    async def main(world):
+        upstream = await world.add_upstream(_stream(5, break_after=2))
+        await world.put_routing(kind="streaming")
+        await world.until_upstreams(1)
+        response = await world.call()
+        with pytest.raises(errors.UpstreamError):
+            await response.read()
+        assert len(upstream.seen) == 1
+
+    routed_world.run(tmp_path, main)
+
+
+async def _stall(exchange):
+    headers = routed_world.echo_headers(exchange, **{"content-type": "text/event-stream"})
+    await exchange.begin(200, headers)
+    await exchange.send(_event(1))
+    await curio.sleep(60)
+
+
+@pytest.fixture
+def cut_while_waited_for(monkeypatch):
+    """Collect the connections that are cut while a task waits for their callers' end."""
+    waited_for = set()
+    collected = []
+    wait, abort = http_server.Exchange.wait_caller_gone, http_server.Exchange.abort
+
+    async def noted_wait(exchange):
+        waited_for.add(exchange)
+        try:
+            await wait(exchange)
+        finally:
+            waited_for.discard(exchange)
+
+    async def noted_abort(exchange):
+        if exchange in waited_for:
+            collected.append(exchange)
+        await abort(exchange)
+
+    monkeypatch.setattr(http_server.Exchange, "wait_caller_gone", noted_wait)
+    monkeypatch.setattr(http_server.Exchange, "abort", noted_abort)
+    return collected
+
+
+def test_a_stream_that_outlasts_its_route_is_cut_when_nobody_waits_for_it_any_more(
+    tmp_path, cut_while_waited_for
+):
+    # Cutting from a task beside the one that waits for the caller's end once ended the process: the
+    # next connection got the closed descriptor's number, and the kernel mixed the two up.
+
+    async def main(world):
+        upstream = await world.add_upstream(_stall)
+        await world.put_routing(kind="streaming", timeout_ms=300)
+        await world.until_upstreams(1)
+        for _ in range(4):
+            response = await world.call()
+            with pytest.raises(errors.UpstreamError):
+                await response.read()
+            assert (await world.call("/none/")).status == 404
+        await curio_world.until(lambda: upstream.cancelled == 4)
+        assert cut_while_waited_for == []
+
+    routed_world.run(tmp_path, main)
+
+
+def test_an_answer_that_does_not_come_in_time_is_given_up_at_the_timeout(tmp_path):
+    async def main(world):
+        async def sleep(exchange):
+            await curio.sleep(60)
+
+        upstream = await world.add_upstream(sleep)
+        await world.put_routing(kind="unsafe", timeout_ms=300)
+        await world.until_upstreams(1)
+        assert (await world.call()).status == 504
+        await curio_world.until(lambda: upstream.cancelled == 1)
+
+    routed_world.run(tmp_path, main)
+
+
+def test_the_upstream_stops_when_the_caller_has_gone(tmp_path):
+    async def main(world):
+        upstream = await world.add_upstream(_stall)
+        await world.put_routing(kind="streaming")
+        await world.until_upstreams(1)
+        response = await world.call()
+        await response.close()
+        await curio_world.until(lambda: upstream.cancelled == 1)
+
+    routed_world.run(tmp_path, main)
+
+
+def test_a_leaving_upstream_gets_nothing_once_that_is_acknowledged(tmp_path):
+    async def main(world):
+        first = await world.add_upstream()
+        second = await world.add_upstream()
+        await world.put_routing()
+        await world.until_upstreams(2)
+        status, _ = await first.announce(is_leaving=True, sequence=2)
+        assert status == 200
+        await world.until_upstreams(1)
+        for _ in range(6):
+            assert (await world.call()).status == 200
+        assert first.seen == []
+        assert len(second.seen) == 6
+
+    routed_world.run(tmp_path, main)
+
+
+def test_requests_go_on_without_the_leader(tmp_path):
+    async def main(world):
+        upstream = await world.add_upstream()
+        await world.put_routing()
+        await world.until_upstreams(1)
+        leader = world.entry._session._leader_id
+        await world.control_by_id.pop(leader).close()
+        for _ in range(5):
+            assert (await world.call()).status == 200
+            await curio.sleep(0.1)
+        assert len(upstream.seen) == 5
+
+    routed_world.run(tmp_path, main)
+
+
+def test_the_directory_names_a_ready_entry_host_and_not_a_stopping_one(tmp_path):
+    async def main(world):
+        port = routed_world.DIRECTORY_PORT
+        assert (await world.ask_control(0, "GET", "/v1/entries?zone=z1", port=port))[0] == 503
+        await world.put_routing()
+        for _ in range(100):
+            status, body = await world.ask_control(1, "GET", "/v1/entries?zone=z1", port=port)
+            if status == 200:
+                break
+            await curio.sleep(0.05)
+        assert json.loads(body)["addresses"] == [f"{world.network}.50:{routed_world.ENTRY_PORT}"]
+        stopping = await curio.spawn(world.entry.stop)
+        await curio.sleep(0.3)
+        assert (await world.ask_control(1, "GET", "/v1/entries?zone=z1", port=port))[0] == 503
+        assert (await world.call("/none/")).status == 404
+        await stopping.join()
+
+    routed_world.run(tmp_path, main)
+
+
+def test_versions_only_go_up_and_invalid_ones_change_nothing(tmp_path):
+    async def main(world):
+        await world.put_routing(5)
+        for version, changes, expected in (
+            (5, {"name": "other"}, 200),
+            (4, {}, 200),
+            (9, {"timeout_ms": 0}, 400),
+            (9, {"targets": [{"service": "nobody"}]}, 400),
+        ):
+            body = json.dumps(routed_world.routing_body(version, **changes))
+            assert (await world.ask_control(1, "PUT", "/v1/routing", body))[0] == expected
+        assert (await world.ask_control(2, "PUT", "/v1/routing", '{"version": 9'))[0] == 400
+        status, body = await world.ask_control(2, "GET", "/v1/routing")
+        assert (status, json.loads(body)) == (200, routed_world.routing_body(5) | {"accounts": []})
+
+    routed_world.run(tmp_path, main)
+
+
+def test_a_replica_with_an_empty_disk_joins_and_an_added_one_too(tmp_path):
+    async def main(world):
+        await world.put_routing(3)
+        lost, *_ = (item for item in world.replica_ids if item != world.entry._session._leader_id)
+        await world.control_by_id.pop(lost).close()
+        for path in (tmp_path / lost).iterdir():
+            path.unlink()
+        await world.start_replica(lost)
+        added = f"{world.network}.9"
+        await world.start_replica(added)
+
+        def voters():
+            status = world.control_by_id[added]._runner._node._replica.status
+            return () if status.voters is None else status.voters.voters
+
+        await curio_world.until(lambda: set(voters()) == {*world.replica_ids, added})
+
+    routed_world.run(tmp_path, main)
