Hold long prompts with the owner; give up engines that stand still and streams that fall silent

Long prompts sent on at once are read side by side, and every stream there advances by a token a chunk.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -34,6 +34,10 @@
 TICK_S = 0.1
 """How often timed work is looked at, in seconds: a fraction of every limit that rests on it."""
 
+PLACEMENT_PERIOD_S = 0.02
+"""How often requests that wait are looked at, in seconds: a fifth of the reading that an engine
+may have ahead, so that none idles."""
+
 STATUS_PERIOD_S = 0.4
 """How often each entry host is told what this replica believes, in seconds."""
 
@@ -82,6 +86,7 @@
         self._term = 0
         self._status_due = -math.inf
         self._tick_due = -math.inf
+        self._placement_due = -math.inf
         self._entry_ids: frozenset[str] = frozenset()
         self._actions: list[Any] = []
         self._now = 0.0
@@ -100,6 +105,7 @@
             case _:
                 self._run_log(event)
         self._push_view()
+        self._serve_waiting()
         if now >= self._tick_due:
             self._tick()
         return tuple(self._actions)
@@ -269,7 +275,6 @@
         self._actions += self._routing_desk.expire(self._now)
         self._actions += self._upstreams.on_time(self._members.peers, self._now)
         self._push_view()
-        self._actions += self._owner.on_time(self._now)
         self._drop_lost_entries()
         for action in self._members.on_time(self._replica.status, leads=self.leads, now=self._now):
             if isinstance(action, replica_types.ChangeVoters):
@@ -286,6 +291,14 @@
             self._push_routing()
         self._actions.append(node.Wake(self._tick_due))
 
+    def _serve_waiting(self) -> None:
+        """Look at the requests that wait, at most once in a while."""
+        if self._now < self._placement_due or not self._owner.has_waiting:
+            return
+        self._actions += self._owner.on_time(self._now)
+        self._placement_due = self._now + PLACEMENT_PERIOD_S
+        self._actions.append(node.Wake(self._placement_due))
+
     def _drop_lost_entries(self) -> None:
         present = self._entries.status_by_id(self._now)
         for entry_id in self._entry_ids - present.keys():
--- a/src/medlarfork/gateway/attempt_policy.py
+++ b/src/medlarfork/gateway/attempt_policy.py
@@ -22,6 +22,15 @@
 answer over two links in less."""
 
 
+LEAST_SILENCE_S = 1.0
+"""Shortest silence in a stream that is taken for a failure, in seconds: several times the longest
+pause that reading beside the stream causes."""
+
+SILENCE_FACTOR = 1.5
+"""The same as a multiple of the pause that callers expect at most: beyond it the stream is late
+anyway."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Progress:
     """Hold how far a request has come.
@@ -54,6 +63,11 @@
     return route.may_repeat and progress.runs < route.max_attempts
 
 
+def longest_silence_s(route: routing.Route) -> float:
+    """Return the silence after which a stream that can go on elsewhere is given up."""
+    return max(LEAST_SILENCE_S, SILENCE_FACTOR * route.gap_ms / 1000.0)
+
+
 def final_status(progress: Progress, *, in_time: bool) -> int:
     """Return the status that tells the caller truthfully what became of its request."""
     if progress.runs == 0:
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -9,6 +9,8 @@
 import enum
 import time
 
+import curio
+
 from medlarfork import _http_messages, errors, http_client, http_server, sse
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import (
@@ -293,7 +295,7 @@
     async def _relay_stream(self, response: http_client.Response) -> None:
         """Pass on events as they come, each only when it is whole."""
         exchange = self._admitted.exchange
-        while chunk := await response.next_chunk():
+        while chunk := await self._next_chunk(response):
             whole = self._cutter.feed(chunk)
             if not whole:
                 continue
@@ -306,6 +308,25 @@
         await exchange.finish()
         self._finish(Result.ANSWERED, response.status)
 
+    async def _next_chunk(self, response: http_client.Response) -> bytes:
+        """Return the next bytes; give an upstream up that is silent, if another may go on.
+
+        Raises:
+            errors.UpstreamError: The stream is broken or silent.
+        """
+        after = self._progress.after(placement_messages.RunEnd.FAILED)
+        may_go_on = attempt_policy.may_try_again(self._admitted.route, after, self._left_ms)
+        if not (self._progress.answer_begun and may_go_on):
+            return await response.next_chunk()
+        silence_s = attempt_policy.longest_silence_s(self._admitted.route)
+        try:
+            return await curio.timeout_after(silence_s, response.next_chunk)
+        except curio.TaskTimeout as error:
+            raise errors.UpstreamError(
+                f"The upstream was silent for {silence_s:.3g} s in the middle of a stream.",
+                remedy="See whether the upstream runs and can be reached from this host.",
+            ) from error
+
     async def _begin_stream(self, response: http_client.Response) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
         self._tools.owner.first_event(self._ticket_id, after_ms)
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -62,6 +62,11 @@
                 self._owner(request.service).on_still_running(entry_id, message, now)
         return ()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether a request waits, so that ``on_time`` has to be called often."""
+        return any(owner.waiting for owner in self._owner_by_service.values())
+
     def on_time(self, now: float) -> tuple[node.Send, ...]:
         """Refuse those whose time is over."""
         answers: list[service_owner.Answer] = []
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -27,6 +27,9 @@
 """Share of the tightest stream's allowed pause that reading may fill: the step that produces the
 event's tokens and the reading under way share the pause. 60 to 100 of 200 ms measured best."""
 
+LONG_READ_MS = 50.0
+"""Reading that delays streams noticeably, in milliseconds: more than a chunk and a half."""
+
 APART_MS = 80.0
 """Cost of bringing the first tight stream to an engine, which long prompts then have to avoid."""
 
@@ -62,10 +65,14 @@
         wait_ms: Reading placed there before, which the request waits for.
         read_ms: The request's own reading.
         read_tokens: The same in tokens.
+        rest_ms: Time for which streams there are to be left without long reading.
+        stall_ms: By how much its reading exceeds what tight streams there allow, over all of them.
     """
 
     total_ms: float
     wait_ms: float
+    rest_ms: float
+    stall_ms: float
     read_ms: float
     read_tokens: int
 
@@ -88,17 +95,19 @@
     """
     read_tokens = load.cache.uncached_tokens(request.parts)
     read_ms = read_tokens / reading.tokens_per_ms
-    wait_ms = max(0.0, load.read_until - now) * 1000.0
-    total_ms = wait_ms + READ_WEIGHT * read_ms
+    wait_ms = load.backlog_ms(now)
+    rest_ms = load.rest_ms(now) if read_ms > LONG_READ_MS else 0.0
+    total_ms = wait_ms + rest_ms + READ_WEIGHT * read_ms
     total_ms += REREAD_MS * load.cache.missing_tokens(request.parts, held_elsewhere)
-    total_ms += _stall_ms(load, wait_ms + read_ms, reading.tight_ms)
+    stall_ms = _stall_ms(load, wait_ms + read_ms, reading.tight_ms)
+    total_ms += stall_ms
     if 0 < request.gap_ms <= reading.tight_ms and not load.has_tight(reading.tight_ms):
         total_ms += APART_MS
     total_ms += RUN_MS * len(load.run_by_ticket)
     total_ms += FAILURE_MS * load.failed_share
     if request.zone != load.announcement.zone:
         total_ms += OTHER_ZONE_MS
-    return Cost(total_ms, wait_ms, read_ms, read_tokens)
+    return Cost(total_ms, wait_ms, rest_ms, stall_ms, read_ms, read_tokens)
 
 
 def _stall_ms(load: upstream_load.UpstreamLoad, reading_ms: float, tight_ms: float) -> float:
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -10,6 +10,7 @@
     placement_cost,
     placement_messages,
     read_rate,
+    start_rules,
     upstream_load,
 )
 from medlarfork.routes import routing
@@ -47,8 +48,14 @@
 
     @property
     def until(self) -> float:
+        """Return when its caller gives up."""
         return self.since + self.request.left_ms / 1000.0
 
+    @property
+    def order(self) -> tuple[int, float]:
+        """Return what it is ordered by: its tier, then when its caller expects it to begin."""
+        return self.request.tier, self.since + self.request.target_ms / 1000.0
+
 
 class ServiceOwner:
     """Decide for one service; pure, the time is handed in."""
@@ -92,25 +99,31 @@
         """Place a request at once, let it wait, or refuse it."""
         if request.ticket_id in self._waiting_by_ticket:
             return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
-        answer = self._try(entry_id, request, now)
+        waiting = _Waiting(entry_id, request, now)
+        answer = self._try(waiting, now)
         if answer is not None:
             return (answer,)
         if len(self._waiting_by_ticket) >= MOST_WAITING:
-            return (self._refuse(entry_id, request, "too many requests wait already"),)
-        self._waiting_by_ticket[request.ticket_id] = _Waiting(entry_id, request, now)
+            why = "too many requests wait already"
+            return (self._refuse(waiting, why, SHORTEST_RETRY_MS),)
+        predicted_ms = self._predicted_wait_ms(waiting, now)
+        read_ms = self._least_read_ms(request)
+        if start_rules.is_hopeless(request, predicted_ms, read_ms):
+            why = f"it would wait about {predicted_ms:.0f} ms"
+            after_ms = start_rules.retry_after_ms(request, predicted_ms, SHORTEST_RETRY_MS)
+            return (self._refuse(waiting, why, after_ms),)
+        self._waiting_by_ticket[request.ticket_id] = waiting
         return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
 
     def on_first_event(self, message: placement_messages.FirstEvent, now: float) -> None:
         """Learn from the time to a first event."""
         for load in self.load_by_id.values():
             run = load.run_by_ticket.get(message.ticket_id)
-            if run is None or run.has_begun:
+            if run is None:
                 continue
-            run.has_begun = True
-            if run.read_alone:
-                self.rate.learn(run.read_tokens, message.after_ms)
-            if all(other.has_begun for other in load.run_by_ticket.values()):
-                load.read_until = min(load.read_until, now)
+            begun = load.begin(message.ticket_id, start_rules.rest_ms(run.read_ms), now)
+            if begun is not None and begun.read_alone:
+                self.rate.learn(begun.read_tokens, message.after_ms)
 
     def on_ended(self, message: placement_messages.RunEnded, now: float) -> tuple[Answer, ...]:
         """Free the slot of a run that ended, or drop a request that does not wait any more."""
@@ -126,8 +139,10 @@
         load = self.load_by_id.get(message.upstream_id)
         if load is None or message.request.ticket_id in load.run_by_ticket:
             return
-        run = upstream_load.Run(entry_id, message.request, 0, read_alone=False, has_begun=True)
-        load.add(run, 0.0, now)
+        run = upstream_load.Run(
+            entry_id, message.request, 0, 0.0, read_alone=False, has_begun=True
+        )
+        load.add(run, now)
 
     def forget_entry(self, entry_id: str, now: float) -> tuple[Answer, ...]:
         """Free what a lost entry host held; its upstream connections are gone with it."""
@@ -145,29 +160,25 @@
         return self.serve_waiting(now)
 
     def serve_waiting(self, now: float) -> tuple[Answer, ...]:
-        """Place those that wait, the highest tier and the least time left first."""
+        """Start those that can: the highest tier first, then the nearest target."""
         answers: list[Answer] = []
-        order = sorted(
-            self._waiting_by_ticket.values(),
-            key=lambda waiting: (waiting.request.tier, waiting.until),
-        )
+        order = sorted(self._waiting_by_ticket.values(), key=lambda waiting: waiting.order)
         for waiting in order:
             ticket_id = waiting.request.ticket_id
             if waiting.until <= now:
                 del self._waiting_by_ticket[ticket_id]
-                why = "no slot became free in time"
-                answers.append(self._refuse(waiting.entry_id, waiting.request, why))
+                why = "it could not begin in time"
+                answers.append(self._refuse(waiting, why, SHORTEST_RETRY_MS))
                 continue
-            answer = self._try(waiting.entry_id, waiting.request, now)
+            answer = self._try(waiting, now)
             if answer is not None:
                 del self._waiting_by_ticket[ticket_id]
                 answers.append(answer)
         return tuple(answers)
 
-    def _try(
-        self, entry_id: str, request: placement_messages.PlaceRequest, now: float
-    ) -> Answer | None:
+    def _try(self, waiting: _Waiting, now: float) -> Answer | None:
         """Return the placement, or None if the request has to wait."""
+        request = waiting.request
         reading = placement_cost.Reading(
             self.rate.tokens_per_ms, self.rate.tight_ms(self._event_tokens)
         )
@@ -180,13 +191,54 @@
                 best, best_cost = load, found
         if best is None or best_cost is None:
             return None
+        waited_ms = (now - waiting.since) * 1000.0
+        slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms)
+        if request.parts and not start_rules.may_start(best_cost, slack_ms):
+            return None
+        return self._start(waiting, best, best_cost, now)
+
+    def _start(
+        self,
+        waiting: _Waiting,
+        load: upstream_load.UpstreamLoad,
+        cost: placement_cost.Cost,
+        now: float,
+    ) -> Answer:
+        request = waiting.request
         run = upstream_load.Run(
-            entry_id, request, best_cost.read_tokens, read_alone=best_cost.wait_ms <= 0.0
+            waiting.entry_id,
+            request,
+            cost.read_tokens,
+            cost.read_ms,
+            read_alone=cost.wait_ms <= 0.0,
         )
-        best.add(run, best_cost.read_ms, now)
+        load.add(run, now)
         self._note_read(request, now)
-        placed = placement_messages.Placed(request.ticket_id, best.announcement.upstream_id)
-        return Answer(entry_id, placed)
+        placed = placement_messages.Placed(request.ticket_id, load.announcement.upstream_id)
+        return Answer(waiting.entry_id, placed)
+
+    def _predicted_wait_ms(self, waiting: _Waiting, now: float) -> float:
+        """Return how long a request that comes now would wait, by the reading ahead of it.
+
+        That is what waits and goes before it, shared by all engines, and then the engine that has
+        least to read.
+        """
+        ahead_ms = sum(
+            self._least_read_ms(other.request)
+            for other in self._waiting_by_ticket.values()
+            if other.order < waiting.order
+        )
+        ahead_ms /= start_rules.READ_SHARE * max(len(self.load_by_id), 1)
+        backlogs = (load.backlog_ms(now) for load in self.load_by_id.values())
+        return ahead_ms + min(backlogs, default=0.0)
+
+    def _least_read_ms(self, request: placement_messages.PlaceRequest) -> float:
+        """Return how long reading takes on the engine that holds most of the prompt."""
+        tokens = min(
+            (load.cache.uncached_tokens(request.parts) for load in self.load_by_id.values()),
+            default=sum(part.tokens for part in request.parts),
+        )
+        return tokens / self.rate.tokens_per_ms
 
     def _held_parts(self, request: placement_messages.PlaceRequest, now: float) -> frozenset[str]:
         """Return the shared parts of a prompt that some engine has read lately."""
@@ -216,6 +268,7 @@
         sound = [load for load in free if not load.is_pausing(now)]
         return sound or free
 
-    def _refuse(self, entry_id: str, request: placement_messages.PlaceRequest, why: str) -> Answer:
-        refused = placement_messages.PlaceRefused(request.ticket_id, SHORTEST_RETRY_MS, why)
-        return Answer(entry_id, refused)
+    def _refuse(self, waiting: _Waiting, why: str, retry_after_ms: float) -> Answer:
+        ticket_id = waiting.request.ticket_id
+        refused = placement_messages.PlaceRefused(ticket_id, retry_after_ms, why)
+        return Answer(waiting.entry_id, refused)
--- /dev/null
+++ b/src/medlarfork/placement/start_rules.py
@@ -0,0 +1,69 @@
+"""Decide whether a request starts now, waits with the owner, or is refused: pure arithmetic.
+
+The load that this answers: more long prompts than the engines can read. Sent on at once, they would
+all be read side by side; every step then takes as long as reading a chunk, streams run at an eighth
+of their speed, slots fill, and even the shortest request waits for seconds. Held by the owner, they
+start in the order of their tiers, each when its engine can read it at once, and those that can't
+begin in time are told so while coming back is still of use.
+"""
+
+from __future__ import annotations
+
+from medlarfork.placement import placement_cost, placement_messages
+
+READ_SHARE = 0.75
+"""Share of an engine's time that reading is given. Streams advance by about one token a chunk
+while it reads, and at their full speed in the rest; at a quarter of rest, the longest of the
+measured streams still end within their callers' time."""
+
+BACKLOG_MS = 100.0
+"""Reading that may be under way at an engine when another prompt is sent there: enough that it
+never idles for the way of an answer and the next question, which is a few milliseconds."""
+
+SHORT_BACKLOG_MS = 400.0
+"""The same for short prompts, in milliseconds: engines read the more urgent of them first."""
+
+PATIENCE = 0.7
+"""Share of a request's target up to which it waits for the engine that suits it best; the rest is
+kept for reading, the way, and errors of the prediction."""
+
+
+def slack_ms(request: placement_messages.PlaceRequest, read_ms: float, waited_ms: float) -> float:
+    """Return how much longer a request can wait for the best upstream, in milliseconds."""
+    return PATIENCE * request.target_ms - waited_ms - read_ms
+
+
+def may_start(cost: placement_cost.Cost, slack: float) -> bool:
+    """Say whether a request starts on the upstream that costs it least.
+
+    It waits while its engine has reading enough, and, as long as its target allows, also while its
+    own reading would make streams there late.
+    """
+    is_long = cost.read_ms > placement_cost.LONG_READ_MS
+    most_ms = BACKLOG_MS if is_long else SHORT_BACKLOG_MS
+    if cost.wait_ms + cost.rest_ms > most_ms:
+        return False
+    return slack <= 0 or cost.stall_ms <= 0
+
+
+def rest_ms(read_ms: float) -> float:
+    """Return how long streams are left without long reading after a prompt was read."""
+    if read_ms <= placement_cost.LONG_READ_MS:
+        return 0.0
+    return read_ms * (1.0 / READ_SHARE - 1.0)
+
+
+def is_hopeless(
+    request: placement_messages.PlaceRequest, predicted_wait_ms: float, read_ms: float
+) -> bool:
+    """Say whether a request that has just come would only begin after its target."""
+    if request.target_ms <= 0:
+        return False
+    return predicted_wait_ms + read_ms > request.target_ms
+
+
+def retry_after_ms(
+    request: placement_messages.PlaceRequest, predicted_wait_ms: float, shortest_ms: float
+) -> float:
+    """Return when coming back is of use: once the queue has drained to half of the target."""
+    return max(predicted_wait_ms - request.target_ms / 2.0, shortest_ms)
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -13,6 +13,13 @@
 LONGEST_PAUSE_S = 8.0
 """Longest such pause, in seconds; pauses double with each failure in a row."""
 
+STUCK_S = 0.4
+"""Time by which a first event may be late before its upstream counts as standing still, in
+seconds: more than any step and way take, and less than callers of the shortest targets wait."""
+
+STUCK_FACTOR = 3.0
+"""The same as a multiple of the reading's own time, for engines that read several at once."""
+
 FAILURE_MEMORY = 0.12
 """Weight of the latest end in the share of failures: about the last eight runs count."""
 
@@ -25,6 +32,7 @@
         entry_id: The entry host that sent it.
         request: What was asked.
         read_tokens: Prompt tokens that the upstream has to read.
+        read_ms: How long that takes, in milliseconds.
         read_alone: Whether no other reading was under way when it was placed.
         has_begun: Whether its first event came.
     """
@@ -32,6 +40,7 @@
     entry_id: str
     request: placement_messages.PlaceRequest
     read_tokens: int
+    read_ms: float
     read_alone: bool
     has_begun: bool = False
 
@@ -43,7 +52,6 @@
         announcement: What the upstream said of itself.
         cache: Parts of prompts that it holds.
         run_by_ticket: Requests that were placed there and have not ended.
-        read_until: When the reading placed there will be done, in monotonic seconds.
     """
 
     def __init__(self, announcement: upstream_types.Announcement, memory_tokens: int) -> None:
@@ -51,7 +59,9 @@
         self.announcement = announcement
         self.cache = prompt_cache.PromptCache(memory_tokens)
         self.run_by_ticket: dict[str, Run] = {}
-        self.read_until = 0.0
+        self._unread_by_ticket: dict[str, Run] = {}
+        self._reading_since = 0.0
+        self._rest_until = 0.0
         self.failed_share = 0.0
         self._failures_in_a_row = 0
         self._pause_until = 0.0
@@ -62,23 +72,66 @@
         return len(self.run_by_ticket) >= self.announcement.slots
 
     def is_pausing(self, now: float) -> bool:
-        """Return whether it failed lately and is given time."""
-        return now < self._pause_until
+        """Return whether it failed lately, or seems to stand still, and is given time."""
+        return now < self._pause_until or self._is_stuck(now)
+
+    def _is_stuck(self, now: float) -> bool:
+        """Return whether the prompt that is being read is far behind its time."""
+        if not self._unread_by_ticket:
+            return False
+        first = next(iter(self._unread_by_ticket.values()))
+        allowed_s = STUCK_S + STUCK_FACTOR * first.read_ms / 1000.0
+        return now - self._reading_since > allowed_s
 
     def has_tight(self, tight_ms: float) -> bool:
         """Return whether a stream runs there that allows no pause above ``tight_ms``."""
         return any(0 < run.request.gap_ms <= tight_ms for run in self.run_by_ticket.values())
 
-    def add(self, run: Run, read_ms: float, now: float) -> None:
+    def backlog_ms(self, now: float) -> float:
+        """Return how much reading is ahead there, by the runs whose first event has not come.
+
+        Of the prompt that is being read, no more than its own time is taken off however long ago
+        it began: an upstream that is slow, or stands still, is not thought to be free.
+        """
+        if not self._unread_by_ticket:
+            return 0.0
+        unread = iter(self._unread_by_ticket.values())
+        first_ms = next(unread).read_ms
+        left_ms = max(0.0, first_ms - (now - self._reading_since) * 1000.0)
+        return left_ms + sum(run.read_ms for run in unread)
+
+    def rest_ms(self, now: float) -> float:
+        """Return for how long the streams there are to be left without long reading."""
+        return max(0.0, self._rest_until - now) * 1000.0
+
+    def add(self, run: Run, now: float) -> None:
         """Place a run."""
         self.run_by_ticket[run.request.ticket_id] = run
-        self.read_until = max(self.read_until, now) + read_ms / 1000.0
+        if not run.has_begun and run.read_ms > 0:
+            if not self._unread_by_ticket:
+                self._reading_since = now
+            self._unread_by_ticket[run.request.ticket_id] = run
         self.cache.add(run.request.parts)
 
+    def begin(self, ticket_id: str, rest_ms: float, now: float) -> Run | None:
+        """Note a run's first event; return the run if it is its first one."""
+        run = self.run_by_ticket.get(ticket_id)
+        if run is None or run.has_begun:
+            return None
+        run.has_begun = True
+        self._stop_reading(ticket_id, now)
+        self._rest_until = max(self._rest_until, now + rest_ms / 1000.0)
+        return run
+
+    def _stop_reading(self, ticket_id: str, now: float) -> None:
+        if self._unread_by_ticket.pop(ticket_id, None) is not None:
+            self._reading_since = now
+
     def end(self, ticket_id: str, end: placement_messages.RunEnd, now: float) -> None:
         """Take a run off, and judge the upstream by how it ended."""
         if self.run_by_ticket.pop(ticket_id, None) is None:
             return
+        self._stop_reading(ticket_id, now)
         match end:
             case placement_messages.RunEnd.COMPLETE:
                 self._failures_in_a_row = 0
@@ -94,8 +147,6 @@
                 self._pause(now)
             case placement_messages.RunEnd.REJECTED:
                 self._pause_until = max(self._pause_until, now + FIRST_PAUSE_S / 2)
-        if not self.run_by_ticket:
-            self.read_until = min(self.read_until, now)
 
     def _pause(self, now: float) -> None:
         pause_s = FIRST_PAUSE_S * 2.0 ** (self._failures_in_a_row - 1)
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -103,6 +103,16 @@
     assert _placed(owner.place("e", make_question("c", excluded=("u-0",)), 0.2)) == "u-1"
 
 
+def test_an_engine_that_stands_still_gets_no_more_while_others_run(make_owner, make_question):
+    """Replay an engine that went dark with a prompt half read: short prompts followed it there."""
+    owner = make_owner(slots=64)
+    dark = _placed(owner.place("e", make_question("long", LONG, gap_ms=800.0), 0.0))
+    for n in range(20):
+        short = make_question(f"s{n}", ((f"p{n}", 100),), gap_ms=200.0)
+        assert _placed(owner.place("e", short, 2.0 + n)) != dark
+        owner.on_first_event(placement_messages.FirstEvent(f"s{n}", 20.0), 2.02 + n)
+
+
 def test_a_lost_entry_host_frees_its_slots(make_owner, make_question):
     owner = make_owner(count=1, slots=1)
     owner.place("lost", make_question("a"), 0.0)
--- a/tests/routed/test_routed_deployment.py
+++ b/tests/routed/test_routed_deployment.py
@@ -140,6 +140,24 @@
     routed_world.run(tmp_path, main)
 
 
+def test_a_stream_that_falls_silent_goes_on_at_another_upstream(tmp_path):
+    async def main(world):
+        answers = [_stall, _stream(3)]
+
+        async def next_answer(exchange):
+            await answers.pop(0)(exchange)
+
+        first = await world.add_upstream(next_answer)
+        second = await world.add_upstream(next_answer)
+        await world.put_routing(kind="streaming", may_resume=True, max_attempts=2, gap_ms=100)
+        await world.until_upstreams(2)
+        response = await world.call()
+        assert await response.read() == b"".join(_event(number) for number in range(1, 4))
+        assert first.cancelled + second.cancelled == 1
+
+    routed_world.run(tmp_path, main)
+
+
 def test_a_broken_stream_that_can_not_go_on_does_not_look_complete(tmp_path):
     async def main(world):
         upstream = await world.add_upstream(_stream(5, break_after=2))
