--- a/src/medlarfork/_disk_writer.py
+++ b/src/medlarfork/_disk_writer.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import collections
+import logging
 from collections.abc import Awaitable, Callable
 
 import curio
 
-from medlarfork import journal, node, replica_types
+from medlarfork import errors, journal, logs, node, replica_types
+
+_log = logging.getLogger(__name__)
+
+FULL_RETRY_S = 0.25
+"""Pause before a write that found no room is tried again, in seconds."""
 
 Write = node.Persist | replica_types.SaveSnapshot
 
@@ -64,7 +70,7 @@
         """Write what may share a sync and return the last one's token."""
         action = self._waiting.popleft()
         if isinstance(action, replica_types.SaveSnapshot):
-            await curio.run_in_thread(self._journal.save_snapshot, action.snapshot, action.records)
+            await self._until_room(self._journal.save_snapshot, action.snapshot, action.records)
             return action.token
         records = list(action.records)
         token = action.token
@@ -73,5 +79,21 @@
             assert isinstance(following, node.Persist)
             records.extend(following.records)
             token = following.token
-        await curio.run_in_thread(self._journal.append_and_sync, records)
+        await self._until_room(self._journal.append_and_sync, records)
         return token
+
+    async def _until_room(self, write: Callable[..., None], *arguments: object) -> None:
+        """Perform a write; while the disk is full, nothing is reported as synced."""
+        is_full = False
+        while True:
+            try:
+                await curio.run_in_thread(write, *arguments)
+            except errors.DiskFullError as error:
+                if not is_full:
+                    logs.event(_log, "disk_full", severity=logging.WARNING, why=str(error))
+                is_full = True
+                await curio.sleep(FULL_RETRY_S)
+            else:
+                if is_full:
+                    logs.event(_log, "disk_has_room")
+                return
--- a/src/medlarfork/_journal_format.py
+++ b/src/medlarfork/_journal_format.py
@@ -1,8 +1,14 @@
 """Lay out a journal file: a header, then one frame for each record.
 
-A frame is a marker, the record's length, two checksums and the record. One checksum covers the
-record alone, so that a whole frame is recognised wherever it lies; the other also covers the
-chained checksum of the frame before, so that lost, repeated and reordered frames are seen.
+A frame is a marker, the record's length, how far the file was known to be synced when the frame was
+written, two checksums and the record. One checksum covers the frame alone, so that a whole frame is
+recognised wherever it lies; the other also covers the chained checksum of the frame before, so that
+lost, repeated and reordered frames are seen.
+
+After a power loss, each write since the last sync may be there, missing or torn, whatever became
+of the ones before it. So whole frames can follow a bad one. If one of them was written when it was
+known to be synced beyond the bad place, synced data is damaged; if none was, all from the bad place
+on is a tail that was never reported as synced.
 """
 
 from __future__ import annotations
@@ -12,7 +18,7 @@
 import zlib
 from collections.abc import Iterable
 
-MAGIC = b"MEDLARJ1"
+MAGIC = b"MEDLARJ2"
 """First bytes of a journal file; they name the version of the format."""
 
 SALT_BYTES = 8
@@ -23,7 +29,7 @@
 
 _HEADER = struct.Struct(f">8s{SALT_BYTES}s?Q")
 _CHECKSUM = struct.Struct(">I")
-_FRAME = struct.Struct(">4sIII")
+_FRAME = struct.Struct(">4sIQII")
 
 HEADER_BYTES = _HEADER.size + _CHECKSUM.size
 """Size of the header of a file."""
@@ -75,12 +81,22 @@
     return zlib.crc32(salt)
 
 
-def encode_frames(records: Iterable[bytes], *, salt: bytes, checksum: int) -> tuple[bytes, int]:
-    """Return the frames of some records, and the chained checksum of the last one."""
+def encode_frames(
+    records: Iterable[bytes], *, salt: bytes, checksum: int, synced_bytes: int
+) -> tuple[bytes, int]:
+    """Return the frames of some records, and the chained checksum of the last one.
+
+    Args:
+        records: What is written.
+        salt: The file's salt.
+        checksum: The chained checksum of the frame before.
+        synced_bytes: Up to where the file is known to be synced.
+    """
     parts: list[bytes] = []
     for record in records:
         checksum = zlib.crc32(record, checksum)
-        parts.append(_FRAME.pack(MARKER, len(record), _own_checksum(record, salt), checksum))
+        own = _own_checksum(record, salt, synced_bytes)
+        parts.append(_FRAME.pack(MARKER, len(record), synced_bytes, own, checksum))
         parts.append(record)
     return b"".join(parts), checksum
 
@@ -100,7 +116,7 @@
         records.append(record)
         checksum = zlib.crc32(record, checksum)
         offset += _FRAME.size + len(record)
-    is_damaged = offset < header.synced_bytes or _has_frame_from(data, offset, header.salt)
+    is_damaged = offset < header.synced_bytes or _is_synced_beyond(data, offset, header.salt)
     return Contents(header, tuple(records), offset, checksum, is_damaged)
 
 
@@ -112,12 +128,13 @@
     return header if encode_header(header) == data[:HEADER_BYTES] else None
 
 
-def _own_checksum(record: bytes, salt: bytes) -> int:
-    return zlib.crc32(record, zlib.crc32(len(record).to_bytes(4, "big") + salt))
+def _own_checksum(record: bytes, salt: bytes, synced_bytes: int) -> int:
+    head = len(record).to_bytes(4, "big") + synced_bytes.to_bytes(8, "big") + salt
+    return zlib.crc32(record, zlib.crc32(head))
 
 
 def _chained_at(data: bytes, offset: int) -> int:
-    return _FRAME.unpack_from(data, offset)[3]
+    return _FRAME.unpack_from(data, offset)[4]
 
 
 def _record_at(data: bytes, offset: int, salt: bytes) -> bytes | None:
@@ -125,18 +142,20 @@
     body = offset + _FRAME.size
     if body > len(data):
         return None
-    marker, length, own_checksum, _ = _FRAME.unpack_from(data, offset)
+    marker, length, synced_bytes, own_checksum, _ = _FRAME.unpack_from(data, offset)
     if marker != MARKER or body + length > len(data):
         return None
     record = data[body : body + length]
-    return record if _own_checksum(record, salt) == own_checksum else None
+    return record if _own_checksum(record, salt, synced_bytes) == own_checksum else None
 
 
-def _has_frame_from(data: bytes, offset: int, salt: bytes) -> bool:
-    """Say whether a whole frame lies anywhere from an offset on."""
-    offset = data.find(MARKER, offset)
+def _is_synced_beyond(data: bytes, bad: int, salt: bytes) -> bool:
+    """Say whether a whole frame after a bad place was written when that place was synced."""
+    offset = data.find(MARKER, bad)
     while offset >= 0:
         if _record_at(data, offset, salt) is not None:
-            return True
+            synced_bytes = _FRAME.unpack_from(data, offset)[2]
+            if synced_bytes > bad:
+                return True
         offset = data.find(MARKER, offset + 1)
     return False
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -2,8 +2,9 @@
 
 A coordinator is one replica of the control plane of a routed deployment. What operators declare is
 in the replicated log. Which upstreams and entry hosts there are is soft: every replica hears it,
-passes it on, and forgets it at a restart. The leader also owns the placement of requests; nothing
-that must hold rests on that, so entry hosts go on without it.
+passes it on, and forgets it at a restart. The leader also owns the placement of requests, or
+another replica that entry hosts agree on while there is none; nothing that must hold rests on that,
+so entry hosts go on alone too.
 
 The times are those of a clock that counts while the machine is suspended: the leader's lease, and
 with it the right to answer reads, must run out while it stands still.
@@ -241,9 +242,6 @@
         was_leading = self.leads
         self._role, self._term, self._leader_id = role, term, leader_id
         if self.leads and not was_leading:
-            self._owner = owner.Owner()
-            self._on_routing()
-            self._actions += self._owner.use_upstreams(self._registry.present, self._now)
             self._push_routing()
         self._status_due = -math.inf
         self._tick_due = -math.inf
--- a/src/medlarfork/errors.py
+++ b/src/medlarfork/errors.py
@@ -82,6 +82,12 @@
     code = Code.DAMAGED_JOURNAL
 
 
+class DiskFullError(MedlarError):
+    """Report a write that found no room and left nothing behind."""
+
+    code = Code.JOURNAL_FAILED
+
+
 class JournalError(MedlarError):
     """Report a data folder that can't be used, or a write to it that failed."""
 
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -56,6 +56,22 @@
             return ""
         return self._leader_id
 
+    def owner(self, now: float) -> str:
+        """Return the replica that owns placement; empty if none speaks.
+
+        That is the leader. While there is none, entry hosts agree on the first replica that speaks
+        to them: nothing that must hold rests on there being one owner.
+        """
+        leader = self.leader(now)
+        if leader:
+            return leader
+        speaking = [
+            replica_id
+            for replica_id, heard in self._heard_by_id.items()
+            if now - heard.at <= LEADER_SILENT_S
+        ]
+        return min(speaking, default="")
+
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for further replicas."""
         self._replicas.update(dict.fromkeys(seeds))
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -148,7 +148,7 @@
             case coordination_messages.ReplicaStatus():
                 self._session.take(sender, message, now)
                 self._connect_replicas()
-                self._owner.tell_new_owner(now)
+                self._owner.tell_owner(now)
             case coordination_messages.ViewPush(boot, sequence, change):
                 self._session.take(sender, message, now)
                 logs.event(
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -31,6 +31,7 @@
     request: placement_messages.PlaceRequest
     owner_id: str = ""
     is_queued: bool = False
+    has_begun: bool = False
     answer: placement_messages.Placed | placement_messages.PlaceRefused | None = None
     changed: curio.Event = dataclasses.field(default_factory=curio.Event)
 
@@ -77,7 +78,10 @@
     def first_event(self, ticket_id: str, after_ms: float) -> None:
         """Report a stream's first event."""
         ticket = self._ticket_by_id.get(ticket_id)
-        if ticket is not None and ticket.owner_id:
+        if ticket is None:
+            return
+        ticket.has_begun = True
+        if ticket.owner_id:
             self._send(ticket.owner_id, placement_messages.FirstEvent(ticket_id, after_ms))
 
     def end(self, ticket_id: str, end: placement_messages.RunEnd, after_ms: float) -> None:
@@ -109,31 +113,37 @@
                 ticket.answer = message
         await ticket.changed.set()
 
-    def tell_new_owner(self, now: float) -> None:
-        """Tell a leader that has just come which requests run where."""
-        leader = self._session.leader(now)
-        if not leader or leader == self._told_owner:
+    def tell_owner(self, now: float) -> None:
+        """Tell a replica that has just become the owner which requests run where."""
+        owner_id = self._session.owner(now)
+        if not owner_id or owner_id == self._told_owner:
             return
-        self._told_owner = leader
+        if self._told_owner:
+            self._send(self._told_owner, placement_messages.OwnerChosen(is_chosen=False))
+        self._told_owner = owner_id
+        self._send(owner_id, placement_messages.OwnerChosen(is_chosen=True))
         for ticket in tuple(self._ticket_by_id.values()):
             if isinstance(ticket.answer, placement_messages.Placed):
-                running = placement_messages.StillRunning(ticket.request, ticket.answer.upstream_id)
-                ticket.owner_id = leader
-                self._send(leader, running)
+                running = placement_messages.StillRunning(
+                    ticket.request, ticket.answer.upstream_id, ticket.has_begun
+                )
+                ticket.owner_id = owner_id
+                self._send(owner_id, running)
 
     def _give_back(self, ticket_id: str) -> None:
         """Free a slot that was granted after the request had gone."""
-        leader = self._session.leader(_now())
-        if leader:
+        owner_id = self._session.owner(_now())
+        if owner_id:
             ended = placement_messages.RunEnded(ticket_id, placement_messages.RunEnd.CANCELLED, 0.0)
-            self._send(leader, ended)
+            self._send(owner_id, ended)
 
     async def _ask(
         self, ticket: _Ticket
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
         until = _now() + ticket.request.left_ms / 1000.0
         while _now() < until:
-            owner_id = self._session.leader(_now())
+            self.tell_owner(_now())
+            owner_id = self._session.owner(_now())
             if not owner_id or not self._send(owner_id, ticket.request):
                 return self._choose_alone(ticket)
             ticket.owner_id = owner_id
@@ -155,7 +165,7 @@
                 return False
             if ticket.is_queued and _now() >= until:
                 return True
-            if ticket.is_queued and self._session.leader(_now()) != ticket.owner_id:
+            if ticket.is_queued and self._session.owner(_now()) != ticket.owner_id:
                 ticket.is_queued = False
                 return True
             pause = QUEUE_CHECK_S if ticket.is_queued else limit - _now()
--- a/src/medlarfork/gateway/request_facts.py
+++ b/src/medlarfork/gateway/request_facts.py
@@ -9,8 +9,12 @@
 from medlarfork.gateway import request_names
 from medlarfork.placement import placement_messages
 
-LOWEST_TIER = 9
-"""Upstreams know the tiers 0 to 9; what ranks lower is told as this."""
+LOWEST_RANK = 9
+"""Upstreams know the ranks 0 to 9; what ranks lower is told as this."""
+
+TARGET_RANKS_MS = (350.0, 1000.0)
+"""Bounds of the targets that part a tier into ranks for upstreams, in milliseconds: within a tier,
+what is expected sooner is read first. A long prompt takes a third of the first bound to read."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +63,7 @@
     left_ms: float,
     account: str,
     tier: int,
+    target_ms: float,
     last_event_id: str,
 ) -> dict[str, str]:
     """Return the headers that an upstream gets: the caller's, and those that the system sets."""
@@ -66,7 +71,7 @@
     sent = {name: value for name, value in headers.items() if name not in dropped}
     sent[names.expected_upstream] = upstream_id
     sent[names.deadline_ms] = str(max(1, int(left_ms)))
-    sent[names.tier] = str(min(max(tier, 0), LOWEST_TIER))
+    sent[names.tier] = str(upstream_rank(tier, target_ms))
     if account:
         sent[names.account] = account
     if last_event_id:
@@ -74,6 +79,12 @@
     return sent
 
 
+def upstream_rank(tier: int, target_ms: float) -> int:
+    """Return the rank that an upstream is told: the tier first, within it the nearer target."""
+    within = sum(target_ms > bound for bound in TARGET_RANKS_MS)
+    return min(max(tier, 0) * (len(TARGET_RANKS_MS) + 1) + within, LOWEST_RANK)
+
+
 def _deadline(value: str | None) -> float | None:
     if value is None:
         return None
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -245,6 +245,7 @@
             left_ms=self._left_ms,
             account=admitted.account,
             tier=admitted.tier,
+            target_ms=admitted.route.target_ms,
             last_event_id=self._cutter.last_id,
         )
         return upstream_call.Call(
--- a/src/medlarfork/journal.py
+++ b/src/medlarfork/journal.py
@@ -5,15 +5,18 @@
 a write was under way there that was never reported as synced. Anything else that is wrong is
 refused, since a replica that forgot what it promised must not vote.
 
-Two cases look alike in the file and are treated alike. A power cut that loses the beginning of an
-unsynced write but keeps its end is refused like damage, which is safe. A last record that decays
-after its sync is cut off like a torn one, which is not; only the disk itself can prevent that.
+Two cases look alike in the file and are treated alike: a last record that decays after its sync is
+cut off like a torn one, which is not safe; only the disk itself can prevent that.
+
+A full disk refuses a write without harm: what came of it is cut off again, and the same records can
+be written once there is room.
 
 The calls block; run them in a thread, one at a time.
 """
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 import pathlib
@@ -28,6 +31,9 @@
 NEW_JOURNAL_NAME = "journal.new"
 """A file that is being written and will replace the journal."""
 
+_NO_ROOM = frozenset({errno.ENOSPC, errno.EDQUOT})
+"""Errors after which nothing is lost but the write that met them."""
+
 LOCK_NAME = "lock"
 """The file whose lock keeps a second process away."""
 
@@ -43,6 +49,7 @@
         self._file: IO[bytes] | None = None
         self._salt = b""
         self._checksum = 0
+        self._synced_bytes = 0
 
     def start(self) -> replica_types.Restored:
         """Lock the folder, creating it if need be, and read what it holds.
@@ -61,7 +68,7 @@
         contents = _journal_format.decode(self._path.read_bytes())
         if contents.is_damaged or contents.header is None:
             self._raise_damaged(contents.good_bytes)
-        self._open(contents.header.salt, contents.checksum)
+        self._open(contents.header.salt, contents.checksum, contents.good_bytes)
         self._cut_tail(contents.good_bytes)
         return _restored(contents.records, contents.header.has_snapshot)
 
@@ -78,18 +85,21 @@
         """Append records with a single sync; return once they are on disk.
 
         Raises:
+            errors.DiskFullError: There is no room; the same records may be written again later.
             errors.JournalError: The write or the sync failed. What is on disk is unknown from
                 then on, so the journal takes no further write and the process must end.
         """
         file = self._writable()
         frames, checksum = _journal_format.encode_frames(
-            records, salt=self._salt, checksum=self._checksum
+            records, salt=self._salt, checksum=self._checksum, synced_bytes=self._synced_bytes
         )
         try:
             _write_and_sync(file, frames)
         except OSError as error:
+            self._raise_if_full(error)
             self._raise_failed(error)
         self._checksum = checksum
+        self._synced_bytes += len(frames)
 
     def save_snapshot(self, snapshot: bytes, records: Iterable[bytes]) -> None:
         """Replace everything by a snapshot and records; return once they are on disk.
@@ -101,12 +111,15 @@
         try:
             self._replace((snapshot, *records), has_snapshot=True)
         except OSError as error:
+            self._raise_if_full(error)
             self._raise_failed(error)
 
     def _replace(self, records: tuple[bytes, ...], *, has_snapshot: bool) -> None:
         salt = os.urandom(_journal_format.SALT_BYTES)
         first = _journal_format.first_checksum(salt)
-        frames, checksum = _journal_format.encode_frames(records, salt=salt, checksum=first)
+        frames, checksum = _journal_format.encode_frames(
+            records, salt=salt, checksum=first, synced_bytes=0
+        )
         size_bytes = _journal_format.HEADER_BYTES + len(frames)
         header = _journal_format.Header(salt, has_snapshot, synced_bytes=size_bytes)
         new_path = self._folder / NEW_JOURNAL_NAME
@@ -114,14 +127,15 @@
             _write_and_sync(file, _journal_format.encode_header(header) + frames)
         new_path.rename(self._path)
         _sync_folder(self._folder)
-        self._open(salt, checksum)
+        self._open(salt, checksum, size_bytes)
 
-    def _open(self, salt: bytes, checksum: int) -> None:
+    def _open(self, salt: bytes, checksum: int, synced_bytes: int) -> None:
         if self._file is not None:
             self._file.close()
         self._file = self._path.open("ab", buffering=0)
         self._salt = salt
         self._checksum = checksum
+        self._synced_bytes = synced_bytes
 
     def _cut_tail(self, good_bytes: int) -> None:
         file = self._writable()
@@ -149,6 +163,20 @@
             ) from error
         self._lock = lock
 
+    def _raise_if_full(self, error: OSError) -> None:
+        """Cut off what came of a write that found no room, and say so."""
+        if error.errno not in _NO_ROOM or self._file is None:
+            return
+        try:
+            (self._folder / NEW_JOURNAL_NAME).unlink(missing_ok=True)
+            self._file.truncate(self._synced_bytes)
+        except OSError:
+            return  # The write is then reported as failed, with its own error.
+        raise errors.DiskFullError(
+            f"The disk of the data folder {self._folder} is full.",
+            remedy="Make room; the write is tried again.",
+        ) from error
+
     def _raise_failed(self, error: OSError) -> NoReturn:
         """Refuse all further writes: after a failed sync, a second one may falsely succeed."""
         if self._file is not None:
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -57,6 +57,8 @@
                 service = self._service_by_ticket.pop(ticket_id, None)
                 if service is not None:
                     return self._sends(self._owner(service).on_ended(message, now))
+            case placement_messages.OwnerChosen():
+                return self.forget_entry(entry_id, now)
             case placement_messages.StillRunning(request):
                 self._service_by_ticket[request.ticket_id] = request.service
                 self._owner(request.service).on_still_running(entry_id, message, now)
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -1,11 +1,13 @@
-"""Compare the upstreams that could run a request: pure arithmetic, in milliseconds.
+"""Compare the upstreams that could run a request: pure arithmetic.
+
+The unit of every cost is one request made late, so that unlike harms can be added up.
 
 The load that this answers: long prompts beside streams whose callers expect short pauses. While an
 engine reads a prompt, each of its steps takes as long as reading a chunk, so the pause between two
 events of a stream grows to the tokens of an event times that. Streams that this makes late are kept
 together on few engines, and long prompts away from these. Parts that an engine holds need no
 reading; reading one again that another engine holds is the dearest waste, so requests about the
-same matter stay together for as long as waiting there is cheaper.
+same matter stay together for as long as waiting there makes none of them late.
 """
 
 from __future__ import annotations
@@ -14,34 +16,42 @@
 
 from medlarfork.placement import placement_messages, upstream_load
 
-READ_WEIGHT = 2.0
-"""Weight of a request's own reading against its waiting: reading delays the ones after it too.
-Between 2 and 4 measured alike (trials on two deployments)."""
-
-REREAD_MS = 0.15
-"""Cost of each token that is read again though another engine holds it, in milliseconds. Such a
-token costs about as much as the request is worth for some thousands of them, which is what being
-late by a second costs."""
+REREAD_COST = 0.0002
+"""Cost of each token that is read again though another engine holds it: measured prices put a
+thousand of them at about a quarter of what a request loses by being late."""
 
-GAP_SHARE = 0.45
-"""Share of the tightest stream's allowed pause that reading may fill: the step that produces the
-event's tokens and the reading under way share the pause. 60 to 100 of 200 ms measured best."""
+READ_COST = 0.0005
+"""Cost of each millisecond of a request's own reading, which delays the ones after it: a long
+prompt's counts a tenth of a late request, so cached parts decide between engines that are equal."""
 
-LONG_READ_MS = 50.0
-"""Reading that delays streams noticeably, in milliseconds: more than a chunk and a half."""
+SAFE_SHARE = 0.7
+"""Share of a stream's allowed pause that reading may fill unharmed: the steps that produce the
+event's tokens, attention over long prompts and slower engines take the rest."""
 
-APART_MS = 80.0
+APART_COST = 0.3
 """Cost of bringing the first tight stream to an engine, which long prompts then have to avoid."""
 
-RUN_MS = 0.2
+RUN_COST = 0.0002
 """Cost of each request that runs there already: a step takes a little longer with each."""
 
-OTHER_ZONE_MS = 1.0
+OTHER_ZONE_COST = 0.002
 """Cost of an upstream in another data centre: its links are slower and their bytes are paid for."""
 
-FAILURE_MS = 400.0
+FAILURE_COST = 1.0
 """Cost of an upstream that fails all its runs; one that fails a part costs that part of it."""
 
+LONG_READ_MS = 50.0
+"""Reading that delays streams noticeably, in milliseconds: more than a chunk and a half."""
+
+NO_TARGET_MS = 1000.0
+"""Target that is assumed for requests whose route declares none, in milliseconds."""
+
+EASY_SHARE = 0.5
+"""Share of a target up to which waiting does little harm; predictions are off by up to a half."""
+
+EASY_COST = 0.1
+"""Cost of waiting for that share: enough that requests spread over engines that are equal."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reading:
@@ -49,11 +59,17 @@
 
     Attributes:
         tokens_per_ms: Prompt tokens read in a millisecond.
-        tight_ms: Streams that allow no longer pauses are made late by reading.
+        pause_ms: The longest pause in a stream while prompts are read beside it: an event's
+            tokens, each in a step that reads a chunk.
     """
 
     tokens_per_ms: float
-    tight_ms: float
+    pause_ms: float
+
+    @property
+    def tight_ms(self) -> float:
+        """Return the allowed pause up to which streams can be made late by reading."""
+        return self.pause_ms / SAFE_SHARE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,18 +77,18 @@
     """Hold what placing a request on one upstream would cost.
 
     Attributes:
-        total_ms: The sum that upstreams are compared by.
+        total: The sum that upstreams are compared by, in requests made late.
+        harm: The share of it that falls on streams that run there.
         wait_ms: Reading placed there before, which the request waits for.
+        rest_ms: Time for which streams there are to be left without long reading.
         read_ms: The request's own reading.
         read_tokens: The same in tokens.
-        rest_ms: Time for which streams there are to be left without long reading.
-        stall_ms: By how much its reading exceeds what tight streams there allow, over all of them.
     """
 
-    total_ms: float
+    total: float
+    harm: float
     wait_ms: float
     rest_ms: float
-    stall_ms: float
     read_ms: float
     read_tokens: int
 
@@ -82,6 +98,7 @@
     request: placement_messages.PlaceRequest,
     reading: Reading,
     held_elsewhere: frozenset[str],
+    waited_ms: float,
     now: float,
 ) -> Cost:
     """Return what the request would cost on this upstream.
@@ -91,30 +108,42 @@
         request: What is to run.
         reading: How the service's engines read.
         held_elsewhere: Parts of the prompt that some engine has read lately.
+        waited_ms: How long the request has waited already.
         now: The time in seconds.
     """
     read_tokens = load.cache.uncached_tokens(request.parts)
     read_ms = read_tokens / reading.tokens_per_ms
     wait_ms = load.backlog_ms(now)
     rest_ms = load.rest_ms(now) if read_ms > LONG_READ_MS else 0.0
-    total_ms = wait_ms + rest_ms + READ_WEIGHT * read_ms
-    total_ms += REREAD_MS * load.cache.missing_tokens(request.parts, held_elsewhere)
-    stall_ms = _stall_ms(load, wait_ms + read_ms, reading.tight_ms)
-    total_ms += stall_ms
+    harm = _harm(load, min(wait_ms + read_ms, reading.pause_ms))
+    total = harm + lateness(waited_ms + wait_ms + rest_ms + read_ms, request.target_ms)
+    total += READ_COST * read_ms
+    total += REREAD_COST * load.cache.missing_tokens(request.parts, held_elsewhere)
     if 0 < request.gap_ms <= reading.tight_ms and not load.has_tight(reading.tight_ms):
-        total_ms += APART_MS
-    total_ms += RUN_MS * len(load.run_by_ticket)
-    total_ms += FAILURE_MS * load.failed_share
+        total += APART_COST
+    total += RUN_COST * len(load.run_by_ticket)
+    total += FAILURE_COST * load.failed_share
     if request.zone != load.announcement.zone:
-        total_ms += OTHER_ZONE_MS
-    return Cost(total_ms, wait_ms, rest_ms, stall_ms, read_ms, read_tokens)
+        total += OTHER_ZONE_COST
+    return Cost(total, harm, wait_ms, rest_ms, read_ms, read_tokens)
+
+
+def lateness(after_ms: float, target_ms: float) -> float:
+    """Return how late a request is that begins after a time: 1 at its target, little before."""
+    share = after_ms / (target_ms or NO_TARGET_MS)
+    if share <= EASY_SHARE:
+        return EASY_COST * share / EASY_SHARE
+    if share <= 1.0:
+        return EASY_COST + (1.0 - EASY_COST) * (share - EASY_SHARE) / (1.0 - EASY_SHARE)
+    return 1.0 + EASY_COST * (share - 1.0)
 
 
-def _stall_ms(load: upstream_load.UpstreamLoad, reading_ms: float, tight_ms: float) -> float:
-    """Return by how much reading exceeds what tight streams there allow, summed over these."""
-    stalled = 0.0
+def _harm(load: upstream_load.UpstreamLoad, pause_ms: float) -> float:
+    """Return how many of the streams there a pause would make late."""
+    harm = 0.0
     for run in load.run_by_ticket.values():
         gap_ms = run.request.gap_ms
-        if 0 < gap_ms <= tight_ms:
-            stalled += max(0.0, reading_ms - GAP_SHARE * gap_ms)
-    return stalled
+        if gap_ms > 0:
+            excess = (pause_ms / gap_ms - SAFE_SHARE) / (1.0 - SAFE_SHARE)
+            harm += min(1.0, max(0.0, excess))
+    return harm
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -103,10 +103,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StillRunning:
-    """Tell a new owner of a request that an earlier one placed."""
+    """Tell a new owner of a request that another one, or the entry host alone, placed.
+
+    Attributes:
+        request: What runs.
+        upstream_id: Where.
+        has_begun: Whether its first event came.
+    """
 
     request: PlaceRequest
     upstream_id: str
+    has_begun: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerChosen:
+    """Tell a replica whether the sender asks it from now on; what it held of the sender is void."""
+
+    is_chosen: bool
 
 
 PLACEMENT_MESSAGES: tuple[type, ...] = (
@@ -117,5 +131,6 @@
     FirstEvent,
     RunEnded,
     StillRunning,
+    OwnerChosen,
 )
 """Every message class of this module, for the codec of the links."""
--- a/src/medlarfork/placement/read_rate.py
+++ b/src/medlarfork/placement/read_rate.py
@@ -26,10 +26,6 @@
 """Prompt tokens that an engine reads in one step, which decides how long the step takes; engines
 don't tell, and this is what those that were measured read."""
 
-TIGHT_FACTOR = 1.6
-"""How much longer than a pause under reading a pause must be allowed to be for a stream not to be
-made late: engines of a service differ in speed by a third, and long prompts read more slowly."""
-
 
 class ReadRate:
     """Hold one service's rate."""
@@ -38,9 +34,9 @@
         """Start from the default."""
         self.tokens_per_ms = DEFAULT_TOKENS_PER_MS
 
-    def tight_ms(self, event_tokens: int) -> float:
-        """Return the allowed pause up to which streams are made late by reading beside them."""
-        return TIGHT_FACTOR * event_tokens * CHUNK_TOKENS / self.tokens_per_ms
+    def pause_ms(self, event_tokens: int) -> float:
+        """Return the longest pause in a stream while prompts are read beside it."""
+        return event_tokens * CHUNK_TOKENS / self.tokens_per_ms
 
     def learn(self, tokens: int, after_ms: float) -> None:
         """Take a run whose reading began at once."""
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -51,6 +51,11 @@
         """Return when its caller gives up."""
         return self.since + self.request.left_ms / 1000.0
 
+    def is_late(self, now: float) -> bool:
+        """Return whether a request with a prompt can't begin by its target any more."""
+        target_ms = self.request.target_ms
+        return bool(self.request.parts) and 0 < target_ms <= (now - self.since) * 1000.0
+
     @property
     def order(self) -> tuple[int, float]:
         """Return what it is ordered by: its tier, then when its caller expects it to begin."""
@@ -100,18 +105,17 @@
         if request.ticket_id in self._waiting_by_ticket:
             return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
         waiting = _Waiting(entry_id, request, now)
+        predicted_ms = self._predicted_wait_ms(waiting, now)
+        if start_rules.is_hopeless(request, predicted_ms, self._least_read_ms(request)):
+            why = f"it would wait about {predicted_ms:.0f} ms"
+            after_ms = start_rules.retry_after_ms(request, predicted_ms, SHORTEST_RETRY_MS)
+            return (self._refuse(waiting, why, after_ms),)
         answer = self._try(waiting, now)
         if answer is not None:
             return (answer,)
         if len(self._waiting_by_ticket) >= MOST_WAITING:
             why = "too many requests wait already"
             return (self._refuse(waiting, why, SHORTEST_RETRY_MS),)
-        predicted_ms = self._predicted_wait_ms(waiting, now)
-        read_ms = self._least_read_ms(request)
-        if start_rules.is_hopeless(request, predicted_ms, read_ms):
-            why = f"it would wait about {predicted_ms:.0f} ms"
-            after_ms = start_rules.retry_after_ms(request, predicted_ms, SHORTEST_RETRY_MS)
-            return (self._refuse(waiting, why, after_ms),)
         self._waiting_by_ticket[request.ticket_id] = waiting
         return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
 
@@ -139,8 +143,14 @@
         load = self.load_by_id.get(message.upstream_id)
         if load is None or message.request.ticket_id in load.run_by_ticket:
             return
+        read_tokens = load.cache.uncached_tokens(message.request.parts)
         run = upstream_load.Run(
-            entry_id, message.request, 0, 0.0, read_alone=False, has_begun=True
+            entry_id,
+            message.request,
+            read_tokens,
+            read_tokens / self.rate.tokens_per_ms,
+            read_alone=False,
+            has_begun=message.has_begun,
         )
         load.add(run, now)
 
@@ -171,6 +181,8 @@
                 answers.append(self._refuse(waiting, why, SHORTEST_RETRY_MS))
                 continue
             answer = self._try(waiting, now)
+            if answer is None and waiting.is_late(now):
+                answer = self._refuse(waiting, "it could not begin in time", SHORTEST_RETRY_MS)
             if answer is not None:
                 del self._waiting_by_ticket[ticket_id]
                 answers.append(answer)
@@ -179,19 +191,17 @@
     def _try(self, waiting: _Waiting, now: float) -> Answer | None:
         """Return the placement, or None if the request has to wait."""
         request = waiting.request
-        reading = placement_cost.Reading(
-            self.rate.tokens_per_ms, self.rate.tight_ms(self._event_tokens)
-        )
+        reading = self._reading()
         held = self._held_parts(request, now)
+        waited_ms = (now - waiting.since) * 1000.0
         best: upstream_load.UpstreamLoad | None = None
         best_cost: placement_cost.Cost | None = None
         for load in self._candidates(request, now):
-            found = placement_cost.cost(load, request, reading, held, now)
-            if best_cost is None or found.total_ms < best_cost.total_ms:
+            found = placement_cost.cost(load, request, reading, held, waited_ms, now)
+            if best_cost is None or found.total < best_cost.total:
                 best, best_cost = load, found
         if best is None or best_cost is None:
             return None
-        waited_ms = (now - waiting.since) * 1000.0
         slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms)
         if request.parts and not start_rules.may_start(best_cost, slack_ms):
             return None
@@ -228,10 +238,17 @@
             for other in self._waiting_by_ticket.values()
             if other.order < waiting.order
         )
-        ahead_ms /= start_rules.READ_SHARE * max(len(self.load_by_id), 1)
+        tight_ms = self._reading().tight_ms
+        apart = sum(not load.has_tight(tight_ms) for load in self.load_by_id.values())
+        ahead_ms /= start_rules.READ_SHARE * max(apart, 1)
         backlogs = (load.backlog_ms(now) for load in self.load_by_id.values())
         return ahead_ms + min(backlogs, default=0.0)
 
+    def _reading(self) -> placement_cost.Reading:
+        return placement_cost.Reading(
+            self.rate.tokens_per_ms, self.rate.pause_ms(self._event_tokens)
+        )
+
     def _least_read_ms(self, request: placement_messages.PlaceRequest) -> float:
         """Return how long reading takes on the engine that holds most of the prompt."""
         tokens = min(
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -11,9 +11,9 @@
 
 from medlarfork.placement import placement_cost, placement_messages
 
-READ_SHARE = 0.75
+READ_SHARE = 0.8
 """Share of an engine's time that reading is given. Streams advance by about one token a chunk
-while it reads, and at their full speed in the rest; at a quarter of rest, the longest of the
+while it reads, and at their full speed in the rest; at a fifth of rest, the longest of the
 measured streams still end within their callers' time."""
 
 BACKLOG_MS = 100.0
@@ -23,6 +23,12 @@
 SHORT_BACKLOG_MS = 400.0
 """The same for short prompts, in milliseconds: engines read the more urgent of them first."""
 
+EARLY_HARM = 0.3
+"""Harm to streams, in requests made late, that a request does not wait to avoid."""
+
+LATE_HARM = 1.5
+"""The same once it can't wait any more: about what it is worth itself beside a short stream."""
+
 PATIENCE = 0.7
 """Share of a request's target up to which it waits for the engine that suits it best; the rest is
 kept for reading, the way, and errors of the prediction."""
@@ -36,14 +42,14 @@
 def may_start(cost: placement_cost.Cost, slack: float) -> bool:
     """Say whether a request starts on the upstream that costs it least.
 
-    It waits while its engine has reading enough, and, as long as its target allows, also while its
-    own reading would make streams there late.
+    It waits while its engine has reading enough, and while its own reading would make streams there
+    late: any of them as long as its target allows to wait, and later more than itself counts.
     """
     is_long = cost.read_ms > placement_cost.LONG_READ_MS
     most_ms = BACKLOG_MS if is_long else SHORT_BACKLOG_MS
     if cost.wait_ms + cost.rest_ms > most_ms:
         return False
-    return slack <= 0 or cost.stall_ms <= 0
+    return cost.harm <= (EARLY_HARM if slack > 0 else LATE_HARM)
 
 
 def rest_ms(read_ms: float) -> float:
@@ -57,7 +63,7 @@
     request: placement_messages.PlaceRequest, predicted_wait_ms: float, read_ms: float
 ) -> bool:
     """Say whether a request that has just come would only begin after its target."""
-    if request.target_ms <= 0:
+    if request.target_ms <= 0 or read_ms <= placement_cost.LONG_READ_MS:
         return False
     return predicted_wait_ms + read_ms > request.target_ms
 
--- a/tests/routed/test_entry_session.py
+++ b/tests/routed/test_entry_session.py
@@ -51,3 +51,12 @@
     status = session.status_for("r1", address="a", zone="z", is_ready=True)
     assert (status.view_boot, status.view_sequence) == (9, 4)
     assert session.upstream_by_id == {}
+
+
+def test_without_a_leader_entry_hosts_agree_on_the_first_replica_that_speaks(session):
+    session.take("r2", _status("", term=2), 0.0)
+    session.take("r3", _status("", term=2), 0.0)
+    assert session.owner(0.1) == "r2"
+    session.take("r3", _status("r3", term=3), 0.2)
+    assert session.owner(0.3) == "r3"
+    assert session.owner(9.0) == ""
--- a/tests/routed/test_gateway_parts.py
+++ b/tests/routed/test_gateway_parts.py
@@ -65,6 +65,7 @@
         left_ms=0.4,
         account="shop",
         tier=12,
+        target_ms=250.0,
         last_event_id="12",
     )
     assert sent == {
@@ -77,6 +78,16 @@
     }
 
 
+def test_upstreams_are_told_the_tier_and_within_it_the_nearer_target():
+    ranks = [
+        request_facts.upstream_rank(tier, target_ms)
+        for tier in (0, 1)
+        for target_ms in (250.0, 400.0, 2500.0)
+    ]
+    assert ranks == [0, 1, 2, 3, 4, 5]
+    assert request_facts.upstream_rank(9, 100.0) == 9
+
+
 def test_repeats_stay_within_the_budget_in_every_sliding_window():
     rules = retry_budget.BudgetRules(ratio=0.2, burst=40.0, window_s=10.0)
     hosts = [retry_budget.RetryBudget(rules) for _ in range(4)]
