--- a/examples/lease.py
+++ b/examples/lease.py
@@ -8,7 +8,8 @@
 
 from typing import Any
 
-from medlarfork import fenced_lease, lease_table, lease_types, node
+from medlarfork import node
+from medlarfork.orders import fenced_lease, lease_table, lease_types
 
 
 class Worker:
--- a/examples/replicated_log.py
+++ b/examples/replicated_log.py
@@ -9,7 +9,8 @@
 import random
 from typing import Any
 
-from medlarfork import node, replica, replica_types
+from medlarfork import node
+from medlarfork.replica import replica, replica_types
 
 IDS = ("one", "two", "three")
 WORDS = (b"apron", b"basin", b"candle")
--- a/examples/scheduler.py
+++ b/examples/scheduler.py
@@ -4,7 +4,9 @@
 
 import random
 
-from medlarfork import configuration, pool, pool_events, ticket, upstream
+from medlarfork import ticket, upstream
+from medlarfork.declared import configuration
+from medlarfork.pool import pool, pool_events
 
 _POOL = "lm/0"
 _CLASSES = (
--- a/measure/_cases.py
+++ b/measure/_cases.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from measure import _sides, _virtual
-from medlarfork import configuration, pool, pool_options
+from medlarfork.declared import configuration
+from medlarfork.pool import pool, pool_options
 
 _COUNTER = configuration.RequestClass(
     "counter", 1, whole_target_s=0.15, deadline_s=2.0, floor_share=0.05
--- a/measure/_sides.py
+++ b/measure/_sides.py
@@ -8,7 +8,9 @@
 from collections.abc import Callable
 
 from measure import _virtual
-from medlarfork import configuration, node, pool, pool_events, ticket, upstream
+from medlarfork import node, ticket, upstream
+from medlarfork.declared import configuration
+from medlarfork.pool import pool, pool_events
 
 _POOL = "lm/0"
 _SERVICE = configuration.Service("lm", configuration.ServiceKind.MODEL, "")
--- a/measure/_virtual.py
+++ b/measure/_virtual.py
@@ -14,7 +14,8 @@
 from typing import Protocol
 
 from measure import _prefix_cache
-from medlarfork import configuration, ticket
+from medlarfork import ticket
+from medlarfork.declared import configuration
 
 TOKENS_PER_S = 50.0
 """Output tokens a second of one request on a healthy engine."""
--- a/measure/claim_table.py
+++ b/measure/claim_table.py
@@ -16,7 +16,8 @@
 
 from absl import flags
 
-from medlarfork import claim, replicated_state, uuid7
+from medlarfork import claim, uuid7
+from medlarfork.control import replicated_state
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_bool("quick", False, "Leave out the largest table.", flag_values=_FLAGS)
--- a/measure/entry_links.py
+++ b/measure/entry_links.py
@@ -13,7 +13,9 @@
 import random
 import statistics
 
-from medlarfork import _shard_choice, ownership, rendezvous, ticket
+from medlarfork import rendezvous, ticket
+from medlarfork.entry import _shard_choice
+from medlarfork.pool import ownership
 
 HOSTS = (9, 100, 390)
 MODELS = 23
--- a/measure/http_overhead.py
+++ b/measure/http_overhead.py
@@ -15,7 +15,7 @@
 import curio
 import psutil
 
-from medlarfork import http_client, http_server
+from medlarfork.http import http_client, http_server
 
 BODY = b'{"model": "m", "messages": [{"role": "user", "content": "' + b"x" * 400 + b'"}]}'
 """Body of every request, about 0.5 KB."""
--- a/measure/link_latency.py
+++ b/measure/link_latency.py
@@ -17,7 +17,8 @@
 import curio
 import psutil
 
-from medlarfork import codec, keys, link
+from medlarfork import codec
+from medlarfork.links import keys, link
 
 ROUND_TRIPS = 3000
 BURST = 500
--- a/measure/log_recovery.py
+++ b/measure/log_recovery.py
@@ -16,7 +16,8 @@
 import time
 from typing import Any
 
-from medlarfork import journal, node, replica, replica_types
+from medlarfork import node
+from medlarfork.replica import journal, replica, replica_types
 
 LENGTHS = (100, 1_000, 10_000)
 BATCH_SIZES = (1, 16, 64)
--- a/measure/pool_cost.py
+++ b/measure/pool_cost.py
@@ -16,7 +16,9 @@
 import msgspec
 from absl import flags
 
-from medlarfork import configuration, pool, pool_events, ticket, upstream
+from medlarfork import ticket, upstream
+from medlarfork.declared import configuration
+from medlarfork.pool import pool, pool_events
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_bool("quick", False, "Leave out the longest queue.", flag_values=_FLAGS)
--- a/measure/stream_relay.py
+++ b/measure/stream_relay.py
@@ -16,7 +16,7 @@
 import curio
 from examples import local_deployment, local_processes
 
-from medlarfork import http_client
+from medlarfork.http import http_client
 
 _KEY = {"Authorization": "Bearer bazar-catalogo-key", "Content-Type": "application/json"}
 _BODY = (
--- /dev/null
+++ b/src/medlarfork/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control node: the log's state, claims, leases of entry hosts, and its program."""
--- a/src/medlarfork/_change_table.py
+++ b/src/medlarfork/control/_change_table.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from medlarfork import configuration, errors, heartbeat, uuid7
+from medlarfork import errors, heartbeat, uuid7
+from medlarfork.declared import configuration
 
 _ENCODER = msgspec.msgpack.Encoder(order="deterministic")
 _COMPRESSION = 1
--- a/src/medlarfork/_claim_batches.py
+++ b/src/medlarfork/control/_claim_batches.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 
-from medlarfork import replicated_state
+from medlarfork.control import replicated_state
 
 _BATCH_LIMIT = 256
 """Most operations in one log entry."""
--- a/src/medlarfork/_claim_service.py
+++ b/src/medlarfork/control/_claim_service.py
@@ -4,15 +4,8 @@
 
 from typing import Any
 
-from medlarfork import (
-    _claim_batches,
-    _control_log,
-    _heartbeat_service,
-    claim,
-    heartbeat,
-    node,
-    replicated_state,
-)
+from medlarfork import claim, heartbeat, node
+from medlarfork.control import _claim_batches, _control_log, _heartbeat_service, replicated_state
 
 Message = claim.ClaimRequest | claim.ClaimFinish | claim.ClaimAbandon
 
--- a/src/medlarfork/_claim_table.py
+++ b/src/medlarfork/control/_claim_table.py
@@ -6,7 +6,8 @@
 import dataclasses
 import itertools
 
-from medlarfork import _claim_rows, _claim_shares, claim, uuid7
+from medlarfork import claim, uuid7
+from medlarfork.control import _claim_rows, _claim_shares
 
 _EXPIRED_PER_STEP = 1000
 """Most claims dropped in one step, so that the work of a step is bounded."""
--- a/src/medlarfork/_control_log.py
+++ b/src/medlarfork/control/_control_log.py
@@ -7,7 +7,8 @@
 from collections.abc import Iterator
 from typing import Any, Protocol
 
-from medlarfork import _log_clock, replica, replica_types, replicated_state
+from medlarfork.control import _log_clock, replicated_state
+from medlarfork.replica import replica, replica_types
 
 
 class ReplicaPart(Protocol):
--- a/src/medlarfork/_control_metrics.py
+++ b/src/medlarfork/control/_control_metrics.py
@@ -9,7 +9,7 @@
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics, resources
 
-from medlarfork import operations
+from medlarfork.operator import operations
 
 ReadStatus = Callable[[], operations.StatusReply]
 
--- a/src/medlarfork/_delta_source.py
+++ b/src/medlarfork/control/_delta_source.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from medlarfork import configuration_delta, heartbeat, replicated_state
+from medlarfork import heartbeat
+from medlarfork.control import replicated_state
+from medlarfork.declared import configuration_delta
 
 
 class DeltaSource:
--- a/src/medlarfork/_heartbeat_service.py
+++ b/src/medlarfork/control/_heartbeat_service.py
@@ -6,15 +6,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from medlarfork import (
+from medlarfork import heartbeat, member, node
+from medlarfork.control import (
     _control_log,
     _delta_source,
     _member_leases,
     _view_history,
     control_types,
-    heartbeat,
-    member,
-    node,
     replicated_state,
 )
 
--- a/src/medlarfork/_operator_reads.py
+++ b/src/medlarfork/control/_operator_reads.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from medlarfork import _member_leases, errors, operations, order_desk, replicated_state
+from medlarfork import errors
+from medlarfork.control import _member_leases, replicated_state
+from medlarfork.operator import operations
+from medlarfork.orders import order_desk
 
 
 def configuration(
--- a/src/medlarfork/_operator_service.py
+++ b/src/medlarfork/control/_operator_service.py
@@ -6,18 +6,18 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from medlarfork import (
+from medlarfork import errors
+from medlarfork.control import (
     _control_log,
     _heartbeat_service,
     _operator_reads,
-    configuration,
     control_types,
-    errors,
-    operations,
-    order_desk,
-    replica_types,
     replicated_state,
 )
+from medlarfork.declared import configuration
+from medlarfork.operator import operations
+from medlarfork.orders import order_desk
+from medlarfork.replica import replica_types
 
 CALL_LIMIT = 1_000
 """Most operators' requests in progress at once; more are refused."""
--- a/src/medlarfork/_order_sender.py
+++ b/src/medlarfork/control/_order_sender.py
@@ -7,7 +7,8 @@
 
 import curio
 
-from medlarfork import fenced_lease, http_client, order_client, order_types
+from medlarfork.http import http_client
+from medlarfork.orders import fenced_lease, order_client, order_types
 
 Post = Callable[[Any], Awaitable[None]]
 """Hand an event to the node."""
--- a/src/medlarfork/_view_history.py
+++ b/src/medlarfork/control/_view_history.py
@@ -5,7 +5,8 @@
 import collections
 import dataclasses
 
-from medlarfork import _member_leases, heartbeat, member
+from medlarfork import heartbeat, member
+from medlarfork.control import _member_leases
 
 KEPT = 256
 """Past versions that a delta can start from; a host that holds an older one gets the whole view.
--- a/src/medlarfork/control.py
+++ b/src/medlarfork/control/control.py
@@ -11,24 +11,19 @@
 from collections.abc import Mapping
 from typing import Any
 
-from medlarfork import (
+from medlarfork import claim, heartbeat, node
+from medlarfork.control import (
     _claim_service,
     _control_log,
     _heartbeat_service,
     _log_clock,
     _operator_service,
-    claim,
     control_types,
-    heartbeat,
-    inventory,
-    lease_types,
-    node,
-    operations,
-    order_desk,
-    order_types,
-    replica_types,
     replicated_state,
 )
+from medlarfork.operator import operations
+from medlarfork.orders import inventory, lease_types, order_desk, order_types
+from medlarfork.replica import replica_types
 
 TRANSFER_RETRY_S = 0.5
 """How long a stopping leader waits before it tries again to hand leadership over, in seconds."""
--- a/src/medlarfork/control_program.py
+++ b/src/medlarfork/control/control_program.py
@@ -11,39 +11,22 @@
 
 import curio
 
-from medlarfork import (
+from medlarfork import _stop_signal, errors, logs, node, runner
+from medlarfork.control import (
     _control_metrics,
-    _disk_writer,
     _order_sender,
-    _settings_flag,
-    _stop_signal,
-    configuration,
-    configuration_check,
     control,
     control_settings,
     control_types,
-    errors,
-    http_server,
-    journal,
-    keys,
-    lease_table,
-    link,
-    logs,
-    node,
-    operations,
-    operations_api,
-    order_desk,
-    order_types,
-    orders,
-    planner_settings,
-    replica,
-    replica_types,
     replicated_state,
-    runner,
-    settings,
-    weight_store,
-    wire,
 )
+from medlarfork.declared import configuration, configuration_check
+from medlarfork.http import http_server
+from medlarfork.links import keys, link, wire
+from medlarfork.operator import operations, operations_api
+from medlarfork.orders import lease_table, order_desk, order_types, orders, weight_store
+from medlarfork.replica import _disk_writer, journal, replica, replica_types
+from medlarfork.settings import _settings_flag, planner_settings, settings
 
 _log = logging.getLogger(__name__)
 
--- a/src/medlarfork/control_settings.py
+++ b/src/medlarfork/control/control_settings.py
@@ -5,7 +5,8 @@
 import dataclasses
 import pathlib
 
-from medlarfork import errors, settings
+from medlarfork import errors
+from medlarfork.settings import settings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/control_types.py
+++ b/src/medlarfork/control/control_types.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-from medlarfork import operations
+from medlarfork.operator import operations
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/replicated_state.py
+++ b/src/medlarfork/control/replicated_state.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from medlarfork import _change_table, _claim_table, claim, codec, errors, heartbeat, member
+from medlarfork import claim, codec, errors, heartbeat, member
+from medlarfork.control import _change_table, _claim_table
 
 ChangeLimits = _change_table.ChangeLimits
 ChangeRecord = _change_table.ChangeRecord
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from medlarfork import node, replica, replica_types
+from medlarfork import node
 from medlarfork.coordination import (
     coordination_messages,
     coordinator_types,
@@ -30,6 +30,7 @@
     upstream_registry,
 )
 from medlarfork.placement import owner, placement_messages
+from medlarfork.replica import replica, replica_types
 from medlarfork.routes import routing
 
 TICK_S = 0.1
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -13,28 +13,16 @@
 
 import curio
 
-from medlarfork import (
-    _disk_writer,
-    _http_messages,
-    _stop_signal,
-    codec,
-    errors,
-    http_server,
-    journal,
-    link,
-    logs,
-    node,
-    replica,
-    replica_types,
-    routed_links,
-    runner,
-)
+from medlarfork import _stop_signal, codec, errors, logs, node, runner
 from medlarfork.coordination import (
     coordinator,
     coordinator_settings,
     coordinator_types,
     operations_format,
 )
+from medlarfork.http import _http_messages, http_server
+from medlarfork.links import link, routed_links
+from medlarfork.replica import _disk_writer, journal, replica, replica_types
 from medlarfork.routes import routing_check
 
 _log = logging.getLogger(__name__)
--- a/src/medlarfork/coordination/member_desk.py
+++ b/src/medlarfork/coordination/member_desk.py
@@ -5,8 +5,9 @@
 import math
 from typing import Any
 
-from medlarfork import node, replica, replica_types
+from medlarfork import node
 from medlarfork.coordination import coordination_messages, coordinator_types
+from medlarfork.replica import replica, replica_types
 
 HELLO_PERIOD_S = 0.5
 """How often replicas tell each other that they run, in seconds: a new one has then asked several
--- a/src/medlarfork/coordination/routing_desk.py
+++ b/src/medlarfork/coordination/routing_desk.py
@@ -5,8 +5,8 @@
 import dataclasses
 from typing import Any
 
-from medlarfork import replica_types
 from medlarfork.coordination import coordinator_types, routing_state
+from medlarfork.replica import replica_types
 
 PUT_LIMIT_S = 3.0
 """How long a change may wait for a majority before its caller is told to ask again, in seconds."""
--- a/src/medlarfork/_finding.py
+++ b/src/medlarfork/declared/_finding.py
@@ -5,8 +5,8 @@
 import dataclasses
 import enum
 
-from medlarfork import _wording
-from medlarfork import configuration as configurations
+from medlarfork.declared import configuration as configurations
+from medlarfork.settings import _wording
 
 
 class FindingKind(enum.StrEnum):
--- a/src/medlarfork/_label_domains.py
+++ b/src/medlarfork/declared/_label_domains.py
@@ -10,8 +10,9 @@
 import dataclasses
 from collections.abc import Iterable, Iterator, Mapping
 
-from medlarfork import classify, labels
-from medlarfork import configuration as configurations
+from medlarfork import labels
+from medlarfork.declared import configuration as configurations
+from medlarfork.filters import classify
 
 HTTP_METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT", "TRACE"})
 """Values of the label ``method``."""
--- a/src/medlarfork/_object_check.py
+++ b/src/medlarfork/declared/_object_check.py
@@ -7,8 +7,10 @@
 import re
 from collections.abc import Iterator
 
-from medlarfork import _finding, classify, errors, labels
-from medlarfork import configuration as configurations
+from medlarfork import errors, labels
+from medlarfork.declared import _finding
+from medlarfork.declared import configuration as configurations
+from medlarfork.filters import classify
 
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _METHOD = re.compile(r"\*|[A-Z]+")
--- a/src/medlarfork/_selector_check.py
+++ b/src/medlarfork/declared/_selector_check.py
@@ -6,8 +6,9 @@
 import itertools
 from collections.abc import Iterator, Mapping
 
-from medlarfork import _finding, _label_domains, errors, labels
-from medlarfork import configuration as configurations
+from medlarfork import errors, labels
+from medlarfork.declared import _finding, _label_domains
+from medlarfork.declared import configuration as configurations
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/configuration_check.py
+++ b/src/medlarfork/declared/configuration_check.py
@@ -5,8 +5,9 @@
 import collections
 from collections.abc import Iterable, Iterator
 
-from medlarfork import _finding, _object_check, _selector_check, labels
-from medlarfork import configuration as configurations
+from medlarfork import labels
+from medlarfork.declared import _finding, _object_check, _selector_check
+from medlarfork.declared import configuration as configurations
 
 Finding = _finding.Finding
 FindingKind = _finding.FindingKind
--- a/src/medlarfork/configuration_delta.py
+++ b/src/medlarfork/declared/configuration_delta.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from medlarfork import configuration, errors, heartbeat
+from medlarfork import errors, heartbeat
+from medlarfork.declared import configuration
 
 _SETTING = "setting"
 _ORDER = "order"
--- a/src/medlarfork/configuration_file.py
+++ b/src/medlarfork/declared/configuration_file.py
@@ -10,8 +10,10 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from medlarfork import configuration as configurations
-from medlarfork import configuration_check, errors, settings
+from medlarfork import errors
+from medlarfork.declared import configuration as configurations
+from medlarfork.declared import configuration_check
+from medlarfork.settings import settings
 
 _INDEPENDENT_FIELDS = frozenset(
     {
--- a/src/medlarfork/_claim_settlements.py
+++ b/src/medlarfork/entry/_claim_settlements.py
@@ -5,7 +5,8 @@
 import collections
 from typing import Any
 
-from medlarfork import _outbox, claim
+from medlarfork import claim
+from medlarfork.entry import _outbox
 
 _LIMIT = 10_000
 """Most settlements that are not recorded, and most abandoned claims remembered."""
--- a/src/medlarfork/_flow_claim.py
+++ b/src/medlarfork/entry/_flow_claim.py
@@ -5,18 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
-from medlarfork import (
-    _flow_end,
-    _flow_wait,
-    answers,
-    claim,
-    deduplicate,
-    entry_flow,
-    entry_types,
-)
+from medlarfork import claim
+from medlarfork.entry import _flow_end, _flow_wait, entry_flow, entry_types
+from medlarfork.filters import answers, deduplicate
 
 if TYPE_CHECKING:
-    from medlarfork import flow_machine
+    from medlarfork.entry import flow_machine
 
 
 def ask(
--- a/src/medlarfork/_flow_end.py
+++ b/src/medlarfork/entry/_flow_end.py
@@ -5,16 +5,9 @@
 import dataclasses
 from typing import Any
 
-from medlarfork import (
-    answers,
-    claim,
-    deduplicate,
-    entry_flow,
-    entry_types,
-    errors,
-    record,
-    request,
-)
+from medlarfork import claim, errors, request
+from medlarfork.entry import entry_flow, entry_types
+from medlarfork.filters import answers, deduplicate, record
 
 
 def complete(
--- a/src/medlarfork/_flow_stop.py
+++ b/src/medlarfork/entry/_flow_stop.py
@@ -5,20 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
-from medlarfork import (
-    _flow_end,
-    _flow_run,
-    _flow_wait,
-    answers,
-    claim,
-    dispatch,
-    entry_flow,
-    entry_types,
-    ticket,
-)
+from medlarfork import claim, ticket
+from medlarfork.entry import _flow_end, _flow_run, _flow_wait, entry_flow, entry_types
+from medlarfork.filters import answers, dispatch
 
 if TYPE_CHECKING:
-    from medlarfork import flow_machine
+    from medlarfork.entry import flow_machine
 
 _CAUSE_BY_STOP = {
     entry_flow.StopCause.PREEMPTED: ticket.ReleaseCause.PREEMPTED,
--- a/src/medlarfork/_flow_wait.py
+++ b/src/medlarfork/entry/_flow_wait.py
@@ -6,19 +6,12 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from medlarfork import (
-    _flow_end,
-    _flow_run,
-    answers,
-    claim,
-    deduplicate,
-    entry_flow,
-    entry_types,
-    ticket,
-)
+from medlarfork import claim, ticket
+from medlarfork.entry import _flow_end, _flow_run, entry_flow, entry_types
+from medlarfork.filters import answers, deduplicate
 
 if TYPE_CHECKING:
-    from medlarfork import flow_machine
+    from medlarfork.entry import flow_machine
 
 _HANDOVER_PAUSE_S = 0.1
 """Pause before another owner is asked after one said that it does not own the pool."""
--- a/src/medlarfork/_outbox.py
+++ b/src/medlarfork/entry/_outbox.py
@@ -7,7 +7,7 @@
 from collections.abc import Hashable
 from typing import Any
 
-from medlarfork import _timer_heap
+from medlarfork.entry import _timer_heap
 
 _FIRST_PAUSE_S = 0.5
 """Pause before a message is sent again; it doubles each time, in seconds."""
--- a/src/medlarfork/_upstream_gauges.py
+++ b/src/medlarfork/entry/_upstream_gauges.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from medlarfork import entry_status, telemetry
+from medlarfork.entry import entry_status, telemetry
 
 _SERIES_LIMIT = 1_500
 """Most upstreams shown in the metrics; ``/v1/status`` shows all of them."""
--- a/src/medlarfork/control_session.py
+++ b/src/medlarfork/entry/control_session.py
@@ -9,19 +9,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from medlarfork import (
-    configuration,
-    configuration_delta,
-    entry_options,
-    entry_types,
-    errors,
-    heartbeat,
-    inventory,
-    inventory_reporter,
-    member,
-    node,
-    view_delta,
-)
+from medlarfork import errors, heartbeat, member, node
+from medlarfork.declared import configuration, configuration_delta
+from medlarfork.entry import entry_options, entry_types, inventory_reporter, view_delta
+from medlarfork.orders import inventory
 
 _REMEMBERED_HEARTBEATS = 32
 """Heartbeats whose replies can still prove something."""
--- a/src/medlarfork/conversation.py
+++ b/src/medlarfork/entry/conversation.py
@@ -8,7 +8,10 @@
 
 import curio
 
-from medlarfork import entry_types, errors, header_names, http_server, outgoing, relay, request, sse
+from medlarfork import errors, request
+from medlarfork.entry import entry_types
+from medlarfork.filters import outgoing, relay
+from medlarfork.http import header_names, http_server, sse
 
 _NOT_RETURNED = frozenset(
     {
--- a/src/medlarfork/drain.py
+++ b/src/medlarfork/entry/drain.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from medlarfork import entry_options
+from medlarfork.entry import entry_options
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/entries_answer.py
+++ b/src/medlarfork/entry/entries_answer.py
@@ -8,7 +8,8 @@
 import urllib.parse
 from collections.abc import Iterable
 
-from medlarfork import configuration, member
+from medlarfork import member
+from medlarfork.declared import configuration
 
 ENTRIES_PATH = "/v1/entries"
 """Where callers ask which entry hosts to use."""
--- a/src/medlarfork/entry.py
+++ b/src/medlarfork/entry/entry.py
@@ -12,13 +12,9 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from medlarfork import (
-    admit,
-    answers,
-    claim,
-    classify,
+from medlarfork import claim, errors, member, node, ticket
+from medlarfork.entry import (
     control_session,
-    deduplicate,
     drain,
     entry_flow,
     entry_options,
@@ -27,20 +23,11 @@
     entry_requests,
     entry_status,
     entry_types,
-    errors,
     explain,
-    identify,
-    member,
-    node,
-    owned_pool,
-    ownership,
-    parse,
-    pool,
     pool_directory,
-    pool_events,
-    record,
-    ticket,
 )
+from medlarfork.filters import admit, answers, classify, deduplicate, identify, parse, record
+from medlarfork.pool import owned_pool, ownership, pool, pool_events
 
 
 class EntryNode:
--- a/src/medlarfork/entry_api.py
+++ b/src/medlarfork/entry/entry_api.py
@@ -10,19 +10,10 @@
 
 import msgspec
 
-from medlarfork import (
-    _http_messages,
-    answers,
-    entries_answer,
-    entry,
-    entry_types,
-    errors,
-    header_names,
-    http_server,
-    parse,
-    telemetry,
-    upstream,
-)
+from medlarfork import errors, upstream
+from medlarfork.entry import entries_answer, entry, entry_types, telemetry
+from medlarfork.filters import answers, parse
+from medlarfork.http import _http_messages, header_names, http_server
 
 _JSON = {"Content-Type": "application/json"}
 
--- a/src/medlarfork/entry_flow.py
+++ b/src/medlarfork/entry/entry_flow.py
@@ -11,7 +11,9 @@
 import enum
 from typing import Any
 
-from medlarfork import claim, configuration, entry_types, request, ticket
+from medlarfork import claim, request, ticket
+from medlarfork.declared import configuration
+from medlarfork.entry import entry_types
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/entry_options.py
+++ b/src/medlarfork/entry/entry_options.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from medlarfork import entry_settings
+from medlarfork.entry import entry_settings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/entry_pools.py
+++ b/src/medlarfork/entry/entry_pools.py
@@ -5,18 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from medlarfork import (
-    _timer_heap,
-    configuration,
-    member,
-    node,
-    owned_pool,
-    ownership,
-    pool_directory,
-    pool_events,
-    pool_view,
-    ticket,
-)
+from medlarfork import member, node, ticket
+from medlarfork.declared import configuration
+from medlarfork.entry import _timer_heap, pool_directory
+from medlarfork.pool import owned_pool, ownership, pool_events, pool_view
 
 _RETRY_AFTER_S = 1.0
 
--- a/src/medlarfork/entry_program.py
+++ b/src/medlarfork/entry/entry_program.py
@@ -12,10 +12,9 @@
 
 import curio
 
-from medlarfork import (
+from medlarfork import _stop_signal, logs, node, runner, uuid7
+from medlarfork.entry import (
     _peer_links,
-    _settings_flag,
-    _stop_signal,
     _upstream_gauges,
     conversation,
     entry,
@@ -24,19 +23,12 @@
     entry_options,
     entry_settings,
     entry_types,
-    http_client,
-    http_server,
-    keys,
-    link,
-    logs,
-    node,
-    runner,
-    settings,
     telemetry,
     upstream_attempt,
-    uuid7,
-    wire,
 )
+from medlarfork.http import http_client, http_server
+from medlarfork.links import keys, link, wire
+from medlarfork.settings import _settings_flag, settings
 
 _log = logging.getLogger(__name__)
 
--- a/src/medlarfork/entry_queries.py
+++ b/src/medlarfork/entry/entry_queries.py
@@ -5,10 +5,9 @@
 import random
 from collections.abc import Mapping
 
-from medlarfork import (
-    admit,
-    answers,
-    configuration,
+from medlarfork import errors, member
+from medlarfork.declared import configuration
+from medlarfork.entry import (
     control_session,
     entries_answer,
     entry_flow,
@@ -18,14 +17,11 @@
     entry_settings,
     entry_status,
     entry_types,
-    errors,
     explain,
-    identify,
-    member,
-    parse,
     pool_directory,
-    pool_view,
 )
+from medlarfork.filters import admit, answers, identify, parse
+from medlarfork.pool import pool_view
 
 _OTHERS_LIMIT = 4
 """Other entry hosts named in a refusal."""
--- a/src/medlarfork/entry_requests.py
+++ b/src/medlarfork/entry/entry_requests.py
@@ -6,26 +6,20 @@
 from collections.abc import Iterator
 from typing import Any
 
-from medlarfork import (
+from medlarfork import claim, member, node, request, ticket
+from medlarfork.declared import configuration
+from medlarfork.entry import (
     _claim_settlements,
     _outbox,
     _shard_choice,
     _timer_heap,
-    admit,
-    claim,
-    configuration,
     control_session,
-    deduplicate,
-    dispatch,
     entry_flow,
     entry_options,
     flow_machine,
-    member,
-    node,
-    ownership,
-    request,
-    ticket,
 )
+from medlarfork.filters import admit, deduplicate, dispatch
+from medlarfork.pool import ownership
 
 _RELEASES_LIMIT = 20_000
 """Most releases of slots whose receipt has not been confirmed."""
--- a/src/medlarfork/entry_status.py
+++ b/src/medlarfork/entry/entry_status.py
@@ -4,7 +4,8 @@
 
 import dataclasses
 
-from medlarfork import member, pool_view, ticket
+from medlarfork import member, ticket
+from medlarfork.pool import pool_view
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/explain.py
+++ b/src/medlarfork/entry/explain.py
@@ -5,15 +5,11 @@
 import dataclasses
 from collections.abc import Mapping
 
-from medlarfork import (
-    classify,
-    configuration,
-    ownership,
-    pool_directory,
-    pool_view,
-    request,
-    upstream,
-)
+from medlarfork import request, upstream
+from medlarfork.declared import configuration
+from medlarfork.entry import pool_directory
+from medlarfork.filters import classify
+from medlarfork.pool import ownership, pool_view
 
 _Views = Mapping[tuple[str, str], pool_view.UpstreamView]
 
--- a/src/medlarfork/flow_machine.py
+++ b/src/medlarfork/entry/flow_machine.py
@@ -5,12 +5,12 @@
 import dataclasses
 from typing import Any, Protocol
 
-from medlarfork import (
+from medlarfork import claim
+from medlarfork.entry import (
     _flow_claim,
     _flow_run,
     _flow_stop,
     _flow_wait,
-    claim,
     entry_flow,
     entry_options,
 )
--- a/src/medlarfork/inventory_reporter.py
+++ b/src/medlarfork/entry/inventory_reporter.py
@@ -9,7 +9,8 @@
 import dataclasses
 from collections.abc import Iterable, Iterator
 
-from medlarfork import inventory, upstream
+from medlarfork import upstream
+from medlarfork.orders import inventory
 
 
 class InventoryReporter:
--- a/src/medlarfork/pool_directory.py
+++ b/src/medlarfork/entry/pool_directory.py
@@ -11,16 +11,10 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from medlarfork import (
-    _timer_heap,
-    configuration,
-    entry_types,
-    member,
-    node,
-    ownership,
-    pool_events,
-    upstream,
-)
+from medlarfork import member, node, upstream
+from medlarfork.declared import configuration
+from medlarfork.entry import _timer_heap, entry_types
+from medlarfork.pool import ownership, pool_events
 
 _REMEMBERED = 20_000
 """Upstreams whose last announcement's number is remembered; the longest silent go first."""
--- a/src/medlarfork/telemetry.py
+++ b/src/medlarfork/entry/telemetry.py
@@ -13,7 +13,7 @@
 from opentelemetry.sdk import metrics, resources
 from opentelemetry.sdk.metrics import export
 
-from medlarfork import _tally, entry_types
+from medlarfork.entry import _tally, entry_types
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 """Content type of what ``Telemetry.render`` returns."""
--- a/src/medlarfork/upstream_attempt.py
+++ b/src/medlarfork/entry/upstream_attempt.py
@@ -8,18 +8,10 @@
 
 import curio
 
-from medlarfork import (
-    claim,
-    conversation,
-    entry_types,
-    errors,
-    header_names,
-    http_client,
-    logs,
-    outgoing,
-    request,
-    sse,
-)
+from medlarfork import claim, errors, logs, request
+from medlarfork.entry import conversation, entry_types
+from medlarfork.filters import outgoing
+from medlarfork.http import header_names, http_client, sse
 
 _log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/medlarfork/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filters of a request, in the order in which it passes them."""
--- a/src/medlarfork/admit.py
+++ b/src/medlarfork/filters/admit.py
@@ -4,7 +4,9 @@
 
 import dataclasses
 
-from medlarfork import answers, deduplicate, errors, header_names
+from medlarfork import errors
+from medlarfork.filters import answers, deduplicate
+from medlarfork.http import header_names
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/answers.py
+++ b/src/medlarfork/filters/answers.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
-from medlarfork import claim, entry_types, errors, header_names, request, ticket
+from medlarfork import claim, errors, request, ticket
+from medlarfork.entry import entry_types
+from medlarfork.http import header_names
 
 _STATUS_BY_CODE = {errors.Code.NOT_FOUND: 404, errors.Code.MODEL_NOT_FOUND: 404}
 """HTTP statuses of errors that don't carry their own; 400 for the others."""
--- a/src/medlarfork/classify.py
+++ b/src/medlarfork/filters/classify.py
@@ -9,8 +9,9 @@
 import dataclasses
 from collections.abc import Mapping
 
-from medlarfork import configuration as configurations
-from medlarfork import errors, labels, plain_call, request
+from medlarfork import errors, labels, request
+from medlarfork.declared import configuration as configurations
+from medlarfork.filters import plain_call
 
 DERIVED_KEYS = ("account", "service", "model", "method", "stream")
 """Label keys whose values come from the request itself; nobody may declare or send them."""
--- a/src/medlarfork/deduplicate.py
+++ b/src/medlarfork/filters/deduplicate.py
@@ -9,16 +9,11 @@
 
 import dataclasses
 
-from medlarfork import (
-    answers,
-    claim,
-    configuration,
-    entry_types,
-    errors,
-    header_names,
-    request,
-    uuid7,
-)
+from medlarfork import claim, errors, request, uuid7
+from medlarfork.declared import configuration
+from medlarfork.entry import entry_types
+from medlarfork.filters import answers
+from medlarfork.http import header_names
 
 _FINAL_FOR_HOLDER = frozenset(
     {
--- a/src/medlarfork/dispatch.py
+++ b/src/medlarfork/filters/dispatch.py
@@ -5,7 +5,9 @@
 import collections
 import dataclasses
 
-from medlarfork import answers, entry_types, errors
+from medlarfork import errors
+from medlarfork.entry import entry_types
+from medlarfork.filters import answers
 
 _SERVICES_LIMIT = 1024
 """Services whose budgets are remembered; the one idle for longest is forgotten first."""
--- a/src/medlarfork/identify.py
+++ b/src/medlarfork/filters/identify.py
@@ -5,7 +5,8 @@
 import hashlib
 from collections.abc import Mapping
 
-from medlarfork import configuration, errors
+from medlarfork import errors
+from medlarfork.declared import configuration
 
 _SCHEME = "bearer "
 
--- a/src/medlarfork/outgoing.py
+++ b/src/medlarfork/filters/outgoing.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
-from medlarfork import entry_types, errors, header_names, parse
+from medlarfork import errors
+from medlarfork.entry import entry_types
+from medlarfork.filters import parse
+from medlarfork.http import header_names
 
 _NOT_FORWARDED = frozenset(
     {
--- a/src/medlarfork/parse.py
+++ b/src/medlarfork/filters/parse.py
@@ -8,7 +8,10 @@
 
 import msgspec
 
-from medlarfork import classify, entry_types, errors, header_names
+from medlarfork import errors
+from medlarfork.entry import entry_types
+from medlarfork.filters import classify
+from medlarfork.http import header_names
 
 CHAT_PATH = "/v1/chat/completions"
 """Path of chat completions, as in the OpenAI API."""
--- a/src/medlarfork/plain_call.py
+++ b/src/medlarfork/filters/plain_call.py
@@ -8,7 +8,7 @@
 import urllib.parse
 from collections.abc import Iterable
 
-from medlarfork import configuration as configurations
+from medlarfork.declared import configuration as configurations
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 """Methods that RFC 9110 defines as idempotent; other calls run at most once by default."""
--- a/src/medlarfork/record.py
+++ b/src/medlarfork/filters/record.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from medlarfork import configuration, entry_flow, entry_types, errors, request
+from medlarfork import errors, request
+from medlarfork.declared import configuration
+from medlarfork.entry import entry_flow, entry_types
 
 CALLER_GONE_STATUS = 499
 """Status recorded for a request whose caller closed its connection."""
--- a/src/medlarfork/relay.py
+++ b/src/medlarfork/filters/relay.py
@@ -15,7 +15,9 @@
 
 import msgspec
 
-from medlarfork import assembled_answer, errors, header_names, sse
+from medlarfork import errors
+from medlarfork.filters import assembled_answer
+from medlarfork.http import header_names, sse
 
 _ANSWER_BYTES = 16 << 20
 """Longest answer that is assembled, in bytes."""
--- a/src/medlarfork/gateway/gateway_metrics.py
+++ b/src/medlarfork/gateway/gateway_metrics.py
@@ -10,7 +10,7 @@
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics, resources
 
-from medlarfork import _tally, telemetry
+from medlarfork.entry import _tally, telemetry
 
 _MOST_LABEL_SETS = 4096
 """Label sets that are counted apart; further ones share one, which bounds memory."""
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from medlarfork import _stop_signal, codec, http_client, http_server, link, logs, routed_links
+from medlarfork import _stop_signal, codec, logs
 from medlarfork.coordination import coordination_messages
 from medlarfork.gateway import (
     entry_session,
@@ -22,6 +22,8 @@
     request_handler,
     request_names,
 )
+from medlarfork.http import http_client, http_server
+from medlarfork.links import link, routed_links
 from medlarfork.placement import placement_messages
 from medlarfork.routes import routing
 
--- a/src/medlarfork/gateway/request_facts.py
+++ b/src/medlarfork/gateway/request_facts.py
@@ -5,8 +5,9 @@
 import dataclasses
 from collections.abc import Mapping
 
-from medlarfork import _http_messages, errors
+from medlarfork import errors
 from medlarfork.gateway import request_names
+from medlarfork.http import _http_messages
 from medlarfork.placement import placement_messages
 
 LOWEST_RANK = 9
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from medlarfork import _http_messages, errors, http_client, http_server, logs
+from medlarfork import errors, logs
 from medlarfork.gateway import (
     entry_session,
     gateway_metrics,
@@ -18,6 +18,7 @@
     request_run,
     retry_budget,
 )
+from medlarfork.http import _http_messages, http_client, http_server
 from medlarfork.placement import placement_messages
 from medlarfork.routes import route_table, routing
 
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -11,7 +11,7 @@
 
 import curio
 
-from medlarfork import _http_messages, errors, http_client, http_server, sse
+from medlarfork import errors
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import (
     attempt_policy,
@@ -22,6 +22,7 @@
     retry_budget,
     upstream_call,
 )
+from medlarfork.http import _http_messages, http_client, http_server, sse
 from medlarfork.placement import placement_messages
 from medlarfork.routes import routing
 
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -4,8 +4,9 @@
 
 import dataclasses
 
-from medlarfork import errors, http_client
+from medlarfork import errors
 from medlarfork.gateway import request_names
+from medlarfork.http import http_client
 from medlarfork.placement import placement_messages
 
 WRONG_UPSTREAM_STATUS = 421
--- a/src/medlarfork/heartbeat.py
+++ b/src/medlarfork/heartbeat.py
@@ -9,7 +9,8 @@
 
 import dataclasses
 
-from medlarfork import configuration, member
+from medlarfork import member
+from medlarfork.declared import configuration
 
 HEARTBEAT_PERIOD_S = 1.0
 """Time between an entry host's heartbeats, in seconds."""
--- a/src/medlarfork/_http_answer.py
+++ b/src/medlarfork/http/_http_answer.py
@@ -9,7 +9,8 @@
 
 import h11
 
-from medlarfork import _http_messages, _http_stream, errors
+from medlarfork import errors
+from medlarfork.http import _http_messages, _http_stream
 
 _MOST_INFORMATIONAL = 8
 """Informational answers accepted before the real one."""
--- a/src/medlarfork/_http_connection.py
+++ b/src/medlarfork/http/_http_connection.py
@@ -6,7 +6,8 @@
 
 import h11
 
-from medlarfork import _http_exchange, _http_limits, _http_messages, _http_stream, errors
+from medlarfork import errors
+from medlarfork.http import _http_exchange, _http_limits, _http_messages, _http_stream
 
 Handler = Callable[[_http_exchange.Exchange], Awaitable[None]]
 """Answers one exchange."""
--- a/src/medlarfork/_http_exchange.py
+++ b/src/medlarfork/http/_http_exchange.py
@@ -8,7 +8,8 @@
 import curio
 import h11
 
-from medlarfork import _http_limits, _http_messages, _http_stream, errors
+from medlarfork import errors
+from medlarfork.http import _http_limits, _http_messages, _http_stream
 
 _PIPELINE_LIMIT_BYTES = 64 * 1024
 """Bytes of following requests kept while an answer is under way."""
--- a/src/medlarfork/_http_messages.py
+++ b/src/medlarfork/http/_http_messages.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from medlarfork import errors, header_names, request
+from medlarfork import errors, request
+from medlarfork.http import header_names
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
--- a/src/medlarfork/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -13,7 +13,8 @@
 import curio
 from curio import traps
 
-from medlarfork import _http_answer, _http_stream, errors
+from medlarfork import errors
+from medlarfork.http import _http_answer, _http_stream
 
 _SWEEP_S = 0.1
 """How often deadlines of connections are checked, in seconds."""
--- a/src/medlarfork/http_client.py
+++ b/src/medlarfork/http/http_client.py
@@ -8,7 +8,8 @@
 
 import h11
 
-from medlarfork import _http_answer, _http_messages, _http_pool, errors
+from medlarfork import errors
+from medlarfork.http import _http_answer, _http_messages, _http_pool
 
 Response = _http_answer.Response
 ClientLimits = _http_pool.ClientLimits
--- a/src/medlarfork/http_server.py
+++ b/src/medlarfork/http/http_server.py
@@ -10,13 +10,8 @@
 import curio
 from curio import traps
 
-from medlarfork import (
-    _http_connection,
-    _http_exchange,
-    _http_limits,
-    _http_stream,
-    errors,
-)
+from medlarfork import errors
+from medlarfork.http import _http_connection, _http_exchange, _http_limits, _http_stream
 
 Exchange = _http_exchange.Exchange
 RequestHead = _http_exchange.RequestHead
--- /dev/null
+++ b/src/medlarfork/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links between processes over ZeroMQ: messages, keys and sockets."""
--- a/src/medlarfork/_link_sockets.py
+++ b/src/medlarfork/links/_link_sockets.py
@@ -7,7 +7,8 @@
 
 import zmq
 
-from medlarfork import _zap, errors, keys
+from medlarfork import errors
+from medlarfork.links import _zap, keys
 
 ROUTE_SEPARATOR = b"/"
 """Stands between the name and the random part of a routing id."""
--- a/src/medlarfork/_zap.py
+++ b/src/medlarfork/links/_zap.py
@@ -6,7 +6,7 @@
 import zmq
 import zmq.utils.z85
 
-from medlarfork import _zmq_wait
+from medlarfork.links import _zmq_wait
 
 ZAP_ADDRESS = "inproc://zeromq.zap.01"
 """Where ZeroMQ asks its context's authenticator."""
--- a/src/medlarfork/link.py
+++ b/src/medlarfork/links/link.py
@@ -17,7 +17,8 @@
 import curio
 import zmq
 
-from medlarfork import _link_sockets, _zap, _zmq_wait, codec, errors, keys, node
+from medlarfork import codec, errors, node
+from medlarfork.links import _link_sockets, _zap, _zmq_wait, keys
 
 _BATCH = 64
 """Most messages taken from one socket before the others get their turn."""
--- a/src/medlarfork/routed_links.py
+++ b/src/medlarfork/links/routed_links.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from medlarfork import link, replica
 from medlarfork.coordination import coordination_messages
+from medlarfork.links import link
 from medlarfork.placement import placement_messages
+from medlarfork.replica import replica
 
 ROUTED_MESSAGES: tuple[type, ...] = (
     *coordination_messages.COORDINATION_MESSAGES,
--- a/src/medlarfork/wire.py
+++ b/src/medlarfork/links/wire.py
@@ -2,16 +2,11 @@
 
 from __future__ import annotations
 
-from medlarfork import (
-    _log_clock,
-    _replica_messages,
-    claim,
-    codec,
-    entry_types,
-    heartbeat,
-    inventory,
-    ticket,
-)
+from medlarfork import claim, codec, heartbeat, ticket
+from medlarfork.control import _log_clock
+from medlarfork.entry import entry_types
+from medlarfork.orders import inventory
+from medlarfork.replica import _replica_messages
 
 ENTRY_MESSAGES: tuple[type, ...] = (
     entry_types.UpstreamSeen,
--- /dev/null
+++ b/src/medlarfork/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- a/src/medlarfork/_load_arrivals.py
+++ b/src/medlarfork/load/_load_arrivals.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Iterator
 
-from medlarfork import _load_experiment
+from medlarfork.load import _load_experiment
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_load_caller.py
+++ b/src/medlarfork/load/_load_caller.py
@@ -8,16 +8,10 @@
 
 import curio
 
-from medlarfork import (
-    _load_directory,
-    _load_experiment,
-    _load_request,
-    errors,
-    header_names,
-    http_client,
-    sse,
-)
+from medlarfork import errors
 from medlarfork import request as requests
+from medlarfork.http import header_names, http_client, sse
+from medlarfork.load import _load_directory, _load_experiment, _load_request
 
 _NO_WAIT_S = 0.05
 """Wait before a request that was not run is sent again, if the answer names no time."""
--- a/src/medlarfork/_load_directory.py
+++ b/src/medlarfork/load/_load_directory.py
@@ -8,7 +8,9 @@
 import curio
 import msgspec
 
-from medlarfork import entries_answer, errors, http_client
+from medlarfork import errors
+from medlarfork.entry import entries_answer
+from medlarfork.http import http_client
 
 _ASK_TIMEOUT_S = 2.0
 """How long one entry host may take to answer, in seconds."""
--- a/src/medlarfork/_load_experiment.py
+++ b/src/medlarfork/load/_load_experiment.py
@@ -5,7 +5,8 @@
 import dataclasses
 import enum
 
-from medlarfork import errors, settings
+from medlarfork import errors
+from medlarfork.settings import settings
 
 
 class LoadKind(enum.StrEnum):
--- a/src/medlarfork/_load_report.py
+++ b/src/medlarfork/load/_load_report.py
@@ -6,7 +6,8 @@
 import dataclasses
 import statistics
 
-from medlarfork import _load_caller, _load_experiment, _load_request, request
+from medlarfork import request
+from medlarfork.load import _load_caller, _load_experiment, _load_request
 
 _PERCENTILES = (50, 95, 99)
 
--- a/src/medlarfork/_load_request.py
+++ b/src/medlarfork/load/_load_request.py
@@ -9,15 +9,11 @@
 
 import msgspec
 
-from medlarfork import (
-    _load_arrivals,
-    _load_experiment,
-    _standin_text,
-    header_names,
-    parse,
-    sse,
-    uuid7,
-)
+from medlarfork import uuid7
+from medlarfork.filters import parse
+from medlarfork.http import header_names, sse
+from medlarfork.load import _load_arrivals, _load_experiment
+from medlarfork.standin import _standin_text
 
 _WORD = "lorem"
 
--- a/src/medlarfork/load_program.py
+++ b/src/medlarfork/load/load_program.py
@@ -10,16 +10,16 @@
 import msgspec
 from absl import flags
 
-from medlarfork import (
+from medlarfork.http import http_client
+from medlarfork.load import (
     _load_arrivals,
     _load_caller,
     _load_directory,
     _load_experiment,
     _load_report,
     _load_request,
-    http_client,
-    settings,
 )
+from medlarfork.settings import settings
 
 PROGRAM = "medlar-load"
 """Name of the program."""
--- /dev/null
+++ b/src/medlarfork/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' requests, their API over HTTP, and the command line."""
--- a/src/medlarfork/_ctl_commands.py
+++ b/src/medlarfork/operator/_ctl_commands.py
@@ -11,19 +11,13 @@
 import curio
 import msgspec
 
-from medlarfork import (
-    _ctl_render,
-    _ctl_types,
-    configuration_file,
-    errors,
-    keys,
-    operations,
-    operator_client,
-    order_types,
-    settings,
-    uuid7,
-)
-from medlarfork import configuration as configurations
+from medlarfork import errors, uuid7
+from medlarfork.declared import configuration as configurations
+from medlarfork.declared import configuration_file
+from medlarfork.links import keys
+from medlarfork.operator import _ctl_render, _ctl_types, operations, operator_client
+from medlarfork.orders import order_types
+from medlarfork.settings import settings
 
 _POLL_S = 0.2
 """Time between two looks at whether a revision is in force, in seconds."""
--- a/src/medlarfork/_ctl_flags.py
+++ b/src/medlarfork/operator/_ctl_flags.py
@@ -9,7 +9,8 @@
 
 from absl import flags
 
-from medlarfork import _ctl_types, settings
+from medlarfork.operator import _ctl_types
+from medlarfork.settings import settings
 
 PROGRAM = "medlarctl"
 
--- a/src/medlarfork/_ctl_render.py
+++ b/src/medlarfork/operator/_ctl_render.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
-from medlarfork import operations
+from medlarfork.operator import operations
 
 _EMPTY = "-"
 
--- a/src/medlarfork/_ctl_types.py
+++ b/src/medlarfork/operator/_ctl_types.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from medlarfork import errors, settings
+from medlarfork import errors
+from medlarfork.settings import settings
 
 
 class ExitStatus(enum.IntEnum):
--- a/src/medlarfork/_orders_api.py
+++ b/src/medlarfork/operator/_orders_api.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
-from medlarfork import errors, operations, order_types, orders, replicated_state, uuid7
+from medlarfork import errors, uuid7
+from medlarfork.control import replicated_state
+from medlarfork.operator import operations
+from medlarfork.orders import order_types, orders
 
 
 def list_orders(query: dict[str, str], body: bytes, operator: str) -> operations.Request:
--- a/src/medlarfork/ctl_program.py
+++ b/src/medlarfork/operator/ctl_program.py
@@ -12,14 +12,9 @@
 import msgspec
 from absl import flags
 
-from medlarfork import (
-    _ctl_commands,
-    _ctl_flags,
-    _ctl_types,
-    errors,
-    http_client,
-    operator_client,
-)
+from medlarfork import errors
+from medlarfork.http import http_client
+from medlarfork.operator import _ctl_commands, _ctl_flags, _ctl_types, operator_client
 
 ExitStatus = _ctl_types.ExitStatus
 
--- a/src/medlarfork/operations.py
+++ b/src/medlarfork/operator/operations.py
@@ -4,7 +4,10 @@
 
 import dataclasses
 
-from medlarfork import configuration, errors, member, order_types, replicated_state
+from medlarfork import errors, member
+from medlarfork.control import replicated_state
+from medlarfork.declared import configuration
+from medlarfork.orders import order_types
 
 HISTORY_LIMIT = 100
 """Changes listed if a request names no number."""
--- a/src/medlarfork/operations_api.py
+++ b/src/medlarfork/operator/operations_api.py
@@ -11,7 +11,10 @@
 
 import msgspec
 
-from medlarfork import _orders_api, control_settings, errors, http_server, operations
+from medlarfork import errors
+from medlarfork.control import control_settings
+from medlarfork.http import http_server
+from medlarfork.operator import _orders_api, operations
 
 Ask = Callable[[operations.Request], Awaitable[operations.Reply]]
 """Put a request to the control node and return its reply."""
--- a/src/medlarfork/operator_client.py
+++ b/src/medlarfork/operator/operator_client.py
@@ -12,8 +12,12 @@
 import curio
 import msgspec
 
-from medlarfork import configuration as configurations
-from medlarfork import errors, http_client, operations, order_types, replicated_state
+from medlarfork import errors
+from medlarfork.control import replicated_state
+from medlarfork.declared import configuration as configurations
+from medlarfork.http import http_client
+from medlarfork.operator import operations
+from medlarfork.orders import order_types
 
 T = TypeVar("T")
 
--- a/src/medlarfork/_declarations.py
+++ b/src/medlarfork/orders/_declarations.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from medlarfork import errors, labels, order_types
+from medlarfork import errors, labels
+from medlarfork.orders import order_types
 
 MAX_DECLARATIONS = 1_000
 """How many declarations are held; further ones are refused."""
--- a/src/medlarfork/_engine_progress.py
+++ b/src/medlarfork/orders/_engine_progress.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from medlarfork import order_types
+from medlarfork.orders import order_types
 
 MAX_REPEATS = 6
 """After how many fruitless repeats of one action the wait between them grows no more."""
--- a/src/medlarfork/_fleet.py
+++ b/src/medlarfork/orders/_fleet.py
@@ -6,7 +6,8 @@
 import math
 from collections.abc import Mapping
 
-from medlarfork import inventory, labels, order_types, orders
+from medlarfork import labels
+from medlarfork.orders import inventory, order_types, orders
 
 
 class Fleet:
--- a/src/medlarfork/_next_step.py
+++ b/src/medlarfork/orders/_next_step.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from medlarfork import order_types
+from medlarfork.orders import order_types
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_order_session.py
+++ b/src/medlarfork/orders/_order_session.py
@@ -7,18 +7,18 @@
 import math
 from typing import Any
 
-from medlarfork import (
+from medlarfork.entry import _timer_heap
+from medlarfork.orders import (
     _engine_progress,
     _fleet,
     _next_step,
-    _timer_heap,
     fenced_lease,
     inventory,
     order_types,
     orders,
-    planner_settings,
     weight_store,
 )
+from medlarfork.settings import planner_settings
 
 BATCH = 200
 """How many engines one call advances; the others follow at once in calls of their own."""
--- a/src/medlarfork/fenced_lease.py
+++ b/src/medlarfork/orders/fenced_lease.py
@@ -17,7 +17,8 @@
 import enum
 from typing import Any
 
-from medlarfork import lease_types, node
+from medlarfork import node
+from medlarfork.orders import lease_types
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/lease_table.py
+++ b/src/medlarfork/orders/lease_table.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from medlarfork import codec, lease_types
+from medlarfork import codec
+from medlarfork.orders import lease_types
 
 COMMANDS = codec.Codec((lease_types.TakeLease, lease_types.RenewLease, lease_types.ReleaseLease))
 """Packs the commands of a lease table."""
--- a/src/medlarfork/order_client.py
+++ b/src/medlarfork/orders/order_client.py
@@ -13,7 +13,9 @@
 
 import msgspec
 
-from medlarfork import errors, fenced_lease, http_client, order_protocol, order_types
+from medlarfork import errors
+from medlarfork.http import http_client
+from medlarfork.orders import fenced_lease, order_protocol, order_types
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _CONFLICT = 409
--- a/src/medlarfork/order_desk.py
+++ b/src/medlarfork/orders/order_desk.py
@@ -13,18 +13,17 @@
 from collections.abc import Collection, Iterable
 from typing import Any
 
-from medlarfork import (
+from medlarfork import heartbeat, node
+from medlarfork.orders import (
     fenced_lease,
-    heartbeat,
     inventory,
     lease_table,
     lease_types,
-    node,
     order_planner,
     order_types,
     orders,
-    planner_settings,
 )
+from medlarfork.settings import planner_settings
 
 LEASE_NAME = "orders"
 """The lease under which engines are ordered."""
--- a/src/medlarfork/order_planner.py
+++ b/src/medlarfork/orders/order_planner.py
@@ -15,16 +15,16 @@
 import math
 from typing import Any
 
-from medlarfork import (
+from medlarfork import node
+from medlarfork.orders import (
     _order_session,
     fenced_lease,
     inventory,
     lease_types,
-    node,
     order_types,
     orders,
-    planner_settings,
 )
+from medlarfork.settings import planner_settings
 
 
 class OrderPlanner:
--- a/src/medlarfork/order_protocol.py
+++ b/src/medlarfork/orders/order_protocol.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from medlarfork import order_types
+from medlarfork.orders import order_types
 
 ORDERS_TARGET = "/v1/orders"
 """Where engines take orders."""
--- a/src/medlarfork/orders.py
+++ b/src/medlarfork/orders/orders.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from medlarfork import _declarations, codec, order_types
+from medlarfork import codec
+from medlarfork.orders import _declarations, order_types
 
 COMMANDS = codec.Codec(
     (
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -26,8 +26,10 @@
 
 SAFE_SHARE = 0.9
 """Share of a stream's allowed pause that reading may fill unharmed. Pauses are reckoned from the
-measured rate of reading, which holds steps, attention and slower engines. Of two sites measured, one
-has pauses of 0.82 of those allowed, where separating streams only lost capacity, the other 1.06."""
+measured rate of reading, which holds steps, attention and slower engines. Of two sites measured,
+one has pauses of 0.82 of those allowed, where separating streams only lost capacity, and the other
+1.06.
+"""
 
 APART_COST = 0.3
 """Cost of bringing the first tight stream to an engine, which long prompts then have to avoid."""
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -73,6 +73,7 @@
         self._memory_tokens = PLAIN_MEMORY_TOKENS
         self._event_tokens = 1
         self._read_at_by_part: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._longest_target_ms = 0.0
         self.rate = read_rate.ReadRate()
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
         self._waiting_by_ticket: dict[str, _Waiting] = {}
@@ -108,11 +109,12 @@
         if request.ticket_id in self._waiting_by_ticket:
             return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
         waiting = _Waiting(entry_id, request, now)
-        predicted_ms = self._predicted_wait_ms(waiting, now)
-        if start_rules.is_hopeless(request, predicted_ms, self._least_read_ms(request)):
-            why = f"it would wait about {predicted_ms:.0f} ms"
-            after_ms = start_rules.retry_after_ms(request, predicted_ms, SHORTEST_RETRY_MS)
-            return (self._refuse(waiting, why, after_ms),)
+        if self._yields(request):
+            predicted_ms = self._predicted_wait_ms(waiting, now)
+            if start_rules.is_hopeless(request, predicted_ms, self._least_read_ms(request)):
+                why = f"it would wait about {predicted_ms:.0f} ms"
+                after_ms = start_rules.retry_after_ms(request, predicted_ms, SHORTEST_RETRY_MS)
+                return (self._refuse(waiting, why, after_ms),)
         answer = self._try(waiting, now)
         if answer is not None:
             return (answer,)
@@ -184,7 +186,7 @@
                 answers.append(self._refuse(waiting, why, SHORTEST_RETRY_MS))
                 continue
             answer = self._try(waiting, now)
-            if answer is None and waiting.is_late(now):
+            if answer is None and self._yields(waiting.request) and waiting.is_late(now):
                 answer = self._refuse(waiting, "it could not begin in time", SHORTEST_RETRY_MS)
             if answer is not None:
                 del self._waiting_by_ticket[ticket_id]
@@ -206,7 +208,9 @@
         if best is None or best_cost is None:
             return None
         slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms)
-        if self._has_tight() and not start_rules.may_start(best_cost, slack_ms):
+        if self._has_tight() and not start_rules.may_start(
+            best_cost, slack_ms, yields=self._yields(request)
+        ):
             return None
         return self._start(waiting, best, best_cost, now)
 
@@ -247,6 +251,11 @@
         backlogs = (load.backlog_ms(now) for load in self.load_by_id.values())
         return ahead_ms + min(backlogs, default=0.0)
 
+    def _yields(self, request: placement_messages.PlaceRequest) -> bool:
+        """Return whether no kind of request has a longer target; learnt from those that came."""
+        self._longest_target_ms = max(self._longest_target_ms, request.target_ms)
+        return request.target_ms >= self._longest_target_ms
+
     def _has_tight(self) -> bool:
         """Return whether streams run that reading beside them makes late.
 
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -43,15 +43,20 @@
     return PATIENCE * request.target_ms - waited_ms - read_ms
 
 
-def may_start(cost: placement_cost.Cost, slack: float) -> bool:
+def may_start(cost: placement_cost.Cost, slack: float, *, yields: bool) -> bool:
     """Say whether a request starts on the upstream that costs it least.
 
     It waits while its engine has reading enough, and while its own reading would make streams there
     late: any of them as long as its target allows to wait, and later more than itself counts. A
-    short prompt that can't wait any more always starts; refusing it would save next to nothing.
+    request that does not yield always starts once it can't wait any more.
+
+    Args:
+        cost: What starting would cost.
+        slack: How much longer it can wait, in milliseconds.
+        yields: Whether its target is the longest of the service's: its kind gives way to others.
     """
     is_long = cost.read_ms > placement_cost.LONG_READ_MS
-    if not is_long and slack <= 0:
+    if not yields and slack <= 0:
         return True
     most_ms = BACKLOG_MS if is_long else SHORT_BACKLOG_MS
     if cost.wait_ms + cost.rest_ms > most_ms:
@@ -69,7 +74,11 @@
 def is_hopeless(
     request: placement_messages.PlaceRequest, predicted_wait_ms: float, read_ms: float
 ) -> bool:
-    """Say whether a request that has just come would begin too late to be of use."""
+    """Say whether a request that has just come would begin too late to be of use.
+
+    Ask it only of requests that yield: refusing one while longer ones begin would turn the order of
+    what is urgent around, and save little.
+    """
     if request.target_ms <= 0 or read_ms <= placement_cost.LONG_READ_MS:
         return False
     return predicted_wait_ms + read_ms > HOPELESS_TARGETS * request.target_ms
--- a/src/medlarfork/_account_share.py
+++ b/src/medlarfork/pool/_account_share.py
@@ -5,7 +5,8 @@
 import math
 from collections.abc import Iterable
 
-from medlarfork import _bucket, configuration
+from medlarfork.declared import configuration
+from medlarfork.pool import _bucket
 
 _MIN_BURST = 1.0
 """Requests that a bucket admits at once, however low its rate."""
--- a/src/medlarfork/_outlook.py
+++ b/src/medlarfork/pool/_outlook.py
@@ -5,7 +5,8 @@
 import math
 import random
 
-from medlarfork import _drain_rate, _length_estimate, _pool_ticket, pool_options, ticket
+from medlarfork import ticket
+from medlarfork.pool import _drain_rate, _length_estimate, _pool_ticket, pool_options
 
 _HOPELESS = 0.5
 """Share of requests that are shorter than the time which a hopeless ticket still has."""
--- a/src/medlarfork/_pool_parts.py
+++ b/src/medlarfork/pool/_pool_parts.py
@@ -4,7 +4,7 @@
 
 import random
 
-from medlarfork import (
+from medlarfork.pool import (
     _account_share,
     _floor,
     _outlook,
--- a/src/medlarfork/_preemption.py
+++ b/src/medlarfork/pool/_preemption.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Callable
 
-from medlarfork import _bucket, _pool_ticket, pool_options
+from medlarfork.pool import _bucket, _pool_ticket, pool_options
 
 _ASK_AGAIN_S = 1.0
 """How long an unanswered preemption counts as a slot about to be freed, in seconds."""
--- a/src/medlarfork/_queue_set.py
+++ b/src/medlarfork/pool/_queue_set.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork import _pool_ticket, _tier_queue
+from medlarfork.pool import _pool_ticket, _tier_queue
 
 
 class QueueSet:
--- a/src/medlarfork/_reserve.py
+++ b/src/medlarfork/pool/_reserve.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Mapping
 
-from medlarfork import _drain_rate
+from medlarfork.pool import _drain_rate
 
 _FAST_S = 2.0
 """Window that notices a burst, in seconds."""
--- a/src/medlarfork/_running_set.py
+++ b/src/medlarfork/pool/_running_set.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork import _pool_ticket
+from medlarfork.pool import _pool_ticket
 
 
 class RunningSet:
--- a/src/medlarfork/_stall.py
+++ b/src/medlarfork/pool/_stall.py
@@ -5,7 +5,8 @@
 import collections
 from collections.abc import Iterable
 
-from medlarfork import _pool_ticket, _upstream_set, pool_options, ticket, upstream
+from medlarfork import ticket, upstream
+from medlarfork.pool import _pool_ticket, _upstream_set, pool_options
 
 _ASK_AGAIN_S = 3.0
 """How long a holder is given to let go of a ticket before it is asked again, in seconds."""
--- a/src/medlarfork/_starter.py
+++ b/src/medlarfork/pool/_starter.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from medlarfork import _pool_parts, _pool_ticket, _timers, pool_options, ticket
+from medlarfork import ticket
+from medlarfork.pool import _pool_parts, _pool_ticket, _timers, pool_options
 
 _MAX_ASIDE = 4
 """Tickets set aside at once because only upstreams that they avoid are free."""
--- a/src/medlarfork/_tier_queue.py
+++ b/src/medlarfork/pool/_tier_queue.py
@@ -6,7 +6,8 @@
 import itertools
 from collections.abc import Callable
 
-from medlarfork import _pool_ticket, ticket
+from medlarfork import ticket
+from medlarfork.pool import _pool_ticket
 
 CostOf = Callable[[ticket.Ticket], float]
 """Return what a ticket costs its account: its slot time divided by the account's weight."""
--- a/src/medlarfork/_timers.py
+++ b/src/medlarfork/pool/_timers.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Iterator
 
-from medlarfork import _pool_ticket
+from medlarfork.pool import _pool_ticket
 
 Item = _pool_ticket.QueuedTicket | _pool_ticket.RunningTicket
 """What a timer is for; timers of a dead one lapse."""
--- a/src/medlarfork/_upstream_health.py
+++ b/src/medlarfork/pool/_upstream_health.py
@@ -5,7 +5,8 @@
 import statistics
 from collections.abc import Iterable
 
-from medlarfork import pool_options, ticket
+from medlarfork import ticket
+from medlarfork.pool import pool_options
 
 _SMOOTHING = 0.2
 """Weight of the newest observation in an upstream's slowness, by time per token."""
--- a/src/medlarfork/_upstream_set.py
+++ b/src/medlarfork/pool/_upstream_set.py
@@ -6,15 +6,8 @@
 import math
 from collections.abc import Iterable, Iterator
 
-from medlarfork import (
-    _pool_ticket,
-    _prefix_index,
-    _upstream_health,
-    pool_options,
-    pool_view,
-    ticket,
-    upstream,
-)
+from medlarfork import ticket, upstream
+from medlarfork.pool import _pool_ticket, _prefix_index, _upstream_health, pool_options, pool_view
 
 _FOREIGN_WINDOW_S = 5.0
 """How far back own running requests may explain a lagging load report, in seconds."""
--- a/src/medlarfork/owned_pool.py
+++ b/src/medlarfork/pool/owned_pool.py
@@ -6,7 +6,8 @@
 import math
 from typing import Any, Protocol
 
-from medlarfork import node, pool_events, pool_view, ticket
+from medlarfork import node, ticket
+from medlarfork.pool import pool_events, pool_view
 
 _RETRY_AFTER_S = 1.0
 
--- a/src/medlarfork/ownership.py
+++ b/src/medlarfork/pool/ownership.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from medlarfork import configuration, member, rendezvous
+from medlarfork import member, rendezvous
+from medlarfork.declared import configuration
 
 ASKED = 3
 """How many entry hosts are asked for a pool, one after the other."""
--- a/src/medlarfork/pool.py
+++ b/src/medlarfork/pool/pool.py
@@ -6,17 +6,16 @@
 import random
 from typing import Any
 
-from medlarfork import (
+from medlarfork import node, ticket
+from medlarfork.pool import (
     _finished_tickets,
     _pool_parts,
     _pool_ticket,
     _starter,
     _timers,
-    node,
     pool_events,
     pool_options,
     pool_view,
-    ticket,
 )
 
 PoolOptions = pool_options.PoolOptions
--- a/src/medlarfork/pool_events.py
+++ b/src/medlarfork/pool/pool_events.py
@@ -9,7 +9,8 @@
 
 import dataclasses
 
-from medlarfork import configuration, upstream
+from medlarfork import upstream
+from medlarfork.declared import configuration
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_disk_writer.py
+++ b/src/medlarfork/replica/_disk_writer.py
@@ -8,7 +8,8 @@
 
 import curio
 
-from medlarfork import errors, journal, logs, node, replica_types
+from medlarfork import errors, logs, node
+from medlarfork.replica import journal, replica_types
 
 _log = logging.getLogger(__name__)
 
--- a/src/medlarfork/_replica_compaction.py
+++ b/src/medlarfork/replica/_replica_compaction.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork import _replica_records, _replica_state, replica_types
+from medlarfork.replica import _replica_records, _replica_state, replica_types
 
 
 class Compaction:
--- a/src/medlarfork/_replica_disk.py
+++ b/src/medlarfork/replica/_replica_disk.py
@@ -5,7 +5,8 @@
 import collections
 from typing import Any
 
-from medlarfork import _replica_records, node, replica_types
+from medlarfork import node
+from medlarfork.replica import _replica_records, replica_types
 
 MAX_HELD_MESSAGES = 512
 """Messages held back at most; older ones are dropped as a network might drop them."""
--- a/src/medlarfork/_replica_follower.py
+++ b/src/medlarfork/replica/_replica_follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork import (
+from medlarfork.replica import (
     _replica_messages,
     _replica_records,
     _replica_snapshot,
--- a/src/medlarfork/_replica_founding.py
+++ b/src/medlarfork/replica/_replica_founding.py
@@ -12,12 +12,7 @@
 
 import math
 
-from medlarfork import (
-    _replica_messages,
-    _replica_records,
-    _replica_state,
-    replica_types,
-)
+from medlarfork.replica import _replica_messages, _replica_records, _replica_state, replica_types
 
 FIRST_INDEX = 1
 """Index of the first membership."""
--- a/src/medlarfork/_replica_leader.py
+++ b/src/medlarfork/replica/_replica_leader.py
@@ -4,7 +4,7 @@
 
 import math
 
-from medlarfork import (
+from medlarfork.replica import (
     _replica_membership,
     _replica_messages,
     _replica_progress,
--- a/src/medlarfork/_replica_log.py
+++ b/src/medlarfork/replica/_replica_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork import _replica_records
+from medlarfork.replica import _replica_records
 
 
 class ReplicaLog:
--- a/src/medlarfork/_replica_membership.py
+++ b/src/medlarfork/replica/_replica_membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork import _replica_records, replica_types
+from medlarfork.replica import _replica_records, replica_types
 
 UNSEEN_DISK_ID = 0
 """Stands for the disk of a replica that was added but has not been heard yet."""
--- a/src/medlarfork/_replica_messages.py
+++ b/src/medlarfork/replica/_replica_messages.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from medlarfork import _replica_records
+from medlarfork.replica import _replica_records
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_replica_progress.py
+++ b/src/medlarfork/replica/_replica_progress.py
@@ -5,7 +5,7 @@
 import collections
 import math
 
-from medlarfork import _replica_records, _replica_snapshot
+from medlarfork.replica import _replica_records, _replica_snapshot
 
 
 class Progress:
--- a/src/medlarfork/_replica_records.py
+++ b/src/medlarfork/replica/_replica_records.py
@@ -5,7 +5,8 @@
 import dataclasses
 import enum
 
-from medlarfork import codec, replica_types
+from medlarfork import codec
+from medlarfork.replica import replica_types
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/_replica_snapshot.py
+++ b/src/medlarfork/replica/_replica_snapshot.py
@@ -4,7 +4,7 @@
 
 import hashlib
 
-from medlarfork import _replica_messages
+from medlarfork.replica import _replica_messages
 
 DIGEST_BYTES = 16
 """Size of the digest that tells snapshots apart and checks that a whole one arrived."""
--- a/src/medlarfork/_replica_state.py
+++ b/src/medlarfork/replica/_replica_state.py
@@ -5,12 +5,12 @@
 import random as random_module
 from typing import Any
 
-from medlarfork import (
+from medlarfork import node
+from medlarfork.replica import (
     _replica_disk,
     _replica_log,
     _replica_options,
     _replica_records,
-    node,
     replica_types,
 )
 
--- a/src/medlarfork/journal.py
+++ b/src/medlarfork/replica/journal.py
@@ -23,7 +23,8 @@
 from collections.abc import Iterable
 from typing import IO, NoReturn
 
-from medlarfork import _journal_format, errors, replica_types
+from medlarfork import errors
+from medlarfork.replica import _journal_format, replica_types
 
 JOURNAL_NAME = "journal"
 """The file with the snapshot and the records after it."""
--- a/src/medlarfork/replica.py
+++ b/src/medlarfork/replica/replica.py
@@ -37,7 +37,8 @@
 import random as random_module
 from typing import Any
 
-from medlarfork import (
+from medlarfork import node
+from medlarfork.replica import (
     _replica_compaction,
     _replica_election,
     _replica_follower,
@@ -46,7 +47,6 @@
     _replica_messages,
     _replica_options,
     _replica_state,
-    node,
     replica_types,
 )
 
--- /dev/null
+++ b/src/medlarfork/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files of the programs: reading them and reporting every mistake in them."""
--- a/src/medlarfork/_settings_flag.py
+++ b/src/medlarfork/settings/_settings_flag.py
@@ -11,7 +11,8 @@
 
 from absl import flags
 
-from medlarfork import errors, settings
+from medlarfork import errors
+from medlarfork.settings import settings
 
 T = TypeVar("T")
 
--- a/src/medlarfork/_toml_convert.py
+++ b/src/medlarfork/settings/_toml_convert.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 from typing import Any, Generic, TypeVar
 
-from medlarfork import _toml_lines
+from medlarfork.settings import _toml_lines
 
 T = TypeVar("T")
 
--- a/src/medlarfork/planner_settings.py
+++ b/src/medlarfork/settings/planner_settings.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from medlarfork import weight_store
+from medlarfork.orders import weight_store
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/settings.py
+++ b/src/medlarfork/settings/settings.py
@@ -14,7 +14,8 @@
 from collections.abc import Iterator, Sequence
 from typing import Any, TypeVar
 
-from medlarfork import _toml_convert, _toml_lines, _wording, errors
+from medlarfork import errors
+from medlarfork.settings import _toml_convert, _toml_lines, _wording
 
 T = TypeVar("T")
 
--- a/src/medlarfork/_standin_batch.py
+++ b/src/medlarfork/standin/_standin_batch.py
@@ -7,7 +7,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from medlarfork import _standin_cache, _standin_faults, _standin_slots, _standin_text, errors
+from medlarfork import errors
+from medlarfork.standin import _standin_cache, _standin_faults, _standin_slots, _standin_text
 
 _HIT_SHARE = 0.2
 """Share of the first token's time that is left when the prompt's prefix is cached."""
--- a/src/medlarfork/_standin_flags.py
+++ b/src/medlarfork/standin/_standin_flags.py
@@ -15,7 +15,8 @@
 
 from absl import flags
 
-from medlarfork import errors, settings
+from medlarfork import errors
+from medlarfork.settings import settings
 
 T = TypeVar("T")
 
--- a/src/medlarfork/_standin_orders.py
+++ b/src/medlarfork/standin/_standin_orders.py
@@ -4,7 +4,8 @@
 
 import collections
 
-from medlarfork import errors, order_protocol, order_types
+from medlarfork import errors
+from medlarfork.orders import order_protocol, order_types
 
 _REMEMBERED = 1_000
 """Orders whose ids and counts are kept."""
--- a/src/medlarfork/announcer.py
+++ b/src/medlarfork/standin/announcer.py
@@ -10,7 +10,8 @@
 import curio
 import msgspec
 
-from medlarfork import errors, http_client, upstream
+from medlarfork import errors, upstream
+from medlarfork.http import http_client
 
 _TARGETS = 2
 """Entry hosts that hear each announcement: a pool's owner and its standby."""
--- a/tests/processes/test_callers.py
+++ b/tests/processes/test_callers.py
@@ -5,7 +5,7 @@
 import openai
 import pytest
 
-from medlarfork import _standin_text
+from medlarfork.standin import _standin_text
 from tests.processes import callers
 
 CONNECTIONS = 8
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from medlarfork import _replica_messages, _replica_records, codec, node, replica, replica_types
+from medlarfork import codec, node
+from medlarfork.replica import _replica_messages, _replica_records, replica, replica_types
 
 OPTIONS = replica.ReplicaOptions(
     snapshot_every_entries=12, trailing_entries=4, snapshot_chunk_bytes=64, batch_entries=4
--- a/tests/routed/coordinator_cluster.py
+++ b/tests/routed/coordinator_cluster.py
@@ -7,13 +7,14 @@
 import json
 import random
 
-from medlarfork import node, replica, replica_types
+from medlarfork import node
 from medlarfork.coordination import (
     coordinator,
     coordinator_program,
     coordinator_types,
     operations_format,
 )
+from medlarfork.replica import replica, replica_types
 
 STEP_S = 0.02
 PERIOD_S = 1.0
--- a/tests/routed/routed_world.py
+++ b/tests/routed/routed_world.py
@@ -9,9 +9,10 @@
 
 import curio
 
-from medlarfork import errors, http_client, http_server
+from medlarfork import errors
 from medlarfork.coordination import coordinator_program, coordinator_settings, operations_format
 from medlarfork.gateway import gateway_program, gateway_settings, request_names
+from medlarfork.http import http_client, http_server
 from tests import curio_world
 
 NAMES = request_names.RequestNames()
--- a/tests/routed/test_member_desk.py
+++ b/tests/routed/test_member_desk.py
@@ -1,7 +1,7 @@
 import pytest
 
-from medlarfork import replica, replica_types
 from medlarfork.coordination import member_desk
+from medlarfork.replica import replica, replica_types
 
 ME = "r1"
 
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -89,6 +89,17 @@
     assert isinstance(answer.message, placement_messages.Queued)
 
 
+def test_only_the_kind_with_the_longest_target_is_refused(make_owner, make_question):
+    # On this load, requests of a middle target were refused while longer ones began.
+    service = make_owner(count=1, slots=64)
+    for n in range(30):
+        service.place("e", make_question(f"l{n}", ((f"p{n}", 12_000),), target_ms=1500.0), 0.0)
+    (middle,) = service.place("e", make_question("m", (("q", 8000),), target_ms=400.0), 0.1)
+    assert isinstance(middle.message, placement_messages.Placed)
+    (longest,) = service.place("e", make_question("x", (("r", 8000),), target_ms=1500.0), 0.1)
+    assert isinstance(longest.message, placement_messages.PlaceRefused)
+
+
 def test_overdue_long_prompts_do_not_hold_up_short_ones(make_owner, make_question):
     """Replay a queue of long prompts that are all late when a short one comes."""
     service = make_owner(count=1, slots=1)
--- a/tests/routed/test_routed_deployment.py
+++ b/tests/routed/test_routed_deployment.py
@@ -5,7 +5,8 @@
 import curio
 import pytest
 
-from medlarfork import errors, http_server
+from medlarfork import errors
+from medlarfork.http import http_server
 from tests import curio_world
 from tests.routed import routed_world
 from tests.routed.routed_world import NAMES
--- a/tests/test_claim_settlements.py
+++ b/tests/test_claim_settlements.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from medlarfork import claim, entry_types, node
+from medlarfork import claim, node
+from medlarfork.entry import entry_types
 from tests import entry_world
 
 _KEY = claim.ClaimKey("shop", "k1")
--- a/tests/test_claim_table.py
+++ b/tests/test_claim_table.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from medlarfork import _claim_shares, _claim_table, claim, uuid7
+from medlarfork import claim, uuid7
+from medlarfork.control import _claim_shares, _claim_table
 
 _Verdict = claim.Verdict
 
--- a/tests/test_classify.py
+++ b/tests/test_classify.py
@@ -7,8 +7,9 @@
 import hypothesis.strategies as st
 import pytest
 
-from medlarfork import classify, errors, plain_call
-from medlarfork import configuration as configurations
+from medlarfork import errors
+from medlarfork.declared import configuration as configurations
+from medlarfork.filters import classify, plain_call
 
 MODEL = configurations.ServiceKind.MODEL
 PLAIN = configurations.ServiceKind.PLAIN
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from medlarfork import configuration as configurations
-from medlarfork import configuration_check
+from medlarfork.declared import configuration as configurations
+from medlarfork.declared import configuration_check
 
 Kind = configuration_check.FindingKind
 MODEL = configurations.ServiceKind.MODEL
--- a/tests/test_configuration_delta.py
+++ b/tests/test_configuration_delta.py
@@ -4,7 +4,8 @@
 import pytest
 from hypothesis import strategies
 
-from medlarfork import configuration, configuration_delta, errors, heartbeat
+from medlarfork import errors, heartbeat
+from medlarfork.declared import configuration, configuration_delta
 
 _NAMES = strategies.sampled_from(("a", "b", "c", "d"))
 
--- a/tests/test_configuration_file.py
+++ b/tests/test_configuration_file.py
@@ -7,8 +7,9 @@
 import hypothesis.strategies as st
 import pytest
 
-from medlarfork import configuration as configurations
-from medlarfork import configuration_file, errors
+from medlarfork import errors
+from medlarfork.declared import configuration as configurations
+from medlarfork.declared import configuration_file
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
--- a/tests/test_entry_golden.py
+++ b/tests/test_entry_golden.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from medlarfork import claim, entry_types, heartbeat, node, ticket, upstream
+from medlarfork import claim, heartbeat, node, ticket, upstream
+from medlarfork.entry import entry_types
 from tests import entry_world
 
 FOLDER = pathlib.Path(__file__).parent / "golden"
--- a/tests/test_entry_orders.py
+++ b/tests/test_entry_orders.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from medlarfork import entry_types, heartbeat, inventory
+from medlarfork import heartbeat
+from medlarfork.entry import entry_types
+from medlarfork.orders import inventory
 from tests import entry_world
 
 
--- a/tests/test_example_settings.py
+++ b/tests/test_example_settings.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-from medlarfork import _ctl_types, control_settings, entry_settings, settings
+from medlarfork.control import control_settings
+from medlarfork.entry import entry_settings
+from medlarfork.operator import _ctl_types
+from medlarfork.settings import settings
 
 _FOLDER = pathlib.Path(__file__).parent.parent / "examples" / "settings"
 _CONTROLS = ("control-1", "control-2", "control-3")
--- a/tests/test_fenced_lease.py
+++ b/tests/test_fenced_lease.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from medlarfork import fenced_lease, lease_table, lease_types, node
+from medlarfork import node
+from medlarfork.orders import fenced_lease, lease_table, lease_types
 
 
 class Log:
--- a/tests/test_http_answer.py
+++ b/tests/test_http_answer.py
@@ -10,7 +10,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from medlarfork import _http_answer, errors
+from medlarfork import errors
+from medlarfork.http import _http_answer
 
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 CHUNKS = b"1\r\na\r\n00A\r\n\r\n0\r\n\r\nbcd\r\n2;x=y\r\nef\r\n1\r\ng\r\n"
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,7 +5,8 @@
 import curio
 import pytest
 
-from medlarfork import errors, http_client, http_server
+from medlarfork import errors
+from medlarfork.http import http_client, http_server
 from tests import curio_world
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import strategies
 
-from medlarfork import http_server
+from medlarfork.http import http_server
 from tests import curio_world
 
 LONG_S = 20.0
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from medlarfork import inventory
+from medlarfork.orders import inventory
 
 NOTICE = inventory.UpstreamNotice("e1", 5, "http://127.0.0.1:1", models=("m",))
 
--- a/tests/test_inventory_reporter.py
+++ b/tests/test_inventory_reporter.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from medlarfork import inventory, inventory_reporter, upstream
+from medlarfork import upstream
+from medlarfork.entry import inventory_reporter
+from medlarfork.orders import inventory
 
 
 def announcement(upstream_id="u1", **changed):
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from medlarfork import _journal_format, errors, journal, replica_types
+from medlarfork import errors
+from medlarfork.replica import _journal_format, journal, replica_types
 
 RECORDS = tuple(f"record {number}".encode() for number in range(5))
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from medlarfork import errors, keys
+from medlarfork import errors
+from medlarfork.links import keys
 
 
 def test_generated_keys_load_with_those_of_the_peers(tmp_path: pathlib.Path) -> None:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -11,7 +11,8 @@
 import pytest
 import zmq
 
-from medlarfork import codec, errors, keys, link, node
+from medlarfork import codec, errors, node
+from medlarfork.links import keys, link
 from tests import curio_world
 
 TIMEOUT_S = 20
--- a/tests/test_log_clock.py
+++ b/tests/test_log_clock.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from medlarfork import _log_clock, claim, control_types, node, uuid7
+from medlarfork import claim, node, uuid7
+from medlarfork.control import _log_clock, control_types
 from tests import test_control_machine as machine
 
 _YEAR_MS = 365 * 24 * 3600 * 1000
--- a/tests/test_order_client.py
+++ b/tests/test_order_client.py
@@ -4,7 +4,8 @@
 import msgspec
 import pytest
 
-from medlarfork import errors, order_client, order_types
+from medlarfork import errors
+from medlarfork.orders import order_client, order_types
 
 LOAD = order_types.LoadWeights(order_types.Weights("m", "v1", 10), 5.0)
 
--- a/tests/test_order_planner.py
+++ b/tests/test_order_planner.py
@@ -6,7 +6,8 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from medlarfork import _fleet, inventory, lease_types, node, order_types, orders
+from medlarfork import node
+from medlarfork.orders import _fleet, inventory, lease_types, order_types, orders
 from tests import order_world
 
 PICK = st.integers(0, 1_000)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from medlarfork import _declarations, order_types, orders
+from medlarfork.orders import _declarations, order_types, orders
 
 WEIGHTS = order_types.Weights("m", "v1", 10)
 LOAD = order_types.LoadWeights(WEIGHTS, 5.0)
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -1,6 +1,6 @@
 """Resend messages until they are confirmed, given up or pushed out by newer ones."""
 
-from medlarfork import _outbox
+from medlarfork.entry import _outbox
 
 
 def _sent(outbox, now):
--- a/tests/test_owned_pool.py
+++ b/tests/test_owned_pool.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from medlarfork import node, owned_pool, pool_events, ticket
+from medlarfork import node, ticket
+from medlarfork.pool import owned_pool, pool_events
 
 
 class FakeScheduler:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from medlarfork import member, ownership
+from medlarfork import member
+from medlarfork.pool import ownership
 from tests import entry_world
 
 DECLARED = entry_world.declared()
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -7,7 +7,9 @@
 import curio
 import pytest
 
-from medlarfork import _peer_links, codec, link
+from medlarfork import codec
+from medlarfork.entry import _peer_links
+from medlarfork.links import link
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_pool_machine.py
+++ b/tests/test_pool_machine.py
@@ -5,7 +5,9 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
-from medlarfork import configuration, node, pool, pool_events, ticket, upstream
+from medlarfork import node, ticket, upstream
+from medlarfork.declared import configuration
+from medlarfork.pool import pool, pool_events
 
 _POOL = "lm/0"
 _CLASSES = (
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from medlarfork import assembled_answer, errors, relay, sse
+from medlarfork import errors
+from medlarfork.filters import assembled_answer, relay
+from medlarfork.http import sse
 
 STREAM = {"content-type": "text/event-stream; charset=utf-8"}
 
--- a/tests/test_replica_machine.py
+++ b/tests/test_replica_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from medlarfork import replica_types
+from medlarfork.replica import replica_types
 from tests import replica_cluster
 
 RATES = st.sampled_from([0.96, 1.0, 1.04])
--- a/tests/test_replicated_state.py
+++ b/tests/test_replicated_state.py
@@ -8,7 +8,9 @@
 import pytest
 from hypothesis import strategies
 
-from medlarfork import claim, configuration, errors, member, replicated_state, uuid7
+from medlarfork import claim, errors, member, uuid7
+from medlarfork.control import replicated_state
+from medlarfork.declared import configuration
 
 _LIMITS = replicated_state.ClaimLimits(
     retention_ms=1000,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,8 @@
 import hypothesis.strategies as st
 import pytest
 
-from medlarfork import _toml_lines, errors, settings, uuid7
+from medlarfork import errors, uuid7
+from medlarfork.settings import _toml_lines, settings
 
 
 class Colour(enum.StrEnum):
--- a/tests/test_shard_choice.py
+++ b/tests/test_shard_choice.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from medlarfork import _shard_choice, ticket
+from medlarfork import ticket
+from medlarfork.entry import _shard_choice
 
 POOLS = tuple(f"lm/{number}" for number in range(10))
 HOSTS = 390
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -4,7 +4,8 @@
 import pytest
 from hypothesis import strategies
 
-from medlarfork import errors, sse
+from medlarfork import errors
+from medlarfork.http import sse
 
 STREAM = b': hello\n\nid: 1\ndata: {"a": "\xc3\xa9"}\n\r\ndata: x\r\ndata:y\n\ndata: [DONE]\n\n'
 EVENTS = (sse.Event('{"a": "é"}', "1"), sse.Event("x\ny"), sse.Event(sse.DONE))
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -5,7 +5,8 @@
 import curio
 import pytest
 
-from medlarfork import _tally, entry_types, request, telemetry
+from medlarfork import request
+from medlarfork.entry import _tally, entry_types, telemetry
 
 RECORD = entry_types.Record(
     request_id="r1",
--- a/tests/test_upstream_health.py
+++ b/tests/test_upstream_health.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from medlarfork import _upstream_health, pool_options, ticket
+from medlarfork import ticket
+from medlarfork.pool import _upstream_health, pool_options
 
 _SLOTS = 8
 
--- a/tests/test_weight_store.py
+++ b/tests/test_weight_store.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from medlarfork import weight_store
+from medlarfork.orders import weight_store
 
 SETTINGS = weight_store.StoreSettings(bytes_per_second=40.0, lanes=4, small_bytes=20)
 LANE_RATE = 10.0
