--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -110,6 +110,7 @@
         self._serve_waiting()
         if now >= self._tick_due:
             self._tick()
+        self._note_decisions()
         return tuple(self._actions)
 
     @property
@@ -313,6 +314,32 @@
             self._leader_id, self._term, members, self._entries.hosts
         )
 
+    def _note_decisions(self) -> None:
+        """Log each decision of placement with what it rests on."""
+        for answer in self._owner.take_decisions():
+            match answer.message:
+                case placement_messages.Placed(ticket_id, upstream_id) if answer.grounds:
+                    grounds = answer.grounds
+                    self._note(
+                        "placed",
+                        ticket=ticket_id,
+                        upstream=upstream_id,
+                        waited_ms=round(grounds.waited_ms),
+                        backlog_ms=round(grounds.cost.wait_ms),
+                        read_ms=round(grounds.cost.read_ms),
+                        harm=round(grounds.cost.harm, 2),
+                        cost=round(grounds.cost.total, 3),
+                        running=grounds.running,
+                        candidates=grounds.candidates,
+                        tokens_per_ms=round(grounds.tokens_per_ms, 1),
+                    )
+                case placement_messages.PlaceRefused(ticket_id, retry_after_ms, why):
+                    self._note(
+                        "placement_refused", ticket=ticket_id, retry_ms=retry_after_ms, why=why
+                    )
+                case placement_messages.Queued(ticket_id):
+                    self._note("placement_queued", ticket=ticket_id)
+
     def _reply(self, operation_id: int, reply: coordinator_types.Reply) -> None:
         self._actions.append(coordinator_types.OperationDone(operation_id, reply))
 
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -212,6 +212,7 @@
             result=trace.result.value,
             status=trace.status,
             upstreams=",".join(trace.upstreams) or None,
+            tickets=",".join(trace.tickets) or None,
             waited_ms=round(trace.waited_ms, 1),
             first_ms=round(trace.first_event_ms, 1),
             took_ms=round(took_ms, 1),
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -80,6 +80,7 @@
         result: What became of it.
         status: The status that its caller got; 0 for none.
         upstreams: The incarnations it was sent to, in order.
+        tickets: The questions to the owner of placement, in order.
         reasons: Why attempts ended without an answer, in order.
         waited_ms: Time until it was placed the first time, in milliseconds.
         first_event_ms: Time to the first event or the whole answer, in milliseconds.
@@ -88,6 +89,7 @@
     result: Result = Result.FAILED
     status: int = 0
     upstreams: list[str] = dataclasses.field(default_factory=list)
+    tickets: list[str] = dataclasses.field(default_factory=list)
     reasons: list[str] = dataclasses.field(default_factory=list)
     waited_ms: float = 0.0
     first_event_ms: float = 0.0
@@ -191,6 +193,7 @@
             excluded=tuple(self._excluded),
         )
         self._ticket_id = request.ticket_id
+        self.trace.tickets.append(request.ticket_id)
         answer = await self._tools.owner.place(request)
         if isinstance(answer, placement_messages.PlaceRefused):
             self._ticket_id = ""
--- a/src/medlarfork/logs.py
+++ b/src/medlarfork/logs.py
@@ -46,6 +46,10 @@
 _TOKEN_SIGN = "sk-"
 """Is part of every credential that has no blank before it, in lower case."""
 
+MOST_LINES_S = 2000
+"""Lines that a process writes in a second at most: several times what one core's requests need, so
+that only a fault that repeats itself is cut short."""
+
 _COMMON_FIELDS = frozenset({"event", "ts", "level", "process", "pid", "logger"})
 """Fields that each line begins with; an event can't overwrite them."""
 
@@ -56,13 +60,49 @@
 """Characters that a key may not have."""
 
 
-def configure(level: str, process_name: str, *, stream: TextIO | None = None) -> None:
+class LineLimit(logging.Filter):
+    """Drop lines beyond a number a second, and say in a line of its own how many were dropped.
+
+    Warnings and errors always pass: a process has few, and they are what is looked for.
+    """
+
+    def __init__(self, lines_s: int) -> None:
+        """Allow ``lines_s`` lines in each second."""
+        super().__init__()
+        self._lines_s = lines_s
+        self._second = 0
+        self._passed = 0
+        self.dropped = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Say whether a record is written."""
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._passed = 0
+        self._passed += 1
+        if self._passed <= self._lines_s or record.levelno >= logging.WARNING:
+            self._add_dropped(record)
+            return True
+        self.dropped += 1
+        return False
+
+    def _add_dropped(self, record: logging.LogRecord) -> None:
+        if self.dropped and isinstance(record.msg, dict):
+            record.msg = {**record.msg, "dropped_lines": self.dropped}
+            self.dropped = 0
+
+
+def configure(
+    level: str, process_name: str, *, stream: TextIO | None = None, lines_s: int = MOST_LINES_S
+) -> None:
     """Send every logger's events to standard error.
 
     Args:
         level: The lowest level that is logged; one of ``LEVELS``.
         process_name: Names the process in every line.
         stream: Where to write instead of standard error.
+        lines_s: Lines in a second beyond which further ones are dropped and counted.
 
     Raises:
         errors.SettingsError: If the level is unknown.
@@ -73,6 +113,7 @@
         )
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(KeyValueFormatter(process_name))
+    handler.addFilter(LineLimit(lines_s))
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 from typing import Any
 
 from medlarfork import node
@@ -19,6 +20,7 @@
         self._owner_by_service: dict[str, service_owner.ServiceOwner] = {}
         self._engine_by_service: dict[str, routing.EngineFacts | None] = {}
         self._service_by_ticket: dict[str, str] = {}
+        self._decided: list[service_owner.Answer] = []
 
     def use_services(self, services: tuple[routing.Service, ...]) -> None:
         """Take what a new version of the routing says of services."""
@@ -84,6 +86,11 @@
             answers += owner.forget_entry(entry_id, now)
         return self._sends(answers)
 
+    def take_decisions(self) -> tuple[service_owner.Answer, ...]:
+        """Return what was decided since the last call, for the log."""
+        decided, self._decided = tuple(self._decided), []
+        return decided
+
     def _owner(self, service: str) -> service_owner.ServiceOwner:
         owner = self._owner_by_service.get(service)
         if owner is None:
@@ -92,7 +99,9 @@
             self._owner_by_service[service] = owner
         return owner
 
-    def _sends(self, answers: Any) -> tuple[node.Send, ...]:
+    def _sends(self, answers: Iterable[service_owner.Answer]) -> tuple[node.Send, ...]:
+        answers = tuple(answers)
+        self._decided += answers
         for answer in answers:
             if isinstance(answer.message, placement_messages.PlaceRefused):
                 self._service_by_ticket.pop(answer.message.ticket_id, None)
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -32,12 +32,38 @@
 """Plain services hold no parts of prompts."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grounds:
+    """Hold what a placement rests on, for the log.
+
+    Attributes:
+        waited_ms: How long the request waited with the owner, in milliseconds.
+        cost: What it costs where it was placed.
+        running: Requests that run there already.
+        candidates: Upstreams that were compared.
+        tokens_per_ms: The rate of reading that was reckoned with.
+    """
+
+    waited_ms: float
+    cost: placement_cost.Cost
+    running: int
+    candidates: int
+    tokens_per_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """Tell an entry host what was decided."""
+    """Tell an entry host what was decided.
+
+    Attributes:
+        entry_id: Who asked.
+        message: The decision.
+        grounds: What a placement rests on; None for the other answers.
+    """
 
     entry_id: str
     message: placement_messages.Answer
+    grounds: Grounds | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -232,7 +258,14 @@
         load.add(run, now)
         self._note_read(request, now)
         placed = placement_messages.Placed(request.ticket_id, load.announcement.upstream_id)
-        return Answer(waiting.entry_id, placed)
+        grounds = Grounds(
+            waited_ms=(now - waiting.since) * 1000.0,
+            cost=cost,
+            running=len(load.run_by_ticket) - 1,
+            candidates=len(self.load_by_id),
+            tokens_per_ms=self.rate.tokens_per_ms,
+        )
+        return Answer(waiting.entry_id, placed, grounds)
 
     def _predicted_wait_ms(self, waiting: _Waiting, now: float) -> float:
         """Return how long a request that comes now would wait, by the reading ahead of it.
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -233,3 +233,14 @@
     }
     assert len(chosen) == 1
     assert local_choice.choose(make_question("a"), (), {}, "e") == ""
+
+
+def test_decisions_are_handed_out_once_with_what_they_rest_on(make_announcement, make_question):
+    whole = owner.Owner()
+    whole.use_upstreams((make_announcement(slots=1),), 0.0)
+    whole.handle("e", make_question("a"), 0.0)
+    whole.handle("e", make_question("b"), 0.1)
+    placed, queued = whole.take_decisions()
+    assert (placed.grounds.candidates, placed.grounds.running) == (1, 0)
+    assert isinstance(queued.message, placement_messages.Queued)
+    assert whole.take_decisions() == ()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -136,3 +136,18 @@
     logs.event(LOGGER, "e", first=first, second=second)
     assert len(stream.getvalue().splitlines()) == 1
     stream.getvalue().encode("utf-8")
+
+
+def test_lines_beyond_a_number_a_second_are_dropped_and_counted():
+    limit = logs.LineLimit(2)
+    records = [
+        logging.makeLogRecord({"msg": {"event": str(n)}, "created": 5.0, "levelno": 20})
+        for n in range(5)
+    ]
+    assert [limit.filter(record) for record in records] == [True, True, False, False, False]
+    error = logging.makeLogRecord({"msg": {"event": "e"}, "created": 5.1, "levelno": 40})
+    assert limit.filter(error)
+    assert error.msg == {"event": "e", "dropped_lines": 3}
+    later = logging.makeLogRecord({"msg": {"event": "l"}, "created": 6.0, "levelno": 20})
+    assert limit.filter(later)
+    assert later.msg == {"event": "l"}
