--- a/src/medlarfork/entry/_flow_claim.py
+++ b/src/medlarfork/entry/_flow_claim.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from medlarfork import claim
-from medlarfork.entry import _flow_end, _flow_wait, entry_flow, entry_types
+from medlarfork.entry import _flow_end, _flow_wait, entry_flow, entry_types, flow_surroundings
 from medlarfork.filters import answers, deduplicate
 
-if TYPE_CHECKING:
-    from medlarfork.entry import flow_machine
-
 
 def ask(
-    flow: entry_flow.Flow, around: flow_machine.Surroundings, holder: claim.Holder, now: float
+    flow: entry_flow.Flow, around: flow_surroundings.Surroundings, holder: claim.Holder, now: float
 ) -> entry_flow.Step:
     """Ask control for the claim, the first time or again."""
     heard_at = flow.state.heard_at if isinstance(flow.state, entry_flow.Claiming) else now
@@ -32,7 +29,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Claiming,
     event: Any,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -53,7 +50,7 @@
 def _on_reply(
     flow: entry_flow.Flow,
     reply: claim.ClaimReply,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -73,7 +70,7 @@
 def _on_due(
     flow: entry_flow.Flow,
     state: entry_flow.Claiming,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -90,7 +87,7 @@
     return entry_flow.Step(flow)
 
 
-def _patience_s(state: entry_flow.Claiming, around: flow_machine.Surroundings) -> float:
+def _patience_s(state: entry_flow.Claiming, around: flow_surroundings.Surroundings) -> float:
     options = around.options
     return options.claim_patience_s + (options.claim_poll_s if state.contended else 0.0)
 
--- a/src/medlarfork/entry/_flow_run.py
+++ b/src/medlarfork/entry/_flow_run.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from medlarfork import claim, ticket
-from medlarfork.entry import _flow_end, _flow_wait, entry_flow, entry_types
+from medlarfork.entry import _flow_end, _flow_wait, entry_flow, entry_types, flow_surroundings
 from medlarfork.filters import answers, dispatch
 
-if TYPE_CHECKING:
-    from medlarfork.entry import flow_machine
-
 _CAUSE_BY_RESULT = {
     entry_types.AttemptResult.COMPLETE: ticket.ReleaseCause.FINISHED,
     entry_types.AttemptResult.REFUSED: ticket.ReleaseCause.REFUSED,
@@ -48,7 +45,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Running,
     event: Any,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -97,7 +94,7 @@
     state: entry_flow.Running,
     sender: str,
     message: Any,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     now: float,
 ) -> entry_flow.Step:
     match message:
@@ -122,7 +119,7 @@
     state: entry_flow.Running,
     sender: str,
     grant: ticket.Grant,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     now: float,
 ) -> tuple[Any, ...]:
     """Give back a grant beside the one in use; a copy of that one changes nothing."""
@@ -140,7 +137,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Running,
     restarted: frozenset[str],
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     now: float,
 ) -> entry_flow.Step:
     owners = around.owners(state.pool)
@@ -155,7 +152,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Running,
     owner: str,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     now: float,
 ) -> entry_flow.ToOwner:
     entry_id = around.options.entry_id
@@ -168,7 +165,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Running,
     event: entry_types.AttemptEnded,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -196,7 +193,7 @@
 def _retry(
     flow: entry_flow.Flow,
     again: dispatch.Again,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
--- a/src/medlarfork/entry/_flow_stop.py
+++ b/src/medlarfork/entry/_flow_stop.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from medlarfork import claim, ticket
-from medlarfork.entry import _flow_end, _flow_run, _flow_wait, entry_flow, entry_types
+from medlarfork.entry import (
+    _flow_end,
+    _flow_run,
+    _flow_wait,
+    entry_flow,
+    entry_types,
+    flow_surroundings,
+)
 from medlarfork.filters import answers, dispatch
 
-if TYPE_CHECKING:
-    from medlarfork.entry import flow_machine
-
 _CAUSE_BY_STOP = {
     entry_flow.StopCause.PREEMPTED: ticket.ReleaseCause.PREEMPTED,
     entry_flow.StopCause.CALLER_GONE: ticket.ReleaseCause.CANCELLED,
@@ -24,7 +28,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Stopping,
     event: Any,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -61,7 +65,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Stopping,
     event: entry_types.AttemptEnded,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -86,7 +90,7 @@
     flow: entry_flow.Flow,
     cause: entry_flow.StopCause,
     decision: dispatch.Decision,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
--- a/src/medlarfork/entry/_flow_wait.py
+++ b/src/medlarfork/entry/_flow_wait.py
@@ -4,21 +4,18 @@
 
 import dataclasses
 import math
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from medlarfork import claim, ticket
-from medlarfork.entry import _flow_end, _flow_run, entry_flow, entry_types
+from medlarfork.entry import _flow_end, _flow_run, entry_flow, entry_types, flow_surroundings
 from medlarfork.filters import answers, deduplicate
 
-if TYPE_CHECKING:
-    from medlarfork.entry import flow_machine
-
 _HANDOVER_PAUSE_S = 0.1
 """Pause before another owner is asked after one said that it does not own the pool."""
 
 
 def queue(
-    flow: entry_flow.Flow, around: flow_machine.Surroundings, holder: claim.Holder, now: float
+    flow: entry_flow.Flow, around: flow_surroundings.Surroundings, holder: claim.Holder, now: float
 ) -> entry_flow.Step:
     """Queue for the next attempt."""
     pool = around.choose_pool(flow.asked.service, now)
@@ -31,7 +28,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Waiting,
     event: Any,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -90,7 +87,7 @@
 
 
 def _ask(
-    flow: entry_flow.Flow, pool: str, owner: str, around: flow_machine.Surroundings, now: float
+    flow: entry_flow.Flow, pool: str, owner: str, around: flow_surroundings.Surroundings, now: float
 ) -> entry_flow.Step:
     """Ask an owner with a new ticket; owners ignore what they were told to forget."""
     attempt = flow.attempt + 1
@@ -107,7 +104,7 @@
     state: entry_flow.Waiting,
     sender: str,
     message: Any,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -139,7 +136,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Waiting,
     grant: ticket.Grant,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -157,7 +154,7 @@
 def _on_due(
     flow: entry_flow.Flow,
     state: entry_flow.Waiting,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
@@ -179,7 +176,7 @@
 def _ask_next(
     flow: entry_flow.Flow,
     state: entry_flow.Waiting,
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     now: float,
 ) -> entry_flow.Step:
     owners = around.owners(state.pool) or (state.owner,)
@@ -192,7 +189,7 @@
     flow: entry_flow.Flow,
     state: entry_flow.Waiting,
     restarted: frozenset[str],
-    around: flow_machine.Surroundings,
+    around: flow_surroundings.Surroundings,
     holder: claim.Holder,
     now: float,
 ) -> entry_flow.Step:
--- a/src/medlarfork/entry/flow_machine.py
+++ b/src/medlarfork/entry/flow_machine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import Any, Protocol
+from typing import Any
 
 from medlarfork import claim
 from medlarfork.entry import (
@@ -12,36 +12,14 @@
     _flow_stop,
     _flow_wait,
     entry_flow,
-    entry_options,
+    flow_surroundings,
 )
 
 
-class Surroundings(Protocol):
-    """Tell a request what it has to know of the entry host around it."""
-
-    options: entry_options.EntryNodeOptions
-
-    def choose_pool(self, service: str, now: float) -> str:
-        """Return one of the service's pools, or an empty text if it has none any more."""
-        ...
-
-    def owners(self, pool: str) -> tuple[str, ...]:
-        """Return the entry hosts to ask, best first; none if the pool no longer exists."""
-        ...
-
-    def spend_retry(self, service: str) -> bool:
-        """Take one retry of the service's budget."""
-        ...
-
-    def holds_lease(self, now: float) -> bool:
-        """Return whether control can't have given this host up as lost."""
-        ...
-
-
 class FlowMachine:
     """Apply events to flows; keeps nothing of its own."""
 
-    def __init__(self, surroundings: Surroundings) -> None:
+    def __init__(self, surroundings: flow_surroundings.Surroundings) -> None:
         """Work within the surroundings."""
         self._around = surroundings
         options = surroundings.options
