--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -26,9 +26,8 @@
 
 SAFE_SHARE = 0.9
 """Share of a stream's allowed pause that reading may fill unharmed. Pauses are reckoned from the
-measured rate of reading, which holds steps, attention and slower engines. Of two sites measured,
-one has pauses of 0.82 of those allowed, where separating streams only lost capacity, and the other
-1.06.
+measured rate of reading, which already holds attention and slower engines; the rest is for the
+steps that produce the event's tokens.
 """
 
 APART_COST = 0.3
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -33,6 +33,10 @@
 """Multiple of its target after which a long prompt is refused instead of being begun. With 2, those
 that were begun late made all after them late too (measured on both sites)."""
 
+LEAST_WAIT_SHARE = 0.3
+"""Share of its target that a prompt must be expected to wait to be refused: the longest prompts miss
+their targets by their own reading, and would otherwise never be served."""
+
 PATIENCE = 0.7
 """Share of a request's target up to which it waits for the engine that suits it best; the rest is
 kept for reading, the way, and errors of the prediction."""
@@ -81,6 +85,8 @@
     """
     if request.target_ms <= 0 or read_ms <= placement_cost.LONG_READ_MS:
         return False
+    if predicted_wait_ms < LEAST_WAIT_SHARE * request.target_ms:
+        return False
     return predicted_wait_ms + read_ms > HOPELESS_TARGETS * request.target_ms
 
 
--- a/tests/routed/test_start_rules.py
+++ b/tests/routed/test_start_rules.py
@@ -39,6 +39,7 @@
     assert start_rules.is_hopeless(question, 2500.0, 200.0)
     assert not start_rules.is_hopeless(question, 700.0, 200.0)
     assert not start_rules.is_hopeless(question, 2500.0, 20.0)
+    assert not start_rules.is_hopeless(question, 100.0, 2500.0)
     assert not start_rules.is_hopeless(make_question(), 2500.0, 200.0)
 
 
