--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -30,12 +30,12 @@
 """The same once it can't wait any more: about what it is worth itself beside a short stream."""
 
 HOPELESS_TARGETS = 1.0
-"""Multiple of its target after which a long prompt is refused instead of being begun. With 2, those
-that were begun late made all after them late too (measured on both sites)."""
+"""Multiple of its target after which a long prompt is refused instead of being begun. With 2,
+those that were begun late made all after them late too (measured on both sites)."""
 
 LEAST_WAIT_SHARE = 0.3
-"""Share of its target that a prompt must be expected to wait to be refused: the longest prompts miss
-their targets by their own reading, and would otherwise never be served."""
+"""Share of its target that a prompt must be expected to wait to be refused: the longest prompts
+miss their targets by their own reading, and would otherwise never be served."""
 
 PATIENCE = 0.7
 """Share of a request's target up to which it waits for the engine that suits it best; the rest is
