--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -30,6 +30,12 @@
 OPERATION_LIMIT_S = 4.0
 """Longest wait for an operation's reply, in seconds; every operation ends sooner by itself."""
 
+HANDOVER_S = 0.4
+"""Time given to the next leader to take over before this process closes, in seconds."""
+
+CLOSE_WITHIN_S = 0.5
+"""Time given to operations in progress when the process closes, in seconds."""
+
 REPLICA_OPTIONS = replica.ReplicaOptions(
     election_timeout_min_s=0.8,
     election_timeout_max_s=1.4,
@@ -239,13 +245,6 @@
                 logs.event(_log, "upstream_leave", upstream=upstream_id, status=status)
 
 
-HANDOVER_S = 0.4
-"""Time given to the next leader to take over before this process closes, in seconds."""
-
-CLOSE_WITHIN_S = 0.5
-"""Time given to operations in progress when the process closes, in seconds."""
-
-
 def suspended_clock() -> float:
     """Return the time in seconds of a clock that counts while the machine is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
