--- a/src/medlarfork/links/_link_sockets.py
+++ b/src/medlarfork/links/_link_sockets.py
@@ -31,6 +31,9 @@
             nothing for so long is silent too.
         reconnect_s: First wait before a reconnect, in seconds.
         reconnect_limit_s: Longest wait before a reconnect, in seconds.
+        connect_s: Time after which an attempt to connect is given up and a new one begun, in
+            seconds. The system repeats a lost opening packet after 1, 2, 4 and more seconds, so
+            an attempt that began while the network was cut ends long after it is whole again.
         linger_s: How long ``close`` may wait for messages that have just been sent, in seconds.
     """
 
@@ -42,6 +45,7 @@
     silence_s: float = 6.0
     reconnect_s: float = 0.1
     reconnect_limit_s: float = 2.0
+    connect_s: float = 2.0
     linger_s: float = 0.1
 
 
@@ -110,6 +114,7 @@
         # A refused peer is cut only when the handshake times out, and then tries again.
         socket.handshake_ivl = _milliseconds(options.silence_s)
         socket.tcp_keepalive = 1
+        socket.connect_timeout = _milliseconds(options.connect_s)
         socket.reconnect_ivl = _milliseconds(options.reconnect_s)
         socket.reconnect_ivl_max = _milliseconds(options.reconnect_limit_s)
         if own is not None:
--- a/src/medlarfork/links/routed_links.py
+++ b/src/medlarfork/links/routed_links.py
@@ -15,7 +15,12 @@
 """Every message class, for the codec of the links."""
 
 LINK_OPTIONS = link.LinkOptions(
-    heartbeat_s=0.5, silence_s=1.5, reconnect_s=0.1, reconnect_limit_s=0.5, linger_s=0.05
+    heartbeat_s=0.5,
+    silence_s=1.5,
+    reconnect_s=0.1,
+    reconnect_limit_s=0.5,
+    connect_s=0.5,
+    linger_s=0.05,
 )
 """Times of the links: a connection that went silent is given up after 1.5 s, half of the time that
 a replica needs to be missed, and is tried again twice a second."""
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -12,7 +12,7 @@
 import zmq
 
 from medlarfork import codec, errors, node
-from medlarfork.links import keys, link
+from medlarfork.links import _link_sockets, keys, link, routed_links
 from tests import curio_world
 
 TIMEOUT_S = 20
@@ -482,3 +482,13 @@
         await curio_world.until(lambda: not b.send("a", Note("unheard")))
 
     run(main)
+
+
+def test_an_attempt_to_connect_is_given_up_in_time_for_the_next():
+    # Begun while the network is cut, it would end only with the system's next opening packet.
+    context = zmq.Context()
+    sockets = _link_sockets.LinkSockets(context, routed_links.LINK_OPTIONS)
+    dealer = sockets.open_dealer("a", "b", "tcp://127.0.0.1:9", None)
+    assert dealer.connect_timeout == 500
+    dealer.close()
+    context.term()
