Make a server from an address in one place; one simulated disk for both clusters

Both programs of routed deployments split addresses themselves; http_server.at_address serves both. The coordinators' simulated disk repeated that of the replicas' cluster and now builds on it.

--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -75,8 +75,10 @@
             bind=f"tcp://{given.replica_id}:{given.link_port}",
             options=routed_links.LINK_OPTIONS,
         )
-        self._server = _server(self._serve, given.serve)
-        self._directory = _server(self._serve, given.directory) if given.directory else None
+        self._server = http_server.at_address(self._serve, given.serve)
+        self._directory = (
+            http_server.at_address(self._serve, given.directory) if given.directory else None
+        )
         self._runner: runner.Runner | None = None
         self._waiting_by_operation: dict[int, curio.Queue] = {}
         self._operations = 0
@@ -250,11 +252,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def _server(handler: Any, address: str) -> http_server.HttpServer:
-    host, _, port = address.rpartition(":")
-    return http_server.HttpServer(handler, host=host, port=int(port))
-
-
 async def run_until_stopped(program: CoordinatorProgram) -> None:
     """Run the program until a signal asks it to stop; a hang-up reloads the settings."""
     signals = _stop_signal.StopSignal((*_stop_signal.STOP_SIGNALS, signal.SIGHUP))
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -86,8 +86,10 @@
             rules=given.budget,
             metrics=self._metrics,
         )
-        self._server = _server(self._handler.handle, given.serve, CALLER_LIMITS)
-        self._health = _server(self._serve_health, given.health) if given.health else None
+        self._server = http_server.at_address(self._handler.handle, given.serve, CALLER_LIMITS)
+        self._health = (
+            http_server.at_address(self._serve_health, given.health) if given.health else None
+        )
         self._tasks = curio.TaskGroup()
         self._was_ready = False
 
@@ -227,15 +229,6 @@
         }
 
 
-def _server(
-    handler: Any,
-    address: str,
-    limits: http_server.HttpLimits = http_server.HttpLimits(),  # noqa: B008 - frozen
-) -> http_server.HttpServer:
-    host, _, port = address.rpartition(":")
-    return http_server.HttpServer(handler, host=host, port=int(port), limits=limits)
-
-
 async def run_until_stopped(program: GatewayProgram) -> None:
     """Run the program until a signal asks it to stop; a hang-up reloads the settings."""
     signals = _stop_signal.StopSignal((*_stop_signal.STOP_SIGNALS, signal.SIGHUP))
--- a/src/medlarfork/http/http_server.py
+++ b/src/medlarfork/http/http_server.py
@@ -231,6 +231,16 @@
             await connection.stream.close()
 
 
+def at_address(
+    handler: Handler,
+    address: str,
+    limits: HttpLimits = HttpLimits(),  # noqa: B008 - frozen
+) -> HttpServer:
+    """Return a server for ``IP:PORT``, as settings give addresses."""
+    host, _, port = address.rpartition(":")
+    return HttpServer(handler, host=host, port=int(port), limits=limits)
+
+
 def _sweep_period(limits: HttpLimits) -> float:
     shortest = min(limits.header_s, limits.body_s, limits.idle_s, limits.stall_s, limits.linger_s)
     return min(max(shortest / 4, _SHORTEST_SWEEP_S), _LONGEST_SWEEP_S)
--- a/tests/routed/coordinator_cluster.py
+++ b/tests/routed/coordinator_cluster.py
@@ -15,33 +15,19 @@
     operations_format,
 )
 from medlarfork.replica import replica, replica_types
+from tests import replica_cluster
 
 STEP_S = 0.02
 PERIOD_S = 1.0
 
 
-class Disk:
-    """Keep synced and unsynced writes apart."""
+class Disk(replica_cluster.Disk):
+    """Keep synced and unsynced writes apart; a full one syncs nothing."""
 
     def __init__(self):
-        self.snapshot = None
-        self.records = []
-        self.pending = []
+        super().__init__()
         self.is_full = False
 
-    def sync_one(self):
-        action = self.pending.pop(0)
-        if isinstance(action, replica_types.SaveSnapshot):
-            self.snapshot = action.snapshot
-            self.records = list(action.records)
-        else:
-            self.records.extend(action.records)
-        return action.token
-
-    def restored(self):
-        fresh = self.snapshot is None and not self.records
-        return replica_types.Restored(tuple(self.records), self.snapshot, fresh)
-
 
 class Host:
     """Hold one coordinator, its disk and its clock."""
