Bound what a pass over the requests that wait costs

Each run that ended led to a pass that compared all engines for every request that waited, and the prediction of a wait did the same; ends that were not read yet made engines look full, so that more waited.

Ruled out: the owner's log lines, and entry hosts that follow another leader (the log showed one owner that answered questions of seconds ago; placements went on after the traffic's end).

Change: passes are at least 5 ms apart; of each tier and target only the first few are tried; the reading of those that wait is kept from when they came. The line of those that wait is a module.

--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
@@ -12,6 +13,7 @@
     read_rate,
     start_rules,
     upstream_load,
+    waiting_line,
 )
 from medlarfork.routes import routing
 
@@ -28,6 +30,18 @@
 MOST_PARTS = 50_000
 """Parts of prompts whose last reading is remembered, which bounds memory to a few megabytes."""
 
+PASS_PERIOD_S = 0.005
+"""Least time between two passes over the requests that wait, in seconds: a small part of any
+target. Without it each run that ends costs a pass, and an owner that falls behind never recovers:
+the ends that it has not read yet make engines look full, and more requests wait."""
+
+COMPARISONS = 150
+"""Upstreams that are compared for the requests of one kind in one pass: at 3 us each and three
+kinds, a pass takes at most 1.5 ms."""
+
+LEAST_TRIES = 2
+"""Requests of one kind that are tried in a pass however many upstreams there are."""
+
 PLAIN_MEMORY_TOKENS = 0
 """Plain services hold no parts of prompts."""
 
@@ -66,31 +80,6 @@
     grounds: Grounds | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Waiting:
-    entry_id: str
-    request: placement_messages.PlaceRequest
-    since: float
-
-    @property
-    def until(self) -> float:
-        """Return when its caller gives up."""
-        return self.since + self.request.left_ms / 1000.0
-
-    def is_late(self, now: float) -> bool:
-        """Return whether a request with a prompt has waited too long to be of use."""
-        target_ms = self.request.target_ms * start_rules.HOPELESS_TARGETS
-        return bool(self.request.parts) and 0 < target_ms <= (now - self.since) * 1000.0
-
-    @property
-    def order(self) -> tuple[int, float, float]:
-        """Return what it is ordered by: its tier, then how soon it is expected, then its age.
-
-        By the moment it is expected at, overdue long prompts would go before every short one.
-        """
-        return self.request.tier, self.request.target_ms, self.since
-
-
 class ServiceOwner:
     """Decide for one service; pure, the time is handed in."""
 
@@ -102,12 +91,13 @@
         self._longest_target_ms = 0.0
         self.rate = read_rate.ReadRate()
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
-        self._waiting_by_ticket: dict[str, _Waiting] = {}
+        self._line = waiting_line.WaitingLine()
+        self._passed_at = -math.inf
 
     @property
     def waiting(self) -> int:
         """Return how many requests wait for a slot."""
-        return len(self._waiting_by_ticket)
+        return len(self._line)
 
     def use_engine(self, engine: routing.EngineFacts | None) -> None:
         """Take what the routing says of the service's engines; None for plain services."""
@@ -132,22 +122,22 @@
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
     ) -> tuple[Answer, ...]:
         """Place a request at once, let it wait, or refuse it."""
-        if request.ticket_id in self._waiting_by_ticket:
+        if request.ticket_id in self._line:
             return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
-        waiting = _Waiting(entry_id, request, now)
+        waiting = waiting_line.Waiting(entry_id, request, now, self._least_read_ms(request))
         if self._yields(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
-            if start_rules.is_hopeless(request, predicted_ms, self._least_read_ms(request)):
+            if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms):
                 why = f"it would wait about {predicted_ms:.0f} ms"
                 after_ms = start_rules.retry_after_ms(request, predicted_ms, SHORTEST_RETRY_MS)
                 return (self._refuse(waiting, why, after_ms),)
         answer = self._try(waiting, now)
         if answer is not None:
             return (answer,)
-        if len(self._waiting_by_ticket) >= MOST_WAITING:
+        if len(self._line) >= MOST_WAITING:
             why = "too many requests wait already"
             return (self._refuse(waiting, why, SHORTEST_RETRY_MS),)
-        self._waiting_by_ticket[request.ticket_id] = waiting
+        self._line.add(waiting)
         return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
 
     def on_first_event(self, message: placement_messages.FirstEvent, now: float) -> None:
@@ -162,9 +152,11 @@
 
     def on_ended(self, message: placement_messages.RunEnded, now: float) -> tuple[Answer, ...]:
         """Free the slot of a run that ended, or drop a request that does not wait any more."""
-        self._waiting_by_ticket.pop(message.ticket_id, None)
+        self._line.remove(message.ticket_id)
         for load in self.load_by_id.values():
             load.end(message.ticket_id, message.end, now)
+        if now < self._passed_at + PASS_PERIOD_S:
+            return ()
         return self.serve_waiting(now)
 
     def on_still_running(
@@ -187,9 +179,7 @@
 
     def forget_entry(self, entry_id: str, now: float) -> tuple[Answer, ...]:
         """Free what a lost entry host held; its upstream connections are gone with it."""
-        for ticket_id, waiting in tuple(self._waiting_by_ticket.items()):
-            if waiting.entry_id == entry_id:
-                del self._waiting_by_ticket[ticket_id]
+        self._line.remove_entry(entry_id)
         for load in self.load_by_id.values():
             lost = [
                 ticket_id
@@ -201,25 +191,36 @@
         return self.serve_waiting(now)
 
     def serve_waiting(self, now: float) -> tuple[Answer, ...]:
-        """Start those that can: the highest tier first, then the nearest target."""
+        """Start those that can: the highest tier first, then the nearest target.
+
+        Of each kind only the first ones are tried in one pass: what holds these up holds up those
+        behind them too.
+        """
+        self._passed_at = now
+        tries_left: dict[tuple[int, float], int] = {}
+        most_tries = max(LEAST_TRIES, COMPARISONS // max(len(self.load_by_id), 1))
         answers: list[Answer] = []
-        order = sorted(self._waiting_by_ticket.values(), key=lambda waiting: waiting.order)
-        for waiting in order:
-            ticket_id = waiting.request.ticket_id
-            if waiting.until <= now:
-                del self._waiting_by_ticket[ticket_id]
-                why = "it could not begin in time"
-                answers.append(self._refuse(waiting, why, SHORTEST_RETRY_MS))
+        for waiting in self._line.in_order():
+            left = tries_left.get(waiting.kind, most_tries)
+            answer = self._serve(waiting, now, may_try=left > 0)
+            if answer is None:
+                tries_left[waiting.kind] = left - 1
                 continue
-            answer = self._try(waiting, now)
-            if answer is None and self._yields(waiting.request) and waiting.is_late(now):
-                answer = self._refuse(waiting, "it could not begin in time", SHORTEST_RETRY_MS)
-            if answer is not None:
-                del self._waiting_by_ticket[ticket_id]
-                answers.append(answer)
+            self._line.remove(waiting.request.ticket_id)
+            answers.append(answer)
         return tuple(answers)
 
-    def _try(self, waiting: _Waiting, now: float) -> Answer | None:
+    def _serve(self, waiting: waiting_line.Waiting, now: float, *, may_try: bool) -> Answer | None:
+        """Return what becomes of a waiting request, or None if it goes on waiting."""
+        why = "it could not begin in time"
+        if waiting.until <= now:
+            return self._refuse(waiting, why, SHORTEST_RETRY_MS)
+        answer = self._try(waiting, now) if may_try else None
+        if answer is None and waiting.is_late(now) and self._yields(waiting.request):
+            return self._refuse(waiting, why, SHORTEST_RETRY_MS)
+        return answer
+
+    def _try(self, waiting: waiting_line.Waiting, now: float) -> Answer | None:
         """Return the placement, or None if the request has to wait."""
         request = waiting.request
         reading = self._reading()
@@ -242,7 +243,7 @@
 
     def _start(
         self,
-        waiting: _Waiting,
+        waiting: waiting_line.Waiting,
         load: upstream_load.UpstreamLoad,
         cost: placement_cost.Cost,
         now: float,
@@ -267,17 +268,13 @@
         )
         return Answer(waiting.entry_id, placed, grounds)
 
-    def _predicted_wait_ms(self, waiting: _Waiting, now: float) -> float:
+    def _predicted_wait_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
         """Return how long a request that comes now would wait, by the reading ahead of it.
 
         That is what waits and goes before it, shared by all engines, and then the engine that has
         least to read.
         """
-        ahead_ms = sum(
-            self._least_read_ms(other.request)
-            for other in self._waiting_by_ticket.values()
-            if other.order < waiting.order
-        )
+        ahead_ms = self._line.reading_before_ms(waiting)
         tight_ms = self._reading().tight_ms
         apart = sum(not load.has_tight(tight_ms) for load in self.load_by_id.values())
         ahead_ms /= start_rules.READ_SHARE * max(apart, 1)
@@ -339,7 +336,7 @@
         sound = [load for load in free if not load.is_pausing(now)]
         return sound or free
 
-    def _refuse(self, waiting: _Waiting, why: str, retry_after_ms: float) -> Answer:
+    def _refuse(self, waiting: waiting_line.Waiting, why: str, retry_after_ms: float) -> Answer:
         ticket_id = waiting.request.ticket_id
         refused = placement_messages.PlaceRefused(ticket_id, retry_after_ms, why)
         return Answer(waiting.entry_id, refused)
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -3,6 +3,7 @@
 from medlarfork.placement import (
     local_choice,
     owner,
+    placement_cost,
     placement_messages,
     prompt_cache,
     read_rate,
@@ -121,6 +122,26 @@
     assert owner.waiting == 0
 
 
+def test_a_pass_over_many_waiting_requests_compares_few_upstreams(
+    make_owner, make_question, monkeypatch
+):
+    """Replay an owner that fell behind: hundreds wait, and each end led to trying them all."""
+    service = make_owner(count=45, slots=16)
+    for n in range(45):
+        tight = make_question(f"t{n}", (("q", 10),), target_ms=300.0, gap_ms=100.0)
+        _placed(service.place("e", tight, 0.0))
+    for n in range(700):
+        long = make_question(f"l{n}", ((f"p{n}", 8000),), target_ms=60_000.0, gap_ms=800.0)
+        service.place("e", long, 0.0)
+    assert service.waiting > 500
+    compared = []
+    reckon = placement_cost.cost
+    monkeypatch.setattr(placement_cost, "cost", lambda *given: compared.append(1) or reckon(*given))
+    started = sum(len(service.on_ended(_ended(f"t{n}"), 0.1 + n / 1000.0)) for n in range(45))
+    passes = 10
+    assert len(compared) <= passes * 150 + started * 45
+
+
 def test_a_withdrawn_request_does_not_get_a_slot(make_owner, make_question):
     owner = make_owner(count=1, slots=1)
     owner.place("e", make_question("runs"), 0.0)
