Divide the upstreams of large services into shards with owners of their own

Change: a service has a shard for each 16 upstreams; an upstream belongs to one by a hash of its id, a request by weighted rendezvous hashing of the matter of its prompt. Entry hosts agree without asking on the replica that owns a shard: the first, by a hash, of those that speak; one that has just started does not take over back, since it knows nothing of what runs. Small services are one shard. The owner does not follow the leader any more.

Weighed: one owner chosen by the leader and kept over its loss needs a message and an agreement of its own; engines divided among entry hosts loses what one owner knows of prompts.

--- a/src/medlarfork/coordination/coordination_messages.py
+++ b/src/medlarfork/coordination/coordination_messages.py
@@ -40,12 +40,14 @@
         term: The term of that leader.
         members: All replicas of the log, so that entry hosts find those they don't know.
         entry_hosts: Most entry hosts heard of lately, among which shared budgets are divided.
+        up_s: How long the replica has run, in seconds.
     """
 
     leader_id: str
     term: int
     members: tuple[str, ...]
     entry_hosts: int
+    up_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -2,9 +2,8 @@
 
 A coordinator is one replica of the control plane of a routed deployment. What operators declare is
 in the replicated log. Which upstreams and entry hosts there are is soft: every replica hears it,
-passes it on, and forgets it at a restart. The leader also owns the placement of requests, or
-another replica that entry hosts agree on while there is none; nothing that must hold rests on that,
-so entry hosts go on alone too.
+passes it on, and forgets it at a restart. The placement of requests is owned, shard by shard, by
+replicas that entry hosts agree on; nothing that must hold rests on that, so they go on alone too.
 
 The times are those of a clock that counts while the machine is suspended: the leader's lease, and
 with it the right to answer reads, must run out while it stands still.
@@ -93,11 +92,13 @@
         self._entry_ids: frozenset[str] = frozenset()
         self._actions: list[Any] = []
         self._now = 0.0
+        self._started_at = math.inf
 
     def handle(self, event: Any, now: float) -> tuple[Any, ...]:
         """Handle an event at a time in seconds and return the actions, in order."""
         self._actions = []
         self._now = now
+        self._started_at = min(self._started_at, now)
         match event:
             case node.MessageReceived(sender, message):
                 self._take_message(sender, message)
@@ -289,6 +290,7 @@
         self._actions += self._upstreams.on_time(self._members.peers, self._now)
         self._push_view()
         self._drop_lost_entries()
+        self._owner.forget_unasked(self._now)
         for action in self._members.on_time(self._replica.status, leads=self.leads, now=self._now):
             if isinstance(action, replica_types.ChangeVoters):
                 self._note(
@@ -324,7 +326,11 @@
         voters = self._replica.status.voters
         members = () if voters is None else (*voters.voters, *voters.learners)
         return coordination_messages.ReplicaStatus(
-            self._leader_id, self._term, members, self._entries.hosts
+            self._leader_id,
+            self._term,
+            members,
+            self._entries.hosts,
+            self._now - self._started_at,
         )
 
     def _reply(self, operation_id: int, reply: coordinator_types.Reply) -> None:
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -1,7 +1,7 @@
-"""Keep an entry host's session with the replicas: who leads, what is in force, which upstreams.
+"""Keep an entry host's session with the replicas: who owns placement, what is in force, upstreams.
 
 The highest version of the routing that any replica sent is in force, and none goes back. The
-leader is the one that the latest term names; it counts as present only while it speaks itself.
+replicas of the log are those that the latest term's leader names.
 """
 
 from __future__ import annotations
@@ -9,10 +9,16 @@
 import dataclasses
 from typing import Any
 
+from medlarfork import rendezvous
 from medlarfork.coordination import coordination_messages, upstream_types, upstream_view
+from medlarfork.placement import placement_messages, shard_choice
 
-LEADER_SILENT_S = 1.0
-"""Silence after which the leader is not asked any more: more than two of its periodic messages."""
+OWNER_SILENT_S = 1.0
+"""Silence after which a replica is not asked any more: more than two of its periodic messages."""
+
+UP_SHARE = 0.5
+"""Share of the longest time that a replica has run which another must have run to own placement:
+after a restart of all they are equal, and one that was restarted alone does not take over back."""
 
 REPLICA_SILENT_S = 4.0
 """Silence after which a replica's view of the upstreams does not count any more, in seconds."""
@@ -21,6 +27,7 @@
 @dataclasses.dataclass(slots=True)
 class _Heard:
     at: float
+    up_s: float = 0.0
     view_boot: int = 0
     view_sequence: int = 0
 
@@ -33,8 +40,8 @@
         self._replicas: dict[str, None] = dict.fromkeys(seeds)
         self._heard_by_id: dict[str, _Heard] = {}
         self._view = upstream_view.UpstreamView()
+        self._sizes_by_service: dict[str, dict[placement_messages.Shard, int]] = {}
         self._term = 0
-        self._leader_id = ""
         self._members: tuple[str, ...] = ()
         self.entry_hosts = 1
         self.routing_version = 0
@@ -49,28 +56,31 @@
         """Return the upstreams that may take requests."""
         return self._view.by_id
 
-    def leader(self, now: float) -> str:
-        """Return the leader that spoke lately; empty if there is none."""
-        heard = self._heard_by_id.get(self._leader_id)
-        if heard is None or now - heard.at > LEADER_SILENT_S:
-            return ""
-        return self._leader_id
-
-    def owner(self, now: float) -> str:
-        """Return the replica that owns placement; empty if none speaks.
-
-        That is the leader. While there is none, entry hosts agree on the first replica that speaks
-        to them: nothing that must hold rests on there being one owner.
+    def shard(self, service: str, key: str) -> placement_messages.Shard:
+        """Return the part of a service's upstreams that is to serve what the key names."""
+        sizes = self._sizes_by_service.get(service)
+        if sizes is None:
+            sizes = shard_choice.sizes(service, self._view.by_id.values())
+            self._sizes_by_service[service] = sizes
+        return shard_choice.choose(key, sizes, service)
+
+    def owner(self, shard: placement_messages.Shard, now: float) -> str:
+        """Return the replica that owns placement on a shard; empty if none speaks.
+
+        Entry hosts agree on it without asking: it is the first, by a hash, of those that speak.
+        One that has just started knows nothing of what runs and what engines hold, so it is not
+        chosen beside others that have run much longer. Nothing that must hold rests on there being
+        one owner.
         """
-        leader = self.leader(now)
-        if leader:
-            return leader
-        speaking = [
-            replica_id
+        up_s_by_id = {
+            replica_id: heard.up_s
             for replica_id, heard in self._heard_by_id.items()
-            if now - heard.at <= LEADER_SILENT_S
-        ]
-        return min(speaking, default="")
+            if now - heard.at <= OWNER_SILENT_S
+        }
+        least_up_s = UP_SHARE * max(up_s_by_id.values(), default=0.0)
+        settled = [replica_id for replica_id, up_s in up_s_by_id.items() if up_s >= least_up_s]
+        key = f"{shard.service}/{shard.index}/{shard.count}"
+        return rendezvous.rank(key, settled)[0] if settled else ""
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for further replicas."""
@@ -82,6 +92,7 @@
         heard.at = now
         match message:
             case coordination_messages.ReplicaStatus():
+                heard.up_s = message.up_s
                 self._take_status(message)
             case coordination_messages.ViewPush(boot, sequence, change):
                 self._take_view(replica_id, heard, boot, sequence, change)
@@ -115,6 +126,7 @@
         for replica_id in silent:
             del self._heard_by_id[replica_id]
             self._view.forget_replica(replica_id)
+            self._sizes_by_service.clear()
             if self._members and replica_id not in self._members:
                 self._replicas.pop(replica_id, None)
 
@@ -123,7 +135,6 @@
         self.entry_hosts = max(status.entry_hosts, 1)
         if status.term > self._term or (status.term == self._term and status.leader_id):
             self._term = status.term
-            self._leader_id = status.leader_id
             self._members = status.members
 
     def _take_view(
@@ -136,6 +147,7 @@
     ) -> None:
         """Apply a change; one that does not follow the last is applied but not confirmed."""
         self._view.apply(replica_id, change)
+        self._sizes_by_service.clear()
         follows = heard.view_boot == boot and sequence == heard.view_sequence + 1
         if change.is_whole or follows:
             heard.view_boot = boot
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -153,7 +153,7 @@
             case coordination_messages.ReplicaStatus():
                 self._session.take(sender, message, now)
                 self._connect_replicas()
-                self._owner.tell_owner(now)
+                self._owner.tell_owners(now)
             case coordination_messages.ViewPush(boot, sequence, change):
                 self._session.take(sender, message, now)
                 logs.event(
@@ -167,7 +167,7 @@
                     upstreams=len(self._session.upstream_by_id),
                 )
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
-                await self._owner.take(message)
+                await self._owner.take(sender, message)
             case _:
                 logs.event(_log, "message_unexpected", sender=sender, kind=type(message).__name__)
 
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -48,7 +48,7 @@
         self._prefix = f"{entry_id}-{time.time_ns():x}"
         self._ticket_by_id: dict[str, _Ticket] = {}
         self._runs_by_upstream: dict[str, int] = {}
-        self._told_owner = ""
+        self._told_owner_by_shard: dict[placement_messages.Shard, str] = {}
         self.local_placements = 0
 
     def new_ticket_id(self) -> str:
@@ -99,12 +99,12 @@
             ended = placement_messages.RunEnded(ticket_id, end, after_ms)
             self._send(ticket.owner_id, ended)
 
-    async def take(self, message: Any) -> None:
-        """Take the owner's answer."""
+    async def take(self, sender: str, message: Any) -> None:
+        """Take an owner's answer."""
         ticket = self._ticket_by_id.get(message.ticket_id)
         if ticket is None or ticket.answer is not None:
             if isinstance(message, placement_messages.Placed) and ticket is None:
-                self._give_back(message.ticket_id)
+                self._give_back(sender, message.ticket_id)
             return
         match message:
             case placement_messages.Queued():
@@ -113,37 +113,49 @@
                 ticket.answer = message
         await ticket.changed.set()
 
-    def tell_owner(self, now: float) -> None:
-        """Tell a replica that has just become the owner which requests run where."""
-        owner_id = self._session.owner(now)
-        if not owner_id or owner_id == self._told_owner:
-            return
-        if self._told_owner:
-            self._send(self._told_owner, placement_messages.OwnerChosen(is_chosen=False))
-        self._told_owner = owner_id
-        self._send(owner_id, placement_messages.OwnerChosen(is_chosen=True))
+    def tell_owners(self, now: float) -> None:
+        """Tell replicas that have just become owners which requests run where."""
+        for shard in tuple(self._told_owner_by_shard):
+            self._tell_owner(shard, now)
+
+    def _tell_owner(self, shard: placement_messages.Shard, now: float) -> str:
+        """Return the owner of a shard, after telling it if it has just become so."""
+        owner_id = self._session.owner(shard, now)
+        told = self._told_owner_by_shard.get(shard, "")
+        if not owner_id or owner_id == told:
+            return owner_id
+        if told:
+            self._send(told, placement_messages.OwnerChosen(shard, is_chosen=False))
+        self._told_owner_by_shard[shard] = owner_id
+        self._send(owner_id, placement_messages.OwnerChosen(shard, is_chosen=True))
         for ticket in tuple(self._ticket_by_id.values()):
-            if isinstance(ticket.answer, placement_messages.Placed):
-                running = placement_messages.StillRunning(
-                    ticket.request, ticket.answer.upstream_id, ticket.has_begun
-                )
-                ticket.owner_id = owner_id
-                self._send(owner_id, running)
-
-    def _give_back(self, ticket_id: str) -> None:
+            self._tell_running(ticket, shard, owner_id)
+        return owner_id
+
+    def _tell_running(
+        self, ticket: _Ticket, shard: placement_messages.Shard, owner_id: str
+    ) -> None:
+        placed = ticket.answer
+        if not isinstance(placed, placement_messages.Placed):
+            return
+        if ticket.request.service != shard.service or not shard.has(placed.upstream_id):
+            return
+        request = dataclasses.replace(ticket.request, shard=shard)
+        ticket.owner_id = owner_id
+        running = placement_messages.StillRunning(request, placed.upstream_id, ticket.has_begun)
+        self._send(owner_id, running)
+
+    def _give_back(self, owner_id: str, ticket_id: str) -> None:
         """Free a slot that was granted after the request had gone."""
-        owner_id = self._session.owner(_now())
-        if owner_id:
-            ended = placement_messages.RunEnded(ticket_id, placement_messages.RunEnd.CANCELLED, 0.0)
-            self._send(owner_id, ended)
+        ended = placement_messages.RunEnded(ticket_id, placement_messages.RunEnd.CANCELLED, 0.0)
+        self._send(owner_id, ended)
 
     async def _ask(
         self, ticket: _Ticket
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
         until = _now() + ticket.request.left_ms / 1000.0
         while _now() < until:
-            self.tell_owner(_now())
-            owner_id = self._session.owner(_now())
+            owner_id = self._tell_owner(ticket.request.owned_shard, _now())
             if not owner_id or not self._send(owner_id, ticket.request):
                 return self._choose_alone(ticket)
             ticket.owner_id = owner_id
@@ -165,7 +177,8 @@
                 return False
             if ticket.is_queued and _now() >= until:
                 return True
-            if ticket.is_queued and self._session.owner(_now()) != ticket.owner_id:
+            owner_id = self._session.owner(ticket.request.owned_shard, _now())
+            if ticket.is_queued and owner_id != ticket.owner_id:
                 ticket.is_queued = False
                 return True
             pause = QUEUE_CHECK_S if ticket.is_queued else limit - _now()
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -143,6 +143,7 @@
             owner=self._owner,
             budgets=self._budgets,
             upstream_by_id=self._session.upstream_by_id,
+            shard=self._session.shard,
             zone=self._zone,
             entry_hosts=self._session.entry_hosts,
         )
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import time
+from collections.abc import Callable
 
 import curio
 
@@ -23,7 +24,7 @@
     upstream_call,
 )
 from medlarfork.http import _http_messages, http_client, http_server, sse
-from medlarfork.placement import placement_messages
+from medlarfork.placement import placement_messages, shard_choice
 from medlarfork.routes import routing
 
 ANSWER_EARLY_MS = 20.0
@@ -95,6 +96,10 @@
     first_event_ms: float = 0.0
 
 
+ChooseShard = Callable[[str, str], placement_messages.Shard]
+"""Returns the part of a service that is to serve what a key names."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tools:
     """Hold what all requests of an entry host share."""
@@ -104,6 +109,7 @@
     owner: owner_client.OwnerClient
     budgets: dict[str, retry_budget.RetryBudget]
     upstream_by_id: dict[str, upstream_types.Announcement]
+    shard: ChooseShard
     zone: str
     entry_hosts: int
 
@@ -180,17 +186,21 @@
     async def _place(self) -> placement_messages.Placed | placement_messages.PlaceRefused:
         admitted = self._admitted
         self._sent_at = 0.0
+        ticket_id = self._tools.owner.new_ticket_id()
+        parts = admitted.facts.parts if admitted.route.has_prompt else ()
+        matter = shard_choice.matter(parts) or ticket_id
         request = placement_messages.PlaceRequest(
-            ticket_id=self._tools.owner.new_ticket_id(),
+            ticket_id=ticket_id,
             service=admitted.service,
             tier=admitted.tier,
             left_ms=self._left_ms,
             target_ms=admitted.route.target_ms,
             gap_ms=admitted.route.gap_ms,
-            parts=admitted.facts.parts if admitted.route.has_prompt else (),
+            parts=parts,
             output_tokens=admitted.facts.output_tokens,
             zone=self._tools.zone,
             excluded=tuple(self._excluded),
+            shard=self._tools.shard(admitted.service, matter),
         )
         self._ticket_id = request.ticket_id
         self.trace.tickets.append(request.ticket_id)
--- a/src/medlarfork/placement/local_choice.py
+++ b/src/medlarfork/placement/local_choice.py
@@ -8,14 +8,11 @@
 
 from medlarfork import rendezvous
 from medlarfork.coordination import upstream_types
-from medlarfork.placement import placement_messages
+from medlarfork.placement import placement_messages, shard_choice
 
 SLACK_RUNS = 2
 """Own runs by which the preferred upstream may exceed the least busy one."""
 
-SHARED_PART = 1
-"""Which part of a prompt names the matter that requests share; nearly all share the first."""
-
 
 def choose(
     request: placement_messages.PlaceRequest,
@@ -35,13 +32,7 @@
     if not usable:
         return ""
     least = min(runs_by_upstream.get(item.upstream_id, 0) for item in usable)
-    key = _matter(request) or salt + request.ticket_id
+    key = shard_choice.matter(request.parts) or salt + request.ticket_id
     slack = SLACK_RUNS if request.parts else 0
     near = [item for item in usable if runs_by_upstream.get(item.upstream_id, 0) <= least + slack]
     return rendezvous.rank(key, [item.upstream_id for item in near])[0]
-
-
-def _matter(request: placement_messages.PlaceRequest) -> str:
-    if len(request.parts) <= SHARED_PART:
-        return ""
-    return request.parts[SHARED_PART].part_id
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -1,4 +1,4 @@
-"""Own the placement of all services while this replica leads."""
+"""Own the placement of the shards for which entry hosts ask this replica."""
 
 from __future__ import annotations
 
@@ -11,23 +11,29 @@
 from medlarfork.placement import placement_messages, service_owner
 from medlarfork.routes import routing
 
+FORGET_S = 30.0
+"""Time without a question after which a shard's owner is dropped, in seconds: longer than any
+request takes, so that nothing runs there any more."""
+
 
 class Owner:
-    """Give each question to its service's owner; pure."""
+    """Give each question to its shard's owner; pure."""
 
     def __init__(self) -> None:
         """Start without services and upstreams."""
-        self._owner_by_service: dict[str, service_owner.ServiceOwner] = {}
+        self._owner_by_shard: dict[placement_messages.Shard, service_owner.ServiceOwner] = {}
+        self._asked_at_by_shard: dict[placement_messages.Shard, float] = {}
         self._engine_by_service: dict[str, routing.EngineFacts | None] = {}
-        self._service_by_ticket: dict[str, str] = {}
+        self._present_by_service: dict[str, dict[str, upstream_types.Announcement]] = {}
+        self._shard_by_ticket: dict[str, placement_messages.Shard] = {}
         self._decided: list[service_owner.Answer] = []
 
     def use_services(self, services: tuple[routing.Service, ...]) -> None:
         """Take what a new version of the routing says of services."""
         for service in services:
             self._engine_by_service[service.name] = service.engine
-            if service.name in self._owner_by_service:
-                self._owner_by_service[service.name].use_engine(service.engine)
+        for shard, owner in self._owner_by_shard.items():
+            owner.use_engine(self._engine_by_service.get(shard.service))
 
     def use_upstreams(
         self, present: tuple[upstream_types.Announcement, ...], now: float
@@ -38,43 +44,46 @@
         )
         for announcement in present:
             by_service[announcement.service][announcement.upstream_id] = announcement
+        self._present_by_service = dict(by_service)
         answers: list[service_owner.Answer] = []
-        for service in {*by_service, *self._owner_by_service}:
-            owner = self._owner(service)
-            owner.use_upstreams(by_service.get(service, {}))
+        for shard, owner in self._owner_by_shard.items():
+            owner.use_upstreams(self._present_in(shard))
             answers += owner.serve_waiting(now)
         return self._sends(answers)
 
     def handle(self, entry_id: str, message: Any, now: float) -> tuple[node.Send, ...]:
         """Take a message of an entry host and return the answers."""
         match message:
-            case placement_messages.PlaceRequest(ticket_id, service):
-                self._service_by_ticket[ticket_id] = service
-                return self._sends(self._owner(service).place(entry_id, message, now))
+            case placement_messages.PlaceRequest(ticket_id):
+                self._shard_by_ticket[ticket_id] = message.owned_shard
+                owner = self._owner(message.owned_shard, now)
+                return self._sends(owner.place(entry_id, message, now))
             case placement_messages.FirstEvent(ticket_id):
-                service = self._service_by_ticket.get(ticket_id)
-                if service is not None:
-                    self._owner(service).on_first_event(message, now)
+                shard = self._shard_by_ticket.get(ticket_id)
+                if shard is not None:
+                    self._owner(shard, now).on_first_event(message, now)
             case placement_messages.RunEnded(ticket_id):
-                service = self._service_by_ticket.pop(ticket_id, None)
-                if service is not None:
-                    return self._sends(self._owner(service).on_ended(message, now))
-            case placement_messages.OwnerChosen():
-                return self.forget_entry(entry_id, now)
+                shard = self._shard_by_ticket.pop(ticket_id, None)
+                if shard is not None:
+                    return self._sends(self._owner(shard, now).on_ended(message, now))
+            case placement_messages.OwnerChosen(shard):
+                owner = self._owner(shard, now)
+                return self._sends(owner.forget_entry(entry_id, now))
             case placement_messages.StillRunning(request):
-                self._service_by_ticket[request.ticket_id] = request.service
-                self._owner(request.service).on_still_running(entry_id, message, now)
+                self._shard_by_ticket[request.ticket_id] = request.owned_shard
+                owner = self._owner(request.owned_shard, now)
+                owner.on_still_running(entry_id, message, now)
         return ()
 
     @property
     def waiting(self) -> int:
         """Return how many requests wait; while any does, ``on_time`` has to be called often."""
-        return sum(owner.waiting for owner in self._owner_by_service.values())
+        return sum(owner.waiting for owner in self._owner_by_shard.values())
 
     def on_time(self, now: float) -> tuple[node.Send, ...]:
-        """Refuse those whose time is over."""
+        """Place those that can start now, and refuse those whose time is over."""
         answers: list[service_owner.Answer] = []
-        for owner in self._owner_by_service.values():
+        for owner in self._owner_by_shard.values():
             if owner.waiting:
                 answers += owner.serve_waiting(now)
         return self._sends(answers)
@@ -82,27 +91,48 @@
     def forget_entry(self, entry_id: str, now: float) -> tuple[node.Send, ...]:
         """Free what a lost entry host held."""
         answers: list[service_owner.Answer] = []
-        for owner in self._owner_by_service.values():
+        for owner in self._owner_by_shard.values():
             answers += owner.forget_entry(entry_id, now)
         return self._sends(answers)
 
+    def forget_unasked(self, now: float) -> None:
+        """Drop the owners of shards for which nobody has asked for long."""
+        for shard, asked_at in tuple(self._asked_at_by_shard.items()):
+            if now - asked_at > FORGET_S:
+                del self._asked_at_by_shard[shard]
+                del self._owner_by_shard[shard]
+        if not self._owner_by_shard:
+            self._shard_by_ticket.clear()
+
     def take_decisions(self) -> tuple[service_owner.Answer, ...]:
         """Return what was decided since the last call, for the log."""
         decided, self._decided = tuple(self._decided), []
         return decided
 
-    def _owner(self, service: str) -> service_owner.ServiceOwner:
-        owner = self._owner_by_service.get(service)
+    def _owner(self, shard: placement_messages.Shard, now: float) -> service_owner.ServiceOwner:
+        self._asked_at_by_shard[shard] = now
+        owner = self._owner_by_shard.get(shard)
         if owner is None:
             owner = service_owner.ServiceOwner()
-            owner.use_engine(self._engine_by_service.get(service))
-            self._owner_by_service[service] = owner
+            owner.use_engine(self._engine_by_service.get(shard.service))
+            owner.use_upstreams(self._present_in(shard))
+            self._owner_by_shard[shard] = owner
         return owner
 
+    def _present_in(
+        self, shard: placement_messages.Shard
+    ) -> dict[str, upstream_types.Announcement]:
+        present = self._present_by_service.get(shard.service, {})
+        return {
+            upstream_id: announcement
+            for upstream_id, announcement in present.items()
+            if shard.has(upstream_id)
+        }
+
     def _sends(self, answers: Iterable[service_owner.Answer]) -> tuple[node.Send, ...]:
         answers = tuple(answers)
         self._decided += answers
         for answer in answers:
             if isinstance(answer.message, placement_messages.PlaceRefused):
-                self._service_by_ticket.pop(answer.message.ticket_id, None)
+                self._shard_by_ticket.pop(answer.message.ticket_id, None)
         return tuple(node.Send(answer.entry_id, answer.message) for answer in answers)
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -9,6 +9,8 @@
 import dataclasses
 import enum
 
+from medlarfork import rendezvous
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -18,6 +20,25 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shard:
+    """Name a part of a service's upstreams that has an owner of its own.
+
+    Attributes:
+        service: Whose upstreams.
+        index: Which part, from 0.
+        count: Into how many parts the service was divided.
+    """
+
+    service: str
+    index: int = 0
+    count: int = 1
+
+    def has(self, upstream_id: str) -> bool:
+        """Return whether an upstream belongs to this part."""
+        return self.count == 1 or rendezvous.shard(upstream_id, self.count) == self.index
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceRequest:
     """Ask where to send a request.
@@ -33,6 +54,7 @@
         output_tokens: Tokens that the answer may have; 0 for plain requests.
         zone: Where the entry host is.
         excluded: Upstreams that are not to be used, since they failed this request.
+        shard: The part of the service's upstreams whose owner is asked.
     """
 
     ticket_id: str
@@ -45,6 +67,12 @@
     output_tokens: int = 0
     zone: str = ""
     excluded: tuple[str, ...] = ()
+    shard: Shard | None = None
+
+    @property
+    def owned_shard(self) -> Shard:
+        """Return the part whose owner is asked: the whole service unless a part is named."""
+        return self.shard or Shard(self.service)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,8 +146,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerChosen:
-    """Tell a replica whether the sender asks it from now on; what it held of the sender is void."""
+    """Tell a replica whether the sender asks it from now on for the placement on a shard.
+
+    What it held of the sender there is void.
+    """
 
+    shard: Shard
     is_chosen: bool
 
 
--- /dev/null
+++ b/src/medlarfork/placement/shard_choice.py
@@ -0,0 +1,72 @@
+"""Divide a service's upstreams into shards, and choose the shard of each request: pure.
+
+The load that this answers: hundreds of requests a second for tens of engines. One owner compares
+every engine for every request, so its work grows with both; measured, it fell seconds behind at 45
+engines and 500 requests a second, and entry hosts placed blindly meanwhile. Shards with an owner
+each divide both, and requests about one matter still meet at the engines that have read it.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import math
+from collections.abc import Iterable
+
+from medlarfork.coordination import upstream_types
+from medlarfork.placement import placement_messages
+
+UPSTREAMS = 16
+"""Upstreams that one shard may have. Fewer would bring owners more work than they take off, and a
+matter that many ask for would have too few engines; more brings an owner to its limit."""
+
+MATTER_PART = 1
+"""Which part of a prompt names the matter that requests share; nearly all share the first."""
+
+
+def count(upstreams: int) -> int:
+    """Return into how many shards a service with this many upstreams is divided."""
+    return max(1, math.ceil(upstreams / UPSTREAMS))
+
+
+def sizes(
+    service: str, upstreams: Iterable[upstream_types.Announcement]
+) -> dict[placement_messages.Shard, int]:
+    """Return the shards of a service with their numbers of upstreams; empty ones are left out."""
+    own = [item.upstream_id for item in upstreams if item.service == service]
+    shards = [
+        placement_messages.Shard(service, index, count(len(own)))
+        for index in range(count(len(own)))
+    ]
+    counted = collections.Counter(
+        shard for upstream_id in own for shard in shards if shard.has(upstream_id)
+    )
+    return dict(counted)
+
+
+def matter(parts: tuple[placement_messages.PromptPart, ...]) -> str:
+    """Return what a prompt is about; empty if it shares nothing with others."""
+    return parts[MATTER_PART].part_id if len(parts) > MATTER_PART else ""
+
+
+def choose(
+    key: str, size_by_shard: dict[placement_messages.Shard, int], service: str
+) -> placement_messages.Shard:
+    """Return the shard for a key, in proportion to the shards' upstreams.
+
+    Weighted rendezvous hashing: a shard that grows or shrinks moves few keys.
+
+    Args:
+        key: What is to meet in one shard.
+        size_by_shard: The shards with their numbers of upstreams.
+        service: Used where there is no shard.
+    """
+    if len(size_by_shard) <= 1:
+        return next(iter(size_by_shard), placement_messages.Shard(service))
+    return max(size_by_shard, key=lambda shard: _score(key, shard, size_by_shard[shard]))
+
+
+def _score(key: str, shard: placement_messages.Shard, size: int) -> float:
+    digest = hashlib.blake2b(f"{key}\0{shard.index}".encode(), digest_size=8).digest()
+    draw = (int.from_bytes(digest, "big") + 0.5) / 2.0**64
+    return -size / math.log(draw)
--- a/tests/routed/routed_world.py
+++ b/tests/routed/routed_world.py
@@ -176,6 +176,11 @@
             address = response.headers["location"].removesuffix(target)
         return answer
 
+    def leader(self):
+        """Return the replica that leads."""
+        (leader,) = (name for name, program in self.control_by_id.items() if program._node.leads)
+        return leader
+
     async def put_routing(self, version=1, **route):
         """Put one route to the service ``engines`` in force, and wait for the entry host."""
         body = json.dumps(routing_body(version, **route))
--- a/tests/routed/test_entry_session.py
+++ b/tests/routed/test_entry_session.py
@@ -2,6 +2,7 @@
 
 from medlarfork.coordination import coordination_messages, upstream_types
 from medlarfork.gateway import entry_session
+from medlarfork.placement import placement_messages
 
 
 @pytest.fixture
@@ -13,18 +14,15 @@
     return coordination_messages.ReplicaStatus(leader, term, members, 4)
 
 
-def test_the_leader_counts_only_while_it_speaks_itself(session):
-    session.take("r2", _status("r1"), 0.0)
-    assert session.leader(0.1) == ""
-    session.take("r1", _status("r1"), 0.2)
-    assert session.leader(0.3) == "r1"
-    assert session.leader(0.2 + entry_session.LEADER_SILENT_S + 0.1) == ""
-
-
-def test_an_older_term_does_not_bring_back_its_leader(session):
-    session.take("r2", _status("r2", term=5), 0.0)
-    session.take("r1", _status("r1", term=4), 0.1)
-    assert session.leader(0.2) == "r2"
+def test_an_older_term_does_not_bring_back_its_members(session):
+    session.take("r2", _status(term=5, members=("r2", "r4")), 0.0)
+    session.take("r1", _status(term=4, members=("r1", "r2")), 0.1)
+    session.take("r4", _status(term=5, members=("r2", "r4")), 0.1)
+    for replica_id in ("r2", "r4"):
+        session.take(replica_id, _status(term=5, members=("r2", "r4")), 5.0)
+    session.drop_silent(5.0)
+    assert "r1" not in session.replicas
+    assert "r4" in session.replicas
 
 
 def test_the_routing_never_goes_back(session):
@@ -53,10 +51,43 @@
     assert session.upstream_by_id == {}
 
 
-def test_without_a_leader_entry_hosts_agree_on_the_first_replica_that_speaks(session):
-    session.take("r2", _status("", term=2), 0.0)
-    session.take("r3", _status("", term=2), 0.0)
-    assert session.owner(0.1) == "r2"
-    session.take("r3", _status("r3", term=3), 0.2)
-    assert session.owner(0.3) == "r3"
-    assert session.owner(9.0) == ""
+def _speak(session, now, **up_s_by_id):
+    for replica_id, up_s in up_s_by_id.items():
+        status = coordination_messages.ReplicaStatus("r1", 1, ("r1", "r2", "r3"), 4, up_s)
+        session.take(replica_id, status, now)
+
+
+SHARD = placement_messages.Shard("engines", 0, 3)
+
+
+def test_entry_hosts_agree_on_an_owner_whatever_they_heard_before(session):
+    other = entry_session.EntrySession(("r3",))
+    _speak(other, 0.0, r3=50.0)
+    _speak(session, 1.0, r1=51.0, r2=51.0, r3=51.0)
+    _speak(other, 1.0, r2=51.0, r1=51.0, r3=51.0)
+    assert session.owner(SHARD, 1.1) == other.owner(SHARD, 1.1) != ""
+
+
+def test_an_owner_counts_only_while_it_speaks_itself(session):
+    _speak(session, 0.0, r1=50.0, r2=50.0, r3=50.0)
+    first = session.owner(SHARD, 0.1)
+    late = entry_session.OWNER_SILENT_S + 0.2
+    _speak(session, late, **{name: 51.0 for name in ("r1", "r2", "r3") if name != first})
+    assert session.owner(SHARD, late) not in ("", first)
+    assert session.owner(SHARD, 9.0) == ""
+
+
+def test_a_replica_that_was_restarted_does_not_take_over_back(session):
+    _speak(session, 0.0, r1=50.0, r2=50.0, r3=50.0)
+    first = session.owner(SHARD, 0.1)
+    _speak(session, 0.2, **{first: 1.0})
+    second = session.owner(SHARD, 0.3)
+    assert second != first
+    _speak(session, 0.4, r1=1.0, r2=1.0, r3=1.0)
+    assert session.owner(SHARD, 0.5) == first
+
+
+def test_the_shards_of_a_service_have_owners_of_their_own(session):
+    _speak(session, 0.0, r1=50.0, r2=50.0, r3=50.0)
+    owners = {session.owner(placement_messages.Shard("s", n, 12), 0.1) for n in range(12)}
+    assert owners == {"r1", "r2", "r3"}
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -1,3 +1,5 @@
+import collections
+
 import pytest
 
 from medlarfork.placement import (
@@ -8,6 +10,7 @@
     prompt_cache,
     read_rate,
     service_owner,
+    shard_choice,
 )
 from medlarfork.routes import routing
 
@@ -196,7 +199,11 @@
     whole.use_upstreams((make_announcement(slots=1),), 0.0)
     whole.handle("e1", make_question("a"), 0.0)
     whole.handle("e2", make_question("b"), 0.0)
-    (answer,) = whole.handle("e1", placement_messages.OwnerChosen(is_chosen=False), 0.5)
+    (answer,) = whole.handle(
+        "e1",
+        placement_messages.OwnerChosen(placement_messages.Shard("engines"), is_chosen=False),
+        0.5,
+    )
     assert answer.message == placement_messages.Placed("b", "u-1")
 
 
@@ -221,7 +228,9 @@
     whole.handle("e", _ended("a"), 1.0)
     (second,) = whole.handle("e", make_question("b", (*LONG[:2], ("other", 10))), 2.0)
     assert first.message.upstream_id == second.message.upstream_id
-    load = whole._owner_by_service["engines"].load_by_id[first.message.upstream_id]
+    load = whole._owner_by_shard[placement_messages.Shard("engines")].load_by_id[
+        first.message.upstream_id
+    ]
     assert load.run_by_ticket["b"].read_tokens == 10
 
 
@@ -265,3 +274,58 @@
     assert (placed.grounds.candidates, placed.grounds.running) == (1, 0)
     assert isinstance(queued.message, placement_messages.Queued)
     assert whole.take_decisions() == ()
+
+
+def test_the_shards_of_a_large_service_share_its_engines_and_its_load(make_announcement):
+    """Replay 45 engines: one owner compared all of them for each request, and fell behind."""
+    engines = [make_announcement(f"u-{n}") for n in range(45)]
+    sizes = shard_choice.sizes("engines", engines)
+    assert len(sizes) == 3
+    assert sum(sizes.values()) == 45
+    keys = [f"matter-{n}" for n in range(3000)]
+    chosen = collections.Counter(shard_choice.choose(key, sizes, "engines") for key in keys)
+    for shard, size in sizes.items():
+        assert chosen[shard] / 3000 == pytest.approx(size / 45, abs=0.04)
+
+
+def test_a_small_service_is_one_shard(make_announcement):
+    few = [make_announcement(f"u-{n}") for n in range(6)]
+    whole = placement_messages.Shard("engines")
+    assert shard_choice.choose("any", shard_choice.sizes("engines", few), "engines") == whole
+    assert shard_choice.choose("any", shard_choice.sizes("none", few), "none").service == "none"
+
+
+def test_an_engine_that_leaves_moves_few_matters(make_announcement):
+    engines = [make_announcement(f"u-{n}") for n in range(45)]
+    before = shard_choice.sizes("engines", engines)
+    after = shard_choice.sizes("engines", engines[1:])
+    keys = [f"matter-{n}" for n in range(3000)]
+    moved = sum(
+        shard_choice.choose(key, before, "engines") != shard_choice.choose(key, after, "engines")
+        for key in keys
+    )
+    assert moved < 3000 / 15
+
+
+def test_an_owner_places_only_on_the_engines_of_the_shard_that_was_asked(
+    make_announcement, make_question
+):
+    whole = owner.Owner()
+    whole.use_upstreams(tuple(make_announcement(f"u-{n}", slots=9) for n in range(40)), 0.0)
+    for index in range(3):
+        shard = placement_messages.Shard("engines", index, 3)
+        for n in range(30):
+            asked = make_question(f"t{index}-{n}", shard=shard)
+            (answer,) = whole.handle("e", asked, 0.0)
+            assert shard.has(answer.message.upstream_id)
+
+
+def test_the_owner_of_a_shard_that_nobody_asks_for_is_dropped(make_announcement, make_question):
+    whole = owner.Owner()
+    whole.use_upstreams((make_announcement(),), 0.0)
+    whole.handle("e", make_question("t"), 0.0)
+    whole.forget_unasked(owner.FORGET_S - 1.0)
+    assert whole._owner_by_shard
+    whole.forget_unasked(owner.FORGET_S + 1.0)
+    assert not whole._owner_by_shard
+    assert not whole._shard_by_ticket
--- a/tests/routed/test_routed_deployment.py
+++ b/tests/routed/test_routed_deployment.py
@@ -272,7 +272,7 @@
         upstream = await world.add_upstream()
         await world.put_routing()
         await world.until_upstreams(1)
-        leader = world.entry._session._leader_id
+        leader = world.leader()
         await world.control_by_id.pop(leader).close()
         for _ in range(5):
             assert (await world.call()).status == 200
@@ -323,7 +323,7 @@
 def test_a_replica_with_an_empty_disk_joins_and_an_added_one_too(tmp_path):
     async def main(world):
         await world.put_routing(3)
-        lost, *_ = (item for item in world.replica_ids if item != world.entry._session._leader_id)
+        lost, *_ = (item for item in world.replica_ids if item != world.leader())
         await world.control_by_id.pop(lost).close()
         for path in (tmp_path / lost).iterdir():
             path.unlink()
