Fetch what another engine holds of a prompt instead of reading it again

Change: the routing declares the size of a token in an engine's memory and the rate of its link; the owner names with a placement the engine that holds most of the prompt, and the entry host tells it to the upstream. Only parts that were read to their end count, and only engines in order.

Tests: parts held by a busy engine are fetched; parts that are still being read are not; nothing is fetched from an engine that failed.

--- a/src/medlarfork/coordination/decision_notes.py
+++ b/src/medlarfork/coordination/decision_notes.py
@@ -30,6 +30,7 @@
         "read_ms": round(grounds.cost.read_ms),
         "harm": round(grounds.cost.harm, 2),
         "cost": round(grounds.cost.total, 3),
+        "fetch_from": grounds.cost.fetch_from or None,
         "running": grounds.running,
         "candidates": grounds.candidates,
         "tokens_per_ms": round(grounds.tokens_per_ms, 1),
--- a/src/medlarfork/gateway/request_facts.py
+++ b/src/medlarfork/gateway/request_facts.py
@@ -66,6 +66,7 @@
     tier: int,
     target_ms: float,
     last_event_id: str,
+    fetch_from: str = "",
 ) -> dict[str, str]:
     """Return the headers that an upstream gets: the caller's, and those that the system sets."""
     dropped = names.set_by_system | _http_messages.HOP_BY_HOP_HEADERS
@@ -75,6 +76,8 @@
     sent[names.tier] = str(upstream_rank(tier, target_ms))
     if account:
         sent[names.account] = account
+    if fetch_from:
+        sent[names.fetch_from] = fetch_from
     if last_event_id:
         sent[names.last_event_id] = last_event_id
     return sent
--- a/src/medlarfork/gateway/request_names.py
+++ b/src/medlarfork/gateway/request_names.py
@@ -25,6 +25,7 @@
         tier: The rank at the upstream, 0 first.
         not_executed: Set by upstreams that did not run the request.
         seal: Set by upstreams on their answers; passed on unchanged.
+        fetch_from: Address of an upstream from which the receiver fetches what it lacks.
         load: Running, waiting and slots at the upstream, with commas between.
         dropped: Further headers that only the system may set; dropped when callers send them.
     """
@@ -41,11 +42,18 @@
     tier: str = "medlar-tier"
     not_executed: str = "medlar-not-executed"
     seal: str = "medlar-seal"
+    fetch_from: str = "medlar-fetch-from"
     load: str = "medlar-load"
     dropped: frozenset[str] = frozenset()
 
     @property
     def set_by_system(self) -> frozenset[str]:
         """Return the headers that callers can't set."""
-        own = {self.expected_upstream, self.account, self.tier, "authorization"}
+        own = {
+            self.expected_upstream,
+            self.account,
+            self.tier,
+            self.fetch_from,
+            "authorization",
+        }
         return self.dropped | own
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -151,7 +151,7 @@
                 end: placement_messages.RunEnd | None = placement_messages.RunEnd.UNREACHABLE
                 self.trace.reasons.append(f"{placed.upstream_id}: not in this host's view")
             else:
-                end = await self._attempt(upstream)
+                end = await self._attempt(upstream, placed.fetch_from)
             if end is None:
                 return
             self._progress = self._progress.after(end)
@@ -224,12 +224,13 @@
         return False
 
     async def _attempt(
-        self, upstream: upstream_types.Announcement
+        self, upstream: upstream_types.Announcement, fetch_from: str
     ) -> placement_messages.RunEnd | None:
         """Carry out one attempt; return how it failed, or None if the caller has its answer."""
         self.trace.upstreams.append(upstream.upstream_id)
         self._sent_at = time.monotonic()
-        sent = await upstream_call.send(self._tools.client, self._call(upstream), self._tools.names)
+        call = self._call(upstream, fetch_from)
+        sent = await upstream_call.send(self._tools.client, call, self._tools.names)
         if isinstance(sent, upstream_call.Failure):
             if sent.end is not placement_messages.RunEnd.UNREACHABLE:
                 self._sends += 1
@@ -249,7 +250,7 @@
         self.end_ticket(end or placement_messages.RunEnd.COMPLETE)
         return end
 
-    def _call(self, upstream: upstream_types.Announcement) -> upstream_call.Call:
+    def _call(self, upstream: upstream_types.Announcement, fetch_from: str) -> upstream_call.Call:
         admitted = self._admitted
         head = admitted.exchange.head
         headers = request_facts.for_upstream(
@@ -261,6 +262,7 @@
             tier=admitted.tier,
             target_ms=admitted.route.target_ms,
             last_event_id=self._cutter.last_id,
+            fetch_from=fetch_from,
         )
         return upstream_call.Call(
             address=upstream.address,
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -20,6 +20,13 @@
 """Cost of each token that is read again though another engine holds it: measured prices put a
 thousand of them at about a quarter of what a request loses by being late."""
 
+FETCH_COST = 0.00002
+"""Cost of each token that is fetched from another engine: moving it is priced at a twentieth of
+reading it again, and it keeps both links busy."""
+
+LEAST_FETCH_TOKENS = 300
+"""Fewest tokens that are fetched: for less, asking another engine takes longer than reading."""
+
 READ_COST = 0.0005
 """Cost of each millisecond of a request's own reading, which delays the ones after it: a long
 prompt's counts a tenth of a late request, so cached parts decide between engines that are equal."""
@@ -74,6 +81,40 @@
         return self.pause_ms / SAFE_SHARE
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """Describe the engine that holds most of a prompt.
+
+    Attributes:
+        address: Where others fetch it from; empty if they can't.
+        tokens: How much of the prompt it holds, from the beginning.
+        ms_per_token: How long fetching takes.
+    """
+
+    address: str = ""
+    tokens: int = 0
+    ms_per_token: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """Hold what is the same for all upstreams that are compared for a request.
+
+    Attributes:
+        reading: How the service's engines read.
+        held_elsewhere: Parts of the prompt that some engine has read lately.
+        holder: The engine that holds most of the prompt.
+        waited_ms: How long the request has waited already.
+        now: The time in seconds.
+    """
+
+    reading: Reading
+    held_elsewhere: frozenset[str]
+    holder: Holder
+    waited_ms: float
+    now: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cost:
     """Hold what placing a request on one upstream would cost.
@@ -83,8 +124,9 @@
         harm: The share of it that falls on streams that run there.
         wait_ms: Reading placed there before, which the request waits for.
         rest_ms: Time for which streams there are to be left without long reading.
-        read_ms: The request's own reading.
-        read_tokens: The same in tokens.
+        read_ms: The request's own reading, with what it fetches before.
+        read_tokens: What it reads, in tokens.
+        fetch_from: Address of the engine that the beginning is fetched from; empty for none.
     """
 
     total: float
@@ -93,41 +135,44 @@
     rest_ms: float
     read_ms: float
     read_tokens: int
+    fetch_from: str = ""
 
 
 def cost(
     load: upstream_load.UpstreamLoad,
     request: placement_messages.PlaceRequest,
-    reading: Reading,
-    held_elsewhere: frozenset[str],
-    waited_ms: float,
-    now: float,
+    given: Surroundings,
 ) -> Cost:
-    """Return what the request would cost on this upstream.
-
-    Args:
-        load: What is known of the upstream.
-        request: What is to run.
-        reading: How the service's engines read.
-        held_elsewhere: Parts of the prompt that some engine has read lately.
-        waited_ms: How long the request has waited already.
-        now: The time in seconds.
-    """
-    read_tokens = load.cache.uncached_tokens(request.parts)
-    read_ms = read_tokens / reading.tokens_per_ms
-    wait_ms = load.backlog_ms(now)
-    rest_ms = load.rest_ms(now) if read_ms > LONG_READ_MS else 0.0
+    """Return what the request would cost on this upstream."""
+    reading = given.reading
+    cached_tokens = load.cache.cached_tokens(request.parts)
+    fetched_tokens = _fetched_tokens(cached_tokens, given.holder)
+    read_tokens = request.prompt_tokens - cached_tokens - fetched_tokens
+    read_ms = read_tokens / reading.tokens_per_ms + fetched_tokens * given.holder.ms_per_token
+    wait_ms = load.backlog_ms(given.now)
+    rest_ms = load.rest_ms(given.now) if read_ms > LONG_READ_MS else 0.0
     harm = _harm(load, min(wait_ms + read_ms, reading.pause_ms))
-    total = harm + lateness(waited_ms + wait_ms + rest_ms + read_ms, request.target_ms)
+    total = harm + lateness(given.waited_ms + wait_ms + rest_ms + read_ms, request.target_ms)
     total += READ_COST * read_ms
-    total += REREAD_COST * load.cache.missing_tokens(request.parts, held_elsewhere)
+    if fetched_tokens:
+        total += FETCH_COST * fetched_tokens
+    else:
+        total += REREAD_COST * load.cache.missing_tokens(request.parts, given.held_elsewhere)
     if 0 < request.gap_ms <= reading.tight_ms and not load.has_tight(reading.tight_ms):
         total += APART_COST
     total += RUN_COST * len(load.run_by_ticket)
     total += FAILURE_COST * load.failed_share
     if request.zone != load.announcement.zone:
         total += OTHER_ZONE_COST
-    return Cost(total, harm, wait_ms, rest_ms, read_ms, read_tokens)
+    fetch_from = given.holder.address if fetched_tokens else ""
+    return Cost(total, harm, wait_ms, rest_ms, read_ms, read_tokens, fetch_from)
+
+
+def _fetched_tokens(cached_tokens: int, holder: Holder) -> int:
+    """Return how much of a prompt is fetched by an engine that holds a part of it itself."""
+    if not holder.address or holder.tokens - cached_tokens < LEAST_FETCH_TOKENS:
+        return 0
+    return holder.tokens - cached_tokens
 
 
 def lateness(after_ms: float, target_ms: float) -> float:
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -69,6 +69,11 @@
     excluded: tuple[str, ...] = ()
     shard: Shard | None = None
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the tokens of the whole prompt."""
+        return sum(part.tokens for part in self.parts)
+
     @property
     def owned_shard(self) -> Shard:
         """Return the part whose owner is asked: the whole service unless a part is named."""
@@ -77,10 +82,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
-    """Answer: send it to this incarnation."""
+    """Answer: send it to this incarnation.
+
+    Attributes:
+        ticket_id: The question.
+        upstream_id: The incarnation.
+        fetch_from: Address of an upstream that holds more of the prompt; empty for none.
+    """
 
     ticket_id: str
     upstream_id: str
+    fetch_from: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/placement/prompt_cache.py
+++ b/src/medlarfork/placement/prompt_cache.py
@@ -27,14 +27,32 @@
         """Take another size of the engine's memory."""
         self._limit_tokens = memory_tokens * USABLE_SHARE
 
-    def uncached_tokens(self, parts: tuple[placement_messages.PromptPart, ...]) -> int:
-        """Return how many tokens of a prompt the engine has to read."""
-        total = sum(part.tokens for part in parts)
+    def cached_parts(
+        self, parts: tuple[placement_messages.PromptPart, ...]
+    ) -> tuple[placement_messages.PromptPart, ...]:
+        """Return the parts of a prompt that the engine holds, from its beginning."""
+        for place, part in enumerate(parts):
+            if part.part_id not in self._tokens_by_part:
+                return parts[:place]
+        return parts
+
+    def cached_tokens(self, parts: tuple[placement_messages.PromptPart, ...]) -> int:
+        """Return how many tokens of a prompt the engine holds, from its beginning."""
+        cached = 0
         for part in parts:
             if part.part_id not in self._tokens_by_part:
                 break
-            total -= part.tokens
-        return total
+            cached += part.tokens
+        return cached
+
+    def missing_parts(self, parts: tuple[placement_messages.PromptPart, ...]) -> frozenset[str]:
+        """Return the parts of a prompt that the engine has to read."""
+        cached = len(self.cached_parts(parts))
+        return frozenset(part.part_id for part in parts[cached:])
+
+    def uncached_tokens(self, parts: tuple[placement_messages.PromptPart, ...]) -> int:
+        """Return how many tokens of a prompt the engine has to read."""
+        return sum(part.tokens for part in parts) - self.cached_tokens(parts)
 
     def missing_tokens(
         self, parts: tuple[placement_messages.PromptPart, ...], held_elsewhere: frozenset[str]
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -87,6 +87,7 @@
         """Start without upstreams, as a plain service."""
         self._memory_tokens = PLAIN_MEMORY_TOKENS
         self._event_tokens = 1
+        self._fetch_ms_per_token = 0.0
         self._read_at_by_part: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._longest_target_ms = 0.0
         self.rate = read_rate.ReadRate()
@@ -103,6 +104,7 @@
         """Take what the routing says of the service's engines; None for plain services."""
         self._memory_tokens = PLAIN_MEMORY_TOKENS if engine is None else engine.memory_tokens
         self._event_tokens = 1 if engine is None else engine.event_tokens
+        self._fetch_ms_per_token = 0.0 if engine is None else engine.fetch_ms_per_token
         for load in self.load_by_id.values():
             load.cache.use_memory(self._memory_tokens)
 
@@ -223,13 +225,18 @@
     def _try(self, waiting: waiting_line.Waiting, now: float) -> Answer | None:
         """Return the placement, or None if the request has to wait."""
         request = waiting.request
-        reading = self._reading()
-        held = self._held_parts(request, now)
         waited_ms = (now - waiting.since) * 1000.0
+        given = placement_cost.Surroundings(
+            reading=self._reading(),
+            held_elsewhere=self._held_parts(request, now),
+            holder=self._holder(request, now),
+            waited_ms=waited_ms,
+            now=now,
+        )
         best: upstream_load.UpstreamLoad | None = None
         best_cost: placement_cost.Cost | None = None
         for load in self._candidates(request, now):
-            found = placement_cost.cost(load, request, reading, held, waited_ms, now)
+            found = placement_cost.cost(load, request, given)
             if best_cost is None or found.total < best_cost.total:
                 best, best_cost = load, found
         if best is None or best_cost is None:
@@ -258,7 +265,9 @@
         )
         load.add(run, now)
         self._note_read(request, now)
-        placed = placement_messages.Placed(request.ticket_id, load.announcement.upstream_id)
+        placed = placement_messages.Placed(
+            request.ticket_id, load.announcement.upstream_id, cost.fetch_from
+        )
         grounds = Grounds(
             waited_ms=(now - waiting.since) * 1000.0,
             cost=cost,
@@ -308,6 +317,20 @@
         )
         return tokens / self.rate.tokens_per_ms
 
+    def _holder(
+        self, request: placement_messages.PlaceRequest, now: float
+    ) -> placement_cost.Holder:
+        """Return the engine in order that holds most of a prompt, if others can fetch from it."""
+        if not self._fetch_ms_per_token or len(request.parts) < 2:
+            return placement_cost.Holder()
+        best = placement_cost.Holder()
+        for load in self.load_by_id.values():
+            tokens = load.readable_tokens(request.parts)
+            if tokens > best.tokens and not load.is_pausing(now):
+                address = load.announcement.address
+                best = placement_cost.Holder(address, tokens, self._fetch_ms_per_token)
+        return best
+
     def _held_parts(self, request: placement_messages.PlaceRequest, now: float) -> frozenset[str]:
         """Return the shared parts of a prompt that some engine has read lately."""
         oldest = now - REUSE_S
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -35,6 +35,7 @@
         read_ms: How long that takes, in milliseconds.
         read_alone: Whether no other reading was under way when it was placed.
         has_begun: Whether its first event came.
+        new_parts: Parts of its prompt that the upstream held only once it had read them for it.
     """
 
     entry_id: str
@@ -43,6 +44,7 @@
     read_ms: float
     read_alone: bool
     has_begun: bool = False
+    new_parts: frozenset[str] = frozenset()
 
 
 class UpstreamLoad:
@@ -111,8 +113,19 @@
             if not self._unread_by_ticket:
                 self._reading_since = now
             self._unread_by_ticket[run.request.ticket_id] = run
+            run.new_parts = self.cache.missing_parts(run.request.parts)
         self.cache.add(run.request.parts)
 
+    def readable_tokens(self, parts: tuple[placement_messages.PromptPart, ...]) -> int:
+        """Return how much of a prompt others can fetch there now: what was read to its end."""
+        unread = [run.new_parts for run in self._unread_by_ticket.values() if run.new_parts]
+        tokens = 0
+        for part in self.cache.cached_parts(parts):
+            if any(part.part_id in new_parts for new_parts in unread):
+                break
+            tokens += part.tokens
+        return tokens
+
     def begin(self, ticket_id: str, rest_ms: float, now: float) -> Run | None:
         """Note a run's first event; return the run if it is its first one."""
         run = self.run_by_ticket.get(ticket_id)
--- a/src/medlarfork/routes/routing.py
+++ b/src/medlarfork/routes/routing.py
@@ -70,11 +70,22 @@
         slots: Requests that one engine runs at once.
         memory_tokens: Tokens that one engine keeps for running requests and cached parts.
         event_tokens: Tokens in one event of a stream.
+        token_bytes: Size of one token in an engine's memory; 0 if not declared.
+        link_mbps: Rate of an engine's link to others, in megabits a second; 0 if not declared.
     """
 
     slots: int
     memory_tokens: int
     event_tokens: int = 1
+    token_bytes: int = 0
+    link_mbps: float = 0.0
+
+    @property
+    def fetch_ms_per_token(self) -> float:
+        """Return how long one engine fetches a token from another; 0 if they can't."""
+        if self.token_bytes <= 0 or self.link_mbps <= 0:
+            return 0.0
+        return self.token_bytes * 8.0 / (self.link_mbps * 1000.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -11,6 +11,7 @@
     read_rate,
     service_owner,
     shard_choice,
+    upstream_load,
 )
 from medlarfork.routes import routing
 
@@ -44,6 +45,10 @@
     return placement_messages.RunEnded(ticket_id, end, 1.0)
 
 
+def _run(request, read_tokens, read_ms):
+    return upstream_load.Run("e", request, read_tokens, read_ms, read_alone=False)
+
+
 def test_streams_with_tight_pauses_keep_away_from_long_reading(make_owner, make_question):
     # On this load, least-outstanding placement lost two fifths of the short streams.
     owner = make_owner(slots=64)
@@ -70,6 +75,47 @@
     assert same == first
 
 
+def test_what_another_engine_holds_is_fetched_and_not_read_again(make_owner, make_question):
+    """Replay a matter whose engine is busy: a third of all shared parts were read again."""
+    service = make_owner(count=2, slots=64)
+    service.use_engine(
+        routing.EngineFacts(64, 1_000_000, 5, token_bytes=163_840, link_mbps=260_000.0)
+    )
+    first = _placed(service.place("e", make_question("a", LONG, target_ms=1000.0), 0.0))
+    service.on_first_event(placement_messages.FirstEvent("a", 160.0), 0.05)
+    for n in range(8):
+        busy = make_question(f"b{n}", ((f"own{n}", 12_000),), excluded=("u-0", "u-1"))
+        service.load_by_id[first].add(_run(busy, 12_000, 150.0), 0.0)
+    (answer,) = service.place("e", make_question("c", (*LONG[:2], ("new", 3000))), 0.1)
+    assert answer.message.upstream_id != first
+    assert answer.message.fetch_from == service.load_by_id[first].announcement.address
+    assert answer.grounds.cost.read_tokens == 3000
+    (again,) = service.place("e", make_question("d", (*LONG[:2], ("newer", 3000))), 0.2)
+    assert (again.message.upstream_id, again.message.fetch_from) == (answer.message.upstream_id, "")
+
+
+def test_what_an_engine_is_still_reading_can_not_be_fetched_from_it(make_owner, make_question):
+    service = make_owner(count=1, slots=64)
+    _placed(service.place("e", make_question("a", LONG), 0.0))
+    (load,) = service.load_by_id.values()
+    parts = make_question("b", LONG).parts
+    assert load.readable_tokens(parts) == 0
+    service.on_first_event(placement_messages.FirstEvent("a", 160.0), 0.2)
+    assert load.readable_tokens(parts) == 11_500
+
+
+def test_nothing_is_fetched_from_an_engine_that_failed(make_owner, make_question):
+    service = make_owner(count=2, slots=64)
+    service.use_engine(
+        routing.EngineFacts(64, 1_000_000, 5, token_bytes=163_840, link_mbps=260_000.0)
+    )
+    first = _placed(service.place("e", make_question("a", LONG), 0.0))
+    service.on_ended(_ended("a", placement_messages.RunEnd.UNREACHABLE), 0.1)
+    (answer,) = service.place("e", make_question("b", LONG), 0.2)
+    assert answer.message.upstream_id != first
+    assert answer.message.fetch_from == ""
+
+
 def test_a_full_service_lets_requests_wait_and_serves_the_highest_tier_first(
     make_owner, make_question
 ):
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -109,7 +109,14 @@
                 "Name": "llm",
                 "HealthCheckPath": "/health",
                 "MaxConnections": 300,
-                "Engine": {"Slots": 32, "KvCapacityTokens": 5000, "Stride": 4, "Models": []},
+                "Engine": {
+                    "Slots": 32,
+                    "KvCapacityTokens": 5000,
+                    "Stride": 4,
+                    "Models": [],
+                    "KvTokenBytes": 131072,
+                    "LinkMbps": 260000.0,
+                },
             }
         ],
         "Limits": {"MaxHeaderBytes": 16384},
@@ -127,7 +134,7 @@
     assert route.targets == (routing.Target("llm"),)
     assert route.has_prompt
     assert route.may_resume
-    assert whole.services[0].engine == routing.EngineFacts(32, 5000, 4)
+    assert whole.services[0].engine == routing.EngineFacts(32, 5000, 4, 131_072, 260_000.0)
     assert whole.accounts == (routing.Account("north", ("k-1",), 1),)
     routing_check.require_valid(whole)
 
