--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -40,6 +40,9 @@
 """How often requests that wait are looked at, in seconds: a fifth of the reading that an engine
 may have ahead, so that none idles."""
 
+TIDY_PERIOD_S = 1.0
+"""How often the owner looks for runs whose end was never reported, in seconds: they take many."""
+
 STATUS_PERIOD_S = 0.4
 """How often each entry host is told what this replica believes, in seconds."""
 
@@ -89,6 +92,7 @@
         self._status_due = -math.inf
         self._tick_due = -math.inf
         self._placement_due = -math.inf
+        self._tidy_due = -math.inf
         self._entry_ids: frozenset[str] = frozenset()
         self._actions: list[Any] = []
         self._now = 0.0
@@ -290,7 +294,7 @@
         self._actions += self._upstreams.on_time(self._members.peers, self._now)
         self._push_view()
         self._drop_lost_entries()
-        self._owner.forget_unasked(self._now)
+        self._tidy_placement()
         for action in self._members.on_time(self._replica.status, leads=self.leads, now=self._now):
             if isinstance(action, replica_types.ChangeVoters):
                 self._note(
@@ -314,6 +318,14 @@
         self._placement_due = self._now + PLACEMENT_PERIOD_S
         self._actions.append(node.Wake(self._placement_due))
 
+    def _tidy_placement(self) -> None:
+        if self._now < self._tidy_due:
+            return
+        self._tidy_due = self._now + TIDY_PERIOD_S
+        overdue = self._owner.tidy(self._now)
+        if overdue:
+            self._note("run_ends_missed", runs=overdue)
+
     def _drop_lost_entries(self) -> None:
         present = self._entries.status_by_id(self._now)
         for entry_id in self._entry_ids - present.keys():
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -216,6 +216,7 @@
             tickets=",".join(trace.tickets) or None,
             waited_ms=round(trace.waited_ms, 1),
             first_ms=round(trace.first_event_ms, 1),
+            pause_ms=round(trace.longest_pause_ms, 1) or None,
             took_ms=round(took_ms, 1),
             allowed_ms=round((admitted.deadline_at - admitted.started_at) * 1000.0),
             why="; ".join(trace.reasons) or None,
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -85,6 +85,7 @@
         reasons: Why attempts ended without an answer, in order.
         waited_ms: Time until it was placed the first time, in milliseconds.
         first_event_ms: Time to the first event or the whole answer, in milliseconds.
+        longest_pause_ms: Longest time between two events that were passed on, in milliseconds.
     """
 
     result: Result = Result.FAILED
@@ -94,6 +95,7 @@
     reasons: list[str] = dataclasses.field(default_factory=list)
     waited_ms: float = 0.0
     first_event_ms: float = 0.0
+    longest_pause_ms: float = 0.0
 
 
 ChooseShard = Callable[[str, str], placement_messages.Shard]
@@ -129,6 +131,7 @@
         self._cutter = event_cutter.EventCutter(admitted.facts.last_event_id)
         self._ticket_id = ""
         self._sent_at = 0.0
+        self._event_at = 0.0
 
     async def serve(self) -> None:
         """Place, send and relay until there is a final answer.
@@ -318,6 +321,7 @@
                 continue
             if not self._progress.answer_begun:
                 await self._begin_stream(response)
+            self._note_event()
             await exchange.send(whole)
         if not self._progress.answer_begun:
             await self._begin_stream(response)
@@ -344,6 +348,14 @@
                 remedy="See whether the upstream runs and can be reached from this host.",
             ) from error
 
+    def _note_event(self) -> None:
+        """Note when events are passed on, and the longest pause between two."""
+        now = time.monotonic()
+        if self._event_at:
+            pause_ms = (now - self._event_at) * 1000.0
+            self.trace.longest_pause_ms = max(self.trace.longest_pause_ms, pause_ms)
+        self._event_at = now
+
     async def _begin_stream(self, response: http_client.Response) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
         self._tools.owner.first_event(self._ticket_id, after_ms)
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -95,7 +95,12 @@
             answers += owner.forget_entry(entry_id, now)
         return self._sends(answers)
 
-    def forget_unasked(self, now: float) -> None:
+    def tidy(self, now: float) -> int:
+        """Drop what nobody will report or ask for any more; return how many runs that ended."""
+        self._forget_unasked(now)
+        return sum(owner.end_overdue(now) for owner in self._owner_by_shard.values())
+
+    def _forget_unasked(self, now: float) -> None:
         """Drop the owners of shards for which nobody has asked for long."""
         for shard, asked_at in tuple(self._asked_at_by_shard.items()):
             if now - asked_at > FORGET_S:
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -70,10 +70,12 @@
         tokens_per_ms: Prompt tokens read in a millisecond.
         pause_ms: The longest pause in a stream while prompts are read beside it: an event's
             tokens, each in a step that reads a chunk.
+        event_ms: The pause while nothing is read.
     """
 
     tokens_per_ms: float
     pause_ms: float
+    event_ms: float = 0.0
 
     @property
     def tight_ms(self) -> float:
@@ -151,7 +153,7 @@
     read_ms = read_tokens / reading.tokens_per_ms + fetched_tokens * given.holder.ms_per_token
     wait_ms = load.backlog_ms(given.now)
     rest_ms = load.rest_ms(given.now) if read_ms > LONG_READ_MS else 0.0
-    harm = _harm(load, min(wait_ms + read_ms, reading.pause_ms))
+    harm = _harm(load, min(wait_ms + read_ms + reading.event_ms, reading.pause_ms))
     total = harm + lateness(given.waited_ms + wait_ms + rest_ms + read_ms, request.target_ms)
     total += READ_COST * read_ms
     if fetched_tokens:
--- a/src/medlarfork/placement/read_rate.py
+++ b/src/medlarfork/placement/read_rate.py
@@ -16,7 +16,11 @@
 """Time to a first event besides reading: links, one step and the engine's own work, measured."""
 
 _LEARN_SHARE = 0.1
-"""Weight of a new measurement."""
+"""Weight of a new measurement. With more weight on faster ones, long prompts were let in beside
+streams that they then made late: runs that others delay tell how long those delays are."""
+
+STEP_MS = 4.0
+"""Time of a step besides reading, in milliseconds: engines that were measured take 2.2 and 4.2."""
 
 _BOUNDS = (10.0, 1000.0)
 """Rates outside are measuring errors, in tokens a millisecond."""
@@ -35,8 +39,11 @@
         self.tokens_per_ms = DEFAULT_TOKENS_PER_MS
 
     def pause_ms(self, event_tokens: int) -> float:
-        """Return the longest pause in a stream while prompts are read beside it."""
-        return event_tokens * CHUNK_TOKENS / self.tokens_per_ms
+        """Return the longest pause in a stream while prompts are read beside it.
+
+        It is that of an event whose every token is produced in a step that reads a chunk.
+        """
+        return event_tokens * (CHUNK_TOKENS / self.tokens_per_ms + STEP_MS)
 
     def learn(self, tokens: int, after_ms: float) -> None:
         """Take a run whose reading began at once."""
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -8,6 +8,7 @@
 
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
+    drain_rate,
     placement_cost,
     placement_messages,
     read_rate,
@@ -93,6 +94,8 @@
         self.rate = read_rate.ReadRate()
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
         self._line = waiting_line.WaitingLine()
+        self._drain = drain_rate.DrainRate()
+        self._line_since = math.inf
         self._passed_at = -math.inf
 
     @property
@@ -106,7 +109,7 @@
         self._event_tokens = 1 if engine is None else engine.event_tokens
         self._fetch_ms_per_token = 0.0 if engine is None else engine.fetch_ms_per_token
         for load in self.load_by_id.values():
-            load.cache.use_memory(self._memory_tokens)
+            load.use_memory(self._memory_tokens)
 
     def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
         """Take the upstreams that may be used now; runs on others are left to their ends."""
@@ -131,7 +134,7 @@
             predicted_ms = self._predicted_wait_ms(waiting, now)
             if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms):
                 why = f"it would wait about {predicted_ms:.0f} ms"
-                after_ms = start_rules.retry_after_ms(request, predicted_ms, SHORTEST_RETRY_MS)
+                after_ms = start_rules.retry_after_ms(request, predicted_ms)
                 return (self._refuse(waiting, why, after_ms),)
         answer = self._try(waiting, now)
         if answer is not None:
@@ -139,6 +142,8 @@
         if len(self._line) >= MOST_WAITING:
             why = "too many requests wait already"
             return (self._refuse(waiting, why, SHORTEST_RETRY_MS),)
+        if not self._line:
+            self._line_since = now
         self._line.add(waiting)
         return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
 
@@ -176,6 +181,7 @@
             read_tokens / self.rate.tokens_per_ms,
             read_alone=False,
             has_begun=message.has_begun,
+            until=now + message.request.left_ms / 1000.0,
         )
         load.add(run, now)
 
@@ -192,6 +198,10 @@
                 load.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
         return self.serve_waiting(now)
 
+    def end_overdue(self, now: float) -> int:
+        """Take off the runs whose end was never reported; return how many."""
+        return sum(load.end_overdue(now) for load in self.load_by_id.values())
+
     def serve_waiting(self, now: float) -> tuple[Answer, ...]:
         """Start those that can: the highest tier first, then the nearest target.
 
@@ -256,12 +266,15 @@
         now: float,
     ) -> Answer:
         request = waiting.request
+        if self._yields(request):
+            self._drain.note(waiting.read_ms, now)
         run = upstream_load.Run(
             waiting.entry_id,
             request,
             cost.read_tokens,
             cost.read_ms,
             read_alone=cost.wait_ms <= 0.0,
+            until=waiting.until,
         )
         load.add(run, now)
         self._note_read(request, now)
@@ -280,16 +293,25 @@
     def _predicted_wait_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
         """Return how long a request that comes now would wait, by the reading ahead of it.
 
-        That is what waits and goes before it, shared by all engines, and then the engine that has
-        least to read.
+        That is what waits and goes before it, and then the engine that has least to read.
         """
-        ahead_ms = self._line.reading_before_ms(waiting)
-        tight_ms = self._reading().tight_ms
-        apart = sum(not load.has_tight(tight_ms) for load in self.load_by_id.values())
-        ahead_ms /= start_rules.READ_SHARE * max(apart, 1)
+        ahead_ms = self._line.reading_before_ms(waiting) / self._drained_per_ms(now)
         backlogs = (load.backlog_ms(now) for load in self.load_by_id.values())
         return ahead_ms + min(backlogs, default=0.0)
 
+    def _drained_per_ms(self, now: float) -> float:
+        """Return how much reading of those that wait starts in a millisecond.
+
+        Once some have waited for as long as is measured, it is what was seen: slots and the
+        streams of others may hold it far below what the engines could read. Before, it is what
+        engines without tight streams can read.
+        """
+        if self._line and now - self._line_since >= drain_rate.WINDOW_S:
+            return self._drain.per_ms(now)
+        tight_ms = self._reading().tight_ms
+        apart = sum(not load.has_tight(tight_ms) for load in self.load_by_id.values())
+        return start_rules.READ_SHARE * max(apart, 1)
+
     def _yields(self, request: placement_messages.PlaceRequest) -> bool:
         """Return whether no kind of request has a longer target; learnt from those that came."""
         self._longest_target_ms = max(self._longest_target_ms, request.target_ms)
@@ -306,7 +328,9 @@
 
     def _reading(self) -> placement_cost.Reading:
         return placement_cost.Reading(
-            self.rate.tokens_per_ms, self.rate.pause_ms(self._event_tokens)
+            self.rate.tokens_per_ms,
+            self.rate.pause_ms(self._event_tokens),
+            self._event_tokens * read_rate.STEP_MS,
         )
 
     def _least_read_ms(self, request: placement_messages.PlaceRequest) -> float:
@@ -354,7 +378,9 @@
         free = [
             load
             for load in self.load_by_id.values()
-            if not load.is_full and load.announcement.upstream_id not in request.excluded
+            if not load.is_full
+            and load.has_memory_for(request)
+            and load.announcement.upstream_id not in request.excluded
         ]
         sound = [load for load in free if not load.is_pausing(now)]
         return sound or free
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -33,10 +33,6 @@
 """Multiple of its target after which a long prompt is refused instead of being begun. With 2,
 those that were begun late made all after them late too (measured on both sites)."""
 
-LEAST_WAIT_SHARE = 0.3
-"""Share of its target that a prompt must be expected to wait to be refused: the longest prompts
-miss their targets by their own reading, and would otherwise never be served."""
-
 PATIENCE = 0.7
 """Share of a request's target up to which it waits for the engine that suits it best; the rest is
 kept for reading, the way, and errors of the prediction."""
@@ -78,20 +74,21 @@
 def is_hopeless(
     request: placement_messages.PlaceRequest, predicted_wait_ms: float, read_ms: float
 ) -> bool:
-    """Say whether a request that has just come would begin too late to be of use.
+    """Say whether a request that has just come would wait too long to be of use.
 
     Ask it only of requests that yield: refusing one while longer ones begin would turn the order of
-    what is urgent around, and save little.
+    what is urgent around, and save little. Its own reading does not count: the largest prompts
+    would be refused at waits that others are let through with, and hardly ever be served.
     """
     if request.target_ms <= 0 or read_ms <= placement_cost.LONG_READ_MS:
         return False
-    if predicted_wait_ms < LEAST_WAIT_SHARE * request.target_ms:
-        return False
-    return predicted_wait_ms + read_ms > HOPELESS_TARGETS * request.target_ms
+    return predicted_wait_ms > PATIENCE * request.target_ms
 
 
-def retry_after_ms(
-    request: placement_messages.PlaceRequest, predicted_wait_ms: float, shortest_ms: float
-) -> float:
-    """Return when coming back is of use: once the queue has drained to half of the target."""
-    return max(predicted_wait_ms - request.target_ms / 2.0, shortest_ms)
+def retry_after_ms(request: placement_messages.PlaceRequest, predicted_wait_ms: float) -> float:
+    """Return when coming back is of use: once the queue has drained to half of the target.
+
+    That is a target from now at least: a caller that comes back sooner meets the same line that it
+    was refused for, and has spent its second try.
+    """
+    return max(predicted_wait_ms - request.target_ms / 2.0, request.target_ms)
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import placement_messages, prompt_cache
@@ -20,6 +21,14 @@
 STUCK_FACTOR = 3.0
 """The same as a multiple of the reading's own time, for engines that read several at once."""
 
+LEAK_S = 2.0
+"""Time after a request's caller has given up at which its run counts as ended, in seconds: the
+report of its end was lost, and the slot would be taken forever."""
+
+MEMORY_SHARE = 0.95
+"""Share of an engine's memory that running requests may fill. Beyond it the engine stops some of
+them and reads them again later; the rest covers answers that are longer than announced."""
+
 FAILURE_MEMORY = 0.12
 """Weight of the latest end in the share of failures: about the last eight runs count."""
 
@@ -36,6 +45,7 @@
         read_alone: Whether no other reading was under way when it was placed.
         has_begun: Whether its first event came.
         new_parts: Parts of its prompt that the upstream held only once it had read them for it.
+        until: When its caller gives up, in seconds.
     """
 
     entry_id: str
@@ -45,6 +55,12 @@
     read_alone: bool
     has_begun: bool = False
     new_parts: frozenset[str] = frozenset()
+    until: float = math.inf
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens that it may fill of its engine's memory."""
+        return self.request.prompt_tokens + self.request.output_tokens
 
 
 class UpstreamLoad:
@@ -61,6 +77,8 @@
         self.announcement = announcement
         self.cache = prompt_cache.PromptCache(memory_tokens)
         self.run_by_ticket: dict[str, Run] = {}
+        self._memory_tokens = memory_tokens
+        self._running_tokens = 0
         self._unread_by_ticket: dict[str, Run] = {}
         self._reading_since = 0.0
         self._rest_until = 0.0
@@ -73,6 +91,27 @@
         """Return whether all its slots are taken."""
         return len(self.run_by_ticket) >= self.announcement.slots
 
+    def use_memory(self, memory_tokens: int) -> None:
+        """Take another size of the engine's memory."""
+        self._memory_tokens = memory_tokens
+        self.cache.use_memory(memory_tokens)
+
+    def has_memory_for(self, request: placement_messages.PlaceRequest) -> bool:
+        """Return whether a request fits beside those that run; alone each is let through."""
+        if not self.run_by_ticket or not request.parts:
+            return True
+        tokens = self._running_tokens + request.prompt_tokens + request.output_tokens
+        return tokens <= MEMORY_SHARE * self._memory_tokens
+
+    def end_overdue(self, now: float) -> int:
+        """Take off the runs whose end was never reported; return how many."""
+        overdue = [
+            ticket_id for ticket_id, run in self.run_by_ticket.items() if now > run.until + LEAK_S
+        ]
+        for ticket_id in overdue:
+            self.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
+        return len(overdue)
+
     def is_pausing(self, now: float) -> bool:
         """Return whether it failed lately, or seems to stand still, and is given time."""
         return now < self._pause_until or self._is_stuck(now)
@@ -109,6 +148,7 @@
     def add(self, run: Run, now: float) -> None:
         """Place a run."""
         self.run_by_ticket[run.request.ticket_id] = run
+        self._running_tokens += run.memory_tokens
         if not run.has_begun and run.read_ms > 0:
             if not self._unread_by_ticket:
                 self._reading_since = now
@@ -142,8 +182,10 @@
 
     def end(self, ticket_id: str, end: placement_messages.RunEnd, now: float) -> None:
         """Take a run off, and judge the upstream by how it ended."""
-        if self.run_by_ticket.pop(ticket_id, None) is None:
+        run = self.run_by_ticket.pop(ticket_id, None)
+        if run is None:
             return
+        self._running_tokens -= run.memory_tokens
         self._stop_reading(ticket_id, now)
         match end:
             case placement_messages.RunEnd.COMPLETE:
