--- a/src/medlarfork/coordination/decision_notes.py
+++ b/src/medlarfork/coordination/decision_notes.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from medlarfork.coordination import coordinator_types
-from medlarfork.placement import placement_messages, service_owner
+from medlarfork.placement import placement_answer, placement_messages
 
 
-def noted(answer: service_owner.Answer) -> coordinator_types.Noted:
+def noted(answer: placement_answer.Answer) -> coordinator_types.Noted:
     """Return the log line of a decision."""
     match answer.message:
         case placement_messages.Placed(ticket_id, upstream_id):
@@ -21,7 +21,7 @@
             return coordinator_types.Noted("placement_queued", {"ticket": ticket_id})
 
 
-def _grounds(grounds: service_owner.Grounds | None) -> dict[str, Any]:
+def _grounds(grounds: placement_answer.Grounds | None) -> dict[str, Any]:
     if grounds is None:
         return {}
     return {
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -16,6 +16,7 @@
     request_facts,
     request_names,
     request_run,
+    request_types,
     retry_budget,
 )
 from medlarfork.http import _http_messages, http_client, http_server
@@ -117,14 +118,14 @@
         facts: request_facts.RequestFacts,
         body: bytes,
         started_at: float,
-    ) -> request_run.Admitted:
+    ) -> request_types.Admitted:
         allowed_ms = route.timeout_ms
         if facts.deadline_ms is not None:
             allowed_ms = min(allowed_ms, facts.deadline_ms - request_run.ANSWER_EARLY_MS)
         tier = route.tier
         if account is not None and account.tier is not None:
             tier = account.tier
-        return request_run.Admitted(
+        return request_types.Admitted(
             exchange=exchange,
             facts=facts,
             route=route,
@@ -136,8 +137,8 @@
             deadline_at=started_at + allowed_ms / 1000.0,
         )
 
-    def _tools(self) -> request_run.Tools:
-        return request_run.Tools(
+    def _tools(self) -> request_types.Tools:
+        return request_types.Tools(
             client=self._client,
             names=self._names,
             owner=self._owner,
@@ -148,7 +149,7 @@
             entry_hosts=self._session.entry_hosts,
         )
 
-    async def _serve(self, run: request_run.RequestRun, admitted: request_run.Admitted) -> None:
+    async def _serve(self, run: request_run.RequestRun, admitted: request_types.Admitted) -> None:
         """Serve until there is a final answer, the time is over, or the caller has gone.
 
         The connection is cut only here, after both tasks have ended: closing a descriptor that a
@@ -169,7 +170,7 @@
             await exchange.abort()
 
     async def _serve_in_time(
-        self, run: request_run.RequestRun, admitted: request_run.Admitted
+        self, run: request_run.RequestRun, admitted: request_types.Admitted
     ) -> None:
         left_s = admitted.deadline_at - time.monotonic()
         try:
@@ -197,7 +198,7 @@
         body = _http_messages.error_body(error, error.status)
         await exchange.respond(error.status, headers, body)
 
-    def _record(self, trace: request_run.Trace, admitted: request_run.Admitted) -> None:
+    def _record(self, trace: request_types.Trace, admitted: request_types.Admitted) -> None:
         """Log the request's decisions in one line, and count it."""
         took_ms = (time.monotonic() - admitted.started_at) * 1000.0
         self._metrics.count(admitted.account, admitted.route.name, trace.status, took_ms)
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -6,9 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import time
-from collections.abc import Callable
 
 import curio
 
@@ -19,109 +17,22 @@
     event_cutter,
     owner_client,
     request_facts,
-    request_names,
-    retry_budget,
+    request_types,
     upstream_call,
 )
-from medlarfork.http import _http_messages, http_client, http_server, sse
+from medlarfork.http import _http_messages, http_client, sse
 from medlarfork.placement import placement_messages, shard_choice
-from medlarfork.routes import routing
 
 ANSWER_EARLY_MS = 20.0
 """How long before the caller's own deadline a final answer is sent, in milliseconds: its way."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admitted:
-    """Hold a request that was read, routed and identified.
-
-    Attributes:
-        exchange: The caller's connection.
-        facts: What its headers say.
-        route: How it is handled.
-        service: The service that was drawn for it.
-        account: The client account; empty on public routes.
-        tier: Its rank.
-        body: Its whole body.
-        started_at: When its head was in, in monotonic seconds.
-        deadline_at: When its caller or route gives up, in monotonic seconds.
-    """
-
-    exchange: http_server.Exchange
-    facts: request_facts.RequestFacts
-    route: routing.Route
-    service: str
-    account: str
-    tier: int
-    body: bytes
-    started_at: float
-    deadline_at: float
-
-
-CLOSED_STATUS = 499
-"""Status in logs and metrics for a request whose caller went before its answer."""
-
-
-class Result(enum.StrEnum):
-    """Say what became of a request."""
-
-    ANSWERED = "answered"
-    CUT = "cut"
-    CALLER_GONE = "caller_gone"
-    REFUSED = "refused"
-    FAILED = "failed"
-    TIMED_OUT = "timed_out"
-
-
-@dataclasses.dataclass(slots=True)
-class Trace:
-    """Collect what the log line of a request tells.
-
-    Attributes:
-        result: What became of it.
-        status: The status that its caller got; 0 for none.
-        upstreams: The incarnations it was sent to, in order.
-        tickets: The questions to the owner of placement, in order.
-        reasons: Why attempts ended without an answer, in order.
-        waited_ms: Time until it was placed the first time, in milliseconds.
-        first_event_ms: Time to the first event or the whole answer, in milliseconds.
-        longest_pause_ms: Longest time between two events that were passed on, in milliseconds.
-    """
-
-    result: Result = Result.FAILED
-    status: int = 0
-    upstreams: list[str] = dataclasses.field(default_factory=list)
-    tickets: list[str] = dataclasses.field(default_factory=list)
-    reasons: list[str] = dataclasses.field(default_factory=list)
-    waited_ms: float = 0.0
-    first_event_ms: float = 0.0
-    longest_pause_ms: float = 0.0
-
-
-ChooseShard = Callable[[str, str], placement_messages.Shard]
-"""Returns the part of a service that is to serve what a key names."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tools:
-    """Hold what all requests of an entry host share."""
-
-    client: http_client.HttpClient
-    names: request_names.RequestNames
-    owner: owner_client.OwnerClient
-    budgets: dict[str, retry_budget.RetryBudget]
-    upstream_by_id: dict[str, upstream_types.Announcement]
-    shard: ChooseShard
-    zone: str
-    entry_hosts: int
-
-
 class RequestRun:
     """Serve one admitted request; ``serve`` returns when its answer has ended."""
 
-    def __init__(self, admitted: Admitted, tools: Tools) -> None:
+    def __init__(self, admitted: request_types.Admitted, tools: request_types.Tools) -> None:
         """Prepare; nothing is sent yet."""
-        self.trace = Trace()
+        self.trace = request_types.Trace()
         self._admitted = admitted
         self._tools = tools
         self._progress = attempt_policy.Progress()
@@ -165,15 +76,15 @@
 
     async def time_out(self) -> None:
         """Give the final answer at the deadline."""
-        self.trace.result = Result.TIMED_OUT
+        self.trace.result = request_types.Result.TIMED_OUT
         if self._sent_at:
             self._progress = self._progress.after(placement_messages.RunEnd.CANCELLED)
         await self._finish_without_answer(in_time=False)
 
     def note_caller_gone(self) -> None:
         """Note that there is nobody left to be answered."""
-        self.trace.result = Result.CALLER_GONE
-        self.trace.status = CLOSED_STATUS
+        self.trace.result = request_types.Result.CALLER_GONE
+        self.trace.status = request_types.CLOSED_STATUS
 
     def end_ticket(self, end: placement_messages.RunEnd) -> None:
         """Tell the owner that the attempt under way has ended."""
@@ -301,7 +212,7 @@
             return placement_messages.RunEnd.FAILED
         self.trace.first_event_ms = self._since_start_ms()
         await self._admitted.exchange.respond(response.status, response.headers, body)
-        self._finish(Result.ANSWERED, response.status)
+        self._finish(request_types.Result.ANSWERED, response.status)
         return None
 
     def _may_repeat_failure(self) -> bool:
@@ -327,7 +238,7 @@
             await self._begin_stream(response)
         await exchange.send(self._cutter.pending)
         await exchange.finish()
-        self._finish(Result.ANSWERED, response.status)
+        self._finish(request_types.Result.ANSWERED, response.status)
 
     async def _next_chunk(self, response: http_client.Response) -> bytes:
         """Return the next bytes; give an upstream up that is silent, if another may go on.
@@ -367,14 +278,15 @@
         await self._admitted.exchange.begin(response.status, headers)
 
     async def _give_up(self) -> None:
-        self.trace.result = Result.FAILED if self._progress.runs else Result.REFUSED
+        result = request_types.Result
+        self.trace.result = result.FAILED if self._progress.runs else result.REFUSED
         await self._finish_without_answer(in_time=self._left_ms > 0)
 
     async def _finish_without_answer(self, *, in_time: bool) -> None:
         """Tell the caller at once what is known; an answer that was begun can only be cut."""
         exchange = self._admitted.exchange
         if exchange.started:
-            self.trace.result = Result.CUT
+            self.trace.result = request_types.Result.CUT
             return
         status = attempt_policy.final_status(self._progress, in_time=in_time)
         self.trace.status = status
@@ -389,7 +301,7 @@
         )
         await exchange.respond(status, headers, _http_messages.error_body(error, status))
 
-    def _finish(self, result: Result, status: int) -> None:
+    def _finish(self, result: request_types.Result, status: int) -> None:
         self.trace.result = result
         self.trace.status = status
 
--- /dev/null
+++ b/src/medlarfork/gateway/request_types.py
@@ -0,0 +1,98 @@
+"""Define what the handler of requests and the run of one request share."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Callable
+
+from medlarfork.coordination import upstream_types
+from medlarfork.gateway import owner_client, request_facts, request_names, retry_budget
+from medlarfork.http import http_client, http_server
+from medlarfork.placement import placement_messages
+from medlarfork.routes import routing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """Hold a request that was read, routed and identified.
+
+    Attributes:
+        exchange: The caller's connection.
+        facts: What its headers say.
+        route: How it is handled.
+        service: The service that was drawn for it.
+        account: The client account; empty on public routes.
+        tier: Its rank.
+        body: Its whole body.
+        started_at: When its head was in, in monotonic seconds.
+        deadline_at: When its caller or route gives up, in monotonic seconds.
+    """
+
+    exchange: http_server.Exchange
+    facts: request_facts.RequestFacts
+    route: routing.Route
+    service: str
+    account: str
+    tier: int
+    body: bytes
+    started_at: float
+    deadline_at: float
+
+
+CLOSED_STATUS = 499
+"""Status in logs and metrics for a request whose caller went before its answer."""
+
+
+class Result(enum.StrEnum):
+    """Say what became of a request."""
+
+    ANSWERED = "answered"
+    CUT = "cut"
+    CALLER_GONE = "caller_gone"
+    REFUSED = "refused"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+
+
+@dataclasses.dataclass(slots=True)
+class Trace:
+    """Collect what the log line of a request tells.
+
+    Attributes:
+        result: What became of it.
+        status: The status that its caller got; 0 for none.
+        upstreams: The incarnations it was sent to, in order.
+        tickets: The questions to the owner of placement, in order.
+        reasons: Why attempts ended without an answer, in order.
+        waited_ms: Time until it was placed the first time, in milliseconds.
+        first_event_ms: Time to the first event or the whole answer, in milliseconds.
+        longest_pause_ms: Longest time between two events that were passed on, in milliseconds.
+    """
+
+    result: Result = Result.FAILED
+    status: int = 0
+    upstreams: list[str] = dataclasses.field(default_factory=list)
+    tickets: list[str] = dataclasses.field(default_factory=list)
+    reasons: list[str] = dataclasses.field(default_factory=list)
+    waited_ms: float = 0.0
+    first_event_ms: float = 0.0
+    longest_pause_ms: float = 0.0
+
+
+ChooseShard = Callable[[str, str], placement_messages.Shard]
+"""Returns the part of a service that is to serve what a key names."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """Hold what all requests of an entry host share."""
+
+    client: http_client.HttpClient
+    names: request_names.RequestNames
+    owner: owner_client.OwnerClient
+    budgets: dict[str, retry_budget.RetryBudget]
+    upstream_by_id: dict[str, upstream_types.Announcement]
+    shard: ChooseShard
+    zone: str
+    entry_hosts: int
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -8,7 +8,7 @@
 
 from medlarfork import node
 from medlarfork.coordination import upstream_types
-from medlarfork.placement import placement_messages, service_owner
+from medlarfork.placement import placement_answer, placement_messages, service_owner
 from medlarfork.routes import routing
 
 FORGET_S = 30.0
@@ -26,7 +26,7 @@
         self._engine_by_service: dict[str, routing.EngineFacts | None] = {}
         self._present_by_service: dict[str, dict[str, upstream_types.Announcement]] = {}
         self._shard_by_ticket: dict[str, placement_messages.Shard] = {}
-        self._decided: list[service_owner.Answer] = []
+        self._decided: list[placement_answer.Answer] = []
 
     def use_services(self, services: tuple[routing.Service, ...]) -> None:
         """Take what a new version of the routing says of services."""
@@ -45,7 +45,7 @@
         for announcement in present:
             by_service[announcement.service][announcement.upstream_id] = announcement
         self._present_by_service = dict(by_service)
-        answers: list[service_owner.Answer] = []
+        answers: list[placement_answer.Answer] = []
         for shard, owner in self._owner_by_shard.items():
             owner.use_upstreams(self._present_in(shard))
             answers += owner.serve_waiting(now)
@@ -82,7 +82,7 @@
 
     def on_time(self, now: float) -> tuple[node.Send, ...]:
         """Place those that can start now, and refuse those whose time is over."""
-        answers: list[service_owner.Answer] = []
+        answers: list[placement_answer.Answer] = []
         for owner in self._owner_by_shard.values():
             if owner.waiting:
                 answers += owner.serve_waiting(now)
@@ -90,7 +90,7 @@
 
     def forget_entry(self, entry_id: str, now: float) -> tuple[node.Send, ...]:
         """Free what a lost entry host held."""
-        answers: list[service_owner.Answer] = []
+        answers: list[placement_answer.Answer] = []
         for owner in self._owner_by_shard.values():
             answers += owner.forget_entry(entry_id, now)
         return self._sends(answers)
@@ -109,7 +109,7 @@
         if not self._owner_by_shard:
             self._shard_by_ticket.clear()
 
-    def take_decisions(self) -> tuple[service_owner.Answer, ...]:
+    def take_decisions(self) -> tuple[placement_answer.Answer, ...]:
         """Return what was decided since the last call, for the log."""
         decided, self._decided = tuple(self._decided), []
         return decided
@@ -134,7 +134,7 @@
             if shard.has(upstream_id)
         }
 
-    def _sends(self, answers: Iterable[service_owner.Answer]) -> tuple[node.Send, ...]:
+    def _sends(self, answers: Iterable[placement_answer.Answer]) -> tuple[node.Send, ...]:
         answers = tuple(answers)
         self._decided += answers
         for answer in answers:
--- /dev/null
+++ b/src/medlarfork/placement/placement_answer.py
@@ -0,0 +1,41 @@
+"""Define what the owner of placement answers, with what the answer rests on."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork.placement import placement_cost, placement_messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grounds:
+    """Hold what a placement rests on, for the log.
+
+    Attributes:
+        waited_ms: How long the request waited with the owner, in milliseconds.
+        cost: What it costs where it was placed.
+        running: Requests that run there already.
+        candidates: Upstreams that were compared.
+        tokens_per_ms: The rate of reading that was reckoned with.
+    """
+
+    waited_ms: float
+    cost: placement_cost.Cost
+    running: int
+    candidates: int
+    tokens_per_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Tell an entry host what was decided.
+
+    Attributes:
+        entry_id: Who asked.
+        message: The decision.
+        grounds: What a placement rests on; None for the other answers.
+    """
+
+    entry_id: str
+    message: placement_messages.Answer
+    grounds: Grounds | None = None
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import collections
-import dataclasses
 import math
 
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
     drain_rate,
+    placement_answer,
     placement_cost,
     placement_messages,
+    read_parts,
     read_rate,
     start_rules,
     upstream_load,
@@ -24,13 +24,6 @@
 SHORTEST_RETRY_MS = 200.0
 """Least time that a refused caller is told to wait: two round trips and a slot that frees."""
 
-REUSE_S = 10.0
-"""How long a part that was read counts as held by an engine, in seconds: within it, reading the
-part elsewhere is waste."""
-
-MOST_PARTS = 50_000
-"""Parts of prompts whose last reading is remembered, which bounds memory to a few megabytes."""
-
 PASS_PERIOD_S = 0.005
 """Least time between two passes over the requests that wait, in seconds: a small part of any
 target. Without it each run that ends costs a pass, and an owner that falls behind never recovers:
@@ -47,40 +40,6 @@
 """Plain services hold no parts of prompts."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grounds:
-    """Hold what a placement rests on, for the log.
-
-    Attributes:
-        waited_ms: How long the request waited with the owner, in milliseconds.
-        cost: What it costs where it was placed.
-        running: Requests that run there already.
-        candidates: Upstreams that were compared.
-        tokens_per_ms: The rate of reading that was reckoned with.
-    """
-
-    waited_ms: float
-    cost: placement_cost.Cost
-    running: int
-    candidates: int
-    tokens_per_ms: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """Tell an entry host what was decided.
-
-    Attributes:
-        entry_id: Who asked.
-        message: The decision.
-        grounds: What a placement rests on; None for the other answers.
-    """
-
-    entry_id: str
-    message: placement_messages.Answer
-    grounds: Grounds | None = None
-
-
 class ServiceOwner:
     """Decide for one service; pure, the time is handed in."""
 
@@ -89,7 +48,7 @@
         self._memory_tokens = PLAIN_MEMORY_TOKENS
         self._event_tokens = 1
         self._fetch_ms_per_token = 0.0
-        self._read_at_by_part: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._read_parts = read_parts.ReadParts()
         self._longest_target_ms = 0.0
         self.rate = read_rate.ReadRate()
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
@@ -125,10 +84,12 @@
 
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
-    ) -> tuple[Answer, ...]:
+    ) -> tuple[placement_answer.Answer, ...]:
         """Place a request at once, let it wait, or refuse it."""
         if request.ticket_id in self._line:
-            return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
+            return (
+                placement_answer.Answer(entry_id, placement_messages.Queued(request.ticket_id)),
+            )
         waiting = waiting_line.Waiting(entry_id, request, now, self._least_read_ms(request))
         if self._yields(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
@@ -145,7 +106,7 @@
         if not self._line:
             self._line_since = now
         self._line.add(waiting)
-        return (Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
+        return (placement_answer.Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
 
     def on_first_event(self, message: placement_messages.FirstEvent, now: float) -> None:
         """Learn from the time to a first event."""
@@ -157,7 +118,9 @@
             if begun is not None and begun.read_alone:
                 self.rate.learn(begun.read_tokens, message.after_ms)
 
-    def on_ended(self, message: placement_messages.RunEnded, now: float) -> tuple[Answer, ...]:
+    def on_ended(
+        self, message: placement_messages.RunEnded, now: float
+    ) -> tuple[placement_answer.Answer, ...]:
         """Free the slot of a run that ended, or drop a request that does not wait any more."""
         self._line.remove(message.ticket_id)
         for load in self.load_by_id.values():
@@ -185,7 +148,7 @@
         )
         load.add(run, now)
 
-    def forget_entry(self, entry_id: str, now: float) -> tuple[Answer, ...]:
+    def forget_entry(self, entry_id: str, now: float) -> tuple[placement_answer.Answer, ...]:
         """Free what a lost entry host held; its upstream connections are gone with it."""
         self._line.remove_entry(entry_id)
         for load in self.load_by_id.values():
@@ -202,7 +165,7 @@
         """Take off the runs whose end was never reported; return how many."""
         return sum(load.end_overdue(now) for load in self.load_by_id.values())
 
-    def serve_waiting(self, now: float) -> tuple[Answer, ...]:
+    def serve_waiting(self, now: float) -> tuple[placement_answer.Answer, ...]:
         """Start those that can: the highest tier first, then the nearest target.
 
         Of each kind only the first ones are tried in one pass: what holds these up holds up those
@@ -211,7 +174,7 @@
         self._passed_at = now
         tries_left: dict[tuple[int, float], int] = {}
         most_tries = max(LEAST_TRIES, COMPARISONS // max(len(self.load_by_id), 1))
-        answers: list[Answer] = []
+        answers: list[placement_answer.Answer] = []
         for waiting in self._line.in_order():
             left = tries_left.get(waiting.kind, most_tries)
             answer = self._serve(waiting, now, may_try=left > 0)
@@ -222,7 +185,9 @@
             answers.append(answer)
         return tuple(answers)
 
-    def _serve(self, waiting: waiting_line.Waiting, now: float, *, may_try: bool) -> Answer | None:
+    def _serve(
+        self, waiting: waiting_line.Waiting, now: float, *, may_try: bool
+    ) -> placement_answer.Answer | None:
         """Return what becomes of a waiting request, or None if it goes on waiting."""
         why = "it could not begin in time"
         if waiting.until <= now:
@@ -232,13 +197,13 @@
             return self._refuse(waiting, why, SHORTEST_RETRY_MS)
         return answer
 
-    def _try(self, waiting: waiting_line.Waiting, now: float) -> Answer | None:
+    def _try(self, waiting: waiting_line.Waiting, now: float) -> placement_answer.Answer | None:
         """Return the placement, or None if the request has to wait."""
         request = waiting.request
         waited_ms = (now - waiting.since) * 1000.0
         given = placement_cost.Surroundings(
             reading=self._reading(),
-            held_elsewhere=self._held_parts(request, now),
+            held_elsewhere=self._read_parts.read_lately(request.parts, now),
             holder=self._holder(request, now),
             waited_ms=waited_ms,
             now=now,
@@ -264,7 +229,7 @@
         load: upstream_load.UpstreamLoad,
         cost: placement_cost.Cost,
         now: float,
-    ) -> Answer:
+    ) -> placement_answer.Answer:
         request = waiting.request
         if self._yields(request):
             self._drain.note(waiting.read_ms, now)
@@ -277,18 +242,18 @@
             until=waiting.until,
         )
         load.add(run, now)
-        self._note_read(request, now)
+        self._read_parts.note(request.parts, now)
         placed = placement_messages.Placed(
             request.ticket_id, load.announcement.upstream_id, cost.fetch_from
         )
-        grounds = Grounds(
+        grounds = placement_answer.Grounds(
             waited_ms=(now - waiting.since) * 1000.0,
             cost=cost,
             running=len(load.run_by_ticket) - 1,
             candidates=len(self.load_by_id),
             tokens_per_ms=self.rate.tokens_per_ms,
         )
-        return Answer(waiting.entry_id, placed, grounds)
+        return placement_answer.Answer(waiting.entry_id, placed, grounds)
 
     def _predicted_wait_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
         """Return how long a request that comes now would wait, by the reading ahead of it.
@@ -355,22 +320,6 @@
                 best = placement_cost.Holder(address, tokens, self._fetch_ms_per_token)
         return best
 
-    def _held_parts(self, request: placement_messages.PlaceRequest, now: float) -> frozenset[str]:
-        """Return the shared parts of a prompt that some engine has read lately."""
-        oldest = now - REUSE_S
-        return frozenset(
-            part.part_id
-            for part in request.parts[:-1]
-            if self._read_at_by_part.get(part.part_id, oldest) > oldest
-        )
-
-    def _note_read(self, request: placement_messages.PlaceRequest, now: float) -> None:
-        for part in request.parts[:-1]:
-            self._read_at_by_part[part.part_id] = now
-            self._read_at_by_part.move_to_end(part.part_id)
-        while len(self._read_at_by_part) > MOST_PARTS:
-            self._read_at_by_part.popitem(last=False)
-
     def _candidates(
         self, request: placement_messages.PlaceRequest, now: float
     ) -> list[upstream_load.UpstreamLoad]:
@@ -385,7 +334,9 @@
         sound = [load for load in free if not load.is_pausing(now)]
         return sound or free
 
-    def _refuse(self, waiting: waiting_line.Waiting, why: str, retry_after_ms: float) -> Answer:
+    def _refuse(
+        self, waiting: waiting_line.Waiting, why: str, retry_after_ms: float
+    ) -> placement_answer.Answer:
         ticket_id = waiting.request.ticket_id
         refused = placement_messages.PlaceRefused(ticket_id, retry_after_ms, why)
-        return Answer(waiting.entry_id, refused)
+        return placement_answer.Answer(waiting.entry_id, refused)
