--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -51,6 +51,7 @@
     Part("star_traffic"),
     Part("entry_links"),
     Part("claim_table"),
+    Part("owner_cost"),
 )
 
 
