--- a/src/medlarfork/gateway/request_names.py
+++ b/src/medlarfork/gateway/request_names.py
@@ -17,7 +17,6 @@
         deadline_ms: How long the sender waits, in milliseconds.
         key_scheme: Word before the key in the Authorization header.
         last_event_id: The last event that the caller has; a stream goes on after it.
-        model: The model that a prompt is for.
         token_usage: Prompt tokens and most output tokens, with a comma between.
         prompt_parts: ``ID:TOKENS`` for each part of the prompt, with commas between.
         expected_upstream: The incarnation that alone may run the request.
@@ -26,7 +25,6 @@
         not_executed: Set by upstreams that did not run the request.
         seal: Set by upstreams on their answers; passed on unchanged.
         fetch_from: Address of an upstream from which the receiver fetches what it lacks.
-        load: Running, waiting and slots at the upstream, with commas between.
         dropped: Further headers that only the system may set; dropped when callers send them.
     """
 
@@ -34,7 +32,6 @@
     deadline_ms: str = "medlar-deadline-ms"
     key_scheme: str = "Bearer"
     last_event_id: str = "last-event-id"
-    model: str = "medlar-model"
     token_usage: str = "medlar-token-usage"
     prompt_parts: str = "medlar-prompt-parts"
     expected_upstream: str = "medlar-expected-upstream"
@@ -43,7 +40,6 @@
     not_executed: str = "medlar-not-executed"
     seal: str = "medlar-seal"
     fetch_from: str = "medlar-fetch-from"
-    load: str = "medlar-load"
     dropped: frozenset[str] = frozenset()
 
     @property
