--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -98,7 +98,14 @@
     def tidy(self, now: float) -> int:
         """Drop what nobody will report or ask for any more; return how many runs that ended."""
         self._forget_unasked(now)
-        return sum(owner.end_overdue(now) for owner in self._owner_by_shard.values())
+        overdue = [
+            ticket_id
+            for owner in self._owner_by_shard.values()
+            for ticket_id in owner.end_overdue(now)
+        ]
+        for ticket_id in overdue:
+            self._shard_by_ticket.pop(ticket_id, None)
+        return len(overdue)
 
     def _forget_unasked(self, now: float) -> None:
         """Drop the owners of shards for which nobody has asked for long."""
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -161,9 +161,11 @@
                 load.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
         return self.serve_waiting(now)
 
-    def end_overdue(self, now: float) -> int:
-        """Take off the runs whose end was never reported; return how many."""
-        return sum(load.end_overdue(now) for load in self.load_by_id.values())
+    def end_overdue(self, now: float) -> tuple[str, ...]:
+        """Take off the runs whose end was never reported; return their tickets."""
+        return tuple(
+            ticket_id for load in self.load_by_id.values() for ticket_id in load.end_overdue(now)
+        )
 
     def serve_waiting(self, now: float) -> tuple[placement_answer.Answer, ...]:
         """Start those that can: the highest tier first, then the nearest target.
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -103,14 +103,14 @@
         tokens = self._running_tokens + request.prompt_tokens + request.output_tokens
         return tokens <= MEMORY_SHARE * self._memory_tokens
 
-    def end_overdue(self, now: float) -> int:
-        """Take off the runs whose end was never reported; return how many."""
-        overdue = [
+    def end_overdue(self, now: float) -> tuple[str, ...]:
+        """Take off the runs whose end was never reported; return their tickets."""
+        overdue = tuple(
             ticket_id for ticket_id, run in self.run_by_ticket.items() if now > run.until + LEAK_S
-        ]
+        )
         for ticket_id in overdue:
             self.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
-        return len(overdue)
+        return overdue
 
     def is_pausing(self, now: float) -> bool:
         """Return whether it failed lately, or seems to stand still, and is given time."""
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -254,11 +254,20 @@
 def test_a_run_whose_end_was_never_reported_is_taken_off(make_owner, make_question):
     owner = make_owner(count=1, slots=1)
     _placed(owner.place("e", make_question("lost", left_ms=1000.0), 0.0))
-    assert owner.end_overdue(1.0 + upstream_load.LEAK_S) == 0
-    assert owner.end_overdue(1.1 + upstream_load.LEAK_S) == 1
+    assert owner.end_overdue(1.0 + upstream_load.LEAK_S) == ()
+    assert owner.end_overdue(1.1 + upstream_load.LEAK_S) == ("lost",)
     _placed(owner.place("e", make_question("next"), 4.0))
 
 
+def test_nothing_is_kept_of_a_ticket_whose_end_was_never_reported(make_announcement, make_question):
+    whole = owner.Owner()
+    whole.use_upstreams((make_announcement(slots=9),), 0.0)
+    for n in range(5):
+        whole.handle("e", make_question(f"t{n}", left_ms=1000.0), 0.0)
+    assert whole.tidy(1.1 + upstream_load.LEAK_S) == 5
+    assert not whole._shard_by_ticket
+
+
 def test_prompts_are_not_placed_beyond_an_engine_s_memory(make_owner, make_question):
     """Replay sixteen slots filled with long prompts: engines stopped runs to make room."""
     owner = make_owner(count=1, slots=64)
