Remember what runs on an upstream that was not heard of for a while

Change: the owner keeps what it knows of an upstream that is not there, for 15 s and while something runs. Test: red before.

--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -71,10 +71,13 @@
             load.use_memory(self._memory_tokens)
 
     def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
-        """Take the upstreams that may be used now; runs on others are left to their ends."""
-        for upstream_id in tuple(self.load_by_id):
-            if upstream_id not in announcements:
-                del self.load_by_id[upstream_id]
+        """Take the upstreams that may be used now; runs on others are left to their ends.
+
+        What is known of one that is not there now is kept for a while: one that was only not heard
+        of still runs what it ran, and still holds what it read.
+        """
+        for upstream_id, load in self.load_by_id.items():
+            load.is_present = upstream_id in announcements
         for upstream_id, announcement in announcements.items():
             load = self.load_by_id.get(upstream_id)
             if load is None:
@@ -82,6 +85,10 @@
                 self.load_by_id[upstream_id] = load
             load.announcement = announcement
 
+    @property
+    def _present(self) -> list[upstream_load.UpstreamLoad]:
+        return [load for load in self.load_by_id.values() if load.is_present]
+
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
     ) -> tuple[placement_answer.Answer, ...]:
@@ -162,10 +169,17 @@
         return self.serve_waiting(now)
 
     def end_overdue(self, now: float) -> tuple[str, ...]:
-        """Take off the runs whose end was never reported; return their tickets."""
-        return tuple(
+        """Take off the runs whose end was never reported; return their tickets.
+
+        Upstreams that are gone for good are forgotten too.
+        """
+        overdue = tuple(
             ticket_id for load in self.load_by_id.values() for ticket_id in load.end_overdue(now)
         )
+        for upstream_id, load in tuple(self.load_by_id.items()):
+            if load.is_gone(now):
+                del self.load_by_id[upstream_id]
+        return overdue
 
     def serve_waiting(self, now: float) -> tuple[placement_answer.Answer, ...]:
         """Start those that can: the highest tier first, then the nearest target.
@@ -175,7 +189,7 @@
         """
         self._passed_at = now
         tries_left: dict[tuple[int, float], int] = {}
-        most_tries = max(LEAST_TRIES, COMPARISONS // max(len(self.load_by_id), 1))
+        most_tries = max(LEAST_TRIES, COMPARISONS // max(len(self._present), 1))
         answers: list[placement_answer.Answer] = []
         for waiting in self._line.in_order():
             left = tries_left.get(waiting.kind, most_tries)
@@ -252,7 +266,7 @@
             waited_ms=(now - waiting.since) * 1000.0,
             cost=cost,
             running=len(load.run_by_ticket) - 1,
-            candidates=len(self.load_by_id),
+            candidates=len(self._present),
             tokens_per_ms=self.rate.tokens_per_ms,
         )
         return placement_answer.Answer(waiting.entry_id, placed, grounds)
@@ -263,7 +277,7 @@
         That is what waits and goes before it, and then the engine that has least to read.
         """
         ahead_ms = self._line.reading_before_ms(waiting) / self._drained_per_ms(now)
-        backlogs = (load.backlog_ms(now) for load in self.load_by_id.values())
+        backlogs = (load.backlog_ms(now) for load in self._present)
         return ahead_ms + min(backlogs, default=0.0)
 
     def _drained_per_ms(self, now: float) -> float:
@@ -276,7 +290,7 @@
         if self._line and now - self._line_since >= drain_rate.WINDOW_S:
             return self._drain.per_ms(now)
         tight_ms = self._reading().tight_ms
-        apart = sum(not load.has_tight(tight_ms) for load in self.load_by_id.values())
+        apart = sum(not load.has_tight(tight_ms) for load in self._present)
         return start_rules.READ_SHARE * max(apart, 1)
 
     def _yields(self, request: placement_messages.PlaceRequest) -> bool:
@@ -291,7 +305,7 @@
         has the next prompt at hand reads most.
         """
         tight_ms = self._reading().tight_ms
-        return any(load.has_tight(tight_ms) for load in self.load_by_id.values())
+        return any(load.has_tight(tight_ms) for load in self._present)
 
     def _reading(self) -> placement_cost.Reading:
         return placement_cost.Reading(
@@ -303,7 +317,7 @@
     def _least_read_ms(self, request: placement_messages.PlaceRequest) -> float:
         """Return how long reading takes on the engine that holds most of the prompt."""
         tokens = min(
-            (load.cache.uncached_tokens(request.parts) for load in self.load_by_id.values()),
+            (load.cache.uncached_tokens(request.parts) for load in self._present),
             default=sum(part.tokens for part in request.parts),
         )
         return tokens / self.rate.tokens_per_ms
@@ -315,7 +329,7 @@
         if not self._fetch_ms_per_token or len(request.parts) < 2:
             return placement_cost.Holder()
         best = placement_cost.Holder()
-        for load in self.load_by_id.values():
+        for load in self._present:
             tokens = load.readable_tokens(request.parts)
             if tokens > best.tokens and not load.is_pausing(now):
                 address = load.announcement.address
@@ -328,7 +342,7 @@
         """Return the upstreams with a free slot; those that failed lately only if all did."""
         free = [
             load
-            for load in self.load_by_id.values()
+            for load in self._present
             if not load.is_full
             and load.has_memory_for(request)
             and load.announcement.upstream_id not in request.excluded
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -25,6 +25,10 @@
 """Time after a request's caller has given up at which its run counts as ended, in seconds: the
 report of its end was lost, and the slot would be taken forever."""
 
+KEEP_ABSENT_S = 15.0
+"""How long an upstream that is not there is remembered, in seconds: longer than one that runs is
+not heard of in a cut, with the time that replicas take to hear of it again."""
+
 MEMORY_SHARE = 0.95
 """Share of an engine's memory that running requests may fill. Beyond it the engine stops some of
 them and reads them again later; the rest covers answers that are longer than announced."""
@@ -70,6 +74,7 @@
         announcement: What the upstream said of itself.
         cache: Parts of prompts that it holds.
         run_by_ticket: Requests that were placed there and have not ended.
+        is_present: Whether it may be used now.
     """
 
     def __init__(self, announcement: upstream_types.Announcement, memory_tokens: int) -> None:
@@ -77,6 +82,8 @@
         self.announcement = announcement
         self.cache = prompt_cache.PromptCache(memory_tokens)
         self.run_by_ticket: dict[str, Run] = {}
+        self.is_present = True
+        self._absent_since = math.inf
         self._memory_tokens = memory_tokens
         self._running_tokens = 0
         self._unread_by_ticket: dict[str, Run] = {}
@@ -112,6 +119,14 @@
             self.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
         return overdue
 
+    def is_gone(self, now: float) -> bool:
+        """Return whether it has been absent for long and nothing runs there; asked every second."""
+        if self.is_present:
+            self._absent_since = math.inf
+            return False
+        self._absent_since = min(self._absent_since, now)
+        return not self.run_by_ticket and now - self._absent_since > KEEP_ABSENT_S
+
     def is_pausing(self, now: float) -> bool:
         """Return whether it failed lately, or seems to stand still, and is given time."""
         return now < self._pause_until or self._is_stuck(now)
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -259,6 +259,32 @@
     _placed(owner.place("e", make_question("next"), 4.0))
 
 
+def test_an_upstream_that_was_not_heard_of_for_a_while_still_runs_what_it_ran(
+    make_owner, make_announcement, make_question
+):
+    """Replay a cut: engines came back as empty, got twice their slots and stopped requests."""
+    owner = make_owner(count=1, slots=2)
+    for n in range(2):
+        _placed(owner.place("e", make_question(f"t{n}"), 0.0))
+    owner.use_upstreams({})
+    (answer,) = owner.place("e", make_question("absent"), 1.0)
+    assert isinstance(answer.message, placement_messages.Queued)
+    owner.on_ended(_ended("absent"), 1.5)
+    owner.use_upstreams({"u-0": make_announcement("u-0")})
+    (answer,) = owner.place("e", make_question("back"), 2.0)
+    assert isinstance(answer.message, placement_messages.Queued)
+
+
+def test_an_upstream_that_is_gone_for_good_is_forgotten(make_owner, make_question):
+    owner = make_owner(count=1, slots=2)
+    _placed(owner.place("e", make_question("runs"), 0.0))
+    owner.use_upstreams({})
+    owner.end_overdue(0.5)
+    owner.end_overdue(0.6 + upstream_load.KEEP_ABSENT_S)
+    assert owner.load_by_id == {}
+    assert owner.on_ended(_ended("runs"), 60.0) == ()
+
+
 def test_nothing_is_kept_of_a_ticket_whose_end_was_never_reported(make_announcement, make_question):
     whole = owner.Owner()
     whole.use_upstreams((make_announcement(slots=9),), 0.0)
