--- a/src/medlarfork/replica/_disk_writer.py
+++ b/src/medlarfork/replica/_disk_writer.py
@@ -4,6 +4,7 @@
 
 import collections
 import logging
+import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -16,6 +17,10 @@
 FULL_RETRY_S = 0.25
 """Pause before a write that found no room is tried again, in seconds."""
 
+SLOW_S = 0.5
+"""Time from which a write with its sync is logged, in seconds: about half of what replicas wait for
+each other before they elect another leader, so that slow disks are seen where these change."""
+
 Write = node.Persist | replica_types.SaveSnapshot
 
 
@@ -86,6 +91,7 @@
     async def _until_room(self, write: Callable[..., None], *arguments: object) -> None:
         """Perform a write; while the disk is full, nothing is reported as synced."""
         is_full = False
+        began_at = time.monotonic()
         while True:
             try:
                 await curio.run_in_thread(write, *arguments)
@@ -95,6 +101,9 @@
                 is_full = True
                 await curio.sleep(FULL_RETRY_S)
             else:
+                took_s = time.monotonic() - began_at
                 if is_full:
                     logs.event(_log, "disk_has_room")
+                elif took_s > SLOW_S:
+                    logs.event(_log, "disk_slow", severity=logging.WARNING, took_s=took_s)
                 return
