--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -37,7 +37,7 @@
 slower engines."""
 
 SAFE_SHARE = 0.6
-"""Share of a stream's allowed pause that foreseen reading may fill unharmed. Of the label texts
+"""Share of a stream's allowed pause that foreseen reading may fill unharmed. Of the short streams
 that were made late, nearly all were so by reading that was foreseen to fill 0.6 to 0.9 of it:
 prompts that come together are read for longer than each alone."""
 
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -76,7 +76,7 @@
 
 
 def test_reading_that_fills_most_of_a_pause_counts_as_harm(make_owner, make_question):
-    """Replay label texts: prompts of 90 ms and 66 ms beside them made pauses of 205 ms of 200."""
+    """Replay short streams: prompts of 90 ms and 66 ms beside them made pauses of 205 ms of 200."""
     service = make_owner(count=1, slots=64)
     service.rate.tokens_per_ms = 64.0
     tight = make_question("tight", (("q", 10),), target_ms=300.0, gap_ms=200.0)
@@ -344,7 +344,7 @@
 
 
 def test_the_steps_of_an_event_count_into_the_pause_of_a_stream():
-    """Replay label texts: an event of 5 tokens beside reading took 197 ms of the 200 allowed."""
+    """Replay short streams: an event of 5 tokens beside reading took 197 ms of the 200 allowed."""
     rate = read_rate.ReadRate()
     rate.tokens_per_ms = 58.0
     pause_ms = rate.pause_ms(5)
