Forget the tickets of each shard that is dropped, not only of the last one

Seen by reading the change: tickets were cleared only once no shard was left, so those whose end was lost stayed while another shard was asked for. Test: red before. No decision changes.

--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -109,12 +109,21 @@
 
     def _forget_unasked(self, now: float) -> None:
         """Drop the owners of shards for which nobody has asked for long."""
-        for shard, asked_at in tuple(self._asked_at_by_shard.items()):
-            if now - asked_at > FORGET_S:
-                del self._asked_at_by_shard[shard]
-                del self._owner_by_shard[shard]
-        if not self._owner_by_shard:
-            self._shard_by_ticket.clear()
+        unasked = {
+            shard
+            for shard, asked_at in self._asked_at_by_shard.items()
+            if now - asked_at > FORGET_S
+        }
+        if not unasked:
+            return
+        for shard in unasked:
+            del self._asked_at_by_shard[shard]
+            del self._owner_by_shard[shard]
+        self._shard_by_ticket = {
+            ticket_id: shard
+            for ticket_id, shard in self._shard_by_ticket.items()
+            if shard not in unasked
+        }
 
     def take_decisions(self) -> tuple[placement_answer.Answer, ...]:
         """Return what was decided since the last call, for the log."""
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -489,3 +489,16 @@
     whole.tidy(owner.FORGET_S + 1.0)
     assert not whole._owner_by_shard
     assert not whole._shard_by_ticket
+
+
+def test_the_tickets_of_a_dropped_shard_go_while_another_shard_stays(
+    make_announcement, make_question
+):
+    whole = owner.Owner()
+    whole.use_upstreams(tuple(make_announcement(f"u-{n}", slots=9) for n in range(20)), 0.0)
+    for index, asked_at in ((0, 0.0), (1, owner.FORGET_S)):
+        shard = placement_messages.Shard("engines", index, 2)
+        asked = make_question(f"t{index}", shard=shard, left_ms=90_000.0)
+        whole.handle("e", asked, asked_at)
+    whole.tidy(owner.FORGET_S + 1.0)
+    assert set(whole._shard_by_ticket) == {"t1"}
