Look at a link's socket again after a send that failed

Cause: a failed send (no connection, or the route is gone) processes the socket's commands and so uses up the edge of its descriptor, as a successful one does, but only the latter marked the socket to be looked at again. What had arrived by then stayed unread, and so did all that followed on that connection, until a third process sent something.

--- a/src/medlarfork/links/link.py
+++ b/src/medlarfork/links/link.py
@@ -237,12 +237,15 @@
     def _try_send(self, socket: zmq.Socket, parts: list[bytes]) -> bool:
         try:
             socket.send_multipart(parts, zmq.NOBLOCK)
+            is_sent = True
         except zmq.ZMQError:
             # Again: the queue is full or no connection stands; EHOSTUNREACH: the route is gone.
-            return False
+            is_sent = False
+        # A failed send takes the socket's edge too: unmarked, what had come by then, and all that
+        # follows it on that connection, stays unread until a third process sends something.
         if socket.EVENTS & zmq.POLLIN and self._waiter is not None:
             self._waiter.mark(socket)
-        return True
+        return is_sent
 
     async def _receive_all(self) -> None:
         assert self._waiter is not None
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -4,6 +4,7 @@
 import dataclasses
 import pathlib
 import select
+import time
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -16,6 +17,8 @@
 from tests import curio_world
 
 TIMEOUT_S = 20
+SETTLE_S = 0.3
+SOON_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -492,3 +495,30 @@
     assert dealer.connect_timeout == 500
     dealer.close()
     context.term()
+
+
+@pytest.mark.parametrize("lost", ["connection", "route"])
+def test_a_send_that_fails_leaves_nothing_unread(raw: zmq.Socket, lost: str) -> None:
+    """Sending takes a socket's edge; what had come by then is received all the same."""
+
+    async def main() -> None:
+        a = make_link("a")
+        await a.start()
+        with bare_socket() as gone:
+            gone.routing_id = b"gone/1"
+            gone.connect(a.address)
+            gone.send_multipart(CODEC.encode(Note("first")))
+            assert await a.receive() == node.MessageReceived("gone", Note("first"))
+        if lost == "connection":
+            assert a.connect("gone", "tcp://127.0.0.1:1")
+        await curio.sleep(SETTLE_S)
+        raw.routing_id = b"other/1"
+        raw.connect(a.address)
+        raw.send_multipart(CODEC.encode(Note("unread")))
+        # The event loop stands still until the message lies at the socket.
+        time.sleep(SETTLE_S)
+        assert not a.send("gone", Note("lost"))
+        async with curio.timeout_after(SOON_S):
+            assert await a.receive() == node.MessageReceived("other", Note("unread"))
+
+    run(main)
