Elect a leader at once after a restart of all replicas

Cause: a replica that has just started grants no vote for the time of a lease (0.8 s here), since it may have promised that before, and campaigns after 0.8 to 1.4 s; entry hosts are back by then and refuse. Now voters ask each other for 0.6 s after their start whether any leads; once all have said of one term that they have reached it, don't lead it and never will, no lease of that term or an earlier one is left, and the one with the longest log campaigns at once. A leader that is restarted alone leads again in the same way.

Ruled out: a vote within the lease after answers of a majority only (the one that is missing may hold the lease); denials of candidates (they may still win the term).

--- a/src/medlarfork/replica/_replica_election.py
+++ b/src/medlarfork/replica/_replica_election.py
@@ -9,7 +9,12 @@
     """Collect the answers to one round of vote requests."""
 
     def __init__(
-        self, state: _replica_state.ReplicaState, *, preliminary: bool, transferred: bool = False
+        self,
+        state: _replica_state.ReplicaState,
+        *,
+        preliminary: bool,
+        transferred: bool = False,
+        unled: bool = False,
     ) -> None:
         """Ask every other voter; a vote of one's own is recorded before it is counted."""
         self.is_preliminary = preliminary
@@ -23,7 +28,7 @@
             self._term = state.term + 1
             state.enter_term(self._term, state.me)
             state.become(replica_types.Role.CANDIDATE, "")
-        self._ask(transferred)
+        self._ask(transferred, unled)
 
     @property
     def is_won(self) -> bool:
@@ -46,7 +51,7 @@
         if of_this_round and reply.granted:
             self._granted_by.add(reply.voter)
 
-    def _ask(self, transferred: bool) -> None:
+    def _ask(self, transferred: bool, unled: bool) -> None:
         state = self._state
         request = _replica_messages.VoteRequest(
             term=self._term,
@@ -55,6 +60,7 @@
             last_term=state.log.last_term,
             preliminary=self.is_preliminary,
             transferred=transferred,
+            unled=unled,
         )
         for voter in state.membership.voters:
             if voter != state.me:
@@ -65,11 +71,11 @@
     """Say whether a vote request must not even be answered.
 
     A leader may count on the silence of all who heard it within the lease, unless it handed over
-    itself. A disk that no membership lists has nothing to vote with.
+    itself or there is none (see ``_replica_restart``). A disk that no membership lists has nothing to vote with.
     """
     if not _may_vote(state):
         return True
-    if request.transferred:
+    if request.transferred or request.unled:
         return False
     return state.role is replica_types.Role.LEADER or state.holds_votes
 
--- a/src/medlarfork/replica/_replica_messages.py
+++ b/src/medlarfork/replica/_replica_messages.py
@@ -14,6 +14,7 @@
     Attributes:
         preliminary: Only ask whether a vote would be granted; nothing is recorded.
         transferred: The leader asked the candidate to take over, so its lease does not count.
+        unled: Every voter said that it leads no term before this one, so there is no lease.
     """
 
     term: int
@@ -22,6 +23,7 @@
     last_term: int
     preliminary: bool = False
     transferred: bool = False
+    unled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +38,28 @@
     preliminary: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadQuestion:
+    """Ask a voter to say that it doesn't lead ``term`` and never will."""
+
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadDenial:
+    """Say that ``voter`` has reached ``term``, does not lead it and never will.
+
+    Attributes:
+        last_index: The end of its log.
+        last_term: The term of its last entry.
+    """
+
+    term: int
+    voter: _replica_records.Member
+    last_index: int
+    last_term: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppendRequest:
     """Send entries that follow ``previous_index``; without entries it is a heartbeat.
@@ -118,6 +142,8 @@
 REPLICA_MESSAGES: tuple[type, ...] = (
     VoteRequest,
     VoteReply,
+    LeadQuestion,
+    LeadDenial,
     AppendRequest,
     AppendReply,
     SnapshotChunk,
--- a/src/medlarfork/replica/replica.py
+++ b/src/medlarfork/replica/replica.py
@@ -46,6 +46,7 @@
     _replica_leader,
     _replica_messages,
     _replica_options,
+    _replica_restart,
     _replica_state,
     replica_types,
 )
@@ -88,6 +89,7 @@
         self._follower = _replica_follower.Follower(self._state)
         self._follower.on_new_term()
         self._compaction = _replica_compaction.Compaction(self._state)
+        self._restart = _replica_restart.Restart(self._state)
         self._leader: _replica_leader.Leader | None = None
         self._campaign: _replica_election.Campaign | None = None
         self._election_due = math.inf
@@ -137,6 +139,7 @@
         state.now = now
         state.heard_at = now
         self._arm_election()
+        self._restart.start()
         if state.snapshot is not None:
             restore = replica_types.RestoreSnapshot(state.snapshot.index, state.snapshot.state)
             state.actions.append(restore)
@@ -182,6 +185,11 @@
             case _replica_messages.VoteReply():
                 if self._is_current(message.term) and self._campaign is not None:
                     self._campaign.on_reply(sender, message)
+            case _replica_messages.LeadQuestion(term=term):
+                self._on_lead_question(sender, message)
+            case _replica_messages.LeadDenial(term=term):
+                if self._is_current(term):
+                    self._restart.on_denial(message)
             case _replica_messages.AppendRequest():
                 if self._accept_leader(sender, message):
                     self._follower.on_append(sender, message)
@@ -220,6 +228,18 @@
         if _replica_election.answer(state, sender, request):
             self._arm_election()
 
+    def _on_lead_question(self, sender: str, question: _replica_messages.LeadQuestion) -> None:
+        """Answer; one that knows no leader moves on to the term that is asked about.
+
+        A leader that asks has been restarted, so its followers needn't wait for its silence.
+        """
+        if sender == self._state.leader_id and question.term >= self._state.term:
+            self._follow("")
+        if question.term > self._state.term and not self._state.leader_id:
+            self._enter_term(question.term)
+            self._follow("")
+        self._restart.on_question(sender, question)
+
     def _accept_leader(
         self,
         sender: str,
@@ -275,7 +295,10 @@
     def _on_time(self) -> None:
         self._founding.on_due()
         if self._leader is not None:
+            self._restart.stop()
             self._leader.on_due()
+        elif self._restart.is_campaign_due():
+            self._campaign_for_vote(unled=True)
         elif self._state.now >= self._election_due:
             self._on_silence()
 
@@ -290,10 +313,10 @@
             self._follow("")
         self._arm_election()
 
-    def _campaign_for_vote(self, *, transferred: bool = False) -> None:
+    def _campaign_for_vote(self, *, transferred: bool = False, unled: bool = False) -> None:
         self._arm_election()
         self._campaign = _replica_election.Campaign(
-            self._state, preliminary=False, transferred=transferred
+            self._state, preliminary=False, transferred=transferred, unled=unled
         )
         self._follower.on_new_term()
 
@@ -322,7 +345,7 @@
         """Ask for the next event by time unless an earlier one is on its way."""
         state = self._state
         due = self._leader.due if self._leader is not None else self._election_due
-        due = min(due, self._founding.due)
+        due = min(due, self._founding.due, self._restart.due)
         if state.applied_index < state.commit_index:
             due = state.now
         if self._wake_at <= state.now or due < self._wake_at:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -480,3 +480,82 @@
 
 def test_the_example_agrees():
     assert set(map(tuple, replicated_log.main().values())) == {replicated_log.WORDS}
+
+
+@pytest.mark.parametrize("count", [3, 5])
+def test_after_a_restart_of_all_a_leader_is_there_well_before_a_lease_has_run_out(count):
+    for seed in range(20):
+        cluster = replica_cluster.Cluster(count, seed=seed)
+        cluster.lead()
+        cluster.accept("first")
+        for replica_id in cluster.ids:
+            cluster.crash(replica_id)
+        for replica_id in cluster.ids:
+            cluster.start(replica_id)
+            cluster.run(0.02)
+        cluster.run_until(lambda made=cluster: made.lease_holder() is not None, seconds=0.3)
+        assert cluster.command_by_index
+        cluster.accept("second")
+
+
+def test_nobody_is_elected_early_while_one_voter_says_nothing(cluster):
+    cluster.isolated.add("a")
+    holder = cluster.lease_holder()
+    assert holder is not None and holder.replica_id == "a"
+    for replica_id in ("b", "c"):
+        cluster.crash(replica_id)
+        cluster.start(replica_id)
+    cluster.run(0.9)
+    assert not any(cluster.host_by_id[name].is_leader for name in ("b", "c"))
+    cluster.run_until(lambda: any(cluster.host_by_id[name].is_leader for name in ("b", "c")))
+
+
+def _question(term):
+    return node.MessageReceived("a", _replica_messages.LeadQuestion(term))
+
+
+def test_only_a_replica_that_can_never_lead_a_term_says_so():
+    term = _replica_records.TermRecord(3, None)
+    follower, _ = make_replica([term])
+    assert sent(follower.handle(_question(3), 0.1), _replica_messages.LeadDenial)
+    assert not sent(follower.handle(_question(2), 0.1), _replica_messages.LeadDenial)
+    candidate, _ = make_replica([term])
+    handover = _replica_messages.TimeoutNow(3)
+    candidate.handle(node.MessageReceived("c", handover), 0.1)
+    candidate.handle(node.Synced(100), 0.1)
+    assert candidate.status.role is replica_types.Role.CANDIDATE
+    assert not sent(candidate.handle(_question(4), 0.1), _replica_messages.LeadDenial)
+    led, _ = make_replica([term])
+    heartbeat = _replica_messages.AppendRequest(3, 0, 0, (), 0, 0.0)
+    led.handle(node.MessageReceived("c", heartbeat), 0.1)
+    assert not sent(led.handle(_question(4), 0.1), object)
+    assert led.status.term == 3
+
+
+def test_a_leader_that_was_restarted_leads_again_before_its_silence_is_noticed(cluster):
+    term = cluster.leader().replica.status.term
+    cluster.crash("a")
+    cluster.start("a")
+    cluster.run_until(lambda: cluster.lease_holder() is not None, seconds=0.4)
+    assert cluster.lease_holder().replica_id == "a"
+    assert cluster.leader().replica.status.term == term + 1
+
+
+def test_a_later_term_is_on_disk_before_a_replica_says_that_it_does_not_lead_it():
+    follower, _ = make_replica([_replica_records.TermRecord(3, None)])
+    actions = follower.handle(_question(5), 0.1)
+    assert not sent(actions, _replica_messages.LeadDenial)
+    (write,) = (action for action in actions if isinstance(action, node.Persist))
+    (denial,) = sent(follower.handle(node.Synced(write.token), 0.1), _replica_messages.LeadDenial)
+    assert (denial.term, denial.voter.replica_id) == (5, "b")
+
+
+def test_a_replica_with_a_shorter_log_leaves_the_first_campaign_to_the_others():
+    behind, actions = make_replica([_replica_records.TermRecord(3, None)])
+    assert sent(actions, _replica_messages.LeadQuestion)
+    for name, disk, last_index in (("a", 1, 9), ("c", 3, 1)):
+        voter = _replica_records.Member(name, disk)
+        denial = _replica_messages.LeadDenial(3, voter, last_index, 0)
+        actions = behind.handle(node.MessageReceived(name, denial), 0.1)
+    assert not sent(actions, _replica_messages.VoteRequest)
+    assert not sent(behind.handle(node.TimeDue(), 0.5), _replica_messages.VoteRequest)
