Hold requests that come before routing or upstreams are known; see upstreams that come meanwhile

Cause: after a restart of all, an entry host answers 503 until it has a version of the routing, and when no upstream is known; callers have one retry, and what is refused then is lost. Besides, a request kept the upstreams that were known when it came: placed on one that had announced itself while it waited, it failed as 'not in this host's view', and that upstream was excluded.

A request looks its upstream up when it is placed.

--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -55,6 +55,10 @@
         """Return the upstreams that may take requests."""
         return self._view.by_id
 
+    def find_upstream(self, upstream_id: str) -> upstream_types.Announcement | None:
+        """Return an upstream that may take requests now."""
+        return self._view.by_id.get(upstream_id)
+
     def shard(self, service: str, key: str) -> placement_messages.Shard:
         """Return the part of a service's upstreams that is to serve what the key names."""
         sizes = self._sizes_by_service.get(service)
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -18,6 +18,7 @@
     entry_session,
     gateway_metrics,
     gateway_settings,
+    holding,
     owner_client,
     request_handler,
     request_names,
@@ -75,7 +76,10 @@
             bind=f"tcp://{given.link_host}:{given.link_port}",
             options=routed_links.LINK_OPTIONS,
         )
-        self._owner = owner_client.OwnerClient(given.entry_id, self._session, self._link.send)
+        self._holds = holding.Holding()
+        self._owner = owner_client.OwnerClient(
+            given.entry_id, self._session, self._link.send, self._holds
+        )
         self._client = http_client.HttpClient(limits=UPSTREAM_LIMITS)
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
         self._handler = request_handler.RequestHandler(
@@ -84,6 +88,7 @@
             client=self._client,
             session=self._session,
             owner=self._owner,
+            holds=self._holds,
             rules=given.budget,
             metrics=self._metrics,
         )
@@ -150,12 +155,14 @@
             case coordination_messages.RoutingPush(version, packed_body):
                 if self._session.take_routing(sender, version, now):
                     self._use_routing(sender, packed_body)
+                    await self._holds.note_change()
             case coordination_messages.ReplicaStatus():
                 self._session.take(sender, message, now)
                 self._connect_replicas()
                 self._owner.tell_owners(now)
             case coordination_messages.ViewPush(boot, sequence, change):
                 self._session.take(sender, message, now)
+                await self._holds.note_change()
                 logs.event(
                     _log,
                     "view",
@@ -225,6 +232,7 @@
             "connections": self._server.connections,
             "upstream_connections": self._client.connections,
             "local_placements": self._owner.local_placements,
+            "held": self._holds.held,
             "link_dropped": self._link.counters.dropped,
         }
 
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from medlarfork.gateway import entry_session
+from medlarfork.gateway import entry_session, holding
 from medlarfork.placement import local_choice, placement_messages
 
 ANSWER_LIMIT_S = 0.15
@@ -39,8 +39,15 @@
 class OwnerClient:
     """Hold the tickets of this entry host: those that wait and those that run."""
 
-    def __init__(self, entry_id: str, session: entry_session.EntrySession, send: Send) -> None:
-        """Use a session for who leads, and a link to send by."""
+    def __init__(
+        self,
+        entry_id: str,
+        session: entry_session.EntrySession,
+        send: Send,
+        holds: holding.Holding,
+    ) -> None:
+        """Use a session for who owns what, a link to send by, and a place for those that wait."""
+        self._holds = holds
         self._entry_id = entry_id
         self._session = session
         self._send = send
@@ -156,16 +163,27 @@
         until = _now() + ticket.request.left_ms / 1000.0
         while _now() < until:
             owner_id = self._tell_owner(ticket.request.owned_shard, _now())
-            if not owner_id or not self._send(owner_id, ticket.request):
-                return self._choose_alone(ticket)
-            ticket.owner_id = owner_id
-            if not await self._wait_answer(ticket, until):
+            is_asked = bool(owner_id) and self._send(owner_id, ticket.request)
+            if is_asked:
+                ticket.owner_id = owner_id
+            if not is_asked or not await self._wait_answer(ticket, until):
+                if await self._hold(ticket.request.service, until):
+                    continue
                 return self._choose_alone(ticket)
             if ticket.answer is not None:
                 return ticket.answer
         why = "its time ran out while it waited"
         return placement_messages.PlaceRefused(ticket.request.ticket_id, LOCAL_RETRY_MS, why)
 
+    async def _hold(self, service: str, until: float) -> bool:
+        """Wait while no upstream of the service is known; return whether one became known."""
+        if self._knows_upstream(service):
+            return False
+        return await self._holds.wait(lambda: self._knows_upstream(service), until - _now())
+
+    def _knows_upstream(self, service: str) -> bool:
+        return any(item.service == service for item in self._session.upstream_by_id.values())
+
     async def _wait_answer(self, ticket: _Ticket, until: float) -> bool:
         """Wait for an answer; return False if the owner has to be done without.
 
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import time
 
@@ -12,6 +13,7 @@
 from medlarfork.gateway import (
     entry_session,
     gateway_metrics,
+    holding,
     owner_client,
     request_facts,
     request_names,
@@ -37,6 +39,7 @@
         client: http_client.HttpClient,
         session: entry_session.EntrySession,
         owner: owner_client.OwnerClient,
+        holds: holding.Holding,
         rules: retry_budget.BudgetRules,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
@@ -46,6 +49,7 @@
         self._client = client
         self._session = session
         self._owner = owner
+        self._holds = holds
         self._rules = rules
         self._metrics = metrics
         self._table: route_table.RouteTable | None = None
@@ -70,22 +74,47 @@
         started_at = time.monotonic()
         if self.is_stopping:
             exchange.close_after()
+        body = await exchange.read_body()
         try:
-            route, account, facts = self._admit(exchange.head)
+            facts = request_facts.read(exchange.head.headers, self._names)
+            if not await self._wait_routing(exchange, facts):
+                return
+            route, account = self._admit(exchange.head, facts)
         except errors.RequestRefusedError as error:
             await self._refuse(exchange, error)
             return
-        body = await exchange.read_body()
         admitted = self._admitted(exchange, route, account, facts, body, started_at)
         self._budgets[admitted.service].note_request(started_at)
         run = request_run.RequestRun(admitted, self._tools())
         await self._serve(run, admitted)
         self._record(run.trace, admitted)
 
+    async def _wait_routing(
+        self, exchange: http_server.Exchange, facts: request_facts.RequestFacts
+    ) -> bool:
+        """Hold a request while no routing is in force; return False if its caller has gone."""
+        if self.has_routing:
+            return True
+        left_s = math.inf if facts.deadline_ms is None else facts.deadline_ms / 1000.0
+        async with curio.TaskGroup(wait=any) as group:
+            held = await group.spawn(self._holds.wait, lambda: self.has_routing, left_s)
+            await group.spawn(exchange.wait_caller_gone)
+        is_there = group.completed is held
+        logs.event(
+            _log,
+            "request_held",
+            request=facts.attempt_id or None,
+            routing=0 if self._table is None else self._table.version,
+            caller_gone=not is_there,
+        )
+        if not is_there:
+            await exchange.abort()
+        return is_there
+
     def _admit(
-        self, head: http_server.RequestHead
-    ) -> tuple[routing.Route, routing.Account | None, request_facts.RequestFacts]:
-        """Return the route, the client account and the facts of a request.
+        self, head: http_server.RequestHead, facts: request_facts.RequestFacts
+    ) -> tuple[routing.Route, routing.Account | None]:
+        """Return the route and the client account of a request.
 
         Raises:
             errors.RequestRefusedError: The request can't be served.
@@ -107,8 +136,7 @@
                 code=errors.Code.NOT_FOUND,
                 status=404,
             )
-        facts = request_facts.read(head.headers, self._names)
-        return route, _account(table, route, facts), facts
+        return route, _account(table, route, facts)
 
     def _admitted(
         self,
@@ -143,7 +171,7 @@
             names=self._names,
             owner=self._owner,
             budgets=self._budgets,
-            upstream_by_id=self._session.upstream_by_id,
+            find_upstream=self._session.find_upstream,
             shard=self._session.shard,
             zone=self._zone,
             entry_hosts=self._session.entry_hosts,
@@ -193,7 +221,6 @@
             code=error.code.value,
             routing=0 if self._table is None else self._table.version,
         )
-        await exchange.read_body()
         headers = {"Content-Type": "application/json", **error.headers}
         body = _http_messages.error_body(error, error.status)
         await exchange.respond(error.status, headers, body)
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -60,7 +60,7 @@
                 self.trace.reasons.append(placed.why)
                 await self._give_up()
                 return
-            upstream = self._tools.upstream_by_id.get(placed.upstream_id)
+            upstream = self._tools.find_upstream(placed.upstream_id)
             if upstream is None:
                 end: placement_messages.RunEnd | None = placement_messages.RunEnd.UNREACHABLE
                 self.trace.reasons.append(f"{placed.upstream_id}: not in this host's view")
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -84,6 +84,10 @@
 """Returns the part of a service that is to serve what a key names."""
 
 
+FindUpstream = Callable[[str], upstream_types.Announcement | None]
+"""Returns an upstream that may take requests now; it may have come while a request waited."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tools:
     """Hold what all requests of an entry host share."""
@@ -92,7 +96,7 @@
     names: request_names.RequestNames
     owner: owner_client.OwnerClient
     budgets: dict[str, retry_budget.RetryBudget]
-    upstream_by_id: dict[str, upstream_types.Announcement]
+    find_upstream: FindUpstream
     shard: ChooseShard
     zone: str
     entry_hosts: int
--- a/src/medlarfork/replica/_replica_election.py
+++ b/src/medlarfork/replica/_replica_election.py
@@ -71,7 +71,8 @@
     """Say whether a vote request must not even be answered.
 
     A leader may count on the silence of all who heard it within the lease, unless it handed over
-    itself or there is none (see ``_replica_restart``). A disk that no membership lists has nothing to vote with.
+    itself or there is none (see ``_replica_restart``). A disk that no membership lists has
+    nothing to vote with.
     """
     if not _may_vote(state):
         return True
