Tell the starts of an upstream apart by when it was born; refuse announcements that name none

Cause: an upstream that starts again under its name counts its announcements anew, so they were dropped as late until it counted as silent, and what was believed of its runs and its cache stayed. A late announcement of an older start at the same address could displace the newer one at a replica that had been restarted meanwhile. And a heartbeat with an unknown state, an address that is none or no slots named an upstream that was then used.

Change: a start is an incarnation of its own, named by the upstream's name and its birth; requests expect the name. The registry and the entry hosts' view never let an older birth take the place of a newer one, at an address or under a name; a leave without a birth ends each start known. Announcements are checked as a whole. Ruled out: comparing births inside one incarnation, which would need a birth with each leave, each gossip and each belief of an owner.

--- a/src/medlarfork/coordination/operations_format.py
+++ b/src/medlarfork/coordination/operations_format.py
@@ -105,12 +105,28 @@
                 return unavailable(why)
 
 
-def _announcement(upstream_id: str, body: bytes) -> upstream_types.Announcement:
+def _announcement(name: str, body: bytes) -> upstream_types.Announcement:
     try:
         announced = msgspec.json.decode(body, type=upstream_types.Announcement)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise unreadable_announcement(error) from error
-    return dataclasses.replace(announced, upstream_id=upstream_id)
+    upstream_id = upstream_types.incarnation_id(name, announced.born_ms)
+    named = dataclasses.replace(
+        announced, upstream_id=upstream_id, name=name if announced.born_ms else ""
+    )
+    return usable(named)
+
+
+def usable(announcement: upstream_types.Announcement) -> upstream_types.Announcement:
+    """Return an announcement that names an upstream that could be used.
+
+    Raises:
+        errors.RequestRefusedError: It does not, so it is as if it had not come.
+    """
+    fault = upstream_types.fault(announcement)
+    if fault:
+        raise unreadable_announcement(ValueError(fault))
+    return announcement
 
 
 def ask_leader(leader_id: str, http_port: int, target: str) -> HttpReply:
--- a/src/medlarfork/coordination/upstream_registry.py
+++ b/src/medlarfork/coordination/upstream_registry.py
@@ -1,11 +1,15 @@
 """Keep the upstreams that announce themselves: who may take requests, and who never again.
 
+An upstream that is started again, under its name or another one, is a new incarnation: what is
+believed of the one before is void, and an older start never takes the place of a newer one.
+
 An incarnation that left stays known as gone for ``REMEMBER_GONE_S``, so that an announcement that
 a network kept back for long can't bring it back or displace its successor at the same address.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
 from medlarfork.coordination import upstream_types
@@ -21,6 +25,7 @@
 class _Known:
     announcement: upstream_types.Announcement
     heard_at: float
+    is_silent: bool = False
 
 
 class UpstreamRegistry:
@@ -30,14 +35,15 @@
         """Start empty; ``announce_period_s`` is how often upstreams announce themselves."""
         self._silent_after_s = MISSED_ANNOUNCEMENTS * announce_period_s
         self._known_by_id: dict[str, _Known] = {}
-        self._silent_by_id: dict[str, _Known] = {}
-        self._id_by_address: dict[str, str] = {}
+        self._ids_by_address: dict[str, set[str]] = collections.defaultdict(set)
+        self._ids_by_name: dict[str, set[str]] = collections.defaultdict(set)
         self._gone_until_by_id: dict[str, float] = {}
 
     @property
     def present(self) -> tuple[upstream_types.Announcement, ...]:
         """Return the upstreams that may take requests."""
-        return tuple(known.announcement for known in self._known_by_id.values())
+        known = self._known_by_id.values()
+        return tuple(item.announcement for item in known if not item.is_silent)
 
     def whole(self) -> upstream_types.ViewChange:
         """Return all that is known, for a process that knows nothing."""
@@ -54,25 +60,28 @@
             return upstream_types.ViewChange()
         if announcement.is_leaving:
             return self.withdraw(upstream_id, now)
-        known = self._known_by_id.get(upstream_id) or self._silent_by_id.get(upstream_id)
+        known = self._known_by_id.get(upstream_id)
         if known is not None and announcement.sequence < known.announcement.sequence:
             return upstream_types.ViewChange()
-        left = self._displace(announcement, now)
-        is_known = upstream_id in self._known_by_id
-        self._silent_by_id.pop(upstream_id, None)
-        self._known_by_id[upstream_id] = _Known(announcement, now)
-        self._id_by_address[announcement.address] = upstream_id
+        rivals = self._rivals(announcement)
+        if any(announcement.is_outdated_by(rival) for rival in rivals):
+            return upstream_types.ViewChange()
+        left: tuple[str, ...] = ()
+        for rival in rivals:
+            left += self._end(rival.upstream_id, now)
+        self._remember(announcement, now)
+        is_known = known is not None and not known.is_silent
         if is_known and known is not None and _same_for_requests(known.announcement, announcement):
             return upstream_types.ViewChange(left=left)
         return upstream_types.ViewChange((announcement,), left)
 
     def withdraw(self, upstream_id: str, now: float) -> upstream_types.ViewChange:
-        """Note that an incarnation left for good."""
-        is_new = upstream_id not in self._gone_until_by_id
-        self._gone_until_by_id[upstream_id] = now + REMEMBER_GONE_S
-        self._silent_by_id.pop(upstream_id, None)
-        self._forget(upstream_id)
-        return upstream_types.ViewChange(left=(upstream_id,) if is_new else ())
+        """Note that an incarnation left for good; by a name alone, each start of that name."""
+        named = sorted(self._ids_by_name.get(upstream_id, ()))
+        left: tuple[str, ...] = ()
+        for ended in dict.fromkeys((*named, upstream_id)):
+            left += self._end(ended, now)
+        return upstream_types.ViewChange(left=left)
 
     def take_silent(self, now: float) -> upstream_types.ViewChange:
         """Drop upstreams that fell silent; unlike those that left, they may come back."""
@@ -80,11 +89,11 @@
         silent = tuple(
             upstream_id
             for upstream_id, known in self._known_by_id.items()
-            if known.heard_at < oldest
+            if known.heard_at < oldest and not known.is_silent
         )
         for upstream_id in silent:
-            self._silent_by_id[upstream_id] = self._known_by_id[upstream_id]
-            self._forget(upstream_id)
+            known = self._known_by_id[upstream_id]
+            self._known_by_id[upstream_id] = dataclasses.replace(known, is_silent=True)
         self._expire(now)
         return upstream_types.ViewChange(silent=silent)
 
@@ -93,32 +102,47 @@
         for upstream_id, until in tuple(self._gone_until_by_id.items()):
             if until <= now:
                 del self._gone_until_by_id[upstream_id]
-        for upstream_id, known in tuple(self._silent_by_id.items()):
-            if known.heard_at + REMEMBER_GONE_S <= now:
-                del self._silent_by_id[upstream_id]
+        for upstream_id, known in tuple(self._known_by_id.items()):
+            if known.is_silent and known.heard_at + REMEMBER_GONE_S <= now:
+                self._forget(upstream_id)
+
+    def _rivals(
+        self, announcement: upstream_types.Announcement
+    ) -> tuple[upstream_types.Announcement, ...]:
+        """Return the other incarnations at its address or of its name, of which one can serve."""
+        at_address = self._ids_by_address.get(announcement.address, set())
+        named = self._ids_by_name.get(announcement.own_name, set())
+        rivals = (at_address | named) - {announcement.upstream_id}
+        return tuple(self._known_by_id[rival].announcement for rival in sorted(rivals))
+
+    def _remember(self, announcement: upstream_types.Announcement, now: float) -> None:
+        upstream_id = announcement.upstream_id
+        before = self._known_by_id.get(upstream_id)
+        if before is not None and before.announcement.address != announcement.address:
+            self._forget(upstream_id)
+        self._known_by_id[upstream_id] = _Known(announcement, now)
+        self._ids_by_address[announcement.address].add(upstream_id)
+        self._ids_by_name[announcement.own_name].add(upstream_id)
 
-    def _displace(self, announcement: upstream_types.Announcement, now: float) -> tuple[str, ...]:
-        """End the incarnations that held the address before, since two can't serve on one."""
-        before = [
-            upstream_id
-            for upstream_id, known in self._silent_by_id.items()
-            if known.announcement.address == announcement.address
-        ]
-        holder = self._id_by_address.get(announcement.address)
-        if holder is not None:
-            before.append(holder)
-        left: tuple[str, ...] = ()
-        for upstream_id in before:
-            if upstream_id != announcement.upstream_id:
-                left += self.withdraw(upstream_id, now).left
-        return left
+    def _end(self, upstream_id: str, now: float) -> tuple[str, ...]:
+        """Remember that an incarnation is gone; return it if that is new."""
+        is_new = upstream_id not in self._gone_until_by_id
+        self._gone_until_by_id[upstream_id] = now + REMEMBER_GONE_S
+        self._forget(upstream_id)
+        return (upstream_id,) if is_new else ()
 
     def _forget(self, upstream_id: str) -> None:
         known = self._known_by_id.pop(upstream_id, None)
         if known is None:
             return
-        if self._id_by_address.get(known.announcement.address) == upstream_id:
-            del self._id_by_address[known.announcement.address]
+        _drop(self._ids_by_address, known.announcement.address, upstream_id)
+        _drop(self._ids_by_name, known.announcement.own_name, upstream_id)
+
+
+def _drop(ids_by_key: dict[str, set[str]], key: str, upstream_id: str) -> None:
+    ids_by_key[key].discard(upstream_id)
+    if not ids_by_key[key]:
+        del ids_by_key[key]
 
 
 def _same_for_requests(
--- a/src/medlarfork/coordination/upstream_types.py
+++ b/src/medlarfork/coordination/upstream_types.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import ipaddress
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -10,7 +11,7 @@
     """Hold one announcement of one incarnation of an upstream.
 
     Attributes:
-        upstream_id: Names the incarnation; a restart draws a new one.
+        upstream_id: Names the incarnation (see ``incarnation_id``).
         service: The service that it belongs to.
         address: ``IP:PORT`` that it serves on.
         zone: The data centre that it runs in.
@@ -18,6 +19,8 @@
         sequence: Grows with each announcement of the incarnation, so that late ones are seen.
         is_leaving: Whether it takes no new request any more; final for an incarnation.
         slow_for_ms: How much longer it works slowly after its start, in milliseconds.
+        name: What the upstream calls itself; empty if that is its ``upstream_id``.
+        born_ms: When it was started, in Unix milliseconds by its own clock; 0 if it does not say.
     """
 
     upstream_id: str
@@ -28,13 +31,57 @@
     sequence: int = 0
     is_leaving: bool = False
     slow_for_ms: float = 0.0
+    name: str = ""
+    born_ms: int = 0
 
+    @property
+    def own_name(self) -> str:
+        """Return what the upstream calls itself, by which it knows requests that are for it."""
+        return self.name or self.upstream_id
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Withdrawal:
-    """Say that an incarnation leaves for good; its address may be unknown."""
+    def is_outdated_by(self, other: Announcement) -> bool:
+        """Say whether another announcement is of a later start at its address or of its name.
 
-    upstream_id: str
+        Starts are compared by what both say of themselves; a name that says when it was started
+        can't have been started again without saying so.
+        """
+        if self.own_name == other.own_name:
+            return self.born_ms < other.born_ms
+        return self.address == other.address and 0 < self.born_ms < other.born_ms
+
+
+def incarnation_id(name: str, born_ms: int) -> str:
+    """Return what names one start of an upstream, which may start again under its name."""
+    return f"{name}@{born_ms}" if born_ms else name
+
+
+MOST_SLOTS = 100_000
+"""Slots beyond which an announcement is a mistake: more than engines of any size run at once."""
+
+LONGEST_NAME = 200
+"""Characters of names beyond which an announcement is a mistake."""
+
+
+def fault(announcement: Announcement) -> str:
+    """Return why an announcement names no upstream that could be used; empty if it does."""
+    if not (0 < len(announcement.own_name) <= LONGEST_NAME and announcement.own_name.isprintable()):
+        return "its name is missing, too long, or has characters that can't be shown"
+    if not (0 < len(announcement.service) <= LONGEST_NAME):
+        return "its service is missing or too long"
+    if not 0 < announcement.slots <= MOST_SLOTS:
+        return "its slots are not a number of requests"
+    if announcement.sequence < 0 or announcement.born_ms < 0:
+        return "its sequence or its start is negative"
+    return "" if _is_address(announcement.address) else "its address is not IP:PORT"
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 1 << 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/coordination/upstream_view.py
+++ b/src/medlarfork/coordination/upstream_view.py
@@ -2,7 +2,8 @@
 
 An upstream may take requests while at least one replica lists it and none has seen it leave. So
 neither a replica that restarted, and knows few, nor one that is cut off hides upstreams, and an
-acknowledged leave that reached any replica in contact takes effect.
+acknowledged leave that reached any replica in contact takes effect. Of two starts at one address or
+of one name the later one counts.
 """
 
 from __future__ import annotations
@@ -50,10 +51,29 @@
 
     def _rebuild(self) -> tuple[str, ...]:
         previous = self._by_id
-        self._by_id = {
+        present_by_id = {
             upstream_id: announcement
             for present in self._present_by_replica.values()
             for upstream_id, announcement in present.items()
             if upstream_id not in self._left
         }
+        self._by_id = _without_outdated(present_by_id)
         return tuple(upstream_id for upstream_id in previous if upstream_id not in self._by_id)
+
+
+def _without_outdated(
+    present_by_id: dict[str, upstream_types.Announcement],
+) -> dict[str, upstream_types.Announcement]:
+    """Drop the starts that a later one took the place of: a replica may not have heard of it."""
+    latest_by_place: dict[tuple[str, str], upstream_types.Announcement] = {}
+    for item in present_by_id.values():
+        for place in (("address", item.address), ("name", item.own_name)):
+            latest = latest_by_place.get(place)
+            if latest is None or latest.is_outdated_by(item):
+                latest_by_place[place] = item
+    return {
+        upstream_id: item
+        for upstream_id, item in present_by_id.items()
+        if not item.is_outdated_by(latest_by_place["address", item.address])
+        and not item.is_outdated_by(latest_by_place["name", item.own_name])
+    }
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -170,7 +170,7 @@
         headers = request_facts.for_upstream(
             head.headers,
             self._tools.names,
-            upstream_id=upstream.upstream_id,
+            upstream_id=upstream.own_name,
             left_ms=self._left_ms,
             account=admitted.account,
             tier=admitted.tier,
--- a/tests/routed/test_upstream_view.py
+++ b/tests/routed/test_upstream_view.py
@@ -30,3 +30,17 @@
     assert set(view.by_id) == {"u-1"}
     view.apply("b", _whole())
     assert view.forget_replica("a") == ("u-1",)
+
+
+def test_of_two_starts_of_an_upstream_the_later_one_counts(make_announcement):
+    view = upstream_view.UpstreamView()
+    older = make_announcement("u-1@1", name="u-1", born_ms=1)
+    newer = make_announcement("u-1@2", name="u-1", born_ms=2, address="10.0.0.2:80")
+    elsewhere = make_announcement("u-2@3", name="u-2", born_ms=3)
+    view.apply("r1", upstream_types.ViewChange((older,)))
+    view.apply("r2", upstream_types.ViewChange((newer,)))
+    assert set(view.by_id) == {"u-1@2"}
+    view.apply("r2", upstream_types.ViewChange((elsewhere,)))
+    assert set(view.by_id) == {"u-1@2", "u-2@3"}
+    view.apply("r1", upstream_types.ViewChange((older,), is_whole=True))
+    assert set(view.by_id) == {"u-1@2", "u-2@3"}
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -5,11 +5,13 @@
 import subprocess
 import sys
 
+import hypothesis
 import msgspec
 import pytest
+from hypothesis import strategies as st
 
 from medlarfork import errors
-from medlarfork.coordination import coordinator_types, upstream_types
+from medlarfork.coordination import coordinator_types, upstream_registry, upstream_types
 from medlarfork.routes import routing, routing_check
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -239,3 +241,78 @@
     names = users[0].NAMES
     assert names.attempt_id == names.attempt_id.lower()
     assert "kv-from" in names.set_by_system
+
+
+BEAT = {
+    "Service": "llm",
+    "Address": "10.0.0.9:80",
+    "Zone": "hall",
+    "Version": "v1",
+    "Slots": 3,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Sequence": 4,
+}
+SOUND_BEAT = BEAT | {"Address": "10.0.0.8:81"}
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=300),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=5,
+)
+
+
+def test_an_engine_that_says_when_it_was_started_is_another_incarnation_under_its_name(speaks):
+    beat = msgspec.json.encode({**BEAT, "born": 1700000000000})
+    announced = speaks.decode("POST", "/instances/i-1/heartbeat", "", beat).announcement
+    assert announced.upstream_id == upstream_types.incarnation_id("i-1", 1700000000000)
+    assert (announced.own_name, announced.born_ms) == ("i-1", 1700000000000)
+    leave = speaks.decode("POST", "/instances/i-1/deregister", "", b'{"born":1700000000000}')
+    assert leave == coordinator_types.Withdraw(announced.upstream_id)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"State": "starting"},
+        {"State": 1},
+        {"Address": ""},
+        {"Address": "10.0.0.9"},
+        {"Address": "host:80"},
+        {"Address": "10.0.0.9:99999"},
+        {"Slots": 0},
+        {"Slots": -1},
+        {"Slots": "3"},
+        {"Slots": True},
+        {"Service": ""},
+        {"Sequence": -4},
+        {"born": -1},
+        {"born": "then"},
+    ],
+)
+def test_a_heartbeat_that_names_no_engine_to_use_is_refused(speaks, changes):
+    with pytest.raises(errors.RequestRefusedError):
+        speaks.decode("POST", "/instances/i-1/heartbeat", "", msgspec.json.encode(BEAT | changes))
+
+
+@hypothesis.settings(suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture])
+@hypothesis.given(
+    changes=st.dictionaries(st.sampled_from([*BEAT, "born"]), JSON_VALUES, max_size=3),
+    dropped=st.sets(st.sampled_from(list(BEAT)), max_size=2),
+    junk=st.binary(max_size=40),
+    cut=st.integers(0, 200),
+)
+def test_whatever_a_heartbeat_holds_it_is_refused_or_names_an_engine_that_could_be_used(
+    speaks, changes, dropped, junk, cut
+):
+    registry = upstream_registry.UpstreamRegistry(announce_period_s=1.2)
+    sound = speaks.decode("POST", "/instances/i-0/heartbeat", "", msgspec.json.encode(SOUND_BEAT))
+    registry.announce(sound.announcement, 0.0)
+    whole = {key: value for key, value in (BEAT | changes).items() if key not in dropped}
+    for body in (msgspec.json.encode(whole), msgspec.json.encode(whole)[:cut], junk):
+        try:
+            operation = speaks.decode("POST", "/instances/i-1/heartbeat", "", body)
+        except errors.RequestRefusedError:
+            continue
+        assert upstream_types.fault(operation.announcement) == ""
+        registry.announce(operation.announcement, 0.1)
+    assert sound.announcement in registry.present
