Count streams by their pauses and a prompt's tokens once for a placement

Each comparison of an upstream went over all its runs (harm, tight streams) and summed the prompt's parts anew.

--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -115,6 +115,7 @@
         reading: How the service's engines read.
         held_elsewhere: Parts of the prompt that some engine has read lately.
         holder: The engine that holds most of the prompt.
+        prompt_tokens: The tokens of the whole prompt.
         waited_ms: How long the request has waited already.
         now: The time in seconds.
     """
@@ -122,6 +123,7 @@
     reading: Reading
     held_elsewhere: frozenset[str]
     holder: Holder
+    prompt_tokens: int
     waited_ms: float
     now: float
 
@@ -158,7 +160,7 @@
     reading = given.reading
     cached_tokens = load.cache.cached_tokens(request.parts)
     fetched_tokens = _fetched_tokens(cached_tokens, given.holder)
-    read_tokens = request.prompt_tokens - cached_tokens - fetched_tokens
+    read_tokens = given.prompt_tokens - cached_tokens - fetched_tokens
     read_ms = read_tokens / reading.tokens_per_ms + fetched_tokens * given.holder.ms_per_token
     wait_ms = load.backlog_ms(given.now)
     rest_ms = load.rest_ms(given.now) if read_ms > LONG_READ_MS else 0.0
@@ -199,9 +201,7 @@
 def _harm(load: upstream_load.UpstreamLoad, pause_ms: float) -> float:
     """Return how many of the streams there a pause would make late."""
     harm = 0.0
-    for run in load.run_by_ticket.values():
-        gap_ms = run.request.gap_ms
-        if gap_ms > 0:
-            excess = (pause_ms / gap_ms - SAFE_SHARE) / (1.0 - SAFE_SHARE)
-            harm += min(1.0, max(0.0, excess))
+    for gap_ms, count in load.streams_by_gap_ms.items():
+        excess = (pause_ms / gap_ms - SAFE_SHARE) / (1.0 - SAFE_SHARE)
+        harm += count * min(1.0, max(0.0, excess))
     return harm
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -74,6 +74,11 @@
         """Return the tokens of the whole prompt."""
         return sum(part.tokens for part in self.parts)
 
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens that it may fill of its engine's memory; none without a prompt."""
+        return self.prompt_tokens + self.output_tokens if self.parts else 0
+
     @property
     def owned_shard(self) -> Shard:
         """Return the part whose owner is asked: the whole service unless a part is named."""
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -216,17 +216,21 @@
     def _try(self, waiting: waiting_line.Waiting, now: float) -> placement_answer.Answer | None:
         """Return the placement, or None if the request has to wait."""
         request = waiting.request
+        candidates = self._candidates(request, now)
+        if not candidates:
+            return None
         waited_ms = (now - waiting.since) * 1000.0
         given = placement_cost.Surroundings(
             reading=self._reading(),
             held_elsewhere=self._read_parts.read_lately(request.parts, now),
             holder=self._holder(request, now),
+            prompt_tokens=request.prompt_tokens,
             waited_ms=waited_ms,
             now=now,
         )
         best: upstream_load.UpstreamLoad | None = None
         best_cost: placement_cost.Cost | None = None
-        for load in self._candidates(request, now):
+        for load in candidates:
             found = placement_cost.cost(load, request, given)
             if best_cost is None or found.total < best_cost.total:
                 best, best_cost = load, found
@@ -340,11 +344,12 @@
         self, request: placement_messages.PlaceRequest, now: float
     ) -> list[upstream_load.UpstreamLoad]:
         """Return the upstreams with a free slot; those that failed lately only if all did."""
+        tokens = request.memory_tokens
         free = [
             load
             for load in self._present
             if not load.is_full
-            and load.has_memory_for(request)
+            and load.has_memory_for(tokens)
             and load.announcement.upstream_id not in request.excluded
         ]
         sound = [load for load in free if not load.is_pausing(now)]
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -64,7 +64,7 @@
     @property
     def memory_tokens(self) -> int:
         """Return the tokens that it may fill of its engine's memory."""
-        return self.request.prompt_tokens + self.request.output_tokens
+        return self.request.memory_tokens
 
 
 class UpstreamLoad:
@@ -74,6 +74,7 @@
         announcement: What the upstream said of itself.
         cache: Parts of prompts that it holds.
         run_by_ticket: Requests that were placed there and have not ended.
+        streams_by_gap_ms: How many streams run there, by the longest pause that they allow.
         is_present: Whether it may be used now.
     """
 
@@ -86,6 +87,7 @@
         self._absent_since = math.inf
         self._memory_tokens = memory_tokens
         self._running_tokens = 0
+        self.streams_by_gap_ms: dict[float, int] = {}
         self._unread_by_ticket: dict[str, Run] = {}
         self._reading_since = 0.0
         self._rest_until = 0.0
@@ -103,12 +105,14 @@
         self._memory_tokens = memory_tokens
         self.cache.use_memory(memory_tokens)
 
-    def has_memory_for(self, request: placement_messages.PlaceRequest) -> bool:
-        """Return whether a request fits beside those that run; alone each is let through."""
-        if not self.run_by_ticket or not request.parts:
+    def has_memory_for(self, tokens: int) -> bool:
+        """Return whether a request with so many tokens fits beside those that run there.
+
+        Alone each is let through, and so is one without a prompt, which fills none.
+        """
+        if not self.run_by_ticket or not tokens:
             return True
-        tokens = self._running_tokens + request.prompt_tokens + request.output_tokens
-        return tokens <= MEMORY_SHARE * self._memory_tokens
+        return self._running_tokens + tokens <= MEMORY_SHARE * self._memory_tokens
 
     def end_overdue(self, now: float) -> tuple[str, ...]:
         """Take off the runs whose end was never reported; return their tickets."""
@@ -141,11 +145,12 @@
 
     def has_tight(self, tight_ms: float) -> bool:
         """Return whether a stream runs there that allows no pause above ``tight_ms``."""
-        return any(0 < run.request.gap_ms <= tight_ms for run in self.run_by_ticket.values())
+        return any(gap_ms <= tight_ms for gap_ms in self.streams_by_gap_ms)
 
     def tight_streams(self, tight_ms: float) -> int:
         """Return how many streams run there that allow no pause above ``tight_ms``."""
-        return sum(0 < run.request.gap_ms <= tight_ms for run in self.run_by_ticket.values())
+        streams = self.streams_by_gap_ms.items()
+        return sum(count for gap_ms, count in streams if gap_ms <= tight_ms)
 
     def backlog_ms(self, now: float) -> float:
         """Return how much reading is ahead there, by the runs whose first event has not come.
@@ -168,6 +173,7 @@
         """Place a run."""
         self.run_by_ticket[run.request.ticket_id] = run
         self._running_tokens += run.memory_tokens
+        self._count_stream(run, 1)
         if not run.has_begun and run.read_ms > 0:
             if not self._unread_by_ticket:
                 self._reading_since = now
@@ -177,9 +183,12 @@
 
     def readable_tokens(self, parts: tuple[placement_messages.PromptPart, ...]) -> int:
         """Return how much of a prompt others can fetch there now: what was read to its end."""
+        cached = self.cache.cached_parts(parts)
+        if not cached:
+            return 0
         unread = [run.new_parts for run in self._unread_by_ticket.values() if run.new_parts]
         tokens = 0
-        for part in self.cache.cached_parts(parts):
+        for part in cached:
             if any(part.part_id in new_parts for new_parts in unread):
                 break
             tokens += part.tokens
@@ -205,6 +214,7 @@
         if run is None:
             return
         self._running_tokens -= run.memory_tokens
+        self._count_stream(run, -1)
         self._stop_reading(ticket_id, now)
         match end:
             case placement_messages.RunEnd.COMPLETE:
@@ -222,6 +232,16 @@
             case placement_messages.RunEnd.REJECTED:
                 self._pause_until = max(self._pause_until, now + FIRST_PAUSE_S / 2)
 
+    def _count_stream(self, run: Run, change: int) -> None:
+        """Keep the count by pauses: harm is reckoned for each upstream and each placement."""
+        gap_ms = run.request.gap_ms
+        if gap_ms <= 0:
+            return
+        count = self.streams_by_gap_ms.get(gap_ms, 0) + change
+        self.streams_by_gap_ms[gap_ms] = count
+        if not count:
+            del self.streams_by_gap_ms[gap_ms]
+
     def _pause(self, now: float) -> None:
         pause_s = FIRST_PAUSE_S * 2.0 ** (self._failures_in_a_row - 1)
         self._pause_until = now + min(pause_s, LONGEST_PAUSE_S)
