--- a/src/medlarfork/coordination/decision_notes.py
+++ b/src/medlarfork/coordination/decision_notes.py
@@ -34,4 +34,5 @@
         "running": grounds.running,
         "candidates": grounds.candidates,
         "tokens_per_ms": round(grounds.tokens_per_ms, 1),
+        "pause_ms": round(grounds.pause_ms),
     }
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -56,6 +56,7 @@
         self._ticket_by_id: dict[str, _Ticket] = {}
         self._runs_by_upstream: dict[str, int] = {}
         self._told_owner_by_shard: dict[placement_messages.Shard, str] = {}
+        self._belief_by_service: dict[str, placement_messages.ReadingBelief] = {}
         self.local_placements = 0
 
     def new_ticket_id(self) -> str:
@@ -91,7 +92,13 @@
         if ticket.owner_id:
             self._send(ticket.owner_id, placement_messages.FirstEvent(ticket_id, after_ms))
 
-    def end(self, ticket_id: str, end: placement_messages.RunEnd, after_ms: float) -> None:
+    def end(
+        self,
+        ticket_id: str,
+        end: placement_messages.RunEnd,
+        after_ms: float,
+        pauses: placement_messages.Pauses | None = None,
+    ) -> None:
         """Report that a placed request has ended, or is not asked for any more."""
         ticket = self._ticket_by_id.pop(ticket_id, None)
         if ticket is None:
@@ -103,7 +110,7 @@
             if left <= 0:
                 del self._runs_by_upstream[upstream_id]
         if ticket.owner_id:
-            ended = placement_messages.RunEnded(ticket_id, end, after_ms)
+            ended = placement_messages.RunEnded(ticket_id, end, after_ms, pauses)
             self._send(ticket.owner_id, ended)
 
     async def take(self, sender: str, message: Any) -> None:
@@ -116,6 +123,9 @@
         match message:
             case placement_messages.Queued():
                 ticket.is_queued = True
+            case placement_messages.Placed(belief=belief) if belief is not None:
+                ticket.answer = message
+                self._belief_by_service[ticket.request.service] = belief
             case _:
                 ticket.answer = message
         await ticket.changed.set()
@@ -134,7 +144,8 @@
         if told:
             self._send(told, placement_messages.OwnerChosen(shard, is_chosen=False))
         self._told_owner_by_shard[shard] = owner_id
-        self._send(owner_id, placement_messages.OwnerChosen(shard, is_chosen=True))
+        belief = self._belief_by_service.get(shard.service)
+        self._send(owner_id, placement_messages.OwnerChosen(shard, True, belief))
         for ticket in tuple(self._ticket_by_id.values()):
             self._tell_running(ticket, shard, owner_id)
         return owner_id
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -18,6 +18,7 @@
     owner_client,
     request_facts,
     request_types,
+    stream_pauses,
     upstream_call,
 )
 from medlarfork.http import _http_messages, http_client, sse
@@ -42,7 +43,7 @@
         self._cutter = event_cutter.EventCutter(admitted.facts.last_event_id)
         self._ticket_id = ""
         self._sent_at = 0.0
-        self._event_at = 0.0
+        self._pauses = stream_pauses.StreamPauses()
 
     async def serve(self) -> None:
         """Place, send and relay until there is a final answer.
@@ -90,7 +91,8 @@
         """Tell the owner that the attempt under way has ended."""
         if self._ticket_id:
             after_ms = (time.monotonic() - self._sent_at) * 1000.0 if self._sent_at else 0.0
-            self._tools.owner.end(self._ticket_id, end, after_ms)
+            pauses = self._pauses.whole() if end is placement_messages.RunEnd.COMPLETE else None
+            self._tools.owner.end(self._ticket_id, end, after_ms, pauses)
             self._ticket_id = ""
 
     @property
@@ -143,6 +145,7 @@
         """Carry out one attempt; return how it failed, or None if the caller has its answer."""
         self.trace.upstreams.append(upstream.upstream_id)
         self._sent_at = time.monotonic()
+        self._pauses = stream_pauses.StreamPauses()
         call = self._call(upstream, fetch_from)
         sent = await upstream_call.send(self._tools.client, call, self._tools.names)
         if isinstance(sent, upstream_call.Failure):
@@ -261,11 +264,8 @@
 
     def _note_event(self) -> None:
         """Note when events are passed on, and the longest pause between two."""
-        now = time.monotonic()
-        if self._event_at:
-            pause_ms = (now - self._event_at) * 1000.0
-            self.trace.longest_pause_ms = max(self.trace.longest_pause_ms, pause_ms)
-        self._event_at = now
+        pause_ms = self._pauses.note_event(time.monotonic())
+        self.trace.longest_pause_ms = max(self.trace.longest_pause_ms, pause_ms)
 
     async def _begin_stream(self, response: http_client.Response) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -66,8 +66,10 @@
                 shard = self._shard_by_ticket.pop(ticket_id, None)
                 if shard is not None:
                     return self._sends(self._owner(shard, now).on_ended(message, now))
-            case placement_messages.OwnerChosen(shard):
+            case placement_messages.OwnerChosen(shard, _, belief):
                 owner = self._owner(shard, now)
+                if belief is not None:
+                    owner.rate.take_over(belief)
                 return self._sends(owner.forget_entry(entry_id, now))
             case placement_messages.StillRunning(request):
                 self._shard_by_ticket[request.ticket_id] = request.owned_shard
--- a/src/medlarfork/placement/placement_answer.py
+++ b/src/medlarfork/placement/placement_answer.py
@@ -17,6 +17,7 @@
         running: Requests that run there already.
         candidates: Upstreams that were compared.
         tokens_per_ms: The rate of reading that was reckoned with.
+        pause_ms: The longest pause of a stream beside reading that was reckoned with.
     """
 
     waited_ms: float
@@ -24,6 +25,7 @@
     running: int
     candidates: int
     tokens_per_ms: float
+    pause_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -85,6 +85,23 @@
         return self.shard or Shard(self.service)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadingBelief:
+    """Hold what an owner has learnt of how a service's engines work (see ``read_rate``).
+
+    Attributes:
+        tokens_per_ms: Prompt tokens read in a millisecond.
+        chunk_tokens: Prompt tokens that one step reads.
+        step_ms: Time of a step besides reading.
+        fixed_ms: Time to a first event besides reading.
+    """
+
+    tokens_per_ms: float
+    chunk_tokens: float
+    step_ms: float
+    fixed_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
     """Answer: send it to this incarnation.
@@ -93,11 +110,13 @@
         ticket_id: The question.
         upstream_id: The incarnation.
         fetch_from: Address of an upstream that holds more of the prompt; empty for none.
+        belief: What the owner has learnt of engines; None if it has learnt nothing.
     """
 
     ticket_id: str
     upstream_id: str
     fetch_from: str = ""
+    belief: ReadingBelief | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,13 +156,34 @@
     CANCELLED = "cancelled"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pauses:
+    """Hold the pauses between the events of one stream, in milliseconds.
+
+    Attributes:
+        usual_ms: The median.
+        longest_ms: The longest.
+    """
+
+    usual_ms: float
+    longest_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunEnded:
-    """Report that a placed request has ended, or that it is not asked for any more."""
+    """Report that a placed request has ended, or that it is not asked for any more.
+
+    Attributes:
+        ticket_id: The question.
+        end: How it ended.
+        after_ms: Time since it was sent.
+        pauses: Those of a stream that came from its first event to its end.
+    """
 
     ticket_id: str
     end: RunEnd
     after_ms: float
+    pauses: Pauses | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,10 +206,16 @@
     """Tell a replica whether the sender asks it from now on for the placement on a shard.
 
     What it held of the sender there is void.
+
+    Attributes:
+        shard: Which one.
+        is_chosen: Whether the sender asks it.
+        belief: What the owner before had learnt of the engines, if the sender was told.
     """
 
     shard: Shard
     is_chosen: bool
+    belief: ReadingBelief | None = None
 
 
 PLACEMENT_MESSAGES: tuple[type, ...] = (
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -122,7 +122,7 @@
             if run is None:
                 continue
             begun = load.begin(message.ticket_id, start_rules.rest_ms(run.read_ms), now)
-            if begun is not None and begun.read_alone:
+            if begun is not None and begun.is_telling:
                 self.rate.learn(begun.read_tokens, message.after_ms)
 
     def on_ended(
@@ -131,7 +131,9 @@
         """Free the slot of a run that ended, or drop a request that does not wait any more."""
         self._line.remove(message.ticket_id)
         for load in self.load_by_id.values():
-            load.end(message.ticket_id, message.end, now)
+            run = load.end(message.ticket_id, message.end, now)
+            if run is not None and message.pauses is not None:
+                self.rate.learn_pauses(message.pauses, run.most_beside_ms, self._event_tokens)
         if now < self._passed_at + PASS_PERIOD_S:
             return ()
         return self.serve_waiting(now)
@@ -149,7 +151,7 @@
             message.request,
             read_tokens,
             read_tokens / self.rate.tokens_per_ms,
-            read_alone=False,
+            is_telling=False,
             has_begun=message.has_begun,
             until=now + message.request.left_ms / 1000.0,
         )
@@ -258,13 +260,16 @@
             request,
             cost.read_tokens,
             cost.read_ms,
-            read_alone=cost.wait_ms <= 0.0,
+            is_telling=cost.wait_ms <= 0.0 and not cost.fetch_from,
             until=waiting.until,
         )
         load.add(run, now)
         self._read_parts.note(request.parts, now)
         placed = placement_messages.Placed(
-            request.ticket_id, load.announcement.upstream_id, cost.fetch_from
+            request.ticket_id,
+            load.announcement.upstream_id,
+            cost.fetch_from,
+            self.rate.belief if self.rate.has_measured else None,
         )
         grounds = placement_answer.Grounds(
             waited_ms=(now - waiting.since) * 1000.0,
@@ -272,6 +277,7 @@
             running=len(load.run_by_ticket) - 1,
             candidates=len(self._present),
             tokens_per_ms=self.rate.tokens_per_ms,
+            pause_ms=self.rate.pause_ms(self._event_tokens),
         )
         return placement_answer.Answer(waiting.entry_id, placed, grounds)
 
@@ -315,7 +321,7 @@
         return placement_cost.Reading(
             self.rate.tokens_per_ms,
             self.rate.pause_ms(self._event_tokens),
-            self._event_tokens * read_rate.STEP_MS,
+            self._event_tokens * self.rate.step_ms,
         )
 
     def _least_read_ms(self, request: placement_messages.PlaceRequest) -> float:
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -46,20 +46,23 @@
         request: What was asked.
         read_tokens: Prompt tokens that the upstream has to read.
         read_ms: How long that takes, in milliseconds.
-        read_alone: Whether no other reading was under way when it was placed.
+        is_telling: Whether its first event tells the rate: no other reading was under way when it
+            was placed, and nothing was fetched.
         has_begun: Whether its first event came.
         new_parts: Parts of its prompt that the upstream held only once it had read them for it.
         until: When its caller gives up, in seconds.
+        most_beside_ms: The most reading that was ahead at one time while it produced events.
     """
 
     entry_id: str
     request: placement_messages.PlaceRequest
     read_tokens: int
     read_ms: float
-    read_alone: bool
+    is_telling: bool
     has_begun: bool = False
     new_parts: frozenset[str] = frozenset()
     until: float = math.inf
+    most_beside_ms: float = 0.0
 
     @property
     def memory_tokens(self) -> int:
@@ -179,6 +182,7 @@
                 self._reading_since = now
             self._unread_by_ticket[run.request.ticket_id] = run
             run.new_parts = self.cache.missing_parts(run.request.parts)
+            self._note_beside(now)
         self.cache.add(run.request.parts)
 
     def readable_tokens(self, parts: tuple[placement_messages.PromptPart, ...]) -> int:
@@ -208,11 +212,11 @@
         if self._unread_by_ticket.pop(ticket_id, None) is not None:
             self._reading_since = now
 
-    def end(self, ticket_id: str, end: placement_messages.RunEnd, now: float) -> None:
-        """Take a run off, and judge the upstream by how it ended."""
+    def end(self, ticket_id: str, end: placement_messages.RunEnd, now: float) -> Run | None:
+        """Take a run off, and judge the upstream by how it ended; return it if it ran there."""
         run = self.run_by_ticket.pop(ticket_id, None)
         if run is None:
-            return
+            return None
         self._running_tokens -= run.memory_tokens
         self._count_stream(run, -1)
         self._stop_reading(ticket_id, now)
@@ -231,6 +235,14 @@
                 self._pause(now)
             case placement_messages.RunEnd.REJECTED:
                 self._pause_until = max(self._pause_until, now + FIRST_PAUSE_S / 2)
+        return run
+
+    def _note_beside(self, now: float) -> None:
+        """Note for the streams there how much reading is ahead: it tells what their pauses hold."""
+        backlog_ms = self.backlog_ms(now)
+        for run in self.run_by_ticket.values():
+            if run.has_begun and run.most_beside_ms < backlog_ms:
+                run.most_beside_ms = backlog_ms
 
     def _count_stream(self, run: Run, change: int) -> None:
         """Keep the count by pauses: harm is reckoned for each upstream and each placement."""
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -47,7 +47,7 @@
 
 
 def _run(request, read_tokens, read_ms):
-    return upstream_load.Run("e", request, read_tokens, read_ms, read_alone=False)
+    return upstream_load.Run("e", request, read_tokens, read_ms, is_telling=False)
 
 
 def test_streams_with_tight_pauses_keep_away_from_long_reading(make_owner, make_question):
@@ -347,6 +347,7 @@
     """Replay short streams: an event of 5 tokens beside reading took 197 ms of the 200 allowed."""
     rate = read_rate.ReadRate()
     rate.tokens_per_ms = 58.0
+    rate.chunk_tokens = 2048.0
     pause_ms = rate.pause_ms(5)
     assert pause_ms == pytest.approx(197.0, abs=1.0)
     assert placement_cost.Reading(58.0, pause_ms).tight_ms > 200.0
--- /dev/null
+++ b/tests/routed/test_read_rate.py
@@ -0,0 +1,99 @@
+"""What is learnt of engines, against engines that are simulated step by step."""
+
+import dataclasses
+import random
+
+import pytest
+
+from medlarfork.placement import placement_messages, read_rate
+
+EVENTS = 40
+STREAMS = 60
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """Work in steps; each makes a token of a stream, and reads a chunk of a prompt."""
+
+    tokens_per_ms: float
+    chunk_tokens: int
+    step_ms: float
+    event_tokens: int
+    first_ms: float = 2.0
+
+    def first_event_ms(self, tokens):
+        return self.first_ms + self.event_tokens * self.step_ms + tokens / self.tokens_per_ms
+
+    def pauses(self, unread_tokens, begins_at_step):
+        """Return the pauses of a stream that meets so much reading at one of its steps."""
+        steps_ms = []
+        for number in range(EVENTS * self.event_tokens):
+            read = min(self.chunk_tokens, unread_tokens) if number >= begins_at_step else 0
+            unread_tokens -= read
+            steps_ms.append(self.step_ms + read / self.tokens_per_ms)
+        ends = range(0, len(steps_ms), self.event_tokens)
+        return [sum(steps_ms[at : at + self.event_tokens]) for at in ends]
+
+
+ENGINES = (
+    Engine(41.4, 4096, 4.63, 4),
+    Engine(64.2, 2048, 4.23, 5),
+    Engine(140.0, 2048, 2.2, 8, first_ms=53.0),
+    Engine(12.0, 512, 20.0, 1),
+)
+
+
+@pytest.fixture(params=ENGINES, ids=lambda engine: f"{engine.tokens_per_ms:g}")
+def engine(request):
+    return request.param
+
+
+def observe(engine, rate, *, prompts=60, streams=STREAMS, delayed=0.3, seed=1):
+    """Show a rate what callers of an engine see; some runs are delayed by what nobody knows."""
+    draw = random.Random(seed)
+    for _ in range(prompts):
+        for tokens in (draw.randrange(20, read_rate.FEW_TOKENS), draw.randrange(1500, 12_000)):
+            late_ms = draw.uniform(20.0, 400.0) if draw.random() < delayed else 0.0
+            rate.learn(tokens, engine.first_event_ms(tokens) + late_ms + draw.uniform(2.0, 4.0))
+    for _ in range(streams):
+        unread = draw.choice((0, 3000, 40_000))
+        pauses = sorted(engine.pauses(unread, draw.randrange(EVENTS * engine.event_tokens // 2)))
+        seen = placement_messages.Pauses(pauses[len(pauses) // 2], pauses[-1])
+        rate.learn_pauses(seen, unread / rate.tokens_per_ms, engine.event_tokens)
+
+
+def test_engines_are_learnt_from_what_their_callers_get(engine):
+    rate = read_rate.ReadRate()
+    observe(engine, rate)
+    assert rate.tokens_per_ms == pytest.approx(engine.tokens_per_ms, rel=0.15)
+    assert rate.step_ms == pytest.approx(engine.step_ms, rel=0.1)
+    longest_ms = engine.event_tokens * (engine.step_ms + engine.chunk_tokens / engine.tokens_per_ms)
+    assert rate.pause_ms(engine.event_tokens) == pytest.approx(longest_ms, rel=0.2)
+
+
+def test_before_anything_is_known_an_engine_is_taken_for_a_slow_one(engine):
+    rate = read_rate.ReadRate()
+    assert not rate.has_measured
+    if engine.tokens_per_ms > 40.0:
+        longest_ms = engine.chunk_tokens / engine.tokens_per_ms + engine.step_ms
+        assert rate.pause_ms(1) > longest_ms
+
+
+def test_a_longer_pause_than_foreseen_is_believed_at_once(engine):
+    rate = read_rate.ReadRate()
+    observe(engine, rate)
+    before_ms = rate.pause_ms(engine.event_tokens)
+    for _ in range(60):
+        seen = placement_messages.Pauses(engine.event_tokens * engine.step_ms, before_ms * 2.0)
+        rate.learn_pauses(seen, 0.0, engine.event_tokens)
+    assert rate.pause_ms(engine.event_tokens) > before_ms * 1.5
+
+
+def test_a_new_owner_starts_from_what_the_one_before_had_learnt(engine):
+    before, after = read_rate.ReadRate(), read_rate.ReadRate()
+    observe(engine, before)
+    after.take_over(before.belief)
+    assert after.belief == before.belief
+    observe(dataclasses.replace(engine, tokens_per_ms=engine.tokens_per_ms * 2.0), after)
+    after.take_over(before.belief)
+    assert after.tokens_per_ms == pytest.approx(engine.tokens_per_ms * 2.0, rel=0.15)
