Ask again what an owner dropped when it was chosen anew; ask each replica for its upstreams

An owner that is chosen drops what it held of that entry host, also requests that still waited there from the time before; these waited until their callers gave up (33 of them after 2.4 s). And a replica stopped asking the others for the upstreams after any gossip, a single announcement too: the owner knew one upstream for 0.7 s where another replica knew seven.

Change: a ticket notes which choice of owners it was asked under and is asked again after a later one; a replica asks each other one until that has told all, ten times a second at first.

--- a/src/medlarfork/coordination/coordination_messages.py
+++ b/src/medlarfork/coordination/coordination_messages.py
@@ -99,11 +99,13 @@
         heard: Announcements heard from upstreams themselves, or all that are present.
         left: Incarnations that left.
         token: To be returned in a ``GossipReceipt``; 0 if none is needed.
+        is_whole: Whether that is all that the sender knows.
     """
 
     heard: tuple[upstream_types.Announcement, ...]
     left: tuple[str, ...]
     token: int = 0
+    is_whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -150,7 +150,8 @@
                     self._actions.append(node.Send(sender, self._upstreams.whole()))
             case coordination_messages.UpstreamGossip():
                 self._members.hear(sender, self._now)
-                self._members.got_upstreams()
+                if message.is_whole:
+                    self._members.got_upstreams(sender)
                 self._actions += self._upstreams.on_gossip(sender, message, self._now)
             case coordination_messages.GossipReceipt():
                 self._actions += self._upstreams.on_receipt(sender, message)
--- a/src/medlarfork/coordination/member_desk.py
+++ b/src/medlarfork/coordination/member_desk.py
@@ -13,6 +13,13 @@
 """How often replicas tell each other that they run, in seconds: a new one has then asked several
 times before it must have caught up."""
 
+QUESTION_PERIOD_S = 0.1
+"""How often a replica that has just started asks the others for the upstreams, in seconds: links to
+processes that start with it come up within that time, and callers wait for what it learns."""
+
+QUESTIONS_S = 3.0
+"""How long it asks so often, in seconds; then with each hello."""
+
 CHANGE_PERIOD_S = 0.4
 """Pause between requested changes of the membership, in seconds: a few round trips and syncs."""
 
@@ -34,7 +41,8 @@
         self._heard_at_by_id: dict[str, float] = {}
         self._seeds = seeds
         self._known: dict[str, None] = dict.fromkeys(seeds)
-        self._has_upstreams = False
+        self._told_by: set[str] = set()
+        self._started_at = math.inf
         self._hello_due = 0.0
         self._change_due = 0.0
         self._changes = 0
@@ -59,9 +67,9 @@
         self._seeds = seeds
         self.learn(seeds)
 
-    def got_upstreams(self) -> None:
-        """Note that another replica has told its upstreams."""
-        self._has_upstreams = True
+    def got_upstreams(self, sender: str) -> None:
+        """Note that another replica has told all the upstreams that it knew."""
+        self._told_by.add(sender)
 
     def on_time(self, status: replica.ReplicaStatus, *, leads: bool, now: float) -> tuple[Any, ...]:
         """Say hello, and on the leader ask for one change of the membership at a time."""
@@ -70,9 +78,10 @@
             self._leads_since = None
         elif self._leads_since is None:
             self._leads_since = now
+        self._started_at = min(self._started_at, now)
         if now >= self._hello_due:
             self._forget_lost(status, now)
-            self._hello_due = now + HELLO_PERIOD_S
+            self._hello_due = now + self._hello_period_s(now)
             actions += self._hellos(status, now)
         if leads and status.voters is not None and now >= self._change_due:
             change = self._change(status.voters, now)
@@ -89,13 +98,18 @@
             for peer in self._known
             if now - self._heard_at_by_id.get(peer, -1e9) < SILENT_S or peer == self._replica_id
         )
-        hello = coordination_messages.ReplicaHello(known, not self._has_upstreams)
         actions: list[Any] = []
         for peer in self.peers:
+            # Each is asked once: after a restart of all, each has heard other upstreams.
+            hello = coordination_messages.ReplicaHello(known, peer not in self._told_by)
             actions.append(coordinator_types.ConnectReplica(peer))
             actions.append(node.Send(peer, hello))
         return actions
 
+    def _hello_period_s(self, now: float) -> float:
+        asks = now < self._started_at + QUESTIONS_S and not self._told_by.issuperset(self.peers)
+        return QUESTION_PERIOD_S if asks else HELLO_PERIOD_S
+
     def _is_silent(self, member: str, now: float) -> bool:
         """Say whether a member is silent; a new leader first gives everyone time to speak."""
         led_since = now if self._leads_since is None else self._leads_since
--- a/src/medlarfork/coordination/upstream_desk.py
+++ b/src/medlarfork/coordination/upstream_desk.py
@@ -108,7 +108,7 @@
     def whole(self) -> coordination_messages.UpstreamGossip:
         """Return all that is known, for a replica that has just started."""
         whole = self._registry.whole()
-        return coordination_messages.UpstreamGossip(whole.present, whole.left)
+        return coordination_messages.UpstreamGossip(whole.present, whole.left, is_whole=True)
 
     def on_time(self, peers: tuple[str, ...], now: float) -> tuple[Any, ...]:
         """Pass on refreshing announcements, drop silent upstreams, and end late leaves."""
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -160,6 +160,7 @@
                 self._session.take(sender, message, now)
                 self._connect_replicas()
                 self._owner.tell_owners(now)
+                await self._owner.wake_waiting()
             case coordination_messages.ViewPush(boot, sequence, change):
                 self._session.take(sender, message, now)
                 await self._holds.note_change()
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -30,6 +30,7 @@
 class _Ticket:
     request: placement_messages.PlaceRequest
     owner_id: str = ""
+    asked_count: int = 0
     is_queued: bool = False
     has_begun: bool = False
     answer: placement_messages.Placed | placement_messages.PlaceRefused | None = None
@@ -56,6 +57,7 @@
         self._ticket_by_id: dict[str, _Ticket] = {}
         self._runs_by_upstream: dict[str, int] = {}
         self._told_owner_by_shard: dict[placement_messages.Shard, str] = {}
+        self._chosen_count = 0
         self._belief_by_service: dict[str, placement_messages.ReadingBelief] = {}
         self.local_placements = 0
 
@@ -135,6 +137,12 @@
         for shard in tuple(self._told_owner_by_shard):
             self._tell_owner(shard, now)
 
+    async def wake_waiting(self) -> None:
+        """Have those that wait at an owner see whether it still knows them."""
+        for ticket in tuple(self._ticket_by_id.values()):
+            if ticket.is_queued and ticket.asked_count != self._chosen_count:
+                await ticket.changed.set()
+
     def _tell_owner(self, shard: placement_messages.Shard, now: float) -> str:
         """Return the owner of a shard, after telling it if it has just become so."""
         owner_id = self._session.owner(shard, now)
@@ -144,6 +152,7 @@
         if told:
             self._send(told, placement_messages.OwnerChosen(shard, is_chosen=False))
         self._told_owner_by_shard[shard] = owner_id
+        self._chosen_count += 1
         belief = self._belief_by_service.get(shard.service)
         self._send(owner_id, placement_messages.OwnerChosen(shard, True, belief))
         for ticket in tuple(self._ticket_by_id.values()):
@@ -177,6 +186,7 @@
             is_asked = bool(owner_id) and self._send(owner_id, ticket.request)
             if is_asked:
                 ticket.owner_id = owner_id
+                ticket.asked_count = self._chosen_count
             if not is_asked or not await self._wait_answer(ticket, until):
                 if await self._hold(ticket.request.service, until):
                     continue
@@ -207,7 +217,9 @@
             if ticket.is_queued and _now() >= until:
                 return True
             owner_id = self._session.owner(ticket.request.owned_shard, _now())
-            if ticket.is_queued and owner_id != ticket.owner_id:
+            # One that was chosen anew, if only for another shard, may have dropped what waited.
+            is_forgotten = ticket.asked_count != self._chosen_count
+            if ticket.is_queued and (owner_id != ticket.owner_id or is_forgotten):
                 ticket.is_queued = False
                 return True
             pause = QUEUE_CHECK_S if ticket.is_queued else limit - _now()
--- a/tests/routed/test_member_desk.py
+++ b/tests/routed/test_member_desk.py
@@ -1,5 +1,6 @@
 import pytest
 
+from medlarfork import node
 from medlarfork.coordination import member_desk
 from medlarfork.replica import replica, replica_types
 
@@ -74,3 +75,23 @@
     desk.on_time(_status(ME, "r2", "r3"), leads=False, now=member_desk.FORGET_S + 1)
     assert "r9" not in desk.peers
     assert "r2" in desk.peers
+
+
+def _wants(actions):
+    return {
+        action.to: action.message.wants_upstreams
+        for action in actions
+        if isinstance(action, node.Send)
+    }
+
+
+def test_after_a_start_each_replica_is_asked_until_it_has_told_its_upstreams(desk):
+    """Replay a restart of all: one announcement that came by ended the questions."""
+    status = _status(ME, "r2", "r3")
+    assert _wants(desk.on_time(status, leads=False, now=0.0)) == {"r2": True, "r3": True}
+    desk.got_upstreams("r2")
+    later = member_desk.QUESTION_PERIOD_S
+    assert _wants(desk.on_time(status, leads=False, now=later)) == {"r2": False, "r3": True}
+    desk.got_upstreams("r3")
+    assert _wants(desk.on_time(status, leads=False, now=2.1 * later)) == {"r2": False, "r3": False}
+    assert not desk.on_time(status, leads=False, now=3.2 * later)
--- /dev/null
+++ b/tests/routed/test_owner_client.py
@@ -0,0 +1,81 @@
+"""How an entry host asks owners of placement that come and go."""
+
+import curio
+import pytest
+
+from medlarfork.gateway import holding, owner_client
+from medlarfork.placement import placement_messages
+from tests import curio_world
+
+SHARD = placement_messages.Shard("engines")
+
+
+class Session:
+    """Name the owner that a test says."""
+
+    def __init__(self):
+        self.owner_id = "r1"
+        self.upstream_by_id = {}
+
+    def owner(self, shard, now):
+        return self.owner_id
+
+
+@pytest.fixture
+def session():
+    return Session()
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def client(session, sent):
+    def send(replica_id, message):
+        sent.append((replica_id, message))
+        return True
+
+    return owner_client.OwnerClient("e", session, send, holding.Holding())
+
+
+def asked(sent, replica_id):
+    questions = [item for to, item in sent if to == replica_id]
+    return sum(isinstance(item, placement_messages.PlaceRequest) for item in questions)
+
+
+def test_a_request_that_waited_at_an_owner_is_asked_again_once_that_is_chosen_anew(
+    session, sent, client, make_question
+):
+    """Replay a restart: owners changed twice within 0.25 s, and 33 callers waited in vain."""
+
+    async def main():
+        placing = await curio.spawn(client.place, make_question("t", left_ms=5000.0))
+        await curio_world.until(lambda: asked(sent, "r1") == 1)
+        await client.take("r1", placement_messages.Queued("t"))
+        for owner_id in ("r2", "r1"):
+            session.owner_id = owner_id
+            client.tell_owners(0.0)
+            await client.wake_waiting()
+        await curio_world.until(lambda: asked(sent, "r1") == 2)
+        await client.take("r1", placement_messages.Placed("t", "u-1"))
+        assert await placing.join() == placement_messages.Placed("t", "u-1")
+
+    curio_world.run(main)
+
+
+def test_a_new_owner_is_told_what_the_one_before_had_learnt(session, sent, client, make_question):
+    belief = placement_messages.ReadingBelief(41.0, 4096.0, 4.6, 25.0)
+
+    async def main():
+        placing = await curio.spawn(client.place, make_question("t"))
+        await curio_world.until(lambda: asked(sent, "r1") == 1)
+        await client.take("r1", placement_messages.Placed("t", "u-1", "", belief))
+        await placing.join()
+        session.owner_id = "r2"
+        client.tell_owners(0.0)
+        chosen = placement_messages.OwnerChosen(SHARD, is_chosen=True, belief=belief)
+        assert ("r2", chosen) in sent
+
+    curio_world.run(main)
