--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -164,7 +164,8 @@
     read_ms = read_tokens / reading.tokens_per_ms + fetched_tokens * given.holder.ms_per_token
     wait_ms = load.backlog_ms(given.now)
     rest_ms = load.rest_ms(given.now) if read_ms > LONG_READ_MS else 0.0
-    harm = _harm(load, min(wait_ms + read_ms + reading.event_ms, reading.pause_ms))
+    beside_ms = load.beside_ms(given.now) + read_ms
+    harm = _harm(load, min(beside_ms + reading.event_ms, reading.pause_ms))
     total = harm + lateness(given.waited_ms + wait_ms + rest_ms + read_ms, request.target_ms)
     total += READ_COST * read_ms
     if fetched_tokens:
--- a/src/medlarfork/placement/read_rate.py
+++ b/src/medlarfork/placement/read_rate.py
@@ -124,12 +124,17 @@
         self.step_ms = belief.step_ms
         self.fixed_ms = belief.fixed_ms
 
+    @property
+    def chunk_ms(self) -> float:
+        """Return how long a step reads at most."""
+        return self.chunk_tokens / self.tokens_per_ms
+
     def pause_ms(self, event_tokens: int) -> float:
         """Return the longest pause in a stream while prompts are read beside it.
 
         It is that of an event whose every token is produced in a step that reads a chunk.
         """
-        return event_tokens * (self.chunk_tokens / self.tokens_per_ms + self.step_ms)
+        return event_tokens * (self.chunk_ms + self.step_ms)
 
     def learn(self, tokens: int, after_ms: float) -> None:
         """Take the time to the first event of a run whose reading began at once."""
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -97,10 +97,16 @@
             return (
                 placement_answer.Answer(entry_id, placement_messages.Queued(request.ticket_id)),
             )
-        waiting = waiting_line.Waiting(entry_id, request, now, self._least_read_ms(request))
+        waiting = waiting_line.Waiting(
+            entry_id,
+            request,
+            now,
+            self._least_read_ms(request),
+            start_rules.run_ms(request, self.rate.step_ms),
+        )
         if self._yields(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
-            if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms):
+            if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms, waiting.run_ms):
                 why = f"it would wait about {predicted_ms:.0f} ms"
                 after_ms = start_rules.retry_after_ms(request, predicted_ms)
                 return (self._refuse(waiting, why, after_ms),)
@@ -193,7 +199,7 @@
         tries_left: dict[tuple[int, float], int] = {}
         most_tries = max(LEAST_TRIES, COMPARISONS // max(len(self._present), 1))
         answers: list[placement_answer.Answer] = []
-        for waiting in self._line.in_order():
+        for waiting in self._line.in_order(self._longest_target_ms, now):
             left = tries_left.get(waiting.kind, most_tries)
             answer = self._serve(waiting, now, may_try=left > 0)
             if answer is None:
@@ -211,10 +217,15 @@
         if waiting.until <= now:
             return self._refuse(waiting, why, SHORTEST_RETRY_MS)
         answer = self._try(waiting, now) if may_try else None
-        if answer is None and waiting.is_late(now) and self._yields(waiting.request):
+        if answer is None and self._is_too_late(waiting, now):
             return self._refuse(waiting, why, SHORTEST_RETRY_MS)
         return answer
 
+    def _is_too_late(self, waiting: waiting_line.Waiting, now: float) -> bool:
+        """Return whether a late request would not end before its caller gives up any more."""
+        is_last = waiting.is_last(self._longest_target_ms, now)
+        return is_last and waiting.begins_until <= now
+
     def _try(self, waiting: waiting_line.Waiting, now: float) -> placement_answer.Answer | None:
         """Return the placement, or None if the request has to wait."""
         request = waiting.request
@@ -233,12 +244,13 @@
         best: upstream_load.UpstreamLoad | None = None
         best_cost: placement_cost.Cost | None = None
         for load in candidates:
+            load.steps.use(self._event_tokens, self.rate.step_ms, self.rate.chunk_ms)
             found = placement_cost.cost(load, request, given)
             if best_cost is None or found.total < best_cost.total:
                 best, best_cost = load, found
         if best is None or best_cost is None:
             return None
-        slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms)
+        slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms, waiting.run_ms)
         if self._has_tight() and not start_rules.may_start(
             best_cost, slack_ms, yields=self._yields(request)
         ):
@@ -284,11 +296,16 @@
     def _predicted_wait_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
         """Return how long a request that comes now would wait, by the reading ahead of it.
 
-        That is what waits and goes before it, and then the engine that has least to read.
+        That is what waits and goes before it, and then the engine that has least to read. If that
+        makes it late, all that waits goes before it.
         """
-        ahead_ms = self._line.reading_before_ms(waiting) / self._drained_per_ms(now)
-        backlogs = (load.backlog_ms(now) for load in self._present)
-        return ahead_ms + min(backlogs, default=0.0)
+        drained = self._drained_per_ms(now)
+        backlog_ms = min((load.backlog_ms(now) for load in self._present), default=0.0)
+        before_ms = self._line.reading_before_ms(waiting, self._longest_target_ms, now)
+        wait_ms = before_ms / drained + backlog_ms
+        if wait_ms <= start_rules.HOPELESS_SHARE * waiting.request.target_ms:
+            return wait_ms
+        return start_rules.OVERTAKEN_FACTOR * self._line.reading_ms / drained + backlog_ms
 
     def _drained_per_ms(self, now: float) -> float:
         """Return how much reading of those that wait starts in a millisecond.
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -29,21 +29,36 @@
 LATE_HARM = 1.5
 """The same once it can't wait any more: about what it is worth itself beside a short stream."""
 
-HOPELESS_TARGETS = 1.0
-"""Multiple of its target after which a long prompt is refused instead of being begun. With 2,
-those that were begun late made all after them late too (measured on both sites)."""
-
 HOPELESS_SHARE = 0.95
-"""Share of its target that a long prompt must be expected to wait to be refused. At 0.7 more were
-refused than had to be: predictions are off by a third, and a refusal costs most of a request."""
+"""A long prompt is refused if it is foreseen to wait beyond this share of the time until it has to
+begin. At 0.7 of its target more were refused than had to be: predictions are off by a third."""
+
+OVERTAKEN_FACTOR = 1.5
+"""Factor on the wait of a request that will be late: those that can still be on time, and come
+meanwhile, go before it."""
+
+RUN_FACTOR = 2.0
+"""Factor on the time that an answer's tokens take in steps without reading: beside reading, which
+has up to nine tenths of an engine's time in an overload, they take longer."""
+
+LAST_CALL_MS = 500.0
+"""Time before a late request has to begin from which it waits for no better moment, in
+milliseconds: an engine's backlog, and the error of its prediction."""
 
 PATIENCE = 0.7
 """Share of a request's target up to which it waits for the engine that suits it best; the rest is
 kept for reading, the way, and errors of the prediction."""
 
 
-def slack_ms(request: placement_messages.PlaceRequest, read_ms: float, waited_ms: float) -> float:
-    """Return how much longer a request can wait for the best upstream, in milliseconds."""
+def slack_ms(
+    request: placement_messages.PlaceRequest, read_ms: float, waited_ms: float, run_ms: float = 0.0
+) -> float:
+    """Return how much longer a request can wait for the best upstream, in milliseconds.
+
+    One that is late already can wait until it has to begin: it makes no others late meanwhile.
+    """
+    if 0 < request.target_ms < waited_ms:
+        return request.left_ms - waited_ms - read_ms - run_ms - LAST_CALL_MS
     return PATIENCE * request.target_ms - waited_ms - read_ms
 
 
@@ -75,18 +90,30 @@
     return read_ms * (1.0 / READ_SHARE - 1.0)
 
 
+def run_ms(request: placement_messages.PlaceRequest, step_ms: float) -> float:
+    """Return how long a stream takes after its first event, in an overload, in milliseconds."""
+    return RUN_FACTOR * step_ms * request.output_tokens
+
+
 def is_hopeless(
-    request: placement_messages.PlaceRequest, predicted_wait_ms: float, read_ms: float
+    request: placement_messages.PlaceRequest,
+    predicted_wait_ms: float,
+    read_ms: float,
+    run_ms: float = 0.0,
 ) -> bool:
     """Say whether a request that has just come would wait too long to be of use.
 
+    That is beyond its target, and beyond the time at which it has to begin to end before its caller
+    gives up: late is worth less than on time, and more than never.
+
     Ask it only of requests that yield: refusing one while longer ones begin would turn the order of
     what is urgent around, and save little. Its own reading does not count: the largest prompts
     would be refused at waits that others are let through with, and hardly ever be served.
     """
     if request.target_ms <= 0 or read_ms <= placement_cost.LONG_READ_MS:
         return False
-    return predicted_wait_ms > HOPELESS_SHARE * request.target_ms
+    allowed_ms = max(request.target_ms, request.left_ms - run_ms)
+    return predicted_wait_ms > HOPELESS_SHARE * allowed_ms
 
 
 def retry_after_ms(request: placement_messages.PlaceRequest, predicted_wait_ms: float) -> float:
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -6,7 +6,7 @@
 import math
 
 from medlarfork.coordination import upstream_types
-from medlarfork.placement import placement_messages, prompt_cache
+from medlarfork.placement import placement_messages, prompt_cache, step_window
 
 FIRST_PAUSE_S = 0.5
 """Pause after a first failure before an upstream is tried again, in seconds."""
@@ -76,6 +76,7 @@
     Attributes:
         announcement: What the upstream said of itself.
         cache: Parts of prompts that it holds.
+        steps: The steps that it is believed to take.
         run_by_ticket: Requests that were placed there and have not ended.
         streams_by_gap_ms: How many streams run there, by the longest pause that they allow.
         is_present: Whether it may be used now.
@@ -85,6 +86,7 @@
         """Start with an upstream that nothing was placed on."""
         self.announcement = announcement
         self.cache = prompt_cache.PromptCache(memory_tokens)
+        self.steps = step_window.StepWindow()
         self.run_by_ticket: dict[str, Run] = {}
         self.is_present = True
         self._absent_since = math.inf
@@ -168,6 +170,10 @@
         left_ms = max(0.0, first_ms - (now - self._reading_since) * 1000.0)
         return left_ms + sum(run.read_ms for run in unread)
 
+    def beside_ms(self, now: float) -> float:
+        """Return how much reading one event of a stream there may hold before more is placed."""
+        return max(self.backlog_ms(now), self.steps.beside_ms(now))
+
     def rest_ms(self, now: float) -> float:
         """Return for how long the streams there are to be left without long reading."""
         return max(0.0, self._rest_until - now) * 1000.0
@@ -183,6 +189,7 @@
             self._unread_by_ticket[run.request.ticket_id] = run
             run.new_parts = self.cache.missing_parts(run.request.parts)
             self._note_beside(now)
+            self.steps.add(run.read_ms, now)
         self.cache.add(run.request.parts)
 
     def readable_tokens(self, parts: tuple[placement_messages.PromptPart, ...]) -> int:
--- a/src/medlarfork/placement/waiting_line.py
+++ b/src/medlarfork/placement/waiting_line.py
@@ -4,8 +4,9 @@
 
 import bisect
 import dataclasses
+import math
 
-from medlarfork.placement import placement_messages, start_rules
+from medlarfork.placement import placement_messages
 
 Order = tuple[int, float, float, str]
 """What waiting requests are sorted by."""
@@ -21,23 +22,34 @@
         since: When it came, in seconds.
         read_ms: Its reading on the engine that held most of its prompt when it came, in
             milliseconds.
+        run_ms: How long its answer takes after its first event, in milliseconds.
     """
 
     entry_id: str
     request: placement_messages.PlaceRequest
     since: float
     read_ms: float = 0.0
+    run_ms: float = 0.0
 
     @property
     def until(self) -> float:
         """Return when its caller gives up."""
         return self.since + self.request.left_ms / 1000.0
 
+    @property
+    def begins_until(self) -> float:
+        """Return when it has to begin at the latest to end before its caller gives up."""
+        return self.until - (self.read_ms + self.run_ms) / 1000.0
+
     def is_late(self, now: float) -> bool:
-        """Return whether a request with a prompt has waited too long to be of use."""
-        target_ms = self.request.target_ms * start_rules.HOPELESS_TARGETS
+        """Return whether a request with a prompt has waited beyond its target."""
+        target_ms = self.request.target_ms
         return bool(self.request.parts) and 0 < target_ms <= (now - self.since) * 1000.0
 
+    def is_last(self, yielding_ms: float, now: float) -> bool:
+        """Return whether it is late and of those that then go last in their tier."""
+        return self.request.target_ms >= yielding_ms and self.is_late(now)
+
     @property
     def kind(self) -> tuple[int, float]:
         """Return what requests with about the same prospects have in common."""
@@ -69,9 +81,23 @@
         """Return whether a request waits."""
         return ticket_id in self._by_ticket
 
-    def in_order(self) -> tuple[Waiting, ...]:
-        """Return all that wait now, the first to start first."""
-        return tuple(self._by_ticket[order[-1]] for order in self._sorted)
+    @property
+    def reading_ms(self) -> float:
+        """Return the reading of all that wait, in milliseconds."""
+        return sum(waiting.read_ms for waiting in self._by_ticket.values())
+
+    def in_order(self, yielding_ms: float = math.inf, now: float = 0.0) -> tuple[Waiting, ...]:
+        """Return all that wait now, the first to start first.
+
+        Args:
+            yielding_ms: The target from which requests go last in their tier once they are late:
+                what is late already loses little by waiting, the others would be late after it.
+            now: The time in seconds.
+        """
+        waiting = [self._by_ticket[order[-1]] for order in self._sorted]
+        return tuple(
+            sorted(waiting, key=lambda item: (item.request.tier, item.is_last(yielding_ms, now)))
+        )
 
     def add(self, waiting: Waiting) -> None:
         """Let a request wait that does not wait yet."""
@@ -90,7 +116,14 @@
             if waiting.entry_id == entry_id:
                 self.remove(ticket_id)
 
-    def reading_before_ms(self, waiting: Waiting) -> float:
-        """Return the reading of all that start before a request, in milliseconds."""
-        before = self._sorted[: bisect.bisect_left(self._sorted, waiting.order)]
-        return sum(self._by_ticket[order[-1]].read_ms for order in before)
+    def reading_before_ms(
+        self, waiting: Waiting, yielding_ms: float = math.inf, now: float = 0.0
+    ) -> float:
+        """Return the reading of all that start before one that comes now, in milliseconds."""
+        orders = self._sorted[: bisect.bisect_left(self._sorted, waiting.order)]
+        before = (self._by_ticket[order[-1]] for order in orders)
+        return sum(
+            item.read_ms
+            for item in before
+            if item.request.tier < waiting.request.tier or not item.is_last(yielding_ms, now)
+        )
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -503,3 +503,45 @@
         whole.handle("e", asked, asked_at)
     whole.tidy(owner.FORGET_S + 1.0)
     assert set(whole._shard_by_ticket) == {"t1"}
+
+
+def test_a_long_prompt_that_will_be_late_is_still_served_while_its_caller_waits(
+    make_owner, make_question
+):
+    """Replay a burst of long prompts whose callers wait seven targets: one in six was refused."""
+    service = make_owner(count=1, slots=64)
+    tight = make_question("tight", (("q", 10),), target_ms=300.0, gap_ms=100.0, left_ms=60_000.0)
+    _placed(service.place("e", tight, 0.0))
+    long = {"target_ms": 800.0, "left_ms": 6000.0, "gap_ms": 5000.0}
+    answers = [
+        service.place("e", make_question(f"l{n}", ((f"p{n}", 8000),), **long), 0.0)[0]
+        for n in range(10)
+    ]
+    assert not any(isinstance(item.message, placement_messages.PlaceRefused) for item in answers)
+    assert service.waiting > 5
+    assert not service.serve_waiting(1.0)
+    for n in range(30):
+        late = service.place("e", make_question(f"m{n}", ((f"q{n}", 8000),), **long), 1.0)
+    assert isinstance(late[0].message, placement_messages.PlaceRefused)
+
+
+def test_a_late_long_prompt_lets_those_go_first_that_can_still_be_on_time(
+    make_owner, make_question
+):
+    service = make_owner(count=1, slots=1)
+    _placed(service.place("e", make_question("runs", left_ms=60_000.0), 0.0))
+    long = {"target_ms": 800.0, "left_ms": 6000.0}
+    service.place("e", make_question("late", (("p", 8000),), **long), 0.0)
+    service.place("e", make_question("new", (("q", 8000),), **long), 1.0)
+    (answer,) = service.on_ended(_ended("runs"), 1.1)
+    assert answer.message.ticket_id == "new"
+
+
+def test_a_late_long_prompt_is_refused_once_it_could_not_end_any_more(make_owner, make_question):
+    service = make_owner(count=1, slots=1)
+    _placed(service.place("e", make_question("runs", left_ms=60_000.0), 0.0))
+    late = make_question("late", (("p", 8000),), target_ms=800.0, left_ms=6000.0, output_tokens=200)
+    service.place("e", late, 0.0)
+    assert not service.serve_waiting(1.0)
+    (answer,) = service.serve_waiting(5.9)
+    assert isinstance(answer.message, placement_messages.PlaceRefused)
