--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -15,6 +15,11 @@
 OWNER_SILENT_S = 1.0
 """Silence after which a replica is not asked any more: more than two of its periodic messages."""
 
+SUSPECT_S = 0.45
+"""Silence after which a replica that did not answer a question either is not asked any more until it
+speaks, in seconds: more than one of its periodic messages. Requests that are placed without an
+owner overfill engines and make streams late, so each tenth of a second counts."""
+
 UP_SHARE = 0.5
 """Share of the longest time that a replica has run which another must have run to own placement:
 after a restart of all they are equal, and one that was restarted alone does not take over back."""
@@ -26,6 +31,7 @@
 @dataclasses.dataclass(slots=True)
 class _Heard:
     at: float
+    is_suspect: bool = False
     up_s: float = 0.0
     view_boot: int = 0
     view_sequence: int = 0
@@ -71,6 +77,7 @@
         """Return the replica that owns placement on a shard; empty if none speaks.
 
         Entry hosts agree on it without asking, by a hash over the replicas that speak.
+        One that could not be asked is passed over until it speaks again.
         One that has just started knows nothing of what runs and what engines hold, so it is not
         chosen beside others that have run much longer. Nothing that must hold rests on there being
         one owner.
@@ -78,21 +85,40 @@
         up_s_by_id = {
             replica_id: heard.up_s
             for replica_id, heard in self._heard_by_id.items()
-            if now - heard.at <= OWNER_SILENT_S
+            if now - heard.at <= OWNER_SILENT_S and not heard.is_suspect
         }
         least_up_s = UP_SHARE * max(up_s_by_id.values(), default=0.0)
         settled = sorted(name for name, up_s in up_s_by_id.items() if up_s >= least_up_s)
         owners = shard_choice.owners(shard.service, shard.count, tuple(settled))
         return owners[shard.index] if owners else ""
 
+    def suspect(self, replica_id: str) -> None:
+        """Pass a replica over to which there is no connection, until it speaks."""
+        heard = self._heard_by_id.get(replica_id)
+        if heard is not None:
+            heard.is_suspect = True
+
+    def suspect_silent(self, replica_id: str, now: float) -> bool:
+        """Pass a replica over that did not answer, if it says nothing else; return whether so."""
+        heard = self._heard_by_id.get(replica_id)
+        if heard is not None and now - heard.at > SUSPECT_S:
+            heard.is_suspect = True
+        return heard is not None and heard.is_suspect
+
+    def hear(self, replica_id: str, now: float) -> None:
+        """Note that a replica said something."""
+        heard = self._heard_by_id.setdefault(replica_id, _Heard(now))
+        heard.at = now
+        heard.is_suspect = False
+
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for further replicas."""
         self._replicas.update(dict.fromkeys(seeds))
 
     def take(self, replica_id: str, message: Any, now: float) -> None:
         """Take a replica's message other than a version of the routing."""
-        heard = self._heard_by_id.setdefault(replica_id, _Heard(now))
-        heard.at = now
+        self.hear(replica_id, now)
+        heard = self._heard_by_id[replica_id]
         match message:
             case coordination_messages.ReplicaStatus():
                 heard.up_s = message.up_s
@@ -102,7 +128,7 @@
 
     def take_routing(self, replica_id: str, version: int, now: float) -> bool:
         """Say whether an offered version is newer than the one in force."""
-        self._heard_by_id.setdefault(replica_id, _Heard(now)).at = now
+        self.hear(replica_id, now)
         if version <= self.routing_version:
             return False
         self.routing_version = version
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -117,6 +117,7 @@
 
     async def take(self, sender: str, message: Any) -> None:
         """Take an owner's answer."""
+        self._session.hear(sender, _now())
         ticket = self._ticket_by_id.get(message.ticket_id)
         if ticket is None or ticket.answer is not None:
             if isinstance(message, placement_messages.Placed) and ticket is None:
@@ -183,11 +184,15 @@
         until = _now() + ticket.request.left_ms / 1000.0
         while _now() < until:
             owner_id = self._tell_owner(ticket.request.owned_shard, _now())
-            is_asked = bool(owner_id) and self._send(owner_id, ticket.request)
-            if is_asked:
+            if owner_id and not self._send(owner_id, ticket.request):
+                self._session.suspect(owner_id)
+                continue
+            if owner_id:
                 ticket.owner_id = owner_id
                 ticket.asked_count = self._chosen_count
-            if not is_asked or not await self._wait_answer(ticket, until):
+            if not owner_id or not await self._wait_answer(ticket, until):
+                if owner_id and self._session.suspect_silent(owner_id, _now()):
+                    continue
                 if await self._hold(ticket.request.service, until):
                     continue
                 return self._choose_alone(ticket)
--- a/tests/routed/test_entry_session.py
+++ b/tests/routed/test_entry_session.py
@@ -91,3 +91,19 @@
     _speak(session, 0.0, r1=50.0, r2=50.0, r3=50.0)
     owners = {session.owner(placement_messages.Shard("s", n, 12), 0.1) for n in range(12)}
     assert owners == {"r1", "r2", "r3"}
+
+
+def test_an_owner_that_can_not_be_asked_is_passed_over_until_it_speaks(session):
+    for name in ("a", "b"):
+        session.take(name, _status(), 0.0)
+    shard = placement_messages.Shard("engines")
+    first = session.owner(shard, 0.1)
+    assert not session.suspect_silent(first, entry_session.SUSPECT_S - 0.01)
+    assert session.owner(shard, 0.4) == first
+    assert session.suspect_silent(first, entry_session.SUSPECT_S + 0.01)
+    other = session.owner(shard, 0.5)
+    assert other not in ("", first)
+    session.suspect(other)
+    assert session.owner(shard, 0.5) == ""
+    session.take(first, _status(), 0.6)
+    assert session.owner(shard, 0.6) == first
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -20,6 +20,16 @@
     def owner(self, shard, now):
         return self.owner_id
 
+    def hear(self, replica_id, now):
+        pass
+
+    def suspect(self, replica_id):
+        self.owner_id = "r2" if replica_id == "r1" else ""
+
+    def suspect_silent(self, replica_id, now):
+        self.suspect(replica_id)
+        return True
+
 
 @pytest.fixture
 def session():
@@ -32,14 +42,21 @@
 
 
 @pytest.fixture
-def client(session, sent):
+def client(session, sent, unreachable):
     def send(replica_id, message):
+        if replica_id in unreachable:
+            return False
         sent.append((replica_id, message))
         return True
 
     return owner_client.OwnerClient("e", session, send, holding.Holding())
 
 
+@pytest.fixture
+def unreachable():
+    return set()
+
+
 def asked(sent, replica_id):
     questions = [item for to, item in sent if to == replica_id]
     return sum(isinstance(item, placement_messages.PlaceRequest) for item in questions)
@@ -79,3 +96,21 @@
         assert ("r2", chosen) in sent
 
     curio_world.run(main)
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+def test_the_next_owner_is_asked_at_once_where_the_first_can_not_be(
+    session, sent, client, unreachable, make_question, is_silent
+):
+    """Replay an owner that was killed: for 1 s entry hosts placed by what they knew alone."""
+
+    async def main():
+        if not is_silent:
+            unreachable.add("r1")
+        placing = await curio.spawn(client.place, make_question("t"))
+        await curio_world.until(lambda: asked(sent, "r2") == 1)
+        await client.take("r2", placement_messages.Placed("t", "u-1"))
+        assert await placing.join() == placement_messages.Placed("t", "u-1")
+        assert client.local_placements == 0
+
+    curio_world.run(main)
