--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -16,7 +16,7 @@
 """Silence after which a replica is not asked any more: more than two of its periodic messages."""
 
 SUSPECT_S = 0.45
-"""Silence after which a replica that did not answer a question either is not asked any more until it
+"""Silence after which a replica that did not answer a question either is passed over until it
 speaks, in seconds: more than one of its periodic messages. Requests that are placed without an
 owner overfill engines and make streams late, so each tenth of a second counts."""
 
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -44,6 +44,7 @@
         self._ticket_id = ""
         self._sent_at = 0.0
         self._pauses = stream_pauses.StreamPauses()
+        self._waits_since = admitted.started_at
 
     async def serve(self) -> None:
         """Place, send and relay until there is a final answer.
@@ -114,6 +115,7 @@
             gap_ms=admitted.route.gap_ms,
             parts=parts,
             output_tokens=admitted.facts.output_tokens,
+            first_left_ms=self._first_left_ms(),
             zone=self._tools.zone,
             excluded=tuple(self._excluded),
             shard=self._tools.shard(admitted.service, matter),
@@ -127,6 +129,14 @@
             self.trace.waited_ms = (time.monotonic() - admitted.started_at) * 1000.0
         return answer
 
+    def _first_left_ms(self) -> float:
+        """Return the time until the caller leaves for want of an event; 0 if it does not."""
+        patience_ms = self._admitted.route.patience_ms
+        if not patience_ms:
+            return 0.0
+        waited_ms = (time.monotonic() - self._waits_since) * 1000.0
+        return max(1.0, patience_ms - waited_ms)
+
     def _may_try_again(self, end: placement_messages.RunEnd) -> bool:
         """Ask the rules, and the budget once an upstream has seen the request."""
         if not attempt_policy.may_try_again(self._admitted.route, self._progress, self._left_ms):
@@ -264,7 +274,8 @@
 
     def _note_event(self) -> None:
         """Note when events are passed on, and the longest pause between two."""
-        pause_ms = self._pauses.note_event(time.monotonic())
+        self._waits_since = time.monotonic()
+        pause_ms = self._pauses.note_event(self._waits_since)
         self.trace.longest_pause_ms = max(self.trace.longest_pause_ms, pause_ms)
 
     async def _begin_stream(self, response: http_client.Response) -> None:
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -52,6 +52,8 @@
         gap_ms: Longest pause between events that the caller expects; 0 for none.
         parts: The prompt's parts.
         output_tokens: Tokens that the answer may have; 0 for plain requests.
+        first_left_ms: Time until the caller leaves if no event has come, in milliseconds; 0 if that
+            is its deadline.
         zone: Where the entry host is.
         excluded: Upstreams that are not to be used, since they failed this request.
         shard: The part of the service's upstreams whose owner is asked.
@@ -65,6 +67,7 @@
     gap_ms: float = 0.0
     parts: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
+    first_left_ms: float = 0.0
     zone: str = ""
     excluded: tuple[str, ...] = ()
     shard: Shard | None = None
@@ -74,6 +77,11 @@
         """Return the tokens of the whole prompt."""
         return sum(part.tokens for part in self.parts)
 
+    @property
+    def waits_ms(self) -> float:
+        """Return how long it may wait for its first event, in milliseconds."""
+        return min(self.left_ms, self.first_left_ms) if self.first_left_ms else self.left_ms
+
     @property
     def memory_tokens(self) -> int:
         """Return the tokens that it may fill of its engine's memory; none without a prompt."""
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -21,9 +21,6 @@
 MOST_WAITING = 2000
 """Requests that wait for a slot at once; beyond, new ones are refused, which bounds memory."""
 
-SHORTEST_RETRY_MS = 200.0
-"""Least time that a refused caller is told to wait: two round trips and a slot that frees."""
-
 PASS_PERIOD_S = 0.005
 """Least time between two passes over the requests that wait, in seconds: a small part of any
 target. Without it each run that ends costs a pass, and an owner that falls behind never recovers:
@@ -115,7 +112,7 @@
             return (answer,)
         if len(self._line) >= MOST_WAITING:
             why = "too many requests wait already"
-            return (self._refuse(waiting, why, SHORTEST_RETRY_MS),)
+            return (self._refuse(waiting, why, start_rules.SHORTEST_RETRY_MS),)
         if not self._line:
             self._line_since = now
         self._line.add(waiting)
@@ -214,11 +211,12 @@
     ) -> placement_answer.Answer | None:
         """Return what becomes of a waiting request, or None if it goes on waiting."""
         why = "it could not begin in time"
-        if waiting.until <= now:
-            return self._refuse(waiting, why, SHORTEST_RETRY_MS)
+        retry_ms = start_rules.overloaded_retry_ms(waiting.request)
+        if waiting.waits_until <= now:
+            return self._refuse(waiting, why, retry_ms)
         answer = self._try(waiting, now) if may_try else None
         if answer is None and self._is_too_late(waiting, now):
-            return self._refuse(waiting, why, SHORTEST_RETRY_MS)
+            return self._refuse(waiting, why, retry_ms)
         return answer
 
     def _is_too_late(self, waiting: waiting_line.Waiting, now: float) -> bool:
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -11,6 +11,13 @@
 
 from medlarfork.placement import placement_cost, placement_messages
 
+SHORTEST_RETRY_MS = 200.0
+"""Least time that a refused caller is told to wait: two round trips and a slot that frees."""
+
+RETRY_SHARE = 0.3
+"""Share of the time that its caller has in which one that is refused is asked to come back: callers
+heed no more than a third of it, and need the rest."""
+
 READ_SHARE = 0.9
 """Share of an engine's time that reading is given. Streams advance by about one token a chunk
 while it reads, and at their full speed in the rest; at a tenth of rest, the longest of the
@@ -58,7 +65,8 @@
     One that is late already can wait until it has to begin: it makes no others late meanwhile.
     """
     if 0 < request.target_ms < waited_ms:
-        return request.left_ms - waited_ms - read_ms - run_ms - LAST_CALL_MS
+        left_ms = min(request.left_ms - run_ms, request.waits_ms)
+        return left_ms - waited_ms - read_ms - LAST_CALL_MS
     return PATIENCE * request.target_ms - waited_ms - read_ms
 
 
@@ -112,10 +120,15 @@
     """
     if request.target_ms <= 0 or read_ms <= placement_cost.LONG_READ_MS:
         return False
-    allowed_ms = max(request.target_ms, request.left_ms - run_ms)
+    allowed_ms = max(request.target_ms, min(request.left_ms - run_ms, request.waits_ms))
     return predicted_wait_ms > HOPELESS_SHARE * allowed_ms
 
 
+def overloaded_retry_ms(request: placement_messages.PlaceRequest) -> float:
+    """Return when one comes back that waited as long as it could: what held it up lasts as long."""
+    return max(SHORTEST_RETRY_MS, min(request.waits_ms, RETRY_SHARE * request.left_ms))
+
+
 def retry_after_ms(request: placement_messages.PlaceRequest, predicted_wait_ms: float) -> float:
     """Return when coming back is of use: once the queue has drained to half of the target.
 
--- a/src/medlarfork/placement/waiting_line.py
+++ b/src/medlarfork/placement/waiting_line.py
@@ -8,6 +8,10 @@
 
 from medlarfork.placement import placement_messages
 
+ANSWER_MS = 100.0
+"""Time before its caller leaves at which a request that waits is refused, in milliseconds: the way
+of the answer, over two links."""
+
 Order = tuple[int, float, float, str]
 """What waiting requests are sorted by."""
 
@@ -36,10 +40,23 @@
         """Return when its caller gives up."""
         return self.since + self.request.left_ms / 1000.0
 
+    @property
+    def waits_until(self) -> float:
+        """Return when it is to be answered if it has not begun: before its caller leaves.
+
+        A caller that leaves is lost; one that is told when to come back does so.
+        """
+        answered_ms = max(0.0, self.request.waits_ms - ANSWER_MS)
+        return self.since + answered_ms / 1000.0
+
     @property
     def begins_until(self) -> float:
-        """Return when it has to begin at the latest to end before its caller gives up."""
-        return self.until - (self.read_ms + self.run_ms) / 1000.0
+        """Return when it has to begin at the latest to be of use to its caller.
+
+        That is to end before its caller gives up, and to have an event before it leaves.
+        """
+        ends = self.until - (self.read_ms + self.run_ms) / 1000.0
+        return min(ends, self.waits_until - self.read_ms / 1000.0)
 
     def is_late(self, now: float) -> bool:
         """Return whether a request with a prompt has waited beyond its target."""
--- a/src/medlarfork/routes/routing.py
+++ b/src/medlarfork/routes/routing.py
@@ -34,6 +34,8 @@
         timeout_ms: Longest time to a final answer, in milliseconds.
         target_ms: Time to the answer, or to the first event of a stream, that callers expect.
         gap_ms: Longest pause between events of a stream that callers expect; 0 if not declared.
+        patience_ms: Time without an event after which callers leave a stream, also before its first;
+            0 if they wait until their deadline.
         tier: Rank; 0 comes first.
         targets: Services that requests are split over.
         max_attempts: Upstreams that one request may be sent to.
@@ -50,6 +52,7 @@
     targets: tuple[Target, ...]
     target_ms: float = 0.0
     gap_ms: float = 0.0
+    patience_ms: float = 0.0
     tier: int = 0
     max_attempts: int = 1
     is_public: bool = False
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -545,3 +545,29 @@
     assert not service.serve_waiting(1.0)
     (answer,) = service.serve_waiting(5.9)
     assert isinstance(answer.message, placement_messages.PlaceRefused)
+
+
+def test_a_caller_that_would_leave_is_told_before_when_to_come_back(make_owner, make_question):
+    """Replay full slots: 73 callers left after 2.4 s, and did not come back."""
+    service = make_owner(count=1, slots=1)
+    _placed(service.place("e", make_question("runs", left_ms=60_000.0), 0.0))
+    short = make_question(
+        "short", (("p", 600),), target_ms=400.0, left_ms=15_000.0, first_left_ms=2400.0
+    )
+    service.place("e", short, 0.0)
+    assert not service.serve_waiting(2.2)
+    (answer,) = service.serve_waiting(2.35)
+    assert isinstance(answer.message, placement_messages.PlaceRefused)
+    assert answer.message.retry_after_ms == pytest.approx(2400.0)
+
+
+def test_a_long_prompt_has_to_begin_before_its_caller_leaves(make_owner, make_question):
+    service = make_owner(count=1, slots=1)
+    _placed(service.place("e", make_question("runs", left_ms=60_000.0), 0.0))
+    late = make_question(
+        "late", (("p", 8000),), target_ms=800.0, left_ms=9000.0, first_left_ms=4000.0
+    )
+    service.place("e", late, 0.0)
+    assert not service.serve_waiting(3.0)
+    (answer,) = service.serve_waiting(3.95)
+    assert isinstance(answer.message, placement_messages.PlaceRefused)
