--- a/src/medlarfork/routes/routing.py
+++ b/src/medlarfork/routes/routing.py
@@ -34,8 +34,8 @@
         timeout_ms: Longest time to a final answer, in milliseconds.
         target_ms: Time to the answer, or to the first event of a stream, that callers expect.
         gap_ms: Longest pause between events of a stream that callers expect; 0 if not declared.
-        patience_ms: Time without an event after which callers leave a stream, also before its first;
-            0 if they wait until their deadline.
+        patience_ms: Time without an event after which callers leave a stream, also before the first
+            one; 0 if they wait until their deadline.
         tier: Rank; 0 comes first.
         targets: Services that requests are split over.
         max_attempts: Upstreams that one request may be sent to.
