--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -196,7 +196,7 @@
         tries_left: dict[tuple[int, float], int] = {}
         most_tries = max(LEAST_TRIES, COMPARISONS // max(len(self._present), 1))
         answers: list[placement_answer.Answer] = []
-        for waiting in self._line.in_order(self._longest_target_ms, now):
+        for waiting in self._line.in_order(now):
             left = tries_left.get(waiting.kind, most_tries)
             answer = self._serve(waiting, now, may_try=left > 0)
             if answer is None:
@@ -220,9 +220,9 @@
         return answer
 
     def _is_too_late(self, waiting: waiting_line.Waiting, now: float) -> bool:
-        """Return whether a late request would not end before its caller gives up any more."""
-        is_last = waiting.is_last(self._longest_target_ms, now)
-        return is_last and waiting.begins_until <= now
+        """Return whether a late request would be of no use to its caller any more."""
+        is_late = waiting.is_late(now) and self._yields(waiting.request)
+        return is_late and waiting.begins_until <= now
 
     def _try(self, waiting: waiting_line.Waiting, now: float) -> placement_answer.Answer | None:
         """Return the placement, or None if the request has to wait."""
@@ -299,7 +299,7 @@
         """
         drained = self._drained_per_ms(now)
         backlog_ms = min((load.backlog_ms(now) for load in self._present), default=0.0)
-        before_ms = self._line.reading_before_ms(waiting, self._longest_target_ms, now)
+        before_ms = self._line.reading_before_ms(waiting, now)
         wait_ms = before_ms / drained + backlog_ms
         if wait_ms <= start_rules.HOPELESS_SHARE * waiting.request.target_ms:
             return wait_ms
--- a/src/medlarfork/placement/waiting_line.py
+++ b/src/medlarfork/placement/waiting_line.py
@@ -4,7 +4,6 @@
 
 import bisect
 import dataclasses
-import math
 
 from medlarfork.placement import placement_messages
 
@@ -63,10 +62,6 @@
         target_ms = self.request.target_ms
         return bool(self.request.parts) and 0 < target_ms <= (now - self.since) * 1000.0
 
-    def is_last(self, yielding_ms: float, now: float) -> bool:
-        """Return whether it is late and of those that then go last in their tier."""
-        return self.request.target_ms >= yielding_ms and self.is_late(now)
-
     @property
     def kind(self) -> tuple[int, float]:
         """Return what requests with about the same prospects have in common."""
@@ -103,18 +98,14 @@
         """Return the reading of all that wait, in milliseconds."""
         return sum(waiting.read_ms for waiting in self._by_ticket.values())
 
-    def in_order(self, yielding_ms: float = math.inf, now: float = 0.0) -> tuple[Waiting, ...]:
+    def in_order(self, now: float) -> tuple[Waiting, ...]:
         """Return all that wait now, the first to start first.
 
-        Args:
-            yielding_ms: The target from which requests go last in their tier once they are late:
-                what is late already loses little by waiting, the others would be late after it.
-            now: The time in seconds.
+        Of one kind, those that are late already go last: they lose little by waiting on, and the
+        others would be late after them. Oldest first, an overload makes all of them late.
         """
         waiting = [self._by_ticket[order[-1]] for order in self._sorted]
-        return tuple(
-            sorted(waiting, key=lambda item: (item.request.tier, item.is_last(yielding_ms, now)))
-        )
+        return tuple(sorted(waiting, key=lambda item: (item.kind, item.is_late(now))))
 
     def add(self, waiting: Waiting) -> None:
         """Let a request wait that does not wait yet."""
@@ -133,14 +124,10 @@
             if waiting.entry_id == entry_id:
                 self.remove(ticket_id)
 
-    def reading_before_ms(
-        self, waiting: Waiting, yielding_ms: float = math.inf, now: float = 0.0
-    ) -> float:
+    def reading_before_ms(self, waiting: Waiting, now: float) -> float:
         """Return the reading of all that start before one that comes now, in milliseconds."""
         orders = self._sorted[: bisect.bisect_left(self._sorted, waiting.order)]
         before = (self._by_ticket[order[-1]] for order in orders)
         return sum(
-            item.read_ms
-            for item in before
-            if item.request.tier < waiting.request.tier or not item.is_last(yielding_ms, now)
+            item.read_ms for item in before if item.kind != waiting.kind or not item.is_late(now)
         )
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -571,3 +571,24 @@
     assert not service.serve_waiting(3.0)
     (answer,) = service.serve_waiting(3.95)
     assert isinstance(answer.message, placement_messages.PlaceRefused)
+
+
+def test_in_an_overload_of_short_prompts_some_are_late_and_not_all(make_owner, make_question):
+    """Replay slots that free a quarter too slowly: oldest first, most began after their target."""
+    service = make_owner(count=1, slots=1)
+    _placed(service.place("e", make_question("t0", left_ms=60_000.0), 0.0))
+    running, begun_by_wait = "t0", collections.Counter()
+    asked_at = {}
+    for step in range(1, 400):
+        now = step * 0.01
+        ticket = f"t{step}"
+        asked_at[ticket] = now
+        short = make_question(ticket, (("p", 60),), target_ms=400.0, left_ms=15_000.0)
+        answers = list(service.place("e", short, now))
+        if step % 4 != 0:
+            answers += service.on_ended(_ended(running), now + 0.006)
+        for answer in answers:
+            if isinstance(answer.message, placement_messages.Placed):
+                running = answer.message.ticket_id
+                begun_by_wait[now - asked_at[running] <= 0.4] += 1
+    assert begun_by_wait[True] > 0.95 * begun_by_wait.total()
