--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -576,7 +576,8 @@
 def test_in_an_overload_of_short_prompts_some_are_late_and_not_all(make_owner, make_question):
     """Replay slots that free a quarter too slowly: oldest first, most began after their target."""
     service = make_owner(count=1, slots=1)
-    _placed(service.place("e", make_question("t0", left_ms=60_000.0), 0.0))
+    long = make_question("t0", (("q", 60),), target_ms=2500.0, left_ms=60_000.0)
+    _placed(service.place("e", long, 0.0))
     running, begun_by_wait = "t0", collections.Counter()
     asked_at = {}
     for step in range(1, 400):
