--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -36,10 +36,13 @@
 longest pause is reckoned from the measured rate of reading, which already holds attention and
 slower engines."""
 
-SAFE_SHARE = 0.6
-"""Share of a stream's allowed pause that foreseen reading may fill unharmed. Of the short streams
-that were made late, nearly all were so by reading that was foreseen to fill 0.6 to 0.9 of it:
-prompts that come together are read for longer than each alone."""
+SAFE_SHARE = 0.75
+"""Share of a stream's allowed pause that foreseen reading may fill unharmed: the rate is learnt to
+a tenth, and a prompt may be read with others that come meanwhile."""
+
+FULL_SHARE = 0.95
+"""Share from which a stream counts as late. With a longer way in between (0.6 to 1), prompts that
+made nobody late were held and then refused while engines read a tenth of the time."""
 
 APART_COST = 0.6
 """Cost of bringing the first tight stream to an engine, which long prompts then have to avoid."""
@@ -203,6 +206,6 @@
     """Return how many of the streams there a pause would make late."""
     harm = 0.0
     for gap_ms, count in load.streams_by_gap_ms.items():
-        excess = (pause_ms / gap_ms - SAFE_SHARE) / (1.0 - SAFE_SHARE)
+        excess = (pause_ms / gap_ms - SAFE_SHARE) / (FULL_SHARE - SAFE_SHARE)
         harm += count * min(1.0, max(0.0, excess))
     return harm
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -248,7 +248,7 @@
                 best, best_cost = load, found
         if best is None or best_cost is None:
             return None
-        slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms, waiting.run_ms)
+        slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms)
         if self._has_tight() and not start_rules.may_start(
             best_cost, slack_ms, yields=self._yields(request)
         ):
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -33,8 +33,9 @@
 EARLY_HARM = 0.3
 """Harm to streams, in requests made late, that a request does not wait to avoid."""
 
-LATE_HARM = 1.5
-"""The same once it can't wait any more: about what it is worth itself beside a short stream."""
+LATE_HARM = 3.0
+"""The same once it can't wait any more: about what a long prompt is worth beside a short stream.
+Who is refused has nothing, and those who are harmed still get their answer, late."""
 
 HOPELESS_SHARE = 0.95
 """A long prompt is refused if it is foreseen to wait beyond this share of the time until it has to
@@ -48,25 +49,13 @@
 """Factor on the time that an answer's tokens take in steps without reading: beside reading, which
 has up to nine tenths of an engine's time in an overload, they take longer."""
 
-LAST_CALL_MS = 500.0
-"""Time before a late request has to begin from which it waits for no better moment, in
-milliseconds: an engine's backlog, and the error of its prediction."""
-
 PATIENCE = 0.7
 """Share of a request's target up to which it waits for the engine that suits it best; the rest is
 kept for reading, the way, and errors of the prediction."""
 
 
-def slack_ms(
-    request: placement_messages.PlaceRequest, read_ms: float, waited_ms: float, run_ms: float = 0.0
-) -> float:
-    """Return how much longer a request can wait for the best upstream, in milliseconds.
-
-    One that is late already can wait until it has to begin: it makes no others late meanwhile.
-    """
-    if 0 < request.target_ms < waited_ms:
-        left_ms = min(request.left_ms - run_ms, request.waits_ms)
-        return left_ms - waited_ms - read_ms - LAST_CALL_MS
+def slack_ms(request: placement_messages.PlaceRequest, read_ms: float, waited_ms: float) -> float:
+    """Return how much longer a request can wait for the best upstream, in milliseconds."""
     return PATIENCE * request.target_ms - waited_ms - read_ms
 
 
