--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -310,15 +310,13 @@
 
         Once some have waited for as long as is measured, it is what was seen: slots and the
         streams of others may hold it far below what the engines could read. Before, it is what
-        engines can read that have no tight streams, and a part of that for those that have.
+        engines without tight streams can read.
         """
         if self._line and now - self._line_since >= drain_rate.WINDOW_S:
             return self._drain.per_ms(now)
         tight_ms = self._reading().tight_ms
-        engines = sum(
-            start_rules.BESIDE_SHARE if load.has_tight(tight_ms) else 1.0 for load in self._present
-        )
-        return start_rules.READ_SHARE * max(engines, 1.0)
+        apart = sum(not load.has_tight(tight_ms) for load in self._present)
+        return start_rules.READ_SHARE * max(apart, 1)
 
     def _yields(self, request: placement_messages.PlaceRequest) -> bool:
         """Return whether no kind of request has a longer target; learnt from those that came."""
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -23,10 +23,6 @@
 while it reads, and at their full speed in the rest; at a tenth of rest, the longest of the
 measured streams still end within their callers' time."""
 
-BESIDE_SHARE = 0.5
-"""Share of its reading that an engine with tight streams is reckoned to do before that is measured.
-Reckoned as none, the wait was foreseen several times too long in the first 2 s of a burst."""
-
 BACKLOG_MS = 250.0
 """Reading that may be under way at an engine when another prompt is sent there: enough that it
 never idles for the way of an answer and the next question, which is a few milliseconds."""
