Let a replica that an uncommitted change leaves out vote and lead on

Cause: a leader that removes itself appends the change, is cut off before any other has it, and stops leading. By its own log it is no member then: it grants no votes and asks for none, and refuses the others, whose logs are shorter. With one more voter of four wiped, nobody could be elected for good.

Change: until the latest membership is known to be committed, the one before it counts too, for voting and for campaigning; votes are still counted by the latest alone. The steps are kept as a test, red before, green after.

--- a/src/medlarfork/replica/_replica_election.py
+++ b/src/medlarfork/replica/_replica_election.py
@@ -119,4 +119,4 @@
 def _may_vote(state: _replica_state.ReplicaState) -> bool:
     if state.membership is None:
         return state.founder_disk_id != 0
-    return state.me in state.membership.members
+    return any(state.me in membership.members for membership in state.standing)
--- a/src/medlarfork/replica/_replica_state.py
+++ b/src/medlarfork/replica/_replica_state.py
@@ -72,6 +72,25 @@
         """Say whether the log lists this replica, on this disk, as a voter."""
         return self.membership is not None and self.me in self.membership.voters
 
+    @property
+    def standing(self) -> tuple[_replica_records.Membership, ...]:
+        """Return the memberships that this replica acts on: the latest, and the one before.
+
+        While the latest is not known to be committed, one that it leaves out still votes and may
+        lead: its log can be the only one that holds the change.
+        """
+        latest = self.log.membership
+        if latest is None:
+            return ()
+        index = self.log.membership_index
+        before = None if self.commit_index >= index else self.log.membership_at(index - 1)
+        return (latest,) if before is None else (latest, before)
+
+    @property
+    def may_campaign(self) -> bool:
+        """Say whether it votes, or did until a change that may not have been committed."""
+        return any(self.me in membership.voters for membership in self.standing)
+
     @property
     def holds_votes(self) -> bool:
         """Say whether a leader may still count on this replica not to vote."""
--- a/src/medlarfork/replica/replica.py
+++ b/src/medlarfork/replica/replica.py
@@ -305,7 +305,7 @@
     def _on_silence(self) -> None:
         """Campaign, or only note that there is no leader if this replica has no vote."""
         state = self._state
-        if state.is_voter:
+        if state.may_campaign:
             self._arm_election()
             self._campaign = _replica_election.Campaign(state, preliminary=True)
             return
--- a/tests/test_replica_machine.py
+++ b/tests/test_replica_machine.py
@@ -211,3 +211,18 @@
 TestThreeReplicas.settings = hypothesis.settings(max_examples=120, stateful_step_count=60)
 TestFiveReplicas = FiveReplicaMachine.TestCase
 TestFiveReplicas.settings = hypothesis.settings(max_examples=45, stateful_step_count=60)
+
+
+def test_a_leader_that_removes_itself_and_is_cut_off_leads_again():
+    """Only its log holds the change, and one of the three others has lost its disk."""
+    state = ReplicaMachine()
+    state.add_voter()
+    state.block_one_way(other=1, place=2)
+    state.cut_follower_off(is_frozen=False, place=0)
+    state.freeze(place=0)
+    state.run(seconds=0.3, steps=13)
+    state.remove_voter(place=3)
+    state.crash(kept_writes=0, place=2)
+    state.cut_follower_off(is_frozen=False, place=1)
+    state.lose_disk(is_leader=False, offset=-90.0, place=0)
+    state.teardown()
