Answer a request that is asked for again as before; the forecast of waits in a module of its own

Cause: a request that an entry host asks for again, since it chose its owner anew, may run already when the question comes: its answer was on the way. It was placed a second time, and the owner counted it at two engines. Its test was red before. The forecast moves out of the owner unchanged.

--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -6,7 +6,6 @@
 
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
-    drain_rate,
     placement_answer,
     placement_cost,
     placement_messages,
@@ -14,6 +13,7 @@
     read_rate,
     start_rules,
     upstream_load,
+    wait_forecast,
     waiting_line,
 )
 from medlarfork.routes import routing
@@ -50,8 +50,7 @@
         self.rate = read_rate.ReadRate()
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
         self._line = waiting_line.WaitingLine()
-        self._drain = drain_rate.DrainRate()
-        self._line_since = math.inf
+        self._forecast = wait_forecast.WaitForecast(self._line)
         self._passed_at = -math.inf
 
     @property
@@ -89,11 +88,13 @@
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
     ) -> tuple[placement_answer.Answer, ...]:
-        """Place a request at once, let it wait, or refuse it."""
-        if request.ticket_id in self._line:
-            return (
-                placement_answer.Answer(entry_id, placement_messages.Queued(request.ticket_id)),
-            )
+        """Place a request at once, let it wait, or refuse it.
+
+        One that is asked for again, by a host that chose its owner anew, gets its answer again.
+        """
+        known = self._known_answer(request.ticket_id)
+        if known is not None:
+            return (placement_answer.Answer(entry_id, known),)
         waiting = waiting_line.Waiting(
             entry_id,
             request,
@@ -114,10 +115,19 @@
             why = "too many requests wait already"
             return (self._refuse(waiting, why, start_rules.SHORTEST_RETRY_MS),)
         if not self._line:
-            self._line_since = now
+            self._forecast.note_first_waits(now)
         self._line.add(waiting)
         return (placement_answer.Answer(entry_id, placement_messages.Queued(request.ticket_id)),)
 
+    def _known_answer(self, ticket_id: str) -> placement_messages.Answer | None:
+        """Return what was answered to a request that waits or runs."""
+        if ticket_id in self._line:
+            return placement_messages.Queued(ticket_id)
+        for upstream_id, load in self.load_by_id.items():
+            if ticket_id in load.run_by_ticket:
+                return placement_messages.Placed(ticket_id, upstream_id)
+        return None
+
     def on_first_event(self, message: placement_messages.FirstEvent, now: float) -> None:
         """Learn from the time to a first event."""
         for load in self.load_by_id.values():
@@ -264,7 +274,7 @@
     ) -> placement_answer.Answer:
         request = waiting.request
         if self._yields(request):
-            self._drain.note(waiting.read_ms, now)
+            self._forecast.note_start(waiting.read_ms, now)
         run = upstream_load.Run(
             waiting.entry_id,
             request,
@@ -292,31 +302,15 @@
         return placement_answer.Answer(waiting.entry_id, placed, grounds)
 
     def _predicted_wait_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
-        """Return how long a request that comes now would wait, by the reading ahead of it.
-
-        That is what waits and goes before it, and then the engine that has least to read. If that
-        makes it late, all that waits goes before it.
-        """
-        drained = self._drained_per_ms(now)
-        backlog_ms = min((load.backlog_ms(now) for load in self._present), default=0.0)
-        before_ms = self._line.reading_before_ms(waiting, now)
-        wait_ms = before_ms / drained + backlog_ms
-        if wait_ms <= start_rules.HOPELESS_SHARE * waiting.request.target_ms:
-            return wait_ms
-        return start_rules.OVERTAKEN_FACTOR * self._line.reading_ms / drained + backlog_ms
-
-    def _drained_per_ms(self, now: float) -> float:
-        """Return how much reading of those that wait starts in a millisecond.
-
-        Once some have waited for as long as is measured, it is what was seen: slots and the
-        streams of others may hold it far below what the engines could read. Before, it is what
-        engines without tight streams can read.
-        """
-        if self._line and now - self._line_since >= drain_rate.WINDOW_S:
-            return self._drain.per_ms(now)
+        """Return how long a request that comes now would wait, in milliseconds."""
+        present = self._present
         tight_ms = self._reading().tight_ms
-        apart = sum(not load.has_tight(tight_ms) for load in self._present)
-        return start_rules.READ_SHARE * max(apart, 1)
+        return self._forecast.wait_ms(
+            waiting,
+            engines_apart=sum(not load.has_tight(tight_ms) for load in present),
+            backlog_ms=min((load.backlog_ms(now) for load in present), default=0.0),
+            now=now,
+        )
 
     def _yields(self, request: placement_messages.PlaceRequest) -> bool:
         """Return whether no kind of request has a longer target; learnt from those that came."""
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -609,3 +609,10 @@
         service.on_first_event(placement_messages.FirstEvent(f"s{n}", 20.0), 0.02)
     long = make_question("l", (("p", 8000),), target_ms=800.0, left_ms=6000.0, gap_ms=500.0)
     _placed(service.place("e", long, 1.0))
+
+
+def test_a_request_that_is_asked_for_again_gets_its_answer_again(make_owner, make_question):
+    service = make_owner(count=3, slots=1)
+    first = _placed(service.place("e", make_question("a"), 0.0))
+    assert _placed(service.place("e", make_question("a"), 0.1)) == first
+    assert sum(len(load.run_by_ticket) for load in service.load_by_id.values()) == 1
