--- a/tests/routed/conftest.py
+++ b/tests/routed/conftest.py
@@ -3,8 +3,9 @@
 import pytest
 
 from medlarfork.coordination import upstream_types
-from medlarfork.placement import placement_messages
+from medlarfork.placement import placement_messages, service_owner
 from medlarfork.routes import routing
+from tests.routed import placing
 
 
 @pytest.fixture
@@ -52,3 +53,19 @@
         return placement_messages.PlaceRequest(ticket_id, parts=named, **(values | changes))
 
     return make
+
+
+@pytest.fixture
+def make_owner(make_announcement):
+    def make(count=2, **changes):
+        service = service_owner.ServiceOwner()
+        service.use_engine(placing.ENGINE)
+        service.use_upstreams(
+            {
+                f"u-{n}": make_announcement(f"u-{n}", address=f"10.0.0.{n}:80", **changes)
+                for n in range(count)
+            }
+        )
+        return service
+
+    return make
--- /dev/null
+++ b/tests/routed/placing.py
@@ -0,0 +1,21 @@
+"""What the tests of placement share: a declared engine, a prompt, and short ways to answers."""
+
+from medlarfork.placement import placement_messages, upstream_load
+from medlarfork.routes import routing
+
+ENGINE = routing.EngineFacts(64, 100_000, event_tokens=5)
+LONG = (("common", 500), ("matter", 5000), ("own", 6000))
+
+
+def placed(answers):
+    (answer,) = answers
+    assert isinstance(answer.message, placement_messages.Placed), answer
+    return answer.message.upstream_id
+
+
+def ended(ticket_id, end=placement_messages.RunEnd.COMPLETE):
+    return placement_messages.RunEnded(ticket_id, end, 1.0)
+
+
+def run(request, read_tokens, read_ms):
+    return upstream_load.Run("e", request, read_tokens, read_ms, is_telling=False)
