--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -92,18 +92,22 @@
         owners = shard_choice.owners(shard.service, shard.count, tuple(settled))
         return owners[shard.index] if owners else ""
 
-    def suspect(self, replica_id: str) -> None:
-        """Pass a replica over to which there is no connection, until it speaks."""
+    def suspect(self, replica_id: str) -> bool:
+        """Pass a replica over to which there is no connection, until it speaks.
+
+        Returns:
+            Whether it was not passed over before.
+        """
         heard = self._heard_by_id.get(replica_id)
-        if heard is not None:
-            heard.is_suspect = True
+        if heard is None or heard.is_suspect:
+            return False
+        heard.is_suspect = True
+        return True
 
-    def suspect_silent(self, replica_id: str, now: float) -> bool:
-        """Pass a replica over that did not answer, if it says nothing else; return whether so."""
+    def is_passed_over(self, replica_id: str, now: float) -> bool:
+        """Say whether a replica that did not answer says nothing else either."""
         heard = self._heard_by_id.get(replica_id)
-        if heard is not None and now - heard.at > SUSPECT_S:
-            heard.is_suspect = True
-        return heard is not None and heard.is_suspect
+        return heard is not None and (heard.is_suspect or now - heard.at > SUSPECT_S)
 
     def hear(self, replica_id: str, now: float) -> None:
         """Note that a replica said something."""
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import dataclasses
+import logging
 import time
 from collections.abc import Callable
 from typing import Any
 
 import curio
 
+from medlarfork import logs
 from medlarfork.gateway import entry_session, holding
 from medlarfork.placement import local_choice, placement_messages
 
+_log = logging.getLogger(__name__)
+
 ANSWER_LIMIT_S = 0.15
 """How long the owner may take to say anything, in seconds: many round trips, and little of the
 time within which callers expect an answer."""
@@ -154,6 +158,14 @@
             self._send(told, placement_messages.OwnerChosen(shard, is_chosen=False))
         self._told_owner_by_shard[shard] = owner_id
         self._chosen_count += 1
+        logs.event(
+            _log,
+            "owner_chosen",
+            service=shard.service,
+            shard=shard.index,
+            replica=owner_id,
+            before=told or None,
+        )
         belief = self._belief_by_service.get(shard.service)
         self._send(owner_id, placement_messages.OwnerChosen(shard, True, belief))
         for ticket in tuple(self._ticket_by_id.values()):
@@ -184,23 +196,34 @@
         until = _now() + ticket.request.left_ms / 1000.0
         while _now() < until:
             owner_id = self._tell_owner(ticket.request.owned_shard, _now())
-            if owner_id and not self._send(owner_id, ticket.request):
-                self._session.suspect(owner_id)
+            if owner_id and not self._ask_owner(ticket, owner_id):
                 continue
-            if owner_id:
-                ticket.owner_id = owner_id
-                ticket.asked_count = self._chosen_count
-            if not owner_id or not await self._wait_answer(ticket, until):
-                if owner_id and self._session.suspect_silent(owner_id, _now()):
-                    continue
-                if await self._hold(ticket.request.service, until):
-                    continue
-                return self._choose_alone(ticket)
-            if ticket.answer is not None:
+            is_heard = bool(owner_id) and await self._wait_answer(ticket, until)
+            if is_heard and ticket.answer is not None:
                 return ticket.answer
+            if is_heard:
+                continue
+            if self._session.is_passed_over(owner_id, _now()):
+                self._pass_over(owner_id, "silent")
+                continue
+            if not await self._hold(ticket.request.service, until):
+                return self._choose_alone(ticket)
         why = "its time ran out while it waited"
         return placement_messages.PlaceRefused(ticket.request.ticket_id, LOCAL_RETRY_MS, why)
 
+    def _ask_owner(self, ticket: _Ticket, owner_id: str) -> bool:
+        """Ask an owner; return False if there is no connection to it, which passes it over."""
+        if not self._send(owner_id, ticket.request):
+            self._pass_over(owner_id, "no connection")
+            return False
+        ticket.owner_id = owner_id
+        ticket.asked_count = self._chosen_count
+        return True
+
+    def _pass_over(self, owner_id: str, why: str) -> None:
+        if self._session.suspect(owner_id):
+            logs.event(_log, "owner_passed_over", replica=owner_id, why=why)
+
     async def _hold(self, service: str, until: float) -> bool:
         """Wait while no upstream of the service is known; return whether one became known."""
         if self._knows_upstream(service):
--- a/tests/routed/test_entry_session.py
+++ b/tests/routed/test_entry_session.py
@@ -98,9 +98,10 @@
         session.take(name, _status(), 0.0)
     shard = placement_messages.Shard("engines")
     first = session.owner(shard, 0.1)
-    assert not session.suspect_silent(first, entry_session.SUSPECT_S - 0.01)
-    assert session.owner(shard, 0.4) == first
-    assert session.suspect_silent(first, entry_session.SUSPECT_S + 0.01)
+    assert not session.is_passed_over(first, entry_session.SUSPECT_S - 0.01)
+    assert session.is_passed_over(first, entry_session.SUSPECT_S + 0.01)
+    assert session.suspect(first)
+    assert not session.suspect(first)
     other = session.owner(shard, 0.5)
     assert other not in ("", first)
     session.suspect(other)
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -25,11 +25,11 @@
 
     def suspect(self, replica_id):
         self.owner_id = "r2" if replica_id == "r1" else ""
-
-    def suspect_silent(self, replica_id, now):
-        self.suspect(replica_id)
         return True
 
+    def is_passed_over(self, replica_id, now):
+        return replica_id == "r1"
+
 
 @pytest.fixture
 def session():
