--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -83,6 +83,14 @@
     def is_leader(self):
         return self.replica is not None and self.replica.status.role is replica_types.Role.LEADER
 
+    def standing_memberships(self):
+        """Return the latest membership that its process acts on, and that its disk would lead to."""
+        on_disk = [getattr(record, "membership", None) for record in self.disk.decoded()]
+        found = [membership for membership in on_disk if membership is not None][-1:]
+        if self.replica is not None and self.state.membership is not None:
+            found.append(self.state.membership)
+        return found
+
     def disk_ids(self):
         """Return the identity on the disk, as a collection that is empty if there is none."""
         records = self.disk.decoded()
--- a/tests/test_replica_machine.py
+++ b/tests/test_replica_machine.py
@@ -43,9 +43,9 @@
         if self.missing_disks(self.cluster.membership[1], host) >= (self.count - 1) // 2:
             return False
         standing = [
-            other.state.membership
+            membership
             for other in self.cluster.host_by_id.values()
-            if other.replica is not None and other.state.membership is not None
+            for membership in other.standing_memberships()
         ]
         return all(
             self.missing_disks(membership, host) + 1 <= len(membership.voters) - membership.quorum
