Refuse to let a voter go where too few of the others answer

The two that were left had no majority once the leader was cut off, for good. The leader now refuses a change after which fewer voters than a majority have answered it within a lease; letting the lost one go is done as before. Test red before.

--- a/src/medlarfork/replica/_replica_leader.py
+++ b/src/medlarfork/replica/_replica_leader.py
@@ -69,11 +69,27 @@
     def change_voters(self, event: replica_types.ChangeVoters) -> None:
         """Append a membership with one replica more or fewer."""
         membership = _replica_membership.changed(self._state.membership, event)
-        if membership is None or self._transfer_to or not self._may_change_membership():
+        is_ready = not self._transfer_to and self._may_change_membership()
+        if membership is None or not is_ready or not self._is_borne(membership):
             self._refuse(event.proposal_id)
             return
         self._append_membership(membership, event.proposal_id)
 
+    def _is_borne(self, membership: _replica_records.Membership) -> bool:
+        """Say whether enough voters of a membership answer for it to commit anything.
+
+        Else nobody could be elected once this leader is lost: a sound voter was let go while
+        another had lost its disk, and the two that were left never had a majority again.
+        """
+        state = self._state
+        live = [
+            voter
+            for voter in membership.voters
+            if voter == state.me
+            or self._progress_by_id[voter.replica_id].acked_at > state.now - state.options.lease_s
+        ]
+        return len(live) >= membership.quorum
+
     def transfer(self) -> None:
         """Hand over to the live voter whose log is longest."""
         state = self._state
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -84,7 +84,7 @@
         return self.replica is not None and self.replica.status.role is replica_types.Role.LEADER
 
     def standing_memberships(self):
-        """Return the latest membership that its process acts on, and that its disk would lead to."""
+        """Return the latest membership its process acts on, and the one its disk would lead to."""
         on_disk = [getattr(record, "membership", None) for record in self.disk.decoded()]
         found = [membership for membership in on_disk if membership is not None][-1:]
         if self.replica is not None and self.state.membership is not None:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -559,3 +559,16 @@
         actions = behind.handle(node.MessageReceived(name, denial), 0.1)
     assert not sent(actions, _replica_messages.VoteRequest)
     assert not sent(behind.handle(node.TimeDue(), 0.5), _replica_messages.VoteRequest)
+
+
+def test_a_sound_voter_is_not_let_go_while_another_has_lost_its_disk(cluster):
+    cluster.lose_disk("b")
+    cluster.isolated.add("b")
+    cluster.start("b")
+    cluster.run(2)
+    assert cluster.lead().replica_id == "a"
+    cluster.post("a", replica_types.ChangeVoters("go", remove="c"))
+    assert "go" in cluster.refused_by_id
+    cluster.post("a", replica_types.ChangeVoters("lost", remove="b"))
+    cluster.run(2)
+    assert cluster.membership[1].names().voters == ("a", "c")
