--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -35,7 +35,8 @@
 
 LATE_HARM = 3.0
 """The same once it can't wait any more: about what a long prompt is worth beside a short stream.
-Who is refused has nothing, and those who are harmed still get their answer, late."""
+Who is refused has nothing, and those who are harmed still get their answer, late. In one overload
+61 of 804 long prompts were never served with 1.5, and 20 with this and sharper bounds of harm."""
 
 HOPELESS_SHARE = 0.95
 """A long prompt is refused if it is foreseen to wait beyond this share of the time until it has to
