Drop a campaign that a later term has overtaken

Cause: the campaign after a restart stayed due at a time that had passed until the next question, and the replica asked to be woken at once, without end: a core busy for up to 0.05 s, and the random machine of control, whose time stands still meanwhile, for good. Test red before.

--- a/src/medlarfork/replica/_replica_restart.py
+++ b/src/medlarfork/replica/_replica_restart.py
@@ -67,7 +67,10 @@
             return False
         if state.now >= self._ask_due:
             self._ask()
-        if state.now < self._campaign_due or self._asked_term != state.term:
+        if self._asked_term != state.term:
+            # Left as it is, it would be due at a time that has passed, and wake this without end.
+            self._campaign_due = math.inf
+        if state.now < self._campaign_due:
             return False
         self.stop()
         return True
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -572,3 +572,16 @@
     cluster.post("a", replica_types.ChangeVoters("lost", remove="b"))
     cluster.run(2)
     assert cluster.membership[1].names().voters == ("a", "c")
+
+
+def test_a_campaign_that_a_later_term_overtook_wakes_nobody():
+    """An overtaken one once asked to be woken at a time that had passed, over and over."""
+    replica_b, _ = make_replica([_replica_records.TermRecord(3, None)])
+    for name, disk in (("a", 1), ("c", 3)):
+        denial = _replica_messages.LeadDenial(3, _replica_records.Member(name, disk), 1, 0)
+        replica_b.handle(node.MessageReceived(name, denial), 0.1)
+    candidate = _replica_records.Member("a", 1)
+    request = _replica_messages.VoteRequest(4, candidate, 1, 0, unled=True)
+    replica_b.handle(node.MessageReceived("a", request), 0.11)
+    actions = replica_b.handle(node.TimeDue(), 0.14)
+    assert all(action.at > 0.14 for action in actions if isinstance(action, node.Wake))
