Listen for callers before the rest of an entry host is loaded

Cause: after all processes are killed at once, callers are refused by every host for the 0.9 s that a start takes, and have one try more at most; refused twice within milliseconds, they are lost. Price: after the kill of a single host its callers wait up to 0.5 s where they were refused at once and went to another; there are few, since they come there only from answers of the directory that are older than the kill. Ruled out: the same for replicas: an upstream or caller that is refused asks the next one at once.

--- a/src/medlarfork/gateway/gateway_command.py
+++ b/src/medlarfork/gateway/gateway_command.py
@@ -8,11 +8,8 @@
 
 _quick_start.begin()
 
-import curio  # noqa: E402 - what it would import is put off before
-
-from medlarfork import logs  # noqa: E402
-from medlarfork.gateway import gateway_program, gateway_settings, request_names  # noqa: E402
-from medlarfork.routes import routing_format  # noqa: E402
+from medlarfork.gateway import gateway_settings  # noqa: E402 - what it would load is put off before
+from medlarfork.http import listener  # noqa: E402
 from medlarfork.settings import _settings_flag, settings  # noqa: E402
 
 
@@ -24,12 +21,21 @@
     """Start the program from the command line."""
     with settings.exit_on_error():
         given = _read()
+        opened = listener.open_address(given.serve)
+        # Callers wait from here on; what follows takes most of the start.
+        import curio
+
+        from medlarfork import logs
+        from medlarfork.gateway import gateway_program, request_names
+        from medlarfork.routes import routing_format
+
         logs.configure(given.log_level, given.entry_id, stream=sys.stdout)
         program = gateway_program.GatewayProgram(
             given,
             names=request_names.RequestNames(),
             decode=routing_format.decode,
             read_seeds=lambda: _read().seeds,
+            opened=opened,
         )
         _quick_start.end()
         curio.run(gateway_program.run_until_stopped, program)
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -5,6 +5,7 @@
 import contextlib
 import logging
 import signal
+import socket
 import time
 import zlib
 from collections.abc import Callable
@@ -64,8 +65,17 @@
         names: request_names.RequestNames,
         decode: Decode,
         read_seeds: ReadSeeds,
+        opened: socket.socket | None = None,
     ) -> None:
-        """Wire the parts; nothing is opened before ``start``."""
+        """Wire the parts; nothing is opened before ``start``.
+
+        Args:
+            given: The settings.
+            names: Headers in which callers and upstreams speak.
+            decode: Decodes an operator's body.
+            read_seeds: Reads the replicas that the settings name now.
+            opened: Socket that listens for callers already; None to open it at ``start``.
+        """
         self._given = given
         self._decode = decode
         self._read_seeds = read_seeds
@@ -92,7 +102,9 @@
             rules=given.budget,
             metrics=self._metrics,
         )
-        self._server = http_server.at_address(self._handler.handle, given.serve, CALLER_LIMITS)
+        self._server = http_server.at_address(
+            self._handler.handle, given.serve, CALLER_LIMITS, opened
+        )
         self._health = (
             http_server.at_address(self._serve_health, given.health) if given.health else None
         )
--- a/src/medlarfork/http/http_server.py
+++ b/src/medlarfork/http/http_server.py
@@ -11,7 +11,13 @@
 from curio import traps
 
 from medlarfork import errors
-from medlarfork.http import _http_connection, _http_exchange, _http_limits, _http_stream
+from medlarfork.http import (
+    _http_connection,
+    _http_exchange,
+    _http_limits,
+    _http_stream,
+    listener,
+)
 
 Exchange = _http_exchange.Exchange
 RequestHead = _http_exchange.RequestHead
@@ -19,9 +25,6 @@
 Handler = _http_connection.Handler
 FaultReporter = _http_connection.FaultReporter
 
-_BACKLOG = 1024
-"""Connections the system holds until they are accepted."""
-
 _REFUSALS = 64
 """Connections beyond the limit that are told so at once; further ones are just closed."""
 
@@ -52,6 +55,7 @@
         port: int,
         limits: HttpLimits = HttpLimits(),  # noqa: B008 - frozen
         report: FaultReporter = _log_fault,
+        opened: socket.socket | None = None,
     ) -> None:
         """Wire the server.
 
@@ -61,8 +65,10 @@
             port: TCP port; 0 lets the system choose.
             limits: What callers may use.
             report: Is told of exceptions that the handler did not expect.
+            opened: Socket that listens at the address already (see ``listener``).
         """
         self._handler = handler
+        self._opened = opened
         self._host = host
         self._port = port
         self._limits = limits
@@ -97,23 +103,11 @@
         Raises:
             errors.SettingsError: If the address can't be listened on.
         """
-        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        try:
-            listener.bind((self._host, self._port))
-            listener.listen(_BACKLOG)
-        except OSError as error:
-            listener.close()
-            raise errors.SettingsError(
-                f"Can't listen on {self.address}: {error.strerror}.",
-                remedy="Set an address of this host and a free port.",
-            ) from error
-        self._port = listener.getsockname()[1]
-        self._listener = listener
+        opened = self._opened or listener.open_at(self._host, self._port)
+        self._port = opened.getsockname()[1]
+        self._listener = opened
         await self._sweeper.start()
-        self._acceptor = await curio.spawn(self._accept, listener, daemon=True)
+        self._acceptor = await curio.spawn(self._accept, opened, daemon=True)
 
     async def close(self, *, within_s: float) -> None:
         """Stop accepting, let exchanges in progress finish, and cut what is left.
@@ -146,24 +140,24 @@
         self._listener.close()
         self._listener = None
 
-    async def _accept(self, listener: socket.socket) -> None:
+    async def _accept(self, opened: socket.socket) -> None:
         while True:
             try:
-                while await self._accept_one(listener):
+                while await self._accept_one(opened):
                     pass
-                await traps._read_wait(listener)
+                await traps._read_wait(opened)
             except OSError as error:
                 _log.error("can't accept: %s", error)
                 await curio.sleep(_ACCEPT_RETRY_S)
 
-    async def _accept_one(self, listener: socket.socket) -> bool:
+    async def _accept_one(self, opened: socket.socket) -> bool:
         """Take a connection from the backlog; return whether there may be more.
 
         Raises:
             OSError: If the system has no descriptor left.
         """
         try:
-            accepted, _ = listener.accept()
+            accepted, _ = opened.accept()
         except (BlockingIOError, InterruptedError):
             return False
         except ConnectionError:
@@ -235,10 +229,11 @@
     handler: Handler,
     address: str,
     limits: HttpLimits = HttpLimits(),  # noqa: B008 - frozen
+    opened: socket.socket | None = None,
 ) -> HttpServer:
     """Return a server for ``IP:PORT``, as settings give addresses."""
     host, _, port = address.rpartition(":")
-    return HttpServer(handler, host=host, port=int(port), limits=limits)
+    return HttpServer(handler, host=host, port=int(port), limits=limits, opened=opened)
 
 
 def _sweep_period(limits: HttpLimits) -> float:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import strategies
 
-from medlarfork.http import http_server
+from medlarfork.http import http_server, listener
 from tests import curio_world
 
 LONG_S = 20.0
@@ -632,3 +632,22 @@
             assert faults == []
 
     curio_world.run(main)
+
+
+def test_callers_that_came_before_the_server_started_are_served():
+    opened = listener.open_address("127.0.0.1:0")
+    address = opened.getsockname()
+    early = socket.create_connection(address, timeout=LONG_S)
+    early.sendall(b"GET /early HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+
+    async def main():
+        server = http_server.HttpServer(echo, host="127.0.0.1", port=address[1], opened=opened)
+        await server.start()
+        received = await curio.run_in_thread(early.makefile("rb").read)
+        await server.close(within_s=0.5)
+        return received
+
+    received = curio.run(main)
+    early.close()
+    assert received.startswith(HEAD)
+    assert received.endswith(b"/early")
--- a/tests/test_quick_start.py
+++ b/tests/test_quick_start.py
@@ -25,7 +25,7 @@
 def test_an_entry_host_loads_only_what_serving_needs():
     loaded = _run(
         "import json, sys\n"
-        "from medlarfork.gateway import gateway_command\n"
+        "from medlarfork.gateway import gateway_command, gateway_program\n"
         "print(json.dumps(sorted(sys.modules)))\n"
     )
     assert len(loaded) <= MOST_MODULES
@@ -33,6 +33,16 @@
     assert unneeded == []
 
 
+def test_an_entry_host_listens_before_it_loads_the_rest():
+    loaded = _run(
+        "import json, sys\n"
+        "from medlarfork.gateway import gateway_command\n"
+        "print(json.dumps(sorted(sys.modules)))\n"
+    )
+    assert "medlarfork.http.listener" in loaded
+    assert {"curio", "h11", "zmq"}.isdisjoint(loaded)
+
+
 @pytest.mark.parametrize(
     "use",
     [
