Ask a second part of the upstreams where the first is busy

Cause: a matter is bound to one part of 8 upstreams. Ruled out: too few slots in all (others had room); placement within a part. Change: an owner that can't start a request at once, and foresees its beginning beyond half of its target, answers that it is busy; the entry host asks the second part by hash, which takes it if it begins sooner there, and else waits at the first. Short shared parts go at once. Two messages more for those that would wait. Answers of an owner that is not asked any more are given back.

--- a/src/medlarfork/coordination/decision_notes.py
+++ b/src/medlarfork/coordination/decision_notes.py
@@ -17,6 +17,9 @@
         case placement_messages.PlaceRefused(ticket_id, retry_after_ms, why):
             fields = {"ticket": ticket_id, "retry_ms": retry_after_ms, "why": why}
             return coordinator_types.Noted("placement_refused", fields)
+        case placement_messages.Busy(ticket_id, begins_ms):
+            fields = {"ticket": ticket_id, "begins_ms": round(begins_ms)}
+            return coordinator_types.Noted("placement_busy", fields)
         case placement_messages.Queued(ticket_id):
             return coordinator_types.Noted("placement_queued", {"ticket": ticket_id})
 
@@ -28,6 +31,8 @@
         "waited_ms": round(grounds.waited_ms),
         "backlog_ms": round(grounds.cost.wait_ms),
         "read_ms": round(grounds.cost.read_ms),
+        "read_tokens": grounds.cost.read_tokens,
+        "again_tokens": grounds.cost.again_tokens or None,
         "harm": round(grounds.cost.harm, 2),
         "cost": round(grounds.cost.total, 3),
         "fetch_from": grounds.cost.fetch_from or None,
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -65,8 +65,13 @@
         """Return an upstream that may take requests now."""
         return self._view.by_id.get(upstream_id)
 
-    def shard(self, service: str, key: str) -> placement_messages.Shard:
-        """Return the part of a service's upstreams that is to serve what the key names."""
+    def shards(
+        self, service: str, key: str
+    ) -> tuple[placement_messages.Shard, placement_messages.Shard | None]:
+        """Return the part of a service's upstreams that is to serve what a key names.
+
+        With it comes the part to be asked while that one is busy, if there is another.
+        """
         sizes = self._sizes_by_service.get(service)
         if sizes is None:
             sizes = shard_choice.sizes(service, self._view.by_id.values())
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -26,6 +26,9 @@
 LOCAL_RETRY_MS = 300.0
 """When to come back if no upstream is known, in milliseconds: a replica tells its view within."""
 
+LEAST_BEGINS_MS = 1.0
+"""Least bound that a second part is given, in milliseconds; 0 stands for a first question."""
+
 Send = Callable[[str, Any], bool]
 """Sends a message to a replica; returns whether it was queued."""
 
@@ -37,9 +40,29 @@
     asked_count: int = 0
     is_queued: bool = False
     has_begun: bool = False
-    answer: placement_messages.Placed | placement_messages.PlaceRefused | None = None
+    answer: (
+        placement_messages.Placed | placement_messages.PlaceRefused | placement_messages.Busy | None
+    ) = None
     changed: curio.Event = dataclasses.field(default_factory=curio.Event)
 
+    def turn(self, begins_ms: float) -> None:
+        """Ask the other part next: first the one that may be free, and then the first one again.
+
+        Args:
+            begins_ms: When the request would begin at the part that was asked.
+        """
+        request = self.request
+        was_first = request.begins_within_ms == 0
+        self.request = dataclasses.replace(
+            request,
+            shard=request.other_shard,
+            other_shard=request.shard if was_first else None,
+            begins_within_ms=max(begins_ms, LEAST_BEGINS_MS) if was_first else 0.0,
+        )
+        self.owner_id = ""
+        self.answer = None
+        self.is_queued = False
+
 
 class OwnerClient:
     """Hold the tickets of this entry host: those that wait and those that run."""
@@ -123,8 +146,8 @@
         """Take an owner's answer."""
         self._session.hear(sender, _now())
         ticket = self._ticket_by_id.get(message.ticket_id)
-        if ticket is None or ticket.answer is not None:
-            if isinstance(message, placement_messages.Placed) and ticket is None:
+        if ticket is None or ticket.answer is not None or sender != ticket.owner_id:
+            if isinstance(message, placement_messages.Placed) and not _runs_by(ticket, sender):
                 self._give_back(sender, message.ticket_id)
             return
         match message:
@@ -186,10 +209,16 @@
         self._send(owner_id, running)
 
     def _give_back(self, owner_id: str, ticket_id: str) -> None:
-        """Free a slot that was granted after the request had gone."""
+        """Free a slot that was granted after the request had gone, or turned to another owner."""
         ended = placement_messages.RunEnded(ticket_id, placement_messages.RunEnd.CANCELLED, 0.0)
         self._send(owner_id, ended)
 
+    def _withdraw(self, ticket: _Ticket) -> None:
+        """Tell the owner that was asked, if any, that it is not asked any more."""
+        if ticket.owner_id:
+            self._give_back(ticket.owner_id, ticket.request.ticket_id)
+            ticket.owner_id = ""
+
     async def _ask(
         self, ticket: _Ticket
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
@@ -199,10 +228,17 @@
             if owner_id and not self._ask_owner(ticket, owner_id):
                 continue
             is_heard = bool(owner_id) and await self._wait_answer(ticket, until)
+            if isinstance(ticket.answer, placement_messages.Busy):
+                ticket.turn(ticket.answer.begins_ms)
+                continue
             if is_heard and ticket.answer is not None:
                 return ticket.answer
             if is_heard:
                 continue
+            if ticket.request.begins_within_ms > 0:
+                self._withdraw(ticket)
+                ticket.turn(0.0)
+                continue
             if self._session.is_passed_over(owner_id, _now()):
                 self._pass_over(owner_id, "silent")
                 continue
@@ -259,12 +295,7 @@
         self, ticket: _Ticket
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
         request = ticket.request
-        if ticket.owner_id:
-            ended = placement_messages.RunEnded(
-                request.ticket_id, placement_messages.RunEnd.CANCELLED, 0.0
-            )
-            self._send(ticket.owner_id, ended)
-            ticket.owner_id = ""
+        self._withdraw(ticket)
         self.local_placements += 1
         upstreams = tuple(
             item
@@ -278,5 +309,10 @@
         return placement_messages.Placed(request.ticket_id, chosen)
 
 
+def _runs_by(ticket: _Ticket | None, owner_id: str) -> bool:
+    """Say whether a request runs where this owner placed it."""
+    return ticket is not None and ticket.answer is not None and ticket.owner_id == owner_id
+
+
 def _now() -> float:
     return time.monotonic()
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -172,7 +172,7 @@
             owner=self._owner,
             budgets=self._budgets,
             find_upstream=self._session.find_upstream,
-            shard=self._session.shard,
+            shards=self._session.shards,
             zone=self._zone,
             entry_hosts=self._session.entry_hosts,
         )
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -106,6 +106,7 @@
         ticket_id = self._tools.owner.new_ticket_id()
         parts = admitted.facts.parts if admitted.route.has_prompt else ()
         matter = shard_choice.matter(parts) or ticket_id
+        shard, other_shard = self._tools.shards(admitted.service, matter)
         request = placement_messages.PlaceRequest(
             ticket_id=ticket_id,
             service=admitted.service,
@@ -118,7 +119,8 @@
             first_left_ms=self._first_left_ms(),
             zone=self._tools.zone,
             excluded=tuple(self._excluded),
-            shard=self._tools.shard(admitted.service, matter),
+            shard=shard,
+            other_shard=other_shard,
         )
         self._ticket_id = request.ticket_id
         self.trace.tickets.append(request.ticket_id)
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -80,8 +80,11 @@
     longest_pause_ms: float = 0.0
 
 
-ChooseShard = Callable[[str, str], placement_messages.Shard]
-"""Returns the part of a service that is to serve what a key names."""
+ChooseShards = Callable[
+    [str, str], tuple[placement_messages.Shard, placement_messages.Shard | None]
+]
+"""Returns the part of a service that is to serve what a key names, and the one to ask while that is
+busy."""
 
 
 FindUpstream = Callable[[str], upstream_types.Announcement | None]
@@ -97,6 +100,6 @@
     owner: owner_client.OwnerClient
     budgets: dict[str, retry_budget.RetryBudget]
     find_upstream: FindUpstream
-    shard: ChooseShard
+    shards: ChooseShards
     zone: str
     entry_hosts: int
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -16,6 +16,10 @@
 request takes, so that nothing runs there any more."""
 
 
+_FORGOTTEN = (placement_messages.PlaceRefused, placement_messages.Busy)
+"""Answers after which nothing is kept of a question."""
+
+
 class Owner:
     """Give each question to its shard's owner; pure."""
 
@@ -156,6 +160,6 @@
         answers = tuple(answers)
         self._decided += answers
         for answer in answers:
-            if isinstance(answer.message, placement_messages.PlaceRefused):
+            if isinstance(answer.message, _FORGOTTEN):
                 self._shard_by_ticket.pop(answer.message.ticket_id, None)
         return tuple(node.Send(answer.entry_id, answer.message) for answer in answers)
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -143,6 +143,7 @@
         read_ms: The request's own reading, with what it fetches before.
         read_tokens: What it reads, in tokens.
         fetch_from: Address of the engine that the beginning is fetched from; empty for none.
+        again_tokens: What of it another engine holds.
     """
 
     total: float
@@ -152,6 +153,7 @@
     read_ms: float
     read_tokens: int
     fetch_from: str = ""
+    again_tokens: int = 0
 
 
 def cost(
@@ -171,10 +173,12 @@
     harm = _harm(load, min(beside_ms + reading.event_ms, reading.pause_ms))
     total = harm + lateness(given.waited_ms + wait_ms + rest_ms + read_ms, request.target_ms)
     total += READ_COST * read_ms
+    again_tokens = 0
     if fetched_tokens:
         total += FETCH_COST * fetched_tokens
     else:
-        total += REREAD_COST * load.cache.missing_tokens(request.parts, given.held_elsewhere)
+        again_tokens = load.cache.missing_tokens(request.parts, given.held_elsewhere)
+        total += REREAD_COST * again_tokens
     if 0 < request.gap_ms <= reading.tight_ms:
         total += max(0.0, APART_COST - GATHER_COST * load.tight_streams(reading.tight_ms))
     total += RUN_COST * len(load.run_by_ticket)
@@ -182,7 +186,7 @@
     if request.zone != load.announcement.zone:
         total += OTHER_ZONE_COST
     fetch_from = given.holder.address if fetched_tokens else ""
-    return Cost(total, harm, wait_ms, rest_ms, read_ms, read_tokens, fetch_from)
+    return Cost(total, harm, wait_ms, rest_ms, read_ms, read_tokens, fetch_from, again_tokens)
 
 
 def _fetched_tokens(cached_tokens: int, holder: Holder) -> int:
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -57,6 +57,10 @@
         zone: Where the entry host is.
         excluded: Upstreams that are not to be used, since they failed this request.
         shard: The part of the service's upstreams whose owner is asked.
+        other_shard: The part whose owner is asked if this one answers that it is busy; None if it
+            has to wait here.
+        begins_within_ms: When it is foreseen to begin in the part that was asked before, in
+            milliseconds: this one is to take it only if that is sooner here. 0 if none was asked.
     """
 
     ticket_id: str
@@ -71,6 +75,8 @@
     zone: str = ""
     excluded: tuple[str, ...] = ()
     shard: Shard | None = None
+    other_shard: Shard | None = None
+    begins_within_ms: float = 0.0
 
     @property
     def prompt_tokens(self) -> int:
@@ -143,7 +149,20 @@
     why: str
 
 
-Answer = Placed | Queued | PlaceRefused
+@dataclasses.dataclass(frozen=True, slots=True)
+class Busy:
+    """Answer: another part of the upstreams is to be asked; nothing is kept of the question.
+
+    Attributes:
+        ticket_id: The question.
+        begins_ms: When the request would begin here, as far as that is foreseen, in milliseconds.
+    """
+
+    ticket_id: str
+    begins_ms: float
+
+
+Answer = Placed | Queued | PlaceRefused | Busy
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -231,6 +250,7 @@
     Placed,
     Queued,
     PlaceRefused,
+    Busy,
     FirstEvent,
     RunEnded,
     StillRunning,
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -11,6 +11,7 @@
     placement_messages,
     read_parts,
     read_rate,
+    spillover,
     start_rules,
     upstream_load,
     wait_forecast,
@@ -88,7 +89,7 @@
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
     ) -> tuple[placement_answer.Answer, ...]:
-        """Place a request at once, let it wait, or refuse it.
+        """Place a request at once, let it wait, send it to another part, or refuse it.
 
         One that is asked for again, by a host that chose its owner anew, gets its answer again.
         """
@@ -102,15 +103,21 @@
             self._least_read_ms(request),
             start_rules.run_ms(request, self.rate.step_ms),
         )
+        begins_ms = spillover.MOST_BEGINS_MS
         if self._yields(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
+            begins_ms = predicted_ms + waiting.read_ms
             if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms, waiting.run_ms):
+                if request.other_shard is not None:
+                    return (self._busy(waiting, begins_ms),)
                 why = f"it would wait about {predicted_ms:.0f} ms"
                 after_ms = start_rules.retry_after_ms(request, predicted_ms)
                 return (self._refuse(waiting, why, after_ms),)
         answer = self._try(waiting, now)
         if answer is not None:
             return (answer,)
+        if spillover.is_to_ask_elsewhere(request, begins_ms):
+            return (self._busy(waiting, begins_ms),)
         if len(self._line) >= MOST_WAITING:
             why = "too many requests wait already"
             return (self._refuse(waiting, why, start_rules.SHORTEST_RETRY_MS),)
@@ -370,6 +377,10 @@
         sound = [load for load in free if not load.is_pausing(now)]
         return sound or free
 
+    def _busy(self, waiting: waiting_line.Waiting, begins_ms: float) -> placement_answer.Answer:
+        busy = placement_messages.Busy(waiting.request.ticket_id, begins_ms)
+        return placement_answer.Answer(waiting.entry_id, busy)
+
     def _refuse(
         self, waiting: waiting_line.Waiting, why: str, retry_after_ms: float
     ) -> placement_answer.Answer:
--- a/src/medlarfork/placement/shard_choice.py
+++ b/src/medlarfork/placement/shard_choice.py
@@ -11,6 +11,7 @@
 import collections
 import functools
 import hashlib
+import heapq
 import math
 from collections.abc import Iterable
 
@@ -58,8 +59,8 @@
 
 def choose(
     key: str, size_by_shard: dict[placement_messages.Shard, int], service: str
-) -> placement_messages.Shard:
-    """Return the shard for a key, in proportion to the shards' upstreams.
+) -> tuple[placement_messages.Shard, placement_messages.Shard | None]:
+    """Return the shard for a key, in proportion to the shards' upstreams, and the next one.
 
     Weighted rendezvous hashing: a shard that grows or shrinks moves few keys.
 
@@ -67,10 +68,16 @@
         key: What is to meet in one shard.
         size_by_shard: The shards with their numbers of upstreams.
         service: Used where there is no shard.
+
+    Returns:
+        The shard, and the one to be asked while it is busy; None if there is no other.
     """
     if len(size_by_shard) <= 1:
-        return next(iter(size_by_shard), placement_messages.Shard(service))
-    return max(size_by_shard, key=lambda shard: _score(key, shard, size_by_shard[shard]))
+        return next(iter(size_by_shard), placement_messages.Shard(service)), None
+    first, second = heapq.nlargest(
+        2, size_by_shard, key=lambda shard: _score(key, shard, size_by_shard[shard])
+    )
+    return first, second
 
 
 @functools.lru_cache(maxsize=OWNERS_KEPT)
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -8,6 +8,8 @@
 from tests import curio_world
 
 SHARD = placement_messages.Shard("engines")
+HOME = placement_messages.Shard("engines", 0, 2)
+OTHER = placement_messages.Shard("engines", 1, 2)
 
 
 class Session:
@@ -18,7 +20,7 @@
         self.upstream_by_id = {}
 
     def owner(self, shard, now):
-        return self.owner_id
+        return "r9" if shard == OTHER else self.owner_id
 
     def hear(self, replica_id, now):
         pass
@@ -114,3 +116,51 @@
         assert client.local_placements == 0
 
     curio_world.run(main)
+
+
+def _questions(sent):
+    return [
+        (to, item.shard, item.begins_within_ms, item.other_shard)
+        for to, item in sent
+        if isinstance(item, placement_messages.PlaceRequest)
+    ]
+
+
+def test_a_request_that_meets_a_busy_part_asks_the_other_and_then_waits_at_the_first(
+    sent, client, make_question
+):
+    async def main():
+        question = make_question("t", shard=HOME, other_shard=OTHER)
+        placing = await curio.spawn(client.place, question)
+        await curio_world.until(lambda: asked(sent, "r1") == 1)
+        await client.take("r1", placement_messages.Busy("t", 900.0))
+        await curio_world.until(lambda: asked(sent, "r9") == 1)
+        await client.take("r9", placement_messages.Busy("t", 1200.0))
+        await curio_world.until(lambda: asked(sent, "r1") == 2)
+        await client.take("r1", placement_messages.Placed("t", "u-1"))
+        assert await placing.join() == placement_messages.Placed("t", "u-1")
+        assert _questions(sent) == [
+            ("r1", HOME, 0.0, OTHER),
+            ("r9", OTHER, 900.0, HOME),
+            ("r1", HOME, 0.0, None),
+        ]
+
+    curio_world.run(main)
+
+
+def test_a_second_part_whose_owner_says_nothing_is_left_for_the_first(sent, client, make_question):
+    async def main():
+        question = make_question("t", shard=HOME, other_shard=OTHER)
+        placing = await curio.spawn(client.place, question)
+        await curio_world.until(lambda: asked(sent, "r1") == 1)
+        await client.take("r1", placement_messages.Busy("t", 900.0))
+        await curio_world.until(lambda: asked(sent, "r1") == 2)
+        cancelled = placement_messages.RunEnd.CANCELLED
+        assert ("r9", placement_messages.RunEnded("t", cancelled, 0.0)) in sent
+        # What the second grants after all is given back, and does not count.
+        await client.take("r9", placement_messages.Placed("t", "u-9"))
+        assert sent[-1] == ("r9", placement_messages.RunEnded("t", cancelled, 0.0))
+        await client.take("r1", placement_messages.Placed("t", "u-1"))
+        assert await placing.join() == placement_messages.Placed("t", "u-1")
+
+    curio_world.run(main)
--- a/tests/routed/test_shards.py
+++ b/tests/routed/test_shards.py
@@ -19,7 +19,7 @@
     assert max(sizes.values()) <= 15
     assert sum(sizes.values()) == 45
     keys = [f"matter-{n}" for n in range(3000)]
-    chosen = collections.Counter(shard_choice.choose(key, sizes, "engines") for key in keys)
+    chosen = collections.Counter(shard_choice.choose(key, sizes, "engines")[0] for key in keys)
     for shard, size in sizes.items():
         assert chosen[shard] / 3000 == pytest.approx(size / 45, abs=0.04)
 
@@ -27,8 +27,18 @@
 def test_a_small_service_is_one_shard(make_announcement):
     few = [make_announcement(f"u-{n}") for n in range(6)]
     whole = placement_messages.Shard("engines")
-    assert shard_choice.choose("any", shard_choice.sizes("engines", few), "engines") == whole
-    assert shard_choice.choose("any", shard_choice.sizes("none", few), "none").service == "none"
+    sizes = shard_choice.sizes("engines", few)
+    assert shard_choice.choose("any", sizes, "engines") == (whole, None)
+    assert shard_choice.choose("any", shard_choice.sizes("none", few), "none")[0].service == "none"
+
+
+def test_a_key_has_the_same_second_shard_each_time_and_all_shards_are_second(make_announcement):
+    engines = [make_announcement(f"u-{n}") for n in range(45)]
+    sizes = shard_choice.sizes("engines", engines)
+    chosen = [shard_choice.choose(f"matter-{n}", sizes, "engines") for n in range(200)]
+    assert chosen == [shard_choice.choose(f"matter-{n}", sizes, "engines") for n in range(200)]
+    assert all(first != second for first, second in chosen)
+    assert {second for _, second in chosen} == set(sizes)
 
 
 def test_the_shards_of_a_service_have_different_owners():
@@ -52,7 +62,8 @@
     after = shard_choice.sizes("engines", engines[1:])
     keys = [f"matter-{n}" for n in range(3000)]
     moved = sum(
-        shard_choice.choose(key, before, "engines") != shard_choice.choose(key, after, "engines")
+        shard_choice.choose(key, before, "engines")[0]
+        != shard_choice.choose(key, after, "engines")[0]
         for key in keys
     )
     assert moved < 3000 / 15
--- /dev/null
+++ b/tests/routed/test_spillover.py
@@ -0,0 +1,166 @@
+"""Requests whose part of the upstreams is busy ask another part."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+import pytest
+
+from medlarfork.placement import placement_messages, service_owner, spillover
+from medlarfork.routes import routing
+from tests.routed import placing
+
+HOME = placement_messages.Shard("engines", 0, 2)
+OTHER = placement_messages.Shard("engines", 1, 2)
+SHORT = (("common", 120), ("matter", 80), ("own", 630))
+ENGINE = routing.EngineFacts(12, 362_000, event_tokens=6)
+TOKENS_PER_MS = 64.0
+STEP_MS = 5.0
+
+
+def _long(make_question, ticket_id="t", **changes):
+    values = {
+        "target_ms": 2500.0,
+        "gap_ms": 1000.0,
+        "left_ms": 15_000.0,
+        "first_left_ms": 10_000.0,
+        "output_tokens": 380,
+    }
+    return make_question(ticket_id, placing.LONG, **(values | changes))
+
+
+def test_a_long_shared_part_waits_for_half_of_its_target_before_it_goes_elsewhere(make_question):
+    request = _long(make_question, shard=HOME, other_shard=OTHER)
+    assert not spillover.is_to_ask_elsewhere(request, 1200.0)
+    assert spillover.is_to_ask_elsewhere(request, 1300.0)
+
+
+def test_a_short_shared_part_goes_elsewhere_as_soon_as_it_can_not_start(make_question):
+    request = make_question("t", SHORT, target_ms=300.0, shard=HOME, other_shard=OTHER)
+    assert spillover.is_to_ask_elsewhere(request, 1.0)
+
+
+def test_the_other_part_takes_it_only_if_it_begins_sooner_there(make_question):
+    request = _long(make_question, shard=OTHER, other_shard=HOME, begins_within_ms=1500.0)
+    assert not spillover.is_to_ask_elsewhere(request, 1400.0)
+    assert spillover.is_to_ask_elsewhere(request, 1600.0)
+
+
+def test_one_that_has_asked_both_parts_waits(make_question):
+    request = _long(make_question, shard=HOME)
+    assert not spillover.is_to_ask_elsewhere(request, spillover.MOST_BEGINS_MS)
+
+
+def test_an_owner_keeps_nothing_of_a_request_that_goes_elsewhere(make_owner, make_question):
+    service = make_owner(count=1, slots=1)
+    service.place("e", make_question("first", SHORT, target_ms=300.0), 0.0)
+    asked = make_question("second", SHORT, target_ms=300.0, other_shard=OTHER)
+    (answer,) = service.place("e", asked, 0.0)
+    assert isinstance(answer.message, placement_messages.Busy)
+    assert service.waiting == 0
+    (answer,) = service.place("e", dataclasses.replace(asked, other_shard=None), 0.0)
+    assert isinstance(answer.message, placement_messages.Queued)
+
+
+class _Fleet:
+    """Run requests on the engines of several parts; each reads one prompt after the other."""
+
+    def __init__(self, make_announcement, parts, engines):
+        self.shards = [placement_messages.Shard("engines", n, parts) for n in range(parts)]
+        self.owners = []
+        for part in range(parts):
+            owner = service_owner.ServiceOwner()
+            owner.use_engine(ENGINE)
+            names = [f"u-{part}-{n}" for n in range(engines)]
+            owner.use_upstreams(
+                {name: make_announcement(name, address=f"{name}:1", slots=12) for name in names}
+            )
+            owner.rate.tokens_per_ms = TOKENS_PER_MS
+            owner.rate.step_ms = STEP_MS
+            self.owners.append(owner)
+        self.due = []
+        self.order = itertools.count()
+        self.read_until = {}
+        self.asked_at = {}
+        self.part_by_ticket = {}
+        self.began_ms = {}
+        self.refused = 0
+
+    def ask(self, part, other, request, now):
+        """Ask as an entry host does."""
+        self.asked_at[request.ticket_id] = now
+        turns = [(part, other, 0.0)]
+        if other is not None:
+            turns += [(other, part, None), (part, None, 0.0)]
+        within_ms = 0.0
+        for here, there, bound in turns:
+            self.part_by_ticket[request.ticket_id] = here
+            asked = dataclasses.replace(
+                request,
+                shard=self.shards[here],
+                other_shard=None if there is None else self.shards[there],
+                begins_within_ms=within_ms if bound is None else bound,
+            )
+            answers = self.owners[here].place("e", asked, now)
+            if not isinstance(answers[0].message, placement_messages.Busy):
+                self.take(answers, now)
+                return
+            within_ms = answers[0].message.begins_ms
+
+    def take(self, answers, now):
+        for answer in answers:
+            match answer.message:
+                case placement_messages.Placed(ticket_id, upstream_id):
+                    begins = max(self.read_until.get(upstream_id, now), now)
+                    begins += answer.grounds.cost.read_tokens / TOKENS_PER_MS / 1000.0
+                    self.read_until[upstream_id] = begins
+                    heapq.heappush(self.due, (begins, next(self.order), ticket_id, False))
+                    heapq.heappush(self.due, (begins + 1.5, next(self.order), ticket_id, True))
+                case placement_messages.PlaceRefused():
+                    self.refused += 1
+
+    def run_until(self, until):
+        while self.due and self.due[0][0] <= until:
+            now, _, ticket_id, is_end = heapq.heappop(self.due)
+            owner = self.owners[self.part_by_ticket[ticket_id]]
+            if is_end:
+                self.take(owner.on_ended(placing.ended(ticket_id), now), now)
+            else:
+                self.began_ms[ticket_id] = (now - self.asked_at[ticket_id]) * 1000.0
+                first = placement_messages.FirstEvent(ticket_id, 1.0)
+                owner.on_first_event(first, now)
+        for owner in self.owners:
+            self.take(owner.serve_waiting(until), until)
+
+
+@pytest.mark.parametrize("is_hot", [True, False])
+def test_a_burst_about_few_matters_is_served_by_engines_that_have_room(
+    is_hot, make_announcement, make_question
+):
+    """Replay a burst of long prompts of which a third is about the matters of one of four parts."""
+    late = {}
+    for spills in (False, True):
+        fleet = _Fleet(make_announcement, parts=4, engines=4)
+        draw = random.Random(5)
+        now = 0.0
+        for number in range(700):
+            now += draw.expovariate(75.0)
+            fleet.run_until(now)
+            matter = draw.randrange(40)
+            part = 0 if is_hot and draw.random() < 0.3 else matter % 4
+            other = (part + 1 + matter % 3) % 4 if spills else None
+            parts = (("common", 500), (f"m{part}-{matter}", 4900), (f"own-{number}", 6000))
+            request = dataclasses.replace(
+                _long(make_question, f"t-{number}"),
+                parts=tuple(placement_messages.PromptPart(*part) for part in parts),
+            )
+            fleet.ask(part, other, request, now)
+        for step in range(600):
+            fleet.run_until(now + step * 0.05)
+        on_time = sum(begins_ms <= 2500.0 for begins_ms in fleet.began_ms.values())
+        late[spills] = 700 - on_time
+        assert len(fleet.began_ms) + fleet.refused == 700
+    assert late[True] <= late[False]
+    if is_hot:
+        assert late[True] < 0.5 * late[False]
