--- a/src/medlarfork/control/control_program.py
+++ b/src/medlarfork/control/control_program.py
@@ -26,7 +26,7 @@
 from medlarfork.operator import operations, operations_api
 from medlarfork.orders import lease_table, order_desk, order_types, orders, weight_store
 from medlarfork.replica import _disk_writer, journal, replica, replica_types
-from medlarfork.settings import _settings_flag, planner_settings, settings
+from medlarfork.settings import _settings_flag, planner_settings, program_exit
 
 _log = logging.getLogger(__name__)
 
@@ -310,7 +310,7 @@
 
 def run() -> None:
     """Start the program from the command line."""
-    with settings.exit_on_error():
+    with program_exit.exit_on_error():
         given = _settings_flag.read("medlar-control", control_settings.ControlSettings)
         control_settings.check(given)
         logs.configure(given.log_level, given.replica_id)
--- a/src/medlarfork/coordination/coordinator_command.py
+++ b/src/medlarfork/coordination/coordinator_command.py
@@ -16,7 +16,7 @@
     coordinator_settings,
     operations_format,
 )
-from medlarfork.settings import _settings_flag, settings  # noqa: E402
+from medlarfork.settings import _settings_flag, program_exit  # noqa: E402
 
 
 def _read() -> coordinator_settings.CoordinatorSettings:
@@ -25,7 +25,7 @@
 
 def run() -> None:
     """Start the program from the command line."""
-    with settings.exit_on_error():
+    with program_exit.exit_on_error():
         given = _read()
         logs.configure(given.log_level, given.replica_id, stream=sys.stdout)
         port = int(given.serve.rpartition(":")[2])
--- a/src/medlarfork/entry/entry_program.py
+++ b/src/medlarfork/entry/entry_program.py
@@ -28,7 +28,7 @@
 )
 from medlarfork.http import http_client, http_server
 from medlarfork.links import keys, link, wire
-from medlarfork.settings import _settings_flag, settings
+from medlarfork.settings import _settings_flag, program_exit
 
 _log = logging.getLogger(__name__)
 
@@ -324,7 +324,7 @@
 
 def run() -> None:
     """Start the program from the command line."""
-    with settings.exit_on_error():
+    with program_exit.exit_on_error():
         given = _settings_flag.read("medlar-entry", entry_settings.EntrySettings)
         logs.configure(given.log_level, given.entry_id)
         curio.run(_run_until_stopped, given)
--- a/src/medlarfork/gateway/gateway_command.py
+++ b/src/medlarfork/gateway/gateway_command.py
@@ -10,7 +10,7 @@
 
 from medlarfork.gateway import gateway_settings  # noqa: E402 - what it would load is put off before
 from medlarfork.http import listener  # noqa: E402
-from medlarfork.settings import _settings_flag, settings  # noqa: E402
+from medlarfork.settings import _settings_flag, program_exit  # noqa: E402
 
 
 def _read() -> gateway_settings.GatewaySettings:
@@ -19,7 +19,7 @@
 
 def run() -> None:
     """Start the program from the command line."""
-    with settings.exit_on_error():
+    with program_exit.exit_on_error():
         given = _read()
         opened = listener.open_address(given.serve)
         # Callers wait from here on; what follows takes most of the start.
--- a/src/medlarfork/load/load_program.py
+++ b/src/medlarfork/load/load_program.py
@@ -19,7 +19,7 @@
     _load_report,
     _load_request,
 )
-from medlarfork.settings import settings
+from medlarfork.settings import program_exit, settings
 
 PROGRAM = "medlar-load"
 """Name of the program."""
@@ -119,7 +119,7 @@
     """Run the program: ``medlar-load EXPERIMENT.toml [--json]``."""
     values = flags.FlagValues()
     flags.DEFINE_bool("json", False, "Print the report as JSON.", values)
-    with settings.exit_on_error():
+    with program_exit.exit_on_error():
         path = _experiment_path(values)
         experiment = settings.load(path, _load_experiment.Experiment)
         _load_experiment.check(experiment)
@@ -136,8 +136,8 @@
         arguments = values(sys.argv)
     except flags.Error as error:
         print(f"{PROGRAM}: {error}", file=sys.stderr)
-        raise SystemExit(settings.USAGE_STATUS) from error
+        raise SystemExit(program_exit.USAGE_STATUS) from error
     if len(arguments) != 2:
         print(f"usage: {PROGRAM} EXPERIMENT.toml [--json]", file=sys.stderr)
-        raise SystemExit(settings.USAGE_STATUS)
+        raise SystemExit(program_exit.USAGE_STATUS)
     return pathlib.Path(arguments[1])
--- a/src/medlarfork/operator/_ctl_types.py
+++ b/src/medlarfork/operator/_ctl_types.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from medlarfork import errors
-from medlarfork.settings import settings
+from medlarfork.settings import program_exit, settings
 
 
 class ExitStatus(enum.IntEnum):
@@ -17,7 +17,7 @@
 
     OK = 0
     REFUSED = 1
-    BAD_INPUT = settings.USAGE_STATUS
+    BAD_INPUT = program_exit.USAGE_STATUS
     UNREACHABLE = 3
     NOT_IN_FORCE = 4
 
--- /dev/null
+++ b/src/medlarfork/settings/program_exit.py
@@ -0,0 +1,28 @@
+"""End a program that can't start, with a message for its operator and a status for scripts."""
+
+from __future__ import annotations
+
+import contextlib
+import sys
+from collections.abc import Iterator
+
+from medlarfork import errors
+
+USAGE_STATUS = 2
+"""Exit status of a program that can't start from what it was given."""
+
+START_STATUS = 1
+"""Exit status of a program whose disk, keys or links can't be used."""
+
+
+@contextlib.contextmanager
+def exit_on_error() -> Iterator[None]:
+    """Print an error that an operator can mend and exit, without a traceback."""
+    try:
+        yield
+    except (errors.SettingsError, errors.ConfigurationError) as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(USAGE_STATUS) from error
+    except (errors.DamagedJournalError, errors.JournalError, errors.LinkError) as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(START_STATUS) from error
--- a/src/medlarfork/settings/settings.py
+++ b/src/medlarfork/settings/settings.py
@@ -5,13 +5,11 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import pathlib
 import re
-import sys
 import tomllib
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from typing import Any, TypeVar
 
 from medlarfork import errors
@@ -21,12 +19,6 @@
 
 Conversion = _toml_convert.Conversion
 
-USAGE_STATUS = 2
-"""Exit status of a program that can't start from what it was given."""
-
-START_STATUS = 1
-"""Exit status of a program whose disk, keys or links can't be used."""
-
 _DECODE_LINE = re.compile(r"\(at line (\d+), column \d+\)")
 
 
@@ -148,19 +140,6 @@
     return kind(f"{listing}\n{path} has {count}.", remedy="Correct the file and try again.")
 
 
-@contextlib.contextmanager
-def exit_on_error() -> Iterator[None]:
-    """Print an error that an operator can mend and exit, without a traceback."""
-    try:
-        yield
-    except (errors.SettingsError, errors.ConfigurationError) as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(USAGE_STATUS) from error
-    except (errors.DamagedJournalError, errors.JournalError, errors.LinkError) as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(START_STATUS) from error
-
-
 def _syntax_mistake(error: tomllib.TOMLDecodeError, text: str) -> Mistake:
     found = _DECODE_LINE.search(str(error))
     # The parser says "end of document" where the text stops short.
--- a/src/medlarfork/standin/standin_engine.py
+++ b/src/medlarfork/standin/standin_engine.py
@@ -18,7 +18,7 @@
 from medlarfork.filters import parse
 from medlarfork.http import header_names, http_server
 from medlarfork.orders import order_protocol, order_types
-from medlarfork.settings import settings
+from medlarfork.settings import program_exit, settings
 from medlarfork.standin import (
     _standin_answer,
     _standin_batch,
@@ -286,7 +286,7 @@
 
 def run() -> None:
     """Run the program."""
-    with settings.exit_on_error():
+    with program_exit.exit_on_error():
         arguments = _standin_flags.main_arguments(EngineSettings, PROGRAM)
         options = _standin_flags.parse(EngineSettings, arguments)
         engine = StandinEngine(options)
--- a/src/medlarfork/standin/standin_service.py
+++ b/src/medlarfork/standin/standin_service.py
@@ -10,7 +10,7 @@
 
 from medlarfork import upstream
 from medlarfork.http import header_names, http_server
-from medlarfork.settings import settings
+from medlarfork.settings import program_exit, settings
 from medlarfork.standin import _standin_faults, _standin_flags, _standin_host, _standin_slots
 
 PROGRAM = "medlar-standin-service"
@@ -180,7 +180,7 @@
 
 def run() -> None:
     """Run the program."""
-    with settings.exit_on_error():
+    with program_exit.exit_on_error():
         arguments = _standin_flags.main_arguments(ServiceSettings, PROGRAM)
         options = _standin_flags.parse(ServiceSettings, arguments)
         service = StandinService(options)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 import pytest
 
 from medlarfork import errors, uuid7
-from medlarfork.settings import _toml_lines, settings
+from medlarfork.settings import _toml_lines, program_exit, settings
 
 
 class Colour(enum.StrEnum):
@@ -121,7 +121,7 @@
 
 
 def test_a_program_exits_with_status_2_and_prints_the_mistakes(load, capsys):
-    with pytest.raises(SystemExit) as caught, settings.exit_on_error():
+    with pytest.raises(SystemExit) as caught, program_exit.exit_on_error():
         load("port = 1")
     assert caught.value.code == 2
     assert "name: missing key" in capsys.readouterr().err
@@ -131,9 +131,9 @@
     "kind", [errors.LinkError, errors.JournalError, errors.DamagedJournalError]
 )
 def test_a_program_prints_what_keeps_it_from_starting_and_exits_with_status_1(kind, capsys):
-    with pytest.raises(SystemExit) as caught, settings.exit_on_error():
+    with pytest.raises(SystemExit) as caught, program_exit.exit_on_error():
         raise kind("The disk is full.", remedy="Make room.")
-    assert caught.value.code == settings.START_STATUS == 1
+    assert caught.value.code == program_exit.START_STATUS == 1
     assert capsys.readouterr().err == "The disk is full. Make room.\n"
 
 
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -223,7 +223,7 @@
     settings = users[2]
     path = tmp_path / "local.toml"
     path.write_text(SETTINGS)
-    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    monkeypatch.setenv(settings.users_file.PATH_VARIABLE, str(path))
     given = settings.read()
     coordinator = settings.for_coordinator(given)
     assert coordinator.seeds == ("10.0.0.4", "10.0.0.5")
