Send nothing to an upstream that failed while the sound ones are full, and try it with one request

They may have run, so they ended in 502. Change: upstreams that failed are used only if all did; after a pause for a lost connection one request tries an upstream until its first event. Ruled out: the pause itself (it was kept), entry hosts placing alone (all ten were placed by the owner).

--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -365,17 +365,18 @@
     def _candidates(
         self, request: placement_messages.PlaceRequest, now: float
     ) -> list[upstream_load.UpstreamLoad]:
-        """Return the upstreams with a free slot; those that failed lately only if all did."""
+        """Return the upstreams with a free slot; those that failed lately only if all did.
+
+        Where the sound ones are full, a request waits: sent to one that failed it would be lost.
+        """
         tokens = request.memory_tokens
-        free = [
-            load
-            for load in self._present
-            if not load.is_full
-            and load.has_memory_for(tokens)
-            and load.announcement.upstream_id not in request.excluded
+        allowed = [
+            load for load in self._present if load.announcement.upstream_id not in request.excluded
+        ]
+        sound = [load for load in allowed if not load.is_pausing(now)]
+        return [
+            load for load in sound or allowed if not load.is_full and load.has_memory_for(tokens)
         ]
-        sound = [load for load in free if not load.is_pausing(now)]
-        return sound or free
 
     def _busy(self, waiting: waiting_line.Waiting, begins_ms: float) -> placement_answer.Answer:
         busy = placement_messages.Busy(waiting.request.ticket_id, begins_ms)
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -99,10 +99,14 @@
         self.failed_share = 0.0
         self._failures_in_a_row = 0
         self._pause_until = 0.0
+        self._is_on_trial = False
+        self._trial_ticket = ""
 
     @property
     def is_full(self) -> bool:
-        """Return whether all its slots are taken."""
+        """Return whether it gets no further request: all slots are taken, or one tries it."""
+        if self._is_on_trial and self._trial_ticket in self.run_by_ticket:
+            return True
         return len(self.run_by_ticket) >= self.announcement.slots
 
     def use_memory(self, memory_tokens: int) -> None:
@@ -181,6 +185,7 @@
     def add(self, run: Run, now: float) -> None:
         """Place a run."""
         self.run_by_ticket[run.request.ticket_id] = run
+        self._trial_ticket = run.request.ticket_id
         self._running_tokens += run.memory_tokens
         self._count_stream(run, 1)
         if not run.has_begun and run.read_ms > 0:
@@ -211,6 +216,7 @@
         if run is None or run.has_begun:
             return None
         run.has_begun = True
+        self._is_on_trial = False
         self._stop_reading(ticket_id, now)
         self._rest_until = max(self._rest_until, now + rest_ms / 1000.0)
         return run
@@ -229,6 +235,7 @@
         self._stop_reading(ticket_id, now)
         match end:
             case placement_messages.RunEnd.COMPLETE:
+                self._is_on_trial = False
                 self._failures_in_a_row = 0
                 self.failed_share -= FAILURE_MEMORY * self.failed_share
             case placement_messages.RunEnd.FAILED:
@@ -240,12 +247,10 @@
                 # Each entry host has connections to an upstream that crashed, and loses a request
                 # with each that it uses: 95 of a day with upstreams that crash by turns.
                 self.failed_share += FAILURE_MEMORY * (1.0 - self.failed_share)
-                self._failures_in_a_row += 1
-                self._pause(now)
+                self._distrust(now)
             case placement_messages.RunEnd.UNREACHABLE:
-                self._failures_in_a_row += 1
                 self.cache.clear()
-                self._pause(now)
+                self._distrust(now)
             case placement_messages.RunEnd.REJECTED:
                 self._pause_until = max(self._pause_until, now + FIRST_PAUSE_S / 2)
         return run
@@ -267,6 +272,16 @@
         if not count:
             del self.streams_by_gap_ms[gap_ms]
 
+    def _distrust(self, now: float) -> None:
+        """Pause after a lost connection, and then try with one request before others follow.
+
+        What waited meanwhile would all be sent there when the pause ends, and be lost together.
+        """
+        self._failures_in_a_row += 1
+        self._is_on_trial = True
+        self._trial_ticket = ""
+        self._pause(now)
+
     def _pause(self, now: float) -> None:
         pause_s = FIRST_PAUSE_S * 2.0 ** (self._failures_in_a_row - 1)
         self._pause_until = now + min(pause_s, LONGEST_PAUSE_S)
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -137,6 +137,38 @@
     assert not service.load_by_id[first].is_pausing(0.7)
 
 
+def test_nothing_is_sent_to_an_engine_that_failed_while_the_sound_ones_are_full(
+    make_owner, make_question
+):
+    """Replay a burst beside an engine that crashed: what found no slot was lost at the dead one."""
+    service = make_owner(count=2, slots=2)
+    dead = placing.placed(service.place("e", make_question("a"), 0.0))
+    service.on_ended(placing.ended("a", placement_messages.RunEnd.BROKEN), 0.1)
+    for n in range(2):
+        assert placing.placed(service.place("e", make_question(f"b{n}"), 0.2)) != dead
+    (answer,) = service.place("e", make_question("c"), 0.2)
+    assert isinstance(answer.message, placement_messages.Queued)
+
+
+@pytest.mark.parametrize("is_back", [True, False])
+def test_one_request_tries_an_engine_after_its_pause(make_owner, make_question, is_back):
+    """Replay a pause that ended while others waited: ten were sent to a dead engine at once."""
+    service = make_owner(count=1, slots=64)
+    service.place("e", make_question("a", (("x", 100),)), 0.0)
+    service.on_ended(placing.ended("a", placement_messages.RunEnd.BROKEN), 0.1)
+    waiting = [make_question(f"b{n}", (("x", 100),), left_ms=9000.0) for n in range(10)]
+    messages = [service.place("e", request, 0.7)[0].message for request in waiting]
+    kinds = [type(message) for message in messages]
+    assert kinds == [placement_messages.Placed] + [placement_messages.Queued] * 9
+    if is_back:
+        assert service.load_by_id["u-0"].is_full
+        service.on_first_event(placement_messages.FirstEvent("b0", 20.0), 0.8)
+        assert len(service.serve_waiting(0.9)) == 9
+    else:
+        answers = service.on_ended(placing.ended("b0", placement_messages.RunEnd.BROKEN), 0.8)
+        assert len(answers) <= 1
+
+
 def test_an_engine_that_stands_still_gets_no_more_while_others_run(make_owner, make_question):
     """Replay an engine that went dark with a prompt half read: short prompts followed it there."""
     owner = make_owner(slots=64)
