Wait until an engine has read a shared part instead of reading it twice there

Two prompts about one matter within the 150 ms that reading takes were both read in full by the same engine. Change: a request waits, within its patience, until its engine has read a shared part of more than 1,000 tokens for another.

--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -144,6 +144,8 @@
         read_tokens: What it reads, in tokens.
         fetch_from: Address of the engine that the beginning is fetched from; empty for none.
         again_tokens: What of it another engine holds.
+        pending_tokens: What the engine is reading for another request, and would read once more
+            for this one if it started before that is done.
     """
 
     total: float
@@ -154,6 +156,7 @@
     read_tokens: int
     fetch_from: str = ""
     again_tokens: int = 0
+    pending_tokens: int = 0
 
 
 def cost(
@@ -186,7 +189,18 @@
     if request.zone != load.announcement.zone:
         total += OTHER_ZONE_COST
     fetch_from = given.holder.address if fetched_tokens else ""
-    return Cost(total, harm, wait_ms, rest_ms, read_ms, read_tokens, fetch_from, again_tokens)
+    pending_tokens = cached_tokens - load.readable_tokens(request.parts)
+    return Cost(
+        total,
+        harm,
+        wait_ms,
+        rest_ms,
+        read_ms,
+        read_tokens,
+        fetch_from,
+        again_tokens,
+        pending_tokens,
+    )
 
 
 def _fetched_tokens(cached_tokens: int, holder: Holder) -> int:
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -103,19 +103,18 @@
             self._least_read_ms(request),
             start_rules.run_ms(request, self.rate.step_ms),
         )
-        begins_ms = spillover.MOST_BEGINS_MS
         if self._yields(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
-            begins_ms = predicted_ms + waiting.read_ms
             if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms, waiting.run_ms):
                 if request.other_shard is not None:
-                    return (self._busy(waiting, begins_ms),)
+                    return (self._busy(waiting, predicted_ms + waiting.read_ms),)
                 why = f"it would wait about {predicted_ms:.0f} ms"
                 after_ms = start_rules.retry_after_ms(request, predicted_ms)
                 return (self._refuse(waiting, why, after_ms),)
         answer = self._try(waiting, now)
         if answer is not None:
             return (answer,)
+        begins_ms = self._begins_ms(waiting, now)
         if spillover.is_to_ask_elsewhere(request, begins_ms):
             return (self._busy(waiting, begins_ms),)
         if len(self._line) >= MOST_WAITING:
@@ -266,6 +265,8 @@
         if best is None or best_cost is None:
             return None
         slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms)
+        if start_rules.reads_along(best_cost, slack_ms):
+            return None
         if self._has_tight() and not start_rules.may_start(
             best_cost, slack_ms, yields=self._yields(request)
         ):
@@ -319,6 +320,16 @@
             now=now,
         )
 
+    def _begins_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
+        """Return when a request that can't start at once would begin, in milliseconds.
+
+        Short ones wait for slots and for streams to end rather than for reading: of these nothing
+        is foreseen.
+        """
+        if spillover.shared_tokens(waiting.request) <= spillover.CHEAP_TOKENS:
+            return spillover.MOST_BEGINS_MS
+        return self._predicted_wait_ms(waiting, now) + waiting.read_ms
+
     def _yields(self, request: placement_messages.PlaceRequest) -> bool:
         """Return whether no kind of request has a longer target; learnt from those that came."""
         self._longest_target_ms = max(self._longest_target_ms, request.target_ms)
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -50,6 +50,10 @@
 """Factor on the time that an answer's tokens take in steps without reading: beside reading, which
 has up to nine tenths of an engine's time in an overload, they take longer."""
 
+PENDING_TOKENS = 1000
+"""Shared tokens under reading for which a request waits: fewer are read again in less time than a
+look at those that wait takes."""
+
 PATIENCE = 0.7
 """Share of a request's target up to which it waits for the engine that suits it best; the rest is
 kept for reading, the way, and errors of the prediction."""
@@ -81,6 +85,19 @@
     return cost.harm <= (EARLY_HARM if slack > 0 else LATE_HARM)
 
 
+def reads_along(cost: placement_cost.Cost, slack: float) -> bool:
+    """Say whether a request waits until its engine has read what it shares with another one.
+
+    Started together, both would read it: an engine holds a part only once it was read to its end.
+    That takes as long as the reading ahead, which the request would wait for anyway.
+
+    Args:
+        cost: What starting now would cost.
+        slack: How much longer it can wait, in milliseconds.
+    """
+    return slack > 0 and cost.pending_tokens > PENDING_TOKENS
+
+
 def rest_ms(read_ms: float) -> float:
     """Return how long streams are left without long reading after a prompt was read."""
     if read_ms <= placement_cost.LONG_READ_MS:
--- a/tests/routed/test_placement.py
+++ b/tests/routed/test_placement.py
@@ -126,6 +126,32 @@
     assert placing.placed(owner.place("e", make_question("c", excluded=("u-0",)), 0.2)) == "u-1"
 
 
+def test_a_part_that_is_being_read_is_waited_for(make_owner, make_question):
+    """Replay two long prompts about one matter within 0.1 s: their engine read it for both."""
+    service = make_owner(count=2, slots=8)
+    first = make_question("a", placing.LONG, target_ms=2500.0, left_ms=9000.0)
+    engine = placing.placed(service.place("e", first, 0.0))
+    second = make_question(
+        "b", (*placing.LONG[:2], ("other", 6000)), target_ms=2500.0, left_ms=9000.0
+    )
+    (answer,) = service.place("e", second, 0.05)
+    assert isinstance(answer.message, placement_messages.Queued)
+    assert service.serve_waiting(0.1) == ()
+    service.on_first_event(placement_messages.FirstEvent("a", 180.0), 0.18)
+    (answer,) = service.serve_waiting(0.2)
+    assert answer.message.upstream_id == engine
+    assert answer.grounds.cost.read_tokens == 6000
+
+
+def test_a_part_that_is_read_too_slowly_is_read_again(make_owner, make_question):
+    service = make_owner(count=1, slots=8)
+    service.place("e", make_question("a", placing.LONG, target_ms=500.0, left_ms=9000.0), 0.0)
+    second = make_question("b", placing.LONG, target_ms=500.0, left_ms=9000.0)
+    assert isinstance(service.place("e", second, 0.05)[0].message, placement_messages.Queued)
+    (answer,) = service.serve_waiting(0.45)
+    assert isinstance(answer.message, placement_messages.Placed)
+
+
 def test_an_engine_that_broke_one_connection_is_given_time(make_owner, make_question):
     """Replay engines that crash by turns: entry hosts lost a request with each old connection."""
     service = make_owner(slots=64)
