Tell entry hosts the replicas' names now and then

Cause: each of nine replicas tells each entry host its state 2.5 times a second in 167 bytes, 100 of them the names of all replicas: with 190 hosts 0.7 MB/s, most of it between data centres. Change: names are told every 2 s, at once to new hosts and when they change: 87 bytes on average by the sizes of both messages (arithmetic). Ruled out: a longer period of the state itself: lost owners are noticed by it.

--- a/src/medlarfork/coordination/coordination_messages.py
+++ b/src/medlarfork/coordination/coordination_messages.py
@@ -38,7 +38,8 @@
     Attributes:
         leader_id: The leader that the replica knows, empty for none.
         term: The term of that leader.
-        members: All replicas of the log, so that entry hosts find those they don't know.
+        members: All replicas of the log, so that entry hosts find those they don't know; empty
+            where they were told before.
         entry_hosts: Most entry hosts heard of lately, among which shared budgets are divided.
         up_s: How long the replica has run, in seconds.
     """
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import math
 from collections.abc import Callable
 from typing import Any
@@ -51,6 +52,10 @@
 STATUS_PERIOD_S = 0.4
 """How often each entry host is told what this replica believes, in seconds."""
 
+MEMBERS_PERIOD_S = 2.0
+"""How often that includes the replicas, in seconds, besides at each change of theirs: their names
+are two thirds of its bytes, which 9 replicas send to each of hundreds of entry hosts."""
+
 Decode = Callable[[bytes], routing.Routing]
 """Decodes an operator's body that was checked before."""
 
@@ -95,6 +100,8 @@
         self._leader_id = ""
         self._term = 0
         self._status_due = -math.inf
+        self._members_due = -math.inf
+        self._told_members: tuple[str, ...] = ()
         self._tick_due = -math.inf
         self._placement_due = -math.inf
         self._tidy_due = -math.inf
@@ -319,7 +326,7 @@
                 self._actions.append(action)
         if self._now >= self._status_due:
             self._status_due = self._now + STATUS_PERIOD_S
-            status = self._own_status()
+            status = self._periodic_status()
             self._actions += [node.Send(entry_id, status) for entry_id in self._entry_ids]
             self._push_routing()
         self._actions.append(node.Wake(self._tick_due))
@@ -348,6 +355,15 @@
         self._entry_ids = frozenset(present)
         self._feed.forget_missing(present)
 
+    def _periodic_status(self) -> coordination_messages.ReplicaStatus:
+        """Return the status for all entry hosts, most times without the replicas' names."""
+        status = self._own_status()
+        if status.members == self._told_members and self._now < self._members_due:
+            return dataclasses.replace(status, members=())
+        self._told_members = status.members
+        self._members_due = self._now + MEMBERS_PERIOD_S
+        return status
+
     def _own_status(self) -> coordination_messages.ReplicaStatus:
         voters = self._replica.status.voters
         members = () if voters is None else (*voters.voters, *voters.learners)
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -173,7 +173,7 @@
         self.entry_hosts = max(status.entry_hosts, 1)
         if status.term > self._term or (status.term == self._term and status.leader_id):
             self._term = status.term
-            self._members = status.members
+            self._members = status.members or self._members
 
     def _take_view(
         self,
--- a/tests/routed/test_coordinator.py
+++ b/tests/routed/test_coordinator.py
@@ -169,6 +169,32 @@
     assert len(pushes) <= 5 * 4
 
 
+def test_the_names_of_the_replicas_are_told_now_and_then_and_to_new_entry_hosts(cluster):
+    _hear_entry(cluster, "e-1")
+    statuses = []
+    for _ in range(round(4.0 / coordinator_cluster.STEP_S)):
+        _hear_entry(cluster, "e-1")
+        cluster.step()
+        statuses += [
+            message
+            for sender, _, message in cluster.packets
+            if sender == "a" and isinstance(message, coordination_messages.ReplicaStatus)
+        ]
+    named = [status for status in statuses if status.members]
+    assert len(statuses) >= 7
+    assert 2 <= len(named) <= 3
+    assert all(len(status.members) == 5 for status in named)
+    cluster.packets = []
+    _hear_entry(cluster, "e-2")
+    first = [
+        message
+        for _, to, message in cluster.packets
+        if to == "e-2" and isinstance(message, coordination_messages.ReplicaStatus)
+    ]
+    assert all(status.members for status in first)
+    assert len(first) == 5
+
+
 def test_a_leave_is_told_at_once_after_other_changes(cluster, make_announcement):
     _hear_entry(cluster, "e-1")
     _view_pushes(cluster, 0.5)
--- a/tests/routed/test_entry_session.py
+++ b/tests/routed/test_entry_session.py
@@ -41,6 +41,16 @@
     assert session.replicas == ("r1", "r2")
 
 
+def test_a_status_without_names_changes_no_members(session):
+    session.take("r1", _status(term=1), 0.0)
+    session.take("r3", _status(term=1), 0.0)
+    session.take("r1", _status(term=2, members=()), 0.1)
+    assert session.replicas == ("r1", "r2", "r3")
+    session.take("r1", _status(term=2, members=("r1", "r2")), 5.0)
+    session.drop_silent(5.0)
+    assert session.replicas == ("r1", "r2")
+
+
 def test_a_view_with_a_gap_is_not_confirmed(session, make_announcement):
     whole = upstream_types.ViewChange((make_announcement(),), is_whole=True)
     session.take("r1", coordination_messages.ViewPush(9, 4, whole), 0.0)
