Join the replicas at once after a start, and give a host without routing one from any replica

Change: a host tells of itself every 0.08 s until it has a routing and has heard all replicas, for 3 s at most; a follower gives a host that has no routing one after 0.1 s. That may be older than the newest for as long as the leader needs: as before after 0.5 s.

--- a/src/medlarfork/coordination/entry_feed.py
+++ b/src/medlarfork/coordination/entry_feed.py
@@ -29,6 +29,11 @@
 leader has done it by then, and every push takes a share of the entry host's link."""
 
 
+EMPTY_DELAY_S = 0.1
+"""The same for an entry host that has no routing at all, in seconds: it serves nobody until then,
+and it may not know the leader yet."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Fed:
     """Remember what was sent to one entry host, and since when it lacks something."""
@@ -119,7 +124,8 @@
             return False
         if fed.lacks_since < 0:
             fed.lacks_since = now
-        if not leads and now < fed.lacks_since + FOLLOWER_DELAY_S:
+        delay_s = FOLLOWER_DELAY_S if status.routing_version else EMPTY_DELAY_S
+        if not leads and now < fed.lacks_since + delay_s:
             return False
         is_open = fed.routing_version > status.routing_version
         if is_open and now < fed.routing_sent_at + RESEND_S:
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -25,6 +25,17 @@
 """Share of the longest time that a replica has run which another must have run to own placement:
 after a restart of all they are equal, and one that was restarted alone does not take over back."""
 
+STATUS_PERIOD_S = 0.4
+"""How often replicas are told how this host is, in seconds; see ``entry_directory``."""
+
+JOIN_PERIOD_S = 0.08
+"""The same while it joins, in seconds: what is sent before a link is up is lost, and the next
+period is waited for. After a restart of all, hosts waited 0.4 s to be heard by the replicas that
+their settings name, and 0.4 s more by the others, among them the leader."""
+
+JOIN_S = 3.0
+"""How long it joins at most, in seconds after its start; replicas that are down are not heard."""
+
 REPLICA_SILENT_S = 4.0
 """Silence after which a replica's view of the upstreams does not count any more, in seconds."""
 
@@ -52,6 +63,15 @@
         self.entry_hosts = 1
         self.routing_version = 0
 
+    def status_period_s(self, up_s: float) -> float:
+        """Return how long after one status the next one is sent, in seconds.
+
+        Args:
+            up_s: How long this host has run, in seconds.
+        """
+        knows_all = self.routing_version > 0 and self._heard_by_id.keys() >= self._replicas.keys()
+        return STATUS_PERIOD_S if knows_all or up_s > JOIN_S else JOIN_PERIOD_S
+
     @property
     def replicas(self) -> tuple[str, ...]:
         """Return the replicas to be connected to."""
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -32,9 +32,6 @@
 
 _log = logging.getLogger(__name__)
 
-STATUS_PERIOD_S = 0.4
-"""How often replicas are told how this host is, in seconds; see ``entry_directory``."""
-
 DIRECTORY_LAG_S = 3.2
 """How long callers may still come after this host has left the directory, in seconds: an answer
 of 2 s that some keep for longer, against a grace of which most is left for streams."""
@@ -215,11 +212,13 @@
         self._send_status()
 
     async def _tell_replicas(self) -> None:
+        started_at = time.monotonic()
         while True:
-            self._session.drop_silent(time.monotonic())
+            now = time.monotonic()
+            self._session.drop_silent(now)
             self._send_status()
             self._connect_replicas()
-            await curio.sleep(STATUS_PERIOD_S)
+            await curio.sleep(self._session.status_period_s(now - started_at))
 
     def _send_status(self) -> None:
         for replica_id in self._session.replicas:
--- a/tests/routed/test_entry_feed.py
+++ b/tests/routed/test_entry_feed.py
@@ -27,10 +27,18 @@
 
 
 def test_the_leader_pushes_at_once_and_a_follower_later(feed):
-    assert _versions(_push(feed, 0, 3, 0.0)) == [3]
+    assert _versions(_push(feed, 2, 3, 0.0)) == [3]
     other = entry_feed.EntryFeed(boot=8)
-    assert _push(other, 0, 3, 0.0, leads=False) == ()
-    assert _versions(_push(other, 0, 3, 0.6, leads=False)) == [3]
+    assert _push(other, 2, 3, 0.0, leads=False) == ()
+    assert _push(other, 2, 3, 0.4, leads=False) == ()
+    assert _versions(_push(other, 2, 3, 0.6, leads=False)) == [3]
+
+
+def test_a_follower_does_not_let_a_host_without_routing_wait_for_the_leader():
+    """Replay a restart of all: hosts knew three replicas, and the leader was another one."""
+    follower = entry_feed.EntryFeed(boot=8)
+    assert _push(follower, 0, 3, 0.0, leads=False) == ()
+    assert _versions(_push(follower, 0, 3, 0.12, leads=False)) == [3]
 
 
 def test_a_storm_has_one_version_under_way_and_the_newest_follows(feed):
--- a/tests/routed/test_entry_session.py
+++ b/tests/routed/test_entry_session.py
@@ -135,3 +135,20 @@
         assert shard.has(engine.upstream_id)
     _speak(session, 0.0, r1=50.0, r2=50.0, r3=50.0)
     assert session.owner(gone, 0.1) != ""
+
+
+def test_a_host_that_has_just_started_tells_of_itself_often_until_all_know_it(session):
+    """Replay a restart of all: what was sent before the links were up cost two periods."""
+    joining, usual = entry_session.JOIN_PERIOD_S, entry_session.STATUS_PERIOD_S
+    assert session.status_period_s(0.1) == joining
+    session.take("r1", _status(), 0.0)
+    session.take("r2", _status(), 0.0)
+    session.take_routing("r1", 5, 0.0)
+    assert session.status_period_s(0.3) == joining
+    session.take("r3", _status(), 0.4)
+    assert session.status_period_s(0.5) == usual
+
+
+def test_a_host_does_not_wait_for_replicas_that_are_down(session):
+    session.take("r1", _status(), 0.0)
+    assert session.status_period_s(entry_session.JOIN_S + 0.1) == entry_session.STATUS_PERIOD_S
