--- a/measure/entry_overhead.py
+++ b/measure/entry_overhead.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import dataclasses
-import pathlib
 import statistics
-import tempfile
 import time
 
 import curio
 from examples import local_deployment, local_processes
 
+from measure import _deployment
 from medlarfork.http import http_client
 
 _KEY = {"Authorization": "Bearer bazar-loja-01-key"}
@@ -27,7 +26,6 @@
 _LOAD_S = 5.0
 _IDLE_S = 5.0
 _CLIENTS = 2
-_EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,17 +69,7 @@
 
 def main() -> EntryOverhead:
     """Run the deployment, measure and print."""
-    with (
-        tempfile.TemporaryDirectory(prefix="medlarfork-overhead-") as folder,
-        local_processes.local_processes() as processes,
-    ):
-        local = local_deployment.LocalDeployment(
-            pathlib.Path(folder),
-            processes,
-            data_centres=("recife-hall",),
-            entries=2,
-            entry_settings='entries_lifetime_s = 1.0\nlog_level = "WARNING"\n',
-        )
+    with _deployment.running(controls=3, entries=2) as (local, processes):
         figures = _measure(local, processes)
     _print(figures)
     return figures
@@ -92,11 +80,7 @@
 ) -> EntryOverhead:
     local.start_system()
     # Account limits would refuse what this measurement sends.
-    declared = local.folder / "bazar.toml"
-    text = (_EXAMPLES / "bazar.toml").read_text()
-    declared.write_text(text.replace("limits = { concurrent = 64 }", ""))
-    applied = local.apply(declared)
-    assert applied.status == 0, applied.errors
+    _deployment.declare_example(local, {"limits = { concurrent = 64 }": ""})
     flags = {"labels": "service=balcao-app", "slots": "64"}
     standin = local_deployment.Standin("service-1", "medlar-standin-service", flags)
     local.start_standin(standin)
--- a/measure/stream_relay.py
+++ b/measure/stream_relay.py
@@ -8,14 +8,13 @@
 
 import dataclasses
 import os
-import pathlib
 import statistics
-import tempfile
 import time
 
 import curio
 from examples import local_deployment, local_processes
 
+from measure import _deployment
 from medlarfork.http import http_client
 
 _KEY = {"Authorization": "Bearer bazar-catalogo-key", "Content-Type": "application/json"}
@@ -36,7 +35,6 @@
     "token_s": str(_TOKEN_S),
     "batch_slowdown": "0.0",
 }
-_EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,18 +98,7 @@
 
 def main() -> StreamRelay:
     """Run the deployment, measure and print."""
-    with (
-        tempfile.TemporaryDirectory(prefix="medlarfork-streams-") as folder,
-        local_processes.local_processes() as processes,
-    ):
-        local = local_deployment.LocalDeployment(
-            pathlib.Path(folder),
-            processes,
-            data_centres=("recife-hall",),
-            controls=1,
-            entries=1,
-            entry_settings='entries_lifetime_s = 1.0\nlog_level = "WARNING"\n',
-        )
+    with _deployment.running(controls=1, entries=1) as (local, processes):
         figures = _measure(local, processes)
     _print(figures)
     return figures
@@ -122,13 +109,13 @@
 ) -> StreamRelay:
     local.start_system()
     # The example's limits would refuse what this measurement sends.
-    declared = local.folder / "bazar.toml"
-    text = (_EXAMPLES / "bazar.toml").read_text()
-    text = text.replace("limits = { concurrent = 32, tokens_per_minute = 200000 }", "")
-    declared.write_text(text.replace("slots = 8\n", f"slots = {_STREAMS}\n"))
-    applied = local.apply(declared)
-    if applied.status != 0:
-        raise RuntimeError(applied.errors)
+    _deployment.declare_example(
+        local,
+        {
+            "limits = { concurrent = 32, tokens_per_minute = 200000 }": "",
+            "slots = 8\n": f"slots = {_STREAMS}\n",
+        },
+    )
     engine = local_deployment.Standin("engine-1", "medlar-standin-engine", _ENGINE_FLAGS)
     local.start_standin(engine)
     local.wait_for_upstreams([engine.name])
--- a/tests/routed/test_waiting.py
+++ b/tests/routed/test_waiting.py
@@ -139,13 +139,23 @@
     assert answer.message.ticket_id == "new"
 
 
-def test_a_late_long_prompt_is_refused_once_it_could_not_end_any_more(make_owner, make_question):
+@pytest.mark.parametrize(
+    ("limits", "waits_s", "refused_s"),
+    [
+        ({"left_ms": 6000.0, "output_tokens": 200}, 1.0, 5.9),
+        ({"left_ms": 9000.0, "first_left_ms": 4000.0}, 3.0, 3.95),
+    ],
+    ids=["it could not end any more", "its caller leaves before it begins"],
+)
+def test_a_late_long_prompt_is_refused_once_it_is_of_no_use(
+    make_owner, make_question, limits, waits_s, refused_s
+):
     service = make_owner(count=1, slots=1)
     placing.placed(service.place("e", make_question("runs", left_ms=60_000.0), 0.0))
-    late = make_question("late", (("p", 8000),), target_ms=800.0, left_ms=6000.0, output_tokens=200)
+    late = make_question("late", (("p", 8000),), target_ms=800.0, **limits)
     service.place("e", late, 0.0)
-    assert not service.serve_waiting(1.0)
-    (answer,) = service.serve_waiting(5.9)
+    assert not service.serve_waiting(waits_s)
+    (answer,) = service.serve_waiting(refused_s)
     assert isinstance(answer.message, placement_messages.PlaceRefused)
 
 
@@ -163,18 +173,6 @@
     assert answer.message.retry_after_ms == pytest.approx(2400.0)
 
 
-def test_a_long_prompt_has_to_begin_before_its_caller_leaves(make_owner, make_question):
-    service = make_owner(count=1, slots=1)
-    placing.placed(service.place("e", make_question("runs", left_ms=60_000.0), 0.0))
-    late = make_question(
-        "late", (("p", 8000),), target_ms=800.0, left_ms=9000.0, first_left_ms=4000.0
-    )
-    service.place("e", late, 0.0)
-    assert not service.serve_waiting(3.0)
-    (answer,) = service.serve_waiting(3.95)
-    assert isinstance(answer.message, placement_messages.PlaceRefused)
-
-
 def test_in_an_overload_of_short_prompts_some_are_late_and_not_all(make_owner, make_question):
     """Replay slots that free a quarter too slowly: oldest first, most began after their target."""
     service = make_owner(count=1, slots=1)
