Keep upstreams for a while after a cut between replicas is over

Change: a replica that is heard again counts as missed for 2.5 s more. Ruled out: announcements that were lost (they came with the next period).

--- a/src/medlarfork/coordination/member_desk.py
+++ b/src/medlarfork/coordination/member_desk.py
@@ -35,6 +35,11 @@
 """Silence after which it does not any more, in seconds: upstreams have long found another replica
 if it is down, and a cut that lasts so long is no passing one."""
 
+HEALED_S = 2.5
+"""How long a replica that is heard again still counts as missed, in seconds: two periods in which
+upstreams announce themselves, until what it heard meanwhile has arrived. Without it replicas
+dropped 16 to 26 of 64 upstreams for a second as soon as a cut was over."""
+
 FORGET_S = 60.0
 """Silence after which a replica that is no member is not looked for any more, in seconds."""
 
@@ -54,6 +59,7 @@
         self._change_due = 0.0
         self._changes = 0
         self._leads_since: float | None = None
+        self._missed_at = -math.inf
 
     @property
     def peers(self) -> tuple[str, ...]:
@@ -75,11 +81,16 @@
         self.learn(seeds)
 
     def misses_peer(self, now: float) -> bool:
-        """Say whether another replica fell silent lately: upstreams may still be heard there."""
-        return any(
+        """Say whether another replica fell silent lately: upstreams may still be heard there.
+
+        Ask it often: how long ago one was missed is known from the times at which this was asked.
+        """
+        if any(
             MISSED_S < now - heard_at <= MISSED_UNTIL_S
             for heard_at in self._heard_at_by_id.values()
-        )
+        ):
+            self._missed_at = now
+        return now - self._missed_at <= HEALED_S
 
     def got_upstreams(self, sender: str) -> None:
         """Note that another replica has told all the upstreams that it knew."""
--- a/tests/routed/test_coordinator.py
+++ b/tests/routed/test_coordinator.py
@@ -231,6 +231,20 @@
         assert _lists(cluster, "c")
 
 
+def test_an_upstream_stays_when_the_cut_is_over(cluster, make_announcement):
+    """Replay the end of a cut: replicas heard each other before they heard of the upstreams."""
+    _announce_to(cluster, "c", make_announcement, 3.0)
+    cluster.cut |= {(one, two) for one in "ab" for two in "cde"}
+    cluster.cut |= {(two, one) for one in "ab" for two in "cde"}
+    _announce_to(cluster, "c", make_announcement, 8.0)
+    cluster.cut.clear()
+    for _ in range(40):
+        cluster.run(0.02)
+        assert _lists(cluster, "a")
+    _announce_to(cluster, "c", make_announcement, 3.0)
+    assert _lists(cluster, "a")
+
+
 def test_an_upstream_that_nobody_hears_is_dropped_as_soon_as_before(cluster, make_announcement):
     _announce_to(cluster, "c", make_announcement, 3.0)
     cluster.run(4.5)
