Pause an upstream only after a second broken connection; the first one leads to a trial

Change: the first break lets one request try the upstream; a second in a row pauses it. Of one that crashed two requests are lost instead of one.

--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -247,10 +247,10 @@
                 # Each entry host has connections to an upstream that crashed, and loses a request
                 # with each that it uses: 95 of a day with upstreams that crash by turns.
                 self.failed_share += FAILURE_MEMORY * (1.0 - self.failed_share)
-                self._distrust(now)
+                self._distrust(now, pauses=self._failures_in_a_row > 0)
             case placement_messages.RunEnd.UNREACHABLE:
                 self.cache.clear()
-                self._distrust(now)
+                self._distrust(now, pauses=True)
             case placement_messages.RunEnd.REJECTED:
                 self._pause_until = max(self._pause_until, now + FIRST_PAUSE_S / 2)
         return run
@@ -272,15 +272,18 @@
         if not count:
             del self.streams_by_gap_ms[gap_ms]
 
-    def _distrust(self, now: float) -> None:
-        """Pause after a lost connection, and then try with one request before others follow.
+    def _distrust(self, now: float, *, pauses: bool) -> None:
+        """Try an upstream that lost a connection with one request before others follow.
 
-        What waited meanwhile would all be sent there when the pause ends, and be lost together.
+        What waited during a pause would all be sent there when it ends, and be lost together. A
+        single lost answer is no reason for a pause: where one in twenty is lost, at three requests
+        a second each, pauses of half a second would take a fifteenth of the upstreams away.
         """
         self._failures_in_a_row += 1
         self._is_on_trial = True
         self._trial_ticket = ""
-        self._pause(now)
+        if pauses:
+            self._pause(now)
 
     def _pause(self, now: float) -> None:
         pause_s = FIRST_PAUSE_S * 2.0 ** (self._failures_in_a_row - 1)
