Two faults of parts whose number changes, found by reading

What is told of a question (its first event, its end) named the number of parts at its beginning, and an owner took that for the present one: while streams of before a change ended, a part's upstreams changed to and fro, and an upstream could be placed on by two owners. A run whose upstream moved to another part of the same owner's replica was not told to that part. Both tests are red on the code before.

--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -181,7 +181,7 @@
                 continue
             shard = self._session.shard_of(upstream)
             owner_id = self._tell_owner(shard, now)
-            if owner_id and owner_id != ticket.owner_id:
+            if owner_id and (owner_id, shard) != (ticket.owner_id, ticket.request.owned_shard):
                 self._tell_running(ticket, shard, owner_id)
 
     async def wake_waiting(self) -> None:
@@ -222,9 +222,10 @@
             return
         if ticket.request.service != shard.service or not shard.has(placed.upstream_id):
             return
-        request = dataclasses.replace(ticket.request, shard=shard)
-        if ticket.owner_id != owner_id:
+        if (owner_id, shard) != (ticket.owner_id, ticket.request.owned_shard):
             self._withdraw(ticket)
+        request = dataclasses.replace(ticket.request, shard=shard)
+        ticket.request = request
         ticket.owner_id = owner_id
         running = placement_messages.StillRunning(request, placed.upstream_id, ticket.has_begun)
         self._send(owner_id, running)
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -65,13 +65,13 @@
                 owner = self._owner(message.owned_shard, now)
                 return self._sends(owner.place(entry_id, message, now))
             case placement_messages.FirstEvent(ticket_id):
-                shard = self._shard_by_ticket.get(ticket_id)
-                if shard is not None:
-                    self._owner(shard, now).on_first_event(message, now)
+                owner = self._owner_of(self._shard_by_ticket.get(ticket_id), now)
+                if owner is not None:
+                    owner.on_first_event(message, now)
             case placement_messages.RunEnded(ticket_id):
-                shard = self._shard_by_ticket.pop(ticket_id, None)
-                if shard is not None:
-                    return self._sends(self._owner(shard, now).on_ended(message, now))
+                owner = self._owner_of(self._shard_by_ticket.pop(ticket_id, None), now)
+                if owner is not None:
+                    return self._sends(owner.on_ended(message, now))
             case placement_messages.OwnerChosen(shard, _, belief):
                 owner = self._owner(shard, now)
                 if belief is not None:
@@ -139,6 +139,18 @@
         decided, self._decided = tuple(self._decided), []
         return decided
 
+    def _owner_of(
+        self, shard: placement_messages.Shard | None, now: float
+    ) -> service_owner.ServiceOwner | None:
+        """Return the owner of a shard that was asked before, for what is told of such a question.
+
+        The question named the number of shards that there was then, which tells nothing any more.
+        """
+        if shard is None or shard not in self._owner_by_shard:
+            return None
+        self._asked_at_by_shard[shard] = now
+        return self._owner_by_shard[shard]
+
     def _owner(self, shard: placement_messages.Shard, now: float) -> service_owner.ServiceOwner:
         """Return a shard's owner, which takes the shard's upstreams by the number last told.
 
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -19,9 +19,10 @@
         self.owner_id = "r1"
         self.upstream_by_id = {}
         self.has_moved = False
+        self.other_owner_id = "r9"
 
     def owner(self, shard, now):
-        return "r9" if shard == OTHER else self.owner_id
+        return self.other_owner_id if shard == OTHER else self.owner_id
 
     def counted(self, shard):
         return shard
@@ -176,9 +177,11 @@
     curio_world.run(main)
 
 
+@pytest.mark.parametrize("other_owner_id", ["r9", "r1"])
 def test_the_owner_of_the_part_that_an_upstream_moved_to_hears_of_what_runs_there(
-    session, sent, client, make_question
+    session, sent, client, make_question, other_owner_id
 ):
+    session.other_owner_id = other_owner_id
     upstream_id = next(f"u-{n}" for n in range(99) if OTHER.has(f"u-{n}"))
 
     async def main():
@@ -197,8 +200,10 @@
             for to, item in sent
             if isinstance(item, placement_messages.StillRunning)
         ]
-        assert told == ("r9", upstream_id)
+        assert told == (other_owner_id, upstream_id)
+        client.move_running(0.1)
+        assert sum(isinstance(item, placement_messages.StillRunning) for _, item in sent) == 1
         client.end("t", placement_messages.RunEnd.COMPLETE, 1.0)
-        assert sent[-1][0] == "r9"
+        assert sent[-1][0] == other_owner_id
 
     curio_world.run(main)
--- a/tests/routed/test_shards.py
+++ b/tests/routed/test_shards.py
@@ -130,6 +130,28 @@
     assert placed[1].read_tokens in (0, 5500)
 
 
+def test_the_end_of_an_older_question_brings_back_no_older_number_of_parts(
+    make_announcement, make_question
+):
+    """Streams last for seconds: their ends came with the number of parts at their beginning."""
+    whole = owner.Owner()
+    whole.use_upstreams(tuple(make_announcement(f"u-{n}", slots=9) for n in range(40)), 0.0)
+    older, newer = (placement_messages.Shard("engines", 0, count) for count in (2, 4))
+    whole.handle("e", make_question("old", (("x", 9),), shard=older, left_ms=9000.0), 0.0)
+    whole.handle("e", make_question("new", (("y", 9),), shard=newer, left_ms=9000.0), 0.1)
+
+    def present():
+        (shard_owner,) = whole._owner_by_shard.values()
+        return {name for name, load in shard_owner.load_by_id.items() if load.is_present}
+
+    expected = {f"u-{n}" for n in range(40) if newer.has(f"u-{n}")}
+    assert present() == expected
+    whole.handle("e", placement_messages.FirstEvent("old", 9.0), 0.2)
+    assert present() == expected
+    whole.handle("e", placing.ended("old"), 0.3)
+    assert present() == expected
+
+
 def test_an_owner_places_only_on_the_engines_of_the_shard_that_was_asked(
     make_announcement, make_question
 ):
