--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -89,20 +89,20 @@
     def shards(
         self, service: str, key: str
     ) -> tuple[placement_messages.Shard, placement_messages.Shard | None]:
-        """Return the part of a service's upstreams that is to serve what a key names.
+        """Return the shard that is to serve what a key names.
 
-        With it comes the part to be asked while that one is busy, if there is another.
+        With it comes the one to be asked while that one is busy, if there is another.
         """
         return shard_choice.choose(key, self._sizes(service), service)
 
     def counted(self, shard: placement_messages.Shard) -> placement_messages.Shard:
-        """Return a part by the number of parts there are now; for one that is gone, another."""
+        """Return a shard by the number there are now; for one that is gone, another."""
         sizes = self._sizes(shard.service)
         count = next((known.count for known in sizes), 1)
         return placement_messages.Shard(shard.service, shard.index % count, count)
 
     def shard_of(self, upstream: upstream_types.Announcement) -> placement_messages.Shard:
-        """Return the part that an upstream belongs to."""
+        """Return the shard that an upstream belongs to."""
         first = self.counted(placement_messages.Shard(upstream.service))
         index = rendezvous.jump(upstream.upstream_id, first.count)
         return dataclasses.replace(first, index=index)
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -27,7 +27,7 @@
 """When to come back if no upstream is known, in milliseconds: a replica tells its view within."""
 
 LEAST_BEGINS_MS = 1.0
-"""Least bound that a second part is given, in milliseconds; 0 stands for a first question."""
+"""Least bound that a second shard is given, in milliseconds; 0 stands for a first question."""
 
 Send = Callable[[str, Any], bool]
 """Sends a message to a replica; returns whether it was queued."""
@@ -46,10 +46,10 @@
     changed: curio.Event = dataclasses.field(default_factory=curio.Event)
 
     def turn(self, begins_ms: float) -> None:
-        """Ask the other part next: first the one that may be free, and then the first one again.
+        """Ask the other shard next: the one that may be free, and then the first one again.
 
         Args:
-            begins_ms: When the request would begin at the part that was asked.
+            begins_ms: When the request would begin at the shard that was asked.
         """
         request = self.request
         was_first = request.begins_within_ms == 0
@@ -167,7 +167,7 @@
             self._tell_owner(self._session.counted(shard), now)
 
     def move_running(self, now: float) -> None:
-        """Tell owners of requests that run on upstreams which have changed their part.
+        """Tell owners of requests that run on upstreams which have changed their shard.
 
         Both sides would count them wrongly: the one that placed them hears of their ends, the one
         that places there now would not know of them.
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -83,8 +83,7 @@
 ChooseShards = Callable[
     [str, str], tuple[placement_messages.Shard, placement_messages.Shard | None]
 ]
-"""Returns the part of a service that is to serve what a key names, and the one to ask while that is
-busy."""
+"""Returns the shard that is to serve what a key names, and the one to ask while that is busy."""
 
 
 FindUpstream = Callable[[str], upstream_types.Announcement | None]
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -24,13 +24,13 @@
 class Shard:
     """Name a part of a service's upstreams that has an owner of its own.
 
-    A part stays the same one while the number of parts changes: most of its upstreams stay with it,
-    and its owner goes on knowing what they hold.
+    A shard stays the same one while their number changes: most of its upstreams stay with it, and
+    its owner goes on knowing what they hold.
 
     Attributes:
         service: Whose upstreams.
         index: Which part, from 0.
-        count: Into how many parts the service is divided now; tells no two parts apart.
+        count: Into how many parts the service is divided now; tells no two shards apart.
     """
 
     service: str
@@ -60,11 +60,10 @@
         zone: Where the entry host is.
         excluded: Upstreams that are not to be used, since they failed this request.
         shard: The part of the service's upstreams whose owner is asked.
-        other_shard: The part whose owner is asked if this one answers that it is busy; None if it
-            has to wait here.
-        begins_within_ms: When it is foreseen to begin in the part that was asked before, in
+        other_shard: The one that is asked if this one is busy; None if it has to wait here.
+        begins_within_ms: When it is foreseen to begin in the shard that was asked before, in
             milliseconds: this one is to take it only if that is sooner here. 0 if none was asked.
-        busy_shard: The part that was asked after this one and was busy too; None if none was.
+        busy_shard: The one that was asked after this one and was busy too; None if none was.
     """
 
     ticket_id: str
@@ -156,7 +155,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Busy:
-    """Answer: another part of the upstreams is to be asked; nothing is kept of the question.
+    """Answer: another shard is to be asked; nothing is kept of the question.
 
     Attributes:
         ticket_id: The question.
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -52,7 +52,7 @@
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
         self._line = waiting_line.WaitingLine()
         self._forecast = wait_forecast.WaitForecast(self._line)
-        self._busy_parts = spillover.BusyParts()
+        self._busy_shards = spillover.BusyShards()
         self._passed_at = -math.inf
 
     @property
@@ -90,14 +90,14 @@
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
     ) -> tuple[placement_answer.Answer, ...]:
-        """Place a request at once, let it wait, send it to another part, or refuse it.
+        """Place a request at once, let it wait, send it to another shard, or refuse it.
 
         One that is asked for again, by a host that chose its owner anew, gets its answer again.
         """
         known = self._known_answer(request.ticket_id)
         if known is not None:
             return (placement_answer.Answer(entry_id, known),)
-        self._busy_parts.note(request, now)
+        self._busy_shards.note(request, now)
         waiting = waiting_line.Waiting(
             entry_id,
             request,
@@ -108,7 +108,7 @@
         if self._yields(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
             if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms, waiting.run_ms):
-                if self._busy_parts.may_ask(request, now):
+                if self._busy_shards.may_ask(request, now):
                     return (self._busy(waiting, predicted_ms + waiting.read_ms),)
                 why = f"it would wait about {predicted_ms:.0f} ms"
                 after_ms = start_rules.retry_after_ms(request, predicted_ms)
@@ -116,7 +116,7 @@
         answer = self._try(waiting, now)
         if answer is not None:
             return (answer,)
-        if self._busy_parts.may_ask(request, now):
+        if self._busy_shards.may_ask(request, now):
             begins_ms = self._begins_ms(waiting, now)
             if begins_ms >= spillover.most_begins_ms(request, self.rate.tokens_per_ms):
                 return (self._busy(waiting, begins_ms),)
--- a/src/medlarfork/placement/spillover.py
+++ b/src/medlarfork/placement/spillover.py
@@ -1,11 +1,11 @@
-"""Decide when a request is better served by another part of a service's upstreams: pure arithmetic.
+"""Decide when a request is better served by another shard of a service's upstreams: pure.
 
 The load that this answers: a burst of requests about few matters. All requests about one matter
 meet at the few engines that have read it, so that it is read once. These engines were full, and
 refused or kept waiting 130 requests of a day, while the busiest engine of the service had twice the
-mean load and others had slots and no reading. A request that would wait there asks one other part,
-the same one for its matter each time: reading the matter there once more costs less than a request
-that is late.
+mean load and others had slots and no reading. A request that would wait there asks one other
+shard, the same one for its matter each time: reading the matter there once more costs less than a
+request that is late.
 """
 
 from __future__ import annotations
@@ -22,19 +22,19 @@
 
 SPILL_READS = 4.0
 """How many times the reading of its shared part a request has to gain by going elsewhere, besides.
-Where all parts are full, that reading delays all that wait: without it 1.7 million tokens more were
-read again in one burst on 45 engines, and fewer requests were served."""
+Where all shards are full, that reading delays all that wait there, and the request gains
+nothing."""
 
 BUSY_S = 0.3
-"""How long a part that was found busy is not asked for another request, in seconds: a few requests
-end in it. Where all are full, each would else ask three times, which is the work of three."""
+"""How long a shard that was found busy is not asked for another request, in seconds: a few
+requests end in it. Where all are full, each request would else be three questions."""
 
 MOST_BEGINS_MS = 1e9
 """Stands for a wait that nothing foresees."""
 
 
 def most_begins_ms(request: placement_messages.PlaceRequest, tokens_per_ms: float) -> float:
-    """Return how late a request may begin before another part is asked, in milliseconds.
+    """Return how late a request may begin before another shard is asked, in milliseconds.
 
     Args:
         request: The request.
@@ -53,20 +53,20 @@
     return sum(part.tokens for part in request.parts[:-1])
 
 
-class BusyParts:
-    """Remember which other parts were found busy lately; pure."""
+class BusyShards:
+    """Remember which other shards were found busy lately; pure."""
 
     def __init__(self) -> None:
         """Start with none."""
         self._until_by_shard: dict[placement_messages.Shard, float] = {}
 
     def note(self, request: placement_messages.PlaceRequest, now: float) -> None:
-        """Take what a request tells of the part that it asked before it came back."""
+        """Take what a request tells of the shard that it asked before it came back."""
         if request.busy_shard is not None:
             self._until_by_shard[request.busy_shard] = now + BUSY_S
 
     def may_ask(self, request: placement_messages.PlaceRequest, now: float) -> bool:
-        """Say whether a request may be sent to another part; one that was sent here goes back."""
+        """Say whether a request may ask another shard; one that was sent here goes back."""
         if request.begins_within_ms > 0:
             return True
         other = request.other_shard
--- a/tests/routed/test_spillover.py
+++ b/tests/routed/test_spillover.py
@@ -54,7 +54,7 @@
 
 def test_a_part_that_was_found_busy_is_not_asked_for_a_while(make_question):
     """Replay a burst that fills all parts: each request asked three times."""
-    busy = spillover.BusyParts()
+    busy = spillover.BusyShards()
     asked = make_question("t", SHORT, shard=HOME, other_shard=OTHER)
     assert busy.may_ask(asked, 0.0)
     busy.note(make_question("back", SHORT, shard=HOME, busy_shard=OTHER), 0.0)
