--- a/src/medlarfork/metrics/sdk_metrics.py
+++ b/src/medlarfork/metrics/sdk_metrics.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import prometheus_client
 from opentelemetry import metrics as metrics_api
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics, resources
 
-from medlarfork.metrics import tally, timing
+from medlarfork.metrics import process_metrics, tally, timing
 
 BUCKETS_S = (
     *(0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5),
@@ -17,14 +17,11 @@
 )
 """Upper bounds of the histograms' buckets, in seconds: from a counter lookup to a review."""
 
-ReadGauges = Callable[[], dict[str, float]]
-"""Returns the present values of the gauges by name."""
-
 
 class SdkMetrics:
     """Make the instruments and render them."""
 
-    def __init__(self, scope: str, read_gauges: ReadGauges) -> None:
+    def __init__(self, scope: str, read_gauges: process_metrics.ReadGauges) -> None:
         """Start with one gauge of states.
 
         Args:
