Sight for repeats that end engines: each request's key in its line, and whether the engine of a broken run still listens

The key is a digest of client account, method, host, target and body. No decision rests on either yet.

--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -16,6 +16,7 @@
 from medlarfork import _stop_signal, codec, logs
 from medlarfork.coordination import coordination_messages
 from medlarfork.gateway import (
+    crash_watch,
     entry_session,
     gateway_metrics,
     gateway_settings,
@@ -96,6 +97,7 @@
             session=self._session,
             owner=self._owner,
             holds=self._holds,
+            crashes=crash_watch.CrashWatch(self._client),
             rules=given.budget,
             metrics=self._metrics,
         )
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -11,11 +11,13 @@
 
 from medlarfork import errors, logs
 from medlarfork.gateway import (
+    crash_watch,
     entry_session,
     gateway_metrics,
     holding,
     owner_client,
     request_facts,
+    request_key,
     request_names,
     request_run,
     request_types,
@@ -40,6 +42,7 @@
         session: entry_session.EntrySession,
         owner: owner_client.OwnerClient,
         holds: holding.Holding,
+        crashes: crash_watch.CrashWatch,
         rules: retry_budget.BudgetRules,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
@@ -50,6 +53,7 @@
         self._session = session
         self._owner = owner
         self._holds = holds
+        self._crashes = crashes
         self._rules = rules
         self._metrics = metrics
         self._table: route_table.RouteTable | None = None
@@ -153,12 +157,18 @@
         tier = route.tier
         if account is not None and account.tier is not None:
             tier = account.tier
+        head = exchange.head
+        name = "" if account is None else account.name
+        key = request_key.request_key(
+            name, head.method, head.headers.get("host", ""), head.target, body
+        )
         return request_types.Admitted(
             exchange=exchange,
             facts=facts,
             route=route,
+            key=key,
             service=route_table.choose_target(route, self._random.random()),
-            account="" if account is None else account.name,
+            account=name,
             tier=tier,
             body=body,
             started_at=started_at,
@@ -172,6 +182,7 @@
             owner=self._owner,
             budgets=self._budgets,
             find_upstream=self._session.find_upstream,
+            run_broken=self._crashes.run_broken,
             shards=self._session.shards,
             zone=self._zone,
             entry_hosts=self._session.entry_hosts,
@@ -233,6 +244,7 @@
             _log,
             "request",
             request=admitted.facts.attempt_id or None,
+            key=admitted.key,
             route=admitted.route.name,
             service=admitted.service,
             account=admitted.account or None,
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -164,6 +164,8 @@
             if sent.end is not placement_messages.RunEnd.UNREACHABLE:
                 self._sends += 1
             self.trace.reasons.append(f"{upstream.upstream_id}: {sent.why}")
+            if sent.end is placement_messages.RunEnd.BROKEN:
+                await self._tools.run_broken(self._admitted, upstream)
             self.end_ticket(sent.end)
             return sent.end
         self._sends += 1
@@ -172,6 +174,7 @@
         except errors.UpstreamError as error:
             self._cutter.drop_pending()
             self.trace.reasons.append(f"{upstream.upstream_id}: {error}")
+            await self._tools.run_broken(self._admitted, upstream)
             end = placement_messages.RunEnd.FAILED
         finally:
             # A cancelled or failed relay leaves the upstream at work unless it is told.
@@ -196,7 +199,7 @@
         return upstream_call.Call(
             address=upstream.address,
             method=head.method,
-            target=f"{head.path}?{head.query}" if head.query else head.path,
+            target=head.target,
             headers=headers,
             body=admitted.body,
             attempt_id=admitted.facts.attempt_id,
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import owner_client, request_facts, request_names, retry_budget
@@ -21,6 +21,7 @@
         exchange: The caller's connection.
         facts: What its headers say.
         route: How it is handled.
+        key: What its repeats share (see ``request_key``).
         service: The service that was drawn for it.
         account: The client account; empty on public routes.
         tier: Its rank.
@@ -32,6 +33,7 @@
     exchange: http_server.Exchange
     facts: request_facts.RequestFacts
     route: routing.Route
+    key: str
     service: str
     account: str
     tier: int
@@ -86,6 +88,10 @@
 """Returns the shard that is to serve what a key names, and the one to ask while that is busy."""
 
 
+RunBroken = Callable[[Admitted, upstream_types.Announcement], Awaitable[None]]
+"""Takes a request whose run at an upstream ended without a whole answer."""
+
+
 FindUpstream = Callable[[str], upstream_types.Announcement | None]
 """Returns an upstream that may take requests now; it may have come while a request waited."""
 
@@ -99,6 +105,7 @@
     owner: owner_client.OwnerClient
     budgets: dict[str, retry_budget.RetryBudget]
     find_upstream: FindUpstream
+    run_broken: RunBroken
     shards: ChooseShards
     zone: str
     entry_hosts: int
--- a/src/medlarfork/http/_http_exchange.py
+++ b/src/medlarfork/http/_http_exchange.py
@@ -37,6 +37,11 @@
     query: str
     headers: dict[str, str]
 
+    @property
+    def target(self) -> str:
+        """Return the path, with the query if any."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
 
 class Exchange:
     """Read one request and write its answer; valid until the handler returns.
--- a/src/medlarfork/http/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import enum
 import errno
 import functools
 import os
@@ -46,6 +47,18 @@
     unacknowledged_s: float = 0.0
 
 
+class Reach(enum.StrEnum):
+    """Say what an attempt to connect to an address met.
+
+    A port that refuses has nobody who listens: its process has ended, or never began. Silence
+    tells nothing of the process, since a cut looks the same.
+    """
+
+    ACCEPTS = "accepts"
+    REFUSES = "refuses"
+    SILENT = "silent"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Idle:
     """Hold a connection until it is reused or has been idle for too long."""
@@ -109,6 +122,16 @@
             await connection.close()
         return await self._open_new(address, give_up_at)
 
+    async def reach(self, address: str, within_s: float) -> Reach:
+        """Connect to an address and say what that met; the connection is kept for reuse."""
+        try:
+            connection = await self._open_new(address, time.monotonic() + within_s)
+        except errors.RequestNotSentError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return Reach.REFUSES if refused else Reach.SILENT
+        await self.keep(connection)
+        return Reach.ACCEPTS
+
     async def keep(self, connection: _http_answer.ClientConnection) -> None:
         """Take a connection back that can carry another request."""
         kept = self._idle_by_address.setdefault(connection.address, collections.deque())
--- a/src/medlarfork/http/http_client.py
+++ b/src/medlarfork/http/http_client.py
@@ -13,6 +13,7 @@
 
 Response = _http_answer.Response
 ClientLimits = _http_pool.ClientLimits
+Reach = _http_pool.Reach
 
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 """Methods whose requests state a length even if it is 0."""
@@ -56,6 +57,10 @@
         """Close idle connections and end exchanges in progress."""
         await self._pool.close()
 
+    async def reach(self, address: str, *, within_s: float) -> Reach:
+        """Say whether anybody listens at ``http://IP:PORT``, in ``within_s`` seconds at most."""
+        return await self._pool.reach(address, within_s)
+
     async def request(
         self,
         address: str,
--- /dev/null
+++ b/tests/routed/test_request_key.py
@@ -0,0 +1,39 @@
+"""What a caller's repeats share, and what tells requests apart."""
+
+import pytest
+
+from medlarfork.gateway import request_key
+
+GIVEN = {
+    "account": "shop",
+    "method": "POST",
+    "host": "a.example",
+    "target": "/p/x",
+    "body": b"question",
+}
+
+
+def test_a_repeat_has_the_name_of_the_request_before_it():
+    first = request_key.request_key(**GIVEN)
+    assert first == request_key.request_key(**(GIVEN | {"host": "A.example:80"}))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"account": "other"},
+        {"method": "PUT"},
+        {"host": "b.example"},
+        {"target": "/p/x?q=1"},
+        {"body": b"question 2"},
+        {"body": b"question\0shop"},
+    ],
+)
+def test_whatever_an_upstream_would_see_differently_is_another_request(change):
+    assert request_key.request_key(**GIVEN) != request_key.request_key(**(GIVEN | change))
+
+
+def test_the_requests_of_an_account_are_known_as_its_own():
+    key = request_key.request_key(**GIVEN)
+    assert key.startswith(request_key.account_mark("shop"))
+    assert not key.startswith(request_key.account_mark("other"))
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Test the HTTP client against scripted peers: whole answers, cuts, reuse and cancellation."""
 
 import contextlib
+import socket
 
 import curio
 import pytest
@@ -237,6 +238,32 @@
     curio_world.run(main)
 
 
+def test_whether_anybody_listens_is_told_and_the_connection_kept():
+    async def main():
+        peer = Peer()
+        await peer.start()
+        async with client_of() as client:
+            assert await client.reach(peer.address, within_s=1.0) is http_client.Reach.ACCEPTS
+            assert client.idle_connections == 1
+            await peer.close()
+            assert await client.reach(peer.address, within_s=1.0) is http_client.Reach.REFUSES
+
+    curio_world.run(main)
+
+
+def test_an_address_that_takes_no_opening_packets_is_silent():
+    async def main():
+        with contextlib.ExitStack() as stack:
+            full = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+            taken = stack.enter_context(socket.socket())
+            taken.connect(full.getsockname())
+            async with client_of() as client:
+                address = f"http://127.0.0.1:{full.getsockname()[1]}"
+                assert await client.reach(address, within_s=0.2) is http_client.Reach.SILENT
+
+    curio_world.run(main)
+
+
 @pytest.mark.parametrize(
     ("address", "method", "target", "headers"),
     [
