--- /dev/null
+++ b/tests/processes/routed_fleet.py
@@ -0,0 +1,192 @@
+"""Run a routed deployment as processes, with engines that are started again when they end."""
+
+import itertools
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+
+_NETWORKS = itertools.count(100)
+_START = "import sys; from medlarfork.{package} import {module}; {module}.run()"
+_ENGINE = pathlib.Path(__file__).parent / "crashing_engine.py"
+RESTART_S = 1.0
+"""How long an engine that ended is away."""
+
+
+def ask(method, url, body=None, headers=None, *, timeout_s=5.0):
+    """Return the status and the body of an answer; 0 and the reason if there is none."""
+    sent = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
+    request = urllib.request.Request(url, sent, headers or {}, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
+            return answer.status, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError as error:
+        return 0, str(error).encode()
+
+
+def until(status, *call):
+    """Ask until an answer has this status, and return its body."""
+    for _ in range(200):
+        found = ask(*call)
+        if found[0] == status:
+            return found[1]
+        time.sleep(0.1)
+    raise AssertionError(found)
+
+
+def new_network():
+    """Return the first three numbers of addresses that no other deployment uses."""
+    return f"127.{10 + os.getpid() % 200}.{next(_NETWORKS)}"
+
+
+class Engine:
+    """Keep one engine running: a supervisor that starts it again after it ended."""
+
+    def __init__(self, fleet, number):
+        self.name = f"u-{number}"
+        self.starts = 0
+        self._fleet = fleet
+        self._host = f"{fleet.network}.{100 + number}"
+        self._log = fleet.folder / f"{self.name}.log"
+        self._stopping = threading.Event()
+        self._process = None
+        self._thread = threading.Thread(target=self._keep_running, daemon=True)
+        self._thread.start()
+
+    def _keep_running(self):
+        while not self._stopping.is_set():
+            command = [sys.executable, str(_ENGINE), "--name", self.name, "--host", self._host]
+            command += ["--port", "7401", "--replicas", *self._fleet.replicas]
+            with self._log.open("ab") as log:
+                self._process = subprocess.Popen(command, stdout=log, stderr=log)
+            self.starts += 1
+            self._process.wait()
+            self._stopping.wait(RESTART_S)
+
+    def kill(self):
+        self._process.kill()
+
+    def close(self):
+        self._stopping.set()
+        while self._thread.is_alive():
+            self._process.kill()
+            self._thread.join(0.2)
+
+    def runs(self, body):
+        """Return when it began to work on requests with this body, in monotonic seconds."""
+        lines = self._log.read_text().splitlines() if self._log.exists() else []
+        parts = [line.split(maxsplit=2) for line in lines]
+        return [float(part[0]) for part in parts if part[1:] == ["run", body]]
+
+
+class Fleet:
+    """Own the processes of a deployment."""
+
+    def __init__(self, folder, *, replicas=3, entries=3, engines=6):
+        self.folder = folder
+        self.network = new_network()
+        self.replicas = [f"{self.network}.{number + 1}" for number in range(replicas)]
+        self.entries = [f"{self.network}.{50 + number}" for number in range(entries)]
+        self.process_by_host = {}
+        self._attempts = itertools.count(1)
+        for replica in self.replicas:
+            self.start_replica(replica, may_found=True)
+        for entry in self.entries:
+            self.start_entry(entry)
+        self.engines = [Engine(self, number) for number in range(engines)]
+
+    def start_replica(self, replica, *, may_found=False):
+        settings = f"""
+            replica_id = "{replica}"
+            serve = "{replica}:7001"
+            directory = "{replica}:7002"
+            link_port = 7003
+            seeds = {json.dumps(self.replicas)}
+            may_found = {str(may_found).lower()}
+            data_folder = "{self.folder / replica}"
+            """
+        self._start("coordination", "coordinator_command", replica, settings)
+
+    def start_entry(self, entry):
+        settings = f"""
+            entry_id = "{entry}"
+            zone = "z1"
+            serve = "{entry}:7004"
+            health = "{entry}:7005"
+            link_host = "{entry}"
+            link_port = 7003
+            replica_link_port = 7003
+            seeds = {json.dumps(self.replicas)}
+            grace_s = 1.0
+            """
+        self._start("gateway", "gateway_command", entry, settings)
+
+    def _start(self, package, module, host, settings):
+        file = self.folder / f"{host}.toml"
+        file.write_text(settings)
+        code = _START.format(package=package, module=module)
+        with (self.folder / f"{host}.log").open("ab") as log:
+            self.process_by_host[host] = subprocess.Popen(
+                [sys.executable, "-c", code, f"--settings={file}"], stdout=log, stderr=log
+            )
+
+    def put_route(self, **route):
+        declared = {
+            "name": "r",
+            "host": "a.example",
+            "path_prefix": "/p/",
+            "kind": "unsafe",
+            "timeout_ms": 3000,
+            "targets": [{"service": "engines"}],
+        }
+        routing = {
+            "version": 1,
+            "routes": [declared | route],
+            "services": [{"name": "engines"}],
+            "accounts": [{"name": "shop", "api_keys": ["k-1"]}],
+        }
+        until(200, "PUT", f"http://{self.replicas[0]}:7001/v1/routing", routing)
+        for entry in self.entries:
+            until(200, "GET", f"http://{entry}:7005/")
+
+    def until_known(self):
+        """Wait until each entry host knows all engines."""
+        known = f" upstreams={len(self.engines)}"
+        end_at = time.monotonic() + 20.0
+        while not all(known in (self.folder / f"{host}.log").read_text() for host in self.entries):
+            assert time.monotonic() < end_at
+            time.sleep(0.1)
+
+    def call(self, body):
+        """Send one attempt of a request to the next entry host; return its status and answer."""
+        number = next(self._attempts)
+        entry = self.entries[number % len(self.entries)]
+        headers = {
+            "Host": "a.example",
+            "Authorization": "Bearer k-1",
+            "medlar-attempt-id": f"a-{number}",
+        }
+        return ask("POST", f"http://{entry}:7004/p/x", body.encode(), headers)
+
+    def runs(self, body):
+        """Return when engines began to work on requests with this body, in order."""
+        return sorted(at for engine in self.engines for at in engine.runs(body))
+
+    def lines(self, event):
+        """Return the log lines of an event, of all replicas and entry hosts."""
+        logs = [(self.folder / f"{host}.log").read_text() for host in self.process_by_host]
+        return [line for log in logs for line in log.splitlines() if f"event={event} " in line]
+
+    def close(self):
+        for engine in self.engines:
+            engine.close()
+        for process in self.process_by_host.values():
+            process.kill()
+            process.wait()
--- a/tests/processes/test_routed_programs.py
+++ b/tests/processes/test_routed_programs.py
@@ -1,40 +1,15 @@
 """The programs of a routed deployment as processes, with settings files of their own."""
 
-import itertools
 import json
-import os
 import signal
 import subprocess
 import sys
-import time
-import urllib.error
-import urllib.request
 
 import pytest
 
-_NETWORKS = itertools.count(200)
-START = "import sys; from medlarfork.{package} import {module}; {module}.run()"
-
-
-def _ask(method, url, body=None):
-    sent = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(url, sent, method=method)
-    try:
-        with urllib.request.urlopen(request, timeout=5) as answer:
-            return answer.status, answer.read()
-    except urllib.error.HTTPError as error:
-        return error.code, error.read()
-    except OSError as error:
-        return 0, str(error).encode()
+from tests.processes import routed_fleet
 
-
-def _until(status, *call):
-    for _ in range(200):
-        found = _ask(*call)
-        if found[0] == status:
-            return found[1]
-        time.sleep(0.1)
-    raise AssertionError(found)
+START = "import sys; from medlarfork.{package} import {module}; {module}.run()"
 
 
 @pytest.fixture
@@ -60,7 +35,7 @@
 
 
 def test_a_routed_deployment_runs_from_its_settings_files_and_stops_with_0(start, tmp_path):
-    network = f"127.{10 + os.getpid() % 200}.{next(_NETWORKS)}"
+    network = routed_fleet.new_network()
     replicas = [f"{network}.{number}" for number in (1, 2, 3)]
     processes = [
         start(
@@ -116,12 +91,14 @@
         ],
         "services": [{"name": "engines"}],
     }
-    _until(200, "PUT", f"http://{replicas[0]}:7001/v1/routing", routing)
-    _until(200, "GET", f"http://{entry}:7005/ready")
-    found = json.loads(_until(200, "GET", f"http://{replicas[1]}:7002/v1/entries?zone=z1"))
+    routed_fleet.until(200, "PUT", f"http://{replicas[0]}:7001/v1/routing", routing)
+    routed_fleet.until(200, "GET", f"http://{entry}:7005/ready")
+    found = json.loads(
+        routed_fleet.until(200, "GET", f"http://{replicas[1]}:7002/v1/entries?zone=z1")
+    )
     assert found["addresses"] == [f"{entry}:7004"]
-    assert _ask("GET", f"http://{entry}:7004/p/")[0] == 404
-    assert b"medlar_routed_state" in _ask("GET", f"http://{entry}:7005/metrics")[1]
+    assert routed_fleet.ask("GET", f"http://{entry}:7004/p/")[0] == 404
+    assert b"medlar_routed_state" in routed_fleet.ask("GET", f"http://{entry}:7005/metrics")[1]
     for process in processes:
         process.send_signal(signal.SIGTERM)
     assert [process.wait(timeout=15) for process in processes] == [0, 0, 0, 0]
