--- a/tests/processes/test_repeated_crash.py
+++ b/tests/processes/test_repeated_crash.py
@@ -1,9 +1,9 @@
 """A request that ends each engine that runs it, as its caller sends it again and again.
 
 One request came to six of nine entry hosts with a new attempt id each time, and every attempt was
-placed as if nothing had happened: seven engines ended under it in 14.5 s, and a further 110 requests
-that ran beside it were cut or failed. Each of its lines named a single upstream, so no retry of ours
-had sent it on:
+placed as if nothing had happened: seven engines ended under it in 14.5 s, and 93 requests that ran
+beside it were cut or failed. Each of its lines named a single upstream, so no retry of ours had
+sent it on:
 
     8.919 cut or failed 21, 9.761 12, 10.836 2, 14.368 10, 18.823 24, 19.095 7, 23.442 24
     result=failed status=502 first_ms=0 took_ms=84 why="peer closed connection without sending ..."
