Requests that end upstreams are known at all hosts: run one at a time after two ends, held after three

Cause: whatever an attempt learnt ended with it. A caller's repeat has a new id and comes to any host, so a request that ended seven engines was placed an eighth time as if nothing had happened. Hosts look after a broken run whether its upstream still listens, tell all replicas, and hear from them of requests with two ends or more. With two ends a request runs one at a time, with the leave of the replica that owns its placement, where least runs beside it; with three it is refused with 503 and the time of the next trial (30 s, then 300 s, then none for an hour). A whole answer anywhere clears it. Ruled out: retries of ours (one upstream in each line).

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -21,6 +21,7 @@
 from medlarfork.coordination import (
     coordination_messages,
     coordinator_types,
+    crash_desk,
     decision_notes,
     entry_directory,
     entry_feed,
@@ -30,7 +31,8 @@
     upstream_desk,
     upstream_registry,
 )
-from medlarfork.placement import owner, placement_messages
+from medlarfork.placement import owner, placement_answer, placement_messages
+from medlarfork.quarantine import crash_messages
 from medlarfork.replica import replica, replica_types
 from medlarfork.routes import routing
 
@@ -96,6 +98,7 @@
         self._entries = entry_directory.EntryDirectory(ttl_s=ttl_s)
         self._feed = entry_feed.EntryFeed(boot=boot)
         self._owner = owner.Owner()
+        self._crashes = crash_desk.CrashDesk()
         self._role = replica_types.Role.FOLLOWER
         self._leader_id = ""
         self._term = 0
@@ -126,10 +129,13 @@
             case _:
                 self._run_log(event)
         self._push_view()
+        self._actions += self._crashes.push(self._entry_ids, now)
         self._serve_waiting()
         if now >= self._tick_due:
             self._tick()
-        self._actions += map(decision_notes.noted, self._owner.take_decisions())
+        for answer in self._owner.take_decisions():
+            self._crashes.on_decided(answer, now)
+            self._actions.append(decision_notes.noted(answer))
         return tuple(self._actions)
 
     def gauges(self) -> dict[str, float]:
@@ -142,6 +148,7 @@
             "upstreams": len(self._registry.present),
             "entry_hosts": len(self._entry_ids),
             "waiting": self._owner.waiting,
+            "crash_cases": len(self._crashes.ledger),
         }
 
     @property
@@ -168,12 +175,27 @@
                 self._actions += self._upstreams.on_gossip(sender, message, self._now)
             case coordination_messages.GossipReceipt():
                 self._actions += self._upstreams.on_receipt(sender, message)
+            case crash_messages.CrashReport():
+                self._actions += self._crashes.take(message, self._now)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
-                self._actions += self._owner.handle(sender, message, self._now)
+                self._place(sender, message)
             case _:
                 self._members.hear(sender, self._now)
                 self._run_log(node.MessageReceived(sender, message))
 
+    def _place(self, sender: str, message: Any) -> None:
+        """Give a message on placement to the owner, but for trials that may not run now."""
+        match message:
+            case placement_messages.PlaceRequest() if message.trial_key:
+                refused = self._crashes.ask_trial(message, self._now)
+                if refused is not None:
+                    answer = placement_answer.Answer(sender, refused)
+                    self._actions += [decision_notes.noted(answer), node.Send(sender, refused)]
+                    return
+            case placement_messages.RunEnded():
+                self._crashes.on_ended(message, self._now)
+        self._actions += self._owner.handle(sender, message, self._now)
+
     def _take_entry_status(self, sender: str, status: coordination_messages.EntryStatus) -> None:
         is_new = sender not in self._entry_ids
         self._entries.hear(sender, status, self._now)
@@ -181,6 +203,9 @@
             self._entry_ids |= {sender}
             self._note("entry_host_heard", entry=sender, ready=status.is_ready)
             self._actions.append(node.Send(sender, self._own_status()))
+            known = self._crashes.whole(self._now)
+            if known.cases:
+                self._actions.append(node.Send(sender, known))
         whole = self._registry.whole()
         self._actions += self._feed.complete_view(sender, status, whole, self._now)
         self._actions += self._feed.push_routing(
@@ -206,6 +231,12 @@
                 )
             case coordinator_types.FindEntries(zone):
                 self._reply(operation_id, self._entries.find(zone, self._now))
+            case coordinator_types.LiftCrashCase(key):
+                self._actions += self._crashes.lift(key, self._now)
+                self._reply(operation_id, coordinator_types.Accepted())
+            case coordinator_types.ListCrashCases():
+                held = self._crashes.whole(self._now)
+                self._reply(operation_id, coordinator_types.CrashCasesFound(held.cases))
 
     def _put(self, operation_id: int, operation: coordinator_types.PutRouting) -> None:
         if not self.leads:
@@ -328,6 +359,7 @@
             self._status_due = self._now + STATUS_PERIOD_S
             status = self._periodic_status()
             self._actions += [node.Send(entry_id, status) for entry_id in self._entry_ids]
+            self._crashes.on_time(self._now)
             self._push_routing()
         self._actions.append(node.Wake(self._tick_due))
 
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -274,6 +274,8 @@
             case coordinator_types.PutRouting(version):
                 name = type(reply).__name__
                 logs.event(_log, "routing_put", version=version, reply=name, status=status)
+            case coordinator_types.LiftCrashCase(key):
+                logs.event(_log, "crash_case_lift", key=key, status=status)
             case coordinator_types.Withdraw(upstream_id):
                 logs.event(_log, "upstream_leave", upstream=upstream_id, status=status)
 
--- a/src/medlarfork/coordination/coordinator_types.py
+++ b/src/medlarfork/coordination/coordinator_types.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from medlarfork.coordination import upstream_types
+from medlarfork.quarantine import crash_messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,7 +43,21 @@
     zone: str
 
 
-Operation = PutRouting | GetRouting | Announce | Withdraw | FindEntries
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListCrashCases:
+    """Operation: list the requests under which several upstreams ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LiftCrashCase:
+    """Operation: let a request run again under which upstreams ended."""
+
+    key: str
+
+
+Operation = (
+    PutRouting | GetRouting | Announce | Withdraw | FindEntries | ListCrashCases | LiftCrashCase
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,7 +95,14 @@
     ttl_s: float
 
 
-Reply = Accepted | AskLeader | Unavailable | RoutingFound | EntriesFound
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashCasesFound:
+    """Reply: the requests under which several upstreams ended."""
+
+    cases: tuple[crash_messages.CrashCase, ...]
+
+
+Reply = Accepted | AskLeader | Unavailable | RoutingFound | EntriesFound | CrashCasesFound
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/medlarfork/coordination/crash_desk.py
@@ -0,0 +1,115 @@
+"""Keep a replica's part in what is known of requests that end upstreams; pure.
+
+Every entry host tells every replica what it saw. A replica passes on to all entry hosts what
+concerns them: requests under which two upstreams or more ended, and those that were cleared since.
+One end is not passed on: each crash leaves some twenty innocent requests with one, which would be
+told by each replica to hundreds of hosts.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from medlarfork import node
+from medlarfork.coordination import coordinator_types
+from medlarfork.placement import placement_answer, placement_messages
+from medlarfork.quarantine import crash_ledger, crash_messages, trial_desk
+
+PUSH_PERIOD_S = 0.05
+"""Least time between two reports to entry hosts, in seconds: what hundreds of hosts see of one
+crash within some milliseconds is told together, well within a request's usual time."""
+
+RETELL_S = 2.0
+"""How long news are told again with each status, in seconds: what is sent while a link is opened
+again is lost."""
+
+MOST_TOLD = 200
+"""Cases in one report: 20 KB, which a slow link carries in 30 ms; the rest follows."""
+
+
+class CrashDesk:
+    """Hold the ledger and the trials of one replica; the time is handed in."""
+
+    def __init__(self) -> None:
+        """Start without a case."""
+        self.ledger = crash_ledger.CrashLedger()
+        self._trials = trial_desk.TrialDesk(self.ledger)
+        self._told: set[str] = set()
+        self._untold: dict[str, None] = {}
+        self._push_due = -math.inf
+
+    def take(self, report: crash_messages.CrashReport, now: float) -> tuple[Any, ...]:
+        """Take what an entry host tells."""
+        return self._note(self.ledger.merge(report, now), now)
+
+    def lift(self, key: str, now: float) -> tuple[Any, ...]:
+        """Let a request run again, as an operator asks."""
+        if not self.ledger.note_survival(key, now, now):
+            return ()
+        noted = coordinator_types.Noted("crash_case_lifted", {"key": key})
+        return (noted, *self._note((key,), now))
+
+    def ask_trial(
+        self, request: placement_messages.PlaceRequest, now: float
+    ) -> placement_messages.PlaceRefused | None:
+        """Return why a request may not run on trial now; None if it may."""
+        return self._trials.ask(request, now)
+
+    def on_ended(self, message: placement_messages.RunEnded, now: float) -> None:
+        """Take the end of a run, which may be a trial."""
+        self._trials.on_ended(message.ticket_id, message.end, now)
+
+    def on_decided(self, answer: placement_answer.Answer, now: float) -> None:
+        """Take a decision of placement: a trial that is refused does not run."""
+        if isinstance(answer.message, placement_messages.PlaceRefused):
+            rejected = placement_messages.RunEnd.COMPLETE
+            self._trials.on_ended(answer.message.ticket_id, rejected, now)
+
+    def on_time(self, now: float) -> None:
+        """Have what is new told once more, and forget what is old."""
+        for key in self.ledger.changed_since(now - RETELL_S):
+            if self._concerns_all(key):
+                self._untold[key] = None
+        self.ledger.tidy(now)
+        self._trials.tidy(now)
+        self._told.intersection_update(self.ledger.keys())
+
+    def push(self, entry_ids: frozenset[str], now: float) -> tuple[Any, ...]:
+        """Tell all entry hosts what they have not been told."""
+        if not self._untold:
+            return ()
+        if now < self._push_due:
+            return (node.Wake(self._push_due),)
+        self._push_due = now + PUSH_PERIOD_S
+        keys = tuple(self._untold)[:MOST_TOLD]
+        for key in keys:
+            del self._untold[key]
+        self._told.update(keys)
+        report = self.ledger.report(keys, now)
+        more = (node.Wake(self._push_due),) if self._untold else ()
+        return (*(node.Send(entry_id, report) for entry_id in entry_ids), *more)
+
+    def whole(self, now: float) -> crash_messages.CrashReport:
+        """Return all that concerns an entry host, for one that has just come."""
+        keys = tuple(key for key in self.ledger.keys() if self._concerns_all(key))
+        return self.ledger.report(keys[-MOST_TOLD:], now)
+
+    def _concerns_all(self, key: str) -> bool:
+        return key in self._told or len(self.ledger.ends(key)) >= crash_ledger.SUSPECT_ENDS
+
+    def _note(self, keys: tuple[str, ...], now: float) -> tuple[Any, ...]:
+        """Have what changed told to entry hosts, and return the log lines."""
+        noted: list[Any] = []
+        for key in keys:
+            if not self._concerns_all(key):
+                continue
+            self._untold[key] = None
+            standing = self.ledger.standing(key, now)
+            fields = {
+                "key": key,
+                "verdict": standing.verdict.value,
+                "upstreams": ",".join(self.ledger.ends(key)) or None,
+            }
+            noted.append(coordinator_types.Noted("crash_case", fields))
+        return tuple(noted)
--- a/src/medlarfork/coordination/operations_format.py
+++ b/src/medlarfork/coordination/operations_format.py
@@ -15,6 +15,9 @@
 from medlarfork.coordination import coordinator_types, upstream_types
 from medlarfork.routes import routing, routing_format
 
+CRASH_CASES_PATH = "/v1/crash-cases"
+"""Where operators see and lift the requests under which upstreams ended."""
+
 _JSON = {"Content-Type": "application/json"}
 """Headers of every reply with a body."""
 
@@ -58,7 +61,8 @@
     """Speak the product's own paths and names.
 
     ``PUT /v1/routing`` and ``GET /v1/routing`` for operators, ``PUT /v1/upstreams/ID`` and
-    ``DELETE /v1/upstreams/ID`` for upstreams, ``GET /v1/entries?zone=ZONE`` for callers.
+    ``DELETE /v1/upstreams/ID`` for upstreams, ``GET /v1/entries?zone=ZONE`` for callers,
+    ``GET /v1/crash-cases`` and ``DELETE /v1/crash-cases/KEY`` for operators.
     """
 
     def __init__(self, *, http_port: int) -> None:
@@ -76,9 +80,13 @@
         if path == "/v1/entries" and method == "GET":
             zone = urllib.parse.parse_qs(query).get("zone", [""])[0]
             return coordinator_types.FindEntries(zone)
+        if path == CRASH_CASES_PATH and method == "GET":
+            return coordinator_types.ListCrashCases()
         folder, _, upstream_id = path.rpartition("/")
         if folder == "/v1/upstreams" and method == "DELETE":
             return coordinator_types.Withdraw(upstream_id)
+        if folder == CRASH_CASES_PATH and method == "DELETE":
+            return coordinator_types.LiftCrashCase(upstream_id)
         if folder == "/v1/upstreams" and method == "PUT":
             return coordinator_types.Announce(_announcement(upstream_id, body))
         raise unknown_operation(method, path)
@@ -94,7 +102,7 @@
                 return HttpReply(200, _JSON, b"{}")
             case coordinator_types.RoutingFound(_, body):
                 return HttpReply(200, _JSON, body)
-            case coordinator_types.EntriesFound():
+            case coordinator_types.EntriesFound() | coordinator_types.CrashCasesFound():
                 return HttpReply(200, _JSON, msgspec.json.encode(reply))
             case coordinator_types.AskLeader(leader_id):
                 return ask_leader(leader_id, self._http_port, target)
--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -1,51 +1,228 @@
-"""Find out whether an upstream ended under a request, or only a connection to it."""
+"""Watch for requests that end the upstreams that run them, and say whether one may run.
+
+After each run that broke it looks whether its upstream still listens: a connection that was reset
+tells nothing of a process. What it finds it tells all replicas, and hears from them what other
+entry hosts found.
+"""
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 import logging
+import time
+from collections.abc import Callable
 
 import curio
 
 from medlarfork import logs
 from medlarfork.coordination import upstream_types
-from medlarfork.gateway import request_types
+from medlarfork.gateway import entry_session, request_types
 from medlarfork.http import http_client
+from medlarfork.quarantine import crash_ledger, crash_messages
 
 _log = logging.getLogger(__name__)
 
 REACH_S = 0.3
 """How long an upstream whose run broke may take to accept a connection, in seconds: one that has
-ended refuses within a round trip, and what is silent longer is cut off."""
+ended refuses within a round trip, and what is silent longer is cut off or without power."""
+
+RETELL_S = 2.0
+"""How long news are told again with each status, in seconds: a link that is being opened again
+loses what is sent meanwhile, and three periods fit into the time until all have to know."""
+
+PENDING_S = 15.0
+"""How long an upstream that still listened is watched for a later start in its place, in seconds:
+it may have been that start that listened. Upstreams are back within some seconds."""
+
+MOST_PENDING_KEYS = 200
+"""Requests remembered of one such upstream: more than run there at once."""
+
+MOST_SURVIVALS = 20_000
+"""Requests remembered that were answered whole, about 3 MB: ten minutes at 30 a second."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Look:
+    """Hold the requests whose runs broke at an upstream that is being looked at."""
+
+    keys: list[str]
+    done: curio.Event = dataclasses.field(default_factory=curio.Event)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    upstream: upstream_types.Announcement
+    keys: tuple[str, ...]
+    broke_at: float
 
 
 class CrashWatch:
-    """Look after each run that broke whether its upstream still listens."""
+    """Keep this entry host's ledger of requests that ended upstreams."""
 
-    def __init__(self, client: http_client.HttpClient) -> None:
-        """Use the client of the upstreams, which keeps the connections that it opens."""
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        session: entry_session.EntrySession,
+        send: Callable[[str, crash_messages.CrashReport], bool],
+    ) -> None:
+        """Use the client of the upstreams, what the replicas tell, and a link to send by."""
         self._client = client
-        self._broken_by_upstream: dict[str, list[request_types.Admitted]] = {}
+        self._session = session
+        self._send = send
+        self._ledger = crash_ledger.CrashLedger()
+        self._look_by_upstream: dict[str, _Look] = {}
+        self._pending_by_upstream: dict[str, _Pending] = {}
+        self._survived_at_by_key: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._up_s_by_replica: dict[str, float] = {}
+
+    @property
+    def cases(self) -> int:
+        """Return how many requests are known under which upstreams ended."""
+        return len(self._ledger)
+
+    def standing(self, key: str) -> crash_ledger.Standing:
+        """Return whether a request may run."""
+        return self._ledger.standing(key, _now())
 
     async def run_broken(
         self, admitted: request_types.Admitted, upstream: upstream_types.Announcement
     ) -> None:
-        """Note a run without a whole answer; those that break together are looked at once."""
-        waiting = self._broken_by_upstream.get(upstream.upstream_id)
-        if waiting is not None:
-            waiting.append(admitted)
+        """Note a run without a whole answer; its upstream is looked at once for all that broke."""
+        logs.event(
+            _log,
+            "run_broken",
+            request=admitted.facts.attempt_id or None,
+            key=admitted.key,
+            account=admitted.account or None,
+            upstream=upstream.upstream_id,
+        )
+        look = self._look_by_upstream.get(upstream.upstream_id)
+        if look is not None:
+            look.keys.append(admitted.key)
             return
-        self._broken_by_upstream[upstream.upstream_id] = [admitted]
+        self._look_by_upstream[upstream.upstream_id] = _Look([admitted.key])
         await curio.spawn(self._look, upstream, daemon=True)
 
+    def run_given_up(self, key: str, upstream: upstream_types.Announcement) -> None:
+        """Note a run that nobody waits for any more: its upstream may have ended without a word."""
+        self._watch(upstream, (key,), _now())
+
+    async def wait_looked(self, upstream_id: str) -> None:
+        """Wait until it is known whether an upstream whose run broke has ended."""
+        look = self._look_by_upstream.get(upstream_id)
+        if look is not None:
+            await look.done.wait()
+
+    def run_survived(self, key: str) -> None:
+        """Note that an upstream answered a request whole."""
+        now = _now()
+        self._survived_at_by_key[key] = now
+        self._survived_at_by_key.move_to_end(key)
+        if len(self._survived_at_by_key) > MOST_SURVIVALS:
+            self._survived_at_by_key.popitem(last=False)
+        if self._ledger.note_survival(key, now, now):
+            self._tell((key,), now)
+
+    def take(self, report: crash_messages.CrashReport) -> None:
+        """Take what a replica tells; answer with what this host knows better."""
+        now = _now()
+        changed = self._ledger.merge(report, now)
+        self._note("told", changed)
+        cleared = tuple(
+            key
+            for key in changed
+            if key in self._survived_at_by_key
+            and self._ledger.note_survival(key, self._survived_at_by_key[key], now)
+        )
+        self._tell(cleared, now)
+
+    def note_view(self) -> None:
+        """Look whether other starts took the place of upstreams that seemed to live on."""
+        now = _now()
+        for upstream_id, pending in tuple(self._pending_by_upstream.items()):
+            if now > pending.broke_at + PENDING_S:
+                del self._pending_by_upstream[upstream_id]
+            elif self._is_replaced(pending.upstream):
+                del self._pending_by_upstream[upstream_id]
+                self._note_ends(upstream_id, pending.keys, pending.broke_at)
+
+    def note_replica(self, replica_id: str, up_s: float) -> None:
+        """Tell a replica that has started, or that was not heard before, all that is known."""
+        before_s = self._up_s_by_replica.get(replica_id)
+        self._up_s_by_replica[replica_id] = up_s
+        if (before_s is None or up_s < before_s) and len(self._ledger):
+            self._send(replica_id, self._ledger.report(self._ledger.keys(), _now()))
+
+    def on_time(self) -> None:
+        """Tell again what is new, and forget what is old; called with each status."""
+        now = _now()
+        self._tell(self._ledger.changed_since(now - RETELL_S), now)
+        self._ledger.tidy(now)
+        self.note_view()
+
     async def _look(self, upstream: upstream_types.Announcement) -> None:
+        broke_at = _now()
         reach = await self._client.reach(f"http://{upstream.address}", within_s=REACH_S)
-        for admitted in self._broken_by_upstream.pop(upstream.upstream_id):
-            logs.event(
-                _log,
-                "run_broken",
-                request=admitted.facts.attempt_id or None,
-                key=admitted.key,
-                account=admitted.account or None,
-                upstream=upstream.upstream_id,
-                reach=reach.value,
-            )
+        look = self._look_by_upstream.pop(upstream.upstream_id)
+        keys = tuple(dict.fromkeys(look.keys))
+        logs.event(
+            _log,
+            "upstream_looked_at",
+            upstream=upstream.upstream_id,
+            reach=reach.value,
+            runs=len(look.keys),
+        )
+        if reach is http_client.Reach.ACCEPTS:
+            self._watch(upstream, keys, broke_at)
+        else:
+            # What is undecided counts too: it must not go on without end, and an answer clears it.
+            self._note_ends(upstream.upstream_id, keys, broke_at)
+        await look.done.set()
+
+    def _watch(
+        self, upstream: upstream_types.Announcement, keys: tuple[str, ...], since: float
+    ) -> None:
+        """Count an end of an upstream if another start takes its place soon."""
+        before = self._pending_by_upstream.get(upstream.upstream_id)
+        if before is not None:
+            keys = (*before.keys, *keys)[-MOST_PENDING_KEYS:]
+        self._pending_by_upstream[upstream.upstream_id] = _Pending(upstream, keys, since)
+
+    def _is_replaced(self, upstream: upstream_types.Announcement) -> bool:
+        present = self._session.upstream_by_id
+        return upstream.upstream_id not in present and any(
+            item.address == upstream.address or item.own_name == upstream.own_name
+            for item in present.values()
+        )
+
+    def _note_ends(self, upstream_id: str, keys: tuple[str, ...], broke_at: float) -> None:
+        now = _now()
+        news = tuple(key for key in keys if self._ledger.note_end(key, upstream_id, broke_at, now))
+        self._note("seen", news)
+        self._tell(news, now)
+
+    def _tell(self, keys: tuple[str, ...], now: float) -> None:
+        if not keys:
+            return
+        report = self._ledger.report(keys, now)
+        for replica_id in self._session.replicas:
+            self._send(replica_id, report)
+
+    def _note(self, how: str, keys: tuple[str, ...]) -> None:
+        for key in keys:
+            standing = self.standing(key)
+            ends = self._ledger.ends(key)
+            if len(ends) >= crash_ledger.SUSPECT_ENDS:
+                logs.event(
+                    _log,
+                    "crash_case",
+                    key=key,
+                    how=how,
+                    verdict=standing.verdict.value,
+                    upstreams=",".join(ends),
+                )
+
+
+def _now() -> float:
+    return time.monotonic()
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -29,6 +29,7 @@
 from medlarfork.links import link, routed_links
 from medlarfork.metrics import process_metrics
 from medlarfork.placement import placement_messages
+from medlarfork.quarantine import crash_messages
 from medlarfork.routes import routing
 
 _log = logging.getLogger(__name__)
@@ -89,6 +90,7 @@
             given.entry_id, self._session, self._link.send, self._holds
         )
         self._client = http_client.HttpClient(limits=UPSTREAM_LIMITS)
+        self._crashes = crash_watch.CrashWatch(self._client, self._session, self._link.send)
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
         self._handler = request_handler.RequestHandler(
             zone=given.zone,
@@ -97,7 +99,7 @@
             session=self._session,
             owner=self._owner,
             holds=self._holds,
-            crashes=crash_watch.CrashWatch(self._client),
+            crashes=self._crashes,
             rules=given.budget,
             metrics=self._metrics,
         )
@@ -169,11 +171,15 @@
                     await self._holds.note_change()
             case coordination_messages.ReplicaStatus():
                 self._session.take(sender, message, now)
+                self._crashes.note_replica(sender, message.up_s)
                 self._connect_replicas()
                 self._owner.tell_owners(now)
                 await self._owner.wake_waiting()
             case coordination_messages.ViewPush():
                 await self._take_view(sender, message, now)
+            case crash_messages.CrashReport():
+                self._session.hear(sender, now)
+                self._crashes.take(message)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
                 await self._owner.take(sender, message)
             case _:
@@ -189,6 +195,7 @@
         if upstreams is before:
             return
         self._owner.move_running(now)
+        self._crashes.note_view()
         await self._holds.note_change()
         logs.event(
             _log,
@@ -219,6 +226,7 @@
             now = time.monotonic()
             self._session.drop_silent(now)
             self._send_status()
+            self._crashes.on_time()
             self._connect_replicas()
             await curio.sleep(self._session.status_period_s(now - started_at))
 
@@ -258,6 +266,7 @@
             "upstream_connections": self._client.connections,
             "local_placements": self._owner.local_placements,
             "held": self._holds.held,
+            "crash_cases": self._crashes.cases,
             "link_dropped": self._link.counters.dropped,
         }
 
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -266,6 +266,8 @@
             if self._session.is_passed_over(owner_id, _now()):
                 self._pass_over(owner_id, "silent")
                 continue
+            if ticket.request.trial_key:
+                return self._refuse_trial(ticket)
             if not await self._hold(ticket.request.service, until):
                 return self._choose_alone(ticket)
         why = "its time ran out while it waited"
@@ -315,6 +317,12 @@
             await curio.ignore_after(max(pause, 0.001), ticket.changed.wait)
         return True
 
+    def _refuse_trial(self, ticket: _Ticket) -> placement_messages.PlaceRefused:
+        """Refuse a trial that no replica grants: other entry hosts may begin one as well."""
+        self._withdraw(ticket)
+        why = "no replica says whether it may run, and upstreams ended while they ran it"
+        return placement_messages.PlaceRefused(ticket.request.ticket_id, LOCAL_RETRY_MS, why)
+
     def _choose_alone(
         self, ticket: _Ticket
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -182,7 +182,7 @@
             owner=self._owner,
             budgets=self._budgets,
             find_upstream=self._session.find_upstream,
-            run_broken=self._crashes.run_broken,
+            crashes=self._crashes,
             shards=self._session.shards,
             zone=self._zone,
             entry_hosts=self._session.entry_hosts,
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -23,6 +23,7 @@
 )
 from medlarfork.http import _http_messages, http_client, sse
 from medlarfork.placement import placement_messages, shard_choice
+from medlarfork.quarantine import crash_ledger, trial_desk
 
 ANSWER_EARLY_MS = 20.0
 """How long before the caller's own deadline a final answer is sent, in milliseconds: its way."""
@@ -45,6 +46,8 @@
         self._sent_at = 0.0
         self._pauses = stream_pauses.StreamPauses()
         self._waits_since = admitted.started_at
+        self._breaks = 0
+        self._running_at: upstream_types.Announcement | None = None
 
     async def serve(self) -> None:
         """Place, send and relay until there is a final answer.
@@ -56,7 +59,7 @@
             errors.CallerGoneError: The caller can't be reached any more.
         """
         while True:
-            placed = await self._place()
+            placed = await self._place_allowed()
             if isinstance(placed, placement_messages.PlaceRefused):
                 self._retry_after_ms = placed.retry_after_ms
                 self.trace.reasons.append(placed.why)
@@ -67,24 +70,28 @@
                 end: placement_messages.RunEnd | None = placement_messages.RunEnd.UNREACHABLE
                 self.trace.reasons.append(f"{placed.upstream_id}: not in this host's view")
             else:
+                self._running_at = upstream
                 end = await self._attempt(upstream, placed.fetch_from)
+                self._running_at = None
             if end is None:
                 return
             self._progress = self._progress.after(end)
             self._excluded.append(placed.upstream_id)
-            if not self._may_try_again(end):
+            if not await self._may_try_again(end, placed.upstream_id):
                 await self._give_up()
                 return
 
     async def time_out(self) -> None:
         """Give the final answer at the deadline."""
         self.trace.result = request_types.Result.TIMED_OUT
+        self._note_given_up()
         if self._sent_at:
             self._progress = self._progress.after(placement_messages.RunEnd.CANCELLED)
         await self._finish_without_answer(in_time=False)
 
     def note_caller_gone(self) -> None:
         """Note that there is nobody left to be answered."""
+        self._note_given_up()
         self.trace.result = request_types.Result.CALLER_GONE
         self.trace.status = request_types.CLOSED_STATUS
 
@@ -100,12 +107,30 @@
     def _left_ms(self) -> float:
         return (self._admitted.deadline_at - time.monotonic()) * 1000.0
 
-    async def _place(self) -> placement_messages.Placed | placement_messages.PlaceRefused:
+    async def _place_allowed(
+        self,
+    ) -> placement_messages.Placed | placement_messages.PlaceRefused:
+        """Place the request as often as what is known of it changes while it waits."""
+        crashes, key = self._tools.crashes, self._admitted.key
+        while True:
+            standing = crashes.standing(key)
+            if standing.verdict is crash_ledger.Verdict.HELD:
+                return trial_desk.held("", standing)
+            is_trial = standing.verdict is crash_ledger.Verdict.TRIAL
+            placed = await self._place(trial_key=key if is_trial else "")
+            is_free = crashes.standing(key).verdict is crash_ledger.Verdict.FREE
+            if is_trial or is_free or isinstance(placed, placement_messages.PlaceRefused):
+                return placed
+            self.end_ticket(placement_messages.RunEnd.CANCELLED)
+
+    async def _place(
+        self, *, trial_key: str
+    ) -> placement_messages.Placed | placement_messages.PlaceRefused:
         admitted = self._admitted
         self._sent_at = 0.0
         ticket_id = self._tools.owner.new_ticket_id()
         parts = admitted.facts.parts if admitted.route.has_prompt else ()
-        matter = shard_choice.matter(parts) or ticket_id
+        matter = trial_key or shard_choice.matter(parts) or ticket_id
         shard, other_shard = self._tools.shards(admitted.service, matter)
         request = placement_messages.PlaceRequest(
             ticket_id=ticket_id,
@@ -120,7 +145,8 @@
             zone=self._tools.zone,
             excluded=tuple(self._excluded),
             shard=shard,
-            other_shard=other_shard,
+            other_shard=None if trial_key else other_shard,
+            trial_key=trial_key,
         )
         self._ticket_id = request.ticket_id
         self.trace.tickets.append(request.ticket_id)
@@ -139,10 +165,13 @@
         waited_ms = (time.monotonic() - self._waits_since) * 1000.0
         return max(1.0, patience_ms - waited_ms)
 
-    def _may_try_again(self, end: placement_messages.RunEnd) -> bool:
+    async def _may_try_again(self, end: placement_messages.RunEnd, upstream_id: str) -> bool:
         """Ask the rules, and the budget once an upstream has seen the request."""
         if not attempt_policy.may_try_again(self._admitted.route, self._progress, self._left_ms):
             return False
+        if await self._is_suspect(upstream_id):
+            self.trace.reasons.append("upstreams ended while they ran it")
+            return False
         if self._sends == 0:
             return True
         budget = self._tools.budgets[self._admitted.service]
@@ -151,6 +180,27 @@
         self.trace.reasons.append("the budget of repeats is used up")
         return False
 
+    async def _is_suspect(self, upstream_id: str) -> bool:
+        """Say whether a second upstream ended under the request, here or at another host.
+
+        Only after a second break it waits for what the look at the upstream brings, so that a
+        request whose first upstream was lost goes on at once.
+        """
+        if self._breaks > 1:
+            await self._tools.crashes.wait_looked(upstream_id)
+        standing = self._tools.crashes.standing(self._admitted.key)
+        return standing.verdict is not crash_ledger.Verdict.FREE
+
+    def _note_given_up(self) -> None:
+        """Have an upstream watched that was at work: one without power breaks no connection."""
+        if self._running_at is not None:
+            self._tools.crashes.run_given_up(self._admitted.key, self._running_at)
+            self._running_at = None
+
+    async def _note_broken(self, upstream: upstream_types.Announcement) -> None:
+        self._breaks += 1
+        await self._tools.crashes.run_broken(self._admitted, upstream)
+
     async def _attempt(
         self, upstream: upstream_types.Announcement, fetch_from: str
     ) -> placement_messages.RunEnd | None:
@@ -165,7 +215,7 @@
                 self._sends += 1
             self.trace.reasons.append(f"{upstream.upstream_id}: {sent.why}")
             if sent.end is placement_messages.RunEnd.BROKEN:
-                await self._tools.run_broken(self._admitted, upstream)
+                await self._note_broken(upstream)
             self.end_ticket(sent.end)
             return sent.end
         self._sends += 1
@@ -174,7 +224,7 @@
         except errors.UpstreamError as error:
             self._cutter.drop_pending()
             self.trace.reasons.append(f"{upstream.upstream_id}: {error}")
-            await self._tools.run_broken(self._admitted, upstream)
+            await self._note_broken(upstream)
             end = placement_messages.RunEnd.FAILED
         finally:
             # A cancelled or failed relay leaves the upstream at work unless it is told.
@@ -224,6 +274,7 @@
     ) -> placement_messages.RunEnd | None:
         """Pass on an answer that is read whole first, so that a cut one is never begun."""
         body = await response.read()
+        self._tools.crashes.run_survived(self._admitted.key)
         failed = response.status >= 500
         if failed and self._may_repeat_failure():
             self.trace.reasons.append(f"{self.trace.upstreams[-1]}: status {response.status}")
@@ -252,6 +303,7 @@
                 await self._begin_stream(response)
             self._note_event()
             await exchange.send(whole)
+        self._tools.crashes.run_survived(self._admitted.key)
         if not self._progress.answer_begun:
             await self._begin_stream(response)
         await exchange.send(self._cutter.pending)
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -4,12 +4,14 @@
 
 import dataclasses
 import enum
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
+from typing import Protocol
 
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import owner_client, request_facts, request_names, retry_budget
 from medlarfork.http import http_client, http_server
 from medlarfork.placement import placement_messages
+from medlarfork.quarantine import crash_ledger
 from medlarfork.routes import routing
 
 
@@ -88,8 +90,28 @@
 """Returns the shard that is to serve what a key names, and the one to ask while that is busy."""
 
 
-RunBroken = Callable[[Admitted, upstream_types.Announcement], Awaitable[None]]
-"""Takes a request whose run at an upstream ended without a whole answer."""
+class Crashes(Protocol):
+    """Say whether a request may run, and take how its runs end (see ``crash_watch``)."""
+
+    def standing(self, key: str) -> crash_ledger.Standing:
+        """Return whether a request may run."""
+        ...
+
+    async def run_broken(self, admitted: Admitted, upstream: upstream_types.Announcement) -> None:
+        """Note a run without a whole answer."""
+        ...
+
+    def run_given_up(self, key: str, upstream: upstream_types.Announcement) -> None:
+        """Note a run that nobody waits for any more."""
+        ...
+
+    async def wait_looked(self, upstream_id: str) -> None:
+        """Wait until it is known whether an upstream whose run broke has ended."""
+        ...
+
+    def run_survived(self, key: str) -> None:
+        """Note that an upstream answered a request whole."""
+        ...
 
 
 FindUpstream = Callable[[str], upstream_types.Announcement | None]
@@ -105,7 +127,7 @@
     owner: owner_client.OwnerClient
     budgets: dict[str, retry_budget.RetryBudget]
     find_upstream: FindUpstream
-    run_broken: RunBroken
+    crashes: Crashes
     shards: ChooseShards
     zone: str
     entry_hosts: int
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -55,6 +55,9 @@
 RUN_COST = 0.0002
 """Cost of each request that runs there already: a step takes a little longer with each."""
 
+TRIAL_RUN_COST = 1.0
+"""The same for a request under which upstreams ended: each run beside it may be lost with it."""
+
 OTHER_ZONE_COST = 0.002
 """Cost of an upstream in another data centre: its links are slower and their bytes are paid for."""
 
@@ -184,7 +187,7 @@
         total += REREAD_COST * again_tokens
     if 0 < request.gap_ms <= reading.tight_ms:
         total += max(0.0, APART_COST - GATHER_COST * load.tight_streams(reading.tight_ms))
-    total += RUN_COST * len(load.run_by_ticket)
+    total += (TRIAL_RUN_COST if request.trial_key else RUN_COST) * len(load.run_by_ticket)
     total += FAILURE_COST * load.failed_share
     if request.zone != load.announcement.zone:
         total += OTHER_ZONE_COST
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -64,6 +64,8 @@
         begins_within_ms: When it is foreseen to begin in the shard that was asked before, in
             milliseconds: this one is to take it only if that is sooner here. 0 if none was asked.
         busy_shard: The one that was asked after this one and was busy too; None if none was.
+        trial_key: Names a request under which upstreams ended, which runs only with the leave of
+            the replica that is asked; empty for all others.
     """
 
     ticket_id: str
@@ -81,6 +83,7 @@
     other_shard: Shard | None = None
     begins_within_ms: float = 0.0
     busy_shard: Shard | None = None
+    trial_key: str = ""
 
     @property
     def prompt_tokens(self) -> int:
--- /dev/null
+++ b/tests/routed/test_crash_watch.py
@@ -0,0 +1,159 @@
+"""What an entry host takes for the end of an upstream, and whom it tells."""
+
+import curio
+import pytest
+
+from medlarfork.gateway import crash_watch, entry_session, request_types
+from medlarfork.http import http_client
+from medlarfork.quarantine import crash_ledger, crash_messages
+from tests import curio_world
+
+KEY = "a1b2c3-request"
+Verdict = crash_ledger.Verdict
+
+
+class Client:
+    """Meet at each address what a test says."""
+
+    def __init__(self):
+        self.reach_by_address = {}
+        self.looks = 0
+
+    async def reach(self, address, *, within_s):
+        self.looks += 1
+        await curio.sleep(0.001)
+        return self.reach_by_address.get(address, http_client.Reach.REFUSES)
+
+
+@pytest.fixture
+def client():
+    return Client()
+
+
+@pytest.fixture
+def session():
+    return entry_session.EntrySession(("r1", "r2"))
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def watch(client, session, sent):
+    def send(replica_id, report):
+        sent.append((replica_id, report))
+        return True
+
+    return crash_watch.CrashWatch(client, session, send)
+
+
+@pytest.fixture
+def make_admitted(make_route):
+    def make(key=KEY):
+        facts = type("Facts", (), {"attempt_id": "a-1"})()
+        return request_types.Admitted(None, facts, make_route(), key, "s", "shop", 0, b"", 0, 1)
+
+    return make
+
+
+def upstream(make_announcement, number, **changes):
+    values = {"address": f"10.0.0.{number}:80", "name": f"n-{number}", "born_ms": 1}
+    return make_announcement(f"n-{number}@1", **(values | changes))
+
+
+async def break_at(watch, admitted, where):
+    await watch.run_broken(admitted, where)
+    await watch.wait_looked(where.upstream_id)
+
+
+def test_ends_are_told_to_all_replicas_and_the_third_holds(
+    watch, sent, make_admitted, make_announcement
+):
+    async def main():
+        for number, verdict in enumerate((Verdict.FREE, Verdict.TRIAL, Verdict.HELD)):
+            await break_at(watch, make_admitted(), upstream(make_announcement, number))
+            assert watch.standing(KEY).verdict is verdict
+        assert [to for to, _ in sent] == ["r1", "r2"] * 3
+        assert len(sent[-1][1].cases[0].ends) == 3
+
+    curio_world.run(main)
+
+
+def test_what_breaks_at_one_upstream_is_looked_at_once(
+    watch, client, sent, make_admitted, make_announcement
+):
+    """Replay a crash: 21 runs broke within 2 ms."""
+
+    async def main():
+        where = upstream(make_announcement, 1)
+        for number in range(21):
+            await watch.run_broken(make_admitted(f"k-{number}"), where)
+        await watch.wait_looked(where.upstream_id)
+        assert client.looks == 1
+        assert len(sent) == 2
+        assert len(sent[0][1].cases) == 21
+
+    curio_world.run(main)
+
+
+def test_a_lost_connection_to_an_upstream_that_listens_is_no_end(
+    watch, client, session, make_admitted, make_announcement
+):
+    async def main():
+        for number in range(5):
+            where = upstream(make_announcement, number)
+            client.reach_by_address[f"http://{where.address}"] = http_client.Reach.ACCEPTS
+            await break_at(watch, make_admitted(), where)
+        assert watch.standing(KEY).verdict is Verdict.FREE
+        assert watch.cases == 0
+
+    curio_world.run(main)
+
+
+@pytest.mark.parametrize("breaks", [True, False])
+def test_a_later_start_in_its_place_tells_that_an_upstream_ended(
+    watch, client, session, make_admitted, make_announcement, breaks
+):
+    """One without power breaks no connection; one that is back may be what listens."""
+
+    async def main():
+        session.upstream_by_id.clear()
+        for number in range(3):
+            where = upstream(make_announcement, number)
+            client.reach_by_address[f"http://{where.address}"] = http_client.Reach.ACCEPTS
+            if breaks:
+                await break_at(watch, make_admitted(), where)
+            else:
+                watch.run_given_up(KEY, where)
+            again = upstream(make_announcement, number, born_ms=2)
+            session.upstream_by_id[f"n-{number}@2"] = again
+        watch.note_view()
+        assert watch.standing(KEY).verdict is Verdict.HELD
+
+    curio_world.run(main)
+
+
+def test_a_host_that_saw_it_answered_clears_a_request_for_all(watch, sent):
+    watch.run_survived(KEY)
+    ends = tuple(crash_messages.UpstreamEnd(f"u-{number}", 0.1) for number in range(3))
+    watch.take(crash_messages.CrashReport((crash_messages.CrashCase(KEY, ends),)))
+    assert watch.standing(KEY).verdict is Verdict.FREE
+    assert [to for to, _ in sent] == ["r1", "r2"]
+    assert sent[0][1].cases[0].survived_ago_s >= 0
+
+
+def test_a_replica_that_has_started_is_told_what_is_known(
+    watch, sent, make_admitted, make_announcement
+):
+    async def main():
+        watch.note_replica("r1", 50.0)
+        await break_at(watch, make_admitted(), upstream(make_announcement, 1))
+        sent.clear()
+        watch.note_replica("r1", 50.4)
+        assert sent == []
+        watch.note_replica("r1", 0.2)
+        assert [to for to, _ in sent] == ["r1"]
+
+    curio_world.run(main)
--- /dev/null
+++ b/tests/routed/test_trial_desk.py
@@ -0,0 +1,61 @@
+"""Requests under which upstreams ended run one at a time, and held ones hardly ever."""
+
+import pytest
+
+from medlarfork.placement import placement_messages
+from medlarfork.quarantine import crash_ledger, trial_desk
+
+KEY = "a1b2c3-request"
+RunEnd = placement_messages.RunEnd
+
+
+@pytest.fixture
+def ledger():
+    ledger = crash_ledger.CrashLedger()
+    for number in range(2):
+        ledger.note_end(KEY, f"u-{number}", 0.0, 0.0)
+    return ledger
+
+
+@pytest.fixture
+def desk(ledger):
+    return trial_desk.TrialDesk(ledger)
+
+
+@pytest.fixture
+def ask(desk, make_question):
+    """Return a function that says whether a ticket may run now."""
+
+    def ask_one(ticket_id, now):
+        return desk.ask(make_question(ticket_id, trial_key=KEY), now) is None
+
+    return ask_one
+
+
+def test_one_runs_at_a_time(desk, ask):
+    assert ask("t-1", 1.0)
+    assert ask("t-1", 1.1), "asked once more after the owner was chosen anew"
+    assert not ask("t-2", 1.2)
+    desk.on_ended("t-1", RunEnd.COMPLETE, 1.3)
+    assert ask("t-3", 1.4)
+
+
+def test_the_next_waits_until_the_end_of_the_last_could_be_told(desk, ask, ledger):
+    assert ask("t-1", 1.0)
+    desk.on_ended("t-1", RunEnd.BROKEN, 1.2)
+    assert not ask("t-2", 1.2 + trial_desk.SETTLE_S / 2)
+    ledger.note_end(KEY, "u-9", 1.2, 1.3)
+    assert not ask("t-3", 20.0)
+    assert ask("t-4", 1.2 + crash_ledger.TRIAL_AFTER_S[0] + 0.1)
+
+
+def test_a_trial_whose_end_was_never_reported_ends_with_its_caller(ask):
+    assert ask("t-1", 1.0)
+    assert not ask("t-2", 2.0)
+    assert ask("t-3", 1.0 + 1.0 + trial_desk.REPORT_S + 0.1)
+
+
+def test_a_refusal_says_when_to_come_back(desk, ledger, make_question):
+    ledger.note_end(KEY, "u-9", 0.0, 0.0)
+    refused = desk.ask(make_question("t", trial_key=KEY), 10.0)
+    assert refused.retry_after_ms == pytest.approx(20_000.0)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -39,6 +39,8 @@
     "placement.owner",
     "placement.local_choice",
     "coordination.coordinator",
+    "quarantine.crash_ledger",
+    "quarantine.trial_desk",
     "gateway.attempt_policy",
     "gateway.entry_session",
     "gateway.event_cutter",
