--- a/src/medlarfork/coordination/crash_desk.py
+++ b/src/medlarfork/coordination/crash_desk.py
@@ -73,7 +73,7 @@
                 self._untold[key] = None
         self.ledger.tidy(now)
         self._trials.tidy(now)
-        self._told.intersection_update(self.ledger.keys())
+        self._told.intersection_update(self.ledger.known())
 
     def push(self, entry_ids: frozenset[str], now: float) -> tuple[Any, ...]:
         """Tell all entry hosts what they have not been told."""
@@ -92,7 +92,7 @@
 
     def whole(self, now: float) -> crash_messages.CrashReport:
         """Return all that concerns an entry host, for one that has just come."""
-        keys = tuple(key for key in self.ledger.keys() if self._concerns_all(key))
+        keys = tuple(key for key in self.ledger.known() if self._concerns_all(key))
         return self.ledger.report(keys[-MOST_TOLD:], now)
 
     def _concerns_all(self, key: str) -> bool:
--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -152,7 +152,7 @@
         before_s = self._up_s_by_replica.get(replica_id)
         self._up_s_by_replica[replica_id] = up_s
         if (before_s is None or up_s < before_s) and len(self._ledger):
-            self._send(replica_id, self._ledger.report(self._ledger.keys(), _now()))
+            self._send(replica_id, self._ledger.report(self._ledger.known(), _now()))
 
     def on_time(self) -> None:
         """Tell again what is new, and forget what is old; called with each status."""
--- a/src/medlarfork/quarantine/crash_ledger.py
+++ b/src/medlarfork/quarantine/crash_ledger.py
@@ -169,7 +169,7 @@
         """Return the requests of which anything became known since a time."""
         return tuple(key for key, case in self._case_by_key.items() if case.changed_at >= at)
 
-    def keys(self) -> tuple[str, ...]:
+    def known(self) -> tuple[str, ...]:
         """Return all requests that have a case, the first ones first."""
         return tuple(self._case_by_key)
 
--- a/tests/routed/test_crash_ledger.py
+++ b/tests/routed/test_crash_ledger.py
@@ -92,9 +92,9 @@
     note_ends(ledger, 3, at=50.0)
     ledger.note_survival("none", 1.0, 50.0)
     other = crash_ledger.CrashLedger()
-    assert other.merge(ledger.report(ledger.keys(), 60.0), 1060.2) == (KEY,)
+    assert other.merge(ledger.report(ledger.known(), 60.0), 1060.2) == (KEY,)
     assert other.standing(KEY, 1060.2).verdict is Verdict.HELD
-    assert ledger.merge(other.report(other.keys(), 1061.0), 61.3) == ()
+    assert ledger.merge(other.report(other.known(), 1061.0), 61.3) == ()
 
 
 EVENTS = strategies.lists(
@@ -138,8 +138,8 @@
         ledger.merge(_told(event), 200.0)
     for _ in range(3):
         for teller, hearer in itertools.permutations(ledgers, 2):
-            hearer.merge(teller.report(teller.keys(), 200.0), 200.0)
+            hearer.merge(teller.report(teller.known(), 200.0), 200.0)
     for teller, hearer in itertools.permutations(ledgers, 2):
-        assert hearer.merge(teller.report(teller.keys(), 200.0), 200.0) == ()
+        assert hearer.merge(teller.report(teller.known(), 200.0), 200.0) == ()
         for key in ("k-1", "k-2"):
             assert set(teller.ends(key)) == set(hearer.ends(key))
