Held requests are kept in the log, seen and lifted by operators

Cause: a restart of all processes forgot which requests are held, so that each would have cost three upstreams once more. The leader has the log keep those with three ends; a lift clears them everywhere. Red before: test_a_restart_of_all_replicas_forgets_no_held_request (Queued where a refusal is due).

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -99,6 +99,7 @@
         self._feed = entry_feed.EntryFeed(boot=boot)
         self._owner = owner.Owner()
         self._crashes = crash_desk.CrashDesk()
+        self._records = 0
         self._role = replica_types.Role.FOLLOWER
         self._leader_id = ""
         self._term = 0
@@ -233,6 +234,8 @@
                 self._reply(operation_id, self._entries.find(zone, self._now))
             case coordinator_types.LiftCrashCase(key):
                 self._actions += self._crashes.lift(key, self._now)
+                report = self._crashes.ledger.report((key,), self._now)
+                self._actions += [node.Send(peer, report) for peer in self._members.peers]
                 self._reply(operation_id, coordinator_types.Accepted())
             case coordinator_types.ListCrashCases():
                 held = self._crashes.whole(self._now)
@@ -272,6 +275,7 @@
                 self._apply(command, proposal_id)
             case replica_types.RestoreSnapshot(_, state):
                 self._state.restore(state)
+                self._crashes.restore(self._state.held_by_key.values(), self._now)
                 self._on_routing()
             case replica_types.TakeSnapshot(index):
                 taken = replica_types.SnapshotTaken(index, self._state.snapshot())
@@ -291,10 +295,17 @@
                 self._actions.append(action)
 
     def _apply(self, command: bytes, proposal_id: str) -> None:
-        if command and self._state.apply(command):
-            self._note("routing_applied", version=self._state.current.version)
-            self._on_routing()
-            self._push_routing()
+        match self._state.apply(command) if command else None:
+            case routing_state.RoutingVersion(version):
+                self._note("routing_applied", version=version)
+                self._on_routing()
+                self._push_routing()
+            case routing_state.HeldRequest() as held:
+                self._note("request_held_in_log", key=held.key)
+                self._crashes.restore((held,), self._now)
+            case routing_state.LiftedRequest(key):
+                self._note("request_lifted_in_log", key=key)
+                self._actions += self._crashes.lift(key, self._now)
         self._actions += self._routing_desk.on_applied(proposal_id)
 
     def _on_routing(self) -> None:
@@ -347,6 +358,8 @@
         self._push_view()
         self._drop_lost_entries()
         self._tidy_placement()
+        if self.leads:
+            self._record_crashes()
         for action in self._members.on_time(self._replica.status, leads=self.leads, now=self._now):
             if isinstance(action, replica_types.ChangeVoters):
                 self._note(
@@ -371,6 +384,13 @@
         self._placement_due = self._now + PLACEMENT_PERIOD_S
         self._actions.append(node.Wake(self._placement_due))
 
+    def _record_crashes(self) -> None:
+        """Have the log keep which requests are held."""
+        for change in self._crashes.to_record(self._state.held_by_key, self._now):
+            self._records += 1
+            proposal_id = f"{self._replica_id}-crash-{self._records}"
+            self._run_log(replica_types.Propose(proposal_id, routing_state.pack_held(change)))
+
     def _tidy_placement(self) -> None:
         if self._now < self._tidy_due:
             return
--- a/src/medlarfork/coordination/crash_desk.py
+++ b/src/medlarfork/coordination/crash_desk.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from typing import Any
 
 from medlarfork import node
-from medlarfork.coordination import coordinator_types
+from medlarfork.coordination import coordinator_types, routing_state
 from medlarfork.placement import placement_answer, placement_messages
 from medlarfork.quarantine import crash_ledger, crash_messages, trial_desk
 
@@ -24,6 +25,13 @@
 """How long news are told again with each status, in seconds: what is sent while a link is opened
 again is lost."""
 
+RECORD_AGAIN_S = 1.0
+"""Time after which the log is asked once more for what it did not take, in seconds."""
+
+MOST_RECORDED = 20
+"""Cases that the log is asked to keep at once: a crash of many upstreams must not hold up changes
+of the routing."""
+
 MOST_TOLD = 200
 """Cases in one report: 20 KB, which a slow link carries in 30 ms; the rest follows."""
 
@@ -38,6 +46,7 @@
         self._told: set[str] = set()
         self._untold: dict[str, None] = {}
         self._push_due = -math.inf
+        self._record_due_by_key: dict[str, float] = {}
 
     def take(self, report: crash_messages.CrashReport, now: float) -> tuple[Any, ...]:
         """Take what an entry host tells."""
@@ -66,6 +75,36 @@
             rejected = placement_messages.RunEnd.COMPLETE
             self._trials.on_ended(answer.message.ticket_id, rejected, now)
 
+    def restore(self, held: Iterable[routing_state.HeldRequest], now: float) -> None:
+        """Take what the log holds: after a restart nothing else is known.
+
+        The time of these ends is not known any more; they count as of now, which delays a trial.
+        """
+        for item in held:
+            for upstream_id in item.upstream_ids:
+                self.ledger.note_end(item.key, upstream_id, now, now)
+            if self._concerns_all(item.key):
+                self._untold[item.key] = None
+
+    def to_record(
+        self, held_by_key: dict[str, routing_state.HeldRequest], now: float
+    ) -> tuple[routing_state.HeldRequest | routing_state.LiftedRequest, ...]:
+        """Return what the leader has to put into the log; each is asked for once in a while."""
+        changes: list[routing_state.HeldRequest | routing_state.LiftedRequest] = []
+        for key in self.ledger.known():
+            ends = self.ledger.ends(key)
+            recorded = held_by_key.get(key)
+            is_recorded = recorded is not None and set(ends) <= set(recorded.upstream_ids)
+            if len(ends) >= crash_ledger.HELD_ENDS and not is_recorded:
+                changes.append(routing_state.HeldRequest(key, ends))
+        for key in held_by_key:
+            if len(self.ledger.ends(key)) < crash_ledger.HELD_ENDS:
+                changes.append(routing_state.LiftedRequest(key))
+        due = [item for item in changes if self._record_due_by_key.get(item.key, now) <= now]
+        for item in due[:MOST_RECORDED]:
+            self._record_due_by_key[item.key] = now + RECORD_AGAIN_S
+        return tuple(due[:MOST_RECORDED])
+
     def on_time(self, now: float) -> None:
         """Have what is new told once more, and forget what is old."""
         for key in self.ledger.changed_since(now - RETELL_S):
@@ -73,7 +112,11 @@
                 self._untold[key] = None
         self.ledger.tidy(now)
         self._trials.tidy(now)
-        self._told.intersection_update(self.ledger.known())
+        known = self.ledger.known()
+        self._told.intersection_update(known)
+        self._record_due_by_key = {
+            key: due for key, due in self._record_due_by_key.items() if due > now
+        }
 
     def push(self, entry_ids: frozenset[str], now: float) -> tuple[Any, ...]:
         """Tell all entry hosts what they have not been told."""
--- a/src/medlarfork/coordination/routing_state.py
+++ b/src/medlarfork/coordination/routing_state.py
@@ -2,6 +2,9 @@
 
 The operator chooses the numbers. A version that is not higher than the one held changes nothing,
 so that a repeated or late change, or other content under the same number, never takes effect.
+
+The log also keeps which requests are held since upstreams ended under them: after a restart of all
+processes each would else cost three upstreams once more.
 """
 
 from __future__ import annotations
@@ -33,7 +36,33 @@
         return zlib.decompress(self.packed_body)
 
 
-_CODEC = codec.Codec((RoutingVersion,))
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldRequest:
+    """Hold a request that is not to run, and the upstreams that ended under it."""
+
+    key: str
+    upstream_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LiftedRequest:
+    """Name a request that is not held any more."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingSnapshot:
+    """Hold the whole state."""
+
+    current: RoutingVersion
+    held: tuple[HeldRequest, ...] = ()
+
+
+MOST_HELD = 1000
+"""Held requests that the log keeps, some 200 KB; the first ones give way."""
+
+_CODEC = codec.Codec((RoutingVersion, HeldRequest, LiftedRequest, RoutingSnapshot))
 
 
 def pack(version: int, body: bytes) -> bytes:
@@ -42,25 +71,51 @@
     return _CODEC.pack(RoutingVersion(version, packed))
 
 
+def pack_held(change: HeldRequest | LiftedRequest) -> bytes:
+    """Return the log command that holds a request or lets it go."""
+    return _CODEC.pack(change)
+
+
 class RoutingState:
-    """Apply the log's commands."""
+    """Apply the log's commands.
+
+    Attributes:
+        current: The version in force.
+        held_by_key: The requests that are held.
+    """
 
     def __init__(self) -> None:
         """Start without a version."""
         self.current = RoutingVersion()
+        self.held_by_key: dict[str, HeldRequest] = {}
 
-    def apply(self, command: bytes) -> bool:
-        """Apply a committed command and return whether it changed the version in force."""
+    def apply(self, command: bytes) -> RoutingVersion | HeldRequest | LiftedRequest | None:
+        """Apply a committed command and return it if it changed anything."""
         offered = _CODEC.unpack(command)
-        if offered.version <= self.current.version:
-            return False
-        self.current = offered
-        return True
+        match offered:
+            case RoutingVersion(version):
+                if version <= self.current.version:
+                    return None
+                self.current = offered
+            case HeldRequest(key):
+                self.held_by_key[key] = offered
+                if len(self.held_by_key) > MOST_HELD:
+                    del self.held_by_key[next(iter(self.held_by_key))]
+            case LiftedRequest(key):
+                if self.held_by_key.pop(key, None) is None:
+                    return None
+        return offered
 
     def snapshot(self) -> bytes:
         """Return the state for a snapshot."""
-        return _CODEC.pack(self.current)
+        return _CODEC.pack(RoutingSnapshot(self.current, tuple(self.held_by_key.values())))
 
     def restore(self, snapshot: bytes) -> None:
-        """Replace the state by that of a snapshot."""
-        self.current = _CODEC.unpack(snapshot)
+        """Replace the state by that of a snapshot, also of one from before requests were held."""
+        match _CODEC.unpack(snapshot):
+            case RoutingSnapshot(current, held):
+                self.current = current
+                self.held_by_key = {item.key: item for item in held}
+            case RoutingVersion() as current:
+                self.current = current
+                self.held_by_key = {}
--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -74,6 +74,7 @@
         self._look_by_upstream: dict[str, _Look] = {}
         self._pending_by_upstream: dict[str, _Pending] = {}
         self._survived_at_by_key: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._found_at_by_key: dict[str, float] = {}
         self._up_s_by_replica: dict[str, float] = {}
 
     @property
@@ -157,7 +158,10 @@
     def on_time(self) -> None:
         """Tell again what is new, and forget what is old; called with each status."""
         now = _now()
-        self._tell(self._ledger.changed_since(now - RETELL_S), now)
+        for key, at in tuple(self._found_at_by_key.items()):
+            if at < now - RETELL_S:
+                del self._found_at_by_key[key]
+        self._send_all(tuple(self._found_at_by_key), now)
         self._ledger.tidy(now)
         self.note_view()
 
@@ -203,6 +207,11 @@
         self._tell(news, now)
 
     def _tell(self, keys: tuple[str, ...], now: float) -> None:
+        """Tell all replicas what this host found, and for a while again with each status."""
+        self._found_at_by_key.update(dict.fromkeys(keys, now))
+        self._send_all(keys, now)
+
+    def _send_all(self, keys: tuple[str, ...], now: float) -> None:
         if not keys:
             return
         report = self._ledger.report(keys, now)
--- /dev/null
+++ b/tests/routed/test_crash_desk.py
@@ -0,0 +1,169 @@
+"""What replicas keep and pass on of requests that end upstreams, in virtual time."""
+
+import pytest
+
+from medlarfork import node
+from medlarfork.coordination import coordination_messages, coordinator_types
+from medlarfork.placement import placement_messages
+from medlarfork.quarantine import crash_ledger, crash_messages
+from tests.routed import coordinator_cluster
+
+KEY = "a1b2c3-request"
+HOSTS = tuple(f"e-{number}" for number in range(4))
+Accepted = coordinator_types.Accepted
+
+
+@pytest.fixture
+def cluster():
+    made = coordinator_cluster.Cluster()
+    made.run(6.0)
+    assert isinstance(made.put("a", 3), Accepted)
+    _hear_hosts(made)
+    made.run(0.2)
+    return made
+
+
+def _hear_hosts(cluster):
+    for number, entry_id in enumerate(HOSTS):
+        status = coordination_messages.EntryStatus(f"10.0.0.{number}:1", "z", True, 3, 0, 0)
+        for replica_id in cluster.host_by_id:
+            cluster.post(replica_id, node.MessageReceived(entry_id, status))
+
+
+def _tell(cluster, replica_ids, numbers, *, key=KEY, survived_ago_s=-1.0):
+    ends = tuple(crash_messages.UpstreamEnd(f"u-{number}", 0.0) for number in numbers)
+    case = crash_messages.CrashCase(key, ends, survived_ago_s)
+    report = crash_messages.CrashReport((case,))
+    for replica_id in replica_ids:
+        cluster.post(replica_id, node.MessageReceived("e-0", report))
+
+
+def _told(cluster, seconds):
+    """Return the reports that are sent to entry hosts within a time."""
+    reports = []
+    for _ in range(round(seconds / coordinator_cluster.STEP_S)):
+        _hear_hosts(cluster)
+        reports += [
+            (to, message)
+            for _, to, message in cluster.packets
+            if isinstance(message, crash_messages.CrashReport)
+        ]
+        cluster.step()
+    return reports
+
+
+def _ask_trial(cluster, replica_id, make_question, ticket_id="t-1"):
+    """Return what a replica answers to the question for a trial."""
+    question = make_question(ticket_id, trial_key=KEY)
+    cluster.packets = []
+    cluster.post(replica_id, node.MessageReceived("e-1", question))
+    answers = [message for _, to, message in cluster.packets if to == "e-1"]
+    return next(item for item in answers if isinstance(item, placement_messages.Answer))
+
+
+def test_what_each_host_has_one_end_of_is_not_told_to_hundreds(cluster):
+    _tell(cluster, "abcde", (1,))
+    assert _told(cluster, 1.0) == []
+
+
+def test_a_second_end_is_told_to_all_hosts_within_a_tenth_of_a_second(cluster):
+    _tell(cluster, "abcde", (1, 2))
+    reports = _told(cluster, 0.1)
+    assert {to for to, _ in reports} == set(HOSTS)
+    # Each of the five replicas tells each host once.
+    assert len(reports) <= 5 * len(HOSTS)
+
+
+def test_news_are_told_again_for_a_while_and_then_no_more(cluster):
+    _tell(cluster, "a", (1, 2, 3))
+    assert len(_told(cluster, 2.5)) >= 3 * len(HOSTS)
+    _told(cluster, 2.0)
+    assert _told(cluster, 3.0) == []
+
+
+def test_a_host_that_comes_is_told_at_once(cluster):
+    _tell(cluster, "abcde", (1, 2, 3))
+    cluster.run(8.0)
+    cluster.packets = []
+    status = coordination_messages.EntryStatus("10.0.0.9:1", "z", True, 3, 0, 0)
+    cluster.post("b", node.MessageReceived("e-9", status))
+    told = [message for _, to, message in cluster.packets if to == "e-9"]
+    (report,) = [item for item in told if isinstance(item, crash_messages.CrashReport)]
+    assert len(report.cases[0].ends) == 3
+
+
+def test_a_held_request_is_refused_by_every_replica(cluster, make_question):
+    _tell(cluster, "abcde", (1, 2, 3))
+    for replica_id in "abcde":
+        answer = _ask_trial(cluster, replica_id, make_question)
+        assert isinstance(answer, placement_messages.PlaceRefused)
+
+
+def test_a_restart_of_all_replicas_forgets_no_held_request(cluster, make_question):
+    """Each restart of everything would else cost three upstreams more."""
+    _tell(cluster, "abcde", (1, 2, 3))
+    cluster.run(2.0)
+    for replica_id in tuple(cluster.host_by_id):
+        cluster.kill(replica_id)
+    cluster.run(1.0)
+    for replica_id in tuple(cluster.host_by_id):
+        cluster.start(replica_id)
+    cluster.until_read(12.0)
+    cluster.run(0.5)
+    for replica_id in "abcde":
+        answer = _ask_trial(cluster, replica_id, make_question)
+        assert isinstance(answer, placement_messages.PlaceRefused)
+        assert answer.retry_after_ms > 0
+    assert {to for to, _ in _told(cluster, 1.0)} == set(HOSTS)
+
+
+def test_what_only_some_replicas_heard_is_in_the_log_of_all(cluster, make_question):
+    leader = cluster.host_by_id["a"].node._leader_id
+    _tell(cluster, (leader,), (1, 2, 3))
+    cluster.run(1.0)
+    for replica_id in "abcde":
+        answer = _ask_trial(cluster, replica_id, make_question)
+        assert isinstance(answer, placement_messages.PlaceRefused)
+
+
+def test_a_request_that_was_answered_is_let_go_also_in_the_log(cluster, make_question):
+    _tell(cluster, "abcde", (1, 2, 3))
+    cluster.run(2.0)
+    _tell(cluster, "abcde", (), survived_ago_s=0.5)
+    cluster.run(2.0)
+    for replica_id in "abcde":
+        assert cluster.host_by_id[replica_id].node._state.held_by_key == {}
+        assert cluster.host_by_id[replica_id].node._crashes.ledger.ends(KEY) == ()
+
+
+def test_an_operator_sees_a_held_request_and_lifts_it(cluster):
+    _tell(cluster, "abcde", (1, 2, 3))
+    cluster.run(1.0)
+    found = cluster.ask("b", coordinator_types.ListCrashCases())
+    assert [case.key for case in found.cases] == [KEY]
+    assert isinstance(cluster.ask("b", coordinator_types.LiftCrashCase(KEY)), Accepted)
+    reports = _told(cluster, 1.0)
+    cleared = [to for to, report in reports for case in report.cases if case.survived_ago_s >= 0]
+    assert set(cleared) >= set(HOSTS)
+    for host in cluster.host_by_id.values():
+        assert host.node._crashes.ledger.ends(KEY) == ()
+
+
+def test_a_trial_that_finds_no_upstream_does_not_keep_the_next_one_back(cluster, make_question):
+    _tell(cluster, "abcde", (1, 2))
+    first = _ask_trial(cluster, "a", make_question)
+    assert isinstance(first, placement_messages.Queued)
+    again = _ask_trial(cluster, "a", make_question, "t-2")
+    assert isinstance(again, placement_messages.PlaceRefused)
+    cluster.run(3.0)
+    assert isinstance(_ask_trial(cluster, "a", make_question, "t-3"), placement_messages.Queued)
+
+
+def test_a_flood_of_cases_is_told_in_pieces(cluster):
+    ends = tuple(crash_messages.UpstreamEnd(f"u-{number}", 0.0) for number in range(3))
+    cases = tuple(crash_messages.CrashCase(f"ffffff-{number}", ends) for number in range(900))
+    cluster.post("a", node.MessageReceived("e-0", crash_messages.CrashReport(cases)))
+    reports = [report for to, report in _told(cluster, 1.0) if to == "e-1"]
+    assert max(len(report.cases) for report in reports) <= 200
+    assert len({case.key for report in reports for case in report.cases}) == 900
+    assert len(cluster.host_by_id["a"].node._crashes.ledger) <= crash_ledger.MOST_CASES
--- a/tests/routed/test_routing_state.py
+++ b/tests/routed/test_routing_state.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from medlarfork import codec
 from medlarfork.coordination import routing_state
 
 
@@ -19,6 +20,33 @@
     assert (state.current.version, state.current.body) == (5, b"five")
 
 
+def test_held_requests_survive_a_snapshot_until_they_are_let_go(state):
+    held = routing_state.HeldRequest("k-1", ("u-1", "u-2", "u-3"))
+    assert state.apply(routing_state.pack_held(held)) == held
+    restored = routing_state.RoutingState()
+    restored.restore(state.snapshot())
+    assert (restored.held_by_key, restored.current.version) == ({"k-1": held}, 5)
+    lifted = routing_state.pack_held(routing_state.LiftedRequest("k-1"))
+    assert restored.apply(lifted)
+    assert not restored.apply(lifted)
+    assert restored.held_by_key == {}
+
+
+def test_a_snapshot_from_before_requests_were_held_is_read(state):
+    before = codec.Codec((routing_state.RoutingVersion,)).pack(state.current)
+    restored = routing_state.RoutingState()
+    restored.restore(before)
+    assert restored.current.version == 5
+
+
+def test_the_log_keeps_so_many_held_requests_and_no_more(state):
+    for number in range(routing_state.MOST_HELD + 5):
+        held = routing_state.HeldRequest(f"k-{number}", ())
+        state.apply(routing_state.pack_held(held))
+    assert len(state.held_by_key) == routing_state.MOST_HELD
+    assert "k-4" not in state.held_by_key
+
+
 def test_a_higher_version_is_in_force_and_survives_a_snapshot(state):
     assert state.apply(routing_state.pack(9, b"nine"))
     restored = routing_state.RoutingState()
