--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -128,6 +128,19 @@
             """
         self._start("gateway", "gateway_command", entry, settings)
 
+    def restart_all(self):
+        """Kill every replica and entry host at once, and start them again."""
+        for process in self.process_by_host.values():
+            process.kill()
+        for process in self.process_by_host.values():
+            process.wait()
+        for replica in self.replicas:
+            self.start_replica(replica)
+        for entry in self.entries:
+            self.start_entry(entry)
+        for entry in self.entries:
+            until(200, "GET", f"http://{entry}:7005/")
+
     def _start(self, package, module, host, settings):
         file = self.folder / f"{host}.toml"
         file.write_text(settings)
--- a/tests/processes/test_repeated_crash.py
+++ b/tests/processes/test_repeated_crash.py
@@ -9,6 +9,7 @@
     result=failed status=502 first_ms=0 took_ms=84 why="peer closed connection without sending ..."
 """
 
+import threading
 import time
 
 import pytest
@@ -48,3 +49,56 @@
     assert len(late) <= MOST_AFTER
     assert statuses <= {502, 503}
     assert fleet.call("hello")[0] == 200
+
+
+def test_a_restart_of_all_processes_costs_no_further_engine(fleet):
+    fleet.put_route()
+    fleet.until_known()
+    _crash_until_held(fleet)
+    fleet.restart_all()
+    ended = len(fleet.runs("crash"))
+    end_at = time.monotonic() + 8.0
+    while time.monotonic() < end_at:
+        fleet.call("crash")
+        time.sleep(0.1)
+    assert len(fleet.runs("crash")) == ended
+    assert fleet.call("hello")[0] == 200
+
+
+def test_a_sound_request_that_many_send_is_served_while_engines_are_killed_by_turns(fleet):
+    """A third of the engines killed at once, six times: of what callers send then, little is lost.
+
+    A request is refused for the ends of others only if no answer to it came in between.
+    """
+    fleet.put_route(kind="safe", max_attempts=2)
+    fleet.until_known()
+    statuses = []
+    is_over = threading.Event()
+
+    def call_until_over():
+        while not is_over.is_set():
+            statuses.append(fleet.call("slow popular")[0])
+
+    callers = [threading.Thread(target=call_until_over) for _ in range(12)]
+    for caller in callers:
+        caller.start()
+    for turn in range(6):
+        time.sleep(1.5)
+        for engine in fleet.engines[turn % 3 :: 3]:
+            engine.kill()
+    time.sleep(1.5)
+    is_over.set()
+    for caller in callers:
+        caller.join()
+    held = [line for line in fleet.lines("request") if "ended while they ran it" in line]
+    assert held == []
+    assert statuses.count(200) > 0.9 * len(statuses)
+
+
+def _crash_until_held(fleet):
+    end_at = time.monotonic() + 20.0
+    while not any("verdict=held" in line for line in fleet.lines("crash_case")):
+        assert time.monotonic() < end_at
+        fleet.call("crash")
+        time.sleep(0.05)
+    time.sleep(0.5)
