--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -207,8 +207,7 @@
             known = self._crashes.whole(self._now)
             if known.cases:
                 self._actions.append(node.Send(sender, known))
-        whole = self._registry.whole()
-        self._actions += self._feed.complete_view(sender, status, whole, self._now)
+        self._actions += self._feed.complete_view(sender, status, self._registry.whole, self._now)
         self._actions += self._feed.push_routing(
             {sender: status}, self._state.current, leads=self.leads, now=self._now
         )
--- a/src/medlarfork/coordination/entry_feed.py
+++ b/src/medlarfork/coordination/entry_feed.py
@@ -9,7 +9,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from medlarfork import node
@@ -70,10 +70,13 @@
         self,
         entry_id: str,
         status: coordination_messages.EntryStatus,
-        whole: upstream_types.ViewChange,
+        whole: Callable[[], upstream_types.ViewChange],
         now: float,
     ) -> tuple[node.Send, ...]:
-        """Send the whole view to an entry host that missed a change of it."""
+        """Send the whole view to an entry host that missed a change of it.
+
+        ``whole`` is called only then: hundreds of hosts tell their status, and most miss nothing.
+        """
         fed = self._fed_by_id.setdefault(entry_id, _Fed())
         while self._pushed and self._pushed[0][0] <= now - CONFIRM_S:
             _, self._confirmable_sequence = self._pushed.popleft()
@@ -83,7 +86,7 @@
         if is_current or now < fed.whole_sent_at + RESEND_S:
             return ()
         fed.whole_sent_at = now
-        push = coordination_messages.ViewPush(self._boot, self._sequence, whole)
+        push = coordination_messages.ViewPush(self._boot, self._sequence, whole())
         return (node.Send(entry_id, push),)
 
     def push_routing(
--- a/src/medlarfork/links/_zmq_wait.py
+++ b/src/medlarfork/links/_zmq_wait.py
@@ -19,6 +19,10 @@
 """Most wake-up bytes that are read at once."""
 
 
+_READABLE = int(zmq.POLLIN)
+"""The library's own constant takes several times as long to compare with."""
+
+
 class ZmqWait:
     """Collect the sockets that have something to receive; one task calls ``wait``."""
 
@@ -71,4 +75,9 @@
                 self._wake_reader.recv(_WAKE_BYTES)
             else:
                 candidates[key.fd] = key.data
-        return tuple(item for item in candidates.values() if item.EVENTS & zmq.POLLIN)
+        return tuple(item for item in candidates.values() if has_message(item))
+
+
+def has_message(zmq_socket: zmq.Socket) -> bool:
+    """Return whether a socket has something to receive; uses its edge up."""
+    return bool(zmq_socket.get(zmq.EVENTS) & _READABLE)
--- a/src/medlarfork/links/link.py
+++ b/src/medlarfork/links/link.py
@@ -27,6 +27,13 @@
 """A message is its kind and its body; a routing id comes before them on the ROUTER socket."""
 
 
+_LAST_PART = int(zmq.NOBLOCK)
+"""Flags of a message's last part. As plain integers, and sent part by part: the library's own
+constants cost as much as the sending itself, with two more for each part."""
+
+_MORE_PARTS = int(zmq.NOBLOCK | zmq.SNDMORE)
+"""Flags of the parts before it."""
+
 LinkOptions = _link_sockets.LinkOptions
 """Bounds and times of a link."""
 
@@ -92,6 +99,8 @@
         self._peer_by_socket: dict[zmq.Socket, _Peer] = {}
         self._route_by_id: collections.OrderedDict[str, bytes] = collections.OrderedDict()
         self._inbox: curio.Queue = curio.Queue(maxsize=options.queue_limit)
+        self._encoded_message: Any = None
+        self._encoded = (b"", b"")
         self._counts: collections.Counter[str] = collections.Counter()
         self._context: zmq.Context | None = None
         self._sockets: _link_sockets.LinkSockets | None = None
@@ -205,7 +214,11 @@
         Returns:
             Whether it was queued; False if it was dropped. True does not say that it arrives.
         """
-        kind, body = self._codec.encode(message)
+        if message is not self._encoded_message:
+            # Replicas tell hundreds of hosts the same: it is encoded once.
+            self._encoded_message = message
+            self._encoded = self._codec.encode(message)
+        kind, body = self._encoded
         size = len(kind) + len(body)
         if size > self._options.message_bytes or not self._send_parts(peer_id, [kind, body]):
             self._counts["dropped"] += 1
@@ -236,14 +249,16 @@
 
     def _try_send(self, socket: zmq.Socket, parts: list[bytes]) -> bool:
         try:
-            socket.send_multipart(parts, zmq.NOBLOCK)
+            for part in parts[:-1]:
+                socket.send(part, _MORE_PARTS)
+            socket.send(parts[-1], _LAST_PART)
             is_sent = True
         except zmq.ZMQError:
             # Again: the queue is full or no connection stands; EHOSTUNREACH: the route is gone.
             is_sent = False
         # A failed send takes the socket's edge too: unmarked, what had come by then, and all that
         # follows it on that connection, stays unread until a third process sends something.
-        if socket.EVENTS & zmq.POLLIN and self._waiter is not None:
+        if _zmq_wait.has_message(socket) and self._waiter is not None:
             self._waiter.mark(socket)
         return is_sent
 
--- a/tests/routed/test_entry_feed.py
+++ b/tests/routed/test_entry_feed.py
@@ -57,11 +57,11 @@
 def test_an_entry_host_that_missed_a_change_gets_the_whole_view(feed, make_announcement):
     whole = upstream_types.ViewChange((make_announcement(),), is_whole=True)
     feed.push_view(upstream_types.ViewChange((make_announcement(),)), ["e"], -1.0)
-    assert feed.complete_view("e", _status(boot=7, sequence=1), whole, 0.0) == ()
-    (send,) = feed.complete_view("e", _status(boot=7, sequence=0), whole, 0.0)
+    assert feed.complete_view("e", _status(boot=7, sequence=1), lambda: whole, 0.0) == ()
+    (send,) = feed.complete_view("e", _status(boot=7, sequence=0), lambda: whole, 0.0)
     assert send.message.change.is_whole
-    assert feed.complete_view("e", _status(boot=7, sequence=0), whole, 0.1) == ()
-    assert feed.complete_view("e", _status(boot=6, sequence=1), whole, 2.0)
+    assert feed.complete_view("e", _status(boot=7, sequence=0), lambda: whole, 0.1) == ()
+    assert feed.complete_view("e", _status(boot=6, sequence=1), lambda: whole, 2.0)
 
 
 def test_a_status_that_crosses_a_change_brings_no_whole_view(feed, make_announcement):
@@ -70,14 +70,14 @@
         now = number * 0.1
         feed.push_view(upstream_types.ViewChange((make_announcement(),)), ["e"], now)
         held = _status(boot=7, sequence=max(number - 3, 0))
-        assert feed.complete_view("e", held, whole, now) == ()
-    assert feed.complete_view("e", _status(boot=7, sequence=16), whole, 2.6)
+        assert feed.complete_view("e", held, lambda: whole, now) == ()
+    assert feed.complete_view("e", _status(boot=7, sequence=16), lambda: whole, 2.6)
 
 
 def test_one_that_holds_no_view_of_this_start_gets_it_at_once(feed, make_announcement):
     whole = upstream_types.ViewChange((make_announcement(),), is_whole=True)
     feed.push_view(upstream_types.ViewChange((make_announcement(),)), ["e"], 0.0)
-    assert feed.complete_view("e", _status(boot=0, sequence=0), whole, 0.0)
+    assert feed.complete_view("e", _status(boot=0, sequence=0), lambda: whole, 0.0)
 
 
 def test_a_change_of_nothing_is_not_sent(feed):
