Large fleets tell less often who is there: the period follows the number of hosts

Cause: statuses between 9 replicas and 228 hosts grow with the product; an idle host uses 2% of a core for them. Periods stay 0.4 s up to 120 hosts and grow to 0.8 s; what counts as silence follows.

--- a/src/medlarfork/coordination/coordination_messages.py
+++ b/src/medlarfork/coordination/coordination_messages.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from medlarfork.coordination import upstream_types
+from medlarfork.coordination import status_pace, upstream_types
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +42,7 @@
             where they were told before.
         entry_hosts: Most entry hosts heard of lately, among which shared budgets are divided.
         up_s: How long the replica has run, in seconds.
+        period_s: Time until its next status, in seconds (see ``status_pace``).
     """
 
     leader_id: str
@@ -49,6 +50,7 @@
     members: tuple[str, ...]
     entry_hosts: int
     up_s: float = 0.0
+    period_s: float = status_pace.SHORTEST_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -51,9 +51,6 @@
 TIDY_PERIOD_S = 1.0
 """How often the owner looks for runs whose end was never reported, in seconds: they take many."""
 
-STATUS_PERIOD_S = 0.4
-"""How often each entry host is told what this replica believes, in seconds."""
-
 MEMBERS_PERIOD_S = 2.0
 """How often that includes the replicas, in seconds, besides at each change of theirs: their names
 are two thirds of its bytes, which 9 replicas send to each of hundreds of entry hosts."""
@@ -200,6 +197,7 @@
     def _take_entry_status(self, sender: str, status: coordination_messages.EntryStatus) -> None:
         is_new = sender not in self._entry_ids
         self._entries.hear(sender, status, self._now)
+        self._feed.period_s = self._entries.period_s
         if is_new:
             self._entry_ids |= {sender}
             self._note("entry_host_heard", entry=sender, ready=status.is_ready)
@@ -368,7 +366,7 @@
             else:
                 self._actions.append(action)
         if self._now >= self._status_due:
-            self._status_due = self._now + STATUS_PERIOD_S
+            self._status_due = self._now + self._entries.period_s
             status = self._periodic_status()
             self._actions += [node.Send(entry_id, status) for entry_id in self._entry_ids]
             self._crashes.on_time(self._now)
@@ -424,6 +422,7 @@
             members,
             self._entries.hosts,
             self._now - self._started_at,
+            self._entries.period_s,
         )
 
     def _reply(self, operation_id: int, reply: coordinator_types.Reply) -> None:
--- a/src/medlarfork/coordination/entry_directory.py
+++ b/src/medlarfork/coordination/entry_directory.py
@@ -4,10 +4,11 @@
 
 import dataclasses
 
-from medlarfork.coordination import coordination_messages, coordinator_types
+from medlarfork.coordination import coordination_messages, coordinator_types, status_pace
 
 HEARD_WITHIN_S = 1.5
-"""Silence after which an entry host is not named any more: about four of its periodic messages."""
+"""Silence after which an entry host is not named any more, in seconds: about four of its periodic
+messages, and in large fleets at least two and a half."""
 
 REMEMBER_S = 20.0
 """How long an entry host counts for shared budgets after its last message, in seconds: twice the
@@ -37,9 +38,14 @@
         """Return how many entry hosts share budgets."""
         return len(self._heard_by_id)
 
+    @property
+    def period_s(self) -> float:
+        """Return how often hosts are told of this replica, and tell of themselves, in seconds."""
+        return status_pace.period_s(self.hosts)
+
     def status_by_id(self, now: float) -> dict[str, coordination_messages.EntryStatus]:
         """Return the entry hosts that were heard of lately."""
-        oldest = now - HEARD_WITHIN_S
+        oldest = now - max(HEARD_WITHIN_S, status_pace.HEARD_PERIODS * self.period_s)
         return {
             entry_id: heard.status
             for entry_id, heard in self._heard_by_id.items()
--- a/src/medlarfork/coordination/entry_feed.py
+++ b/src/medlarfork/coordination/entry_feed.py
@@ -13,16 +13,12 @@
 from typing import Any
 
 from medlarfork import node
-from medlarfork.coordination import coordination_messages, routing_state, upstream_types
-
-RESEND_S = 0.8
-"""Time after which a push that was not confirmed is sent again, in seconds: two periods of the
-entry hosts' status."""
-
-CONFIRM_S = 0.6
-"""Time within which a change that was pushed is confirmed, in seconds: a period of the entry hosts'
-status and its way. Without it each status that crossed a change brought the whole view, 13 KB with
-64 upstreams, from each replica."""
+from medlarfork.coordination import (
+    coordination_messages,
+    routing_state,
+    status_pace,
+    upstream_types,
+)
 
 FOLLOWER_DELAY_S = 0.5
 """How much later a replica that does not lead pushes what an entry host lacks: normally the
@@ -45,16 +41,32 @@
 
 
 class EntryFeed:
-    """Decide what is sent to which entry host; pure."""
+    """Decide what is sent to which entry host; pure.
+
+    Changes are confirmed with the entry hosts' status. Without waiting for that, each status that
+    crossed a change brought the whole view, 13 KB with 64 upstreams, from each replica.
+
+    Attributes:
+        period_s: How often entry hosts tell their status, in seconds.
+    """
 
     def __init__(self, *, boot: int) -> None:
         """Start with a number that tells this start of the replica from every other."""
+        self.period_s = status_pace.SHORTEST_S
         self._boot = boot
         self._sequence = 0
         self._confirmable_sequence = 0
         self._pushed: collections.deque[tuple[float, int]] = collections.deque()
         self._fed_by_id: dict[str, _Fed] = {}
 
+    @property
+    def _confirm_s(self) -> float:
+        return status_pace.CONFIRM_PERIODS * self.period_s
+
+    @property
+    def _resend_s(self) -> float:
+        return status_pace.RESEND_PERIODS * self.period_s
+
     def push_view(
         self, change: upstream_types.ViewChange, entry_ids: Iterable[str], now: float
     ) -> tuple[node.Send, ...]:
@@ -78,12 +90,12 @@
         ``whole`` is called only then: hundreds of hosts tell their status, and most miss nothing.
         """
         fed = self._fed_by_id.setdefault(entry_id, _Fed())
-        while self._pushed and self._pushed[0][0] <= now - CONFIRM_S:
+        while self._pushed and self._pushed[0][0] <= now - self._confirm_s:
             _, self._confirmable_sequence = self._pushed.popleft()
         is_current = (
             status.view_boot == self._boot and status.view_sequence >= self._confirmable_sequence
         )
-        if is_current or now < fed.whole_sent_at + RESEND_S:
+        if is_current or now < fed.whole_sent_at + self._resend_s:
             return ()
         fed.whole_sent_at = now
         push = coordination_messages.ViewPush(self._boot, self._sequence, whole())
@@ -131,7 +143,7 @@
         if not leads and now < fed.lacks_since + delay_s:
             return False
         is_open = fed.routing_version > status.routing_version
-        if is_open and now < fed.routing_sent_at + RESEND_S:
+        if is_open and now < fed.routing_sent_at + self._resend_s:
             return False
         fed.routing_version = version
         fed.routing_sent_at = now
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -10,24 +10,18 @@
 from typing import Any
 
 from medlarfork import rendezvous
-from medlarfork.coordination import coordination_messages, upstream_types, upstream_view
+from medlarfork.coordination import (
+    coordination_messages,
+    status_pace,
+    upstream_types,
+    upstream_view,
+)
 from medlarfork.placement import placement_messages, shard_choice
 
-OWNER_SILENT_S = 1.0
-"""Silence after which a replica is not asked any more: more than two of its periodic messages."""
-
-SUSPECT_S = 0.45
-"""Silence after which a replica that did not answer a question either is passed over until it
-speaks, in seconds: more than one of its periodic messages. Requests that are placed without an
-owner overfill engines and make streams late, so each tenth of a second counts."""
-
 UP_SHARE = 0.5
 """Share of the longest time that a replica has run which another must have run to own placement:
 after a restart of all they are equal, and one that was restarted alone does not take over back."""
 
-STATUS_PERIOD_S = 0.4
-"""How often replicas are told how this host is, in seconds; see ``entry_directory``."""
-
 JOIN_PERIOD_S = 0.08
 """The same while it joins, in seconds: what is sent before a link is up is lost, and the next
 period is waited for. After a restart of all, hosts waited 0.4 s to be heard by the replicas that
@@ -45,6 +39,7 @@
     at: float
     is_suspect: bool = False
     up_s: float = 0.0
+    period_s: float = status_pace.SHORTEST_S
     view_boot: int = 0
     view_sequence: int = 0
 
@@ -70,7 +65,10 @@
             up_s: How long this host has run, in seconds.
         """
         knows_all = self.routing_version > 0 and self._heard_by_id.keys() >= self._replicas.keys()
-        return STATUS_PERIOD_S if knows_all or up_s > JOIN_S else JOIN_PERIOD_S
+        if not knows_all and up_s <= JOIN_S:
+            return JOIN_PERIOD_S
+        periods = (heard.period_s for heard in self._heard_by_id.values())
+        return max(periods, default=status_pace.SHORTEST_S)
 
     @property
     def replicas(self) -> tuple[str, ...]:
@@ -126,7 +124,7 @@
         up_s_by_id = {
             replica_id: heard.up_s
             for replica_id, heard in self._heard_by_id.items()
-            if now - heard.at <= OWNER_SILENT_S and not heard.is_suspect
+            if now - heard.at <= status_pace.OWNER_PERIODS * heard.period_s and not heard.is_suspect
         }
         least_up_s = UP_SHARE * max(up_s_by_id.values(), default=0.0)
         settled = sorted(name for name, up_s in up_s_by_id.items() if up_s >= least_up_s)
@@ -146,9 +144,16 @@
         return True
 
     def is_passed_over(self, replica_id: str, now: float) -> bool:
-        """Say whether a replica that did not answer says nothing else either."""
+        """Say whether a replica that did not answer says nothing else either.
+
+        Requests that are placed without an owner overfill engines and make streams late, so it is
+        passed over after little more than one of its periods.
+        """
         heard = self._heard_by_id.get(replica_id)
-        return heard is not None and (heard.is_suspect or now - heard.at > SUSPECT_S)
+        if heard is None:
+            return False
+        is_silent = now - heard.at > status_pace.SUSPECT_PERIODS * heard.period_s
+        return heard.is_suspect or is_silent
 
     def hear(self, replica_id: str, now: float) -> None:
         """Note that a replica said something."""
@@ -167,6 +172,7 @@
         match message:
             case coordination_messages.ReplicaStatus():
                 heard.up_s = message.up_s
+                heard.period_s = message.period_s
                 self._take_status(message)
             case coordination_messages.ViewPush(boot, sequence, change):
                 self._take_view(replica_id, heard, boot, sequence, change)
