--- a/src/medlarfork/logs.py
+++ b/src/medlarfork/logs.py
@@ -80,6 +80,9 @@
         )
     handler = _log_output.LineHandler(stream or sys.stderr, lines_s=lines_s)
     handler.setFormatter(KeyValueFormatter(process_name))
+    # Lines name the process themselves; looking these up for each record would load and use a
+    # module for processes that no program needs.
+    logging.logMultiprocessing = logging.logProcesses = logging.logThreads = False
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
