Pools keep requests that end upstreams from further ones

The pool's owner counts broken runs by request; an announcement afterwards shows that an upstream lives, an answer clears the request. With two ends one at a time, with three refused (ends_upstreams, 503, not run). Red before: test_a_request_under_which_three_upstreams_ended_gets_no_further_one, test_a_suspect_runs_one_at_a_time. A new owner of a pool starts anew.

--- a/src/medlarfork/entry/_flow_wait.py
+++ b/src/medlarfork/entry/_flow_wait.py
@@ -75,6 +75,7 @@
         max_tokens=asked.max_tokens,
         resume_offset=flow.tokens,
         avoid=flow.avoid,
+        repeat_key=asked.repeat_key,
     )
 
 
--- a/src/medlarfork/errors.py
+++ b/src/medlarfork/errors.py
@@ -18,6 +18,7 @@
     DAMAGED_JOURNAL = "damaged_journal"
     DEADLINE = "deadline"
     DRAINING = "draining"
+    ENDS_UPSTREAMS = "ends_upstreams"
     HEADER_TOO_LARGE = "header_too_large"
     INVALID_API_KEY = "invalid_api_key"
     JOURNAL_FAILED = "journal_failed"
--- a/src/medlarfork/filters/answers.py
+++ b/src/medlarfork/filters/answers.py
@@ -86,6 +86,14 @@
                 status=429,
                 headers=headers,
             )
+        case ticket.ShedReason.ENDS_UPSTREAMS:
+            return errors.RequestRefusedError(
+                "Several upstreams ended while they ran this request.",
+                remedy="Change the request; it is tried again after the time in Retry-After.",
+                code=errors.Code.ENDS_UPSTREAMS,
+                status=503,
+                headers=headers,
+            )
         case ticket.ShedReason.NO_UPSTREAM | ticket.ShedReason.NOT_OWNER:
             return no_capacity_error(headers)
         case ticket.ShedReason.HOPELESS:
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -17,7 +17,6 @@
     holding,
     owner_client,
     request_facts,
-    request_key,
     request_names,
     request_run,
     request_types,
@@ -25,6 +24,7 @@
 )
 from medlarfork.http import _http_messages, http_client, http_server
 from medlarfork.placement import placement_messages
+from medlarfork.quarantine import request_key
 from medlarfork.routes import route_table, routing
 
 _log = logging.getLogger(__name__)
--- a/src/medlarfork/pool/_pool_parts.py
+++ b/src/medlarfork/pool/_pool_parts.py
@@ -6,6 +6,7 @@
 
 from medlarfork.pool import (
     _account_share,
+    _crash_guard,
     _floor,
     _outlook,
     _preemption,
@@ -34,3 +35,4 @@
         self.preemption = _preemption.Preemption(options)
         self.stall = _stall.Stall(options)
         self.timers = _timers.Timers()
+        self.crashes = _crash_guard.CrashGuard()
--- a/src/medlarfork/pool/_upstream_health.py
+++ b/src/medlarfork/pool/_upstream_health.py
@@ -129,7 +129,11 @@
         if record is None:
             return False
         match release.cause:
-            case ticket.ReleaseCause.FAILED | ticket.ReleaseCause.TIMED_OUT:
+            case (
+                ticket.ReleaseCause.FAILED
+                | ticket.ReleaseCause.BROKEN
+                | ticket.ReleaseCause.TIMED_OUT
+            ):
                 return self._failed(upstream_id, record, now)
             case ticket.ReleaseCause.REFUSED:
                 self._shrink(record, slots)
--- a/src/medlarfork/pool/pool.py
+++ b/src/medlarfork/pool/pool.py
@@ -6,7 +6,7 @@
 import random
 from typing import Any
 
-from medlarfork import node, ticket
+from medlarfork import node, ticket, upstream
 from medlarfork.pool import (
     _finished_tickets,
     _pool_parts,
@@ -122,11 +122,12 @@
             case ticket.Running():
                 self._take_over(event, now)
             case pool_events.UpstreamUp(announcement, age_s):
-                self._upstreams.announce(announcement, now, came_up=True, age_s=age_s)
+                self._announced(announcement, now, came_up=True, age_s=age_s)
             case pool_events.UpstreamChanged(announcement, age_s):
-                self._upstreams.announce(announcement, now, came_up=False, age_s=age_s)
+                self._announced(announcement, now, came_up=False, age_s=age_s)
             case pool_events.UpstreamGone(upstream_id=upstream_id):
                 self._upstreams.gone(upstream_id, now)
+                self._parts.crashes.on_gone(upstream_id)
             case pool_events.TookOver():
                 self._upstreams.take_over(now)
                 self._housekeep_at = now + min(_HOUSEKEEP_S, self._options.settle_s)
@@ -146,9 +147,26 @@
         self._accounts.configure(event.accounts, event.service.shards, now)
         self._upstreams.configure(event.drained_upstreams, event.service.slots, now)
 
+    def _announced(
+        self, announcement: upstream.Announcement, now: float, *, came_up: bool, age_s: float
+    ) -> None:
+        self._upstreams.announce(announcement, now, came_up=came_up, age_s=age_s)
+        self._parts.crashes.on_announced(
+            announcement.upstream_id, announcement.incarnation, now - age_s
+        )
+
+    def _is_open(self, ticket_id: str) -> bool:
+        """Return whether a ticket waits or runs."""
+        queued = self._queues.get(ticket_id) is not None
+        return queued or self._running.get(ticket_id) is not None
+
     def _arrive(self, item: ticket.Ticket, now: float) -> None:
         if self._answer_again(item):
             return
+        retry_s = self._parts.crashes.refusal_s(item, self._is_open, now)
+        if retry_s is not None:
+            self._shed(item, ticket.ShedReason.ENDS_UPSTREAMS, now, retry_s)
+            return
         entry = _pool_ticket.QueuedTicket(item, now)
         resumed = item.resume_offset > 0 or self._preemption.suffered(item.ticket_id)
         self._outlook.set_times(entry)
@@ -211,6 +229,9 @@
         if running is None:
             return
         item = running.ticket
+        known = self._upstreams.get(running.upstream_id)
+        incarnation = 0 if known is None else known.announcement.incarnation
+        self._parts.crashes.on_ended(item, running.upstream_id, incarnation, event.cause, now)
         self._upstreams.finish(running, event, now)
         self._accounts.ended(item.account, event.tokens)
         if event.cause != ticket.ReleaseCause.UNUSED:
@@ -339,6 +360,7 @@
             return
         self._housekeep_at = now + _HOUSEKEEP_S
         self._upstreams.housekeep(now)
+        self._parts.crashes.tidy(now)
         if self._options.move_stalled:
             self._move_stalled(now)
         self._preemption.trim(self._running.count_by_tier)
--- a/src/medlarfork/quarantine/crash_ledger.py
+++ b/src/medlarfork/quarantine/crash_ledger.py
@@ -133,6 +133,12 @@
         case.changed_at = now
         return True
 
+    def withdraw_end(self, key: str, upstream_id: str) -> None:
+        """Take back an end of an upstream that turned out to live on."""
+        case = self._case_by_key.get(key)
+        if case is not None:
+            case.end_at_by_upstream.pop(upstream_id, None)
+
     def note_survival(self, key: str, at: float, now: float) -> bool:
         """Note that an upstream answered a request whole; return whether that clears it of ends."""
         case = self._case_by_key.get(key)
--- a/src/medlarfork/quarantine/crash_messages.py
+++ b/src/medlarfork/quarantine/crash_messages.py
@@ -26,7 +26,7 @@
     """Tell all that is known of one request.
 
     Attributes:
-        key: Names the request (see ``gateway.request_key``).
+        key: Names the request (see ``request_key``).
         ends: The upstreams that ended under it.
         survived_ago_s: How long ago an upstream last answered it whole, in seconds; below 0 if
             none has.
--- a/src/medlarfork/request.py
+++ b/src/medlarfork/request.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from medlarfork.quarantine import request_key
+
 
 class Outcome(enum.StrEnum):
     """Say what became of a request; every final answer carries one of these.
@@ -60,3 +62,8 @@
     prefix: str = ""
     max_tokens: int | None = None
     body_sha256: str = ""
+
+    @property
+    def repeat_key(self) -> str:
+        """Return what the caller's repeats share, by the account and the body with its target."""
+        return request_key.account_mark(self.account) + self.body_sha256
--- a/src/medlarfork/ticket.py
+++ b/src/medlarfork/ticket.py
@@ -28,6 +28,7 @@
         target_left_s: How long until its target is missed; None if it has no target.
         resume_offset: Tokens received already, if this resumes a broken or preempted stream.
         avoid: Upstreams not to use again for this request, if any other will do.
+        repeat_key: What the caller's repeats share (see ``quarantine.request_key``); may be empty.
     """
 
     ticket_id: str
@@ -45,6 +46,7 @@
     max_tokens: int | None = None
     resume_offset: int = 0
     avoid: tuple[str, ...] = ()
+    repeat_key: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,11 +75,15 @@
 
 
 class ReleaseCause(enum.StrEnum):
-    """Say why a granted slot was given back."""
+    """Say why a granted slot was given back.
+
+    A broken one lost its connection after the request was sent: its upstream may have ended.
+    """
 
     FINISHED = "finished"
     REFUSED = "refused"
     FAILED = "failed"
+    BROKEN = "broken"
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
     PREEMPTED = "preempted"
@@ -126,6 +132,7 @@
     """Say why a ticket was refused for good; nothing of it has run."""
 
     ACCOUNT_LIMIT = "account_limit"
+    ENDS_UPSTREAMS = "ends_upstreams"
     HOPELESS = "hopeless"
     NO_UPSTREAM = "no_upstream"
     NOT_OWNER = "not_owner"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -45,7 +45,7 @@
     "gateway.entry_session",
     "gateway.event_cutter",
     "gateway.request_facts",
-    "gateway.request_key",
+    "quarantine.request_key",
     "gateway.retry_budget",
 )
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -687,3 +687,73 @@
     assert _granted(bench.ask(1, target_left_s=0.9))
     (grant,) = bench.ask(3, preemptible=True)
     assert isinstance(grant, ticket.Grant)
+
+
+class Crashing:
+    """Upstreams that end under one request and are back as a new start after a second."""
+
+    def __init__(self, bench, count):
+        self.bench = bench
+        self.incarnation_by_id = {f"u{number}": 1 for number in range(count)}
+        for upstream_id in self.incarnation_by_id:
+            bench.up(upstream_id)
+
+    def run(self, key, cause):
+        """Ask for a slot, and end the run; return where it ran, or why it was refused."""
+        (action,) = self.bench.ask(repeat_key=key)
+        if isinstance(action, ticket.Shed):
+            return action.reason
+        self.bench.release(action.ticket_id, cause)
+        return action.upstream_id
+
+    def restart(self, upstream_id):
+        self.bench.wait(1.0)
+        self.incarnation_by_id[upstream_id] += 1
+        self.bench.up(upstream_id, incarnation=self.incarnation_by_id[upstream_id])
+
+
+@pytest.fixture
+def crashing():
+    return Crashing(Bench(_STRICT), 6)
+
+
+def test_a_request_under_which_three_upstreams_ended_gets_no_further_one(crashing):
+    """A caller's repeat is a new request, and used to be granted one upstream after the other."""
+    ended = []
+    for _ in range(20):
+        where = crashing.run("a1b2c3-k", ticket.ReleaseCause.BROKEN)
+        if where is ticket.ShedReason.ENDS_UPSTREAMS:
+            crashing.bench.wait(0.5)
+            continue
+        ended.append(where)
+        crashing.restart(where)
+    assert len(ended) == 3
+    assert crashing.run("a1b2c3-other", ticket.ReleaseCause.FINISHED) in crashing.incarnation_by_id
+
+
+def test_a_request_that_was_answered_is_cleared_of_what_ended_around_it(crashing):
+    for _ in range(4):
+        assert crashing.run("a1b2c3-k", ticket.ReleaseCause.FINISHED).startswith("u")
+        for _ in range(2):
+            where = crashing.run("a1b2c3-k", ticket.ReleaseCause.BROKEN)
+            assert where.startswith("u")
+            crashing.restart(where)
+
+
+def test_a_broken_run_on_an_upstream_that_lives_on_is_no_end(crashing):
+    for number in range(6):
+        where = crashing.run("a1b2c3-k", ticket.ReleaseCause.BROKEN)
+        assert where.startswith("u"), number
+        crashing.bench.wait(1.0)
+        announced = crashing.bench.announce(where)
+        crashing.bench.send(pool_events.UpstreamChanged(announced))
+
+
+def test_a_suspect_runs_one_at_a_time(crashing):
+    for _ in range(2):
+        crashing.restart(crashing.run("a1b2c3-k", ticket.ReleaseCause.BROKEN))
+    (grant,) = crashing.bench.ask(repeat_key="a1b2c3-k")
+    (shed,) = crashing.bench.ask(repeat_key="a1b2c3-k")
+    assert shed.reason is ticket.ShedReason.ENDS_UPSTREAMS
+    crashing.bench.release(grant.ticket_id)
+    assert isinstance(crashing.bench.ask(repeat_key="a1b2c3-k")[0], ticket.Grant)
--- a/tests/routed/test_request_key.py
+++ b/tests/test_request_key.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from medlarfork.gateway import request_key
+from medlarfork.quarantine import request_key
 
 GIVEN = {
     "account": "shop",
