--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -118,9 +118,13 @@
                 return trial_desk.held("", standing)
             is_trial = standing.verdict is crash_ledger.Verdict.TRIAL
             placed = await self._place(trial_key=key if is_trial else "")
-            is_free = crashes.standing(key).verdict is crash_ledger.Verdict.FREE
-            if is_trial or is_free or isinstance(placed, placement_messages.PlaceRefused):
+            if isinstance(placed, placement_messages.PlaceRefused):
                 return placed
+            match crashes.standing(key).verdict:
+                case crash_ledger.Verdict.FREE:
+                    return placed
+                case crash_ledger.Verdict.TRIAL if is_trial:
+                    return placed
             self.end_ticket(placement_messages.RunEnd.CANCELLED)
 
     async def _place(
