--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -132,7 +132,7 @@
         if now >= self._tick_due:
             self._tick()
         for answer in self._owner.take_decisions():
-            self._crashes.on_decided(answer, now)
+            self._crashes.on_decided(answer)
             self._actions.append(decision_notes.noted(answer))
         return tuple(self._actions)
 
--- a/src/medlarfork/coordination/crash_desk.py
+++ b/src/medlarfork/coordination/crash_desk.py
@@ -69,11 +69,10 @@
         """Take the end of a run, which may be a trial."""
         self._trials.on_ended(message.ticket_id, message.end, now)
 
-    def on_decided(self, answer: placement_answer.Answer, now: float) -> None:
+    def on_decided(self, answer: placement_answer.Answer) -> None:
         """Take a decision of placement: a trial that is refused does not run."""
         if isinstance(answer.message, placement_messages.PlaceRefused):
-            rejected = placement_messages.RunEnd.COMPLETE
-            self._trials.on_ended(answer.message.ticket_id, rejected, now)
+            self._trials.withdraw(answer.message.ticket_id)
 
     def restore(self, held: Iterable[routing_state.HeldRequest], now: float) -> None:
         """Take what the log holds: after a restart nothing else is known.
--- a/src/medlarfork/quarantine/trial_desk.py
+++ b/src/medlarfork/quarantine/trial_desk.py
@@ -53,6 +53,8 @@
             return placement_messages.PlaceRefused(request.ticket_id, RETRY_MS, why)
         if standing.verdict is crash_ledger.Verdict.HELD:
             return held(request.ticket_id, standing)
+        if running is not None:
+            self._key_by_ticket.pop(running.ticket_id, None)
         until = now + request.left_ms / 1000.0 + REPORT_S
         self._trial_by_key[key] = _Trial(request.ticket_id, until)
         self._key_by_ticket[request.ticket_id] = key
@@ -60,15 +62,19 @@
 
     def on_ended(self, ticket_id: str, end: placement_messages.RunEnd, now: float) -> None:
         """Take the end of a trial; other tickets are none of this desk's."""
-        key = self._key_by_ticket.pop(ticket_id, None)
-        trial = None if key is None else self._trial_by_key.get(key)
-        if key is None or trial is None or trial.ticket_id != ticket_id:
-            return
+        trial = self._trial_by_key.get(self._key_by_ticket.get(ticket_id, ""))
         if end is placement_messages.RunEnd.COMPLETE:
-            del self._trial_by_key[key]
-        else:
+            self.withdraw(ticket_id)
+        elif trial is not None and trial.ticket_id == ticket_id:
             trial.until = now + SETTLE_S
 
+    def withdraw(self, ticket_id: str) -> None:
+        """Let the next one run: this trial ended with an answer, or never ran."""
+        key = self._key_by_ticket.pop(ticket_id, "")
+        trial = self._trial_by_key.get(key)
+        if trial is not None and trial.ticket_id == ticket_id:
+            del self._trial_by_key[key]
+
     def tidy(self, now: float) -> None:
         """Forget the trials that have ended."""
         for key, trial in tuple(self._trial_by_key.items()):
