--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import Any
 
 from medlarfork import rendezvous
@@ -30,6 +31,9 @@
 JOIN_S = 3.0
 """How long it joins at most, in seconds after its start; replicas that are down are not heard."""
 
+ALL_DUE_SHARE = 0.9
+"""Share of a period after which all replicas are told again: timers fire a little early or late."""
+
 REPLICA_SILENT_S = 4.0
 """Silence after which a replica's view of the upstreams does not count any more, in seconds."""
 
@@ -53,6 +57,7 @@
         self._heard_by_id: dict[str, _Heard] = {}
         self._view = upstream_view.UpstreamView()
         self._sizes_by_service: dict[str, dict[placement_messages.Shard, int]] = {}
+        self._all_due = -math.inf
         self._term = 0
         self._members: tuple[str, ...] = ()
         self.entry_hosts = 1
@@ -65,8 +70,22 @@
             up_s: How long this host has run, in seconds.
         """
         knows_all = self.routing_version > 0 and self._heard_by_id.keys() >= self._replicas.keys()
-        if not knows_all and up_s <= JOIN_S:
-            return JOIN_PERIOD_S
+        return JOIN_PERIOD_S if not knows_all and up_s <= JOIN_S else self._period_s
+
+    def to_be_told(self, now: float) -> tuple[str, ...]:
+        """Return the replicas to be told how this host is: all once in a period.
+
+        While it joins, those that were not heard yet are told more often, and all while it has no
+        routing, since what they are told has them send it. Told to all for as long as one replica
+        stands still, a start beside 9 cost 337 messages in 3 s (arithmetic).
+        """
+        if now >= self._all_due or not self.routing_version:
+            self._all_due = now + ALL_DUE_SHARE * self._period_s
+            return self.replicas
+        return tuple(name for name in self._replicas if name not in self._heard_by_id)
+
+    @property
+    def _period_s(self) -> float:
         periods = (heard.period_s for heard in self._heard_by_id.values())
         return max(periods, default=status_pace.SHORTEST_S)
 
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -134,7 +134,7 @@
         began_at = time.monotonic()
         logs.event(_log, "stopping", exchanges=self._server.exchanges)
         self._handler.is_stopping = True
-        self._send_status()
+        self._send_status(self._session.replicas)
         await curio.sleep(min(DIRECTORY_LAG_S, self._given.grace_s / 2))
         left_s = self._given.grace_s - EXIT_MARGIN_S - (time.monotonic() - began_at)
         await self._server.close(within_s=max(left_s, 0.0))
@@ -218,20 +218,20 @@
             replica=sender,
             routes=len(whole.routes),
         )
-        self._send_status()
+        self._send_status(self._session.replicas)
 
     async def _tell_replicas(self) -> None:
         started_at = time.monotonic()
         while True:
             now = time.monotonic()
             self._session.drop_silent(now)
-            self._send_status()
+            self._send_status(self._session.to_be_told(now))
             self._crashes.on_time()
             self._connect_replicas()
             await curio.sleep(self._session.status_period_s(now - started_at))
 
-    def _send_status(self) -> None:
-        for replica_id in self._session.replicas:
+    def _send_status(self, replica_ids: tuple[str, ...]) -> None:
+        for replica_id in replica_ids:
             status = self._session.status_for(
                 replica_id,
                 address=self._given.serve,
--- a/tests/routed/test_entry_session.py
+++ b/tests/routed/test_entry_session.py
@@ -168,3 +168,22 @@
     assert session.owner(placement_messages.Shard("s"), 1.9)
     assert not session.owner(placement_messages.Shard("s"), 2.1)
     assert session.status_period_s(entry_session.JOIN_S + 0.1) == 0.8
+
+
+def test_a_host_that_joins_tells_often_only_those_that_it_has_not_heard():
+    """Replay a start beside a replica that stands still: 9 replicas were told 38 times in 3 s."""
+    seeds = tuple(f"r{number}" for number in range(9))
+    session = entry_session.EntrySession(seeds)
+    assert session.to_be_told(0.0) == session.to_be_told(0.08) == seeds
+    session.take_routing("r1", 5, 0.0)
+    told = dict.fromkeys(seeds, 0)
+    now = 0.0
+    while now < entry_session.JOIN_S:
+        for replica_id in session.to_be_told(now):
+            told[replica_id] += 1
+        for replica_id in seeds[1:]:
+            if told[replica_id]:
+                session.take(replica_id, _status(members=seeds), now)
+        now += session.status_period_s(now)
+    assert told["r0"] >= 30
+    assert max(told[replica_id] for replica_id in seeds[1:]) <= 9
