--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -167,9 +167,22 @@
 
     async def _look(self, upstream: upstream_types.Announcement) -> None:
         broke_at = _now()
-        reach = await self._client.reach(f"http://{upstream.address}", within_s=REACH_S)
-        look = self._look_by_upstream.pop(upstream.upstream_id)
-        keys = tuple(dict.fromkeys(look.keys))
+        look = self._look_by_upstream[upstream.upstream_id]
+        try:
+            reach = await self._client.reach(f"http://{upstream.address}", within_s=REACH_S)
+            self._judge(upstream, look, reach, broke_at)
+        finally:
+            del self._look_by_upstream[upstream.upstream_id]
+            await look.done.set()
+
+    def _judge(
+        self,
+        upstream: upstream_types.Announcement,
+        look: _Look,
+        reach: http_client.Reach,
+        broke_at: float,
+    ) -> None:
+        """Note the end of an upstream, or watch it if it seems to live on."""
         logs.event(
             _log,
             "upstream_looked_at",
@@ -177,12 +190,12 @@
             reach=reach.value,
             runs=len(look.keys),
         )
+        keys = tuple(dict.fromkeys(look.keys))
         if reach is http_client.Reach.ACCEPTS:
             self._watch(upstream, keys, broke_at)
         else:
             # What is undecided counts too: it must not go on without end, and an answer clears it.
             self._note_ends(upstream.upstream_id, keys, broke_at)
-        await look.done.set()
 
     def _watch(
         self, upstream: upstream_types.Announcement, keys: tuple[str, ...], since: float
