--- a/src/medlarfork/coordination/upstream_desk.py
+++ b/src/medlarfork/coordination/upstream_desk.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import Any
 
 from medlarfork import node
@@ -25,6 +26,11 @@
 sent every request there for 4 s: 25 of 120 were lost. One that is really down costs a few requests,
 which are tried elsewhere."""
 
+REFRESH_PERIOD_S = 0.5
+"""Least time between two messages to another replica that only say which upstreams were heard, in
+seconds: half of the shortest period of announcements, of which three and a half may be missed. Told
+ten times a second, 9 replicas with 64 upstreams send 640 such messages a second (arithmetic)."""
+
 LEAVE_LIMIT_S = 0.8
 """How long a leave may wait for a majority, in seconds; upstreams give up after one second."""
 
@@ -46,6 +52,7 @@
         self._refreshed: dict[str, upstream_types.Announcement] = {}
         self._leave_by_token: dict[int, _OpenLeave] = {}
         self._tokens = 0
+        self._refresh_due = -math.inf
         self._change = upstream_types.ViewChange()
 
     @property
@@ -138,7 +145,8 @@
             misses_peer: Whether one of them fell silent lately.
         """
         actions: list[Any] = []
-        if self._refreshed:
+        if self._refreshed and now >= self._refresh_due:
+            self._refresh_due = now + REFRESH_PERIOD_S
             heard = tuple(self._refreshed.values())
             self._refreshed = {}
             actions += _to_all(peers, coordination_messages.UpstreamGossip(heard, ()))
--- a/src/medlarfork/http/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -17,8 +17,9 @@
 from medlarfork import errors
 from medlarfork.http import _http_answer, _http_stream
 
-_SWEEP_S = 0.1
-"""How often deadlines of connections are checked, in seconds."""
+_SWEEP_S = 0.25
+"""How often deadlines of connections are checked, in seconds: half of the time by which idle ones
+are closed before their upstream does. Each check wakes the process."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/routed/test_upstream_desk.py
+++ b/tests/routed/test_upstream_desk.py
@@ -67,3 +67,21 @@
     change = desk.take_change()
     assert change.present
     assert change.silent == ()
+
+
+def test_words_that_change_nothing_are_passed_on_together(make_announcement):
+    """Replay 8 upstreams of 64 that announce themselves here: 80 messages a second to 8 others."""
+    desk = upstream_desk.UpstreamDesk(upstream_registry.UpstreamRegistry(announce_period_s=1.2))
+    peers = tuple(f"r{number}" for number in range(8))
+    passed_on = []
+    for tick in range(100):
+        now = tick / 10
+        number = tick % 8
+        announcement = make_announcement(f"u-{number}", address=f"10.0.0.{number}:1", sequence=tick)
+        desk.announce(tick, announcement, peers, 5, now)
+        passed_on += [
+            (now, action.message) for action in desk.on_time(peers, now) if action.to == "r0"
+        ]
+    assert len(passed_on) <= 20
+    heard = [item.upstream_id for now, gossip in passed_on if now > 5 for item in gossip.heard]
+    assert len(set(heard)) == 8
