--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -95,8 +95,7 @@
         self._entries = entry_directory.EntryDirectory(ttl_s=ttl_s)
         self._feed = entry_feed.EntryFeed(boot=boot)
         self._owner = owner.Owner()
-        self._crashes = crash_desk.CrashDesk()
-        self._records = 0
+        self._crashes = crash_desk.CrashDesk(replica_id)
         self._role = replica_types.Role.FOLLOWER
         self._leader_id = ""
         self._term = 0
@@ -230,9 +229,7 @@
             case coordinator_types.FindEntries(zone):
                 self._reply(operation_id, self._entries.find(zone, self._now))
             case coordinator_types.LiftCrashCase(key):
-                self._actions += self._crashes.lift(key, self._now)
-                report = self._crashes.ledger.report((key,), self._now)
-                self._actions += [node.Send(peer, report) for peer in self._members.peers]
+                self._actions += self._crashes.lift(key, self._members.peers, self._now)
                 self._reply(operation_id, coordinator_types.Accepted())
             case coordinator_types.ListCrashCases():
                 held = self._crashes.whole(self._now)
@@ -302,7 +299,7 @@
                 self._crashes.restore((held,), self._now)
             case routing_state.LiftedRequest(key):
                 self._note("request_lifted_in_log", key=key)
-                self._actions += self._crashes.lift(key, self._now)
+                self._actions += self._crashes.lift(key, (), self._now)
         self._actions += self._routing_desk.on_applied(proposal_id)
 
     def _on_routing(self) -> None:
@@ -356,7 +353,8 @@
         self._drop_lost_entries()
         self._tidy_placement()
         if self.leads:
-            self._record_crashes()
+            for proposal in self._crashes.proposals(self._state.held_by_key, self._now):
+                self._run_log(proposal)
         for action in self._members.on_time(self._replica.status, leads=self.leads, now=self._now):
             if isinstance(action, replica_types.ChangeVoters):
                 self._note(
@@ -381,13 +379,6 @@
         self._placement_due = self._now + PLACEMENT_PERIOD_S
         self._actions.append(node.Wake(self._placement_due))
 
-    def _record_crashes(self) -> None:
-        """Have the log keep which requests are held."""
-        for change in self._crashes.to_record(self._state.held_by_key, self._now):
-            self._records += 1
-            proposal_id = f"{self._replica_id}-crash-{self._records}"
-            self._run_log(replica_types.Propose(proposal_id, routing_state.pack_held(change)))
-
     def _tidy_placement(self) -> None:
         if self._now < self._tidy_due:
             return
--- a/src/medlarfork/coordination/crash_desk.py
+++ b/src/medlarfork/coordination/crash_desk.py
@@ -16,6 +16,7 @@
 from medlarfork.coordination import coordinator_types, routing_state
 from medlarfork.placement import placement_answer, placement_messages
 from medlarfork.quarantine import crash_ledger, crash_messages, trial_desk
+from medlarfork.replica import replica_types
 
 PUSH_PERIOD_S = 0.05
 """Least time between two reports to entry hosts, in seconds: what hundreds of hosts see of one
@@ -39,8 +40,10 @@
 class CrashDesk:
     """Hold the ledger and the trials of one replica; the time is handed in."""
 
-    def __init__(self) -> None:
-        """Start without a case."""
+    def __init__(self, replica_id: str) -> None:
+        """Start without a case; the replica's id names its proposals to the log."""
+        self._replica_id = replica_id
+        self._proposals = 0
         self.ledger = crash_ledger.CrashLedger()
         self._trials = trial_desk.TrialDesk(self.ledger)
         self._told: set[str] = set()
@@ -52,12 +55,14 @@
         """Take what an entry host tells."""
         return self._note(self.ledger.merge(report, now), now)
 
-    def lift(self, key: str, now: float) -> tuple[Any, ...]:
-        """Let a request run again, as an operator asks."""
+    def lift(self, key: str, peers: tuple[str, ...], now: float) -> tuple[Any, ...]:
+        """Let a request run again, as an operator or the log asks, and tell the other replicas."""
         if not self.ledger.note_survival(key, now, now):
             return ()
         noted = coordinator_types.Noted("crash_case_lifted", {"key": key})
-        return (noted, *self._note((key,), now))
+        report = self.ledger.report((key,), now)
+        sends = (node.Send(peer, report) for peer in peers)
+        return (noted, *sends, *self._note((key,), now))
 
     def ask_trial(
         self, request: placement_messages.PlaceRequest, now: float
@@ -85,9 +90,9 @@
             if self._concerns_all(item.key):
                 self._untold[item.key] = None
 
-    def to_record(
+    def proposals(
         self, held_by_key: dict[str, routing_state.HeldRequest], now: float
-    ) -> tuple[routing_state.HeldRequest | routing_state.LiftedRequest, ...]:
+    ) -> tuple[replica_types.Propose, ...]:
         """Return what the leader has to put into the log; each is asked for once in a while."""
         changes: list[routing_state.HeldRequest | routing_state.LiftedRequest] = []
         for key in self.ledger.known():
@@ -102,7 +107,7 @@
         due = [item for item in changes if self._record_due_by_key.get(item.key, now) <= now]
         for item in due[:MOST_RECORDED]:
             self._record_due_by_key[item.key] = now + RECORD_AGAIN_S
-        return tuple(due[:MOST_RECORDED])
+        return tuple(self._proposal(item) for item in due[:MOST_RECORDED])
 
     def on_time(self, now: float) -> None:
         """Have what is new told once more, and forget what is old."""
@@ -137,6 +142,13 @@
         keys = tuple(key for key in self.ledger.known() if self._concerns_all(key))
         return self.ledger.report(keys[-MOST_TOLD:], now)
 
+    def _proposal(
+        self, change: routing_state.HeldRequest | routing_state.LiftedRequest
+    ) -> replica_types.Propose:
+        self._proposals += 1
+        proposal_id = f"{self._replica_id}-crash-{self._proposals}"
+        return replica_types.Propose(proposal_id, routing_state.pack_held(change))
+
     def _concerns_all(self, key: str) -> bool:
         return key in self._told or len(self.ledger.ends(key)) >= crash_ledger.SUSPECT_ENDS
 
--- a/src/medlarfork/quarantine/crash_ledger.py
+++ b/src/medlarfork/quarantine/crash_ledger.py
@@ -86,6 +86,7 @@
 
     @property
     def last_at(self) -> float:
+        """Return when it was last heard of, in seconds."""
         return max(self.survived_at, *self.end_at_by_upstream.values(), -math.inf)
 
 
