--- a/tests/routed/test_coordinator_machine.py
+++ b/tests/routed/test_coordinator_machine.py
@@ -1,5 +1,7 @@
 """Random histories of coordinators: nothing acknowledged is lost or read back older.
 
+Nor is a request forgotten that the log of any replica held.
+
 By hand, for long, each run with a seed of its own:
 ``MEDLAR_MACHINE_EXAMPLES=20000 MEDLAR_MACHINE_SEED=1 pytest --timeout 0 FILE``.
 """
@@ -10,6 +12,8 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from medlarfork import node
+from medlarfork.quarantine import crash_messages
 from tests.routed import coordinator_cluster
 
 EXAMPLES = int(os.environ.get("MEDLAR_MACHINE_EXAMPLES", "12"))
@@ -28,6 +32,7 @@
         self.version = 0
         self.spare = iter(f"spare{number}" for number in range(100))
         self.disk_lost_at = -100.0
+        self.held = set()
 
     def host(self, place):
         """Return one of the machines."""
@@ -53,6 +58,21 @@
     def read(self, place):
         self.cluster.read(self.host(place).replica_id)
 
+    @stateful.rule(place=PLACES, key=st.sampled_from("kl"), numbers=st.sets(st.integers(0, 4)))
+    def tell_ends(self, place, key, numbers):
+        """An entry host that reaches one replica tells of upstreams that ended."""
+        ends = tuple(crash_messages.UpstreamEnd(f"u-{number}", 0.0) for number in numbers)
+        report = crash_messages.CrashReport((crash_messages.CrashCase(key, ends),))
+        told = node.MessageReceived("e-0", report)
+        self.cluster.post(self.host(place).replica_id, told)
+
+    @stateful.invariant()
+    def note_held(self):
+        """Remember what any replica has read from the committed log."""
+        for host in self.cluster.host_by_id.values():
+            if host.node is not None:
+                self.held |= set(host.node._state.held_by_key)
+
     @stateful.rule(seconds=st.floats(0.02, 3.0))
     def let_time_pass(self, seconds):
         self.cluster.run(seconds)
@@ -123,6 +143,11 @@
             self.cluster.wake(host.replica_id)
         if self.cluster.acknowledged:
             self.cluster.until_read(40.0)
+        if self.held:
+            self.cluster.run(20.0)
+        for host in self.cluster.host_by_id.values():
+            assert self.held <= set(host.node._state.held_by_key)
+            assert all(len(host.node._crashes.ledger.ends(key)) >= 3 for key in self.held)
 
 
 TestCoordinators = CoordinatorMachine.TestCase
