--- a/tests/routed/test_coordinator_machine.py
+++ b/tests/routed/test_coordinator_machine.py
@@ -20,6 +20,7 @@
 SEED = os.environ.get("MEDLAR_MACHINE_SEED", "")
 STEPS = 25
 PLACES = st.integers(0, 7)
+NUMBERS = st.sets(st.integers(0, 4), min_size=2)
 
 
 class CoordinatorMachine(stateful.RuleBasedStateMachine):
@@ -58,13 +59,15 @@
     def read(self, place):
         self.cluster.read(self.host(place).replica_id)
 
-    @stateful.rule(place=PLACES, key=st.sampled_from("kl"), numbers=st.sets(st.integers(0, 4)))
-    def tell_ends(self, place, key, numbers):
-        """An entry host that reaches one replica tells of upstreams that ended."""
+    @stateful.rule(places=st.sets(PLACES, min_size=3), key=st.sampled_from("kl"), numbers=NUMBERS)
+    def tell_ends(self, places, key, numbers):
+        """An entry host that reaches some replicas tells of upstreams that ended."""
         ends = tuple(crash_messages.UpstreamEnd(f"u-{number}", 0.0) for number in numbers)
         report = crash_messages.CrashReport((crash_messages.CrashCase(key, ends),))
         told = node.MessageReceived("e-0", report)
-        self.cluster.post(self.host(place).replica_id, told)
+        for place in places:
+            self.cluster.post(self.host(place).replica_id, told)
+        self.cluster.run(0.3)
 
     @stateful.invariant()
     def note_held(self):
