--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -52,9 +52,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Pending:
+    """Hold the requests whose runs ended at an upstream that may have ended, and when they did."""
+
     upstream: upstream_types.Announcement
-    keys: tuple[str, ...]
-    broke_at: float
+    at_by_key: dict[str, float]
 
 
 class CrashWatch:
@@ -107,7 +108,7 @@
 
     def run_given_up(self, key: str, upstream: upstream_types.Announcement) -> None:
         """Note a run that nobody waits for any more: its upstream may have ended without a word."""
-        self._watch(upstream, (key,), _now())
+        self._watch(upstream, {key: _now()})
 
     async def wait_looked(self, upstream_id: str) -> None:
         """Wait until it is known whether an upstream whose run broke has ended."""
@@ -142,11 +143,15 @@
         """Look whether other starts took the place of upstreams that seemed to live on."""
         now = _now()
         for upstream_id, pending in tuple(self._pending_by_upstream.items()):
-            if now > pending.broke_at + PENDING_S:
-                del self._pending_by_upstream[upstream_id]
-            elif self._is_replaced(pending.upstream):
+            recent = {key: at for key, at in pending.at_by_key.items() if now <= at + PENDING_S}
+            if self._is_replaced(pending.upstream):
+                self._note_ends(upstream_id, recent)
+                recent = {}
+            if recent:
+                kept = dataclasses.replace(pending, at_by_key=recent)
+                self._pending_by_upstream[upstream_id] = kept
+            else:
                 del self._pending_by_upstream[upstream_id]
-                self._note_ends(upstream_id, pending.keys, pending.broke_at)
 
     def note_replica(self, replica_id: str, up_s: float) -> None:
         """Tell a replica that has started, or that was not heard before, all that is known."""
@@ -190,21 +195,19 @@
             reach=reach.value,
             runs=len(look.keys),
         )
-        keys = tuple(dict.fromkeys(look.keys))
+        at_by_key = dict.fromkeys(look.keys, broke_at)
         if reach is http_client.Reach.ACCEPTS:
-            self._watch(upstream, keys, broke_at)
+            self._watch(upstream, at_by_key)
         else:
             # What is undecided counts too: it must not go on without end, and an answer clears it.
-            self._note_ends(upstream.upstream_id, keys, broke_at)
+            self._note_ends(upstream.upstream_id, at_by_key)
 
-    def _watch(
-        self, upstream: upstream_types.Announcement, keys: tuple[str, ...], since: float
-    ) -> None:
+    def _watch(self, upstream: upstream_types.Announcement, at_by_key: dict[str, float]) -> None:
         """Count an end of an upstream if another start takes its place soon."""
         before = self._pending_by_upstream.get(upstream.upstream_id)
-        if before is not None:
-            keys = (*before.keys, *keys)[-MOST_PENDING_KEYS:]
-        self._pending_by_upstream[upstream.upstream_id] = _Pending(upstream, keys, since)
+        known = {} if before is None else before.at_by_key
+        latest = list((known | at_by_key).items())[-MOST_PENDING_KEYS:]
+        self._pending_by_upstream[upstream.upstream_id] = _Pending(upstream, dict(latest))
 
     def _is_replaced(self, upstream: upstream_types.Announcement) -> bool:
         present = self._session.upstream_by_id
@@ -213,9 +216,11 @@
             for item in present.values()
         )
 
-    def _note_ends(self, upstream_id: str, keys: tuple[str, ...], broke_at: float) -> None:
+    def _note_ends(self, upstream_id: str, at_by_key: dict[str, float]) -> None:
         now = _now()
-        news = tuple(key for key in keys if self._ledger.note_end(key, upstream_id, broke_at, now))
+        news = tuple(
+            key for key, at in at_by_key.items() if self._ledger.note_end(key, upstream_id, at, now)
+        )
         self._note("seen", news)
         self._tell(news, now)
 
--- a/tests/routed/test_crash_watch.py
+++ b/tests/routed/test_crash_watch.py
@@ -135,6 +135,24 @@
     curio_world.run(main)
 
 
+def test_a_run_that_was_given_up_long_before_an_upstream_ended_is_none_of_its_ends(
+    watch, session, make_announcement, monkeypatch
+):
+    """Callers give up all the time where streams are slow, and releases replace every upstream."""
+    now = [100.0]
+    monkeypatch.setattr(crash_watch, "_now", lambda: now[0])
+    for number in range(3):
+        where = upstream(make_announcement, number)
+        watch.run_given_up(KEY, where)
+        now[0] += crash_watch.PENDING_S - 1.0
+        watch.run_given_up("another", where)
+        now[0] += 2.0
+        session.upstream_by_id[f"n-{number}@2"] = upstream(make_announcement, number, born_ms=2)
+        watch.note_view()
+    assert watch.standing("another").verdict is Verdict.HELD
+    assert watch.standing(KEY).verdict is Verdict.FREE
+
+
 def test_a_host_that_saw_it_answered_clears_a_request_for_all(watch, sent):
     watch.run_survived(KEY)
     ends = tuple(crash_messages.UpstreamEnd(f"u-{number}", 0.1) for number in range(3))
