--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -46,6 +46,7 @@
         self._sent_at = 0.0
         self._pauses = stream_pauses.StreamPauses()
         self._waits_since = admitted.started_at
+        self._refusal = errors.Code.OVERLOADED
         self._breaks = 0
         self._running_at: upstream_types.Announcement | None = None
 
@@ -114,6 +115,8 @@
         crashes, key = self._tools.crashes, self._admitted.key
         while True:
             standing = crashes.standing(key)
+            is_free = standing.verdict is crash_ledger.Verdict.FREE
+            self._refusal = errors.Code.OVERLOADED if is_free else errors.Code.ENDS_UPSTREAMS
             if standing.verdict is crash_ledger.Verdict.HELD:
                 return trial_desk.held("", standing)
             is_trial = standing.verdict is crash_ledger.Verdict.TRIAL
@@ -369,7 +372,7 @@
         error = errors.MedlarError(
             f"The request got no answer: {reasons}.",
             remedy="Come back as Retry-After says." if status == 503 else "It may have run.",
-            code=errors.Code.OVERLOADED if status == 503 else errors.Code.UNCERTAIN,
+            code=self._refusal if status == 503 else errors.Code.UNCERTAIN,
         )
         await exchange.respond(status, headers, _http_messages.error_body(error, status))
 
--- a/tests/routed/test_suspect_runs.py
+++ b/tests/routed/test_suspect_runs.py
@@ -55,6 +55,7 @@
     async def respond(self, status, headers, body):
         self.status = status
         self.headers = headers
+        self.body = body
 
 
 class SentError(Exception):
@@ -103,6 +104,7 @@
     exchange = serve(*standings)
     assert exchange.status == 503
     assert float(exchange.headers["Retry-After"]) == 30.0
+    assert b'"ends_upstreams"' in exchange.body
     assert owner.given_back == len(standings) - 1
 
 
