Read once more: no state for what the directory tells, one constant and one target instead of two

Who has no routing follows from the hosts' status, which each tick has at hand; the time for which news are told again stood twice; the target of a request was put together where its head now has it. A comment referred to a constant that is gone. Behaviour stays as it is.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -107,7 +107,6 @@
         self._tidy_due = -math.inf
         self._view_due = -math.inf
         self._entry_ids: frozenset[str] = frozenset()
-        self._without_routing: dict[str, coordination_messages.EntryStatus] = {}
         self._actions: list[Any] = []
         self._now = 0.0
         self._started_at = math.inf
@@ -198,10 +197,6 @@
         is_new = sender not in self._entry_ids
         self._entries.hear(sender, status, self._now)
         self._feed.period_s = self._entries.period_s
-        if status.routing_version:
-            self._without_routing.pop(sender, None)
-        else:
-            self._without_routing[sender] = status
         if is_new:
             self._entry_ids |= {sender}
             self._note("entry_host_heard", entry=sender, ready=status.is_ready)
@@ -355,13 +350,8 @@
             self._members.peers, self._now, misses_peer=misses_peer
         )
         self._push_view()
-        self._drop_lost_entries()
+        self._look_after_entries()
         self._tidy_placement()
-        if self._without_routing:
-            # They serve nobody until then, and need not ask again meanwhile.
-            self._actions += self._feed.push_routing(
-                self._without_routing, self._state.current, leads=self.leads, now=self._now
-            )
         if self.leads:
             for proposal in self._crashes.proposals(self._state.held_by_key, self._now):
                 self._run_log(proposal)
@@ -397,14 +387,19 @@
         if overdue:
             self._note("run_ends_missed", runs=overdue)
 
-    def _drop_lost_entries(self) -> None:
+    def _look_after_entries(self) -> None:
+        """Drop the entry hosts that fell silent, and give routing to those that have none."""
         present = self._entries.status_by_id(self._now)
         for entry_id in self._entry_ids - present.keys():
             self._note("entry_host_silent", entry=entry_id)
-            self._without_routing.pop(entry_id, None)
             self._actions += self._owner.forget_entry(entry_id, self._now)
         self._entry_ids = frozenset(present)
         self._feed.forget_missing(present)
+        # Those without routing serve nobody until they have one, and need not ask again meanwhile.
+        without = {name: status for name, status in present.items() if not status.routing_version}
+        self._actions += self._feed.push_routing(
+            without, self._state.current, leads=self.leads, now=self._now
+        )
 
     def _periodic_status(self) -> coordination_messages.ReplicaStatus:
         """Return the status for all entry hosts, most times without the replicas' names."""
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -209,7 +209,6 @@
         began_at = time.monotonic()
         head = exchange.head
         body = await exchange.read_body()
-        target = f"{head.path}?{head.query}" if head.query else head.path
         try:
             operation = self._speaks.decode(head.method, head.path, head.query, body)
             if isinstance(operation, coordinator_types.PutRouting):
@@ -218,7 +217,7 @@
             await self._refuse(exchange, error)
             return
         reply = await self._decide(operation)
-        answer = self._speaks.encode(reply, target)
+        answer = self._speaks.encode(reply, head.target)
         self._log_operation(operation, reply, answer.status)
         took_s = time.monotonic() - began_at
         self._metrics.count_operation(type(operation).__name__, answer.status, took_s)
--- a/src/medlarfork/coordination/crash_desk.py
+++ b/src/medlarfork/coordination/crash_desk.py
@@ -22,10 +22,6 @@
 """Least time between two reports to entry hosts, in seconds: what hundreds of hosts see of one
 crash within some milliseconds is told together, well within a request's usual time."""
 
-RETELL_S = 2.0
-"""How long news are told again with each status, in seconds: what is sent while a link is opened
-again is lost."""
-
 RECORD_AGAIN_S = 1.0
 """Time after which the log is asked once more for what it did not take, in seconds."""
 
@@ -111,7 +107,7 @@
 
     def on_time(self, now: float) -> None:
         """Have what is new told once more, and forget what is old."""
-        for key in self.ledger.changed_since(now - RETELL_S):
+        for key in self.ledger.changed_since(now - crash_messages.RETELL_S):
             if self._concerns_all(key):
                 self._untold[key] = None
         self.ledger.tidy(now)
--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -27,10 +27,6 @@
 """How long an upstream whose run broke may take to accept a connection, in seconds: one that has
 ended refuses within a round trip, and what is silent longer is cut off or without power."""
 
-RETELL_S = 2.0
-"""How long news are told again with each status, in seconds: a link that is being opened again
-loses what is sent meanwhile, and three periods fit into the time until all have to know."""
-
 PENDING_S = 15.0
 """How long an upstream that still listened is watched for a later start in its place, in seconds:
 it may have been that start that listened. Upstreams are back within some seconds."""
@@ -164,7 +160,7 @@
         """Tell again what is new, and forget what is old; called with each status."""
         now = _now()
         for key, at in tuple(self._found_at_by_key.items()):
-            if at < now - RETELL_S:
+            if at < now - crash_messages.RETELL_S:
                 del self._found_at_by_key[key]
         self._send_all(tuple(self._found_at_by_key), now)
         self._ledger.tidy(now)
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -24,9 +24,9 @@
 after a restart of all they are equal, and one that was restarted alone does not take over back."""
 
 JOIN_PERIOD_S = 0.08
-"""The same while it joins, in seconds: what is sent before a link is up is lost, and the next
-period is waited for. After a restart of all, hosts waited 0.4 s to be heard by the replicas that
-their settings name, and 0.4 s more by the others, among them the leader."""
+"""How often a host tells of itself while it joins, in seconds: what is sent before a link is up is
+lost, and the next period is waited for. After a restart of all, hosts waited 0.4 s to be heard by
+the replicas that their settings name, and 0.4 s more by the others, among them the leader."""
 
 JOIN_S = 3.0
 """How long it joins at most, in seconds after its start; replicas that are down are not heard."""
--- a/src/medlarfork/quarantine/crash_messages.py
+++ b/src/medlarfork/quarantine/crash_messages.py
@@ -44,5 +44,9 @@
     cases: tuple[CrashCase, ...]
 
 
+RETELL_S = 2.0
+"""How long news are told again with each status, in seconds: a link that is being opened again
+loses what is sent meanwhile, and two periods or more fit into the time until all have to know."""
+
 CRASH_MESSAGES: tuple[type, ...] = (CrashReport,)
 """Every message class of this module, for the codec of the links."""
