--- a/src/medlarfork/coordination/coordination_messages.py
+++ b/src/medlarfork/coordination/coordination_messages.py
@@ -43,6 +43,7 @@
         entry_hosts: Most entry hosts heard of lately, among which shared budgets are divided.
         up_s: How long the replica has run, in seconds.
         period_s: Time until its next status, in seconds (see ``status_pace``).
+        wall_s: Its time of day, in Unix seconds; 0 if it does not say.
     """
 
     leader_id: str
@@ -51,6 +52,7 @@
     entry_hosts: int
     up_s: float = 0.0
     period_s: float = status_pace.SHORTEST_S
+    wall_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -23,6 +23,7 @@
     coordinator_types,
     crash_desk,
     decision_notes,
+    duty_desk,
     entry_directory,
     entry_feed,
     member_desk,
@@ -31,6 +32,7 @@
     upstream_desk,
     upstream_registry,
 )
+from medlarfork.duties import duty_types, engine_messages, usage_messages
 from medlarfork.placement import owner, placement_answer, placement_messages
 from medlarfork.quarantine import crash_messages
 from medlarfork.replica import replica, replica_types
@@ -51,6 +53,9 @@
 TIDY_PERIOD_S = 1.0
 """How often the owner looks for runs whose end was never reported, in seconds: they take many."""
 
+LOAD_PERIOD_S = 0.25
+"""How often the leader is told of the load that engines are ordered by, in seconds."""
+
 MEMBERS_PERIOD_S = 2.0
 """How often that includes the replicas, in seconds, besides at each change of theirs: their names
 are two thirds of its bytes, which 9 replicas send to each of hundreds of entry hosts."""
@@ -72,6 +77,7 @@
         announce_period_s: float,
         ttl_s: float,
         decode: Decode,
+        duties: duty_types.DutySettings = duty_types.DutySettings(),  # noqa: B008 - frozen
     ) -> None:
         """Wire the parts together.
 
@@ -83,6 +89,7 @@
             announce_period_s: How often upstreams announce themselves, in seconds.
             ttl_s: How long callers keep an answer of the directory, in seconds.
             decode: Decodes an operator's body.
+            duties: Calls that one replica has to make.
         """
         self._replica_id = replica_id
         self._replica = part
@@ -96,6 +103,10 @@
         self._feed = entry_feed.EntryFeed(boot=boot)
         self._owner = owner.Owner()
         self._crashes = crash_desk.CrashDesk(replica_id)
+        self._boot = boot
+        self.duties = duty_desk.DutyDesk(replica_id, boot, duties, self._state.duties)
+        self._wall_offset_s: float | None = None
+        self._load_due = -math.inf
         self._role = replica_types.Role.FOLLOWER
         self._leader_id = ""
         self._term = 0
@@ -123,6 +134,10 @@
                 self._take_operation(operation_id, operation)
             case coordinator_types.SeedsChanged(seeds):
                 self._members.use_seeds(seeds)
+            case coordinator_types.WallTime(wall_s, at):
+                self._wall_offset_s = wall_s - at
+            case duty_types.PlatformCalled():
+                self._run_duties(self.duties.on_call_end(event, now), None)
             case _:
                 self._run_log(event)
         self._push_view()
@@ -146,6 +161,7 @@
             "entry_hosts": len(self._entry_ids),
             "waiting": self._owner.waiting,
             "crash_cases": len(self._crashes.ledger),
+            **self.duties.gauges(),
         }
 
     @property
@@ -174,6 +190,8 @@
                 self._actions += self._upstreams.on_receipt(sender, message)
             case crash_messages.CrashReport():
                 self._actions += self._crashes.take(message, self._now)
+            case usage_messages.UsageTold() | engine_messages.LoadTold():
+                self._actions += self.duties.take(sender, message, self._now)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
                 self._place(sender, message)
             case _:
@@ -263,10 +281,20 @@
             for action in self._replica.handle(events.popleft(), self._now):
                 self._perform(action, events)
 
+    def _run_duties(self, actions: tuple[Any, ...], events: collections.deque[Any] | None) -> None:
+        """Perform what the duties ask for; inside the log's own work its events are to follow."""
+        for action in actions:
+            if not isinstance(action, replica_types.Propose):
+                self._actions.append(action)
+            elif events is None:
+                self._run_log(action)
+            else:
+                events.append(action)
+
     def _perform(self, action: Any, events: collections.deque[Any]) -> None:
         match action:
             case replica_types.Apply(_, _, command, proposal_id):
-                self._apply(command, proposal_id)
+                self._apply(command, proposal_id, events)
             case replica_types.RestoreSnapshot(_, state):
                 self._state.restore(state)
                 self._crashes.restore(self._state.held_by_key.values(), self._now)
@@ -275,7 +303,7 @@
                 taken = replica_types.SnapshotTaken(index, self._state.snapshot())
                 events.append(taken)
             case replica_types.RoleChanged(role, term, leader_id):
-                self._on_role(role, term, leader_id)
+                self._on_role(role, term, leader_id, events)
             case replica_types.ProposalRefused(proposal_id, leader_id, _):
                 self._actions += self._routing_desk.on_refused(proposal_id, leader_id)
             case replica_types.VotersChanged(index, voters):
@@ -288,7 +316,7 @@
             case _:
                 self._actions.append(action)
 
-    def _apply(self, command: bytes, proposal_id: str) -> None:
+    def _apply(self, command: bytes, proposal_id: str, events: collections.deque[Any]) -> None:
         match self._state.apply(command) if command else None:
             case routing_state.RoutingVersion(version):
                 self._note("routing_applied", version=version)
@@ -300,19 +328,33 @@
             case routing_state.LiftedRequest(key):
                 self._note("request_lifted_in_log", key=key)
                 self._actions += self._crashes.lift(key, (), self._now)
+            case None:
+                pass
+            case applied:
+                self._run_duties(self.duties.on_applied(applied, self._now), events)
         self._actions += self._routing_desk.on_applied(proposal_id)
 
     def _on_routing(self) -> None:
         if self._state.current.version:
-            self._owner.use_services(self._decode(self._state.current.body).services)
+            services = self._decode(self._state.current.body).services
+            self._owner.use_services(services)
+            self.duties.use_services(services)
 
-    def _on_role(self, role: replica_types.Role, term: int, leader_id: str) -> None:
+    def _on_role(
+        self,
+        role: replica_types.Role,
+        term: int,
+        leader_id: str,
+        events: collections.deque[Any],
+    ) -> None:
         if leader_id != self._leader_id:
             self._note("leader_changed", leader=leader_id or None, term=term, role=role.value)
         was_leading = self.leads
         self._role, self._term, self._leader_id = role, term, leader_id
         if self.leads and not was_leading:
             self._push_routing()
+        if self.leads != was_leading:
+            self._run_duties(self.duties.on_role(leads=self.leads, now=self._now), events)
         self._status_due = -math.inf
         self._tick_due = -math.inf
 
@@ -363,6 +405,10 @@
                 self._run_log(action)
             else:
                 self._actions.append(action)
+        self._run_duties(
+            self.duties.on_time(self._entry_ids, self._registry.present, self._now), None
+        )
+        self._tell_load()
         if self._now >= self._status_due:
             self._status_due = self._now + self._entries.period_s
             status = self._periodic_status()
@@ -371,6 +417,17 @@
             self._push_routing()
         self._actions.append(node.Wake(self._tick_due))
 
+    def _tell_load(self) -> None:
+        """Tell the leader what this replica was asked to place, if engines are ordered by it."""
+        if self._now < self._load_due or not self.duties.orders_engines:
+            return
+        self._load_due = self._now + LOAD_PERIOD_S
+        told = engine_messages.LoadTold(self._boot, self._owner.offered())
+        if self.leads:
+            self.duties.take(self._replica_id, told, self._now)
+        elif self._leader_id:
+            self._actions.append(node.Send(self._leader_id, told))
+
     def _serve_waiting(self) -> None:
         """Look at the requests that wait, at most once in a while."""
         if self._now < self._placement_due or not self._owner.waiting:
@@ -420,6 +477,7 @@
             self._entries.hosts,
             self._now - self._started_at,
             self._entries.period_s,
+            0.0 if self._wall_offset_s is None else self._now + self._wall_offset_s,
         )
 
     def _reply(self, operation_id: int, reply: coordinator_types.Reply) -> None:
--- a/src/medlarfork/coordination/coordinator_command.py
+++ b/src/medlarfork/coordination/coordinator_command.py
@@ -16,6 +16,7 @@
     coordinator_settings,
     operations_format,
 )
+from medlarfork.duties import platform_format  # noqa: E402
 from medlarfork.settings import _settings_flag, program_exit  # noqa: E402
 
 
@@ -33,6 +34,7 @@
             given,
             speaks=operations_format.OwnFormat(http_port=port),
             read_seeds=lambda: _read().seeds,
+            speaks_to_platform=platform_format.OwnFormat(given.replica_id),
         )
         _quick_start.end()
         curio.run(coordinator_program.run_until_stopped, program)
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -21,6 +21,7 @@
     coordinator_types,
     operations_format,
 )
+from medlarfork.duties import duty_types, engine_messages, platform_caller, platform_format
 from medlarfork.http import _http_messages, http_server
 from medlarfork.links import link, routed_links
 from medlarfork.metrics import process_metrics
@@ -38,6 +39,9 @@
 CLOSE_WITHIN_S = 0.5
 """Time given to operations in progress when the process closes, in seconds."""
 
+WALL_PERIOD_S = 0.4
+"""How often the time of day is read anew, in seconds: as often as entry hosts are told of it."""
+
 REPLICA_OPTIONS = replica.ReplicaOptions(
     election_timeout_min_s=0.8,
     election_timeout_max_s=1.4,
@@ -62,6 +66,7 @@
         *,
         speaks: operations_format.OperationsFormat,
         read_seeds: ReadSeeds,
+        speaks_to_platform: platform_format.PlatformFormat,
     ) -> None:
         """Wire the parts; nothing is opened before ``start``."""
         self._given = given
@@ -73,7 +78,13 @@
         )
         self._link = link.Link(
             identity=given.replica_id,
-            codec=codec.Codec((*routed_links.ENTRY_MESSAGES, *replica.REPLICA_MESSAGES)),
+            codec=codec.Codec(
+                (
+                    *routed_links.ENTRY_MESSAGES,
+                    *replica.REPLICA_MESSAGES,
+                    *engine_messages.ENGINE_MESSAGES,
+                )
+            ),
             bind=f"tcp://{given.replica_id}:{given.link_port}",
             options=routed_links.LINK_OPTIONS,
         )
@@ -84,6 +95,16 @@
         self._health = (
             http_server.at_address(self._serve_health, given.health) if given.health else None
         )
+        self._platform = (
+            None
+            if given.duties.is_empty
+            else platform_caller.PlatformCaller(
+                given.duties.address,
+                speaks=speaks_to_platform,
+                may_act=self._may_act,
+                on_end=self._on_platform_called,
+            )
+        )
         self._metrics = coordinator_metrics.CoordinatorMetrics(self._gauges)
         self._node: coordinator.Coordinator | None = None
         self._runner: runner.Runner | None = None
@@ -107,6 +128,9 @@
         await self._disk.start()
         await self._link.start()
         await self._runner.start()
+        if self._platform is not None:
+            await self._platform.start()
+            await self._tasks.spawn(self._tell_wall_time)
         await self._tasks.spawn(self._receive)
         await self._server.start()
         for server in self._further_servers():
@@ -133,6 +157,8 @@
         for server in self._further_servers():
             await server.close(within_s=CLOSE_WITHIN_S)
         await self._tasks.cancel_remaining()
+        if self._platform is not None:
+            await self._platform.close()
         if self._runner is not None:
             await self._runner.close()
         await self._link.close()
@@ -170,6 +196,7 @@
             announce_period_s=given.announce_period_s,
             ttl_s=given.directory_ttl_s,
             decode=self._speaks.decode_routing,
+            duties=given.duties,
         )
 
     async def _receive(self) -> None:
@@ -187,6 +214,9 @@
                 waiting = self._waiting_by_operation.get(operation_id)
                 if waiting is not None:
                     await waiting.put(reply)
+            case duty_types.CallPlatform():
+                assert self._platform is not None
+                await self._platform.call(action)
             case coordinator_types.ConnectReplica(replica_id):
                 self._link.connect(replica_id, f"tcp://{replica_id}:{self._given.link_port}")
             case coordinator_types.Noted(event, fields):
@@ -195,6 +225,22 @@
                     self._metrics.time_placement(fields["waited_ms"] / 1000.0)
                 logs.event(_log, event, **fields)
 
+    def _may_act(self, fence: int) -> bool:
+        assert self._node is not None
+        lease = self._node.duties.lease
+        return lease.fence == fence and lease.may_act(suspended_clock())
+
+    async def _on_platform_called(self, ended: duty_types.PlatformCalled) -> None:
+        assert self._runner is not None
+        await self._runner.post(ended)
+
+    async def _tell_wall_time(self) -> None:
+        """Tell the node the time of day, which jumps, again and again."""
+        assert self._runner is not None
+        while True:
+            await self._runner.post(coordinator_types.WallTime(time.time(), suspended_clock()))
+            await curio.sleep(WALL_PERIOD_S)
+
     async def _on_synced(self, event: node.Synced) -> None:
         assert self._runner is not None
         await self._runner.post(event)
--- a/src/medlarfork/coordination/coordinator_settings.py
+++ b/src/medlarfork/coordination/coordinator_settings.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from medlarfork.duties import duty_types
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CoordinatorSettings:
@@ -22,6 +24,7 @@
         announce_period_s: How often upstreams announce themselves, in seconds.
         directory_ttl_s: How long callers keep an answer of the directory, in seconds.
         log_level: Lowest level that is logged.
+        duties: Calls to a platform that one replica has to make.
     """
 
     replica_id: str
@@ -35,3 +38,4 @@
     announce_period_s: float = 1.0
     directory_ttl_s: float = 2.0
     log_level: str = "INFO"
+    duties: duty_types.DutySettings = dataclasses.field(default_factory=duty_types.DutySettings)
--- a/src/medlarfork/coordination/coordinator_types.py
+++ b/src/medlarfork/coordination/coordinator_types.py
@@ -120,6 +120,14 @@
     seeds: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WallTime:
+    """Event: the host's time of day, in Unix seconds, at a time of the coordinator's clock."""
+
+    wall_s: float
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OperationDone:
     """Action: answer an operation."""
--- /dev/null
+++ b/src/medlarfork/coordination/duty_desk.py
@@ -0,0 +1,256 @@
+"""Carry out the singleton duties of a deployment: one replica at a time, the one that leads; pure.
+
+The lease that the leader takes in the log says who may act, and its fence tells the platform whose
+calls are outdated. Calls are made outside; a call under way never keeps anything else waiting.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import Any
+
+from medlarfork import node
+from medlarfork.coordination import coordinator_types, routing_state, upstream_types
+from medlarfork.duties import (
+    duty_log,
+    duty_types,
+    engine_duty,
+    engine_messages,
+    usage_duty,
+    usage_ledger,
+    usage_messages,
+)
+from medlarfork.orders import fenced_lease, lease_types
+from medlarfork.replica import replica_types
+from medlarfork.routes import routing
+
+LEASE = "duties"
+"""Name of the lease in the log; one for all duties, since one replica has them all."""
+
+LEASE_MARGIN = 1.1
+"""The lease as a multiple of the time in which no two holders may take turns."""
+
+RENEW_S = 1.0
+"""Time between renewals, in seconds: two may fail before a lease of three ends."""
+
+RATE_SHARE = 0.5
+"""Share of the platform's rate that is used; a holder before may have used the rest."""
+
+ENGINES_PERIOD_S = 0.25
+"""How often the number of engines is looked at, in seconds: a small part of an engine's start."""
+
+
+class DutyDesk:
+    """Hold one replica's part in the duties; the time is handed in."""
+
+    def __init__(
+        self,
+        replica_id: str,
+        boot: int,
+        settings: duty_types.DutySettings,
+        log: duty_log.DutyLog,
+    ) -> None:
+        """Start without the lease.
+
+        Args:
+            replica_id: Names this replica.
+            boot: Differs at every start of it.
+            settings: The deployment's duties.
+            log: What the replicated log holds of them.
+        """
+        self._replica_id = replica_id
+        self._holder = f"{replica_id}@{boot}"
+        self._settings = settings
+        self._log = log
+        duration_s = LEASE_MARGIN * settings.lease_s
+        self.lease = fenced_lease.FencedLease(
+            fenced_lease.LeaseSettings(
+                LEASE, self._holder, duration_s, renew_s=RENEW_S, retry_s=RENEW_S
+            )
+        )
+        self._ledger = usage_ledger.UsageLedger()
+        self._usage = usage_duty.UsageDuty(log, random.Random(boot))
+        self._engines = engine_duty.EngineDuty(settings.engine_margin)
+        self._call_by_id: dict[int, duty_types.PlatformCall] = {}
+        self._calls = 0
+        self._proposals = 0
+        self._allowed = 0.0
+        self._allowed_at = 0.0
+        self._engines_due = 0.0
+        self._last_fence = -1
+
+    @property
+    def orders_engines(self) -> bool:
+        """Return whether this deployment has the duty of ordering engines."""
+        return self._settings.has(duty_types.ENGINES)
+
+    def gauges(self) -> dict[str, float]:
+        """Return the state by name, for the metrics; nothing where there are no duties."""
+        if self._settings.is_empty:
+            return {}
+        windows = self._log.usage_by_window.values()
+        return {
+            "duty_fence": self.lease.fence,
+            "duty_calls": len(self._call_by_id),
+            "usage_windows_unreported": sum(not item.is_reported for item in windows),
+        }
+
+    def use_services(self, services: tuple[routing.Service, ...]) -> None:
+        """Take what the routing says of services."""
+        self._engines.use_services(services)
+
+    def on_role(self, *, leads: bool, now: float) -> tuple[Any, ...]:
+        """Take or leave the duties with the leadership of the log."""
+        if self._settings.is_empty:
+            return ()
+        event = lease_types.LeadershipWon() if leads else lease_types.LeadershipLost()
+        return self._run_lease(event, now)
+
+    def take(self, sender: str, message: Any, now: float) -> tuple[Any, ...]:
+        """Take a message about usage or load."""
+        match message:
+            case usage_messages.UsageTold():
+                return (node.Send(sender, self._ledger.take(sender, message, now)),)
+            case engine_messages.LoadTold():
+                self._engines.take_load(sender, message, now)
+        return ()
+
+    def on_applied(self, applied: Any, now: float) -> tuple[Any, ...]:
+        """Take what came of a command of the duties in the log."""
+        match applied:
+            case duty_log.LeaseApplied(command, reply) if command.holder == self._holder:
+                is_take = isinstance(command, lease_types.TakeLease)
+                kind = lease_types.TakeCommitted if is_take else lease_types.RenewCommitted
+                return self._run_lease(kind(command.attempt, reply), now)
+            case duty_log.FixUsage(window, counts):
+                self._ledger.drop(window)
+                total = sum(counts.values())
+                return (_noted("usage_fixed", window=window, requests=total, accounts=len(counts)),)
+        return ()
+
+    def on_call_end(self, ended: duty_types.PlatformCalled, now: float) -> tuple[Any, ...]:
+        """Take the end of a call."""
+        call = self._call_by_id.pop(ended.call_id, None)
+        if call is None:
+            return ()
+        actions: list[Any] = [_noted("platform_called", end=ended.end.value, **_fields(call))]
+        match call:
+            case duty_types.ReportUsage():
+                command = self._usage.on_end(call, ended.end, now)
+                if command is not None:
+                    actions.append(self._propose(command))
+            case duty_types.OrderEngines():
+                self._engines.on_end(call, ended.end, now)
+        if _needs_higher_fence(call, ended.end):
+            actions += self._run_lease(lease_types.RaiseFence(), now)
+        return tuple(actions)
+
+    def on_time(
+        self,
+        entry_ids: frozenset[str],
+        present: tuple[upstream_types.Announcement, ...],
+        now: float,
+    ) -> tuple[Any, ...]:
+        """Do what is due: renew the lease, fix windows, and make calls."""
+        if self._settings.is_empty:
+            return ()
+        actions = list(self._run_lease(node.TimeDue(), now))
+        if not self.lease.may_act(now):
+            return tuple(actions)
+        self._refill(now)
+        if self._settings.has(duty_types.USAGE):
+            fixes = self._usage.to_fix(self._ledger, entry_ids, now)
+            actions += [self._propose(fix) for fix in fixes]
+            actions += self._report(now)
+        if self._settings.has(duty_types.ENGINES) and now >= self._engines_due:
+            self._engines_due = now + ENGINES_PERIOD_S
+            actions += self._order(present, now)
+        return tuple(actions)
+
+    def _report(self, now: float) -> tuple[Any, ...]:
+        if any(isinstance(call, duty_types.ReportUsage) for call in self._call_by_id.values()):
+            return ()
+        report = self._usage.next_report(now)
+        return () if report is None or not self._may_call() else (self._call(report),)
+
+    def _order(
+        self, present: tuple[upstream_types.Announcement, ...], now: float
+    ) -> tuple[Any, ...]:
+        actions: list[Any] = []
+        orders = self._engines.next_orders(present, now)
+        if orders:
+            actions += [
+                _noted("engines_needed", **dataclasses.asdict(need)) for need in self._engines.needs
+            ]
+        for order in orders:
+            if self._may_call():
+                actions.append(self._call(order))
+            else:
+                self._engines.on_end(order, duty_types.CallEnd.NOT_SENT, now)
+        return tuple(actions)
+
+    def _call(self, call: duty_types.PlatformCall) -> duty_types.CallPlatform:
+        self._calls += 1
+        self._allowed -= 1.0
+        self._call_by_id[self._calls] = call
+        return duty_types.CallPlatform(self._calls, self.lease.fence, call)
+
+    def _may_call(self) -> bool:
+        return self._allowed >= 1.0
+
+    def _refill(self, now: float) -> None:
+        rate = RATE_SHARE * self._settings.calls_per_s
+        self._allowed = min(rate, self._allowed + rate * (now - self._allowed_at))
+        self._allowed_at = now
+
+    def _run_lease(self, event: Any, now: float) -> tuple[Any, ...]:
+        actions: list[Any] = []
+        for action in self.lease.handle(event, now):
+            match action:
+                case lease_types.Propose(command):
+                    actions.append(self._propose(command))
+                case lease_types.Acquired(fence):
+                    if fence != self._last_fence + 1:
+                        self._engines.take_over(now)
+                    self._last_fence = fence
+                    actions.append(_noted("duties_taken", fence=fence))
+                case lease_types.Lost(fence):
+                    actions.append(_noted("duties_lost", fence=fence))
+                case _:
+                    actions.append(action)
+        return tuple(actions)
+
+    def _propose(self, command: Any) -> replica_types.Propose:
+        self._proposals += 1
+        proposal_id = f"{self._replica_id}-duty-{self._proposals}"
+        return replica_types.Propose(proposal_id, routing_state.pack_duty(command))
+
+
+def _needs_higher_fence(call: duty_types.PlatformCall, end: duty_types.CallEnd) -> bool:
+    """Say whether what was sent could still undo what is sent next with the same fence.
+
+    A report says the same whenever it is carried out; an order without an answer may be carried out
+    after a newer one. One that was refused may have met a higher fence.
+    """
+    if end is duty_types.CallEnd.REFUSED:
+        return True
+    return end is duty_types.CallEnd.UNKNOWN and isinstance(call, duty_types.OrderEngines)
+
+
+def _fields(call: duty_types.PlatformCall) -> dict[str, Any]:
+    match call:
+        case duty_types.ReportUsage(window, counts):
+            return {"call": "usage", "window": window, "requests": sum(counts.values())}
+        case duty_types.OrderEngines(service, zone, count, is_spot):
+            return {
+                "call": "engines",
+                "service": service,
+                "zone": zone,
+                "count": count,
+                "spot": is_spot,
+            }
+
+
+def _noted(event: str, **fields: Any) -> coordinator_types.Noted:
+    return coordinator_types.Noted(event, fields)
--- a/src/medlarfork/coordination/routing_state.py
+++ b/src/medlarfork/coordination/routing_state.py
@@ -4,15 +4,18 @@
 so that a repeated or late change, or other content under the same number, never takes effect.
 
 The log also keeps which requests are held since upstreams ended under them: after a restart of all
-processes each would else cost three upstreams once more.
+processes each would else cost three upstreams once more. What singleton duties rest on is in it too
+(see ``duties.duty_log``).
 """
 
 from __future__ import annotations
 
 import dataclasses
 import zlib
+from typing import Any
 
 from medlarfork import codec
+from medlarfork.duties import duty_log
 
 _COMPRESSION_LEVEL = 1
 """The fastest: a body of 100 KB of JSON takes about 1 ms and shrinks to a tenth."""
@@ -57,12 +60,15 @@
 
     current: RoutingVersion
     held: tuple[HeldRequest, ...] = ()
+    duties: duty_log.DutySnapshot = dataclasses.field(default_factory=duty_log.DutySnapshot)
 
 
 MOST_HELD = 1000
 """Held requests that the log keeps, some 200 KB; the first ones give way."""
 
-_CODEC = codec.Codec((RoutingVersion, HeldRequest, LiftedRequest, RoutingSnapshot))
+_CODEC = codec.Codec(
+    (RoutingVersion, HeldRequest, LiftedRequest, RoutingSnapshot, *duty_log.COMMANDS)
+)
 
 
 def pack(version: int, body: bytes) -> bytes:
@@ -76,21 +82,28 @@
     return _CODEC.pack(change)
 
 
+def pack_duty(command: Any) -> bytes:
+    """Return the log command of a duty (see ``duty_log.COMMANDS``)."""
+    return _CODEC.pack(command)
+
+
 class RoutingState:
     """Apply the log's commands.
 
     Attributes:
         current: The version in force.
         held_by_key: The requests that are held.
+        duties: What singleton duties rest on.
     """
 
     def __init__(self) -> None:
         """Start without a version."""
         self.current = RoutingVersion()
         self.held_by_key: dict[str, HeldRequest] = {}
+        self.duties = duty_log.DutyLog()
 
-    def apply(self, command: bytes) -> RoutingVersion | HeldRequest | LiftedRequest | None:
-        """Apply a committed command and return it if it changed anything."""
+    def apply(self, command: bytes) -> Any:
+        """Apply a committed command and return it, or what came of it, if it changed anything."""
         offered = _CODEC.unpack(command)
         match offered:
             case RoutingVersion(version):
@@ -104,18 +117,23 @@
             case LiftedRequest(key):
                 if self.held_by_key.pop(key, None) is None:
                     return None
+            case _:
+                return self.duties.apply(offered)
         return offered
 
     def snapshot(self) -> bytes:
         """Return the state for a snapshot."""
-        return _CODEC.pack(RoutingSnapshot(self.current, tuple(self.held_by_key.values())))
+        held = tuple(self.held_by_key.values())
+        return _CODEC.pack(RoutingSnapshot(self.current, held, self.duties.snapshot()))
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state by that of a snapshot, also of one from before requests were held."""
         match _CODEC.unpack(snapshot):
-            case RoutingSnapshot(current, held):
+            case RoutingSnapshot(current, held, duties):
                 self.current = current
                 self.held_by_key = {item.key: item for item in held}
+                self.duties.restore(duties)
             case RoutingVersion() as current:
                 self.current = current
                 self.held_by_key = {}
+                self.duties.restore(duty_log.DutySnapshot())
--- a/src/medlarfork/coordination/upstream_types.py
+++ b/src/medlarfork/coordination/upstream_types.py
@@ -21,6 +21,7 @@
         slow_for_ms: How much longer it works slowly after its start, in milliseconds.
         name: What the upstream calls itself; empty if that is its ``upstream_id``.
         born_ms: When it was started, in Unix milliseconds by its own clock; 0 if it does not say.
+        is_spot: Whether it is of the cheap kind that its platform may take back.
     """
 
     upstream_id: str
@@ -33,6 +34,7 @@
     slow_for_ms: float = 0.0
     name: str = ""
     born_ms: int = 0
+    is_spot: bool = False
 
     @property
     def own_name(self) -> str:
--- /dev/null
+++ b/src/medlarfork/duties/duty_types.py
@@ -0,0 +1,112 @@
+"""Define the duties of a deployment, the calls that they make, and how calls end."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+USAGE = "usage"
+"""Names the duty of reporting what client accounts used."""
+
+ENGINES = "engines"
+"""Names the duty of ordering engines."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Say which duties a deployment has, and how its platform is reached.
+
+    Attributes:
+        address: ``IP:PORT`` of the platform; empty if the deployment has no duties.
+        duties: Names of the duties, among ``USAGE`` and ``ENGINES``.
+        lease_s: Within this time the platform must not see two holders take turns, in seconds.
+        calls_per_s: Calls that the platform takes in a second, over all duties.
+        usage_window_s: Length of one window of usage, in seconds.
+        engine_margin: Engines held for each engine's worth of reading that is offered.
+    """
+
+    address: str = ""
+    duties: tuple[str, ...] = ()
+    lease_s: float = 3.0
+    calls_per_s: float = 10.0
+    usage_window_s: float = 5.0
+    engine_margin: float = 3.0
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to be done."""
+        return not (self.address and self.duties)
+
+    def has(self, duty: str) -> bool:
+        """Return whether a deployment has a duty."""
+        return bool(self.address) and duty in self.duties
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportUsage:
+    """Tell the platform how many requests of each client account began in a window.
+
+    Attributes:
+        window: Number of the window; it begins this many windows after the start of 1970.
+        count_by_account: Requests that upstreams began to run.
+    """
+
+    window: int
+    count_by_account: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderEngines:
+    """Ask the platform for a number of engines of one kind in a data centre.
+
+    Attributes:
+        service: The service.
+        zone: The data centre.
+        count: Engines to have there, those that run included.
+        is_spot: Whether they are of the cheap kind that may be taken back.
+    """
+
+    service: str
+    zone: str
+    count: int
+    is_spot: bool
+
+
+PlatformCall = ReportUsage | OrderEngines
+
+
+class CallEnd(enum.StrEnum):
+    """Say how a call to the platform ended."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    """A higher fence was seen, or there are no such engines now; nothing was done."""
+    THROTTLED = "throttled"
+    """Too many calls; nothing was done."""
+    NOT_SENT = "not_sent"
+    """Nothing left this host."""
+    UNKNOWN = "unknown"
+    """No answer came: it may have been done, or may be done later."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallPlatform:
+    """Action: make a call, if this replica may still act with its fence.
+
+    Attributes:
+        call_id: Returned with its end.
+        fence: The fence of the lease under which it is made.
+        call: What is asked.
+    """
+
+    call_id: int
+    fence: int
+    call: PlatformCall
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformCalled:
+    """Event: a call has ended."""
+
+    call_id: int
+    end: CallEnd
--- /dev/null
+++ b/src/medlarfork/duties/engine_duty.py
@@ -0,0 +1,184 @@
+"""Decide which order of engines is given to the platform next; pure.
+
+The load that this answers: orders that are refused, lost or carried out late, engines that crash
+and come back by themselves, and data centres that have no engines to give for a while. An order
+names the whole number that is wanted, so giving it again does no harm.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+
+from medlarfork.coordination import upstream_types
+from medlarfork.duties import duty_types, engine_messages, engine_plan, offered_load
+from medlarfork.routes import routing
+
+UNAVAILABLE_S = 2.0
+"""How long a group of which none are to be had is not asked for again, in seconds."""
+
+REORDER_S = 1.5
+"""Time after which an order is given again if engines are missing, in seconds beyond a start."""
+
+SETTLE_S = 3.5
+"""Time after the duty was taken until engines are counted, in seconds: by then each of those that
+run has announced itself."""
+
+THROTTLED_S = 0.5
+"""Pause of a group whose order failed otherwise, in seconds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """Hold what a service needs, and what it has.
+
+    Attributes:
+        service: The service.
+        peak: The highest load of the last while, in engines that are always busy.
+        wanted: Engines that it needs.
+        running: Engines that serve.
+    """
+
+    service: str
+    peak: float
+    wanted: int
+    running: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Order:
+    """Hold what is known of the last order of a group; ``count`` is None if nothing is sure."""
+
+    count: int | None = None
+    at: float = -math.inf
+    due: float = -math.inf
+    is_under_way: bool = False
+    most_running: int = 0
+    unavailable_until: float = -math.inf
+
+
+class EngineDuty:
+    """Follow the load of every service whose engines may be ordered."""
+
+    def __init__(self, margin: float) -> None:
+        """Start without services.
+
+        Args:
+            margin: Engines held for each engine's worth of work that is offered.
+        """
+        self._margin = margin
+        self._scaled_by_name: dict[str, routing.Service] = {}
+        self._load_by_service: dict[str, offered_load.OfferedLoad] = {}
+        self._order_by_group: dict[tuple[str, engine_plan.Group], _Order] = {}
+        self._need_by_service: dict[str, Need] = {}
+        self._found_by_service: dict[str, int] = {}
+        self._taken_at = math.inf
+
+    def use_services(self, services: tuple[routing.Service, ...]) -> None:
+        """Take what the routing says of services."""
+        self._scaled_by_name = {
+            service.name: service
+            for service in services
+            if service.scaling is not None and service.scaling.zones and service.engine is not None
+        }
+
+    def take_load(self, source: str, told: engine_messages.LoadTold, now: float) -> None:
+        """Take what a replica was asked to place."""
+        for load in told.loads:
+            total = self._load_by_service.setdefault(load.service, offered_load.OfferedLoad())
+            total.take(source, told.boot, load, now)
+
+    def take_over(self, now: float) -> None:
+        """Take the duty: of orders and engines nothing is known."""
+        self._order_by_group.clear()
+        self._found_by_service.clear()
+        self._taken_at = now
+
+    def next_orders(
+        self, present: tuple[upstream_types.Announcement, ...], now: float
+    ) -> tuple[duty_types.OrderEngines, ...]:
+        """Return the orders to be given now, those of more engines first."""
+        if now < self._taken_at + SETTLE_S:
+            return ()
+        orders: list[tuple[int, duty_types.OrderEngines]] = []
+        for service in self._scaled_by_name.values():
+            running = _running(service.name, present)
+            held = self._plan(service, running, now)
+            for group, count in held.items():
+                order = self._order_by_group.setdefault((service.name, group), _Order())
+                if _is_due(order, count, running[group], service, now):
+                    order.is_under_way = True
+                    given = duty_types.OrderEngines(service.name, group.zone, count, group.is_spot)
+                    orders.append((running[group] - count, given))
+        return tuple(order for _, order in sorted(orders, key=lambda item: item[0]))
+
+    def on_end(self, given: duty_types.OrderEngines, end: duty_types.CallEnd, now: float) -> None:
+        """Take the end of an order."""
+        group = engine_plan.Group(given.zone, given.is_spot)
+        order = self._order_by_group.setdefault((given.service, group), _Order())
+        order.is_under_way = False
+        order.at = now
+        order.most_running = 0
+        order.count = given.count if end is duty_types.CallEnd.DONE else None
+        match end:
+            case duty_types.CallEnd.DONE:
+                order.due = now
+                order.unavailable_until = -math.inf
+            case duty_types.CallEnd.REFUSED:
+                order.unavailable_until = now + UNAVAILABLE_S
+                order.due = order.unavailable_until
+            case _:
+                order.due = now + THROTTLED_S
+
+    @property
+    def needs(self) -> tuple[Need, ...]:
+        """Return what services were last found to need, for the log and the metrics."""
+        return tuple(self._need_by_service.values())
+
+    def _plan(
+        self, service: routing.Service, running: collections.Counter[engine_plan.Group], now: float
+    ) -> dict[engine_plan.Group, int]:
+        assert service.scaling is not None and service.engine is not None
+        load = self._load_by_service.setdefault(service.name, offered_load.OfferedLoad())
+        peak = load.peak(service.engine.slots, now)
+        wanted = engine_plan.wanted_engines(peak, self._margin)
+        found = self._found_by_service.setdefault(service.name, sum(running.values()))
+        if now < self._taken_at + SETTLE_S + offered_load.HOLD_S:
+            # Until the load is known, what stands there is taken for what it needs.
+            wanted = max(wanted, found)
+        self._need_by_service[service.name] = Need(
+            service.name, round(peak, 1), wanted, sum(running.values())
+        )
+        unavailable = frozenset(
+            group
+            for (name, group), order in self._order_by_group.items()
+            if name == service.name and now < order.unavailable_until
+        )
+        fleet = engine_plan.Fleet(dict(running), unavailable)
+        return engine_plan.plan(service.scaling, wanted, fleet)
+
+
+def _running(
+    service: str, present: tuple[upstream_types.Announcement, ...]
+) -> collections.Counter[engine_plan.Group]:
+    return collections.Counter(
+        engine_plan.Group(item.zone, item.is_spot) for item in present if item.service == service
+    )
+
+
+def _is_due(order: _Order, count: int, running: int, service: routing.Service, now: float) -> bool:
+    """Say whether a group's order is to be given: it changed, or engines are missing."""
+    assert service.scaling is not None
+    has_lost = running < order.most_running
+    order.most_running = max(order.most_running, running)
+    if order.is_under_way or now < order.due:
+        return False
+    if order.count != count:
+        return True
+    if running >= count:
+        return False
+    if has_lost:
+        order.most_running = running
+        return True
+    return now >= order.at + service.scaling.boot_s + REORDER_S
--- /dev/null
+++ b/src/medlarfork/duties/engine_plan.py
@@ -0,0 +1,99 @@
+"""Decide how many engines of each kind a service holds in each data centre: pure arithmetic.
+
+The load pattern: bursts of three times the usual load that last shorter than two starts of an
+engine, and cheap engines that are all taken back from a data centre at once with seconds of notice.
+So what a burst needs stands ready before it comes, in cheap engines spread over the data centres,
+and engines that stay are held where cheap ones are not to be had.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from medlarfork.routes import routing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """Name the engines of one kind in one data centre."""
+
+    zone: str
+    is_spot: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """Hold what a plan rests on.
+
+    Attributes:
+        running: Engines that serve, by group.
+        unavailable: Groups in which no more are to be had at the moment.
+    """
+
+    running: dict[Group, int]
+    unavailable: frozenset[Group] = frozenset()
+
+
+def plan(scaling: routing.Scaling, wanted: int, fleet: Fleet) -> dict[Group, int]:
+    """Return the engines to be held, by group.
+
+    Cheap engines come first, evenly over the data centres, so that losing those of one leaves most.
+    Where they are not to be had, or do not serve yet, engines that stay fill the place; each data
+    centre keeps the least number of these, which nobody takes back.
+
+    Args:
+        scaling: What may be ordered, and its prices.
+        wanted: Engines that the load needs.
+        fleet: What there is.
+    """
+    zones = [item.zone for item in scaling.zones]
+    has_spot = 0.0 < scaling.spot_price < 1.0
+    held: dict[Group, int] = {Group(zone, False): scaling.least for zone in zones}
+    wanted = max(wanted, scaling.least * len(zones))
+    if has_spot:
+        room = {
+            zone: scaling.most - scaling.least
+            for zone in zones
+            if Group(zone, True) not in fleet.unavailable
+        }
+        _spread(held, room, wanted - sum(held.values()), is_spot=True)
+    serving = sum(
+        min(count, fleet.running.get(group, 0)) for group, count in held.items() if group.is_spot
+    )
+    missing = wanted - serving - scaling.least * len(zones)
+    for zone in _by_price(scaling):
+        staying = Group(zone, False)
+        if staying in fleet.unavailable or missing <= 0:
+            continue
+        room_left = scaling.most - held[staying] - held.get(Group(zone, True), 0)
+        running = fleet.running.get(staying, 0) - held[staying]
+        # New ones that stay are started only where cheap ones can't be had at all: the cheap ones
+        # that are under way serve as soon.
+        most = room_left if not has_spot or fleet.unavailable else min(room_left, running)
+        taken = max(0, min(missing, most))
+        held[staying] += taken
+        missing -= taken
+    return held
+
+
+def _spread(held: dict[Group, int], room: dict[str, int], wanted: int, *, is_spot: bool) -> None:
+    """Add engines one by one where fewest are, as far as there is room."""
+    for zone in room:
+        held[Group(zone, is_spot)] = 0
+    while wanted > 0 and room:
+        zone = min(room, key=lambda name: held[Group(name, is_spot)])
+        held[Group(zone, is_spot)] += 1
+        wanted -= 1
+        room[zone] -= 1
+        if room[zone] <= 0:
+            del room[zone]
+
+
+def _by_price(scaling: routing.Scaling) -> tuple[str, ...]:
+    return tuple(item.zone for item in sorted(scaling.zones, key=lambda item: item.price))
+
+
+def wanted_engines(peak: float, margin: float) -> int:
+    """Return the engines that a load needs, in engines that it would keep busy all the time."""
+    return math.ceil(peak * margin)
--- /dev/null
+++ b/src/medlarfork/duties/platform_caller.py
@@ -0,0 +1,100 @@
+"""Make the calls of duties over HTTP, each in a task of its own, and say how they ended."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from medlarfork import errors, logs
+from medlarfork.duties import duty_types, platform_format
+from medlarfork.http import http_client
+
+_log = logging.getLogger(__name__)
+
+CALL_LIMIT_S = 3.0
+"""Longest wait for an answer, in seconds; the call may be carried out later all the same."""
+
+
+MayAct = Callable[[int], bool]
+"""Says whether this replica may act with a fence at this moment."""
+
+OnEnd = Callable[[duty_types.PlatformCalled], Awaitable[None]]
+"""Takes the end of a call."""
+
+
+class PlatformCaller:
+    """Own the connections to the platform."""
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        speaks: platform_format.PlatformFormat,
+        may_act: MayAct,
+        on_end: OnEnd,
+    ) -> None:
+        """Prepare; nothing is opened before ``start``."""
+        self._address = f"http://{address}"
+        self._speaks = speaks
+        self._may_act = may_act
+        self._on_end = on_end
+        self._client = http_client.HttpClient()
+        self._tasks = curio.TaskGroup()
+
+    async def start(self) -> None:
+        """Start the client."""
+        await self._client.start()
+
+    async def close(self) -> None:
+        """Give up calls under way and close the connections."""
+        await self._tasks.cancel_remaining()
+        await self._client.close()
+
+    async def call(self, action: duty_types.CallPlatform) -> None:
+        """Make a call in a task of its own."""
+        await self._tasks.spawn(self._carry_out, action)
+
+    async def _carry_out(self, action: duty_types.CallPlatform) -> None:
+        await self._on_end(duty_types.PlatformCalled(action.call_id, await self._send(action)))
+
+    async def _send(self, action: duty_types.CallPlatform) -> duty_types.CallEnd:
+        outgoing = self._speaks.encode(action.call, action.fence)
+        # Asked last of all: this process may have stood still since the call was decided.
+        if not self._may_act(action.fence):
+            return duty_types.CallEnd.NOT_SENT
+        try:
+            response = await self._client.request(
+                self._address,
+                outgoing.method,
+                outgoing.target,
+                outgoing.headers,
+                outgoing.body,
+                timeout_s=CALL_LIMIT_S,
+            )
+            await response.read()
+        except errors.RequestNotSentError as error:
+            self._log_failure(action, error)
+            return duty_types.CallEnd.NOT_SENT
+        except errors.UpstreamError as error:
+            self._log_failure(action, error)
+            return duty_types.CallEnd.UNKNOWN
+        return _end(response.status)
+
+    def _log_failure(self, action: duty_types.CallPlatform, error: Exception) -> None:
+        logs.event(
+            _log, "platform_call_failed", call=action.call_id, fence=action.fence, cause=error
+        )
+
+
+def _end(status: int) -> duty_types.CallEnd:
+    match status:
+        case 200 | 201 | 202 | 204:
+            return duty_types.CallEnd.DONE
+        case 409:
+            return duty_types.CallEnd.REFUSED
+        case 429:
+            return duty_types.CallEnd.THROTTLED
+        case _:
+            return duty_types.CallEnd.UNKNOWN
--- /dev/null
+++ b/src/medlarfork/duties/usage_counter.py
@@ -0,0 +1,69 @@
+"""Count at an entry host which client accounts' requests began to run, window by window; pure.
+
+The load that this answers: hundreds of requests a second, leaders that change, and messages that
+are lost. Counts only grow and are told whole, so a repeated or late message does no harm, and a new
+leader is told everything that is still kept.
+"""
+
+from __future__ import annotations
+
+import collections
+
+from medlarfork.duties import usage_messages
+
+KEPT_WINDOWS = 24
+"""Windows that are kept to be told again: two minutes of 5 s windows, longer than a deployment is
+without a leader."""
+
+
+class UsageCounter:
+    """Keep one entry host's counts since its start."""
+
+    def __init__(self, *, boot: int, window_s: float) -> None:
+        """Start without counts.
+
+        Args:
+            boot: Names this start of the entry host.
+            window_s: Length of a window, in seconds.
+        """
+        self._boot = boot
+        self._window_s = window_s
+        self._counts_by_window: dict[int, collections.Counter[str]] = {}
+        self._changed_by_window: dict[int, int] = {}
+        self._sequence = 0
+        self._confirmed = 0
+        self._leader_id = ""
+
+    def note_begun(self, account: str, true_s: float) -> None:
+        """Count a request that an upstream began to run at a true time, in Unix seconds."""
+        window = self._window(true_s)
+        counts = self._counts_by_window.setdefault(window, collections.Counter())
+        counts[account] += 1
+        self._changed_by_window[window] = self._sequence + 1
+
+    def told(self, leader_id: str, true_s: float) -> usage_messages.UsageTold:
+        """Return what the leader is to be told now; a new one is told everything."""
+        if leader_id != self._leader_id:
+            self._leader_id = leader_id
+            self._confirmed = 0
+        self._forget_before(self._window(true_s) - KEPT_WINDOWS)
+        self._sequence += 1
+        windows = tuple(
+            usage_messages.WindowCounts(window, dict(counts))
+            for window, counts in self._counts_by_window.items()
+            if self._changed_by_window[window] > self._confirmed
+        )
+        return usage_messages.UsageTold(self._boot, self._sequence, self._window(true_s), windows)
+
+    def confirm(self, leader_id: str, receipt: usage_messages.UsageReceipt) -> None:
+        """Take a leader's receipt."""
+        if leader_id == self._leader_id and receipt.boot == self._boot:
+            self._confirmed = max(self._confirmed, receipt.sequence)
+
+    def _window(self, true_s: float) -> int:
+        return int(true_s // self._window_s)
+
+    def _forget_before(self, oldest: int) -> None:
+        for window in [window for window in self._counts_by_window if window < oldest]:
+            del self._counts_by_window[window]
+            del self._changed_by_window[window]
--- /dev/null
+++ b/src/medlarfork/duties/usage_ledger.py
@@ -0,0 +1,75 @@
+"""Add up at the leader what entry hosts counted, and say which windows are complete; pure."""
+
+from __future__ import annotations
+
+import collections
+
+from medlarfork.duties import usage_messages
+
+STRAGGLER_S = 3.0
+"""How long a window that has ended waits for entry hosts that did not tell of it yet, in seconds:
+longer than most hosts stand still, and well before a report is late."""
+
+MOST_WINDOWS = 48
+"""Windows that are kept at once; the oldest give way."""
+
+MOST_ACCOUNTS = 10_000
+"""Client accounts that are counted in a window; what further ones are told of is left out."""
+
+
+class UsageLedger:
+    """Merge counts by their maximum; nothing here is durable, since entry hosts tell again."""
+
+    def __init__(self) -> None:
+        """Start without counts."""
+        self._counts_by_window: dict[int, dict[tuple[str, int], dict[str, int]]] = {}
+        self._open_window_by_entry: dict[str, int] = {}
+        self._ended_at_by_window: dict[int, float] = {}
+
+    def take(
+        self, entry_id: str, told: usage_messages.UsageTold, now: float
+    ) -> usage_messages.UsageReceipt:
+        """Take what an entry host tells and return the receipt for it."""
+        for counted in told.windows:
+            by_start = self._counts_by_window.setdefault(counted.window, {})
+            counts = by_start.setdefault((entry_id, told.boot), {})
+            for account, count in list(counted.count_by_account.items())[:MOST_ACCOUNTS]:
+                counts[account] = max(count, counts.get(account, 0))
+        known = self._open_window_by_entry.get(entry_id, 0)
+        self._open_window_by_entry[entry_id] = max(known, told.open_window)
+        for window in self._counts_by_window:
+            if window < told.open_window:
+                self._ended_at_by_window.setdefault(window, now)
+        self._forget_oldest()
+        return usage_messages.UsageReceipt(told.boot, told.sequence)
+
+    def complete(self, entry_ids: frozenset[str], now: float) -> tuple[int, ...]:
+        """Return the windows of which no more is to be heard, the oldest first.
+
+        Args:
+            entry_ids: The entry hosts that are there.
+            now: The time in seconds.
+        """
+        open_windows = [self._open_window_by_entry.get(entry_id, 0) for entry_id in entry_ids]
+        all_past = min(open_windows, default=0)
+        return tuple(
+            window
+            for window in sorted(self._counts_by_window)
+            if window < all_past or self._ended_at_by_window.get(window, now) + STRAGGLER_S <= now
+        )
+
+    def counts(self, window: int) -> dict[str, int]:
+        """Return the requests of each client account that began in a window, as far as known."""
+        total: collections.Counter[str] = collections.Counter()
+        for counts in self._counts_by_window.get(window, {}).values():
+            total.update(counts)
+        return dict(total)
+
+    def drop(self, window: int) -> None:
+        """Forget a window whose counts are fixed."""
+        self._counts_by_window.pop(window, None)
+        self._ended_at_by_window.pop(window, None)
+
+    def _forget_oldest(self) -> None:
+        for window in sorted(self._counts_by_window)[:-MOST_WINDOWS]:
+            self.drop(window)
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -60,6 +60,7 @@
         self._all_due = -math.inf
         self._term = 0
         self._members: tuple[str, ...] = ()
+        self.leader_id = ""
         self.entry_hosts = 1
         self.routing_version = 0
 
@@ -235,6 +236,7 @@
         if status.term > self._term or (status.term == self._term and status.leader_id):
             self._term = status.term
             self._members = status.members or self._members
+            self.leader_id = status.leader_id
 
     def _take_view(
         self,
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -15,6 +15,7 @@
 
 from medlarfork import _stop_signal, codec, logs
 from medlarfork.coordination import coordination_messages
+from medlarfork.duties import usage_messages
 from medlarfork.gateway import (
     crash_watch,
     entry_session,
@@ -24,6 +25,7 @@
     owner_client,
     request_handler,
     request_names,
+    usage_teller,
 )
 from medlarfork.http import http_client, http_server
 from medlarfork.links import link, routed_links
@@ -91,6 +93,7 @@
         )
         self._client = http_client.HttpClient(limits=UPSTREAM_LIMITS)
         self._crashes = crash_watch.CrashWatch(self._client, self._session, self._link.send)
+        self._usage = usage_teller.UsageTeller(given.usage_window_s, self._link.send)
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
         self._handler = request_handler.RequestHandler(
             zone=given.zone,
@@ -100,6 +103,7 @@
             owner=self._owner,
             holds=self._holds,
             crashes=self._crashes,
+            usage=self._usage,
             rules=given.budget,
             metrics=self._metrics,
         )
@@ -127,6 +131,7 @@
             await self._health.start()
         await self._tasks.spawn(self._receive)
         await self._tasks.spawn(self._tell_replicas)
+        await self._tasks.spawn(self._usage.tell_always, lambda: self._session.leader_id)
         logs.event(_log, "started", entry=self._given.entry_id, serve=self._given.serve)
 
     async def stop(self) -> None:
@@ -142,6 +147,7 @@
     async def close(self) -> None:
         """Close everything."""
         await self._server.close(within_s=0.0)
+        self._usage.tell(self._session.leader_id)
         if self._health is not None:
             await self._health.close(within_s=0.0)
         await self._tasks.cancel_remaining()
@@ -172,6 +178,7 @@
             case coordination_messages.ReplicaStatus():
                 self._session.take(sender, message, now)
                 self._crashes.note_replica(sender, message.up_s)
+                self._usage.note_time(sender, message.wall_s)
                 self._connect_replicas()
                 self._owner.tell_owners(now)
                 await self._owner.wake_waiting()
@@ -180,6 +187,8 @@
             case crash_messages.CrashReport():
                 self._session.hear(sender, now)
                 self._crashes.take(message)
+            case usage_messages.UsageReceipt():
+                self._usage.confirm(sender, message)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
                 await self._owner.take(sender, message)
             case _:
--- a/src/medlarfork/gateway/gateway_settings.py
+++ b/src/medlarfork/gateway/gateway_settings.py
@@ -23,6 +23,8 @@
         budget: How often requests may be sent once more, over all entry hosts.
         grace_s: Time from the signal to stop until the process must have ended, in seconds.
         log_level: Lowest level that is logged.
+        usage_window_s: Windows in which requests are counted for each client account, in seconds;
+            0 where nobody is told of them.
     """
 
     entry_id: str
@@ -36,3 +38,4 @@
     budget: retry_budget.BudgetRules = retry_budget.BudgetRules()
     grace_s: float = 30.0
     log_level: str = "INFO"
+    usage_window_s: float = 0.0
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -21,6 +21,7 @@
     request_run,
     request_types,
     retry_budget,
+    usage_teller,
 )
 from medlarfork.http import _http_messages, http_client, http_server
 from medlarfork.placement import placement_messages
@@ -43,6 +44,7 @@
         owner: owner_client.OwnerClient,
         holds: holding.Holding,
         crashes: crash_watch.CrashWatch,
+        usage: usage_teller.UsageTeller,
         rules: retry_budget.BudgetRules,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
@@ -54,6 +56,7 @@
         self._owner = owner
         self._holds = holds
         self._crashes = crashes
+        self._usage = usage
         self._rules = rules
         self._metrics = metrics
         self._table: route_table.RouteTable | None = None
@@ -183,6 +186,7 @@
             budgets=self._budgets,
             find_upstream=self._session.find_upstream,
             crashes=self._crashes,
+            usage=self._usage,
             shards=self._session.shards,
             zone=self._zone,
             entry_hosts=self._session.entry_hosts,
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -49,6 +49,7 @@
         self._refusal = errors.Code.OVERLOADED
         self._breaks = 0
         self._running_at: upstream_types.Announcement | None = None
+        self._is_counted = False
 
     async def serve(self) -> None:
         """Place, send and relay until there is a final answer.
@@ -201,9 +202,21 @@
     def _note_given_up(self) -> None:
         """Have an upstream watched that was at work: one without power breaks no connection."""
         if self._running_at is not None:
+            self._count_plain()
             self._tools.crashes.run_given_up(self._admitted.key, self._running_at)
             self._running_at = None
 
+    def _count_plain(self) -> None:
+        """Count a call of a plain service, which began to run about when it was sent."""
+        if not self._admitted.route.has_prompt and self._sent_at:
+            self._count_begun(time.monotonic() - self._sent_at)
+
+    def _count_begun(self, ago_s: float = 0.0) -> None:
+        """Count the request once for its client account, however often it runs."""
+        if not self._is_counted:
+            self._is_counted = True
+            self._tools.usage.note_begun(self._admitted.account, ago_s)
+
     async def _note_broken(self, upstream: upstream_types.Announcement) -> None:
         self._breaks += 1
         await self._tools.crashes.run_broken(self._admitted, upstream)
@@ -222,10 +235,12 @@
                 self._sends += 1
             self.trace.reasons.append(f"{upstream.upstream_id}: {sent.why}")
             if sent.end is placement_messages.RunEnd.BROKEN:
+                self._count_plain()
                 await self._note_broken(upstream)
             self.end_ticket(sent.end)
             return sent.end
         self._sends += 1
+        self._count_plain()
         try:
             end = await self._relay(sent)
         except errors.UpstreamError as error:
@@ -345,6 +360,7 @@
     async def _begin_stream(self, response: http_client.Response) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
         self._tools.owner.first_event(self._ticket_id, after_ms)
+        self._count_begun()
         self.trace.first_event_ms = self._since_start_ms()
         self._progress = dataclasses.replace(self._progress, answer_begun=True)
         headers = {
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -114,6 +114,14 @@
         ...
 
 
+class Usage(Protocol):
+    """Count requests that began to run (see ``usage_teller``)."""
+
+    def note_begun(self, account: str, ago_s: float = 0.0) -> None:
+        """Count a request that began to run some seconds ago."""
+        ...
+
+
 FindUpstream = Callable[[str], upstream_types.Announcement | None]
 """Returns an upstream that may take requests now; it may have come while a request waited."""
 
@@ -128,6 +136,7 @@
     budgets: dict[str, retry_budget.RetryBudget]
     find_upstream: FindUpstream
     crashes: Crashes
+    usage: Usage
     shards: ChooseShards
     zone: str
     entry_hosts: int
--- /dev/null
+++ b/src/medlarfork/gateway/usage_teller.py
@@ -0,0 +1,69 @@
+"""Count at an entry host whose requests began to run, and tell the leader."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from medlarfork.duties import fleet_clock, usage_counter, usage_messages
+
+TELL_PERIOD_S = 0.4
+"""How often the leader is told, in seconds: what a host counts in it is lost if it loses power."""
+
+Send = Callable[[str, Any], Any]
+"""Sends a message to a replica."""
+
+
+class UsageTeller:
+    """Own the counts of one start of an entry host."""
+
+    def __init__(self, window_s: float, send: Send) -> None:
+        """Start without counts.
+
+        Args:
+            window_s: Length of a window, in seconds; 0 where nothing is to be counted.
+            send: Sends a message to a replica.
+        """
+        self._is_on = window_s > 0
+        self._counter = usage_counter.UsageCounter(
+            boot=random.SystemRandom().getrandbits(48) + 1, window_s=window_s or 1.0
+        )
+        self._clock = fleet_clock.FleetClock()
+        self._send = send
+
+    def note_begun(self, account: str, ago_s: float = 0.0) -> None:
+        """Count a request that began to run some seconds ago."""
+        if self._is_on and account:
+            self._counter.note_begun(account, self._true_s() - ago_s)
+
+    def note_time(self, replica_id: str, wall_s: float) -> None:
+        """Take a replica's time of day, in Unix seconds; 0 if it does not say."""
+        if self._is_on and wall_s:
+            self._clock.note(replica_id, wall_s, _steady_s())
+
+    def confirm(self, leader_id: str, receipt: usage_messages.UsageReceipt) -> None:
+        """Take a leader's receipt."""
+        self._counter.confirm(leader_id, receipt)
+
+    def tell(self, leader_id: str) -> None:
+        """Tell the leader what it has not confirmed."""
+        if self._is_on and leader_id:
+            self._send(leader_id, self._counter.told(leader_id, self._true_s()))
+
+    async def tell_always(self, leader: Callable[[], str]) -> None:
+        """Tell the leader again and again; ``leader`` returns who that is now."""
+        while self._is_on:
+            self.tell(leader())
+            await curio.sleep(TELL_PERIOD_S)
+
+    def _true_s(self) -> float:
+        return self._clock.true_s(_steady_s(), time.time())
+
+
+def _steady_s() -> float:
+    """Return the time of a clock that counts while the machine is suspended, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/medlarfork/links/routed_links.py
+++ b/src/medlarfork/links/routed_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from medlarfork.coordination import coordination_messages
+from medlarfork.duties import usage_messages
 from medlarfork.links import link
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_messages
@@ -11,6 +12,7 @@
     *coordination_messages.COORDINATION_MESSAGES,
     *placement_messages.PLACEMENT_MESSAGES,
     *crash_messages.CRASH_MESSAGES,
+    *usage_messages.USAGE_MESSAGES,
 )
 """Every message class that entry hosts exchange with replicas, for the codec of the links. Replicas
 add those of the log: loading these made a tenth of the start of an entry host."""
--- a/src/medlarfork/orders/fenced_lease.py
+++ b/src/medlarfork/orders/fenced_lease.py
@@ -91,6 +91,8 @@
                 actions += self._take(now)
             case lease_types.LeadershipLost():
                 actions += self._stop()
+            case lease_types.RaiseFence() if self._phase is _Phase.HOLDING:
+                actions += self._take(now)
             case lease_types.Stopping():
                 actions += self._release()
             case lease_types.TakeCommitted(attempt, reply):
--- a/src/medlarfork/orders/lease_types.py
+++ b/src/medlarfork/orders/lease_types.py
@@ -85,6 +85,11 @@
     """Event: end the lease now, so that the next holder need not wait it out."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RaiseFence:
+    """Event: go on with a higher fence, so that what was sent with the last one comes too late."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeCommitted:
     """Event: a ``TakeLease`` of this holder was applied."""
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -88,6 +88,19 @@
         """Return how many requests wait; while any does, ``on_time`` has to be called often."""
         return sum(owner.waiting for owner in self._owner_by_shard.values())
 
+    def offered(self) -> tuple[placement_messages.OfferedWork, ...]:
+        """Return the work that was offered to each service whose engines read prompts."""
+        read_ms: collections.Counter[str] = collections.Counter()
+        slot_ms: collections.Counter[str] = collections.Counter()
+        for shard, owner in self._owner_by_shard.items():
+            if self._engine_by_service.get(shard.service) is not None:
+                read_ms[shard.service] += owner.offered_read_ms
+                slot_ms[shard.service] += owner.offered_slot_ms
+        return tuple(
+            placement_messages.OfferedWork(service, read_ms[service], slot_ms[service])
+            for service in read_ms
+        )
+
     def on_time(self, now: float) -> tuple[node.Send, ...]:
         """Place those that can start now, and refuse those whose time is over."""
         answers: list[placement_answer.Answer] = []
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -42,6 +42,21 @@
         return self.count == 1 or rendezvous.jump(upstream_id, self.count) == self.index
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OfferedWork:
+    """Sum what the owners of a service at one replica were asked to place; it only grows.
+
+    Attributes:
+        service: The service.
+        read_ms: Reading of prompts, as one engine takes for it, in milliseconds.
+        slot_ms: Time in which slots are taken, in milliseconds.
+    """
+
+    service: str
+    read_ms: float
+    slot_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceRequest:
     """Ask where to send a request.
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -54,6 +54,8 @@
         self._forecast = wait_forecast.WaitForecast(self._line)
         self._busy_shards = spillover.BusyShards()
         self._passed_at = -math.inf
+        self.offered_read_ms = 0.0
+        self.offered_slot_ms = 0.0
 
     @property
     def waiting(self) -> int:
@@ -105,6 +107,8 @@
             self._least_read_ms(request),
             start_rules.run_ms(request, self.rate.step_ms),
         )
+        self.offered_read_ms += waiting.read_ms
+        self.offered_slot_ms += waiting.run_ms
         if self._yields(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
             if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms, waiting.run_ms):
--- a/src/medlarfork/routes/routing.py
+++ b/src/medlarfork/routes/routing.py
@@ -91,14 +91,51 @@
         return self.token_bytes * 8.0 / (self.link_mbps * 1000.0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZonePrice:
+    """Say what a second of an engine costs in a data centre, against the others."""
+
+    zone: str
+    price: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scaling:
+    """Say how many engines of a service may be ordered.
+
+    Attributes:
+        least: Fewest engines in each data centre.
+        most: Most engines in each data centre, of both kinds together.
+        boot_s: Time from an order until a new engine serves, in seconds.
+        spot_price: Price of an engine that may be taken back, as a share of one that stays; 0 if
+            there are none.
+        zones: The data centres in which engines are to be had.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    spot_price: float = 0.0
+    zones: tuple[ZonePrice, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """Declare a group of equal upstreams; ``engine`` is None for plain services."""
+    """Declare a group of equal upstreams.
+
+    Attributes:
+        name: Names the service.
+        health_path: Answers health checks.
+        max_connections: Connections that one upstream takes from all its callers.
+        engine: What its model engines are like; None for plain services.
+        scaling: How many of them may be ordered; None if none may.
+    """
 
     name: str
     health_path: str = "/health"
     max_connections: int = 64
     engine: EngineFacts | None = None
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of singleton duties."""
--- a/tests/routed/coordinator_cluster.py
+++ b/tests/routed/coordinator_cluster.py
@@ -14,10 +14,12 @@
     coordinator_types,
     operations_format,
 )
+from medlarfork.duties import duty_types
 from medlarfork.replica import replica, replica_types
 from tests import replica_cluster
 
 STEP_S = 0.02
+NO_DUTIES = duty_types.DutySettings()
 PERIOD_S = 1.0
 
 
@@ -43,7 +45,8 @@
 class Cluster:
     """Hold the coordinators and what operators and upstreams were told."""
 
-    def __init__(self, seeds=("a", "b", "c"), others=("d", "e"), seed=0):
+    def __init__(self, seeds=("a", "b", "c"), others=("d", "e"), seed=0, duties=NO_DUTIES):
+        self.duties = duties
         self.random = random.Random(seed)
         self.time = 100.0
         self.seeds = seeds
@@ -78,6 +81,7 @@
             announce_period_s=PERIOD_S,
             ttl_s=2.0,
             decode=self.speaks.decode_routing,
+            duties=self.duties,
         )
         self.post(replica_id, node.Started())
 
--- a/tests/routed/routed_world.py
+++ b/tests/routed/routed_world.py
@@ -11,6 +11,7 @@
 
 from medlarfork import errors
 from medlarfork.coordination import coordinator_program, coordinator_settings, operations_format
+from medlarfork.duties import platform_format
 from medlarfork.gateway import gateway_program, gateway_settings, request_names
 from medlarfork.http import http_client, http_server
 from tests import curio_world
@@ -124,7 +125,10 @@
         )
         speaks = operations_format.OwnFormat(http_port=HTTP_PORT)
         program = coordinator_program.CoordinatorProgram(
-            given, speaks=speaks, read_seeds=lambda: self.replica_ids[:3]
+            given,
+            speaks=speaks,
+            read_seeds=lambda: self.replica_ids[:3],
+            speaks_to_platform=platform_format.OwnFormat(given.replica_id),
         )
         await program.start()
         self.control_by_id[replica_id] = program
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -47,6 +47,12 @@
     "gateway.request_facts",
     "quarantine.request_key",
     "gateway.retry_budget",
+    "duties.duty_log",
+    "duties.engine_duty",
+    "duties.fleet_clock",
+    "duties.usage_counter",
+    "duties.usage_duty",
+    "duties.usage_ledger",
 )
 
 
