Engines are ordered by what runs and waits, and what was ordered in the place of others is not given up before it serves

A restart of all replicas by which the same one leads again lost what hosts had had confirmed (random histories of duties: begin, restart of all: 0 of 1 reported): receipts now name the ledger. Change: a group stays unavailable until an order is done; reading is summed, slots are counted. Tests: tests/duties, each of these red before.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -252,6 +252,8 @@
             case coordinator_types.ListCrashCases():
                 held = self._crashes.whole(self._now)
                 self._reply(operation_id, coordinator_types.CrashCasesFound(held.cases))
+            case coordinator_types.ListDuties():
+                self._reply(operation_id, self.duties.found(self._now))
 
     def _put(self, operation_id: int, operation: coordinator_types.PutRouting) -> None:
         if not self.leads:
--- a/src/medlarfork/coordination/coordinator_types.py
+++ b/src/medlarfork/coordination/coordinator_types.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from medlarfork.coordination import upstream_types
+from medlarfork.duties import duty_types, engine_duty
 from medlarfork.quarantine import crash_messages
 
 
@@ -55,8 +56,20 @@
     key: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListDuties:
+    """Operation: tell who has the singleton duties, and what is done of them."""
+
+
 Operation = (
-    PutRouting | GetRouting | Announce | Withdraw | FindEntries | ListCrashCases | LiftCrashCase
+    PutRouting
+    | GetRouting
+    | Announce
+    | Withdraw
+    | FindEntries
+    | ListCrashCases
+    | LiftCrashCase
+    | ListDuties
 )
 
 
@@ -102,7 +115,39 @@
     cases: tuple[crash_messages.CrashCase, ...]
 
 
-Reply = Accepted | AskLeader | Unavailable | RoutingFound | EntriesFound | CrashCasesFound
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageWindow:
+    """Hold one window of usage: how many requests began in it, and whether that is reported."""
+
+    window: int
+    requests: int
+    is_reported: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutiesFound:
+    """Reply: what a replica knows of the singleton duties.
+
+    Attributes:
+        holder: Who took the duties last, as the log says: a replica and its start.
+        fence: The fence of that holder.
+        is_holder: Whether the replica that answers may act now.
+        usage: The windows whose counts are fixed, the newest last.
+        calls: Calls to the platform that have not ended.
+        needs: Engines that services were last found to need, where this replica orders them.
+    """
+
+    holder: str
+    fence: int
+    is_holder: bool
+    usage: tuple[UsageWindow, ...]
+    calls: tuple[duty_types.PlatformCall, ...]
+    needs: tuple[engine_duty.Need, ...]
+
+
+Reply = (
+    Accepted | AskLeader | Unavailable | RoutingFound | EntriesFound | CrashCasesFound | DutiesFound
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/coordination/duty_desk.py
+++ b/src/medlarfork/coordination/duty_desk.py
@@ -69,7 +69,7 @@
                 LEASE, self._holder, duration_s, renew_s=RENEW_S, retry_s=RENEW_S
             )
         )
-        self._ledger = usage_ledger.UsageLedger()
+        self._ledger = usage_ledger.UsageLedger(boot)
         self._usage = usage_duty.UsageDuty(log, random.Random(boot))
         self._engines = engine_duty.EngineDuty(settings.engine_margin)
         self._call_by_id: dict[int, duty_types.PlatformCall] = {}
@@ -96,6 +96,23 @@
             "usage_windows_unreported": sum(not item.is_reported for item in windows),
         }
 
+    def found(self, now: float) -> coordinator_types.DutiesFound:
+        """Return what this replica knows of the duties, for operators."""
+        usage = tuple(
+            coordinator_types.UsageWindow(
+                window, sum(fixed.count_by_account.values()), fixed.is_reported
+            )
+            for window, fixed in sorted(self._log.usage_by_window.items())
+        )
+        return coordinator_types.DutiesFound(
+            holder=self._log.holder(LEASE),
+            fence=self._log.fence(LEASE),
+            is_holder=self.lease.may_act(now),
+            usage=usage,
+            calls=tuple(self._call_by_id.values()),
+            needs=self._engines.needs,
+        )
+
     def use_services(self, services: tuple[routing.Service, ...]) -> None:
         """Take what the routing says of services."""
         self._engines.use_services(services)
--- a/src/medlarfork/coordination/operations_format.py
+++ b/src/medlarfork/coordination/operations_format.py
@@ -18,6 +18,9 @@
 CRASH_CASES_PATH = "/v1/crash-cases"
 """Where operators see and lift the requests under which upstreams ended."""
 
+DUTIES_PATH = "/v1/duties"
+"""Where operators see who has the singleton duties, and what is done of them."""
+
 _JSON = {"Content-Type": "application/json"}
 """Headers of every reply with a body."""
 
@@ -62,7 +65,7 @@
 
     ``PUT /v1/routing`` and ``GET /v1/routing`` for operators, ``PUT /v1/upstreams/ID`` and
     ``DELETE /v1/upstreams/ID`` for upstreams, ``GET /v1/entries?zone=ZONE`` for callers,
-    ``GET /v1/crash-cases`` and ``DELETE /v1/crash-cases/KEY`` for operators.
+    ``GET /v1/crash-cases``, ``DELETE /v1/crash-cases/KEY`` and ``GET /v1/duties`` for operators.
     """
 
     def __init__(self, *, http_port: int) -> None:
@@ -82,6 +85,8 @@
             return coordinator_types.FindEntries(zone)
         if path == CRASH_CASES_PATH and method == "GET":
             return coordinator_types.ListCrashCases()
+        if path == DUTIES_PATH and method == "GET":
+            return coordinator_types.ListDuties()
         folder, _, upstream_id = path.rpartition("/")
         if folder == "/v1/upstreams" and method == "DELETE":
             return coordinator_types.Withdraw(upstream_id)
@@ -102,7 +107,11 @@
                 return HttpReply(200, _JSON, b"{}")
             case coordinator_types.RoutingFound(_, body):
                 return HttpReply(200, _JSON, body)
-            case coordinator_types.EntriesFound() | coordinator_types.CrashCasesFound():
+            case (
+                coordinator_types.EntriesFound()
+                | coordinator_types.CrashCasesFound()
+                | coordinator_types.DutiesFound()
+            ):
                 return HttpReply(200, _JSON, msgspec.json.encode(reply))
             case coordinator_types.AskLeader(leader_id):
                 return ask_leader(leader_id, self._http_port, target)
--- a/src/medlarfork/duties/duty_log.py
+++ b/src/medlarfork/duties/duty_log.py
@@ -80,6 +80,10 @@
         """Return the highest fence that was given for a lease."""
         return self._leases.fence(lease)
 
+    def holder(self, lease: str) -> str:
+        """Return who took a lease last; empty if nobody ever did."""
+        return self._leases.holder(lease)
+
     def apply(self, command: Any) -> Any:
         """Apply a committed command and return what came of it; None if it changed nothing."""
         match command:
--- a/src/medlarfork/duties/engine_duty.py
+++ b/src/medlarfork/duties/engine_duty.py
@@ -55,7 +55,7 @@
     due: float = -math.inf
     is_under_way: bool = False
     most_running: int = 0
-    unavailable_until: float = -math.inf
+    is_unavailable: bool = False
 
 
 class EngineDuty:
@@ -124,10 +124,10 @@
         match end:
             case duty_types.CallEnd.DONE:
                 order.due = now
-                order.unavailable_until = -math.inf
+                order.is_unavailable = False
             case duty_types.CallEnd.REFUSED:
-                order.unavailable_until = now + UNAVAILABLE_S
-                order.due = order.unavailable_until
+                order.due = now + UNAVAILABLE_S
+                order.is_unavailable = True
             case _:
                 order.due = now + THROTTLED_S
 
@@ -150,13 +150,22 @@
         self._need_by_service[service.name] = Need(
             service.name, round(peak, 1), wanted, sum(running.values())
         )
-        unavailable = frozenset(
-            group
+        known = {
+            group: order
             for (name, group), order in self._order_by_group.items()
-            if name == service.name and now < order.unavailable_until
-        )
-        fleet = engine_plan.Fleet(dict(running), unavailable)
-        return engine_plan.plan(service.scaling, wanted, fleet)
+            if name == service.name
+        }
+        unavailable = frozenset(group for group, order in known.items() if order.is_unavailable)
+        coming = {
+            group: max(running[group], _coming(group, known.get(group), service.scaling, now))
+            for group in running.keys() | known.keys()
+        }
+        held = engine_plan.plan(service.scaling, wanted, engine_plan.Fleet(coming, unavailable))
+        if unavailable:
+            # Asked for again and again, while others hold their place.
+            ideal = engine_plan.plan(service.scaling, wanted, engine_plan.Fleet(coming))
+            held |= {group: ideal.get(group, 0) for group in unavailable}
+        return held
 
 
 def _running(
@@ -167,6 +176,18 @@
     )
 
 
+def _coming(
+    group: engine_plan.Group, order: _Order | None, scaling: routing.Scaling, now: float
+) -> int:
+    """Return the engines that stay and were ordered so lately that they may still be starting.
+
+    Of cheap ones only those count that serve: until then, others hold their place.
+    """
+    if group.is_spot or order is None or order.count is None:
+        return 0
+    return order.count if now < order.at + scaling.boot_s + REORDER_S else 0
+
+
 def _is_due(order: _Order, count: int, running: int, service: routing.Service, now: float) -> bool:
     """Say whether a group's order is to be given: it changed, or engines are missing."""
     assert service.scaling is not None
--- a/src/medlarfork/duties/engine_plan.py
+++ b/src/medlarfork/duties/engine_plan.py
@@ -57,33 +57,50 @@
             for zone in zones
             if Group(zone, True) not in fleet.unavailable
         }
-        _spread(held, room, wanted - sum(held.values()), is_spot=True)
-    serving = sum(
-        min(count, fleet.running.get(group, 0)) for group, count in held.items() if group.is_spot
-    )
-    missing = wanted - serving - scaling.least * len(zones)
-    for zone in _by_price(scaling):
-        staying = Group(zone, False)
-        if staying in fleet.unavailable or missing <= 0:
-            continue
-        room_left = scaling.most - held[staying] - held.get(Group(zone, True), 0)
-        running = fleet.running.get(staying, 0) - held[staying]
-        # New ones that stay are started only where cheap ones can't be had at all: the cheap ones
-        # that are under way serve as soon.
-        most = room_left if not has_spot or fleet.unavailable else min(room_left, running)
-        taken = max(0, min(missing, most))
-        held[staying] += taken
-        missing -= taken
+        _spread_cheap(held, room, wanted - sum(held.values()))
+    cheap = {group: count for group, count in held.items() if group.is_spot}
+    serving = sum(min(count, fleet.running.get(group, 0)) for group, count in cheap.items())
+    needed = wanted - scaling.least * len(zones)
+    # Those that run are kept until cheap ones serve; new ones are started only for what cheap ones
+    # can't give at all.
+    kept = _add_staying(held, scaling, needed - serving, fleet.running)
+    _add_staying(held, scaling, needed - sum(cheap.values()) - kept)
     return held
 
 
-def _spread(held: dict[Group, int], room: dict[str, int], wanted: int, *, is_spot: bool) -> None:
+def _add_staying(
+    held: dict[Group, int],
+    scaling: routing.Scaling,
+    wanted: int,
+    running: dict[Group, int] | None = None,
+) -> int:
+    """Add engines that stay where they cost least, and return how many.
+
+    Args:
+        held: Takes what is added.
+        scaling: What may be ordered.
+        wanted: How many are to be added if there is room.
+        running: Engines that run, if only such are to be added.
+    """
+    added = 0
+    for zone in _by_price(scaling):
+        group = Group(zone, False)
+        most = scaling.most - held[group] - held.get(Group(zone, True), 0)
+        if running is not None:
+            most = min(most, running.get(group, 0) - held[group])
+        taken = max(0, min(wanted - added, most))
+        held[group] += taken
+        added += taken
+    return added
+
+
+def _spread_cheap(held: dict[Group, int], room: dict[str, int], wanted: int) -> None:
     """Add engines one by one where fewest are, as far as there is room."""
     for zone in room:
-        held[Group(zone, is_spot)] = 0
+        held[Group(zone, True)] = 0
     while wanted > 0 and room:
-        zone = min(room, key=lambda name: held[Group(name, is_spot)])
-        held[Group(zone, is_spot)] += 1
+        zone = min(room, key=lambda name: held[Group(name, True)])
+        held[Group(zone, True)] += 1
         wanted -= 1
         room[zone] -= 1
         if room[zone] <= 0:
--- a/src/medlarfork/duties/usage_counter.py
+++ b/src/medlarfork/duties/usage_counter.py
@@ -32,6 +32,7 @@
         self._changed_by_window: dict[int, int] = {}
         self._sequence = 0
         self._confirmed = 0
+        self._ledger = 0
         self._leader_id = ""
 
     def note_begun(self, account: str, true_s: float) -> None:
@@ -45,7 +46,7 @@
         """Return what the leader is to be told now; a new one is told everything."""
         if leader_id != self._leader_id:
             self._leader_id = leader_id
-            self._confirmed = 0
+            self._tell_all()
         self._forget_before(self._window(true_s) - KEPT_WINDOWS)
         self._sequence += 1
         windows = tuple(
@@ -53,12 +54,23 @@
             for window, counts in self._counts_by_window.items()
             if self._changed_by_window[window] > self._confirmed
         )
-        return usage_messages.UsageTold(self._boot, self._sequence, self._window(true_s), windows)
+        return usage_messages.UsageTold(
+            self._boot, self._sequence, self._window(true_s), windows, self._ledger
+        )
 
     def confirm(self, leader_id: str, receipt: usage_messages.UsageReceipt) -> None:
-        """Take a leader's receipt."""
-        if leader_id == self._leader_id and receipt.boot == self._boot:
-            self._confirmed = max(self._confirmed, receipt.sequence)
+        """Take a leader's receipt; one that has started again since is told everything."""
+        if leader_id != self._leader_id or receipt.boot != self._boot:
+            return
+        if self._ledger not in (0, receipt.ledger):
+            self._tell_all()
+            return
+        self._ledger = receipt.ledger
+        self._confirmed = max(self._confirmed, receipt.sequence)
+
+    def _tell_all(self) -> None:
+        self._ledger = 0
+        self._confirmed = 0
 
     def _window(self, true_s: float) -> int:
         return int(true_s // self._window_s)
--- a/src/medlarfork/duties/usage_ledger.py
+++ b/src/medlarfork/duties/usage_ledger.py
@@ -20,8 +20,9 @@
 class UsageLedger:
     """Merge counts by their maximum; nothing here is durable, since entry hosts tell again."""
 
-    def __init__(self) -> None:
-        """Start without counts."""
+    def __init__(self, ledger: int) -> None:
+        """Start without counts; ``ledger`` names this start of its replica."""
+        self._ledger = ledger
         self._counts_by_window: dict[int, dict[tuple[str, int], dict[str, int]]] = {}
         self._open_window_by_entry: dict[str, int] = {}
         self._ended_at_by_window: dict[int, float] = {}
@@ -35,13 +36,17 @@
             counts = by_start.setdefault((entry_id, told.boot), {})
             for account, count in list(counted.count_by_account.items())[:MOST_ACCOUNTS]:
                 counts[account] = max(count, counts.get(account, 0))
+        receipt = usage_messages.UsageReceipt(told.boot, told.sequence, self._ledger)
+        if told.ledger not in (0, self._ledger):
+            # Windows that an earlier start of a replica confirmed are missing in this message.
+            return receipt
         known = self._open_window_by_entry.get(entry_id, 0)
         self._open_window_by_entry[entry_id] = max(known, told.open_window)
         for window in self._counts_by_window:
             if window < told.open_window:
                 self._ended_at_by_window.setdefault(window, now)
         self._forget_oldest()
-        return usage_messages.UsageReceipt(told.boot, told.sequence)
+        return receipt
 
     def complete(self, entry_ids: frozenset[str], now: float) -> tuple[int, ...]:
         """Return the windows of which no more is to be heard, the oldest first.
--- a/src/medlarfork/orders/lease_table.py
+++ b/src/medlarfork/orders/lease_table.py
@@ -66,6 +66,10 @@
         """Return the fence of the last holder of a lease; 0 if nobody ever held it."""
         return self._lease_by_name.get(name, _Lease()).version.fence
 
+    def holder(self, name: str) -> str:
+        """Return who holds a lease; empty if it was released or never taken."""
+        return self._lease_by_name.get(name, _Lease()).holder
+
     def encode(self) -> bytes:
         """Return the whole state for a snapshot."""
         return msgspec.msgpack.encode(self._lease_by_name, order="deterministic")
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -91,13 +91,13 @@
     def offered(self) -> tuple[placement_messages.OfferedWork, ...]:
         """Return the work that was offered to each service whose engines read prompts."""
         read_ms: collections.Counter[str] = collections.Counter()
-        slot_ms: collections.Counter[str] = collections.Counter()
+        requests: collections.Counter[str] = collections.Counter()
         for shard, owner in self._owner_by_shard.items():
             if self._engine_by_service.get(shard.service) is not None:
                 read_ms[shard.service] += owner.offered_read_ms
-                slot_ms[shard.service] += owner.offered_slot_ms
+                requests[shard.service] += owner.waiting + owner.running
         return tuple(
-            placement_messages.OfferedWork(service, read_ms[service], slot_ms[service])
+            placement_messages.OfferedWork(service, read_ms[service], requests[service])
             for service in read_ms
         )
 
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -44,17 +44,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OfferedWork:
-    """Sum what the owners of a service at one replica were asked to place; it only grows.
+    """Tell how much work the owners of a service at one replica were asked to place.
 
     Attributes:
         service: The service.
-        read_ms: Reading of prompts, as one engine takes for it, in milliseconds.
-        slot_ms: Time in which slots are taken, in milliseconds.
+        read_ms: Reading of all prompts so far, as one engine takes for it, in milliseconds.
+        requests: Requests that run or wait now.
     """
 
     service: str
     read_ms: float
-    slot_ms: float
+    requests: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -55,13 +55,17 @@
         self._busy_shards = spillover.BusyShards()
         self._passed_at = -math.inf
         self.offered_read_ms = 0.0
-        self.offered_slot_ms = 0.0
 
     @property
     def waiting(self) -> int:
         """Return how many requests wait for a slot."""
         return len(self._line)
 
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return sum(len(load.run_by_ticket) for load in self.load_by_id.values())
+
     def use_engine(self, engine: routing.EngineFacts | None) -> None:
         """Take what the routing says of the service's engines; None for plain services."""
         self._memory_tokens = PLAIN_MEMORY_TOKENS if engine is None else engine.memory_tokens
@@ -108,7 +112,6 @@
             start_rules.run_ms(request, self.rate.step_ms),
         )
         self.offered_read_ms += waiting.read_ms
-        self.offered_slot_ms += waiting.run_ms
         if self._yields(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
             if start_rules.is_hopeless(request, predicted_ms, waiting.read_ms, waiting.run_ms):
--- a/tests/duties/conftest.py
+++ b/tests/duties/conftest.py
@@ -76,9 +76,9 @@
 
 @pytest.fixture
 def make_work():
-    """Return a maker of sums of offered work, in milliseconds."""
+    """Return a maker of offered work: reading so far in milliseconds, and requests now."""
 
-    def make(read_ms, slot_ms=0.0):
-        return placement_messages.OfferedWork("engines", read_ms, slot_ms)
+    def make(read_ms, requests=0):
+        return placement_messages.OfferedWork("engines", read_ms, requests)
 
     return make
--- a/tests/duties/test_duty_desk.py
+++ b/tests/duties/test_duty_desk.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from medlarfork.coordination import coordinator_types
 from medlarfork.duties import duty_types, engine_messages
 from tests.duties import duty_world
 from tests.routed import coordinator_cluster
@@ -33,6 +34,19 @@
     assert len(full) >= 3
 
 
+def test_operators_see_who_has_the_duties_and_which_windows_are_reported(world):
+    _count(world, 12.0)
+    world.run(3.0)
+    holder = world.until_held()
+    for replica_id in world.host_by_id:
+        found = world.ask(replica_id, coordinator_types.ListDuties())
+        assert found.holder.partition("@")[0] == holder
+        assert found.fence > 0
+        assert found.is_holder == (replica_id == holder)
+        assert found.usage[0].is_reported
+        assert sum(item.requests for item in found.usage) <= 120
+
+
 def test_a_deployment_without_duties_asks_nothing_of_its_log():
     cluster = coordinator_cluster.Cluster()
     cluster.run(10.0)
@@ -87,6 +101,18 @@
     assert _reported(world) == 120
 
 
+def test_what_was_confirmed_before_a_restart_of_all_replicas_is_not_lost(world):
+    """The same replica led again, and hosts told it only what came since its last receipt."""
+    world.begin("a", "e-0")
+    world.run(1.0)
+    for replica_id in tuple(world.host_by_id):
+        world.kill(replica_id)
+        world.start(replica_id)
+    world.until_held(30.0)
+    world.run(15.0)
+    assert _reported(world) == 1
+
+
 def test_a_platform_that_is_down_is_told_when_it_is_back_and_not_pressed_meanwhile(world):
     world.platform.is_down = True
     _count(world, 15.0)
--- a/tests/duties/test_engines.py
+++ b/tests/duties/test_engines.py
@@ -49,8 +49,8 @@
 
 def test_slots_count_where_they_are_scarcer_than_reading(make_work):
     load = offered_load.OfferedLoad()
-    for tick in range(20):
-        load.take("r-1", 1, make_work(0.0, slot_ms=tick * 32_000.0), tick * 0.25)
+    load.take("r-1", 1, make_work(0.0, requests=96), 4.5)
+    load.take("r-2", 1, make_work(0.0, requests=32), 4.5)
     assert load.engines(32, 4.75) == pytest.approx(4.0)
 
 
@@ -170,3 +170,24 @@
     present = make_present((10, 0), (10, 0), (10, 0))
     first = _carry_out(duty, present, 4.0, end=CallEnd.UNKNOWN)
     assert _carry_out(duty, present, 4.0 + engine_duty.THROTTLED_S) == first
+
+
+def test_engines_that_were_just_ordered_are_not_given_up_before_they_serve(duty, make_present):
+    """Cheap engines of a data centre are taken back, and none are to be had there for ten seconds.
+
+    Others were ordered in their place and given up again every two seconds, sooner than an engine
+    starts: ``count=20 spot=false``, ``count=1 spot=false``, ``count=20 spot=false``.
+    """
+    _carry_out(duty, make_present((1, 9), (1, 9), (1, 9)), 4.0)
+    _carry_out(duty, make_present((1, 9), (1, 9), (1, 9)), 4.5)
+    lost = make_present((1, 0), (1, 9), (1, 9))
+    staying = []
+    now = 5.0
+    while now < 15.0:
+        for order in duty.next_orders(lost, now):
+            is_dry = order.zone == "z1" and order.is_spot
+            duty.on_end(order, CallEnd.REFUSED if is_dry else CallEnd.DONE, now)
+            if not order.is_spot:
+                staying.append((order.zone, order.count))
+        now += 0.25
+    assert len(staying) == len(set(staying))
--- a/tests/duties/test_usage.py
+++ b/tests/duties/test_usage.py
@@ -15,6 +15,7 @@
 )
 
 WINDOW_S = 5.0
+LEDGER = 11
 HOSTS = frozenset({"e-1", "e-2"})
 
 
@@ -25,7 +26,7 @@
 
 @pytest.fixture
 def ledger():
-    return usage_ledger.UsageLedger()
+    return usage_ledger.UsageLedger(LEDGER)
 
 
 @pytest.fixture
@@ -59,10 +60,10 @@
     counter.note_begun("a", 1.0)
     first = counter.told("r-1", 1.1)
     counter.note_begun("a", 1.2)
-    counter.confirm("r-1", usage_messages.UsageReceipt(7, first.sequence))
+    counter.confirm("r-1", usage_messages.UsageReceipt(7, first.sequence, LEDGER))
     assert _by_window(counter.told("r-1", 1.3)) == {0: {"a": 2}}
     last = counter.told("r-1", 1.4)
-    counter.confirm("r-1", usage_messages.UsageReceipt(7, last.sequence))
+    counter.confirm("r-1", usage_messages.UsageReceipt(7, last.sequence, LEDGER))
     assert counter.told("r-1", 1.5).windows == ()
 
 
@@ -75,12 +76,27 @@
 def test_a_new_leader_is_told_everything_and_late_receipts_of_the_old_one_do_not_count(counter):
     counter.note_begun("a", 1.0)
     old = counter.told("r-1", 1.1)
-    counter.confirm("r-1", usage_messages.UsageReceipt(7, old.sequence))
+    counter.confirm("r-1", usage_messages.UsageReceipt(7, old.sequence, LEDGER))
     assert _by_window(counter.told("r-2", 1.2)) == {0: {"a": 1}}
-    counter.confirm("r-1", usage_messages.UsageReceipt(7, 100))
+    counter.confirm("r-1", usage_messages.UsageReceipt(7, 100, LEDGER))
     assert _by_window(counter.told("r-2", 1.3)) == {0: {"a": 1}}
 
 
+def test_a_leader_that_has_started_again_is_told_everything_before_any_window_is_complete(
+    counter, ledger
+):
+    counter.note_begun("a", 1.0)
+    ledger.take("e-1", counter.told("r-1", 1.1), 1.1)
+    counter.confirm("r-1", usage_messages.UsageReceipt(7, 1, LEDGER))
+    again = usage_ledger.UsageLedger(LEDGER + 1)
+    receipt = again.take("e-1", counter.told("r-1", 6.0), 6.0)
+    assert again.complete(frozenset({"e-1"}), 6.0) == ()
+    counter.confirm("r-1", receipt)
+    again.take("e-1", counter.told("r-1", 6.4), 6.4)
+    assert again.complete(frozenset({"e-1"}), 6.4) == (0,)
+    assert again.counts(0) == {"a": 1}
+
+
 def test_windows_long_past_are_forgotten(counter):
     counter.note_begun("a", 1.0)
     late_s = (usage_counter.KEPT_WINDOWS + 1) * WINDOW_S
