--- a/src/medlarfork/_quick_start.py
+++ b/src/medlarfork/_quick_start.py
@@ -2,9 +2,8 @@
 
 The load that this answers: a host's process is killed, and its callers wait until it serves again;
 a fleet of hundreds is started at once, and again after a loss of power. Nearly all of that time
-goes into imports. Without other processes, OpenSSL and the compiling of data classes a start takes
-300 ms of processor time instead of 390 (medians of 14 starts a side, by turns, on a busy machine).
-A program calls ``begin`` before its other imports and ``end`` once it is wired; code that embeds
+goes into imports, so what serving does not need is left out or put off: other processes, OpenSSL and
+the compiling of data classes. A program calls ``begin`` before its other imports and ``end`` once it is wired; code that embeds
 the package calls neither.
 """
 
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -48,7 +48,7 @@
 VIEW_PERIOD_S = 0.1
 """Least time between two changes of the view that are told to entry hosts, in seconds, but for
 leaves, which are told at once. At a start each upstream would else be a message from each replica
-to each entry host: with nine replicas and 64 upstreams 280 a host were counted in 5 s."""
+to each entry host."""
 
 TIDY_PERIOD_S = 1.0
 """How often the owner looks for runs whose end was never reported, in seconds: they take many."""
--- a/src/medlarfork/coordination/member_desk.py
+++ b/src/medlarfork/coordination/member_desk.py
@@ -37,8 +37,8 @@
 
 HEALED_S = 2.5
 """How long a replica that is heard again still counts as missed, in seconds: two periods in which
-upstreams announce themselves, until what it heard meanwhile has arrived. Without it replicas
-dropped 16 to 26 of 64 upstreams for a second as soon as a cut was over."""
+upstreams announce themselves, until what it heard meanwhile has arrived. Without it replicas drop
+upstreams that announced themselves on the other side as soon as a cut is over."""
 
 FORGET_S = 60.0
 """Silence after which a replica that is no member is not looked for any more, in seconds."""
--- a/src/medlarfork/coordination/routing_state.py
+++ b/src/medlarfork/coordination/routing_state.py
@@ -18,7 +18,7 @@
 from medlarfork.duties import duty_log
 
 _COMPRESSION_LEVEL = 1
-"""The fastest: a body of 100 KB of JSON takes about 1 ms and shrinks to a tenth."""
+"""The fastest level: it holds up the leader for each change."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/coordination/status_pace.py
+++ b/src/medlarfork/coordination/status_pace.py
@@ -1,9 +1,8 @@
 """Decide how often entry hosts and replicas tell each other that they are there: pure arithmetic.
 
 The load that this answers: each replica tells each host, and each host each replica, several times
-a second, which grows with the product of both. Nearly all that an idle host does is that: 2% of a
-core with 9 replicas and 0.4 s. So large fleets tell it less often, and what is taken for silence
-there is longer.
+a second, which grows with the product of both and is nearly all that an idle host does. So large
+fleets tell it less often, and what is taken for silence there is longer.
 """
 
 from __future__ import annotations
@@ -16,7 +15,7 @@
 """Longest period, in seconds: a lost host is named to callers for two and a half of them."""
 
 HOSTS_A_SECOND = 300.0
-"""Hosts that a replica tells, and hears, in a second: at 0.3 ms for both, a tenth of its core."""
+"""Hosts that a replica tells, and hears, in a second: a small part of its processor."""
 
 SUSPECT_PERIODS = 1.125
 """Periods of silence after which one that did not answer either is passed over."""
--- a/src/medlarfork/coordination/upstream_desk.py
+++ b/src/medlarfork/coordination/upstream_desk.py
@@ -22,14 +22,13 @@
 CUT_ALLOWANCE_S = 10.0
 """How much longer than usual an upstream may be silent while another replica is silent too, in
 seconds: upstreams go on announcing themselves there, and cuts between replicas last some seconds.
-Without it the owner of placement in a cut of 7 s dropped all upstreams but one, which was down, and
-sent every request there for 4 s: 25 of 120 were lost. One that is really down costs a few requests,
-which are tried elsewhere."""
+Without it an owner of placement drops all upstreams that announce themselves on the other side of a
+cut. One that is really down costs a few requests, which are tried elsewhere."""
 
 REFRESH_PERIOD_S = 0.5
 """Least time between two messages to another replica that only say which upstreams were heard, in
-seconds: half of the shortest period of announcements, of which three and a half may be missed. Told
-ten times a second, 9 replicas with 64 upstreams send 640 such messages a second (arithmetic)."""
+seconds: half of the shortest period of announcements, of which three and a half may be missed. Such
+messages grow with replicas times upstreams."""
 
 LEAVE_LIMIT_S = 0.8
 """How long a leave may wait for a majority, in seconds; upstreams give up after one second."""
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -25,8 +25,8 @@
 
 JOIN_PERIOD_S = 0.08
 """How often a host tells of itself while it joins, in seconds: what is sent before a link is up is
-lost, and the next period is waited for. After a restart of all, hosts waited 0.4 s to be heard by
-the replicas that their settings name, and 0.4 s more by the others, among them the leader."""
+lost, and would else be sent again only a period later, first to the replicas that the settings name
+and then once more to the others, among them the leader."""
 
 JOIN_S = 3.0
 """How long it joins at most, in seconds after its start; replicas that are down are not heard."""
@@ -76,9 +76,8 @@
     def to_be_told(self, now: float) -> tuple[str, ...]:
         """Return the replicas to be told how this host is: all once in a period.
 
-        While it joins, those that were not heard yet are told more often. Told to all for as long
-        as one replica stands still, or there is no routing yet, a start beside 9 cost 337 messages
-        in 3 s (arithmetic).
+        While it joins, only those that were not heard yet are told more often: one replica that
+        stands still must not cost a message to each of the others every time.
         """
         if now >= self._all_due:
             self._all_due = now + ALL_DUE_SHARE * self._period_s
--- a/src/medlarfork/gateway/request_facts.py
+++ b/src/medlarfork/gateway/request_facts.py
@@ -15,7 +15,7 @@
 
 TARGET_RANKS_MS = (350.0, 1000.0)
 """Bounds of the targets that part a tier into ranks for upstreams, in milliseconds: within a tier,
-what is expected sooner is read first. A long prompt takes a third of the first bound to read."""
+what is expected sooner is read first."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/links/routed_links.py
+++ b/src/medlarfork/links/routed_links.py
@@ -15,7 +15,7 @@
     *usage_messages.USAGE_MESSAGES,
 )
 """Every message class that entry hosts exchange with replicas, for the codec of the links. Replicas
-add those of the log: loading these made a tenth of the start of an entry host."""
+add those of the log, which would make the start of an entry host longer."""
 
 LINK_OPTIONS = link.LinkOptions(
     heartbeat_s=0.5,
--- a/src/medlarfork/metrics/sdk_metrics.py
+++ b/src/medlarfork/metrics/sdk_metrics.py
@@ -1,4 +1,4 @@
-"""Hold the OpenTelemetry instruments of one process; importing this costs a third of its start."""
+"""Hold the OpenTelemetry instruments of one process; importing this makes a start longer."""
 
 from __future__ import annotations
 
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -17,12 +17,12 @@
 from medlarfork.placement import placement_messages, upstream_load
 
 REREAD_COST = 0.0002
-"""Cost of each token that is read again though another engine holds it: measured prices put a
-thousand of them at about a quarter of what a request loses by being late."""
+"""Cost of each token that is read again though another engine holds it, against 1 for a request that
+is late: reading takes an engine's time from all that wait."""
 
 FETCH_COST = 0.00002
-"""Cost of each token that is fetched from another engine: moving it is priced at a twentieth of
-reading it again, and it keeps both links busy."""
+"""Cost of each token that is fetched from another engine: far less than reading it again, but it
+keeps both links busy."""
 
 LEAST_FETCH_TOKENS = 300
 """Fewest tokens that are fetched: for less, asking another engine takes longer than reading."""
@@ -33,7 +33,7 @@
 
 TIGHT_SHARE = 0.9
 """Share of a stream's allowed pause from which the longest pause beside reading makes it tight. The
-longest pause is reckoned from the measured rate of reading, which already holds attention and
+longest pause is reckoned from the learnt rate of reading, which already holds attention and
 slower engines."""
 
 SAFE_SHARE = 0.75
@@ -41,8 +41,8 @@
 a tenth, and a prompt may be read with others that come meanwhile."""
 
 FULL_SHARE = 0.95
-"""Share from which a stream counts as late. With a longer way in between (0.6 to 1), prompts that
-made nobody late were held and then refused while engines read a tenth of the time."""
+"""Share from which a stream counts as late. The way in between is short, so that prompts that make
+nobody late are not held."""
 
 APART_COST = 0.6
 """Cost of bringing the first tight stream to an engine, which long prompts then have to avoid."""
--- a/src/medlarfork/placement/read_rate.py
+++ b/src/medlarfork/placement/read_rate.py
@@ -19,20 +19,20 @@
 from medlarfork.placement import placement_messages
 
 DEFAULT_TOKENS_PER_MS = 40.0
-"""Rate assumed until it was measured: that of the slowest engines that were measured. With a rate
-that is too high, long prompts are let in beside streams that they then make late."""
+"""Rate assumed until it was learnt: one of slow engines. With a rate that is too high, long prompts
+are let in beside streams that they then make late."""
 
 FIRST_CHUNK_TOKENS = 4096
-"""Chunk assumed until it was measured: the largest of the engines that were measured."""
+"""Chunk assumed until it was learnt: a large one, so that harm is not foreseen too low."""
 
 FIRST_STEP_MS = 4.0
-"""Time of a step besides reading assumed until it was measured, in milliseconds."""
+"""Time of a step besides reading assumed until it was learnt, in milliseconds."""
 
 LEAST_TOKENS = 1500
 """Prompts with fewer tokens to read tell too little of the rate: the step outweighs the reading."""
 
 FIXED_MS = 12.0
-"""Time to a first event besides reading assumed until it was measured, in milliseconds: links, one
+"""Time to a first event besides reading assumed until it was learnt, in milliseconds: links, one
 step and the engine's own work."""
 
 FEW_TOKENS = 300
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -28,8 +28,8 @@
 the ends that it has not read yet make engines look full, and more requests wait."""
 
 COMPARISONS = 150
-"""Upstreams that are compared for the requests of one kind in one pass: at 3 us each and three
-kinds, a pass takes at most 1.5 ms."""
+"""Upstreams that are compared for the requests of one kind in one pass, which bounds its time to a
+part of the period."""
 
 LEAST_TRIES = 2
 """Requests of one kind that are tried in a pass however many upstreams there are."""
--- a/src/medlarfork/placement/start_rules.py
+++ b/src/medlarfork/placement/start_rules.py
@@ -20,8 +20,8 @@
 
 READ_SHARE = 0.9
 """Share of an engine's time that reading is given. Streams advance by about one token a chunk
-while it reads, and at their full speed in the rest; at a tenth of rest, the longest of the
-measured streams still end within their callers' time."""
+while it reads, and at their full speed in the rest, without which the longest would not end within
+their callers' time."""
 
 BACKLOG_MS = 250.0
 """Reading that may be under way at an engine when another prompt is sent there: enough that it
@@ -35,12 +35,11 @@
 
 LATE_HARM = 3.0
 """The same once it can't wait any more: about what a long prompt is worth beside a short stream.
-Who is refused has nothing, and those who are harmed still get their answer, late. In one overload
-61 of 804 long prompts were never served with 1.5, and 20 with this and sharper bounds of harm."""
+Who is refused has nothing, and those who are harmed still get their answer, late."""
 
 HOPELESS_SHARE = 0.95
 """A long prompt is refused if it is foreseen to wait beyond this share of the time until it has to
-begin. At 0.7 of its target more were refused than had to be: predictions are off by a third."""
+begin; predictions are too rough to refuse sooner what might still be served."""
 
 OVERTAKEN_FACTOR = 1.5
 """Factor on the wait of a request that will be late: those that can still be on time, and come
--- a/src/medlarfork/pool/pool_options.py
+++ b/src/medlarfork/pool/pool_options.py
@@ -16,7 +16,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolOptions:
-    """Tune a pool; the defaults are the measured choice (see docs/design/placement.md).
+    """Tune a pool; docs/design/placement.md compares the ways.
 
     Attributes:
         max_queued: Tickets queued at once; beyond it the lowest tier's newest is shed.
