--- a/src/medlarfork/_quick_start.py
+++ b/src/medlarfork/_quick_start.py
@@ -2,9 +2,9 @@
 
 The load that this answers: a host's process is killed, and its callers wait until it serves again;
 a fleet of hundreds is started at once, and again after a loss of power. Nearly all of that time
-goes into imports, so what serving does not need is left out or put off: other processes, OpenSSL and
-the compiling of data classes. A program calls ``begin`` before its other imports and ``end`` once it is wired; code that embeds
-the package calls neither.
+goes into imports, so what serving does not need is left out or put off: other processes, OpenSSL
+and the compiling of data classes. A program calls ``begin`` before its other imports and ``end``
+once it is wired; code that embeds the package calls neither.
 """
 
 from __future__ import annotations
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -17,8 +17,8 @@
 from medlarfork.placement import placement_messages, upstream_load
 
 REREAD_COST = 0.0002
-"""Cost of each token that is read again though another engine holds it, against 1 for a request that
-is late: reading takes an engine's time from all that wait."""
+"""Cost of each token that is read again though another engine holds it, against 1 for a late
+request: reading takes an engine's time from all that wait."""
 
 FETCH_COST = 0.00002
 """Cost of each token that is fetched from another engine: far less than reading it again, but it
--- a/src/medlarfork/placement/shard_choice.py
+++ b/src/medlarfork/placement/shard_choice.py
@@ -1,9 +1,9 @@
 """Divide a service's upstreams into shards, and choose the shard of each request: pure.
 
 The load that this answers: hundreds of requests a second for tens of engines. One owner compares
-every engine for every request, so its work grows with both; one that falls behind leaves entry hosts
-to place blindly. Shards with an owner each divide both, and requests about one matter still meet at
-the engines that have read it.
+every engine for every request, so its work grows with both; one that falls behind leaves entry
+hosts to place blindly. Shards with an owner each divide both, and requests about one matter still
+meet at the engines that have read it.
 
 Engines come and go, in releases a third of them within seconds. So a shard more or less moves only
 the engines of that shard: divided anew each time, all owners were new to all engines, and had them
@@ -24,8 +24,8 @@
 from medlarfork.placement import placement_messages
 
 UPSTREAMS = 12
-"""Upstreams that a shard has on average, at most: more cost its owner more for each request, and with
-fewer, shards are so uneven that the smallest refuse while others have room."""
+"""Upstreams that a shard has on average, at most: more cost its owner more for each request, and
+with fewer, shards are so uneven that the smallest refuse while others have room."""
 
 OWNERS_KEPT = 256
 """Results that are remembered: asked for with every request, and new only when a replica comes or
