No module imports itself by way of others: an attempt's start and the gauges' type have modules of their own

Test: test_layers.py::test_no_module_imports_itself_by_way_of_others (red before: entry._flow_wait and _flow_run, metrics.sdk_metrics and process_metrics).

--- a/src/medlarfork/coordination/coordinator_metrics.py
+++ b/src/medlarfork/coordination/coordinator_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork.metrics import process_metrics
+from medlarfork.metrics import gauges, process_metrics
 
 
 class CoordinatorMetrics:
@@ -12,7 +12,7 @@
         process: The instruments' process, which answers requests for them.
     """
 
-    def __init__(self, read_gauges: process_metrics.ReadGauges) -> None:
+    def __init__(self, read_gauges: gauges.ReadGauges) -> None:
         """Make the instruments; ``read_gauges`` is called when they are rendered."""
         self.process = process_metrics.ProcessMetrics("medlarfork.coordination", read_gauges)
         self._operations = self.process.tally(
--- a/src/medlarfork/entry/_flow_wait.py
+++ b/src/medlarfork/entry/_flow_wait.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from medlarfork import claim, ticket
-from medlarfork.entry import _flow_end, _flow_run, entry_flow, entry_types, flow_surroundings
+from medlarfork.entry import _flow_end, _flow_start, entry_flow, entry_types, flow_surroundings
 from medlarfork.filters import answers, deduplicate
 
 _HANDOVER_PAUSE_S = 0.1
@@ -149,7 +149,7 @@
     if flow.claimed and not around.holds_lease(now):
         step = _flow_end.fail(flow, deduplicate.no_quorum_error(), holder, now)
         return _before(unused, step)
-    return _flow_run.start(flow, state, grant, now)
+    return _flow_start.start(flow, state, grant, now)
 
 
 def _on_due(
--- a/src/medlarfork/gateway/gateway_metrics.py
+++ b/src/medlarfork/gateway/gateway_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from medlarfork.metrics import process_metrics
+from medlarfork.metrics import gauges, process_metrics
 
 
 class GatewayMetrics:
@@ -12,7 +12,7 @@
         process: The instruments' process, which answers requests for them.
     """
 
-    def __init__(self, read_gauges: process_metrics.ReadGauges) -> None:
+    def __init__(self, read_gauges: gauges.ReadGauges) -> None:
         """Make the instruments; ``read_gauges`` is called when they are rendered."""
         self.process = process_metrics.ProcessMetrics("medlarfork.gateway", read_gauges)
         self._requests = self.process.tally(
--- a/src/medlarfork/metrics/process_metrics.py
+++ b/src/medlarfork/metrics/process_metrics.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import curio
 
 from medlarfork.http import http_server
-from medlarfork.metrics import tally, timing
+from medlarfork.metrics import gauges, tally, timing
 
 if TYPE_CHECKING:
     from medlarfork.metrics import sdk_metrics
@@ -31,14 +30,11 @@
 """Times of a kind that are kept before the library is loaded without being asked for, which bounds
 memory to some megabytes."""
 
-ReadGauges = Callable[[], dict[str, float]]
-"""Returns the present values of the gauges by name."""
-
 
 class ProcessMetrics:
     """Make the instruments of one process; nothing is shared with other instances."""
 
-    def __init__(self, scope: str, read_gauges: ReadGauges) -> None:
+    def __init__(self, scope: str, read_gauges: gauges.ReadGauges) -> None:
         """Start without instruments but one gauge of states.
 
         Args:
--- a/src/medlarfork/metrics/sdk_metrics.py
+++ b/src/medlarfork/metrics/sdk_metrics.py
@@ -9,7 +9,7 @@
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics, resources
 
-from medlarfork.metrics import process_metrics, tally, timing
+from medlarfork.metrics import gauges, tally, timing
 
 BUCKETS_S = (
     *(0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5),
@@ -21,7 +21,7 @@
 class SdkMetrics:
     """Make the instruments and render them."""
 
-    def __init__(self, scope: str, read_gauges: process_metrics.ReadGauges) -> None:
+    def __init__(self, scope: str, read_gauges: gauges.ReadGauges) -> None:
         """Start with one gauge of states.
 
         Args:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -91,3 +91,26 @@
         if name.split(".")[0] in IMPURE_LIBRARIES
     }
     assert impure == set()
+
+
+def test_no_module_imports_itself_by_way_of_others():
+    """A circle makes modules one that can't be read, tested or loaded alone."""
+    names = {
+        ".".join(path.relative_to(SOURCE).with_suffix("").parts) for path in SOURCE.rglob("*.py")
+    }
+    direct = {
+        name: {
+            found.removeprefix("medlarfork.")
+            for found in imports_of(name)
+            if found.removeprefix("medlarfork.") in names
+        }
+        for name in names
+        if not name.endswith("__init__")
+    }
+    circles = {
+        (name, other)
+        for name, found in direct.items()
+        for other in found
+        if name in reachable(other)
+    }
+    assert circles == set()
