Engines: data centres are changed over as the load allows, orders leave room, twice as many until the load is known

A new holder waited 3.5 s though it had heard all engines for long. The first burst came before the first orders could follow it.

--- a/src/medlarfork/coordination/duty_desk.py
+++ b/src/medlarfork/coordination/duty_desk.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from typing import Any
 
@@ -79,6 +80,7 @@
         self._allowed_at = 0.0
         self._engines_due = 0.0
         self._last_fence = -1
+        self._started_at = math.inf
 
     @property
     def orders_engines(self) -> bool:
@@ -172,6 +174,7 @@
         """Do what is due: renew the lease, fix windows, and make calls."""
         if self._settings.is_empty:
             return ()
+        self._started_at = min(self._started_at, now)
         actions = list(self._run_lease(node.TimeDue(), now))
         if not self.lease.may_act(now):
             return tuple(actions)
@@ -229,7 +232,7 @@
                     actions.append(self._propose(command))
                 case lease_types.Acquired(fence):
                     if fence != self._last_fence + 1:
-                        self._engines.take_over(now)
+                        self._engines.take_over(self._started_at, now)
                     self._last_fence = fence
                     actions.append(_noted("duties_taken", fence=fence))
                 case lease_types.Lost(fence):
--- a/src/medlarfork/duties/engine_duty.py
+++ b/src/medlarfork/duties/engine_duty.py
@@ -22,8 +22,12 @@
 """Time after which an order is given again if engines are missing, in seconds beyond a start."""
 
 SETTLE_S = 3.5
-"""Time after the duty was taken until engines are counted, in seconds: by then each of those that
-run has announced itself."""
+"""Time after a replica's start until it counts engines, in seconds: by then each of those that run
+has announced itself."""
+
+UNKNOWN_FACTOR = 2.0
+"""Engines held for each one that is found while nothing is known of the load, where cheap ones cost
+less than half: a burst may come before the first orders can follow it."""
 
 THROTTLED_S = 0.5
 """Pause of a group whose order failed otherwise, in seconds."""
@@ -73,7 +77,7 @@
         self._order_by_group: dict[tuple[str, engine_plan.Group], _Order] = {}
         self._need_by_service: dict[str, Need] = {}
         self._found_by_service: dict[str, int] = {}
-        self._taken_at = math.inf
+        self._settled_at = math.inf
 
     def use_services(self, services: tuple[routing.Service, ...]) -> None:
         """Take what the routing says of services."""
@@ -89,17 +93,17 @@
             total = self._load_by_service.setdefault(load.service, offered_load.OfferedLoad())
             total.take(source, told.boot, load, now)
 
-    def take_over(self, now: float) -> None:
-        """Take the duty: of orders and engines nothing is known."""
+    def take_over(self, started_at: float, now: float) -> None:
+        """Take the duty of a replica that was started then: of orders nothing is known."""
         self._order_by_group.clear()
         self._found_by_service.clear()
-        self._taken_at = now
+        self._settled_at = max(now, started_at + SETTLE_S)
 
     def next_orders(
         self, present: tuple[upstream_types.Announcement, ...], now: float
     ) -> tuple[duty_types.OrderEngines, ...]:
         """Return the orders to be given now, those of more engines first."""
-        if now < self._taken_at + SETTLE_S:
+        if now < self._settled_at:
             return ()
         orders: list[tuple[int, duty_types.OrderEngines]] = []
         for service in self._scaled_by_name.values():
@@ -107,6 +111,7 @@
             held = self._plan(service, running, now)
             for group, count in held.items():
                 order = self._order_by_group.setdefault((service.name, group), _Order())
+                count = self._with_room(service, group, count, running)
                 if _is_due(order, count, running[group], service, now):
                     order.is_under_way = True
                     given = duty_types.OrderEngines(service.name, group.zone, count, group.is_spot)
@@ -124,7 +129,7 @@
         match end:
             case duty_types.CallEnd.DONE:
                 order.due = now
-                order.is_unavailable = False
+                order.is_unavailable = order.is_unavailable and given.count == 0
             case duty_types.CallEnd.REFUSED:
                 order.due = now + UNAVAILABLE_S
                 order.is_unavailable = True
@@ -143,10 +148,13 @@
         load = self._load_by_service.setdefault(service.name, offered_load.OfferedLoad())
         peak = load.peak(service.engine.slots, now)
         wanted = engine_plan.wanted_engines(peak, self._margin)
+        urgent = engine_plan.wanted_engines(load.engines(service.engine.slots, now), self._margin)
         found = self._found_by_service.setdefault(service.name, sum(running.values()))
-        if now < self._taken_at + SETTLE_S + offered_load.HOLD_S:
+        if now < self._settled_at + offered_load.HOLD_S:
             # Until the load is known, what stands there is taken for what it needs.
-            wanted = max(wanted, found)
+            spare = UNKNOWN_FACTOR if 0 < service.scaling.spot_price < 1 / UNKNOWN_FACTOR else 1.0
+            wanted = max(wanted, math.ceil(found * spare))
+            urgent = max(urgent, found)
         self._need_by_service[service.name] = Need(
             service.name, round(peak, 1), wanted, sum(running.values())
         )
@@ -160,13 +168,34 @@
             group: max(running[group], _coming(group, known.get(group), service.scaling, now))
             for group in running.keys() | known.keys()
         }
-        held = engine_plan.plan(service.scaling, wanted, engine_plan.Fleet(coming, unavailable))
-        if unavailable:
-            # Asked for again and again, while others hold their place.
-            ideal = engine_plan.plan(service.scaling, wanted, engine_plan.Fleet(coming))
-            held |= {group: ideal.get(group, 0) for group in unavailable}
+        fleet = engine_plan.Fleet(coming, unavailable, urgent)
+        held = engine_plan.plan(service.scaling, wanted, fleet)
+        # Those that are not to be had are asked for again and again, while others hold their place.
+        ideal = engine_plan.plan(
+            service.scaling, wanted, dataclasses.replace(fleet, unavailable=frozenset())
+        )
+        for group in unavailable:
+            staying = held[engine_plan.Group(group.zone, False)] if group.is_spot else 0
+            held[group] = min(ideal.get(group, 0), service.scaling.most - staying)
         return held
 
+    def _with_room(
+        self,
+        service: routing.Service,
+        group: engine_plan.Group,
+        count: int,
+        running: collections.Counter[engine_plan.Group],
+    ) -> int:
+        """Return how many engines there is room for while those of the other kind are there.
+
+        An order beyond that would be cut short, and not made up for when the others have gone.
+        """
+        assert service.scaling is not None
+        other = dataclasses.replace(group, is_spot=not group.is_spot)
+        order = self._order_by_group.get((service.name, other))
+        others = running[other] if order is None or order.count is None else order.count
+        return min(count, max(running[group], service.scaling.most - others))
+
 
 def _running(
     service: str, present: tuple[upstream_types.Announcement, ...]
--- a/src/medlarfork/duties/engine_plan.py
+++ b/src/medlarfork/duties/engine_plan.py
@@ -13,6 +13,10 @@
 
 from medlarfork.routes import routing
 
+ROOM_TO_ASK = 1
+"""Engines that staying ones leave room for in each data centre, where there are cheap ones: to ask
+whether these are to be had again, there must be room for one."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Group:
@@ -29,10 +33,12 @@
     Attributes:
         running: Engines that serve, by group.
         unavailable: Groups in which no more are to be had at the moment.
+        urgent: Engines that the load needs now, whatever it needed before.
     """
 
     running: dict[Group, int]
     unavailable: frozenset[Group] = frozenset()
+    urgent: int = 0
 
 
 def plan(scaling: routing.Scaling, wanted: int, fleet: Fleet) -> dict[Group, int]:
@@ -48,15 +54,10 @@
         fleet: What there is.
     """
     zones = [item.zone for item in scaling.zones]
-    has_spot = 0.0 < scaling.spot_price < 1.0
     held: dict[Group, int] = {Group(zone, False): scaling.least for zone in zones}
     wanted = max(wanted, scaling.least * len(zones))
-    if has_spot:
-        room = {
-            zone: scaling.most - scaling.least
-            for zone in zones
-            if Group(zone, True) not in fleet.unavailable
-        }
+    if scaling.has_spot:
+        room = _room_for_cheap(scaling, fleet)
         _spread_cheap(held, room, wanted - sum(held.values()))
     cheap = {group: count for group, count in held.items() if group.is_spot}
     serving = sum(min(count, fleet.running.get(group, 0)) for group, count in cheap.items())
@@ -68,6 +69,26 @@
     return held
 
 
+def _room_for_cheap(scaling: routing.Scaling, fleet: Fleet) -> dict[str, int]:
+    """Return how many cheap engines each data centre may hold that has any to give.
+
+    In a full data centre the staying ones have to go before cheap ones can start. They are left
+    where the load needs them meanwhile.
+    """
+    spare = sum(fleet.running.values()) - fleet.urgent
+    room: dict[str, int] = {}
+    for zone in reversed(_by_price(scaling)):
+        extra = max(0, fleet.running.get(Group(zone, False), 0) - scaling.least)
+        may_leave = extra <= spare
+        spare -= extra if may_leave else 0
+        room[zone] = max(0, scaling.most - scaling.least - (0 if may_leave else extra))
+    return {
+        item.zone: room[item.zone]
+        for item in scaling.zones
+        if Group(item.zone, True) not in fleet.unavailable
+    }
+
+
 def _add_staying(
     held: dict[Group, int],
     scaling: routing.Scaling,
@@ -86,7 +107,9 @@
     for zone in _by_price(scaling):
         group = Group(zone, False)
         most = scaling.most - held[group] - held.get(Group(zone, True), 0)
-        if running is not None:
+        if running is None:
+            most -= ROOM_TO_ASK if scaling.has_spot else 0
+        else:
             most = min(most, running.get(group, 0) - held[group])
         taken = max(0, min(wanted - added, most))
         held[group] += taken
@@ -98,6 +121,7 @@
     """Add engines one by one where fewest are, as far as there is room."""
     for zone in room:
         held[Group(zone, True)] = 0
+    room = {zone: count for zone, count in room.items() if count > 0}
     while wanted > 0 and room:
         zone = min(room, key=lambda name: held[Group(name, True)])
         held[Group(zone, True)] += 1
--- a/src/medlarfork/routes/routing.py
+++ b/src/medlarfork/routes/routing.py
@@ -118,6 +118,11 @@
     spot_price: float = 0.0
     zones: tuple[ZonePrice, ...] = ()
 
+    @property
+    def has_spot(self) -> bool:
+        """Return whether there are cheaper engines that may be taken back."""
+        return 0.0 < self.spot_price < 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
