Hosts of large fleets tell their usage less often

Cause: told every 0.4 s by each host, a leader of 1,000 hosts would hear 2,500 messages a second (arithmetic). Test: test_usage.py::test_a_leader_hears_no_more_often_in_large_fleets.

--- a/src/medlarfork/duties/usage_counter.py
+++ b/src/medlarfork/duties/usage_counter.py
@@ -15,6 +15,21 @@
 """Windows that are kept to be told again: two minutes of 5 s windows, longer than a deployment is
 without a leader."""
 
+SHORTEST_PERIOD_S = 0.4
+"""How often a host tells the leader in a small fleet, in seconds: what it counts meanwhile is lost if
+it loses power."""
+
+LONGEST_PERIOD_S = 2.4
+"""The same in the largest fleets, in seconds: less than a window waits for hosts that are late."""
+
+HOSTS_A_SECOND = 200.0
+"""Hosts that a leader hears in a second: a small part of its processor."""
+
+
+def tell_period_s(entry_hosts: int) -> float:
+    """Return how often a host of a fleet tells the leader, in seconds."""
+    return min(LONGEST_PERIOD_S, max(SHORTEST_PERIOD_S, entry_hosts / HOSTS_A_SECOND))
+
 
 class UsageCounter:
     """Keep one entry host's counts since its start."""
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -131,7 +131,7 @@
             await self._health.start()
         await self._tasks.spawn(self._receive)
         await self._tasks.spawn(self._tell_replicas)
-        await self._tasks.spawn(self._usage.tell_always, lambda: self._session.leader_id)
+        await self._tasks.spawn(self._usage.tell_always, self._session)
         logs.event(_log, "started", entry=self._given.entry_id, serve=self._given.serve)
 
     async def stop(self) -> None:
--- a/src/medlarfork/gateway/usage_teller.py
+++ b/src/medlarfork/gateway/usage_teller.py
@@ -10,9 +10,7 @@
 import curio
 
 from medlarfork.duties import fleet_clock, usage_counter, usage_messages
-
-TELL_PERIOD_S = 0.4
-"""How often the leader is told, in seconds: what a host counts in it is lost if it loses power."""
+from medlarfork.gateway import entry_session
 
 Send = Callable[[str, Any], Any]
 """Sends a message to a replica."""
@@ -54,11 +52,11 @@
         if self._is_on and leader_id:
             self._send(leader_id, self._counter.told(leader_id, self._true_s()))
 
-    async def tell_always(self, leader: Callable[[], str]) -> None:
-        """Tell the leader again and again; ``leader`` returns who that is now."""
+    async def tell_always(self, session: entry_session.EntrySession) -> None:
+        """Tell the leader that the session knows, again and again."""
         while self._is_on:
-            self.tell(leader())
-            await curio.sleep(TELL_PERIOD_S)
+            self.tell(session.leader_id)
+            await curio.sleep(usage_counter.tell_period_s(session.entry_hosts))
 
     def _true_s(self) -> float:
         return self._clock.true_s(_steady_s(), time.time())
--- a/tests/duties/test_usage.py
+++ b/tests/duties/test_usage.py
@@ -97,6 +97,15 @@
     assert again.counts(0) == {"a": 1}
 
 
+@pytest.mark.parametrize(("hosts", "messages_a_second"), [(10, 25), (80, 200), (394, 200)])
+def test_a_leader_hears_no_more_often_in_large_fleets(hosts, messages_a_second):
+    assert hosts / usage_counter.tell_period_s(hosts) <= messages_a_second + 1e-6
+
+
+def test_hosts_of_the_largest_fleets_tell_before_a_window_is_closed_without_them():
+    assert usage_counter.tell_period_s(10_000) < usage_ledger.STRAGGLER_S
+
+
 def test_windows_long_past_are_forgotten(counter):
     counter.note_begun("a", 1.0)
     late_s = (usage_counter.KEPT_WINDOWS + 1) * WINDOW_S
