--- a/src/medlarfork/duties/usage_counter.py
+++ b/src/medlarfork/duties/usage_counter.py
@@ -16,8 +16,8 @@
 without a leader."""
 
 SHORTEST_PERIOD_S = 0.4
-"""How often a host tells the leader in a small fleet, in seconds: what it counts meanwhile is lost if
-it loses power."""
+"""How often a host tells the leader in a small fleet, in seconds: what it counts meanwhile is lost
+if it loses power."""
 
 LONGEST_PERIOD_S = 2.4
 """The same in the largest fleets, in seconds: less than a window waits for hosts that are late."""
