A new holder of the duties does not double what the one before it ordered

Test: test_engines.py::test_a_new_holder_does_not_double_what_the_one_before_it_ordered (red before).

--- a/src/medlarfork/duties/engine_duty.py
+++ b/src/medlarfork/duties/engine_duty.py
@@ -21,13 +21,14 @@
 REORDER_S = 1.5
 """Time after which an order is given again if engines are missing, in seconds beyond a start."""
 
-SETTLE_S = 3.5
+SETTLE_S = 4.5
 """Time after a replica's start until it counts engines, in seconds: by then each of those that run
 has announced itself."""
 
 UNKNOWN_FACTOR = 2.0
-"""Engines held for each one that is found while nothing is known of the load, where cheap ones cost
-less than half: a burst may come before the first orders can follow it."""
+"""Engines held for each staying one that is found while nothing is known of the load, where cheap
+ones cost less than half: a burst may come before the first orders can follow it. Cheap ones that
+are found were ordered by the load that another holder knew."""
 
 THROTTLED_S = 0.5
 """Pause of a group whose order failed otherwise, in seconds."""
@@ -149,12 +150,11 @@
         peak = load.peak(service.engine.slots, now)
         wanted = engine_plan.wanted_engines(peak, self._margin)
         urgent = engine_plan.wanted_engines(load.engines(service.engine.slots, now), self._margin)
-        found = self._found_by_service.setdefault(service.name, sum(running.values()))
+        found = self._found_by_service.setdefault(service.name, _found(service.scaling, running))
         if now < self._settled_at + offered_load.HOLD_S:
             # Until the load is known, what stands there is taken for what it needs.
-            spare = UNKNOWN_FACTOR if 0 < service.scaling.spot_price < 1 / UNKNOWN_FACTOR else 1.0
-            wanted = max(wanted, math.ceil(found * spare))
-            urgent = max(urgent, found)
+            wanted = max(wanted, found)
+            urgent = max(urgent, min(found, sum(running.values())))
         self._need_by_service[service.name] = Need(
             service.name, round(peak, 1), wanted, sum(running.values())
         )
@@ -205,6 +205,14 @@
     )
 
 
+def _found(scaling: routing.Scaling, running: collections.Counter[engine_plan.Group]) -> int:
+    """Return the engines that are taken for what a service needs until its load is known."""
+    spare = UNKNOWN_FACTOR if 0 < scaling.spot_price < 1 / UNKNOWN_FACTOR else 1.0
+    return math.ceil(
+        sum(count * (1.0 if group.is_spot else spare) for group, count in running.items())
+    )
+
+
 def _coming(
     group: engine_plan.Group, order: _Order | None, scaling: routing.Scaling, now: float
 ) -> int:
--- a/tests/duties/test_engines.py
+++ b/tests/duties/test_engines.py
@@ -20,7 +20,7 @@
 def duty(make_service):
     made = engine_duty.EngineDuty(margin=3.0)
     made.use_services((make_service(spot_price=0.6),))
-    made.take_over(started_at=0.0, now=0.0)
+    made.take_over(started_at=-1.0, now=0.0)
     return made
 
 
@@ -152,6 +152,16 @@
     assert duty.next_orders(make_present((10, 0), (10, 0), (10, 0)), 0.1)
 
 
+def test_a_new_holder_does_not_double_what_the_one_before_it_ordered(
+    duty, make_service, make_present
+):
+    """With 44 wanted by the load, 88 were held for 20 s after each change of the holder."""
+    duty.use_services((make_service(spot_price=0.2),))
+    duty.take_over(started_at=-60.0, now=0.0)
+    orders = _carry_out(duty, make_present((1, 14), (1, 14), (1, 13)), 0.1)
+    assert sum(orders.values()) <= 44 + 3
+
+
 def test_more_engines_are_ordered_for_a_burst_and_fewer_long_after_it(
     duty, make_present, make_work
 ):
