--- a/src/medlarfork/duties/engine_duty.py
+++ b/src/medlarfork/duties/engine_duty.py
@@ -77,7 +77,7 @@
         self._load_by_service: dict[str, offered_load.OfferedLoad] = {}
         self._order_by_group: dict[tuple[str, engine_plan.Group], _Order] = {}
         self._need_by_service: dict[str, Need] = {}
-        self._found_by_service: dict[str, int] = {}
+        self._found_by_service: dict[str, collections.Counter[engine_plan.Group]] = {}
         self._settled_at = math.inf
 
     def use_services(self, services: tuple[routing.Service, ...]) -> None:
@@ -150,11 +150,11 @@
         peak = load.peak(service.engine.slots, now)
         wanted = engine_plan.wanted_engines(peak, self._margin)
         urgent = engine_plan.wanted_engines(load.engines(service.engine.slots, now), self._margin)
-        found = self._found_by_service.setdefault(service.name, _found(service.scaling, running))
+        found = self._found_by_service.setdefault(service.name, running)
         if now < self._settled_at + offered_load.HOLD_S:
             # Until the load is known, what stands there is taken for what it needs.
-            wanted = max(wanted, found)
-            urgent = max(urgent, min(found, sum(running.values())))
+            wanted = max(wanted, _needed(service.scaling, found))
+            urgent = max(urgent, sum(found.values()))
         self._need_by_service[service.name] = Need(
             service.name, round(peak, 1), wanted, sum(running.values())
         )
@@ -205,12 +205,11 @@
     )
 
 
-def _found(scaling: routing.Scaling, running: collections.Counter[engine_plan.Group]) -> int:
+def _needed(scaling: routing.Scaling, found: collections.Counter[engine_plan.Group]) -> int:
     """Return the engines that are taken for what a service needs until its load is known."""
     spare = UNKNOWN_FACTOR if 0 < scaling.spot_price < 1 / UNKNOWN_FACTOR else 1.0
-    return math.ceil(
-        sum(count * (1.0 if group.is_spot else spare) for group, count in running.items())
-    )
+    engines = sum(count * (1.0 if group.is_spot else spare) for group, count in found.items())
+    return math.ceil(engines)
 
 
 def _coming(
