--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -89,8 +89,10 @@
 class Fleet:
     """Own the processes of a deployment."""
 
-    def __init__(self, folder, *, replicas=3, entries=3, engines=6):
+    def __init__(self, folder, *, replicas=3, entries=3, engines=6, duties="", usage_window_s=0.0):
         self.folder = folder
+        self.duties = duties
+        self.usage_window_s = usage_window_s
         self.network = new_network()
         self.replicas = [f"{self.network}.{number + 1}" for number in range(replicas)]
         self.entries = [f"{self.network}.{50 + number}" for number in range(entries)]
@@ -111,6 +113,7 @@
             seeds = {json.dumps(self.replicas)}
             may_found = {str(may_found).lower()}
             data_folder = "{self.folder / replica}"
+            {self.duties}
             """
         self._start("coordination", "coordinator_command", replica, settings)
 
@@ -125,6 +128,7 @@
             replica_link_port = 7003
             seeds = {json.dumps(self.replicas)}
             grace_s = 1.0
+            usage_window_s = {self.usage_window_s}
             """
         self._start("gateway", "gateway_command", entry, settings)
 
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -7,7 +7,7 @@
 
 TESTS = pathlib.Path(__file__).parent
 PAGE = (TESTS.parent / "docs" / "PROOFS.md").read_text()
-NAMED = sorted(set(re.findall(r"`((?:processes/|routed/)?test_\w+\.py)(?:::(\w+))?`", PAGE)))
+NAMED = sorted(set(re.findall(r"`((?:processes/|routed/|duties/)?test_\w+\.py)(?:::(\w+))?`", PAGE)))
 
 
 def test_the_page_names_tests():
