--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -7,7 +7,8 @@
 
 TESTS = pathlib.Path(__file__).parent
 PAGE = (TESTS.parent / "docs" / "PROOFS.md").read_text()
-NAMED = sorted(set(re.findall(r"`((?:processes/|routed/|duties/)?test_\w+\.py)(?:::(\w+))?`", PAGE)))
+_TEST = re.compile(r"`((?:processes/|routed/|duties/)?test_\w+\.py)(?:::(\w+))?`")
+NAMED = sorted(set(_TEST.findall(PAGE)))
 
 
 def test_the_page_names_tests():
