A window of usage stays open until it is known whether the calls sent in it ran

Cause: a call of a plain service was counted when its answer came, in the window in which it was sent; told meanwhile as over, that window was fixed without it. Change: calls under way keep their window open; a window that was told to be over gets no more. Tests: test_usage.py::test_a_window_stays_open_until_it_is_known_whether_its_calls_ran and the one after it, red before.

--- a/src/medlarfork/duties/usage_counter.py
+++ b/src/medlarfork/duties/usage_counter.py
@@ -49,10 +49,31 @@
         self._confirmed = 0
         self._ledger = 0
         self._leader_id = ""
+        self._sent: dict[int, tuple[str, float]] = {}
+        self._sends = 0
+        self._open_window = 0
+
+    def note_sent(self, account: str, true_s: float) -> int:
+        """Note a call that begins to run now, if its upstream takes it, at a true Unix time.
+
+        Its window stays open until that is known: ``note_taken`` gets what is returned here.
+        """
+        self._sends += 1
+        self._sent[self._sends] = (account, true_s)
+        return self._sends
+
+    def note_taken(self, send: int, *, has_begun: bool) -> None:
+        """Count a call that was sent, or forget it if it did not run."""
+        account, true_s = self._sent.pop(send)
+        if has_begun:
+            self.note_begun(account, true_s)
 
     def note_begun(self, account: str, true_s: float) -> None:
-        """Count a request that an upstream began to run at a true time, in Unix seconds."""
-        window = self._window(true_s)
+        """Count a request that an upstream began to run at a true time, in Unix seconds.
+
+        A window that was told to be over stays so, also if the agreed time went back a little.
+        """
+        window = max(self._window(true_s), self._open_window)
         counts = self._counts_by_window.setdefault(window, collections.Counter())
         counts[account] += 1
         self._changed_by_window[window] = self._sequence + 1
@@ -64,13 +85,15 @@
             self._tell_all()
         self._forget_before(self._window(true_s) - KEPT_WINDOWS)
         self._sequence += 1
+        oldest_s = min((sent_s for _, sent_s in self._sent.values()), default=true_s)
+        self._open_window = max(self._open_window, self._window(min(oldest_s, true_s)))
         windows = tuple(
             usage_messages.WindowCounts(window, dict(counts))
             for window, counts in self._counts_by_window.items()
             if self._changed_by_window[window] > self._confirmed
         )
         return usage_messages.UsageTold(
-            self._boot, self._sequence, self._window(true_s), windows, self._ledger
+            self._boot, self._sequence, self._open_window, windows, self._ledger
         )
 
     def confirm(self, leader_id: str, receipt: usage_messages.UsageReceipt) -> None:
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -202,20 +202,33 @@
     def _note_given_up(self) -> None:
         """Have an upstream watched that was at work: one without power breaks no connection."""
         if self._running_at is not None:
-            self._count_plain()
             self._tools.crashes.run_given_up(self._admitted.key, self._running_at)
             self._running_at = None
 
-    def _count_plain(self) -> None:
-        """Count a call of a plain service, which began to run about when it was sent."""
-        if not self._admitted.route.has_prompt and self._sent_at:
-            self._count_begun(time.monotonic() - self._sent_at)
-
-    def _count_begun(self, ago_s: float = 0.0) -> None:
+    def _count_begun(self) -> None:
         """Count the request once for its client account, however often it runs."""
         if not self._is_counted:
             self._is_counted = True
-            self._tools.usage.note_begun(self._admitted.account, ago_s)
+            self._tools.usage.note_begun(self._admitted.account)
+
+    async def _send_counted(
+        self, call: upstream_call.Call
+    ) -> http_client.Response | upstream_call.Failure:
+        """Send a call; one without a prompt begins to run when it is sent, if it is taken."""
+        if self._is_counted or self._admitted.route.has_prompt:
+            return await upstream_call.send(self._tools.client, call, self._tools.names)
+        send = self._tools.usage.note_sent(self._admitted.account)
+        # Given up in the middle, it counts as taken.
+        self._is_counted = True
+        try:
+            sent = await upstream_call.send(self._tools.client, call, self._tools.names)
+            self._is_counted = (
+                not isinstance(sent, upstream_call.Failure)
+                or sent.end is placement_messages.RunEnd.BROKEN
+            )
+        finally:
+            self._tools.usage.note_taken(send, has_begun=self._is_counted)
+        return sent
 
     async def _note_broken(self, upstream: upstream_types.Announcement) -> None:
         self._breaks += 1
@@ -229,18 +242,16 @@
         self._sent_at = time.monotonic()
         self._pauses = stream_pauses.StreamPauses()
         call = self._call(upstream, fetch_from)
-        sent = await upstream_call.send(self._tools.client, call, self._tools.names)
+        sent = await self._send_counted(call)
         if isinstance(sent, upstream_call.Failure):
             if sent.end is not placement_messages.RunEnd.UNREACHABLE:
                 self._sends += 1
             self.trace.reasons.append(f"{upstream.upstream_id}: {sent.why}")
             if sent.end is placement_messages.RunEnd.BROKEN:
-                self._count_plain()
                 await self._note_broken(upstream)
             self.end_ticket(sent.end)
             return sent.end
         self._sends += 1
-        self._count_plain()
         try:
             end = await self._relay(sent)
         except errors.UpstreamError as error:
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -117,8 +117,16 @@
 class Usage(Protocol):
     """Count requests that began to run (see ``usage_teller``)."""
 
-    def note_begun(self, account: str, ago_s: float = 0.0) -> None:
-        """Count a request that began to run some seconds ago."""
+    def note_begun(self, account: str) -> None:
+        """Count a request that began to run now."""
+        ...
+
+    def note_sent(self, account: str) -> int:
+        """Note a call that is sent now; return what ``note_taken`` is to be told."""
+        ...
+
+    def note_taken(self, send: int, *, has_begun: bool) -> None:
+        """Say whether a call that was sent began to run."""
         ...
 
 
--- a/src/medlarfork/gateway/usage_teller.py
+++ b/src/medlarfork/gateway/usage_teller.py
@@ -33,10 +33,19 @@
         self._clock = fleet_clock.FleetClock()
         self._send = send
 
-    def note_begun(self, account: str, ago_s: float = 0.0) -> None:
-        """Count a request that began to run some seconds ago."""
+    def note_begun(self, account: str) -> None:
+        """Count a request that began to run now."""
         if self._is_on and account:
-            self._counter.note_begun(account, self._true_s() - ago_s)
+            self._counter.note_begun(account, self._true_s())
+
+    def note_sent(self, account: str) -> int:
+        """Note a call that is sent now; return what ``note_taken`` is to be told, 0 for nothing."""
+        return self._counter.note_sent(account, self._true_s()) if self._is_on and account else 0
+
+    def note_taken(self, send: int, *, has_begun: bool) -> None:
+        """Say whether a call that was sent began to run."""
+        if send:
+            self._counter.note_taken(send, has_begun=has_begun)
 
     def note_time(self, replica_id: str, wall_s: float) -> None:
         """Take a replica's time of day, in Unix seconds; 0 if it does not say."""
--- a/tests/duties/test_usage.py
+++ b/tests/duties/test_usage.py
@@ -106,6 +106,28 @@
     assert usage_counter.tell_period_s(10_000) < usage_ledger.STRAGGLER_S
 
 
+def test_a_window_stays_open_until_it_is_known_whether_its_calls_ran(counter, ledger):
+    """A call was sent in one window and answered in the next, which its host had told meanwhile.
+
+    It was counted in the window that was over by then, and missing in the report: 19 of 20.
+    """
+    send = counter.note_sent("a", 4.99)
+    rejected = counter.note_sent("b", 4.98)
+    ledger.take("e-1", counter.told("r-1", 5.01), 5.01)
+    assert ledger.complete(frozenset({"e-1"}), 5.01) == ()
+    counter.note_taken(send, has_begun=True)
+    counter.note_taken(rejected, has_begun=False)
+    ledger.take("e-1", counter.told("r-1", 5.2), 5.2)
+    assert ledger.complete(frozenset({"e-1"}), 5.2) == (0,)
+    assert ledger.counts(0) == {"a": 1}
+
+
+def test_a_window_that_was_told_to_be_over_gets_no_more_though_the_time_goes_back(counter):
+    assert counter.told("r-1", 5.001).open_window == 1
+    counter.note_begun("a", 4.999)
+    assert _by_window(counter.told("r-1", 5.1)) == {1: {"a": 1}}
+
+
 def test_windows_long_past_are_forgotten(counter):
     counter.note_begun("a", 1.0)
     late_s = (usage_counter.KEPT_WINDOWS + 1) * WINDOW_S
