--- a/src/medlarfork/duties/usage_duty.py
+++ b/src/medlarfork/duties/usage_duty.py
@@ -36,7 +36,11 @@
     ) -> tuple[duty_log.FixUsage, ...]:
         """Return the windows that are complete, for the log to fix."""
         fixes = []
-        for window in ledger.complete(entry_ids, now):
+        complete = ledger.complete(entry_ids, now)
+        self._fix_due_by_window = {
+            window: due for window, due in self._fix_due_by_window.items() if window in complete
+        }
+        for window in complete:
             if not self._log.may_fix(window):
                 ledger.drop(window)
                 continue
--- a/src/medlarfork/duties/usage_ledger.py
+++ b/src/medlarfork/duties/usage_ledger.py
@@ -55,8 +55,11 @@
             entry_ids: The entry hosts that are there.
             now: The time in seconds.
         """
-        open_windows = [self._open_window_by_entry.get(entry_id, 0) for entry_id in entry_ids]
-        all_past = min(open_windows, default=0)
+        # Hosts that are gone are not waited for; one that comes back tells again.
+        self._open_window_by_entry = {
+            entry_id: self._open_window_by_entry.get(entry_id, 0) for entry_id in entry_ids
+        }
+        all_past = min(self._open_window_by_entry.values(), default=0)
         return tuple(
             window
             for window in sorted(self._counts_by_window)
