Staying engines are started only for what the load needs now

Test: test_engines.py::test_cheap_engines_that_are_taken_back_in_a_calm_are_not_replaced_by_dear_ones (red before).

--- a/src/medlarfork/duties/engine_duty.py
+++ b/src/medlarfork/duties/engine_duty.py
@@ -145,40 +145,51 @@
     def _plan(
         self, service: routing.Service, running: collections.Counter[engine_plan.Group], now: float
     ) -> dict[engine_plan.Group, int]:
-        assert service.scaling is not None and service.engine is not None
-        load = self._load_by_service.setdefault(service.name, offered_load.OfferedLoad())
-        peak = load.peak(service.engine.slots, now)
-        wanted = engine_plan.wanted_engines(peak, self._margin)
-        urgent = engine_plan.wanted_engines(load.engines(service.engine.slots, now), self._margin)
-        found = self._found_by_service.setdefault(service.name, running)
-        if now < self._settled_at + offered_load.HOLD_S:
-            # Until the load is known, what stands there is taken for what it needs.
-            wanted = max(wanted, _needed(service.scaling, found))
-            urgent = max(urgent, sum(found.values()))
-        self._need_by_service[service.name] = Need(
-            service.name, round(peak, 1), wanted, sum(running.values())
-        )
-        known = {
+        """Return the engines to be held; those that are not to be had are asked for again."""
+        assert service.scaling is not None
+        wanted, urgent = self._needed(service, running, now)
+        order_by_group = {
             group: order
             for (name, group), order in self._order_by_group.items()
             if name == service.name
         }
-        unavailable = frozenset(group for group, order in known.items() if order.is_unavailable)
         coming = {
-            group: max(running[group], _coming(group, known.get(group), service.scaling, now))
-            for group in running.keys() | known.keys()
+            group: max(running[group], _coming(group, order_by_group.get(group), service, now))
+            for group in running.keys() | order_by_group.keys()
         }
+        unavailable = frozenset(
+            group for group, order in order_by_group.items() if order.is_unavailable
+        )
         fleet = engine_plan.Fleet(coming, unavailable, urgent)
         held = engine_plan.plan(service.scaling, wanted, fleet)
-        # Those that are not to be had are asked for again and again, while others hold their place.
-        ideal = engine_plan.plan(
-            service.scaling, wanted, dataclasses.replace(fleet, unavailable=frozenset())
-        )
-        for group in unavailable:
-            staying = held[engine_plan.Group(group.zone, False)] if group.is_spot else 0
-            held[group] = min(ideal.get(group, 0), service.scaling.most - staying)
+        if unavailable:
+            all_available = dataclasses.replace(fleet, unavailable=frozenset())
+            ideal = engine_plan.plan(service.scaling, wanted, all_available)
+            for group in unavailable:
+                staying = held[engine_plan.Group(group.zone, False)] if group.is_spot else 0
+                held[group] = min(ideal.get(group, 0), service.scaling.most - staying)
         return held
 
+    def _needed(
+        self, service: routing.Service, running: collections.Counter[engine_plan.Group], now: float
+    ) -> tuple[int, int]:
+        """Return the engines that a service needs, by its peak and by its load now.
+
+        Until the load is known, what was found there is taken for what it needs.
+        """
+        assert service.scaling is not None and service.engine is not None
+        load = self._load_by_service.setdefault(service.name, offered_load.OfferedLoad())
+        peak = load.peak(service.engine.slots, now)
+        wanted = engine_plan.wanted_engines(peak, self._margin)
+        urgent = engine_plan.wanted_engines(load.engines(service.engine.slots, now), self._margin)
+        found = self._found_by_service.setdefault(service.name, running)
+        if now < self._settled_at + offered_load.HOLD_S:
+            wanted = max(wanted, _with_spare(service.scaling, found))
+            urgent = max(urgent, sum(found.values()))
+        serving = sum(running.values())
+        self._need_by_service[service.name] = Need(service.name, round(peak, 1), wanted, serving)
+        return wanted, urgent
+
     def _with_room(
         self,
         service: routing.Service,
@@ -205,23 +216,24 @@
     )
 
 
-def _needed(scaling: routing.Scaling, found: collections.Counter[engine_plan.Group]) -> int:
-    """Return the engines that are taken for what a service needs until its load is known."""
+def _with_spare(scaling: routing.Scaling, found: collections.Counter[engine_plan.Group]) -> int:
+    """Return the engines that are held for those that were found while the load is not known."""
     spare = UNKNOWN_FACTOR if 0 < scaling.spot_price < 1 / UNKNOWN_FACTOR else 1.0
     engines = sum(count * (1.0 if group.is_spot else spare) for group, count in found.items())
     return math.ceil(engines)
 
 
 def _coming(
-    group: engine_plan.Group, order: _Order | None, scaling: routing.Scaling, now: float
+    group: engine_plan.Group, order: _Order | None, service: routing.Service, now: float
 ) -> int:
     """Return the engines that stay and were ordered so lately that they may still be starting.
 
     Of cheap ones only those count that serve: until then, others hold their place.
     """
+    assert service.scaling is not None
     if group.is_spot or order is None or order.count is None:
         return 0
-    return order.count if now < order.at + scaling.boot_s + REORDER_S else 0
+    return order.count if now < order.at + service.scaling.boot_s + REORDER_S else 0
 
 
 def _is_due(order: _Order, count: int, running: int, service: routing.Service, now: float) -> bool:
--- a/src/medlarfork/duties/engine_plan.py
+++ b/src/medlarfork/duties/engine_plan.py
@@ -62,10 +62,13 @@
     cheap = {group: count for group, count in held.items() if group.is_spot}
     serving = sum(min(count, fleet.running.get(group, 0)) for group, count in cheap.items())
     needed = wanted - scaling.least * len(zones)
-    # Those that run are kept until cheap ones serve; new ones are started only for what cheap ones
-    # can't give at all.
+    # Those that run are kept until cheap ones serve; new ones, which cost several times as much,
+    # are started only for what the load needs now and cheap ones can't give at all.
     kept = _add_staying(held, scaling, needed - serving, fleet.running)
-    _add_staying(held, scaling, needed - sum(cheap.values()) - kept)
+    pressing = (
+        min(needed, fleet.urgent - scaling.least * len(zones)) if scaling.has_spot else needed
+    )
+    _add_staying(held, scaling, pressing - sum(cheap.values()) - kept)
     return held
 
 
--- a/tests/duties/test_engines.py
+++ b/tests/duties/test_engines.py
@@ -104,6 +104,17 @@
     assert held[engine_plan.Group("z2", True)] + held[engine_plan.Group("z3", True)] == 27
 
 
+def test_cheap_engines_that_are_taken_back_in_a_calm_are_not_replaced_by_dear_ones(
+    make_scaling, make_fleet
+):
+    """On a quiet day 19 were ordered for a peak of long ago, at 4.5 times the price."""
+    lost = make_fleet((1, 19), (1, 19), (1, 0), unavailable=[engine_plan.Group("z3", True)])
+    calm = engine_plan.plan(make_scaling(), 60, _urgent(lost, 30))
+    assert sum(count for group, count in calm.items() if not group.is_spot) == 3
+    pressed = engine_plan.plan(make_scaling(), 60, _urgent(lost, 55))
+    assert sum(count for group, count in pressed.items() if not group.is_spot) == 17
+
+
 def test_no_data_centre_holds_more_or_fewer_than_it_may(make_scaling, make_fleet):
     fleet = make_fleet((10, 0), (10, 0), (10, 0))
     for wanted in (0, 3, 50, 500):
