A new holder takes what it finds for the load of now only until replicas have told theirs

Test: test_engines.py::test_a_new_holder_replaces_no_engines_that_the_load_does_not_need (red before). The test of engines that were just ordered now offers the load that needs them, which it took from what was found.

--- a/src/medlarfork/duties/engine_duty.py
+++ b/src/medlarfork/duties/engine_duty.py
@@ -25,6 +25,9 @@
 """Time after a replica's start until it counts engines, in seconds: by then each of those that run
 has announced itself."""
 
+TOLD_S = 3.0
+"""Time after the duty was taken by which replicas have told their load, in seconds."""
+
 UNKNOWN_FACTOR = 2.0
 """Engines held for each staying one that is found while nothing is known of the load, where cheap
 ones cost less than half: a burst may come before the first orders can follow it. Cheap ones that
@@ -175,7 +178,8 @@
     ) -> tuple[int, int]:
         """Return the engines that a service needs, by its peak and by its load now.
 
-        Until the load is known, what was found there is taken for what it needs.
+        What was found there is taken for what it needs now until replicas have told their load,
+        and for its peak until one could have been seen.
         """
         assert service.scaling is not None and service.engine is not None
         load = self._load_by_service.setdefault(service.name, offered_load.OfferedLoad())
@@ -185,6 +189,7 @@
         found = self._found_by_service.setdefault(service.name, running)
         if now < self._settled_at + offered_load.HOLD_S:
             wanted = max(wanted, _with_spare(service.scaling, found))
+        if now < self._settled_at + TOLD_S:
             urgent = max(urgent, sum(found.values()))
         serving = sum(running.values())
         self._need_by_service[service.name] = Need(service.name, round(peak, 1), wanted, serving)
