--- a/src/medlarfork/duties/engine_duty.py
+++ b/src/medlarfork/duties/engine_duty.py
@@ -54,9 +54,18 @@
     running: int
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Order:
-    """Hold what is known of the last order of a group; ``count`` is None if nothing is sure."""
+    """Hold what is known of the last order of a group.
+
+    Attributes:
+        count: The engines that were ordered; None if nothing is sure.
+        at: When it ended, in seconds.
+        due: When the next one may be given, in seconds.
+        is_under_way: Whether it has not ended.
+        most_running: The most engines that were seen since it ended.
+        is_unavailable: Whether the group had none to give.
+    """
 
     count: int | None = None
     at: float = -math.inf
@@ -114,31 +123,28 @@
             running = _running(service.name, present)
             held = self._plan(service, running, now)
             for group, count in held.items():
-                order = self._order_by_group.setdefault((service.name, group), _Order())
                 count = self._with_room(service, group, count, running)
-                if _is_due(order, count, running[group], service, now):
-                    order.is_under_way = True
+                if self._is_due(service, group, count, running[group], now):
                     given = duty_types.OrderEngines(service.name, group.zone, count, group.is_spot)
                     orders.append((running[group] - count, given))
         return tuple(order for _, order in sorted(orders, key=lambda item: item[0]))
 
     def on_end(self, given: duty_types.OrderEngines, end: duty_types.CallEnd, now: float) -> None:
         """Take the end of an order."""
-        group = engine_plan.Group(given.zone, given.is_spot)
-        order = self._order_by_group.setdefault((given.service, group), _Order())
-        order.is_under_way = False
-        order.at = now
-        order.most_running = 0
-        order.count = given.count if end is duty_types.CallEnd.DONE else None
+        key = (given.service, engine_plan.Group(given.zone, given.is_spot))
+        order = self._order_by_group.get(key, _Order())
+        is_unavailable = order.is_unavailable
         match end:
             case duty_types.CallEnd.DONE:
-                order.due = now
-                order.is_unavailable = order.is_unavailable and given.count == 0
+                due = now
+                is_unavailable = is_unavailable and given.count == 0
             case duty_types.CallEnd.REFUSED:
-                order.due = now + UNAVAILABLE_S
-                order.is_unavailable = True
+                due = now + UNAVAILABLE_S
+                is_unavailable = True
             case _:
-                order.due = now + THROTTLED_S
+                due = now + THROTTLED_S
+        count = given.count if end is duty_types.CallEnd.DONE else None
+        self._order_by_group[key] = _Order(count, now, due, is_unavailable=is_unavailable)
 
     @property
     def needs(self) -> tuple[Need, ...]:
@@ -195,6 +201,29 @@
         self._need_by_service[service.name] = Need(service.name, round(peak, 1), wanted, serving)
         return wanted, urgent
 
+    def _is_due(
+        self,
+        service: routing.Service,
+        group: engine_plan.Group,
+        count: int,
+        running: int,
+        now: float,
+    ) -> bool:
+        """Say whether a group's order is to be given now, and note that it is."""
+        assert service.scaling is not None
+        order = self._order_by_group.get((service.name, group), _Order())
+        is_missed = running < count and (
+            running < order.most_running or now >= order.at + service.scaling.boot_s + REORDER_S
+        )
+        may_be_given = not order.is_under_way and now >= order.due
+        is_due = may_be_given and (order.count != count or is_missed)
+        self._order_by_group[service.name, group] = dataclasses.replace(
+            order,
+            is_under_way=order.is_under_way or is_due,
+            most_running=running if is_due else max(order.most_running, running),
+        )
+        return is_due
+
     def _with_room(
         self,
         service: routing.Service,
@@ -239,20 +268,3 @@
     if group.is_spot or order is None or order.count is None:
         return 0
     return order.count if now < order.at + service.scaling.boot_s + REORDER_S else 0
-
-
-def _is_due(order: _Order, count: int, running: int, service: routing.Service, now: float) -> bool:
-    """Say whether a group's order is to be given: it changed, or engines are missing."""
-    assert service.scaling is not None
-    has_lost = running < order.most_running
-    order.most_running = max(order.most_running, running)
-    if order.is_under_way or now < order.due:
-        return False
-    if order.count != count:
-        return True
-    if running >= count:
-        return False
-    if has_lost:
-        order.most_running = running
-        return True
-    return now >= order.at + service.scaling.boot_s + REORDER_S
