Nothing is kept of calls to the platform that ended

Cause: each call ran in a task group, which keeps finished tasks until the group ends: one for each report and order, for as long as the process runs. Found by reading. control._order_sender has the same job and drops its tasks as they end; so does this now.

--- a/src/medlarfork/duties/platform_caller.py
+++ b/src/medlarfork/duties/platform_caller.py
@@ -16,7 +16,6 @@
 CALL_LIMIT_S = 3.0
 """Longest wait for an answer, in seconds; the call may be carried out later all the same."""
 
-
 MayAct = Callable[[int], bool]
 """Says whether this replica may act with a fence at this moment."""
 
@@ -41,7 +40,12 @@
         self._may_act = may_act
         self._on_end = on_end
         self._client = http_client.HttpClient()
-        self._tasks = curio.TaskGroup()
+        self._tasks: set[curio.Task] = set()
+
+    @property
+    def under_way(self) -> int:
+        """Return how many calls have not ended."""
+        return len(self._tasks)
 
     async def start(self) -> None:
         """Start the client."""
@@ -49,15 +53,19 @@
 
     async def close(self) -> None:
         """Give up calls under way and close the connections."""
-        await self._tasks.cancel_remaining()
+        for task in tuple(self._tasks):
+            await task.cancel()
         await self._client.close()
 
     async def call(self, action: duty_types.CallPlatform) -> None:
         """Make a call in a task of its own."""
-        await self._tasks.spawn(self._carry_out, action)
+        self._tasks.add(await curio.spawn(self._carry_out, action, daemon=True))
 
     async def _carry_out(self, action: duty_types.CallPlatform) -> None:
-        await self._on_end(duty_types.PlatformCalled(action.call_id, await self._send(action)))
+        try:
+            await self._on_end(duty_types.PlatformCalled(action.call_id, await self._send(action)))
+        finally:
+            self._tasks.discard(await curio.current_task())
 
     async def _send(self, action: duty_types.CallPlatform) -> duty_types.CallEnd:
         outgoing = self._speaks.encode(action.call, action.fence)
--- /dev/null
+++ b/tests/duties/test_platform_caller.py
@@ -0,0 +1,63 @@
+"""Calls to a platform over HTTP: how they end, and that nothing is kept of those that did."""
+
+import curio
+import pytest
+
+from medlarfork.duties import duty_types, platform_caller, platform_format
+from tests.processes import platform_server, routed_fleet
+
+
+@pytest.fixture
+def platform():
+    made = platform_server.PlatformServer(f"{routed_fleet.new_network()}.1")
+    yield made
+    made.close()
+
+
+def _call(platform, fences, *, may_act=lambda fence: True):
+    """Make one report under each fence; return how they ended, and the calls still kept."""
+    ended = []
+
+    async def on_end(end):
+        ended.append(end.end)
+
+    async def run():
+        caller = platform_caller.PlatformCaller(
+            platform.address,
+            speaks=platform_format.OwnFormat("r-1"),
+            may_act=may_act,
+            on_end=on_end,
+        )
+        await caller.start()
+        for number, fence in enumerate(fences):
+            report = duty_types.ReportUsage(number, {"a": 1})
+            await caller.call(duty_types.CallPlatform(number, fence, report))
+            while len(ended) <= number:
+                await curio.sleep(0.005)
+        await curio.sleep(0.05)
+        under_way = caller.under_way
+        await caller.close()
+        return under_way
+
+    return ended, curio.run(run)
+
+
+def test_a_call_ends_as_the_platform_answers(platform):
+    ended, _ = _call(platform, (2, 1, 3))
+    assert ended == [
+        duty_types.CallEnd.DONE,
+        duty_types.CallEnd.REFUSED,
+        duty_types.CallEnd.DONE,
+    ]
+
+
+def test_nothing_is_sent_without_the_lease(platform):
+    ended, _ = _call(platform, (1,), may_act=lambda fence: False)
+    assert ended == [duty_types.CallEnd.NOT_SENT]
+    assert platform.calls == []
+
+
+def test_nothing_is_kept_of_calls_that_ended(platform):
+    """Each call left its finished task behind for as long as the process ran."""
+    _, under_way = _call(platform, (1,) * 20)
+    assert under_way == 0
