What a host tells of usage is taken in one way, also before all is told; the handler takes any counter of usage

The ledger returned in the middle and then left old windows in place; the handler named a class where its twin for crashes names a protocol.

--- a/src/medlarfork/duties/usage_ledger.py
+++ b/src/medlarfork/duties/usage_ledger.py
@@ -36,17 +36,11 @@
             counts = by_start.setdefault((entry_id, told.boot), {})
             for account, count in list(counted.count_by_account.items())[:MOST_ACCOUNTS]:
                 counts[account] = max(count, counts.get(account, 0))
-        receipt = usage_messages.UsageReceipt(told.boot, told.sequence, self._ledger)
-        if told.ledger not in (0, self._ledger):
-            # Windows that an earlier start of a replica confirmed are missing in this message.
-            return receipt
-        known = self._open_window_by_entry.get(entry_id, 0)
-        self._open_window_by_entry[entry_id] = max(known, told.open_window)
-        for window in self._counts_by_window:
-            if window < told.open_window:
-                self._ended_at_by_window.setdefault(window, now)
         self._forget_oldest()
-        return receipt
+        # Else windows that an earlier start of a replica confirmed are missing in this message.
+        if told.ledger in (0, self._ledger):
+            self._note_ended(entry_id, told.open_window, now)
+        return usage_messages.UsageReceipt(told.boot, told.sequence, self._ledger)
 
     def complete(self, entry_ids: frozenset[str], now: float) -> tuple[int, ...]:
         """Return the windows of which no more is to be heard, the oldest first.
@@ -78,6 +72,14 @@
         self._counts_by_window.pop(window, None)
         self._ended_at_by_window.pop(window, None)
 
+    def _note_ended(self, entry_id: str, open_window: int, now: float) -> None:
+        """Note that an entry host counts in a window, and that those before it are over."""
+        known = self._open_window_by_entry.get(entry_id, 0)
+        self._open_window_by_entry[entry_id] = max(known, open_window)
+        for window in self._counts_by_window:
+            if window < open_window:
+                self._ended_at_by_window.setdefault(window, now)
+
     def _forget_oldest(self) -> None:
         for window in sorted(self._counts_by_window)[:-MOST_WINDOWS]:
             self.drop(window)
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -21,7 +21,6 @@
     request_run,
     request_types,
     retry_budget,
-    usage_teller,
 )
 from medlarfork.http import _http_messages, http_client, http_server
 from medlarfork.placement import placement_messages
@@ -44,7 +43,7 @@
         owner: owner_client.OwnerClient,
         holds: holding.Holding,
         crashes: crash_watch.CrashWatch,
-        usage: usage_teller.UsageTeller,
+        usage: request_types.Usage,
         rules: retry_budget.BudgetRules,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
