--- a/src/medlarfork/coordination/duty_desk.py
+++ b/src/medlarfork/coordination/duty_desk.py
@@ -32,8 +32,8 @@
 LEASE_MARGIN = 1.1
 """The lease as a multiple of the time in which no two holders may take turns."""
 
-RENEW_S = 1.0
-"""Time between renewals, in seconds: two may fail before a lease of three ends."""
+RENEW_SHARE = 0.3
+"""Time between renewals as a share of the lease: two may fail before it ends."""
 
 RATE_SHARE = 0.5
 """Share of the platform's rate that is used; a holder before may have used the rest."""
@@ -65,9 +65,10 @@
         self._settings = settings
         self._log = log
         duration_s = LEASE_MARGIN * settings.lease_s
+        renew_s = RENEW_SHARE * duration_s
         self.lease = fenced_lease.FencedLease(
             fenced_lease.LeaseSettings(
-                LEASE, self._holder, duration_s, renew_s=RENEW_S, retry_s=RENEW_S
+                LEASE, self._holder, duration_s, renew_s=renew_s, retry_s=renew_s
             )
         )
         self._ledger = usage_ledger.UsageLedger(boot)
--- a/src/medlarfork/duties/duty_types.py
+++ b/src/medlarfork/duties/duty_types.py
@@ -5,12 +5,17 @@
 import dataclasses
 import enum
 
+from medlarfork import errors
+
 USAGE = "usage"
 """Names the duty of reporting what client accounts used."""
 
 ENGINES = "engines"
 """Names the duty of ordering engines."""
 
+LEAST_MARGIN = 1.0
+"""Smallest margin of engines: with fewer than its load keeps busy, a service falls behind."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DutySettings:
@@ -32,6 +37,33 @@
     usage_window_s: float = 5.0
     engine_margin: float = 3.0
 
+    def __post_init__(self) -> None:
+        """Check what can't work.
+
+        Raises:
+            errors.SettingsError: Something can't.
+        """
+        unknown = [duty for duty in self.duties if duty not in (USAGE, ENGINES)]
+        if unknown:
+            raise errors.SettingsError(
+                f"There is no duty {unknown[0]!r}.", remedy=f"Name {USAGE!r} or {ENGINES!r}."
+            )
+        if self.duties and not self.address:
+            raise errors.SettingsError(
+                "Duties need the address of a platform.", remedy="Set address to its IP:PORT."
+            )
+        for name in ("lease_s", "calls_per_s", "usage_window_s"):
+            if self.duties and getattr(self, name) <= 0:
+                raise errors.SettingsError(
+                    f"{name} of the duties is not above 0.",
+                    remedy=f"Set {name} as the platform does.",
+                )
+        if self.engine_margin < LEAST_MARGIN:
+            raise errors.SettingsError(
+                f"engine_margin is under {LEAST_MARGIN:g}.",
+                remedy="Hold at least as many engines as the load keeps busy.",
+            )
+
     @property
     def is_empty(self) -> bool:
         """Return whether there is nothing to be done."""
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -12,6 +12,7 @@
 
 from medlarfork import errors
 from medlarfork.coordination import coordinator_types, upstream_registry, upstream_types
+from medlarfork.duties import duty_types
 from medlarfork.routes import routing, routing_check
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -36,6 +37,10 @@
     "trafficsplit",
     "kvcapacitytokens",
     "coldremainingms",
+    "x-duty-holder",
+    "x-fence-token",
+    "desiredcount",
+    "windowindex",
     "fleetbench",
 )
 MOST_LINES = 900
@@ -316,3 +321,81 @@
         assert upstream_types.fault(operation.announcement) == ""
         registry.announce(operation.announcement, 0.1)
     assert sound.announcement in registry.present
+
+
+def test_duties_are_taken_from_the_settings_and_unknown_ones_left_out(users):
+    fields = {
+        "NodeName": "core-1",
+        "Ip": "10.1.0.13",
+        "Zone": "recife-hall",
+        "InternalPorts": [7020, 7035],
+        "Seeds": ["10.1.0.13:8425"],
+        "Bounds": {"LeaseMs": 2000, "UsageWindowS": 4},
+        "CloudApi": {
+            "Address": "10.200.0.113:8424",
+            "Duties": ["usage_report", "autoscale", "something_new"],
+            "DutyPerS": 40.0,
+        },
+    }
+    given = users[2].decode(fields)
+    duties = users[2].for_coordinator(given).duties
+    assert duties.duties == (duty_types.USAGE, duty_types.ENGINES)
+    assert (duties.address, duties.lease_s) == ("10.200.0.113:8424", 2.0)
+    assert (duties.calls_per_s, duties.usage_window_s) == (40.0, 4.0)
+    assert users[2].for_gateway(given).usage_window_s == 4.0
+
+
+def test_a_deployment_without_duties_counts_and_calls_nothing(users):
+    fields = {"NodeName": "n", "Ip": "10.1.0.13", "Zone": "z", "InternalPorts": [1, 9], "Seeds": []}
+    given = users[2].decode(fields)
+    assert users[2].for_coordinator(given).duties.is_empty
+    assert users[2].for_gateway(given).usage_window_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("call", "target", "body"),
+    [
+        (
+            duty_types.ReportUsage(353445120, {"hule930": 412}),
+            "/usage",
+            {"WindowIndex": 353445120, "Counts": {"hule930": 412}},
+        ),
+        (
+            duty_types.OrderEngines("huvo11a", "recife-hall", 6, False),
+            "/scale",
+            {"Service": "huvo11a", "Zone": "recife-hall", "DesiredCount": 6},
+        ),
+        (
+            duty_types.OrderEngines("huvo11a", "recife-hall", 6, True),
+            "/scale",
+            {"Service": "huvo11a", "Zone": "recife-hall", "DesiredCount": 6, "Spot": True},
+        ),
+    ],
+)
+def test_calls_of_duties_go_out_in_their_form(users, call, target, body):
+    import users_duties
+
+    sent = users_duties.UsersDuties("core-1").encode(call, 12)
+    assert (sent.method, sent.target) == ("POST", target)
+    assert sent.headers["X-Duty-Holder"] == "core-1"
+    assert sent.headers["X-Fence-Token"] == "12"
+    assert msgspec.json.decode(sent.body) == body
+
+
+def test_what_may_be_ordered_of_a_service_is_decoded(speaks):
+    scaling = {
+        "Min": 1,
+        "Max": 20,
+        "BootS": 4.0,
+        "SpotPrice": 0.22,
+        "ZonePrices": {"recife-hall": 1.0, "fortaleza": 0.8},
+    }
+    body = _configuration(Services=[{"Name": "huvo11a", "Scaling": scaling}], Routes=[])
+    (service,) = speaks.decode_routing(body).services
+    assert service.scaling == routing.Scaling(
+        1,
+        20,
+        4.0,
+        0.22,
+        (routing.ZonePrice("recife-hall", 1.0), routing.ZonePrice("fortaleza", 0.8)),
+    )
