Log what upstreams say of themselves in their answers

No line could tell whether a limit, a pause or a leave that an upstream named had been read. upstream_signals is logged at each change, with the request whose answer brought it; no decision rests on it yet.

--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -9,7 +9,7 @@
 import time
 import zlib
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import curio
 
@@ -17,6 +17,7 @@
 from medlarfork.coordination import coordination_messages
 from medlarfork.duties import usage_messages
 from medlarfork.gateway import (
+    backpressure_watch,
     crash_watch,
     entry_session,
     gateway_metrics,
@@ -25,7 +26,7 @@
     owner_client,
     request_handler,
     request_names,
-    usage_teller,
+    request_types,
 )
 from medlarfork.http import http_client, http_server
 from medlarfork.links import link, routed_links
@@ -34,6 +35,9 @@
 from medlarfork.quarantine import crash_messages
 from medlarfork.routes import routing
 
+if TYPE_CHECKING:
+    from medlarfork.gateway import usage_teller
+
 _log = logging.getLogger(__name__)
 
 DIRECTORY_LAG_S = 3.2
@@ -93,7 +97,8 @@
         )
         self._client = http_client.HttpClient(limits=UPSTREAM_LIMITS)
         self._crashes = crash_watch.CrashWatch(self._client, self._session, self._link.send)
-        self._usage = usage_teller.UsageTeller(given.usage_window_s, self._link.send)
+        self._backpressure = backpressure_watch.BackpressureWatch(names)
+        self._usage = self._make_usage() if given.usage_window_s else None
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
         self._handler = request_handler.RequestHandler(
             zone=given.zone,
@@ -103,7 +108,8 @@
             owner=self._owner,
             holds=self._holds,
             crashes=self._crashes,
-            usage=self._usage,
+            backpressure=self._backpressure,
+            usage=self._usage or request_types.NoUsage(),
             rules=given.budget,
             metrics=self._metrics,
         )
@@ -131,7 +137,8 @@
             await self._health.start()
         await self._tasks.spawn(self._receive)
         await self._tasks.spawn(self._tell_replicas)
-        await self._tasks.spawn(self._usage.tell_always, self._session)
+        if self._usage is not None:
+            await self._tasks.spawn(self._usage.tell_always, self._session)
         logs.event(_log, "started", entry=self._given.entry_id, serve=self._given.serve)
 
     async def stop(self) -> None:
@@ -147,7 +154,8 @@
     async def close(self) -> None:
         """Close everything."""
         await self._server.close(within_s=0.0)
-        self._usage.tell(self._session.leader_id)
+        if self._usage is not None:
+            self._usage.tell(self._session.leader_id)
         if self._health is not None:
             await self._health.close(within_s=0.0)
         await self._tasks.cancel_remaining()
@@ -163,6 +171,12 @@
         self._connect_replicas()
         logs.event(_log, "reloaded", seeds=",".join(seeds))
 
+    def _make_usage(self) -> usage_teller.UsageTeller:
+        # Loaded only where usage is told: it would make every other start longer.
+        from medlarfork.gateway import usage_teller
+
+        return usage_teller.UsageTeller(self._given.usage_window_s, self._link.send)
+
     async def _receive(self) -> None:
         while True:
             received = await self._link.receive()
@@ -178,7 +192,8 @@
             case coordination_messages.ReplicaStatus():
                 self._session.take(sender, message, now)
                 self._crashes.note_replica(sender, message.up_s)
-                self._usage.note_time(sender, message.wall_s)
+                if self._usage is not None:
+                    self._usage.note_time(sender, message.wall_s)
                 self._connect_replicas()
                 self._owner.tell_owners(now)
                 await self._owner.wake_waiting()
@@ -187,7 +202,7 @@
             case crash_messages.CrashReport():
                 self._session.hear(sender, now)
                 self._crashes.take(message)
-            case usage_messages.UsageReceipt():
+            case usage_messages.UsageReceipt() if self._usage is not None:
                 self._usage.confirm(sender, message)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
                 await self._owner.take(sender, message)
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -11,6 +11,7 @@
 
 from medlarfork import errors, logs
 from medlarfork.gateway import (
+    backpressure_watch,
     crash_watch,
     entry_session,
     gateway_metrics,
@@ -43,6 +44,7 @@
         owner: owner_client.OwnerClient,
         holds: holding.Holding,
         crashes: crash_watch.CrashWatch,
+        backpressure: backpressure_watch.BackpressureWatch,
         usage: request_types.Usage,
         rules: retry_budget.BudgetRules,
         metrics: gateway_metrics.GatewayMetrics,
@@ -55,6 +57,7 @@
         self._owner = owner
         self._holds = holds
         self._crashes = crashes
+        self._backpressure = backpressure
         self._usage = usage
         self._rules = rules
         self._metrics = metrics
@@ -185,6 +188,7 @@
             budgets=self._budgets,
             find_upstream=self._session.find_upstream,
             crashes=self._crashes,
+            backpressure=self._backpressure,
             usage=self._usage,
             shards=self._session.shards,
             zone=self._zone,
--- a/src/medlarfork/gateway/request_names.py
+++ b/src/medlarfork/gateway/request_names.py
@@ -25,6 +25,8 @@
         not_executed: Set by upstreams that did not run the request.
         seal: Set by upstreams on their answers; passed on unchanged.
         fetch_from: Address of an upstream from which the receiver fetches what it lacks.
+        rate_limit: Set by upstreams in need: requests a second that they take from all hosts.
+        leaving: Set to 1 by upstreams that are about to stop.
         dropped: Further headers that only the system may set; dropped when callers send them.
     """
 
@@ -40,6 +42,8 @@
     not_executed: str = "medlar-not-executed"
     seal: str = "medlar-seal"
     fetch_from: str = "medlar-fetch-from"
+    rate_limit: str = "medlar-rate-limit"
+    leaving: str = "medlar-leaving"
     dropped: frozenset[str] = frozenset()
 
     @property
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import time
 
 import curio
@@ -212,16 +213,16 @@
             self._tools.usage.note_begun(self._admitted.account)
 
     async def _send_counted(
-        self, call: upstream_call.Call
+        self, call: upstream_call.Call, upstream_id: str
     ) -> http_client.Response | upstream_call.Failure:
         """Send a call; one without a prompt begins to run when it is sent, if it is taken."""
         if self._is_counted or self._admitted.route.has_prompt:
-            return await upstream_call.send(self._tools.client, call, self._tools.names)
+            return await self._send(call, upstream_id)
         send = self._tools.usage.note_sent(self._admitted.account)
         # Given up in the middle, it counts as taken.
         self._is_counted = True
         try:
-            sent = await upstream_call.send(self._tools.client, call, self._tools.names)
+            sent = await self._send(call, upstream_id)
             self._is_counted = (
                 not isinstance(sent, upstream_call.Failure)
                 or sent.end is placement_messages.RunEnd.BROKEN
@@ -230,6 +231,20 @@
             self._tools.usage.note_taken(send, has_begun=self._is_counted)
         return sent
 
+    async def _send(
+        self, call: upstream_call.Call, upstream_id: str
+    ) -> http_client.Response | upstream_call.Failure:
+        note_head = functools.partial(self._note_head, upstream_id)
+        return await upstream_call.send(self._tools.client, call, self._tools.names, note_head)
+
+    def _note_head(self, upstream_id: str, response: http_client.Response) -> None:
+        self._tools.backpressure.note_answer(
+            upstream_id,
+            response.status,
+            response.headers,
+            attempt_id=self._admitted.facts.attempt_id,
+        )
+
     async def _note_broken(self, upstream: upstream_types.Announcement) -> None:
         self._breaks += 1
         await self._tools.crashes.run_broken(self._admitted, upstream)
@@ -242,7 +257,7 @@
         self._sent_at = time.monotonic()
         self._pauses = stream_pauses.StreamPauses()
         call = self._call(upstream, fetch_from)
-        sent = await self._send_counted(call)
+        sent = await self._send_counted(call, upstream.upstream_id)
         if isinstance(sent, upstream_call.Failure):
             if sent.end is not placement_messages.RunEnd.UNREACHABLE:
                 self._sends += 1
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from medlarfork.coordination import upstream_types
@@ -130,6 +130,30 @@
         ...
 
 
+class NoUsage:
+    """Count nothing, where nobody is told of usage."""
+
+    def note_begun(self, account: str) -> None:
+        """Count nothing."""
+
+    def note_sent(self, account: str) -> int:
+        """Return that there is nothing to be told."""
+        return 0
+
+    def note_taken(self, send: int, *, has_begun: bool) -> None:
+        """Count nothing."""
+
+
+class Backpressure(Protocol):
+    """Take what upstreams say of themselves in answers (see ``backpressure_watch``)."""
+
+    def note_answer(
+        self, upstream_id: str, status: int, headers: Mapping[str, str], *, attempt_id: str
+    ) -> None:
+        """Take the head of an answer."""
+        ...
+
+
 FindUpstream = Callable[[str], upstream_types.Announcement | None]
 """Returns an upstream that may take requests now; it may have come while a request waited."""
 
@@ -144,6 +168,7 @@
     budgets: dict[str, retry_budget.RetryBudget]
     find_upstream: FindUpstream
     crashes: Crashes
+    backpressure: Backpressure
     usage: Usage
     shards: ChooseShards
     zone: str
--- a/src/medlarfork/gateway/stream_pauses.py
+++ b/src/medlarfork/gateway/stream_pauses.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import statistics
-
 from medlarfork.placement import placement_messages
 
 LEAST_EVENTS = 4
@@ -35,4 +33,11 @@
         """Return the pauses; None if there were too few events."""
         if len(self._pauses_ms) < LEAST_EVENTS - 1:
             return None
-        return placement_messages.Pauses(statistics.median(self._pauses_ms), self._longest_ms)
+        return placement_messages.Pauses(_median(self._pauses_ms), self._longest_ms)
+
+
+def _median(values: list[float]) -> float:
+    """Return the median; the standard library's costs an entry host's start five modules."""
+    ordered = sorted(values)
+    count = len(ordered)
+    return (ordered[(count - 1) // 2] + ordered[count // 2]) / 2.0
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable
 
 from medlarfork import errors
 from medlarfork.gateway import request_names
@@ -44,8 +45,15 @@
     why: str
 
 
+NoteHead = Callable[[http_client.Response], None]
+"""Takes the head of an answer that the expected upstream gave."""
+
+
 async def send(
-    client: http_client.HttpClient, call: Call, names: request_names.RequestNames
+    client: http_client.HttpClient,
+    call: Call,
+    names: request_names.RequestNames,
+    note_head: NoteHead,
 ) -> http_client.Response | Failure:
     """Send a request and return its answer once the head is in, or why there is none."""
     try:
@@ -61,6 +69,8 @@
         return Failure(placement_messages.RunEnd.UNREACHABLE, str(error))
     except errors.UpstreamError as error:
         return Failure(placement_messages.RunEnd.BROKEN, str(error))
+    if response.status != WRONG_UPSTREAM_STATUS:
+        note_head(response)
     if response.status == WRONG_UPSTREAM_STATUS or names.not_executed in response.headers:
         await _drain(response)
         return Failure(placement_messages.RunEnd.REJECTED, f"status {response.status}")
--- a/src/medlarfork/gateway/usage_teller.py
+++ b/src/medlarfork/gateway/usage_teller.py
@@ -23,24 +23,23 @@
         """Start without counts.
 
         Args:
-            window_s: Length of a window, in seconds; 0 where nothing is to be counted.
+            window_s: Length of a window, in seconds.
             send: Sends a message to a replica.
         """
-        self._is_on = window_s > 0
         self._counter = usage_counter.UsageCounter(
-            boot=random.SystemRandom().getrandbits(48) + 1, window_s=window_s or 1.0
+            boot=random.SystemRandom().getrandbits(48) + 1, window_s=window_s
         )
         self._clock = fleet_clock.FleetClock()
         self._send = send
 
     def note_begun(self, account: str) -> None:
         """Count a request that began to run now."""
-        if self._is_on and account:
+        if account:
             self._counter.note_begun(account, self._true_s())
 
     def note_sent(self, account: str) -> int:
         """Note a call that is sent now; return what ``note_taken`` is to be told, 0 for nothing."""
-        return self._counter.note_sent(account, self._true_s()) if self._is_on and account else 0
+        return self._counter.note_sent(account, self._true_s()) if account else 0
 
     def note_taken(self, send: int, *, has_begun: bool) -> None:
         """Say whether a call that was sent began to run."""
@@ -49,7 +48,7 @@
 
     def note_time(self, replica_id: str, wall_s: float) -> None:
         """Take a replica's time of day, in Unix seconds; 0 if it does not say."""
-        if self._is_on and wall_s:
+        if wall_s:
             self._clock.note(replica_id, wall_s, _steady_s())
 
     def confirm(self, leader_id: str, receipt: usage_messages.UsageReceipt) -> None:
@@ -58,12 +57,12 @@
 
     def tell(self, leader_id: str) -> None:
         """Tell the leader what it has not confirmed."""
-        if self._is_on and leader_id:
+        if leader_id:
             self._send(leader_id, self._counter.told(leader_id, self._true_s()))
 
     async def tell_always(self, session: entry_session.EntrySession) -> None:
         """Tell the leader that the session knows, again and again."""
-        while self._is_on:
+        while True:
             self.tell(session.leader_id)
             await curio.sleep(usage_counter.tell_period_s(session.entry_hosts))
 
