--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -13,7 +13,7 @@
 
 _NETWORKS = itertools.count(100)
 _START = "import sys; from medlarfork.{package} import {module}; {module}.run()"
-_ENGINE = pathlib.Path(__file__).parent / "crashing_engine.py"
+_ENGINE = pathlib.Path(__file__).parent / "scripted_engine.py"
 RESTART_S = 1.0
 """How long an engine that ended is away."""
 
@@ -55,6 +55,7 @@
         self._fleet = fleet
         self._host = f"{fleet.network}.{100 + number}"
         self._log = fleet.folder / f"{self.name}.log"
+        self._script = fleet.folder / f"{self.name}.json"
         self._stopping = threading.Event()
         self._process = None
         self._thread = threading.Thread(target=self._keep_running, daemon=True)
@@ -64,6 +65,7 @@
         while not self._stopping.is_set():
             command = [sys.executable, str(_ENGINE), "--name", self.name, "--host", self._host]
             command += ["--port", "7401", "--replicas", *self._fleet.replicas]
+            command += ["--script", str(self._script)]
             with self._log.open("ab") as log:
                 self._process = subprocess.Popen(command, stdout=log, stderr=log)
             self.starts += 1
@@ -79,11 +81,25 @@
             self._process.kill()
             self._thread.join(0.2)
 
+    def answer(self, status=200, **headers):
+        """Have it answer with this status and these headers from now on."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        whole = self._script.with_suffix(".new")
+        whole.write_text(json.dumps({"status": status, "headers": named}))
+        whole.replace(self._script)
+
     def runs(self, body):
         """Return when it began to work on requests with this body, in monotonic seconds."""
+        return self._logged("run", body)
+
+    def rejected(self, body):
+        """Return when it turned requests with this body away, in monotonic seconds."""
+        return self._logged("rejected", body)
+
+    def _logged(self, what, body):
         lines = self._log.read_text().splitlines() if self._log.exists() else []
         parts = [line.split(maxsplit=2) for line in lines]
-        return [float(part[0]) for part in parts if part[1:] == ["run", body]]
+        return [float(part[0]) for part in parts if part[1:] == [what, body]]
 
 
 class Fleet:
--- /dev/null
+++ b/tests/processes/test_backpressure.py
@@ -0,0 +1,74 @@
+"""What upstreams ask for in their answers holds for all hosts together, while processes come and go."""
+
+import threading
+import time
+
+import pytest
+
+from tests.processes import routed_fleet
+
+WINDOW_S = 4.0
+RATE = 2.0
+MOST_IN_WINDOW = int(1.5 * RATE * WINDOW_S) + 5
+"""Requests that an upstream with a limit of ``RATE`` a second may get in a window."""
+
+LEARN_S = 0.5
+"""Time after its first answer from which an upstream's limit holds."""
+
+
+@pytest.fixture
+def make_fleet(tmp_path):
+    made = []
+
+    def make(**sizes):
+        made.append(routed_fleet.Fleet(tmp_path, **sizes))
+        made[-1].put_route(kind="safe", max_attempts=3)
+        made[-1].until_known()
+        return made[-1]
+
+    yield make
+    for fleet in made:
+        fleet.close()
+
+
+class Load:
+    """Keep callers calling until the block ends; holds the statuses they got."""
+
+    def __init__(self, fleet, callers=8):
+        self.statuses = []
+        self._fleet = fleet
+        self._is_over = threading.Event()
+        self._callers = [threading.Thread(target=self._call_on) for _ in range(callers)]
+
+    def _call_on(self):
+        while not self._is_over.is_set():
+            self.statuses.append(self._fleet.call("hello")[0])
+
+    def __enter__(self):
+        for caller in self._callers:
+            caller.start()
+        return self
+
+    def __exit__(self, *_):
+        self._is_over.set()
+        for caller in self._callers:
+            caller.join()
+
+
+def most_in_window(times, *, since):
+    """Return the most of these times within a window that begins no sooner than ``since``."""
+    later = [at for at in times if at >= since]
+    return max((sum(at <= one < at + WINDOW_S for one in later) for at in later), default=0)
+
+
+def test_an_upstream_that_names_a_rate_limit_gets_no_more_from_all_hosts_together(make_fleet):
+    """48 requests reached an engine in 4 s where it had allowed 6.9 a second, 46 with the margin."""
+    fleet = make_fleet(engines=3)
+    limited, *others = fleet.engines
+    limited.answer(medlar_rate_limit=str(RATE))
+    with Load(fleet) as load:
+        time.sleep(7.0)
+    named_at = min(limited.runs("hello"))
+    assert most_in_window(limited.runs("hello"), since=named_at + LEARN_S) <= MOST_IN_WINDOW
+    assert set(load.statuses) == {200}
+    assert sum(len(engine.runs("hello")) for engine in others) > 100
