--- a/tests/processes/scripted_engine.py
+++ b/tests/processes/scripted_engine.py
@@ -1,9 +1,9 @@
 """Run a small engine that does what its requests and a file say: a program of its own.
 
-It announces itself to replicas. A request whose body begins with ``crash`` ends it; every other one
-it answers as its script says, a JSON file that is read with each request: ``status`` and ``headers``
-of the answers. It writes a line of ``TIME run BODY`` to its output when it begins to work on a
-request, and one of ``TIME rejected BODY`` when its script turns the request away.
+It announces itself to replicas. A request whose body begins with ``crash`` ends it; every other
+it answers as its script says, a JSON file that is read with each request: ``status`` and
+``headers`` of the answers. It writes ``TIME run BODY`` to its output when it begins to work on a
+request, and ``TIME rejected BODY`` when its script turns one away.
 """
 
 import argparse
--- a/tests/processes/test_backpressure.py
+++ b/tests/processes/test_backpressure.py
@@ -1,4 +1,4 @@
-"""What upstreams ask for in their answers holds for all hosts together, while processes come and go."""
+"""What upstreams ask for in their answers holds for all hosts, while processes come and go."""
 
 import threading
 import time
@@ -62,7 +62,7 @@
 
 
 def test_an_upstream_that_names_a_rate_limit_gets_no_more_from_all_hosts_together(make_fleet):
-    """48 requests reached an engine in 4 s where it had allowed 6.9 a second, 46 with the margin."""
+    """48 requests reached an engine in 4 s that had allowed 6.9 a second: 46 with the margin."""
     fleet = make_fleet(engines=3)
     limited, *others = fleet.engines
     limited.answer(medlar_rate_limit=str(RATE))
