--- /dev/null
+++ b/src/medlarfork/backpressure/send_gate.py
@@ -0,0 +1,72 @@
+"""Say when an upstream may get its next request, by what it asks for: pure.
+
+The load that this answers: an engine in need that names how many requests a second it takes from
+all hosts together. Who places for all hosts keeps to all of that, evenly spread over time; a host
+that places alone keeps to its part of a half, since others may place at the same time.
+"""
+
+from __future__ import annotations
+
+from medlarfork.backpressure import signal_ledger
+
+LEAST_RATE = 0.1
+"""Requests a second that are sent to an upstream that names less: only an answer tells that the
+limit has ended."""
+
+CATCH_UP_S = 0.25
+"""Time whose requests may follow at once if they were not sent when they might have been, in
+seconds: requests come in bursts, and a limit that is not used up costs their callers."""
+
+
+class SendGate:
+    """Pace the requests to upstreams that name a limit; the time is handed in, in seconds."""
+
+    def __init__(self, ledger: signal_ledger.SignalLedger) -> None:
+        """Go by what a ledger holds."""
+        self._ledger = ledger
+        self._due_at_by_upstream: dict[str, float] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no upstream asks for anything."""
+        return self._ledger.is_empty
+
+    def rate(self, upstream_id: str, share: float = 1.0) -> float | None:
+        """Return how many requests a second an upstream may get from here; None for no limit.
+
+        Args:
+            upstream_id: The incarnation.
+            share: This place's part of what the upstream takes.
+        """
+        rate = self._ledger.rate(upstream_id)
+        return None if rate is None else max(rate, LEAST_RATE) * share
+
+    def wait_s(self, upstream_id: str, now: float, share: float = 1.0) -> float:
+        """Return how long an upstream is to get no request, in seconds; 0 if it may get one."""
+        rate = self.rate(upstream_id, share)
+        if rate is None:
+            return 0.0
+        interval_s = 1.0 / rate
+        # What was sent before the limit was known counts as one request just now.
+        first_at = self._ledger.limited_since(upstream_id) + interval_s
+        due_at = max(self._due_at_by_upstream.get(upstream_id, first_at), first_at)
+        if due_at > now + interval_s:
+            # The limit has risen meanwhile.
+            due_at = now + interval_s
+            self._due_at_by_upstream[upstream_id] = due_at
+        return max(0.0, due_at - now)
+
+    def note_send(self, upstream_id: str, now: float, share: float = 1.0) -> None:
+        """Count a request that is sent now."""
+        rate = self.rate(upstream_id, share)
+        if rate is None:
+            self._due_at_by_upstream.pop(upstream_id, None)
+            return
+        due_at = self._due_at_by_upstream.get(upstream_id, now)
+        self._due_at_by_upstream[upstream_id] = max(due_at, now - CATCH_UP_S) + 1.0 / rate
+
+    def forget_lifted(self) -> None:
+        """Drop what is kept of upstreams that name no limit any more."""
+        for upstream_id in tuple(self._due_at_by_upstream):
+            if self._ledger.rate(upstream_id) is None:
+                del self._due_at_by_upstream[upstream_id]
--- /dev/null
+++ b/src/medlarfork/backpressure/signal_ledger.py
@@ -0,0 +1,165 @@
+"""Keep what upstreams ask for, as entry hosts heard it in their answers: pure.
+
+The load that this answers: an upstream in need that all hosts go on using, since only one of them,
+or none, has heard what it asks for. Entry hosts and replicas keep a ledger each and tell each
+other; of each upstream the latest word counts, so ledgers that heard the same agree, in whatever
+order.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork.backpressure import signal_messages
+
+SAME_SHARE = 0.05
+"""Share by which a limit may differ from the one known and pass for the same: an upstream that
+names another fraction with each answer would else cost a message to each replica with each."""
+
+LIFTED_S = 30.0
+"""How long a limit that has ended is remembered, in seconds, so that a late report of it does not
+bring it back: longer than any message is under way."""
+
+LIMIT_S = 600.0
+"""How long a limit is kept that nothing was heard of, in seconds: its upstream is gone by then, or
+is tried again at its limit and names it anew."""
+
+MOST_LIMITS = 10_000
+"""Upstreams with a limit that are kept, about 2 MB; the oldest words go first."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Limit:
+    """Hold the latest word on an upstream's limit.
+
+    Attributes:
+        rate: Requests a second; None once it has ended.
+        at: When that was known, in seconds of the holder's clock.
+        since: When this ledger learnt of the limit.
+        changed_at: When this ledger took this word.
+    """
+
+    rate: float | None
+    at: float
+    since: float
+    changed_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Merged:
+    """Tell what a report changed.
+
+    Attributes:
+        changed: Upstreams of which it told anything new.
+        outdated: Upstreams of which this ledger knows a later and different word.
+    """
+
+    changed: tuple[str, ...] = ()
+    outdated: tuple[str, ...] = ()
+
+
+class SignalLedger:
+    """Keep the latest words; the time is handed in, in seconds of a clock of the holder's own."""
+
+    def __init__(self) -> None:
+        """Start without any word."""
+        self._limit_by_upstream: dict[str, _Limit] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is no word of any upstream."""
+        return not self._limit_by_upstream
+
+    @property
+    def limited(self) -> int:
+        """Return how many upstreams name a limit."""
+        return sum(limit.rate is not None for limit in self._limit_by_upstream.values())
+
+    def rate(self, upstream_id: str) -> float | None:
+        """Return how many requests a second an upstream takes from all hosts; None for no limit."""
+        limit = self._limit_by_upstream.get(upstream_id)
+        return None if limit is None else limit.rate
+
+    def limited_since(self, upstream_id: str) -> float:
+        """Return when this ledger learnt that an upstream has a limit, in seconds."""
+        return self._limit_by_upstream[upstream_id].since
+
+    def note_answer(
+        self, upstream_id: str, rate: float | None, *, sent_at: float, now: float
+    ) -> bool:
+        """Take an answer's word on its upstream's limit; return whether that is news.
+
+        An answer without a limit ends the one known only if its request was sent after that was
+        named: answers on different connections overtake each other.
+
+        Args:
+            upstream_id: The incarnation that answered.
+            rate: The limit that the answer names; None if it names none.
+            sent_at: When the answer's request was sent, in seconds.
+            now: The time in seconds.
+        """
+        if rate is None and upstream_id not in self._limit_by_upstream:
+            return False
+        return self._take(upstream_id, rate, now if rate is not None else sent_at, now)
+
+    def merge(self, report: signal_messages.SignalReport, now: float) -> Merged:
+        """Take what another ledger holds."""
+        changed: list[str] = []
+        outdated: list[str] = []
+        for told in report.limits:
+            at = now - told.ago_s
+            if self._take(told.upstream_id, told.rate, at, now):
+                changed.append(told.upstream_id)
+            elif not _is_same(self.rate(told.upstream_id), told.rate):
+                outdated.append(told.upstream_id)
+        return Merged(tuple(changed), tuple(outdated))
+
+    def changed_since(self, at: float) -> tuple[str, ...]:
+        """Return the upstreams of which anything became known since a time."""
+        known = self._limit_by_upstream.items()
+        return tuple(upstream_id for upstream_id, limit in known if limit.changed_at >= at)
+
+    def known(self) -> tuple[str, ...]:
+        """Return all upstreams of which there is a word."""
+        return tuple(self._limit_by_upstream)
+
+    def report(self, upstream_ids: tuple[str, ...], now: float) -> signal_messages.SignalReport:
+        """Return what is known of some upstreams, for another ledger."""
+        named = (
+            (upstream_id, self._limit_by_upstream.get(upstream_id)) for upstream_id in upstream_ids
+        )
+        return signal_messages.SignalReport(
+            tuple(
+                signal_messages.RateLimit(upstream_id, limit.rate, max(0.0, now - limit.at))
+                for upstream_id, limit in named
+                if limit is not None
+            )
+        )
+
+    def tidy(self, now: float) -> None:
+        """Forget the words that tell nothing any more."""
+        for upstream_id, limit in tuple(self._limit_by_upstream.items()):
+            kept_s = LIFTED_S if limit.rate is None else LIMIT_S
+            if max(limit.at, limit.changed_at) + kept_s < now:
+                del self._limit_by_upstream[upstream_id]
+
+    def _take(self, upstream_id: str, rate: float | None, at: float, now: float) -> bool:
+        known = self._limit_by_upstream.get(upstream_id)
+        if known is not None and at <= known.at:
+            return False
+        if known is not None and _is_same(known.rate, rate):
+            self._limit_by_upstream[upstream_id] = dataclasses.replace(known, at=at)
+            return False
+        was_limited = known is not None and known.rate is not None
+        since = known.since if known is not None and was_limited else now
+        self._limit_by_upstream[upstream_id] = _Limit(rate, at, since, now)
+        if len(self._limit_by_upstream) > MOST_LIMITS:
+            oldest = min(self._limit_by_upstream, key=lambda name: self._limit_by_upstream[name].at)
+            del self._limit_by_upstream[oldest]
+        return True
+
+
+def _is_same(known: float | None, rate: float | None) -> bool:
+    if known is None or rate is None:
+        return known is rate
+    return abs(rate - known) <= SAME_SHARE * known
--- /dev/null
+++ b/src/medlarfork/backpressure/signal_messages.py
@@ -0,0 +1,40 @@
+"""Define what entry hosts and replicas tell each other of what upstreams ask for.
+
+Any message may be lost, late or repeated: whatever is told is merged, in any order, to the same.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """Tell the latest rate limit of one incarnation of an upstream.
+
+    Attributes:
+        upstream_id: The incarnation.
+        rate: Requests a second that it takes from all hosts together; None if it names no limit
+            any more.
+        ago_s: How long ago that was known, in seconds: clocks of different hosts have nothing in
+            common.
+    """
+
+    upstream_id: str
+    rate: float | None
+    ago_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SignalReport:
+    """Tell what is new, what changed, or what the receiver may not know."""
+
+    limits: tuple[RateLimit, ...] = ()
+
+
+RETELL_S = 2.0
+"""How long news are told again with each status, in seconds: a link that is being opened again
+loses what is sent meanwhile."""
+
+SIGNAL_MESSAGES: tuple[type, ...] = (SignalReport,)
+"""Every message class of this module, for the codec of the links."""
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -18,7 +18,9 @@
 from typing import Any
 
 from medlarfork import node
+from medlarfork.backpressure import signal_messages
 from medlarfork.coordination import (
+    backpressure_desk,
     coordination_messages,
     coordinator_types,
     crash_desk,
@@ -101,7 +103,8 @@
         self._members = member_desk.MemberDesk(replica_id, seeds)
         self._entries = entry_directory.EntryDirectory(ttl_s=ttl_s)
         self._feed = entry_feed.EntryFeed(boot=boot)
-        self._owner = owner.Owner()
+        self._backpressure = backpressure_desk.BackpressureDesk()
+        self._owner = owner.Owner(self._backpressure.gate)
         self._crashes = crash_desk.CrashDesk(replica_id)
         self._boot = boot
         self.duties = duty_desk.DutyDesk(replica_id, boot, duties, self._state.duties)
@@ -142,6 +145,7 @@
                 self._run_log(event)
         self._push_view()
         self._actions += self._crashes.push(self._entry_ids, now)
+        self._actions += self._backpressure.push(self._entry_ids, leads=self.leads, now=now)
         self._serve_waiting()
         if now >= self._tick_due:
             self._tick()
@@ -161,6 +165,7 @@
             "entry_hosts": len(self._entry_ids),
             "waiting": self._owner.waiting,
             "crash_cases": len(self._crashes.ledger),
+            "limited_upstreams": self._backpressure.ledger.limited,
             **self.duties.gauges(),
         }
 
@@ -190,6 +195,8 @@
                 self._actions += self._upstreams.on_receipt(sender, message)
             case crash_messages.CrashReport():
                 self._actions += self._crashes.take(message, self._now)
+            case signal_messages.SignalReport():
+                self._actions += self._backpressure.take(message, self._now)
             case usage_messages.UsageTold() | engine_messages.LoadTold():
                 self._actions += self.duties.take(sender, message, self._now)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
@@ -219,14 +226,23 @@
             self._entry_ids |= {sender}
             self._note("entry_host_heard", entry=sender, ready=status.is_ready)
             self._actions.append(node.Send(sender, self._own_status()))
-            known = self._crashes.whole(self._now)
-            if known.cases:
-                self._actions.append(node.Send(sender, known))
+        # One without routing has just started, perhaps before it was missed.
+        if is_new or not status.routing_version:
+            self._tell_learnt(sender)
         self._actions += self._feed.complete_view(sender, status, self._registry.whole, self._now)
         self._actions += self._feed.push_routing(
             {sender: status}, self._state.current, leads=self.leads, now=self._now
         )
 
+    def _tell_learnt(self, entry_id: str) -> None:
+        """Tell an entry host that has just come what others learnt from upstreams."""
+        known = self._crashes.whole(self._now)
+        if known.cases:
+            self._actions.append(node.Send(entry_id, known))
+        asked_for = self._backpressure.whole(self._now)
+        if asked_for.limits:
+            self._actions.append(node.Send(entry_id, asked_for))
+
     def _take_operation(self, operation_id: int, operation: coordinator_types.Operation) -> None:
         match operation:
             case coordinator_types.PutRouting():
@@ -416,6 +432,7 @@
             status = self._periodic_status()
             self._actions += [node.Send(entry_id, status) for entry_id in self._entry_ids]
             self._crashes.on_time(self._now)
+            self._backpressure.on_time(self._now)
             self._push_routing()
         self._actions.append(node.Wake(self._tick_due))
 
@@ -453,6 +470,7 @@
             self._note("entry_host_silent", entry=entry_id)
             self._actions += self._owner.forget_entry(entry_id, self._now)
         self._entry_ids = frozenset(present)
+        self._owner.use_entries(self._entry_ids, self._entries.hosts)
         self._feed.forget_missing(present)
         # Those without routing serve nobody until they have one, and need not ask again meanwhile.
         without = {name: status for name, status in present.items() if not status.routing_version}
--- a/src/medlarfork/gateway/backpressure_watch.py
+++ b/src/medlarfork/gateway/backpressure_watch.py
@@ -1,13 +1,17 @@
-"""Watch what upstreams say of themselves in their answers: limits, pauses, and that they leave."""
+"""Watch what upstreams say of themselves in their answers: limits, pauses, and that they leave.
+
+What it reads it tells all replicas, and hears from them what other entry hosts read.
+"""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping
 
 from medlarfork import logs
-from medlarfork.backpressure import upstream_signals
-from medlarfork.gateway import request_names
+from medlarfork.backpressure import send_gate, signal_ledger, signal_messages, upstream_signals
+from medlarfork.gateway import entry_session, replica_news, request_names
 
 _log = logging.getLogger(__name__)
 
@@ -19,27 +23,99 @@
 
 
 class BackpressureWatch:
-    """Keep what each upstream last said to this entry host."""
+    """Keep what each upstream last said to this entry host, and what others heard.
+
+    Attributes:
+        gate: Says when an upstream may get a request that is placed here, without an owner.
+    """
 
-    def __init__(self, names: request_names.RequestNames) -> None:
-        """Read headers by these names."""
+    def __init__(
+        self,
+        names: request_names.RequestNames,
+        session: entry_session.EntrySession,
+        send: Callable[[str, signal_messages.SignalReport], bool],
+    ) -> None:
+        """Read headers by these names, and use what the replicas tell and a link to send by."""
         self._names = names
         self._signals_by_upstream: dict[str, upstream_signals.UpstreamSignals] = {}
+        self._ledger = signal_ledger.SignalLedger()
+        self.gate = send_gate.SendGate(self._ledger)
+        self._news = replica_news.ReplicaNews(
+            session, send, self._ledger.report, retell_s=signal_messages.RETELL_S
+        )
+
+    @property
+    def limited(self) -> int:
+        """Return how many upstreams are known to name a rate limit."""
+        return self._ledger.limited
 
     def note_answer(
-        self, upstream_id: str, status: int, headers: Mapping[str, str], *, attempt_id: str
+        self,
+        upstream_id: str,
+        status: int,
+        headers: Mapping[str, str],
+        *,
+        sent_at: float,
+        attempt_id: str,
     ) -> None:
-        """Take the head of an answer; what it changes is logged."""
+        """Take the head of an answer; what it changes is logged, and told to the replicas.
+
+        Args:
+            upstream_id: The incarnation that answered.
+            status: Its status.
+            headers: Its headers, by names in lower case.
+            sent_at: When its request was sent, in monotonic seconds.
+            attempt_id: The caller's id of the attempt.
+        """
         is_turned_away = status in TURNED_AWAY
         told = upstream_signals.parse(
             headers.get(self._names.rate_limit, ""),
             headers.get(self._names.leaving, ""),
             headers.get("retry-after", "") if is_turned_away else "",
         )
+        now = _now()
+        if self._ledger.note_answer(upstream_id, told.rate_limit, sent_at=sent_at, now=now):
+            self._news.tell((upstream_id,), now)
+        self._log_change(upstream_id, status, told, attempt_id)
+
+    def take(self, report: signal_messages.SignalReport) -> None:
+        """Take what a replica tells; answer with what this host knows better."""
+        now = _now()
+        merged = self._ledger.merge(report, now)
+        for upstream_id in merged.changed:
+            logs.event(
+                _log,
+                "upstream_limit",
+                upstream=upstream_id,
+                rate_limit=self._ledger.rate(upstream_id),
+            )
+        if merged.outdated:
+            self._news.tell(merged.outdated, now)
+
+    def note_replica(self, replica_id: str, up_s: float) -> None:
+        """Tell a replica that has started, or that was not heard before, all that is known."""
+        self._news.note_replica(replica_id, up_s, self._ledger.known(), _now())
+
+    def on_time(self) -> None:
+        """Tell again what is new, and forget what is old; called with each status."""
+        now = _now()
+        self._news.retell(now)
+        self._ledger.tidy(now)
+        self.gate.forget_lifted()
+
+    def _log_change(
+        self,
+        upstream_id: str,
+        status: int,
+        told: upstream_signals.UpstreamSignals,
+        attempt_id: str,
+    ) -> None:
         before = self._signals_by_upstream.get(upstream_id, upstream_signals.UpstreamSignals())
         if told == before and not told.pause_s:
             return
-        self._remember(upstream_id, told)
+        self._signals_by_upstream[upstream_id] = told
+        if len(self._signals_by_upstream) > MOST_UPSTREAMS:
+            del self._signals_by_upstream[next(iter(self._signals_by_upstream))]
         logs.event(
             _log,
             "upstream_signals",
@@ -52,7 +128,6 @@
             pause_s=told.pause_s or None,
         )
 
-    def _remember(self, upstream_id: str, told: upstream_signals.UpstreamSignals) -> None:
-        self._signals_by_upstream[upstream_id] = told
-        if len(self._signals_by_upstream) > MOST_UPSTREAMS:
-            del self._signals_by_upstream[next(iter(self._signals_by_upstream))]
+
+def _now() -> float:
+    return time.monotonic()
--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -17,7 +17,7 @@
 
 from medlarfork import logs
 from medlarfork.coordination import upstream_types
-from medlarfork.gateway import entry_session, request_types
+from medlarfork.gateway import entry_session, replica_news, request_types
 from medlarfork.http import http_client
 from medlarfork.quarantine import crash_ledger, crash_messages
 
@@ -66,13 +66,13 @@
         """Use the client of the upstreams, what the replicas tell, and a link to send by."""
         self._client = client
         self._session = session
-        self._send = send
         self._ledger = crash_ledger.CrashLedger()
+        self._news = replica_news.ReplicaNews(
+            session, send, self._ledger.report, retell_s=crash_messages.RETELL_S
+        )
         self._look_by_upstream: dict[str, _Look] = {}
         self._pending_by_upstream: dict[str, _Pending] = {}
         self._survived_at_by_key: collections.OrderedDict[str, float] = collections.OrderedDict()
-        self._found_at_by_key: dict[str, float] = {}
-        self._up_s_by_replica: dict[str, float] = {}
 
     @property
     def cases(self) -> int:
@@ -120,7 +120,7 @@
         if len(self._survived_at_by_key) > MOST_SURVIVALS:
             self._survived_at_by_key.popitem(last=False)
         if self._ledger.note_survival(key, now, now):
-            self._tell((key,), now)
+            self._news.tell((key,), now)
 
     def take(self, report: crash_messages.CrashReport) -> None:
         """Take what a replica tells; answer with what this host knows better."""
@@ -133,7 +133,7 @@
             if key in self._survived_at_by_key
             and self._ledger.note_survival(key, self._survived_at_by_key[key], now)
         )
-        self._tell(cleared, now)
+        self._news.tell(cleared, now)
 
     def note_view(self) -> None:
         """Look whether other starts took the place of upstreams that seemed to live on."""
@@ -151,18 +151,12 @@
 
     def note_replica(self, replica_id: str, up_s: float) -> None:
         """Tell a replica that has started, or that was not heard before, all that is known."""
-        before_s = self._up_s_by_replica.get(replica_id)
-        self._up_s_by_replica[replica_id] = up_s
-        if (before_s is None or up_s < before_s) and len(self._ledger):
-            self._send(replica_id, self._ledger.report(self._ledger.known(), _now()))
+        self._news.note_replica(replica_id, up_s, self._ledger.known(), _now())
 
     def on_time(self) -> None:
         """Tell again what is new, and forget what is old; called with each status."""
         now = _now()
-        for key, at in tuple(self._found_at_by_key.items()):
-            if at < now - crash_messages.RETELL_S:
-                del self._found_at_by_key[key]
-        self._send_all(tuple(self._found_at_by_key), now)
+        self._news.retell(now)
         self._ledger.tidy(now)
         self.note_view()
 
@@ -218,19 +212,7 @@
             key for key, at in at_by_key.items() if self._ledger.note_end(key, upstream_id, at, now)
         )
         self._note("seen", news)
-        self._tell(news, now)
-
-    def _tell(self, keys: tuple[str, ...], now: float) -> None:
-        """Tell all replicas what this host found, and for a while again with each status."""
-        self._found_at_by_key.update(dict.fromkeys(keys, now))
-        self._send_all(keys, now)
-
-    def _send_all(self, keys: tuple[str, ...], now: float) -> None:
-        if not keys:
-            return
-        report = self._ledger.report(keys, now)
-        for replica_id in self._session.replicas:
-            self._send(replica_id, report)
+        self._news.tell(news, now)
 
     def _note(self, how: str, keys: tuple[str, ...]) -> None:
         for key in keys:
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -43,6 +43,7 @@
     at: float
     is_suspect: bool = False
     up_s: float = 0.0
+    entry_hosts: int = 1
     period_s: float = status_pace.SHORTEST_S
     view_boot: int = 0
     view_sequence: int = 0
@@ -61,7 +62,6 @@
         self._term = 0
         self._members: tuple[str, ...] = ()
         self.leader_id = ""
-        self.entry_hosts = 1
         self.routing_version = 0
 
     def status_period_s(self, up_s: float) -> float:
@@ -89,6 +89,14 @@
         periods = (heard.period_s for heard in self._heard_by_id.values())
         return max(periods, default=status_pace.SHORTEST_S)
 
+    @property
+    def entry_hosts(self) -> int:
+        """Return among how many entry hosts budgets and limits are divided, at least 1.
+
+        The most that any replica tells: one that has just started has heard few.
+        """
+        return max((heard.entry_hosts for heard in self._heard_by_id.values()), default=1)
+
     @property
     def replicas(self) -> tuple[str, ...]:
         """Return the replicas to be connected to."""
@@ -191,6 +199,7 @@
         match message:
             case coordination_messages.ReplicaStatus():
                 heard.up_s = message.up_s
+                heard.entry_hosts = max(message.entry_hosts, 1)
                 heard.period_s = message.period_s
                 self._take_status(message)
             case coordination_messages.ViewPush(boot, sequence, change):
@@ -231,7 +240,6 @@
 
     def _take_status(self, status: coordination_messages.ReplicaStatus) -> None:
         self._replicas.update(dict.fromkeys(status.members))
-        self.entry_hosts = max(status.entry_hosts, 1)
         if status.term > self._term or (status.term == self._term and status.leader_id):
             self._term = status.term
             self._members = status.members or self._members
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -14,6 +14,7 @@
 import curio
 
 from medlarfork import _stop_signal, codec, logs
+from medlarfork.backpressure import signal_messages
 from medlarfork.coordination import coordination_messages
 from medlarfork.duties import usage_messages
 from medlarfork.gateway import (
@@ -92,12 +93,14 @@
             options=routed_links.LINK_OPTIONS,
         )
         self._holds = holding.Holding()
+        self._backpressure = backpressure_watch.BackpressureWatch(
+            names, self._session, self._link.send
+        )
         self._owner = owner_client.OwnerClient(
-            given.entry_id, self._session, self._link.send, self._holds
+            given.entry_id, self._session, self._link.send, self._holds, self._backpressure.gate
         )
         self._client = http_client.HttpClient(limits=UPSTREAM_LIMITS)
         self._crashes = crash_watch.CrashWatch(self._client, self._session, self._link.send)
-        self._backpressure = backpressure_watch.BackpressureWatch(names)
         self._usage = self._make_usage() if given.usage_window_s else None
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
         self._handler = request_handler.RequestHandler(
@@ -192,6 +195,7 @@
             case coordination_messages.ReplicaStatus():
                 self._session.take(sender, message, now)
                 self._crashes.note_replica(sender, message.up_s)
+                self._backpressure.note_replica(sender, message.up_s)
                 if self._usage is not None:
                     self._usage.note_time(sender, message.wall_s)
                 self._connect_replicas()
@@ -202,6 +206,9 @@
             case crash_messages.CrashReport():
                 self._session.hear(sender, now)
                 self._crashes.take(message)
+            case signal_messages.SignalReport():
+                self._session.hear(sender, now)
+                self._backpressure.take(message)
             case usage_messages.UsageReceipt() if self._usage is not None:
                 self._usage.confirm(sender, message)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
@@ -251,6 +258,7 @@
             self._session.drop_silent(now)
             self._send_status(self._session.to_be_told(now))
             self._crashes.on_time()
+            self._backpressure.on_time()
             self._connect_replicas()
             await curio.sleep(self._session.status_period_s(now - started_at))
 
@@ -291,6 +299,7 @@
             "local_placements": self._owner.local_placements,
             "held": self._holds.held,
             "crash_cases": self._crashes.cases,
+            "limited_upstreams": self._backpressure.limited,
             "link_dropped": self._link.counters.dropped,
         }
 
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import logging
 import time
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 import curio
 
 from medlarfork import logs
+from medlarfork.backpressure import send_gate
 from medlarfork.gateway import entry_session, holding
 from medlarfork.placement import local_choice, placement_messages
 
@@ -26,6 +28,10 @@
 LOCAL_RETRY_MS = 300.0
 """When to come back if no upstream is known, in milliseconds: a replica tells its view within."""
 
+ALONE_SHARE = 0.5
+"""Part of an upstream's rate limit that all entry hosts which place alone use together: the owner
+that others still reach uses the whole."""
+
 LEAST_BEGINS_MS = 1.0
 """Least bound that a second shard is given, in milliseconds; 0 stands for a first question."""
 
@@ -74,8 +80,18 @@
         session: entry_session.EntrySession,
         send: Send,
         holds: holding.Holding,
+        gate: send_gate.SendGate,
     ) -> None:
-        """Use a session for who owns what, a link to send by, and a place for those that wait."""
+        """Wire what it uses.
+
+        Args:
+            entry_id: Names this entry host.
+            session: Knows who owns what.
+            send: Sends a message to a replica.
+            holds: Holds requests for which no upstream is known yet.
+            gate: Says when an upstream may get a request that is placed here.
+        """
+        self._gate = gate
         self._holds = holds
         self._entry_id = entry_id
         self._session = session
@@ -334,11 +350,23 @@
             for item in self._session.upstream_by_id.values()
             if item.service == request.service
         )
-        chosen = local_choice.choose(request, upstreams, self._runs_by_upstream, self._entry_id)
-        if not chosen:
-            why = "no upstream of the service is known"
-            return placement_messages.PlaceRefused(request.ticket_id, LOCAL_RETRY_MS, why)
-        return placement_messages.Placed(request.ticket_id, chosen)
+        now, share = _now(), ALONE_SHARE / self._session.entry_hosts
+        waits_s = [self._gate.wait_s(item.upstream_id, now, share) for item in upstreams]
+        is_open = [wait_s <= 0 for wait_s in waits_s]
+        chosen = local_choice.choose(
+            request,
+            tuple(itertools.compress(upstreams, is_open)),
+            self._runs_by_upstream,
+            self._entry_id,
+        )
+        if chosen:
+            self._gate.note_send(chosen, now, share)
+            return placement_messages.Placed(request.ticket_id, chosen)
+        why = "no upstream of the service is known"
+        if upstreams:
+            why = "no upstream takes it now, by its rate limit or since it failed this request"
+        retry_ms = max(LOCAL_RETRY_MS, 1000.0 * min(waits_s, default=0.0))
+        return placement_messages.PlaceRefused(request.ticket_id, retry_ms, why)
 
 
 def _runs_by(ticket: _Ticket | None, owner_id: str) -> bool:
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -24,7 +24,7 @@
 )
 from medlarfork.http import _http_messages, http_client, sse
 from medlarfork.placement import placement_messages, shard_choice
-from medlarfork.quarantine import crash_ledger, trial_desk
+from medlarfork.quarantine import crash_ledger
 
 ANSWER_EARLY_MS = 20.0
 """How long before the caller's own deadline a final answer is sent, in milliseconds: its way."""
@@ -120,7 +120,7 @@
             is_free = standing.verdict is crash_ledger.Verdict.FREE
             self._refusal = errors.Code.OVERLOADED if is_free else errors.Code.ENDS_UPSTREAMS
             if standing.verdict is crash_ledger.Verdict.HELD:
-                return trial_desk.held("", standing)
+                return crash_ledger.refusal("", standing)
             is_trial = standing.verdict is crash_ledger.Verdict.TRIAL
             placed = await self._place(trial_key=key if is_trial else "")
             if isinstance(placed, placement_messages.PlaceRefused):
@@ -242,6 +242,7 @@
             upstream_id,
             response.status,
             response.headers,
+            sent_at=self._sent_at,
             attempt_id=self._admitted.facts.attempt_id,
         )
 
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -148,7 +148,13 @@
     """Take what upstreams say of themselves in answers (see ``backpressure_watch``)."""
 
     def note_answer(
-        self, upstream_id: str, status: int, headers: Mapping[str, str], *, attempt_id: str
+        self,
+        upstream_id: str,
+        status: int,
+        headers: Mapping[str, str],
+        *,
+        sent_at: float,
+        attempt_id: str,
     ) -> None:
         """Take the head of an answer."""
         ...
--- a/src/medlarfork/links/routed_links.py
+++ b/src/medlarfork/links/routed_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from medlarfork.backpressure import signal_messages
 from medlarfork.coordination import coordination_messages
 from medlarfork.duties import usage_messages
 from medlarfork.links import link
@@ -12,6 +13,7 @@
     *coordination_messages.COORDINATION_MESSAGES,
     *placement_messages.PLACEMENT_MESSAGES,
     *crash_messages.CRASH_MESSAGES,
+    *signal_messages.SIGNAL_MESSAGES,
     *usage_messages.USAGE_MESSAGES,
 )
 """Every message class that entry hosts exchange with replicas, for the codec of the links. Replicas
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -8,8 +8,14 @@
 from typing import Any
 
 from medlarfork import node
+from medlarfork.backpressure import send_gate
 from medlarfork.coordination import upstream_types
-from medlarfork.placement import placement_answer, placement_messages, service_owner
+from medlarfork.placement import (
+    owner_share,
+    placement_answer,
+    placement_messages,
+    service_owner,
+)
 from medlarfork.routes import routing
 
 FORGET_S = 30.0
@@ -24,8 +30,14 @@
 class Owner:
     """Give each question to its shard's owner; pure."""
 
-    def __init__(self) -> None:
-        """Start without services and upstreams."""
+    def __init__(self, gate: send_gate.SendGate | None = None) -> None:
+        """Start without services and upstreams.
+
+        Args:
+            gate: Says which upstreams may get a request; None where none asks for anything.
+        """
+        self._gate = gate
+        self._shares = owner_share.OwnerShare()
         self._owner_by_shard: dict[placement_messages.Shard, service_owner.ServiceOwner] = {}
         self._asked_at_by_shard: dict[placement_messages.Shard, float] = {}
         self._count_by_shard: dict[placement_messages.Shard, int] = {}
@@ -57,6 +69,10 @@
             answers += owner.serve_waiting(now)
         return self._sends(answers)
 
+    def use_entries(self, entry_ids: frozenset[str], most: int) -> None:
+        """Take which entry hosts are there now, and the most of them in the last seconds."""
+        self._shares.use_entries(entry_ids, most)
+
     def handle(self, entry_id: str, message: Any, now: float) -> tuple[node.Send, ...]:
         """Take a message of an entry host and return the answers."""
         match message:
@@ -72,7 +88,8 @@
                 owner = self._owner_of(self._shard_by_ticket.pop(ticket_id, None), now)
                 if owner is not None:
                     return self._sends(owner.on_ended(message, now))
-            case placement_messages.OwnerChosen(shard, _, belief):
+            case placement_messages.OwnerChosen(shard, is_chosen, belief):
+                self._shares.note_chosen(shard, entry_id, is_chosen=is_chosen, now=now)
                 owner = self._owner(shard, now)
                 if belief is not None:
                     owner.rate.take_over(belief)
@@ -104,8 +121,9 @@
     def on_time(self, now: float) -> tuple[node.Send, ...]:
         """Place those that can start now, and refuse those whose time is over."""
         answers: list[placement_answer.Answer] = []
-        for owner in self._owner_by_shard.values():
+        for shard, owner in self._owner_by_shard.items():
             if owner.waiting:
+                owner.share = self._shares.share(shard, now)
                 answers += owner.serve_due(now)
         return self._sends(answers)
 
@@ -141,6 +159,7 @@
             del self._asked_at_by_shard[shard]
             del self._owner_by_shard[shard]
             del self._count_by_shard[shard]
+            self._shares.forget(shard)
         self._shard_by_ticket = {
             ticket_id: shard
             for ticket_id, shard in self._shard_by_ticket.items()
@@ -173,12 +192,13 @@
         self._asked_at_by_shard[shard] = now
         owner = self._owner_by_shard.get(shard)
         if owner is None:
-            owner = service_owner.ServiceOwner()
+            owner = service_owner.ServiceOwner(self._gate)
             owner.use_engine(self._engine_by_service.get(shard.service))
             self._owner_by_shard[shard] = owner
         if self._count_by_shard.get(shard) != shard.count:
             self._count_by_shard[shard] = shard.count
             owner.use_upstreams(self._present_in(shard))
+        owner.share = self._shares.share(shard, now)
         return owner
 
     def _present_in(
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -4,6 +4,7 @@
 
 import math
 
+from medlarfork.backpressure import send_gate, signal_ledger
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
     placement_answer,
@@ -42,8 +43,14 @@
 class ServiceOwner:
     """Decide for one service; pure, the time is handed in."""
 
-    def __init__(self) -> None:
-        """Start without upstreams, as a plain service."""
+    def __init__(self, gate: send_gate.SendGate | None = None) -> None:
+        """Start without upstreams, as a plain service.
+
+        Args:
+            gate: Says which upstreams may get a request; None where none asks for anything.
+        """
+        self._gate = gate or send_gate.SendGate(signal_ledger.SignalLedger())
+        self.share = 1.0
         self._memory_tokens = PLAIN_MEMORY_TOKENS
         self._event_tokens = 1
         self._fetch_ms_per_token = 0.0
@@ -121,11 +128,14 @@
                 why = f"it would wait about {predicted_ms:.0f} ms"
                 after_ms = start_rules.retry_after_ms(request, predicted_ms)
                 return (self._refuse(waiting, why, after_ms),)
+        closed_ms = self._closed_ms(waiting, now)
+        if self._is_closed_too_long(waiting, closed_ms, now):
+            return (self._turn_away(waiting, closed_ms, now),)
         answer = self._try(waiting, now)
         if answer is not None:
             return (answer,)
         if self._busy_shards.may_ask(request, now):
-            begins_ms = self._begins_ms(waiting, now)
+            begins_ms = max(self._begins_ms(waiting, now), closed_ms)
             if begins_ms >= spillover.most_begins_ms(request, self.rate.tokens_per_ms):
                 return (self._busy(waiting, begins_ms),)
         if len(self._line) >= MOST_WAITING:
@@ -244,11 +254,48 @@
         why = "it could not begin in time"
         retry_ms = start_rules.overloaded_retry_ms(waiting.request)
         if waiting.waits_until <= now:
-            return self._refuse(waiting, why, retry_ms)
+            closed_ms = self._closed_ms(waiting, now)
+            return self._refuse(waiting, why, max(retry_ms, closed_ms))
         answer = self._try(waiting, now) if may_try else None
-        if answer is None and self._is_too_late(waiting, now):
-            return self._refuse(waiting, why, retry_ms)
-        return answer
+        if answer is not None:
+            return answer
+        if may_try:
+            closed_ms = self._closed_ms(waiting, now)
+            if self._is_closed_too_long(waiting, closed_ms, now):
+                return self._turn_away(waiting, closed_ms, now)
+        return self._refuse(waiting, why, retry_ms) if self._is_too_late(waiting, now) else None
+
+    def _is_closed_too_long(
+        self, waiting: waiting_line.Waiting, closed_ms: float, now: float
+    ) -> bool:
+        return closed_ms > 0 and now + closed_ms / 1000.0 > waiting.begins_until
+
+    def _closed_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
+        """Return how long no upstream takes a request by what they ask for, in milliseconds.
+
+        Those that wait and go before it use up the limits first.
+        """
+        if self._gate.is_idle:
+            return 0.0
+        allowed = self._allowed(waiting.request)
+        opens_s = min((self._gate_wait_s(load, now) for load in allowed), default=0.0)
+        if opens_s <= 0:
+            return 0.0
+        rates = (self._gate.rate(load.announcement.upstream_id, self.share) for load in allowed)
+        ahead_s = self._line.count_before(waiting) / sum(rate for rate in rates if rate)
+        return (opens_s + ahead_s) * 1000.0
+
+    def _turn_away(
+        self, waiting: waiting_line.Waiting, closed_ms: float, now: float
+    ) -> placement_answer.Answer:
+        """Send a request on that no upstream takes in time, or refuse it if nobody else may."""
+        if self._busy_shards.may_ask(waiting.request, now):
+            return self._busy(waiting, closed_ms)
+        why = f"every upstream is at its rate limit for about {closed_ms:.0f} ms"
+        return self._refuse(waiting, why, max(closed_ms, start_rules.SHORTEST_RETRY_MS))
+
+    def _gate_wait_s(self, load: upstream_load.UpstreamLoad, now: float) -> float:
+        return self._gate.wait_s(load.announcement.upstream_id, now, self.share)
 
     def _is_too_late(self, waiting: waiting_line.Waiting, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
@@ -307,6 +354,7 @@
             until=waiting.until,
         )
         load.add(run, now)
+        self._gate.note_send(load.announcement.upstream_id, now, self.share)
         self._read_parts.note(request.parts, now)
         placed = placement_messages.Placed(
             request.ticket_id,
@@ -393,15 +441,25 @@
     ) -> list[upstream_load.UpstreamLoad]:
         """Return the upstreams with a free slot; those that failed lately only if all did.
 
-        Where the sound ones are full, a request waits: sent to one that failed it would be lost.
+        Where the sound ones are full, or may get nothing now, a request waits: sent to one that
+        failed it would be lost.
         """
         tokens = request.memory_tokens
-        allowed = [
-            load for load in self._present if load.announcement.upstream_id not in request.excluded
-        ]
+        allowed = self._allowed(request)
         sound = [load for load in allowed if not load.is_pausing(now)]
         return [
-            load for load in sound or allowed if not load.is_full and load.has_memory_for(tokens)
+            load
+            for load in sound or allowed
+            if not load.is_full
+            and load.has_memory_for(tokens)
+            and self._gate_wait_s(load, now) <= 0
+        ]
+
+    def _allowed(
+        self, request: placement_messages.PlaceRequest
+    ) -> list[upstream_load.UpstreamLoad]:
+        return [
+            load for load in self._present if load.announcement.upstream_id not in request.excluded
         ]
 
     def _busy(self, waiting: waiting_line.Waiting, begins_ms: float) -> placement_answer.Answer:
--- a/src/medlarfork/placement/waiting_line.py
+++ b/src/medlarfork/placement/waiting_line.py
@@ -124,6 +124,10 @@
             if waiting.entry_id == entry_id:
                 self.remove(ticket_id)
 
+    def count_before(self, waiting: Waiting) -> int:
+        """Return how many start before one that comes now, if none of them is late."""
+        return bisect.bisect_left(self._sorted, waiting.order)
+
     def reading_before_ms(self, waiting: Waiting, now: float) -> float:
         """Return the reading of all that start before one that comes now, in milliseconds."""
         orders = self._sorted[: bisect.bisect_left(self._sorted, waiting.order)]
--- a/src/medlarfork/quarantine/crash_ledger.py
+++ b/src/medlarfork/quarantine/crash_ledger.py
@@ -17,6 +17,7 @@
 import enum
 import math
 
+from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_messages
 
 SUSPECT_ENDS = 2
@@ -78,6 +79,13 @@
 _FREE = Standing()
 
 
+def refusal(ticket_id: str, standing: Standing) -> placement_messages.PlaceRefused:
+    """Return the refusal of a request that is held."""
+    wait_s = min(standing.trial_in_s, CASE_S)
+    why = f"{standing.ends} upstreams ended while they ran it"
+    return placement_messages.PlaceRefused(ticket_id, wait_s * 1000.0, why)
+
+
 @dataclasses.dataclass(slots=True)
 class _Case:
     changed_at: float
--- a/src/medlarfork/quarantine/trial_desk.py
+++ b/src/medlarfork/quarantine/trial_desk.py
@@ -52,7 +52,7 @@
             why = "another one like it runs on trial, since upstreams ended under it"
             return placement_messages.PlaceRefused(request.ticket_id, RETRY_MS, why)
         if standing.verdict is crash_ledger.Verdict.HELD:
-            return held(request.ticket_id, standing)
+            return crash_ledger.refusal(request.ticket_id, standing)
         if running is not None:
             self._key_by_ticket.pop(running.ticket_id, None)
         until = now + request.left_ms / 1000.0 + REPORT_S
@@ -81,10 +81,3 @@
             if trial.until <= now:
                 del self._trial_by_key[key]
                 self._key_by_ticket.pop(trial.ticket_id, None)
-
-
-def held(ticket_id: str, standing: crash_ledger.Standing) -> placement_messages.PlaceRefused:
-    """Return the refusal of a request that is held."""
-    wait_s = min(standing.trial_in_s, crash_ledger.CASE_S)
-    why = f"{standing.ends} upstreams ended while they ran it"
-    return placement_messages.PlaceRefused(ticket_id, wait_s * 1000.0, why)
--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -148,6 +148,11 @@
             """
         self._start("gateway", "gateway_command", entry, settings)
 
+    def kill(self, host):
+        """End a replica or an entry host, and wait until it is gone."""
+        self.process_by_host[host].kill()
+        self.process_by_host[host].wait()
+
     def restart_all(self):
         """Kill every replica and entry host at once, and start them again."""
         for process in self.process_by_host.values():
--- a/tests/processes/test_backpressure.py
+++ b/tests/processes/test_backpressure.py
@@ -72,3 +72,55 @@
     assert most_in_window(limited.runs("hello"), since=named_at + LEARN_S) <= MOST_IN_WINDOW
     assert set(load.statuses) == {200}
     assert sum(len(engine.runs("hello")) for engine in others) > 100
+
+
+def test_a_limit_that_is_no_longer_named_ends(make_fleet):
+    fleet = make_fleet(engines=3)
+    limited = fleet.engines[0]
+    limited.answer(medlar_rate_limit=str(RATE))
+    with Load(fleet):
+        time.sleep(2.0)
+        limited.answer()
+        ended_at = time.monotonic()
+        time.sleep(4.0)
+    after = [at for at in limited.runs("hello") if at > ended_at + 1.0 / RATE + LEARN_S]
+    assert len(after) > 30
+
+
+def test_a_limit_holds_while_replicas_and_hosts_are_killed_by_turns(make_fleet):
+    """New owners, hosts that place alone, and processes that have just started keep to it too."""
+    fleet = make_fleet(engines=3)
+    limited = fleet.engines[0]
+    limited.answer(medlar_rate_limit=str(RATE))
+    with Load(fleet) as load:
+        time.sleep(1.0)
+        for replica, entry in zip(fleet.replicas, fleet.entries, strict=True):
+            fleet.kill(replica)
+            time.sleep(1.2)
+            fleet.start_replica(replica)
+            fleet.kill(entry)
+            time.sleep(0.8)
+            fleet.start_entry(entry)
+            time.sleep(0.5)
+    named_at = min(limited.runs("hello"))
+    assert most_in_window(limited.runs("hello"), since=named_at + LEARN_S) <= MOST_IN_WINDOW
+    assert load.statuses.count(200) > 0.5 * len(load.statuses)
+    refused = [line for line in fleet.lines("request") if "status=503" in line]
+    assert refused == []
+
+
+def test_a_limit_is_remembered_across_a_restart_of_all_replicas(make_fleet):
+    """Hosts tell replicas that have started what they know, before they ask them for anything."""
+    fleet = make_fleet(engines=3)
+    limited = fleet.engines[0]
+    limited.answer(medlar_rate_limit=str(RATE))
+    with Load(fleet) as load:
+        time.sleep(2.0)
+        for replica in fleet.replicas:
+            fleet.kill(replica)
+        for replica in fleet.replicas:
+            fleet.start_replica(replica)
+        time.sleep(5.0)
+    named_at = min(limited.runs("hello"))
+    assert most_in_window(limited.runs("hello"), since=named_at + LEARN_S) <= MOST_IN_WINDOW
+    assert load.statuses.count(200) > 0.9 * len(load.statuses)
--- /dev/null
+++ b/tests/routed/test_limited_placement.py
@@ -0,0 +1,135 @@
+"""Where requests go, and what callers are told, while upstreams name rate limits."""
+
+import pytest
+
+from medlarfork.backpressure import send_gate, signal_ledger
+from medlarfork.coordination import coordination_messages, upstream_types
+from medlarfork.gateway import entry_session, holding, owner_client
+from medlarfork.placement import owner, placement_messages, service_owner
+from tests import curio_world
+from tests.routed import placing
+
+OTHER = placement_messages.Shard("engines", 1, 2)
+
+
+@pytest.fixture
+def ledger():
+    return signal_ledger.SignalLedger()
+
+
+@pytest.fixture
+def make_limited(ledger, make_announcement):
+    """Return a maker of owners whose first upstreams name limits."""
+
+    def make(*rates, count=2, slots=8):
+        service = service_owner.ServiceOwner(send_gate.SendGate(ledger))
+        service.use_engine(placing.ENGINE)
+        for number, rate in enumerate(rates):
+            ledger.note_answer(f"u-{number}", rate, sent_at=0.0, now=0.0)
+        service.use_upstreams(
+            {
+                f"u-{n}": make_announcement(f"u-{n}", address=f"10.0.0.{n}:80", slots=slots)
+                for n in range(count)
+            }
+        )
+        return service
+
+    return make
+
+
+def place(service, question, now):
+    (answer,) = service.place("e", question, now)
+    return answer.message
+
+
+def test_what_a_limited_upstream_can_not_take_goes_to_others(make_limited, make_question):
+    service = make_limited(1.0, count=3, slots=100)
+    sent = []
+    for number in range(100):
+        now = number / 10
+        sent.append(place(service, make_question(f"t{number}"), now).upstream_id)
+        service.on_ended(placing.ended(f"t{number}"), now)
+    assert 1 <= sent.count("u-0") <= 10 * 1.0 + 1
+
+
+def test_a_request_waits_for_a_limit_that_lets_it_begin_in_time(make_limited, make_question):
+    service = make_limited(2.0, 2.0)
+    question = make_question("t", left_ms=2000.0)
+    assert isinstance(place(service, question, 0.0), placement_messages.Queued)
+    assert service.serve_waiting(0.4) == ()
+    (answer,) = service.serve_waiting(0.5)
+    assert isinstance(answer.message, placement_messages.Placed)
+
+
+def test_a_refusal_at_all_limits_comes_at_once_and_says_when_to_return(make_limited, make_question):
+    service = make_limited(0.1, 0.2)
+    refused = place(service, make_question("t", left_ms=2000.0), 0.0)
+    assert isinstance(refused, placement_messages.PlaceRefused)
+    assert refused.retry_after_ms == pytest.approx(5000.0)
+    again = place(service, make_question("t2", left_ms=2000.0), refused.retry_after_ms / 1000.0)
+    assert isinstance(again, placement_messages.Placed)
+
+
+def test_those_that_wait_before_it_count_in_what_a_request_is_told(make_limited, make_question):
+    service = make_limited(1.0, 1.0)
+    for number in range(6):
+        place(service, make_question(f"t{number}", left_ms=4000.0), 0.0)
+    refused = place(service, make_question("late", left_ms=2000.0), 0.01)
+    assert isinstance(refused, placement_messages.PlaceRefused)
+    assert refused.retry_after_ms == pytest.approx(990.0 + 3000.0)
+
+
+def test_a_request_that_waits_is_refused_once_limits_leave_it_no_time(
+    ledger, make_limited, make_question
+):
+    service = make_limited(count=1, slots=1)
+    place(service, make_question("t1", left_ms=9000.0), 0.0)
+    queued = place(service, make_question("t2", left_ms=3000.0), 0.0)
+    assert isinstance(queued, placement_messages.Queued)
+    ledger.note_answer("u-0", 0.1, sent_at=0.0, now=0.1)
+    (answer,) = service.serve_waiting(0.2)
+    assert isinstance(answer.message, placement_messages.PlaceRefused)
+    assert answer.message.retry_after_ms == pytest.approx(9900.0)
+
+
+def test_a_second_part_is_asked_before_a_limited_one_refuses(make_limited, make_question):
+    service = make_limited(0.1, 0.1)
+    busy = place(service, make_question("t", left_ms=2000.0, other_shard=OTHER), 0.0)
+    assert isinstance(busy, placement_messages.Busy)
+
+
+def test_an_upstream_that_moves_to_another_part_keeps_its_pace(
+    ledger, make_announcement, make_question
+):
+    """A change of the number of parts gives it another owner on the same replica."""
+    ledger.note_answer("u-0", 1.0, sent_at=0.0, now=0.0)
+    replica = owner.Owner(send_gate.SendGate(ledger))
+    replica.use_upstreams((make_announcement("u-0"),), 0.0)
+    (first,) = replica.handle("e", make_question("t1"), 1.0)
+    assert isinstance(first.message, placement_messages.Placed)
+    moved = placement_messages.Shard("engines", 3, 1)
+    (second,) = replica.handle("e", make_question("t2", shard=moved, left_ms=3000.0), 1.1)
+    assert isinstance(second.message, placement_messages.Queued)
+
+
+def test_hosts_that_place_alone_keep_to_a_part_of_a_limit(ledger, make_announcement, make_question):
+    """An owner that others still reach may use the whole meanwhile."""
+    session = entry_session.EntrySession(())
+    present = {"u-1": make_announcement("u-1"), "u-2": make_announcement("u-2")}
+    view = upstream_types.ViewChange(tuple(present.values()), is_whole=True)
+    session.take("r", coordination_messages.ViewPush(1, 1, view), 0.0)
+    gate = send_gate.SendGate(ledger)
+    ledger.note_answer("u-1", 1.0, sent_at=0.0, now=-100.0)
+    client = owner_client.OwnerClient("e", session, lambda *_: False, holding.Holding(), gate)
+
+    async def main():
+        chosen = [
+            (await client.place(make_question(f"t{n}", excluded=("u-2",) if n else ())))
+            for n in range(3)
+        ]
+        assert isinstance(chosen[0], placement_messages.Placed)
+        assert [type(item) for item in chosen[1:]].count(placement_messages.PlaceRefused) >= 1
+        refused = chosen[-1]
+        assert 0 < refused.retry_after_ms <= 1000.0 / owner_client.ALONE_SHARE
+
+    curio_world.run(main)
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from medlarfork.backpressure import send_gate, signal_ledger
 from medlarfork.gateway import holding, owner_client
 from medlarfork.placement import placement_messages
 from tests import curio_world
@@ -19,6 +20,7 @@
         self.owner_id = "r1"
         self.upstream_by_id = {}
         self.has_moved = False
+        self.entry_hosts = 2
         self.other_owner_id = "r9"
 
     def owner(self, shard, now):
@@ -62,7 +64,8 @@
         sent.append((replica_id, message))
         return True
 
-    return owner_client.OwnerClient("e", session, send, holding.Holding())
+    gate = send_gate.SendGate(signal_ledger.SignalLedger())
+    return owner_client.OwnerClient("e", session, send, holding.Holding(), gate)
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/routed/test_signal_ledger.py
@@ -0,0 +1,116 @@
+"""What ledgers of upstreams' words agree on, in whatever order they hear them."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from medlarfork.backpressure import signal_ledger, signal_messages, upstream_signals
+
+WORDS = st.lists(
+    st.tuples(
+        st.sampled_from(["u-1", "u-2"]),
+        st.one_of(st.none(), st.sampled_from([0.0, 1.0, 6.9])),
+        st.floats(0.0, 5.0),
+    ),
+    max_size=12,
+)
+
+
+@pytest.fixture
+def ledger():
+    return signal_ledger.SignalLedger()
+
+
+def test_a_limit_ends_with_an_answer_that_names_none(ledger):
+    assert ledger.note_answer("u-1", 2.0, sent_at=0.0, now=1.0)
+    assert ledger.rate("u-1") == 2.0
+    assert ledger.note_answer("u-1", None, sent_at=1.5, now=2.0)
+    assert ledger.rate("u-1") is None
+
+
+def test_an_answer_that_was_overtaken_ends_no_limit(ledger):
+    ledger.note_answer("u-1", 2.0, sent_at=0.0, now=1.0)
+    assert not ledger.note_answer("u-1", None, sent_at=0.9, now=1.2)
+    assert ledger.rate("u-1") == 2.0
+
+
+def test_an_upstream_that_names_no_limit_costs_nothing(ledger):
+    assert not ledger.note_answer("u-1", None, sent_at=0.0, now=1.0)
+    assert ledger.is_empty
+
+
+def test_a_late_report_of_a_limit_that_ended_does_not_bring_it_back(ledger):
+    other = signal_ledger.SignalLedger()
+    other.note_answer("u-1", 2.0, sent_at=0.0, now=1.0)
+    late = other.report(("u-1",), 1.0)
+    ledger.merge(late, 1.0)
+    ledger.note_answer("u-1", None, sent_at=2.0, now=2.5)
+    kept_back_s = 3.0
+    aged = signal_messages.SignalReport(
+        tuple(signal_messages.RateLimit(told.upstream_id, told.rate, 3.0) for told in late.limits)
+    )
+    merged = ledger.merge(aged, 1.0 + kept_back_s)
+    assert merged.outdated == ("u-1",)
+    assert ledger.rate("u-1") is None
+
+
+def test_fractions_that_hardly_differ_are_no_news(ledger):
+    ledger.note_answer("u-1", 6.9, sent_at=0.0, now=1.0)
+    assert not ledger.note_answer("u-1", 6.8, sent_at=1.0, now=2.0)
+    assert ledger.note_answer("u-1", 3.0, sent_at=2.0, now=3.0)
+
+
+def test_words_are_forgotten_with_their_upstreams(ledger):
+    ledger.note_answer("u-1", 6.9, sent_at=0.0, now=1.0)
+    ledger.tidy(1.0 + signal_ledger.LIMIT_S)
+    assert not ledger.is_empty
+    ledger.tidy(1.1 + signal_ledger.LIMIT_S)
+    assert ledger.is_empty
+
+
+def test_the_number_of_words_is_bounded(ledger):
+    for number in range(signal_ledger.MOST_LIMITS + 5):
+        ledger.note_answer(f"u-{number}", 1.0, sent_at=0.0, now=float(number))
+    assert ledger.limited == signal_ledger.MOST_LIMITS
+
+
+@hypothesis.given(WORDS, st.randoms())
+@hypothesis.settings(max_examples=100, derandomize=True, deadline=None)
+def test_ledgers_that_heard_the_same_agree(words, random):
+    """Told in any order, repeated, they hold of each upstream what was known last."""
+    reports = [
+        signal_messages.SignalReport((signal_messages.RateLimit(name, rate, 10.0 - at),))
+        for name, rate, at in words
+    ]
+    ledgers = signal_ledger.SignalLedger(), signal_ledger.SignalLedger()
+    for ledger in ledgers:
+        for report in reports:
+            ledger.merge(report, 10.0)
+        random.shuffle(reports)
+    for _ in range(2):
+        for one, other in (ledgers, ledgers[::-1]):
+            one.merge(other.report(other.known(), 10.0), 10.0)
+    latest = {}
+    for name, rate, at in sorted(words, key=lambda word: word[2]):
+        latest.setdefault((name, at), set()).add(rate)
+    for name in ("u-1", "u-2"):
+        times = [at for word, at in latest if word == name]
+        if times and len(latest[name, max(times)]) == 1:
+            (expected,) = latest[name, max(times)]
+            assert [ledger.rate(name) for ledger in ledgers] == [expected, expected]
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        (("6.9", "", ""), upstream_signals.UpstreamSignals(6.9)),
+        (("0", "1", "0.25"), upstream_signals.UpstreamSignals(0.0, True, 0.25)),
+        (("", " 1 ", ""), upstream_signals.UpstreamSignals(None, True)),
+        (("nan", "0", "inf"), upstream_signals.UpstreamSignals()),
+        (("-1", "yes", "-3"), upstream_signals.UpstreamSignals()),
+        (("many", "", "Thu, 03 Dec 2026 08:00:00 GMT"), upstream_signals.UpstreamSignals()),
+        (("", "", "1e9"), upstream_signals.UpstreamSignals(pause_s=3600.0)),
+    ],
+)
+def test_what_an_answer_says_is_read_and_what_makes_no_sense_is_not(headers, expected):
+    assert upstream_signals.parse(*headers) == expected
