--- a/tests/processes/test_backpressure.py
+++ b/tests/processes/test_backpressure.py
@@ -124,3 +124,26 @@
     named_at = min(limited.runs("hello"))
     assert most_in_window(limited.runs("hello"), since=named_at + LEARN_S) <= MOST_IN_WINDOW
     assert load.statuses.count(200) > 0.9 * len(load.statuses)
+
+
+PAUSE_S = 2.0
+MOST_IN_PAUSE = 2
+
+
+def most_in_pause(times):
+    """Return the most requests that came in the pause after one that was turned away."""
+    pauses = ((at + LEARN_S, at + PAUSE_S) for at in times)
+    return max(sum(since < at < until for at in times) for since, until in pauses)
+
+
+def test_an_upstream_that_asks_a_host_for_a_pause_gets_nothing_from_it_meanwhile(make_fleet):
+    """An engine that had turned a request away for 3 s got three more from that host in them."""
+    fleet = make_fleet(engines=3, entries=1)
+    shedding, *others = fleet.engines
+    shedding.answer(status=503, retry_after=str(PAUSE_S))
+    with Load(fleet) as load:
+        time.sleep(7.0)
+    assert shedding.rejected("hello")
+    assert most_in_pause(shedding.rejected("hello")) <= MOST_IN_PAUSE
+    assert set(load.statuses) == {200}
+    assert all(len(engine.runs("hello")) > 50 for engine in others)
