Upstreams that ask a host for a pause get nothing from it meanwhile

An engine that had turned a request away with 503 and Retry-After: 3 got three more from that host in those 3 s. Cause: the status was read and the header was not; a rejection made an upstream rest for 0.25 s at the owner of placement, whatever it asked for. The same class as the rate limit.

The pause is kept by the host, told to all replicas before its next question, and kept by the owner for that host alone; hosts that place alone and requests that were placed before the word came keep to it too, and a host that starts again is told. Six upstreams may turn a request away instead of three, within the budget of repeats: it was refused though others were left. The final refusal says when the first pause ends.

--- a/src/medlarfork/backpressure/send_gate.py
+++ b/src/medlarfork/backpressure/send_gate.py
@@ -1,8 +1,9 @@
 """Say when an upstream may get its next request, by what it asks for: pure.
 
-The load that this answers: an engine in need that names how many requests a second it takes from
-all hosts together. Who places for all hosts keeps to all of that, evenly spread over time; a host
-that places alone keeps to its part of a half, since others may place at the same time.
+The load that this answers: an engine that sheds load, and is sent more meanwhile by the hosts that
+it asked for a pause; an engine in need that names how many requests a second it takes from all
+hosts together. Who places for all hosts keeps to all of that, evenly spread over time; a host that
+places alone keeps to its part of a half, since others may place at the same time.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 
 
 class SendGate:
-    """Pace the requests to upstreams that name a limit; the time is handed in, in seconds."""
+    """Keep to limits and pauses; the time is handed in, in seconds."""
 
     def __init__(self, ledger: signal_ledger.SignalLedger) -> None:
         """Go by what a ledger holds."""
@@ -41,8 +42,19 @@
         rate = self._ledger.rate(upstream_id)
         return None if rate is None else max(rate, LEAST_RATE) * share
 
-    def wait_s(self, upstream_id: str, now: float, share: float = 1.0) -> float:
-        """Return how long an upstream is to get no request, in seconds; 0 if it may get one."""
+    def wait_s(self, upstream_id: str, entry_id: str, now: float, share: float = 1.0) -> float:
+        """Return how long an upstream is to get no request, in seconds; 0 if it may get one.
+
+        Args:
+            upstream_id: The incarnation.
+            entry_id: The entry host that would send it.
+            now: The time in seconds.
+            share: This place's part of what the upstream takes.
+        """
+        paused_s = max(0.0, self._ledger.paused_until(upstream_id, entry_id) - now)
+        return max(paused_s, self._paced_s(upstream_id, now, share))
+
+    def _paced_s(self, upstream_id: str, now: float, share: float) -> float:
         rate = self.rate(upstream_id, share)
         if rate is None:
             return 0.0
--- a/src/medlarfork/backpressure/signal_ledger.py
+++ b/src/medlarfork/backpressure/signal_ledger.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from medlarfork.backpressure import signal_messages
 
@@ -27,6 +28,10 @@
 MOST_LIMITS = 10_000
 """Upstreams with a limit that are kept, about 2 MB; the oldest words go first."""
 
+MOST_PAUSES = 50_000
+"""Pauses that are kept, about 10 MB: all hosts of a large fleet turned away by a hundred upstreams.
+Those that end first go first."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Limit:
@@ -64,11 +69,12 @@
     def __init__(self) -> None:
         """Start without any word."""
         self._limit_by_upstream: dict[str, _Limit] = {}
+        self._pause_until_by_pair: dict[tuple[str, str], float] = {}
 
     @property
     def is_empty(self) -> bool:
         """Return whether there is no word of any upstream."""
-        return not self._limit_by_upstream
+        return not (self._limit_by_upstream or self._pause_until_by_pair)
 
     @property
     def limited(self) -> int:
@@ -102,6 +108,21 @@
             return False
         return self._take(upstream_id, rate, now if rate is not None else sent_at, now)
 
+    def paused_until(self, upstream_id: str, entry_id: str) -> float:
+        """Return until when an upstream wants no request from an entry host, in seconds."""
+        return self._pause_until_by_pair.get((upstream_id, entry_id), -math.inf)
+
+    def note_pause(self, upstream_id: str, entry_id: str, until: float, now: float) -> bool:
+        """Note a pause that an upstream asked an entry host for; return whether that is news."""
+        pair = upstream_id, entry_id
+        if until <= max(now, self._pause_until_by_pair.get(pair, now)):
+            return False
+        self._pause_until_by_pair[pair] = until
+        if len(self._pause_until_by_pair) > MOST_PAUSES:
+            first = min(self._pause_until_by_pair, key=self._pause_until_by_pair.__getitem__)
+            del self._pause_until_by_pair[first]
+        return True
+
     def merge(self, report: signal_messages.SignalReport, now: float) -> Merged:
         """Take what another ledger holds."""
         changed: list[str] = []
@@ -112,6 +133,8 @@
                 changed.append(told.upstream_id)
             elif not _is_same(self.rate(told.upstream_id), told.rate):
                 outdated.append(told.upstream_id)
+        for pause in report.pauses:
+            self.note_pause(pause.upstream_id, pause.entry_id, now + pause.left_s, now)
         return Merged(tuple(changed), tuple(outdated))
 
     def changed_since(self, at: float) -> tuple[str, ...]:
@@ -121,20 +144,37 @@
 
     def known(self) -> tuple[str, ...]:
         """Return all upstreams of which there is a word."""
-        return tuple(self._limit_by_upstream)
+        paused = (upstream_id for upstream_id, _ in self._pause_until_by_pair)
+        return tuple(dict.fromkeys((*self._limit_by_upstream, *paused)))
+
+    def report(
+        self, upstream_ids: tuple[str, ...], now: float, *, entry_id: str = ""
+    ) -> signal_messages.SignalReport:
+        """Return what is known of some upstreams, for another ledger.
 
-    def report(self, upstream_ids: tuple[str, ...], now: float) -> signal_messages.SignalReport:
-        """Return what is known of some upstreams, for another ledger."""
+        Args:
+            upstream_ids: The upstreams.
+            now: The time in seconds.
+            entry_id: The entry host whose pauses are told; empty for no pauses.
+        """
         named = (
             (upstream_id, self._limit_by_upstream.get(upstream_id)) for upstream_id in upstream_ids
         )
-        return signal_messages.SignalReport(
-            tuple(
-                signal_messages.RateLimit(upstream_id, limit.rate, max(0.0, now - limit.at))
-                for upstream_id, limit in named
-                if limit is not None
-            )
+        limits = tuple(
+            signal_messages.RateLimit(upstream_id, limit.rate, max(0.0, now - limit.at))
+            for upstream_id, limit in named
+            if limit is not None
+        )
+        lefts = (
+            (upstream_id, self.paused_until(upstream_id, entry_id) - now)
+            for upstream_id in upstream_ids
+        )
+        pauses = tuple(
+            signal_messages.Pause(upstream_id, entry_id, left_s)
+            for upstream_id, left_s in lefts
+            if left_s > 0
         )
+        return signal_messages.SignalReport(limits, pauses)
 
     def tidy(self, now: float) -> None:
         """Forget the words that tell nothing any more."""
@@ -142,6 +182,9 @@
             kept_s = LIFTED_S if limit.rate is None else LIMIT_S
             if max(limit.at, limit.changed_at) + kept_s < now:
                 del self._limit_by_upstream[upstream_id]
+        for pair, until in tuple(self._pause_until_by_pair.items()):
+            if until <= now:
+                del self._pause_until_by_pair[pair]
 
     def _take(self, upstream_id: str, rate: float | None, at: float, now: float) -> bool:
         known = self._limit_by_upstream.get(upstream_id)
--- a/src/medlarfork/backpressure/signal_messages.py
+++ b/src/medlarfork/backpressure/signal_messages.py
@@ -25,11 +25,32 @@
     ago_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """Tell that an incarnation of an upstream wants no request from an entry host for a while.
+
+    Attributes:
+        upstream_id: The incarnation.
+        entry_id: The entry host that it turned away.
+        left_s: How much longer, in seconds.
+    """
+
+    upstream_id: str
+    entry_id: str
+    left_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SignalReport:
     """Tell what is new, what changed, or what the receiver may not know."""
 
     limits: tuple[RateLimit, ...] = ()
+    pauses: tuple[Pause, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether it tells nothing."""
+        return not (self.limits or self.pauses)
 
 
 RETELL_S = 2.0
--- a/src/medlarfork/coordination/backpressure_desk.py
+++ b/src/medlarfork/coordination/backpressure_desk.py
@@ -61,9 +61,9 @@
         report = self.ledger.report(names, now)
         return tuple(node.Send(entry_id, report) for entry_id in entry_ids)
 
-    def whole(self, now: float) -> signal_messages.SignalReport:
-        """Return all that is known, for an entry host that has just come."""
-        return self.ledger.report(self.ledger.known()[-MOST_TOLD:], now)
+    def whole(self, entry_id: str, now: float) -> signal_messages.SignalReport:
+        """Return all that concerns an entry host, for one that has just come."""
+        return self.ledger.report(self.ledger.known()[-MOST_TOLD:], now, entry_id=entry_id)
 
     def on_time(self, now: float) -> None:
         """Have what is new told once more, and forget what is old."""
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -239,8 +239,8 @@
         known = self._crashes.whole(self._now)
         if known.cases:
             self._actions.append(node.Send(entry_id, known))
-        asked_for = self._backpressure.whole(self._now)
-        if asked_for.limits:
+        asked_for = self._backpressure.whole(entry_id, self._now)
+        if not asked_for.is_empty:
             self._actions.append(node.Send(entry_id, asked_for))
 
     def _take_operation(self, operation_id: int, operation: coordinator_types.Operation) -> None:
--- a/src/medlarfork/gateway/attempt_policy.py
+++ b/src/medlarfork/gateway/attempt_policy.py
@@ -13,9 +13,10 @@
 from medlarfork.placement import placement_messages
 from medlarfork.routes import routing
 
-REJECTIONS_ALLOWED = 3
+REJECTIONS_ALLOWED = 6
 """Upstreams that may refuse one request, or be unreachable for it, before it is given up: each
-costs a round trip, and by the third the service as a whole is refusing."""
+costs a round trip and a part of the budget of repeats, and where so many refuse hardly any other
+takes it."""
 
 SHORTEST_ATTEMPT_MS = 50.0
 """Time left under which another attempt is not worth beginning, in milliseconds: no upstream can
--- a/src/medlarfork/gateway/backpressure_watch.py
+++ b/src/medlarfork/gateway/backpressure_watch.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import time
 from collections.abc import Callable, Mapping
@@ -31,17 +32,28 @@
 
     def __init__(
         self,
+        entry_id: str,
         names: request_names.RequestNames,
         session: entry_session.EntrySession,
         send: Callable[[str, signal_messages.SignalReport], bool],
     ) -> None:
-        """Read headers by these names, and use what the replicas tell and a link to send by."""
+        """Wire what it uses.
+
+        Args:
+            entry_id: Names this entry host.
+            names: The headers in which upstreams speak.
+            session: Knows replicas and upstreams.
+            send: Sends a message to a replica.
+        """
+        self._entry_id = entry_id
+        self._session = session
         self._names = names
         self._signals_by_upstream: dict[str, upstream_signals.UpstreamSignals] = {}
         self._ledger = signal_ledger.SignalLedger()
         self.gate = send_gate.SendGate(self._ledger)
+        report = functools.partial(self._ledger.report, entry_id=entry_id)
         self._news = replica_news.ReplicaNews(
-            session, send, self._ledger.report, retell_s=signal_messages.RETELL_S
+            session, send, report, retell_s=signal_messages.RETELL_S
         )
 
     @property
@@ -74,10 +86,29 @@
             headers.get("retry-after", "") if is_turned_away else "",
         )
         now = _now()
-        if self._ledger.note_answer(upstream_id, told.rate_limit, sent_at=sent_at, now=now):
+        is_news = self._ledger.note_answer(upstream_id, told.rate_limit, sent_at=sent_at, now=now)
+        is_news |= self._ledger.note_pause(upstream_id, self._entry_id, now + told.pause_s, now)
+        if is_news:
             self._news.tell((upstream_id,), now)
         self._log_change(upstream_id, status, told, attempt_id)
 
+    def may_send(self, upstream_id: str) -> bool:
+        """Return whether an upstream still takes a request that was placed on it.
+
+        Limits are kept where requests are placed.
+        """
+        return self._ledger.paused_until(upstream_id, self._entry_id) <= _now()
+
+    def opens_in_ms(self, service: str) -> float:
+        """Return how long all upstreams of a service want no request from here, in milliseconds."""
+        now = _now()
+        waits_s = (
+            self.gate.wait_s(upstream_id, self._entry_id, now)
+            for upstream_id, item in self._session.upstream_by_id.items()
+            if item.service == service
+        )
+        return 1000.0 * min(waits_s, default=0.0)
+
     def take(self, report: signal_messages.SignalReport) -> None:
         """Take what a replica tells; answer with what this host knows better."""
         now = _now()
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -94,7 +94,7 @@
         )
         self._holds = holding.Holding()
         self._backpressure = backpressure_watch.BackpressureWatch(
-            names, self._session, self._link.send
+            given.entry_id, names, self._session, self._link.send
         )
         self._owner = owner_client.OwnerClient(
             given.entry_id, self._session, self._link.send, self._holds, self._backpressure.gate
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -351,7 +351,9 @@
             if item.service == request.service
         )
         now, share = _now(), ALONE_SHARE / self._session.entry_hosts
-        waits_s = [self._gate.wait_s(item.upstream_id, now, share) for item in upstreams]
+        waits_s = [
+            self._gate.wait_s(item.upstream_id, self._entry_id, now, share) for item in upstreams
+        ]
         is_open = [wait_s <= 0 for wait_s in waits_s]
         chosen = local_choice.choose(
             request,
@@ -364,7 +366,7 @@
             return placement_messages.Placed(request.ticket_id, chosen)
         why = "no upstream of the service is known"
         if upstreams:
-            why = "no upstream takes it now, by its rate limit or since it failed this request"
+            why = "every upstream is at its limit, wants a pause, or failed this request"
         retry_ms = max(LOCAL_RETRY_MS, 1000.0 * min(waits_s, default=0.0))
         return placement_messages.PlaceRefused(request.ticket_id, retry_ms, why)
 
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -68,6 +68,12 @@
                 self.trace.reasons.append(placed.why)
                 await self._give_up()
                 return
+            if not self._tools.backpressure.may_send(placed.upstream_id):
+                # Its word came after the request was placed.
+                self.trace.reasons.append(f"{placed.upstream_id}: takes no request from here now")
+                self.end_ticket(placement_messages.RunEnd.CANCELLED)
+                self._excluded.append(placed.upstream_id)
+                continue
             upstream = self._tools.find_upstream(placed.upstream_id)
             if upstream is None:
                 end: placement_messages.RunEnd | None = placement_messages.RunEnd.UNREACHABLE
@@ -79,8 +85,13 @@
             if end is None:
                 return
             self._progress = self._progress.after(end)
-            self._excluded.append(placed.upstream_id)
+            is_rejected = end is placement_messages.RunEnd.REJECTED
+            # One that asked for a pause takes it afterwards; until then nothing is placed there.
+            if not is_rejected or self._tools.backpressure.may_send(placed.upstream_id):
+                self._excluded.append(placed.upstream_id)
             if not await self._may_try_again(end, placed.upstream_id):
+                opens_in_ms = self._tools.backpressure.opens_in_ms(self._admitted.service)
+                self._retry_after_ms = max(self._retry_after_ms, opens_in_ms)
                 await self._give_up()
                 return
 
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -159,6 +159,14 @@
         """Take the head of an answer."""
         ...
 
+    def may_send(self, upstream_id: str) -> bool:
+        """Return whether an upstream still takes a request that was placed on it."""
+        ...
+
+    def opens_in_ms(self, service: str) -> float:
+        """Return how long all upstreams of a service want no request from here."""
+        ...
+
 
 FindUpstream = Callable[[str], upstream_types.Announcement | None]
 """Returns an upstream that may take requests now; it may have come while a request waited."""
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -277,13 +277,22 @@
         """
         if self._gate.is_idle:
             return 0.0
-        allowed = self._allowed(waiting.request)
-        opens_s = min((self._gate_wait_s(load, now) for load in allowed), default=0.0)
-        if opens_s <= 0:
-            return 0.0
-        rates = (self._gate.rate(load.announcement.upstream_id, self.share) for load in allowed)
-        ahead_s = self._line.count_before(waiting) / sum(rate for rate in rates if rate)
-        return (opens_s + ahead_s) * 1000.0
+        waits_s: list[float] = []
+        limited_s: list[float] = []
+        rates: list[float] = []
+        for load in self._allowed(waiting.request):
+            wait_s = self._gate_wait_s(load, waiting.entry_id, now)
+            if wait_s <= 0:
+                return 0.0
+            rate = self._gate.rate(load.announcement.upstream_id, self.share)
+            if rate is None:
+                waits_s.append(wait_s)
+            else:
+                limited_s.append(wait_s)
+                rates.append(rate)
+        if rates:
+            waits_s.append(min(limited_s) + self._line.count_before(waiting) / sum(rates))
+        return min(waits_s, default=0.0) * 1000.0
 
     def _turn_away(
         self, waiting: waiting_line.Waiting, closed_ms: float, now: float
@@ -291,11 +300,11 @@
         """Send a request on that no upstream takes in time, or refuse it if nobody else may."""
         if self._busy_shards.may_ask(waiting.request, now):
             return self._busy(waiting, closed_ms)
-        why = f"every upstream is at its rate limit for about {closed_ms:.0f} ms"
+        why = f"every upstream is at its limit or wants a pause for about {closed_ms:.0f} ms"
         return self._refuse(waiting, why, max(closed_ms, start_rules.SHORTEST_RETRY_MS))
 
-    def _gate_wait_s(self, load: upstream_load.UpstreamLoad, now: float) -> float:
-        return self._gate.wait_s(load.announcement.upstream_id, now, self.share)
+    def _gate_wait_s(self, load: upstream_load.UpstreamLoad, entry_id: str, now: float) -> float:
+        return self._gate.wait_s(load.announcement.upstream_id, entry_id, now, self.share)
 
     def _is_too_late(self, waiting: waiting_line.Waiting, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
@@ -305,7 +314,7 @@
     def _try(self, waiting: waiting_line.Waiting, now: float) -> placement_answer.Answer | None:
         """Return the placement, or None if the request has to wait."""
         request = waiting.request
-        candidates = self._candidates(request, now)
+        candidates = self._candidates(waiting, now)
         if not candidates:
             return None
         waited_ms = (now - waiting.since) * 1000.0
@@ -437,22 +446,22 @@
         return best
 
     def _candidates(
-        self, request: placement_messages.PlaceRequest, now: float
+        self, waiting: waiting_line.Waiting, now: float
     ) -> list[upstream_load.UpstreamLoad]:
         """Return the upstreams with a free slot; those that failed lately only if all did.
 
         Where the sound ones are full, or may get nothing now, a request waits: sent to one that
         failed it would be lost.
         """
-        tokens = request.memory_tokens
-        allowed = self._allowed(request)
+        tokens = waiting.request.memory_tokens
+        allowed = self._allowed(waiting.request)
         sound = [load for load in allowed if not load.is_pausing(now)]
         return [
             load
             for load in sound or allowed
             if not load.is_full
             and load.has_memory_for(tokens)
-            and self._gate_wait_s(load, now) <= 0
+            and self._gate_wait_s(load, waiting.entry_id, now) <= 0
         ]
 
     def _allowed(
--- a/tests/routed/test_suspect_runs.py
+++ b/tests/routed/test_suspect_runs.py
@@ -86,6 +86,7 @@
             shards=lambda service, key: (placement_messages.Shard(service), None),
             zone="z1",
             find_upstream=_sent,
+            backpressure=types.SimpleNamespace(may_send=lambda upstream_id: True),
         )
         curio_world.run(request_run.RequestRun(admitted, tools).serve)
         return exchange
