Upstreams that say in an answer that they are leaving get nothing more from any host

The host that reads it sends nothing more there, and replicas take it as a leave, which the view brings to all hosts and to those that start later; one that goes on announcing itself stays gone.

--- a/src/medlarfork/backpressure/send_gate.py
+++ b/src/medlarfork/backpressure/send_gate.py
@@ -32,6 +32,10 @@
         """Return whether no upstream asks for anything."""
         return self._ledger.is_empty
 
+    def is_leaving(self, upstream_id: str) -> bool:
+        """Return whether an upstream takes no request any more."""
+        return self._ledger.is_leaving(upstream_id)
+
     def rate(self, upstream_id: str, share: float = 1.0) -> float | None:
         """Return how many requests a second an upstream may get from here; None for no limit.
 
--- a/src/medlarfork/backpressure/signal_ledger.py
+++ b/src/medlarfork/backpressure/signal_ledger.py
@@ -28,6 +28,9 @@
 MOST_LIMITS = 10_000
 """Upstreams with a limit that are kept, about 2 MB; the oldest words go first."""
 
+LEAVING_S = 600.0
+"""How long it is remembered that an upstream is leaving, in seconds: far longer than it stays."""
+
 MOST_PAUSES = 50_000
 """Pauses that are kept, about 10 MB: all hosts of a large fleet turned away by a hundred upstreams.
 Those that end first go first."""
@@ -70,11 +73,13 @@
         """Start without any word."""
         self._limit_by_upstream: dict[str, _Limit] = {}
         self._pause_until_by_pair: dict[tuple[str, str], float] = {}
+        self._leaving_since_by_upstream: dict[str, float] = {}
 
     @property
     def is_empty(self) -> bool:
         """Return whether there is no word of any upstream."""
-        return not (self._limit_by_upstream or self._pause_until_by_pair)
+        words = self._limit_by_upstream, self._pause_until_by_pair, self._leaving_since_by_upstream
+        return not any(words)
 
     @property
     def limited(self) -> int:
@@ -123,6 +128,17 @@
             del self._pause_until_by_pair[first]
         return True
 
+    def is_leaving(self, upstream_id: str) -> bool:
+        """Return whether an upstream has said that it is leaving; that is final for it."""
+        return upstream_id in self._leaving_since_by_upstream
+
+    def note_leaving(self, upstream_id: str, now: float) -> bool:
+        """Note that an upstream is leaving; return whether that is news."""
+        if self.is_leaving(upstream_id):
+            return False
+        self._leaving_since_by_upstream[upstream_id] = now
+        return True
+
     def merge(self, report: signal_messages.SignalReport, now: float) -> Merged:
         """Take what another ledger holds."""
         changed: list[str] = []
@@ -135,6 +151,8 @@
                 outdated.append(told.upstream_id)
         for pause in report.pauses:
             self.note_pause(pause.upstream_id, pause.entry_id, now + pause.left_s, now)
+        for upstream_id in report.leaving:
+            self.note_leaving(upstream_id, now)
         return Merged(tuple(changed), tuple(outdated))
 
     def changed_since(self, at: float) -> tuple[str, ...]:
@@ -145,7 +163,8 @@
     def known(self) -> tuple[str, ...]:
         """Return all upstreams of which there is a word."""
         paused = (upstream_id for upstream_id, _ in self._pause_until_by_pair)
-        return tuple(dict.fromkeys((*self._limit_by_upstream, *paused)))
+        leaving = self._leaving_since_by_upstream
+        return tuple(dict.fromkeys((*self._limit_by_upstream, *paused, *leaving)))
 
     def report(
         self, upstream_ids: tuple[str, ...], now: float, *, entry_id: str = ""
@@ -174,7 +193,8 @@
             for upstream_id, left_s in lefts
             if left_s > 0
         )
-        return signal_messages.SignalReport(limits, pauses)
+        leaving = tuple(filter(self.is_leaving, upstream_ids))
+        return signal_messages.SignalReport(limits, pauses, leaving)
 
     def tidy(self, now: float) -> None:
         """Forget the words that tell nothing any more."""
@@ -185,6 +205,9 @@
         for pair, until in tuple(self._pause_until_by_pair.items()):
             if until <= now:
                 del self._pause_until_by_pair[pair]
+        for upstream_id, since in tuple(self._leaving_since_by_upstream.items()):
+            if since + LEAVING_S < now:
+                del self._leaving_since_by_upstream[upstream_id]
 
     def _take(self, upstream_id: str, rate: float | None, at: float, now: float) -> bool:
         known = self._limit_by_upstream.get(upstream_id)
--- a/src/medlarfork/backpressure/signal_messages.py
+++ b/src/medlarfork/backpressure/signal_messages.py
@@ -42,15 +42,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SignalReport:
-    """Tell what is new, what changed, or what the receiver may not know."""
+    """Tell what is new, what changed, or what the receiver may not know.
+
+    Attributes:
+        limits: Rate limits, and those that ended.
+        pauses: Pauses that entry hosts were asked for.
+        leaving: Incarnations that say that they are leaving.
+    """
 
     limits: tuple[RateLimit, ...] = ()
     pauses: tuple[Pause, ...] = ()
+    leaving: tuple[str, ...] = ()
 
     @property
     def is_empty(self) -> bool:
         """Return whether it tells nothing."""
-        return not (self.limits or self.pauses)
+        return not (self.limits or self.pauses or self.leaving)
 
 
 RETELL_S = 2.0
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -197,6 +197,7 @@
                 self._actions += self._crashes.take(message, self._now)
             case signal_messages.SignalReport():
                 self._actions += self._backpressure.take(message, self._now)
+                self._upstreams.note_leaving(message.leaving, self._now)
             case usage_messages.UsageTold() | engine_messages.LoadTold():
                 self._actions += self.duties.take(sender, message, self._now)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
--- a/src/medlarfork/coordination/upstream_desk.py
+++ b/src/medlarfork/coordination/upstream_desk.py
@@ -103,6 +103,11 @@
         gossip = coordination_messages.UpstreamGossip((), (upstream_id,), self._tokens)
         return _to_all(peers, gossip)
 
+    def note_leaving(self, upstream_ids: tuple[str, ...], now: float) -> None:
+        """Take from entry hosts that upstreams say in their answers that they are leaving."""
+        for upstream_id in upstream_ids:
+            self._note(self._registry.withdraw(upstream_id, now))
+
     def on_gossip(
         self, sender: str, gossip: coordination_messages.UpstreamGossip, now: float
     ) -> tuple[Any, ...]:
--- a/src/medlarfork/coordination/upstream_registry.py
+++ b/src/medlarfork/coordination/upstream_registry.py
@@ -57,6 +57,8 @@
         """Take an announcement and return what it changes for those that hold the view."""
         upstream_id = announcement.upstream_id
         if upstream_id in self._gone_until_by_id:
+            # One that goes on announcing itself is remembered for as long.
+            self._gone_until_by_id[upstream_id] = now + REMEMBER_GONE_S
             return upstream_types.ViewChange()
         if announcement.is_leaving:
             return self.withdraw(upstream_id, now)
--- a/src/medlarfork/gateway/backpressure_watch.py
+++ b/src/medlarfork/gateway/backpressure_watch.py
@@ -88,6 +88,8 @@
         now = _now()
         is_news = self._ledger.note_answer(upstream_id, told.rate_limit, sent_at=sent_at, now=now)
         is_news |= self._ledger.note_pause(upstream_id, self._entry_id, now + told.pause_s, now)
+        if told.is_leaving:
+            is_news |= self._ledger.note_leaving(upstream_id, now)
         if is_news:
             self._news.tell((upstream_id,), now)
         self._log_change(upstream_id, status, told, attempt_id)
@@ -97,6 +99,8 @@
 
         Limits are kept where requests are placed.
         """
+        if self._ledger.is_leaving(upstream_id):
+            return False
         return self._ledger.paused_until(upstream_id, self._entry_id) <= _now()
 
     def opens_in_ms(self, service: str) -> float:
@@ -105,7 +109,7 @@
         waits_s = (
             self.gate.wait_s(upstream_id, self._entry_id, now)
             for upstream_id, item in self._session.upstream_by_id.items()
-            if item.service == service
+            if item.service == service and not self._ledger.is_leaving(upstream_id)
         )
         return 1000.0 * min(waits_s, default=0.0)
 
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -348,7 +348,7 @@
         upstreams = tuple(
             item
             for item in self._session.upstream_by_id.values()
-            if item.service == request.service
+            if item.service == request.service and not self._gate.is_leaving(item.upstream_id)
         )
         now, share = _now(), ALONE_SHARE / self._session.entry_hosts
         waits_s = [
--- a/tests/processes/test_backpressure.py
+++ b/tests/processes/test_backpressure.py
@@ -147,3 +147,32 @@
     assert most_in_pause(shedding.rejected("hello")) <= MOST_IN_PAUSE
     assert set(load.statuses) == {200}
     assert all(len(engine.runs("hello")) > 50 for engine in others)
+
+
+DRAIN_S = 2.0
+"""Time after an upstream has said that it leaves in which requests may still reach it."""
+
+
+def test_an_upstream_that_says_it_is_leaving_gets_nothing_more_from_any_host(make_fleet):
+    """It goes on announcing itself as ready, and only its answers tell.
+
+    Replicas and hosts that are started again meanwhile learn it from the others.
+    """
+    fleet = make_fleet(engines=3)
+    leaving, *others = fleet.engines
+    with Load(fleet) as load:
+        time.sleep(1.0)
+        leaving.answer(medlar_leaving="1")
+        said_from = time.monotonic()
+        time.sleep(1.0)
+        for replica in fleet.replicas:
+            fleet.kill(replica)
+            fleet.start_replica(replica)
+            time.sleep(1.5)
+        fleet.kill(fleet.entries[0])
+        fleet.start_entry(fleet.entries[0])
+        time.sleep(2.0)
+    told_at = min(at for at in leaving.runs("hello") if at > said_from)
+    assert [at for at in leaving.runs("hello") if at > told_at + DRAIN_S] == []
+    assert load.statuses.count(200) > 0.8 * len(load.statuses)
+    assert all(len(engine.runs("hello")) > 100 for engine in others)
