A host's own answers shield a request from ends that it sees itself

Callers of a sound request that many send got 502, "upstreams ended while they ran it", when two engines were killed at once. Cause: a host kept its whole answers apart from the ledger and held them against the ends that others told, but not against those that it saw itself, as long as the ledger had no case of the request. Both ends counted then, and a retry whose second engine had gone too was given up.

Evidence: the new test puts the request on trial on the code before, and leaves it free now.

--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import logging
+import math
 import time
 from collections.abc import Callable
 
@@ -209,11 +210,21 @@
     def _note_ends(self, upstream_id: str, at_by_key: dict[str, float]) -> None:
         now = _now()
         news = tuple(
-            key for key, at in at_by_key.items() if self._ledger.note_end(key, upstream_id, at, now)
+            key
+            for key, at in at_by_key.items()
+            if not self._is_shielded(key, at) and self._ledger.note_end(key, upstream_id, at, now)
         )
         self._note("seen", news)
         self._news.tell(news, now)
 
+    def _is_shielded(self, key: str, at: float) -> bool:
+        """Return whether this host had a whole answer shortly before an upstream ended.
+
+        The ledger knows of answers only where it has a case already.
+        """
+        survived_at = self._survived_at_by_key.get(key, -math.inf)
+        return at <= survived_at + crash_ledger.SHIELD_S
+
     def _note(self, how: str, keys: tuple[str, ...]) -> None:
         for key in keys:
             standing = self.standing(key)
--- a/tests/routed/test_crash_watch.py
+++ b/tests/routed/test_crash_watch.py
@@ -162,6 +162,37 @@
     assert sent[0][1].cases[0].survived_ago_s >= 0
 
 
+def test_upstreams_that_end_together_just_after_an_answer_put_no_request_on_trial(
+    watch, sent, make_admitted, make_announcement
+):
+    """Two engines were killed at once; a request that ran on both was lost as if it ended them."""
+
+    async def main():
+        watch.run_survived(KEY)
+        for number in range(3):
+            await break_at(watch, make_admitted(), upstream(make_announcement, number))
+            assert watch.standing(KEY).verdict is Verdict.FREE
+        assert sent == []
+
+    curio_world.run(main)
+
+
+def test_an_answer_of_long_ago_shields_no_request(
+    watch, make_admitted, make_announcement, monkeypatch
+):
+    now = [100.0]
+    monkeypatch.setattr(crash_watch, "_now", lambda: now[0])
+
+    async def main():
+        watch.run_survived(KEY)
+        now[0] += crash_ledger.SHIELD_S + 0.1
+        for number in range(3):
+            await break_at(watch, make_admitted(), upstream(make_announcement, number))
+        assert watch.standing(KEY).verdict is Verdict.HELD
+
+    curio_world.run(main)
+
+
 def test_a_replica_that_has_started_is_told_what_is_known(
     watch, sent, make_admitted, make_announcement
 ):
