A request that lost one upstream goes on while others like it are on trial

Callers of a sound request that many send got 502 or 503 after two engines were killed at once: a retry was given up as soon as two ends were known, its own or not, and all but one of those that came were refused until that one had proved them sound. Now one that lost a single upstream goes on, on trial if need be, and waits up to 2 s, or half of its time, for the trial of another one like it. What ends three engines is still refused at once.

--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -29,6 +29,16 @@
 ANSWER_EARLY_MS = 20.0
 """How long before the caller's own deadline a final answer is sent, in milliseconds: its way."""
 
+TRIAL_WAIT_S = 2.0
+"""How long a request waits for the end of a trial of another one like it, in seconds: most runs end
+within."""
+
+TRIAL_WAIT_SHARE = 0.5
+"""The same as a share of the time that its caller has left; it needs the rest to be answered."""
+
+TRIAL_ASK_S = 0.1
+"""How often it asks meanwhile, in seconds."""
+
 
 class RequestRun:
     """Serve one admitted request; ``serve`` returns when its answer has ended."""
@@ -49,6 +59,7 @@
         self._waits_since = admitted.started_at
         self._refusal = errors.Code.OVERLOADED
         self._breaks = 0
+        self._trial_until: float | None = None
         self._running_at: upstream_types.Announcement | None = None
         self._is_counted = False
 
@@ -135,6 +146,8 @@
             is_trial = standing.verdict is crash_ledger.Verdict.TRIAL
             placed = await self._place(trial_key=key if is_trial else "")
             if isinstance(placed, placement_messages.PlaceRefused):
+                if is_trial and await self._wait_trial():
+                    continue
                 return placed
             match crashes.standing(key).verdict:
                 case crash_ledger.Verdict.FREE:
@@ -143,6 +156,19 @@
                     return placed
             self.end_ticket(placement_messages.RunEnd.CANCELLED)
 
+    async def _wait_trial(self) -> bool:
+        """Wait while another request like it may be on trial; return False after long enough.
+
+        A sound one is answered within its usual time, which lets all that wait go on.
+        """
+        now = time.monotonic()
+        if self._trial_until is None:
+            self._trial_until = now + min(TRIAL_WAIT_S, TRIAL_WAIT_SHARE * self._left_ms / 1000.0)
+        if now >= self._trial_until:
+            return False
+        await curio.sleep(TRIAL_ASK_S)
+        return True
+
     async def _place(
         self, *, trial_key: str
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
@@ -201,15 +227,18 @@
         return False
 
     async def _is_suspect(self, upstream_id: str) -> bool:
-        """Say whether a second upstream ended under the request, here or at another host.
+        """Say whether the request is not to be sent on, since upstreams ended under it.
 
-        Only after a second break it waits for what the look at the upstream brings, so that a
-        request whose first upstream was lost goes on at once.
+        Only after a second break of its own it waits for what the look at the upstream brings, so
+        that a request whose first upstream was lost goes on at once, on trial if others like it
+        lost another one.
         """
         if self._breaks > 1:
             await self._tools.crashes.wait_looked(upstream_id)
-        standing = self._tools.crashes.standing(self._admitted.key)
-        return standing.verdict is not crash_ledger.Verdict.FREE
+        verdict = self._tools.crashes.standing(self._admitted.key).verdict
+        if self._breaks > 1:
+            return verdict is not crash_ledger.Verdict.FREE
+        return verdict is crash_ledger.Verdict.HELD
 
     def _note_given_up(self) -> None:
         """Have an upstream watched that was at work: one without power breaks no connection."""
--- a/tests/routed/test_suspect_runs.py
+++ b/tests/routed/test_suspect_runs.py
@@ -32,6 +32,7 @@
     """Place every request, and note which asked for a trial and which were given back."""
 
     def __init__(self):
+        self.refuses_trials = False
         self.asked = []
         self.given_back = 0
 
@@ -40,6 +41,8 @@
 
     async def place(self, request):
         self.asked.append(request.trial_key)
+        if request.trial_key and self.refuses_trials:
+            return placement_messages.PlaceRefused(request.ticket_id, 1000.0, "another one runs")
         return placement_messages.Placed(request.ticket_id, "u-1")
 
     def end(self, ticket_id, end, after_ms, pauses=None):
@@ -71,7 +74,7 @@
 def serve(owner, make_route):
     """Return a function that serves one request and returns its exchange."""
 
-    def serve_one(*standings):
+    def serve_one(*standings, find_upstream=_sent):
         exchange = Exchange()
         facts = types.SimpleNamespace(
             parts=(), output_tokens=0, last_event_id="", attempt_id="a-1", deadline_ms=None
@@ -85,7 +88,7 @@
             crashes=Crashes(*standings),
             shards=lambda service, key: (placement_messages.Shard(service), None),
             zone="z1",
-            find_upstream=_sent,
+            find_upstream=find_upstream,
             backpressure=types.SimpleNamespace(may_send=lambda upstream_id: True),
         )
         curio_world.run(request_run.RequestRun(admitted, tools).serve)
@@ -117,3 +120,48 @@
     with pytest.raises(SentError):
         serve(*standings)
     assert owner.asked == asked
+
+
+def test_a_suspect_waits_while_another_one_like_it_is_on_trial_and_goes_on_once_cleared(
+    serve, owner
+):
+    """Those that many callers send were refused while the first of them proved them sound."""
+    owner.refuses_trials = True
+    with pytest.raises(SentError):
+        serve(TRIAL, TRIAL, FREE)
+    assert owner.asked == ["k", "k", ""]
+
+
+def test_a_suspect_is_refused_once_it_has_waited_long_enough(serve, owner, monkeypatch):
+    monkeypatch.setattr(request_run, "TRIAL_WAIT_S", 0.25)
+    owner.refuses_trials = True
+    exchange = serve(TRIAL)
+    assert exchange.status == 503
+    assert 2 <= len(owner.asked) <= 5
+
+
+def test_a_suspect_that_is_held_meanwhile_is_told_at_once(serve, owner):
+    owner.refuses_trials = True
+    exchange = serve(TRIAL, HELD)
+    assert float(exchange.headers["Retry-After"]) == 30.0
+    assert owner.asked == ["k"]
+
+
+class Breaking:
+    """Break the first run; others like it lost a second upstream meanwhile."""
+
+    def __init__(self):
+        self.runs = 0
+
+    def find(self, upstream_id):
+        self.runs += 1
+        if self.runs == 1:
+            return
+        raise SentError
+
+
+def test_a_request_that_lost_one_upstream_goes_on_when_others_like_it_lost_another(serve, owner):
+    """It got 502 after its second upstream had refused the connection; the next would serve it."""
+    with pytest.raises(SentError):
+        serve(FREE, FREE, TRIAL, find_upstream=Breaking().find)
+    assert owner.asked == ["", "k"]
