A request that no upstream of a part takes asks the other parts before it is refused

With three or more parts only two were asked, so a caller was refused though others were left. The refusal then says when the first of all takes it. The attempts of a request are sent by a module of their own, and the times at which a shard's upstreams are open are worked out by another; no change of what they do. The test of the parts is red before.

--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -120,6 +120,10 @@
         """
         return shard_choice.choose(key, self._sizes(service), service)
 
+    def service_shards(self, service: str) -> tuple[placement_messages.Shard, ...]:
+        """Return all shards of a service that have upstreams."""
+        return tuple(self._sizes(service))
+
     def counted(self, shard: placement_messages.Shard) -> placement_messages.Shard:
         """Return a shard by the number there are now; for one that is gone, another."""
         sizes = self._sizes(shard.service)
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -50,6 +50,31 @@
         placement_messages.Placed | placement_messages.PlaceRefused | placement_messages.Busy | None
     ) = None
     changed: curio.Event = dataclasses.field(default_factory=curio.Event)
+    closed_ms_by_shard: dict[placement_messages.Shard, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def turn_from_closed(self, shards: tuple[placement_messages.Shard, ...]) -> bool:
+        """Ask a shard next that has not refused; return False if all have.
+
+        The refusal then says when the first of them takes the request.
+        """
+        refused = self.answer
+        if not isinstance(refused, placement_messages.PlaceRefused) or not refused.is_closed:
+            return False
+        closed = self.closed_ms_by_shard
+        closed[self.request.owned_shard] = refused.retry_after_ms
+        left = [shard for shard in shards if shard not in closed]
+        if not left or self.request.trial_key:
+            self.answer = dataclasses.replace(refused, retry_after_ms=min(closed.values()))
+            return False
+        self.request = dataclasses.replace(
+            self.request, shard=left[0], other_shard=None, begins_within_ms=0.0, busy_shard=None
+        )
+        self.owner_id = ""
+        self.answer = None
+        self.is_queued = False
+        return True
 
     def turn(self, begins_ms: float) -> None:
         """Ask the other shard next: the one that may be free, and then the first one again.
@@ -271,6 +296,8 @@
             if isinstance(ticket.answer, placement_messages.Busy):
                 ticket.turn(ticket.answer.begins_ms)
                 continue
+            if ticket.turn_from_closed(self._session.service_shards(ticket.request.service)):
+                continue
             if is_heard and ticket.answer is not None:
                 return ticket.answer
             if is_heard:
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import dataclasses
-import functools
 import time
 
 import curio
@@ -15,9 +14,9 @@
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import (
     attempt_policy,
+    attempt_sender,
     event_cutter,
     owner_client,
-    request_facts,
     request_types,
     stream_pauses,
     upstream_call,
@@ -48,6 +47,7 @@
         self.trace = request_types.Trace()
         self._admitted = admitted
         self._tools = tools
+        self._sender = attempt_sender.AttemptSender(admitted, tools)
         self._progress = attempt_policy.Progress()
         self._excluded: list[str] = []
         self._retry_after_ms = owner_client.LOCAL_RETRY_MS
@@ -61,7 +61,6 @@
         self._breaks = 0
         self._trial_until: float | None = None
         self._running_at: upstream_types.Announcement | None = None
-        self._is_counted = False
 
     async def serve(self) -> None:
         """Place, send and relay until there is a final answer.
@@ -246,46 +245,6 @@
             self._tools.crashes.run_given_up(self._admitted.key, self._running_at)
             self._running_at = None
 
-    def _count_begun(self) -> None:
-        """Count the request once for its client account, however often it runs."""
-        if not self._is_counted:
-            self._is_counted = True
-            self._tools.usage.note_begun(self._admitted.account)
-
-    async def _send_counted(
-        self, call: upstream_call.Call, upstream_id: str
-    ) -> http_client.Response | upstream_call.Failure:
-        """Send a call; one without a prompt begins to run when it is sent, if it is taken."""
-        if self._is_counted or self._admitted.route.has_prompt:
-            return await self._send(call, upstream_id)
-        send = self._tools.usage.note_sent(self._admitted.account)
-        # Given up in the middle, it counts as taken.
-        self._is_counted = True
-        try:
-            sent = await self._send(call, upstream_id)
-            self._is_counted = (
-                not isinstance(sent, upstream_call.Failure)
-                or sent.end is placement_messages.RunEnd.BROKEN
-            )
-        finally:
-            self._tools.usage.note_taken(send, has_begun=self._is_counted)
-        return sent
-
-    async def _send(
-        self, call: upstream_call.Call, upstream_id: str
-    ) -> http_client.Response | upstream_call.Failure:
-        note_head = functools.partial(self._note_head, upstream_id)
-        return await upstream_call.send(self._tools.client, call, self._tools.names, note_head)
-
-    def _note_head(self, upstream_id: str, response: http_client.Response) -> None:
-        self._tools.backpressure.note_answer(
-            upstream_id,
-            response.status,
-            response.headers,
-            sent_at=self._sent_at,
-            attempt_id=self._admitted.facts.attempt_id,
-        )
-
     async def _note_broken(self, upstream: upstream_types.Announcement) -> None:
         self._breaks += 1
         await self._tools.crashes.run_broken(self._admitted, upstream)
@@ -297,8 +256,12 @@
         self.trace.upstreams.append(upstream.upstream_id)
         self._sent_at = time.monotonic()
         self._pauses = stream_pauses.StreamPauses()
-        call = self._call(upstream, fetch_from)
-        sent = await self._send_counted(call, upstream.upstream_id)
+        sent = await self._sender.send(
+            upstream,
+            fetch_from=fetch_from,
+            last_event_id=self._cutter.last_id,
+            left_ms=self._left_ms,
+        )
         if isinstance(sent, upstream_call.Failure):
             if sent.end is not placement_messages.RunEnd.UNREACHABLE:
                 self._sends += 1
@@ -321,30 +284,6 @@
         self.end_ticket(end or placement_messages.RunEnd.COMPLETE)
         return end
 
-    def _call(self, upstream: upstream_types.Announcement, fetch_from: str) -> upstream_call.Call:
-        admitted = self._admitted
-        head = admitted.exchange.head
-        headers = request_facts.for_upstream(
-            head.headers,
-            self._tools.names,
-            upstream_id=upstream.own_name,
-            left_ms=self._left_ms,
-            account=admitted.account,
-            tier=admitted.tier,
-            target_ms=admitted.route.target_ms,
-            last_event_id=self._cutter.last_id,
-            fetch_from=fetch_from,
-        )
-        return upstream_call.Call(
-            address=upstream.address,
-            method=head.method,
-            target=head.target,
-            headers=headers,
-            body=admitted.body,
-            attempt_id=admitted.facts.attempt_id,
-            timeout_s=max(self._left_ms, 1.0) / 1000.0,
-        )
-
     async def _relay(self, response: http_client.Response) -> placement_messages.RunEnd | None:
         is_stream = response.headers.get("content-type", "").startswith(sse.MEDIA_TYPE)
         if response.status < 300 and is_stream:
@@ -427,7 +366,7 @@
     async def _begin_stream(self, response: http_client.Response) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
         self._tools.owner.first_event(self._ticket_id, after_ms)
-        self._count_begun()
+        self._sender.count_begun()
         self.trace.first_event_ms = self._since_start_ms()
         self._progress = dataclasses.replace(self._progress, answer_begun=True)
         headers = {
--- a/src/medlarfork/links/_link_sockets.py
+++ b/src/medlarfork/links/_link_sockets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-import secrets
+import os
 
 import zmq
 
@@ -139,7 +139,7 @@
     Its random part is known to this peer only, so that no other holder of a key can take the
     connection over there.
     """
-    nonce = secrets.token_hex(_NONCE_BYTES)
+    nonce = os.urandom(_NONCE_BYTES).hex()
     return identity.encode() + ROUTE_SEPARATOR + nonce.encode()
 
 
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -123,7 +123,7 @@
         answers: list[placement_answer.Answer] = []
         for shard, owner in self._owner_by_shard.items():
             if owner.waiting:
-                owner.share = self._shares.share(shard, now)
+                owner.gate.share = self._shares.share(shard, now)
                 answers += owner.serve_due(now)
         return self._sends(answers)
 
@@ -198,7 +198,7 @@
         if self._count_by_shard.get(shard) != shard.count:
             self._count_by_shard[shard] = shard.count
             owner.use_upstreams(self._present_in(shard))
-        owner.share = self._shares.share(shard, now)
+        owner.gate.share = self._shares.share(shard, now)
         return owner
 
     def _present_in(
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -164,11 +164,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceRefused:
-    """Answer: it can't be served in time; ``retry_after_ms`` is when that is likely to change."""
+    """Answer: it can't be served in time.
+
+    Attributes:
+        ticket_id: The question.
+        retry_after_ms: When that is likely to change.
+        why: The reason.
+        is_closed: Whether no upstream of the shard takes it by what they ask for; one of another
+            shard may.
+    """
 
     ticket_id: str
     retry_after_ms: float
     why: str
+    is_closed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -12,6 +12,7 @@
     placement_messages,
     read_parts,
     read_rate,
+    shard_gate,
     spillover,
     start_rules,
     upstream_load,
@@ -49,8 +50,6 @@
         Args:
             gate: Says which upstreams may get a request; None where none asks for anything.
         """
-        self._gate = gate or send_gate.SendGate(signal_ledger.SignalLedger())
-        self.share = 1.0
         self._memory_tokens = PLAIN_MEMORY_TOKENS
         self._event_tokens = 1
         self._fetch_ms_per_token = 0.0
@@ -60,6 +59,8 @@
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
         self._line = waiting_line.WaitingLine()
         self._forecast = wait_forecast.WaitForecast(self._line)
+        shared = gate or send_gate.SendGate(signal_ledger.SignalLedger())
+        self.gate = shard_gate.ShardGate(shared, self._line)
         self._busy_shards = spillover.BusyShards()
         self._passed_at = -math.inf
         self.offered_read_ms = 0.0
@@ -265,35 +266,17 @@
                 return self._turn_away(waiting, closed_ms, now)
         return self._refuse(waiting, why, retry_ms) if self._is_too_late(waiting, now) else None
 
+    def _closed_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
+        """Return how long no upstream takes a request by what they ask for, in milliseconds."""
+        if self.gate.is_idle:
+            return 0.0
+        return self.gate.closed_ms(waiting, self._allowed(waiting.request), now)
+
     def _is_closed_too_long(
         self, waiting: waiting_line.Waiting, closed_ms: float, now: float
     ) -> bool:
         return closed_ms > 0 and now + closed_ms / 1000.0 > waiting.begins_until
 
-    def _closed_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
-        """Return how long no upstream takes a request by what they ask for, in milliseconds.
-
-        Those that wait and go before it use up the limits first.
-        """
-        if self._gate.is_idle:
-            return 0.0
-        waits_s: list[float] = []
-        limited_s: list[float] = []
-        rates: list[float] = []
-        for load in self._allowed(waiting.request):
-            wait_s = self._gate_wait_s(load, waiting.entry_id, now)
-            if wait_s <= 0:
-                return 0.0
-            rate = self._gate.rate(load.announcement.upstream_id, self.share)
-            if rate is None:
-                waits_s.append(wait_s)
-            else:
-                limited_s.append(wait_s)
-                rates.append(rate)
-        if rates:
-            waits_s.append(min(limited_s) + self._line.count_before(waiting) / sum(rates))
-        return min(waits_s, default=0.0) * 1000.0
-
     def _turn_away(
         self, waiting: waiting_line.Waiting, closed_ms: float, now: float
     ) -> placement_answer.Answer:
@@ -301,10 +284,10 @@
         if self._busy_shards.may_ask(waiting.request, now):
             return self._busy(waiting, closed_ms)
         why = f"every upstream is at its limit or wants a pause for about {closed_ms:.0f} ms"
-        return self._refuse(waiting, why, max(closed_ms, start_rules.SHORTEST_RETRY_MS))
-
-    def _gate_wait_s(self, load: upstream_load.UpstreamLoad, entry_id: str, now: float) -> float:
-        return self._gate.wait_s(load.announcement.upstream_id, entry_id, now, self.share)
+        retry_ms = max(closed_ms, start_rules.SHORTEST_RETRY_MS)
+        ticket_id = waiting.request.ticket_id
+        refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, is_closed=True)
+        return placement_answer.Answer(waiting.entry_id, refused)
 
     def _is_too_late(self, waiting: waiting_line.Waiting, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
@@ -363,7 +346,7 @@
             until=waiting.until,
         )
         load.add(run, now)
-        self._gate.note_send(load.announcement.upstream_id, now, self.share)
+        self.gate.note_send(load, now)
         self._read_parts.note(request.parts, now)
         placed = placement_messages.Placed(
             request.ticket_id,
@@ -461,7 +444,7 @@
             for load in sound or allowed
             if not load.is_full
             and load.has_memory_for(tokens)
-            and self._gate_wait_s(load, waiting.entry_id, now) <= 0
+            and self.gate.is_open(load, waiting.entry_id, now)
         ]
 
     def _allowed(
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -26,6 +26,9 @@
     def owner(self, shard, now):
         return self.other_owner_id if shard == OTHER else self.owner_id
 
+    def service_shards(self, service):
+        return HOME, OTHER
+
     def counted(self, shard):
         return shard
 
@@ -210,3 +213,35 @@
         assert sent[-1][0] == other_owner_id
 
     curio_world.run(main)
+
+
+@pytest.mark.parametrize("takes", [True, False])
+def test_a_request_that_no_upstream_of_a_part_takes_asks_the_other_parts_before_it_is_refused(
+    sent, client, make_question, takes
+):
+    closed = placement_messages.PlaceRefused("t", 3000.0, "closed", is_closed=True)
+    sooner = placement_messages.PlaceRefused("t", 1000.0, "closed", is_closed=True)
+    last = placement_messages.Placed("t", "u-1") if takes else sooner
+
+    async def main():
+        placing = await curio.spawn(client.place, make_question("t", shard=HOME))
+        await curio_world.until(lambda: asked(sent, "r1") == 1)
+        await client.take("r1", closed)
+        await curio_world.until(lambda: asked(sent, "r9") == 1)
+        await client.take("r9", last)
+        assert await placing.join() == last
+        assert _questions(sent) == [("r1", HOME, 0.0, None), ("r9", OTHER, 0.0, None)]
+
+    curio_world.run(main)
+
+
+def test_an_ordinary_refusal_is_final(sent, client, make_question):
+    async def main():
+        placing = await curio.spawn(client.place, make_question("t", shard=HOME))
+        await curio_world.until(lambda: asked(sent, "r1") == 1)
+        refused = placement_messages.PlaceRefused("t", 3000.0, "it would wait too long")
+        await client.take("r1", refused)
+        assert await placing.join() == refused
+        assert asked(sent, "r9") == 0
+
+    curio_world.run(main)
