Pools: an upstream that refuses and asks for a pause gets nothing meanwhile

The same class in the product's own deployments: Retry-After of a refusal was not read, so the owner of the pool granted the next ticket to the upstream that had just asked for none. Its test is red without the pool's change.

--- a/src/medlarfork/entry/_flow_run.py
+++ b/src/medlarfork/entry/_flow_run.py
@@ -208,5 +208,6 @@
         first_token_s,
         whole_s=now - state.started_at,
         tokens=max(event.tokens - flow.tokens, 0),
+        pause_s=event.pause_s,
     )
     return entry_flow.GiveBack(state.owner, given_back)
--- a/src/medlarfork/entry/entry_types.py
+++ b/src/medlarfork/entry/entry_types.py
@@ -87,6 +87,7 @@
         resumable: Whether the stream so far carried proof of its offset, so that it can resume.
         answer: For a complete, not-repeatable request: what to keep for duplicates.
         error: What went wrong, in plain words; empty if nothing did.
+        pause_s: How long the upstream, which refused it, wants no further request, in seconds.
     """
 
     attempt_id: str
@@ -97,6 +98,7 @@
     resumable: bool = False
     answer: claim.StoredAnswer | None = None
     error: str = ""
+    pause_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/entry/upstream_attempt.py
+++ b/src/medlarfork/entry/upstream_attempt.py
@@ -9,6 +9,7 @@
 import curio
 
 from medlarfork import claim, errors, logs, request
+from medlarfork.backpressure import upstream_signals
 from medlarfork.entry import conversation, entry_types
 from medlarfork.filters import outgoing
 from medlarfork.http import header_names, http_client, sse
@@ -89,7 +90,12 @@
             self._status = response.status
             if _is_refusal(response):
                 await response.read()
-                return self._ended(entry_types.AttemptResult.REFUSED, "refused by the upstream")
+                retry_after = response.headers.get(header_names.RETRY_AFTER.lower(), "")
+                return self._ended(
+                    entry_types.AttemptResult.REFUSED,
+                    "refused by the upstream",
+                    pause_s=upstream_signals.parse("", "", retry_after).pause_s,
+                )
             await self._relay(response)
         finally:
             await response.close()
@@ -132,6 +138,7 @@
         error: str,
         *,
         answer: claim.StoredAnswer | None = None,
+        pause_s: float = 0.0,
     ) -> entry_types.AttemptEnded:
         held = self._held
         return entry_types.AttemptEnded(
@@ -143,6 +150,7 @@
             resumable=held.resumable,
             answer=answer,
             error=error,
+            pause_s=pause_s,
         )
 
 
--- a/src/medlarfork/pool/_upstream_set.py
+++ b/src/medlarfork/pool/_upstream_set.py
@@ -19,7 +19,7 @@
     """Hold the scheduling state of one upstream."""
 
     __slots__ = ("announcement", "drained", "foreign", "free", "gone_at", "granted", "limit",
-                 "number", "peaks", "peaks_since", "read_at", "running", "slots",
+                 "number", "paused_until", "peaks", "peaks_since", "read_at", "running", "slots",
                  "up", "up_since", "usable", "version")  # fmt: skip
 
     def __init__(self, announcement: upstream.Announcement, number: int, now: float) -> None:
@@ -39,6 +39,7 @@
         self.peaks = [0, 0]
         self.peaks_since = now
         self.gone_at = math.inf
+        self.paused_until = -math.inf
         self.read_at = now
         self.version = 0
 
@@ -182,6 +183,7 @@
         if release is not None:
             class_name = done.ticket.class_name
             ejected = self.health.observe(upstream_id, class_name, release, known.slots, now)
+            known.paused_until = max(known.paused_until, now + release.pause_s)
         self.refresh(known, now)
         self._forget_if_done(known)
         if ejected:
@@ -302,7 +304,7 @@
 
     def _free(self, known: Upstream, now: float) -> int:
         unproved = now < self._settled_at and known.read_at < self._took_over_at
-        if unproved or not known.usable:
+        if unproved or not known.usable or now < known.paused_until:
             return 0
         return max(0, known.limit - known.running - known.foreign)
 
--- a/src/medlarfork/ticket.py
+++ b/src/medlarfork/ticket.py
@@ -98,6 +98,7 @@
         first_token_s: From dispatch to the first body byte; None if there was none.
         whole_s: From dispatch to the end.
         tokens: Output tokens received.
+        pause_s: How long the upstream, which refused it, wants no further request, in seconds.
     """
 
     ticket_id: str
@@ -106,6 +107,7 @@
     first_token_s: float | None = None
     whole_s: float = 0.0
     tokens: int = 0
+    pause_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -64,8 +64,10 @@
         )
         return self.send(item)
 
-    def release(self, ticket_id, cause=ticket.ReleaseCause.FINISHED, whole_s=1.0, tokens=10):
-        return self.send(ticket.Release(ticket_id, _POOL, cause, None, whole_s, tokens))
+    def release(
+        self, ticket_id, cause=ticket.ReleaseCause.FINISHED, whole_s=1.0, tokens=10, pause_s=0.0
+    ):
+        return self.send(ticket.Release(ticket_id, _POOL, cause, None, whole_s, tokens, pause_s))
 
     def wait(self, elapsed_s):
         self.now += elapsed_s
@@ -757,3 +759,23 @@
     assert shed.reason is ticket.ShedReason.ENDS_UPSTREAMS
     crashing.bench.release(grant.ticket_id)
     assert isinstance(crashing.bench.ask(repeat_key="a1b2c3-k")[0], ticket.Grant)
+
+
+def test_an_upstream_that_refuses_and_asks_for_a_pause_gets_nothing_meanwhile():
+    """The time was not read, so the next ticket went there at once."""
+    bench = Bench(_STRICT)
+    bench.up("u1")
+    bench.up("u2")
+    (first,) = bench.ask()
+    bench.release(first.ticket_id, ticket.ReleaseCause.REFUSED, pause_s=3.0)
+    (other,) = {"u1", "u2"} - {first.upstream_id}
+    for _ in range(5):
+        bench.wait(0.4)
+        (grant,) = bench.ask()
+        assert grant.upstream_id == other
+        bench.release(grant.ticket_id, ticket.ReleaseCause.FINISHED)
+    (taken,) = bench.ask()
+    assert bench.ask() == []
+    granted = [action for _ in range(5) for action in bench.wait(0.5)]
+    assert [action.upstream_id for action in granted] == [first.upstream_id]
+    assert taken.upstream_id == other
