What waits for a connection when its upstream asks for a pause goes elsewhere

A request was checked against the pauses and leaves of its upstream before a connection was opened, which takes as long as a lost packet; what came meanwhile did not hold it back. The client asks again once there is a connection, and the connection is kept. A request that is withdrawn counts neither as a repeat nor against its upstream.

--- a/src/medlarfork/errors.py
+++ b/src/medlarfork/errors.py
@@ -128,6 +128,10 @@
     request_sent = False
 
 
+class RequestWithdrawnError(RequestNotSentError):
+    """Report a request that its sender withdrew before a byte of it left."""
+
+
 class OperatorError(MedlarError):
     """Report an operators' request that was refused."""
 
--- a/src/medlarfork/gateway/attempt_policy.py
+++ b/src/medlarfork/gateway/attempt_policy.py
@@ -51,6 +51,8 @@
         match end:
             case placement_messages.RunEnd.REJECTED | placement_messages.RunEnd.UNREACHABLE:
                 return dataclasses.replace(self, rejections=self.rejections + 1)
+            case placement_messages.RunEnd.NOT_SENT:
+                return self
             case _:
                 return dataclasses.replace(self, runs=self.runs + 1)
 
--- a/src/medlarfork/gateway/attempt_sender.py
+++ b/src/medlarfork/gateway/attempt_sender.py
@@ -38,6 +38,9 @@
             last_event_id: The last event that the caller has; empty for none.
             left_ms: Time until the caller gives up, in milliseconds.
         """
+        if not self._tools.backpressure.may_send(upstream.upstream_id):
+            why = "takes no request from here now"
+            return upstream_call.Failure(placement_messages.RunEnd.NOT_SENT, why)
         call = self._call(upstream, fetch_from, last_event_id, left_ms)
         if self._is_counted or self._admitted.route.has_prompt:
             return await self._send(call, upstream.upstream_id)
@@ -64,7 +67,10 @@
         self, call: upstream_call.Call, upstream_id: str
     ) -> http_client.Response | upstream_call.Failure:
         note_head = functools.partial(self._note_head, upstream_id, time.monotonic())
-        return await upstream_call.send(self._tools.client, call, self._tools.names, note_head)
+        may_send = functools.partial(self._tools.backpressure.may_send, upstream_id)
+        return await upstream_call.send(
+            self._tools.client, call, self._tools.names, note_head, may_send
+        )
 
     def _note_head(self, upstream_id: str, sent_at: float, response: http_client.Response) -> None:
         self._tools.backpressure.note_answer(
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -78,12 +78,6 @@
                 self.trace.reasons.append(placed.why)
                 await self._give_up()
                 return
-            if not self._tools.backpressure.may_send(placed.upstream_id):
-                # Its word came after the request was placed.
-                self.trace.reasons.append(f"{placed.upstream_id}: takes no request from here now")
-                self.end_ticket(placement_messages.RunEnd.CANCELLED)
-                self._excluded.append(placed.upstream_id)
-                continue
             upstream = self._tools.find_upstream(placed.upstream_id)
             if upstream is None:
                 end: placement_messages.RunEnd | None = placement_messages.RunEnd.UNREACHABLE
@@ -94,6 +88,9 @@
                 self._running_at = None
             if end is None:
                 return
+            if end is placement_messages.RunEnd.NOT_SENT:
+                self._excluded.append(placed.upstream_id)
+                continue
             self._progress = self._progress.after(end)
             is_rejected = end is placement_messages.RunEnd.REJECTED
             # One that asked for a pause takes it afterwards; until then nothing is placed there.
@@ -245,6 +242,16 @@
             self._tools.crashes.run_given_up(self._admitted.key, self._running_at)
             self._running_at = None
 
+    def _note_failure(self, end: placement_messages.RunEnd) -> None:
+        """Count a send that reached its upstream; one that was withdrawn names none."""
+        match end:
+            case placement_messages.RunEnd.NOT_SENT:
+                self.trace.upstreams.pop()
+            case placement_messages.RunEnd.UNREACHABLE:
+                pass
+            case _:
+                self._sends += 1
+
     async def _note_broken(self, upstream: upstream_types.Announcement) -> None:
         self._breaks += 1
         await self._tools.crashes.run_broken(self._admitted, upstream)
@@ -263,8 +270,7 @@
             left_ms=self._left_ms,
         )
         if isinstance(sent, upstream_call.Failure):
-            if sent.end is not placement_messages.RunEnd.UNREACHABLE:
-                self._sends += 1
+            self._note_failure(sent.end)
             self.trace.reasons.append(f"{upstream.upstream_id}: {sent.why}")
             if sent.end is placement_messages.RunEnd.BROKEN:
                 await self._note_broken(upstream)
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -48,12 +48,16 @@
 NoteHead = Callable[[http_client.Response], None]
 """Takes the head of an answer that the expected upstream gave."""
 
+MaySend = Callable[[], bool]
+"""Says whether the upstream still takes the request that was placed on it."""
+
 
 async def send(
     client: http_client.HttpClient,
     call: Call,
     names: request_names.RequestNames,
     note_head: NoteHead,
+    may_send: MaySend,
 ) -> http_client.Response | Failure:
     """Send a request and return its answer once the head is in, or why there is none."""
     try:
@@ -64,7 +68,10 @@
             call.headers,
             call.body,
             timeout_s=call.timeout_s,
+            may_send=may_send,
         )
+    except errors.RequestWithdrawnError:
+        return Failure(placement_messages.RunEnd.NOT_SENT, "takes no request from here now")
     except errors.RequestNotSentError as error:
         return Failure(placement_messages.RunEnd.UNREACHABLE, str(error))
     except errors.UpstreamError as error:
--- a/src/medlarfork/http/http_client.py
+++ b/src/medlarfork/http/http_client.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import h11
 
@@ -70,6 +70,7 @@
         body: bytes,
         *,
         timeout_s: float | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Response:
         """Send a request and return its answer once the head of that is in.
 
@@ -80,14 +81,22 @@
             headers: Headers; those that concern the connection are set here.
             body: The whole body.
             timeout_s: Time to the end of the answer's body, in seconds.
+            may_send: Asked once there is a connection, which can take as long as a lost packet.
 
         Raises:
+            errors.RequestWithdrawnError: If ``may_send`` said no; no byte of the request left.
             errors.RequestNotSentError: If no byte of the request left.
             errors.UpstreamError: If the exchange failed after that.
         """
         outgoing = _prepare(address, method, target, headers, body)
         give_up_at = time.monotonic() + (timeout_s or self._limits.exchange_s)
         connection = await self._pool.take(address, give_up_at)
+        if may_send is not None and not may_send():
+            await self._pool.keep(connection)
+            raise errors.RequestWithdrawnError(
+                "The request was withdrawn before it was sent.",
+                remedy="Send it elsewhere.",
+            )
         try:
             return await connection.exchange(outgoing.head, outgoing.body, give_up_at)
         except BaseException:
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -208,7 +208,8 @@
     """Say how a run at an upstream ended.
 
     A broken one lost its connection before any answer: it may have run, and its upstream may have
-    crashed. One that is unreachable, or rejected it, did not run it.
+    crashed. One that is unreachable, or rejected it, did not run it. One that was not sent was
+    withdrawn by its entry host: the upstream asked for nothing more after it was placed.
     """
 
     COMPLETE = "complete"
@@ -216,6 +217,7 @@
     BROKEN = "broken"
     REJECTED = "rejected"
     UNREACHABLE = "unreachable"
+    NOT_SENT = "not_sent"
     CANCELLED = "cancelled"
 
 
--- a/src/medlarfork/quarantine/trial_desk.py
+++ b/src/medlarfork/quarantine/trial_desk.py
@@ -63,7 +63,7 @@
     def on_ended(self, ticket_id: str, end: placement_messages.RunEnd, now: float) -> None:
         """Take the end of a trial; other tickets are none of this desk's."""
         trial = self._trial_by_key.get(self._key_by_ticket.get(ticket_id, ""))
-        if end is placement_messages.RunEnd.COMPLETE:
+        if end in (placement_messages.RunEnd.COMPLETE, placement_messages.RunEnd.NOT_SENT):
             self.withdraw(ticket_id)
         elif trial is not None and trial.ticket_id == ticket_id:
             trial.until = now + SETTLE_S
--- a/tests/routed/test_pauses.py
+++ b/tests/routed/test_pauses.py
@@ -46,8 +46,9 @@
     watch.note_answer(upstream_id, status, named, sent_at=0.0, attempt_id="a-1")
 
 
-def turn_away(pause_s=PAUSE_S, status=503):
+def turn_away(pause_s=PAUSE_S, status=503, after_s=0.0):
     async def answer_busy(exchange):
+        await curio.sleep(after_s)
         more = {NAMES.not_executed: "1", "retry-after": str(pause_s)} if pause_s else {}
         more = more or {NAMES.not_executed: "1"}
         await exchange.respond(status, routed_world.echo_headers(exchange, **more), b"")
@@ -174,6 +175,37 @@
     routed_world.run(tmp_path, main)
 
 
+def test_what_waits_for_a_connection_when_its_upstream_asks_for_a_pause_goes_elsewhere(
+    tmp_path, monkeypatch
+):
+    """Connecting takes as long as a lost packet, and the request was sent after it all the same."""
+
+    async def main(world):
+        await world.put_routing(kind="unsafe")
+        shedding = await world.add_upstream(turn_away(PAUSE_S, after_s=0.2))
+        await world.until_upstreams(1)
+        pool = world.entry._client._pool
+        take = pool.take
+
+        async def take_late(address, give_up_at):
+            connection = await take(address, give_up_at)
+            if shedding.seen:
+                await curio.sleep(0.4)
+            return connection
+
+        monkeypatch.setattr(pool, "take", take_late)
+        first = await curio.spawn(world.call)
+        await curio_world.until(lambda: len(shedding.seen) == 1)
+        second = await curio.spawn(world.call)
+        await curio.sleep(0.3)
+        await world.add_upstream()
+        await world.until_upstreams(2)
+        assert [(await (await task.join()).read()) for task in (first, second)] == [b"done"] * 2
+        assert len(shedding.seen) == 1
+
+    routed_world.run(tmp_path, main)
+
+
 def test_a_request_is_served_by_the_upstream_that_turned_it_away_once_its_pause_is_over(tmp_path):
     seen = []
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -238,6 +238,21 @@
     curio_world.run(main)
 
 
+def test_a_request_that_is_withdrawn_leaves_no_byte_and_its_connection_whole():
+    async def main():
+        peer = Peer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", end="hold")
+        async with client_of(peer) as client:
+            with pytest.raises(errors.RequestWithdrawnError) as raised:
+                await get(client, peer.address, may_send=lambda: False)
+            assert not raised.value.request_sent
+            assert (peer.requests, client.idle_connections) == ([], 1)
+            response = await get(client, peer.address, may_send=lambda: True)
+            await response.read()
+            assert (response.status, len(peer.requests), client.connections) == (200, 1, 1)
+
+    curio_world.run(main)
+
+
 def test_whether_anybody_listens_is_told_and_the_connection_kept():
     async def main():
         peer = Peer()
