--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -205,7 +205,13 @@
     def call(self, body):
         """Send one attempt of a request to the next entry host; return its status and answer."""
         number = next(self._attempts)
-        entry = self.entries[number % len(self.entries)]
+        return self._call_at(self.entries[number % len(self.entries)], number, body)
+
+    def call_at(self, entry, body):
+        """Send one attempt of a request to an entry host; return its status and answer."""
+        return self._call_at(entry, next(self._attempts), body)
+
+    def _call_at(self, entry, number, body):
         headers = {
             "Host": "a.example",
             "Authorization": "Bearer k-1",
