A limit that is named for long is told again before replicas forget it

Only news are told, and an unchanged limit was news once; after ten minutes the replicas forgot it while the upstream still named it. Found by reading; its test is red before.

--- a/src/medlarfork/backpressure/signal_ledger.py
+++ b/src/medlarfork/backpressure/signal_ledger.py
@@ -25,6 +25,10 @@
 """How long a limit is kept that nothing was heard of, in seconds: its upstream is gone by then, or
 is tried again at its limit and names it anew."""
 
+REFRESH_S = 60.0
+"""Time after which a limit that is still named counts as news, in seconds: several times within
+``LIMIT_S``, after which the ledgers that are told of news alone forget it."""
+
 MOST_LIMITS = 10_000
 """Upstreams with a limit that are kept, about 2 MB; the oldest words go first."""
 
@@ -213,7 +217,8 @@
         known = self._limit_by_upstream.get(upstream_id)
         if known is not None and at <= known.at:
             return False
-        if known is not None and _is_same(known.rate, rate):
+        is_fresh = known is not None and now < known.changed_at + REFRESH_S
+        if known is not None and is_fresh and _is_same(known.rate, rate):
             self._limit_by_upstream[upstream_id] = dataclasses.replace(known, at=at)
             return False
         was_limited = known is not None and known.rate is not None
--- a/tests/routed/test_signal_ledger.py
+++ b/tests/routed/test_signal_ledger.py
@@ -60,6 +60,17 @@
     assert ledger.note_answer("u-1", 3.0, sent_at=2.0, now=3.0)
 
 
+def test_a_limit_that_is_named_for_long_is_told_again_before_others_forget_it(ledger):
+    """Only its host's ledger knew that it was still named; the owner of placement let it go."""
+    other = signal_ledger.SignalLedger()
+    for minute in range(40):
+        now = 60.0 * minute + 1.0
+        if ledger.note_answer("u-1", 2.0, sent_at=now - 1.0, now=now):
+            other.merge(ledger.report(("u-1",), now), now)
+        other.tidy(now)
+        assert other.rate("u-1") == 2.0
+
+
 def test_words_are_forgotten_with_their_upstreams(ledger):
     ledger.note_answer("u-1", 6.9, sent_at=0.0, now=1.0)
     ledger.tidy(1.0 + signal_ledger.LIMIT_S)
