--- a/src/medlarfork/backpressure/__init__.py
+++ b/src/medlarfork/backpressure/__init__.py
@@ -1,1 +1,1 @@
-"""What upstreams ask for in their answers: rate limits, pauses, and that they are leaving."""
+"""Backpressure signals in upstreams' answers: rate limits, pauses, and leaving."""
--- a/src/medlarfork/backpressure/send_gate.py
+++ b/src/medlarfork/backpressure/send_gate.py
@@ -1,9 +1,9 @@
-"""Say when an upstream may get its next request, by what it asks for: pure.
+"""Decide when an upstream may get its next request, by its backpressure signals: pure.
 
-The load that this answers: an engine that sheds load, and is sent more meanwhile by the hosts that
-it asked for a pause; an engine in need that names how many requests a second it takes from all
-hosts together. Who places for all hosts keeps to all of that, evenly spread over time; a host that
-places alone keeps to its part of a half, since others may place at the same time.
+The load that this answers: engines that shed load, and engines in need that limit the rate of
+requests from all hosts together. The owner of placement paces requests at the whole rate, like a
+token bucket with a short burst; a host that places alone at its part of one half, since an owner
+may be placing at the same time.
 """
 
 from __future__ import annotations
@@ -14,13 +14,13 @@
 """Requests a second that are sent to an upstream that names less: only an answer tells that the
 limit has ended."""
 
-CATCH_UP_S = 0.25
-"""Time whose requests may follow at once if they were not sent when they might have been, in
-seconds: requests come in bursts, and a limit that is not used up costs their callers."""
+BURST_S = 0.25
+"""Unused time that a burst may catch up, in seconds: requests come in bursts, and a limit that is
+not used up costs their callers."""
 
 
 class SendGate:
-    """Keep to limits and pauses; the time is handed in, in seconds."""
+    """Pace requests by limits and pauses; the time is handed in, in seconds."""
 
     def __init__(self, ledger: signal_ledger.SignalLedger) -> None:
         """Go by what a ledger holds."""
@@ -29,7 +29,7 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no upstream asks for anything."""
+        """Return whether no upstream has signalled anything."""
         return self._ledger.is_empty
 
     def is_leaving(self, upstream_id: str) -> bool:
@@ -79,7 +79,7 @@
             self._due_at_by_upstream.pop(upstream_id, None)
             return
         due_at = self._due_at_by_upstream.get(upstream_id, now)
-        self._due_at_by_upstream[upstream_id] = max(due_at, now - CATCH_UP_S) + 1.0 / rate
+        self._due_at_by_upstream[upstream_id] = max(due_at, now - BURST_S) + 1.0 / rate
 
     def forget_lifted(self) -> None:
         """Drop what is kept of upstreams that name no limit any more."""
--- a/src/medlarfork/backpressure/signal_ledger.py
+++ b/src/medlarfork/backpressure/signal_ledger.py
@@ -1,9 +1,8 @@
-"""Keep what upstreams ask for, as entry hosts heard it in their answers: pure.
+"""Keep the backpressure signals of upstreams, as a mergeable state: pure.
 
 The load that this answers: an upstream in need that all hosts go on using, since only one of them,
-or none, has heard what it asks for. Entry hosts and replicas keep a ledger each and tell each
-other; of each upstream the latest word counts, so ledgers that heard the same agree, in whatever
-order.
+or none, has read its signal. Entry hosts and replicas keep a ledger each and exchange reports; of
+each limit the latest one wins, so ledgers that merged the same reports agree, in whatever order.
 """
 
 from __future__ import annotations
@@ -22,15 +21,15 @@
 bring it back: longer than any message is under way."""
 
 LIMIT_S = 600.0
-"""How long a limit is kept that nothing was heard of, in seconds: its upstream is gone by then, or
-is tried again at its limit and names it anew."""
+"""How long a limit is kept that was not reported again, in seconds: its upstream is gone by then,
+or is tried again at its limit and names it anew."""
 
 REFRESH_S = 60.0
 """Time after which a limit that is still named counts as news, in seconds: several times within
-``LIMIT_S``, after which the ledgers that are told of news alone forget it."""
+``LIMIT_S``, after which ledgers that only get news forget it."""
 
 MOST_LIMITS = 10_000
-"""Upstreams with a limit that are kept, about 2 MB; the oldest words go first."""
+"""Upstreams with a limit that are kept, about 2 MB; the oldest go first."""
 
 LEAVING_S = 600.0
 """How long it is remembered that an upstream is leaving, in seconds: far longer than it stays."""
@@ -42,13 +41,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Limit:
-    """Hold the latest word on an upstream's limit.
+    """Hold the latest report of an upstream's limit.
 
     Attributes:
         rate: Requests a second; None once it has ended.
-        at: When that was known, in seconds of the holder's clock.
+        at: When it was observed, in seconds of the holder's clock.
         since: When this ledger learnt of the limit.
-        changed_at: When this ledger took this word.
+        changed_at: When this ledger took this report.
     """
 
     rate: float | None
@@ -59,11 +58,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Merged:
-    """Tell what a report changed.
+    """Hold what a report changed.
 
     Attributes:
-        changed: Upstreams of which it told anything new.
-        outdated: Upstreams of which this ledger knows a later and different word.
+        changed: Upstreams whose limit it changed.
+        outdated: Upstreams for which this ledger has a later and different limit.
     """
 
     changed: tuple[str, ...] = ()
@@ -71,19 +70,20 @@
 
 
 class SignalLedger:
-    """Keep the latest words; the time is handed in, in seconds of a clock of the holder's own."""
+    """Keep the latest signals; the time is handed in, in seconds of a clock of the holder's own."""
 
     def __init__(self) -> None:
-        """Start without any word."""
+        """Start without any signal."""
         self._limit_by_upstream: dict[str, _Limit] = {}
         self._pause_until_by_pair: dict[tuple[str, str], float] = {}
         self._leaving_since_by_upstream: dict[str, float] = {}
 
     @property
     def is_empty(self) -> bool:
-        """Return whether there is no word of any upstream."""
-        words = self._limit_by_upstream, self._pause_until_by_pair, self._leaving_since_by_upstream
-        return not any(words)
+        """Return whether no upstream has signalled anything."""
+        return not (
+            self._limit_by_upstream or self._pause_until_by_pair or self._leaving_since_by_upstream
+        )
 
     @property
     def limited(self) -> int:
@@ -102,7 +102,7 @@
     def note_answer(
         self, upstream_id: str, rate: float | None, *, sent_at: float, now: float
     ) -> bool:
-        """Take an answer's word on its upstream's limit; return whether that is news.
+        """Take the limit that an answer names, or that it names none; return whether that is news.
 
         An answer without a limit ends the one known only if its request was sent after that was
         named: answers on different connections overtake each other.
@@ -144,15 +144,15 @@
         return True
 
     def merge(self, report: signal_messages.SignalReport, now: float) -> Merged:
-        """Take what another ledger holds."""
+        """Merge what another ledger reports."""
         changed: list[str] = []
         outdated: list[str] = []
-        for told in report.limits:
-            at = now - told.ago_s
-            if self._take(told.upstream_id, told.rate, at, now):
-                changed.append(told.upstream_id)
-            elif not _is_same(self.rate(told.upstream_id), told.rate):
-                outdated.append(told.upstream_id)
+        for limit in report.limits:
+            at = now - limit.ago_s
+            if self._take(limit.upstream_id, limit.rate, at, now):
+                changed.append(limit.upstream_id)
+            elif not _is_same(self.rate(limit.upstream_id), limit.rate):
+                outdated.append(limit.upstream_id)
         for pause in report.pauses:
             self.note_pause(pause.upstream_id, pause.entry_id, now + pause.left_s, now)
         for upstream_id in report.leaving:
@@ -160,12 +160,12 @@
         return Merged(tuple(changed), tuple(outdated))
 
     def changed_since(self, at: float) -> tuple[str, ...]:
-        """Return the upstreams of which anything became known since a time."""
+        """Return the upstreams whose limit changed since a time."""
         known = self._limit_by_upstream.items()
         return tuple(upstream_id for upstream_id, limit in known if limit.changed_at >= at)
 
     def known(self) -> tuple[str, ...]:
-        """Return all upstreams of which there is a word."""
+        """Return all upstreams that have signalled anything."""
         paused = (upstream_id for upstream_id, _ in self._pause_until_by_pair)
         leaving = self._leaving_since_by_upstream
         return tuple(dict.fromkeys((*self._limit_by_upstream, *paused, *leaving)))
@@ -178,7 +178,7 @@
         Args:
             upstream_ids: The upstreams.
             now: The time in seconds.
-            entry_id: The entry host whose pauses are told; empty for no pauses.
+            entry_id: The entry host whose pauses are included; empty for none.
         """
         named = (
             (upstream_id, self._limit_by_upstream.get(upstream_id)) for upstream_id in upstream_ids
@@ -201,7 +201,7 @@
         return signal_messages.SignalReport(limits, pauses, leaving)
 
     def tidy(self, now: float) -> None:
-        """Forget the words that tell nothing any more."""
+        """Drop signals that have expired."""
         for upstream_id, limit in tuple(self._limit_by_upstream.items()):
             kept_s = LIFTED_S if limit.rate is None else LIMIT_S
             if max(limit.at, limit.changed_at) + kept_s < now:
--- a/src/medlarfork/backpressure/signal_messages.py
+++ b/src/medlarfork/backpressure/signal_messages.py
@@ -1,6 +1,6 @@
-"""Define what entry hosts and replicas tell each other of what upstreams ask for.
+"""Define the messages in which entry hosts and replicas exchange backpressure signals.
 
-Any message may be lost, late or repeated: whatever is told is merged, in any order, to the same.
+Any message may be lost, late or repeated: reports are merged, in any order, to the same state.
 """
 
 from __future__ import annotations
--- a/src/medlarfork/coordination/backpressure_desk.py
+++ b/src/medlarfork/coordination/backpressure_desk.py
@@ -1,4 +1,4 @@
-"""Keep a replica's part in what is known of what upstreams ask for; pure.
+"""Merge the backpressure signals that entry hosts report, and pass them on; pure.
 
 Every entry host tells every replica what it read in answers, so whichever replica owns placement
 goes by it. The replica that leads passes it on to all entry hosts, which place alone while they
@@ -26,7 +26,7 @@
     """Hold the ledger of one replica, and the gate of its placement; the time is handed in."""
 
     def __init__(self) -> None:
-        """Start without any word."""
+        """Start without any signal."""
         self.ledger = signal_ledger.SignalLedger()
         self.gate = send_gate.SendGate(self.ledger)
         self._untold: dict[str, None] = {}
--- a/src/medlarfork/gateway/backpressure_watch.py
+++ b/src/medlarfork/gateway/backpressure_watch.py
@@ -1,4 +1,4 @@
-"""Watch what upstreams say of themselves in their answers: limits, pauses, and that they leave.
+"""Read backpressure signals in upstreams' answers, and share them with the replicas.
 
 What it reads it tells all replicas, and hears from them what other entry hosts read.
 """
--- a/src/medlarfork/placement/shard_gate.py
+++ b/src/medlarfork/placement/shard_gate.py
@@ -1,4 +1,4 @@
-"""Say when the upstreams of one shard may get a request, by what they ask for: pure.
+"""Decide when the upstreams of one shard may get a request, by their signals: pure.
 
 The load that this answers: all engines that a request may use are at their rate limits or want a
 pause. Those that wait use up the limits first; who comes after them and would begin too late is
--- a/tests/routed/test_send_gate.py
+++ b/tests/routed/test_send_gate.py
@@ -49,7 +49,7 @@
         now += gap
         times.append(now)
     sent = send_when_open(gate, times)
-    assert most_in_window(sent) <= rate * (WINDOW_S + send_gate.CATCH_UP_S) + 1
+    assert most_in_window(sent) <= rate * (WINDOW_S + send_gate.BURST_S) + 1
 
 
 def test_a_limit_is_used_up(ledger, gate):
