--- a/src/medlarfork/backpressure/signal_ledger.py
+++ b/src/medlarfork/backpressure/signal_ledger.py
@@ -35,7 +35,7 @@
 """How long it is remembered that an upstream is leaving, in seconds: far longer than it stays."""
 
 MOST_PAUSES = 50_000
-"""Pauses that are kept, about 10 MB: all hosts of a large fleet turned away by a hundred upstreams.
+"""Pauses that are kept, about 13 MB: all hosts of a large fleet turned away by a hundred upstreams.
 Those that end first go first."""
 
 
