Only an answer that took the request ends a rate limit

A rejection without the header ended the limit of an upstream that names it with every other answer; the owner of placement then filled it until the next answer. Found by reading; its test is red before.

--- a/src/medlarfork/gateway/backpressure_watch.py
+++ b/src/medlarfork/gateway/backpressure_watch.py
@@ -86,7 +86,13 @@
             headers.get("retry-after", "") if is_turned_away else "",
         )
         now = _now()
-        is_news = self._ledger.note_answer(upstream_id, told.rate_limit, sent_at=sent_at, now=now)
+        is_news = False
+        # A rejection may come from a part of the upstream that knows nothing of its limit.
+        is_rejected = is_turned_away or self._names.not_executed in headers
+        if told.rate_limit is not None or not is_rejected:
+            is_news = self._ledger.note_answer(
+                upstream_id, told.rate_limit, sent_at=sent_at, now=now
+            )
         is_news |= self._ledger.note_pause(upstream_id, self._entry_id, now + told.pause_s, now)
         if told.is_leaving:
             is_news |= self._ledger.note_leaving(upstream_id, now)
--- a/tests/routed/test_pauses.py
+++ b/tests/routed/test_pauses.py
@@ -101,6 +101,17 @@
     assert not again.may_send("u-1")
 
 
+def test_only_an_answer_that_took_the_request_ends_a_limit(watch):
+    """A rejection may come from a part of the upstream that knows nothing of its limit."""
+    limit = {NAMES.rate_limit: "2"}
+    watch.note_answer("u-1", 200, limit, sent_at=0.0, attempt_id="a-1")
+    for status, headers in ((503, {}), (400, {NAMES.not_executed: "1"})):
+        watch.note_answer("u-1", status, headers, sent_at=9e9, attempt_id="a-2")
+        assert watch.limited == 1
+    watch.note_answer("u-1", 500, {}, sent_at=9e9, attempt_id="a-3")
+    assert watch.limited == 0
+
+
 @pytest.mark.parametrize(
     ("status", "headers"),
     [(503, {}), (200, {"retry_after": "3"}), (503, {"retry_after": "soon"})],
