The late answer to another request says nothing of its upstream now

It was made before the request was sent whose answer it seems to be, and could end a limit that was named since, or take a sound upstream for one that leaves. Its test is red before.

--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -76,12 +76,13 @@
         return Failure(placement_messages.RunEnd.UNREACHABLE, str(error))
     except errors.UpstreamError as error:
         return Failure(placement_messages.RunEnd.BROKEN, str(error))
-    if response.status != WRONG_UPSTREAM_STATUS:
+    is_own = _is_own(response, call, names)
+    if is_own and response.status != WRONG_UPSTREAM_STATUS:
         note_head(response)
     if response.status == WRONG_UPSTREAM_STATUS or names.not_executed in response.headers:
         await _drain(response)
         return Failure(placement_messages.RunEnd.REJECTED, f"status {response.status}")
-    if not _is_own(response, call, names):
+    if not is_own:
         await response.close()
         why = "its answer belongs to another request"
         return Failure(placement_messages.RunEnd.FAILED, why)
--- a/tests/routed/test_pauses.py
+++ b/tests/routed/test_pauses.py
@@ -186,6 +186,23 @@
     routed_world.run(tmp_path, main)
 
 
+def test_the_late_answer_to_another_request_says_nothing_of_its_upstream_now(tmp_path):
+    """It was made before the request was sent, and would end a limit that was named since."""
+
+    async def answer_another(exchange):
+        headers = {NAMES.attempt_id: "another", NAMES.leaving: "1"}
+        await exchange.respond(200, headers, b"late")
+
+    async def main(world):
+        await world.put_routing(kind="unsafe")
+        await world.add_upstream(answer_another)
+        await world.until_upstreams(1)
+        assert (await world.call()).status == 502
+        assert world.entry._backpressure.may_send(world.upstreams[0].upstream_id)
+
+    routed_world.run(tmp_path, main)
+
+
 def test_what_waits_for_a_connection_when_its_upstream_asks_for_a_pause_goes_elsewhere(
     tmp_path, monkeypatch
 ):
