--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -8,13 +8,10 @@
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
     placement_answer,
-    placement_cost,
     placement_messages,
-    read_parts,
-    read_rate,
-    shard_gate,
     spillover,
     start_rules,
+    upstream_chooser,
     upstream_load,
     wait_forecast,
     waiting_line,
@@ -37,9 +34,6 @@
 LEAST_TRIES = 2
 """Requests of one kind that are tried in a pass however many upstreams there are."""
 
-PLAIN_MEMORY_TOKENS = 0
-"""Plain services hold no parts of prompts."""
-
 
 class ServiceOwner:
     """Decide for one service; pure, the time is handed in."""
@@ -50,17 +44,14 @@
         Args:
             gate: Says which upstreams may get a request; None where none asks for anything.
         """
-        self._memory_tokens = PLAIN_MEMORY_TOKENS
-        self._event_tokens = 1
-        self._fetch_ms_per_token = 0.0
-        self._read_parts = read_parts.ReadParts()
         self._longest_target_ms = 0.0
-        self.rate = read_rate.ReadRate()
-        self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
         self._line = waiting_line.WaitingLine()
-        self._forecast = wait_forecast.WaitForecast(self._line)
         shared = gate or send_gate.SendGate(signal_ledger.SignalLedger())
-        self.gate = shard_gate.ShardGate(shared, self._line)
+        self._chooser = upstream_chooser.UpstreamChooser(shared, self._line)
+        self.rate = self._chooser.rate
+        self.load_by_id = self._chooser.load_by_id
+        self.gate = self._chooser.gate
+        self._forecast = wait_forecast.WaitForecast(self._line)
         self._busy_shards = spillover.BusyShards()
         self._passed_at = -math.inf
         self.offered_read_ms = 0.0
@@ -77,30 +68,11 @@
 
     def use_engine(self, engine: routing.EngineFacts | None) -> None:
         """Take what the routing says of the service's engines; None for plain services."""
-        self._memory_tokens = PLAIN_MEMORY_TOKENS if engine is None else engine.memory_tokens
-        self._event_tokens = 1 if engine is None else engine.event_tokens
-        self._fetch_ms_per_token = 0.0 if engine is None else engine.fetch_ms_per_token
-        for load in self.load_by_id.values():
-            load.use_memory(self._memory_tokens)
+        self._chooser.use_engine(engine)
 
     def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
-        """Take the upstreams that may be used now; runs on others are left to their ends.
-
-        What is known of one that is not there now is kept for a while: one that was only not heard
-        of still runs what it ran, and still holds what it read.
-        """
-        for upstream_id, load in self.load_by_id.items():
-            load.is_present = upstream_id in announcements
-        for upstream_id, announcement in announcements.items():
-            load = self.load_by_id.get(upstream_id)
-            if load is None:
-                load = upstream_load.UpstreamLoad(announcement, self._memory_tokens)
-                self.load_by_id[upstream_id] = load
-            load.announcement = announcement
-
-    @property
-    def _present(self) -> list[upstream_load.UpstreamLoad]:
-        return [load for load in self.load_by_id.values() if load.is_present]
+        """Take the upstreams that may be used now; runs on others are left to their ends."""
+        self._chooser.use_upstreams(announcements)
 
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
@@ -117,7 +89,7 @@
             entry_id,
             request,
             now,
-            self._least_read_ms(request),
+            self._chooser.least_read_ms(request),
             start_rules.run_ms(request, self.rate.step_ms),
         )
         self.offered_read_ms += waiting.read_ms
@@ -129,7 +101,7 @@
                 why = f"it would wait about {predicted_ms:.0f} ms"
                 after_ms = start_rules.retry_after_ms(request, predicted_ms)
                 return (self._refuse(waiting, why, after_ms),)
-        closed_ms = self._closed_ms(waiting, now)
+        closed_ms = self._chooser.closed_ms(waiting, now)
         if self._is_closed_too_long(waiting, closed_ms, now):
             return (self._turn_away(waiting, closed_ms, now),)
         answer = self._try(waiting, now)
@@ -174,7 +146,8 @@
         for load in self.load_by_id.values():
             run = load.end(message.ticket_id, message.end, now)
             if run is not None and message.pauses is not None:
-                self.rate.learn_pauses(message.pauses, run.most_beside_ms, self._event_tokens)
+                event_tokens = self._chooser.event_tokens
+                self.rate.learn_pauses(message.pauses, run.most_beside_ms, event_tokens)
         return self.serve_due(now)
 
     def serve_due(self, now: float) -> tuple[placement_answer.Answer, ...]:
@@ -236,7 +209,7 @@
         """
         self._passed_at = now
         tries_left: dict[tuple[int, float], int] = {}
-        most_tries = max(LEAST_TRIES, COMPARISONS // max(len(self._present), 1))
+        most_tries = max(LEAST_TRIES, COMPARISONS // max(len(self._chooser.present), 1))
         answers: list[placement_answer.Answer] = []
         for waiting in self._line.in_order(now):
             left = tries_left.get(waiting.kind, most_tries)
@@ -255,23 +228,17 @@
         why = "it could not begin in time"
         retry_ms = start_rules.overloaded_retry_ms(waiting.request)
         if waiting.waits_until <= now:
-            closed_ms = self._closed_ms(waiting, now)
+            closed_ms = self._chooser.closed_ms(waiting, now)
             return self._refuse(waiting, why, max(retry_ms, closed_ms))
         answer = self._try(waiting, now) if may_try else None
         if answer is not None:
             return answer
         if may_try:
-            closed_ms = self._closed_ms(waiting, now)
+            closed_ms = self._chooser.closed_ms(waiting, now)
             if self._is_closed_too_long(waiting, closed_ms, now):
                 return self._turn_away(waiting, closed_ms, now)
         return self._refuse(waiting, why, retry_ms) if self._is_too_late(waiting, now) else None
 
-    def _closed_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
-        """Return how long no upstream takes a request by what they ask for, in milliseconds."""
-        if self.gate.is_idle:
-            return 0.0
-        return self.gate.closed_ms(waiting, self._allowed(waiting.request), now)
-
     def _is_closed_too_long(
         self, waiting: waiting_line.Waiting, closed_ms: float, now: float
     ) -> bool:
@@ -297,44 +264,26 @@
     def _try(self, waiting: waiting_line.Waiting, now: float) -> placement_answer.Answer | None:
         """Return the placement, or None if the request has to wait."""
         request = waiting.request
-        candidates = self._candidates(waiting, now)
-        if not candidates:
+        best = self._chooser.best(waiting, now)
+        if best is None:
             return None
         waited_ms = (now - waiting.since) * 1000.0
-        given = placement_cost.Surroundings(
-            reading=self._reading(),
-            held_elsewhere=self._read_parts.read_lately(request.parts, now),
-            holder=self._holder(request, now),
-            prompt_tokens=request.prompt_tokens,
-            waited_ms=waited_ms,
-            now=now,
-        )
-        best: upstream_load.UpstreamLoad | None = None
-        best_cost: placement_cost.Cost | None = None
-        for load in candidates:
-            load.steps.use(self._event_tokens, self.rate.step_ms, self.rate.chunk_ms)
-            found = placement_cost.cost(load, request, given)
-            if best_cost is None or found.total < best_cost.total:
-                best, best_cost = load, found
-        if best is None or best_cost is None:
-            return None
-        slack_ms = start_rules.slack_ms(request, best_cost.read_ms, waited_ms)
-        if start_rules.reads_along(best_cost, slack_ms):
+        slack_ms = start_rules.slack_ms(request, best.cost.read_ms, waited_ms)
+        if start_rules.reads_along(best.cost, slack_ms):
             return None
-        if self._has_tight() and not start_rules.may_start(
-            best_cost, slack_ms, yields=self._yields(request)
+        if self._chooser.has_tight() and not start_rules.may_start(
+            best.cost, slack_ms, yields=self._yields(request)
         ):
             return None
-        return self._start(waiting, best, best_cost, now)
+        return self._start(waiting, best, now)
 
     def _start(
         self,
         waiting: waiting_line.Waiting,
-        load: upstream_load.UpstreamLoad,
-        cost: placement_cost.Cost,
+        choice: upstream_chooser.Choice,
         now: float,
     ) -> placement_answer.Answer:
-        request = waiting.request
+        request, load, cost = waiting.request, choice.load, choice.cost
         if self._yields(request):
             self._forecast.note_start(waiting.read_ms, now)
         run = upstream_load.Run(
@@ -345,9 +294,7 @@
             is_telling=cost.wait_ms <= 0.0 and not cost.fetch_from,
             until=waiting.until,
         )
-        load.add(run, now)
-        self.gate.note_send(load, now)
-        self._read_parts.note(request.parts, now)
+        self._chooser.add(run, load, now)
         placed = placement_messages.Placed(
             request.ticket_id,
             load.announcement.upstream_id,
@@ -358,16 +305,16 @@
             waited_ms=(now - waiting.since) * 1000.0,
             cost=cost,
             running=len(load.run_by_ticket) - 1,
-            candidates=len(self._present),
+            candidates=len(self._chooser.present),
             tokens_per_ms=self.rate.tokens_per_ms,
-            pause_ms=self.rate.pause_ms(self._event_tokens),
+            pause_ms=self.rate.pause_ms(self._chooser.event_tokens),
         )
         return placement_answer.Answer(waiting.entry_id, placed, grounds)
 
     def _predicted_wait_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
         """Return how long a request that comes now would wait, in milliseconds."""
-        present = self._present
-        tight_ms = self._reading().tight_ms
+        present = self._chooser.present
+        tight_ms = self._chooser.reading().tight_ms
         return self._forecast.wait_ms(
             waiting,
             engines_apart=sum(not load.has_tight(tight_ms) for load in present),
@@ -390,70 +337,6 @@
         self._longest_target_ms = max(self._longest_target_ms, request.target_ms)
         return request.target_ms >= self._longest_target_ms
 
-    def _has_tight(self) -> bool:
-        """Return whether streams run that reading beside them makes late.
-
-        Only for their sake long prompts are held: where none can be harmed, an engine that always
-        has the next prompt at hand reads most.
-        """
-        tight_ms = self._reading().tight_ms
-        return any(load.has_tight(tight_ms) for load in self._present)
-
-    def _reading(self) -> placement_cost.Reading:
-        return placement_cost.Reading(
-            self.rate.tokens_per_ms,
-            self.rate.pause_ms(self._event_tokens),
-            self._event_tokens * self.rate.step_ms,
-        )
-
-    def _least_read_ms(self, request: placement_messages.PlaceRequest) -> float:
-        """Return how long reading takes on the engine that holds most of the prompt."""
-        tokens = min(
-            (load.cache.uncached_tokens(request.parts) for load in self._present),
-            default=sum(part.tokens for part in request.parts),
-        )
-        return tokens / self.rate.tokens_per_ms
-
-    def _holder(
-        self, request: placement_messages.PlaceRequest, now: float
-    ) -> placement_cost.Holder:
-        """Return the engine in order that holds most of a prompt, if others can fetch from it."""
-        if not self._fetch_ms_per_token or len(request.parts) < 2:
-            return placement_cost.Holder()
-        best = placement_cost.Holder()
-        for load in self._present:
-            tokens = load.readable_tokens(request.parts)
-            if tokens > best.tokens and not load.is_pausing(now):
-                address = load.announcement.address
-                best = placement_cost.Holder(address, tokens, self._fetch_ms_per_token)
-        return best
-
-    def _candidates(
-        self, waiting: waiting_line.Waiting, now: float
-    ) -> list[upstream_load.UpstreamLoad]:
-        """Return the upstreams with a free slot; those that failed lately only if all did.
-
-        Where the sound ones are full, or may get nothing now, a request waits: sent to one that
-        failed it would be lost.
-        """
-        tokens = waiting.request.memory_tokens
-        allowed = self._allowed(waiting.request)
-        sound = [load for load in allowed if not load.is_pausing(now)]
-        return [
-            load
-            for load in sound or allowed
-            if not load.is_full
-            and load.has_memory_for(tokens)
-            and self.gate.is_open(load, waiting.entry_id, now)
-        ]
-
-    def _allowed(
-        self, request: placement_messages.PlaceRequest
-    ) -> list[upstream_load.UpstreamLoad]:
-        return [
-            load for load in self._present if load.announcement.upstream_id not in request.excluded
-        ]
-
     def _busy(self, waiting: waiting_line.Waiting, begins_ms: float) -> placement_answer.Answer:
         busy = placement_messages.Busy(waiting.request.ticket_id, begins_ms)
         return placement_answer.Answer(waiting.entry_id, busy)
--- /dev/null
+++ b/src/medlarfork/placement/upstream_chooser.py
@@ -0,0 +1,179 @@
+"""Hold the upstreams of one shard, and choose the one that costs a request least: pure."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork.backpressure import send_gate
+from medlarfork.coordination import upstream_types
+from medlarfork.placement import (
+    placement_cost,
+    placement_messages,
+    read_parts,
+    read_rate,
+    shard_gate,
+    upstream_load,
+    waiting_line,
+)
+from medlarfork.routes import routing
+
+PLAIN_MEMORY_TOKENS = 0
+"""Plain services hold no parts of prompts."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Hold the best upstream for a request, and what running it there costs."""
+
+    load: upstream_load.UpstreamLoad
+    cost: placement_cost.Cost
+
+
+class UpstreamChooser:
+    """Compare upstreams; the time is handed in, in seconds.
+
+    Attributes:
+        rate: What is learnt of how the engines work.
+        load_by_id: What is known of each upstream, by incarnation.
+        gate: When upstreams may get a request.
+    """
+
+    def __init__(self, gate: send_gate.SendGate, line: waiting_line.WaitingLine) -> None:
+        """Start without upstreams, as a plain service.
+
+        Args:
+            gate: Says which upstreams may get a request.
+            line: The requests that wait.
+        """
+        self._memory_tokens = PLAIN_MEMORY_TOKENS
+        self.event_tokens = 1
+        self._fetch_ms_per_token = 0.0
+        self._read_parts = read_parts.ReadParts()
+        self.rate = read_rate.ReadRate()
+        self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
+        self.gate = shard_gate.ShardGate(gate, line)
+
+    def use_engine(self, engine: routing.EngineFacts | None) -> None:
+        """Take what the routing says of the service's engines; None for plain services."""
+        self._memory_tokens = PLAIN_MEMORY_TOKENS if engine is None else engine.memory_tokens
+        self.event_tokens = 1 if engine is None else engine.event_tokens
+        self._fetch_ms_per_token = 0.0 if engine is None else engine.fetch_ms_per_token
+        for load in self.load_by_id.values():
+            load.use_memory(self._memory_tokens)
+
+    def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
+        """Take the upstreams that may be used now; runs on others are left to their ends.
+
+        What is known of one that is not there now is kept for a while: one that was only not heard
+        of still runs what it ran, and still holds what it read.
+        """
+        for upstream_id, load in self.load_by_id.items():
+            load.is_present = upstream_id in announcements
+        for upstream_id, announcement in announcements.items():
+            load = self.load_by_id.get(upstream_id)
+            if load is None:
+                load = upstream_load.UpstreamLoad(announcement, self._memory_tokens)
+                self.load_by_id[upstream_id] = load
+            load.announcement = announcement
+
+    @property
+    def present(self) -> list[upstream_load.UpstreamLoad]:
+        """Return the upstreams that may be used now."""
+        return [load for load in self.load_by_id.values() if load.is_present]
+
+    def best(self, waiting: waiting_line.Waiting, now: float) -> Choice | None:
+        """Return the upstream that costs a request least, or None if none may take it now."""
+        request = waiting.request
+        candidates = self._candidates(waiting, now)
+        given = placement_cost.Surroundings(
+            reading=self.reading(),
+            held_elsewhere=self._read_parts.read_lately(request.parts, now),
+            holder=self._holder(request, now),
+            prompt_tokens=request.prompt_tokens,
+            waited_ms=(now - waiting.since) * 1000.0,
+            now=now,
+        )
+        best: Choice | None = None
+        for load in candidates:
+            load.steps.use(self.event_tokens, self.rate.step_ms, self.rate.chunk_ms)
+            found = placement_cost.cost(load, request, given)
+            if best is None or found.total < best.cost.total:
+                best = Choice(load, found)
+        return best
+
+    def add(self, run: upstream_load.Run, load: upstream_load.UpstreamLoad, now: float) -> None:
+        """Count a run that is placed on an upstream."""
+        load.add(run, now)
+        self.gate.note_send(load, now)
+        self._read_parts.note(run.request.parts, now)
+
+    def closed_ms(self, waiting: waiting_line.Waiting, now: float) -> float:
+        """Return how long no upstream takes a request by what they ask for, in milliseconds."""
+        if self.gate.is_idle:
+            return 0.0
+        return self.gate.closed_ms(waiting, self._allowed(waiting.request), now)
+
+    def has_tight(self) -> bool:
+        """Return whether streams run that reading beside them makes late.
+
+        Only for their sake long prompts are held: where none can be harmed, an engine that always
+        has the next prompt at hand reads most.
+        """
+        tight_ms = self.reading().tight_ms
+        return any(load.has_tight(tight_ms) for load in self.present)
+
+    def reading(self) -> placement_cost.Reading:
+        """Return how the engines read prompts and produce events."""
+        return placement_cost.Reading(
+            self.rate.tokens_per_ms,
+            self.rate.pause_ms(self.event_tokens),
+            self.event_tokens * self.rate.step_ms,
+        )
+
+    def least_read_ms(self, request: placement_messages.PlaceRequest) -> float:
+        """Return how long reading takes on the engine that holds most of the prompt."""
+        tokens = min(
+            (load.cache.uncached_tokens(request.parts) for load in self.present),
+            default=sum(part.tokens for part in request.parts),
+        )
+        return tokens / self.rate.tokens_per_ms
+
+    def _holder(
+        self, request: placement_messages.PlaceRequest, now: float
+    ) -> placement_cost.Holder:
+        """Return the engine in order that holds most of a prompt, if others can fetch from it."""
+        if not self._fetch_ms_per_token or len(request.parts) < 2:
+            return placement_cost.Holder()
+        best = placement_cost.Holder()
+        for load in self.present:
+            tokens = load.readable_tokens(request.parts)
+            if tokens > best.tokens and not load.is_pausing(now):
+                address = load.announcement.address
+                best = placement_cost.Holder(address, tokens, self._fetch_ms_per_token)
+        return best
+
+    def _candidates(
+        self, waiting: waiting_line.Waiting, now: float
+    ) -> list[upstream_load.UpstreamLoad]:
+        """Return the upstreams with a free slot; those that failed lately only if all did.
+
+        Where the sound ones are full, or may get nothing now, a request waits: sent to one that
+        failed it would be lost.
+        """
+        tokens = waiting.request.memory_tokens
+        allowed = self._allowed(waiting.request)
+        sound = [load for load in allowed if not load.is_pausing(now)]
+        return [
+            load
+            for load in sound or allowed
+            if not load.is_full
+            and load.has_memory_for(tokens)
+            and self.gate.is_open(load, waiting.entry_id, now)
+        ]
+
+    def _allowed(
+        self, request: placement_messages.PlaceRequest
+    ) -> list[upstream_load.UpstreamLoad]:
+        return [
+            load for load in self.present if load.announcement.upstream_id not in request.excluded
+        ]
