--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -86,12 +86,7 @@
         self._decode = decode
         self._read_seeds = read_seeds
         self._session = entry_session.EntrySession(given.seeds)
-        self._link = link.Link(
-            identity=given.entry_id,
-            codec=codec.Codec(routed_links.ENTRY_MESSAGES),
-            bind=f"tcp://{given.link_host}:{given.link_port}",
-            options=routed_links.LINK_OPTIONS,
-        )
+        self._link = _make_link(given)
         self._holds = holding.Holding()
         self._backpressure = backpressure_watch.BackpressureWatch(
             given.entry_id, names, self._session, self._link.send
@@ -103,19 +98,7 @@
         self._crashes = crash_watch.CrashWatch(self._client, self._session, self._link.send)
         self._usage = self._make_usage() if given.usage_window_s else None
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
-        self._handler = request_handler.RequestHandler(
-            zone=given.zone,
-            names=names,
-            client=self._client,
-            session=self._session,
-            owner=self._owner,
-            holds=self._holds,
-            crashes=self._crashes,
-            backpressure=self._backpressure,
-            usage=self._usage or request_types.NoUsage(),
-            rules=given.budget,
-            metrics=self._metrics,
-        )
+        self._handler = self._make_handler(names)
         self._server = http_server.at_address(
             self._handler.handle, given.serve, CALLER_LIMITS, opened
         )
@@ -123,7 +106,6 @@
             http_server.at_address(self._serve_health, given.health) if given.health else None
         )
         self._tasks = curio.TaskGroup()
-        self._was_ready = False
 
     @property
     def is_ready(self) -> bool:
@@ -174,6 +156,21 @@
         self._connect_replicas()
         logs.event(_log, "reloaded", seeds=",".join(seeds))
 
+    def _make_handler(self, names: request_names.RequestNames) -> request_handler.RequestHandler:
+        return request_handler.RequestHandler(
+            zone=self._given.zone,
+            names=names,
+            client=self._client,
+            session=self._session,
+            owner=self._owner,
+            holds=self._holds,
+            crashes=self._crashes,
+            backpressure=self._backpressure,
+            usage=self._usage or request_types.NoUsage(),
+            rules=self._given.budget,
+            metrics=self._metrics,
+        )
+
     def _make_usage(self) -> usage_teller.UsageTeller:
         # Loaded only where usage is told: it would make every other start longer.
         from medlarfork.gateway import usage_teller
@@ -304,6 +301,15 @@
         }
 
 
+def _make_link(given: gateway_settings.GatewaySettings) -> link.Link:
+    return link.Link(
+        identity=given.entry_id,
+        codec=codec.Codec(routed_links.ENTRY_MESSAGES),
+        bind=f"tcp://{given.link_host}:{given.link_port}",
+        options=routed_links.LINK_OPTIONS,
+    )
+
+
 async def run_until_stopped(program: GatewayProgram) -> None:
     """Run the program until a signal asks it to stop; a hang-up reloads the settings."""
     signals = _stop_signal.StopSignal((*_stop_signal.STOP_SIGNALS, signal.SIGHUP))
