--- a/src/medlarfork/gateway/crash_watch.py
+++ b/src/medlarfork/gateway/crash_watch.py
@@ -113,6 +113,23 @@
         if look is not None:
             await look.done.wait()
 
+    async def is_suspect(self, key: str, upstream_id: str, own_breaks: int) -> bool:
+        """Say whether a request is not to be sent on, since upstreams ended under it.
+
+        Only after a second break of its own it waits for what the look at the upstream brings, so
+        that a request whose first upstream was lost goes on at once, on trial if others like it
+        lost another one.
+
+        Args:
+            key: The request's key.
+            upstream_id: Where it ran last.
+            own_breaks: How many of its own runs broke.
+        """
+        if own_breaks <= 1:
+            return self.standing(key).verdict is crash_ledger.Verdict.HELD
+        await self.wait_looked(upstream_id)
+        return self.standing(key).verdict is not crash_ledger.Verdict.FREE
+
     def run_survived(self, key: str) -> None:
         """Note that an upstream answered a request whole."""
         now = _now()
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import itertools
 import logging
 import time
 from collections.abc import Callable
@@ -25,13 +24,6 @@
 QUEUE_CHECK_S = 0.25
 """How often a request that waits at the owner checks that the owner is there, in seconds."""
 
-LOCAL_RETRY_MS = 300.0
-"""When to come back if no upstream is known, in milliseconds: a replica tells its view within."""
-
-ALONE_SHARE = 0.5
-"""Part of an upstream's rate limit that all entry hosts which place alone use together: the owner
-that others still reach uses the whole."""
-
 LEAST_BEGINS_MS = 1.0
 """Least bound that a second shard is given, in milliseconds; 0 stands for a first question."""
 
@@ -314,7 +306,7 @@
             if not await self._hold(ticket.request.service, until):
                 return self._choose_alone(ticket)
         why = "its time ran out while it waited"
-        return placement_messages.PlaceRefused(ticket.request.ticket_id, LOCAL_RETRY_MS, why)
+        return placement_messages.PlaceRefused(ticket.request.ticket_id, local_choice.RETRY_MS, why)
 
     def _ask_owner(self, ticket: _Ticket, owner_id: str) -> bool:
         """Ask an owner; return False if there is no connection to it, which passes it over."""
@@ -364,7 +356,7 @@
         """Refuse a trial that no replica grants: other entry hosts may begin one as well."""
         self._withdraw(ticket)
         why = "no replica says whether it may run, and upstreams ended while they ran it"
-        return placement_messages.PlaceRefused(ticket.request.ticket_id, LOCAL_RETRY_MS, why)
+        return placement_messages.PlaceRefused(ticket.request.ticket_id, local_choice.RETRY_MS, why)
 
     def _choose_alone(
         self, ticket: _Ticket
@@ -377,25 +369,15 @@
             for item in self._session.upstream_by_id.values()
             if item.service == request.service and not self._gate.is_leaving(item.upstream_id)
         )
-        now, share = _now(), ALONE_SHARE / self._session.entry_hosts
-        waits_s = [
-            self._gate.wait_s(item.upstream_id, self._entry_id, now, share) for item in upstreams
-        ]
-        is_open = [wait_s <= 0 for wait_s in waits_s]
-        chosen = local_choice.choose(
+        return local_choice.place(
             request,
-            tuple(itertools.compress(upstreams, is_open)),
+            upstreams,
             self._runs_by_upstream,
-            self._entry_id,
+            self._gate,
+            entry_id=self._entry_id,
+            entry_hosts=self._session.entry_hosts,
+            now=_now(),
         )
-        if chosen:
-            self._gate.note_send(chosen, now, share)
-            return placement_messages.Placed(request.ticket_id, chosen)
-        why = "no upstream of the service is known"
-        if upstreams:
-            why = "every upstream is at its limit, wants a pause, or failed this request"
-        retry_ms = max(LOCAL_RETRY_MS, 1000.0 * min(waits_s, default=0.0))
-        return placement_messages.PlaceRefused(request.ticket_id, retry_ms, why)
 
 
 def _runs_by(ticket: _Ticket | None, owner_id: str) -> bool:
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -16,13 +16,12 @@
     attempt_policy,
     attempt_sender,
     event_cutter,
-    owner_client,
     request_types,
     stream_pauses,
     upstream_call,
 )
 from medlarfork.http import _http_messages, http_client, sse
-from medlarfork.placement import placement_messages, shard_choice
+from medlarfork.placement import local_choice, placement_messages, shard_choice
 from medlarfork.quarantine import crash_ledger
 
 ANSWER_EARLY_MS = 20.0
@@ -50,7 +49,7 @@
         self._sender = attempt_sender.AttemptSender(admitted, tools)
         self._progress = attempt_policy.Progress()
         self._excluded: list[str] = []
-        self._retry_after_ms = owner_client.LOCAL_RETRY_MS
+        self._retry_after_ms = local_choice.RETRY_MS
         self._sends = 0
         self._cutter = event_cutter.EventCutter(admitted.facts.last_event_id)
         self._ticket_id = ""
@@ -211,7 +210,7 @@
         """Ask the rules, and the budget once an upstream has seen the request."""
         if not attempt_policy.may_try_again(self._admitted.route, self._progress, self._left_ms):
             return False
-        if await self._is_suspect(upstream_id):
+        if await self._tools.crashes.is_suspect(self._admitted.key, upstream_id, self._breaks):
             self.trace.reasons.append("upstreams ended while they ran it")
             return False
         if self._sends == 0:
@@ -222,20 +221,6 @@
         self.trace.reasons.append("the budget of repeats is used up")
         return False
 
-    async def _is_suspect(self, upstream_id: str) -> bool:
-        """Say whether the request is not to be sent on, since upstreams ended under it.
-
-        Only after a second break of its own it waits for what the look at the upstream brings, so
-        that a request whose first upstream was lost goes on at once, on trial if others like it
-        lost another one.
-        """
-        if self._breaks > 1:
-            await self._tools.crashes.wait_looked(upstream_id)
-        verdict = self._tools.crashes.standing(self._admitted.key).verdict
-        if self._breaks > 1:
-            return verdict is not crash_ledger.Verdict.FREE
-        return verdict is crash_ledger.Verdict.HELD
-
     def _note_given_up(self) -> None:
         """Have an upstream watched that was at work: one without power breaks no connection."""
         if self._running_at is not None:
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -105,8 +105,8 @@
         """Note a run that nobody waits for any more."""
         ...
 
-    async def wait_looked(self, upstream_id: str) -> None:
-        """Wait until it is known whether an upstream whose run broke has ended."""
+    async def is_suspect(self, key: str, upstream_id: str, own_breaks: int) -> bool:
+        """Say whether a request is not to be sent on, since upstreams ended under it."""
         ...
 
     def run_survived(self, key: str) -> None:
--- a/tests/routed/test_crash_watch.py
+++ b/tests/routed/test_crash_watch.py
@@ -162,6 +162,21 @@
     assert sent[0][1].cases[0].survived_ago_s >= 0
 
 
+def test_a_request_is_suspect_by_its_own_second_break_or_once_it_is_held(
+    watch, make_admitted, make_announcement
+):
+    """Others like it that lost an upstream put it on trial; they do not end it."""
+
+    async def main():
+        for number, expected in ((0, (False, False)), (1, (False, True)), (2, (True, True))):
+            where = upstream(make_announcement, number)
+            await break_at(watch, make_admitted(), where)
+            found = [await watch.is_suspect(KEY, where.upstream_id, breaks) for breaks in (1, 2)]
+            assert tuple(found) == expected
+
+    curio_world.run(main)
+
+
 def test_upstreams_that_end_together_just_after_an_answer_put_no_request_on_trial(
     watch, sent, make_admitted, make_announcement
 ):
--- a/tests/routed/test_leaving.py
+++ b/tests/routed/test_leaving.py
@@ -11,7 +11,7 @@
     upstream_types,
 )
 from medlarfork.gateway import backpressure_watch, entry_session, holding, owner_client
-from medlarfork.placement import placement_messages
+from medlarfork.placement import local_choice, placement_messages
 from tests import curio_world
 from tests.routed import coordinator_cluster, routed_world
 
@@ -55,7 +55,7 @@
         assert {placed.upstream_id for placed in chosen} == {"u-2"}
         refused = await client.place(make_question("t", excluded=("u-2",)))
         assert isinstance(refused, placement_messages.PlaceRefused)
-        assert refused.retry_after_ms == owner_client.LOCAL_RETRY_MS
+        assert refused.retry_after_ms == local_choice.RETRY_MS
 
     curio_world.run(main)
 
--- a/tests/routed/test_limited_placement.py
+++ b/tests/routed/test_limited_placement.py
@@ -5,7 +5,7 @@
 from medlarfork.backpressure import send_gate, signal_ledger
 from medlarfork.coordination import coordination_messages, upstream_types
 from medlarfork.gateway import entry_session, holding, owner_client
-from medlarfork.placement import owner, placement_messages, service_owner
+from medlarfork.placement import local_choice, owner, placement_messages, service_owner
 from tests import curio_world
 from tests.routed import placing
 
@@ -130,6 +130,6 @@
         assert isinstance(chosen[0], placement_messages.Placed)
         assert [type(item) for item in chosen[1:]].count(placement_messages.PlaceRefused) >= 1
         refused = chosen[-1]
-        assert 0 < refused.retry_after_ms <= 1000.0 / owner_client.ALONE_SHARE
+        assert 0 < refused.retry_after_ms <= 1000.0 / local_choice.ALONE_SHARE
 
     curio_world.run(main)
--- a/tests/routed/test_suspect_runs.py
+++ b/tests/routed/test_suspect_runs.py
@@ -24,6 +24,9 @@
     def standing(self, key):
         return self.standings.pop(0) if len(self.standings) > 1 else self.standings[0]
 
+    async def is_suspect(self, key, upstream_id, own_breaks):
+        return self.standing(key).verdict is crash_ledger.Verdict.HELD
+
     def run_given_up(self, key, upstream):
         pass
 
