--- a/tests/processes/test_backpressure.py
+++ b/tests/processes/test_backpressure.py
@@ -176,3 +176,21 @@
     assert [at for at in leaving.runs("hello") if at > told_at + DRAIN_S] == []
     assert load.statuses.count(200) > 0.8 * len(load.statuses)
     assert all(len(engine.runs("hello")) > 100 for engine in others)
+
+
+def test_hosts_that_place_alone_keep_to_a_limit_together(make_fleet):
+    """No replica runs; each host uses its part, and the others serve the rest."""
+    fleet = make_fleet(engines=3)
+    limited, *others = fleet.engines
+    limited.answer(medlar_rate_limit=str(RATE))
+    with Load(fleet) as load:
+        time.sleep(1.5)
+        for replica in fleet.replicas:
+            fleet.kill(replica)
+        alone_from = time.monotonic()
+        time.sleep(6.0)
+    named_at = min(limited.runs("hello"))
+    assert most_in_window(limited.runs("hello"), since=named_at + LEARN_S) <= MOST_IN_WINDOW
+    assert load.statuses.count(200) > 0.95 * len(load.statuses)
+    served = [at for engine in others for at in engine.runs("hello") if at > alone_from + 1.0]
+    assert len(served) > 100
