A report that was under way for long ends no rate limit that was named meanwhile

The age of a report is reckoned from its arrival, so the end of a limit that was 0.1 s under way could undo a limit named within that time, and the owner of placement filled the upstream until its next answer. An answer ends a limit only if its request was sent 0.25 s after the limit was named. Found by reading; its test is red before.

--- a/src/medlarfork/backpressure/signal_ledger.py
+++ b/src/medlarfork/backpressure/signal_ledger.py
@@ -24,6 +24,10 @@
 """How long a limit is kept that was not reported again, in seconds: its upstream is gone by then,
 or is tried again at its limit and names it anew."""
 
+SETTLE_S = 0.25
+"""How much longer than since a limit was named a request must have been sent for its answer to end
+the limit, in seconds: more than a report is under way, whose age is reckoned from its arrival."""
+
 REFRESH_S = 60.0
 """Time after which a limit that is still named counts as news, in seconds: several times within
 ``LIMIT_S``, after which ledgers that only get news forget it."""
@@ -104,8 +108,8 @@
     ) -> bool:
         """Take the limit that an answer names, or that it names none; return whether that is news.
 
-        An answer without a limit ends the one known only if its request was sent after that was
-        named: answers on different connections overtake each other.
+        An answer without a limit ends the one known only if its request was sent some time after
+        that was named: answers on different connections overtake each other.
 
         Args:
             upstream_id: The incarnation that answered.
@@ -115,7 +119,7 @@
         """
         if rate is None and upstream_id not in self._limit_by_upstream:
             return False
-        return self._take(upstream_id, rate, now if rate is not None else sent_at, now)
+        return self._take(upstream_id, rate, sent_at - SETTLE_S if rate is None else now, now)
 
     def paused_until(self, upstream_id: str, entry_id: str) -> float:
         """Return until when an upstream wants no request from an entry host, in seconds."""
--- a/tests/routed/test_signal_ledger.py
+++ b/tests/routed/test_signal_ledger.py
@@ -34,6 +34,17 @@
     assert ledger.rate("u-1") == 2.0
 
 
+def test_a_report_that_was_under_way_for_long_ends_no_limit_that_was_named_meanwhile(ledger):
+    """Its age is reckoned from its arrival, which makes it as much younger as it was under way."""
+    slow = signal_ledger.SignalLedger()
+    slow.note_answer("u-1", 2.0, sent_at=0.0, now=1.0)
+    slow.note_answer("u-1", None, sent_at=5.0, now=5.05)
+    ended = slow.report(("u-1",), 5.05)
+    ledger.note_answer("u-1", 2.0, sent_at=5.0, now=5.1)
+    ledger.merge(ended, 5.25)
+    assert ledger.rate("u-1") == 2.0
+
+
 def test_an_upstream_that_names_no_limit_costs_nothing(ledger):
     assert not ledger.note_answer("u-1", None, sent_at=0.0, now=1.0)
     assert ledger.is_empty
