Refusals of placement name their cause; only those of a running trial are waited for

A request refused for overload while it asked for a trial went on asking for up to 2 s instead of telling its caller at once. Its test is red before.

--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -52,7 +52,9 @@
         The refusal then says when the first of them takes the request.
         """
         refused = self.answer
-        if not isinstance(refused, placement_messages.PlaceRefused) or not refused.is_closed:
+        if not isinstance(refused, placement_messages.PlaceRefused):
+            return False
+        if refused.cause is not placement_messages.RefusalCause.CLOSED:
             return False
         closed = self.closed_ms_by_shard
         closed[self.request.owned_shard] = refused.retry_after_ms
--- a/src/medlarfork/gateway/request_run.py
+++ b/src/medlarfork/gateway/request_run.py
@@ -141,7 +141,8 @@
             is_trial = standing.verdict is crash_ledger.Verdict.TRIAL
             placed = await self._place(trial_key=key if is_trial else "")
             if isinstance(placed, placement_messages.PlaceRefused):
-                if is_trial and await self._wait_trial():
+                is_busy = placed.cause is placement_messages.RefusalCause.TRIAL
+                if is_busy and await self._wait_trial():
                     continue
                 return placed
             match crashes.standing(key).verdict:
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -162,6 +162,18 @@
     ticket_id: str
 
 
+class RefusalCause(enum.StrEnum):
+    """Say what has to change before a refused request may run.
+
+    With ``CLOSED`` no upstream of the shard takes it by their signals, while one of another shard
+    may; with ``TRIAL`` another request like it is on trial.
+    """
+
+    OVERLOAD = "overload"
+    CLOSED = "closed"
+    TRIAL = "trial"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceRefused:
     """Answer: it can't be served in time.
@@ -169,15 +181,14 @@
     Attributes:
         ticket_id: The question.
         retry_after_ms: When that is likely to change.
-        why: The reason.
-        is_closed: Whether no upstream of the shard takes it by what they ask for; one of another
-            shard may.
+        why: The reason, in plain words.
+        cause: What it is refused for.
     """
 
     ticket_id: str
     retry_after_ms: float
     why: str
-    is_closed: bool = False
+    cause: RefusalCause = RefusalCause.OVERLOAD
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/placement/service_owner.py
+++ b/src/medlarfork/placement/service_owner.py
@@ -253,7 +253,8 @@
         why = f"every upstream is at its limit or wants a pause for about {closed_ms:.0f} ms"
         retry_ms = max(closed_ms, start_rules.SHORTEST_RETRY_MS)
         ticket_id = waiting.request.ticket_id
-        refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, is_closed=True)
+        cause = placement_messages.RefusalCause.CLOSED
+        refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, cause)
         return placement_answer.Answer(waiting.entry_id, refused)
 
     def _is_too_late(self, waiting: waiting_line.Waiting, now: float) -> bool:
--- a/src/medlarfork/quarantine/trial_desk.py
+++ b/src/medlarfork/quarantine/trial_desk.py
@@ -50,7 +50,8 @@
             if running.ticket_id == request.ticket_id:
                 return None
             why = "another one like it runs on trial, since upstreams ended under it"
-            return placement_messages.PlaceRefused(request.ticket_id, RETRY_MS, why)
+            cause = placement_messages.RefusalCause.TRIAL
+            return placement_messages.PlaceRefused(request.ticket_id, RETRY_MS, why, cause)
         if standing.verdict is crash_ledger.Verdict.HELD:
             return crash_ledger.refusal(request.ticket_id, standing)
         if running is not None:
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -11,6 +11,7 @@
 SHARD = placement_messages.Shard("engines")
 HOME = placement_messages.Shard("engines", 0, 2)
 OTHER = placement_messages.Shard("engines", 1, 2)
+CLOSED = placement_messages.RefusalCause.CLOSED
 
 
 class Session:
@@ -219,8 +220,8 @@
 def test_a_request_that_no_upstream_of_a_part_takes_asks_the_other_parts_before_it_is_refused(
     sent, client, make_question, takes
 ):
-    closed = placement_messages.PlaceRefused("t", 3000.0, "closed", is_closed=True)
-    sooner = placement_messages.PlaceRefused("t", 1000.0, "closed", is_closed=True)
+    closed = placement_messages.PlaceRefused("t", 3000.0, "closed", CLOSED)
+    sooner = placement_messages.PlaceRefused("t", 1000.0, "closed", CLOSED)
     last = placement_messages.Placed("t", "u-1") if takes else sooner
 
     async def main():
--- a/tests/routed/test_suspect_runs.py
+++ b/tests/routed/test_suspect_runs.py
@@ -36,6 +36,7 @@
 
     def __init__(self):
         self.refuses_trials = False
+        self.cause = placement_messages.RefusalCause.TRIAL
         self.asked = []
         self.given_back = 0
 
@@ -45,7 +46,7 @@
     async def place(self, request):
         self.asked.append(request.trial_key)
         if request.trial_key and self.refuses_trials:
-            return placement_messages.PlaceRefused(request.ticket_id, 1000.0, "another one runs")
+            return placement_messages.PlaceRefused(request.ticket_id, 1000.0, "", self.cause)
         return placement_messages.Placed(request.ticket_id, "u-1")
 
     def end(self, ticket_id, end, after_ms, pauses=None):
@@ -143,6 +144,13 @@
     assert 2 <= len(owner.asked) <= 5
 
 
+def test_a_suspect_that_is_refused_for_another_reason_is_told_at_once(serve, owner):
+    owner.refuses_trials = True
+    owner.cause = placement_messages.RefusalCause.OVERLOAD
+    assert serve(TRIAL).status == 503
+    assert owner.asked == ["k"]
+
+
 def test_a_suspect_that_is_held_meanwhile_is_told_at_once(serve, owner):
     owner.refuses_trials = True
     exchange = serve(TRIAL, HELD)
