Read once more: no work for a request that no upstream can take; one way to ask another shard

Since the comparison of upstreams became a class of its own, it looked for the holder of a prompt and the parts read lately also where every upstream was full, for each request that waits and in each pass; it returns first again. Shards are listed only for a refusal that another shard may answer. What both ways of asking another shard forgot of the first stands once. No change of behaviour; found by reading.

--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -46,6 +46,15 @@
         default_factory=dict
     )
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether it was refused since no upstream of the shard takes it now."""
+        refused = self.answer
+        return (
+            isinstance(refused, placement_messages.PlaceRefused)
+            and refused.cause is placement_messages.RefusalCause.CLOSED
+        )
+
     def turn_from_closed(self, shards: tuple[placement_messages.Shard, ...]) -> bool:
         """Ask a shard next that has not refused; return False if all have.
 
@@ -54,8 +63,6 @@
         refused = self.answer
         if not isinstance(refused, placement_messages.PlaceRefused):
             return False
-        if refused.cause is not placement_messages.RefusalCause.CLOSED:
-            return False
         closed = self.closed_ms_by_shard
         closed[self.request.owned_shard] = refused.retry_after_ms
         left = [shard for shard in shards if shard not in closed]
@@ -65,9 +72,7 @@
         self.request = dataclasses.replace(
             self.request, shard=left[0], other_shard=None, begins_within_ms=0.0, busy_shard=None
         )
-        self.owner_id = ""
-        self.answer = None
-        self.is_queued = False
+        self._forget_answer()
         return True
 
     def turn(self, begins_ms: float) -> None:
@@ -85,6 +90,10 @@
             begins_within_ms=max(begins_ms, LEAST_BEGINS_MS) if was_first else 0.0,
             busy_shard=None if was_first else request.shard,
         )
+        self._forget_answer()
+
+    def _forget_answer(self) -> None:
+        """Forget who was asked and what was answered, since another shard is asked next."""
         self.owner_id = ""
         self.answer = None
         self.is_queued = False
@@ -298,9 +307,11 @@
             if isinstance(ticket.answer, placement_messages.Busy):
                 ticket.turn(ticket.answer.begins_ms)
                 continue
-            if ticket.turn_from_closed(self._session.service_shards(ticket.request.service)):
-                continue
             if is_heard and ticket.answer is not None:
+                if ticket.is_closed:
+                    shards = self._session.service_shards(ticket.request.service)
+                    if ticket.turn_from_closed(shards):
+                        continue
                 return ticket.answer
             if is_heard:
                 continue
--- a/src/medlarfork/placement/upstream_chooser.py
+++ b/src/medlarfork/placement/upstream_chooser.py
@@ -85,6 +85,8 @@
         """Return the upstream that costs a request least, or None if none may take it now."""
         request = waiting.request
         candidates = self._candidates(waiting, now)
+        if not candidates:
+            return None
         given = placement_cost.Surroundings(
             reading=self.reading(),
             held_elsewhere=self._read_parts.read_lately(request.parts, now),
