Ledgers of backpressure signals agree on signals of one moment

What callers saw: nothing yet; two hosts could keep different limits of an upstream until its next signal. Cause: observations were ordered by their moment alone, and of two equal ones a ledger kept the one that it merged first; of similar limits it kept the rate of its last update beside the moment of the latest. Why the fix works: observations are in a total order (moment, then the lower limit, no limit last), and a ledger holds the highest of those that it merged, whatever their order. Red before: test_ledgers_agree_on_signals_of_one_moment, test_the_latest_of_similar_limits_holds_in_any_order. test_a_limit_that_changes_in_small_steps_is_an_update_in_the_end was green and guards the update rule. The test that found it is unchanged.

--- a/src/medlarfork/backpressure/signal_ledger.py
+++ b/src/medlarfork/backpressure/signal_ledger.py
@@ -2,7 +2,8 @@
 
 Without it, entry hosts would keep loading an overloaded upstream because only one of them, or none,
 has read its signal. Entry hosts and replicas each keep a ledger and exchange reports. For each
-limit the latest observation wins, so ledgers that merged the same reports agree, in any order.
+limit the latest observation wins, and of equally old ones the lowest limit, so ledgers that merged
+the same reports agree, in any order.
 """
 
 from __future__ import annotations
@@ -52,12 +53,14 @@
     Attributes:
         rate: Requests a second; None once the limit has ended.
         at: When it was observed, in seconds of the local clock.
+        updated_rate: The rate at the last update, which other ledgers know.
         since: When this ledger first recorded the limit.
-        changed_at: When this ledger recorded this observation.
+        changed_at: When this ledger recorded the last update.
     """
 
     rate: float | None
     at: float
+    updated_rate: float | None
     since: float
     changed_at: float
 
@@ -235,21 +238,26 @@
 
     def _update_limit(self, upstream_id: str, rate: float | None, at: float, now: float) -> bool:
         known = self._limit_by_upstream.get(upstream_id)
-        if known is not None and at <= known.at:
+        if known is not None and _precedence(rate, at) <= _precedence(known.rate, known.at):
             return False
         is_fresh = known is not None and now < known.changed_at + REFRESH_S
-        if known is not None and is_fresh and _is_same(known.rate, rate):
-            self._limit_by_upstream[upstream_id] = dataclasses.replace(known, at=at)
+        if known is not None and is_fresh and _is_same(known.updated_rate, rate):
+            self._limit_by_upstream[upstream_id] = dataclasses.replace(known, rate=rate, at=at)
             return False
         was_limited = known is not None and known.rate is not None
         since = known.since if known is not None and was_limited else now
-        self._limit_by_upstream[upstream_id] = _Limit(rate, at, since, now)
+        self._limit_by_upstream[upstream_id] = _Limit(rate, at, rate, since, now)
         if len(self._limit_by_upstream) > MAX_LIMITS:
             oldest = min(self._limit_by_upstream, key=lambda name: self._limit_by_upstream[name].at)
             del self._limit_by_upstream[oldest]
         return True
 
 
+def _precedence(rate: float | None, at: float) -> tuple[float, float]:
+    """Return the rank of an observation: the highest of those that a ledger merged holds."""
+    return at, -math.inf if rate is None else -rate
+
+
 def _is_same(known: float | None, rate: float | None) -> bool:
     if known is None or rate is None:
         return known is rate
--- a/tests/routed/test_signal_ledger.py
+++ b/tests/routed/test_signal_ledger.py
@@ -1,5 +1,9 @@
 """Ledgers of backpressure signals agree in whatever order they merge reports."""
 
+import itertools
+import math
+import random
+
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -124,6 +128,54 @@
             assert [ledger.rate(name) for ledger in ledgers] == [expected, expected]
 
 
+def _strictness(rate):
+    return -math.inf if rate is None else -rate
+
+
+def _merge_all(reports, now):
+    ledger = signal_ledger.SignalLedger()
+    for report in reports:
+        ledger.merge(report, now)
+    return ledger
+
+
+# Guards against: ledgers that hold different limits for good, since each kept the signal that it
+# merged first of those whose ages are equal.
+@hypothesis.given(WORDS, st.randoms())
+@hypothesis.example([("u-2", None, 0.0), ("u-2", 0.0, 1.518e-55)], random.Random(0))
+@hypothesis.example([("u-2", 1.0, 3.0), ("u-2", 6.9, 3.0)], random.Random(0))
+@hypothesis.settings(max_examples=100, derandomize=True, deadline=None)
+def test_ledgers_agree_on_signals_of_one_moment(words, source):
+    """Of signals with equal ages, the one with the lowest limit holds at every ledger."""
+    limits = [signal_messages.RateLimit(name, rate, 10.0 - at) for name, rate, at in words]
+    reports = [signal_messages.SignalReport((limit,)) for limit in limits]
+    shuffled = reports[:]
+    source.shuffle(shuffled)
+    ledgers = [_merge_all(order, 10.0) for order in (reports, reports[::-1], shuffled)]
+    for name in ("u-1", "u-2"):
+        named = [limit for limit in limits if limit.upstream_id == name]
+        latest = max(named, key=lambda limit: (-limit.ago_s, _strictness(limit.rate)), default=None)
+        expected = None if latest is None else latest.rate
+        assert [ledger.rate(name) for ledger in ledgers] == [expected] * len(ledgers)
+
+
+def test_the_latest_of_similar_limits_holds_in_any_order():
+    reports = [
+        signal_messages.SignalReport((signal_messages.RateLimit("u-1", rate, ago_s),))
+        for rate, ago_s in [(2.0, 3.0), (2.05, 2.0), (2.1, 1.0)]
+    ]
+    for order in itertools.permutations(reports):
+        assert _merge_all(order, 10.0).rate("u-1") == 2.1
+
+
+def test_a_limit_that_changes_in_small_steps_is_an_update_in_the_end(ledger):
+    updates = [
+        ledger.record_response("u-1", 2.0 + 0.04 * step, sent_at=step, now=step + 1.0)
+        for step in range(4)
+    ]
+    assert updates == [True, False, False, True]
+
+
 @pytest.mark.parametrize(
     ("headers", "expected"),
     [
