Crash ledgers agree on a crash that two hosts saw at different times

What callers saw: nothing yet; a request could be refused at one host and free at another. Cause: a crash kept the time of the report that was merged first, and an answer clears crashes by their time. Evidence: crash 20 s ago, the same crash 5 s ago, an answer 20 s ago: cleared in one order, kept in the other. Why the fix works: the latest reported time counts; a maximum doesn't depend on order. A later time alone is no update, so no ledger answers another without end. Red before: test_crash_ledgers_that_hear_of_a_crash_twice_agree_in_any_order.

--- a/src/medlarfork/quarantine/crash_ledger.py
+++ b/src/medlarfork/quarantine/crash_ledger.py
@@ -6,8 +6,9 @@
 requests that ran there are suspects, and all but one of them are innocent. So no request is held
 for one crash, and a complete answer clears a request of the crashes around that time.
 
-Entry hosts and replicas each keep a ledger and exchange reports. Crashes are a set of incarnations
-and only the latest completion counts, so ledgers that merged the same reports agree, in any order.
+Entry hosts and replicas each keep a ledger and exchange reports. Crashes are a set of incarnations,
+each dated by its latest report, and only the latest completion counts, so ledgers that merged the
+same reports agree, in any order.
 """
 
 from __future__ import annotations
@@ -139,10 +140,15 @@
         case = self._case_by_key.get(key)
         if case is None:
             case = self._add(key, now)
-        is_ignored = (
-            upstream_id in case.crashed_at_by_upstream or at <= case.survived_at + EXONERATION_S
-        )
-        if is_ignored or len(case.crashed_at_by_upstream) >= MAX_CRASHES_PER_CASE:
+        if at <= case.survived_at + EXONERATION_S:
+            return False
+        known_at = case.crashed_at_by_upstream.get(upstream_id)
+        if known_at is not None:
+            # Not an update: ledgers would report a crash to each other without end, as it seems
+            # later by the time that each report was in transit.
+            case.crashed_at_by_upstream[upstream_id] = max(known_at, at)
+            return False
+        if len(case.crashed_at_by_upstream) >= MAX_CRASHES_PER_CASE:
             return False
         case.crashed_at_by_upstream[upstream_id] = at
         case.changed_at = now
--- a/tests/routed/test_crash_ledger.py
+++ b/tests/routed/test_crash_ledger.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import random
 
 import hypothesis
 import pytest
@@ -131,6 +132,25 @@
         assert first.standing(key, 200.0) == second.standing(key, 200.0)
 
 
+# Guards against: a crash that two hosts saw at different times, which a ledger dated by the report
+# that it merged first; an answer in between cleared it at some ledgers only.
+@hypothesis.given(EVENTS, strategies.randoms(use_true_random=False))
+@hypothesis.example([("k-1", 1, 20.0), ("k-1", 1, 5.0), ("k-1", 0, 20.0)], random.Random(0))
+def test_crash_ledgers_that_hear_of_a_crash_twice_agree_in_any_order(events, source):
+    shuffled = source.sample(events, len(events))
+    ledgers = []
+    for order in (events, events[::-1], shuffled):
+        ledger = crash_ledger.CrashLedger()
+        for event in order:
+            ledger.merge(_make_report(event), 200.0)
+        ledgers.append(ledger)
+    for key in ("k-1", "k-2"):
+        ends = [set(ledger.ends(key)) for ledger in ledgers]
+        assert ends == ends[:1] * len(ledgers)
+        standings = {ledger.standing(key, 200.0) for ledger in ledgers}
+        assert len(standings) == 1
+
+
 @hypothesis.given(EVENTS)
 def test_crash_ledgers_that_exchange_reports_converge(events):
     ledgers = [crash_ledger.CrashLedger() for _ in range(3)]
