Views use an upstream's latest announcement, whichever replica lags

What callers saw: nothing yet; an entry host could use older slots or an older address of an upstream while one replica lagged or was cut off. Cause: the view merged the replicas' lists in the order in which it had met them. Evidence: announcements 5 and 4 of one incarnation at two replicas: the view had the one of the replica that was met last. Why the fix works: of an incarnation's announcements the highest sequence number counts. Red before: test_the_latest_announcement_counts_whichever_replica_lags.

--- a/src/medlarfork/coordination/upstream_view.py
+++ b/src/medlarfork/coordination/upstream_view.py
@@ -3,7 +3,7 @@
 An upstream may take requests while at least one replica lists it and none has seen it leave. So a
 replica that restarted and knows few upstreams, or one that is partitioned off, hides none, and an
 acknowledged leave that reached any connected replica takes effect. Of two incarnations with one
-address or name the later one counts.
+address or name the later one counts, and of each incarnation its latest announcement.
 """
 
 from __future__ import annotations
@@ -60,15 +60,21 @@
 
     def _rebuild(self) -> tuple[str, ...]:
         previous = self._by_id
-        present_by_id = {
-            upstream_id: announcement
-            for present in self._present_by_replica.values()
-            for upstream_id, announcement in present.items()
-            if upstream_id not in self._left
-        }
-        self._by_id = _without_outdated(present_by_id)
+        self._by_id = _without_outdated(self._latest_present())
         return tuple(upstream_id for upstream_id in previous if upstream_id not in self._by_id)
 
+    def _latest_present(self) -> dict[str, upstream_types.Announcement]:
+        """Return the latest announcement of each incarnation that is listed and has not left."""
+        latest_by_id: dict[str, upstream_types.Announcement] = {}
+        for present in self._present_by_replica.values():
+            for upstream_id, announcement in present.items():
+                latest = latest_by_id.get(upstream_id)
+                if latest is None or latest.sequence <= announcement.sequence:
+                    latest_by_id[upstream_id] = announcement
+        for upstream_id in self._left.keys() & latest_by_id.keys():
+            del latest_by_id[upstream_id]
+        return latest_by_id
+
 
 def _without_outdated(
     present_by_id: dict[str, upstream_types.Announcement],
--- a/tests/routed/test_upstream_view.py
+++ b/tests/routed/test_upstream_view.py
@@ -1,3 +1,5 @@
+import itertools
+
 from medlarfork.coordination import upstream_types, upstream_view
 
 
@@ -59,3 +61,15 @@
     for replica_id in "bc":
         view.apply(replica_id, upstream_types.ViewChange(silent=("u-1",)))
     assert view.by_id == {}
+
+
+# Guards against: an upstream that was used with the slots and address of an older announcement,
+# since the view took that of the replica that had been heard last for the first time.
+def test_the_latest_announcement_counts_whichever_replica_lags(make_announcement):
+    older = make_announcement(sequence=4, slots=2)
+    newer = make_announcement(sequence=5, slots=8)
+    for changes in itertools.permutations([("a", older), ("b", newer), ("c", older)]):
+        view = upstream_view.UpstreamView()
+        for replica_id, announcement in changes:
+            view.apply(replica_id, _whole(announcement))
+        assert view.by_id == {"u-1": newer}
