A stopping entry host refuses what it could not finish

Cause: a stopping host takes requests for 3.2 s of its 8 s, and did not ask whether it can finish them. Answers of that route took 4.1 s on average there and 6.9 s at most; 4.39 s were left. Why the fix works: a host keeps the longest recent duration of each route's answers, and a stopping one refuses at once (503, not run) what would take longer than it has left; the caller goes to another host. Red before: test_a_stopping_host_refuses_what_it_could_not_finish (the caller's connection was reset).

--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -138,10 +138,10 @@
         """Leave the directory, serve while callers may still connect, then drain."""
         started_at = time.monotonic()
         logs.event(_log, "stopping", exchanges=self._server.exchanges)
-        self._handler.is_stopping = True
+        self._handler.cut_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
         self._send_status(self._session.replicas)
         await curio.sleep(min(DIRECTORY_LAG_S, self._settings.grace_s / 2))
-        left_s = self._settings.grace_s - EXIT_MARGIN_S - (time.monotonic() - started_at)
+        left_s = self._handler.cut_at - time.monotonic()
         await self._server.close(within_s=max(left_s, 0.0))
 
     async def close(self) -> None:
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -30,9 +30,18 @@
 
 _log = logging.getLogger(__name__)
 
+DURATION_DECAY = 0.9
+"""Factor by which a route's longest duration shrinks with each shorter answer, so that an
+exceptional one is forgotten after some dozens."""
+
 
 class RequestHandler:
-    """Handles the exchanges of an entry host's HTTP server."""
+    """Handles the exchanges of an entry host's HTTP server.
+
+    Attributes:
+        cut_at: Monotonic time at which a stopping host cuts what is unfinished; infinite while it
+            is not stopping.
+    """
 
     def __init__(
         self,
@@ -64,7 +73,13 @@
         self._table: route_table.RouteTable | None = None
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._random = random.Random()
-        self.is_stopping = False
+        self._duration_by_route: dict[str, float] = {}
+        self.cut_at = math.inf
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the host is stopping."""
+        return self.cut_at < math.inf
 
     @property
     def has_routing(self) -> bool:
@@ -74,6 +89,10 @@
     def apply_routing(self, new_routing: routing.Routing) -> None:
         """Put a routing version in force."""
         self._table = route_table.RouteTable(new_routing)
+        names = {route.name for route in new_routing.routes}
+        self._duration_by_route = {
+            name: took_s for name, took_s in self._duration_by_route.items() if name in names
+        }
         for service in new_routing.services:
             if service.name not in self._budgets:
                 self._budgets[service.name] = retry_budget.RetryBudget(self._rules)
@@ -89,6 +108,7 @@
             if not await self._wait_routing(exchange, metadata):
                 return
             route, account = self._admit(exchange.head, metadata)
+            self._check_can_finish(route)
         except errors.RequestRefusedError as error:
             await self._refuse(exchange, error)
             return
@@ -147,6 +167,27 @@
             )
         return route, _account(table, route, metadata)
 
+    def _check_can_finish(self, route: routing.Route) -> None:
+        """Refuse a request that a stopping host would most likely cut: another can serve it whole.
+
+        Raises:
+            errors.RequestRefusedError: Answers of its route take longer than this host has left.
+        """
+        if time.monotonic() + self._duration_by_route.get(route.name, 0.0) <= self.cut_at:
+            return
+        raise errors.RequestRefusedError(
+            "This entry host is stopping, and the answer would take longer than it has left.",
+            remedy="Use another entry host.",
+            code=errors.Code.DRAINING,
+            status=503,
+            headers={"Retry-After": "0.050"},
+        )
+
+    def _record_duration(self, route: str, took_s: float) -> None:
+        """Keep the longest recent duration of a route's answers."""
+        longest_s = self._duration_by_route.get(route, 0.0)
+        self._duration_by_route[route] = max(took_s, DURATION_DECAY * longest_s)
+
     def _make_admitted(
         self,
         exchange: http_server.Exchange,
@@ -247,6 +288,8 @@
     def _record(self, trace: request_types.Trace, admitted: request_types.AdmittedRequest) -> None:
         """Log the request's data in one line, and count it."""
         took_ms = (time.monotonic() - admitted.started_at) * 1000.0
+        if trace.result is request_types.Result.ANSWERED:
+            self._record_duration(admitted.route.name, took_ms / 1000.0)
         self._metrics.count(admitted.account, admitted.route.name, trace.status, took_ms)
         logs.event(
             _log,
--- a/tests/routed/test_routed_deployment.py
+++ b/tests/routed/test_routed_deployment.py
@@ -176,6 +176,30 @@
     routed_harness.run(tmp_path, main)
 
 
+# Guards against: a stream that a stopping host took though it could only cut it.
+def test_a_stopping_host_refuses_what_it_could_not_finish(tmp_path):
+    async def main(deployment):
+        async def answer(exchange):
+            await curio.sleep(0.8)
+            await routed_harness.answer_plainly(exchange)
+
+        upstream = await deployment.add_upstream(answer)
+        await deployment.put_routing()
+        await deployment.until_upstreams(1)
+        assert (await deployment.call()).status == 200
+        stopping = await curio.spawn(deployment.entry.stop)
+        taken = await curio.spawn(deployment.call)
+        await curio.sleep(0.75)  # Of the 1.4 s until the cut.
+        refused = await deployment.call()
+        assert refused.status == 503
+        assert json.loads(await refused.read())["error"]["code"] == "draining"
+        assert (await taken.join()).status == 200
+        assert len(upstream.seen) == 2
+        await stopping.join()
+
+    routed_harness.run(tmp_path, main)
+
+
 async def _stall(exchange):
     headers = routed_harness.echo_headers(exchange, **{"content-type": "text/event-stream"})
     await exchange.begin(200, headers)
