--- a/tests/test_http_stream.py
+++ b/tests/test_http_stream.py
@@ -91,15 +91,21 @@
     curio_world.run(main)
 
 
+async def _end_during_read(ending, written):
+    """Write, end the stream while a task reads it, and return the peer."""
+    stream, peer = make_pair()
+    reader = await curio.spawn(stream.receive)
+    await _until_waiting(reader)
+    stream.send_now(written)
+    await getattr(stream, ending)()
+    with pytest.raises(curio.TaskError):
+        await reader.join()
+    return peer
+
+
 def test_a_reset_during_a_read_shows_the_peer_no_regular_end():
     async def main():
-        stream, peer = make_pair()
-        reader = await curio.spawn(stream.receive)
-        await _until_waiting(reader)
-        stream.send_now(b"partial")
-        await stream.reset()
-        with pytest.raises(curio.TaskError):
-            await reader.join()
+        peer = await _end_during_read("reset", b"partial")
         with pytest.raises(ConnectionResetError):
             while peer.recv(65536):
                 pass
@@ -111,13 +117,7 @@
 
 def test_a_close_during_a_read_delivers_what_was_written():
     async def main():
-        stream, peer = make_pair()
-        reader = await curio.spawn(stream.receive)
-        await _until_waiting(reader)
-        stream.send_now(b"whole")
-        await stream.close()
-        with pytest.raises(curio.TaskError):
-            await reader.join()
+        peer = await _end_during_read("close", b"whole")
         assert (peer.recv(65536), peer.recv(65536)) == (b"whole", b"")
         peer.close()
 
@@ -165,7 +165,7 @@
                     with contextlib.suppress(BlockingIOError):
                         peer.recv(FILLING_BYTES)
                     peer.setblocking(True)
-        match source.choice(["close", "reset", "expire", "interrupt_reading", "cancel"]):
+        match source.choice(["close", "reset", "expire", "interrupt_reading", "peer closes"]):
             case "close":
                 await stream.close()
             case "reset":
@@ -174,18 +174,16 @@
                 stream.expire()
             case "interrupt_reading":
                 stream.interrupt_reading()
-            case "cancel":
+            case "peer closes":
                 peer.close()
 
     async def run_one():
         for _ in range(STEPS):
             stream, peer = make_pair()
-            users = [await curio.spawn(use, stream)]
-            disturbing = await curio.spawn(disturb, stream, peer)
-            await disturbing.join()
+            user = await curio.spawn(use, stream)
+            await disturb(stream, peer)
             await stream.reset()
-            for user in users:
-                await user.join()
+            await user.join()
             peer.close()
 
     async def main():
