--- a/src/medlarfork/_quick_start.py
+++ b/src/medlarfork/_quick_start.py
@@ -2,10 +2,9 @@
 
 Start time matters when a process was killed and its callers wait until it serves again, and when
 hundreds of processes start at once, as after a power failure. Imports take nearly all of it, so
-imports that serving does not need are blocked or deferred (asyncio, multiprocessing and OpenSSL),
-and the methods of data classes can be compiled in advance. A program calls ``begin`` before its
-other imports and ``end`` once its components are created; code that embeds the package calls
-neither.
+imports that serving does not need are blocked or deferred (such as asyncio and OpenSSL), and the
+methods of data classes can be compiled in advance. A program calls ``begin`` before its other
+imports and ``end`` once its components are created; code that embeds the package calls neither.
 """
 
 from __future__ import annotations
@@ -29,13 +28,17 @@
         "WELCOME": b"#WELCOME#",
         "FAILURE": b"#FAILURE#",
     },
+    "csv": {},
+    "pickle": {"DEFAULT_PROTOCOL": 4, "HIGHEST_PROTOCOL": 5},
 }
 """Modules of the standard library that libraries import for features unused here, such as another
-event loop and multiprocessing, with the attributes that the libraries read during their import."""
+event loop, multiprocessing and pickling, with the attributes that the libraries read during their
+import."""
 
-BLOCKED_MODULES = ("ssl", "_hashlib")
-"""Modules that are optional for libraries: no link of this product uses TLS, and the interpreter
-has its own hash functions. Loading OpenSSL takes a twentieth of the start time."""
+BLOCKED_MODULES = ("ssl", "_hashlib", "bz2", "lzma")
+"""Modules that are optional for libraries: no link of this product uses TLS, the interpreter has
+its own hash functions, and nothing packs archives. Loading OpenSSL takes a twentieth of the start
+time."""
 
 
 class _DeferredModule(types.ModuleType):
--- a/src/medlarfork/gateway/request_header_names.py
+++ b/src/medlarfork/gateway/request_header_names.py
@@ -27,6 +27,8 @@
         fetch_from: Address of an upstream from which the receiver fetches missing cache entries.
         rate_limit: Set by overloaded upstreams: requests per second accepted from all hosts.
         leaving: Set to 1 by upstreams that are about to stop.
+        load: Set by upstreams: requests running, requests waiting, slots, and optionally the time
+            that work takes there now, in percent of the usual; separated by commas.
         dropped: Further headers that only the system may set; removed from callers' requests.
     """
 
@@ -44,6 +46,7 @@
     fetch_from: str = "medlar-fetch-from"
     rate_limit: str = "medlar-rate-limit"
     leaving: str = "medlar-leaving"
+    load: str = "medlar-load"
     dropped: frozenset[str] = frozenset()
 
     @property
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -198,6 +198,8 @@
             shard=shard,
             other_shard=None if trial_key else other_shard,
             trial_key=trial_key,
+            account=admitted.account,
+            retry_key=admitted.key,
         )
         self._ticket_id = request.ticket_id
         self.trace.tickets.append(request.ticket_id)
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -10,6 +10,7 @@
 import enum
 
 from medlarfork import rendezvous
+from medlarfork.placement import reported_load
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +83,8 @@
         busy_shard: The shard that was asked after this one and was busy too; None if none was.
         trial_key: Key of a crash-inducing request, which runs only as a trial that the replica
             grants; empty for all others.
+        account: The client account; empty if the route is public.
+        retry_key: Equal for all attempts of one request by its caller; empty if unknown.
     """
 
     ticket_id: str
@@ -100,6 +103,8 @@
     begins_within_ms: float = 0.0
     busy_shard: Shard | None = None
     trial_key: str = ""
+    account: str = ""
+    retry_key: str = ""
 
     @property
     def prompt_tokens(self) -> int:
@@ -148,12 +153,14 @@
         upstream_id: The incarnation.
         fetch_from: Address of an upstream that holds a longer prefix; empty for none.
         belief: The owner's estimate of the engines; None if it has none yet.
+        speed: The owner's estimate of the upstream's relative time: 2 takes twice as long as usual.
     """
 
     ticket_id: str
     upstream_id: str
     fetch_from: str = ""
     belief: EngineEstimate | None = None
+    speed: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,12 +191,14 @@
         retry_after_ms: When that is likely to change, in milliseconds.
         why: The reason, as a phrase for people.
         cause: The kind of refusal.
+        is_promise: Whether the retry time is scheduled: the request then goes before newcomers.
     """
 
     ticket_id: str
     retry_after_ms: float
     why: str
     cause: RefusalCause = RefusalCause.OVERLOAD
+    is_promise: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,10 +219,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FirstEvent:
-    """Report that a stream's first event arrived, ``after_ms`` after the request was sent."""
+    """Report that a stream's first event arrived.
+
+    Attributes:
+        ticket_id: The placement request.
+        after_ms: Time since it was sent, in milliseconds.
+        load: What the upstream stated in the head of its response; None if it stated no load.
+    """
 
     ticket_id: str
     after_ms: float
+    load: reported_load.ReportedLoad | None = None
 
 
 class RunEnd(enum.StrEnum):
@@ -255,12 +271,14 @@
         end: How it ended.
         after_ms: Time since it was sent, in milliseconds.
         pauses: Inter-event gaps of a stream that was followed from its first event to its end.
+        load: What the upstream stated in the head of its response; None if it stated no load.
     """
 
     ticket_id: str
     end: RunEnd
     after_ms: float
     pauses: InterEventGaps | None = None
+    load: reported_load.ReportedLoad | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,6 +296,29 @@
     has_begun: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamSpeed:
+    """An owner's estimate of one upstream's relative time, where 1 is usual."""
+
+    upstream_id: str
+    factor: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryPromise:
+    """A scheduled retry of a refused request.
+
+    Attributes:
+        retry_key: Identifies the request (see ``PlaceRequest``).
+        tier: Its priority.
+        due_in_ms: Time until its retry is due, in milliseconds; negative if it is overdue.
+    """
+
+    retry_key: str
+    tier: int
+    due_in_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerChosen:
     """Report to a replica whether the sender asks it from now on for placement on a shard.
@@ -288,11 +329,15 @@
         shard: The shard.
         is_chosen: Whether the sender asks this replica.
         belief: The previous owner's estimate of the engines, if the sender has it.
+        speeds: Relative times of the shard's upstreams that earlier owners told the sender.
+        promises: Retry times that callers got through the sender and that are still due.
     """
 
     shard: Shard
     is_chosen: bool
     belief: EngineEstimate | None = None
+    speeds: tuple[UpstreamSpeed, ...] = ()
+    promises: tuple[RetryPromise, ...] = ()
 
 
 PLACEMENT_MESSAGES: tuple[type, ...] = (
--- a/tests/test_quick_start.py
+++ b/tests/test_quick_start.py
@@ -69,6 +69,8 @@
         "import curio; import multiprocessing; multiprocessing.get_context('spawn').Lock()",
         "from multiprocessing import connection; connection.Pipe()[0].close()",
         "import curio; curio.run(curio.run_in_thread, len, 'x')",
+        "import zmq; import pickle; pickle.loads(pickle.dumps([zmq.PUB]))",
+        "import absl.flags; import csv; next(csv.reader(['a,b']))",
         # Like programs do, load modules that need OpenSSL after the start.
         "_quick_start.end()\n"
         "from medlarfork.metrics import sdk_metrics; sdk_metrics.SdkMetrics('t', dict).render()\n"
@@ -87,7 +89,7 @@
     )
 
 
-@pytest.mark.parametrize("name", ["ssl", "_hashlib"])
+@pytest.mark.parametrize("name", ["ssl", "_hashlib", "bz2", "lzma"])
 def test_a_blocked_module_can_be_imported_after_the_start(name):
     assert _run(
         "from medlarfork import _quick_start\n"
