Entry hosts pass the load that upstreams report to the placement owner

The load header of each response head that belongs to the request is parsed and sent in FirstEvent and RunEnded. The load of an attempt is reset when the next one is sent, so that it is not attributed to another upstream. A response without the header costs one dictionary look-up.

--- a/src/medlarfork/gateway/attempt_sender.py
+++ b/src/medlarfork/gateway/attempt_sender.py
@@ -8,11 +8,16 @@
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import request_metadata, request_types, upstream_call
 from medlarfork.http import http_client
-from medlarfork.placement import placement_messages
+from medlarfork.placement import placement_messages, reported_load
 
 
 class AttemptSender:
-    """Sends the attempts of one request and counts it once for its client account."""
+    """Sends the attempts of one request and counts it once for its client account.
+
+    Attributes:
+        load: The load that the upstream stated in its response to the last attempt; None if it
+            stated none, or has not responded.
+    """
 
     def __init__(
         self, admitted: request_types.AdmittedRequest, shared: request_types.SharedContext
@@ -21,6 +26,7 @@
         self._admitted = admitted
         self._shared = shared
         self._is_counted = False
+        self.load: reported_load.ReportedLoad | None = None
 
     async def send(
         self,
@@ -41,6 +47,7 @@
             last_event_id: The last event that the caller has received; empty for none.
             left_ms: Time until the deadline, in milliseconds.
         """
+        self.load = None
         if not self._shared.backpressure.may_send(upstream.upstream_id):
             why = "accepts no request from this host now"
             return upstream_call.Failure(placement_messages.RunEnd.NOT_SENT, why)
@@ -78,6 +85,9 @@
     def _record_head(
         self, upstream_id: str, sent_at: float, response: http_client.Response
     ) -> None:
+        stated = response.headers.get(self._shared.names.load)
+        if stated is not None:
+            self.load = reported_load.parse(stated)
         self._shared.backpressure.record_response(
             upstream_id,
             response.status,
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -13,7 +13,7 @@
 from medlarfork import logs
 from medlarfork.backpressure import send_gate
 from medlarfork.gateway import entry_session, request_hold
-from medlarfork.placement import local_choice, placement_messages
+from medlarfork.placement import local_choice, placement_messages, reported_load
 
 _log = logging.getLogger(__name__)
 
@@ -173,14 +173,16 @@
             runs[answer.upstream_id] = runs.get(answer.upstream_id, 0) + 1
         return answer
 
-    def report_first_event(self, ticket_id: str, after_ms: float) -> None:
+    def report_first_event(
+        self, ticket_id: str, after_ms: float, load: reported_load.ReportedLoad | None = None
+    ) -> None:
         """Report a stream's first event to the owner."""
         ticket = self._ticket_by_id.get(ticket_id)
         if ticket is None:
             return
         ticket.has_started = True
         if ticket.owner_id:
-            self._send(ticket.owner_id, placement_messages.FirstEvent(ticket_id, after_ms))
+            self._send(ticket.owner_id, placement_messages.FirstEvent(ticket_id, after_ms, load))
 
     def report_end(
         self,
@@ -188,6 +190,7 @@
         end: placement_messages.RunEnd,
         after_ms: float,
         pauses: placement_messages.InterEventGaps | None = None,
+        load: reported_load.ReportedLoad | None = None,
     ) -> None:
         """Report that a placed request has ended, or that its placement is no longer needed."""
         ticket = self._ticket_by_id.pop(ticket_id, None)
@@ -200,7 +203,7 @@
             if left <= 0:
                 del self._runs_by_upstream[upstream_id]
         if ticket.owner_id:
-            ended = placement_messages.RunEnded(ticket_id, end, after_ms, pauses)
+            ended = placement_messages.RunEnded(ticket_id, end, after_ms, pauses, load)
             self._send(ticket.owner_id, ended)
 
     async def handle_reply(self, sender: str, message: Any) -> None:
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -126,7 +126,8 @@
         if self._ticket_id:
             after_ms = (time.monotonic() - self._sent_at) * 1000.0 if self._sent_at else 0.0
             pauses = self._gaps.summary() if end is placement_messages.RunEnd.COMPLETE else None
-            self._shared.owner.report_end(self._ticket_id, end, after_ms, pauses)
+            load = self._sender.load if self._sent_at else None
+            self._shared.owner.report_end(self._ticket_id, end, after_ms, pauses, load)
             self._ticket_id = ""
 
     @property
@@ -370,7 +371,7 @@
 
     async def _start_stream(self, response: http_client.Response) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
-        self._shared.owner.report_first_event(self._ticket_id, after_ms)
+        self._shared.owner.report_first_event(self._ticket_id, after_ms, self._sender.load)
         self._sender.count_started()
         self.trace.first_event_ms = self._since_start_ms()
         self._progress = dataclasses.replace(self._progress, response_started=True)
--- /dev/null
+++ b/tests/routed/test_load_reports.py
@@ -0,0 +1,80 @@
+"""Load reports of upstreams, from their response heads to the placement owner."""
+
+import pytest
+
+from medlarfork.http import sse
+from medlarfork.placement import placement_messages, reported_load
+from tests import curio_world
+from tests.routed import routed_harness
+from tests.routed.routed_harness import NAMES
+
+LOAD = reported_load.ReportedLoad(3, 1, 8, 2.5)
+
+
+def _record_reports(deployment):
+    """Return a list that collects the run reports that the entry host sends to the owner."""
+    reports = []
+    client = deployment.entry._owner
+    send = client._send
+
+    def record(replica_id, message):
+        if isinstance(message, placement_messages.FirstEvent | placement_messages.RunEnded):
+            reports.append(message)
+        return send(replica_id, message)
+
+    client._send = record
+    return reports
+
+
+@pytest.mark.parametrize(
+    ("stated", "load"),
+    [({NAMES.load: "3,1,8,250"}, LOAD), ({NAMES.load: "3,1,0"}, None), ({}, None)],
+)
+def test_reports_of_a_stream_have_the_load_of_its_response_head(tmp_path, stated, load):
+    """Guards against owners that never see a load, and against malformed loads that reach them."""
+
+    async def answer(exchange):
+        media = {"content-type": sse.MEDIA_TYPE}
+        await exchange.begin(200, routed_harness.echo_headers(exchange, **media, **stated))
+        await exchange.send(b"id: 1\ndata: a\n\n")
+        await exchange.finish()
+
+    async def main(deployment):
+        await deployment.add_upstream(answer)
+        await deployment.put_routing(kind="streaming")
+        await deployment.until_upstreams(1)
+        reports = _record_reports(deployment)
+        response = await deployment.call()
+        assert response.status == 200
+        await response.read()
+        await curio_world.until(lambda: len(reports) == 2)
+        assert [report.load for report in reports] == [load, load]
+
+    routed_harness.run(tmp_path, main)
+
+
+def test_the_load_of_a_failed_attempt_is_not_reported_for_the_next_one(tmp_path):
+    """Guards against loads that are attributed to the upstream of the retry."""
+
+    async def refuse(exchange):
+        stated = {NAMES.load: "8,0,8", NAMES.not_executed: "1"}
+        await exchange.respond(503, routed_harness.echo_headers(exchange, **stated), b"")
+
+    async def main(deployment):
+        for answer in (refuse, routed_harness.answer_plainly):
+            await deployment.add_upstream(answer)
+        await deployment.put_routing(max_attempts=2)
+        await deployment.until_upstreams(2)
+        reports = _record_reports(deployment)
+        full = reported_load.ReportedLoad(8, 0, 8)
+        for _ in range(20):
+            reports.clear()
+            response = await deployment.call()
+            assert response.status == 200
+            await response.read()
+            await curio_world.until(lambda: reports and reports[-1].end == "complete")
+            if len(reports) == 2:
+                break
+        assert [report.load for report in reports] == [full, None]
+
+    routed_harness.run(tmp_path, main)
