--- a/tests/routed/test_suspect_requests.py
+++ b/tests/routed/test_suspect_requests.py
@@ -49,7 +49,7 @@
             return placement_messages.PlaceRefused(request.ticket_id, 1000.0, "", self.cause)
         return placement_messages.Placed(request.ticket_id, "u-1")
 
-    def report_end(self, ticket_id, end, after_ms, pauses=None):
+    def report_end(self, ticket_id, end, after_ms, pauses=None, load=None):
         self.released += end is placement_messages.RunEnd.CANCELLED
 
 
