Entry hosts without an owner keep within their share of the upstreams' slots

While no replica can be reached, each host placed by its own runs alone, so that all hosts together sent several times what the slots hold. Now a host uses its expected share of each upstream's slots and memory, and a part of the free slots that a recent load report shows.

--- a/src/medlarfork/gateway/attempt_sender.py
+++ b/src/medlarfork/gateway/attempt_sender.py
@@ -88,6 +88,8 @@
         stated = response.headers.get(self._shared.names.load)
         if stated is not None:
             self.load = reported_load.parse(stated)
+            if self.load is not None:
+                self._shared.owner.record_load(upstream_id, self.load)
         self._shared.backpressure.record_response(
             upstream_id,
             response.status,
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -233,6 +233,7 @@
         if upstreams is previous_upstreams:
             return
         self._owner.report_moved_runs(now)
+        self._owner.use_view(now)
         self._crashes.check_replacements()
         await self._hold_queue.notify_change()
         logs.event(
@@ -249,6 +250,7 @@
     def _apply_routing(self, sender: str, packed_body: bytes) -> None:
         new_routing = self._decode(zlib.decompress(packed_body))
         self._handler.apply_routing(new_routing)
+        self._owner.use_services(new_routing.services)
         logs.event(
             _log,
             "routing_in_force",
@@ -304,6 +306,7 @@
             "connections": self._server.connections,
             "upstream_connections": self._client.connections,
             "local_placements": self._owner.local_placements,
+            "local_waiting": self._owner.local_waiting,
             "held": self._hold_queue.held,
             "crash_cases": self._crashes.cases,
             "limited_upstreams": self._backpressure.limited,
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -12,8 +12,15 @@
 
 from medlarfork import logs
 from medlarfork.backpressure import send_gate
+from medlarfork.coordination import upstream_types
 from medlarfork.gateway import entry_session, request_hold
-from medlarfork.placement import local_choice, placement_messages, reported_load
+from medlarfork.placement import (
+    local_choice,
+    placement_messages,
+    reported_load,
+    standalone_queue,
+)
+from medlarfork.routes import routing
 
 _log = logging.getLogger(__name__)
 
@@ -44,6 +51,9 @@
         answer: The owner's answer; None while it is pending.
         changed: Set when the ticket's state has changed.
         closed_ms_by_shard: Retry times of shards without an upstream that accepts requests.
+        arrived_at: When it was created, in monotonic seconds.
+        waiting: Its place in this host's own queue; None if it is not there.
+        silent_owner_id: The owner that had not replied when it joined that queue; empty for none.
     """
 
     request: placement_messages.PlaceRequest
@@ -58,6 +68,9 @@
     closed_ms_by_shard: dict[placement_messages.Shard, float] = dataclasses.field(
         default_factory=dict
     )
+    arrived_at: float = dataclasses.field(default_factory=time.monotonic)
+    waiting: standalone_queue.Waiting | None = None
+    silent_owner_id: str = ""
 
     @property
     def is_closed(self) -> bool:
@@ -105,6 +118,18 @@
         )
         self._reset_answer()
 
+    def leave_local_queue(self, left_s: float) -> None:
+        """Leave this host's own queue, to ask an owner with the time that is left."""
+        request = self.request
+        waited_ms = request.left_ms - left_s * 1000.0
+        first_left_ms = (
+            max(1.0, request.first_left_ms - waited_ms) if request.first_left_ms else 0.0
+        )
+        self.request = dataclasses.replace(
+            request, left_ms=left_s * 1000.0, first_left_ms=first_left_ms
+        )
+        self.waiting = None
+
     def _reset_answer(self) -> None:
         """Reset owner and answer, because another shard is asked next."""
         self.owner_id = ""
@@ -143,12 +168,31 @@
         self._tickets = 0
         self._prefix = f"{entry_id}-{time.time_ns():x}"
         self._ticket_by_id: dict[str, _Ticket] = {}
-        self._runs_by_upstream: dict[str, int] = {}
+        self._local = standalone_queue.StandaloneQueue(
+            entry_id, gate, self._service_upstreams, lambda: session.entry_hosts
+        )
         self._notified_owner_by_shard: dict[placement_messages.Shard, str] = {}
         self._owner_generation = 0
         self._estimate_by_service: dict[str, placement_messages.EngineEstimate] = {}
         self.local_placements = 0
 
+    @property
+    def local_waiting(self) -> int:
+        """Return how many requests wait at this host for a slot of its share."""
+        return self._local.waiting
+
+    def use_services(self, services: tuple[routing.Service, ...]) -> None:
+        """Use the declared memory of the services' engines."""
+        self._local.slots.use_engines(
+            {item.name: item.engine.memory_tokens for item in services if item.engine is not None}
+        )
+
+    def record_load(self, upstream_id: str, load: reported_load.ReportedLoad) -> None:
+        """Record the load that an upstream stated."""
+        upstream = self._session.find_upstream(upstream_id)
+        if upstream is not None:
+            self._local.record_load(upstream, load, _now())
+
     def new_ticket_id(self) -> str:
         """Return a unique ticket id."""
         self._tickets += 1
@@ -168,9 +212,8 @@
         ticket.answer = answer
         if isinstance(answer, placement_messages.PlaceRefused):
             self._ticket_by_id.pop(request.ticket_id, None)
-        else:
-            runs = self._runs_by_upstream
-            runs[answer.upstream_id] = runs.get(answer.upstream_id, 0) + 1
+        elif ticket.waiting is None:
+            self._local.slots.record_start(answer.upstream_id, request)
         return answer
 
     def report_first_event(
@@ -181,6 +224,7 @@
         if ticket is None:
             return
         ticket.has_started = True
+        self._local.record_first_event(ticket.request, after_ms)
         if ticket.owner_id:
             self._send(ticket.owner_id, placement_messages.FirstEvent(ticket_id, after_ms, load))
 
@@ -198,10 +242,7 @@
             return
         if isinstance(ticket.answer, placement_messages.Placed):
             upstream_id = ticket.answer.upstream_id
-            left = self._runs_by_upstream.get(upstream_id, 1) - 1
-            self._runs_by_upstream[upstream_id] = left
-            if left <= 0:
-                del self._runs_by_upstream[upstream_id]
+            self._local.record_end(upstream_id, ticket.request, end, after_ms, _now())
         if ticket.owner_id:
             ended = placement_messages.RunEnded(ticket_id, end, after_ms, pauses, load)
             self._send(ticket.owner_id, ended)
@@ -225,6 +266,8 @@
             case _:
                 ticket.answer = message
         await ticket.changed.set()
+        if self._local.waiting:
+            self._release_waiting(sender)
 
     def notify_owners(self, now: float) -> None:
         """Notify replicas that have just become owners, with the requests that are running."""
@@ -249,8 +292,33 @@
             if owner_id and (owner_id, shard) != (ticket.owner_id, ticket.request.target_shard):
                 self._report_running(ticket, shard, owner_id)
 
+    def use_view(self, now: float) -> None:
+        """Use changed upstreams for the requests that wait at this host."""
+        self._local.use_view(tuple(self._session.upstream_by_id.values()), now)
+
+    def _release_waiting(self, replied_id: str = "") -> None:
+        """Release the requests that wait at this host if an owner can place them again.
+
+        An owner that did not reply to a request gets it again only once it has replied to another
+        one: otherwise a slow owner would get the same requests again and again.
+        """
+        now = _now()
+        for ticket in tuple(self._ticket_by_id.values()):
+            if ticket.waiting is None or ticket.waiting.is_done:
+                continue
+            owner_id = self._session.owner(ticket.request.target_shard, now)
+            if owner_id and owner_id in (ticket.silent_owner_id, replied_id):
+                may_place = owner_id == replied_id
+            else:
+                ticket.silent_owner_id = owner_id
+                may_place = bool(owner_id)
+            if may_place:
+                self._local.release(ticket.waiting)
+
     async def wake_queued(self) -> None:
         """Wake queued requests, so that they are sent again if owners have changed."""
+        if self._local.waiting:
+            self._release_waiting()
         for ticket in tuple(self._ticket_by_id.values()):
             if ticket.is_queued and ticket.owner_generation != self._owner_generation:
                 await ticket.changed.set()
@@ -343,7 +411,9 @@
             if ticket.request.trial_key:
                 return self._refuse_trial(ticket)
             if not await self._wait_for_upstream(ticket.request.service, until):
-                return self._place_locally(ticket)
+                placed = await self._place_locally(ticket, owner_id, until)
+                if placed is not None:
+                    return placed
         why = "its deadline passed while it waited for placement"
         return placement_messages.PlaceRefused(ticket.request.ticket_id, local_choice.RETRY_MS, why)
 
@@ -397,25 +467,41 @@
         why = "upstreams crashed while running it, and no replica can grant a trial"
         return placement_messages.PlaceRefused(ticket.request.ticket_id, local_choice.RETRY_MS, why)
 
-    def _place_locally(
-        self, ticket: _Ticket
-    ) -> placement_messages.Placed | placement_messages.PlaceRefused:
-        request = ticket.request
+    async def _place_locally(
+        self, ticket: _Ticket, owner_id: str, until: float
+    ) -> placement_messages.Placed | placement_messages.PlaceRefused | None:
+        """Place a request within this host's share of the slots, after a wait if need be.
+
+        Returns:
+            The answer; None if the owner is to be asked again.
+        """
         self._withdraw(ticket)
-        self.local_placements += 1
-        upstreams = tuple(
+        changed = curio.UniversalEvent()
+        ticket.silent_owner_id = owner_id
+        ticket.waiting = waiting = self._local.place(
+            ticket.request,
+            arrived_at=ticket.arrived_at,
+            deadline_at=until,
+            now=_now(),
+            notify=changed.set,
+        )
+        await request_hold.wait_for_slot(self._local, waiting, changed)
+        match waiting.outcome:
+            case standalone_queue.Granted() as granted:
+                self.local_placements += 1
+                request_hold.log_placed(granted)
+                return granted.placed
+            case placement_messages.PlaceRefused() as refused:
+                return refused
+        ticket.leave_local_queue(until - _now())
+        return None
+
+    def _service_upstreams(self, service: str) -> tuple[upstream_types.Announcement, ...]:
+        """Return the upstreams of a service that are not leaving."""
+        return tuple(
             item
             for item in self._session.upstream_by_id.values()
-            if item.service == request.service and not self._gate.is_leaving(item.upstream_id)
-        )
-        return local_choice.place(
-            request,
-            upstreams,
-            self._runs_by_upstream,
-            self._gate,
-            entry_id=self._entry_id,
-            entry_hosts=self._session.entry_hosts,
-            now=_now(),
+            if item.service == service and not self._gate.is_leaving(item.upstream_id)
         )
 
 
--- a/src/medlarfork/placement/local_choice.py
+++ b/src/medlarfork/placement/local_choice.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import itertools
-
 from medlarfork import rendezvous
 from medlarfork.backpressure import send_gate
 from medlarfork.coordination import upstream_types
@@ -50,37 +48,48 @@
     return rendezvous.rank(key, [item.upstream_id for item in candidates])[0]
 
 
-def place(
-    request: placement_messages.PlaceRequest,
+def paces_s(
     upstreams: tuple[upstream_types.Announcement, ...],
-    runs_by_upstream: dict[str, int],
     gate: send_gate.SendGate,
     *,
     entry_id: str,
     entry_hosts: int,
     now: float,
-) -> placement_messages.Placed | placement_messages.PlaceRefused:
-    """Place a request on an upstream that accepts it now, or refuse it with the time when one will.
+) -> dict[str, float]:
+    """Return the time until each upstream may get a request from here, in seconds, by its id.
 
     Args:
-        request: The placement request.
-        upstreams: Upstreams of its service that accept requests.
-        runs_by_upstream: This host's own runs.
+        upstreams: Upstreams of a service that accept requests.
         gate: Paces requests to upstreams.
         entry_id: This entry host.
         entry_hosts: Number of entry hosts that share the upstreams' rate limits.
         now: The time in seconds.
     """
-    share = STANDALONE_SHARE / entry_hosts
-    waits_s = [gate.wait_s(item.upstream_id, entry_id, now, share) for item in upstreams]
-    is_open = [wait_s <= 0 for wait_s in waits_s]
-    open_now = tuple(itertools.compress(upstreams, is_open))
-    chosen = choose(request, open_now, runs_by_upstream, entry_id)
-    if chosen:
-        gate.record_send(chosen, now, share)
-        return placement_messages.Placed(request.ticket_id, chosen)
+    share = pace_share(entry_hosts)
+    return {
+        item.upstream_id: gate.wait_s(item.upstream_id, entry_id, now, share) for item in upstreams
+    }
+
+
+def pace_share(entry_hosts: int) -> float:
+    """Return the part of an upstream's rate limit that this host may use."""
+    return STANDALONE_SHARE / entry_hosts
+
+
+def refuse(
+    request: placement_messages.PlaceRequest, paces_s_by_id: dict[str, float]
+) -> placement_messages.PlaceRefused | None:
+    """Refuse a request with the time when an upstream accepts it; None if one accepts it now.
+
+    Args:
+        request: The placement request.
+        paces_s_by_id: See ``paces_s``.
+    """
+    for upstream_id, wait_s in paces_s_by_id.items():
+        if wait_s <= 0 and upstream_id not in request.excluded:
+            return None
     why = "no upstream of the service is known"
-    if upstreams:
+    if paces_s_by_id:
         why = "every upstream is rate-limited, in backoff, or has failed this request"
-    retry_ms = max(RETRY_MS, 1000.0 * min(waits_s, default=0.0))
+    retry_ms = max(RETRY_MS, 1000.0 * min(paces_s_by_id.values(), default=0.0))
     return placement_messages.PlaceRefused(request.ticket_id, retry_ms, why)
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -5,7 +5,7 @@
 
 from medlarfork.backpressure import send_gate, signal_ledger
 from medlarfork.gateway import owner_client, request_hold
-from medlarfork.placement import placement_messages
+from medlarfork.placement import placement_messages, reported_load
 from tests import curio_world
 
 SHARD = placement_messages.Shard("engines")
@@ -294,3 +294,133 @@
         await placing.cancel()
 
     curio_world.run(main)
+
+
+@pytest.fixture
+def alone(session, make_announcement):
+    """Return a session without a reachable owner, with one upstream of one slot."""
+    session.owner_id = session.other_owner_id = ""
+    session.entry_hosts = 1
+    session.upstream_by_id = {"u-1": make_announcement("u-1", slots=1)}
+    return session
+
+
+def test_a_request_beyond_the_share_waits_for_the_end_of_a_run(alone, client, make_place_request):
+    """Without an owner, a host sent all requests at once to engines that could not hold them."""
+
+    async def main():
+        first = await client.place(make_place_request("t1"))
+        placing = await curio.spawn(client.place, make_place_request("t2", left_ms=5000.0))
+        await curio_world.until(lambda: client.local_waiting == 1)
+        await curio.sleep(0.1)
+        assert not placing.terminated
+        client.report_end("t1", placement_messages.RunEnd.COMPLETE, 50.0)
+        second = await placing.join()
+        assert [first.upstream_id, second.upstream_id] == ["u-1", "u-1"]
+        assert client.local_placements == 2
+
+    curio_world.run(main)
+
+
+def test_a_request_that_gets_no_slot_in_time_is_refused(alone, client, make_place_request):
+    """Guards against requests that wait until their callers have left."""
+
+    async def main():
+        await client.place(make_place_request("t1"))
+        refused = await client.place(make_place_request("t2", left_ms=300.0))
+        assert isinstance(refused, placement_messages.PlaceRefused)
+        assert client.local_waiting == 0
+
+    curio_world.run(main)
+
+
+def test_requests_that_wait_at_the_host_go_to_an_owner_that_is_back(
+    alone, sent, client, make_place_request
+):
+    """Guards against requests that wait for a share while an owner could place them."""
+
+    async def main():
+        await client.place(make_place_request("t1"))
+        request = make_place_request("t2", left_ms=5000.0, first_left_ms=4000.0)
+        placing = await curio.spawn(client.place, request)
+        await curio_world.until(lambda: client.local_waiting == 1)
+        await curio.sleep(0.05)
+        alone.owner_id = "r2"
+        client.notify_owners(0.0)
+        await client.wake_queued()
+        await curio_world.until(lambda: request_count(sent, "r2") == 1)
+        asked = next(item for _, item in sent if isinstance(item, placement_messages.PlaceRequest))
+        # The owner gets the time that is left now.
+        assert asked.left_ms <= 4950.0 and asked.first_left_ms <= 3950.0
+        await client.handle_reply("r2", placement_messages.Placed("t2", "u-9"))
+        assert await placing.join() == placement_messages.Placed("t2", "u-9")
+        assert client.local_waiting == 0
+
+    curio_world.run(main)
+
+
+def test_an_owner_that_did_not_reply_is_asked_again_after_its_next_reply(
+    alone, sent, client, make_place_request
+):
+    """Guards against a slow owner that gets the same requests again with each status."""
+    alone.owner_id = "r3"
+
+    async def main():
+        local = await client.place(make_place_request("t1"))
+        assert local.upstream_id == "u-1"
+        placing = await curio.spawn(client.place, make_place_request("t2", left_ms=5000.0))
+        await curio_world.until(lambda: client.local_waiting == 1)
+        await client.wake_queued()
+        assert (client.local_waiting, request_count(sent, "r3")) == (1, 2)
+        probing = await curio.spawn(client.place, make_place_request("t3"))
+        await curio_world.until(lambda: request_count(sent, "r3") == 3)
+        await client.handle_reply("r3", placement_messages.Placed("t3", "u-1"))
+        await probing.join()
+        await curio_world.until(lambda: request_count(sent, "r3") == 4)
+        await client.handle_reply("r3", placement_messages.Placed("t2", "u-1"))
+        assert (await placing.join()).ticket_id == "t2"
+
+    curio_world.run(main)
+
+
+def test_a_caller_that_leaves_while_it_waits_frees_its_place(alone, client, make_place_request):
+    """Guards against a queue that fills up with requests of callers that have left."""
+
+    async def main():
+        await client.place(make_place_request("t1"))
+        placing = await curio.spawn(client.place, make_place_request("t2", left_ms=5000.0))
+        await curio_world.until(lambda: client.local_waiting == 1)
+        await placing.cancel()
+        assert client.local_waiting == 0
+        client.report_end("t1", placement_messages.RunEnd.COMPLETE, 50.0)
+        assert (await client.place(make_place_request("t3"))).upstream_id == "u-1"
+
+    curio_world.run(main)
+
+
+def test_requests_are_held_when_their_last_upstream_disappears(
+    alone, client, make_place_request, make_announcement
+):
+    """Guards against requests that wait for a slot of an upstream that is gone."""
+
+    async def main():
+        await client.place(make_place_request("t1"))
+        placing = await curio.spawn(client.place, make_place_request("t2", left_ms=5000.0))
+        await curio_world.until(lambda: client.local_waiting == 1)
+        alone.upstream_by_id = {}
+        client.use_view(0.0)
+        await curio_world.until(lambda: client._hold_queue.held == 1)
+        alone.upstream_by_id = {"u-2": make_announcement("u-2", slots=1)}
+        await client._hold_queue.notify_change()
+        assert (await placing.join()).upstream_id == "u-2"
+
+    curio_world.run(main)
+
+
+def test_the_load_table_has_only_upstreams_in_view(session, client, make_announcement):
+    """Guards against a table that grows with every upstream that ever was."""
+    announcement = make_announcement("u-1")
+    session.find_upstream = {"u-1": announcement}.get
+    for upstream_id in ("u-1", "u-2"):
+        client.record_load(upstream_id, reported_load.ReportedLoad(1, 0, 2))
+    assert client._local.slots.reports == 1
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -38,6 +38,8 @@
     "routes.route_table",
     "placement.owner",
     "placement.local_choice",
+    "placement.standalone_queue",
+    "placement.standalone_slots",
     "coordination.coordinator",
     "quarantine.crash_ledger",
     "quarantine.trial_manager",
