--- a/src/medlarfork/placement/standalone_queue.py
+++ b/src/medlarfork/placement/standalone_queue.py
@@ -235,8 +235,9 @@
     def _grant(self, service: str, now: float) -> None:
         """Start the requests that can start, in order.
 
-        An upstream whose memory is too full for a request is kept for it: smaller requests behind
-        it, also of lower tiers, would delay it for as long as they arrive.
+        If memory is too full for a request at each upstream, the one with the fewest own tokens is
+        kept for it: smaller requests behind it, also of lower tiers, would delay it for as long as
+        they arrive.
         """
         line = self._line_by_service.get(service)
         if not line:
@@ -255,9 +256,10 @@
                     continue
             candidates = [item for item in usable if item not in request.excluded]
             fitting = [item for item in candidates if self.slots.fits(item, request, hosts)]
-            if not fitting:
-                for upstream_id in candidates:
-                    del usable[upstream_id]
+            if not fitting and candidates:
+                del usable[min(candidates, key=self.slots.own_tokens)]
+            elif not fitting:
+                continue
             elif is_single:
                 self._start(waiting, usable[fitting[0]], now)
                 return
--- a/src/medlarfork/placement/standalone_slots.py
+++ b/src/medlarfork/placement/standalone_slots.py
@@ -148,6 +148,10 @@
             del self.runs_by_upstream[upstream_id]
             del self._tokens_by_upstream[upstream_id]
 
+    def own_tokens(self, upstream_id: str) -> int:
+        """Return the tokens that this host's runs at an engine may fill."""
+        return self._tokens_by_upstream.get(upstream_id, 0)
+
     def retain(self, upstreams: tuple[upstream_types.Announcement, ...]) -> None:
         """Forget the reports of all upstreams but these."""
         ids = {item.upstream_id for item in upstreams}
@@ -175,17 +179,24 @@
             entry_hosts: Number of entry hosts, at least 1.
             now: The time in seconds.
         """
+        runs = self.runs_by_upstream
+        upstream_by_id = {item.upstream_id: item for item in upstreams}
+        limit_by_id = {
+            key: self._limit(item, entry_hosts, now) for key, item in upstream_by_id.items()
+        }
+        is_single = not any(limit_by_id.values())
+        if not is_single:
+            ids = [key for key, limit in limit_by_id.items() if limit > runs.get(key, 0)]
+        elif any(key in runs for key in upstream_by_id):
+            ids = []
+        else:
+            ids = list(rendezvous.rank(self._entry_id, upstream_by_id))
         allowances = {
-            item.upstream_id: self.allowance(item, entry_hosts, now) for item in upstreams
+            key: self.allowance(upstream_by_id[key], entry_hosts, now)
+            for key in ids
+            if key in open_ids
         }
-        open_now = {key: item for key, item in allowances.items() if key in open_ids}
-        runs = self.runs_by_upstream
-        if any(item.slots for item in allowances.values()):
-            usable = {key: item for key, item in open_now.items() if item.slots > runs.get(key, 0)}
-            return usable, False
-        if any(key in runs for key in allowances):
-            return {}, True
-        return {key: open_now[key] for key in rendezvous.rank(self._entry_id, open_now)}, True
+        return allowances, is_single
 
     def fits(
         self, upstream_id: str, request: placement_messages.PlaceRequest, entry_hosts: int
@@ -195,7 +206,7 @@
         The first request always fits.
         """
         memory_tokens = self._memory_by_service.get(request.service, 0)
-        own_tokens = self._tokens_by_upstream[upstream_id]
+        own_tokens = self.own_tokens(upstream_id)
         if not memory_tokens or not own_tokens:
             return True
         return own_tokens + request.memory_tokens <= memory_tokens / entry_hosts
@@ -214,15 +225,27 @@
             now: The time in seconds.
         """
         share = upstream.slots / entry_hosts
-        position = self._position(upstream.own_name)
-        report = self._report_by_upstream.get(upstream.upstream_id)
+        slots = self._limit(upstream, entry_hosts, now)
+        report = self._recent_report(upstream.upstream_id, now)
+        if report is None:
+            return Allowance(upstream, share, slots)
+        is_full = _free(upstream, report.load) <= 0
+        return Allowance(upstream, share, slots, now - report.reported_at, is_full)
+
+    def _limit(self, upstream: upstream_types.Announcement, entry_hosts: int, now: float) -> int:
+        """Return how many runs this host may have at an upstream."""
+        amount = upstream.slots / entry_hosts
+        report = self._recent_report(upstream.upstream_id, now)
+        if report is not None:
+            free_share = FREE_SHARE * _free(upstream, report.load) / entry_hosts
+            amount += max(0.0, free_share - report.started_since)
+        return max(0, math.ceil(amount - self._position(upstream.own_name)))
+
+    def _recent_report(self, upstream_id: str, now: float) -> _Report | None:
+        report = self._report_by_upstream.get(upstream_id)
         if report is None or now - report.reported_at >= REPORT_LIFETIME_S:
-            return Allowance(upstream, share, _round(share, position))
-        load = report.load
-        free = min(load.slots, upstream.slots) - load.running - load.waiting
-        extra = max(0.0, FREE_SHARE * free / entry_hosts - report.started_since)
-        slots = _round(share + extra, position)
-        return Allowance(upstream, share, slots, now - report.reported_at, is_full=free <= 0)
+            return None
+        return report
 
     def _position(self, upstream_name: str) -> float:
         """Return the position of this host at an upstream, from 0 to below 1."""
@@ -306,9 +329,9 @@
         return max(counted, 1000.0 * running / max(mean.mean_ms, 1.0))
 
 
-def _round(amount: float, position: float) -> int:
-    """Round up if the position is below the fraction, and down otherwise."""
-    return max(0, math.ceil(amount - position))
+def _free(upstream: upstream_types.Announcement, load: reported_load.ReportedLoad) -> int:
+    """Return the reported free slots; negative if requests wait there."""
+    return min(load.slots, upstream.slots) - load.running - load.waiting
 
 
 def _position(name: str) -> float:
