--- a/src/medlarfork/placement/standalone_slots.py
+++ b/src/medlarfork/placement/standalone_slots.py
@@ -239,7 +239,8 @@
         if report is not None:
             free_share = FREE_SHARE * _free(upstream, report.load) / entry_hosts
             amount += max(0.0, free_share - report.started_since)
-        return max(0, math.ceil(amount - self._position(upstream.own_name)))
+        slots = math.ceil(amount - self._position(upstream.own_name))
+        return min(max(slots, 0), upstream.slots)
 
     def _recent_report(self, upstream_id: str, now: float) -> _Report | None:
         report = self._report_by_upstream.get(upstream_id)
--- a/tests/routed/test_load_reports.py
+++ b/tests/routed/test_load_reports.py
@@ -1,5 +1,6 @@
 """Load reports of upstreams, from their response heads to the placement owner."""
 
+import curio
 import pytest
 
 from medlarfork.http import sse
@@ -78,3 +79,30 @@
         assert [report.load for report in reports] == [full, None]
 
     routed_harness.run(tmp_path, main)
+
+
+def test_an_entry_host_without_replicas_keeps_to_the_slots(tmp_path):
+    """Without an owner, a host sent all requests at once to upstreams that could not hold them."""
+    running = []
+
+    async def answer(exchange):
+        running.append(running[-1] + 1 if running else 1)
+        await curio.sleep(0.05)
+        running.append(running[-1] - 1)
+        load = {NAMES.load: f"{running[-1]},0,4"}
+        await exchange.respond(200, routed_harness.echo_headers(exchange, **load), b"done")
+
+    async def main(deployment):
+        await deployment.add_upstream(answer)
+        await deployment.put_routing()
+        await deployment.until_upstreams(1)
+        await deployment.control_by_id.popitem()[1].close()
+        async with curio.TaskGroup() as group:
+            for _ in range(20):
+                await group.spawn(deployment.call)
+        assert [response.status for response in group.results] == [200] * 20
+        assert max(running) == 4
+        assert deployment.entry._owner.local_placements == 20
+        assert deployment.entry._owner._local.slots.reports == 1
+
+    routed_harness.run(tmp_path, main, replicas=1)
