The number of requests that wait without an owner is a metric of its own

ProcessMetrics.gauge exports a gauge under its own name; so far gauges were labels of medlar_routed_state. medlar_local_waiting is the first.

--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -104,6 +104,11 @@
         self._crashes = crash_tracker.CrashTracker(self._client, self._session, self._link.send)
         self._usage = self._make_usage_reporter() if settings.usage_window_s else None
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
+        self._metrics.process.gauge(
+            "medlar_local_waiting",
+            "Requests that wait at this host for a slot of its share, without an owner.",
+            lambda: self._owner.local_waiting,
+        )
         self._handler = self._make_handler(names)
         self._server = http_server.create_server(
             self._handler.handle, settings.serve, CALLER_LIMITS, listening_socket
@@ -306,7 +311,6 @@
             "connections": self._server.connections,
             "upstream_connections": self._client.connections,
             "local_placements": self._owner.local_placements,
-            "local_waiting": self._owner.local_waiting,
             "held": self._hold_queue.held,
             "crash_cases": self._crashes.cases,
             "limited_upstreams": self._backpressure.limited,
--- a/src/medlarfork/metrics/sdk_metrics.py
+++ b/src/medlarfork/metrics/sdk_metrics.py
@@ -50,6 +50,14 @@
             name, callbacks=[counts.observe], description=description
         )
 
+    def add_gauge(self, name: str, description: str, read: gauges.ReadGauge) -> None:
+        """Export a gauge without labels."""
+
+        def observe(_: metrics_api.CallbackOptions) -> Iterable[metrics_api.Observation]:
+            return [metrics_api.Observation(read())]
+
+        self._meter.create_observable_gauge(name, callbacks=[observe], description=description)
+
     def add_timing(self, times: timing.Timing) -> None:
         """Export times as a histogram, starting with those recorded before the SDK was loaded."""
         histogram = self._meter.create_histogram(
--- a/tests/test_process_metrics.py
+++ b/tests/test_process_metrics.py
@@ -75,3 +75,14 @@
         "assert not [name for name in sys.modules if name.startswith('opentelemetry')]\n"
     )
     subprocess.run([sys.executable, "-c", script], check=True, timeout=60)
+
+
+def test_a_gauge_has_its_own_name_and_is_read_when_it_is_rendered():
+    """Guards against gauges that keep the value of the start, or are missing."""
+    metrics = process_metrics.ProcessMetrics("tests", dict)
+    values = [1.0]
+    metrics.gauge("medlar_waiting", "Requests that wait.", lambda: values[0])
+    assert "medlar_waiting 1.0" in _scrape(metrics)
+    values[0] = 2.0
+    assert "medlar_waiting 2.0" in _scrape(metrics)
+    metrics.close()
