--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -104,6 +104,11 @@
         self._crashes = crash_tracker.CrashTracker(self._client, self._session, self._link.send)
         self._usage = self._make_usage_reporter() if settings.usage_window_s else None
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
+        self._metrics.process.gauge(
+            "medlar_local_waiting",
+            "Requests that wait at this host for a slot of its share, without an owner.",
+            lambda: self._owner.local_waiting,
+        )
         self._handler = self._make_handler(names)
         self._server = http_server.create_server(
             self._handler.handle, settings.serve, CALLER_LIMITS, listening_socket
@@ -233,6 +238,7 @@
         if upstreams is previous_upstreams:
             return
         self._owner.report_moved_runs(now)
+        self._owner.use_view(now)
         self._crashes.check_replacements()
         await self._hold_queue.notify_change()
         logs.event(
@@ -249,6 +255,7 @@
     def _apply_routing(self, sender: str, packed_body: bytes) -> None:
         new_routing = self._decode(zlib.decompress(packed_body))
         self._handler.apply_routing(new_routing)
+        self._owner.use_services(new_routing.services)
         logs.event(
             _log,
             "routing_in_force",
