Weight the entry directory by the capacities of hosts

Callers pick uniformly among the addresses of an answer, so a host of 0.375 of the reference got as many requests as one of 1.25. Where hosts state different capacities, an answer now has a fixed number of hosts, each contained for its share of a cycle of 30 s (systematic sampling in hash order). Equal or unstated capacities give the same answers as before. Overloaded hosts are left out, and hosts of other data centres help one whose hosts are all overloaded.

GET /v1/entry-hosts at a replica shows the weights.

--- a/src/medlarfork/coordination/coordination_messages.py
+++ b/src/medlarfork/coordination/coordination_messages.py
@@ -21,6 +21,8 @@
         routing_version: The version of the routing in force there.
         view_boot: The boot id of the replica whose view the entry host holds; 0 for none.
         view_sequence: The last change of that view that it applied.
+        capacity: Relative capacity of the entry host, from its settings; 0 if not stated.
+        utilisation: Fraction of that capacity in use; above 1 if it can't carry its load.
     """
 
     address: str
@@ -29,6 +31,8 @@
     routing_version: int
     view_boot: int
     view_sequence: int
+    capacity: float = 0.0
+    utilisation: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -104,7 +104,7 @@
         self._registry = upstream_registry.UpstreamRegistry(announce_period_s=announce_period_s)
         self._upstreams = upstream_manager.UpstreamManager(self._registry)
         self._members = membership_manager.MembershipManager(replica_id, seeds)
-        self._entries = entry_directory.EntryDirectory(ttl_s=ttl_s)
+        self._entries = entry_directory.EntryDirectory(ttl_s=ttl_s, replica_id=replica_id)
         self._feed = entry_feed.EntryFeed(boot=boot)
         self._backpressure = backpressure_manager.BackpressureManager()
         self._owner = owner.PlacementOwner(self._backpressure.gate)
@@ -277,6 +277,8 @@
                 self._reply(operation_id, coordinator_types.CrashCasesFound(held.cases))
             case coordinator_types.ListDuties():
                 self._reply(operation_id, self.duties.summary(self._now))
+            case coordinator_types.ListEntryHosts():
+                self._reply(operation_id, self._entries.list_hosts(self._now))
 
     def _put(self, operation_id: int, operation: coordinator_types.PutRouting) -> None:
         if not self.leads:
--- a/src/medlarfork/coordination/coordinator_types.py
+++ b/src/medlarfork/coordination/coordinator_types.py
@@ -61,6 +61,11 @@
     """Operation: return the holder and the state of the singleton duties."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListEntryHosts:
+    """Operation: list the entry hosts with their weights in directory answers."""
+
+
 Operation = (
     PutRouting
     | GetRouting
@@ -70,6 +75,7 @@
     | ListCrashCases
     | LiftCrashCase
     | ListDuties
+    | ListEntryHosts
 )
 
 
@@ -145,8 +151,47 @@
     needs: tuple[engine_autoscaler.Need, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryHost:
+    """An entry host that was heard recently, as the replying replica sees it.
+
+    Attributes:
+        entry_id: Its id.
+        address: ``IP:PORT`` that callers connect to.
+        zone: Its data centre.
+        is_ready: Whether it accepts requests from callers.
+        is_overloaded: Whether it is left out of answers while others of its data centre are not.
+        capacity: Its stated relative capacity; 0 if not stated.
+        utilisation: Fraction of the capacity in use.
+        weight: Share of the answers for its own data centre that contain it.
+    """
+
+    entry_id: str
+    address: str
+    zone: str
+    is_ready: bool
+    is_overloaded: bool
+    capacity: float
+    utilisation: float
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryHostsFound:
+    """Reply: the entry hosts that the replying replica knows."""
+
+    hosts: tuple[EntryHost, ...]
+
+
 Reply = (
-    Accepted | AskLeader | Unavailable | RoutingFound | EntriesFound | CrashCasesFound | DutiesFound
+    Accepted
+    | AskLeader
+    | Unavailable
+    | RoutingFound
+    | EntriesFound
+    | CrashCasesFound
+    | DutiesFound
+    | EntryHostsFound
 )
 
 
--- a/src/medlarfork/coordination/entry_directory.py
+++ b/src/medlarfork/coordination/entry_directory.py
@@ -4,7 +4,13 @@
 
 import dataclasses
 
-from medlarfork.coordination import coordination_messages, coordinator_types, status_period
+from medlarfork import rendezvous
+from medlarfork.coordination import (
+    coordination_messages,
+    coordinator_types,
+    entry_weights,
+    status_period,
+)
 
 SILENCE_TIMEOUT_S = 1.5
 """Silence after which an entry host is not listed any more, in seconds: about four of its periodic
@@ -14,23 +20,30 @@
 """How long an entry host counts for shared budgets after its last message, in seconds: twice the
 budget window, so that a host that returns has used its share only once."""
 
-MIN_LOCAL_HOSTS = 2
-"""Ready entry hosts in the caller's zone that suffice. With fewer, hosts of all zones are listed,
-so that a caller still has an alternative if one host is lost."""
+PHASES = 1024
+"""Number of distinct offsets between the cycles of replicas."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _LastStatus:
     status: coordination_messages.EntryStatus
     at: float
+    is_overloaded: bool = False
 
 
 class EntryDirectory:
     """Entry hosts by their last status. Pure: no I/O, no clock."""
 
-    def __init__(self, *, ttl_s: float) -> None:
-        """Start empty; callers cache an answer for ``ttl_s`` seconds."""
+    def __init__(self, *, ttl_s: float, replica_id: str = "") -> None:
+        """Start empty.
+
+        Args:
+            ttl_s: How long callers cache an answer, in seconds.
+            replica_id: Determines the offset of this replica's cycle. Callers ask the replica that
+                is nearest to them, so different offsets spread the load of a host over time.
+        """
         self._ttl_s = ttl_s
+        self._offset = rendezvous.shard(replica_id, PHASES) / PHASES
         self._last_by_id: dict[str, _LastStatus] = {}
 
     @property
@@ -56,16 +69,59 @@
         self, entry_id: str, status: coordination_messages.EntryStatus, now: float
     ) -> None:
         """Record an entry host's status."""
-        self._last_by_id[entry_id] = _LastStatus(status, now)
+        last = self._last_by_id.get(entry_id)
+        is_overloaded = status.capacity > 0.0 and entry_weights.is_overloaded(
+            status.utilisation, before=last is not None and last.is_overloaded
+        )
+        self._last_by_id[entry_id] = _LastStatus(status, now, is_overloaded)
         for other_id, last in tuple(self._last_by_id.items()):
             if last.at < now - RETENTION_S:
                 del self._last_by_id[other_id]
 
     def find(self, zone: str, now: float) -> coordinator_types.Reply:
-        """Return the ready entry hosts: those in the caller's zone if there are enough."""
-        ready = [status for status in self.status_by_id(now).values() if status.is_ready]
-        if not ready:
+        """Return ready entry hosts: those in the caller's zone if there are enough."""
+        hosts = self.hosts(now)
+        if not hosts:
             return coordinator_types.Unavailable("No entry host is known to be ready.")
-        near = [status.address for status in ready if status.zone == zone]
-        addresses = near if len(near) >= MIN_LOCAL_HOSTS else [status.address for status in ready]
-        return coordinator_types.EntriesFound(tuple(sorted(addresses)), self._ttl_s)
+        addresses = entry_weights.select(hosts, zone, self.phase(now))
+        return coordinator_types.EntriesFound(addresses, self._ttl_s)
+
+    def hosts(self, now: float) -> tuple[entry_weights.ReadyHost, ...]:
+        """Return the ready entry hosts."""
+        return tuple(
+            entry_weights.ReadyHost(
+                entry_id,
+                status.address,
+                status.zone,
+                status.capacity,
+                status.utilisation,
+                self._last_by_id[entry_id].is_overloaded,
+            )
+            for entry_id, status in self.status_by_id(now).items()
+            if status.is_ready
+        )
+
+    def phase(self, now: float) -> float:
+        """Return the position in the cycle of answers, from 0 to 1."""
+        return (now / entry_weights.CYCLE_S + self._offset) % 1.0
+
+    def list_hosts(self, now: float) -> coordinator_types.EntryHostsFound:
+        """Return the entry hosts heard recently, with their weights, for operators."""
+        ready = self.hosts(now)
+        shares_by_zone = {
+            zone: entry_weights.share_by_id(ready, zone) for zone in {host.zone for host in ready}
+        }
+        hosts = tuple(
+            coordinator_types.EntryHost(
+                entry_id=entry_id,
+                address=status.address,
+                zone=status.zone,
+                is_ready=status.is_ready,
+                is_overloaded=self._last_by_id[entry_id].is_overloaded,
+                capacity=status.capacity,
+                utilisation=round(status.utilisation, 3),
+                weight=round(shares_by_zone.get(status.zone, {}).get(entry_id, 0.0), 4),
+            )
+            for entry_id, status in sorted(self.status_by_id(now).items())
+        )
+        return coordinator_types.EntryHostsFound(hosts)
