Protect overloaded entry hosts, and report their load to the directory

Hosts that state their size (cores, memory, descriptors, link) send capacity and utilisation in their status. Callers use directory answers for up to 6 s after a host has left it, so an overloaded host also refuses requests itself, with 503 before it reads the body: at once if they exceed its memory, otherwise after 4 s of overload and not in the first 10 s after its start. The lowest tiers are refused first.

The platform's settings have the sizes under Limits.

--- a/src/medlarfork/coordination/coordination_messages.py
+++ b/src/medlarfork/coordination/coordination_messages.py
@@ -9,6 +9,13 @@
 
 from medlarfork.coordination import status_period, upstream_types
 
+OVERLOADED_FROM = 0.9
+"""Utilisation from which an entry host counts as overloaded."""
+
+OVERLOADED_UNTIL = 0.7
+"""Utilisation below which an overloaded host no longer counts as overloaded. The gap keeps a host
+from returning to the directory as soon as the first callers have left it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryStatus:
@@ -134,3 +141,8 @@
     GossipReceipt,
 )
 """All message classes of this module, for the codec of the links."""
+
+
+def is_overloaded(utilisation: float, *, before: bool) -> bool:
+    """Return whether a host with this utilisation is overloaded, given whether it was before."""
+    return utilisation >= (OVERLOADED_UNTIL if before else OVERLOADED_FROM)
--- a/src/medlarfork/coordination/entry_directory.py
+++ b/src/medlarfork/coordination/entry_directory.py
@@ -70,7 +70,7 @@
     ) -> None:
         """Record an entry host's status."""
         last = self._last_by_id.get(entry_id)
-        is_overloaded = status.capacity > 0.0 and entry_weights.is_overloaded(
+        is_overloaded = status.capacity > 0.0 and coordination_messages.is_overloaded(
             status.utilisation, before=last is not None and last.is_overloaded
         )
         self._last_by_id[entry_id] = _LastStatus(status, now, is_overloaded)
--- a/src/medlarfork/coordination/entry_weights.py
+++ b/src/medlarfork/coordination/entry_weights.py
@@ -40,13 +40,6 @@
 """Weights that differ by less than this ratio count as equal: rotating hosts costs connections, and
 a difference of a twentieth isn't worth any."""
 
-OVERLOADED_FROM = 0.9
-"""Utilisation from which a host counts as overloaded."""
-
-OVERLOADED_UNTIL = 0.7
-"""Utilisation below which an overloaded host no longer counts as overloaded. The gap keeps a host
-from returning to the answers as soon as the first callers have left it."""
-
 _ORDER_CACHE_SIZE = 4096
 """Hosts whose position in the hash order is cached: ten times the size of a large deployment."""
 
@@ -72,11 +65,6 @@
     is_overloaded: bool = False
 
 
-def is_overloaded(utilisation: float, *, before: bool) -> bool:
-    """Return whether a host is overloaded, given whether it was before."""
-    return utilisation >= (OVERLOADED_UNTIL if before else OVERLOADED_FROM)
-
-
 def select(hosts: Sequence[ReadyHost], zone: str, phase: float) -> tuple[str, ...]:
     """Return the addresses for callers in a data centre, sorted.
 
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -234,12 +234,26 @@
         return True
 
     def status_for(
-        self, replica_id: str, *, address: str, zone: str, is_ready: bool
+        self,
+        replica_id: str,
+        *,
+        address: str,
+        zone: str,
+        is_ready: bool,
+        capacity: float = 0.0,
+        utilisation: float = 0.0,
     ) -> coordination_messages.EntryStatus:
         """Return the status message for a replica."""
         state = self._state_by_replica.get(replica_id, _ReplicaState(0.0))
         return coordination_messages.EntryStatus(
-            address, zone, is_ready, self.routing_version, state.view_boot, state.view_sequence
+            address,
+            zone,
+            is_ready,
+            self.routing_version,
+            state.view_boot,
+            state.view_sequence,
+            capacity,
+            utilisation,
         )
 
     def drop_silent_replicas(self, now: float) -> None:
--- a/src/medlarfork/gateway/gateway_metrics.py
+++ b/src/medlarfork/gateway/gateway_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from medlarfork.metrics import gauges, process_metrics
 
 
@@ -18,9 +20,20 @@
         self._requests = self.process.tally(
             "medlar_routed_requests", "Requests finished.", ("account", "class", "status")
         )
+        self._refused = self.process.tally(
+            "medlar_entry_refused", "Requests refused by an overloaded host.", ("tier", "cause")
+        )
         self._whole = self.process.timing("medlar_routed_time", "Arrival to the answer's end.")
 
     def count(self, account: str, route: str, status: int, took_ms: float) -> None:
         """Count a finished request."""
         self._requests.add(1, account, route, str(status))
         self._whole.record(took_ms / 1000.0, {"account": account, "class": route})
+
+    def count_refused(self, tier: int, cause: str) -> None:
+        """Count a request that was refused because this host is overloaded."""
+        self._refused.add(1, str(tier), cause)
+
+    def observe_utilisation(self, read: Callable[[], float]) -> None:
+        """Export the utilisation of this host; ``read`` is called when it is rendered."""
+        self.process.gauge("medlar_entry_utilisation", "Highest utilisation of a resource.", read)
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -20,9 +20,11 @@
 from medlarfork.gateway import (
     backpressure_tracker,
     crash_tracker,
+    entry_load,
     entry_session,
     gateway_metrics,
     gateway_settings,
+    load_sampler,
     owner_client,
     request_handler,
     request_header_names,
@@ -104,6 +106,7 @@
         self._crashes = crash_tracker.CrashTracker(self._client, self._session, self._link.send)
         self._usage = self._make_usage_reporter() if settings.usage_window_s else None
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
+        self._sampler = self._make_sampler() if entry_load.states_size(settings) else None
         self._handler = self._make_handler(names)
         self._server = http_server.create_server(
             self._handler.handle, settings.serve, CALLER_LIMITS, listening_socket
@@ -130,6 +133,8 @@
             await self._health.start()
         await self._tasks.spawn(self._receive)
         await self._tasks.spawn(self._run_periodic_tasks)
+        if self._sampler is not None:
+            await self._tasks.spawn(self._sampler.run)
         if self._usage is not None:
             await self._tasks.spawn(self._usage.report_periodically, self._session)
         logs.event(_log, "started", entry=self._settings.entry_id, serve=self._settings.serve)
@@ -179,8 +184,18 @@
             usage=self._usage or request_types.NullUsageRecorder(),
             rules=self._settings.budget,
             metrics=self._metrics,
+            sampler=self._sampler,
         )
 
+    def _make_sampler(self) -> load_sampler.LoadSampler:
+        sampler = load_sampler.LoadSampler(
+            self._settings,
+            read_requests=lambda: self._server.exchanges,
+            on_change=lambda: self._send_status(self._session.replicas),
+        )
+        self._metrics.observe_utilisation(lambda: sampler.load.utilisation)
+        return sampler
+
     def _make_usage_reporter(self) -> usage_reporter.UsageReporter:
         # Imported only where usage is reported: it makes the start-up slower.
         from medlarfork.gateway import usage_reporter
@@ -270,12 +285,15 @@
             await curio.sleep(self._session.status_period_s(now - started_at))
 
     def _send_status(self, replica_ids: tuple[str, ...]) -> None:
+        load = None if self._sampler is None else self._sampler.load
         for replica_id in replica_ids:
             status = self._session.status_for(
                 replica_id,
                 address=self._settings.serve,
                 zone=self._settings.zone,
                 is_ready=self.is_ready,
+                capacity=0.0 if load is None else load.capacity,
+                utilisation=0.0 if load is None else load.utilisation,
             )
             self._link.send(replica_id, status)
 
--- a/src/medlarfork/gateway/gateway_settings.py
+++ b/src/medlarfork/gateway/gateway_settings.py
@@ -25,6 +25,10 @@
         log_level: Minimum level that is logged.
         usage_window_s: Length of the windows in which requests are counted for each client account,
             in seconds; 0 if usage is not reported.
+        cores: Processor cores that the host may use, also a fraction; 0 if not stated.
+        memory_mb: Memory that it may use, in megabytes; 0 if not stated.
+        max_descriptors: File descriptors that it may open; 0 if not stated.
+        link_mbps: Bandwidth of its link, in megabits per second; 0 if not stated.
     """
 
     entry_id: str
@@ -39,3 +43,7 @@
     grace_s: float = 30.0
     log_level: str = "INFO"
     usage_window_s: float = 0.0
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    link_mbps: float = 0.0
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -13,8 +13,10 @@
 from medlarfork.gateway import (
     backpressure_tracker,
     crash_tracker,
+    entry_load,
     entry_session,
     gateway_metrics,
+    load_sampler,
     owner_client,
     request_header_names,
     request_hold,
@@ -34,6 +36,10 @@
 """Factor by which a route's longest duration shrinks with each shorter answer, so that an
 exceptional one is forgotten after some dozens."""
 
+OVERLOAD_RETRY_AFTER_S = 0.1
+"""Time in ``Retry-After`` when this host is overloaded, in seconds: the retry most likely goes to
+another host, so it need not wait until this one has recovered."""
+
 
 class RequestHandler:
     """Handles the exchanges of an entry host's HTTP server.
@@ -57,6 +63,7 @@
         usage: request_types.UsageRecorder,
         rules: retry_budget.BudgetRules,
         metrics: gateway_metrics.GatewayMetrics,
+        sampler: load_sampler.LoadSampler | None = None,
     ) -> None:
         """Create a handler without a routing; it holds requests until ``apply_routing``."""
         self._zone = zone
@@ -70,6 +77,7 @@
         self._usage = usage
         self._rules = rules
         self._metrics = metrics
+        self._sampler = sampler
         self._table: route_table.RouteTable | None = None
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._random = random.Random()
@@ -102,6 +110,12 @@
         started_at = time.monotonic()
         if self.is_stopping:
             exchange.close_after()
+        if self._sampler is not None and self._sampler.must_check:
+            tier = self._tier_of_head(exchange.head)
+            cause = self._sampler.refusal_cause(tier)
+            if cause is not None:
+                await self._refuse_overload(exchange, tier, cause)
+                return
         body = await exchange.read_body()
         try:
             metadata = request_metadata.parse(exchange.head.headers, self._names)
@@ -118,6 +132,29 @@
         await self._serve(pipeline, admitted)
         self._record(pipeline.trace, admitted)
 
+    def _tier_of_head(self, head: http_server.RequestHead) -> int:
+        """Return the tier of a request: the highest without routing, the lowest if invalid."""
+        if self._table is None:
+            return 0
+        try:
+            route, account = self._admit(head, request_metadata.parse(head.headers, self._names))
+        except errors.RequestRefusedError:
+            return entry_load.LOWEST_TIER
+        return _tier(route, account)
+
+    async def _refuse_overload(self, exchange: http_server.Exchange, tier: int, cause: str) -> None:
+        """Refuse a request before its body is read, and close its connection."""
+        self._metrics.count_refused(tier, cause)
+        exchange.close_after()
+        error = errors.RequestRefusedError(
+            f"This entry host is overloaded ({cause}).",
+            remedy="Use another entry host, or retry after the time in Retry-After.",
+            code=errors.Code.OVERLOADED,
+            status=503,
+            headers={"Retry-After": f"{OVERLOAD_RETRY_AFTER_S:.3f}"},
+        )
+        await self._refuse(exchange, error)
+
     async def _wait_routing(
         self, exchange: http_server.Exchange, metadata: request_metadata.RequestMetadata
     ) -> bool:
@@ -200,9 +237,6 @@
         allowed_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
             allowed_ms = min(allowed_ms, metadata.deadline_ms - request_pipeline.DEADLINE_MARGIN_MS)
-        tier = route.tier
-        if account is not None and account.tier is not None:
-            tier = account.tier
         head = exchange.head
         name = "" if account is None else account.name
         key = request_key.request_key(
@@ -215,7 +249,7 @@
             key=key,
             service=route_table.choose_target(route, self._random.random()),
             account=name,
-            tier=tier,
+            tier=_tier(route, account),
             body=body,
             started_at=started_at,
             deadline_at=started_at + allowed_ms / 1000.0,
@@ -314,6 +348,11 @@
         )
 
 
+def _tier(route: routing.Route, account: routing.Account | None) -> int:
+    """Return the tier of a request: that of its account, if set, or that of its route."""
+    return route.tier if account is None or account.tier is None else account.tier
+
+
 def _account(
     table: route_table.RouteTable, route: routing.Route, metadata: request_metadata.RequestMetadata
 ) -> routing.Account | None:
--- a/src/medlarfork/metrics/process_metrics.py
+++ b/src/medlarfork/metrics/process_metrics.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import curio
@@ -45,6 +46,7 @@
         self._read_gauges = read_gauges
         self._tallies: list[tuple[str, str, tally.Tally]] = []
         self._timings: list[timing.Timing] = []
+        self._gauges: list[tuple[str, str, Callable[[], float]]] = []
         self._sdk: sdk_metrics.SdkMetrics | None = None
         self._loading = threading.Lock()
 
@@ -54,6 +56,10 @@
         self._tallies.append((name, description, counts))
         return counts
 
+    def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Create a gauge of its own; ``read`` is called when the metrics are rendered."""
+        self._gauges.append((name, description, read))
+
     def timing(self, name: str, description: str) -> timing.Timing:
         """Create and return a recorder for the times of a histogram."""
         times = timing.Timing(
@@ -87,6 +93,8 @@
                 sdk = sdk_metrics.SdkMetrics(self._scope, self._read_gauges)
                 for name, description, counts in self._tallies:
                     sdk.add_tally(name, description, counts)
+                for name, description, read in self._gauges:
+                    sdk.add_gauge(name, description, read)
                 for times in self._timings:
                     sdk.add_timing(times)
                 self._sdk = sdk
--- a/src/medlarfork/metrics/sdk_metrics.py
+++ b/src/medlarfork/metrics/sdk_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import prometheus_client
 from opentelemetry import metrics as metrics_api
@@ -50,6 +50,14 @@
             name, callbacks=[counts.observe], description=description
         )
 
+    def add_gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Export a value that is read when the metrics are rendered."""
+        self._meter.create_observable_gauge(
+            name,
+            callbacks=[lambda _: [metrics_api.Observation(read())]],
+            description=description,
+        )
+
     def add_timing(self, times: timing.Timing) -> None:
         """Export times as a histogram, starting with those recorded before the SDK was loaded."""
         histogram = self._meter.create_histogram(
--- a/tests/routed/routed_harness.py
+++ b/tests/routed/routed_harness.py
@@ -152,7 +152,7 @@
         await program.start()
         self.control_by_id[replica_id] = program
 
-    async def start_entry(self):
+    async def start_entry(self, **changes):
         host = f"{self.network}.50"
         settings = gateway_settings.GatewaySettings(
             entry_id=host,
@@ -164,6 +164,7 @@
             replica_link_port=LINK_PORT,
             seeds=self.replica_ids[:3],
             grace_s=2.0,
+            **changes,
         )
         self.entry = gateway_program.GatewayProgram(
             settings,
--- /dev/null
+++ b/tests/routed/test_entry_load.py
@@ -0,0 +1,149 @@
+"""Load of an entry host and its admission, replayed with a model of the host's processor."""
+
+import collections
+import random
+
+import pytest
+
+from medlarfork.gateway import entry_load, gateway_settings
+
+STEP_S = 0.5
+QUIET = {"processor_s": 0.1, "lag_s": 0.002, "descriptors": 100, "requests": 20}
+
+
+@pytest.fixture
+def make_load():
+    """Return a factory of the load of a host with the sizes of the smallest ones."""
+
+    def make(**changes):
+        sizes = {"cores": 0.387, "memory_mb": 160.0, "max_descriptors": 1638, "link_mbps": 3.75}
+        settings = gateway_settings.GatewaySettings("e", "z", "", "", 1, 2, (), **sizes | changes)
+        return entry_load.EntryLoad(settings, 0.0)
+
+    return make
+
+
+def _record(load, now, **changes):
+    return load.record(entry_load.Sample(STEP_S, **QUIET | changes), now)
+
+
+def _replay(load, rate_at, *, seconds, start_s=0.0, requests=20):
+    """Replay arrivals on a host that carries 20 requests a second; return them by tier and result.
+
+    Args:
+        load: The load of the host.
+        rate_at: Function from time to arrivals a second.
+        seconds: Length of the replay.
+        start_s: Time at which it starts.
+        requests: Requests in progress.
+    """
+    draw = random.Random(7)
+    results = collections.Counter()
+    for step in range(round(seconds / STEP_S)):
+        now = start_s + step * STEP_S
+        step_results = collections.Counter()
+        for _ in range(round(rate_at(now) * STEP_S)):
+            tier = draw.choice((0, 1, 1, 2, 2))
+            cause = load.refusal_cause(tier, requests)
+            step_results[tier, cause is None] += 1
+        results += step_results
+        for tier in (0, 1):
+            # Counts change between two arrivals, so that one of a lower tier may be admitted.
+            assert not step_results[tier, False] or step_results[2, True] <= 1
+        admitted = sum(step_results[tier, True] for tier in (0, 1, 2))
+        used = 0.387 * min(admitted / 20.0, STEP_S)
+        _record(load, now + STEP_S, processor_s=used, requests=requests)
+    return results
+
+
+def _refused(results):
+    return {tier: count for (tier, is_admitted), count in results.items() if not is_admitted}
+
+
+# Guards against: capacities that ignore the link or the processor, whichever is smaller.
+@pytest.mark.parametrize(
+    ("sizes", "capacity"),
+    [
+        ({}, 0.375),
+        ({"cores": 1.29, "link_mbps": 1000.0}, 1.29),
+        ({"cores": 0.0}, 0.375),
+        ({"cores": 0.0, "link_mbps": 0.0}, 0.0),
+    ],
+)
+def test_capacity_is_the_smaller_of_processor_and_link(make_load, sizes, capacity):
+    assert make_load(**sizes).capacity == pytest.approx(capacity)
+
+
+# Guards against: a shortage that doesn't show in the utilisation that replicas see.
+@pytest.mark.parametrize(
+    ("shortage", "cause"),
+    [
+        ({"processor_s": 0.19}, "processor"),
+        ({"lag_s": 0.12}, "lag"),
+        ({"requests": 480}, "requests"),
+        ({"descriptors": 1600}, "descriptors"),
+    ],
+)
+def test_each_shortage_makes_the_host_overloaded_until_it_has_passed(make_load, shortage, cause):
+    load = make_load()
+    changes = [_record(load, now, **shortage) for now in range(12, 20)]
+    assert changes.count(True) == 1
+    assert (load.is_overloaded, load.cause) == (True, cause)
+    assert load.utilisation >= 0.9
+    changes = [_record(load, now) for now in range(20, 28)]
+    assert changes.count(True) == 1
+    assert not load.is_overloaded
+
+
+# Guards against: requests refused after a restart, when imports and the first burst take all of the
+# processor for seconds, and in bursts of the usual length.
+def test_nothing_is_refused_after_a_start_or_in_a_short_burst(make_load):
+    load = make_load()
+    results = _replay(load, lambda now: 60.0, seconds=entry_load.WARM_UP_S)
+    results += _replay(load, lambda now: 12.0, seconds=20.0, start_s=10.0)
+    results += _replay(load, lambda now: 60.0, seconds=entry_load.SUSTAINED_S, start_s=30.0)
+    results += _replay(load, lambda now: 14.0, seconds=60.0, start_s=34.0)
+    assert _refused(results) == {}
+
+
+# Guards against: requests of a higher tier refused while ones of a lower tier are admitted, and
+# more refused than the host can't carry.
+@pytest.mark.parametrize("rate", [26.0, 40.0])
+def test_a_sustained_overload_refuses_the_lowest_tiers_first(make_load, rate):
+    load = make_load()
+    _replay(load, lambda now: 10.0, seconds=12.0)
+    _replay(load, lambda now: rate, seconds=20.0, start_s=12.0)
+    results = _replay(load, lambda now: rate, seconds=30.0, start_s=32.0)
+    refused = _refused(results)
+    assert refused.get(0, 0) == 0
+    assert refused[2] > 0
+    admitted = sum(count for (_, is_admitted), count in results.items() if is_admitted)
+    assert 0.65 * 20.0 * 30.0 <= admitted <= 20.0 * 30.0
+    after = _replay(load, lambda now: 10.0, seconds=20.0, start_s=62.0)
+    assert _refused(after).get(0, 0) == 0
+    assert _refused(_replay(load, lambda now: 10.0, seconds=20.0, start_s=82.0)) == {}
+
+
+# Guards against: a process that is killed because its requests exceed its memory.
+def test_requests_in_progress_are_bounded_by_memory_with_the_lowest_tiers_first(make_load):
+    load = make_load()
+    limits = [
+        next(count for count in range(1, 5000) if load.refusal_cause(tier, count)) - 1
+        for tier in (0, 1, 2, 9)
+    ]
+    assert limits == sorted(limits, reverse=True)
+    assert len(set(limits)) == 4
+    memory_bytes = entry_load.BASE_MB * 1e6 + limits[0] * entry_load.REQUEST_BYTES
+    assert memory_bytes <= 160e6
+    # All requests that a starting host holds fit.
+    assert limits[-1] >= 400
+    assert not load.must_check(limits[-1] // 2)
+
+
+# Guards against: a host without stated sizes that refuses requests.
+def test_a_size_that_is_not_stated_has_no_effect(make_load):
+    load = make_load(cores=0.0, memory_mb=0.0, max_descriptors=0)
+    for now in range(12, 30):
+        _record(load, now, processor_s=50.0, requests=90_000, descriptors=90_000)
+    assert load.refusal_cause(9, 90_000) is None
+    assert not load.is_overloaded
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -46,6 +46,7 @@
     "coordination.backpressure_manager",
     "placement.limit_share",
     "gateway.retry_policy",
+    "gateway.entry_load",
     "gateway.entry_session",
     "gateway.event_framer",
     "gateway.request_metadata",
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -352,6 +352,25 @@
     assert users[2].for_gateway(given).usage_window_s == 0.0
 
 
+# Guards against: an entry host whose stated size doesn't reach the directory.
+def test_the_size_of_a_machine_is_read_where_it_is_stated(users):
+    fields = {"NodeName": "n", "Ip": "10.1.0.13", "Zone": "z", "InternalPorts": [1, 9], "Seeds": []}
+    gateway = users[2].for_gateway(users[2].decode(fields))
+    assert (gateway.cores, gateway.memory_mb) == (0.0, 0.0)
+    assert (gateway.max_descriptors, gateway.link_mbps) == (0, 0.0)
+    fields["Limits"] = {
+        "CpuShare": 0.43,
+        "Cores": 3,
+        "MemoryMb": 440,
+        "MaxFds": 1638,
+        "LinkMbps": 12.5,
+        "Other": "x",
+    }
+    gateway = users[2].for_gateway(users[2].decode(fields))
+    assert (gateway.cores, gateway.memory_mb) == (pytest.approx(1.29), 440.0)
+    assert (gateway.max_descriptors, gateway.link_mbps) == (1638, 12.5)
+
+
 @pytest.mark.parametrize(
     ("call", "target", "body"),
     [
