Leave overloaded hosts out of answers without moving the connections of others

Overloads come and go within seconds. Dividing the places anew each time changed a quarter of the other addresses with 124 hosts. Overloaded hosts now keep their places, unnamed, while they are at most a quarter of an answer.

--- a/src/medlarfork/coordination/entry_weights.py
+++ b/src/medlarfork/coordination/entry_weights.py
@@ -18,6 +18,7 @@
 import functools
 import hashlib
 import math
+import operator
 from collections.abc import Sequence
 
 MAX_ADDRESSES = 64
@@ -42,6 +43,11 @@
 """Weights that differ by less than this ratio count as equal: rotating hosts costs connections, and
 a difference of a twentieth isn't worth any."""
 
+KEPT_PLACES_SHARE = 0.25
+"""Share of an answer up to which overloaded hosts are left out without dividing the places anew.
+With 124 hosts a new division changes a quarter of the other addresses. Without one, answers become
+shorter, and load follows capacity less exactly."""
+
 ROUNDING = 1e-9
 """Added before a sum of weights is rounded down, so that an exact whole number stays one."""
 
@@ -70,6 +76,15 @@
     is_overloaded: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Place:
+    """A host's share of the answers, and whether answers name it there."""
+
+    host: ReadyHost
+    share: float
+    is_named: bool = True
+
+
 def select(hosts: Sequence[ReadyHost], zone: str, phase: float) -> tuple[str, ...]:
     """Return the addresses for callers in a data centre, sorted.
 
@@ -78,46 +93,47 @@
         zone: The data centre of the callers.
         phase: Position of the grid, from 0 to 1.
     """
-    candidates, shares = _candidates_and_shares(hosts, zone)
-    chosen: list[str] = []
-    rotating: list[tuple[bytes, str, float]] = []
-    for host, share in zip(candidates, shares, strict=True):
-        if share >= 1.0:
-            chosen.append(host.address)
-        else:
-            rotating.append((_order(host.entry_id), host.address, share))
+    places = _places(hosts, zone)
+    chosen = [place.host.address for place in places if place.share >= 1.0 and place.is_named]
+    rotating = [place for place in places if place.share < 1.0]
+    rotating.sort(key=lambda place: _order(place.host.entry_id))
     end = phase
-    for _, address, share in sorted(rotating):
-        start, end = end, end + share
-        if math.floor(end) > math.floor(start):
-            chosen.append(address)
+    for place in rotating:
+        start, end = end, end + place.share
+        if math.floor(end) > math.floor(start) and place.is_named:
+            chosen.append(place.host.address)
     return tuple(sorted(chosen))
 
 
 def share_by_id(hosts: Sequence[ReadyHost], zone: str) -> dict[str, float]:
     """Return the share of the answers for a data centre that contain each host, by its id."""
-    candidates, shares = _candidates_and_shares(hosts, zone)
-    return {host.entry_id: share for host, share in zip(candidates, shares, strict=True)}
+    return {place.host.entry_id: place.share for place in _places(hosts, zone) if place.is_named}
 
 
-def _candidates_and_shares(
-    hosts: Sequence[ReadyHost], zone: str
-) -> tuple[Sequence[ReadyHost], list[float]]:
-    """Return the hosts to choose from for a data centre, with their shares of the answers."""
+def _places(hosts: Sequence[ReadyHost], zone: str) -> list[_Place]:
+    """Return the places of hosts in the answers for a data centre."""
     near = [host for host in hosts if host.zone == zone]
     usable = [host for host in hosts if not host.is_overloaded]
     near_usable = [host for host in near if not host.is_overloaded]
     if near and usable and not near_usable:
-        helping = [host for host in usable if host.utilisation < 1.0]
-        candidates = [*near, *helping]
-        capacities = _capacities(candidates)
-        headrooms = [1.0] * len(near) + [1.0 - max(host.utilisation, 0.0) for host in helping]
-        weights = [
-            capacity * headroom for capacity, headroom in zip(capacities, headrooms, strict=True)
-        ]
-        return candidates, _shares(weights)
-    nearest = _nearest(near_usable, usable) or _nearest(near, hosts)
-    return nearest, _shares(_capacities(nearest))
+        return _shared_places(near, [host for host in usable if host.utilisation < 1.0])
+    if len(near_usable) >= MIN_ADDRESSES:
+        shares = _shares(_capacities(near))
+        if len(near) - len(near_usable) <= KEPT_PLACES_SHARE * sum(shares):
+            return [
+                _Place(host, share, not host.is_overloaded)
+                for host, share in zip(near, shares, strict=True)
+            ]
+    candidates = _nearest(near_usable, usable) or _nearest(near, hosts)
+    return list(map(_Place, candidates, _shares(_capacities(candidates))))
+
+
+def _shared_places(near: Sequence[ReadyHost], helping: Sequence[ReadyHost]) -> list[_Place]:
+    """Return the places for a full data centre, which hosts elsewhere help by their headroom."""
+    headrooms = [1.0] * len(near) + [1.0 - max(host.utilisation, 0.0) for host in helping]
+    candidates = [*near, *helping]
+    weights = map(operator.mul, _capacities(candidates), headrooms)
+    return list(map(_Place, candidates, _shares(list(weights))))
 
 
 def _nearest(near: Sequence[ReadyHost], all_zones: Sequence[ReadyHost]) -> Sequence[ReadyHost]:
--- a/tests/routed/test_entry_weights.py
+++ b/tests/routed/test_entry_weights.py
@@ -200,6 +200,21 @@
     assert "z1-000" in directory.find("z1", 0.0).addresses
 
 
+# Guards against: an overload that moves the connections of all other hosts.
+def test_an_overload_takes_only_that_host_out_of_answers(make_directory):
+    directory = make_directory(*(LARGE, SMALL) * 62)
+    before = [set(answer) for answer in _answers(directory)]
+    _record(directory, "z1-003", 0.0, capacity=SMALL, utilisation=1.0)
+    after = [set(answer) for answer in _answers(directory)]
+    assert all(
+        old - new <= {"z1-003"} and new <= old for old, new in zip(before, after, strict=True)
+    )
+    # Where many are overloaded, the others take their places.
+    for number in range(62):
+        _record(directory, f"z1-{number:03}", 0.0, capacity=SMALL, utilisation=1.0)
+    assert {len(answer) for answer in _answers(directory)} == {40}
+
+
 # Guards against: no answer, or an empty one, when every host of the deployment is overloaded.
 def test_all_overloaded_hosts_are_named(make_directory):
     directory = make_directory(1.0, 1.0, 1.0, utilisation=1.0)
