Bound callers' connections by descriptors, and test refusals by tier over HTTP

Without the bound, idle connections of callers could take all 1,638 descriptors of the smallest hosts, and admitted requests could not reach an upstream.

--- a/src/medlarfork/gateway/entry_load.py
+++ b/src/medlarfork/gateway/entry_load.py
@@ -37,6 +37,10 @@
 """Memory of one request in progress, in bytes. With the mean body of 12 KB a request took 122 KB in
 a process that also held its caller and its upstream; with the largest of 72 KB, 413 KB."""
 
+CONNECTIONS_SHARE = 0.75
+"""Share of the descriptors that connections of callers may take. Upstreams, links and files need
+the others: without them, requests that are already admitted fail."""
+
 MIN_REQUESTS = 16
 """Requests in progress that are always allowed, if the stated memory is too small."""
 
@@ -108,6 +112,13 @@
     return any(size > 0 for size in sizes)
 
 
+def max_connections(settings: gateway_settings.GatewaySettings, usual: int) -> int:
+    """Return the bound on connections of callers: the usual one, or less with few descriptors."""
+    if settings.max_descriptors <= 0:
+        return usual
+    return min(usual, int(CONNECTIONS_SHARE * settings.max_descriptors))
+
+
 class EntryLoad:
     """Utilisation of one entry host, and its admission of requests.
 
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import logging
 import signal
 import socket
@@ -109,7 +110,7 @@
         self._sampler = self._make_sampler() if entry_load.states_size(settings) else None
         self._handler = self._make_handler(names)
         self._server = http_server.create_server(
-            self._handler.handle, settings.serve, CALLER_LIMITS, listening_socket
+            self._handler.handle, settings.serve, _caller_limits(settings), listening_socket
         )
         self._health = (
             http_server.create_server(self._serve_health, settings.health)
@@ -329,6 +330,11 @@
         }
 
 
+def _caller_limits(settings: gateway_settings.GatewaySettings) -> http_server.HttpLimits:
+    connections = entry_load.max_connections(settings, CALLER_LIMITS.connections)
+    return dataclasses.replace(CALLER_LIMITS, connections=connections)
+
+
 def _make_link(settings: gateway_settings.GatewaySettings) -> link.Link:
     return link.Link(
         identity=settings.entry_id,
--- a/tests/routed/test_entry_load.py
+++ b/tests/routed/test_entry_load.py
@@ -27,24 +27,16 @@
     return load.record(entry_load.Sample(STEP_S, **QUIET | changes), now)
 
 
-def _replay(load, rate_at, *, seconds, start_s=0.0, requests=20):
-    """Replay arrivals on a host that carries 20 requests a second; return them by tier and result.
-
-    Args:
-        load: The load of the host.
-        rate_at: Function from time to arrivals a second.
-        seconds: Length of the replay.
-        start_s: Time at which it starts.
-        requests: Requests in progress.
-    """
+def _replay(load, rate, *, seconds, start_s=0.0):
+    """Replay arrivals on a host that carries 20 a second; return them by tier and result."""
     draw = random.Random(7)
     results = collections.Counter()
     for step in range(round(seconds / STEP_S)):
         now = start_s + step * STEP_S
         step_results = collections.Counter()
-        for _ in range(round(rate_at(now) * STEP_S)):
+        for _ in range(round(rate * STEP_S)):
             tier = draw.choice((0, 1, 1, 2, 2))
-            cause = load.refusal_cause(tier, requests)
+            cause = load.refusal_cause(tier, 20)
             step_results[tier, cause is None] += 1
         results += step_results
         for tier in (0, 1):
@@ -52,7 +44,7 @@
             assert not step_results[tier, False] or step_results[2, True] <= 1
         admitted = sum(step_results[tier, True] for tier in (0, 1, 2))
         used = 0.387 * min(admitted / 20.0, STEP_S)
-        _record(load, now + STEP_S, processor_s=used, requests=requests)
+        _record(load, now + STEP_S, processor_s=used)
     return results
 
 
@@ -99,10 +91,10 @@
 # processor for seconds, and in bursts of the usual length.
 def test_nothing_is_refused_after_a_start_or_in_a_short_burst(make_load):
     load = make_load()
-    results = _replay(load, lambda now: 60.0, seconds=entry_load.WARM_UP_S)
-    results += _replay(load, lambda now: 12.0, seconds=20.0, start_s=10.0)
-    results += _replay(load, lambda now: 60.0, seconds=entry_load.SUSTAINED_S, start_s=30.0)
-    results += _replay(load, lambda now: 14.0, seconds=60.0, start_s=34.0)
+    results = _replay(load, 60.0, seconds=entry_load.WARM_UP_S)
+    results += _replay(load, 12.0, seconds=20.0, start_s=10.0)
+    results += _replay(load, 60.0, seconds=entry_load.SUSTAINED_S, start_s=30.0)
+    results += _replay(load, 14.0, seconds=60.0, start_s=34.0)
     assert _refused(results) == {}
 
 
@@ -111,17 +103,17 @@
 @pytest.mark.parametrize("rate", [26.0, 40.0])
 def test_a_sustained_overload_refuses_the_lowest_tiers_first(make_load, rate):
     load = make_load()
-    _replay(load, lambda now: 10.0, seconds=12.0)
-    _replay(load, lambda now: rate, seconds=20.0, start_s=12.0)
-    results = _replay(load, lambda now: rate, seconds=30.0, start_s=32.0)
+    _replay(load, 10.0, seconds=12.0)
+    _replay(load, rate, seconds=20.0, start_s=12.0)
+    results = _replay(load, rate, seconds=30.0, start_s=32.0)
     refused = _refused(results)
     assert refused.get(0, 0) == 0
     assert refused[2] > 0
     admitted = sum(count for (_, is_admitted), count in results.items() if is_admitted)
     assert 0.65 * 20.0 * 30.0 <= admitted <= 20.0 * 30.0
-    after = _replay(load, lambda now: 10.0, seconds=20.0, start_s=62.0)
+    after = _replay(load, 10.0, seconds=20.0, start_s=62.0)
     assert _refused(after).get(0, 0) == 0
-    assert _refused(_replay(load, lambda now: 10.0, seconds=20.0, start_s=82.0)) == {}
+    assert _refused(_replay(load, 10.0, seconds=20.0, start_s=82.0)) == {}
 
 
 # Guards against: a process that is killed because its requests exceed its memory.
@@ -135,9 +127,11 @@
     assert len(set(limits)) == 4
     memory_bytes = entry_load.BASE_MB * 1e6 + limits[0] * entry_load.REQUEST_BYTES
     assert memory_bytes <= 160e6
-    # All requests that a starting host holds fit.
+    # All requests that a starting host holds fit, and descriptors remain for upstreams.
     assert limits[-1] >= 400
     assert not load.must_check(limits[-1] // 2)
+    settings = gateway_settings.GatewaySettings("e", "z", "", "", 1, 2, (), max_descriptors=1638)
+    assert entry_load.max_connections(settings, 4096) == 1228
 
 
 # Guards against: a host without stated sizes that refuses requests.
--- a/tests/routed/test_entry_overload.py
+++ b/tests/routed/test_entry_overload.py
@@ -3,8 +3,8 @@
 import json
 
 import curio
+import pytest
 
-from medlarfork.gateway import entry_load
 from tests import curio_world
 from tests.routed import routed_harness
 
@@ -20,15 +20,10 @@
         return await curio.timeout_after(2.0, caller.recv, 4096)
 
 
-async def _ask_entry_hosts(deployment):
-    status, body = await deployment.ask_control(0, "GET", "/v1/entry-hosts")
-    assert status == 200
-    return json.loads(body)["hosts"]
-
-
 # Guards against: a host that reads more bodies than its memory holds, and one that is overloaded
 # without its replicas, its log and its metrics saying so.
-def test_a_full_host_refuses_before_it_reads_the_body(tmp_path, caplog):
+@pytest.mark.parametrize(("tier", "room"), [(0, 16), (9, 12)])
+def test_a_full_host_refuses_before_it_reads_the_body(tmp_path, caplog, tier, room):
     async def main(deployment):
         released = curio.Event()
 
@@ -38,31 +33,34 @@
 
         await deployment.entry.close()
         await deployment.start_entry(**SIZES)
-        for _ in range(entry_load.MIN_REQUESTS):
+        for _ in range(4):
             await deployment.add_upstream(answer_when_released)
-        await deployment.put_routing(timeout_ms=8000)
-        await deployment.until_upstreams(entry_load.MIN_REQUESTS)
-        calls = [await curio.spawn(deployment.call) for _ in range(entry_load.MIN_REQUESTS)]
-        await curio_world.until(
-            lambda: deployment.entry._server.exchanges == entry_load.MIN_REQUESTS
-        )
+        await deployment.put_routing(timeout_ms=8000, tier=tier)
+        await deployment.until_upstreams(4)
+        calls = [await curio.spawn(deployment.call) for _ in range(room)]
+        await curio_world.until(lambda: deployment.entry._server.exchanges == room)
         response = (await _send_head(deployment, 70_000)).decode().lower()
         assert response.startswith("http/1.1 503")
         assert "connection: close" in response
         assert "retry-after: 0.100" in response
-        await curio_world.until(lambda: deployment.entry._sampler.load.is_overloaded)
-        await curio.sleep(0.1)
-        (host,) = await _ask_entry_hosts(deployment)
-        assert (host["capacity"], host["is_overloaded"], host["weight"]) == (1.25, True, 1.0)
+        load = deployment.entry._sampler.load
+        await curio_world.until(lambda: load.utilisation == room / 16)
+        host = {"utilisation": 0.0}
+        while host["utilisation"] != room / 16:
+            _, body = await deployment.ask_control(0, "GET", "/v1/entry-hosts")
+            (host,) = json.loads(body)["hosts"]
+            await curio.sleep(0.05)
+        assert (host["capacity"], host["weight"]) == (1.25, 1.0)
+        assert host["is_overloaded"] == load.is_overloaded == (room == 16)
         await released.set()
         assert [(await call.join()).status for call in calls] == [200] * len(calls)
-        await curio_world.until(lambda: not deployment.entry._sampler.load.is_overloaded)
+        await curio_world.until(lambda: load.utilisation < 0.7)
         assert (await deployment.call()).status == 200
         rendered = deployment.entry._metrics.process._render().decode()
         assert "medlar_entry_utilisation " in rendered
-        assert 'medlar_entry_refused_total{cause="requests",tier="0"} 1.0' in rendered
+        assert f'medlar_entry_refused_total{{cause="requests",tier="{tier}"}} 1.0' in rendered
 
     with caplog.at_level("INFO"):
         routed_harness.run(tmp_path, main)
     changes = [record for record in caplog.records if "entry_overloaded" in record.getMessage()]
-    assert len(changes) == 2
+    assert len(changes) == (2 if room == 16 else 0)
