--- a/src/medlarfork/coordination/coordination_messages.py
+++ b/src/medlarfork/coordination/coordination_messages.py
@@ -9,6 +9,13 @@
 
 from medlarfork.coordination import status_period, upstream_types
 
+OVERLOADED_FROM = 0.9
+"""Utilisation from which an entry host counts as overloaded."""
+
+OVERLOADED_UNTIL = 0.7
+"""Utilisation below which an overloaded host no longer counts as overloaded. The gap keeps a host
+from returning to the directory as soon as the first callers have left it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryStatus:
@@ -21,6 +28,8 @@
         routing_version: The version of the routing in force there.
         view_boot: The boot id of the replica whose view the entry host holds; 0 for none.
         view_sequence: The last change of that view that it applied.
+        capacity: Relative capacity of the entry host, from its settings; 0 if not stated.
+        utilisation: Fraction of that capacity in use; above 1 if it can't carry its load.
     """
 
     address: str
@@ -29,6 +38,8 @@
     routing_version: int
     view_boot: int
     view_sequence: int
+    capacity: float = 0.0
+    utilisation: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,3 +141,8 @@
     GossipReceipt,
 )
 """All message classes of this module, for the codec of the links."""
+
+
+def is_overloaded(utilisation: float, *, before: bool) -> bool:
+    """Return whether a host with this utilisation is overloaded, given whether it was before."""
+    return utilisation >= (OVERLOADED_UNTIL if before else OVERLOADED_FROM)
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import logging
 import signal
 import socket
@@ -20,9 +21,11 @@
 from medlarfork.gateway import (
     backpressure_tracker,
     crash_tracker,
+    entry_load,
     entry_session,
     gateway_metrics,
     gateway_settings,
+    load_sampler,
     owner_client,
     request_handler,
     request_header_names,
@@ -109,9 +112,10 @@
             "Requests that wait at this host for a slot of its share, without an owner.",
             lambda: self._owner.local_waiting,
         )
+        self._sampler = self._make_sampler() if entry_load.states_size(settings) else None
         self._handler = self._make_handler(names)
         self._server = http_server.create_server(
-            self._handler.handle, settings.serve, CALLER_LIMITS, listening_socket
+            self._handler.handle, settings.serve, _caller_limits(settings), listening_socket
         )
         self._health = (
             http_server.create_server(self._serve_health, settings.health)
@@ -135,6 +139,8 @@
             await self._health.start()
         await self._tasks.spawn(self._receive)
         await self._tasks.spawn(self._run_periodic_tasks)
+        if self._sampler is not None:
+            await self._tasks.spawn(self._sampler.run)
         if self._usage is not None:
             await self._tasks.spawn(self._usage.report_periodically, self._session)
         logs.event(_log, "started", entry=self._settings.entry_id, serve=self._settings.serve)
@@ -184,8 +190,18 @@
             usage=self._usage or request_types.NullUsageRecorder(),
             rules=self._settings.budget,
             metrics=self._metrics,
+            sampler=self._sampler,
         )
 
+    def _make_sampler(self) -> load_sampler.LoadSampler:
+        sampler = load_sampler.LoadSampler(
+            self._settings,
+            read_requests=lambda: self._server.exchanges,
+            on_change=lambda: self._send_status(self._session.replicas),
+        )
+        self._metrics.observe_utilisation(lambda: sampler.load.utilisation)
+        return sampler
+
     def _make_usage_reporter(self) -> usage_reporter.UsageReporter:
         # Imported only where usage is reported: it makes the start-up slower.
         from medlarfork.gateway import usage_reporter
@@ -277,12 +293,15 @@
             await curio.sleep(self._session.status_period_s(now - started_at))
 
     def _send_status(self, replica_ids: tuple[str, ...]) -> None:
+        load = None if self._sampler is None else self._sampler.load
         for replica_id in replica_ids:
             status = self._session.status_for(
                 replica_id,
                 address=self._settings.serve,
                 zone=self._settings.zone,
                 is_ready=self.is_ready,
+                capacity=0.0 if load is None else load.capacity,
+                utilisation=0.0 if load is None else load.utilisation,
             )
             self._link.send(replica_id, status)
 
@@ -318,6 +337,11 @@
         }
 
 
+def _caller_limits(settings: gateway_settings.GatewaySettings) -> http_server.HttpLimits:
+    connections = entry_load.max_connections(settings, CALLER_LIMITS.connections)
+    return dataclasses.replace(CALLER_LIMITS, connections=connections)
+
+
 def _make_link(settings: gateway_settings.GatewaySettings) -> link.Link:
     return link.Link(
         identity=settings.entry_id,
--- a/src/medlarfork/metrics/process_metrics.py
+++ b/src/medlarfork/metrics/process_metrics.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import curio
@@ -46,6 +47,7 @@
         self._tallies: list[tuple[str, str, tally.Tally]] = []
         self._gauges: list[tuple[str, str, gauges.ReadGauge]] = []
         self._timings: list[timing.Timing] = []
+        self._gauges: list[tuple[str, str, Callable[[], float]]] = []
         self._sdk: sdk_metrics.SdkMetrics | None = None
         self._loading = threading.Lock()
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -48,6 +48,7 @@
     "coordination.backpressure_manager",
     "placement.limit_share",
     "gateway.retry_policy",
+    "gateway.entry_load",
     "gateway.entry_session",
     "gateway.event_framer",
     "gateway.request_metadata",
