Placement: relative times of upstreams and planning for reported slow moments

Engines of one service differ in speed and share their machines, so urgent streams on slow engines were late although their first events were early. Each incarnation gets a factor from its own latencies; gaps are planned for a high quantile of the slowdowns that upstreams report. Until one reports a slowdown, decisions are as before.

--- a/src/medlarfork/placement/engine_estimator.py
+++ b/src/medlarfork/placement/engine_estimator.py
@@ -96,6 +96,7 @@
         step_ms: Duration of a step without prefill, in milliseconds.
         fixed_ms: Time to first event without prefill, in milliseconds.
         has_measured: Whether the rate comes from this owner's own observations.
+        has_measured_gaps: Whether the step time does.
     """
 
     def __init__(self) -> None:
@@ -105,6 +106,7 @@
         self.step_ms = DEFAULT_STEP_MS
         self.fixed_ms = DEFAULT_FIXED_MS
         self.has_measured = False
+        self.has_measured_gaps = False
         self._ms_per_token = _Samples(_RATE_QUANTILE)
         self._fixed = _Samples(_FIXED_QUANTILE)
         self._typical_gap = _Samples(_TYPICAL_GAP_QUANTILE)
@@ -139,15 +141,22 @@
         """
         return event_tokens * (self.chunk_ms + self.step_ms)
 
-    def observe_first_event(self, tokens: int, after_ms: float) -> None:
-        """Record the time to first event of a run whose prefill started immediately."""
+    def observe_first_event(self, tokens: int, after_ms: float, relative_time: float = 1.0) -> None:
+        """Record the time to first event of a run whose prefill started immediately.
+
+        Args:
+            tokens: Tokens that were prefilled.
+            after_ms: The time to first event, in milliseconds.
+            relative_time: How much longer work took there than is usual in the service.
+        """
         if tokens <= MAX_FIXED_TOKENS:
-            fixed_ms = self._fixed.add(max(0.0, after_ms - tokens / self.tokens_per_ms))
+            prefill_ms = tokens / self.tokens_per_ms * relative_time
+            fixed_ms = self._fixed.add(max(0.0, after_ms - prefill_ms))
             self.fixed_ms = self.fixed_ms if fixed_ms is None else fixed_ms
             return
         if tokens < MIN_RATE_TOKENS or after_ms <= self.fixed_ms:
             return
-        ms_per_token = self._ms_per_token.add((after_ms - self.fixed_ms) / tokens)
+        ms_per_token = self._ms_per_token.add((after_ms - self.fixed_ms) / tokens / relative_time)
         if ms_per_token is not None:
             self.tokens_per_ms = _within(1.0 / ms_per_token, _RATE_BOUNDS)
             self.has_measured = True
@@ -157,6 +166,8 @@
         gaps: placement_messages.InterEventGaps,
         concurrent_prefill_ms: float,
         event_tokens: int,
+        relative_time: float = 1.0,
+        longest_relative_time: float = 1.0,
     ) -> None:
         """Record the inter-event gaps of a complete stream.
 
@@ -165,14 +176,18 @@
             concurrent_prefill_ms: Largest predicted prefill backlog beside the stream, in
                 milliseconds.
             event_tokens: Tokens in an event.
+            relative_time: How much longer work took there than is usual in the service.
+            longest_relative_time: The same during the slowest moment of the stream.
         """
-        usual_ms = self._typical_gap.add(gaps.usual_ms)
+        usual_ms = self._typical_gap.add(gaps.usual_ms / relative_time)
+        longest_gap_ms = gaps.longest_ms / longest_relative_time
         if usual_ms is not None:
+            self.has_measured_gaps = True
             self.step_ms = usual_ms / event_tokens
         is_saturated = gaps.longest_ms < _SATURATED_SHARE * concurrent_prefill_ms
-        if not is_saturated and gaps.longest_ms <= self.max_gap_ms(event_tokens):
+        if not is_saturated and longest_gap_ms <= self.max_gap_ms(event_tokens):
             return
-        longest_ms = self._longest_gap.add(gaps.longest_ms)
+        longest_ms = self._longest_gap.add(longest_gap_ms)
         if longest_ms is not None:
             prefill_ms = max(0.0, longest_ms / event_tokens - self.step_ms)
             self.chunk_tokens = _within(prefill_ms * self.tokens_per_ms, _CHUNK_BOUNDS)
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -15,6 +15,7 @@
     placement_decision,
     placement_messages,
     shard_owner,
+    shard_speeds,
 )
 from medlarfork.routes import routing
 
@@ -27,6 +28,21 @@
 """Answers after which no state of the request is kept."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardSummary:
+    """State of one shard, for operators.
+
+    Attributes:
+        service: The service of the shard.
+        index: Number of the shard.
+        upstreams: Its upstreams.
+    """
+
+    service: str
+    index: int
+    upstreams: tuple[shard_speeds.UpstreamSummary, ...]
+
+
 class PlacementOwner:
     """Keep one owner per shard and pass each message to it. Pure: no I/O, no clock."""
 
@@ -93,6 +109,7 @@
                 owner = self._owner(shard, now)
                 if estimate is not None:
                     owner.estimator.adopt(estimate)
+                owner.adopt_speeds(message.speeds, now)
                 return self._sends(owner.release_entry(entry_id, now))
             case placement_messages.StillRunning(request):
                 self._shard_by_ticket[request.ticket_id] = request.target_shard
@@ -118,6 +135,13 @@
             for service in prefill_ms
         )
 
+    def shards(self, now: float) -> tuple[ShardSummary, ...]:
+        """Return the state of the shards that entry hosts use this replica for, for operators."""
+        return tuple(
+            ShardSummary(shard.service, shard.index, owner.upstreams(now))
+            for shard, owner in tuple(self._owner_by_shard.items())
+        )
+
     def on_time(self, now: float) -> tuple[node.Send, ...]:
         """Start queued requests that can start now, and refuse those that have expired."""
         answers: list[placement_decision.Decision] = []
--- a/src/medlarfork/placement/placement_cost.py
+++ b/src/medlarfork/placement/placement_cost.py
@@ -55,6 +55,9 @@
 on the engines with the most of them, and once there are fewer, the other engines are free for
 long prompts again; spread over all engines, tight streams kept long prompts from every one."""
 
+OWN_GAP_COST = 1.0
+"""Cost of placing a stream where its own gaps would be too long: that of a late request."""
+
 RUNNING_REQUEST_COST = 0.0002
 """Cost of each request that already runs on the upstream: each one slows the engine's steps a
 little."""
@@ -102,6 +105,33 @@
         """Return the allowed gap up to which streams can be made late by prefill."""
         return self.max_gap_ms / TIGHT_GAP_SHARE
 
+    def scaled(self, gap_time: float) -> PrefillModel:
+        """Return the model of an upstream whose gaps take so many times as long."""
+        return PrefillModel(
+            self.tokens_per_ms, self.max_gap_ms * gap_time, self.idle_gap_ms * gap_time
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelativeTime:
+    """How much longer work takes on one upstream than is usual in its service.
+
+    Attributes:
+        prefill: The same for prefill that starts now.
+        gap: The same for the gaps of streams, in the slow moments that they are planned for.
+        moment: How much longer work takes in these moments than now.
+        unknown_runs: Runs there that the owner does not know of.
+    """
+
+    prefill: float
+    gap: float
+    moment: float = 1.0
+    unknown_runs: float = 0.0
+
+
+USUAL_TIME = RelativeTime(1.0, 1.0)
+"""The relative time of upstreams whose machines are not known to be shared."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefixSource:
@@ -171,19 +201,29 @@
     load: upstream_load.UpstreamLoad,
     request: placement_messages.PlaceRequest,
     inputs: CostInputs,
+    relative: RelativeTime | None = None,
 ) -> Cost:
-    """Return the cost of placing the request on this upstream."""
-    prefill_model = inputs.prefill_model
+    """Return the cost of placing the request on this upstream.
+
+    Args:
+        load: The upstream.
+        request: The placement request.
+        inputs: What is the same for all upstreams.
+        relative: The upstream's relative time; None if the machines are not known to be shared.
+    """
+    time = relative or USUAL_TIME
+    prefill_model = inputs.prefill_model.scaled(time.gap) if relative else inputs.prefill_model
     cached_tokens = load.cache.cached_tokens(request.parts)
     fetched_tokens = _fetched_tokens(cached_tokens, inputs.prefix_source)
     prefill_tokens = inputs.prompt_tokens - cached_tokens - fetched_tokens
     prefill_ms = (
-        prefill_tokens / prefill_model.tokens_per_ms
+        prefill_tokens / prefill_model.tokens_per_ms * time.prefill
         + fetched_tokens * inputs.prefix_source.ms_per_token
     )
     backlog_ms = load.backlog_ms(inputs.now)
     cooldown_ms = load.cooldown_ms(inputs.now) if prefill_ms > LONG_PREFILL_MS else 0.0
-    concurrent_prefill_ms = load.concurrent_prefill_ms(inputs.now) + prefill_ms
+    earlier_prefill_ms = load.concurrent_prefill_ms(inputs.now)
+    concurrent_prefill_ms = (earlier_prefill_ms + prefill_ms) * time.moment
     harm = _harm(
         load, min(concurrent_prefill_ms + prefill_model.idle_gap_ms, prefill_model.max_gap_ms)
     )
@@ -192,36 +232,47 @@
     )
     total += PREFILL_COST * prefill_ms
     recomputed_tokens = 0
-    if fetched_tokens:
-        total += FETCH_COST * fetched_tokens
-    else:
+    if not fetched_tokens:
         recomputed_tokens = load.cache.recomputed_tokens(request.parts, inputs.cached_elsewhere)
-        total += RECOMPUTE_COST * recomputed_tokens
-    if 0 < request.gap_ms <= prefill_model.tight_gap_ms:
-        total += max(
-            0.0,
-            FIRST_TIGHT_STREAM_COST
-            - TIGHT_STREAM_DISCOUNT * load.tight_stream_count(prefill_model.tight_gap_ms),
+    total += FETCH_COST * fetched_tokens + RECOMPUTE_COST * recomputed_tokens
+    total += _tight_stream_cost(load, request, prefill_model)
+    if relative and request.gap_ms > 0:
+        own_gap_ms = earlier_prefill_ms * time.moment + prefill_model.idle_gap_ms
+        total += OWN_GAP_COST * _late_share(
+            min(own_gap_ms, prefill_model.max_gap_ms), request.gap_ms
         )
-    total += (TRIAL_NEIGHBOUR_COST if request.trial_key else RUNNING_REQUEST_COST) * len(
-        load.run_by_ticket
-    )
+    total = _add_sharing_cost(total, load, request, time.unknown_runs)
+    fetch_from = inputs.prefix_source.address if fetched_tokens else ""
+    pending_tokens = cached_tokens - load.fetchable_tokens(request.parts)
+    figures = (backlog_ms, cooldown_ms, prefill_ms, prefill_tokens, fetch_from, recomputed_tokens)
+    return Cost(total, harm, *figures, pending_tokens)
+
+
+def _tight_stream_cost(
+    load: upstream_load.UpstreamLoad,
+    request: placement_messages.PlaceRequest,
+    prefill_model: PrefillModel,
+) -> float:
+    """Return the cost of a tight stream, which long prompts must avoid; 0 for other requests."""
+    if not 0 < request.gap_ms <= prefill_model.tight_gap_ms:
+        return 0.0
+    count = load.tight_stream_count(prefill_model.tight_gap_ms)
+    return max(0.0, FIRST_TIGHT_STREAM_COST - TIGHT_STREAM_DISCOUNT * count)
+
+
+def _add_sharing_cost(
+    total: float,
+    load: upstream_load.UpstreamLoad,
+    request: placement_messages.PlaceRequest,
+    unknown_runs: float,
+) -> float:
+    """Add the cost of the upstream's other runs, its failures and its distance."""
+    run_cost = TRIAL_NEIGHBOUR_COST if request.trial_key else RUNNING_REQUEST_COST
+    total += run_cost * (len(load.run_by_ticket) + unknown_runs)
     total += FAILURE_COST * load.failure_rate
     if request.zone != load.announcement.zone:
         total += OTHER_DATA_CENTRE_COST
-    fetch_from = inputs.prefix_source.address if fetched_tokens else ""
-    pending_tokens = cached_tokens - load.fetchable_tokens(request.parts)
-    return Cost(
-        total,
-        harm,
-        backlog_ms,
-        cooldown_ms,
-        prefill_ms,
-        prefill_tokens,
-        fetch_from,
-        recomputed_tokens,
-        pending_tokens,
-    )
+    return total
 
 
 def _fetched_tokens(cached_tokens: int, prefix_source: PrefixSource) -> int:
@@ -247,6 +298,11 @@
     """Return the expected number of streams there that a gap would make late."""
     harm = 0.0
     for gap_ms, count in load.streams_by_gap_ms.items():
-        excess = (max_gap_ms / gap_ms - SAFE_GAP_SHARE) / (LATE_GAP_SHARE - SAFE_GAP_SHARE)
-        harm += count * min(1.0, max(0.0, excess))
+        harm += count * _late_share(max_gap_ms, gap_ms)
     return harm
+
+
+def _late_share(gap_ms: float, allowed_ms: float) -> float:
+    """Return the probability that a predicted gap makes a stream late."""
+    excess = (gap_ms / allowed_ms - SAFE_GAP_SHARE) / (LATE_GAP_SHARE - SAFE_GAP_SHARE)
+    return min(1.0, max(0.0, excess))
--- a/src/medlarfork/placement/placement_decision.py
+++ b/src/medlarfork/placement/placement_decision.py
@@ -18,6 +18,8 @@
         candidates: Number of upstreams that could be used.
         tokens_per_ms: The assumed prefill rate.
         max_gap_ms: The assumed longest inter-event gap of a stream during prefill.
+        speed: The upstream's relative time factor; None unless its service reports slowdowns.
+        slowdown: The upstream's momentary slowdown; None as above.
     """
 
     waited_ms: float
@@ -26,6 +28,8 @@
     candidates: int
     tokens_per_ms: float
     max_gap_ms: float = 0.0
+    speed: float | None = None
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -10,6 +10,7 @@
     admission_policy,
     placement_decision,
     placement_messages,
+    shard_speeds,
     spillover,
     upstream_chooser,
     upstream_load,
@@ -52,6 +53,7 @@
         self.estimator = self._chooser.estimator
         self.load_by_id = self._chooser.load_by_id
         self.gate = self._chooser.gate
+        self._speeds = self._chooser.speeds
         self._forecast = wait_forecast.WaitForecast(self._queue)
         self._busy_shards = spillover.BusyShards()
         self._passed_at = -math.inf
@@ -131,7 +133,7 @@
             return placement_messages.Queued(ticket_id)
         for upstream_id, load in self.load_by_id.items():
             if ticket_id in load.run_by_ticket:
-                return placement_messages.Placed(ticket_id, upstream_id)
+                return placement_messages.Placed(ticket_id, upstream_id, speed=load.speed.factor)
         return None
 
     def on_first_event(self, message: placement_messages.FirstEvent, now: float) -> None:
@@ -143,8 +145,8 @@
             started_run = load.record_first_event(
                 message.ticket_id, admission_policy.prefill_cooldown_ms(run.prefill_ms), now
             )
-            if started_run is not None and started_run.is_rate_sample:
-                self.estimator.observe_first_event(started_run.prefill_tokens, message.after_ms)
+            if started_run is not None:
+                self._speeds.record_first_event(load, started_run, message, now)
 
     def on_ended(
         self, message: placement_messages.RunEnded, now: float
@@ -152,12 +154,11 @@
         """Release the slot of a run that ended, or remove a withdrawn request from the queue."""
         self._queue.remove(message.ticket_id)
         for load in self.load_by_id.values():
+            self._speeds.record_end(load, message, now)
             run = load.end(message.ticket_id, message.end, now)
             if run is not None and message.pauses is not None:
                 event_tokens = self._chooser.event_tokens
-                self.estimator.observe_gaps(
-                    message.pauses, run.max_concurrent_prefill_ms, event_tokens
-                )
+                self._speeds.record_gaps(load, run, message.pauses, event_tokens, now)
         return self.serve_due(now)
 
     def serve_due(self, now: float) -> tuple[placement_decision.Decision, ...]:
@@ -178,13 +179,23 @@
             entry_id,
             message.request,
             prefill_tokens,
-            prefill_tokens / self.estimator.tokens_per_ms,
+            prefill_tokens / self.estimator.tokens_per_ms * load.speed.factor,
             is_rate_sample=False,
             has_started=message.has_begun,
             deadline=now + message.request.left_ms / 1000.0,
         )
         load.add(run, now)
 
+    def adopt_speeds(
+        self, speeds: tuple[placement_messages.UpstreamSpeed, ...], now: float
+    ) -> None:
+        """Start from the relative times that an earlier owner told an entry host."""
+        self._speeds.adopt(speeds, self.load_by_id, now)
+
+    def upstreams(self, now: float) -> tuple[shard_speeds.UpstreamSummary, ...]:
+        """Return the state of each upstream, for operators."""
+        return tuple(self._speeds.summary(load, now) for load in tuple(self.load_by_id.values()))
+
     def release_entry(self, entry_id: str, now: float) -> tuple[placement_decision.Decision, ...]:
         """Release everything of a lost entry host, whose upstream connections are gone with it."""
         self._queue.remove_entry(entry_id)
@@ -209,6 +220,7 @@
         for upstream_id, load in tuple(self.load_by_id.items()):
             if load.is_gone(now):
                 del self.load_by_id[upstream_id]
+        self._speeds.forget_old(now)
         return overdue
 
     def serve_waiting(self, now: float) -> tuple[placement_decision.Decision, ...]:
@@ -313,7 +325,9 @@
             load.announcement.upstream_id,
             cost.fetch_from,
             self.estimator.estimate if self.estimator.has_measured else None,
+            load.speed.factor,
         )
+        shares_machines = self._speeds.is_active
         decision_inputs = placement_decision.DecisionInputs(
             waited_ms=(now - waiting.queued_at) * 1000.0,
             cost=cost,
@@ -321,16 +335,17 @@
             candidates=len(self._chooser.present),
             tokens_per_ms=self.estimator.tokens_per_ms,
             max_gap_ms=self.estimator.max_gap_ms(self._chooser.event_tokens),
+            speed=load.speed.factor if shares_machines else None,
+            slowdown=load.speed.slowdown(now) if shares_machines else None,
         )
         return placement_decision.Decision(waiting.entry_id, placed, decision_inputs)
 
     def _predicted_wait_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
         """Return how long a new request would wait, in milliseconds."""
         present = self._chooser.present
-        tight_gap_ms = self._chooser.prefill_model().tight_gap_ms
         return self._forecast.wait_ms(
             waiting,
-            unconstrained_engines=sum(not load.has_tight_stream(tight_gap_ms) for load in present),
+            unconstrained_engines=self._chooser.unconstrained_engines(),
             backlog_ms=min((load.backlog_ms(now) for load in present), default=0.0),
             now=now,
         )
--- /dev/null
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -0,0 +1,251 @@
+"""Relative times of the upstreams of one shard, once one of them reports momentary slowdowns. Pure.
+
+It handles urgent streams beside long prompts on engines that differ in speed and share their
+machines with other workloads. Each engine gets its own factor, and the gaps of streams are planned
+for the slow moments that they are likely to meet. Until an upstream reports a slowdown, machines
+count as not shared: every factor is 1 and nothing that upstreams report is used.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from medlarfork.placement import (
+    engine_estimator,
+    placement_cost,
+    placement_messages,
+    reported_load,
+    upstream_load,
+    upstream_speed,
+)
+
+PLANNED_QUANTILE = 0.95
+"""Quantile of the reported slowdowns that gaps are planned for. Streams live two to three times as
+long as a slow moment lasts, so one in six meets a slowdown that 5 in 100 moments have."""
+
+SAMPLE_PERIOD_S = 0.3
+"""Shortest interval between two reports of one upstream that count in the quantile, in seconds:
+half a slow moment. Otherwise upstreams with many requests would count for more."""
+
+MAX_REPORTS = 512
+"""Reports that the quantile is computed from: 13 s of 12 upstreams."""
+
+REPORT_RETENTION_S = 60.0
+"""Age at which reports no longer count in the quantile, in seconds."""
+
+MAX_ADOPTED = 64
+"""Factors from earlier owners that are kept for upstreams that are not known yet; shards have at
+most 12."""
+
+MAX_GAP_PREFILL_MS = placement_cost.LONG_PREFILL_MS
+"""Prefill beside a stream up to which its gaps are those of the engine alone, in milliseconds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamSummary:
+    """What the owner knows of one upstream, for operators.
+
+    Attributes:
+        upstream_id: The incarnation.
+        factor: Its relative time; 1 is usual.
+        samples: Samples that the factor is learnt from.
+        slowdown: Its momentary slowdown now; 1 is usual.
+        trust: How far latencies confirm the slowdowns that it reports; 0 to 1.
+        running: Runs that the owner knows of.
+        unknown_runs: Runs that the owner does not know of, discounted with their report's age.
+        reported: What it reported last; None if it has reported nothing.
+        report_age_s: Age of that report, in seconds; None without a report.
+        slow_for_s: Time since its factor became slow, in seconds; None if it is not.
+    """
+
+    upstream_id: str
+    factor: float
+    samples: int
+    slowdown: float
+    trust: float
+    running: int
+    unknown_runs: float
+    reported: reported_load.ReportedLoad | None
+    report_age_s: float | None
+    slow_for_s: float | None
+
+
+class ShardSpeeds:
+    """Feed the estimates of a shard and return relative times; callers pass the time, in seconds.
+
+    Attributes:
+        is_active: Whether machines are known to be shared.
+        planned_slowdown: The slowdown that gaps are planned for.
+    """
+
+    def __init__(self, estimator: engine_estimator.EngineEstimator) -> None:
+        """Start inactive; ``estimator`` estimates the usual times of the service."""
+        self.is_active = False
+        self.planned_slowdown = 1.0
+        self._estimator = estimator
+        self._reports: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=MAX_REPORTS
+        )
+        self._adopted_by_id: dict[str, list[float]] = {}
+
+    def relative_time(
+        self, load: upstream_load.UpstreamLoad, now: float
+    ) -> placement_cost.RelativeTime | None:
+        """Return the relative time of an upstream; None while inactive."""
+        if not self.is_active:
+            return None
+        slowdown = load.speed.slowdown(now)
+        planned = max(self.planned_slowdown, slowdown)
+        factor = load.speed.factor
+        return placement_cost.RelativeTime(
+            prefill=factor * slowdown,
+            gap=factor * planned,
+            moment=planned / slowdown,
+            unknown_runs=load.speed.unknown_runs(now),
+        )
+
+    def gap_time(self, load: upstream_load.UpstreamLoad) -> float:
+        """Return how much longer than usual the gaps are that streams there are planned for."""
+        return load.speed.factor * self.planned_slowdown if self.is_active else 1.0
+
+    def adopt(
+        self,
+        speeds: tuple[placement_messages.UpstreamSpeed, ...],
+        load_by_id: dict[str, upstream_load.UpstreamLoad],
+        now: float,
+    ) -> None:
+        """Start from the factors that an earlier owner told an entry host."""
+        for speed in speeds:
+            self.is_active |= speed.factor != 1.0
+            load = load_by_id.get(speed.upstream_id)
+            if load is not None:
+                load.speed.adopt(speed.factor, now)
+            elif speed.upstream_id in self._adopted_by_id or len(self._adopted_by_id) < MAX_ADOPTED:
+                self._adopted_by_id.setdefault(speed.upstream_id, [])[:] = [speed.factor, now]
+
+    def add_upstream(self, load: upstream_load.UpstreamLoad) -> None:
+        """Apply the factor that was adopted before the upstream was known, if any."""
+        adopted = self._adopted_by_id.pop(load.announcement.upstream_id, None)
+        if adopted is not None:
+            load.speed.adopt(*adopted)
+
+    def record_report(
+        self,
+        load: upstream_load.UpstreamLoad,
+        report: reported_load.ReportedLoad | None,
+        now: float,
+    ) -> None:
+        """Record what an upstream reported, while the run that it came with still counts there."""
+        if report is None:
+            return
+        self.is_active |= report.slowdown is not None
+        if not self.is_active:
+            return
+        slowdown = load.speed.record_report(report, len(load.run_by_ticket), now)
+        for run in load.run_by_ticket.values():
+            if run.has_started:
+                run.max_slowdown = max(run.max_slowdown, slowdown)
+                run.min_slowdown = min(run.min_slowdown, slowdown)
+        if report.slowdown is not None and now - load.speed.sampled_at >= SAMPLE_PERIOD_S:
+            load.speed.sampled_at = now
+            self._reports.append((now, slowdown))
+            self._plan()
+
+    def record_first_event(
+        self,
+        load: upstream_load.UpstreamLoad,
+        run: upstream_load.Run,
+        message: placement_messages.FirstEvent,
+        now: float,
+    ) -> None:
+        """Learn from the time to first event of a run that has just started."""
+        self.record_report(load, message.load, now)
+        if not self.is_active:
+            if run.is_rate_sample:
+                self._estimator.observe_first_event(run.prefill_tokens, message.after_ms)
+            return
+        run.slowdown = None if message.load is None else message.load.slowdown
+        if not run.is_rate_sample:
+            return
+        estimator, speed, tokens = self._estimator, load.speed, run.prefill_tokens
+        slowdown = speed.slowdown(now)
+        prefill_ms = message.after_ms - estimator.fixed_ms
+        if estimator.has_measured and tokens >= engine_estimator.MIN_RATE_TOKENS and prefill_ms > 0:
+            token_ms, usual_ms = prefill_ms / tokens, 1.0 / estimator.tokens_per_ms
+            speed.check_report(run.slowdown, token_ms / usual_ms)
+            speed.observe_rate(token_ms / slowdown, usual_ms, now)
+        estimator.observe_first_event(tokens, message.after_ms, speed.factor * slowdown)
+
+    def record_end(
+        self,
+        load: upstream_load.UpstreamLoad,
+        message: placement_messages.RunEnded,
+        now: float,
+    ) -> None:
+        """Record the report of a run that ends without a first event.
+
+        A stream's report came with its first event, and is too old when the stream ends.
+        """
+        run = load.run_by_ticket.get(message.ticket_id)
+        if run is not None and not run.has_started:
+            self.record_report(load, message.load, now)
+
+    def record_gaps(
+        self,
+        load: upstream_load.UpstreamLoad,
+        run: upstream_load.Run,
+        gaps: placement_messages.InterEventGaps,
+        event_tokens: int,
+        now: float,
+    ) -> None:
+        """Learn from the inter-event gaps of a complete stream."""
+        estimator, speed = self._estimator, load.speed
+        prefill_ms = run.max_concurrent_prefill_ms
+        if not self.is_active:
+            estimator.observe_gaps(gaps, prefill_ms, event_tokens)
+            return
+        # Without a recent report the upstream may have been as usual for most of the stream.
+        slowdown = min(run.min_slowdown, speed.slowdown(now))
+        if estimator.has_measured_gaps and prefill_ms <= MAX_GAP_PREFILL_MS:
+            usual_ms = estimator.step_ms * event_tokens
+            speed.check_report(run.slowdown, gaps.longest_ms / usual_ms)
+            speed.observe_gap(gaps.usual_ms / slowdown, usual_ms, now)
+        estimator.observe_gaps(
+            gaps,
+            prefill_ms,
+            event_tokens,
+            speed.factor * slowdown,
+            speed.factor * max(run.max_slowdown, slowdown),
+        )
+
+    def forget_old(self, now: float) -> None:
+        """Remove reports and adopted factors that are too old; called every second."""
+        if not self.is_active:
+            return
+        while self._reports and now - self._reports[0][0] > REPORT_RETENTION_S:
+            self._reports.popleft()
+        self._plan()
+        for upstream_id, (_, adopted_at) in tuple(self._adopted_by_id.items()):
+            if now - adopted_at > REPORT_RETENTION_S:
+                del self._adopted_by_id[upstream_id]
+
+    def summary(self, load: upstream_load.UpstreamLoad, now: float) -> UpstreamSummary:
+        """Return the state of an upstream, for operators."""
+        speed = load.speed
+        return UpstreamSummary(
+            upstream_id=load.announcement.upstream_id,
+            factor=speed.factor,
+            samples=speed.samples,
+            slowdown=speed.slowdown(now),
+            trust=speed.trust,
+            running=len(load.run_by_ticket),
+            unknown_runs=speed.unknown_runs(now),
+            reported=speed.report,
+            report_age_s=None if speed.report is None else now - speed.reported_at,
+            slow_for_s=None if speed.slow_since is None else now - speed.slow_since,
+        )
+
+    def _plan(self) -> None:
+        slowdowns = [slowdown for _, slowdown in self._reports]
+        self.planned_slowdown = upstream_speed.quantile(slowdowns, PLANNED_QUANTILE) or 1.0
--- a/src/medlarfork/placement/upstream_chooser.py
+++ b/src/medlarfork/placement/upstream_chooser.py
@@ -12,6 +12,7 @@
     placement_messages,
     recent_prefixes,
     shard_gate,
+    shard_speeds,
     upstream_load,
     wait_queue,
 )
@@ -36,6 +37,7 @@
         estimator: Estimates how the engines work.
         load_by_id: The state of each upstream, by incarnation.
         gate: Paces requests to upstreams.
+        speeds: Relative times of the upstreams.
     """
 
     def __init__(self, gate: send_gate.SendGate, queue: wait_queue.WaitQueue) -> None:
@@ -50,6 +52,7 @@
         self._fetch_ms_per_token = 0.0
         self._recent_prefixes = recent_prefixes.RecentPrefixes()
         self.estimator = engine_estimator.EngineEstimator()
+        self.speeds = shard_speeds.ShardSpeeds(self.estimator)
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
         self.gate = shard_gate.ShardGate(gate, queue)
 
@@ -74,6 +77,7 @@
             if load is None:
                 load = upstream_load.UpstreamLoad(announcement, self._memory_tokens)
                 self.load_by_id[upstream_id] = load
+                self.speeds.add_upstream(load)
             load.announcement = announcement
 
     @property
@@ -97,8 +101,14 @@
         )
         best: Choice | None = None
         for load in candidates:
-            load.steps.configure(self.event_tokens, self.estimator.step_ms, self.estimator.chunk_ms)
-            found = placement_cost.cost(load, request, inputs)
+            factor = load.speed.factor
+            load.steps.configure(
+                self.event_tokens,
+                self.estimator.step_ms * factor,
+                self.estimator.chunk_ms * factor,
+            )
+            relative_time = self.speeds.relative_time(load, now)
+            found = placement_cost.cost(load, request, inputs, relative_time)
             if best is None or found.total < best.cost.total:
                 best = Choice(load, found)
         return best
@@ -122,7 +132,18 @@
         most if it always has the next prompt at hand.
         """
         tight_gap_ms = self.prefill_model().tight_gap_ms
-        return any(load.has_tight_stream(tight_gap_ms) for load in self.present)
+        return any(
+            load.has_tight_stream(tight_gap_ms * self.speeds.gap_time(load))
+            for load in self.present
+        )
+
+    def unconstrained_engines(self) -> int:
+        """Return the number of upstreams without streams that concurrent prefill makes late."""
+        tight_gap_ms = self.prefill_model().tight_gap_ms
+        return sum(
+            not load.has_tight_stream(tight_gap_ms * self.speeds.gap_time(load))
+            for load in self.present
+        )
 
     def prefill_model(self) -> placement_cost.PrefillModel:
         """Return the prefill rate and inter-event gaps of the engines."""
@@ -134,11 +155,14 @@
 
     def min_prefill_ms(self, request: placement_messages.PlaceRequest) -> float:
         """Return the prefill time on the engine that holds the longest prefix, in milliseconds."""
-        tokens = min(
-            (load.cache.uncached_tokens(request.parts) for load in self.present),
+        usual_tokens = min(
+            (
+                load.cache.uncached_tokens(request.parts) * load.speed.factor
+                for load in self.present
+            ),
             default=sum(part.tokens for part in request.parts),
         )
-        return tokens / self.estimator.tokens_per_ms
+        return usual_tokens / self.estimator.tokens_per_ms
 
     def _prefix_source(
         self, request: placement_messages.PlaceRequest, now: float
@@ -169,6 +193,7 @@
             load
             for load in healthy or allowed
             if not load.is_full
+            and not (self.speeds.is_active and load.is_filled(load.speed.unknown_runs(now)))
             and load.has_memory_for(tokens)
             and self.gate.is_open(load, waiting.entry_id, now)
         ]
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -6,7 +6,7 @@
 import math
 
 from medlarfork.coordination import upstream_types
-from medlarfork.placement import placement_messages, prefix_cache, step_window
+from medlarfork.placement import placement_messages, prefix_cache, step_window, upstream_speed
 
 INITIAL_BACKOFF_S = 0.5
 """Backoff after a first failure before an upstream is probed, in seconds."""
@@ -52,6 +52,9 @@
         uncached_segments: Prompt segments that the upstream has to compute for this request.
         deadline: When its caller gives up, in seconds.
         max_concurrent_prefill_ms: Largest prefill backlog at any time while it streamed.
+        slowdown: What its upstream reported with its first event; None if it reported none.
+        max_slowdown: Largest slowdown that its upstream reported while it streamed.
+        min_slowdown: Smallest slowdown that its upstream reported while it streamed.
     """
 
     entry_id: str
@@ -63,6 +66,9 @@
     uncached_segments: frozenset[str] = frozenset()
     deadline: float = math.inf
     max_concurrent_prefill_ms: float = 0.0
+    slowdown: float | None = None
+    max_slowdown: float = 1.0
+    min_slowdown: float = math.inf
 
     @property
     def memory_tokens(self) -> int:
@@ -80,6 +86,7 @@
         run_by_ticket: Requests that were placed there and have not ended.
         streams_by_gap_ms: Number of streams there, by their longest allowed gap.
         is_present: Whether it may be used now.
+        speed: Estimate of its relative time, and what it reported.
     """
 
     def __init__(self, announcement: upstream_types.Announcement, memory_tokens: int) -> None:
@@ -87,6 +94,7 @@
         self.announcement = announcement
         self.cache = prefix_cache.PrefixCache(memory_tokens)
         self.steps = step_window.StepWindow()
+        self.speed = upstream_speed.UpstreamSpeed()
         self.run_by_ticket: dict[str, Run] = {}
         self.is_present = True
         self._absent_since = math.inf
@@ -109,6 +117,14 @@
             return True
         return len(self.run_by_ticket) >= self.announcement.slots
 
+    def is_filled(self, unknown_runs: float) -> bool:
+        """Return whether runs that the owner does not know of take the last slots.
+
+        Without own runs they never do: a false report must not block an upstream.
+        """
+        own_runs = len(self.run_by_ticket)
+        return own_runs > 0 and own_runs + int(unknown_runs) >= self.announcement.slots
+
     def set_memory(self, memory_tokens: int) -> None:
         """Change the size of the engine's memory."""
         self._memory_tokens = memory_tokens
--- /dev/null
+++ b/src/medlarfork/placement/upstream_speed.py
@@ -0,0 +1,180 @@
+"""Estimate how much longer work takes on one upstream than is usual in its service. Pure.
+
+It handles engines of one service that differ permanently in speed, and engines that other workloads
+on their machines slow down for fractions of a second. The permanent difference is a factor, learnt
+from the latencies of the upstream's own runs. The momentary slowdown is what the upstream reports;
+it counts only as far as those latencies don't contradict it.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+from collections.abc import Sequence
+
+from medlarfork.placement import reported_load
+
+FACTOR_BOUNDS = (0.25, 4.0)
+"""Factors outside are measuring errors: machines of one service differ by less."""
+
+PRIOR_SAMPLES = 3.0
+"""Weight of the factor that an incarnation starts with, in samples. It also keeps the factors of
+a shard from drifting together, because the service's estimate is made from samples divided by
+them."""
+
+MAX_SAMPLES = 24
+"""Samples of each kind that are kept: some seconds of an engine, so that a change shows."""
+
+TYPICAL_QUANTILE = 0.3
+"""Quantile of the samples, near those that the service's estimate uses. With a higher one, factors
+would rise and the service's estimate would fall without end."""
+
+SLOWDOWN_DECAY_S = 0.6
+"""Age at which a reported slowdown has no effect any more, in seconds: slow moments last about as
+long."""
+
+SLOWDOWN_BOUNDS = (1.0, 4.0)
+"""Reported slowdowns are limited to this range: no upstream gets more requests by reporting that it
+is fast, and slow moments take 2.5 times the usual time."""
+
+DISTURBED_SLOWDOWN = 1.2
+"""Reported slowdown from which latencies are compared with it."""
+
+CONFIRMING_SHARE = 0.5
+"""Share of a reported slowdown that latencies have to show to confirm it: the slow moment may cover
+only a part of the run."""
+
+TRUST_WEIGHT = 0.15
+"""Weight of the latest comparison in the trust: about the last six count."""
+
+UNKNOWN_RUN_DECAY_S = 2.0
+"""Age at which unknown runs of a report no longer count, in seconds: streams of urgent callers last
+one to two seconds."""
+
+SLOW_FACTOR = 1.3
+"""Factor from which operators see an upstream as slow: beyond the errors of the estimate."""
+
+
+class UpstreamSpeed:
+    """Learn the relative time of one incarnation; callers pass the time, in seconds.
+
+    Attributes:
+        factor: How much longer work takes there than is usual, apart from momentary slowdowns.
+        trust: How far latencies confirm the reported slowdowns; 0 to 1.
+        report: What it reported last; None if it has reported nothing.
+        reported_at: When that report arrived.
+        sampled_at: When a report of it last counted in the shard's planned slowdown.
+        slow_since: When its factor reached ``SLOW_FACTOR``; None if it is below.
+    """
+
+    def __init__(self) -> None:
+        """Start as a usual upstream."""
+        self.factor = 1.0
+        self.trust = 1.0
+        self.report: reported_load.ReportedLoad | None = None
+        self.reported_at = -math.inf
+        self.sampled_at = -math.inf
+        self.slow_since: float | None = None
+        self._prior = 1.0
+        self._adopted = 0
+        self._slowdown = 1.0
+        self._unknown_runs = 0
+        self._usual_token_ms = 0.0
+        self._usual_gap_ms = 0.0
+        self._token_ms: collections.deque[float] = collections.deque(maxlen=MAX_SAMPLES)
+        self._gap_ms: collections.deque[float] = collections.deque(maxlen=MAX_SAMPLES)
+
+    @property
+    def samples(self) -> int:
+        """Return the number of samples that the factor is learnt from."""
+        return len(self._token_ms) + len(self._gap_ms)
+
+    def adopt(self, factor: float, now: float) -> None:
+        """Start from an earlier owner's factor, as the mean of what entry hosts were told."""
+        if self.samples or not math.isfinite(factor):
+            return
+        self._adopted += 1
+        self._prior += (_within(factor, FACTOR_BOUNDS) - self._prior) / self._adopted
+        self._set_factor(self._prior, now)
+
+    def record_report(self, report: reported_load.ReportedLoad, own_runs: int, now: float) -> float:
+        """Record a report; return the slowdown that it shows.
+
+        Args:
+            report: What the upstream reported.
+            own_runs: Runs there that the owner knows of.
+            now: The time in seconds.
+        """
+        self.report, self.reported_at = report, now
+        stated = _within(report.slowdown or 1.0, SLOWDOWN_BOUNDS)
+        self._slowdown = 1.0 + self.trust * (stated - 1.0)
+        self._unknown_runs = max(0, report.running + report.waiting - own_runs)
+        return self._slowdown
+
+    def slowdown(self, now: float) -> float:
+        """Return the momentary slowdown, which decays to 1 with the age of its report."""
+        return 1.0 + (self._slowdown - 1.0) * _fresh_share(now - self.reported_at, SLOWDOWN_DECAY_S)
+
+    def unknown_runs(self, now: float) -> float:
+        """Return the runs that the owner does not know of, discounted with the report's age."""
+        return self._unknown_runs * _fresh_share(now - self.reported_at, UNKNOWN_RUN_DECAY_S)
+
+    def observe_rate(self, token_ms: float, usual_token_ms: float, now: float) -> None:
+        """Record a prefill time per token, divided by the slowdown, in milliseconds."""
+        self._token_ms.append(token_ms)
+        self._update(usual_token_ms, 0.0, now)
+
+    def observe_gap(self, gap_ms: float, usual_gap_ms: float, now: float) -> None:
+        """Record the median gap of a stream, divided by the slowdown, in milliseconds."""
+        self._gap_ms.append(gap_ms)
+        self._update(0.0, usual_gap_ms, now)
+
+    def check_report(self, slowdown: float | None, relative_time: float) -> None:
+        """Compare the slowdown that a run was reported with to the time that it took.
+
+        Args:
+            slowdown: What the upstream reported with the run; None if it did not.
+            relative_time: Time of the run relative to the service's usual time.
+        """
+        stated = _within(slowdown or 1.0, SLOWDOWN_BOUNDS)
+        if stated < DISTURBED_SLOWDOWN:
+            return
+        # A factor below 1 may itself be due to division by a false slowdown.
+        shown = relative_time / max(self.factor, 1.0) - 1.0
+        confirmed = _within(shown / (CONFIRMING_SHARE * (stated - 1.0)), (0.0, 1.0))
+        self.trust += TRUST_WEIGHT * (confirmed - self.trust)
+
+    def _update(self, usual_token_ms: float, usual_gap_ms: float, now: float) -> None:
+        """Compute the factor from the samples of both kinds, weighted by their numbers."""
+        self._usual_token_ms = usual_token_ms or self._usual_token_ms
+        self._usual_gap_ms = usual_gap_ms or self._usual_gap_ms
+        weight, total = PRIOR_SAMPLES, PRIOR_SAMPLES * math.log(self._prior)
+        for samples, usual_ms in (
+            (self._token_ms, self._usual_token_ms),
+            (self._gap_ms, self._usual_gap_ms),
+        ):
+            typical_ms = quantile(samples, TYPICAL_QUANTILE)
+            if typical_ms > 0 and usual_ms > 0:
+                weight += len(samples)
+                total += len(samples) * math.log(typical_ms / usual_ms)
+        self._set_factor(math.exp(total / weight), now)
+
+    def _set_factor(self, factor: float, now: float) -> None:
+        self.factor = _within(factor, FACTOR_BOUNDS)
+        if self.factor < SLOW_FACTOR:
+            self.slow_since = None
+        elif self.slow_since is None:
+            self.slow_since = now
+
+
+def quantile(samples: Sequence[float], share: float) -> float:
+    """Return the value that so large a share of the samples does not exceed; 0 without samples."""
+    return sorted(samples)[int(share * (len(samples) - 1))] if samples else 0.0
+
+
+def _fresh_share(age_s: float, decay_s: float) -> float:
+    return max(0.0, 1.0 - max(0.0, age_s) / decay_s)
+
+
+def _within(value: float, bounds: tuple[float, float]) -> float:
+    return min(max(value, bounds[0]), bounds[1])
--- /dev/null
+++ b/tests/routed/test_shard_speeds.py
@@ -0,0 +1,220 @@
+"""Replays of the load that relative times of upstreams handle, and the condition for using them."""
+
+import random
+
+import pytest
+
+from medlarfork.placement import (
+    owner,
+    placement_messages,
+    reported_load,
+    shard_speeds,
+    upstream_speed,
+)
+from medlarfork.routes import routing
+from tests.routed import engine_replay, placement_helpers
+
+SECONDS = 20.0
+SHARD = placement_messages.Shard("engines")
+
+
+def is_slow(upstream_id):
+    return int(upstream_id[2:]) % 3 == 2
+
+
+@pytest.fixture
+def replay(make_shard_owner, make_place_request):
+    """Return a function that replays 12 engines, a third of them slow, with some reports."""
+
+    def chat(ticket_id, draw):
+        values = {"target_ms": 250.0, "gap_ms": 200.0, "output_tokens": 42 * 7}
+        return make_place_request(ticket_id, ((ticket_id, 800),), left_ms=10_000.0, **values)
+
+    def long(ticket_id, draw):
+        values = {"target_ms": 2000.0, "gap_ms": 800.0, "output_tokens": 20 * 7}
+        parts = (("common", 5400), (ticket_id, 6600))
+        return make_place_request(ticket_id, parts, tier=1, left_ms=15_000.0, **values)
+
+    def run(load_of, seed):
+        service = make_shard_owner(count=12, slots=engine_replay.SLOTS)
+        service.use_engine(routing.EngineSpec(engine_replay.SLOTS, 400_000, event_tokens=7))
+        engines = {
+            name: engine_replay.Engine(
+                2.4 if is_slow(name) else 1.0, random.Random(f"{seed}{name}"), 0.15
+            )
+            for name in service.load_by_id
+        }
+        played = engine_replay.Replay(service, engines, load_of, seed)
+        played.arrive("chat", 7.0, SECONDS, chat)
+        played.arrive("long", 15.0, SECONDS, long)
+        return played.run(SECONDS)
+
+    return run
+
+
+def test_urgent_streams_keep_their_gaps_beside_long_prompts(replay):
+    """Streams on slow engines and beside prompts were late, although their first events were not.
+
+    Long prompts must not pay for it: they start no later than without the reports.
+    """
+    seeds = (1, 2, 3)
+    before = [replay(engine_replay.no_report, seed) for seed in seeds]
+    after = [replay(engine_replay.reports(), seed) for seed in seeds]
+    late_before = sum(played.late(played.chats, 200.0) for played in before)
+    late_after = sum(played.late(played.chats, 200.0) for played in after)
+    assert late_before > 20
+    assert late_after <= 0.2 * late_before
+    assert sum(first_ms > 250.0 for played in after for _, first_ms in played.chats) <= 0.02 * sum(
+        len(played.chats) for played in after
+    )
+    first_before, first_after = (
+        sorted(first_ms for played in runs for _, first_ms in played.longs)
+        for runs in (before, after)
+    )
+    assert len(first_after) >= 0.99 * len(first_before)
+    assert not any(played.refused for played in after)
+    for share in (0.9, 0.99):
+        assert upstream_speed.quantile(first_after, share) <= upstream_speed.quantile(
+            first_before, share
+        )
+    assert sum(first_after) / len(first_after) <= sum(first_before) / len(first_before)
+
+
+def test_the_factors_of_slow_engines_are_learnt_beside_slow_moments(replay):
+    """With one estimate for all engines, slow ones got the same streams as fast ones."""
+    loads = replay(engine_replay.reports(), 2).service.load_by_id
+    factors = [
+        [load.speed.factor for name, load in loads.items() if is_slow(name) is slow]
+        for slow in (False, True)
+    ]
+    fast, slow = (sum(group) / len(group) for group in factors)
+    assert max(factors[0]) < min(factors[1])
+    assert slow / fast == pytest.approx(2.4, rel=0.25)
+
+
+def test_decisions_without_reported_slowdowns_are_as_without_reports(replay):
+    """Deployments whose upstreams report three figures must see no change at all."""
+
+    def decisions(load_of):
+        played = replay(load_of, 1)
+        assert not any(item.message.speed != 1.0 for item in played.decisions if _is_placed(item))
+        return played.decisions
+
+    assert decisions(engine_replay.reports(fourth=False)) == decisions(engine_replay.no_report)
+
+
+def _is_placed(decision):
+    return isinstance(decision.message, placement_messages.Placed)
+
+
+def report(running=0, slowdown=1.0, waiting=0):
+    return reported_load.ReportedLoad(running, waiting, 8, slowdown)
+
+
+def test_a_false_slowdown_neither_blocks_nor_favours_an_upstream():
+    """An upstream that always reports a slowdown could shed its load, or look fast between."""
+    false, true = upstream_speed.UpstreamSpeed(), upstream_speed.UpstreamSpeed()
+    for number in range(60):
+        now = number * 0.1
+        for speed, time in ((false, 1.0), (true, 2.5)):
+            slowdown = speed.record_report(report(slowdown=20.0 if speed is false else 2.5), 0, now)
+            speed.check_report(speed.report.slowdown, time)
+            speed.observe_rate(time / slowdown, 1.0, now)
+    assert false.slowdown(6.0) == pytest.approx(1.0, abs=0.1)
+    assert false.factor == pytest.approx(1.0, abs=0.1)
+    assert true.slowdown(5.9) * true.factor == pytest.approx(2.5, rel=0.1)
+
+
+def test_a_stale_slowdown_has_no_effect():
+    """Slow moments last about 0.6 s; an upstream must not be avoided after them."""
+    speed = upstream_speed.UpstreamSpeed()
+    speed.record_report(report(slowdown=2.5), 0, 1.0)
+    assert speed.slowdown(1.0) == 2.5
+    assert speed.slowdown(1.3) == pytest.approx(1.75)
+    assert speed.slowdown(1.6) == pytest.approx(1.0)
+    speed.record_report(report(slowdown=0.1), 0, 2.0)
+    assert speed.slowdown(2.0) == 1.0
+
+
+def test_few_samples_move_a_factor_little_and_none_leaves_its_bounds():
+    """One delayed run must not make an upstream look slow, nor a measuring error stop its use."""
+    speed = upstream_speed.UpstreamSpeed()
+    speed.observe_rate(100.0, 1.0, 0.0)
+    assert speed.factor < 4.0
+    for _ in range(50):
+        speed.observe_rate(1000.0, 1.0, 1.0)
+    assert speed.factor == upstream_speed.FACTOR_BOUNDS[1]
+    assert speed.slow_since is not None
+    for _ in range(50):
+        speed.observe_rate(0.001, 1.0, 2.0)
+    assert speed.factor == upstream_speed.FACTOR_BOUNDS[0]
+    assert speed.slow_since is None
+
+
+def test_unknown_runs_take_slots_until_their_report_is_old(make_shard_owner, make_place_request):
+    """Runs of hosts without an owner filled engines that seemed free; they end unreported."""
+    service = make_shard_owner(count=2, slots=8)
+    asked = [make_place_request(f"t{n}", left_ms=9000.0) for n in range(4)]
+    first = placement_helpers.placed(service.place("e", asked[0], 0.0))
+    service.on_first_event(placement_messages.FirstEvent("t0", 9.0, report(7, 1.0, 1)), 0.1)
+    (summary,) = (item for item in service.upstreams(0.1) if item.upstream_id == first)
+    assert (summary.unknown_runs, summary.running) == (7, 1)
+    excluded = tuple(name for name in service.load_by_id if name != first)
+    here = make_place_request("here", left_ms=9000.0, excluded=excluded)
+    (answer,) = service.place("e", here, 0.1)
+    assert isinstance(answer.message, placement_messages.Queued)
+    assert service.serve_waiting(0.1 + upstream_speed.UNKNOWN_RUN_DECAY_S / 2)
+
+
+def test_unknown_runs_never_block_an_upstream(make_shard_owner, make_place_request):
+    """A report may be false: an upstream without own runs still gets a request."""
+    service = make_shard_owner(count=1, slots=8)
+    service.place("e", make_place_request("a"), 0.0)
+    service.on_first_event(placement_messages.FirstEvent("a", 9.0, report(1000)), 0.1)
+    service.on_ended(placement_helpers.ended("a"), 0.2)
+    placement_helpers.placed(service.place("e", make_place_request("b"), 0.2))
+
+
+def test_a_report_at_the_end_counts_only_for_runs_without_events(
+    make_shard_owner, make_place_request
+):
+    """The response head of a stream is seconds old when the stream ends."""
+    service = make_shard_owner(count=1, slots=8)
+    complete = placement_messages.RunEnd.COMPLETE
+    for ticket_id in ("stream", "plain"):
+        service.place("e", make_place_request(ticket_id, left_ms=9000.0), 0.0)
+    service.on_first_event(placement_messages.FirstEvent("stream", 9.0, report(2, 1.0)), 0.1)
+    for ticket_id, slowdown in (("stream", 1.0), ("plain", 2.0)):
+        ended = placement_messages.RunEnded(ticket_id, complete, 1.0, load=report(2, 2.0))
+        service.on_ended(ended, 2.0)
+        assert service.upstreams(2.0)[0].slowdown == slowdown
+
+
+def test_a_new_owner_starts_from_the_factors_that_entry_hosts_were_told(
+    make_announcement, make_place_request
+):
+    """After a change of the owner, slow engines got urgent streams until they were measured."""
+    successor = owner.PlacementOwner()
+    chosen = placement_messages.OwnerChosen(
+        SHARD, True, speeds=tuple(placement_messages.UpstreamSpeed(f"u-{n}", 2.4) for n in (0, 1))
+    )
+    successor.use_upstreams((make_announcement("u-0"),), 0.0)
+    successor.handle("e", chosen, 0.0)
+    successor.use_upstreams(tuple(make_announcement(f"u-{n}") for n in range(3)), 0.1)
+    (shard,) = successor.shards(0.2)
+    factors = {item.upstream_id: item.factor for item in shard.upstreams}
+    assert factors == {"u-0": pytest.approx(2.4), "u-1": pytest.approx(2.4), "u-2": 1.0}
+    (answer,) = successor.handle("e", make_place_request(), 0.2)
+    assert answer.message.speed == factors[answer.message.upstream_id]
+
+
+def test_old_reports_no_longer_count_in_the_planned_slowdown(make_shard_owner, make_place_request):
+    """Gaps planned for slow moments that no longer happen would hold long prompts back."""
+    service = make_shard_owner(count=1, slots=8)
+    speeds = shard_speeds.ShardSpeeds(service.estimator)
+    (load,) = service.load_by_id.values()
+    for number in range(20):
+        speeds.record_report(load, report(slowdown=2.5), float(number))
+    assert speeds.planned_slowdown == 2.5
+    speeds.forget_old(20.0 + shard_speeds.REPORT_RETENTION_S)
+    assert speeds.planned_slowdown == 1.0
