Placement: factors relative to the shard's median upstream, learnt from short prompts too

The service's estimate and the factors drifted together, because each is computed from the other. Streams on an engine were measured only when the first of them ended; the time to their first events shows its speed before.

--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -190,7 +190,7 @@
         self, speeds: tuple[placement_messages.UpstreamSpeed, ...], now: float
     ) -> None:
         """Start from the relative times that an earlier owner told an entry host."""
-        self._speeds.adopt(speeds, self.load_by_id, now)
+        self._speeds.adopt(speeds, now)
 
     def upstreams(self, now: float) -> tuple[shard_speeds.UpstreamSummary, ...]:
         """Return the state of each upstream, for operators."""
--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -38,6 +38,12 @@
 """Factors from earlier owners that are kept for upstreams that are not known yet; shards have at
 most 12."""
 
+MIN_SHORT_SAMPLES = 5
+"""Short prompts needed before upstreams are compared by them."""
+
+MAX_SHORT_SAMPLES = 48
+"""Times of short prompts that are kept: some seconds of a few engines, so that a change shows."""
+
 MAX_GAP_PREFILL_MS = placement_cost.LONG_PREFILL_MS
 """Prefill beside a stream up to which its gaps are those of the engine alone, in milliseconds."""
 
@@ -79,14 +85,25 @@
         planned_slowdown: The slowdown that gaps are planned for.
     """
 
-    def __init__(self, estimator: engine_estimator.EngineEstimator) -> None:
-        """Start inactive; ``estimator`` estimates the usual times of the service."""
+    def __init__(
+        self,
+        estimator: engine_estimator.EngineEstimator,
+        load_by_id: dict[str, upstream_load.UpstreamLoad],
+    ) -> None:
+        """Start inactive.
+
+        Args:
+            estimator: Estimates the usual times of the service.
+            load_by_id: The upstreams of the shard, which the caller updates.
+        """
         self.is_active = False
         self.planned_slowdown = 1.0
         self._estimator = estimator
+        self._load_by_id = load_by_id
         self._reports: collections.deque[tuple[float, float]] = collections.deque(
             maxlen=MAX_REPORTS
         )
+        self._short_times: collections.deque[float] = collections.deque(maxlen=MAX_SHORT_SAMPLES)
         self._adopted_by_id: dict[str, list[float]] = {}
 
     def relative_time(
@@ -112,13 +129,12 @@
     def adopt(
         self,
         speeds: tuple[placement_messages.UpstreamSpeed, ...],
-        load_by_id: dict[str, upstream_load.UpstreamLoad],
         now: float,
     ) -> None:
         """Start from the factors that an earlier owner told an entry host."""
         for speed in speeds:
             self.is_active |= speed.factor != 1.0
-            load = load_by_id.get(speed.upstream_id)
+            load = self._load_by_id.get(speed.upstream_id)
             if load is not None:
                 load.speed.adopt(speed.factor, now)
             elif speed.upstream_id in self._adopted_by_id or len(self._adopted_by_id) < MAX_ADOPTED:
@@ -171,12 +187,53 @@
         estimator, speed, tokens = self._estimator, load.speed, run.prefill_tokens
         slowdown = speed.slowdown(now)
         prefill_ms = message.after_ms - estimator.fixed_ms
-        if estimator.has_measured and tokens >= engine_estimator.MIN_RATE_TOKENS and prefill_ms > 0:
+        if tokens < engine_estimator.MIN_RATE_TOKENS:
+            self._observe_short(speed, tokens, message.after_ms / slowdown, now)
+        elif estimator.has_measured and prefill_ms > 0:
             token_ms, usual_ms = prefill_ms / tokens, 1.0 / estimator.tokens_per_ms
             speed.check_report(run.slowdown, token_ms / usual_ms)
-            speed.observe_rate(token_ms / slowdown, usual_ms, now)
+            kind = upstream_speed.SampleKind.LONG_PREFILL
+            self._observe(speed, kind, token_ms / slowdown, usual_ms, now)
         estimator.observe_first_event(tokens, message.after_ms, speed.factor * slowdown)
 
+    def _observe_short(
+        self, speed: upstream_speed.UpstreamSpeed, tokens: int, after_ms: float, now: float
+    ) -> None:
+        """Learn from a short prompt: streams on an engine are measured before the first one ends.
+
+        The steps before a first event outweigh the prefill, and the estimate of the service does
+        not contain all of them. So times are compared with those of short prompts elsewhere.
+        """
+        if not tokens:
+            return
+        estimator = self._estimator
+        time = after_ms / (estimator.fixed_ms + tokens / estimator.tokens_per_ms)
+        self._short_times.append(time / speed.factor)
+        if len(self._short_times) < MIN_SHORT_SAMPLES:
+            return
+        usual = upstream_speed.quantile(self._short_times, upstream_speed.TYPICAL_QUANTILE)
+        self._observe(speed, upstream_speed.SampleKind.SHORT_PREFILL, time, usual, now)
+
+    def _observe(
+        self,
+        speed: upstream_speed.UpstreamSpeed,
+        kind: upstream_speed.SampleKind,
+        value: float,
+        usual: float,
+        now: float,
+    ) -> None:
+        """Record a sample of an upstream, and compare the upstreams again.
+
+        The service's estimate is made from samples divided by the factors, so both could drift
+        together. Factors relative to the median upstream can't.
+        """
+        speed.observe(kind, value, usual)
+        measured = [load.speed for load in self._load_by_id.values() if load.speed.samples]
+        learnt = sorted(item.learnt for item in measured)
+        median = learnt[(len(learnt) - 1) // 2]
+        for item in measured:
+            item.set_reference(median, now)
+
     def record_end(
         self,
         load: upstream_load.UpstreamLoad,
@@ -210,7 +267,8 @@
         if estimator.has_measured_gaps and prefill_ms <= MAX_GAP_PREFILL_MS:
             usual_ms = estimator.step_ms * event_tokens
             speed.check_report(run.slowdown, gaps.longest_ms / usual_ms)
-            speed.observe_gap(gaps.usual_ms / slowdown, usual_ms, now)
+            kind = upstream_speed.SampleKind.GAP
+            self._observe(speed, kind, gaps.usual_ms / slowdown, usual_ms, now)
         estimator.observe_gaps(
             gaps,
             prefill_ms,
--- a/src/medlarfork/placement/upstream_chooser.py
+++ b/src/medlarfork/placement/upstream_chooser.py
@@ -52,8 +52,8 @@
         self._fetch_ms_per_token = 0.0
         self._recent_prefixes = recent_prefixes.RecentPrefixes()
         self.estimator = engine_estimator.EngineEstimator()
-        self.speeds = shard_speeds.ShardSpeeds(self.estimator)
         self.load_by_id: dict[str, upstream_load.UpstreamLoad] = {}
+        self.speeds = shard_speeds.ShardSpeeds(self.estimator, self.load_by_id)
         self.gate = shard_gate.ShardGate(gate, queue)
 
     def use_engine(self, engine: routing.EngineSpec | None) -> None:
--- a/src/medlarfork/placement/upstream_speed.py
+++ b/src/medlarfork/placement/upstream_speed.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import enum
 import math
 from collections.abc import Sequence
 
@@ -18,16 +19,14 @@
 """Factors outside are measuring errors: machines of one service differ by less."""
 
 PRIOR_SAMPLES = 3.0
-"""Weight of the factor that an incarnation starts with, in samples. It also keeps the factors of
-a shard from drifting together, because the service's estimate is made from samples divided by
-them."""
+"""Weight of the factor that an incarnation starts with, in samples."""
 
 MAX_SAMPLES = 24
 """Samples of each kind that are kept: some seconds of an engine, so that a change shows."""
 
 TYPICAL_QUANTILE = 0.3
-"""Quantile of the samples, near those that the service's estimate uses. With a higher one, factors
-would rise and the service's estimate would fall without end."""
+"""Quantile of the samples, near those that the service's estimate uses: runs that something unknown
+delayed have higher ones."""
 
 SLOWDOWN_DECAY_S = 0.6
 """Age at which a reported slowdown has no effect any more, in seconds: slow moments last about as
@@ -55,11 +54,21 @@
 """Factor from which operators see an upstream as slow: beyond the errors of the estimate."""
 
 
+class SampleKind(enum.Enum):
+    """What a sample measures; samples are only compared with those of the same kind."""
+
+    LONG_PREFILL = "long_prefill"
+    SHORT_PREFILL = "short_prefill"
+    GAP = "gap"
+
+
 class UpstreamSpeed:
     """Learn the relative time of one incarnation; callers pass the time, in seconds.
 
     Attributes:
-        factor: How much longer work takes there than is usual, apart from momentary slowdowns.
+        factor: How much longer work takes there than at the shard's median upstream, apart from
+            momentary slowdowns.
+        learnt: The same relative to the service's estimate.
         trust: How far latencies confirm the reported slowdowns; 0 to 1.
         report: What it reported last; None if it has reported nothing.
         reported_at: When that report arrived.
@@ -70,6 +79,7 @@
     def __init__(self) -> None:
         """Start as a usual upstream."""
         self.factor = 1.0
+        self.learnt = 1.0
         self.trust = 1.0
         self.report: reported_load.ReportedLoad | None = None
         self.reported_at = -math.inf
@@ -79,15 +89,15 @@
         self._adopted = 0
         self._slowdown = 1.0
         self._unknown_runs = 0
-        self._usual_token_ms = 0.0
-        self._usual_gap_ms = 0.0
-        self._token_ms: collections.deque[float] = collections.deque(maxlen=MAX_SAMPLES)
-        self._gap_ms: collections.deque[float] = collections.deque(maxlen=MAX_SAMPLES)
+        self._usual_by_kind: dict[SampleKind, float] = {}
+        self._samples_by_kind: dict[SampleKind, collections.deque[float]] = {
+            kind: collections.deque(maxlen=MAX_SAMPLES) for kind in SampleKind
+        }
 
     @property
     def samples(self) -> int:
         """Return the number of samples that the factor is learnt from."""
-        return len(self._token_ms) + len(self._gap_ms)
+        return sum(len(samples) for samples in self._samples_by_kind.values())
 
     def adopt(self, factor: float, now: float) -> None:
         """Start from an earlier owner's factor, as the mean of what entry hosts were told."""
@@ -95,7 +105,8 @@
             return
         self._adopted += 1
         self._prior += (_within(factor, FACTOR_BOUNDS) - self._prior) / self._adopted
-        self._set_factor(self._prior, now)
+        self.learnt = self._prior
+        self.set_reference(1.0, now)
 
     def record_report(self, report: reported_load.ReportedLoad, own_runs: int, now: float) -> float:
         """Record a report; return the slowdown that it shows.
@@ -119,15 +130,24 @@
         """Return the runs that the owner does not know of, discounted with the report's age."""
         return self._unknown_runs * _fresh_share(now - self.reported_at, UNKNOWN_RUN_DECAY_S)
 
-    def observe_rate(self, token_ms: float, usual_token_ms: float, now: float) -> None:
-        """Record a prefill time per token, divided by the slowdown, in milliseconds."""
-        self._token_ms.append(token_ms)
-        self._update(usual_token_ms, 0.0, now)
+    def observe(self, kind: SampleKind, value: float, usual: float) -> None:
+        """Record a sample and learn from all kinds, weighted by their numbers.
 
-    def observe_gap(self, gap_ms: float, usual_gap_ms: float, now: float) -> None:
-        """Record the median gap of a stream, divided by the slowdown, in milliseconds."""
-        self._gap_ms.append(gap_ms)
-        self._update(0.0, usual_gap_ms, now)
+        Args:
+            kind: What it measures.
+            value: The sample, divided by the slowdown.
+            usual: The service's usual value.
+        """
+        self._samples_by_kind[kind].append(value)
+        self._usual_by_kind[kind] = usual
+        weight, total = PRIOR_SAMPLES, PRIOR_SAMPLES * math.log(self._prior)
+        for found, usual_value in self._usual_by_kind.items():
+            samples = self._samples_by_kind[found]
+            typical = quantile(samples, TYPICAL_QUANTILE)
+            if typical > 0 and usual_value > 0:
+                weight += len(samples)
+                total += len(samples) * math.log(typical / usual_value)
+        self.learnt = math.exp(total / weight)
 
     def check_report(self, slowdown: float | None, relative_time: float) -> None:
         """Compare the slowdown that a run was reported with to the time that it took.
@@ -144,23 +164,9 @@
         confirmed = _within(shown / (CONFIRMING_SHARE * (stated - 1.0)), (0.0, 1.0))
         self.trust += TRUST_WEIGHT * (confirmed - self.trust)
 
-    def _update(self, usual_token_ms: float, usual_gap_ms: float, now: float) -> None:
-        """Compute the factor from the samples of both kinds, weighted by their numbers."""
-        self._usual_token_ms = usual_token_ms or self._usual_token_ms
-        self._usual_gap_ms = usual_gap_ms or self._usual_gap_ms
-        weight, total = PRIOR_SAMPLES, PRIOR_SAMPLES * math.log(self._prior)
-        for samples, usual_ms in (
-            (self._token_ms, self._usual_token_ms),
-            (self._gap_ms, self._usual_gap_ms),
-        ):
-            typical_ms = quantile(samples, TYPICAL_QUANTILE)
-            if typical_ms > 0 and usual_ms > 0:
-                weight += len(samples)
-                total += len(samples) * math.log(typical_ms / usual_ms)
-        self._set_factor(math.exp(total / weight), now)
-
-    def _set_factor(self, factor: float, now: float) -> None:
-        self.factor = _within(factor, FACTOR_BOUNDS)
+    def set_reference(self, median: float, now: float) -> None:
+        """Update the factor, given what was learnt of the shard's median upstream."""
+        self.factor = _within(self.learnt / median, FACTOR_BOUNDS)
         if self.factor < SLOW_FACTOR:
             self.slow_since = None
         elif self.slow_since is None:
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -15,6 +15,7 @@
 from tests.routed import engine_replay, placement_helpers
 
 SECONDS = 20.0
+PREFILL = upstream_speed.SampleKind.LONG_PREFILL
 SHARD = placement_messages.Shard("engines")
 
 
@@ -119,7 +120,8 @@
         for speed, time in ((false, 1.0), (true, 2.5)):
             slowdown = speed.record_report(report(slowdown=20.0 if speed is false else 2.5), 0, now)
             speed.check_report(speed.report.slowdown, time)
-            speed.observe_rate(time / slowdown, 1.0, now)
+            speed.observe(PREFILL, time / slowdown, 1.0)
+            speed.set_reference(1.0, now)
     assert false.slowdown(6.0) == pytest.approx(1.0, abs=0.1)
     assert false.factor == pytest.approx(1.0, abs=0.1)
     assert true.slowdown(5.9) * true.factor == pytest.approx(2.5, rel=0.1)
@@ -139,14 +141,17 @@
 def test_few_samples_move_a_factor_little_and_none_leaves_its_bounds():
     """One delayed run must not make an upstream look slow, nor a measuring error stop its use."""
     speed = upstream_speed.UpstreamSpeed()
-    speed.observe_rate(100.0, 1.0, 0.0)
+    speed.observe(PREFILL, 100.0, 1.0)
+    speed.set_reference(1.0, 0.0)
     assert speed.factor < 4.0
     for _ in range(50):
-        speed.observe_rate(1000.0, 1.0, 1.0)
+        speed.observe(PREFILL, 1000.0, 1.0)
+        speed.set_reference(1.0, 1.0)
     assert speed.factor == upstream_speed.FACTOR_BOUNDS[1]
     assert speed.slow_since is not None
     for _ in range(50):
-        speed.observe_rate(0.001, 1.0, 2.0)
+        speed.observe(PREFILL, 0.001, 1.0)
+        speed.set_reference(1.0, 2.0)
     assert speed.factor == upstream_speed.FACTOR_BOUNDS[0]
     assert speed.slow_since is None
 
@@ -211,7 +216,7 @@
 def test_old_reports_no_longer_count_in_the_planned_slowdown(make_shard_owner, make_place_request):
     """Gaps planned for slow moments that no longer happen would hold long prompts back."""
     service = make_shard_owner(count=1, slots=8)
-    speeds = shard_speeds.ShardSpeeds(service.estimator)
+    speeds = shard_speeds.ShardSpeeds(service.estimator, service.load_by_id)
     (load,) = service.load_by_id.values()
     for number in range(20):
         speeds.record_report(load, report(slowdown=2.5), float(number))
