GET /v1/placement, metrics and log keys of upstream speeds; entry hosts keep them for a new owner

Operators could not see which engines are slow, and a new owner had to learn it again while urgent streams ran there. Entry hosts remember Placed.speed by upstream and send it in OwnerChosen.speeds.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -172,6 +172,14 @@
             **self.duties.gauges(),
         }
 
+    def placement_gauges(self, now: float) -> dict[str, dict[str, float]]:
+        """Return the speed and the unknown runs of each upstream by metric, for the metrics."""
+        upstreams = [item for shard in self._owner.shards(now) for item in shard.upstreams.items()]
+        return {
+            "medlar_upstream_speed": {name: item.factor for name, item in upstreams},
+            "medlar_unknown_runs": {name: item.unknown_runs for name, item in upstreams},
+        }
+
     @property
     def leads(self) -> bool:
         """Return whether this replica leads, as far as it knows."""
@@ -277,6 +285,9 @@
                 self._reply(operation_id, coordinator_types.CrashCasesFound(held.cases))
             case coordinator_types.ListDuties():
                 self._reply(operation_id, self.duties.summary(self._now))
+            case coordinator_types.ListPlacement():
+                shards = self._owner.shards(self._now)
+                self._reply(operation_id, coordinator_types.PlacementFound(shards))
 
     def _put(self, operation_id: int, operation: coordinator_types.PutRouting) -> None:
         if not self.leads:
--- a/src/medlarfork/coordination/coordinator_metrics.py
+++ b/src/medlarfork/coordination/coordinator_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from medlarfork.metrics import gauges, process_metrics
 
 
@@ -12,8 +14,17 @@
         process: Process metrics that own the instruments and serve metrics requests.
     """
 
-    def __init__(self, read_gauges: gauges.ReadGauges) -> None:
-        """Create the instruments; ``read_gauges`` is called whenever they are rendered."""
+    def __init__(
+        self,
+        read_gauges: gauges.ReadGauges,
+        read_placement: Callable[[], dict[str, dict[str, float]]] = dict,
+    ) -> None:
+        """Create the instruments.
+
+        Args:
+            read_gauges: Returns the state by name; called whenever metrics are rendered.
+            read_placement: Returns values by upstream, by metric; called likewise.
+        """
         self.process = process_metrics.ProcessMetrics("medlarfork.coordination", read_gauges)
         self._operations = self.process.tally(
             "medlar_operations", "Operations answered.", ("operation", "status")
@@ -28,6 +39,14 @@
             "medlar_placement_wait", "Question to placement, at the owner."
         )
 
+        for name, description in (
+            ("medlar_upstream_speed", "Relative time of an upstream; 1 is usual."),
+            ("medlar_unknown_runs", "Runs at an upstream that its placement owner does not know."),
+        ):
+            self.process.gauge(
+                name, description, "upstream", lambda name=name: read_placement().get(name, {})
+            )
+
     def count_operation(self, operation: str, status: int, took_s: float) -> None:
         """Count an operation that was answered."""
         self._operations.add(1, operation, str(status))
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -111,7 +111,7 @@
                 on_call_end=self._on_platform_called,
             )
         )
-        self._metrics = coordinator_metrics.CoordinatorMetrics(self._gauges)
+        self._metrics = coordinator_metrics.CoordinatorMetrics(self._gauges, self._placement_gauges)
         self._node: coordinator.Coordinator | None = None
         self._runner: runner.Runner | None = None
         self._replies_by_operation: dict[int, curio.Queue] = {}
@@ -316,6 +316,9 @@
         state = {} if self._node is None else self._node.gauges()
         return {**state, "link_dropped": self._link.counters.dropped}
 
+    def _placement_gauges(self) -> dict[str, dict[str, float]]:
+        return {} if self._node is None else self._node.placement_gauges(boottime_clock())
+
     def _log_operation(
         self,
         operation: coordinator_types.Operation,
--- a/src/medlarfork/coordination/coordinator_types.py
+++ b/src/medlarfork/coordination/coordinator_types.py
@@ -7,6 +7,7 @@
 
 from medlarfork.coordination import upstream_types
 from medlarfork.duties import duty_types, engine_autoscaler
+from medlarfork.placement import owner
 from medlarfork.quarantine import crash_messages
 
 
@@ -61,6 +62,11 @@
     """Operation: return the holder and the state of the singleton duties."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListPlacement:
+    """Operation: return the state of the shards that this replica places requests for."""
+
+
 Operation = (
     PutRouting
     | GetRouting
@@ -70,6 +76,7 @@
     | ListCrashCases
     | LiftCrashCase
     | ListDuties
+    | ListPlacement
 )
 
 
@@ -145,8 +152,22 @@
     needs: tuple[engine_autoscaler.Need, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementFound:
+    """Reply: the shards that the replying replica owns."""
+
+    shards: tuple[owner.ShardSummary, ...]
+
+
 Reply = (
-    Accepted | AskLeader | Unavailable | RoutingFound | EntriesFound | CrashCasesFound | DutiesFound
+    Accepted
+    | AskLeader
+    | Unavailable
+    | RoutingFound
+    | EntriesFound
+    | CrashCasesFound
+    | DutiesFound
+    | PlacementFound
 )
 
 
--- a/src/medlarfork/coordination/decision_log.py
+++ b/src/medlarfork/coordination/decision_log.py
@@ -44,4 +44,6 @@
         "candidates": inputs.candidates,
         "tokens_per_ms": round(inputs.tokens_per_ms, 1),
         "pause_ms": round(inputs.max_gap_ms),
+        "speed": None if inputs.speed is None else round(inputs.speed, 2),
+        "slowdown": None if inputs.slowdown is None else round(inputs.slowdown, 2),
     }
--- a/src/medlarfork/coordination/operations_format.py
+++ b/src/medlarfork/coordination/operations_format.py
@@ -21,6 +21,9 @@
 DUTIES_PATH = "/v1/duties"
 """Path at which operators read the holder and the state of the singleton duties."""
 
+PLACEMENT_PATH = "/v1/placement"
+"""Path at which operators read the state of the shards that a replica owns."""
+
 _JSON = {"Content-Type": "application/json"}
 """Headers of every reply with a body."""
 
@@ -65,7 +68,8 @@
 
     ``PUT /v1/routing`` and ``GET /v1/routing`` for operators, ``PUT /v1/upstreams/ID`` and ``DELETE
     /v1/upstreams/ID`` for upstreams, ``GET /v1/entries?zone=ZONE`` for callers, ``GET
-    /v1/crash-cases``, ``DELETE /v1/crash-cases/KEY`` and ``GET /v1/duties`` for operators.
+    /v1/crash-cases``, ``DELETE /v1/crash-cases/KEY``, ``GET /v1/duties`` and ``GET
+    /v1/placement`` for operators.
     """
 
     def __init__(self, *, http_port: int) -> None:
@@ -87,6 +91,8 @@
             return coordinator_types.ListCrashCases()
         if path == DUTIES_PATH and method == "GET":
             return coordinator_types.ListDuties()
+        if path == PLACEMENT_PATH and method == "GET":
+            return coordinator_types.ListPlacement()
         folder, _, upstream_id = path.rpartition("/")
         if folder == "/v1/upstreams" and method == "DELETE":
             return coordinator_types.Withdraw(upstream_id)
@@ -111,6 +117,7 @@
                 coordinator_types.EntriesFound()
                 | coordinator_types.CrashCasesFound()
                 | coordinator_types.DutiesFound()
+                | coordinator_types.PlacementFound()
             ):
                 return HttpReply(200, _JSON, msgspec.json.encode(reply))
             case coordinator_types.AskLeader(leader_id):
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -27,6 +27,10 @@
 MIN_START_MS = 1.0
 """Minimum start time sent to the second shard, in milliseconds; 0 marks a request to the first."""
 
+MAX_SPEEDS = 1024
+"""Upstreams of a service whose speed is remembered: several times as many as a service has, so that
+only those that have ended are dropped."""
+
 Send = Callable[[str, Any], bool]
 """Sends a message to a replica; returns whether it was queued."""
 
@@ -147,6 +151,7 @@
         self._notified_owner_by_shard: dict[placement_messages.Shard, str] = {}
         self._owner_generation = 0
         self._estimate_by_service: dict[str, placement_messages.EngineEstimate] = {}
+        self._speeds_by_service: dict[str, dict[str, float]] = {}
         self.local_placements = 0
 
     def new_ticket_id(self) -> str:
@@ -216,13 +221,34 @@
         match message:
             case placement_messages.Queued():
                 ticket.is_queued = True
-            case placement_messages.Placed(belief=estimate) if estimate is not None:
+            case placement_messages.Placed(belief=estimate):
                 ticket.answer = message
-                self._estimate_by_service[ticket.request.service] = estimate
+                self._remember_speed(ticket.request.service, message)
+                if estimate is not None:
+                    self._estimate_by_service[ticket.request.service] = estimate
             case _:
                 ticket.answer = message
         await ticket.changed.set()
 
+    def _remember_speed(self, service: str, placed: placement_messages.Placed) -> None:
+        """Remember an upstream's relative time, unless it is the usual."""
+        speeds = self._speeds_by_service.setdefault(service, {})
+        speeds.pop(placed.upstream_id, None)
+        if placed.speed != 1.0:
+            speeds[placed.upstream_id] = placed.speed
+            if len(speeds) > MAX_SPEEDS:
+                del speeds[next(iter(speeds))]
+
+    def _speeds_of(
+        self, shard: placement_messages.Shard
+    ) -> tuple[placement_messages.UpstreamSpeed, ...]:
+        speeds = self._speeds_by_service.get(shard.service, {})
+        return tuple(
+            placement_messages.UpstreamSpeed(upstream_id, factor)
+            for upstream_id, factor in speeds.items()
+            if shard.has(upstream_id)
+        )
+
     def notify_owners(self, now: float) -> None:
         """Notify replicas that have just become owners, with the requests that are running."""
         for shard in tuple(self._notified_owner_by_shard):
@@ -273,7 +299,8 @@
         # Before the first request: an owner that has just started may know no signals.
         self._send_signals(owner_id)
         estimate = self._estimate_by_service.get(shard.service)
-        self._send(owner_id, placement_messages.OwnerChosen(shard, True, estimate))
+        speeds = self._speeds_of(shard)
+        self._send(owner_id, placement_messages.OwnerChosen(shard, True, estimate, speeds))
         for ticket in tuple(self._ticket_by_id.values()):
             self._report_running(ticket, shard, owner_id)
         return owner_id
--- a/src/medlarfork/metrics/process_metrics.py
+++ b/src/medlarfork/metrics/process_metrics.py
@@ -45,6 +45,7 @@
         self._read_gauges = read_gauges
         self._tallies: list[tuple[str, str, tally.Tally]] = []
         self._timings: list[timing.Timing] = []
+        self._labelled: list[tuple[str, str, str, gauges.ReadGauges]] = []
         self._sdk: sdk_metrics.SdkMetrics | None = None
         self._loading = threading.Lock()
 
@@ -62,6 +63,12 @@
         self._timings.append(times)
         return times
 
+    def gauge(
+        self, name: str, description: str, label: str, read_values: gauges.ReadGauges
+    ) -> None:
+        """Create a gauge with one label; ``read_values`` returns its values by label value."""
+        self._labelled.append((name, description, label, read_values))
+
     def close(self) -> None:
         """Shut down the SDK, if it was loaded."""
         if self._sdk is not None:
@@ -89,5 +96,7 @@
                     sdk.add_tally(name, description, counts)
                 for times in self._timings:
                     sdk.add_timing(times)
+                for gauge in self._labelled:
+                    sdk.add_gauge(*gauge)
                 self._sdk = sdk
             return self._sdk
--- a/src/medlarfork/metrics/sdk_metrics.py
+++ b/src/medlarfork/metrics/sdk_metrics.py
@@ -60,6 +60,19 @@
         )
         times.attach(histogram)
 
+    def add_gauge(
+        self, name: str, description: str, label: str, read_values: gauges.ReadGauges
+    ) -> None:
+        """Export a gauge with one label."""
+
+        def observe(_: metrics_api.CallbackOptions) -> Iterable[metrics_api.Observation]:
+            return [
+                metrics_api.Observation(value, {label: label_value})
+                for label_value, value in read_values().items()
+            ]
+
+        self._meter.create_observable_gauge(name, callbacks=[observe], description=description)
+
     def render(self) -> bytes:
         """Return all values in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -35,12 +35,12 @@
     Attributes:
         service: The service of the shard.
         index: Number of the shard.
-        upstreams: Its upstreams.
+        upstreams: Its upstreams by incarnation.
     """
 
     service: str
     index: int
-    upstreams: tuple[shard_speeds.UpstreamSummary, ...]
+    upstreams: dict[str, shard_speeds.UpstreamSummary]
 
 
 class PlacementOwner:
@@ -137,9 +137,11 @@
 
     def shards(self, now: float) -> tuple[ShardSummary, ...]:
         """Return the state of the shards that entry hosts use this replica for, for operators."""
+        # Metrics are rendered in a thread, so this takes an atomic copy.
+        owners = list(self._owner_by_shard.items())
         return tuple(
             ShardSummary(shard.service, shard.index, owner.upstreams(now))
-            for shard, owner in tuple(self._owner_by_shard.items())
+            for shard, owner in owners
         )
 
     def on_time(self, now: float) -> tuple[node.Send, ...]:
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -192,9 +192,11 @@
         """Start from the relative times that an earlier owner told an entry host."""
         self._speeds.adopt(speeds, now)
 
-    def upstreams(self, now: float) -> tuple[shard_speeds.UpstreamSummary, ...]:
-        """Return the state of each upstream, for operators."""
-        return tuple(self._speeds.summary(load, now) for load in tuple(self.load_by_id.values()))
+    def upstreams(self, now: float) -> dict[str, shard_speeds.UpstreamSummary]:
+        """Return the state of each upstream by incarnation, for operators."""
+        # Metrics are rendered in a thread, so this takes an atomic copy.
+        loads = list(self.load_by_id.items())
+        return {upstream_id: self._speeds.summary(load, now) for upstream_id, load in loads}
 
     def release_entry(self, entry_id: str, now: float) -> tuple[placement_decision.Decision, ...]:
         """Release everything of a lost entry host, whose upstream connections are gone with it."""
--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -53,7 +53,6 @@
     """What the owner knows of one upstream, for operators.
 
     Attributes:
-        upstream_id: The incarnation.
         factor: Its relative time; 1 is usual.
         samples: Samples that the factor is learnt from.
         slowdown: Its momentary slowdown now; 1 is usual.
@@ -65,7 +64,6 @@
         slow_for_s: Time since its factor became slow, in seconds; None if it is not.
     """
 
-    upstream_id: str
     factor: float
     samples: int
     slowdown: float
@@ -292,7 +290,6 @@
         """Return the state of an upstream, for operators."""
         speed = load.speed
         return UpstreamSummary(
-            upstream_id=load.announcement.upstream_id,
             factor=speed.factor,
             samples=speed.samples,
             slowdown=speed.slowdown(now),
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -111,6 +111,32 @@
     curio_world.run(main)
 
 
+def test_a_new_owner_gets_the_speeds_of_its_own_upstreams(
+    session, sent, client, make_place_request, make_announcement
+):
+    """Speeds of another shard's upstreams or of usual ones would only fill the message."""
+    own, other = (
+        next(name for name in (f"u-{n}" for n in range(99)) if shard.has(name))
+        for shard in (HOME, OTHER)
+    )
+
+    async def main():
+        for number, (upstream_id, speed) in enumerate(((own, 1.5), (own, 2.0), (other, 3.0))):
+            ticket_id = f"t{number}"
+            request = make_place_request(ticket_id, shard=HOME)
+            placing = await curio.spawn(client.place, request)
+            await curio_world.until(lambda count=number + 1: request_count(sent, "r1") == count)
+            placed = placement_messages.Placed(ticket_id, upstream_id, speed=speed)
+            await client.handle_reply("r1", placed)
+            await placing.join()
+        session.owner_id = "r2"
+        client.notify_owners(0.0)
+        speeds = (placement_messages.UpstreamSpeed(own, 2.0),)
+        assert ("r2", placement_messages.OwnerChosen(HOME, True, speeds=speeds)) in sent
+
+    curio_world.run(main)
+
+
 def test_a_new_owner_gets_the_estimates_of_the_previous_one(
     session, sent, client, make_place_request
 ):
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -1,9 +1,17 @@
 """Replays of the load that relative times of upstreams handle, and the condition for using them."""
 
+import json
 import random
 
 import pytest
 
+from medlarfork import node
+from medlarfork.coordination import (
+    coordinator_metrics,
+    coordinator_types,
+    decision_log,
+    operations_format,
+)
 from medlarfork.placement import (
     owner,
     placement_messages,
@@ -12,7 +20,7 @@
     upstream_speed,
 )
 from medlarfork.routes import routing
-from tests.routed import engine_replay, placement_helpers
+from tests.routed import coordinator_cluster, engine_replay, placement_helpers
 
 SECONDS = 20.0
 PREFILL = upstream_speed.SampleKind.LONG_PREFILL
@@ -109,7 +117,7 @@
 
 
 def report(running=0, slowdown=1.0, waiting=0):
-    return reported_load.ReportedLoad(running, waiting, 8, slowdown)
+    return reported_load.ReportedLoad(running, waiting, 9, slowdown)
 
 
 def test_a_false_slowdown_neither_blocks_nor_favours_an_upstream():
@@ -162,7 +170,7 @@
     asked = [make_place_request(f"t{n}", left_ms=9000.0) for n in range(4)]
     first = placement_helpers.placed(service.place("e", asked[0], 0.0))
     service.on_first_event(placement_messages.FirstEvent("t0", 9.0, report(7, 1.0, 1)), 0.1)
-    (summary,) = (item for item in service.upstreams(0.1) if item.upstream_id == first)
+    summary = service.upstreams(0.1)[first]
     assert (summary.unknown_runs, summary.running) == (7, 1)
     excluded = tuple(name for name in service.load_by_id if name != first)
     here = make_place_request("here", left_ms=9000.0, excluded=excluded)
@@ -192,7 +200,7 @@
     for ticket_id, slowdown in (("stream", 1.0), ("plain", 2.0)):
         ended = placement_messages.RunEnded(ticket_id, complete, 1.0, load=report(2, 2.0))
         service.on_ended(ended, 2.0)
-        assert service.upstreams(2.0)[0].slowdown == slowdown
+        assert service.upstreams(2.0)["u-0"].slowdown == slowdown
 
 
 def test_a_new_owner_starts_from_the_factors_that_entry_hosts_were_told(
@@ -207,7 +215,7 @@
     successor.handle("e", chosen, 0.0)
     successor.use_upstreams(tuple(make_announcement(f"u-{n}") for n in range(3)), 0.1)
     (shard,) = successor.shards(0.2)
-    factors = {item.upstream_id: item.factor for item in shard.upstreams}
+    factors = {name: item.factor for name, item in shard.upstreams.items()}
     assert factors == {"u-0": pytest.approx(2.4), "u-1": pytest.approx(2.4), "u-2": 1.0}
     (answer,) = successor.handle("e", make_place_request(), 0.2)
     assert answer.message.speed == factors[answer.message.upstream_id]
@@ -223,3 +231,54 @@
     assert speeds.planned_slowdown == 2.5
     speeds.forget_old(20.0 + shard_speeds.REPORT_RETENTION_S)
     assert speeds.planned_slowdown == 1.0
+
+
+def test_operators_see_the_upstreams_of_the_shards_that_a_replica_owns(
+    make_announcement, make_place_request
+):
+    """Slow engines showed only in the latencies of callers, who don't know where they were sent."""
+    cluster = coordinator_cluster.Cluster()
+    cluster.run(6.0)
+    announcement = make_announcement(slots=9)
+    cluster.ask("a", coordinator_types.Announce(announcement))
+    cluster.run(1.0)
+    upstream_id = announcement.upstream_id
+    for message in (
+        placement_messages.OwnerChosen(
+            SHARD, True, speeds=(placement_messages.UpstreamSpeed(upstream_id, 2.0),)
+        ),
+        make_place_request("t", left_ms=60_000.0),
+        placement_messages.FirstEvent("t", 9.0, report(3, 2.0)),
+    ):
+        cluster.post("a", node.MessageReceived("e", message))
+    cluster.run(0.1)
+    replies = [cluster.ask(name, coordinator_types.ListPlacement()) for name in ("a", "b")]
+    own_format = operations_format.OwnFormat(http_port=1)
+    assert own_format.decode("GET", "/v1/placement", "", b"") == coordinator_types.ListPlacement()
+    shards, none = (
+        json.loads(own_format.encode(reply, "/v1/placement").body)["shards"] for reply in replies
+    )
+    assert none == []
+    found = shards[0]["upstreams"][upstream_id]
+    assert (shards[0]["service"], shards[0]["index"], found["running"]) == ("engines", 0, 1)
+    assert found["factor"] == pytest.approx(2.0)
+    assert found["reported"] == {"running": 3, "waiting": 0, "slots": 9, "slowdown": 2.0}
+    assert 1.0 < found["slowdown"] < 2.0
+    assert found["slow_for_s"] >= found["report_age_s"] > 0.0
+    read_metrics = cluster.host_by_id["a"].node.placement_gauges
+    metrics = coordinator_metrics.CoordinatorMetrics(dict, lambda: read_metrics(cluster.time))
+    text = metrics.process._render().decode()
+    metrics.process.close()
+    assert f'medlar_upstream_speed{{upstream="{upstream_id}"}} 2.0' in text
+    assert f'medlar_unknown_runs{{upstream="{upstream_id}"}} 1.' in text
+
+
+def test_the_log_names_the_speed_of_the_chosen_upstream(make_shard_owner, make_place_request):
+    """Without it nobody can tell afterwards why a slow engine was chosen."""
+    service = make_shard_owner(count=1, slots=8)
+    (before,) = service.place("e", make_place_request("a"), 0.0)
+    service.on_first_event(placement_messages.FirstEvent("a", 9.0, report(1, 2.0)), 0.1)
+    (after,) = service.place("e", make_place_request("b"), 0.1)
+    before, after = (decision_log.log_event(answer).fields for answer in (before, after))
+    assert (before["speed"], before["slowdown"]) == (None, None)
+    assert (after["speed"], after["slowdown"]) == (1.0, 2.0)
