--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -186,7 +186,7 @@
         slowdown = speed.slowdown(now)
         prefill_ms = message.after_ms - estimator.fixed_ms
         if tokens < engine_estimator.MIN_RATE_TOKENS:
-            self._observe_short(speed, tokens, message.after_ms / slowdown, now)
+            self._observe_short(speed, run, message.after_ms, now)
         elif estimator.has_measured and prefill_ms > 0:
             token_ms, usual_ms = prefill_ms / tokens, 1.0 / estimator.tokens_per_ms
             speed.check_report(run.slowdown, token_ms / usual_ms)
@@ -195,22 +195,30 @@
         estimator.observe_first_event(tokens, message.after_ms, speed.factor * slowdown)
 
     def _observe_short(
-        self, speed: upstream_speed.UpstreamSpeed, tokens: int, after_ms: float, now: float
+        self,
+        speed: upstream_speed.UpstreamSpeed,
+        run: upstream_load.Run,
+        after_ms: float,
+        now: float,
     ) -> None:
         """Learn from a short prompt: streams on an engine are measured before the first one ends.
 
         The steps before a first event outweigh the prefill, and the estimate of the service does
         not contain all of them. So times are compared with those of short prompts elsewhere.
         """
-        if not tokens:
+        if not run.prefill_tokens:
             return
         estimator = self._estimator
-        time = after_ms / (estimator.fixed_ms + tokens / estimator.tokens_per_ms)
-        self._short_times.append(time / speed.factor)
+        predicted_ms = estimator.fixed_ms + run.prefill_tokens / estimator.tokens_per_ms
+        time = after_ms / predicted_ms
+        relative_time = time / speed.slowdown(now)
+        self._short_times.append(relative_time / speed.factor)
         if len(self._short_times) < MIN_SHORT_SAMPLES:
             return
         usual = upstream_speed.quantile(self._short_times, upstream_speed.TYPICAL_QUANTILE)
-        self._observe(speed, upstream_speed.SampleKind.SHORT_PREFILL, time, usual, now)
+        speed.check_report(run.slowdown, time / usual)
+        kind = upstream_speed.SampleKind.SHORT_PREFILL
+        self._observe(speed, kind, relative_time, usual, now)
 
     def _observe(
         self,
@@ -264,7 +272,6 @@
         slowdown = min(run.min_slowdown, speed.slowdown(now))
         if estimator.has_measured_gaps and prefill_ms <= MAX_GAP_PREFILL_MS:
             usual_ms = estimator.step_ms * event_tokens
-            speed.check_report(run.slowdown, gaps.longest_ms / usual_ms)
             kind = upstream_speed.SampleKind.GAP
             self._observe(speed, kind, gaps.usual_ms / slowdown, usual_ms, now)
         estimator.observe_gaps(
