--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -191,7 +191,7 @@
             token_ms, usual_ms = prefill_ms / tokens, 1.0 / estimator.tokens_per_ms
             speed.check_report(run.slowdown, token_ms / usual_ms)
             kind = upstream_speed.SampleKind.LONG_PREFILL
-            self._observe(speed, kind, token_ms / slowdown, usual_ms, now)
+            self._observe(speed, kind, (token_ms, usual_ms, slowdown), now)
         estimator.observe_first_event(tokens, message.after_ms, speed.factor * slowdown)
 
     def _observe_short(
@@ -211,29 +211,28 @@
         estimator = self._estimator
         predicted_ms = estimator.fixed_ms + run.prefill_tokens / estimator.tokens_per_ms
         time = after_ms / predicted_ms
-        relative_time = time / speed.slowdown(now)
-        self._short_times.append(relative_time / speed.factor)
+        slowdown = speed.slowdown(now)
+        self._short_times.append(time / slowdown / speed.factor)
         if len(self._short_times) < MIN_SHORT_SAMPLES:
             return
         usual = upstream_speed.quantile(self._short_times, upstream_speed.TYPICAL_QUANTILE)
         speed.check_report(run.slowdown, time / usual)
         kind = upstream_speed.SampleKind.SHORT_PREFILL
-        self._observe(speed, kind, relative_time, usual, now)
+        self._observe(speed, kind, (time, usual, slowdown), now)
 
     def _observe(
         self,
         speed: upstream_speed.UpstreamSpeed,
         kind: upstream_speed.SampleKind,
-        value: float,
-        usual: float,
+        sample: tuple[float, float, float],
         now: float,
     ) -> None:
-        """Record a sample of an upstream, and compare the upstreams again.
+        """Record a sample (value, usual value, slowdown), and compare the upstreams again.
 
         The service's estimate is made from samples divided by the factors, so both could drift
         together. Factors relative to the median upstream can't.
         """
-        speed.observe(kind, value, usual)
+        speed.observe(kind, *sample)
         measured = [load.speed for load in self._load_by_id.values() if load.speed.samples]
         learnt = sorted(item.learnt for item in measured)
         median = learnt[(len(learnt) - 1) // 2]
@@ -273,7 +272,7 @@
         if estimator.has_measured_gaps and prefill_ms <= MAX_GAP_PREFILL_MS:
             usual_ms = estimator.step_ms * event_tokens
             kind = upstream_speed.SampleKind.GAP
-            self._observe(speed, kind, gaps.usual_ms / slowdown, usual_ms, now)
+            self._observe(speed, kind, (gaps.usual_ms, usual_ms, slowdown), now)
         estimator.observe_gaps(
             gaps,
             prefill_ms,
--- a/src/medlarfork/placement/upstream_speed.py
+++ b/src/medlarfork/placement/upstream_speed.py
@@ -130,15 +130,20 @@
         """Return the runs that the owner does not know of, discounted with the report's age."""
         return self._unknown_runs * _fresh_share(now - self.reported_at, UNKNOWN_RUN_DECAY_S)
 
-    def observe(self, kind: SampleKind, value: float, usual: float) -> None:
+    def observe(self, kind: SampleKind, value: float, usual: float, slowdown: float) -> None:
         """Record a sample and learn from all kinds, weighted by their numbers.
 
         Args:
             kind: What it measures.
-            value: The sample, divided by the slowdown.
+            value: The sample.
             usual: The service's usual value.
+            slowdown: The momentary slowdown that the sample is divided by.
         """
-        self._samples_by_kind[kind].append(value)
+        sample = value / slowdown
+        if slowdown >= DISTURBED_SLOWDOWN:
+            # A false slowdown must not make an upstream look faster than usual.
+            sample = max(sample, min(value, usual))
+        self._samples_by_kind[kind].append(sample)
         self._usual_by_kind[kind] = usual
         weight, total = PRIOR_SAMPLES, PRIOR_SAMPLES * math.log(self._prior)
         for found, usual_value in self._usual_by_kind.items():
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -128,7 +128,7 @@
         for speed, time in ((false, 1.0), (true, 2.5)):
             slowdown = speed.record_report(report(slowdown=20.0 if speed is false else 2.5), 0, now)
             speed.check_report(speed.report.slowdown, time)
-            speed.observe(PREFILL, time / slowdown, 1.0)
+            speed.observe(PREFILL, time, 1.0, slowdown)
             speed.set_reference(1.0, now)
     assert false.slowdown(6.0) == pytest.approx(1.0, abs=0.1)
     assert false.factor == pytest.approx(1.0, abs=0.1)
@@ -149,16 +149,16 @@
 def test_few_samples_move_a_factor_little_and_none_leaves_its_bounds():
     """One delayed run must not make an upstream look slow, nor a measuring error stop its use."""
     speed = upstream_speed.UpstreamSpeed()
-    speed.observe(PREFILL, 100.0, 1.0)
+    speed.observe(PREFILL, 100.0, 1.0, 1.0)
     speed.set_reference(1.0, 0.0)
     assert speed.factor < 4.0
     for _ in range(50):
-        speed.observe(PREFILL, 1000.0, 1.0)
+        speed.observe(PREFILL, 1000.0, 1.0, 1.0)
         speed.set_reference(1.0, 1.0)
     assert speed.factor == upstream_speed.FACTOR_BOUNDS[1]
     assert speed.slow_since is not None
     for _ in range(50):
-        speed.observe(PREFILL, 0.001, 1.0)
+        speed.observe(PREFILL, 0.001, 1.0, 1.0)
         speed.set_reference(1.0, 2.0)
     assert speed.factor == upstream_speed.FACTOR_BOUNDS[0]
     assert speed.slow_since is None
