--- a/tests/routed/engine_replay.py
+++ b/tests/routed/engine_replay.py
@@ -8,6 +8,8 @@
 
 EVENT_TOKENS = 7
 SLOTS = 16
+SLOW_S = 0.6
+SLOWDOWN = 2.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,19 +27,18 @@
 class Engine:
     """Prefill one chunk a step, and produce one token of every stream."""
 
-    def __init__(self, factor, draw, slow_share, slow_s=0.6, slowdown=2.5):
-        self.factor, self.draw, self.slow_s, self.slowdown = factor, draw, slow_s, slowdown
-        self.usual_s = slow_s * (1.0 - slow_share) / slow_share if slow_share else 1e9
+    def __init__(self, factor, draw, slow_share):
+        self.factor, self.draw = factor, draw
+        self.usual_s = SLOW_S * (1.0 - slow_share) / slow_share
         self.is_slow, self.changes_at = False, draw.expovariate(1.0 / self.usual_s)
-        self.streams, self.cached = [], set()
-        self.is_stepping = False
+        self.streams, self.cached, self.is_stepping = [], set(), False
 
     def pace(self, now):
         while self.changes_at <= now:
             self.is_slow = not self.is_slow
             usual_s = self.draw.expovariate(1.0 / self.usual_s)
-            self.changes_at += self.slow_s if self.is_slow else usual_s
-        return self.slowdown if self.is_slow else 1.0
+            self.changes_at += SLOW_S if self.is_slow else usual_s
+        return SLOWDOWN if self.is_slow else 1.0
 
     def step_s(self, now):
         reads = any(stream.prompt_left for stream in self.streams)
@@ -63,12 +64,12 @@
 class Replay:
     """Send requests to a shard owner and count the late ones; ``load_of`` reports an engine."""
 
-    def __init__(self, service, engines, load_of, seed=1):
+    def __init__(self, service, engines, load_of, seed):
         self.service, self.engine_by_id, self.load_of = service, engines, load_of
         self.draw = random.Random(seed)
         self.events, self.number, self.now = [], 0, 0.0
         self.sent_by_ticket, self.chats, self.longs, self.refused = {}, [], [], []
-        self.decisions, self.answer_of = [], None
+        self.decisions = []
 
     def at(self, when, act, *values):
         self.number += 1
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -189,6 +189,7 @@
     assert speaks.decode("GET", "/config/get", "", b"") == coordinator_types.GetRouting()
     find = speaks.decode("GET", "/resolve", "Name=a&Zone=hall", b"")
     assert find == coordinator_types.FindEntries("hall")
+    assert speaks.decode("GET", "/v1/placement", "", b"") == coordinator_types.ListPlacement()
     with pytest.raises(errors.RequestRefusedError):
         speaks.decode("POST", "/instances/i-1/heartbeat", "", b"{}")
     with pytest.raises(errors.RequestRefusedError):
@@ -202,6 +203,7 @@
     assert (leader.status, leader.headers["Location"]) == (307, "http://10.0.0.4:8229/config/put")
     assert speaks.encode(coordinator_types.Unavailable("why"), "/").status == 503
     assert speaks.encode(coordinator_types.RoutingFound(3, b"{}"), "/").body == b"{}"
+    assert speaks.encode(coordinator_types.PlacementFound(()), "/").body == b'{"shards":[]}'
 
 
 SETTINGS = """
