--- a/src/medlarfork/coordination/coordinator_types.py
+++ b/src/medlarfork/coordination/coordinator_types.py
@@ -7,6 +7,7 @@
 
 from medlarfork.coordination import upstream_types
 from medlarfork.duties import duty_types, engine_autoscaler
+from medlarfork.placement import owner
 from medlarfork.quarantine import crash_messages
 
 
@@ -66,6 +67,11 @@
     """Operation: list the entry hosts with their weights in directory answers."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListPlacement:
+    """Operation: return the state of the shards that this replica places requests for."""
+
+
 Operation = (
     PutRouting
     | GetRouting
@@ -76,6 +82,7 @@
     | LiftCrashCase
     | ListDuties
     | ListEntryHosts
+    | ListPlacement
 )
 
 
@@ -183,6 +190,13 @@
     hosts: tuple[EntryHost, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementFound:
+    """Reply: the shards that the replying replica owns."""
+
+    shards: tuple[owner.ShardSummary, ...]
+
+
 Reply = (
     Accepted
     | AskLeader
@@ -192,6 +206,7 @@
     | CrashCasesFound
     | DutiesFound
     | EntryHostsFound
+    | PlacementFound
 )
 
 
--- a/src/medlarfork/coordination/operations_format.py
+++ b/src/medlarfork/coordination/operations_format.py
@@ -24,6 +24,9 @@
 ENTRY_HOSTS_PATH = "/v1/entry-hosts"
 """Path at which operators read the entry hosts and their weights in directory answers."""
 
+PLACEMENT_PATH = "/v1/placement"
+"""Path at which operators read the state of the shards that a replica owns."""
+
 _JSON = {"Content-Type": "application/json"}
 """Headers of every reply with a body."""
 
@@ -68,8 +71,8 @@
 
     ``PUT /v1/routing`` and ``GET /v1/routing`` for operators, ``PUT /v1/upstreams/ID`` and ``DELETE
     /v1/upstreams/ID`` for upstreams, ``GET /v1/entries?zone=ZONE`` for callers, ``GET
-    /v1/crash-cases``, ``DELETE /v1/crash-cases/KEY``, ``GET /v1/duties`` and ``GET
-    /v1/entry-hosts`` for operators.
+    /v1/crash-cases``, ``DELETE /v1/crash-cases/KEY``, ``GET /v1/duties``, ``GET
+    /v1/entry-hosts`` and ``GET /v1/placement`` for operators.
     """
 
     def __init__(self, *, http_port: int) -> None:
@@ -93,6 +96,8 @@
             return coordinator_types.ListDuties()
         if path == ENTRY_HOSTS_PATH and method == "GET":
             return coordinator_types.ListEntryHosts()
+        if path == PLACEMENT_PATH and method == "GET":
+            return coordinator_types.ListPlacement()
         folder, _, upstream_id = path.rpartition("/")
         if folder == "/v1/upstreams" and method == "DELETE":
             return coordinator_types.Withdraw(upstream_id)
@@ -118,6 +123,7 @@
                 | coordinator_types.CrashCasesFound()
                 | coordinator_types.DutiesFound()
                 | coordinator_types.EntryHostsFound()
+                | coordinator_types.PlacementFound()
             ):
                 return HttpReply(200, _JSON, msgspec.json.encode(reply))
             case coordinator_types.AskLeader(leader_id):
--- a/src/medlarfork/metrics/process_metrics.py
+++ b/src/medlarfork/metrics/process_metrics.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import curio
@@ -47,7 +46,7 @@
         self._tallies: list[tuple[str, str, tally.Tally]] = []
         self._gauges: list[tuple[str, str, gauges.ReadGauge]] = []
         self._timings: list[timing.Timing] = []
-        self._gauges: list[tuple[str, str, Callable[[], float]]] = []
+        self._labelled_gauges: list[tuple[str, str, str, gauges.ReadGauges]] = []
         self._sdk: sdk_metrics.SdkMetrics | None = None
         self._loading = threading.Lock()
 
@@ -69,6 +68,12 @@
         self._timings.append(times)
         return times
 
+    def labelled_gauge(
+        self, name: str, description: str, label: str, read_values: gauges.ReadGauges
+    ) -> None:
+        """Create a gauge with one label; ``read_values`` returns its values by label value."""
+        self._labelled_gauges.append((name, description, label, read_values))
+
     def close(self) -> None:
         """Shut down the SDK, if it was loaded."""
         if self._sdk is not None:
@@ -98,5 +103,7 @@
                     sdk.add_gauge(name, description, read)
                 for times in self._timings:
                     sdk.add_timing(times)
+                for gauge in self._labelled_gauges:
+                    sdk.add_labelled_gauge(*gauge)
                 self._sdk = sdk
             return self._sdk
