Count exhausted descriptors as full utilisation

Listing the open descriptors takes a descriptor itself, so it failed when none was left and counted 0. The host then left the overloaded state, replicas named it in directory answers, and callers sent to it could not connect or had their requests fail on the way to an upstream.

--- a/src/medlarfork/gateway/load_sampler.py
+++ b/src/medlarfork/gateway/load_sampler.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
+import errno
 import logging
 import os
 import time
@@ -47,6 +47,7 @@
             on_change: Called when the overloaded state has changed.
         """
         self.load = entry_load.EntryLoad(settings, time.monotonic())
+        self._max_descriptors = settings.max_descriptors
         self._read_requests = read_requests
         self._on_change = on_change
 
@@ -74,7 +75,7 @@
                 elapsed_s=now - began_at,
                 processor_s=used_s - processor_s,
                 lag_s=lag_s / LAGS_PER_SAMPLE,
-                descriptors=_count_descriptors(),
+                descriptors=_count_descriptors(self._max_descriptors),
                 requests=self._read_requests(),
             )
             began_at, processor_s = now, used_s
@@ -94,8 +95,11 @@
         self._on_change()
 
 
-def _count_descriptors() -> int:
-    """Return the number of open descriptors; 0 if the system doesn't say."""
-    with contextlib.suppress(OSError), os.scandir(_DESCRIPTORS) as entries:
-        return sum(1 for _ in entries)
-    return 0
+def _count_descriptors(maximum: int) -> int:
+    """Return the number of open descriptors: the maximum if none is free, 0 if it is unknown."""
+    try:
+        with os.scandir(_DESCRIPTORS) as entries:
+            return sum(1 for _ in entries)
+    except OSError as error:
+        # Listing the folder takes a descriptor itself.
+        return maximum if error.errno in (errno.EMFILE, errno.ENFILE) else 0
