Leave overloaded hosts without a stated capacity out of directory answers

Hosts that state only memory_mb or max_descriptors have capacity 0, and the directory ignored their utilisation. Callers were still sent to them while they refused requests with 503. The test's check that a utilisation without a capacity has no effect contradicted the design, which leaves overloaded hosts out where sizes are stated. Its place is taken by a check that such a host is left out, and by a test through a whole deployment that a host without any stated size reports a utilisation of 0.

--- a/src/medlarfork/coordination/entry_directory.py
+++ b/src/medlarfork/coordination/entry_directory.py
@@ -74,7 +74,8 @@
     ) -> None:
         """Record an entry host's status."""
         last = self._last_by_id.get(entry_id)
-        is_overloaded = status.capacity > 0.0 and coordination_messages.is_overloaded(
+        # Hosts that state no size report a utilisation of 0.
+        is_overloaded = coordination_messages.is_overloaded(
             status.utilisation, before=last is not None and last.ready.is_overloaded
         )
         ready = entry_weights.ReadyHost(
--- a/tests/routed/test_entry_overload.py
+++ b/tests/routed/test_entry_overload.py
@@ -64,3 +64,21 @@
         routed_harness.run(tmp_path, main)
     changes = [record for record in caplog.records if "entry_overloaded" in record.getMessage()]
     assert len(changes) == (2 if room == 16 else 0)
+
+
+# Guards against: a host that counts as overloaded although it states no size.
+def test_a_host_without_stated_sizes_reports_no_utilisation(tmp_path):
+    async def main(deployment):
+        for _ in range(4):
+            await deployment.add_upstream(routed_harness.answer_plainly)
+        await deployment.put_routing()
+        await deployment.until_upstreams(4)
+        calls = [await curio.spawn(deployment.call) for _ in range(40)]
+        assert [(await call.join()).status for call in calls] == [200] * len(calls)
+        _, body = await deployment.ask_control(0, "GET", "/v1/entry-hosts")
+        (host,) = json.loads(body)["hosts"]
+        assert (host["capacity"], host["utilisation"], host["weight"]) == (0.0, 0.0, 1.0)
+        assert not host["is_overloaded"]
+        assert deployment.entry._sampler is None
+
+    routed_harness.run(tmp_path, main)
