Ignore stated capacities whose sums overflow or are zero

Where hosts stated capacities near the limits of floating point, the division of an answer's places failed with OverflowError, ValueError or ZeroDivisionError, and a replica answered callers of the directory with 500. Capacities outside 1e-6 to 1e12 now count as not stated.

--- a/src/medlarfork/coordination/entry_weights.py
+++ b/src/medlarfork/coordination/entry_weights.py
@@ -40,6 +40,10 @@
 """A capacity counts for at most this multiple of the smallest, so that a false one has a bounded
 effect; real capacities differ by a factor of three to four."""
 
+STATED_RANGE = (1e-6, 1e12)
+"""Capacities outside this range count as not stated, so that sums of weights neither overflow nor
+are zero."""
+
 EQUAL_RATIO = 1.05
 """Weights that differ by less than this ratio count as equal: rotating hosts costs connections, and
 a difference of a twentieth isn't worth any."""
@@ -156,7 +160,8 @@
 
 
 def _is_stated(capacity: float) -> bool:
-    return capacity > 0.0 and math.isfinite(capacity)
+    lowest, highest = STATED_RANGE
+    return lowest <= capacity <= highest
 
 
 def _shares(weights: Sequence[float]) -> list[float]:
--- a/tests/routed/test_entry_weights.py
+++ b/tests/routed/test_entry_weights.py
@@ -167,6 +167,16 @@
     assert sum(share.values()) == pytest.approx(round(sum(share.values())))
 
 
+# Guards against: a stated capacity with which a replica answers every caller with 500.
+@pytest.mark.parametrize("false", [(1e308, 1.7e308, 1e308), (5e-324,)])
+def test_extreme_capacities_do_not_prevent_answers(make_directory, false):
+    directory = make_directory(*false, utilisation=0.95)
+    make_directory(*false, zone="z2", directory=directory, utilisation=0.6)
+    for zone in ("z1", "z2", "elsewhere"):
+        assert directory.find(zone, 0.0).addresses
+    assert directory.list_hosts(0.0).hosts
+
+
 # Guards against: a rolling update that takes requests from hosts without the fields, or fails.
 def test_old_hosts_count_as_average_beside_new_ones(make_directory):
     share = entry_weights.share_by_id(make_directory(1.5, 0.5, 0.0, 0.0, 0.0).hosts(0.0), "z1")
