Admit all requests again once an overload is over

After an overload, the admitted share rose only while utilisation was at 0.8 or less. A host that was no longer overloaded, at 0.8 to 0.9, went on refusing up to half of its requests with 503 for as long as its utilisation stayed there, while the directory sent callers to it.

--- a/src/medlarfork/gateway/entry_load.py
+++ b/src/medlarfork/gateway/entry_load.py
@@ -212,7 +212,7 @@
         if strain > TARGET and is_sustained:
             factor = max(TARGET / strain, 1.0 - MAX_CUT)
             self._admitted_share = max(MIN_ADMITTED, self._admitted_share * factor)
-        elif strain <= TARGET:
+        elif strain <= TARGET or not self._is_strained:
             self._admitted_share = min(1.0, self._admitted_share + RECOVERY)
 
     def _refused_share(self, tier: int) -> float:
--- a/tests/routed/test_entry_load.py
+++ b/tests/routed/test_entry_load.py
@@ -116,6 +116,23 @@
     assert _refused(_replay(load, 10.0, seconds=20.0, start_s=82.0)) == {}
 
 
+# Guards against: a host that goes on refusing requests although it is no longer overloaded.
+@pytest.mark.parametrize("share", [0.1, 0.65, 0.85])
+def test_all_requests_are_admitted_again_after_an_overload(make_load, share):
+    load = make_load()
+    for now in range(12, 40):
+        _record(load, now, processor_s=0.3)
+    assert load.must_check(20)
+    for now in range(40, 46):
+        _record(load, now, processor_s=0.05)
+    assert not load.is_overloaded
+    for now in range(46, 86):
+        _record(load, now, processor_s=share * 0.387 * STEP_S)
+    assert not load.is_overloaded
+    assert not load.must_check(20)
+    assert [load.refusal_cause(tier, 20) for tier in (0, 2, 9)] == [None] * 3
+
+
 # Guards against: a process that is killed because its requests exceed its memory.
 def test_requests_in_progress_are_bounded_by_memory_with_the_lowest_tiers_first(make_load):
     load = make_load()
