Entry hosts refuse no tier before they count as overloaded, and nothing for a lag of others

Low tiers were refused from 80 percent of the bound on requests in progress, while the directory listed the host until 90 percent, so callers kept arriving and were refused. Lag alone marks the host as overloaded for the directory but refuses nothing: it may come from other processes on the machine, and refusing does not end it.

--- a/src/medlarfork/gateway/entry_load.py
+++ b/src/medlarfork/gateway/entry_load.py
@@ -44,11 +44,12 @@
 MIN_REQUESTS = 16
 """Requests in progress that are always allowed, if the stated memory is too small."""
 
-TIER_RESERVE = 0.04
+TIER_RESERVE = 0.02
 """Share of the bound on requests in progress that each tier leaves to all higher ones."""
 
-MAX_RESERVE = 0.2
-"""Maximum of these reserves together. The smallest hosts have room for 500 requests, so the lowest
+MAX_RESERVE = 0.1
+"""Maximum of these reserves together: no request is refused before the host counts as overloaded
+and is left out of directory answers. The smallest hosts have room for 500 requests, so the lowest
 tier has room for the 400 that a starting host holds."""
 
 AVERAGING_S = 1.0
@@ -77,8 +78,7 @@
 """Increase of the admitted share per sample when utilisation is below the target."""
 
 MIN_ADMITTED = 0.25
-"""Minimum admitted share: refusing requests doesn't end a lag that the host's load doesn't
-cause."""
+"""Minimum admitted share: part of the processor time is not caused by requests."""
 
 COUNT_DECAY = 0.8
 """Factor per sample on the counts of arrivals by tier, which then cover about 2.5 s."""
@@ -150,11 +150,12 @@
     def record(self, sample: Sample, now: float) -> bool:
         """Record a sample, and return whether the host's overloaded state changed."""
         self._average(sample, now)
-        strain_by_cause = {"processor": self._processor, "lag": self._lag}
+        use_by_cause = {"processor": self._processor}
         if self._max_descriptors:
-            strain_by_cause["descriptors"] = sample.descriptors / self._max_descriptors
-        self._adjust_admission(max(strain_by_cause.values()), now)
-        use_by_cause = strain_by_cause
+            use_by_cause["descriptors"] = sample.descriptors / self._max_descriptors
+        # Refusing requests does not end a lag that other processes on the machine cause.
+        self._adjust_admission(max(use_by_cause.values()), now)
+        use_by_cause["lag"] = self._lag
         if self._max_requests:
             use_by_cause["requests"] = sample.requests / self._max_requests
         self.cause = max(use_by_cause, key=lambda cause: use_by_cause[cause])
@@ -206,6 +207,7 @@
             self._strained_since = now
         if not self._is_strained and self._admitted_share >= 1.0:
             self._arrivals_by_tier = [0.0] * len(self._arrivals_by_tier)
+            self._credit_by_tier = [0.0] * len(self._credit_by_tier)
             return
         self._arrivals_by_tier = [count * COUNT_DECAY for count in self._arrivals_by_tier]
         is_sustained = self._is_strained and now - self._strained_since >= SUSTAINED_S
--- a/tests/routed/test_entry_load.py
+++ b/tests/routed/test_entry_load.py
@@ -158,3 +158,12 @@
         _record(load, now, processor_s=50.0, requests=90_000, descriptors=90_000)
     assert load.refusal_cause(9, 90_000) is None
     assert not load.is_overloaded
+
+
+# Guards against: requests that are refused because another process delays the event loop.
+def test_lag_without_own_load_refuses_nothing(make_load):
+    load = make_load()
+    for second in range(1, 60):
+        _record(load, float(second), lag_s=0.5)
+    assert load.is_overloaded
+    assert not load.must_check(1)
