Placement: cheaper learning of relative times, with the same decisions

The planned slowdown sorted up to 512 reports for each report, each sample computed the quantiles of all kinds again, and the factors of all upstreams were set again when only one had changed.

--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -154,6 +154,8 @@
         """Release the slot of a run that ended, or remove a withdrawn request from the queue."""
         self._queue.remove(message.ticket_id)
         for load in self.load_by_id.values():
+            if message.ticket_id not in load.run_by_ticket:
+                continue
             self._speeds.record_end(load, message, now)
             run = load.end(message.ticket_id, message.end, now)
             if run is not None and message.pauses is not None:
--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
 
@@ -98,9 +99,9 @@
         self.planned_slowdown = 1.0
         self._estimator = estimator
         self._load_by_id = load_by_id
-        self._reports: collections.deque[tuple[float, float]] = collections.deque(
-            maxlen=MAX_REPORTS
-        )
+        self._reports: collections.deque[tuple[float, float]] = collections.deque()
+        self._slowdowns_in_order: list[float] = []
+        self._median = 1.0
         self._short_times: collections.deque[float] = collections.deque(maxlen=MAX_SHORT_SAMPLES)
         self._adopted_by_id: dict[str, list[float]] = {}
 
@@ -159,11 +160,16 @@
         slowdown = load.speed.record_report(report, len(load.run_by_ticket), now)
         for run in load.run_by_ticket.values():
             if run.has_started:
-                run.max_slowdown = max(run.max_slowdown, slowdown)
-                run.min_slowdown = min(run.min_slowdown, slowdown)
+                if slowdown > run.max_slowdown:
+                    run.max_slowdown = slowdown
+                if slowdown < run.min_slowdown:
+                    run.min_slowdown = slowdown
         if report.slowdown is not None and now - load.speed.sampled_at >= SAMPLE_PERIOD_S:
             load.speed.sampled_at = now
+            if len(self._reports) >= MAX_REPORTS:
+                self._remove_oldest_report()
             self._reports.append((now, slowdown))
+            bisect.insort(self._slowdowns_in_order, slowdown)
             self._plan()
 
     def record_first_event(
@@ -233,11 +239,13 @@
         together. Factors relative to the median upstream can't.
         """
         speed.observe(kind, *sample)
-        measured = [load.speed for load in self._load_by_id.values() if load.speed.samples]
-        learnt = sorted(item.learnt for item in measured)
+        measured = [load.speed for load in self._load_by_id.values() if load.speed.is_measured]
+        learnt = sorted([item.learnt for item in measured])
         median = learnt[(len(learnt) - 1) // 2]
-        for item in measured:
+        # The factors of the others change only with the median.
+        for item in measured if median != self._median else (speed,):
             item.set_reference(median, now)
+        self._median = median
 
     def record_end(
         self,
@@ -286,7 +294,7 @@
         if not self.is_active:
             return
         while self._reports and now - self._reports[0][0] > REPORT_RETENTION_S:
-            self._reports.popleft()
+            self._remove_oldest_report()
         self._plan()
         for upstream_id, (_, adopted_at) in tuple(self._adopted_by_id.items()):
             if now - adopted_at > REPORT_RETENTION_S:
@@ -307,6 +315,12 @@
             slow_for_s=None if speed.slow_since is None else now - speed.slow_since,
         )
 
+    def _remove_oldest_report(self) -> None:
+        _, slowdown = self._reports.popleft()
+        del self._slowdowns_in_order[bisect.bisect_left(self._slowdowns_in_order, slowdown)]
+
     def _plan(self) -> None:
-        slowdowns = [slowdown for _, slowdown in self._reports]
-        self.planned_slowdown = upstream_speed.quantile(slowdowns, PLANNED_QUANTILE) or 1.0
+        in_order = self._slowdowns_in_order
+        self.planned_slowdown = (
+            in_order[int(PLANNED_QUANTILE * (len(in_order) - 1))] if in_order else 1.0
+        )
--- a/src/medlarfork/placement/upstream_speed.py
+++ b/src/medlarfork/placement/upstream_speed.py
@@ -69,6 +69,7 @@
         factor: How much longer work takes there than at the shard's median upstream, apart from
             momentary slowdowns.
         learnt: The same relative to the service's estimate.
+        is_measured: Whether it is learnt from samples of this owner.
         trust: How far latencies confirm the reported slowdowns; 0 to 1.
         report: What it reported last; None if it has reported nothing.
         reported_at: When that report arrived.
@@ -80,6 +81,7 @@
         """Start as a usual upstream."""
         self.factor = 1.0
         self.learnt = 1.0
+        self.is_measured = False
         self.trust = 1.0
         self.report: reported_load.ReportedLoad | None = None
         self.reported_at = -math.inf
@@ -89,7 +91,7 @@
         self._adopted = 0
         self._slowdown = 1.0
         self._unknown_runs = 0
-        self._usual_by_kind: dict[SampleKind, float] = {}
+        self._learnt_by_kind: dict[SampleKind, tuple[int, float]] = {}
         self._samples_by_kind: dict[SampleKind, collections.deque[float]] = {
             kind: collections.deque(maxlen=MAX_SAMPLES) for kind in SampleKind
         }
@@ -101,7 +103,7 @@
 
     def adopt(self, factor: float, now: float) -> None:
         """Start from an earlier owner's factor, as the mean of what entry hosts were told."""
-        if self.samples or not math.isfinite(factor):
+        if self.is_measured or not math.isfinite(factor):
             return
         self._adopted += 1
         self._prior += (_within(factor, FACTOR_BOUNDS) - self._prior) / self._adopted
@@ -143,15 +145,18 @@
         if slowdown >= DISTURBED_SLOWDOWN:
             # A false slowdown must not make an upstream look faster than usual.
             sample = max(sample, min(value, usual))
-        self._samples_by_kind[kind].append(sample)
-        self._usual_by_kind[kind] = usual
+        samples = self._samples_by_kind[kind]
+        samples.append(sample)
+        self.is_measured = True
+        typical = quantile(samples, TYPICAL_QUANTILE)
+        is_valid = typical > 0 and usual > 0
+        self._learnt_by_kind[kind] = (
+            (len(samples), math.log(typical / usual)) if is_valid else (0, 0.0)
+        )
         weight, total = PRIOR_SAMPLES, PRIOR_SAMPLES * math.log(self._prior)
-        for found, usual_value in self._usual_by_kind.items():
-            samples = self._samples_by_kind[found]
-            typical = quantile(samples, TYPICAL_QUANTILE)
-            if typical > 0 and usual_value > 0:
-                weight += len(samples)
-                total += len(samples) * math.log(typical / usual_value)
+        for count, log_ratio in self._learnt_by_kind.values():
+            weight += count
+            total += count * log_ratio
         self.learnt = math.exp(total / weight)
 
     def check_report(self, slowdown: float | None, relative_time: float) -> None:
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -233,6 +233,45 @@
     assert speeds.planned_slowdown == 1.0
 
 
+def test_the_planned_slowdown_is_the_quantile_of_the_latest_reports(make_shard_owner):
+    """Reports are kept in order as they come and go; a wrong removal would shift the quantile."""
+    service = make_shard_owner(count=12, slots=8)
+    speeds = shard_speeds.ShardSpeeds(service.estimator, service.load_by_id)
+    draw, counted = random.Random(1), []
+    for number in range(3 * shard_speeds.MAX_REPORTS):
+        now = number * 0.026
+        load = service.load_by_id[f"u-{number % 12}"]
+        slowdown = draw.choice((1.0, 1.0, draw.uniform(1.0, 4.0)))
+        speeds.record_report(load, report(slowdown=slowdown), now)
+        counted.append((now, slowdown))
+        if number % 100 == 0:
+            speeds.forget_old(now)
+        latest = [slowdown for _, slowdown in counted[-shard_speeds.MAX_REPORTS :]]
+        planned = upstream_speed.quantile(latest, shard_speeds.PLANNED_QUANTILE)
+        assert speeds.planned_slowdown == planned
+    now += shard_speeds.REPORT_RETENTION_S - 5.0
+    speeds.forget_old(now)
+    latest = [
+        slowdown
+        for at, slowdown in counted[-shard_speeds.MAX_REPORTS :]
+        if now - at <= shard_speeds.REPORT_RETENTION_S
+    ]
+    assert 0 < len(latest) < shard_speeds.MAX_REPORTS
+    planned = upstream_speed.quantile(latest, shard_speeds.PLANNED_QUANTILE)
+    assert speeds.planned_slowdown == planned
+
+
+def test_every_factor_follows_the_median_upstream(replay):
+    """A factor that kept an earlier median would compare its upstream with another usual time."""
+    played = replay(engine_replay.reports(), 1)
+    speeds = [load.speed for load in played.service.load_by_id.values()]
+    assert all(speed.is_measured for speed in speeds)
+    median = sorted(speed.learnt for speed in speeds)[(len(speeds) - 1) // 2]
+    low, high = upstream_speed.FACTOR_BOUNDS
+    for speed in speeds:
+        assert speed.factor == min(max(speed.learnt / median, low), high)
+
+
 def test_operators_see_the_upstreams_of_the_shards_that_a_replica_owns(
     make_announcement, make_place_request
 ):
