Placement: a time to first event of 0 ms is no sample of a short prompt

Several of them made the usual time 0; the owner then ended with a ZeroDivisionError, and callers of all its shards waited for another replica.

--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -212,7 +212,7 @@
         The steps before a first event outweigh the prefill, and the estimate of the service does
         not contain all of them. So times are compared with those of short prompts elsewhere.
         """
-        if not run.prefill_tokens:
+        if not run.prefill_tokens or after_ms <= 0:
             return
         estimator = self._estimator
         predicted_ms = estimator.fixed_ms + run.prefill_tokens / estimator.tokens_per_ms
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -272,6 +272,17 @@
         assert speed.factor == min(max(speed.learnt / median, low), high)
 
 
+def test_first_events_without_delay_are_no_samples(make_shard_owner, make_place_request):
+    """A clock without the resolution for them made the usual time 0, and dividing by it failed."""
+    service = make_shard_owner(count=1, slots=8)
+    for number in range(shard_speeds.MIN_SHORT_SAMPLES + 1):
+        ticket_id = f"t{number}"
+        now = number * 0.1
+        service.place("e", make_place_request(ticket_id, ((ticket_id, 800),), left_ms=9000.0), now)
+        service.on_first_event(placement_messages.FirstEvent(ticket_id, 0.0, report(1)), now)
+    assert service.upstreams(1.0)["u-0"].samples == 0
+
+
 def test_operators_see_the_upstreams_of_the_shards_that_a_replica_owns(
     make_announcement, make_place_request
 ):
