Placement: factors of ended upstreams neither activate relative times nor displace others

Entry hosts remember up to 1,024 upstreams of a service and tell a new owner all of them. The first 64 unknown ones, the longest ended, filled the owner's table, so that a running slow upstream started as usual and got urgent streams. They also activated relative times in services that no longer report slowdowns. Factors of unknown upstreams are now removed after a minute in inactive services too.

--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -103,7 +103,7 @@
         self._slowdowns_in_order: list[float] = []
         self._median = 1.0
         self._short_times: collections.deque[float] = collections.deque(maxlen=MAX_SHORT_SAMPLES)
-        self._adopted_by_id: dict[str, list[float]] = {}
+        self._adopted_by_id: dict[str, tuple[float, float]] = {}
 
     def relative_time(
         self, load: upstream_load.UpstreamLoad, now: float
@@ -132,18 +132,26 @@
     ) -> None:
         """Start from the factors that an earlier owner told an entry host."""
         for speed in speeds:
-            self.is_active |= speed.factor != 1.0
             load = self._load_by_id.get(speed.upstream_id)
             if load is not None:
-                load.speed.adopt(speed.factor, now)
-            elif speed.upstream_id in self._adopted_by_id or len(self._adopted_by_id) < MAX_ADOPTED:
-                self._adopted_by_id.setdefault(speed.upstream_id, [])[:] = [speed.factor, now]
+                self._adopt_factor(load, speed.factor, now)
+                continue
+            # Entry hosts state the latest factors last; the earliest are of ended upstreams.
+            self._adopted_by_id.pop(speed.upstream_id, None)
+            self._adopted_by_id[speed.upstream_id] = (speed.factor, now)
+            if len(self._adopted_by_id) > MAX_ADOPTED:
+                del self._adopted_by_id[next(iter(self._adopted_by_id))]
 
     def add_upstream(self, load: upstream_load.UpstreamLoad) -> None:
         """Apply the factor that was adopted before the upstream was known, if any."""
         adopted = self._adopted_by_id.pop(load.announcement.upstream_id, None)
         if adopted is not None:
-            load.speed.adopt(*adopted)
+            self._adopt_factor(load, *adopted)
+
+    def _adopt_factor(self, load: upstream_load.UpstreamLoad, factor: float, now: float) -> None:
+        load.speed.adopt(factor, now)
+        # Only upstreams of a service that reports slowdowns have other factors than 1.
+        self.is_active |= load.speed.factor != 1.0
 
     def record_report(
         self,
@@ -291,14 +299,14 @@
 
     def forget_old(self, now: float) -> None:
         """Remove reports and adopted factors that are too old; called every second."""
+        for upstream_id, (_, adopted_at) in tuple(self._adopted_by_id.items()):
+            if now - adopted_at > REPORT_RETENTION_S:
+                del self._adopted_by_id[upstream_id]
         if not self.is_active:
             return
         while self._reports and now - self._reports[0][0] > REPORT_RETENTION_S:
             self._remove_oldest_report()
         self._plan()
-        for upstream_id, (_, adopted_at) in tuple(self._adopted_by_id.items()):
-            if now - adopted_at > REPORT_RETENTION_S:
-                del self._adopted_by_id[upstream_id]
 
     def summary(self, load: upstream_load.UpstreamLoad, now: float) -> UpstreamSummary:
         """Return the state of an upstream, for operators."""
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -221,6 +221,35 @@
     assert answer.message.speed == factors[answer.message.upstream_id]
 
 
+def test_factors_of_ended_upstreams_do_not_count(make_announcement, make_place_request):
+    """Entry hosts remember many ended upstreams; these filled the table before running ones.
+
+    They also made new owners of services without reported slowdowns learn and apply factors.
+    """
+    ended = [placement_messages.UpstreamSpeed(f"ended-{n}", 2.0) for n in range(200)]
+    running = placement_messages.UpstreamSpeed("u-0", 2.4)
+    for told, factor in ((ended, 1.0), ([*ended, running], 2.4)):
+        successor = owner.PlacementOwner()
+        chosen = placement_messages.OwnerChosen(SHARD, True, speeds=tuple(told))
+        successor.handle("e", chosen, 0.0)
+        successor.use_upstreams((make_announcement("u-0"),), 0.1)
+        (answer,) = successor.handle("e", make_place_request(), 0.2)
+        assert answer.message.speed == pytest.approx(factor)
+        (decision,) = successor.drain_decisions()
+        assert (decision.decision_inputs.speed is None) is (factor == 1.0)
+
+
+def test_adopted_factors_are_forgotten(make_shard_owner, make_announcement):
+    """Factors that wait for upstreams which never appear would be kept as long as the shard."""
+    speeds = (placement_messages.UpstreamSpeed("late", 2.4),)
+    for forget_at, factor in ((1.0, 2.4), (1.0 + shard_speeds.REPORT_RETENTION_S, 1.0)):
+        service = make_shard_owner(count=1, slots=8)
+        service.adopt_speeds(speeds, 0.0)
+        service.end_overdue(forget_at)
+        service.use_upstreams({"late": make_announcement("late")})
+        assert service.upstreams(forget_at)["late"].factor == pytest.approx(factor)
+
+
 def test_old_reports_no_longer_count_in_the_planned_slowdown(make_shard_owner, make_place_request):
     """Gaps planned for slow moments that no longer happen would hold long prompts back."""
     service = make_shard_owner(count=1, slots=8)
