Placement: unknown runs of an upstream are bounded by its slots

An upstream that falsely reported many runs got one request at a time, as the last of all: its other slots stayed unused for two seconds after each report while requests waited or were refused.

--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -165,7 +165,8 @@
         self.is_active |= report.slowdown is not None
         if not self.is_active:
             return
-        slowdown = load.speed.record_report(report, len(load.run_by_ticket), now)
+        own_runs, slots = len(load.run_by_ticket), load.announcement.slots
+        slowdown = load.speed.record_report(report, own_runs, slots, now)
         for run in load.run_by_ticket.values():
             if run.has_started:
                 if slowdown > run.max_slowdown:
--- a/src/medlarfork/placement/upstream_speed.py
+++ b/src/medlarfork/placement/upstream_speed.py
@@ -110,18 +110,22 @@
         self.learnt = self._prior
         self.set_reference(1.0, now)
 
-    def record_report(self, report: reported_load.ReportedLoad, own_runs: int, now: float) -> float:
+    def record_report(
+        self, report: reported_load.ReportedLoad, own_runs: int, slots: int, now: float
+    ) -> float:
         """Record a report; return the slowdown that it shows.
 
         Args:
             report: What the upstream reported.
             own_runs: Runs there that the owner knows of.
+            slots: Its announced slots.
             now: The time in seconds.
         """
         self.report, self.reported_at = report, now
         stated = _within(report.slowdown or 1.0, SLOWDOWN_BOUNDS)
         self._slowdown = 1.0 + self.trust * (stated - 1.0)
-        self._unknown_runs = max(0, report.running + report.waiting - own_runs)
+        # Without the bound, a false report would occupy all slots until it is old.
+        self._unknown_runs = min(max(0, report.running + report.waiting - own_runs), slots)
         return self._slowdown
 
     def slowdown(self, now: float) -> float:
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -126,7 +126,9 @@
     for number in range(60):
         now = number * 0.1
         for speed, time in ((false, 1.0), (true, 2.5)):
-            slowdown = speed.record_report(report(slowdown=20.0 if speed is false else 2.5), 0, now)
+            slowdown = speed.record_report(
+                report(slowdown=20.0 if speed is false else 2.5), 0, 9, now
+            )
             speed.check_report(speed.report.slowdown, time)
             speed.observe(PREFILL, time, 1.0, slowdown)
             speed.set_reference(1.0, now)
@@ -138,11 +140,11 @@
 def test_a_stale_slowdown_has_no_effect():
     """Slow moments last about 0.6 s; an upstream must not be avoided after them."""
     speed = upstream_speed.UpstreamSpeed()
-    speed.record_report(report(slowdown=2.5), 0, 1.0)
+    speed.record_report(report(slowdown=2.5), 0, 9, 1.0)
     assert speed.slowdown(1.0) == 2.5
     assert speed.slowdown(1.3) == pytest.approx(1.75)
     assert speed.slowdown(1.6) == pytest.approx(1.0)
-    speed.record_report(report(slowdown=0.1), 0, 2.0)
+    speed.record_report(report(slowdown=0.1), 0, 9, 2.0)
     assert speed.slowdown(2.0) == 1.0
 
 
@@ -188,6 +190,18 @@
     placement_helpers.placed(service.place("e", make_place_request("b"), 0.2))
 
 
+def test_a_false_number_of_runs_has_bounded_influence(make_shard_owner, make_place_request):
+    """An upstream that stated a million runs got one request at a time, and only as the last."""
+    service = make_shard_owner(count=1, slots=8)
+    service.place("e", make_place_request("a", left_ms=9000.0), 0.0)
+    service.on_first_event(placement_messages.FirstEvent("a", 9.0, report(1_000_000)), 0.1)
+    assert service.upstreams(0.1)["u-0"].unknown_runs == 8
+    later = 0.1 + upstream_speed.UNKNOWN_RUN_DECAY_S / 2
+    for ticket_id in ("b", "c", "d"):
+        request = make_place_request(ticket_id, left_ms=9000.0)
+        placement_helpers.placed(service.place("e", request, later))
+
+
 def test_a_report_at_the_end_counts_only_for_runs_without_events(
     make_shard_owner, make_place_request
 ):
