Placement: rendering metrics does not fail while an upstream's factor falls

Metrics are rendered in another thread, in which the time since which the upstream was slow could vanish between its check and its use; operators then missed the values of that rendering.

--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -312,6 +312,8 @@
     def summary(self, load: upstream_load.UpstreamLoad, now: float) -> UpstreamSummary:
         """Return the state of an upstream, for operators."""
         speed = load.speed
+        # Metrics are rendered in a thread, meanwhile the factor may fall.
+        slow_since = speed.slow_since
         return UpstreamSummary(
             factor=speed.factor,
             samples=speed.samples,
@@ -321,7 +323,7 @@
             unknown_runs=speed.unknown_runs(now),
             reported=speed.report,
             report_age_s=None if speed.report is None else now - speed.reported_at,
-            slow_for_s=None if speed.slow_since is None else now - speed.slow_since,
+            slow_for_s=None if slow_since is None else now - slow_since,
         )
 
     def _remove_oldest_report(self) -> None:
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -326,6 +326,15 @@
     assert service.upstreams(1.0)["u-0"].samples == 0
 
 
+def test_a_factor_may_fall_while_metrics_are_rendered(make_shard_owner, monkeypatch):
+    """Metrics are rendered in another thread; a changed time made the rendering fail."""
+    seen = [None, 1.0]
+    slow_since = property(lambda _: seen.pop() if seen else None, lambda *_: None)
+    service = make_shard_owner(count=1, slots=8)
+    monkeypatch.setattr(upstream_speed.UpstreamSpeed, "slow_since", slow_since, raising=False)
+    assert service.upstreams(3.0)["u-0"].slow_for_s == 2.0
+
+
 def test_operators_see_the_upstreams_of_the_shards_that_a_replica_owns(
     make_announcement, make_place_request
 ):
