--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
 
@@ -98,11 +99,11 @@
         self.planned_slowdown = 1.0
         self._estimator = estimator
         self._load_by_id = load_by_id
-        self._reports: collections.deque[tuple[float, float]] = collections.deque(
-            maxlen=MAX_REPORTS
-        )
+        self._reports: collections.deque[tuple[float, float]] = collections.deque()
+        self._slowdowns_in_order: list[float] = []
+        self._median = 1.0
         self._short_times: collections.deque[float] = collections.deque(maxlen=MAX_SHORT_SAMPLES)
-        self._adopted_by_id: dict[str, list[float]] = {}
+        self._adopted_by_id: dict[str, tuple[float, float]] = {}
 
     def relative_time(
         self, load: upstream_load.UpstreamLoad, now: float
@@ -131,18 +132,26 @@
     ) -> None:
         """Start from the factors that an earlier owner told an entry host."""
         for speed in speeds:
-            self.is_active |= speed.factor != 1.0
             load = self._load_by_id.get(speed.upstream_id)
             if load is not None:
-                load.speed.adopt(speed.factor, now)
-            elif speed.upstream_id in self._adopted_by_id or len(self._adopted_by_id) < MAX_ADOPTED:
-                self._adopted_by_id.setdefault(speed.upstream_id, [])[:] = [speed.factor, now]
+                self._adopt_factor(load, speed.factor, now)
+                continue
+            # Entry hosts state the latest factors last; the earliest are of ended upstreams.
+            self._adopted_by_id.pop(speed.upstream_id, None)
+            self._adopted_by_id[speed.upstream_id] = (speed.factor, now)
+            if len(self._adopted_by_id) > MAX_ADOPTED:
+                del self._adopted_by_id[next(iter(self._adopted_by_id))]
 
     def add_upstream(self, load: upstream_load.UpstreamLoad) -> None:
         """Apply the factor that was adopted before the upstream was known, if any."""
         adopted = self._adopted_by_id.pop(load.announcement.upstream_id, None)
         if adopted is not None:
-            load.speed.adopt(*adopted)
+            self._adopt_factor(load, *adopted)
+
+    def _adopt_factor(self, load: upstream_load.UpstreamLoad, factor: float, now: float) -> None:
+        load.speed.adopt(factor, now)
+        # Only upstreams of a service that reports slowdowns have other factors than 1.
+        self.is_active |= load.speed.factor != 1.0
 
     def record_report(
         self,
@@ -156,14 +165,20 @@
         self.is_active |= report.slowdown is not None
         if not self.is_active:
             return
-        slowdown = load.speed.record_report(report, len(load.run_by_ticket), now)
+        own_runs, slots = len(load.run_by_ticket), load.announcement.slots
+        slowdown = load.speed.record_report(report, own_runs, slots, now)
         for run in load.run_by_ticket.values():
             if run.has_started:
-                run.max_slowdown = max(run.max_slowdown, slowdown)
-                run.min_slowdown = min(run.min_slowdown, slowdown)
+                if slowdown > run.max_slowdown:
+                    run.max_slowdown = slowdown
+                if slowdown < run.min_slowdown:
+                    run.min_slowdown = slowdown
         if report.slowdown is not None and now - load.speed.sampled_at >= SAMPLE_PERIOD_S:
             load.speed.sampled_at = now
+            if len(self._reports) >= MAX_REPORTS:
+                self._remove_oldest_report()
             self._reports.append((now, slowdown))
+            bisect.insort(self._slowdowns_in_order, slowdown)
             self._plan()
 
     def record_first_event(
@@ -206,7 +221,7 @@
         The steps before a first event outweigh the prefill, and the estimate of the service does
         not contain all of them. So times are compared with those of short prompts elsewhere.
         """
-        if not run.prefill_tokens:
+        if not run.prefill_tokens or after_ms <= 0:
             return
         estimator = self._estimator
         predicted_ms = estimator.fixed_ms + run.prefill_tokens / estimator.tokens_per_ms
@@ -233,11 +248,13 @@
         together. Factors relative to the median upstream can't.
         """
         speed.observe(kind, *sample)
-        measured = [load.speed for load in self._load_by_id.values() if load.speed.samples]
-        learnt = sorted(item.learnt for item in measured)
+        measured = [load.speed for load in self._load_by_id.values() if load.speed.is_measured]
+        learnt = sorted([item.learnt for item in measured])
         median = learnt[(len(learnt) - 1) // 2]
-        for item in measured:
+        # The factors of the others change only with the median.
+        for item in measured if median != self._median else (speed,):
             item.set_reference(median, now)
+        self._median = median
 
     def record_end(
         self,
@@ -283,18 +300,20 @@
 
     def forget_old(self, now: float) -> None:
         """Remove reports and adopted factors that are too old; called every second."""
+        for upstream_id, (_, adopted_at) in tuple(self._adopted_by_id.items()):
+            if now - adopted_at > REPORT_RETENTION_S:
+                del self._adopted_by_id[upstream_id]
         if not self.is_active:
             return
         while self._reports and now - self._reports[0][0] > REPORT_RETENTION_S:
-            self._reports.popleft()
+            self._remove_oldest_report()
         self._plan()
-        for upstream_id, (_, adopted_at) in tuple(self._adopted_by_id.items()):
-            if now - adopted_at > REPORT_RETENTION_S:
-                del self._adopted_by_id[upstream_id]
 
     def summary(self, load: upstream_load.UpstreamLoad, now: float) -> UpstreamSummary:
         """Return the state of an upstream, for operators."""
         speed = load.speed
+        # Metrics are rendered in a thread, meanwhile the factor may fall.
+        slow_since = speed.slow_since
         return UpstreamSummary(
             factor=speed.factor,
             samples=speed.samples,
@@ -304,9 +323,15 @@
             unknown_runs=speed.unknown_runs(now),
             reported=speed.report,
             report_age_s=None if speed.report is None else now - speed.reported_at,
-            slow_for_s=None if speed.slow_since is None else now - speed.slow_since,
+            slow_for_s=None if slow_since is None else now - slow_since,
         )
 
+    def _remove_oldest_report(self) -> None:
+        _, slowdown = self._reports.popleft()
+        del self._slowdowns_in_order[bisect.bisect_left(self._slowdowns_in_order, slowdown)]
+
     def _plan(self) -> None:
-        slowdowns = [slowdown for _, slowdown in self._reports]
-        self.planned_slowdown = upstream_speed.quantile(slowdowns, PLANNED_QUANTILE) or 1.0
+        in_order = self._slowdowns_in_order
+        self.planned_slowdown = (
+            in_order[int(PLANNED_QUANTILE * (len(in_order) - 1))] if in_order else 1.0
+        )
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -126,7 +126,9 @@
     for number in range(60):
         now = number * 0.1
         for speed, time in ((false, 1.0), (true, 2.5)):
-            slowdown = speed.record_report(report(slowdown=20.0 if speed is false else 2.5), 0, now)
+            slowdown = speed.record_report(
+                report(slowdown=20.0 if speed is false else 2.5), 0, 9, now
+            )
             speed.check_report(speed.report.slowdown, time)
             speed.observe(PREFILL, time, 1.0, slowdown)
             speed.set_reference(1.0, now)
@@ -138,11 +140,11 @@
 def test_a_stale_slowdown_has_no_effect():
     """Slow moments last about 0.6 s; an upstream must not be avoided after them."""
     speed = upstream_speed.UpstreamSpeed()
-    speed.record_report(report(slowdown=2.5), 0, 1.0)
+    speed.record_report(report(slowdown=2.5), 0, 9, 1.0)
     assert speed.slowdown(1.0) == 2.5
     assert speed.slowdown(1.3) == pytest.approx(1.75)
     assert speed.slowdown(1.6) == pytest.approx(1.0)
-    speed.record_report(report(slowdown=0.1), 0, 2.0)
+    speed.record_report(report(slowdown=0.1), 0, 9, 2.0)
     assert speed.slowdown(2.0) == 1.0
 
 
@@ -188,6 +190,18 @@
     placement_helpers.placed(service.place("e", make_place_request("b"), 0.2))
 
 
+def test_a_false_number_of_runs_has_bounded_influence(make_shard_owner, make_place_request):
+    """An upstream that stated a million runs got one request at a time, and only as the last."""
+    service = make_shard_owner(count=1, slots=8)
+    service.place("e", make_place_request("a", left_ms=9000.0), 0.0)
+    service.on_first_event(placement_messages.FirstEvent("a", 9.0, report(1_000_000)), 0.1)
+    assert service.upstreams(0.1)["u-0"].unknown_runs == 8
+    later = 0.1 + upstream_speed.UNKNOWN_RUN_DECAY_S / 2
+    for ticket_id in ("b", "c", "d"):
+        request = make_place_request(ticket_id, left_ms=9000.0)
+        placement_helpers.placed(service.place("e", request, later))
+
+
 def test_a_report_at_the_end_counts_only_for_runs_without_events(
     make_shard_owner, make_place_request
 ):
@@ -221,6 +235,35 @@
     assert answer.message.speed == factors[answer.message.upstream_id]
 
 
+def test_factors_of_ended_upstreams_do_not_count(make_announcement, make_place_request):
+    """Entry hosts remember many ended upstreams; these filled the table before running ones.
+
+    They also made new owners of services without reported slowdowns learn and apply factors.
+    """
+    ended = [placement_messages.UpstreamSpeed(f"ended-{n}", 2.0) for n in range(200)]
+    running = placement_messages.UpstreamSpeed("u-0", 2.4)
+    for told, factor in ((ended, 1.0), ([*ended, running], 2.4)):
+        successor = owner.PlacementOwner()
+        chosen = placement_messages.OwnerChosen(SHARD, True, speeds=tuple(told))
+        successor.handle("e", chosen, 0.0)
+        successor.use_upstreams((make_announcement("u-0"),), 0.1)
+        (answer,) = successor.handle("e", make_place_request(), 0.2)
+        assert answer.message.speed == pytest.approx(factor)
+        (decision,) = successor.drain_decisions()
+        assert (decision.decision_inputs.speed is None) is (factor == 1.0)
+
+
+def test_adopted_factors_are_forgotten(make_shard_owner, make_announcement):
+    """Factors that wait for upstreams which never appear would be kept as long as the shard."""
+    speeds = (placement_messages.UpstreamSpeed("late", 2.4),)
+    for forget_at, factor in ((1.0, 2.4), (1.0 + shard_speeds.REPORT_RETENTION_S, 1.0)):
+        service = make_shard_owner(count=1, slots=8)
+        service.adopt_speeds(speeds, 0.0)
+        service.end_overdue(forget_at)
+        service.use_upstreams({"late": make_announcement("late")})
+        assert service.upstreams(forget_at)["late"].factor == pytest.approx(factor)
+
+
 def test_old_reports_no_longer_count_in_the_planned_slowdown(make_shard_owner, make_place_request):
     """Gaps planned for slow moments that no longer happen would hold long prompts back."""
     service = make_shard_owner(count=1, slots=8)
@@ -233,6 +276,65 @@
     assert speeds.planned_slowdown == 1.0
 
 
+def test_the_planned_slowdown_is_the_quantile_of_the_latest_reports(make_shard_owner):
+    """Reports are kept in order as they come and go; a wrong removal would shift the quantile."""
+    service = make_shard_owner(count=12, slots=8)
+    speeds = shard_speeds.ShardSpeeds(service.estimator, service.load_by_id)
+    draw, counted = random.Random(1), []
+    for number in range(3 * shard_speeds.MAX_REPORTS):
+        now = number * 0.026
+        load = service.load_by_id[f"u-{number % 12}"]
+        slowdown = draw.choice((1.0, 1.0, draw.uniform(1.0, 4.0)))
+        speeds.record_report(load, report(slowdown=slowdown), now)
+        counted.append((now, slowdown))
+        if number % 100 == 0:
+            speeds.forget_old(now)
+        latest = [slowdown for _, slowdown in counted[-shard_speeds.MAX_REPORTS :]]
+        planned = upstream_speed.quantile(latest, shard_speeds.PLANNED_QUANTILE)
+        assert speeds.planned_slowdown == planned
+    now += shard_speeds.REPORT_RETENTION_S - 5.0
+    speeds.forget_old(now)
+    latest = [
+        slowdown
+        for at, slowdown in counted[-shard_speeds.MAX_REPORTS :]
+        if now - at <= shard_speeds.REPORT_RETENTION_S
+    ]
+    assert 0 < len(latest) < shard_speeds.MAX_REPORTS
+    planned = upstream_speed.quantile(latest, shard_speeds.PLANNED_QUANTILE)
+    assert speeds.planned_slowdown == planned
+
+
+def test_every_factor_follows_the_median_upstream(replay):
+    """A factor that kept an earlier median would compare its upstream with another usual time."""
+    played = replay(engine_replay.reports(), 1)
+    speeds = [load.speed for load in played.service.load_by_id.values()]
+    assert all(speed.is_measured for speed in speeds)
+    median = sorted(speed.learnt for speed in speeds)[(len(speeds) - 1) // 2]
+    low, high = upstream_speed.FACTOR_BOUNDS
+    for speed in speeds:
+        assert speed.factor == min(max(speed.learnt / median, low), high)
+
+
+def test_first_events_without_delay_are_no_samples(make_shard_owner, make_place_request):
+    """A clock without the resolution for them made the usual time 0, and dividing by it failed."""
+    service = make_shard_owner(count=1, slots=8)
+    for number in range(shard_speeds.MIN_SHORT_SAMPLES + 1):
+        ticket_id = f"t{number}"
+        now = number * 0.1
+        service.place("e", make_place_request(ticket_id, ((ticket_id, 800),), left_ms=9000.0), now)
+        service.on_first_event(placement_messages.FirstEvent(ticket_id, 0.0, report(1)), now)
+    assert service.upstreams(1.0)["u-0"].samples == 0
+
+
+def test_a_factor_may_fall_while_metrics_are_rendered(make_shard_owner, monkeypatch):
+    """Metrics are rendered in another thread; a changed time made the rendering fail."""
+    seen = [None, 1.0]
+    slow_since = property(lambda _: seen.pop() if seen else None, lambda *_: None)
+    service = make_shard_owner(count=1, slots=8)
+    monkeypatch.setattr(upstream_speed.UpstreamSpeed, "slow_since", slow_since, raising=False)
+    assert service.upstreams(3.0)["u-0"].slow_for_s == 2.0
+
+
 def test_operators_see_the_upstreams_of_the_shards_that_a_replica_owns(
     make_announcement, make_place_request
 ):
