--- a/src/medlarfork/placement/standalone_queue.py
+++ b/src/medlarfork/placement/standalone_queue.py
@@ -245,9 +245,12 @@
         hosts = self._entry_hosts()
         paces_s = self._paces_s(service, now)
         upstreams = self._upstreams(service)
+        upstream_by_id = {item.upstream_id: item for item in upstreams}
         open_ids = {key for key, wait_s in paces_s.items() if wait_s <= 0}
         usable, is_single = self.slots.usable(upstreams, open_ids, hosts, now)
         for waiting in tuple(line):
+            if not usable:
+                return
             request = waiting.request
             if now > waiting.queued_at:
                 self._update(waiting)
@@ -261,36 +264,36 @@
             elif not fitting:
                 continue
             elif is_single:
-                self._start(waiting, usable[fitting[0]], now)
+                self._start(waiting, upstream_by_id[fitting[0]], now)
                 return
             else:
-                chosen = self._choose(request, [usable[item] for item in fitting])
-                self._start(waiting, usable[chosen], now)
-                if not self._has_room(usable[chosen], now):
-                    del usable[chosen]
-            if not usable:
-                return
+                chosen = self._choose(request, [upstream_by_id[item] for item in fitting], now)
+                self._start(waiting, chosen, now)
+                if not self._has_room(chosen.upstream_id, usable[chosen.upstream_id], now):
+                    del usable[chosen.upstream_id]
 
     def _choose(
         self,
         request: placement_messages.PlaceRequest,
-        allowances: list[standalone_slots.Allowance],
-    ) -> str:
+        upstreams: list[upstream_types.Announcement],
+        now: float,
+    ) -> upstream_types.Announcement:
         """Choose among upstreams; one that reports to be full only if all do."""
-        free = [item for item in allowances if not item.is_full] or allowances
-        upstreams = tuple(item.upstream for item in free)
-        return local_choice.choose(request, upstreams, self.slots.runs_by_upstream, self._entry_id)
+        free = [item for item in upstreams if not self.slots.is_full(item, now)] or upstreams
+        runs = self.slots.runs_by_upstream
+        chosen = local_choice.choose(request, tuple(free), runs, self._entry_id)
+        return next(item for item in free if item.upstream_id == chosen)
 
-    def _has_room(self, allowance: standalone_slots.Allowance, now: float) -> bool:
+    def _has_room(self, upstream_id: str, limit: int, now: float) -> bool:
         """Return whether an upstream may get another run at once."""
-        upstream_id = allowance.upstream.upstream_id
-        if self.slots.runs_by_upstream[upstream_id] >= allowance.slots:
+        if self.slots.runs_by_upstream[upstream_id] >= limit:
             return False
         share = local_choice.pace_share(self._entry_hosts())
         return self._gate.wait_s(upstream_id, self._entry_id, now, share) <= 0
 
-    def _start(self, waiting: Waiting, allowance: standalone_slots.Allowance, now: float) -> None:
-        upstream_id = allowance.upstream.upstream_id
+    def _start(self, waiting: Waiting, upstream: upstream_types.Announcement, now: float) -> None:
+        upstream_id = upstream.upstream_id
+        allowance = self.slots.allowance(upstream, self._entry_hosts(), now)
         running = self.slots.runs_by_upstream.get(upstream_id, 0)
         self.slots.record_start(upstream_id, waiting.request)
         self._gate.record_send(upstream_id, now, local_choice.pace_share(self._entry_hosts()))
@@ -338,12 +341,13 @@
         runs = self.slots.runs_by_upstream
         running = sum(runs.get(item.upstream_id, 0) for item in self._upstreams(service))
         rate = self._times.ends_per_s(service, running, now)
-        ahead = 0
-        for waiting in tuple(self._line_by_service[service]):
+        line = self._line_by_service[service]
+        ahead = bisect.bisect_left(line, added.order, key=operator.attrgetter("order"))
+        for waiting in line[ahead:]:
             wait_s = (ahead + 1) / rate if rate else 0.0
             self._update(waiting)
             left_s = waiting.latest_start_at - now
-            if wait_s <= left_s or waiting.order < added.order:
+            if wait_s <= left_s:
                 ahead += 1
                 continue
             retry_ms = max(local_choice.RETRY_MS, 1000.0 * (wait_s - max(left_s, 0.0)))
--- a/src/medlarfork/placement/standalone_slots.py
+++ b/src/medlarfork/placement/standalone_slots.py
@@ -72,18 +72,14 @@
     """What one host may use of one upstream.
 
     Attributes:
-        upstream: The upstream.
         share: Its expected part of the slots, not rounded.
         slots: Its concurrent runs at most.
         report_age_s: Age of the report that counted, in seconds; None if none did.
-        is_full: Whether that report shows no free slot.
     """
 
-    upstream: upstream_types.Announcement
     share: float
     slots: int
     report_age_s: float | None = None
-    is_full: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,8 +163,8 @@
         open_ids: Container[str],
         entry_hosts: int,
         now: float,
-    ) -> tuple[dict[str, Allowance], bool]:
-        """Return the upstreams where a run may start, and whether only one may in total.
+    ) -> tuple[dict[str, int], bool]:
+        """Return the limits of own runs where one may start, and whether only one may in total.
 
         A host without a slot at any upstream may use one slot at one of them, the first in its own
         order; otherwise its callers would never be served.
@@ -180,23 +176,23 @@
             now: The time in seconds.
         """
         runs = self.runs_by_upstream
-        upstream_by_id = {item.upstream_id: item for item in upstreams}
-        limit_by_id = {
-            key: self._limit(item, entry_hosts, now) for key, item in upstream_by_id.items()
-        }
-        is_single = not any(limit_by_id.values())
-        if not is_single:
-            ids = [key for key, limit in limit_by_id.items() if limit > runs.get(key, 0)]
-        elif any(key in runs for key in upstream_by_id):
-            ids = []
-        else:
-            ids = list(rendezvous.rank(self._entry_id, upstream_by_id))
-        allowances = {
-            key: self.allowance(upstream_by_id[key], entry_hosts, now)
-            for key in ids
-            if key in open_ids
-        }
-        return allowances, is_single
+        limit_by_id = {item.upstream_id: self._limit(item, entry_hosts, now) for item in upstreams}
+        if any(limit_by_id.values()):
+            usable = {
+                key: limit
+                for key, limit in limit_by_id.items()
+                if limit > runs.get(key, 0) and key in open_ids
+            }
+            return usable, False
+        if any(key in runs for key in limit_by_id):
+            return {}, True
+        ids = [key for key in limit_by_id if key in open_ids]
+        return dict.fromkeys(rendezvous.rank(self._entry_id, ids), 1), True
+
+    def is_full(self, upstream: upstream_types.Announcement, now: float) -> bool:
+        """Return whether a recent report shows no free slot."""
+        report = self._recent_report(upstream.upstream_id, now)
+        return report is not None and _free(upstream, report.load) <= 0
 
     def fits(
         self, upstream_id: str, request: placement_messages.PlaceRequest, entry_hosts: int
@@ -228,9 +224,8 @@
         slots = self._limit(upstream, entry_hosts, now)
         report = self._recent_report(upstream.upstream_id, now)
         if report is None:
-            return Allowance(upstream, share, slots)
-        is_full = _free(upstream, report.load) <= 0
-        return Allowance(upstream, share, slots, now - report.reported_at, is_full)
+            return Allowance(share, slots)
+        return Allowance(share, slots, now - report.reported_at)
 
     def _limit(self, upstream: upstream_types.Announcement, entry_hosts: int, now: float) -> int:
         """Return how many runs this host may have at an upstream."""
