--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -52,6 +53,7 @@
         changed: Set when the ticket's state has changed.
         closed_ms_by_shard: Retry times of shards without an upstream that accepts requests.
         arrived_at: When it was created, in monotonic seconds.
+        timed_at: When the times left in the request were true, in monotonic seconds.
         waiting: Its place in this host's own queue; None if it is not there.
         silent_owner_id: The owner that had not replied when it joined that queue; empty for none.
     """
@@ -69,6 +71,7 @@
         default_factory=dict
     )
     arrived_at: float = dataclasses.field(default_factory=time.monotonic)
+    timed_at: float = dataclasses.field(default_factory=time.monotonic)
     waiting: standalone_queue.Waiting | None = None
     silent_owner_id: str = ""
 
@@ -118,16 +121,21 @@
         )
         self._reset_answer()
 
-    def leave_local_queue(self, left_s: float) -> None:
-        """Leave this host's own queue, to ask an owner with the time that is left."""
+    @property
+    def first_by_at(self) -> float:
+        """Return when the caller leaves if no event has arrived; infinite for its deadline."""
+        first_left_ms = self.request.first_left_ms
+        return self.timed_at + first_left_ms / 1000.0 if first_left_ms else math.inf
+
+    def leave_local_queue(self, now: float) -> None:
+        """Leave this host's own queue, to ask an owner with the times that are left."""
         request = self.request
-        waited_ms = request.left_ms - left_s * 1000.0
-        first_left_ms = (
-            max(1.0, request.first_left_ms - waited_ms) if request.first_left_ms else 0.0
-        )
+        waited_ms = (now - self.timed_at) * 1000.0
+        first_left_ms = request.first_left_ms and max(1.0, request.first_left_ms - waited_ms)
         self.request = dataclasses.replace(
-            request, left_ms=left_s * 1000.0, first_left_ms=first_left_ms
+            request, left_ms=request.left_ms - waited_ms, first_left_ms=first_left_ms
         )
+        self.timed_at = now
         self.waiting = None
 
     def _reset_answer(self) -> None:
@@ -482,6 +490,7 @@
             ticket.request,
             arrived_at=ticket.arrived_at,
             deadline_at=until,
+            first_by_at=ticket.first_by_at,
             now=_now(),
             notify=changed.set,
         )
@@ -493,7 +502,7 @@
                 return granted.placed
             case placement_messages.PlaceRefused() as refused:
                 return refused
-        ticket.leave_local_queue(until - _now())
+        ticket.leave_local_queue(_now())
         return None
 
     def _service_upstreams(self, service: str) -> tuple[upstream_types.Announcement, ...]:
--- a/src/medlarfork/placement/standalone_queue.py
+++ b/src/medlarfork/placement/standalone_queue.py
@@ -59,6 +59,7 @@
         arrived_at: When it arrived at this host.
         queued_at: When it joined the queue.
         deadline_at: When its caller gives up.
+        first_by_at: When its caller leaves if no event has arrived; infinite for its deadline.
         latest_start_at: When it has to start to be of use to its caller; it depends on the run
             times that are measured while it waits.
         notify: Called when it has left the queue.
@@ -70,6 +71,7 @@
     arrived_at: float
     queued_at: float
     deadline_at: float
+    first_by_at: float
     latest_start_at: float
     notify: Callable[[], None]
     outcome: Granted | placement_messages.PlaceRefused | None = None
@@ -154,6 +156,7 @@
         *,
         arrived_at: float,
         deadline_at: float,
+        first_by_at: float,
         now: float,
         notify: Callable[[], None],
     ) -> Waiting:
@@ -163,10 +166,12 @@
             request: The placement request.
             arrived_at: When it arrived at this host, in seconds.
             deadline_at: When its caller gives up, in seconds.
+            first_by_at: When its caller leaves if no event has arrived, in seconds; infinite if
+                that is its deadline.
             now: The time in seconds.
             notify: Called when it has left the queue.
         """
-        waiting = Waiting(request, arrived_at, now, deadline_at, deadline_at, notify)
+        waiting = Waiting(request, arrived_at, now, deadline_at, first_by_at, deadline_at, notify)
         self._update(waiting)
         waiting.outcome = local_choice.refuse(request, self._paces_s(request.service, now))
         if waiting.outcome is not None:
@@ -304,7 +309,7 @@
     def _update(self, waiting: Waiting) -> None:
         """Use the run times that are measured now."""
         waiting.latest_start_at = self._times.latest_start_at(
-            waiting.request, waiting.arrived_at, waiting.deadline_at
+            waiting.request, waiting.deadline_at, waiting.first_by_at
         )
 
     def _refuse(self, waiting: Waiting, retry_ms: float, why: str) -> None:
--- a/src/medlarfork/placement/standalone_slots.py
+++ b/src/medlarfork/placement/standalone_slots.py
@@ -298,15 +298,14 @@
         _drop_before(ends, now - RATE_WINDOW_S)
 
     def latest_start_at(
-        self, request: placement_messages.PlaceRequest, arrived_at: float, deadline_at: float
+        self, request: placement_messages.PlaceRequest, deadline_at: float, first_by_at: float
     ) -> float:
         """Return when a request has to start to end, and to have its first event, in time."""
         kind = _class_of(request)
-        latest = deadline_at - _expected_s(self._run_by_class.get(kind))
-        if request.first_left_ms:
-            first_by = arrived_at + request.first_left_ms / 1000.0
-            latest = min(latest, first_by - _expected_s(self._first_by_class.get(kind)))
-        return latest
+        return min(
+            deadline_at - _expected_s(self._run_by_class.get(kind)),
+            first_by_at - _expected_s(self._first_by_class.get(kind)),
+        )
 
     def ends_per_s(self, service: str, running: int, now: float) -> float:
         """Return how many runs of a service end in a second; 0 if unknown.
--- a/tests/routed/standalone_replay.py
+++ b/tests/routed/standalone_replay.py
@@ -3,6 +3,7 @@
 import functools
 import heapq
 import itertools
+import math
 
 from medlarfork.backpressure import send_gate, signal_ledger
 from medlarfork.coordination import upstream_types
@@ -32,12 +33,13 @@
     )
 
 
-def place(queue, request, now, *, notify=lambda: None, arrived_at=None):
+def place(queue, request, now, *, notify=lambda: None):
     """Place a request that arrives now."""
     return queue.place(
         request,
-        arrived_at=now if arrived_at is None else arrived_at,
+        arrived_at=now,
         deadline_at=now + request.left_ms / 1000.0,
+        first_by_at=now + request.first_left_ms / 1000.0 if request.first_left_ms else math.inf,
         now=now,
         notify=notify,
     )
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -340,6 +340,15 @@
         asked = next(item for _, item in sent if isinstance(item, placement_messages.PlaceRequest))
         # The owner gets the time that is left now.
         assert asked.left_ms <= 4950.0 and asked.first_left_ms <= 3950.0
+        # If that owner does not reply either, the caller's times are still those of its arrival.
+        alone.owner_id = ""
+        await curio_world.until(lambda: client.local_waiting == 1)
+        waiting = client._ticket_by_id["t2"].waiting
+        await client.wake_queued()
+        assert waiting.first_by_at - waiting.arrived_at == pytest.approx(4.0, abs=0.02)
+        alone.owner_id = "r2"
+        await client.wake_queued()
+        await curio_world.until(lambda: request_count(sent, "r2") == 2)
         await client.handle_reply("r2", placement_messages.Placed("t2", "u-9"))
         assert await placing.join() == placement_messages.Placed("t2", "u-9")
         assert client.local_waiting == 0
