--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -275,7 +275,9 @@
                 ticket.answer = message
         await ticket.changed.set()
         if self._local.waiting:
-            self._release_waiting(sender)
+            for other in self._waiting_tickets():
+                if other.silent_owner_id == sender:
+                    self._release(other)
 
     def notify_owners(self, now: float) -> None:
         """Notify replicas that have just become owners, with the requests that are running."""
@@ -304,29 +306,42 @@
         """Use changed upstreams for the requests that wait at this host."""
         self._local.use_view(tuple(self._session.upstream_by_id.values()), now)
 
-    def _release_waiting(self, replied_id: str = "") -> None:
-        """Release the requests that wait at this host if an owner can place them again.
+    def _waiting_tickets(self) -> list[_Ticket]:
+        """Return the tickets that wait at this host for a slot."""
+        return [
+            ticket
+            for ticket in self._ticket_by_id.values()
+            if ticket.waiting is not None and not ticket.waiting.is_done
+        ]
 
-        An owner that did not reply to a request gets it again only once it has replied to another
-        one: otherwise a slow owner would get the same requests again and again.
+    def _release(self, ticket: _Ticket) -> None:
+        """Release a request that waits at this host, to ask an owner."""
+        if ticket.waiting is not None:
+            self._local.release(ticket.waiting)
+
+    def _release_for_new_owners(self) -> None:
+        """Release the requests that wait at this host if there is an owner that they did not ask.
+
+        One that did not reply to a request gets it again only once it has replied to another one:
+        otherwise a slow owner would get the same requests again and again.
         """
         now = _now()
-        for ticket in tuple(self._ticket_by_id.values()):
-            if ticket.waiting is None or ticket.waiting.is_done:
+        owner_by_shard: dict[placement_messages.Shard, str] = {}
+        for ticket in self._waiting_tickets():
+            shard = ticket.request.target_shard
+            if shard not in owner_by_shard:
+                owner_by_shard[shard] = self._session.owner(shard, now)
+            owner_id = owner_by_shard[shard]
+            if owner_id == ticket.silent_owner_id:
                 continue
-            owner_id = self._session.owner(ticket.request.target_shard, now)
-            if owner_id and owner_id in (ticket.silent_owner_id, replied_id):
-                may_place = owner_id == replied_id
-            else:
-                ticket.silent_owner_id = owner_id
-                may_place = bool(owner_id)
-            if may_place:
-                self._local.release(ticket.waiting)
+            ticket.silent_owner_id = owner_id
+            if owner_id:
+                self._release(ticket)
 
     async def wake_queued(self) -> None:
         """Wake queued requests, so that they are sent again if owners have changed."""
         if self._local.waiting:
-            self._release_waiting()
+            self._release_for_new_owners()
         for ticket in tuple(self._ticket_by_id.values()):
             if ticket.is_queued and ticket.owner_generation != self._owner_generation:
                 await ticket.changed.set()
