--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -56,6 +57,7 @@
         changed: Set when the ticket's state has changed.
         closed_ms_by_shard: Retry times of shards without an upstream that accepts requests.
         arrived_at: When it was created, in monotonic seconds.
+        timed_at: When the times left in the request were true, in monotonic seconds.
         waiting: Its place in this host's own queue; None if it is not there.
         silent_owner_id: The owner that had not replied when it joined that queue; empty for none.
     """
@@ -73,6 +75,7 @@
         default_factory=dict
     )
     arrived_at: float = dataclasses.field(default_factory=time.monotonic)
+    timed_at: float = dataclasses.field(default_factory=time.monotonic)
     waiting: standalone_queue.Waiting | None = None
     silent_owner_id: str = ""
 
@@ -122,16 +125,21 @@
         )
         self._reset_answer()
 
-    def leave_local_queue(self, left_s: float) -> None:
-        """Leave this host's own queue, to ask an owner with the time that is left."""
+    @property
+    def first_by_at(self) -> float:
+        """Return when the caller leaves if no event has arrived; infinite for its deadline."""
+        first_left_ms = self.request.first_left_ms
+        return self.timed_at + first_left_ms / 1000.0 if first_left_ms else math.inf
+
+    def leave_local_queue(self, now: float) -> None:
+        """Leave this host's own queue, to ask an owner with the times that are left."""
         request = self.request
-        waited_ms = request.left_ms - left_s * 1000.0
-        first_left_ms = (
-            max(1.0, request.first_left_ms - waited_ms) if request.first_left_ms else 0.0
-        )
+        waited_ms = (now - self.timed_at) * 1000.0
+        first_left_ms = request.first_left_ms and max(1.0, request.first_left_ms - waited_ms)
         self.request = dataclasses.replace(
-            request, left_ms=left_s * 1000.0, first_left_ms=first_left_ms
+            request, left_ms=request.left_ms - waited_ms, first_left_ms=first_left_ms
         )
+        self.timed_at = now
         self.waiting = None
 
     def _reset_answer(self) -> None:
@@ -274,7 +282,9 @@
                 ticket.answer = message
         await ticket.changed.set()
         if self._local.waiting:
-            self._release_waiting(sender)
+            for other in self._waiting_tickets():
+                if other.silent_owner_id == sender:
+                    self._release(other)
 
     def _remember_speed(self, service: str, placed: placement_messages.Placed) -> None:
         """Remember an upstream's relative time, unless it is the usual."""
@@ -322,29 +332,42 @@
         """Use changed upstreams for the requests that wait at this host."""
         self._local.use_view(tuple(self._session.upstream_by_id.values()), now)
 
-    def _release_waiting(self, replied_id: str = "") -> None:
-        """Release the requests that wait at this host if an owner can place them again.
+    def _waiting_tickets(self) -> list[_Ticket]:
+        """Return the tickets that wait at this host for a slot."""
+        return [
+            ticket
+            for ticket in self._ticket_by_id.values()
+            if ticket.waiting is not None and not ticket.waiting.is_done
+        ]
 
-        An owner that did not reply to a request gets it again only once it has replied to another
-        one: otherwise a slow owner would get the same requests again and again.
+    def _release(self, ticket: _Ticket) -> None:
+        """Release a request that waits at this host, to ask an owner."""
+        if ticket.waiting is not None:
+            self._local.release(ticket.waiting)
+
+    def _release_for_new_owners(self) -> None:
+        """Release the requests that wait at this host if there is an owner that they did not ask.
+
+        One that did not reply to a request gets it again only once it has replied to another one:
+        otherwise a slow owner would get the same requests again and again.
         """
         now = _now()
-        for ticket in tuple(self._ticket_by_id.values()):
-            if ticket.waiting is None or ticket.waiting.is_done:
+        owner_by_shard: dict[placement_messages.Shard, str] = {}
+        for ticket in self._waiting_tickets():
+            shard = ticket.request.target_shard
+            if shard not in owner_by_shard:
+                owner_by_shard[shard] = self._session.owner(shard, now)
+            owner_id = owner_by_shard[shard]
+            if owner_id == ticket.silent_owner_id:
                 continue
-            owner_id = self._session.owner(ticket.request.target_shard, now)
-            if owner_id and owner_id in (ticket.silent_owner_id, replied_id):
-                may_place = owner_id == replied_id
-            else:
-                ticket.silent_owner_id = owner_id
-                may_place = bool(owner_id)
-            if may_place:
-                self._local.release(ticket.waiting)
+            ticket.silent_owner_id = owner_id
+            if owner_id:
+                self._release(ticket)
 
     async def wake_queued(self) -> None:
         """Wake queued requests, so that they are sent again if owners have changed."""
         if self._local.waiting:
-            self._release_waiting()
+            self._release_for_new_owners()
         for ticket in tuple(self._ticket_by_id.values()):
             if ticket.is_queued and ticket.owner_generation != self._owner_generation:
                 await ticket.changed.set()
@@ -509,6 +532,7 @@
             ticket.request,
             arrived_at=ticket.arrived_at,
             deadline_at=until,
+            first_by_at=ticket.first_by_at,
             now=_now(),
             notify=changed.set,
         )
@@ -520,7 +544,7 @@
                 return granted.placed
             case placement_messages.PlaceRefused() as refused:
                 return refused
-        ticket.leave_local_queue(until - _now())
+        ticket.leave_local_queue(_now())
         return None
 
     def _service_upstreams(self, service: str) -> tuple[upstream_types.Announcement, ...]:
