A request waiting at a host starts when a closed upstream opens again

A request that had joined the queue before the first rate limit or backoff was known slept until its deadline and was refused with 503, although the upstream accepted requests again long before. The end of a run now wakes the first request in order, which follows the pace of the upstreams.

--- a/src/medlarfork/placement/standalone_queue.py
+++ b/src/medlarfork/placement/standalone_queue.py
@@ -62,7 +62,7 @@
         first_by_at: When its caller leaves if no event has arrived; infinite for its deadline.
         latest_start_at: When it has to start to be of use to its caller; it depends on the run
             times that are measured while it waits.
-        notify: Called when it has left the queue.
+        notify: Called when it has left the queue, or is to be checked again.
         outcome: Its answer; None while it waits.
         is_released: Whether it has left the queue without an answer, to be placed in another way.
     """
@@ -142,6 +142,8 @@
         self.slots.record_end(upstream_id, request)
         self._times.record_end(request, end, after_ms, now)
         self._grant(request.service, now)
+        # The run's response may have closed the upstream, so that only its pace opens it again.
+        self._wake_first(request.service)
 
     def record_load(
         self, upstream: upstream_types.Announcement, load: reported_load.ReportedLoad, now: float
@@ -169,7 +171,7 @@
             first_by_at: When its caller leaves if no event has arrived, in seconds; infinite if
                 that is its deadline.
             now: The time in seconds.
-            notify: Called when it has left the queue.
+            notify: Called when it has left the queue, or is to be checked again.
         """
         waiting = Waiting(request, arrived_at, now, deadline_at, first_by_at, deadline_at, notify)
         self._update(waiting)
@@ -325,7 +327,13 @@
         waiting.notify()
         if not line:
             del self._line_by_service[service]
-        elif index == 0 and not self._gate.is_unrestricted:
+        elif index == 0:
+            self._wake_first(service)
+
+    def _wake_first(self, service: str) -> None:
+        """Let the first request in order be checked again if upstreams have a pace."""
+        line = self._line_by_service.get(service)
+        if line and not self._gate.is_unrestricted:
             line[0].notify()
 
     def _limit(self) -> None:
--- a/tests/routed/test_standalone_queue.py
+++ b/tests/routed/test_standalone_queue.py
@@ -268,3 +268,23 @@
     assert check_at < waiting.latest_start_at
     queue.check(waiting, check_at)
     assert standalone_replay.upstream_of(waiting) == "u-0@1"
+
+
+def test_a_request_starts_when_an_upstream_opens_that_closed_while_it_waited(make_place_request):
+    """A request that had waited since before the first backoff was refused at its deadline."""
+    ledger = signal_ledger.SignalLedger()
+    gate = send_gate.SendGate(ledger)
+    queue = standalone_replay.make_queue(standalone_replay.make_upstreams(1, 1), gate=gate)
+    running = standalone_replay.place(queue, make_place_request("first"), 1.0)
+    woken = []
+    waiting = standalone_replay.place(
+        queue, make_place_request("second"), 1.0, notify=lambda: woken.append(True)
+    )
+    assert queue.check(waiting, 1.0) == waiting.latest_start_at
+    ledger.record_response("u-0@1", 10.0, sent_at=1.0, now=1.1)
+    end(queue, running, 1.1)
+    assert woken and not waiting.is_done
+    check_at = queue.check(waiting, 1.1)
+    assert check_at < waiting.latest_start_at
+    queue.check(waiting, check_at)
+    assert standalone_replay.upstream_of(waiting) == "u-0@1"
