A retry at a host without an owner is served outside the host's share

A request that had failed at every upstream where its host has a share waited until its time was up and was refused with 503, although other upstreams were free. The host may now use one slot at the other upstreams for such requests, as a host without any share does.

--- a/src/medlarfork/placement/standalone_queue.py
+++ b/src/medlarfork/placement/standalone_queue.py
@@ -255,15 +255,15 @@
         upstream_by_id = {item.upstream_id: item for item in upstreams}
         open_ids = {key for key, wait_s in paces_s.items() if wait_s <= 0}
         usable, is_single = self.slots.usable(upstreams, open_ids, hosts, now)
+        if not is_single:
+            self._start_retries(service, open_ids, now)
         for waiting in tuple(line):
             if not usable:
                 return
             request = waiting.request
-            if now > waiting.queued_at:
-                self._update(waiting)
-                if now > waiting.latest_start_at:
-                    self._refuse(waiting, local_choice.RETRY_MS, TOO_LATE)
-                    continue
+            if self._is_late(waiting, now):
+                self._refuse(waiting, local_choice.RETRY_MS, TOO_LATE)
+                continue
             candidates = [item for item in usable if item not in request.excluded]
             fitting = [item for item in candidates if self.slots.fits(item, request, hosts)]
             if not fitting and candidates:
@@ -279,6 +279,20 @@
                 if not self._has_room(chosen.upstream_id, usable[chosen.upstream_id], now):
                     del usable[chosen.upstream_id]
 
+    def _start_retries(self, service: str, open_ids: set[str], now: float) -> None:
+        """Start those that failed at every upstream with a share: one run at the others."""
+        retries = [item for item in self._line_by_service[service] if item.request.excluded]
+        if not retries:
+            return
+        upstreams = self._upstreams(service)
+        upstream_by_id = {item.upstream_id: item for item in upstreams}
+        shared = self.slots.shared_ids(upstreams, self._entry_hosts(), now)
+        for waiting in retries:
+            left = upstream_by_id.keys() - waiting.request.excluded
+            if shared.isdisjoint(left) and not self._is_late(waiting, now):
+                for upstream_id in self.slots.single(left, open_ids)[:1]:
+                    self._start(waiting, upstream_by_id[upstream_id], now)
+
     def _choose(
         self,
         request: placement_messages.PlaceRequest,
@@ -308,6 +322,13 @@
         waiting.outcome = Granted(placed, allowance, running, now - waiting.arrived_at)
         self._leave(waiting)
 
+    def _is_late(self, waiting: Waiting, now: float) -> bool:
+        """Return whether a request that has waited can no longer run in time."""
+        if now <= waiting.queued_at:
+            return False
+        self._update(waiting)
+        return now > waiting.latest_start_at
+
     def _update(self, waiting: Waiting) -> None:
         """Use the run times that are measured now."""
         waiting.latest_start_at = self._times.latest_start_at(
@@ -315,8 +336,7 @@
         )
 
     def _refuse(self, waiting: Waiting, retry_ms: float, why: str) -> None:
-        ticket_id = waiting.request.ticket_id
-        waiting.outcome = placement_messages.PlaceRefused(ticket_id, retry_ms, why)
+        waiting.outcome = placement_messages.PlaceRefused(waiting.request.ticket_id, retry_ms, why)
         self._leave(waiting)
 
     def _leave(self, waiting: Waiting) -> None:
@@ -341,8 +361,8 @@
         if self.waiting <= MAX_WAITING:
             return
         lasts = (line[-1] for line in self._line_by_service.values())
-        why = f"{MAX_WAITING} requests wait at this host already"
         last = max(lasts, key=operator.attrgetter("order"))
+        why = f"{MAX_WAITING} requests wait at this host already"
         self._refuse(last, local_choice.RETRY_MS, why)
 
     def _refuse_hopeless(self, added: Waiting, now: float) -> None:
--- a/src/medlarfork/placement/standalone_slots.py
+++ b/src/medlarfork/placement/standalone_slots.py
@@ -12,7 +12,7 @@
 import hashlib
 import math
 import re
-from collections.abc import Container
+from collections.abc import Collection, Container
 from typing import Any
 
 from medlarfork import rendezvous
@@ -184,10 +184,24 @@
                 if limit > runs.get(key, 0) and key in open_ids
             }
             return usable, False
-        if any(key in runs for key in limit_by_id):
-            return {}, True
-        ids = [key for key in limit_by_id if key in open_ids]
-        return dict.fromkeys(rendezvous.rank(self._entry_id, ids), 1), True
+        return dict.fromkeys(self.single(limit_by_id, open_ids), 1), True
+
+    def shared_ids(
+        self, upstreams: tuple[upstream_types.Announcement, ...], entry_hosts: int, now: float
+    ) -> set[str]:
+        """Return the upstreams where this host may have runs."""
+        return {item.upstream_id for item in upstreams if self._limit(item, entry_hosts, now) > 0}
+
+    def single(self, ids: Collection[str], open_ids: Container[str]) -> tuple[str, ...]:
+        """Return where one run may start, in this host's order; none if it has one at any of them.
+
+        Args:
+            ids: Upstreams where this host has no share.
+            open_ids: Those that accept a request now.
+        """
+        if any(key in self.runs_by_upstream for key in ids):
+            return ()
+        return rendezvous.rank(self._entry_id, [key for key in ids if key in open_ids])
 
     def is_full(self, upstream: upstream_types.Announcement, now: float) -> bool:
         """Return whether a recent report shows no free slot."""
--- a/tests/routed/test_standalone_queue.py
+++ b/tests/routed/test_standalone_queue.py
@@ -228,6 +228,28 @@
     assert sum(runs) <= 400 + 6
 
 
+def test_a_retry_uses_one_slot_of_an_upstream_outside_the_share(make_place_request):
+    """Retries waited for the only upstream with a share, which had failed them, until refused."""
+    upstreams = standalone_replay.make_upstreams(2, 1)
+    for number in range(20):
+        queue = standalone_replay.make_queue(upstreams, 2, f"entry-{number}")
+        slots = {item.upstream_id: queue.slots.allowance(item, 2, 0.0).slots for item in upstreams}
+        if sorted(slots.values()) == [0, 1]:
+            break
+    other_id, shared_id = sorted(slots, key=slots.get)
+    assert slots == {other_id: 0, shared_id: 1}
+    retries = [
+        standalone_replay.place(queue, make_place_request(f"t{n}", excluded=(shared_id,)), 0.0)
+        for n in range(2)
+    ]
+    assert [standalone_replay.upstream_of(item) for item in retries] == [other_id, ""]
+    # Other requests still keep to the share.
+    placed = [standalone_replay.place(queue, make_place_request(f"n{n}"), 0.0) for n in range(2)]
+    assert [standalone_replay.upstream_of(item) for item in placed] == [shared_id, ""]
+    end(queue, retries[0], 0.1)
+    assert standalone_replay.upstream_of(retries[1]) == other_id
+
+
 def test_requests_go_to_another_upstream_when_theirs_disappears(queue, place, one_slot):
     """Guards against requests that wait although a new upstream has free slots."""
     place("first")
