--- a/src/medlarfork/placement/standalone_slots.py
+++ b/src/medlarfork/placement/standalone_slots.py
@@ -308,6 +308,8 @@
         ends = self._ends_by_service.setdefault(
             request.service, collections.deque(maxlen=MAX_COUNTED_ENDS)
         )
+        if len(self._ends_by_service) > MAX_CLASSES:
+            del self._ends_by_service[next(iter(self._ends_by_service))]
         ends.append(now)
         _drop_before(ends, now - RATE_WINDOW_S)
 
--- a/tests/routed/test_standalone_slots.py
+++ b/tests/routed/test_standalone_slots.py
@@ -1,5 +1,7 @@
 """Shares of slots of entry hosts that place without an owner."""
 
+import dataclasses
+
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -56,3 +58,15 @@
         host.record_load(upstream.upstream_id, reported_load.ReportedLoad(1, 0, 8), 0.0)
     host.retain((ONE,))
     assert host.reports == 1
+
+
+def test_the_tables_of_run_times_are_bounded(make_place_request, monkeypatch):
+    """The ends of the runs of every service that had ever been declared were kept."""
+    monkeypatch.setattr(standalone_slots, "MAX_CLASSES", 3)
+    times = standalone_slots.RunTimes()
+    for number in range(5):
+        request = dataclasses.replace(make_place_request(), service=f"s{number}")
+        times.record_first_event(request, 10.0)
+        times.record_end(request, standalone_replay.COMPLETE, 100.0, 1.0)
+    assert {len(table) for table in vars(times).values()} == {3}
+    assert times.ends_per_s("s4", 1, 1.0) == 10.0
