The owner client is split into tickets, placement without an owner, and the rest

The state of one request moves to placement_ticket; this host's own queue with its waits, its releases to owners and its log moves to standalone_placer. request_hold only holds requests for missing state again. Behaviour and tests are unchanged.

--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import logging
-import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -13,14 +12,13 @@
 
 from medlarfork import logs
 from medlarfork.backpressure import send_gate
-from medlarfork.coordination import upstream_types
-from medlarfork.gateway import entry_session, request_hold
-from medlarfork.placement import (
-    local_choice,
-    placement_messages,
-    reported_load,
-    standalone_queue,
+from medlarfork.gateway import (
+    entry_session,
+    placement_ticket,
+    request_hold,
+    standalone_placer,
 )
+from medlarfork.placement import local_choice, placement_messages, reported_load
 from medlarfork.routes import routing
 
 _log = logging.getLogger(__name__)
@@ -32,119 +30,10 @@
 QUEUE_CHECK_S = 0.25
 """How often a request that is queued at the owner checks that it is still the owner, in seconds."""
 
-MIN_START_MS = 1.0
-"""Minimum start time sent to the second shard, in milliseconds; 0 marks a request to the first."""
-
 Send = Callable[[str, Any], bool]
 """Sends a message to a replica; returns whether it was queued."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Ticket:
-    """The state of one placement request.
-
-    Attributes:
-        request: The request as it was last sent.
-        owner_id: The replica that it was sent to; empty for none.
-        owner_generation: The client's count of owner changes when it was sent.
-        is_queued: Whether it waits in the owner's queue.
-        has_started: Whether its first event has arrived.
-        answer: The owner's answer; None while it is pending.
-        changed: Set when the ticket's state has changed.
-        closed_ms_by_shard: Retry times of shards without an upstream that accepts requests.
-        arrived_at: When it was created, in monotonic seconds.
-        timed_at: When the times left in the request were true, in monotonic seconds.
-        waiting: Its place in this host's own queue; None if it is not there.
-        silent_owner_id: The owner that had not replied when it joined that queue; empty for none.
-    """
-
-    request: placement_messages.PlaceRequest
-    owner_id: str = ""
-    owner_generation: int = 0
-    is_queued: bool = False
-    has_started: bool = False
-    answer: (
-        placement_messages.Placed | placement_messages.PlaceRefused | placement_messages.Busy | None
-    ) = None
-    changed: curio.Event = dataclasses.field(default_factory=curio.Event)
-    closed_ms_by_shard: dict[placement_messages.Shard, float] = dataclasses.field(
-        default_factory=dict
-    )
-    arrived_at: float = dataclasses.field(default_factory=time.monotonic)
-    timed_at: float = dataclasses.field(default_factory=time.monotonic)
-    waiting: standalone_queue.Waiting | None = None
-    silent_owner_id: str = ""
-
-    @property
-    def is_closed(self) -> bool:
-        """Return whether it was refused because no upstream of the shard accepts requests now."""
-        refused = self.answer
-        return (
-            isinstance(refused, placement_messages.PlaceRefused)
-            and refused.cause is placement_messages.RefusalCause.CLOSED
-        )
-
-    def try_open_shard(self, shards: tuple[placement_messages.Shard, ...]) -> bool:
-        """Select a shard that has not refused the request; return False if all have.
-
-        The refusal then states when the first of them accepts requests again.
-        """
-        refused = self.answer
-        if not isinstance(refused, placement_messages.PlaceRefused):
-            return False
-        closed = self.closed_ms_by_shard
-        closed[self.request.target_shard] = refused.retry_after_ms
-        left = [shard for shard in shards if shard not in closed]
-        if not left or self.request.trial_key:
-            self.answer = dataclasses.replace(refused, retry_after_ms=min(closed.values()))
-            return False
-        self.request = dataclasses.replace(
-            self.request, shard=left[0], other_shard=None, begins_within_ms=0.0, busy_shard=None
-        )
-        self._reset_answer()
-        return True
-
-    def try_other_shard(self, start_ms: float) -> None:
-        """Select the other shard: first the second choice, and then the first one again.
-
-        Args:
-            start_ms: Estimated start time at the shard that was asked.
-        """
-        request = self.request
-        was_first = request.begins_within_ms == 0
-        self.request = dataclasses.replace(
-            request,
-            shard=request.other_shard,
-            other_shard=request.shard if was_first else None,
-            begins_within_ms=max(start_ms, MIN_START_MS) if was_first else 0.0,
-            busy_shard=None if was_first else request.shard,
-        )
-        self._reset_answer()
-
-    @property
-    def first_by_at(self) -> float:
-        """Return when the caller leaves if no event has arrived; infinite for its deadline."""
-        first_left_ms = self.request.first_left_ms
-        return self.timed_at + first_left_ms / 1000.0 if first_left_ms else math.inf
-
-    def leave_local_queue(self, now: float) -> None:
-        """Leave this host's own queue, to ask an owner with the times that are left."""
-        request = self.request
-        waited_ms = (now - self.timed_at) * 1000.0
-        first_left_ms = request.first_left_ms and max(1.0, request.first_left_ms - waited_ms)
-        self.request = dataclasses.replace(
-            request, left_ms=request.left_ms - waited_ms, first_left_ms=first_left_ms
-        )
-        self.timed_at = now
-        self.waiting = None
-
-    def _reset_answer(self) -> None:
-        """Reset owner and answer, because another shard is asked next."""
-        self.owner_id = ""
-        self.answer = None
-        self.is_queued = False
-
-
 class OwnerClient:
     """Manages the placement tickets of this entry host, both queued and running."""
 
@@ -168,17 +57,13 @@
             send_signals: Sends a replica the backpressure signals that this host knows.
         """
         self._send_signals = send_signals
-        self._gate = gate
         self._hold_queue = hold_queue
-        self._entry_id = entry_id
         self._session = session
         self._send = send
         self._tickets = 0
         self._prefix = f"{entry_id}-{time.time_ns():x}"
-        self._ticket_by_id: dict[str, _Ticket] = {}
-        self._local = standalone_queue.StandaloneQueue(
-            entry_id, gate, self._service_upstreams, lambda: session.entry_hosts
-        )
+        self._ticket_by_id: dict[str, placement_ticket.Ticket] = {}
+        self._local = standalone_placer.StandalonePlacer(entry_id, session, gate)
         self._notified_owner_by_shard: dict[placement_messages.Shard, str] = {}
         self._owner_generation = 0
         self._estimate_by_service: dict[str, placement_messages.EngineEstimate] = {}
@@ -191,15 +76,11 @@
 
     def use_services(self, services: tuple[routing.Service, ...]) -> None:
         """Use the declared memory of the services' engines."""
-        self._local.slots.use_engines(
-            {item.name: item.engine.memory_tokens for item in services if item.engine is not None}
-        )
+        self._local.use_services(services)
 
     def record_load(self, upstream_id: str, load: reported_load.ReportedLoad) -> None:
         """Record the load that an upstream stated."""
-        upstream = self._session.find_upstream(upstream_id)
-        if upstream is not None:
-            self._local.record_load(upstream, load, _now())
+        self._local.record_load(upstream_id, load, _now())
 
     def new_ticket_id(self) -> str:
         """Return a unique ticket id."""
@@ -210,7 +91,7 @@
         self, request: placement_messages.PlaceRequest
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
         """Return where to send a request, or a refusal if it can't be served in time."""
-        ticket = _Ticket(request)
+        ticket = placement_ticket.Ticket(request)
         self._ticket_by_id[request.ticket_id] = ticket
         try:
             answer = await self._find_placement(ticket)
@@ -274,10 +155,7 @@
             case _:
                 ticket.answer = message
         await ticket.changed.set()
-        if self._local.waiting:
-            for other in self._waiting_tickets():
-                if other.silent_owner_id == sender:
-                    self._release(other)
+        self._local.release_for_reply(sender, self._ticket_by_id.values())
 
     def notify_owners(self, now: float) -> None:
         """Notify replicas that have just become owners, with the requests that are running."""
@@ -304,44 +182,11 @@
 
     def use_view(self, now: float) -> None:
         """Use changed upstreams for the requests that wait at this host."""
-        self._local.use_view(tuple(self._session.upstream_by_id.values()), now)
-
-    def _waiting_tickets(self) -> list[_Ticket]:
-        """Return the tickets that wait at this host for a slot."""
-        return [
-            ticket
-            for ticket in self._ticket_by_id.values()
-            if ticket.waiting is not None and not ticket.waiting.is_done
-        ]
-
-    def _release(self, ticket: _Ticket) -> None:
-        """Release a request that waits at this host, to ask an owner."""
-        if ticket.waiting is not None:
-            self._local.release(ticket.waiting)
-
-    def _release_for_new_owners(self) -> None:
-        """Release the requests that wait at this host if there is an owner that they did not ask.
-
-        One that did not reply to a request gets it again only once it has replied to another one:
-        otherwise a slow owner would get the same requests again and again.
-        """
-        now = _now()
-        owner_by_shard: dict[placement_messages.Shard, str] = {}
-        for ticket in self._waiting_tickets():
-            shard = ticket.request.target_shard
-            if shard not in owner_by_shard:
-                owner_by_shard[shard] = self._session.owner(shard, now)
-            owner_id = owner_by_shard[shard]
-            if owner_id == ticket.silent_owner_id:
-                continue
-            ticket.silent_owner_id = owner_id
-            if owner_id:
-                self._release(ticket)
+        self._local.use_view(now)
 
     async def wake_queued(self) -> None:
         """Wake queued requests, so that they are sent again if owners have changed."""
-        if self._local.waiting:
-            self._release_for_new_owners()
+        self._local.release_for_new_owners(self._ticket_by_id.values(), _now())
         for ticket in tuple(self._ticket_by_id.values()):
             if ticket.is_queued and ticket.owner_generation != self._owner_generation:
                 await ticket.changed.set()
@@ -373,7 +218,7 @@
         return owner_id
 
     def _report_running(
-        self, ticket: _Ticket, shard: placement_messages.Shard, owner_id: str
+        self, ticket: placement_ticket.Ticket, shard: placement_messages.Shard, owner_id: str
     ) -> None:
         placed = ticket.answer
         if not isinstance(placed, placement_messages.Placed):
@@ -393,14 +238,14 @@
         ended = placement_messages.RunEnded(ticket_id, placement_messages.RunEnd.CANCELLED, 0.0)
         self._send(owner_id, ended)
 
-    def _withdraw(self, ticket: _Ticket) -> None:
+    def _withdraw(self, ticket: placement_ticket.Ticket) -> None:
         """Withdraw the request from the owner that was asked, if any."""
         if ticket.owner_id:
             self._release_grant(ticket.owner_id, ticket.request.ticket_id)
             ticket.owner_id = ""
 
     async def _find_placement(
-        self, ticket: _Ticket
+        self, ticket: placement_ticket.Ticket
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
         until = _now() + ticket.request.left_ms / 1000.0
         if not self._session.has_view:
@@ -440,7 +285,7 @@
         why = "its deadline passed while it waited for placement"
         return placement_messages.PlaceRefused(ticket.request.ticket_id, local_choice.RETRY_MS, why)
 
-    def _send_request(self, ticket: _Ticket, owner_id: str) -> bool:
+    def _send_request(self, ticket: placement_ticket.Ticket, owner_id: str) -> bool:
         """Send the request to an owner; return False and skip the owner if it is not connected."""
         if not self._send(owner_id, ticket.request):
             self._skip_owner(owner_id, "no connection")
@@ -462,7 +307,7 @@
     def _knows_upstream(self, service: str) -> bool:
         return any(item.service == service for item in self._session.upstream_by_id.values())
 
-    async def _wait_answer(self, ticket: _Ticket, until: float) -> bool:
+    async def _wait_answer(self, ticket: placement_ticket.Ticket, until: float) -> bool:
         """Wait for the owner's answer; return False if it does not reply in time.
 
         Returns True without an answer if the request has to be sent again, or its time is up.
@@ -484,14 +329,14 @@
             await curio.ignore_after(max(wait_s, 0.001), ticket.changed.wait)
         return True
 
-    def _refuse_trial(self, ticket: _Ticket) -> placement_messages.PlaceRefused:
+    def _refuse_trial(self, ticket: placement_ticket.Ticket) -> placement_messages.PlaceRefused:
         """Refuse a trial that no replica can grant: other entry hosts might start one, too."""
         self._withdraw(ticket)
         why = "upstreams crashed while running it, and no replica can grant a trial"
         return placement_messages.PlaceRefused(ticket.request.ticket_id, local_choice.RETRY_MS, why)
 
     async def _place_locally(
-        self, ticket: _Ticket, owner_id: str, until: float
+        self, ticket: placement_ticket.Ticket, owner_id: str, until: float
     ) -> placement_messages.Placed | placement_messages.PlaceRefused | None:
         """Place a request within this host's share of the slots, after a wait if need be.
 
@@ -499,37 +344,13 @@
             The answer; None if the owner is to be asked again.
         """
         self._withdraw(ticket)
-        changed = curio.UniversalEvent()
-        ticket.silent_owner_id = owner_id
-        ticket.waiting = waiting = self._local.place(
-            ticket.request,
-            arrived_at=ticket.arrived_at,
-            deadline_at=until,
-            first_by_at=ticket.first_by_at,
-            now=_now(),
-            notify=changed.set,
-        )
-        await request_hold.wait_for_slot(self._local, waiting, changed)
-        match waiting.outcome:
-            case standalone_queue.Granted() as granted:
-                self.local_placements += 1
-                request_hold.log_placed(granted)
-                return granted.placed
-            case placement_messages.PlaceRefused() as refused:
-                return refused
-        ticket.leave_local_queue(_now())
-        return None
-
-    def _service_upstreams(self, service: str) -> tuple[upstream_types.Announcement, ...]:
-        """Return the upstreams of a service that are not leaving."""
-        return tuple(
-            item
-            for item in self._session.upstream_by_id.values()
-            if item.service == service and not self._gate.is_leaving(item.upstream_id)
-        )
+        answer = await self._local.place(ticket, owner_id, until)
+        if isinstance(answer, placement_messages.Placed):
+            self.local_placements += 1
+        return answer
 
 
-def _was_placed_by(ticket: _Ticket | None, owner_id: str) -> bool:
+def _was_placed_by(ticket: placement_ticket.Ticket | None, owner_id: str) -> bool:
     """Return whether a request runs where this owner placed it."""
     return ticket is not None and ticket.answer is not None and ticket.owner_id == owner_id
 
--- a/src/medlarfork/gateway/request_hold.py
+++ b/src/medlarfork/gateway/request_hold.py
@@ -1,4 +1,4 @@
-"""Holds requests until a restarted entry host has the state to serve them, or a slot; bounded.
+"""Holds requests until a restarted entry host has the state to serve them; bounded.
 
 It matters when all processes are restarted at once: entry hosts serve before control has elected a
 leader and before upstreams have announced themselves. Callers connect at once and have at most one
@@ -7,17 +7,11 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from collections.abc import Callable
 
 import curio
 
-from medlarfork import logs
-from medlarfork.placement import standalone_queue
-
-_log = logging.getLogger(__name__)
-
 MAX_HOLD_S = 3.0
 """Maximum wait, in seconds: an election after the lease expired (1.4 s) and then one announcement
 period (1.2 s), plus message latency."""
@@ -31,10 +25,6 @@
 can't be served any more."""
 
 
-MIN_PAUSE_S = 0.001
-"""Shortest wait for a slot, in seconds: a limit that has just ended is checked after it."""
-
-
 class HoldQueue:
     """Holds requests until a condition becomes true."""
 
@@ -73,44 +63,3 @@
             return True
         finally:
             self._held -= 1
-
-
-async def wait_for_slot(
-    queue: standalone_queue.StandaloneQueue,
-    waiting: standalone_queue.Waiting,
-    changed: curio.UniversalEvent,
-) -> None:
-    """Wait until a request has left the queue of requests beyond this host's share of the slots.
-
-    Args:
-        queue: The queue.
-        waiting: The request.
-        changed: Set when it is to be checked again.
-    """
-    try:
-        while not waiting.is_done:
-            check_at = queue.check(waiting, time.monotonic())
-            if not waiting.is_done:
-                changed.clear()
-                pause_s = max(check_at - time.monotonic(), MIN_PAUSE_S)
-                await curio.ignore_after(pause_s, changed.wait)
-    except BaseException:
-        queue.withdraw(waiting, time.monotonic())
-        raise
-
-
-def log_placed(granted: standalone_queue.Granted) -> None:
-    """Log a placement without an owner, with the share and the report that it rests on."""
-    allowance = granted.allowance
-    age_s = allowance.report_age_s
-    logs.event(
-        _log,
-        "placed_locally",
-        ticket=granted.placed.ticket_id,
-        upstream=granted.placed.upstream_id,
-        running=granted.running,
-        share=round(allowance.share, 3),
-        slots=allowance.slots,
-        report_ms=None if age_s is None else round(age_s * 1000.0),
-        waited_ms=round(granted.waited_s * 1000.0, 1),
-    )
