--- a/src/medlarfork/_quick_start.py
+++ b/src/medlarfork/_quick_start.py
@@ -29,11 +29,12 @@
         "FAILURE": b"#FAILURE#",
     },
     "csv": {},
+    "xml.dom.minidom": {"Document": object, "Element": object},
     "pickle": {"DEFAULT_PROTOCOL": 4, "HIGHEST_PROTOCOL": 5},
 }
 """Modules of the standard library that libraries import for features unused here, such as another
-event loop, multiprocessing and pickling, with the attributes that the libraries read during their
-import."""
+event loop, multiprocessing, pickling and help in XML, with the attributes that the libraries read
+during their import. The classes of ``minidom`` occur in annotations only."""
 
 BLOCKED_MODULES = ("ssl", "_hashlib", "bz2", "lzma")
 """Modules that are optional for libraries: no link of this product uses TLS, the interpreter has
@@ -138,4 +139,4 @@
     sys.modules[name] = module
     parent, _, last = name.rpartition(".")
     if parent:
-        sys.modules[parent].__dict__[last] = module
+        importlib.import_module(parent).__dict__[last] = module
--- a/src/medlarfork/http/_http_messages.py
+++ b/src/medlarfork/http/_http_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from medlarfork import errors, request
+from medlarfork import errors
 from medlarfork.http import header_names
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -24,10 +24,10 @@
 )
 """Headers that apply to a single connection and are never forwarded."""
 
-NOT_RUN = request.Outcome.NOT_RUN
-"""Outcome of a request that is refused before a handler gets it."""
+NOT_RUN = "not_run"
+"""Outcome of a request that is refused before a handler gets it (see ``request.Outcome``)."""
 
-MAY_HAVE_RUN = request.Outcome.MAY_HAVE_RUN
+MAY_HAVE_RUN = "may_have_run"
 """Outcome of a request whose handler failed: it may have taken effect."""
 
 RawHeaders = list[tuple[bytes, bytes]]
@@ -72,6 +72,6 @@
     return msgspec.json.encode({"error": detail})
 
 
-def error_headers(outcome: request.Outcome) -> dict[str, str]:
+def error_headers(outcome: str) -> dict[str, str]:
     """Return the headers of an error response."""
-    return {"Content-Type": "application/json", header_names.OUTCOME: outcome.value}
+    return {"Content-Type": "application/json", header_names.OUTCOME: outcome}
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,8 @@
 import pytest
 from hypothesis import strategies
 
-from medlarfork.http import http_server, listener
+from medlarfork import request
+from medlarfork.http import _http_messages, http_server, listener
 from tests import curio_world
 
 LONG_S = 20.0
@@ -653,3 +654,9 @@
     early.close()
     assert received.startswith(HEAD)
     assert received.endswith(b"/early")
+
+
+# Guards against: an outcome header whose value the rest of the product does not know.
+def test_the_servers_own_outcomes_are_those_of_requests():
+    assert _http_messages.NOT_RUN == request.Outcome.NOT_RUN
+    assert _http_messages.MAY_HAVE_RUN == request.Outcome.MAY_HAVE_RUN
