Hold streamed responses for callers that read slowly

While a caller paused, the entry host stopped reading from the upstream, which then cut off a response that its caller would have received. Where memory_mb is stated, the host now reads on within a budget for each stream and for the host, and a second task writes what is held.

The relay of streams moves from the request pipeline into stream_relay. GapRecorder moves there too, because an entry host may load only 340 modules before it serves.

--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -31,6 +31,7 @@
     request_header_names,
     request_hold,
     request_types,
+    stream_budget,
 )
 from medlarfork.http import http_client, http_server
 from medlarfork.links import link, routed_links
@@ -112,6 +113,7 @@
             "Requests that wait at this host for a slot of its share, without an owner.",
             lambda: self._owner.local_waiting,
         )
+        self._budget = self._make_budget() if settings.memory_mb > 0 else None
         self._sampler = self._make_sampler() if entry_load.states_size(settings) else None
         self._handler = self._make_handler(names)
         self._server = http_server.create_server(
@@ -191,17 +193,34 @@
             rules=self._settings.budget,
             metrics=self._metrics,
             sampler=self._sampler,
+            budget=self._budget,
         )
 
     def _make_sampler(self) -> load_sampler.LoadSampler:
         sampler = load_sampler.LoadSampler(
             self._settings,
-            read_requests=lambda: self._server.exchanges,
+            read_requests=self._count_requests,
             on_change=lambda: self._send_status(self._session.replicas),
         )
         self._metrics.observe_utilisation(lambda: sampler.load.utilisation)
         return sampler
 
+    def _make_budget(self) -> stream_budget.StreamBudget[Any]:
+        budget: stream_budget.StreamBudget[Any] = stream_budget.StreamBudget(
+            self._settings.memory_mb
+        )
+        self._metrics.process.gauge(
+            "medlar_held_bytes",
+            "Bytes of responses that their callers have not read yet.",
+            lambda: budget.held_bytes,
+        )
+        return budget
+
+    def _count_requests(self) -> int:
+        """Return the requests in progress, and those that would take the memory of held bytes."""
+        held = 0 if self._budget is None else self._budget.held_requests
+        return self._server.exchanges + held
+
     def _make_usage_reporter(self) -> usage_reporter.UsageReporter:
         # Imported only where usage is reported: it makes the start-up slower.
         from medlarfork.gateway import usage_reporter
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -6,6 +6,7 @@
 import math
 import random
 import time
+from typing import Any
 
 import curio
 
@@ -24,6 +25,7 @@
     request_pipeline,
     request_types,
     retry_budget,
+    stream_budget,
 )
 from medlarfork.http import _http_messages, http_client, http_server
 from medlarfork.placement import placement_messages
@@ -64,6 +66,7 @@
         rules: retry_budget.BudgetRules,
         metrics: gateway_metrics.GatewayMetrics,
         sampler: load_sampler.LoadSampler | None = None,
+        budget: stream_budget.StreamBudget[Any] | None = None,
     ) -> None:
         """Create a handler without a routing; it holds requests until ``apply_routing``."""
         self._zone = zone
@@ -78,6 +81,7 @@
         self._rules = rules
         self._metrics = metrics
         self._sampler = sampler
+        self._budget = budget
         self._table: route_table.RouteTable | None = None
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._random = random.Random()
@@ -268,6 +272,7 @@
             shards=self._session.shards,
             zone=self._zone,
             entry_hosts=self._session.entry_hosts,
+            budget=self._budget,
         )
 
     async def _serve(
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -14,10 +14,9 @@
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import (
     attempt_sender,
-    event_framer,
-    gap_recorder,
     request_types,
     retry_policy,
+    stream_relay,
     upstream_call,
 )
 from medlarfork.http import _http_messages, http_client, sse
@@ -54,11 +53,9 @@
         self._excluded: list[str] = []
         self._retry_after_ms = local_choice.RETRY_MS
         self._sends = 0
-        self._framer = event_framer.EventFramer(admitted.metadata.last_event_id)
+        self._stream = stream_relay.StreamRelay(admitted, self.trace, shared.budget)
         self._ticket_id = ""
         self._sent_at = 0.0
-        self._gaps = gap_recorder.GapRecorder()
-        self._waiting_since = admitted.started_at
         self._refusal_code = errors.Code.OVERLOADED
         self._broken_runs = 0
         self._trial_until: float | None = None
@@ -73,6 +70,12 @@
         Raises:
             errors.CallerDisconnectedError: The caller has disconnected.
         """
+        try:
+            await self._serve()
+        finally:
+            await self._stream.close()
+
+    async def _serve(self) -> None:
         while True:
             placed = await self._place_if_allowed()
             if isinstance(placed, placement_messages.PlaceRefused):
@@ -125,7 +128,9 @@
         """Report to the owner that the current attempt has ended."""
         if self._ticket_id:
             after_ms = (time.monotonic() - self._sent_at) * 1000.0 if self._sent_at else 0.0
-            pauses = self._gaps.summary() if end is placement_messages.RunEnd.COMPLETE else None
+            pauses = (
+                self._stream.gap_summary() if end is placement_messages.RunEnd.COMPLETE else None
+            )
             load = self._sender.load if self._sent_at else None
             self._shared.owner.report_end(self._ticket_id, end, after_ms, pauses, load)
             self._ticket_id = ""
@@ -216,7 +221,7 @@
         patience_ms = self._admitted.route.patience_ms
         if not patience_ms:
             return 0.0
-        waited_ms = (time.monotonic() - self._waiting_since) * 1000.0
+        waited_ms = (time.monotonic() - self._stream.waiting_since) * 1000.0
         return max(1.0, patience_ms - waited_ms)
 
     async def _may_retry(self, end: placement_messages.RunEnd, upstream_id: str) -> bool:
@@ -262,11 +267,11 @@
         """Run one attempt; return how it failed, or None if the caller has its answer."""
         self.trace.upstreams.append(upstream.upstream_id)
         self._sent_at = time.monotonic()
-        self._gaps = gap_recorder.GapRecorder()
+        self._stream.begin_attempt()
         sent = await self._sender.send(
             upstream,
             fetch_from=fetch_from,
-            last_event_id=self._framer.last_id,
+            last_event_id=self._stream.last_event_id,
             left_ms=self._left_ms,
         )
         if isinstance(sent, upstream_call.Failure):
@@ -280,7 +285,6 @@
         try:
             end = await self._relay(sent)
         except errors.UpstreamError as error:
-            self._framer.discard_pending()
             self.trace.reasons.append(f"{upstream.upstream_id}: {error}")
             await self._record_broken_run(upstream)
             end = placement_messages.RunEnd.FAILED
@@ -307,11 +311,12 @@
         self, response: http_client.Response
     ) -> placement_messages.RunEnd | None:
         """Read an answer completely, then pass it on, so that no truncated answer is started."""
-        body = await response.read()
+        body = await self._stream.read_whole(response)
         self._shared.crashes.record_completed_run(self._admitted.key)
         failed = response.status >= 500
         if failed and self._may_retry_failure():
             self.trace.reasons.append(f"{self.trace.upstreams[-1]}: status {response.status}")
+            await self._stream.close()
             return placement_messages.RunEnd.FAILED
         self.trace.first_event_ms = self._since_start_ms()
         await self._admitted.exchange.respond(response.status, response.headers, body)
@@ -328,61 +333,36 @@
 
     async def _relay_stream(self, response: http_client.Response) -> None:
         """Pass on events as they arrive, each once it is complete."""
-        exchange = self._admitted.exchange
-        while chunk := await self._next_chunk(response):
-            events = self._framer.feed(chunk)
-            if not events:
-                continue
-            if not self._progress.response_started:
-                await self._start_stream(response)
-            self._record_event()
-            await exchange.send(events)
+        await self._stream.relay(
+            response, stall_timeout_s=self._stall_timeout_s, on_start=self._record_start
+        )
         self._shared.crashes.record_completed_run(self._admitted.key)
-        if not self._progress.response_started:
-            await self._start_stream(response)
-        await exchange.send(self._framer.pending)
-        await exchange.finish()
+        if self._stream.is_holding:
+            # The upstream is free; only the delivery goes on.
+            self._running_at = None
+            self.end_ticket(placement_messages.RunEnd.COMPLETE)
+        await self._stream.finish()
         self._finish(request_types.Result.ANSWERED, response.status)
 
-    async def _next_chunk(self, response: http_client.Response) -> bytes:
-        """Return the next bytes; time out a stalled stream if another upstream may resume it.
-
-        Raises:
-            errors.UpstreamError: The stream is broken or stalled.
-        """
+    def _stall_timeout_s(self) -> float | None:
+        """Return the stall timeout if another upstream may resume the stream."""
         after = self._progress.after(placement_messages.RunEnd.FAILED)
         may_resume = retry_policy.may_retry(self._admitted.route, after, self._left_ms)
         if not (self._progress.response_started and may_resume):
-            return await response.next_chunk()
-        timeout_s = retry_policy.stall_timeout_s(self._admitted.route)
-        try:
-            return await curio.timeout_after(timeout_s, response.next_chunk)
-        except curio.TaskTimeout as error:
-            raise errors.UpstreamError(
-                f"The upstream's stream stalled: no data for {timeout_s:.3g} s.",
-                remedy="Check whether the upstream runs and can be reached from this host.",
-            ) from error
-
-    def _record_event(self) -> None:
-        """Record the time of an event that is passed on, and the longest gap."""
-        self._waiting_since = time.monotonic()
-        pause_ms = self._gaps.record_event(self._waiting_since)
-        self.trace.max_gap_ms = max(self.trace.max_gap_ms, pause_ms)
+            return None
+        return retry_policy.stall_timeout_s(self._admitted.route)
 
-    async def _start_stream(self, response: http_client.Response) -> None:
+    def _record_start(self) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
         self._shared.owner.report_first_event(self._ticket_id, after_ms, self._sender.load)
         self._sender.count_started()
         self.trace.first_event_ms = self._since_start_ms()
         self._progress = dataclasses.replace(self._progress, response_started=True)
-        headers = {
-            name: value for name, value in response.headers.items() if name != "content-length"
-        }
-        await self._admitted.exchange.begin(response.status, headers)
 
     async def _give_up(self) -> None:
         result = request_types.Result
         self.trace.result = result.FAILED if self._progress.runs else result.REFUSED
+        await self._stream.drain()
         await self._finish_without_answer(in_time=self._left_ms > 0)
 
     async def _finish_without_answer(self, *, in_time: bool) -> None:
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -5,10 +5,16 @@
 import dataclasses
 import enum
 from collections.abc import Callable, Mapping
-from typing import Protocol
+from typing import Any, Protocol
 
 from medlarfork.coordination import upstream_types
-from medlarfork.gateway import owner_client, request_header_names, request_metadata, retry_budget
+from medlarfork.gateway import (
+    owner_client,
+    request_header_names,
+    request_metadata,
+    retry_budget,
+    stream_budget,
+)
 from medlarfork.http import http_client, http_server
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_ledger
@@ -189,3 +195,4 @@
     shards: ChooseShards
     zone: str
     entry_hosts: int
+    budget: stream_budget.StreamBudget[Any] | None = None
--- /dev/null
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -0,0 +1,358 @@
+"""Relays the streams of a request's attempts to its caller, and holds what it has not read yet.
+
+As long as the caller reads without delay, each event is written at once by the task that received
+it. Otherwise the rest is held and a second task writes it, while the first one continues to read
+from the upstream as far as the budget allows (see ``stream_budget``).
+"""
+
+from __future__ import annotations
+
+import collections
+import logging
+import time
+from collections.abc import Callable
+
+import curio
+
+from medlarfork import errors, logs
+from medlarfork.gateway import event_framer, request_types, stream_budget
+from medlarfork.http import http_client, http_server
+from medlarfork.placement import placement_messages
+
+BLOCK_BYTES = 64 * 1024
+"""Size of the blocks in which held bytes are written and released, in bytes: the largest read."""
+
+MIN_EVENTS = 4
+"""Minimum number of events for a summary; fewer give no representative median."""
+
+MAX_GAPS = 256
+"""Number of gaps stored for one stream, the first ones; bounds memory."""
+
+_log = logging.getLogger(__name__)
+
+Budget = stream_budget.StreamBudget["CallerBuffer"]
+"""The budget of the host, which all its buffers share."""
+
+StallTimeout = Callable[[], float | None]
+"""Returns the time without data after which a stream is broken, in seconds; None for no limit."""
+
+
+class GapRecorder:
+    """Collects the inter-event gaps of one attempt."""
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self._event_at = 0.0
+        self._longest_ms = 0.0
+        self._gaps_ms: list[float] = []
+
+    def record_event(self, now: float) -> float:
+        """Record an event passed on at a monotonic time; return the gap before it in ms."""
+        gap_ms = (now - self._event_at) * 1000.0 if self._event_at else 0.0
+        if self._event_at and len(self._gaps_ms) < MAX_GAPS:
+            self._gaps_ms.append(gap_ms)
+        self._longest_ms = max(self._longest_ms, gap_ms)
+        self._event_at = now
+        return gap_ms
+
+    def summary(self) -> placement_messages.InterEventGaps | None:
+        """Return the median and the longest gap; None if there were too few events."""
+        if len(self._gaps_ms) < MIN_EVENTS - 1:
+            return None
+        return placement_messages.InterEventGaps(_median(self._gaps_ms), self._longest_ms)
+
+
+class CallerBuffer:
+    """Writes a streamed response to its caller, and holds what the caller has not read yet.
+
+    One task uses it. Without a budget it holds nothing, and a write waits for the caller.
+    """
+
+    def __init__(self, exchange: http_server.Exchange, budget: Budget | None, request: str) -> None:
+        """Create a buffer that holds nothing; ``request`` names its stream in the log."""
+        self._exchange = exchange
+        self._budget = budget
+        self._request = request
+        # The writing task uses the first block; bytes are added to the others only.
+        self._blocks: collections.deque[bytearray] = collections.deque()
+        self._writer: curio.Task | None = None
+        self._failure: errors.CallerDisconnectedError | None = None
+        self._source: http_client.Response | None = None
+        self._changed = curio.Event()
+        self._is_slow = False
+
+    @property
+    def is_holding(self) -> bool:
+        """Return whether anything is held."""
+        return bool(self._blocks)
+
+    def read_from(self, response: http_client.Response | None) -> None:
+        """Set the response that is closed when the caller can't be written to."""
+        self._source = response
+
+    async def send(self, data: bytes) -> None:
+        """Write a part of the response, or hold it.
+
+        Raises:
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        self.check()
+        if self._budget is None:
+            await self._exchange.send(data)
+            return
+        encoded = self._exchange.encode(data)
+        sent = 0 if self._blocks else self._exchange.send_now(encoded)
+        if sent < len(encoded):
+            self._hold(self._budget, memoryview(encoded)[sent:])
+            if self._writer is None:
+                self._writer = await curio.spawn(self._write, self._budget, daemon=True)
+
+    async def wait_room(self) -> None:
+        """Wait until the budget allows to read on.
+
+        Raises:
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        if not self._blocks or self._budget is None:
+            return
+        while not self._budget.may_read(self):
+            self._log_slow(self._budget)
+            await self._wait_change()
+        # Without this, an upstream that sends fast would keep all other tasks from running.
+        await curio.sleep(0)
+
+    async def drain(self) -> None:
+        """Wait until nothing is held.
+
+        Raises:
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        while self._blocks:
+            await self._wait_change()
+        self.check()
+
+    async def close(self) -> None:
+        """End the writing task, and release what is held."""
+        self._source = None
+        writer, self._writer = self._writer, None
+        try:
+            if writer is not None:
+                await writer.cancel()
+        finally:
+            await self._release_all()
+
+    async def wake(self) -> None:
+        """Wake up the task that waits for a change."""
+        await self._changed.set()
+
+    def check(self) -> None:
+        """Raise the error with which writing failed, if it has.
+
+        Raises:
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        if self._failure is not None:
+            raise self._failure
+
+    def _hold(self, budget: Budget, data: memoryview) -> None:
+        budget.hold(self, len(data))
+        if len(self._blocks) < 2 or len(self._blocks[-1]) + len(data) > BLOCK_BYTES:
+            self._blocks.append(bytearray())
+        self._blocks[-1] += data
+
+    async def _write(self, budget: Budget) -> None:
+        """Write what is held, and end once nothing is."""
+        try:
+            while self._blocks:
+                await self._exchange.send_encoded(self._blocks[0])
+                if not self._blocks:
+                    break  # Closed while this task was already about to run.
+                size = len(self._blocks.popleft())
+                for stream in budget.release(self, size):
+                    await stream.wake()
+                await self._changed.set()
+        except errors.CallerDisconnectedError as error:
+            self._failure = error
+            # The other task may wait for the upstream, which must not go on with its work.
+            if self._source is not None:
+                await self._source.close()
+            await self._changed.set()
+        self._writer = None
+
+    async def _wait_change(self) -> None:
+        self.check()
+        self._changed.clear()
+        await self._changed.wait()
+        self.check()
+
+    async def _release_all(self) -> None:
+        self._blocks.clear()
+        if self._budget is not None:
+            for stream in self._budget.release_all(self):
+                await stream.wake()
+
+    def _log_slow(self, budget: Budget) -> None:
+        if not self._is_slow:
+            self._is_slow = True
+            logs.event(
+                _log,
+                "reader_slow",
+                request=self._request or None,
+                stream_bytes=budget.held_for(self),
+                held_bytes=budget.held_bytes,
+            )
+
+
+class StreamRelay:
+    """Passes on the events of one request's streams, each once it is complete.
+
+    Attributes:
+        waiting_since: Time of the last event, or of the request's arrival, in monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        admitted: request_types.AdmittedRequest,
+        trace: request_types.Trace,
+        budget: Budget | None,
+    ) -> None:
+        """Create the relay; nothing is sent yet."""
+        self.waiting_since = admitted.started_at
+        self._exchange = admitted.exchange
+        self._trace = trace
+        self._budget = budget
+        self._framer = event_framer.EventFramer(admitted.metadata.last_event_id)
+        self._gaps = GapRecorder()
+        self._buffer = CallerBuffer(admitted.exchange, budget, admitted.metadata.attempt_id)
+
+    @property
+    def is_holding(self) -> bool:
+        """Return whether the caller has not read all that was received."""
+        return self._buffer.is_holding
+
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the last event that was passed on or is held; empty for none."""
+        return self._framer.last_id
+
+    def begin_attempt(self) -> None:
+        """Record the gaps of another attempt."""
+        self._gaps = GapRecorder()
+
+    def gap_summary(self) -> placement_messages.InterEventGaps | None:
+        """Return the gaps of this attempt; None if there were too few events."""
+        return self._gaps.summary()
+
+    async def relay(
+        self,
+        response: http_client.Response,
+        *,
+        stall_timeout_s: StallTimeout,
+        on_start: Callable[[], None],
+    ) -> None:
+        """Pass on the events of a response until the upstream has sent all of it.
+
+        Args:
+            response: The response of this attempt.
+            stall_timeout_s: Called before each read.
+            on_start: Called before the caller gets the head of its response.
+
+        Raises:
+            errors.UpstreamError: The stream is broken or stalled.
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        self._buffer.read_from(response)
+        try:
+            while chunk := await _next_chunk(response, stall_timeout_s()):
+                events = self._framer.feed(chunk)
+                if not events:
+                    continue
+                await self._begin(response, on_start)
+                self._record_event()
+                await self._buffer.send(events)
+                await self._buffer.wait_room()
+        except errors.UpstreamError:
+            self._framer.discard_pending()
+            # A failed write has closed the response, so its error is the cause of this one.
+            self._buffer.check()
+            raise
+        finally:
+            self._buffer.read_from(None)
+        await self._begin(response, on_start)
+
+    async def finish(self) -> None:
+        """Write the rest of a complete stream, and end the caller's response.
+
+        Raises:
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        await self._buffer.send(self._framer.pending)
+        await self._buffer.drain()
+        await self._exchange.finish()
+
+    async def drain(self) -> None:
+        """Deliver what is held of a stream that can't be completed.
+
+        Raises:
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        await self._buffer.drain()
+
+    async def close(self) -> None:
+        """End the writing task, and release what is held."""
+        await self._buffer.close()
+
+    async def read_whole(self, response: http_client.Response) -> bytes:
+        """Return the body of a response, which counts as held until ``close``.
+
+        Raises:
+            errors.UpstreamError: The body is truncated or too large.
+        """
+        if self._budget is None:
+            return await response.read()
+        budget, buffer = self._budget, self._buffer
+        try:
+            return await response.read(lambda size: budget.hold(buffer, size))
+        except errors.UpstreamError:
+            await buffer.close()
+            raise
+
+    async def _begin(self, response: http_client.Response, on_start: Callable[[], None]) -> None:
+        """Write the head of the caller's response, unless it has been written."""
+        if self._exchange.started:
+            return
+        on_start()
+        headers = {
+            name: value for name, value in response.headers.items() if name != "content-length"
+        }
+        await self._exchange.begin(response.status, headers)
+
+    def _record_event(self) -> None:
+        """Record the time of an event that is passed on, and the longest gap."""
+        self.waiting_since = time.monotonic()
+        gap_ms = self._gaps.record_event(self.waiting_since)
+        self._trace.max_gap_ms = max(self._trace.max_gap_ms, gap_ms)
+
+
+async def _next_chunk(response: http_client.Response, stall_timeout_s: float | None) -> bytes:
+    """Return the next bytes of a response; time out if the stream stalls.
+
+    Raises:
+        errors.UpstreamError: The stream is broken or stalled.
+    """
+    if stall_timeout_s is None:
+        return await response.next_chunk()
+    try:
+        return await curio.timeout_after(stall_timeout_s, response.next_chunk)
+    except curio.TaskTimeout as error:
+        raise errors.UpstreamError(
+            f"The upstream's stream stalled: no data for {stall_timeout_s:.3g} s.",
+            remedy="Check whether the upstream runs and can be reached from this host.",
+        ) from error
+
+
+def _median(values: list[float]) -> float:
+    """Return the median; the standard library's costs an entry host five modules at start-up."""
+    ordered = sorted(values)
+    count = len(ordered)
+    return (ordered[(count - 1) // 2] + ordered[count // 2]) / 2.0
--- a/src/medlarfork/http/_http_exchange.py
+++ b/src/medlarfork/http/_http_exchange.py
@@ -130,6 +130,25 @@
             return
         await self._write(self._h11.send(h11.Data(data=data)))
 
+    def encode(self, data: bytes) -> bytes:
+        """Return the bytes that write a part of a streamed response, for the methods below."""
+        if not data or self.head.method == "HEAD":
+            return b""
+        return self._h11.send(h11.Data(data=data)) or b""
+
+    def send_now(self, encoded: bytes) -> int:
+        """Write as much as possible without waiting, and return the number of bytes written."""
+        if self.aborted:
+            raise _caller_gone()
+        try:
+            return self._stream.send_now(encoded)
+        except OSError as error:
+            raise _caller_gone() from error
+
+    async def send_encoded(self, encoded: bytes | bytearray) -> None:
+        """Write the rest of encoded parts; wait if the caller is slow."""
+        await self._write(encoded)
+
     async def finish(self) -> None:
         """Complete a streamed response."""
         await self._write(self._h11.send(h11.EndOfMessage()))
@@ -260,7 +279,7 @@
         response = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
         await self._write(self._h11.send(response))
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes | bytearray) -> None:
         if self.aborted:
             raise _caller_gone()
         try:
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 import h11
@@ -227,9 +227,12 @@
         self.framed = framed
         self.complete = False
 
-    async def read(self) -> bytes:
+    async def read(self, on_part: Callable[[int], None] | None = None) -> bytes:
         """Return the complete body.
 
+        Args:
+            on_part: Called with the size of each part that has arrived, in bytes.
+
         Raises:
             errors.UpstreamError: If the body is truncated or exceeds the size limit.
         """
@@ -238,6 +241,8 @@
         while part := await self.next_chunk():
             parts.append(part)
             size += len(part)
+            if on_part is not None:
+                on_part(len(part))
             if size > self._connection.body_bytes:
                 await self._connection.reset()
                 raise errors.UpstreamError(
--- a/src/medlarfork/http/_http_stream.py
+++ b/src/medlarfork/http/_http_stream.py
@@ -155,7 +155,7 @@
         except (BlockingIOError, InterruptedError):
             return 0
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes | bytearray) -> None:
         """Write all bytes, waiting while the peer reads slowly.
 
         Bytes that a cancelled call left unsent are written first by the next call, so that a
--- a/tests/routed/test_suspect_requests.py
+++ b/tests/routed/test_suspect_requests.py
@@ -98,6 +98,7 @@
             zone="z1",
             find_upstream=find_upstream,
             backpressure=types.SimpleNamespace(may_send=lambda upstream_id: True),
+            budget=None,
         )
         curio_world.run(request_pipeline.RequestPipeline(admitted, shared).serve)
         return exchange
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -54,6 +54,7 @@
     "gateway.request_metadata",
     "quarantine.request_key",
     "gateway.retry_budget",
+    "gateway.stream_budget",
     "duties.duty_state",
     "duties.engine_autoscaler",
     "duties.fleet_clock",
