--- a/tests/routed/test_slow_readers.py
+++ b/tests/routed/test_slow_readers.py
@@ -1,9 +1,15 @@
 """Streams to callers that read slowly, over sockets of a complete deployment."""
 
+import dataclasses
+import re
 import socket
 
 import curio
+import pytest
+from curio import traps
 
+from medlarfork.gateway import gateway_program
+from tests import curio_world
 from tests.routed import routed_harness
 
 EVENT = b"data: " + b"x" * 16_000 + b"\n\n"
@@ -48,11 +54,11 @@
     return bytes(received)
 
 
-async def _start(deployment, answer=_stream_to_reader, **sizes):
+async def _start(deployment, answer=_stream_to_reader, *, route=None, **sizes):
     await deployment.entry.close()
     await deployment.start_entry(**sizes)
     upstream = await deployment.add_upstream(answer)
-    await deployment.put_routing(timeout_ms=12_000)
+    await deployment.put_routing(**{"timeout_ms": 12_000} | (route or {}))
     await deployment.until_upstreams(1)
     return upstream
 
@@ -70,3 +76,130 @@
         assert received.endswith(b"0\r\n\r\n")
 
     routed_harness.run(tmp_path, main, replicas=1)
+
+
+async def _stream_without_end(exchange):
+    headers = routed_harness.echo_headers(exchange, **{"content-type": "text/event-stream"})
+    await exchange.begin(200, headers)
+    while True:
+        await exchange.send(EVENT)
+
+
+async def _writing_tasks():
+    """Return the tasks that write what is held, of all streams."""
+    kernel = await traps._get_kernel()
+    return [task for task in kernel._tasks.values() if "CallerBuffer" in task.coro.__qualname__]
+
+
+def _logged(caplog, name):
+    return [record for record in caplog.records if name in record.getMessage()]
+
+
+# Guards against: a buffer that grows beyond its limit, and a caller's leave, a deadline or a stop
+# that leaves the upstream at work, bytes counted as held, or a task behind.
+@pytest.mark.parametrize("end", ["caller leaves", "caller never reads", "deadline", "host stops"])
+def test_the_end_of_a_paused_stream_releases_everything(tmp_path, caplog, monkeypatch, end):
+    if end == "caller never reads":
+        limits = dataclasses.replace(gateway_program.CALLER_LIMITS, stall_s=1.0)
+        monkeypatch.setattr(gateway_program, "CALLER_LIMITS", limits)
+
+    async def main(deployment):
+        route = {"timeout_ms": 1500} if end == "deadline" else {}
+        upstream = await _start(deployment, _stream_without_end, route=route, memory_mb=90.0)
+        caller = await _open_caller(deployment)
+        budget = deployment.entry._budget
+        await curio_world.until(lambda: _logged(caplog, "reader_slow"))
+        assert budget.stream_bytes <= budget.held_bytes < budget.stream_bytes + 100_000
+        rendered = deployment.entry._metrics.process._render().decode()
+        assert f"medlar_held_bytes {float(budget.held_bytes)}" in rendered
+        match end:
+            case "caller leaves":
+                await caller.close()
+            case "host stops":
+                await deployment.entry._server.close(within_s=0.1)
+        await curio_world.until(lambda: upstream.cancelled == 1)
+        await curio_world.until(lambda: not deployment.entry._server.exchanges)
+        assert budget.held_bytes == 0
+        assert not await _writing_tasks()
+        await caller.close()
+
+    with caplog.at_level("INFO"):
+        routed_harness.run(tmp_path, main, replicas=1)
+    assert len(_logged(caplog, "reader_slow")) == 1
+
+
+# Guards against: held events that are lost, repeated or reordered when the upstream breaks, and a
+# resumption that starts after the last event that was written instead of the last one held.
+@pytest.mark.parametrize("may_resume", [True, False])
+def test_a_broken_stream_delivers_what_is_held(tmp_path, may_resume):
+    async def main(deployment):
+        is_broken = curio.Event()
+
+        async def answer(exchange):
+            headers = routed_harness.echo_headers(exchange, **{"content-type": "text/event-stream"})
+            first = int(exchange.head.headers.get("last-event-id", "-1")) + 1
+            await exchange.begin(200, headers)
+            for number in range(first, 700 if first else 600):
+                await exchange.send(b"id: %d\n" % number + EVENT)
+            if first:
+                await exchange.finish()
+            else:
+                await curio.sleep(0.3)  # A reset would discard what the host has not received.
+                await is_broken.set()
+
+        route = {"kind": "streaming", "max_attempts": 2, "may_resume": may_resume}
+        await _start(deployment, answer, route=route, memory_mb=4000.0)
+        await deployment.add_upstream(answer)
+        await deployment.until_upstreams(2)
+        caller = await _open_caller(deployment)
+        await is_broken.wait()
+        await curio.sleep(0.3)
+        assert deployment.entry._budget.held_bytes > 100 * len(EVENT)
+        received = await _read_all(caller)
+        await caller.close()
+        ids = [int(found) for found in re.findall(rb"id: (\d+)\n", received)]
+        assert ids == list(range(len(ids)))
+        assert received.endswith(b"0\r\n\r\n") == may_resume
+        # The reset that ends a broken response discards what the system has not sent yet.
+        assert len(ids) == 700 if may_resume else 100 < len(ids) <= 600
+
+    routed_harness.run(tmp_path, main, replicas=1)
+
+
+# Guards against: a stopping host that cuts responses which it could deliver in the grace period.
+def test_a_stopping_host_delivers_what_it_holds(tmp_path):
+    async def main(deployment):
+        is_sent = curio.Event()
+
+        async def answer(exchange):
+            await _stream_to_reader(exchange)
+            await is_sent.set()
+
+        await _start(deployment, answer, memory_mb=4000.0)
+        caller = await _open_caller(deployment)
+        await is_sent.wait()
+        assert await _writing_tasks()
+        assert deployment.entry._budget.held_bytes > len(EVENT)
+        stopping = await curio.spawn(lambda: deployment.entry._server.close(within_s=5.0))
+        received = await _read_all(caller)
+        await caller.close()
+        assert received.count(EVENT) == EVENTS
+        await stopping.join()
+
+    routed_harness.run(tmp_path, main, replicas=1)
+
+
+# Guards against: whole responses that take memory which the budget gives to streams a second time.
+def test_a_response_that_is_read_whole_counts_as_held(tmp_path):
+    async def answer(exchange):
+        await exchange.respond(200, routed_harness.echo_headers(exchange), EVENT * EVENTS)
+
+    async def main(deployment):
+        await _start(deployment, answer, memory_mb=90.0)
+        caller = await _open_caller(deployment)
+        budget = deployment.entry._budget
+        await curio_world.until(lambda: budget.held_bytes == len(EVENT) * EVENTS)
+        await caller.close()
+        await curio_world.until(lambda: budget.held_bytes == 0)
+
+    routed_harness.run(tmp_path, main, replicas=1)
