Placement: what an upstream usually reports is its speed, not a slow moment

The log shows that slow engines report 1.7 and fast ones 0.7 all the time, besides slow moments. The owner took 1.7 for a slow moment that ends in 0.6 s, so with an old report a slow engine counted as 1.4 times the usual instead of 2.4, and a new incarnation as usual until its streams ended. Now the lower quantile of its reports, against the shard's median, is the first guess of its factor, and only what goes beyond it is a slow moment. Latencies still decide within a few samples.

--- a/src/medlarfork/placement/shard_speeds.py
+++ b/src/medlarfork/placement/shard_speeds.py
@@ -180,6 +180,15 @@
             self._reports.append((now, slowdown))
             bisect.insort(self._slowdowns_in_order, slowdown)
             self._plan()
+            self._compare_usual_reports(now)
+
+    def _compare_usual_reports(self, now: float) -> None:
+        """Compare what the upstreams usually report."""
+        speeds = [load.speed for load in self._load_by_id.values()]
+        usual = sorted([item.usual_report for item in speeds if item.usual_report is not None])
+        for item in speeds:
+            if item.usual_report is not None:
+                item.set_usual_reference(usual[(len(usual) - 1) // 2], now)
 
     def record_first_event(
         self,
@@ -194,7 +203,7 @@
             if run.is_rate_sample:
                 self._estimator.observe_first_event(run.prefill_tokens, message.after_ms)
             return
-        run.slowdown = None if message.load is None else message.load.slowdown
+        run.slowdown = None if message.load is None else load.speed.stated_slowdown
         if not run.is_rate_sample:
             return
         estimator, speed, tokens = self._estimator, load.speed, run.prefill_tokens
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -52,7 +52,8 @@
         uncached_segments: Prompt segments that the upstream has to compute for this request.
         deadline: When its caller gives up, in seconds.
         max_concurrent_prefill_ms: Largest prefill backlog at any time while it streamed.
-        slowdown: What its upstream reported with its first event; None if it reported none.
+        slowdown: The momentary slowdown that its upstream reported with its first event; None if it
+            reported none.
         max_slowdown: Largest slowdown that its upstream reported while it streamed.
         min_slowdown: Smallest slowdown that its upstream reported while it streamed.
     """
--- a/src/medlarfork/placement/upstream_speed.py
+++ b/src/medlarfork/placement/upstream_speed.py
@@ -1,9 +1,10 @@
 """Estimate how much longer work takes on one upstream than is usual in its service. Pure.
 
 It handles engines of one service that differ permanently in speed, and engines that other workloads
-on their machines slow down for fractions of a second. The permanent difference is a factor, learnt
-from the latencies of the upstream's own runs. The momentary slowdown is what the upstream reports;
-it counts only as far as those latencies don't contradict it.
+on their machines slow down for fractions of a second. Reports may contain both. What an upstream
+usually reports, compared with the others, is the first guess of its permanent factor, which is then
+learnt from the latencies of its own runs. What it reports beyond that is its momentary slowdown; it
+counts only as far as those latencies don't contradict it.
 """
 
 from __future__ import annotations
@@ -21,6 +22,10 @@
 PRIOR_SAMPLES = 3.0
 """Weight of the factor that an incarnation starts with, in samples."""
 
+MIN_REPORTS = 4
+"""Reports from which it is known what an upstream usually reports: three in a row may come from one
+slow moment."""
+
 MAX_SAMPLES = 24
 """Samples of each kind that are kept: some seconds of an engine, so that a change shows."""
 
@@ -33,8 +38,7 @@
 long."""
 
 SLOWDOWN_BOUNDS = (1.0, 4.0)
-"""Reported slowdowns are limited to this range: no upstream gets more requests by reporting that it
-is fast, and slow moments take 2.5 times the usual time."""
+"""Momentary slowdowns are limited to this range: slow moments take 2.5 times the usual time."""
 
 DISTURBED_SLOWDOWN = 1.2
 """Reported slowdown from which latencies are compared with it."""
@@ -73,6 +77,9 @@
         trust: How far latencies confirm the reported slowdowns; 0 to 1.
         report: What it reported last; None if it has reported nothing.
         reported_at: When that report arrived.
+        stated_slowdown: The momentary slowdown that this report states, whether it is trusted or
+            not; None if it states none.
+        usual_report: The slowdown that it usually reports; None until there are enough reports.
         sampled_at: When a report of it last counted in the shard's planned slowdown.
         slow_since: When its factor reached ``SLOW_FACTOR``; None if it is below.
     """
@@ -85,12 +92,15 @@
         self.trust = 1.0
         self.report: reported_load.ReportedLoad | None = None
         self.reported_at = -math.inf
+        self.stated_slowdown: float | None = None
+        self.usual_report: float | None = None
         self.sampled_at = -math.inf
         self.slow_since: float | None = None
         self._prior = 1.0
         self._adopted = 0
         self._slowdown = 1.0
         self._unknown_runs = 0
+        self._reports: collections.deque[float] = collections.deque(maxlen=MAX_SAMPLES)
         self._learnt_by_kind: dict[SampleKind, tuple[int, float]] = {}
         self._samples_by_kind: dict[SampleKind, collections.deque[float]] = {
             kind: collections.deque(maxlen=MAX_SAMPLES) for kind in SampleKind
@@ -122,12 +132,38 @@
             now: The time in seconds.
         """
         self.report, self.reported_at = report, now
-        stated = _within(report.slowdown or 1.0, SLOWDOWN_BOUNDS)
+        self.stated_slowdown = self._compare_with_usual(report.slowdown)
+        stated = 1.0 if self.stated_slowdown is None else self.stated_slowdown
         self._slowdown = 1.0 + self.trust * (stated - 1.0)
         # Without the bound, a false report would occupy all slots until it is old.
         self._unknown_runs = min(max(0, report.running + report.waiting - own_runs), slots)
         return self._slowdown
 
+    def _compare_with_usual(self, reported: float | None) -> float | None:
+        """Return a reported slowdown relative to what the upstream usually reports."""
+        if reported is None:
+            return None
+        self._reports.append(reported)
+        if len(self._reports) >= MIN_REPORTS:
+            self.usual_report = quantile(self._reports, TYPICAL_QUANTILE)
+        return _within(reported / (self.usual_report or 1.0), SLOWDOWN_BOUNDS)
+
+    def set_usual_reference(self, median: float, now: float) -> None:
+        """Start from what it usually reports, given the shard's median; learnt factors go before.
+
+        A stale report does not make a slow upstream look usual then, and a new incarnation is known
+        as slow before any of its streams has ended.
+        """
+        if self._adopted or self.usual_report is None:
+            return
+        prior = _within(self.usual_report / median, FACTOR_BOUNDS)
+        if prior == self._prior:
+            return
+        self._prior = prior
+        self._learn()
+        if not self.is_measured:
+            self.set_reference(1.0, now)
+
     def slowdown(self, now: float) -> float:
         """Return the momentary slowdown, which decays to 1 with the age of its report."""
         return 1.0 + (self._slowdown - 1.0) * _fresh_share(now - self.reported_at, SLOWDOWN_DECAY_S)
@@ -157,6 +193,9 @@
         self._learnt_by_kind[kind] = (
             (len(samples), math.log(typical / usual)) if is_valid else (0, 0.0)
         )
+        self._learn()
+
+    def _learn(self) -> None:
         weight, total = PRIOR_SAMPLES, PRIOR_SAMPLES * math.log(self._prior)
         for count, log_ratio in self._learnt_by_kind.values():
             weight += count
@@ -167,10 +206,10 @@
         """Compare the slowdown that a run was reported with to the time that it took.
 
         Args:
-            slowdown: What the upstream reported with the run; None if it did not.
+            slowdown: The momentary slowdown that was reported with the run; None if none was.
             relative_time: Time of the run relative to the service's usual time.
         """
-        stated = _within(slowdown or 1.0, SLOWDOWN_BOUNDS)
+        stated = 1.0 if slowdown is None else slowdown
         if stated < DISTURBED_SLOWDOWN:
             return
         # A factor below 1 may itself be due to division by a false slowdown.
--- a/tests/routed/engine_replay.py
+++ b/tests/routed/engine_replay.py
@@ -149,11 +149,16 @@
         return sum(max(stream.gaps_ms, default=0.0) > gap_ms for stream, _ in kind)
 
 
-def reports(fourth=True):
-    """Return how an engine reports its load, with or without its momentary slowdown."""
+def reports(fourth=True, fastest=0.0):
+    """Return how an engine reports its load, with or without its slowdown.
+
+    ``fastest`` is what a usual engine reports if the reports contain the speeds of the engines.
+    """
 
     def load_of(engine, now):
         slowdown = engine.pace(now) if fourth else None
+        if fastest:
+            slowdown = fastest * engine.factor * engine.pace(now)
         return reported_load.ReportedLoad(len(engine.streams), 0, SLOTS, slowdown)
 
     return load_of
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -101,6 +101,34 @@
     assert slow / fast == pytest.approx(2.4, rel=0.25)
 
 
+def test_reports_that_contain_the_speed_keep_the_gaps_of_urgent_streams(replay):
+    """A slow engine looked nearly usual whenever its last report was old."""
+    before = replay(engine_replay.no_report, 2)
+    after = replay(engine_replay.reports(fastest=0.7), 2)
+    assert before.late(before.chats, 200.0) > 5
+    assert after.late(after.chats, 200.0) <= 0.2 * before.late(before.chats, 200.0)
+    loads = after.service.load_by_id
+    factors = [
+        [load.speed.factor for name, load in loads.items() if is_slow(name) is slow]
+        for slow in (False, True)
+    ]
+    assert max(factors[0]) < min(factors[1])
+
+
+def test_an_upstream_is_known_as_slow_from_what_it_usually_reports(make_shard_owner):
+    """Urgent streams were sent to new incarnations of slow engines until some had ended there."""
+    service = make_shard_owner(count=3, slots=8)
+    loads = list(service.load_by_id.values())
+    speeds = shard_speeds.ShardSpeeds(service.estimator, service.load_by_id)
+    for number in range(8):
+        for load, usual in zip(loads, (0.7, 0.7, 1.7), strict=True):
+            moment = 2.5 if number == 7 else 1.0
+            speeds.record_report(load, report(slowdown=usual * moment), number * 0.4)
+    assert [load.speed.factor for load in loads] == pytest.approx([1.0, 1.0, 1.7 / 0.7])
+    assert [load.speed.slowdown(2.8) for load in loads] == pytest.approx([2.5, 2.5, 2.5])
+    assert [load.speed.slowdown(9.0) for load in loads] == [1.0, 1.0, 1.0]
+
+
 def test_decisions_without_reported_slowdowns_are_as_without_reports(replay):
     """Deployments whose upstreams report three figures must see no change at all."""
 
