Share upstream time fairly among client accounts inside a tier

Requests of one tier and target start by start-time fair queueing over their accounts when at least two accounts have some. A full queue refuses the newest request of the account with the most upstream time charged and queued, and predicted waits count only what precedes by the shares. A pass over the queue now reads only the requests that may start and those whose latest useful start has passed.

--- a/src/medlarfork/placement/placement_decision.py
+++ b/src/medlarfork/placement/placement_decision.py
@@ -36,8 +36,10 @@
         entry_id: The entry host that asked.
         message: The answer.
         decision_inputs: What a placement depends on; None for the other answers.
+        account: The client account of a refused request; empty for other answers.
     """
 
     entry_id: str
     message: placement_messages.Answer
     decision_inputs: DecisionInputs | None = None
+    account: str = ""
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -7,6 +7,7 @@
 from medlarfork.backpressure import send_gate, signal_ledger
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
+    account_shares,
     admission_policy,
     placement_decision,
     placement_messages,
@@ -18,9 +19,6 @@
 )
 from medlarfork.routes import routing
 
-MAX_WAITING = 2000
-"""Longest queue, in requests; beyond it new ones are refused, which bounds memory."""
-
 PASS_PERIOD_S = 0.01
 """Shortest interval between two passes over the queue, in seconds: a small part of any target.
 Without it each run that ends costs a pass, and an owner that falls behind never recovers: the
@@ -46,7 +44,8 @@
             gate: Paces requests to upstreams; None if no upstream sends backpressure signals.
         """
         self._longest_target_ms = 0.0
-        self._queue = wait_queue.WaitQueue()
+        self._shares = account_shares.AccountShares()
+        self._queue = wait_queue.WaitQueue(self._shares)
         shared = gate or send_gate.SendGate(signal_ledger.SignalLedger())
         self._chooser = upstream_chooser.UpstreamChooser(shared, self._queue)
         self.estimator = self._chooser.estimator
@@ -74,6 +73,11 @@
     def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
         """Set the upstreams that may be used now; runs on others continue to their ends."""
         self._chooser.use_upstreams(announcements)
+        self._shares.use_slots([announcement.slots for announcement in announcements.values()])
+
+    def account_states(self, now: float) -> tuple[account_shares.AccountState, ...]:
+        """Return the state of each account with requests now or in the last 10 s."""
+        return self._shares.states(self._queue.count_by_account(), now)
 
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
@@ -93,6 +97,7 @@
             now,
             self._chooser.min_prefill_ms(request),
             admission_policy.decode_ms(request, self.estimator.step_ms),
+            self._shares.virtual_ms(request.tier),
         )
         self.offered_prefill_ms += waiting.prefill_ms
         if self._is_deferrable(request):
@@ -104,26 +109,48 @@
                     return (self._busy(waiting, predicted_ms + waiting.prefill_ms),)
                 why = f"its predicted wait is about {predicted_ms:.0f} ms"
                 after_ms = admission_policy.retry_after_ms(request, predicted_ms)
-                return (self._refuse(waiting, why, after_ms),)
+                return (self._refuse(waiting, why, after_ms, now),)
         closed_ms = self._chooser.closed_ms(waiting, now)
         if self._is_closed_too_long(waiting, closed_ms, now):
             return (self._reject_closed(waiting, closed_ms, now),)
+        started = self._start_preceding(waiting, now)
         answer = self._try(waiting, now)
         if answer is not None:
-            return (answer,)
+            return (*started, answer)
         if self._busy_shards.may_ask(request, now):
             start_ms = max(self._predicted_start_ms(waiting, now), closed_ms)
             if start_ms >= spillover.max_start_ms(request, self.estimator.tokens_per_ms):
-                return (self._busy(waiting, start_ms),)
-        if len(self._queue) >= MAX_WAITING:
-            why = "the queue is full"
-            return (self._refuse(waiting, why, admission_policy.MIN_RETRY_MS),)
-        if not self._queue:
-            self._forecast.record_queue_start(now)
+                return (*started, self._busy(waiting, start_ms))
+        return (*started, *self._enqueue(waiting, now))
+
+    def _start_preceding(
+        self, waiting: wait_queue.WaitingRequest, now: float
+    ) -> list[placement_decision.Decision]:
+        """Give slots that are free since the last pass to the requests that precede a new one."""
+        answers: list[placement_decision.Decision] = []
+        while not self._chooser.is_full:
+            first = self._queue.first_before(waiting, now)
+            answer = None if first is None else self._try(first, now)
+            if answer is None:
+                break
+            self._queue.remove(answer.message.ticket_id)
+            answers.append(answer)
+        return answers
+
+    def _enqueue(
+        self, waiting: wait_queue.WaitingRequest, now: float
+    ) -> tuple[placement_decision.Decision, ...]:
+        """Queue a request. If the queue is full, refuse it, or another one in its place."""
+        answers: tuple[placement_decision.Decision, ...] = ()
+        if self._queue.is_full:
+            refused, why = self._queue.displace(waiting)
+            answers = (self._refuse(refused, why, admission_policy.MIN_RETRY_MS, now),)
+            if refused is waiting:
+                return answers
+        self._forecast.record_queued(now)
         self._queue.add(waiting)
-        return (
-            placement_decision.Decision(entry_id, placement_messages.Queued(request.ticket_id)),
-        )
+        queued = placement_messages.Queued(waiting.request.ticket_id)
+        return (*answers, placement_decision.Decision(waiting.entry_id, queued))
 
     def _known_answer(self, ticket_id: str) -> placement_messages.Answer | None:
         """Return the answer to a request that is already queued or running."""
@@ -153,10 +180,12 @@
         self._queue.remove(message.ticket_id)
         for load in self.load_by_id.values():
             run = load.end(message.ticket_id, message.end, now)
-            if run is not None and message.pauses is not None:
-                event_tokens = self._chooser.event_tokens
+            if run is None:
+                continue
+            self._shares.record_end(run, message.end, now)
+            if message.pauses is not None:
                 self.estimator.observe_gaps(
-                    message.pauses, run.max_concurrent_prefill_ms, event_tokens
+                    message.pauses, run.max_concurrent_prefill_ms, self._chooser.event_tokens
                 )
         return self.serve_due(now)
 
@@ -189,13 +218,7 @@
         """Release everything of a lost entry host, whose upstream connections are gone with it."""
         self._queue.remove_entry(entry_id)
         for load in self.load_by_id.values():
-            lost = [
-                ticket_id
-                for ticket_id, run in load.run_by_ticket.items()
-                if run.entry_id == entry_id
-            ]
-            for ticket_id in lost:
-                load.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
+            load.end_entry(entry_id, now)
         return self.serve_waiting(now)
 
     def end_overdue(self, now: float) -> tuple[str, ...]:
@@ -203,12 +226,11 @@
 
         Upstreams that have been absent for long are evicted too.
         """
+        self._shares.evict_idle(now)
         overdue = tuple(
             ticket_id for load in self.load_by_id.values() for ticket_id in load.end_overdue(now)
         )
-        for upstream_id, load in tuple(self.load_by_id.items()):
-            if load.is_gone(now):
-                del self.load_by_id[upstream_id]
+        self._chooser.evict_absent(now)
         return overdue
 
     def serve_waiting(self, now: float) -> tuple[placement_decision.Decision, ...]:
@@ -221,7 +243,9 @@
         tries_left: dict[tuple[int, float], int] = {}
         max_tries = max(MIN_TRIES, COMPARISONS_PER_PASS // max(len(self._chooser.present), 1))
         answers: list[placement_decision.Decision] = []
-        for waiting in self._queue.in_order(now):
+        for waiting in self._queue.in_order(
+            now, lambda kind: tries_left.get(kind, max_tries) > 0 and not self._chooser.is_full
+        ):
             left = tries_left.get(waiting.kind, max_tries)
             answer = self._serve(waiting, now, may_try=left > 0)
             if answer is None:
@@ -239,7 +263,7 @@
         retry_ms = admission_policy.overloaded_retry_ms(waiting.request)
         if waiting.answer_by <= now:
             closed_ms = self._chooser.closed_ms(waiting, now)
-            return self._refuse(waiting, why, max(retry_ms, closed_ms))
+            return self._refuse(waiting, why, max(retry_ms, closed_ms), now)
         answer = self._try(waiting, now) if may_try else None
         if answer is not None:
             return answer
@@ -247,7 +271,9 @@
             closed_ms = self._chooser.closed_ms(waiting, now)
             if self._is_closed_too_long(waiting, closed_ms, now):
                 return self._reject_closed(waiting, closed_ms, now)
-        return self._refuse(waiting, why, retry_ms) if self._is_too_late(waiting, now) else None
+        if self._is_too_late(waiting, now):
+            return self._refuse(waiting, why, retry_ms, now)
+        return None
 
     def _is_closed_too_long(
         self, waiting: wait_queue.WaitingRequest, closed_ms: float, now: float
@@ -262,10 +288,7 @@
             return self._busy(waiting, closed_ms)
         why = f"every upstream is rate-limited or in backoff for about {closed_ms:.0f} ms"
         retry_ms = max(closed_ms, admission_policy.MIN_RETRY_MS)
-        ticket_id = waiting.request.ticket_id
-        cause = placement_messages.RefusalCause.CLOSED
-        refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, cause)
-        return placement_decision.Decision(waiting.entry_id, refused)
+        return self._refuse(waiting, why, retry_ms, now, placement_messages.RefusalCause.CLOSED)
 
     def _is_too_late(self, waiting: wait_queue.WaitingRequest, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
@@ -299,6 +322,9 @@
         request, load, cost = waiting.request, choice.load, choice.cost
         if self._is_deferrable(request):
             self._forecast.record_start(waiting.prefill_ms, now)
+        charged_slot_ms = self._shares.record_start(
+            request, waiting.virtual_ms, cost.prefill_ms, now
+        )
         run = upstream_load.Run(
             waiting.entry_id,
             request,
@@ -306,6 +332,8 @@
             cost.prefill_ms,
             is_rate_sample=cost.backlog_ms <= 0.0 and not cost.fetch_from,
             deadline=waiting.deadline,
+            started_at=now,
+            charged_slot_ms=charged_slot_ms,
         )
         self._chooser.add(run, load, now)
         placed = placement_messages.Placed(
@@ -357,8 +385,16 @@
         return placement_decision.Decision(waiting.entry_id, busy)
 
     def _refuse(
-        self, waiting: wait_queue.WaitingRequest, why: str, retry_after_ms: float
+        self,
+        waiting: wait_queue.WaitingRequest,
+        why: str,
+        retry_after_ms: float,
+        now: float,
+        cause: placement_messages.RefusalCause = placement_messages.RefusalCause.OVERLOAD,
     ) -> placement_decision.Decision:
-        ticket_id = waiting.request.ticket_id
-        refused = placement_messages.PlaceRefused(ticket_id, retry_after_ms, why)
-        return placement_decision.Decision(waiting.entry_id, refused)
+        request = waiting.request
+        excess = self._shares.record_refusal(request.account, now)
+        if excess and cause is placement_messages.RefusalCause.OVERLOAD:
+            why = f"{why}; {excess}"
+        refused = placement_messages.PlaceRefused(request.ticket_id, retry_after_ms, why, cause)
+        return placement_decision.Decision(waiting.entry_id, refused, account=request.account)
--- a/src/medlarfork/placement/upstream_chooser.py
+++ b/src/medlarfork/placement/upstream_chooser.py
@@ -76,11 +76,26 @@
                 self.load_by_id[upstream_id] = load
             load.announcement = announcement
 
+    def evict_absent(self, now: float) -> None:
+        """Evict the upstreams that have been absent for long."""
+        for upstream_id, load in tuple(self.load_by_id.items()):
+            if load.is_gone(now):
+                del self.load_by_id[upstream_id]
+
     @property
     def present(self) -> list[upstream_load.UpstreamLoad]:
         """Return the upstreams that may be used now."""
         return [load for load in self.load_by_id.values() if load.is_present]
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no request can start now because no upstream has a free slot.
+
+        Upstreams that sent backpressure signals may also reject requests in a pass, so with these
+        it is always False.
+        """
+        return self.gate.is_unrestricted and all(load.is_full for load in self.present)
+
     def best(self, waiting: wait_queue.WaitingRequest, now: float) -> Choice | None:
         """Return the upstream with the lowest cost, or None if none may get the request now."""
         request = waiting.request
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -52,6 +52,9 @@
         uncached_segments: Prompt segments that the upstream has to compute for this request.
         deadline: When its caller gives up, in seconds.
         max_concurrent_prefill_ms: Largest prefill backlog at any time while it streamed.
+        started_at: When it was placed, in seconds.
+        charged_slot_ms: Upstream time charged to its account for its slot, in milliseconds; 0 if
+            nothing was charged.
     """
 
     entry_id: str
@@ -63,6 +66,8 @@
     uncached_segments: frozenset[str] = frozenset()
     deadline: float = math.inf
     max_concurrent_prefill_ms: float = 0.0
+    started_at: float = 0.0
+    charged_slot_ms: float = 0.0
 
     @property
     def memory_tokens(self) -> int:
@@ -135,6 +140,12 @@
             self.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
         return overdue
 
+    def end_entry(self, entry_id: str, now: float) -> None:
+        """End the runs of a lost entry host."""
+        for ticket_id, run in tuple(self.run_by_ticket.items()):
+            if run.entry_id == entry_id:
+                self.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
+
     def is_gone(self, now: float) -> bool:
         """Return whether it has been absent for long without runs; called every second."""
         if self.is_present:
--- a/src/medlarfork/placement/wait_forecast.py
+++ b/src/medlarfork/placement/wait_forecast.py
@@ -20,9 +20,10 @@
         self._drain = drain_rate.DrainRate()
         self._queued_since = math.inf
 
-    def record_queue_start(self, now: float) -> None:
-        """Record that a request is queued in an empty queue."""
-        self._queued_since = now
+    def record_queued(self, now: float) -> None:
+        """Record that a request is about to be queued."""
+        if not self._queue:
+            self._queued_since = now
 
     def record_start(self, prefill_ms: float, now: float) -> None:
         """Count the prefill time of a request that starts, in milliseconds."""
@@ -39,7 +40,8 @@
         """Return how long a new request would wait, in milliseconds.
 
         It waits for the requests queued before it, and then for the engine with the smallest
-        backlog. If that makes it late, the entire queue goes before it.
+        backlog. If that makes it late, the entire queue goes before it, unless the shares of
+        accounts order the requests of its kind: then only those that precede it by the shares.
 
         Args:
             waiting: The request.
@@ -52,9 +54,9 @@
         wait_ms = before_ms / drained_per_ms + backlog_ms
         if wait_ms <= admission_policy.HOPELESS_SHARE * waiting.request.target_ms:
             return wait_ms
-        return (
-            admission_policy.OVERTAKEN_FACTOR * self._queue.prefill_ms / drained_per_ms + backlog_ms
-        )
+        if not self._queue.is_fair(waiting.kind, waiting.request.account):
+            before_ms = self._queue.prefill_ms
+        return admission_policy.OVERTAKEN_FACTOR * before_ms / drained_per_ms + backlog_ms
 
     def _drained_per_ms(self, unconstrained_engines: int, now: float) -> float:
         """Return how much queued prefill starts per millisecond, in milliseconds.
--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import bisect
+import collections
 import dataclasses
+import heapq
+from collections.abc import Callable, Iterator, Sequence
 
-from medlarfork.placement import placement_messages
+from medlarfork.placement import account_shares, placement_messages
 
 ANSWER_LATENCY_MS = 100.0
 """How long before its caller leaves a queued request is refused, in milliseconds: the latency of
 the answer over two links."""
 
+MAX_WAITING = 2000
+"""Longest queue, in requests; beyond it new ones are refused, which bounds memory."""
+
 SortKey = tuple[int, float, float, str]
 """Sort key of queued requests."""
 
@@ -26,6 +32,7 @@
         prefill_ms: Its prefill on the engine that held its longest prefix on arrival, in
             milliseconds.
         decode_ms: How long its answer takes after the first event, in milliseconds.
+        virtual_ms: The virtual time of its tier on arrival (see ``account_shares``).
     """
 
     entry_id: str
@@ -33,6 +40,7 @@
     queued_at: float
     prefill_ms: float = 0.0
     decode_ms: float = 0.0
+    virtual_ms: float = 0.0
 
     @property
     def deadline(self) -> float:
@@ -77,14 +85,29 @@
         request = self.request
         return request.tier, request.target_ms, self.queued_at, request.ticket_id
 
+    @property
+    def age(self) -> tuple[float, str]:
+        """Return the sort key inside a kind: the arrival, then the ticket."""
+        return self.queued_at, self.request.ticket_id
+
 
 class WaitQueue:
-    """Keep queued requests sorted. Pure: no I/O, no clock."""
+    """Keep queued requests sorted. Pure: no I/O, no clock.
+
+    Requests of one kind start in the fair order of their accounts if at least two accounts have
+    some, otherwise in the order of their age.
+    """
 
-    def __init__(self) -> None:
-        """Start with an empty queue."""
+    def __init__(self, shares: account_shares.AccountShares | None = None) -> None:
+        """Start with an empty queue.
+
+        Args:
+            shares: The upstream time charged to accounts; None to start without charges.
+        """
+        self._shares = shares or account_shares.AccountShares()
         self._by_ticket: dict[str, WaitingRequest] = {}
-        self._sorted: list[SortKey] = []
+        self._by_account_by_kind: dict[account_shares.Kind, dict[str, list[WaitingRequest]]] = {}
+        self._latest_starts: list[tuple[float, str]] = []
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
@@ -94,30 +117,71 @@
         """Return whether a request is queued."""
         return ticket_id in self._by_ticket
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether a further request would exceed the longest queue."""
+        return len(self._by_ticket) >= MAX_WAITING
+
     @property
     def prefill_ms(self) -> float:
         """Return the prefill of all queued requests, in milliseconds."""
         return sum(waiting.prefill_ms for waiting in self._by_ticket.values())
 
-    def in_order(self, now: float) -> tuple[WaitingRequest, ...]:
-        """Return all queued requests, the first to start first.
+    def count_by_account(self) -> dict[str, int]:
+        """Return the number of queued requests of each account."""
+        counts: collections.Counter[str] = collections.Counter()
+        for by_account in self._by_account_by_kind.values():
+            for account, items in by_account.items():
+                counts[account] += len(items)
+        return dict(counts)
+
+    def in_order(
+        self, now: float, may_start: Callable[[account_shares.Kind], bool] = lambda kind: True
+    ) -> Iterator[WaitingRequest]:
+        """Return the queued requests that may start, the first to start first.
+
+        Those whose latest useful start has passed follow, whether or not they may start.
 
         Within a kind, requests that are already late go last: they lose little by waiting longer,
         and would make the others late. With the oldest first, an overload makes all of them late.
+
+        Args:
+            now: The time in seconds.
+            may_start: Whether requests of a kind may still start; asked before each of them.
         """
-        waiting = [self._by_ticket[order[-1]] for order in self._sorted]
-        return tuple(sorted(waiting, key=lambda item: (item.kind, item.is_late(now))))
+        for kind in sorted(self._by_account_by_kind):
+            if may_start(kind):
+                yield from self._kind_in_order(kind, now, may_start)
+        yield from self._past_latest_start(now)
+
+    def _past_latest_start(self, now: float) -> tuple[WaitingRequest, ...]:
+        """Return the requests whose latest useful start has passed, the most overdue first."""
+        count = bisect.bisect_right(self._latest_starts, now, key=lambda item: item[0])
+        return tuple(self._by_ticket[ticket_id] for _, ticket_id in self._latest_starts[:count])
 
     def add(self, waiting: WaitingRequest) -> None:
         """Add a request that is not queued yet."""
-        self._by_ticket[waiting.request.ticket_id] = waiting
-        bisect.insort(self._sorted, waiting.order)
+        ticket_id = waiting.request.ticket_id
+        self._by_ticket[ticket_id] = waiting
+        by_account = self._by_account_by_kind.setdefault(waiting.kind, {})
+        items = by_account.setdefault(waiting.request.account, [])
+        bisect.insort(items, waiting, key=_order)
+        bisect.insort(self._latest_starts, (waiting.latest_start, ticket_id))
 
     def remove(self, ticket_id: str) -> None:
         """Remove a request, if it is queued."""
         waiting = self._by_ticket.pop(ticket_id, None)
-        if waiting is not None:
-            del self._sorted[bisect.bisect_left(self._sorted, waiting.order)]
+        if waiting is None:
+            return
+        by_account = self._by_account_by_kind[waiting.kind]
+        items = by_account[waiting.request.account]
+        del items[bisect.bisect_left(items, waiting.order, key=_order)]
+        if not items:
+            del by_account[waiting.request.account]
+        if not by_account:
+            del self._by_account_by_kind[waiting.kind]
+        latest_start = (waiting.latest_start, ticket_id)
+        del self._latest_starts[bisect.bisect_left(self._latest_starts, latest_start)]
 
     def remove_entry(self, entry_id: str) -> None:
         """Remove the requests of an entry host."""
@@ -125,16 +189,194 @@
             if waiting.entry_id == entry_id:
                 self.remove(ticket_id)
 
+    def is_fair(self, kind: account_shares.Kind, newcomer: str = "") -> bool:
+        """Return whether at least two accounts have requests of a kind.
+
+        Args:
+            kind: The kind.
+            newcomer: An account that has a request besides the queued ones; empty for none.
+        """
+        accounts = self._by_account_by_kind.get(kind, {}).keys()
+        named = len(accounts) - ("" in accounts)
+        return named + (newcomer != "" and newcomer not in accounts) >= 2
+
+    def first_before(self, waiting: WaitingRequest, now: float) -> WaitingRequest | None:
+        """Return the first request of the same kind if it goes before a new one by the shares.
+
+        A request that goes first only because it is older is not returned, and neither is a late
+        one or one whose caller is about to leave.
+        """
+        if not self.is_fair(waiting.kind, waiting.request.account):
+            return None
+        charged_ms_by_account = self._shares.charged_ms_by_account(waiting.request.tier)
+        best: tuple[float, SortKey] | None = None
+        for account, items in self._by_account_by_kind[waiting.kind].items():
+            head = next((item for item in items if not item.is_late(now)), None)
+            if head is not None and head.answer_by > now:
+                tag = max(charged_ms_by_account.get(account, 0.0), head.virtual_ms)
+                best = min(best or (tag, head.order), (tag, head.order))
+        if best is None or best[0] >= self._tag(waiting):
+            return None
+        return self._by_ticket[best[1][-1]]
+
+    def displace(self, newcomer: WaitingRequest) -> tuple[WaitingRequest, str]:
+        """Return the request to refuse if a new one finds the queue full, and the reason.
+
+        It is removed if it is queued. It is the newest request of the account of the lowest tier
+        that exceeds its share most: the one with the most upstream time charged and queued. If
+        fewer than two accounts have requests, it is the new one.
+        """
+        counts = self.count_by_account()
+        accounts = (counts.keys() | {newcomer.request.account}) - {""}
+        if len(accounts) < 2:
+            return newcomer, "the queue is full"
+        tier = max(kind[0] for kind in self._by_account_by_kind)
+        refused = newcomer if newcomer.request.tier > tier else self._most_excessive(newcomer, tier)
+        self.remove(refused.request.ticket_id)
+        count = counts.get(refused.request.account, 0)
+        total = sum(counts.values())
+        why = (
+            f"the queue is full, and its account has {count} of the {total} requests in it,"
+            f" where an equal share is {total // len(accounts)}"
+        )
+        return refused, why
+
+    def _most_excessive(self, newcomer: WaitingRequest, tier: int) -> WaitingRequest:
+        """Return the newest request of the account that exceeds its share of a tier most."""
+        queued_ms_by_account: dict[str, float] = collections.defaultdict(float)
+        newest_by_account: dict[str, WaitingRequest] = {}
+        for kind, by_account in self._by_account_by_kind.items():
+            if kind[0] != tier:
+                continue
+            slot_ms = self._shares.slot_cost_ms(kind)
+            for account, items in by_account.items():
+                queued_ms = len(items) * slot_ms + sum(item.prefill_ms for item in items)
+                queued_ms_by_account[account] += queued_ms
+                newest = newest_by_account.setdefault(account, items[-1])
+                if items[-1].queued_at > newest.queued_at:
+                    newest_by_account[account] = items[-1]
+        if newcomer.request.tier == tier:
+            own_ms = self._shares.slot_cost_ms(newcomer.kind) + newcomer.prefill_ms
+            queued_ms_by_account[newcomer.request.account] += own_ms
+            newest_by_account[newcomer.request.account] = newcomer
+        virtual_ms = self._shares.virtual_ms(tier)
+        charged_ms_by_account = self._shares.charged_ms_by_account(tier)
+
+        def excess(account: str) -> tuple[float, bool]:
+            start_ms = max(virtual_ms, charged_ms_by_account.get(account, 0.0))
+            is_own = account == newcomer.request.account
+            return start_ms + queued_ms_by_account[account], is_own
+
+        return newest_by_account[max(queued_ms_by_account, key=excess)]
+
     def count_before(self, waiting: WaitingRequest) -> int:
         """Return how many requests start before a new one, if none of them is late."""
-        return bisect.bisect_left(self._sorted, waiting.order)
+        return sum(1 for _ in self._before(waiting))
 
     def prefill_ms_before(self, waiting: WaitingRequest, now: float) -> float:
         """Return the prefill of all requests that start before a new one, in milliseconds."""
-        orders = self._sorted[: bisect.bisect_left(self._sorted, waiting.order)]
-        earlier = (self._by_ticket[order[-1]] for order in orders)
         return sum(
             item.prefill_ms
-            for item in earlier
+            for item in self._before(waiting)
             if item.kind != waiting.kind or not item.is_late(now)
         )
+
+    def _before(self, waiting: WaitingRequest) -> Iterator[WaitingRequest]:
+        """Return the requests that start before one if none is late, in no particular order."""
+        is_fair = self.is_fair(waiting.kind, waiting.request.account)
+        own_tag = self._tag(waiting) if is_fair else 0.0
+        for kind, by_account in self._by_account_by_kind.items():
+            if kind < waiting.kind:
+                for items in by_account.values():
+                    yield from items
+            elif kind == waiting.kind:
+                for account, items in by_account.items():
+                    for tag, item in self._tagged(account, items, is_fair=is_fair):
+                        if (tag, item.order) >= (own_tag, waiting.order):
+                            break
+                        yield item
+
+    def _kind_in_order(
+        self,
+        kind: account_shares.Kind,
+        now: float,
+        may_start: Callable[[account_shares.Kind], bool],
+    ) -> Iterator[WaitingRequest]:
+        """Return requests of one kind by start tag and age, those that are late last.
+
+        Requests may be removed meanwhile. Only as many are ordered as are read: there may be
+        hundreds of accounts with thousands of requests, of which a pass tries the first few.
+        """
+        is_fair = self.is_fair(kind)
+        slot_ms = self._shares.slot_cost_ms(kind)
+        charged_ms_by_account = self._shares.charged_ms_by_account(kind[0]) if is_fair else {}
+        split = [
+            (charged_ms_by_account.get(account, 0.0), *_split_late(items, now))
+            for account, items in self._by_account_by_kind[kind].items()
+        ]
+        for which in (1, 2):
+            heap = [
+                (
+                    max(item[0], item[which][0].virtual_ms) if is_fair else 0.0,
+                    *item[which][0].age,
+                    0,
+                    item[which],
+                )
+                for item in split
+                if item[which]
+            ]
+            heapq.heapify(heap)
+            while heap and may_start(kind):
+                tag, *_, index, items = heap[0]
+                yield items[index]
+                if index + 1 == len(items):
+                    heapq.heappop(heap)
+                    continue
+                if is_fair:
+                    tag = max(tag + items[index].prefill_ms + slot_ms, items[index + 1].virtual_ms)
+                heapq.heapreplace(heap, (tag, *items[index + 1].age, index + 1, items))
+
+    def _tagged(
+        self, account: str, items: Sequence[WaitingRequest], *, is_fair: bool
+    ) -> Iterator[tuple[float, WaitingRequest]]:
+        """Return an account's requests of one kind with their start tags; 0 if not by shares."""
+        if not is_fair:
+            yield from ((0.0, item) for item in items)
+            return
+        if not items:
+            return
+        kind = items[0].kind
+        slot_ms = self._shares.slot_cost_ms(kind)
+        tag = self._shares.charged_ms_by_account(kind[0]).get(account, 0.0)
+        for item in items:
+            tag = max(tag, item.virtual_ms)
+            yield tag, item
+            tag += item.prefill_ms + slot_ms
+
+    def _tag(self, waiting: WaitingRequest) -> float:
+        """Return the start tag of a request behind the queued ones of its account and kind."""
+        account = waiting.request.account
+        items = self._by_account_by_kind.get(waiting.kind, {}).get(account, [])
+        earlier = items[: bisect.bisect_left(items, waiting.order, key=_order)]
+        *_, (tag, _) = self._tagged(account, (*earlier, waiting), is_fair=True)
+        return tag
+
+
+def _order(waiting: WaitingRequest) -> SortKey:
+    return waiting.order
+
+
+def _split_late(
+    items: list[WaitingRequest], now: float
+) -> tuple[Sequence[WaitingRequest], Sequence[WaitingRequest]]:
+    """Return those of one kind, sorted by age, that are not late, and those that are."""
+    target_ms = items[0].request.target_ms
+    if target_ms <= 0 or (now - items[0].queued_at) * 1000.0 < target_ms:
+        return items[:], ()
+    count = bisect.bisect_left(
+        items, True, key=lambda item: (now - item.queued_at) * 1000.0 < target_ms
+    )
+    late = [item for item in items[:count] if item.request.parts]
+    if len(late) == count:
+        return items[count:], late
+    return [item for item in items if not item.is_late(now)], late
