--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -85,11 +85,6 @@
         request = self.request
         return request.tier, request.target_ms, self.queued_at, request.ticket_id
 
-    @property
-    def age(self) -> tuple[float, str]:
-        """Return the sort key inside a kind: the arrival, then the ticket."""
-        return self.queued_at, self.request.ticket_id
-
 
 class WaitQueue:
     """Keep queued requests sorted. Pure: no I/O, no clock.
@@ -271,30 +266,37 @@
 
     def count_before(self, waiting: WaitingRequest) -> int:
         """Return how many requests start before a new one, if none of them is late."""
-        return sum(1 for _ in self._before(waiting))
+        more_urgent = sum(len(items) for items in self._more_urgent(waiting.kind))
+        return more_urgent + sum(1 for _ in self._before_in_kind(waiting))
 
     def prefill_ms_before(self, waiting: WaitingRequest, now: float) -> float:
         """Return the prefill of all requests that start before a new one, in milliseconds."""
-        return sum(
-            item.prefill_ms
-            for item in self._before(waiting)
-            if item.kind != waiting.kind or not item.is_late(now)
+        more_urgent_ms = sum(
+            item.prefill_ms for items in self._more_urgent(waiting.kind) for item in items
         )
+        return more_urgent_ms + sum(
+            item.prefill_ms for item in self._before_in_kind(waiting) if not item.is_late(now)
+        )
+
+    def _more_urgent(self, kind: account_shares.Kind) -> Iterator[list[WaitingRequest]]:
+        """Return the requests of the kinds that start before one, by account."""
+        for other, by_account in self._by_account_by_kind.items():
+            if other < kind:
+                yield from by_account.values()
 
-    def _before(self, waiting: WaitingRequest) -> Iterator[WaitingRequest]:
-        """Return the requests that start before one if none is late, in no particular order."""
+    def _before_in_kind(self, waiting: WaitingRequest) -> Iterator[WaitingRequest]:
+        """Return those of its kind that start before one if none is late, in no order."""
+        by_account = self._by_account_by_kind.get(waiting.kind, {})
         is_fair = self.is_fair(waiting.kind, waiting.request.account)
         own_tag = self._tag(waiting) if is_fair else 0.0
-        for kind, by_account in self._by_account_by_kind.items():
-            if kind < waiting.kind:
-                for items in by_account.values():
-                    yield from items
-            elif kind == waiting.kind:
-                for account, items in by_account.items():
-                    for tag, item in self._tagged(account, items, is_fair=is_fair):
-                        if (tag, item.order) >= (own_tag, waiting.order):
-                            break
-                        yield item
+        for account, items in by_account.items():
+            if not is_fair or account == waiting.request.account:
+                yield from items[: bisect.bisect_left(items, waiting.order, key=_order)]
+                continue
+            for tag, item in self._tagged(account, items):
+                if tag > own_tag or (tag == own_tag and item.order >= waiting.order):
+                    break
+                yield item
 
     def _kind_in_order(
         self,
@@ -309,40 +311,35 @@
         """
         is_fair = self.is_fair(kind)
         slot_ms = self._shares.slot_cost_ms(kind)
-        charged_ms_by_account = self._shares.charged_ms_by_account(kind[0]) if is_fair else {}
-        split = [
-            (charged_ms_by_account.get(account, 0.0), *_split_late(items, now))
-            for account, items in self._by_account_by_kind[kind].items()
-        ]
+        charged_ms_by_account = self._shares.charged_ms_by_account(kind[0])
+        queues = self._by_account_by_kind[kind].items()
+        split = [(account, *_split_late(items, now)) for account, items in queues]
         for which in (1, 2):
-            heap = [
-                (
-                    max(item[0], item[which][0].virtual_ms) if is_fair else 0.0,
-                    *item[which][0].age,
-                    0,
-                    item[which],
-                )
-                for item in split
-                if item[which]
-            ]
+            heap = []
+            for part in split:
+                if part[which]:
+                    head = part[which][0]
+                    tag = max(charged_ms_by_account.get(part[0], 0.0), head.virtual_ms)
+                    age = head.queued_at, head.request.ticket_id
+                    heap.append((tag if is_fair else 0.0, *age, 0, part[which]))
             heapq.heapify(heap)
             while heap and may_start(kind):
                 tag, *_, index, items = heap[0]
-                yield items[index]
+                waiting = items[index]
+                yield waiting
                 if index + 1 == len(items):
                     heapq.heappop(heap)
                     continue
+                following = items[index + 1]
                 if is_fair:
-                    tag = max(tag + items[index].prefill_ms + slot_ms, items[index + 1].virtual_ms)
-                heapq.heapreplace(heap, (tag, *items[index + 1].age, index + 1, items))
+                    tag = max(tag + waiting.prefill_ms + slot_ms, following.virtual_ms)
+                age = following.queued_at, following.request.ticket_id
+                heapq.heapreplace(heap, (tag, *age, index + 1, items))
 
     def _tagged(
-        self, account: str, items: Sequence[WaitingRequest], *, is_fair: bool
+        self, account: str, items: Sequence[WaitingRequest]
     ) -> Iterator[tuple[float, WaitingRequest]]:
-        """Return an account's requests of one kind with their start tags; 0 if not by shares."""
-        if not is_fair:
-            yield from ((0.0, item) for item in items)
-            return
+        """Return an account's requests of one kind with their start tags."""
         if not items:
             return
         kind = items[0].kind
@@ -358,7 +355,7 @@
         account = waiting.request.account
         items = self._by_account_by_kind.get(waiting.kind, {}).get(account, [])
         earlier = items[: bisect.bisect_left(items, waiting.order, key=_order)]
-        *_, (tag, _) = self._tagged(account, (*earlier, waiting), is_fair=True)
+        *_, (tag, _) = self._tagged(account, (*earlier, waiting))
         return tag
 
 
@@ -377,6 +374,7 @@
         items, True, key=lambda item: (now - item.queued_at) * 1000.0 < target_ms
     )
     late = [item for item in items[:count] if item.request.parts]
-    if len(late) == count:
-        return items[count:], late
-    return [item for item in items if not item.is_late(now)], late
+    on_time = (
+        [item for item in items[:count] if not item.request.parts] if len(late) < count else []
+    )
+    return on_time + items[count:], late
