--- a/src/medlarfork/coordination/coordinator_metrics.py
+++ b/src/medlarfork/coordination/coordinator_metrics.py
@@ -27,6 +27,9 @@
         self._wait = self.process.timing(
             "medlar_placement_wait", "Question to placement, at the owner."
         )
+        self._account_refused = self.process.tally(
+            "medlar_account_refused", "Requests refused by a placement owner.", ("account",)
+        )
 
     def count_operation(self, operation: str, status: int, took_s: float) -> None:
         """Count an operation that was answered."""
@@ -37,6 +40,10 @@
         """Count an event that is logged."""
         self._events.add(1, event)
 
+    def count_account_refused(self, account: str) -> None:
+        """Count a refused request of a client account."""
+        self._account_refused.add(1, account)
+
     def time_placement(self, waited_s: float) -> None:
         """Record how long a request waited before it was placed."""
         self._wait.record(waited_s)
--- a/src/medlarfork/coordination/decision_log.py
+++ b/src/medlarfork/coordination/decision_log.py
@@ -19,7 +19,12 @@
             }
             return coordinator_types.LogEvent("placed", fields)
         case placement_messages.PlaceRefused(ticket_id, retry_after_ms, why):
-            fields = {"ticket": ticket_id, "retry_ms": retry_after_ms, "why": why}
+            fields = {
+                "ticket": ticket_id,
+                "account": answer.account or None,
+                "retry_ms": retry_after_ms,
+                "why": why,
+            }
             return coordinator_types.LogEvent("placement_refused", fields)
         case placement_messages.Busy(ticket_id, begins_ms):
             fields = {"ticket": ticket_id, "begins_ms": round(begins_ms)}
--- a/tests/routed/test_account_shares.py
+++ b/tests/routed/test_account_shares.py
@@ -4,14 +4,17 @@
 import dataclasses
 import heapq
 import random
+from unittest import mock
 
+import curio
 import hypothesis
 import pytest
 from hypothesis import strategies
 
-from medlarfork.coordination import upstream_types
+from medlarfork.coordination import coordinator_metrics, decision_log, upstream_types
 from medlarfork.placement import (
     account_shares,
+    placement_decision,
     placement_messages,
     shard_owner,
     wait_queue,
@@ -333,15 +336,31 @@
 
 
 def test_the_state_of_accounts_is_reported(make_shard_owner, make_place_request):
-    # Operators could not see which account fills a shard.
-    service = make_shard_owner(count=1, slots=2)
-    for ticket_id, account in (("a0", "a"), ("b0", "b"), ("a1", "a"), ("a2", "a")):
+    # Operators could not see which account fills a shard, nor callers why they were refused.
+    service = make_shard_owner(count=1, slots=3)
+    for ticket_id, account in (("a0", "a"), ("b0", "b"), ("a1", "a"), ("a2", "a"), ("b1", "b")):
         service.place("e", make_place_request(ticket_id, account=account, left_ms=500.0), 1.0)
-    service.on_ended(placement_helpers.ended("a2"), 1.1)
-    service.serve_waiting(2.0)
+    assert [state.queued for state in service.account_states(1.0)] == [1, 1]
+    reasons = {answer.account: answer.message.why for answer in service.serve_waiting(2.0)}
+    assert "used 67% of the upstream time in the last 10 s" in reasons["a"]
+    assert reasons["b"] == "it could not start in time"
     assert service.account_states(2.0) == (
-        account_shares.AccountState("a", 0, 1, 1, 0.5),
-        account_shares.AccountState("b", 0, 1, 0, 0.5),
+        account_shares.AccountState("a", 0, 2, 1, pytest.approx(2 / 3)),
+        account_shares.AccountState("b", 0, 1, 1, pytest.approx(1 / 3)),
     )
     service.end_overdue(30.0)
     assert service.account_states(30.0) == ()
+
+
+def test_refusals_are_logged_and_counted_by_account():
+    # Refusals of one account could not be told from those of the others.
+    refused = placement_messages.PlaceRefused("t", 200.0, "the queue is full")
+    event = decision_log.log_event(placement_decision.Decision("e", refused, account="a"))
+    assert event.fields["account"] == "a"
+    metrics = coordinator_metrics.CoordinatorMetrics(dict)
+    metrics.count_account_refused("a")
+    exchange = mock.AsyncMock()
+    curio.run(metrics.process.respond, exchange)
+    body = exchange.respond.call_args.args[2].decode()
+    metrics.process.close()
+    assert 'medlar_account_refused_total{account="a"} 1.0' in body
