--- a/src/medlarfork/placement/account_shares.py
+++ b/src/medlarfork/placement/account_shares.py
@@ -174,6 +174,7 @@
         if request.account in charged_ms_by_account:
             difference_ms = slot_ms / self._slots - run.charged_slot_ms
             charged_ms_by_account[request.account] += difference_ms
+            self._record(request.account).current(now).charged_ms += difference_ms
         if end is placement_messages.RunEnd.COMPLETE:
             self._learn_slot_time((request.tier, request.target_ms), slot_ms)
 
