Scheduled retries of refused callers, and early refusal at plain services

A request that is refused for overload gets a retry time from a schedule that advances at the rate at which slots become free, and goes before new requests of its tier and target when it returns then. Before, all refused requests returned at the same moment and were overtaken by new ones.

Requests of plain services are refused early if even twice the measured rate could not start them in time, or if they could not end in time.

Entry hosts remember the promised times and hand them to a new owner.

--- a/src/medlarfork/coordination/coordinator_metrics.py
+++ b/src/medlarfork/coordination/coordinator_metrics.py
@@ -27,6 +27,9 @@
         self._wait = self.process.timing(
             "medlar_placement_wait", "Question to placement, at the owner."
         )
+        self._promises = self.process.tally(
+            "medlar_retry_promises", "Scheduled retries given, kept and missed.", ("result",)
+        )
 
     def count_operation(self, operation: str, status: int, took_s: float) -> None:
         """Count an operation that was answered."""
@@ -37,6 +40,10 @@
         """Count an event that is logged."""
         self._events.add(1, event)
 
+    def count_promise(self, result: str) -> None:
+        """Count a scheduled retry that was given, kept or missed."""
+        self._promises.add(1, result)
+
     def time_placement(self, waited_s: float) -> None:
         """Record how long a request waited before it was placed."""
         self._wait.record(waited_s)
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -231,6 +231,8 @@
                 self._metrics.count_event(event)
                 if "waited_ms" in fields:
                     self._metrics.time_placement(fields["waited_ms"] / 1000.0)
+                if fields.get("promise"):
+                    self._metrics.count_promise(fields["promise"])
                 logs.event(_log, event, **fields)
 
     def _may_act(self, fence: int) -> bool:
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -12,7 +12,7 @@
 
 from medlarfork import logs
 from medlarfork.backpressure import send_gate
-from medlarfork.gateway import entry_session, request_hold
+from medlarfork.gateway import entry_session, given_promises, request_hold
 from medlarfork.placement import local_choice, placement_messages
 
 _log = logging.getLogger(__name__)
@@ -147,6 +147,7 @@
         self._notified_owner_by_shard: dict[placement_messages.Shard, str] = {}
         self._owner_generation = 0
         self._estimate_by_service: dict[str, placement_messages.EngineEstimate] = {}
+        self._promises = given_promises.GivenPromises()
         self.local_placements = 0
 
     def new_ticket_id(self) -> str:
@@ -168,6 +169,7 @@
         ticket.answer = answer
         if isinstance(answer, placement_messages.PlaceRefused):
             self._ticket_by_id.pop(request.ticket_id, None)
+            self._promises.record(request, answer, _now())
         else:
             runs = self._runs_by_upstream
             runs[answer.upstream_id] = runs.get(answer.upstream_id, 0) + 1
@@ -273,7 +275,9 @@
         # Before the first request: an owner that has just started may know no signals.
         self._send_signals(owner_id)
         estimate = self._estimate_by_service.get(shard.service)
-        self._send(owner_id, placement_messages.OwnerChosen(shard, True, estimate))
+        promises = self._promises.of_service(shard.service, now)
+        chosen = placement_messages.OwnerChosen(shard, True, estimate, promises=promises)
+        self._send(owner_id, chosen)
         for ticket in tuple(self._ticket_by_id.values()):
             self._report_running(ticket, shard, owner_id)
         return owner_id
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -93,6 +93,7 @@
                 owner = self._owner(shard, now)
                 if estimate is not None:
                     owner.estimator.adopt(estimate)
+                owner.retries.adopt(entry_id, message.promises if is_chosen else (), now)
                 return self._sends(owner.release_entry(entry_id, now))
             case placement_messages.StillRunning(request):
                 self._shard_by_ticket[request.ticket_id] = request.target_shard
--- a/src/medlarfork/placement/placement_decision.py
+++ b/src/medlarfork/placement/placement_decision.py
@@ -36,8 +36,10 @@
         entry_id: The entry host that asked.
         message: The answer.
         decision_inputs: What a placement depends on; None for the other answers.
+        is_returning: Whether the request is a scheduled retry that arrived at its time.
     """
 
     entry_id: str
     message: placement_messages.Answer
     decision_inputs: DecisionInputs | None = None
+    is_returning: bool = False
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -10,6 +10,8 @@
     admission_policy,
     placement_decision,
     placement_messages,
+    refusals,
+    retry_schedule,
     spillover,
     upstream_chooser,
     upstream_load,
@@ -54,6 +56,8 @@
         self.gate = self._chooser.gate
         self._forecast = wait_forecast.WaitForecast(self._queue)
         self._busy_shards = spillover.BusyShards()
+        self._refusals = refusals.Refusals(self._queue)
+        self.retries = self._refusals.retries
         self._passed_at = -math.inf
         self.offered_prefill_ms = 0.0
 
@@ -70,10 +74,16 @@
     def use_engine(self, engine: routing.EngineSpec | None) -> None:
         """Apply the engine facts of the routing; None for plain services."""
         self._chooser.use_engine(engine)
+        self._refusals.use_engine(engine)
 
     def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
         """Set the upstreams that may be used now; runs on others continue to their ends."""
         self._chooser.use_upstreams(announcements)
+        self._refusals.use_upstreams(announcements.values())
+
+    def retry_state(self, now: float) -> retry_schedule.RetryState:
+        """Return the numbers of scheduled retries that are outstanding, kept and missed."""
+        return self.retries.state(now)
 
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
@@ -93,6 +103,7 @@
             now,
             self._chooser.min_prefill_ms(request),
             admission_policy.decode_ms(request, self.estimator.step_ms),
+            self._refusals.claim(request, now),
         )
         self.offered_prefill_ms += waiting.prefill_ms
         if self._is_deferrable(request):
@@ -104,26 +115,37 @@
                     return (self._busy(waiting, predicted_ms + waiting.prefill_ms),)
                 why = f"its predicted wait is about {predicted_ms:.0f} ms"
                 after_ms = admission_policy.retry_after_ms(request, predicted_ms)
-                return (self._refuse(waiting, why, after_ms),)
+                return (self._refusals.refuse(waiting, why, after_ms, now),)
         closed_ms = self._chooser.closed_ms(waiting, now)
         if self._is_closed_too_long(waiting, closed_ms, now):
             return (self._reject_closed(waiting, closed_ms, now),)
-        answer = self._try(waiting, now)
+        if self._refusals.can_not_end(waiting, now):
+            return (self._refusals.refuse_early(waiting, now),)
+        may_start = self._refusals.may_start_first(waiting)
+        answer = self._try(waiting, now) if may_start else None
         if answer is not None:
             return (answer,)
         if self._busy_shards.may_ask(request, now):
             start_ms = max(self._predicted_start_ms(waiting, now), closed_ms)
             if start_ms >= spillover.max_start_ms(request, self.estimator.tokens_per_ms):
                 return (self._busy(waiting, start_ms),)
+        return (self._enqueue(waiting, now),)
+
+    def _enqueue(
+        self, waiting: wait_queue.WaitingRequest, now: float
+    ) -> placement_decision.Decision:
+        """Queue a request, or refuse it if the queue is too long."""
+        if self._refusals.is_hopeless_at_end(waiting, now):
+            return self._refusals.refuse_early(waiting, now)
         if len(self._queue) >= MAX_WAITING:
             why = "the queue is full"
-            return (self._refuse(waiting, why, admission_policy.MIN_RETRY_MS),)
+            return self._refusals.refuse(waiting, why, admission_policy.MIN_RETRY_MS, now)
         if not self._queue:
             self._forecast.record_queue_start(now)
         self._queue.add(waiting)
-        return (
-            placement_decision.Decision(entry_id, placement_messages.Queued(request.ticket_id)),
-        )
+        self._refusals.record_queue(now)
+        queued = placement_messages.Queued(waiting.request.ticket_id)
+        return placement_decision.Decision(waiting.entry_id, queued)
 
     def _known_answer(self, ticket_id: str) -> placement_messages.Answer | None:
         """Return the answer to a request that is already queued or running."""
@@ -151,8 +173,11 @@
     ) -> tuple[placement_decision.Decision, ...]:
         """Release the slot of a run that ended, or remove a withdrawn request from the queue."""
         self._queue.remove(message.ticket_id)
+        self._refusals.record_queue(now)
         for load in self.load_by_id.values():
             run = load.end(message.ticket_id, message.end, now)
+            if run is not None:
+                self._refusals.record_end(run.request.tier, message, now)
             if run is not None and message.pauses is not None:
                 event_tokens = self._chooser.event_tokens
                 self.estimator.observe_gaps(
@@ -163,9 +188,22 @@
     def serve_due(self, now: float) -> tuple[placement_decision.Decision, ...]:
         """Start queued requests that can start, unless the last pass was just now."""
         if now < self._passed_at + PASS_PERIOD_S:
-            return ()
+            return self._serve_returning(now)
         return self.serve_waiting(now)
 
+    def _serve_returning(self, now: float) -> tuple[placement_decision.Decision, ...]:
+        """Start the first queued request if it is a scheduled retry; new ones may not overtake it.
+
+        Its slot would otherwise be idle until the next pass.
+        """
+        first = self._queue.first_returning
+        answer = None if first is None else self._try(first, now)
+        if first is None or answer is None:
+            return ()
+        self._queue.remove(first.request.ticket_id)
+        self._refusals.record_queue(now)
+        return (answer,)
+
     def on_still_running(
         self, entry_id: str, message: placement_messages.StillRunning, now: float
     ) -> None:
@@ -218,6 +256,7 @@
         behind them too.
         """
         self._passed_at = now
+        self._refusals.begin_pass(now)
         tries_left: dict[tuple[int, float], int] = {}
         max_tries = max(MIN_TRIES, COMPARISONS_PER_PASS // max(len(self._chooser.present), 1))
         answers: list[placement_decision.Decision] = []
@@ -229,6 +268,7 @@
                 continue
             self._queue.remove(waiting.request.ticket_id)
             answers.append(answer)
+        self._refusals.record_queue(now)
         return tuple(answers)
 
     def _serve(
@@ -239,7 +279,7 @@
         retry_ms = admission_policy.overloaded_retry_ms(waiting.request)
         if waiting.answer_by <= now:
             closed_ms = self._chooser.closed_ms(waiting, now)
-            return self._refuse(waiting, why, max(retry_ms, closed_ms))
+            return self._refusals.refuse(waiting, why, retry_ms, now, closed_ms)
         answer = self._try(waiting, now) if may_try else None
         if answer is not None:
             return answer
@@ -247,7 +287,10 @@
             closed_ms = self._chooser.closed_ms(waiting, now)
             if self._is_closed_too_long(waiting, closed_ms, now):
                 return self._reject_closed(waiting, closed_ms, now)
-        return self._refuse(waiting, why, retry_ms) if self._is_too_late(waiting, now) else None
+        if self._refusals.is_hopeless(waiting):
+            return self._refusals.refuse_early(waiting, now)
+        is_too_late = self._is_too_late(waiting, now)
+        return self._refusals.refuse(waiting, why, retry_ms, now) if is_too_late else None
 
     def _is_closed_too_long(
         self, waiting: wait_queue.WaitingRequest, closed_ms: float, now: float
@@ -260,12 +303,7 @@
         """Send a request that no upstream accepts in time to another shard, or refuse it."""
         if self._busy_shards.may_ask(waiting.request, now):
             return self._busy(waiting, closed_ms)
-        why = f"every upstream is rate-limited or in backoff for about {closed_ms:.0f} ms"
-        retry_ms = max(closed_ms, admission_policy.MIN_RETRY_MS)
-        ticket_id = waiting.request.ticket_id
-        cause = placement_messages.RefusalCause.CLOSED
-        refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, cause)
-        return placement_decision.Decision(waiting.entry_id, refused)
+        return self._refusals.refuse_closed(waiting, closed_ms)
 
     def _is_too_late(self, waiting: wait_queue.WaitingRequest, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
@@ -308,6 +346,7 @@
             deadline=waiting.deadline,
         )
         self._chooser.add(run, load, now)
+        self.retries.record_end(waiting, is_started=True)
         placed = placement_messages.Placed(
             request.ticket_id,
             load.announcement.upstream_id,
@@ -322,7 +361,9 @@
             tokens_per_ms=self.estimator.tokens_per_ms,
             max_gap_ms=self.estimator.max_gap_ms(self._chooser.event_tokens),
         )
-        return placement_decision.Decision(waiting.entry_id, placed, decision_inputs)
+        return placement_decision.Decision(
+            waiting.entry_id, placed, decision_inputs, waiting.is_returning
+        )
 
     def _predicted_wait_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
         """Return how long a new request would wait, in milliseconds."""
@@ -353,12 +394,6 @@
     def _busy(
         self, waiting: wait_queue.WaitingRequest, start_ms: float
     ) -> placement_decision.Decision:
+        self.retries.restore(waiting)
         busy = placement_messages.Busy(waiting.request.ticket_id, start_ms)
         return placement_decision.Decision(waiting.entry_id, busy)
-
-    def _refuse(
-        self, waiting: wait_queue.WaitingRequest, why: str, retry_after_ms: float
-    ) -> placement_decision.Decision:
-        ticket_id = waiting.request.ticket_id
-        refused = placement_messages.PlaceRefused(ticket_id, retry_after_ms, why)
-        return placement_decision.Decision(waiting.entry_id, refused)
--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -11,8 +11,8 @@
 """How long before its caller leaves a queued request is refused, in milliseconds: the latency of
 the answer over two links."""
 
-SortKey = tuple[int, float, float, str]
-"""Sort key of queued requests."""
+SortKey = tuple[int, float, bool, float, str]
+"""Sort key of queued requests; their ticket is the last element."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +26,8 @@
         prefill_ms: Its prefill on the engine that held its longest prefix on arrival, in
             milliseconds.
         decode_ms: How long its answer takes after the first event, in milliseconds.
+        promised_at: The scheduled time of its retry, in seconds; None unless it is a retry that
+            arrived at that time.
     """
 
     entry_id: str
@@ -33,6 +35,12 @@
     queued_at: float
     prefill_ms: float = 0.0
     decode_ms: float = 0.0
+    promised_at: float | None = None
+
+    @property
+    def is_returning(self) -> bool:
+        """Return whether it goes before new requests of its kind."""
+        return self.promised_at is not None
 
     @property
     def deadline(self) -> float:
@@ -70,12 +78,13 @@
 
     @property
     def order(self) -> SortKey:
-        """Return the sort key: tier, then target, then age.
+        """Return the sort key: tier, then target, then scheduled retries, then age.
 
         Sorted by due time instead, overdue long prompts would go before every short one.
         """
         request = self.request
-        return request.tier, request.target_ms, self.queued_at, request.ticket_id
+        is_new = self.promised_at is None
+        return request.tier, request.target_ms, is_new, self.queued_at, request.ticket_id
 
 
 class WaitQueue:
@@ -125,6 +134,17 @@
             if waiting.entry_id == entry_id:
                 self.remove(ticket_id)
 
+    def has_returning(self, kind: tuple[int, float]) -> bool:
+        """Return whether a scheduled retry of a kind is queued; it is the first of its kind."""
+        first = bisect.bisect_left(self._sorted, kind)
+        return first < len(self._sorted) and self._sorted[first][:3] == (*kind, False)
+
+    @property
+    def first_returning(self) -> WaitingRequest | None:
+        """Return the first request of the queue if it is a scheduled retry."""
+        first = self._by_ticket[self._sorted[0][-1]] if self._sorted else None
+        return first if first is not None and first.is_returning else None
+
     def count_before(self, waiting: WaitingRequest) -> int:
         """Return how many requests start before a new one, if none of them is late."""
         return bisect.bisect_left(self._sorted, waiting.order)
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -1,11 +1,13 @@
 """Placement requests of an entry host while owners change."""
 
+import time
+
 import curio
 import pytest
 
 from medlarfork.backpressure import send_gate, signal_ledger
-from medlarfork.gateway import owner_client, request_hold
-from medlarfork.placement import placement_messages
+from medlarfork.gateway import given_promises, owner_client, request_hold
+from medlarfork.placement import placement_messages, retry_schedule
 from tests import curio_world
 
 SHARD = placement_messages.Shard("engines")
@@ -294,3 +296,49 @@
         await placing.cancel()
 
     curio_world.run(main)
+
+
+def test_a_new_owner_gets_the_promises_of_its_service_until_they_expire(
+    session, sent, client, make_place_request
+):
+    """After the loss of an owner, all callers that it had promised a retry were treated as new."""
+
+    async def main():
+        for ticket_id, service in (("t", "engines"), ("u", "other")):
+            request = make_place_request(ticket_id, service=service, tier=1, retry_key=ticket_id)
+            placing = await curio.spawn(client.place, request)
+            await curio_world.until(lambda sent_id=ticket_id: _is_asked(sent, sent_id))
+            refused = placement_messages.PlaceRefused(ticket_id, 300.0, "full", is_promise=True)
+            await client.handle_reply("r1", refused)
+            await placing.join()
+        for owner_id, after_s in (("r2", 0.0), ("r3", 2.4)):
+            session.owner_id = owner_id
+            client.notify_owners(time.monotonic() + after_s)
+        (at_once,), (later) = [
+            item.promises
+            for to, item in sent
+            if to in ("r2", "r3")
+            and isinstance(item, placement_messages.OwnerChosen)
+            and item.shard == SHARD
+            and item.is_chosen
+        ]
+        assert (at_once.retry_key, at_once.tier) == ("t", 1)
+        assert at_once.due_in_ms == pytest.approx(300.0, abs=200.0)
+        assert later == ()
+
+    curio_world.run(main)
+
+
+def _is_asked(sent, ticket_id):
+    return any(getattr(item, "ticket_id", "") == ticket_id for _, item in sent)
+
+
+def test_remembered_promises_are_bounded(make_place_request):
+    """An entry host that is refused everything would otherwise fill its memory."""
+    given = given_promises.GivenPromises()
+    refused = placement_messages.PlaceRefused("t", 300.0, "full", is_promise=True)
+    for n in range(given_promises.MAX_GIVEN + 10):
+        given.record(make_place_request("t", retry_key=f"k{n}"), refused, 0.0)
+    assert len(given.of_service("engines", 0.0)) == given_promises.MAX_GIVEN
+    assert given_promises.RETENTION_S == retry_schedule.RETENTION_S
+    assert given.of_service("engines", 2.4) == ()
