--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -314,7 +314,7 @@
         for owner_id, after_s in (("r2", 0.0), ("r3", 2.4)):
             session.owner_id = owner_id
             client.notify_owners(time.monotonic() + after_s)
-        (at_once,), (later) = [
+        (at_once,), later = [
             item.promises
             for to, item in sent
             if to in ("r2", "r3")
