--- a/tests/routed/test_retry_schedule.py
+++ b/tests/routed/test_retry_schedule.py
@@ -4,8 +4,15 @@
 
 import pytest
 
+from medlarfork.coordination import decision_log
 from medlarfork.placement import owner as placement_owner
-from medlarfork.placement import placement_messages, refusals, retry_schedule, wait_queue
+from medlarfork.placement import (
+    placement_decision,
+    placement_messages,
+    refusals,
+    retry_schedule,
+    wait_queue,
+)
 from tests.routed import overload_replay, placement_helpers
 
 SHARD = placement_messages.Shard("engines")
@@ -146,6 +153,21 @@
     assert owner.retry_state(0.3) == retry_schedule.RetryState(0, 2, 0)
 
 
+def test_a_new_request_does_not_overtake_a_retry_behind_higher_tiers(
+    make_plain_owner, make_place_request
+):
+    """A new request took a slot that was free until the next pass."""
+    owner = make_plain_owner(count=1, slots=1)
+    for ticket_id in ("runs", "high", "higher"):
+        owner.place("e", make_place_request(ticket_id), 0.0)
+    owner.retries.adopt("e", [promise("k", 1)], 0.0)
+    owner.place("e", make_place_request("k", tier=1, account="a", retry_key="k"), 0.1)
+    owner.on_ended(placement_helpers.ended("runs"), 0.2)
+    assert owner.on_ended(placement_helpers.ended("high"), 0.201) == ()
+    (answer,) = owner.place("e", make_place_request("new", tier=1), 0.202)
+    assert isinstance(answer.message, placement_messages.Queued)
+
+
 def test_a_returning_request_that_asks_another_shard_keeps_its_promise(
     make_plain_owner, make_place_request
 ):
@@ -188,14 +210,17 @@
     assert sent.message.ticket_id == ("new" if is_lost else "returns")
 
 
+def call_ended(ticket_id):
+    return placement_messages.RunEnded(ticket_id, placement_messages.RunEnd.COMPLETE, 100.0)
+
+
 def saturate(owner, make_place_request, until_s):
     """Run calls of 100 ms one after the other at one slot, while one request or more is queued."""
     calls = round(until_s * 10)
     for n in range(calls + 2):
         owner.place("e", make_place_request(f"s{n}", left_ms=60_000.0, account="a"), 0.0)
     for n in range(calls):
-        ended = placement_messages.RunEnded(f"s{n}", placement_messages.RunEnd.COMPLETE, 100.0)
-        owner.on_ended(ended, (n + 1) * 0.1)
+        owner.on_ended(call_ended(f"s{n}"), (n + 1) * 0.1)
     return calls * 0.1
 
 
@@ -245,6 +270,16 @@
     owner = make_plain_owner(count=1, slots=1)
     for n in range(5):
         owner.place("e", make_place_request(f"x{n}", account="a"), n - 9.0)
-        owner.on_ended(placement_helpers.ended(f"x{n}"), n - 8.9)
+        owner.on_ended(call_ended(f"x{n}"), n - 8.9)
     now = saturate(owner, make_place_request, measured_s)
     assert not refusals_of_hundred(owner, make_place_request, now)
+
+
+def test_the_log_tells_which_promises_were_given_kept_and_missed():
+    """The metric counts these, and the result of a promise was not visible to operators."""
+    given = placement_messages.PlaceRefused("t", 300.0, "full", is_promise=True)
+    refused = placement_messages.PlaceRefused("t", 300.0, "full")
+    cases = ((given, False), (placement_messages.Placed("t", "u"), True), (refused, True))
+    decisions = [placement_decision.Decision("e", item, is_returning=back) for item, back in cases]
+    logged = [decision_log.log_event(item).fields["promise"] for item in decisions]
+    assert logged == ["given", "kept", "missed"]
