--- a/src/medlarfork/coordination/decision_log.py
+++ b/src/medlarfork/coordination/decision_log.py
@@ -19,12 +19,13 @@
                 "promise": "kept" if answer.is_returning else None,
             }
             return coordinator_types.LogEvent("placed", fields)
-        case placement_messages.PlaceRefused(ticket_id, retry_after_ms, why):
+        case placement_messages.PlaceRefused(ticket_id, retry_after_ms, why, _, is_promise):
+            promise = "missed" if answer.is_returning else "given" if is_promise else None
             fields = {
                 "ticket": ticket_id,
                 "retry_ms": retry_after_ms,
                 "why": why,
-                "promise": _refusal_promise(answer),
+                "promise": promise,
             }
             return coordinator_types.LogEvent("placement_refused", fields)
         case placement_messages.Busy(ticket_id, begins_ms):
@@ -34,13 +35,6 @@
             return coordinator_types.LogEvent("placement_queued", {"ticket": ticket_id})
 
 
-def _refusal_promise(answer: placement_decision.Decision) -> str | None:
-    """Return whether a refusal gives a scheduled retry time, or a scheduled retry is refused."""
-    if answer.is_returning:
-        return "missed"
-    return "given" if getattr(answer.message, "is_promise", False) else None
-
-
 def _input_fields(inputs: placement_decision.DecisionInputs | None) -> dict[str, Any]:
     if inputs is None:
         return {}
