--- a/src/medlarfork/coordination/coordinator_metrics.py
+++ b/src/medlarfork/coordination/coordinator_metrics.py
@@ -38,6 +38,9 @@
         self._wait = self.process.timing(
             "medlar_placement_wait", "Question to placement, at the owner."
         )
+        self._promises = self.process.tally(
+            "medlar_retry_promises", "Scheduled retries given, kept and missed.", ("result",)
+        )
         self._account_refused = self.process.tally(
             "medlar_account_refused", "Requests refused by a placement owner.", ("account",)
         )
@@ -63,6 +66,10 @@
         """Count a refused request of a client account."""
         self._account_refused.add(1, account)
 
+    def count_promise(self, result: str) -> None:
+        """Count a scheduled retry that was given, kept or missed."""
+        self._promises.add(1, result)
+
     def time_placement(self, waited_s: float) -> None:
         """Record how long a request waited before it was placed."""
         self._wait.record(waited_s)
--- /dev/null
+++ b/src/medlarfork/placement/kind_queue.py
@@ -0,0 +1,218 @@
+"""Order the queued requests of one kind: by lateness, scheduled retries, and fair shares. Pure.
+
+It handles an overload in which accounts compete and refused callers return. Requests that are
+already late go last: they lose little by waiting longer, and would make the others late. Inside
+these groups, scheduled retries go before new requests. Inside these, requests start in the fair
+order of their accounts if at least two accounts have some, otherwise in the order of their age.
+"""
+
+from __future__ import annotations
+
+import bisect
+import heapq
+import itertools
+from collections.abc import Callable, Iterator, Sequence
+
+from medlarfork.placement import account_shares, waiting_request
+
+ON_TIME_GROUPS = 2
+"""Groups of requests that are not late: scheduled retries, then new requests."""
+
+GROUPS = 2 * ON_TIME_GROUPS
+"""Groups of one kind, in the order in which they start."""
+
+
+class KindQueue:
+    """Queued requests of one kind (tier and target); callers pass the time, in seconds."""
+
+    def __init__(self, kind: account_shares.Kind, shares: account_shares.AccountShares) -> None:
+        """Start with an empty queue.
+
+        Args:
+            kind: The kind.
+            shares: The upstream time charged to accounts.
+        """
+        self._kind = kind
+        self._shares = shares
+        self.items_by_account: dict[str, list[waiting_request.WaitingRequest]] = {}
+
+    def add(self, waiting: waiting_request.WaitingRequest) -> None:
+        """Add a request that is not queued yet."""
+        items = self.items_by_account.setdefault(waiting.request.account, [])
+        bisect.insort(items, waiting, key=_order)
+
+    def remove(self, waiting: waiting_request.WaitingRequest) -> None:
+        """Remove a queued request."""
+        items = self.items_by_account[waiting.request.account]
+        del items[bisect.bisect_left(items, waiting.order, key=_order)]
+        if not items:
+            del self.items_by_account[waiting.request.account]
+
+    def is_fair(self, newcomer: str = "") -> bool:
+        """Return whether at least two accounts have requests.
+
+        Args:
+            newcomer: An account that has a request besides the queued ones; empty for none.
+        """
+        accounts = self.items_by_account.keys()
+        named = len(accounts) - ("" in accounts)
+        return named + (newcomer != "" and newcomer not in accounts) >= 2
+
+    def in_order(
+        self, now: float, may_start: Callable[[account_shares.Kind], bool]
+    ) -> Iterator[waiting_request.WaitingRequest]:
+        """Return the requests in the order in which they start, while any may.
+
+        Requests may be removed meanwhile. Only as many are ordered as are read: there may be
+        hundreds of accounts with thousands of requests, of which a pass tries the first few.
+        """
+        is_fair = self.is_fair()
+        slot_ms = self._shares.slot_cost_ms(self._kind)
+        tag_by_account = dict(self._shares.charged_ms_by_account(self._kind[0])) if is_fair else {}
+        groups_by_account = {
+            account: _groups(items, now) for account, items in self.items_by_account.items()
+        }
+        for group in range(GROUPS):
+            heap = []
+            for account, groups in groups_by_account.items():
+                items = groups[group]
+                if items:
+                    tag = max(tag_by_account.get(account, 0.0), items[0].virtual_ms)
+                    heap.append((tag if is_fair else 0.0, *_age(items[0]), 0, account, items))
+            heapq.heapify(heap)
+            while heap and may_start(self._kind):
+                tag, *_, index, account, items = heap[0]
+                waiting = items[index]
+                yield waiting
+                if is_fair:
+                    tag_by_account[account] = tag = tag + waiting.prefill_ms + slot_ms
+                if index + 1 == len(items):
+                    heapq.heappop(heap)
+                    continue
+                following = items[index + 1]
+                tag = max(tag, following.virtual_ms) if is_fair else 0.0
+                heapq.heapreplace(heap, (tag, *_age(following), index + 1, account, items))
+
+    def before(
+        self, waiting: waiting_request.WaitingRequest, now: float
+    ) -> Iterator[waiting_request.WaitingRequest]:
+        """Return the requests that start before one that is not late, in no order."""
+        is_fair = self.is_fair(waiting.request.account)
+        own_group = _on_time_group(waiting)
+        own_tag = self._tag(waiting, now) if is_fair else 0.0
+        for account, items in self.items_by_account.items():
+            groups = _groups(items, now)
+            yield from itertools.chain.from_iterable(groups[:own_group])
+            rivals = groups[own_group]
+            if not is_fair or account == waiting.request.account:
+                yield from rivals[: bisect.bisect_left(rivals, waiting.order, key=_order)]
+                continue
+            for tag, item in self._tagged(account, groups, own_group):
+                if (tag, item.order) >= (own_tag, waiting.order):
+                    break
+                yield item
+
+    def first_before(
+        self, waiting: waiting_request.WaitingRequest, now: float
+    ) -> waiting_request.WaitingRequest | None:
+        """Return the first request if it goes before a new one.
+
+        It is None if it goes first only because it is older and the new one has no account, and
+        requests whose callers are about to leave do not count.
+        """
+        is_fair = self.is_fair(waiting.request.account)
+        own_group = _on_time_group(waiting)
+        groups_by_account = {
+            account: _groups(items, now) for account, items in self.items_by_account.items()
+        }
+        for group in range(own_group + 1):
+            heads = []
+            for account, groups in groups_by_account.items():
+                head = next((item for item in groups[group] if item.answer_by > now), None)
+                if head is not None:
+                    tag = self._first_tag(account, groups, group) if is_fair else 0.0
+                    heads.append((max(tag, head.virtual_ms) if is_fair else 0.0, head.order, head))
+            if not heads:
+                continue
+            tag, order, head = min(heads, key=lambda item: item[:2])
+            if group < own_group:
+                return head
+            if not is_fair and not waiting.request.account:
+                return None
+            own_tag = self._tag(waiting, now) if is_fair else 0.0
+            return head if (tag, order) < (own_tag, waiting.order) else None
+        return None
+
+    def _first_tag(self, account: str, groups: _Groups, group: int) -> float:
+        """Return the start tag of an account's first request of a group."""
+        slot_ms = self._shares.slot_cost_ms(self._kind)
+        tag = self._shares.charged_ms_by_account(self._kind[0]).get(account, 0.0)
+        for item in itertools.chain.from_iterable(groups[:group]):
+            tag = max(tag, item.virtual_ms) + item.prefill_ms + slot_ms
+        return tag
+
+    def _tagged(
+        self, account: str, groups: _Groups, group: int
+    ) -> Iterator[tuple[float, waiting_request.WaitingRequest]]:
+        """Return an account's requests of one group with their start tags."""
+        if not groups[group]:
+            return
+        slot_ms = self._shares.slot_cost_ms(self._kind)
+        tag = self._first_tag(account, groups, group)
+        for item in groups[group]:
+            tag = max(tag, item.virtual_ms)
+            yield tag, item
+            tag += item.prefill_ms + slot_ms
+
+    def _tag(self, waiting: waiting_request.WaitingRequest, now: float) -> float:
+        """Return the start tag of a request behind the queued ones of its account that precede."""
+        account = waiting.request.account
+        groups = list(_groups(self.items_by_account.get(account, []), now))
+        own_group = _on_time_group(waiting)
+        items = groups[own_group]
+        earlier = items[: bisect.bisect_left(items, waiting.order, key=_order)]
+        groups[own_group] = [*earlier, waiting]
+        *_, (tag, _) = self._tagged(account, groups, own_group)
+        return tag
+
+
+_Groups = Sequence[Sequence[waiting_request.WaitingRequest]]
+"""One account's requests by group, each sorted by age."""
+
+
+def _order(waiting: waiting_request.WaitingRequest) -> waiting_request.SortKey:
+    return waiting.order
+
+
+def _age(waiting: waiting_request.WaitingRequest) -> tuple[float, str]:
+    return waiting.queued_at, waiting.request.ticket_id
+
+
+def _on_time_group(waiting: waiting_request.WaitingRequest) -> int:
+    """Return the group of a request that is not late."""
+    return 0 if waiting.is_returning else 1
+
+
+def _groups(items: Sequence[waiting_request.WaitingRequest], now: float) -> _Groups:
+    """Return the requests of one account by group."""
+    first_new = bisect.bisect_left(items, True, key=lambda item: not item.is_returning)
+    returning, late_returning = _split_late(items[:first_new], now)
+    new, late_new = _split_late(items[first_new:], now)
+    return returning, new, late_returning, late_new
+
+
+def _split_late(
+    items: Sequence[waiting_request.WaitingRequest], now: float
+) -> tuple[Sequence[waiting_request.WaitingRequest], Sequence[waiting_request.WaitingRequest]]:
+    """Return those, sorted by age, that are not late, and those that are."""
+    target_ms = items[0].request.target_ms if items else 0.0
+    if target_ms <= 0 or (now - items[0].queued_at) * 1000.0 < target_ms:
+        return items, ()
+    count = bisect.bisect_left(
+        items, True, key=lambda item: (now - item.queued_at) * 1000.0 < target_ms
+    )
+    late = [item for item in items[:count] if item.is_late(now)]
+    if len(late) == count:
+        return items[count:], late
+    on_time = [item for item in items[:count] if not item.is_late(now)]
+    return [*on_time, *items[count:]], late
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -11,6 +11,8 @@
     admission_policy,
     placement_decision,
     placement_messages,
+    refusals,
+    retry_schedule,
     shard_speeds,
     spillover,
     upstream_chooser,
@@ -55,6 +57,8 @@
         self._speeds = self._chooser.speeds
         self._forecast = wait_forecast.WaitForecast(self._queue)
         self._busy_shards = spillover.BusyShards()
+        self._refusals = refusals.Refusals(self._queue, self._shares)
+        self.retries = self._refusals.retries
         self._passed_at = -math.inf
         self.offered_prefill_ms = 0.0
 
@@ -71,16 +75,22 @@
     def use_engine(self, engine: routing.EngineSpec | None) -> None:
         """Apply the engine facts of the routing; None for plain services."""
         self._chooser.use_engine(engine)
+        self._refusals.use_engine(engine)
 
     def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
         """Set the upstreams that may be used now; runs on others continue to their ends."""
         self._chooser.use_upstreams(announcements)
         self._shares.use_slots([announcement.slots for announcement in announcements.values()])
+        self._refusals.use_upstreams(announcements.values())
 
     def account_states(self, now: float) -> tuple[account_shares.AccountState, ...]:
         """Return the state of each account with requests now or in the last 10 s."""
         return self._shares.states(self._queue.count_by_account(), now)
 
+    def retry_state(self, now: float) -> retry_schedule.RetryState:
+        """Return the numbers of scheduled retries that are outstanding, kept and missed."""
+        return self.retries.state(now)
+
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
     ) -> tuple[placement_decision.Decision, ...]:
@@ -100,6 +110,7 @@
             self._chooser.min_prefill_ms(request),
             admission_policy.decode_ms(request, self.estimator.step_ms),
             self._shares.virtual_ms(request.tier),
+            self._refusals.claim(request, now),
         )
         self.offered_prefill_ms += waiting.prefill_ms
         if self._is_deferrable(request):
@@ -111,12 +122,14 @@
                     return (self._busy(waiting, predicted_ms + waiting.prefill_ms),)
                 why = f"its predicted wait is about {predicted_ms:.0f} ms"
                 after_ms = admission_policy.retry_after_ms(request, predicted_ms)
-                return (self._refuse(waiting, why, after_ms, now),)
+                return (self._refusals.refuse(waiting, why, after_ms, now),)
         closed_ms = self._chooser.closed_ms(waiting, now)
         if self._is_closed_too_long(waiting, closed_ms, now):
             return (self._reject_closed(waiting, closed_ms, now),)
-        started = self._start_preceding(waiting, now)
-        answer = self._try(waiting, now)
+        if self._refusals.can_not_end(waiting, now):
+            return (self._refusals.refuse_early(waiting, now),)
+        started, may_start = self._start_preceding(waiting, now)
+        answer = self._try(waiting, now) if may_start else None
         if answer is not None:
             return (*started, answer)
         if self._busy_shards.may_ask(request, now):
@@ -127,30 +140,40 @@
 
     def _start_preceding(
         self, waiting: wait_queue.WaitingRequest, now: float
-    ) -> list[placement_decision.Decision]:
-        """Give slots that are free since the last pass to the requests that precede a new one."""
+    ) -> tuple[list[placement_decision.Decision], bool]:
+        """Give slots that are free since the last pass to the requests that precede a new one.
+
+        Returns:
+            The answers to these, and whether the new one may start now. It may not while requests
+            that precede it wait behind more urgent kinds, which the next pass serves first.
+        """
         answers: list[placement_decision.Decision] = []
         while not self._chooser.is_full:
             first = self._queue.first_before(waiting, now)
+            if first is not None and self._queue.has_more_urgent(waiting.kind):
+                return answers, False
             answer = None if first is None else self._try(first, now)
             if answer is None:
                 break
             self._queue.remove(answer.message.ticket_id)
             answers.append(answer)
-        return answers
+        return answers, True
 
     def _enqueue(
         self, waiting: wait_queue.WaitingRequest, now: float
     ) -> tuple[placement_decision.Decision, ...]:
         """Queue a request. If the queue is full, refuse it, or another one in its place."""
+        if self._refusals.is_hopeless_at_end(waiting, now):
+            return (self._refusals.refuse_early(waiting, now),)
         answers: tuple[placement_decision.Decision, ...] = ()
         if self._queue.is_full:
             refused, why = self._queue.displace(waiting)
-            answers = (self._refuse(refused, why, admission_policy.MIN_RETRY_MS, now),)
+            answers = (self._refusals.refuse(refused, why, admission_policy.MIN_RETRY_MS, now),)
             if refused is waiting:
                 return answers
         self._forecast.record_queued(now)
         self._queue.add(waiting)
+        self._refusals.record_queue(now)
         queued = placement_messages.Queued(waiting.request.ticket_id)
         return (*answers, placement_decision.Decision(waiting.entry_id, queued))
 
@@ -180,11 +203,13 @@
     ) -> tuple[placement_decision.Decision, ...]:
         """Release the slot of a run that ended, or remove a withdrawn request from the queue."""
         self._queue.remove(message.ticket_id)
+        self._refusals.record_queue(now)
         for load in self.load_by_id.values():
             self._speeds.record_end(load, message, now)
             run = load.end(message.ticket_id, message.end, now)
             if run is None:
                 continue
+            self._refusals.record_end(run.request.tier, message, now)
             self._shares.record_end(run, message.end, now)
             if message.pauses is not None:
                 event_tokens = self._chooser.event_tokens
@@ -194,9 +219,22 @@
     def serve_due(self, now: float) -> tuple[placement_decision.Decision, ...]:
         """Start queued requests that can start, unless the last pass was just now."""
         if now < self._passed_at + PASS_PERIOD_S:
-            return ()
+            return self._serve_returning(now)
         return self.serve_waiting(now)
 
+    def _serve_returning(self, now: float) -> tuple[placement_decision.Decision, ...]:
+        """Start the first queued request if it is a scheduled retry; new ones may not overtake it.
+
+        Its slot would otherwise be idle until the next pass.
+        """
+        first = self._queue.first_returning
+        answer = None if first is None else self._try(first, now)
+        if first is None or answer is None:
+            return ()
+        self._queue.remove(first.request.ticket_id)
+        self._refusals.record_queue(now)
+        return (answer,)
+
     def on_still_running(
         self, entry_id: str, message: placement_messages.StillRunning, now: float
     ) -> None:
@@ -255,11 +293,14 @@
         behind them too.
         """
         self._passed_at = now
+        is_counting = self._refusals.begin_pass(now)
         tries_left: dict[tuple[int, float], int] = {}
         max_tries = max(MIN_TRIES, COMPARISONS_PER_PASS // max(len(self._chooser.present), 1))
         answers: list[placement_decision.Decision] = []
         for waiting in self._queue.in_order(
-            now, lambda kind: tries_left.get(kind, max_tries) > 0 and not self._chooser.is_full
+            now,
+            lambda kind: is_counting
+            or (tries_left.get(kind, max_tries) > 0 and not self._chooser.is_full),
         ):
             left = tries_left.get(waiting.kind, max_tries)
             answer = self._serve(waiting, now, may_try=left > 0)
@@ -268,6 +309,7 @@
                 continue
             self._queue.remove(waiting.request.ticket_id)
             answers.append(answer)
+        self._refusals.record_queue(now)
         return tuple(answers)
 
     def _serve(
@@ -278,7 +320,7 @@
         retry_ms = admission_policy.overloaded_retry_ms(waiting.request)
         if waiting.answer_by <= now:
             closed_ms = self._chooser.closed_ms(waiting, now)
-            return self._refuse(waiting, why, max(retry_ms, closed_ms), now)
+            return self._refusals.refuse(waiting, why, retry_ms, now, closed_ms)
         answer = self._try(waiting, now) if may_try else None
         if answer is not None:
             return answer
@@ -286,9 +328,10 @@
             closed_ms = self._chooser.closed_ms(waiting, now)
             if self._is_closed_too_long(waiting, closed_ms, now):
                 return self._reject_closed(waiting, closed_ms, now)
-        if self._is_too_late(waiting, now):
-            return self._refuse(waiting, why, retry_ms, now)
-        return None
+        if self._refusals.is_hopeless(waiting):
+            return self._refusals.refuse_early(waiting, now)
+        is_too_late = self._is_too_late(waiting, now)
+        return self._refusals.refuse(waiting, why, retry_ms, now) if is_too_late else None
 
     def _is_closed_too_long(
         self, waiting: wait_queue.WaitingRequest, closed_ms: float, now: float
@@ -301,9 +344,7 @@
         """Send a request that no upstream accepts in time to another shard, or refuse it."""
         if self._busy_shards.may_ask(waiting.request, now):
             return self._busy(waiting, closed_ms)
-        why = f"every upstream is rate-limited or in backoff for about {closed_ms:.0f} ms"
-        retry_ms = max(closed_ms, admission_policy.MIN_RETRY_MS)
-        return self._refuse(waiting, why, retry_ms, now, placement_messages.RefusalCause.CLOSED)
+        return self._refusals.refuse_closed(waiting, closed_ms, now)
 
     def _is_too_late(self, waiting: wait_queue.WaitingRequest, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
@@ -351,6 +392,7 @@
             charged_slot_ms=charged_slot_ms,
         )
         self._chooser.add(run, load, now)
+        self.retries.record_end(waiting, is_started=True)
         placed = placement_messages.Placed(
             request.ticket_id,
             load.announcement.upstream_id,
@@ -369,7 +411,9 @@
             speed=load.speed.factor if shares_machines else None,
             slowdown=load.speed.slowdown(now) if shares_machines else None,
         )
-        return placement_decision.Decision(waiting.entry_id, placed, decision_inputs)
+        return placement_decision.Decision(
+            waiting.entry_id, placed, decision_inputs, is_returning=waiting.is_returning
+        )
 
     def _predicted_wait_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
         """Return how long a new request would wait, in milliseconds."""
@@ -399,20 +443,6 @@
     def _busy(
         self, waiting: wait_queue.WaitingRequest, start_ms: float
     ) -> placement_decision.Decision:
+        self.retries.restore(waiting)
         busy = placement_messages.Busy(waiting.request.ticket_id, start_ms)
         return placement_decision.Decision(waiting.entry_id, busy)
-
-    def _refuse(
-        self,
-        waiting: wait_queue.WaitingRequest,
-        why: str,
-        retry_after_ms: float,
-        now: float,
-        cause: placement_messages.RefusalCause = placement_messages.RefusalCause.OVERLOAD,
-    ) -> placement_decision.Decision:
-        request = waiting.request
-        excess = self._shares.record_refusal(request.account, now)
-        if excess and cause is placement_messages.RefusalCause.OVERLOAD:
-            why = f"{why}; {excess}"
-        refused = placement_messages.PlaceRefused(request.ticket_id, retry_after_ms, why, cause)
-        return placement_decision.Decision(waiting.entry_id, refused, account=request.account)
--- /dev/null
+++ b/src/medlarfork/placement/waiting_request.py
@@ -0,0 +1,88 @@
+"""A request that waits for an upstream, with the times that decide its place in the queue."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from medlarfork.placement import placement_messages
+
+ANSWER_LATENCY_MS = 100.0
+"""How long before its caller leaves a queued request is refused, in milliseconds: the latency of
+the answer over two links."""
+
+SortKey = tuple[int, float, bool, float, str]
+"""Sort key of queued requests; their ticket is the last element."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitingRequest:
+    """A queued request.
+
+    Attributes:
+        entry_id: The entry host that sent it.
+        request: The placement request.
+        queued_at: When it arrived, in seconds.
+        prefill_ms: Its prefill on the engine that held its longest prefix on arrival, in
+            milliseconds.
+        decode_ms: How long its answer takes after the first event, in milliseconds.
+        virtual_ms: The virtual time of its tier on arrival (see ``account_shares``).
+        promised_at: The scheduled time of its retry, in seconds; None unless it is a retry that
+            arrived at that time.
+    """
+
+    entry_id: str
+    request: placement_messages.PlaceRequest
+    queued_at: float
+    prefill_ms: float = 0.0
+    decode_ms: float = 0.0
+    virtual_ms: float = 0.0
+    promised_at: float | None = None
+
+    @property
+    def is_returning(self) -> bool:
+        """Return whether it goes before new requests of its kind."""
+        return self.promised_at is not None
+
+    @property
+    def deadline(self) -> float:
+        """Return when its caller gives up, in seconds."""
+        return self.queued_at + self.request.left_ms / 1000.0
+
+    @property
+    def answer_by(self) -> float:
+        """Return when it is answered at the latest if it has not started: before its caller leaves.
+
+        A caller that leaves is lost; one that gets a retry delay comes back.
+        """
+        wait_ms = max(0.0, self.request.max_wait_ms - ANSWER_LATENCY_MS)
+        return self.queued_at + wait_ms / 1000.0
+
+    @property
+    def latest_start(self) -> float:
+        """Return the latest start, in seconds, that is still of use to its caller.
+
+        From it, the request ends before its caller gives up, and has an event before the caller
+        leaves.
+        """
+        latest_to_end = self.deadline - (self.prefill_ms + self.decode_ms) / 1000.0
+        return min(latest_to_end, self.answer_by - self.prefill_ms / 1000.0)
+
+    def is_late(self, now: float) -> bool:
+        """Return whether a request with a prompt has waited beyond its target."""
+        target_ms = self.request.target_ms
+        return bool(self.request.parts) and 0 < target_ms <= (now - self.queued_at) * 1000.0
+
+    @property
+    def kind(self) -> tuple[int, float]:
+        """Return the group of requests with about the same prospects."""
+        return self.request.tier, self.request.target_ms
+
+    @property
+    def order(self) -> SortKey:
+        """Return the sort key: tier, then target, then scheduled retries, then age.
+
+        Sorted by due time instead, overdue long prompts would go before every short one.
+        """
+        request = self.request
+        is_new = self.promised_at is None
+        return request.tier, request.target_ms, is_new, self.queued_at, request.ticket_id
