Move the start of requests out of shard_owner

Between two passes, the scheduled retry that starts is the first one by the shares of accounts, and the measured rate knows when such a start empties the queue.

--- a/src/medlarfork/placement/kind_queue.py
+++ b/src/medlarfork/placement/kind_queue.py
@@ -48,6 +48,11 @@
         if not items:
             del self.items_by_account[waiting.request.account]
 
+    @property
+    def has_returning(self) -> bool:
+        """Return whether a scheduled retry is queued."""
+        return any(items[0].is_returning for items in self.items_by_account.values())
+
     def is_fair(self, newcomer: str = "") -> bool:
         """Return whether at least two accounts have requests.
 
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -12,6 +12,7 @@
     placement_decision,
     placement_messages,
     refusals,
+    request_starter,
     retry_schedule,
     shard_speeds,
     spillover,
@@ -46,7 +47,6 @@
         Args:
             gate: Paces requests to upstreams; None if no upstream sends backpressure signals.
         """
-        self._longest_target_ms = 0.0
         self._shares = account_shares.AccountShares()
         self._queue = wait_queue.WaitQueue(self._shares)
         shared = gate or send_gate.SendGate(signal_ledger.SignalLedger())
@@ -59,6 +59,9 @@
         self._busy_shards = spillover.BusyShards()
         self._refusals = refusals.Refusals(self._queue, self._shares)
         self.retries = self._refusals.retries
+        self._starter = request_starter.RequestStarter(
+            self._chooser, self._shares, self._forecast, self.retries
+        )
         self._passed_at = -math.inf
         self.offered_prefill_ms = 0.0
 
@@ -113,7 +116,7 @@
             self._refusals.claim(request, now),
         )
         self.offered_prefill_ms += waiting.prefill_ms
-        if self._is_deferrable(request):
+        if self._starter.is_deferrable(request):
             predicted_ms = self._predicted_wait_ms(waiting, now)
             if admission_policy.is_hopeless(
                 request, predicted_ms, waiting.prefill_ms, waiting.decode_ms
@@ -129,7 +132,7 @@
         if self._refusals.can_not_end(waiting, now):
             return (self._refusals.refuse_early(waiting, now),)
         started, may_start = self._start_preceding(waiting, now)
-        answer = self._try(waiting, now) if may_start else None
+        answer = self._starter.try_start(waiting, now) if may_start else None
         if answer is not None:
             return (*started, answer)
         if self._busy_shards.may_ask(request, now):
@@ -152,10 +155,11 @@
             first = self._queue.first_before(waiting, now)
             if first is not None and self._queue.has_more_urgent(waiting.kind):
                 return answers, False
-            answer = None if first is None else self._try(first, now)
+            answer = None if first is None else self._starter.try_start(first, now)
             if answer is None:
                 break
             self._queue.remove(answer.message.ticket_id)
+            self._refusals.record_queue(now)
             answers.append(answer)
         return answers, True
 
@@ -227,8 +231,8 @@
 
         Its slot would otherwise be idle until the next pass.
         """
-        first = self._queue.first_returning
-        answer = None if first is None else self._try(first, now)
+        first = self._queue.first_returning(now)
+        answer = None if first is None else self._starter.try_start(first, now)
         if first is None or answer is None:
             return ()
         self._queue.remove(first.request.ticket_id)
@@ -321,7 +325,7 @@
         if waiting.answer_by <= now:
             closed_ms = self._chooser.closed_ms(waiting, now)
             return self._refusals.refuse(waiting, why, retry_ms, now, closed_ms)
-        answer = self._try(waiting, now) if may_try else None
+        answer = self._starter.try_start(waiting, now) if may_try else None
         if answer is not None:
             return answer
         if may_try:
@@ -348,73 +352,9 @@
 
     def _is_too_late(self, waiting: wait_queue.WaitingRequest, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
-        is_late = waiting.is_late(now) and self._is_deferrable(waiting.request)
+        is_late = waiting.is_late(now) and self._starter.is_deferrable(waiting.request)
         return is_late and waiting.latest_start <= now
 
-    def _try(
-        self, waiting: wait_queue.WaitingRequest, now: float
-    ) -> placement_decision.Decision | None:
-        """Start a request if it may start now; otherwise return None."""
-        request = waiting.request
-        best = self._chooser.best(waiting, now)
-        if best is None:
-            return None
-        waited_ms = (now - waiting.queued_at) * 1000.0
-        slack_ms = admission_policy.slack_ms(request, best.cost.prefill_ms, waited_ms)
-        if admission_policy.awaits_shared_prefill(best.cost, slack_ms):
-            return None
-        if self._chooser.has_tight_stream() and not admission_policy.may_start(
-            best.cost, slack_ms, is_deferrable=self._is_deferrable(request)
-        ):
-            return None
-        return self._start(waiting, best, now)
-
-    def _start(
-        self,
-        waiting: wait_queue.WaitingRequest,
-        choice: upstream_chooser.Choice,
-        now: float,
-    ) -> placement_decision.Decision:
-        request, load, cost = waiting.request, choice.load, choice.cost
-        if self._is_deferrable(request):
-            self._forecast.record_start(waiting.prefill_ms, now)
-        charged_slot_ms = self._shares.record_start(
-            request, waiting.virtual_ms, cost.prefill_ms, now
-        )
-        run = upstream_load.Run(
-            waiting.entry_id,
-            request,
-            cost.prefill_tokens,
-            cost.prefill_ms,
-            is_rate_sample=cost.backlog_ms <= 0.0 and not cost.fetch_from,
-            deadline=waiting.deadline,
-            started_at=now,
-            charged_slot_ms=charged_slot_ms,
-        )
-        self._chooser.add(run, load, now)
-        self.retries.record_end(waiting, is_started=True)
-        placed = placement_messages.Placed(
-            request.ticket_id,
-            load.announcement.upstream_id,
-            cost.fetch_from,
-            self.estimator.estimate if self.estimator.has_measured else None,
-            load.speed.factor,
-        )
-        shares_machines = self._speeds.is_active
-        decision_inputs = placement_decision.DecisionInputs(
-            waited_ms=(now - waiting.queued_at) * 1000.0,
-            cost=cost,
-            running=len(load.run_by_ticket) - 1,
-            candidates=len(self._chooser.present),
-            tokens_per_ms=self.estimator.tokens_per_ms,
-            max_gap_ms=self.estimator.max_gap_ms(self._chooser.event_tokens),
-            speed=load.speed.factor if shares_machines else None,
-            slowdown=load.speed.slowdown(now) if shares_machines else None,
-        )
-        return placement_decision.Decision(
-            waiting.entry_id, placed, decision_inputs, is_returning=waiting.is_returning
-        )
-
     def _predicted_wait_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
         """Return how long a new request would wait, in milliseconds."""
         present = self._chooser.present
@@ -435,11 +375,6 @@
             return spillover.UNKNOWN_START_MS
         return self._predicted_wait_ms(waiting, now) + waiting.prefill_ms
 
-    def _is_deferrable(self, request: placement_messages.PlaceRequest) -> bool:
-        """Return whether no kind of request seen so far has a longer target."""
-        self._longest_target_ms = max(self._longest_target_ms, request.target_ms)
-        return request.target_ms >= self._longest_target_ms
-
     def _busy(
         self, waiting: wait_queue.WaitingRequest, start_ms: float
     ) -> placement_decision.Decision:
--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -128,14 +128,15 @@
         """Return whether requests of a kind that goes before another one are queued."""
         return any(other < kind for other in self._queue_by_kind)
 
-    @property
-    def first_returning(self) -> WaitingRequest | None:
-        """Return the first scheduled retry if the most urgent queued kind has one."""
+    def first_returning(self, now: float) -> WaitingRequest | None:
+        """Return the first request of the queue if it is a scheduled retry."""
         if not self._queue_by_kind:
             return None
-        by_account = self._queue_by_kind[min(self._queue_by_kind)].items_by_account
-        heads = [items[0] for items in by_account.values() if items[0].is_returning]
-        return min(heads, key=lambda item: item.order, default=None)
+        queue = self._queue_by_kind[min(self._queue_by_kind)]
+        if not queue.has_returning:
+            return None
+        first = next(queue.in_order(now, lambda kind: True))
+        return first if first.is_returning else None
 
     def displace(self, newcomer: WaitingRequest) -> tuple[WaitingRequest, str]:
         """Return the request to refuse if a new one finds the queue full, and the reason.
