Report accounts and scheduled retries in GET /v1/placement

Each shard has the objects accounts and retries. The gauges of upstreams, which are rendered in a thread, read only the upstreams: the state of accounts can't be read from another thread.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -174,7 +174,7 @@
 
     def placement_gauges(self, now: float) -> dict[str, dict[str, float]]:
         """Return the speed and the unknown runs of each upstream by metric, for the metrics."""
-        upstreams = [item for shard in self._owner.shards(now) for item in shard.upstreams.items()]
+        upstreams = self._owner.upstreams(now).items()
         return {
             "medlar_upstream_speed": {name: item.factor for name, item in upstreams},
             "medlar_unknown_runs": {name: item.unknown_runs for name, item in upstreams},
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -11,9 +11,11 @@
 from medlarfork.backpressure import send_gate
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
+    account_shares,
     limit_share,
     placement_decision,
     placement_messages,
+    retry_schedule,
     shard_owner,
     shard_speeds,
 )
@@ -36,11 +38,15 @@
         service: The service of the shard.
         index: Number of the shard.
         upstreams: Its upstreams by incarnation.
+        accounts: Client accounts with requests now or in the last 10 s.
+        retries: Scheduled retries of refused callers.
     """
 
     service: str
     index: int
     upstreams: dict[str, shard_speeds.UpstreamSummary]
+    accounts: tuple[account_shares.AccountState, ...]
+    retries: retry_schedule.RetryState
 
 
 class PlacementOwner:
@@ -138,13 +144,27 @@
 
     def shards(self, now: float) -> tuple[ShardSummary, ...]:
         """Return the state of the shards that entry hosts use this replica for, for operators."""
-        # Metrics are rendered in a thread, so this takes an atomic copy.
-        owners = list(self._owner_by_shard.items())
         return tuple(
-            ShardSummary(shard.service, shard.index, owner.upstreams(now))
-            for shard, owner in owners
+            ShardSummary(
+                shard.service,
+                shard.index,
+                owner.upstreams(now),
+                owner.account_states(now),
+                owner.retry_state(now),
+            )
+            for shard, owner in self._owner_by_shard.items()
         )
 
+    def upstreams(self, now: float) -> dict[str, shard_speeds.UpstreamSummary]:
+        """Return the state of the upstreams of these shards by incarnation, for the metrics."""
+        # Metrics are rendered in a thread, so this takes an atomic copy.
+        owners = list(self._owner_by_shard.values())
+        return {
+            upstream_id: upstream
+            for owner in owners
+            for upstream_id, upstream in owner.upstreams(now).items()
+        }
+
     def on_time(self, now: float) -> tuple[node.Send, ...]:
         """Start queued requests that can start now, and refuse those that have expired."""
         answers: list[placement_decision.Decision] = []
--- a/tests/routed/test_shard_speeds.py
+++ b/tests/routed/test_shard_speeds.py
@@ -273,6 +273,25 @@
     assert f'medlar_unknown_runs{{upstream="{upstream_id}"}} 1.' in text
 
 
+def test_operators_see_the_accounts_and_scheduled_retries_of_a_shard(make_place_request):
+    """Operators could not see whose requests a shard refuses, nor whether promises are kept."""
+    cluster = coordinator_cluster.Cluster()
+    cluster.run(6.0)
+    promise = placement_messages.RetryPromise("k", 0, 30_000.0)
+    for message in (
+        placement_messages.OwnerChosen(SHARD, True, promises=(promise,)),
+        make_place_request("t", left_ms=60_000.0, account="a"),
+    ):
+        cluster.post("a", node.MessageReceived("e", message))
+    cluster.run(0.1)
+    reply = cluster.ask("a", coordinator_types.ListPlacement())
+    body = operations_format.OwnFormat(http_port=1).encode(reply, "/v1/placement").body
+    (shard,) = json.loads(body)["shards"]
+    state = {"account": "a", "queued": 1, "started": 0, "refused": 0, "share": 0.0}
+    assert shard["accounts"] == [state]
+    assert shard["retries"] == {"outstanding": 1, "kept": 0, "missed": 0}
+
+
 def test_the_log_names_the_speed_of_the_chosen_upstream(make_shard_owner, make_place_request):
     """Without it nobody can tell afterwards why a slow engine was chosen."""
     service = make_shard_owner(count=1, slots=8)
