--- a/src/medlarfork/placement/retry_schedule.py
+++ b/src/medlarfork/placement/retry_schedule.py
@@ -5,6 +5,10 @@
 rate at which slots become free, and goes before new requests when it returns then. The schedule
 reserves order and never a slot: capacity at the place of a caller that does not return is used by
 others.
+
+Requests with a prompt get no scheduled retry. In trials, returning requests, whose target had
+passed since their callers first asked, displaced new ones that could still be on time: in a burst
+of 5 times the usual load, 188 were on time instead of 260.
 """
 
 from __future__ import annotations
@@ -67,6 +71,11 @@
     entry_id: str
 
 
+def _may_return(request: placement_messages.PlaceRequest) -> bool:
+    """Return whether retries of a request are scheduled."""
+    return bool(request.account) and not request.parts
+
+
 def _due_at(promise: _Promise) -> float:
     return promise.due_at
 
@@ -92,11 +101,11 @@
     def assign(self, waiting: wait_queue.WaitingRequest, now: float) -> float | None:
         """Return the time to a scheduled retry of a refused request, in milliseconds.
 
-        It is None if the place in the schedule is unknown or later than its caller waits, and for a
-        scheduled retry, since callers retry once.
+        It is None if the place in the schedule is unknown or later than its caller waits, for a
+        request with a prompt, and for a scheduled retry, since callers retry once.
         """
         request = waiting.request
-        if waiting.is_returning or not request.account or not request.retry_key:
+        if waiting.is_returning or not request.retry_key or not _may_return(request):
             return None
         per_s = self._rate.per_s(request.tier)
         if not per_s:
@@ -114,9 +123,11 @@
 
     def claim(self, request: placement_messages.PlaceRequest, now: float) -> float | None:
         """Use the promise of a request that returns at its time; return that time, or None."""
+        if not _may_return(request):
+            return None
         for promise in self._promises_by_key.get(request.retry_key, ()):
             is_in_time = promise.due_at - EARLY_S <= now <= promise.due_at + RETENTION_S
-            if is_in_time and promise.tier == request.tier and request.account:
+            if is_in_time and promise.tier == request.tier:
                 self._remove(promise)
                 return promise.due_at
         return None
--- a/tests/routed/test_retry_schedule.py
+++ b/tests/routed/test_retry_schedule.py
@@ -83,6 +83,15 @@
     assert schedule.assign(make_waiting("k9", account=""), 60.0) is None
 
 
+def test_requests_with_a_prompt_get_no_promise_and_use_none(schedule, make_waiting):
+    """Returning prompts, already late for their callers, displaced new ones that could be on time."""
+    waiting = make_waiting("k", parts=(("p", 100),))
+    assert schedule.assign(waiting, 0.0) is None
+    schedule.adopt("e", [promise("k", 0, 300.0)], 0.0)
+    assert schedule.claim(waiting.request, 0.3) is None
+    assert schedule.claim(make_waiting("k").request, 0.3) == pytest.approx(0.3)
+
+
 def test_more_urgent_tiers_get_earlier_places(schedule, make_waiting):
     """A retry of the highest tier was scheduled after those of others."""
     for n in range(9):
