Order late requests of plain services last where routes declare accounts

With the oldest request first, an overload makes every request of a plain service late. A request with an account and without a prompt is now late once it can't end within its target, and goes first again shortly before its caller leaves.

--- a/src/medlarfork/placement/account_shares.py
+++ b/src/medlarfork/placement/account_shares.py
@@ -130,7 +130,11 @@
 
         A run that occupies one of 16 slots accounts for a sixteenth of that time.
         """
-        return self._slot_ms_by_kind.get(kind, self._shard_slot_ms) / self._slots
+        return self.run_ms(kind) / self._slots
+
+    def run_ms(self, kind: Kind) -> float:
+        """Return the expected time that a run of this class occupies its slot."""
+        return self._slot_ms_by_kind.get(kind, self._shard_slot_ms)
 
     def record_start(
         self,
--- a/src/medlarfork/placement/kind_queue.py
+++ b/src/medlarfork/placement/kind_queue.py
@@ -1,9 +1,10 @@
 """Order the queued requests of one kind: by lateness, scheduled retries, and fair shares. Pure.
 
 It handles an overload in which accounts compete and refused callers return. Requests that are
-already late go last: they lose little by waiting longer, and would make the others late. Inside
-these groups, scheduled retries go before new requests. Inside these, requests start in the fair
-order of their accounts if at least two accounts have some, otherwise in the order of their age.
+already late go last: they lose little by waiting longer, and would make the others late. At plain
+services they go first again shortly before their callers leave. Inside these groups, scheduled
+retries go before new requests. Inside these, requests start in the fair order of their accounts if
+at least two accounts have some, otherwise in the order of their age.
 """
 
 from __future__ import annotations
@@ -15,11 +16,13 @@
 
 from medlarfork.placement import account_shares, waiting_request
 
-ON_TIME_GROUPS = 2
-"""Groups of requests that are not late: scheduled retries, then new requests."""
+GROUPS = 6
+"""Groups of one kind, in the order in which they start: late requests without a prompt whose
+callers leave soon, requests that are not late, and late ones; of each of these, the scheduled
+retries before the new requests."""
 
-GROUPS = 2 * ON_TIME_GROUPS
-"""Groups of one kind, in the order in which they start."""
+FIRST_ON_TIME_GROUP = 2
+"""Group of the scheduled retries that are not late."""
 
 
 class KindQueue:
@@ -75,7 +78,7 @@
         slot_ms = self._shares.slot_cost_ms(self._kind)
         tag_by_account = dict(self._shares.charged_ms_by_account(self._kind[0])) if is_fair else {}
         groups_by_account = {
-            account: _groups(items, now) for account, items in self.items_by_account.items()
+            account: self._groups(items, now) for account, items in self.items_by_account.items()
         }
         for group in range(GROUPS):
             heap = []
@@ -106,7 +109,7 @@
         own_group = _on_time_group(waiting)
         own_tag = self._tag(waiting, now) if is_fair else 0.0
         for account, items in self.items_by_account.items():
-            groups = _groups(items, now)
+            groups = self._groups(items, now)
             yield from itertools.chain.from_iterable(groups[:own_group])
             rivals = groups[own_group]
             if not is_fair or account == waiting.request.account:
@@ -128,7 +131,7 @@
         is_fair = self.is_fair(waiting.request.account)
         own_group = _on_time_group(waiting)
         groups_by_account = {
-            account: _groups(items, now) for account, items in self.items_by_account.items()
+            account: self._groups(items, now) for account, items in self.items_by_account.items()
         }
         for group in range(own_group + 1):
             heads = []
@@ -148,6 +151,10 @@
             return head if (tag, order) < (own_tag, waiting.order) else None
         return None
 
+    def _groups(self, items: Sequence[waiting_request.WaitingRequest], now: float) -> _Groups:
+        """Return the requests of one account by group."""
+        return _groups(items, now, self._shares.run_ms(self._kind))
+
     def _first_tag(self, account: str, groups: _Groups, group: int) -> float:
         """Return the start tag of an account's first request of a group."""
         slot_ms = self._shares.slot_cost_ms(self._kind)
@@ -172,7 +179,7 @@
     def _tag(self, waiting: waiting_request.WaitingRequest, now: float) -> float:
         """Return the start tag of a request behind the queued ones of its account that precede."""
         account = waiting.request.account
-        groups = list(_groups(self.items_by_account.get(account, []), now))
+        groups = list(self._groups(self.items_by_account.get(account, []), now))
         own_group = _on_time_group(waiting)
         items = groups[own_group]
         earlier = items[: bisect.bisect_left(items, waiting.order, key=_order)]
@@ -195,29 +202,34 @@
 
 def _on_time_group(waiting: waiting_request.WaitingRequest) -> int:
     """Return the group of a request that is not late."""
-    return 0 if waiting.is_returning else 1
+    return FIRST_ON_TIME_GROUP + (not waiting.is_returning)
 
 
-def _groups(items: Sequence[waiting_request.WaitingRequest], now: float) -> _Groups:
+def _groups(items: Sequence[waiting_request.WaitingRequest], now: float, run_ms: float) -> _Groups:
     """Return the requests of one account by group."""
     first_new = bisect.bisect_left(items, True, key=lambda item: not item.is_returning)
-    returning, late_returning = _split_late(items[:first_new], now)
-    new, late_new = _split_late(items[first_new:], now)
-    return returning, new, late_returning, late_new
+    returning = _split_late(items[:first_new], now, run_ms)
+    new = _split_late(items[first_new:], now, run_ms)
+    return tuple(itertools.chain.from_iterable(zip(returning, new, strict=True)))
 
 
 def _split_late(
-    items: Sequence[waiting_request.WaitingRequest], now: float
-) -> tuple[Sequence[waiting_request.WaitingRequest], Sequence[waiting_request.WaitingRequest]]:
-    """Return those, sorted by age, that are not late, and those that are."""
-    target_ms = items[0].request.target_ms if items else 0.0
-    if target_ms <= 0 or (now - items[0].queued_at) * 1000.0 < target_ms:
-        return items, ()
+    items: Sequence[waiting_request.WaitingRequest], now: float, run_ms: float
+) -> _Groups:
+    """Return those, sorted by age, that are late and urgent, that are not late, and the others."""
+    if not items or not items[0].request.target_ms:
+        return (), items, ()
+    # Requests with a prompt are late after the whole target, others somewhat earlier.
+    earliest_ms = items[0].request.target_ms - min(run_ms, items[0].request.target_ms / 2.0)
     count = bisect.bisect_left(
-        items, True, key=lambda item: (now - item.queued_at) * 1000.0 < target_ms
+        items, True, key=lambda item: (now - item.queued_at) * 1000.0 < earliest_ms
     )
-    late = [item for item in items[:count] if item.is_late(now)]
-    if len(late) == count:
-        return items[count:], late
-    on_time = [item for item in items[:count] if not item.is_late(now)]
-    return [*on_time, *items[count:]], late
+    urgent, on_time, late = [], [], []
+    for item in items[:count]:
+        if not item.is_late(now, run_ms):
+            on_time.append(item)
+        elif item.is_urgent(now, run_ms):
+            urgent.append(item)
+        else:
+            late.append(item)
+    return urgent, [*on_time, *items[count:]], late
--- a/src/medlarfork/placement/waiting_request.py
+++ b/src/medlarfork/placement/waiting_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from medlarfork.placement import placement_messages
 
@@ -10,6 +11,11 @@
 """How long before its caller leaves a queued request is refused, in milliseconds: the latency of
 the answer over two links."""
 
+URGENT_RUNS = 2.0
+"""Time before its latest useful start from which a late request without a prompt goes first again,
+in expected times of its run: that start does not allow for the run, and slots become free only as
+other runs end."""
+
 SortKey = tuple[int, float, bool, float, str]
 """Sort key of queued requests; their ticket is the last element."""
 
@@ -67,10 +73,43 @@
         latest_to_end = self.deadline - (self.prefill_ms + self.decode_ms) / 1000.0
         return min(latest_to_end, self.answer_by - self.prefill_ms / 1000.0)
 
-    def is_late(self, now: float) -> bool:
-        """Return whether a request with a prompt has waited beyond its target."""
+    def is_late(self, now: float, run_ms: float = 0.0) -> bool:
+        """Return whether it goes after requests that can still be on time.
+
+        A request with a prompt does so when it has waited beyond its target. One without does so
+        only where routes declare accounts, and as soon as it can't end within its target: with the
+        oldest first until then, each would start just too late.
+
+        Args:
+            now: The time in seconds.
+            run_ms: The expected time of its run, in milliseconds.
+        """
+        return self.late_after_ms(run_ms) <= (now - self.queued_at) * 1000.0
+
+    def late_after_ms(self, run_ms: float) -> float:
+        """Return after which wait it is late, in milliseconds.
+
+        Runs that take longer than half of the target do not count further, so that short waits
+        never make a request late.
+        """
         target_ms = self.request.target_ms
-        return bool(self.request.parts) and 0 < target_ms <= (now - self.queued_at) * 1000.0
+        if target_ms <= 0:
+            return math.inf
+        if self.request.parts:
+            return target_ms
+        if not self.request.account:
+            return math.inf
+        return target_ms - min(run_ms, target_ms / 2.0)
+
+    def is_urgent(self, now: float, run_ms: float) -> bool:
+        """Return whether a late request without a prompt goes first because its caller leaves soon.
+
+        Args:
+            now: The time in seconds.
+            run_ms: The expected time of its run, in milliseconds.
+        """
+        margin_s = URGENT_RUNS * run_ms / 1000.0
+        return not self.request.parts and self.latest_start - now < margin_s
 
     @property
     def kind(self) -> tuple[int, float]:
