Keep the order of tiers between passes and when the queue is full

A new request of a plain service with an account no longer takes a slot before a queued one of a more urgent kind. With one account, a full queue refuses the newest request of the lowest tier instead of a new one of a higher tier or a scheduled retry. Requests without a prefill get no forecast by prefill, which was computed from the entire queue and never used.

--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -116,7 +116,8 @@
             self._refusals.claim(request, now),
         )
         self.offered_prefill_ms += waiting.prefill_ms
-        if self._starter.is_deferrable(request):
+        # Without a prefill the wait can't be predicted from that of the requests before it.
+        if self._starter.is_deferrable(request) and waiting.prefill_ms > 0:
             predicted_ms = self._predicted_wait_ms(waiting, now)
             if admission_policy.is_hopeless(
                 request, predicted_ms, waiting.prefill_ms, waiting.decode_ms
@@ -147,13 +148,17 @@
         """Give slots that are free since the last pass to the requests that precede a new one.
 
         Returns:
-            The answers to these, and whether the new one may start now. It may not while requests
-            that precede it wait behind more urgent kinds, which the next pass serves first.
+            The answers to these, and whether the new one may start now. It may not while more
+            urgent kinds, which the next pass serves first, are queued before requests that precede
+            it, or before a request of a plain service with an account.
         """
         answers: list[placement_decision.Decision] = []
+        request = waiting.request
+        is_ordered = bool(request.account) and not request.parts
         while not self._chooser.is_full:
             first = self._queue.first_before(waiting, now)
-            if first is not None and self._queue.has_more_urgent(waiting.kind):
+            is_preceded = is_ordered or first is not None
+            if is_preceded and self._queue.has_more_urgent(waiting.kind):
                 return answers, False
             answer = None if first is None else self._starter.try_start(first, now)
             if answer is None:
--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -143,15 +143,19 @@
 
         It is removed if it is queued. It is the newest request of the account of the lowest tier
         that exceeds its share most: the one with the most upstream time charged and queued. If
-        fewer than two accounts have requests, it is the new one.
+        fewer than two accounts have requests, it is the new one, unless that has an account and
+        goes before the newest request of the lowest tier.
         """
         counts = self.count_by_account()
         accounts = (counts.keys() | {newcomer.request.account}) - {""}
-        if len(accounts) < 2:
-            return newcomer, "the queue is full"
         tier = max(kind[0] for kind in self._queue_by_kind)
+        goes_before = newcomer.request.tier < tier or newcomer.is_returning
+        if len(accounts) < 2 and not (newcomer.request.account and goes_before):
+            return newcomer, "the queue is full"
         refused = newcomer if newcomer.request.tier > tier else self._most_excessive(newcomer, tier)
         self.remove(refused.request.ticket_id)
+        if len(accounts) < 2:
+            return refused, "the queue is full"
         count = counts.get(refused.request.account, 0)
         total = sum(counts.values())
         why = (
--- a/tests/routed/test_late_requests.py
+++ b/tests/routed/test_late_requests.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from medlarfork.placement import account_shares, kind_queue, waiting_request
+from medlarfork.placement import (
+    account_shares,
+    kind_queue,
+    placement_messages,
+    wait_queue,
+    waiting_request,
+)
 from tests.routed import overload_replay, placement_helpers
 
 
@@ -94,3 +100,29 @@
     assert started[1] == ()
     first, second = owner.place("e", make_place_request("new", account="a"), 0.102)
     assert [first.message.ticket_id, second.message.ticket_id] == ["t3", "new"]
+
+
+def test_a_new_request_does_not_take_a_slot_before_a_queued_one_of_a_higher_tier(
+    make_shard_owner, make_place_request
+):
+    """Slots that became free between two passes went to new requests of any tier."""
+    owner = make_shard_owner(count=1, slots=2)
+    owner.use_engine(None)
+    for n in range(6):
+        owner.place("e", make_place_request(f"t{n}", account="a"), 0.0)
+    for n in (0, 1):
+        owner.on_ended(placement_helpers.ended(f"t{n}"), 0.1 + n / 1000.0)
+    (answer,) = owner.place("e", make_place_request("low", account="a", tier=1), 0.102)
+    assert isinstance(answer.message, placement_messages.Queued)
+
+
+@pytest.mark.parametrize(("tier", "returns"), [(0, False), (1, True)])
+def test_a_full_queue_refuses_the_request_that_would_go_last(make_waiting, tier, returns):
+    """With one account, higher tiers and scheduled retries were refused in favour of others."""
+    queue = wait_queue.WaitQueue()
+    for n in range(3):
+        queue.add(make_waiting(f"t{n}", n * 0.1, tier=1))
+    newcomer = make_waiting("new", 1.0, promised_at=1.0 if returns else None, tier=tier)
+    refused, why = queue.displace(newcomer)
+    assert (refused.request.ticket_id, why) == ("t2", "the queue is full")
+    assert queue.displace(make_waiting("last", 1.1, tier=1))[0].request.ticket_id == "last"
