--- a/src/medlarfork/placement/kind_queue.py
+++ b/src/medlarfork/placement/kind_queue.py
@@ -24,6 +24,12 @@
 FIRST_ON_TIME_GROUP = 2
 """Group of the scheduled retries that are not late."""
 
+_Groups = Sequence[Sequence[waiting_request.WaitingRequest]]
+"""One account's requests by group, each sorted by age."""
+
+NO_GROUPS: _Groups = ((),) * GROUPS
+"""Groups of an account without requests."""
+
 
 class KindQueue:
     """Queued requests of one kind (tier and target); callers pass the time, in seconds."""
@@ -38,11 +44,15 @@
         self._kind = kind
         self._shares = shares
         self.items_by_account: dict[str, list[waiting_request.WaitingRequest]] = {}
+        self._latest_starts: list[float] = []
+        self._prompts = 0
 
     def add(self, waiting: waiting_request.WaitingRequest) -> None:
         """Add a request that is not queued yet."""
         items = self.items_by_account.setdefault(waiting.request.account, [])
         bisect.insort(items, waiting, key=_order)
+        bisect.insort(self._latest_starts, waiting.latest_start)
+        self._prompts += bool(waiting.request.parts)
 
     def remove(self, waiting: waiting_request.WaitingRequest) -> None:
         """Remove a queued request."""
@@ -50,6 +60,8 @@
         del items[bisect.bisect_left(items, waiting.order, key=_order)]
         if not items:
             del self.items_by_account[waiting.request.account]
+        del self._latest_starts[bisect.bisect_left(self._latest_starts, waiting.latest_start)]
+        self._prompts -= bool(waiting.request.parts)
 
     @property
     def has_returning(self) -> bool:
@@ -136,6 +148,8 @@
         for group in range(own_group + 1):
             heads = []
             for account, groups in groups_by_account.items():
+                if not groups[group]:
+                    continue
                 head = next((item for item in groups[group] if item.answer_by > now), None)
                 if head is not None:
                     tag = self._first_tag(account, groups, group) if is_fair else 0.0
@@ -153,12 +167,50 @@
 
     def _groups(self, items: Sequence[waiting_request.WaitingRequest], now: float) -> _Groups:
         """Return the requests of one account by group."""
-        return _groups(items, now, self._shares.run_ms(self._kind))
+        if not items:
+            return NO_GROUPS
+        if not items[0].is_returning:
+            urgent, on_time, late = self._split_late(items, now)
+            return (), urgent, (), on_time, (), late
+        first_new = bisect.bisect_left(items, True, key=lambda item: not item.is_returning)
+        returning = self._split_late(items[:first_new], now)
+        new = self._split_late(items[first_new:], now)
+        return tuple(itertools.chain.from_iterable(zip(returning, new, strict=True)))
+
+    def _split_late(self, items: Sequence[waiting_request.WaitingRequest], now: float) -> _Groups:
+        """Return those of one account that are late and urgent, that are not late, and the others.
+
+        The requests are sorted by age. They are examined one by one only if some may be urgent, or
+        if some of the kind have a prompt and others don't, so that they are late at other times.
+        """
+        if not items or not self._kind[1]:
+            return (), items[:], ()
+        run_ms = self._shares.run_ms(self._kind)
+        is_mixed = 0 < self._prompts < len(self._latest_starts)
+        first_ms = self._kind[1] / 2.0 if is_mixed else items[0].late_after_ms(run_ms)
+        if (now - items[0].queued_at) * 1000.0 < first_ms:
+            return (), items[:], ()
+        count = bisect.bisect_left(
+            items, True, key=lambda item: (now - item.queued_at) * 1000.0 < first_ms
+        )
+        if not is_mixed and self._latest_starts[0] - now >= waiting_request.urgent_s(run_ms):
+            return (), items[count:], items[:count]
+        urgent, on_time, late = [], [], []
+        for item in items[:count]:
+            if not item.is_late(now, run_ms):
+                on_time.append(item)
+            elif item.is_urgent(now, run_ms):
+                urgent.append(item)
+            else:
+                late.append(item)
+        return urgent, [*on_time, *items[count:]], late
 
     def _first_tag(self, account: str, groups: _Groups, group: int) -> float:
         """Return the start tag of an account's first request of a group."""
         slot_ms = self._shares.slot_cost_ms(self._kind)
         tag = self._shares.charged_ms_by_account(self._kind[0]).get(account, 0.0)
+        if not any(groups[:group]):
+            return tag
         for item in itertools.chain.from_iterable(groups[:group]):
             tag = max(tag, item.virtual_ms) + item.prefill_ms + slot_ms
         return tag
@@ -188,10 +240,6 @@
         return tag
 
 
-_Groups = Sequence[Sequence[waiting_request.WaitingRequest]]
-"""One account's requests by group, each sorted by age."""
-
-
 def _order(waiting: waiting_request.WaitingRequest) -> waiting_request.SortKey:
     return waiting.order
 
@@ -203,33 +251,3 @@
 def _on_time_group(waiting: waiting_request.WaitingRequest) -> int:
     """Return the group of a request that is not late."""
     return FIRST_ON_TIME_GROUP + (not waiting.is_returning)
-
-
-def _groups(items: Sequence[waiting_request.WaitingRequest], now: float, run_ms: float) -> _Groups:
-    """Return the requests of one account by group."""
-    first_new = bisect.bisect_left(items, True, key=lambda item: not item.is_returning)
-    returning = _split_late(items[:first_new], now, run_ms)
-    new = _split_late(items[first_new:], now, run_ms)
-    return tuple(itertools.chain.from_iterable(zip(returning, new, strict=True)))
-
-
-def _split_late(
-    items: Sequence[waiting_request.WaitingRequest], now: float, run_ms: float
-) -> _Groups:
-    """Return those, sorted by age, that are late and urgent, that are not late, and the others."""
-    if not items or not items[0].request.target_ms:
-        return (), items, ()
-    # Requests with a prompt are late after the whole target, others somewhat earlier.
-    earliest_ms = items[0].request.target_ms - min(run_ms, items[0].request.target_ms / 2.0)
-    count = bisect.bisect_left(
-        items, True, key=lambda item: (now - item.queued_at) * 1000.0 < earliest_ms
-    )
-    urgent, on_time, late = [], [], []
-    for item in items[:count]:
-        if not item.is_late(now, run_ms):
-            on_time.append(item)
-        elif item.is_urgent(now, run_ms):
-            urgent.append(item)
-        else:
-            late.append(item)
-    return urgent, [*on_time, *items[count:]], late
--- a/src/medlarfork/placement/waiting_request.py
+++ b/src/medlarfork/placement/waiting_request.py
@@ -108,8 +108,7 @@
             now: The time in seconds.
             run_ms: The expected time of its run, in milliseconds.
         """
-        margin_s = URGENT_RUNS * run_ms / 1000.0
-        return not self.request.parts and self.latest_start - now < margin_s
+        return not self.request.parts and self.latest_start - now < urgent_s(run_ms)
 
     @property
     def kind(self) -> tuple[int, float]:
@@ -125,3 +124,8 @@
         request = self.request
         is_new = self.promised_at is None
         return request.tier, request.target_ms, is_new, self.queued_at, request.ticket_id
+
+
+def urgent_s(run_ms: float) -> float:
+    """Return how long before its latest useful start a late request goes first, in seconds."""
+    return URGENT_RUNS * run_ms / 1000.0
