--- a/src/medlarfork/coordination/decision_log.py
+++ b/src/medlarfork/coordination/decision_log.py
@@ -16,10 +16,18 @@
                 "ticket": ticket_id,
                 "upstream": upstream_id,
                 **_input_fields(answer.decision_inputs),
+                "promise": "kept" if answer.is_returning else None,
             }
             return coordinator_types.LogEvent("placed", fields)
-        case placement_messages.PlaceRefused(ticket_id, retry_after_ms, why):
-            fields = {"ticket": ticket_id, "retry_ms": retry_after_ms, "why": why}
+        case placement_messages.PlaceRefused(ticket_id, retry_after_ms, why, _, is_promise):
+            promise = "missed" if answer.is_returning else "given" if is_promise else None
+            fields = {
+                "ticket": ticket_id,
+                "account": answer.account or None,
+                "retry_ms": retry_after_ms,
+                "why": why,
+                "promise": promise,
+            }
             return coordinator_types.LogEvent("placement_refused", fields)
         case placement_messages.Busy(ticket_id, begins_ms):
             fields = {"ticket": ticket_id, "begins_ms": round(begins_ms)}
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -14,6 +14,7 @@
 from medlarfork.backpressure import send_gate
 from medlarfork.gateway import (
     entry_session,
+    given_promises,
     placement_ticket,
     request_hold,
     standalone_placer,
@@ -72,6 +73,7 @@
         self._owner_generation = 0
         self._estimate_by_service: dict[str, placement_messages.EngineEstimate] = {}
         self._speeds_by_service: dict[str, dict[str, float]] = {}
+        self._promises = given_promises.GivenPromises()
         self.local_placements = 0
 
     @property
@@ -106,6 +108,7 @@
         ticket.answer = answer
         if isinstance(answer, placement_messages.PlaceRefused):
             self._ticket_by_id.pop(request.ticket_id, None)
+            self._promises.record(request, answer, _now())
         elif ticket.waiting is None:
             self._local.slots.record_start(answer.upstream_id, request)
         return answer
@@ -239,7 +242,9 @@
         self._send_signals(owner_id)
         estimate = self._estimate_by_service.get(shard.service)
         speeds = self._speeds_of(shard)
-        self._send(owner_id, placement_messages.OwnerChosen(shard, True, estimate, speeds))
+        promises = self._promises.of_service(shard.service, now)
+        chosen = placement_messages.OwnerChosen(shard, True, estimate, speeds, promises)
+        self._send(owner_id, chosen)
         for ticket in tuple(self._ticket_by_id.values()):
             self._report_running(ticket, shard, owner_id)
         return owner_id
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -7,9 +7,13 @@
 from medlarfork.backpressure import send_gate, signal_ledger
 from medlarfork.coordination import upstream_types
 from medlarfork.placement import (
+    account_shares,
     admission_policy,
     placement_decision,
     placement_messages,
+    refusals,
+    request_starter,
+    retry_schedule,
     shard_speeds,
     spillover,
     upstream_chooser,
@@ -19,9 +23,6 @@
 )
 from medlarfork.routes import routing
 
-MAX_WAITING = 2000
-"""Longest queue, in requests; beyond it new ones are refused, which bounds memory."""
-
 PASS_PERIOD_S = 0.01
 """Shortest interval between two passes over the queue, in seconds: a small part of any target.
 Without it each run that ends costs a pass, and an owner that falls behind never recovers: the
@@ -46,8 +47,8 @@
         Args:
             gate: Paces requests to upstreams; None if no upstream sends backpressure signals.
         """
-        self._longest_target_ms = 0.0
-        self._queue = wait_queue.WaitQueue()
+        self._shares = account_shares.AccountShares()
+        self._queue = wait_queue.WaitQueue(self._shares)
         shared = gate or send_gate.SendGate(signal_ledger.SignalLedger())
         self._chooser = upstream_chooser.UpstreamChooser(shared, self._queue)
         self.estimator = self._chooser.estimator
@@ -56,6 +57,11 @@
         self._speeds = self._chooser.speeds
         self._forecast = wait_forecast.WaitForecast(self._queue)
         self._busy_shards = spillover.BusyShards()
+        self._refusals = refusals.Refusals(self._queue, self._shares)
+        self.retries = self._refusals.retries
+        self._starter = request_starter.RequestStarter(
+            self._chooser, self._shares, self._forecast, self.retries
+        )
         self._passed_at = -math.inf
         self.offered_prefill_ms = 0.0
 
@@ -72,10 +78,21 @@
     def use_engine(self, engine: routing.EngineSpec | None) -> None:
         """Apply the engine facts of the routing; None for plain services."""
         self._chooser.use_engine(engine)
+        self._refusals.use_engine(engine)
 
     def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
         """Set the upstreams that may be used now; runs on others continue to their ends."""
         self._chooser.use_upstreams(announcements)
+        self._shares.use_slots([announcement.slots for announcement in announcements.values()])
+        self._refusals.use_upstreams(announcements.values())
+
+    def account_states(self, now: float) -> tuple[account_shares.AccountState, ...]:
+        """Return the state of each account with requests now or in the last 10 s."""
+        return self._shares.states(self._queue.count_by_account(), now)
+
+    def retry_state(self, now: float) -> retry_schedule.RetryState:
+        """Return the numbers of scheduled retries that are outstanding, kept and missed."""
+        return self.retries.state(now)
 
     def place(
         self, entry_id: str, request: placement_messages.PlaceRequest, now: float
@@ -95,9 +112,12 @@
             now,
             self._chooser.min_prefill_ms(request),
             admission_policy.decode_ms(request, self.estimator.step_ms),
+            self._shares.virtual_ms(request.tier),
+            self._refusals.claim(request, now),
         )
         self.offered_prefill_ms += waiting.prefill_ms
-        if self._is_deferrable(request):
+        # Without a prefill the wait can't be predicted from that of the requests before it.
+        if self._starter.is_deferrable(request) and waiting.prefill_ms > 0:
             predicted_ms = self._predicted_wait_ms(waiting, now)
             if admission_policy.is_hopeless(
                 request, predicted_ms, waiting.prefill_ms, waiting.decode_ms
@@ -106,26 +126,65 @@
                     return (self._busy(waiting, predicted_ms + waiting.prefill_ms),)
                 why = f"its predicted wait is about {predicted_ms:.0f} ms"
                 after_ms = admission_policy.retry_after_ms(request, predicted_ms)
-                return (self._refuse(waiting, why, after_ms),)
+                return (self._refusals.refuse(waiting, why, after_ms, now),)
         closed_ms = self._chooser.closed_ms(waiting, now)
         if self._is_closed_too_long(waiting, closed_ms, now):
             return (self._reject_closed(waiting, closed_ms, now),)
-        answer = self._try(waiting, now)
+        if self._refusals.can_not_end(waiting, now):
+            return (self._refusals.refuse_early(waiting, now),)
+        started, may_start = self._start_preceding(waiting, now)
+        answer = self._starter.try_start(waiting, now) if may_start else None
         if answer is not None:
-            return (answer,)
+            return (*started, answer)
         if self._busy_shards.may_ask(request, now):
             start_ms = max(self._predicted_start_ms(waiting, now), closed_ms)
             if start_ms >= spillover.max_start_ms(request, self.estimator.tokens_per_ms):
-                return (self._busy(waiting, start_ms),)
-        if len(self._queue) >= MAX_WAITING:
-            why = "the queue is full"
-            return (self._refuse(waiting, why, admission_policy.MIN_RETRY_MS),)
-        if not self._queue:
-            self._forecast.record_queue_start(now)
+                return (*started, self._busy(waiting, start_ms))
+        return (*started, *self._enqueue(waiting, now))
+
+    def _start_preceding(
+        self, waiting: wait_queue.WaitingRequest, now: float
+    ) -> tuple[list[placement_decision.Decision], bool]:
+        """Give slots that are free since the last pass to the requests that precede a new one.
+
+        Returns:
+            The answers to these, and whether the new one may start now. It may not while more
+            urgent kinds, which the next pass serves first, are queued before requests that precede
+            it, or before a request of a plain service with an account.
+        """
+        answers: list[placement_decision.Decision] = []
+        request = waiting.request
+        is_ordered = bool(request.account) and not request.parts
+        while not self._chooser.is_full:
+            first = self._queue.first_before(waiting, now)
+            is_preceded = is_ordered or first is not None
+            if is_preceded and self._queue.has_more_urgent(waiting.kind):
+                return answers, False
+            answer = None if first is None else self._starter.try_start(first, now)
+            if answer is None:
+                break
+            self._queue.remove(answer.message.ticket_id)
+            self._refusals.record_queue(now)
+            answers.append(answer)
+        return answers, True
+
+    def _enqueue(
+        self, waiting: wait_queue.WaitingRequest, now: float
+    ) -> tuple[placement_decision.Decision, ...]:
+        """Queue a request. If the queue is full, refuse it, or another one in its place."""
+        if self._refusals.is_hopeless_at_end(waiting, now):
+            return (self._refusals.refuse_early(waiting, now),)
+        answers: tuple[placement_decision.Decision, ...] = ()
+        if self._queue.is_full:
+            refused, why = self._queue.displace(waiting)
+            answers = (self._refusals.refuse(refused, why, admission_policy.MIN_RETRY_MS, now),)
+            if refused is waiting:
+                return answers
+        self._forecast.record_queued(now)
         self._queue.add(waiting)
-        return (
-            placement_decision.Decision(entry_id, placement_messages.Queued(request.ticket_id)),
-        )
+        self._refusals.record_queue(now)
+        queued = placement_messages.Queued(waiting.request.ticket_id)
+        return (*answers, placement_decision.Decision(waiting.entry_id, queued))
 
     def _known_answer(self, ticket_id: str) -> placement_messages.Answer | None:
         """Return the answer to a request that is already queued or running."""
@@ -153,12 +212,17 @@
     ) -> tuple[placement_decision.Decision, ...]:
         """Release the slot of a run that ended, or remove a withdrawn request from the queue."""
         self._queue.remove(message.ticket_id)
+        self._refusals.record_queue(now)
         for load in self.load_by_id.values():
             if message.ticket_id not in load.run_by_ticket:
                 continue
             self._speeds.record_end(load, message, now)
             run = load.end(message.ticket_id, message.end, now)
-            if run is not None and message.pauses is not None:
+            if run is None:
+                continue
+            self._refusals.record_end(run.request.tier, message, now)
+            self._shares.record_end(run, message.end, now)
+            if message.pauses is not None:
                 event_tokens = self._chooser.event_tokens
                 self._speeds.record_gaps(load, run, message.pauses, event_tokens, now)
         return self.serve_due(now)
@@ -166,9 +230,22 @@
     def serve_due(self, now: float) -> tuple[placement_decision.Decision, ...]:
         """Start queued requests that can start, unless the last pass was just now."""
         if now < self._passed_at + PASS_PERIOD_S:
-            return ()
+            return self._serve_returning(now)
         return self.serve_waiting(now)
 
+    def _serve_returning(self, now: float) -> tuple[placement_decision.Decision, ...]:
+        """Start the first queued request if it is a scheduled retry; new ones may not overtake it.
+
+        Its slot would otherwise be idle until the next pass.
+        """
+        first = self._queue.first_returning(now)
+        answer = None if first is None else self._starter.try_start(first, now)
+        if first is None or answer is None:
+            return ()
+        self._queue.remove(first.request.ticket_id)
+        self._refusals.record_queue(now)
+        return (answer,)
+
     def on_still_running(
         self, entry_id: str, message: placement_messages.StillRunning, now: float
     ) -> None:
@@ -204,13 +281,7 @@
         """Release everything of a lost entry host, whose upstream connections are gone with it."""
         self._queue.remove_entry(entry_id)
         for load in self.load_by_id.values():
-            lost = [
-                ticket_id
-                for ticket_id, run in load.run_by_ticket.items()
-                if run.entry_id == entry_id
-            ]
-            for ticket_id in lost:
-                load.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
+            load.end_entry(entry_id, now)
         return self.serve_waiting(now)
 
     def end_overdue(self, now: float) -> tuple[str, ...]:
@@ -218,12 +289,11 @@
 
         Upstreams that have been absent for long are evicted too.
         """
+        self._shares.evict_idle(now)
         overdue = tuple(
             ticket_id for load in self.load_by_id.values() for ticket_id in load.end_overdue(now)
         )
-        for upstream_id, load in tuple(self.load_by_id.items()):
-            if load.is_gone(now):
-                del self.load_by_id[upstream_id]
+        self._chooser.evict_absent(now)
         self._speeds.forget_old(now)
         return overdue
 
@@ -234,10 +304,15 @@
         behind them too.
         """
         self._passed_at = now
+        is_counting = self._refusals.begin_pass(now)
         tries_left: dict[tuple[int, float], int] = {}
         max_tries = max(MIN_TRIES, COMPARISONS_PER_PASS // max(len(self._chooser.present), 1))
         answers: list[placement_decision.Decision] = []
-        for waiting in self._queue.in_order(now):
+        for waiting in self._queue.in_order(
+            now,
+            lambda kind: is_counting
+            or (tries_left.get(kind, max_tries) > 0 and not self._chooser.is_full),
+        ):
             left = tries_left.get(waiting.kind, max_tries)
             answer = self._serve(waiting, now, may_try=left > 0)
             if answer is None:
@@ -245,6 +320,7 @@
                 continue
             self._queue.remove(waiting.request.ticket_id)
             answers.append(answer)
+        self._refusals.record_queue(now)
         return tuple(answers)
 
     def _serve(
@@ -255,15 +331,18 @@
         retry_ms = admission_policy.overloaded_retry_ms(waiting.request)
         if waiting.answer_by <= now:
             closed_ms = self._chooser.closed_ms(waiting, now)
-            return self._refuse(waiting, why, max(retry_ms, closed_ms))
-        answer = self._try(waiting, now) if may_try else None
+            return self._refusals.refuse(waiting, why, retry_ms, now, closed_ms)
+        answer = self._starter.try_start(waiting, now) if may_try else None
         if answer is not None:
             return answer
         if may_try:
             closed_ms = self._chooser.closed_ms(waiting, now)
             if self._is_closed_too_long(waiting, closed_ms, now):
                 return self._reject_closed(waiting, closed_ms, now)
-        return self._refuse(waiting, why, retry_ms) if self._is_too_late(waiting, now) else None
+        if self._refusals.is_hopeless(waiting):
+            return self._refusals.refuse_early(waiting, now)
+        is_too_late = self._is_too_late(waiting, now)
+        return self._refusals.refuse(waiting, why, retry_ms, now) if is_too_late else None
 
     def _is_closed_too_long(
         self, waiting: wait_queue.WaitingRequest, closed_ms: float, now: float
@@ -276,74 +355,13 @@
         """Send a request that no upstream accepts in time to another shard, or refuse it."""
         if self._busy_shards.may_ask(waiting.request, now):
             return self._busy(waiting, closed_ms)
-        why = f"every upstream is rate-limited or in backoff for about {closed_ms:.0f} ms"
-        retry_ms = max(closed_ms, admission_policy.MIN_RETRY_MS)
-        ticket_id = waiting.request.ticket_id
-        cause = placement_messages.RefusalCause.CLOSED
-        refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, cause)
-        return placement_decision.Decision(waiting.entry_id, refused)
+        return self._refusals.refuse_closed(waiting, closed_ms, now)
 
     def _is_too_late(self, waiting: wait_queue.WaitingRequest, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
-        is_late = waiting.is_late(now) and self._is_deferrable(waiting.request)
+        is_late = waiting.is_late(now) and self._starter.is_deferrable(waiting.request)
         return is_late and waiting.latest_start <= now
 
-    def _try(
-        self, waiting: wait_queue.WaitingRequest, now: float
-    ) -> placement_decision.Decision | None:
-        """Start a request if it may start now; otherwise return None."""
-        request = waiting.request
-        best = self._chooser.best(waiting, now)
-        if best is None:
-            return None
-        waited_ms = (now - waiting.queued_at) * 1000.0
-        slack_ms = admission_policy.slack_ms(request, best.cost.prefill_ms, waited_ms)
-        if admission_policy.awaits_shared_prefill(best.cost, slack_ms):
-            return None
-        if self._chooser.has_tight_stream() and not admission_policy.may_start(
-            best.cost, slack_ms, is_deferrable=self._is_deferrable(request)
-        ):
-            return None
-        return self._start(waiting, best, now)
-
-    def _start(
-        self,
-        waiting: wait_queue.WaitingRequest,
-        choice: upstream_chooser.Choice,
-        now: float,
-    ) -> placement_decision.Decision:
-        request, load, cost = waiting.request, choice.load, choice.cost
-        if self._is_deferrable(request):
-            self._forecast.record_start(waiting.prefill_ms, now)
-        run = upstream_load.Run(
-            waiting.entry_id,
-            request,
-            cost.prefill_tokens,
-            cost.prefill_ms,
-            is_rate_sample=cost.backlog_ms <= 0.0 and not cost.fetch_from,
-            deadline=waiting.deadline,
-        )
-        self._chooser.add(run, load, now)
-        placed = placement_messages.Placed(
-            request.ticket_id,
-            load.announcement.upstream_id,
-            cost.fetch_from,
-            self.estimator.estimate if self.estimator.has_measured else None,
-            load.speed.factor,
-        )
-        shares_machines = self._speeds.is_active
-        decision_inputs = placement_decision.DecisionInputs(
-            waited_ms=(now - waiting.queued_at) * 1000.0,
-            cost=cost,
-            running=len(load.run_by_ticket) - 1,
-            candidates=len(self._chooser.present),
-            tokens_per_ms=self.estimator.tokens_per_ms,
-            max_gap_ms=self.estimator.max_gap_ms(self._chooser.event_tokens),
-            speed=load.speed.factor if shares_machines else None,
-            slowdown=load.speed.slowdown(now) if shares_machines else None,
-        )
-        return placement_decision.Decision(waiting.entry_id, placed, decision_inputs)
-
     def _predicted_wait_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
         """Return how long a new request would wait, in milliseconds."""
         present = self._chooser.present
@@ -364,20 +382,9 @@
             return spillover.UNKNOWN_START_MS
         return self._predicted_wait_ms(waiting, now) + waiting.prefill_ms
 
-    def _is_deferrable(self, request: placement_messages.PlaceRequest) -> bool:
-        """Return whether no kind of request seen so far has a longer target."""
-        self._longest_target_ms = max(self._longest_target_ms, request.target_ms)
-        return request.target_ms >= self._longest_target_ms
-
     def _busy(
         self, waiting: wait_queue.WaitingRequest, start_ms: float
     ) -> placement_decision.Decision:
+        self.retries.restore(waiting)
         busy = placement_messages.Busy(waiting.request.ticket_id, start_ms)
         return placement_decision.Decision(waiting.entry_id, busy)
-
-    def _refuse(
-        self, waiting: wait_queue.WaitingRequest, why: str, retry_after_ms: float
-    ) -> placement_decision.Decision:
-        ticket_id = waiting.request.ticket_id
-        refused = placement_messages.PlaceRefused(ticket_id, retry_after_ms, why)
-        return placement_decision.Decision(waiting.entry_id, refused)
--- a/src/medlarfork/placement/upstream_load.py
+++ b/src/medlarfork/placement/upstream_load.py
@@ -56,6 +56,9 @@
             reported none.
         max_slowdown: Largest slowdown that its upstream reported while it streamed.
         min_slowdown: Smallest slowdown that its upstream reported while it streamed.
+        started_at: When it was placed, in seconds.
+        charged_slot_ms: Upstream time charged to its account for its slot, in milliseconds; 0 if
+            nothing was charged.
     """
 
     entry_id: str
@@ -70,6 +73,8 @@
     slowdown: float | None = None
     max_slowdown: float = 1.0
     min_slowdown: float = math.inf
+    started_at: float = 0.0
+    charged_slot_ms: float = 0.0
 
     @property
     def memory_tokens(self) -> int:
@@ -152,6 +157,12 @@
             self.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
         return overdue
 
+    def end_entry(self, entry_id: str, now: float) -> None:
+        """End the runs of a lost entry host."""
+        for ticket_id, run in tuple(self.run_by_ticket.items()):
+            if run.entry_id == entry_id:
+                self.end(ticket_id, placement_messages.RunEnd.CANCELLED, now)
+
     def is_gone(self, now: float) -> bool:
         """Return whether it has been absent for long without runs; called every second."""
         if self.is_present:
