--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -190,6 +190,7 @@
     find = speaks.decode("GET", "/resolve", "Name=a&Zone=hall", b"")
     assert find == coordinator_types.FindEntries("hall")
     assert speaks.decode("GET", "/v1/placement", "", b"") == coordinator_types.ListPlacement()
+    assert speaks.decode("GET", "/v1/entry-hosts", "", b"") == coordinator_types.ListEntryHosts()
     with pytest.raises(errors.RequestRefusedError):
         speaks.decode("POST", "/instances/i-1/heartbeat", "", b"{}")
     with pytest.raises(errors.RequestRefusedError):
