End a resumed stream at once if its caller was lost between two attempts

When writing failed while no response was read, the next attempt ran at its upstream until its first event, although nobody could receive it. The relay now raises the failure before it reads.

--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -261,6 +261,8 @@
             errors.UpstreamError: The stream is broken or stalled.
             errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
         """
+        # Writing may have failed between two attempts, when there was no response to close.
+        self._buffer.check()
         self._buffer.read_from(response)
         try:
             while chunk := await _next_chunk(response, stall_timeout_s()):
--- a/tests/routed/test_stream_budget.py
+++ b/tests/routed/test_stream_budget.py
@@ -1,10 +1,15 @@
 """Tests of the budget for bytes that are held for slow readers, without a network."""
 
+import types
+
+import curio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from medlarfork.gateway import entry_load, stream_budget, stream_relay
+from medlarfork import errors
+from medlarfork.gateway import entry_load, request_types, stream_budget, stream_relay
+from tests import curio_world
 
 READ_BYTES = 64 * 1024
 
@@ -105,3 +110,60 @@
         pass_on().send(None)
     assert exchange.written == b"012"
     assert budget.held_bytes == held_by_others
+
+
+class _StalledExchange:
+    """A fake exchange whose caller has stopped reading: each write fails after a while."""
+
+    started = True
+
+    def encode(self, data):
+        return data
+
+    def send_now(self, encoded):
+        return 0
+
+    async def send_encoded(self, encoded):
+        await curio.sleep(0)
+        raise errors.CallerDisconnectedError("The caller stopped reading.", remedy="None.")
+
+
+class _Response:
+    """A fake response with some chunks, whose upstream then breaks or sends nothing more."""
+
+    def __init__(self, *chunks, breaks):
+        self._chunks = list(chunks)
+        self._breaks = breaks
+
+    async def next_chunk(self):
+        if self._chunks:
+            return self._chunks.pop(0)
+        if self._breaks:
+            raise errors.UpstreamError("The upstream broke.", remedy="None.")
+        await curio.sleep(curio_world.TIMEOUT_S)
+        return b""
+
+    async def close(self):
+        raise AssertionError("no response is read when writing fails")
+
+
+# Guards against: an upstream that works for a caller to which writing failed between two attempts.
+def test_a_resumed_stream_ends_at_once_if_writing_has_failed_before():
+    async def main():
+        budget = stream_budget.StreamBudget(160.0)
+        metadata = types.SimpleNamespace(last_event_id="", attempt_id="a")
+        admitted = types.SimpleNamespace(
+            exchange=_StalledExchange(), metadata=metadata, started_at=0.0
+        )
+        relay = stream_relay.StreamRelay(admitted, request_types.Trace(), budget)
+        pass_on = {"stall_timeout_s": lambda: None, "on_start": lambda: None}
+        with pytest.raises(errors.UpstreamError):
+            await relay.relay(_Response(b"data: x\n\n", breaks=True), **pass_on)
+        await curio.sleep(0.01)
+        with pytest.raises(errors.CallerDisconnectedError):
+            async with curio.timeout_after(1.0):
+                await relay.relay(_Response(breaks=False), **pass_on)
+        await relay.close()
+        assert budget.held_bytes == 0
+
+    curio_world.run(main)
