--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -261,6 +261,8 @@
             errors.UpstreamError: The stream is broken or stalled.
             errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
         """
+        # Writing may have failed between two attempts, when there was no response to close.
+        self._buffer.check()
         self._buffer.read_from(response)
         try:
             while chunk := await _next_chunk(response, stall_timeout_s()):
@@ -297,6 +299,9 @@
             errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
         """
         await self._buffer.drain()
+        if self._budget is not None and self._exchange.started:
+            # The reset that cuts the response would discard what the system has not sent yet.
+            await self._exchange.wait_received()
 
     async def close(self) -> None:
         """End the writing task, and release what is held."""
