--- a/src/medlarfork/coordination/entry_weights.py
+++ b/src/medlarfork/coordination/entry_weights.py
@@ -30,11 +30,8 @@
 
 CYCLE_S = 7.5
 """Time in which each host is in the answers once, for its share of this time, in seconds. While a
-small host is in the answers it gets as many requests as a large one. In the model of callers of the
-tests, with one replica and ten hosts (1.25 and 0.375), small hosts got up to 1.95 times their share
-over 3 s, and 3.85 times with a cycle of 30 s; without weights they always get 2.2 times. Each
-caller dropped 0.44 and 0.25 connections a second. It divides 30 s, over which load has to follow
-capacity."""
+small host is in the answers it gets as many requests as a large one, so a longer cycle means longer
+peaks there; a shorter one makes callers drop more connections."""
 
 MAX_CAPACITY_RATIO = 8.0
 """A capacity counts for at most this multiple of the smallest, so that a false one has a bounded
--- a/src/medlarfork/gateway/entry_load.py
+++ b/src/medlarfork/gateway/entry_load.py
@@ -30,12 +30,10 @@
 
 BASE_MB = 80.0
 """Memory that the process takes without requests, in megabytes: the interpreter with all modules,
-routing, metrics, and buffers of links. A whole deployment in one process took 40 MB without the
-library that renders metrics."""
+routing, metrics, and buffers of links."""
 
 REQUEST_BYTES = 160_000
-"""Memory of one request in progress, in bytes. With the mean body of 12 KB a request took 122 KB in
-a process that also held its caller and its upstream; with the largest of 72 KB, 413 KB."""
+"""Memory of one request in progress, in bytes, with a body of usual size, its buffers and tasks."""
 
 CONNECTIONS_SHARE = 0.75
 """Share of the descriptors that connections of callers may take. Upstreams, links and files need
