--- a/tests/processes/test_backpressure_soak.py
+++ b/tests/processes/test_backpressure_soak.py
@@ -21,6 +21,10 @@
 CALLERS = 6
 
 
+LOADS = ("0,0,9,100", "2,0,9,250", "9,4,9,70", "3,0,9", "99999,0,9,2000", "9,0", "-1,0,9,x")
+"""Load reports: slow moments, other speeds, no slowdown, false and malformed ones. None of them may
+change what limits, pauses and leaving promise."""
+
 FOUND_SEEDS = (58, 60)
 """Seeds that found faults: an owner and a host that had both just started."""
 
@@ -52,21 +56,22 @@
     def _say(self, engine):
         if self.said_by_engine[engine][-1].is_leaving:
             return
+        load = self.random.choice(LOADS)
         match self.random.choice(["limit", "limit", "pause", "nothing", "leaving"]):
             case "limit":
                 rate = self.random.choice([0.5, 2.0, 6.9])
                 said = Said(time.monotonic(), rate=rate)
-                engine.answer(medlar_rate_limit=str(rate))
+                engine.answer(medlar_rate_limit=str(rate), medlar_load=load)
             case "pause":
                 pause_s = self.random.choice([1.0, 2.5])
                 said = Said(time.monotonic(), pause_s=pause_s)
-                engine.answer(status=503, retry_after=str(pause_s))
+                engine.answer(status=503, retry_after=str(pause_s), medlar_load=load)
             case "leaving":
                 said = Said(time.monotonic(), is_leaving=True)
-                engine.answer(medlar_leaving="1")
+                engine.answer(medlar_leaving="1", medlar_load=load)
             case _:
                 said = Said(time.monotonic())
-                engine.answer()
+                engine.answer(medlar_load=load)
         self.said_by_engine[engine].append(said)
 
     def _disturb(self):
