Keep the version that upstreams announce, and log it with each request

A stream that goes on at another software version can't be told from one that keeps to its version: no announcement or log line states versions. No decision uses them yet.

--- a/src/medlarfork/coordination/operations_format.py
+++ b/src/medlarfork/coordination/operations_format.py
@@ -139,7 +139,10 @@
         raise invalid_announcement(error) from error
     upstream_id = upstream_types.incarnation_id(name, announced.born_ms)
     named = dataclasses.replace(
-        announced, upstream_id=upstream_id, name=name if announced.born_ms else ""
+        announced,
+        upstream_id=upstream_id,
+        name=name if announced.born_ms else "",
+        version=announced.version or "",
     )
     return checked_announcement(named)
 
--- a/src/medlarfork/coordination/upstream_types.py
+++ b/src/medlarfork/coordination/upstream_types.py
@@ -22,6 +22,7 @@
         name: The upstream's own name; empty if it equals ``upstream_id``.
         born_ms: Its start time, in Unix milliseconds by its own clock; 0 if unknown.
         is_spot: Whether it is a spot instance, which its platform may reclaim.
+        version: The version of its software; empty if it names none, None if not known.
     """
 
     upstream_id: str
@@ -35,6 +36,7 @@
     name: str = ""
     born_ms: int = 0
     is_spot: bool = False
+    version: str | None = None
 
     @property
     def own_name(self) -> str:
@@ -74,6 +76,9 @@
         return "its service is missing or too long"
     if not 0 < announcement.slots <= MAX_SLOTS:
         return "its slots are not a number of requests"
+    version = announcement.version or ""
+    if len(version) > MAX_NAME_LENGTH or not version.isprintable():
+        return "its version is too long, or has characters that can't be shown"
     if announcement.sequence < 0 or announcement.born_ms < 0:
         return "its sequence or its start is negative"
     return "" if _is_address(announcement.address) else "its address is not IP:PORT"
--- a/src/medlarfork/gateway/request_header_names.py
+++ b/src/medlarfork/gateway/request_header_names.py
@@ -17,6 +17,7 @@
         deadline_ms: How long the sender waits, in milliseconds.
         key_scheme: Scheme before the API key in the Authorization header.
         last_event_id: The last event that the caller has received; a stream resumes after it.
+        resumes: The caller's attempt that brought the first event of a stream to go on with.
         token_usage: Prompt tokens and maximum output tokens, separated by a comma.
         prompt_parts: ``ID:TOKENS`` of each prompt prefix segment, separated by commas.
         expected_upstream: The only incarnation that may run the request.
@@ -41,6 +42,7 @@
     deadline_ms: str = "medlar-deadline-ms"
     key_scheme: str = "Bearer"
     last_event_id: str = "last-event-id"
+    resumes: str = "medlar-resumes"
     token_usage: str = "medlar-token-usage"
     prompt_parts: str = "medlar-prompt-parts"
     expected_upstream: str = "medlar-expected-upstream"
--- a/src/medlarfork/gateway/request_metadata.py
+++ b/src/medlarfork/gateway/request_metadata.py
@@ -27,6 +27,7 @@
         deadline_ms: How long the caller waits, in milliseconds; None if it gave no deadline.
         api_key: Its API key; empty if it gave none.
         last_event_id: The last event that it has received; empty for none.
+        resumes: Its attempt that brought the stream's first event; empty if it named none.
         prompt_segments: The prefix segments of its prompt.
         output_tokens: Maximum number of output tokens; 0 if it gave none.
     """
@@ -35,6 +36,7 @@
     deadline_ms: float | None
     api_key: str
     last_event_id: str
+    resumes: str
     prompt_segments: tuple[placement_messages.PromptSegment, ...]
     output_tokens: int
 
@@ -53,6 +55,7 @@
         deadline_ms=_deadline(headers.get(names.deadline_ms)),
         api_key=api_key.strip() if scheme.lower() == names.key_scheme.lower() else "",
         last_event_id=headers.get(names.last_event_id, ""),
+        resumes=headers.get(names.resumes, ""),
         prompt_segments=_prompt_segments(headers.get(names.prompt_parts, "")),
         output_tokens=_output_tokens(headers.get(names.token_usage, "")),
     )
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -326,6 +326,7 @@
         match end:
             case placement_messages.RunEnd.NOT_SENT:
                 self.trace.upstreams.pop()
+                self.trace.versions.pop()
             case placement_messages.RunEnd.UNREACHABLE:
                 pass
             case _:
@@ -340,6 +341,7 @@
     ) -> placement_messages.RunEnd | None:
         """Run one attempt; return how it failed, or None if the caller has its answer."""
         self.trace.upstreams.append(upstream.upstream_id)
+        self.trace.versions.append(upstream.version or "?")
         self._sent_at = time.monotonic()
         self._stream.begin_attempt()
         await self._shared.tracking.begin_attempt(self._ticket_id)
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -77,6 +77,7 @@
         result: Its final result.
         status: The status sent to its caller; 0 for none.
         upstreams: The incarnations that it was sent to, in order.
+        versions: The software versions of these, in order.
         relays: The entry hosts that it was forwarded to, in order.
         tickets: The ids of its placement tickets, in order.
         reasons: Why attempts ended without an answer, in order.
@@ -90,6 +91,7 @@
     result: Result = Result.FAILED
     status: int = 0
     upstreams: list[str] = dataclasses.field(default_factory=list)
+    versions: list[str] = dataclasses.field(default_factory=list)
     relays: list[str] = dataclasses.field(default_factory=list)
     tickets: list[str] = dataclasses.field(default_factory=list)
     reasons: list[str] = dataclasses.field(default_factory=list)
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -181,7 +181,9 @@
             "Sequence": 4,
         }
     )
-    expected = upstream_types.Announcement("i-1", "llm", "10.0.0.9:80", "hall", 3, 4, True, 5)
+    expected = upstream_types.Announcement(
+        "i-1", "llm", "10.0.0.9:80", "hall", 3, 4, True, 5, version="v1"
+    )
     announce = speaks.decode("POST", "/instances/i-1/heartbeat", "", beat)
     assert announce == coordinator_types.Announce(expected)
     leave = speaks.decode("POST", "/instances/i-1/deregister", "", b"")
