--- a/tests/routed/routed_harness.py
+++ b/tests/routed/routed_harness.py
@@ -45,7 +45,7 @@
     An answer that the function leaves unfinished is aborted.
     """
 
-    def __init__(self, deployment, number, answer):
+    def __init__(self, deployment, number, answer, announced):
         self.address = f"{deployment.network}.{100 + number}:{UPSTREAM_PORT}"
         self.upstream_id = f"u-{number}"
         self.seen = []
@@ -53,6 +53,7 @@
         self.read_after_s = 0.0
         self._deployment = deployment
         self._answer = answer
+        self._announced = announced
         self._sequence = 0
         self._is_leaving = False
         self._announcing = None
@@ -74,6 +75,7 @@
             "zone": "z1",
             "slots": 4,
             "sequence": self._sequence,
+            **self._announced,
         }
         return await self._deployment.ask_control(
             replica, "PUT", f"/v1/upstreams/{self.upstream_id}", json.dumps(announced | changes)
@@ -185,13 +187,18 @@
             self.entry = entry
         return entry
 
+    async def restart_replica(self, replica_id):
+        await self.control_by_id[replica_id].close()
+        await self.start_replica(replica_id)
+
     async def stop_entry(self, entry):
         """Close an entry host for good."""
         self.entries.remove(entry)
         await entry.close()
 
-    async def add_upstream(self, answer=answer_plainly):
-        upstream = Upstream(self, len(self.upstreams) + 1, answer)
+    async def add_upstream(self, answer=answer_plainly, **announced):
+        """Start an upstream that announces these fields besides the usual ones."""
+        upstream = Upstream(self, len(self.upstreams) + 1, answer, announced)
         self.upstreams.append(upstream)
         await upstream.start()
         return upstream
