--- a/src/medlarfork/_quick_start.py
+++ b/src/medlarfork/_quick_start.py
@@ -21,6 +21,7 @@
 
 DEFERRED_MODULES: dict[str, dict[str, Any]] = {
     "asyncio": {},
+    "importlib.abc": {"MetaPathFinder": object},
     "multiprocessing": {"cpu_count": os.cpu_count},
     "multiprocessing.connection": {
         "MESSAGE_LENGTH": 20,
@@ -33,8 +34,9 @@
     "pickle": {"DEFAULT_PROTOCOL": 4, "HIGHEST_PROTOCOL": 5},
 }
 """Modules of the standard library that libraries import for features unused here, such as another
-event loop, multiprocessing, pickling and help in XML, with the attributes that the libraries read
-during their import. The classes of ``minidom`` occur in annotations only."""
+event loop, loaders of modules, multiprocessing, pickling and help in XML, with the attributes that
+the libraries read during their import. The classes of ``minidom`` occur in annotations only, and
+``MetaPathFinder`` is a base class without methods that its subclass needs."""
 
 BLOCKED_MODULES = ("ssl", "_hashlib", "bz2", "lzma")
 """Modules that are optional for libraries: no link of this product uses TLS, the interpreter has
--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -30,6 +30,7 @@
     entry_directory,
     entry_feed,
     membership_manager,
+    origin_manager,
     routing_manager,
     routing_state,
     upstream_manager,
@@ -39,6 +40,7 @@
 from medlarfork.placement import owner, placement_decision, placement_messages
 from medlarfork.quarantine import crash_messages
 from medlarfork.replica import replica, replica_types
+from medlarfork.resumption import origin_messages
 from medlarfork.routes import routing
 
 TICK_S = 0.1
@@ -83,6 +85,7 @@
         ttl_s: float,
         decode: Decode,
         duties: duty_types.DutySettings = duty_types.DutySettings(),  # noqa: B008 - frozen
+        origins: origin_manager.OriginManager | None = None,
     ) -> None:
         """Create the components of a coordinator.
 
@@ -95,6 +98,7 @@
             ttl_s: How long callers cache an answer of the directory, in seconds.
             decode: Decodes an operator's body.
             duties: Singleton duties: platform calls that exactly one replica makes.
+            origins: Origins of streams, with those of the replica's file; None for an empty one.
         """
         self._replica_id = replica_id
         self._replica = log_replica
@@ -109,6 +113,7 @@
         self._backpressure = backpressure_manager.BackpressureManager()
         self._owner = owner.PlacementOwner(self._backpressure.gate)
         self._crashes = crash_manager.CrashManager(replica_id)
+        self._origins = origins or origin_manager.OriginManager((), is_complete=False)
         self._boot = boot
         self.duties = duty_manager.DutyManager(replica_id, boot, duties, self._state.duties)
         self._wall_offset_s: float | None = None
@@ -168,6 +173,7 @@
             "entry_hosts": len(self._entry_ids),
             "waiting": self._owner.waiting,
             "crash_cases": len(self._crashes.ledger),
+            "stream_origins": self._origins.origins,
             "limited_upstreams": self._backpressure.ledger.limited,
             **self.duties.gauges(),
         }
@@ -212,6 +218,11 @@
             case signal_messages.SignalReport():
                 self._actions += self._backpressure.take(message, self._now)
                 self._upstreams.mark_leaving(message.leaving, self._now)
+            case origin_messages.OriginReport():
+                self._actions += self._origins.on_report(message, self._now)
+            case origin_messages.OriginQuery():
+                present = self._registry.present
+                self._actions.append(self._origins.on_query(sender, message, present, self._now))
             case usage_messages.UsageTold() | engine_messages.LoadTold():
                 self._actions += self.duties.handle_message(sender, message, self._now)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
@@ -407,6 +418,7 @@
             return
         self._view_due = self._now + VIEW_PERIOD_S
         change = self._upstreams.take_change()
+        self._origins.see_upstreams(change.present, self._now)
         self._actions += self._feed.push_view(change, self._entry_ids, self._now)
         self._actions += self._owner.use_upstreams(self._registry.present, self._now)
         self._log_event(
@@ -433,6 +445,7 @@
             self._members.peers, self._now, has_silent_peer=has_silent_peer
         )
         self._push_view()
+        self._origins.on_tick(self._registry.present, self._now)
         self._update_entries()
         self._clean_up_placement()
         if self.leads:
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -20,12 +20,15 @@
     coordinator_settings,
     coordinator_types,
     operations_format,
+    origin_manager,
+    origin_writer,
 )
 from medlarfork.duties import duty_types, engine_messages, platform_caller, platform_format
 from medlarfork.http import _http_messages, http_server
 from medlarfork.links import link, routed_links
 from medlarfork.metrics import process_metrics
 from medlarfork.replica import _disk_writer, journal, replica, replica_types
+from medlarfork.resumption import origin_file, origin_messages
 from medlarfork.routes import routing_check
 
 _log = logging.getLogger(__name__)
@@ -78,6 +81,8 @@
         self._disk = _disk_writer.DiskWriter(
             self._journal, on_synced=self._on_synced, on_failed=self._on_disk_failed
         )
+        self._origin_file = origin_file.OriginFile(pathlib.Path(settings.data_folder))
+        self._origin_writer = origin_writer.OriginWriter(self._origin_file)
         self._link = link.Link(
             identity=settings.replica_id,
             codec=codec.Codec(
@@ -129,9 +134,11 @@
             errors.SettingsError: A server can't listen on its address.
         """
         restored = await curio.run_in_thread(self._journal.start)
-        self._node = self._make_node(restored)
+        origins = await curio.run_in_thread(self._origin_file.start)
+        self._node = self._make_node(restored, origins)
         self._runner = runner.Runner(self._node, perform=self._perform, clock=boottime_clock)
         await self._disk.start()
+        await self._origin_writer.start()
         await self._link.start()
         await self._runner.start()
         if self._platform is not None:
@@ -168,6 +175,7 @@
         if self._runner is not None:
             await self._runner.close()
         await self._link.close()
+        await self._origin_writer.close()
         await self._disk.close()
         self._journal.close()
         self._metrics.process.close()
@@ -184,7 +192,11 @@
         """Return when the disk has failed and the process must end."""
         await self._failed.wait()
 
-    def _make_node(self, restored: replica_types.Restored) -> coordinator.Coordinator:
+    def _make_node(
+        self,
+        restored: replica_types.Restored,
+        origins: tuple[origin_messages.OriginGroup, ...],
+    ) -> coordinator.Coordinator:
         settings = self._settings
         founders = (
             settings.seeds if settings.may_found and settings.replica_id in settings.seeds else ()
@@ -205,6 +217,11 @@
             ttl_s=settings.directory_ttl_s,
             decode=self._api_format.decode_routing,
             duties=settings.duties,
+            origins=origin_manager.OriginManager(
+                origins,
+                # Before a founder's first start no stream ran.
+                is_complete=not restored.fresh or bool(founders),
+            ),
         )
 
     async def _receive(self) -> None:
@@ -218,6 +235,8 @@
                 self._link.send(to, message)
             case node.Persist() | replica_types.SaveSnapshot():
                 await self._disk.write(action)
+            case origin_manager.KeepOrigins(groups):
+                await self._origin_writer.write(groups)
             case coordinator_types.OperationDone(operation_id, reply):
                 replies = self._replies_by_operation.get(operation_id)
                 if replies is not None:
--- a/src/medlarfork/coordination/upstream_registry.py
+++ b/src/medlarfork/coordination/upstream_registry.py
@@ -63,6 +63,8 @@
         if announcement.is_leaving:
             return self.withdraw(upstream_id, now)
         known = self._known_by_id.get(upstream_id)
+        if known is not None:
+            announcement = announcement.with_version_of(known.announcement)
         if known is not None and announcement.sequence < known.announcement.sequence:
             return upstream_types.ViewChange()
         conflicting = self._conflicting(announcement)
--- a/src/medlarfork/coordination/upstream_types.py
+++ b/src/medlarfork/coordination/upstream_types.py
@@ -43,6 +43,15 @@
         """Return the name that the upstream uses for itself and recognises in requests."""
         return self.name or self.upstream_id
 
+    def with_version_of(self, other: Announcement | None) -> Announcement:
+        """Return this with the version of another announcement of the incarnation, if unknown.
+
+        Processes of earlier builds pass announcements on without it.
+        """
+        if other is None or self.version is not None or other.version is None:
+            return self
+        return dataclasses.replace(self, version=other.version)
+
     def is_outdated_by(self, other: Announcement) -> bool:
         """Return whether another announcement is of a later start at its address or of its name.
 
--- a/src/medlarfork/coordination/upstream_view.py
+++ b/src/medlarfork/coordination/upstream_view.py
@@ -70,7 +70,9 @@
             for upstream_id, announcement in present.items():
                 latest = latest_by_id.get(upstream_id)
                 if latest is None or latest.sequence <= announcement.sequence:
-                    latest_by_id[upstream_id] = announcement
+                    latest_by_id[upstream_id] = announcement.with_version_of(latest)
+                else:
+                    latest_by_id[upstream_id] = latest.with_version_of(announcement)
         for upstream_id in self._left.keys() & latest_by_id.keys():
             del latest_by_id[upstream_id]
         return latest_by_id
--- a/src/medlarfork/errors.py
+++ b/src/medlarfork/errors.py
@@ -36,6 +36,7 @@
     SETTINGS_INVALID = "settings_invalid"
     STALE_CONFIGURATION = "stale_configuration"
     STALE_FENCE = "stale_fence"
+    STREAM_VERSION = "stream_version"
     UNCERTAIN = "uncertain"
     UPSTREAM_FAILED = "upstream_failed"
 
--- a/src/medlarfork/gateway/attempt_sender.py
+++ b/src/medlarfork/gateway/attempt_sender.py
@@ -35,6 +35,7 @@
         fetch_from: str,
         last_event_id: str,
         left_ms: float,
+        version: str | None,
     ) -> http_client.Response | upstream_call.Failure:
         """Send the request to an upstream; return the response once its head has arrived.
 
@@ -46,19 +47,21 @@
             fetch_from: Address of an upstream that caches more of the prompt; empty for none.
             last_event_id: The last event that the caller has received; empty for none.
             left_ms: Time until the deadline, in milliseconds.
+            version: The only version that may run the request; None if any may.
         """
         self.load = None
-        if not self._shared.backpressure.may_send(upstream.upstream_id):
+        may_send = functools.partial(self._may_send, upstream.upstream_id, version)
+        if not may_send():
             why = "accepts no request from this host now"
             return upstream_call.Failure(placement_messages.RunEnd.NOT_SENT, why)
         call = self._call(upstream, fetch_from, last_event_id, left_ms)
         if self._is_counted or self._admitted.route.has_prompt:
-            return await self._send(call, upstream.upstream_id)
+            return await self._send(call, upstream.upstream_id, may_send)
         send = self._shared.usage.record_sent(self._admitted.account)
         # A send that is cancelled counts as started.
         self._is_counted = True
         try:
-            sent = await self._send(call, upstream.upstream_id)
+            sent = await self._send(call, upstream.upstream_id, may_send)
             self._is_counted = (
                 not isinstance(sent, upstream_call.Failure)
                 or sent.end is placement_messages.RunEnd.BROKEN
@@ -73,11 +76,17 @@
             self._is_counted = True
             self._shared.usage.record_started(self._admitted.account)
 
+    def _may_send(self, upstream_id: str, version: str | None) -> bool:
+        """Return whether the placed incarnation, and not a later start, may get the request now."""
+        known = self._shared.session.find_upstream(upstream_id)
+        if known is None or (version is not None and known.version != version):
+            return False
+        return self._shared.backpressure.may_send(upstream_id)
+
     async def _send(
-        self, call: upstream_call.Call, upstream_id: str
+        self, call: upstream_call.Call, upstream_id: str, may_send: upstream_call.MaySend
     ) -> http_client.Response | upstream_call.Failure:
         on_head = functools.partial(self._record_head, upstream_id, time.monotonic())
-        may_send = functools.partial(self._shared.backpressure.may_send, upstream_id)
         return await upstream_call.send(
             self._shared.client, call, self._shared.names, on_head, may_send
         )
--- a/src/medlarfork/gateway/crash_tracker.py
+++ b/src/medlarfork/gateway/crash_tracker.py
@@ -180,7 +180,7 @@
             recent = {
                 key: at for key, at in pending.at_by_key.items() if now <= at + REPLACEMENT_WINDOW_S
             }
-            if self._is_replaced(pending.upstream):
+            if self._session.is_replaced(pending.upstream):
                 self._record_crashes(upstream_id, recent)
                 recent = {}
             if recent:
@@ -249,13 +249,6 @@
         latest = list((known | at_by_key).items())[-MAX_PENDING_KEYS:]
         self._pending_by_upstream[upstream.upstream_id] = _Pending(upstream, dict(latest))
 
-    def _is_replaced(self, upstream: upstream_types.Announcement) -> bool:
-        present = self._session.upstream_by_id
-        return upstream.upstream_id not in present and any(
-            item.address == upstream.address or item.own_name == upstream.own_name
-            for item in present.values()
-        )
-
     def _record_crashes(self, upstream_id: str, at_by_key: dict[str, float]) -> None:
         now = _now()
         new_keys = tuple(
--- a/src/medlarfork/gateway/entry_session.py
+++ b/src/medlarfork/gateway/entry_session.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import math
+from collections.abc import Collection
 from typing import Any
 
 from medlarfork import rendezvous
@@ -62,7 +63,9 @@
         self._replicas: dict[str, None] = dict.fromkeys(seeds)
         self._state_by_replica: dict[str, _ReplicaState] = {}
         self._view = upstream_view.UpstreamView()
-        self._sizes_by_service: dict[str, dict[placement_messages.Shard, int]] = {}
+        self._sizes_by_service: dict[
+            tuple[str, str | None], dict[placement_messages.Shard, int]
+        ] = {}
         self._next_broadcast_at = -math.inf
         self._term = 0
         self._members: tuple[str, ...] = ()
@@ -131,18 +134,41 @@
         """Return an upstream if it may get requests now."""
         return self._view.by_id.get(upstream_id)
 
+    def is_replaced(self, upstream: upstream_types.Announcement) -> bool:
+        """Return whether another incarnation has taken an upstream's address or name."""
+        present = self._view.by_id
+        return upstream.upstream_id not in present and any(
+            item.address == upstream.address or item.own_name == upstream.own_name
+            for item in present.values()
+        )
+
+    def lacks_version(self, service: str, version: str, excluded: Collection[str]) -> bool:
+        """Return whether no upstream of a version may get a request, as far as any is known.
+
+        Args:
+            service: The service.
+            version: The version.
+            excluded: Upstreams that are not to be used.
+        """
+        return self.has_view and not any(
+            item.service == service and item.version == version and item.upstream_id not in excluded
+            for item in self._view.by_id.values()
+        )
+
     def shards(
-        self, service: str, key: str
+        self, service: str, key: str, version: str | None = None
     ) -> tuple[placement_messages.Shard, placement_messages.Shard | None]:
         """Return the shard that serves an affinity key, and the one to ask while that is busy.
 
-        The second is None if the service has only one shard.
+        The second is None if there is only one shard with upstreams of the version.
         """
-        return shard_choice.choose(key, self._sizes(service), service)
+        return shard_choice.choose(key, self._sizes(service, version), service)
 
-    def service_shards(self, service: str) -> tuple[placement_messages.Shard, ...]:
-        """Return all shards of a service that have upstreams."""
-        return tuple(self._sizes(service))
+    def service_shards(
+        self, service: str, version: str | None = None
+    ) -> tuple[placement_messages.Shard, ...]:
+        """Return all shards of a service that have upstreams of a version, or any."""
+        return tuple(self._sizes(service, version))
 
     def resolve_shard(self, shard: placement_messages.Shard) -> placement_messages.Shard:
         """Return a shard with the current shard count; an index beyond it wraps around."""
@@ -156,11 +182,13 @@
         index = rendezvous.jump_hash(upstream.upstream_id, first.count)
         return dataclasses.replace(first, index=index)
 
-    def _sizes(self, service: str) -> dict[placement_messages.Shard, int]:
-        sizes = self._sizes_by_service.get(service)
+    def _sizes(
+        self, service: str, version: str | None = None
+    ) -> dict[placement_messages.Shard, int]:
+        sizes = self._sizes_by_service.get((service, version))
         if sizes is None:
-            sizes = shard_choice.sizes(service, self._view.by_id.values())
-            self._sizes_by_service[service] = sizes
+            sizes = shard_choice.sizes(service, self._view.by_id.values(), version)
+            self._sizes_by_service[service, version] = sizes
         return sizes
 
     def owner(self, shard: placement_messages.Shard, now: float) -> str:
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -27,6 +27,7 @@
     gateway_metrics,
     gateway_settings,
     load_sampler,
+    origin_tracker,
     owner_client,
     relay_client,
     request_handler,
@@ -40,6 +41,7 @@
 from medlarfork.metrics import process_metrics
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_messages
+from medlarfork.resumption import origin_messages
 from medlarfork.routes import routing
 
 if TYPE_CHECKING:
@@ -118,6 +120,9 @@
         self._crashes = crash_tracker.CrashTracker(
             self._client, self._session, self._link.send, self._prober.has_other_contact
         )
+        self._origins = origin_tracker.OriginTracker(
+            settings.entry_id, self._session, self._link.send
+        )
         self._usage = self._make_usage_reporter() if settings.usage_window_s else None
         self._metrics = gateway_metrics.GatewayMetrics(self._gauges)
         self._metrics.process.gauge(
@@ -169,6 +174,7 @@
         await self._tasks.spawn(self._receive)
         await self._tasks.spawn(self._run_periodic_tasks)
         await self._tasks.spawn(self._prober.run)
+        await self._tasks.spawn(self._origins.report_periodically)
         if self._sampler is not None:
             await self._tasks.spawn(self._sampler.run)
         if self._usage is not None:
@@ -195,6 +201,7 @@
             self._usage.report(self._session.leader_id)
         if self._health is not None:
             await self._health.close(within_s=0.0)
+        self._origins.report()
         await self._tasks.cancel_remaining()
         await self._client.close()
         await self._relaying.close()
@@ -221,6 +228,7 @@
             hold_queue=self._hold_queue,
             crashes=self._crashes,
             backpressure=self._backpressure,
+            origins=self._origins,
             usage=self._usage or request_types.NullUsageRecorder(),
             relaying=self._relaying,
             tracking=self._prober,
@@ -277,6 +285,7 @@
                 self._session.apply_message(sender, message, now)
                 self._crashes.sync_if_restarted(sender, message.up_s)
                 self._backpressure.sync_if_restarted(sender, message.up_s)
+                self._origins.sync_if_restarted(sender, message.up_s)
                 if self._usage is not None:
                     self._usage.observe_clock(sender, message.wall_s)
                 self._connect_replicas()
@@ -293,6 +302,9 @@
             case signal_messages.SignalReport():
                 self._session.record_contact(sender, now)
                 self._backpressure.apply_report(message)
+            case origin_messages.OriginReply():
+                self._session.record_contact(sender, now)
+                await self._origins.apply_reply(sender, message)
             case usage_messages.UsageReceipt() if self._usage is not None:
                 self._usage.apply_receipt(sender, message)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
@@ -346,6 +358,7 @@
             self._send_status(self._session.status_recipients(now))
             self._crashes.on_tick()
             self._backpressure.on_tick()
+            self._origins.on_tick()
             self._connect_replicas()
             await curio.sleep(self._session.status_period_s(now - started_at))
 
@@ -400,6 +413,7 @@
             "relayed_exchanges": self._relay_server.exchanges if self._relay_server else 0,
             "held": self._hold_queue.held,
             "crash_cases": self._crashes.cases,
+            "stream_origins": self._origins.origins,
             "limited_upstreams": self._backpressure.limited,
             "link_dropped": self._link.counters.dropped,
         }
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -283,6 +283,7 @@
         if not self._session.has_view:
             # Owners may choose upstreams that a host without a view does not know yet.
             await self._hold_queue.wait(lambda: self._session.has_view, until - _now())
+        is_tried_alone = False
         while _now() < until:
             shard = self._session.resolve_shard(ticket.request.target_shard)
             ticket.request = dataclasses.replace(ticket.request, shard=shard)
@@ -295,10 +296,18 @@
                 continue
             if has_reply and ticket.answer is not None:
                 if ticket.is_closed:
-                    shards = self._session.service_shards(ticket.request.service)
+                    request = ticket.request
+                    shards = self._session.service_shards(request.service, request.version)
                     if ticket.try_open_shard(shards):
                         continue
-                return ticket.answer
+                if is_tried_alone or not self._knows_version(ticket):
+                    return ticket.answer
+                # An owner that has just restarted may not have heard of all upstreams.
+                is_tried_alone = True
+                ticket.answer = None
+                placed = await self._place_locally(ticket, owner_id, until)
+                if placed is not None:
+                    return placed
             if has_reply:
                 continue
             if ticket.request.begins_within_ms > 0:
@@ -361,6 +370,17 @@
             await curio.ignore_after(max(wait_s, 0.001), ticket.changed.wait)
         return True
 
+    def _knows_version(self, ticket: placement_ticket.Ticket) -> bool:
+        """Return whether this host knows an upstream of the version that the owners lack."""
+        request, refused = ticket.request, ticket.answer
+        if request.version is None or request.trial_key:
+            return False
+        return (
+            isinstance(refused, placement_messages.PlaceRefused)
+            and refused.cause is placement_messages.RefusalCause.VERSION
+            and not self._session.lacks_version(request.service, request.version, request.excluded)
+        )
+
     def _refuse_trial(self, ticket: placement_ticket.Ticket) -> placement_messages.PlaceRefused:
         """Refuse a trial that no replica can grant: other entry hosts might start one, too."""
         self._withdraw(ticket)
--- a/src/medlarfork/gateway/placement_ticket.py
+++ b/src/medlarfork/gateway/placement_ticket.py
@@ -52,11 +52,11 @@
 
     @property
     def is_closed(self) -> bool:
-        """Return whether it was refused because no upstream of the shard accepts requests now."""
+        """Return whether it was refused because no upstream of the shard may run it now."""
         refused = self.answer
-        return (
-            isinstance(refused, placement_messages.PlaceRefused)
-            and refused.cause is placement_messages.RefusalCause.CLOSED
+        return isinstance(refused, placement_messages.PlaceRefused) and refused.cause in (
+            placement_messages.RefusalCause.CLOSED,
+            placement_messages.RefusalCause.VERSION,
         )
 
     def try_open_shard(self, shards: tuple[placement_messages.Shard, ...]) -> bool:
--- a/src/medlarfork/gateway/relay_client.py
+++ b/src/medlarfork/gateway/relay_client.py
@@ -17,6 +17,7 @@
 )
 from medlarfork.http import http_client
 from medlarfork.placement import placement_messages
+from medlarfork.resumption import stream_origin
 
 LIMITS = http_client.ClientLimits(connections=1024, connect_s=0.3, idle_s=5.0, unacknowledged_s=4.0)
 """Limits of connections to relay hosts, which are mostly in the same data centre."""
@@ -89,6 +90,7 @@
         *,
         left_ms: float,
         last_event_id: str,
+        origin: stream_origin.StreamOrigin | None,
         runs: int,
     ) -> http_client.Response | upstream_call.Failure | Refused:
         """Forward a request; return the response once its head has arrived.
@@ -99,11 +101,17 @@
             names: Names of the headers.
             left_ms: Time until the deadline, in milliseconds.
             last_event_id: The last event that the caller has received; empty for none.
+            origin: What began the stream that it goes on with; None if it begins one.
             runs: Attempts that an upstream may have run already.
         """
         head = admitted.exchange.head
         headers = request_metadata.relay_headers(
-            head.headers, names, left_ms=left_ms, last_event_id=last_event_id, runs=runs
+            head.headers,
+            names,
+            left_ms=left_ms,
+            last_event_id=last_event_id,
+            origin=origin,
+            runs=runs,
         )
         try:
             response = await self._client.request(
--- a/src/medlarfork/gateway/request_forwarder.py
+++ b/src/medlarfork/gateway/request_forwarder.py
@@ -11,11 +11,13 @@
     relay_client,
     request_types,
     retry_policy,
+    stream_binding,
     stream_relay,
     upstream_call,
 )
 from medlarfork.http import http_client, sse
 from medlarfork.placement import placement_messages
+from medlarfork.resumption import stream_origin
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,12 +56,14 @@
         shared: request_types.SharedContext,
         stream: stream_relay.StreamRelay,
         trace: request_types.Trace,
+        binding: stream_binding.StreamBinding,
     ) -> None:
         """Create a forwarder; nothing is sent yet."""
         self._admitted = admitted
         self._shared = shared
         self._stream = stream
         self._trace = trace
+        self._binding = binding
 
     async def forward(
         self, relay_host: str, progress: retry_policy.Progress, on_start: Callable[[], None]
@@ -82,6 +86,7 @@
             self._shared.names,
             left_ms=(self._admitted.deadline_at - time.monotonic()) * 1000.0,
             last_event_id=self._stream.last_event_id,
+            origin=self._binding.origin,
             runs=progress.runs,
         )
         match sent:
@@ -92,8 +97,14 @@
                 self._trace.reasons.append(f"{relay_host}: {why}")
                 is_unreached = end is placement_messages.RunEnd.UNREACHABLE
                 return NotRun() if is_unreached else Broken()
+        origin = stream_origin.from_header(sent.headers.pop(self._shared.names.origin, ""))
+
+        def begin() -> None:
+            self._binding.begin_forwarded(origin)
+            on_start()
+
         try:
-            await self._relay(sent, progress, on_start)
+            await self._relay(sent, progress, begin)
         except errors.UpstreamError as error:
             self._trace.reasons.append(f"{relay_host}: {error}")
             return Broken()
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -30,6 +30,7 @@
 from medlarfork.http import _http_messages, http_client, http_server
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import request_key
+from medlarfork.resumption import stream_origin
 from medlarfork.routes import route_table, routing
 
 _log = logging.getLogger(__name__)
@@ -63,6 +64,7 @@
         crashes: crash_tracker.CrashTracker,
         backpressure: backpressure_tracker.BackpressureTracker,
         usage: request_types.UsageRecorder,
+        origins: request_types.OriginTracking,
         relaying: request_types.Relaying,
         tracking: request_types.ReachabilityTracking,
         rules: retry_budget.BudgetRules,
@@ -80,6 +82,7 @@
         self._crashes = crashes
         self._backpressure = backpressure
         self._usage = usage
+        self._origins = origins
         self._relaying = relaying
         self._tracking = tracking
         self._rules = rules
@@ -115,7 +118,8 @@
 
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Handle one exchange with a caller."""
-        exchange.head.headers.pop(self._names.relayed, None)
+        for name in (self._names.relayed, self._names.origin):
+            exchange.head.headers.pop(name, None)
         await self._handle(exchange)
 
     async def handle_relayed(self, exchange: http_server.Exchange) -> None:
@@ -148,7 +152,7 @@
             self._budgets[admitted.service].record_request(started_at)
         pipeline = request_pipeline.RequestPipeline(admitted, self._shared_context())
         await self._serve(pipeline, admitted)
-        self._record(pipeline.trace, admitted)
+        self._record(pipeline.trace, pipeline.admitted)
 
     def _tier_of_head(self, head: http_server.RequestHead) -> int:
         """Return the tier of a request: the highest without routing, the lowest if invalid."""
@@ -273,6 +277,7 @@
             deadline_at=started_at + allowed_ms / 1000.0,
             is_relayed=self._names.relayed in head.headers,
             prior_runs=request_metadata.prior_runs(head.headers, self._names),
+            origin=stream_origin.from_header(head.headers.get(self._names.origin, "")),
         )
 
     def _shared_context(self) -> request_types.SharedContext:
@@ -281,11 +286,11 @@
             names=self._names,
             owner=self._owner,
             budgets=self._budgets,
-            find_upstream=self._session.find_upstream,
+            session=self._session,
             crashes=self._crashes,
             backpressure=self._backpressure,
             usage=self._usage,
-            shards=self._session.shards,
+            origins=self._origins,
             zone=self._zone,
             entry_hosts=self._session.entry_hosts,
             relaying=self._relaying,
--- a/src/medlarfork/gateway/request_header_names.py
+++ b/src/medlarfork/gateway/request_header_names.py
@@ -34,6 +34,8 @@
             that work takes there now, in percent of the usual; separated by commas.
         relayed: Set by an entry host that forwards a request to another one: how many attempts may
             have run.
+        origin: Exchanged by entry hosts about a forwarded stream: who began it (see
+            ``stream_origin``).
         own_answer: Set by an entry host on its own answers to forwarded requests.
         dropped: Further headers that only the system may set; removed from callers' requests.
     """
@@ -56,6 +58,7 @@
     max_rejections: str = "medlar-max-rejections"
     load: str = "medlar-load"
     relayed: str = "medlar-relayed"
+    origin: str = "medlar-origin"
     own_answer: str = "medlar-own-answer"
     dropped: frozenset[str] = frozenset()
 
@@ -68,6 +71,7 @@
             self.tier,
             self.fetch_from,
             self.relayed,
+            self.origin,
             "authorization",
         }
         return self.dropped | own
--- a/src/medlarfork/gateway/request_metadata.py
+++ b/src/medlarfork/gateway/request_metadata.py
@@ -9,6 +9,7 @@
 from medlarfork.gateway import request_header_names
 from medlarfork.http import _http_messages
 from medlarfork.placement import placement_messages
+from medlarfork.resumption import stream_origin
 
 LOWEST_RANK = 9
 """Upstreams know the ranks 0 to 9, 0 being the most urgent; lower ranks are clamped to 9."""
@@ -94,6 +95,7 @@
     *,
     left_ms: float,
     last_event_id: str,
+    origin: stream_origin.StreamOrigin | None,
     runs: int,
 ) -> dict[str, str]:
     """Return the headers for another entry host: the caller's, with its API key."""
@@ -104,6 +106,8 @@
     }
     sent[names.deadline_ms] = str(max(1, int(left_ms)))
     sent[names.relayed] = str(runs)
+    if origin is not None:
+        sent[names.origin] = origin.to_header()
     if last_event_id:
         sent[names.last_event_id] = last_event_id
     return sent
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -17,6 +17,7 @@
     attempt_sender,
     request_types,
     retry_policy,
+    stream_binding,
     stream_relay,
     upstream_call,
 )
@@ -40,15 +41,21 @@
 
 
 class RequestPipeline:
-    """Serves one admitted request; ``serve`` returns when its answer has ended."""
+    """Serves one admitted request; ``serve`` returns when its answer has ended.
+
+    Attributes:
+        trace: The data of its log line.
+        admitted: The request; a stream that goes on keeps to the service that began it.
+    """
 
     def __init__(
         self, admitted: request_types.AdmittedRequest, shared: request_types.SharedContext
     ) -> None:
         """Create the pipeline; nothing is sent yet."""
         self.trace = request_types.Trace()
-        self._admitted = admitted
+        self.admitted = admitted
         self._shared = shared
+        self._binding = stream_binding.StreamBinding(admitted, shared)
         self._sender = attempt_sender.AttemptSender(admitted, shared)
         self._progress = retry_policy.Progress(runs=admitted.prior_runs)
         self._excluded: list[str] = []
@@ -79,13 +86,19 @@
             await self._stream.close()
 
     async def _serve(self) -> None:
+        why = await self._bind_stream()
+        if why:
+            self.trace.reasons.append(why)
+            self._refusal_code = errors.Code.STREAM_VERSION
+            await self._give_up()
+            return
         while True:
             relay_host = await self._choose_relay_host()
             if relay_host:
                 if await self._forward(relay_host):
                     return
                 continue
-            if self._is_unreachable and (self._admitted.is_relayed or self._is_refused_by_relays):
+            if self._is_unreachable and (self.admitted.is_relayed or self._is_refused_by_relays):
                 # A host that forwarded the request tries another relay host.
                 await self._give_up()
                 return
@@ -99,7 +112,7 @@
                 # The links were lost while the request waited for placement.
                 self.end_ticket(placement_messages.RunEnd.NOT_SENT)
                 continue
-            upstream = self._shared.find_upstream(placed.upstream_id)
+            upstream = self._shared.session.find_upstream(placed.upstream_id)
             if upstream is None:
                 end: placement_messages.RunEnd | None = placement_messages.RunEnd.UNREACHABLE
                 self.trace.reasons.append(f"{placed.upstream_id}: not in this host's view")
@@ -120,20 +133,29 @@
                 self._excluded.append(placed.upstream_id)
             if not await self._may_retry(end, placed.upstream_id):
                 remaining_backoff_ms = self._shared.backpressure.remaining_backoff_ms(
-                    self._admitted.service
+                    self.admitted.service
                 )
                 self._retry_after_ms = max(self._retry_after_ms, remaining_backoff_ms)
                 await self._give_up()
                 return
 
+    async def _bind_stream(self) -> str:
+        """Bind a request that goes on with a stream; return why it is refused, or nothing."""
+        why = await self._binding.bind()
+        origin = self._binding.origin
+        if origin is not None and origin.service != self.admitted.service:
+            self.admitted = dataclasses.replace(self.admitted, service=origin.service)
+            self._sender = attempt_sender.AttemptSender(self.admitted, self._shared)
+        return why
+
     @property
     def _is_unreachable(self) -> bool:
         """Return whether this host reaches no upstream of the service."""
-        return self._shared.tracking.reachability.is_unreachable(self._admitted.service)
+        return self._shared.tracking.reachability.is_unreachable(self.admitted.service)
 
     async def _choose_relay_host(self) -> str:
         """Return the relay host to forward the request to; empty to place it here."""
-        if self._admitted.is_relayed or not self._is_unreachable:
+        if self.admitted.is_relayed or not self._is_unreachable:
             return ""
         return await self._shared.relaying.choose(self._excluded_relays)
 
@@ -145,7 +167,7 @@
         self._excluded_relays.append(relay_host)
         self._sent_at = time.monotonic()
         forwarder = request_forwarder.RequestForwarder(
-            self._admitted, self._shared, self._stream, self.trace
+            self.admitted, self._shared, self._stream, self.trace, self._binding
         )
         match await forwarder.forward(relay_host, self._progress, self._record_forwarded_start):
             case request_forwarder.Answered(status):
@@ -196,13 +218,13 @@
 
     @property
     def _left_ms(self) -> float:
-        return (self._admitted.deadline_at - time.monotonic()) * 1000.0
+        return (self.admitted.deadline_at - time.monotonic()) * 1000.0
 
     async def _place_if_allowed(
         self,
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
         """Place the request, again if its crash verdict changes while it waits for placement."""
-        crashes, key = self._shared.crashes, self._admitted.key
+        crashes, key = self._shared.crashes, self.admitted.key
         while True:
             standing = crashes.standing(key)
             is_free = standing.verdict is crash_ledger.Verdict.FREE
@@ -242,12 +264,19 @@
     async def _place(
         self, *, trial_key: str
     ) -> placement_messages.Placed | placement_messages.PlaceRefused:
-        admitted = self._admitted
+        admitted = self.admitted
         self._sent_at = 0.0
+        version = self._binding.version
+        if version is not None and self._shared.session.lacks_version(
+            admitted.service, version, self._excluded
+        ):
+            self._refusal_code = errors.Code.STREAM_VERSION
+            why = f"no upstream of the stream's version {version!r} may run it"
+            return placement_messages.PlaceRefused("", local_choice.RETRY_MS, why)
         ticket_id = self._shared.owner.new_ticket_id()
         segments = admitted.metadata.prompt_segments if admitted.route.has_prompt else ()
         affinity_key = trial_key or shard_choice.affinity_key(segments) or ticket_id
-        shard, other_shard = self._shared.shards(admitted.service, affinity_key)
+        shard, other_shard = self._shared.session.shards(admitted.service, affinity_key, version)
         request = placement_messages.PlaceRequest(
             ticket_id=ticket_id,
             service=admitted.service,
@@ -265,6 +294,7 @@
             trial_key=trial_key,
             account=admitted.account,
             retry_key=admitted.key,
+            version=version,
         )
         self._ticket_id = request.ticket_id
         self.trace.tickets.append(request.ticket_id)
@@ -277,7 +307,7 @@
 
     def _first_left_ms(self) -> float:
         """Return the time until the caller disconnects without an event, in ms; 0 for no limit."""
-        patience_ms = self._admitted.route.patience_ms
+        patience_ms = self.admitted.route.patience_ms
         if not patience_ms:
             return 0.0
         waited_ms = (time.monotonic() - self._stream.waiting_since) * 1000.0
@@ -285,19 +315,20 @@
 
     async def _may_retry(self, end: placement_messages.RunEnd, upstream_id: str) -> bool:
         """Check the retry rules, and the retry budget once an upstream has received the request."""
-        if not retry_policy.may_retry(self._admitted.route, self._progress, self._left_ms):
+        if not retry_policy.may_retry(self.admitted.route, self._progress, self._left_ms):
+            return False
+        if not self._binding.may_go_on:
+            self.trace.reasons.append(stream_binding.UNKNOWN_ORIGIN)
             return False
         if not self._stream.can_resume:
             self.trace.reasons.append("a part of an event has been passed on")
             return False
-        if await self._shared.crashes.is_suspect(
-            self._admitted.key, upstream_id, self._broken_runs
-        ):
+        if await self._shared.crashes.is_suspect(self.admitted.key, upstream_id, self._broken_runs):
             self.trace.reasons.append("upstreams crashed while running it")
             return False
         if self._sends == 0:
             return True
-        budget = self._shared.budgets[self._admitted.service]
+        budget = self._shared.budgets[self.admitted.service]
         if budget.try_spend(time.monotonic(), entry_hosts=self._shared.entry_hosts):
             return True
         self.trace.reasons.append("the retry budget is exhausted")
@@ -305,7 +336,7 @@
 
     def _reported_end(self, end: placement_messages.RunEnd) -> placement_messages.RunEnd:
         """Return what the owner is told: nothing about an upstream if this host lost its links."""
-        if not self._shared.tracking.reachability.is_suspect(self._admitted.service):
+        if not self._shared.tracking.reachability.is_suspect(self.admitted.service):
             return end
         match end:
             case placement_messages.RunEnd.UNREACHABLE:
@@ -318,7 +349,7 @@
     def _record_abandoned_run(self) -> None:
         """Record an abandoned run: an upstream that lost power does not reset its connections."""
         if self._running_at is not None:
-            self._shared.crashes.record_abandoned_run(self._admitted.key, self._running_at)
+            self._shared.crashes.record_abandoned_run(self.admitted.key, self._running_at)
             self._running_at = None
 
     def _record_failed_send(self, end: placement_messages.RunEnd) -> None:
@@ -334,7 +365,7 @@
 
     async def _record_broken_run(self, upstream: upstream_types.Announcement) -> None:
         self._broken_runs += 1
-        await self._shared.crashes.handle_broken_run(self._admitted, upstream)
+        await self._shared.crashes.handle_broken_run(self.admitted, upstream)
 
     async def _attempt(
         self, upstream: upstream_types.Announcement, fetch_from: str
@@ -350,6 +381,7 @@
             fetch_from=fetch_from,
             last_event_id=self._stream.last_event_id,
             left_ms=self._left_ms,
+            version=self._binding.version,
         )
         if isinstance(sent, upstream_call.Failure):
             self._record_failed_send(sent.end)
@@ -364,6 +396,7 @@
         self.trace.framing = sent.framing.value
         self.trace.partial_bytes = 0
         try:
+            self._check_incarnation(upstream)
             end = await self._relay(sent)
         except errors.UpstreamError as error:
             self.trace.reasons.append(f"{upstream.upstream_id}: {error}")
@@ -375,6 +408,18 @@
         self.end_ticket(end or placement_messages.RunEnd.COMPLETE)
         return end
 
+    def _check_incarnation(self, upstream: upstream_types.Announcement) -> None:
+        """Raise an error if a stream may have gone on at a later start, of another version.
+
+        Raises:
+            errors.UpstreamError: Another incarnation has taken the upstream's address or name.
+        """
+        if self._binding.version is not None and self._shared.session.is_replaced(upstream):
+            raise errors.UpstreamError(
+                "Another incarnation has taken the place of the upstream.",
+                remedy="The stream goes on at another upstream of its version.",
+            )
+
     async def _relay(self, response: http_client.Response) -> placement_messages.RunEnd | None:
         if response.status < 300 and sse.can_be_framed(response.headers):
             await self._relay_stream(response)
@@ -389,23 +434,23 @@
     ) -> placement_messages.RunEnd | None:
         """Read an answer completely, then pass it on, so that no truncated answer is started."""
         body = await self._stream.read_whole(response)
-        self._shared.crashes.record_completed_run(self._admitted.key)
+        self._shared.crashes.record_completed_run(self.admitted.key)
         failed = response.status >= 500
         if failed and self._may_retry_failure():
             self.trace.reasons.append(f"{self.trace.upstreams[-1]}: status {response.status}")
             await self._stream.close()
             return placement_messages.RunEnd.FAILED
         self.trace.first_event_ms = self._since_start_ms()
-        await self._admitted.exchange.respond(response.status, response.headers, body)
+        await self.admitted.exchange.respond(response.status, response.headers, body)
         self._finish(request_types.Result.ANSWERED, response.status)
         return None
 
     def _may_retry_failure(self) -> bool:
         """Return whether an upstream's error status is retried instead of being passed on."""
         after = self._progress.after(placement_messages.RunEnd.FAILED)
-        if not retry_policy.may_retry(self._admitted.route, after, self._left_ms):
+        if not retry_policy.may_retry(self.admitted.route, after, self._left_ms):
             return False
-        budget = self._shared.budgets[self._admitted.service]
+        budget = self._shared.budgets[self.admitted.service]
         return budget.has_room(time.monotonic(), entry_hosts=self._shared.entry_hosts)
 
     async def _relay_stream(self, response: http_client.Response) -> None:
@@ -413,7 +458,7 @@
         await self._stream.relay(
             response, stall_timeout_s=self._stall_timeout_s, on_start=self._record_start
         )
-        self._shared.crashes.record_completed_run(self._admitted.key)
+        self._shared.crashes.record_completed_run(self.admitted.key)
         if self._stream.is_holding:
             # The upstream is free; only the delivery goes on.
             self._running_at = None
@@ -424,18 +469,27 @@
     def _stall_timeout_s(self) -> float | None:
         """Return the stall timeout if another upstream may resume the stream."""
         after = self._progress.after(placement_messages.RunEnd.FAILED)
-        may_resume = retry_policy.may_retry(self._admitted.route, after, self._left_ms)
+        may_resume = retry_policy.may_retry(self.admitted.route, after, self._left_ms)
         if not (self._progress.response_started and may_resume and self._stream.can_resume):
             return None
-        return retry_policy.stall_timeout_s(self._admitted.route)
+        return retry_policy.stall_timeout_s(self.admitted.route)
 
     def _record_start(self) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
         self._shared.owner.report_first_event(self._ticket_id, after_ms, self._sender.load)
         self._sender.count_started()
+        self._bind_begun_stream()
         self.trace.first_event_ms = self._since_start_ms()
         self._progress = dataclasses.replace(self._progress, response_started=True)
 
+    def _bind_begun_stream(self) -> None:
+        upstream = self._running_at
+        if upstream is not None and self._shared.session.is_replaced(upstream):
+            upstream = None
+        self._binding.begin(upstream)
+        if self.admitted.is_relayed and self._binding.origin is not None:
+            self._stream.added_headers[self._shared.names.origin] = self._binding.origin.to_header()
+
     async def _give_up(self) -> None:
         result = request_types.Result
         self.trace.result = result.FAILED if self._progress.runs else result.REFUSED
@@ -444,14 +498,14 @@
 
     async def _finish_without_answer(self, *, in_time: bool) -> None:
         """Send the final status; an answer that has started can only be cut."""
-        exchange = self._admitted.exchange
+        exchange = self.admitted.exchange
         if exchange.started:
             self.trace.result = request_types.Result.CUT
             return
         status = retry_policy.final_status(self._progress, in_time=in_time)
         self.trace.status = status
         headers = {"Content-Type": "application/json"}
-        if self._admitted.is_relayed:
+        if self.admitted.is_relayed:
             headers[self._shared.names.own_answer] = "1"
         if status == 503:
             headers["Retry-After"] = f"{self._retry_after_ms / 1000.0:.3f}"
@@ -468,4 +522,4 @@
         self.trace.status = status
 
     def _since_start_ms(self) -> float:
-        return (time.monotonic() - self._admitted.started_at) * 1000.0
+        return (time.monotonic() - self.admitted.started_at) * 1000.0
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
 from typing import Any, Protocol
 
 from medlarfork.coordination import upstream_types
@@ -18,6 +18,7 @@
 from medlarfork.http import http_client, http_server, upstream_reachability
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_ledger
+from medlarfork.resumption import stream_origin
 from medlarfork.routes import routing
 
 
@@ -38,6 +39,7 @@
         deadline_at: When its caller or route times out, in monotonic seconds.
         is_relayed: Whether another entry host has forwarded it.
         prior_runs: Attempts that may have run before it was forwarded.
+        origin: What began its stream, as the host that forwarded it states; None if unknown.
     """
 
     exchange: http_server.Exchange
@@ -52,6 +54,7 @@
     deadline_at: float
     is_relayed: bool = False
     prior_runs: int = 0
+    origin: stream_origin.StreamOrigin | None = None
 
 
 CALLER_GONE_STATUS = 499
@@ -102,10 +105,44 @@
     partial_bytes: int = 0
 
 
-ChooseShards = Callable[
-    [str, str], tuple[placement_messages.Shard, placement_messages.Shard | None]
-]
-"""Returns the shard that serves an affinity key, and the one to ask while that is busy."""
+class Session(Protocol):
+    """What is known of upstreams and their shards (see ``entry_session``)."""
+
+    def shards(
+        self, service: str, key: str, version: str | None = None
+    ) -> tuple[placement_messages.Shard, placement_messages.Shard | None]:
+        """Return the shard that serves an affinity key, and the one to ask while that is busy."""
+        ...
+
+    def find_upstream(self, upstream_id: str) -> upstream_types.Announcement | None:
+        """Return an upstream if it may get requests now, also one that joined after placement."""
+        ...
+
+    def is_replaced(self, upstream: upstream_types.Announcement) -> bool:
+        """Return whether another incarnation has taken an upstream's address or name."""
+        ...
+
+    def lacks_version(self, service: str, version: str, excluded: Collection[str]) -> bool:
+        """Return whether no upstream of a version may get a request."""
+        ...
+
+
+class OriginTracking(Protocol):
+    """Knows which versions began streams (see ``origin_tracker``)."""
+
+    def record(
+        self, key: bytes, origin: stream_origin.StreamOrigin, deadline_s: float | None
+    ) -> None:
+        """Record a stream whose first event has arrived."""
+        ...
+
+    async def find(self, key: bytes, service: str) -> Any:
+        """Return the origin of a stream that a caller takes up again."""
+        ...
+
+    async def find_only_version(self, service: str) -> Any:
+        """Return the version of a service if only one can have begun a stream."""
+        ...
 
 
 class CrashTracking(Protocol):
@@ -203,6 +240,7 @@
         *,
         left_ms: float,
         last_event_id: str,
+        origin: stream_origin.StreamOrigin | None,
         runs: int,
     ) -> Any:
         """Forward a request; return the response, a failure or a refusal."""
@@ -226,10 +264,6 @@
         ...
 
 
-FindUpstream = Callable[[str], upstream_types.Announcement | None]
-"""Returns an upstream if it may get requests now, also one that joined while the request waited."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedContext:
     """What all requests of an entry host share."""
@@ -238,11 +272,11 @@
     names: request_header_names.RequestHeaderNames
     owner: owner_client.OwnerClient
     budgets: dict[str, retry_budget.RetryBudget]
-    find_upstream: FindUpstream
+    session: Session
     crashes: CrashTracking
     backpressure: BackpressureTracking
     usage: UsageRecorder
-    shards: ChooseShards
+    origins: OriginTracking
     zone: str
     entry_hosts: int
     relaying: Relaying
--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -208,6 +208,7 @@
 
     Attributes:
         waiting_since: Time of the last event, or of the request's arrival, in monotonic seconds.
+        added_headers: Headers that the caller gets besides those of the upstream.
     """
 
     def __init__(
@@ -218,6 +219,7 @@
     ) -> None:
         """Create the relay; nothing is sent yet."""
         self.waiting_since = admitted.started_at
+        self.added_headers: dict[str, str] = {}
         self._exchange = admitted.exchange
         self._trace = trace
         self._budget = budget
@@ -337,7 +339,7 @@
         headers = {
             name: value for name, value in response.headers.items() if name != "content-length"
         }
-        await self._exchange.begin(response.status, headers)
+        await self._exchange.begin(response.status, headers | self.added_headers)
 
     def _check_end(self, response: http_client.Response) -> None:
         """Raise an error if the stream that has ended is not complete.
--- a/src/medlarfork/links/routed_links.py
+++ b/src/medlarfork/links/routed_links.py
@@ -8,6 +8,7 @@
 from medlarfork.links import link
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_messages
+from medlarfork.resumption import origin_messages
 
 ENTRY_MESSAGES: tuple[type, ...] = (
     *coordination_messages.COORDINATION_MESSAGES,
@@ -15,6 +16,7 @@
     *crash_messages.CRASH_MESSAGES,
     *signal_messages.SIGNAL_MESSAGES,
     *usage_messages.USAGE_MESSAGES,
+    *origin_messages.ORIGIN_MESSAGES,
 )
 """Every message class that entry hosts exchange with replicas, for the codec of the links. Replicas
 add those of the replicated log; importing them would slow down the start of entry hosts."""
--- a/src/medlarfork/placement/local_choice.py
+++ b/src/medlarfork/placement/local_choice.py
@@ -36,7 +36,7 @@
         runs_by_upstream: This host's own runs.
         salt: Breaks ties differently on each entry host.
     """
-    usable = [item for item in upstreams if item.upstream_id not in request.excluded]
+    usable = [item for item in upstreams if request.may_run_at(item.upstream_id, item.version)]
     if not usable:
         return ""
     min_runs = min(runs_by_upstream.get(item.upstream_id, 0) for item in usable)
@@ -83,12 +83,14 @@
 
     Args:
         request: The placement request.
-        paces_s_by_id: See ``paces_s``.
+        paces_s_by_id: See ``paces_s``; only of upstreams with its version, if it needs one.
     """
     for upstream_id, wait_s in paces_s_by_id.items():
         if wait_s <= 0 and upstream_id not in request.excluded:
             return None
     why = "no upstream of the service is known"
+    if request.version is not None:
+        why = f"no upstream of the stream's version {request.version!r} is known"
     if paces_s_by_id:
         why = "every upstream is rate-limited, in backoff, or has failed this request"
     retry_ms = max(RETRY_MS, 1000.0 * min(paces_s_by_id.values(), default=0.0))
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -85,6 +85,8 @@
             grants; empty for all others.
         account: The client account; empty if the route is public.
         retry_key: Equal for all attempts of one request by its caller; empty if unknown.
+        version: The only software version that may run it, because it began the stream; None if any
+            may.
     """
 
     ticket_id: str
@@ -105,6 +107,11 @@
     trial_key: str = ""
     account: str = ""
     retry_key: str = ""
+    version: str | None = None
+
+    def may_run_at(self, upstream_id: str, version: str | None) -> bool:
+        """Return whether an upstream with this software version may run it."""
+        return upstream_id not in self.excluded and self.version in (None, version)
 
     @property
     def prompt_tokens(self) -> int:
@@ -174,12 +181,14 @@
     """What has to change before a refused request may run.
 
     With ``CLOSED``, no upstream of the shard accepts it because of backpressure signals, but one of
+    another shard may; with ``VERSION``, none has the version that began the stream, but one of
     another shard may; with ``TRIAL``, another copy of the request is on trial.
     """
 
     OVERLOAD = "overload"
     CLOSED = "closed"
     TRIAL = "trial"
+    VERSION = "version"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/medlarfork/placement/refusals.py
+++ b/src/medlarfork/placement/refusals.py
@@ -129,6 +129,18 @@
         refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, cause)
         return self._decide(waiting, refused)
 
+    def refuse_version(
+        self, waiting: wait_queue.WaitingRequest, now: float
+    ) -> placement_decision.Decision:
+        """Refuse a request whose version no upstream of the shard has, which is no overload."""
+        why = f"no upstream of the stream's version {waiting.request.version!r} may run it"
+        cause = placement_messages.RefusalCause.VERSION
+        ticket_id = waiting.request.ticket_id
+        self._shares.record_refusal(waiting.request.account, now)
+        retry_ms = admission_policy.MIN_RETRY_MS
+        refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, cause)
+        return self._decide(waiting, refused)
+
     def _decide(
         self, waiting: wait_queue.WaitingRequest, refused: placement_messages.PlaceRefused
     ) -> placement_decision.Decision:
--- a/src/medlarfork/placement/shard_choice.py
+++ b/src/medlarfork/placement/shard_choice.py
@@ -42,12 +42,22 @@
 
 
 def sizes(
-    service: str, upstreams: Iterable[upstream_types.Announcement]
+    service: str, upstreams: Iterable[upstream_types.Announcement], version: str | None = None
 ) -> dict[placement_messages.Shard, int]:
-    """Return the shards of a service with their numbers of upstreams, without empty shards."""
-    own = [item.upstream_id for item in upstreams if item.service == service]
+    """Return the shards of a service with their numbers of upstreams, without empty shards.
+
+    Args:
+        service: The service.
+        upstreams: The upstreams of all services.
+        version: Only upstreams of this version are counted; None for all.
+    """
+    own = [item for item in upstreams if item.service == service]
     shards = count(len(own))
-    counted = collections.Counter(rendezvous.jump_hash(upstream_id, shards) for upstream_id in own)
+    counted = collections.Counter(
+        rendezvous.jump_hash(item.upstream_id, shards)
+        for item in own
+        if version is None or item.version == version
+    )
     return {
         placement_messages.Shard(service, index, shards): size
         for index, size in sorted(counted.items())
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -115,6 +115,8 @@
             self._shares.virtual_ms(request.tier),
             self._refusals.claim(request, now),
         )
+        if self._chooser.lacks_version(request):
+            return (self._refusals.refuse_version(waiting, now),)
         self.offered_prefill_ms += waiting.prefill_ms
         # Without a prefill the wait can't be predicted from that of the requests before it.
         if self._starter.is_deferrable(request) and waiting.prefill_ms > 0:
@@ -162,7 +164,8 @@
                 return answers, False
             answer = None if first is None else self._starter.try_start(first, now)
             if answer is None:
-                break
+                # Those behind a request that needs another version may start, and go first.
+                return answers, first is None or first.request.version is None
             self._queue.remove(answer.message.ticket_id)
             self._refusals.record_queue(now)
             answers.append(answer)
@@ -304,22 +307,24 @@
         """Start queued requests that can start: the highest tier first, then the shortest target.
 
         Of each kind only the first ones are tried in a pass: what delays these delays the ones
-        behind them too.
+        behind them too. Those that need a version delay only others that need it, so they are
+        counted apart.
         """
         self._passed_at = now
         is_counting = self._refusals.begin_pass(now)
-        tries_left: dict[tuple[int, float], int] = {}
+        tries_left: dict[tuple[account_shares.Kind, str | None], int] = {}
         max_tries = max(MIN_TRIES, COMPARISONS_PER_PASS // max(len(self._chooser.present), 1))
         answers: list[placement_decision.Decision] = []
         for waiting in self._queue.in_order(
             now,
             lambda kind: is_counting
-            or (tries_left.get(kind, max_tries) > 0 and not self._chooser.is_full),
+            or (tries_left.get((kind, None), max_tries) > 0 and not self._chooser.is_full),
         ):
-            left = tries_left.get(waiting.kind, max_tries)
+            counted = waiting.kind, waiting.request.version
+            left = tries_left.get(counted, max_tries)
             answer = self._serve(waiting, now, may_try=left > 0)
             if answer is None:
-                tries_left[waiting.kind] = left - 1
+                tries_left[counted] = left - 1
                 continue
             self._queue.remove(waiting.request.ticket_id)
             answers.append(answer)
@@ -330,6 +335,8 @@
         self, waiting: wait_queue.WaitingRequest, now: float, *, may_try: bool
     ) -> placement_decision.Decision | None:
         """Return the answer to a queued request, or None if it stays in the queue."""
+        if self._chooser.lacks_version(waiting.request):
+            return self._refusals.refuse_version(waiting, now)
         why = "it could not start in time"
         retry_ms = admission_policy.overloaded_retry_ms(waiting.request)
         if waiting.answer_by <= now:
@@ -367,11 +374,12 @@
 
     def _predicted_wait_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
         """Return how long a new request would wait, in milliseconds."""
-        present = self._chooser.present
+        usable = self._chooser.usable(waiting.request)
         return self._forecast.wait_ms(
             waiting,
             unconstrained_engines=self._chooser.unconstrained_engines(),
-            backlog_ms=min((load.backlog_ms(now) for load in present), default=0.0),
+            usable_share=len(usable) / max(len(self._chooser.present), 1),
+            backlog_ms=min((load.backlog_ms(now) for load in usable), default=0.0),
             now=now,
         )
 
--- a/src/medlarfork/placement/standalone_queue.py
+++ b/src/medlarfork/placement/standalone_queue.py
@@ -175,7 +175,7 @@
         """
         waiting = Waiting(request, arrived_at, now, deadline_at, first_by_at, deadline_at, notify)
         self._update(waiting)
-        waiting.outcome = local_choice.refuse(request, self._paces_s(request.service, now))
+        waiting.outcome = local_choice.refuse(request, self._usable_paces_s(request, now))
         if waiting.outcome is not None:
             return waiting
         line = self._line_by_service.setdefault(request.service, [])
@@ -216,12 +216,13 @@
         """
         self.slots.retain(upstreams)
         for service, line in tuple(self._line_by_service.items()):
-            known = {item.upstream_id for item in self._upstreams(service)}
+            known = self._upstreams(service)
             for waiting in tuple(line):
+                request = waiting.request
                 if not known:
                     self.release(waiting)
-                elif known.issubset(waiting.request.excluded):
-                    why = "every upstream of the service has failed this request"
+                elif not any(request.may_run_at(item.upstream_id, item.version) for item in known):
+                    why = "every upstream that may run this request has failed it or is gone"
                     self._refuse(waiting, local_choice.RETRY_MS, why)
             self._grant(service, now)
 
@@ -264,7 +265,9 @@
             if self._is_late(waiting, now):
                 self._refuse(waiting, local_choice.RETRY_MS, TOO_LATE)
                 continue
-            candidates = [item for item in usable if item not in request.excluded]
+            candidates = [
+                item for item in usable if request.may_run_at(item, upstream_by_id[item].version)
+            ]
             fitting = [item for item in candidates if self.slots.fits(item, request, hosts)]
             if not fitting and candidates:
                 del usable[min(candidates, key=self.slots.own_tokens)]
@@ -281,14 +284,22 @@
 
     def _start_retries(self, service: str, open_ids: set[str], now: float) -> None:
         """Start those that failed at every upstream with a share: one run at the others."""
-        retries = [item for item in self._line_by_service[service] if item.request.excluded]
+        retries = [
+            item
+            for item in self._line_by_service[service]
+            if item.request.excluded or item.request.version is not None
+        ]
         if not retries:
             return
         upstreams = self._upstreams(service)
         upstream_by_id = {item.upstream_id: item for item in upstreams}
         shared = self.slots.shared_ids(upstreams, self._entry_hosts(), now)
         for waiting in retries:
-            left = upstream_by_id.keys() - waiting.request.excluded
+            left = {
+                item.upstream_id
+                for item in upstreams
+                if waiting.request.may_run_at(item.upstream_id, item.version)
+            }
             if shared.isdisjoint(left) and not self._is_late(waiting, now):
                 for upstream_id in self.slots.single(left, open_ids)[:1]:
                     self._start(waiting, upstream_by_id[upstream_id], now)
@@ -386,6 +397,17 @@
             retry_ms = max(local_choice.RETRY_MS, 1000.0 * (wait_s - max(left_s, 0.0)))
             self._refuse(waiting, retry_ms, "too many requests wait at this host before it")
 
+    def _usable_paces_s(
+        self, request: placement_messages.PlaceRequest, now: float
+    ) -> dict[str, float]:
+        """Return the paces of the upstreams that have the version of a request."""
+        paces_s = self._paces_s(request.service, now)
+        return {
+            item.upstream_id: paces_s[item.upstream_id]
+            for item in self._upstreams(request.service)
+            if request.version in (None, item.version)
+        }
+
     def _paces_s(self, service: str, now: float) -> dict[str, float]:
         upstreams = self._upstreams(service)
         if self._gate.is_unrestricted:
--- a/src/medlarfork/placement/upstream_chooser.py
+++ b/src/medlarfork/placement/upstream_chooser.py
@@ -100,6 +100,18 @@
         """
         return self.gate.is_unrestricted and all(load.is_full for load in self.present)
 
+    def usable(self, request: placement_messages.PlaceRequest) -> list[upstream_load.UpstreamLoad]:
+        """Return the upstreams that may run a request, whether or not they have room."""
+        return [
+            load
+            for load in self.present
+            if request.may_run_at(load.announcement.upstream_id, load.announcement.version)
+        ]
+
+    def lacks_version(self, request: placement_messages.PlaceRequest) -> bool:
+        """Return whether no upstream may run a request that needs a version."""
+        return request.version is not None and not self.usable(request)
+
     def best(self, waiting: wait_queue.WaitingRequest, now: float) -> Choice | None:
         """Return the upstream with the lowest cost, or None if none may get the request now."""
         request = waiting.request
@@ -138,7 +150,7 @@
         """Return the time until backpressure admits a request somewhere, in milliseconds."""
         if self.gate.is_unrestricted:
             return 0.0
-        return self.gate.closed_ms(waiting, self._allowed(waiting.request), now)
+        return self.gate.closed_ms(waiting, self.usable(waiting.request), now)
 
     def has_tight_stream(self) -> bool:
         """Return whether a stream runs that concurrent prefill makes late.
@@ -202,7 +214,7 @@
         in failure backoff it would be lost.
         """
         tokens = waiting.request.memory_tokens
-        allowed = self._allowed(waiting.request)
+        allowed = self.usable(waiting.request)
         healthy = [load for load in allowed if not load.is_backing_off(now)]
         return [
             load
@@ -212,10 +224,3 @@
             and load.has_memory_for(tokens)
             and self.gate.is_open(load, waiting.entry_id, now)
         ]
-
-    def _allowed(
-        self, request: placement_messages.PlaceRequest
-    ) -> list[upstream_load.UpstreamLoad]:
-        return [
-            load for load in self.present if load.announcement.upstream_id not in request.excluded
-        ]
--- a/src/medlarfork/placement/wait_forecast.py
+++ b/src/medlarfork/placement/wait_forecast.py
@@ -36,6 +36,7 @@
         unconstrained_engines: int,
         backlog_ms: float,
         now: float,
+        usable_share: float = 1.0,
     ) -> float:
         """Return how long a new request would wait, in milliseconds.
 
@@ -48,9 +49,13 @@
             unconstrained_engines: Number of engines without streams that prefill makes late.
             backlog_ms: Smallest prefill backlog of an engine, in milliseconds.
             now: The time in seconds.
+            usable_share: Share of the engines that may run it; below 1 if it needs a version.
         """
         drained_per_ms = self._drained_per_ms(unconstrained_engines, now)
         before_ms = self._queue.prefill_ms_before(waiting, now)
+        if waiting.request.version is not None and usable_share > 0:
+            same_ms = self._queue.prefill_ms_of_version(waiting.request.version)
+            before_ms = max(before_ms, same_ms / usable_share)
         wait_ms = before_ms / drained_per_ms + backlog_ms
         if wait_ms <= admission_policy.HOPELESS_SHARE * waiting.request.target_ms:
             return wait_ms
--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -213,6 +213,11 @@
         before = self._before_in_kind(waiting, now)
         return more_urgent_ms + sum(item.prefill_ms for item in before)
 
+    def prefill_ms_of_version(self, version: str) -> float:
+        """Return the prefill of all requests that need a version, in milliseconds."""
+        waiting = self._by_ticket.values()
+        return sum(item.prefill_ms for item in waiting if item.request.version == version)
+
     def _more_urgent(self, kind: account_shares.Kind) -> Iterator[list[WaitingRequest]]:
         """Return the requests of the kinds that start before one, by account."""
         for other, queue in self._queue_by_kind.items():
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -30,7 +30,7 @@
     def owner(self, shard, now):
         return self.other_owner_id if shard == OTHER else self.owner_id
 
-    def service_shards(self, service):
+    def service_shards(self, service, version=None):
         return HOME, OTHER
 
     def resolve_shard(self, shard):
--- a/tests/routed/test_suspect_requests.py
+++ b/tests/routed/test_suspect_requests.py
@@ -95,9 +95,12 @@
         shared = types.SimpleNamespace(
             owner=owner,
             crashes=Crashes(*standings),
-            shards=lambda service, key: (placement_messages.Shard(service), None),
+            session=types.SimpleNamespace(
+                shards=lambda service, key, version: (placement_messages.Shard(service), None),
+                find_upstream=find_upstream,
+                is_replaced=lambda upstream: False,
+            ),
             zone="z1",
-            find_upstream=find_upstream,
             backpressure=types.SimpleNamespace(may_send=lambda upstream_id: True),
             budget=None,
             tracking=reachability_prober.ReachabilityProber("e-1", lambda: None),
