Try the next relay host if one refuses a forwarded request

Callers of a host without upstreams got the 503 of a relay host that was stopping, though another one could serve. The client of relay hosts read the header that marks a host's own answers twice, and the first reading removed it, so no refusal was ever recognised. This may be what test_a_request_goes_to_another_relay_host_if_one_is_gone met once; no run shows it.

--- a/src/medlarfork/gateway/relay_client.py
+++ b/src/medlarfork/gateway/relay_client.py
@@ -122,7 +122,6 @@
                 admitted.body,
                 timeout_s=max(left_ms, 1.0) / 1000.0,
             )
-            is_own = response.headers.pop(names.own_answer, None) is not None
         except errors.RequestNotSentError as error:
             return upstream_call.Failure(placement_messages.RunEnd.UNREACHABLE, str(error))
         except errors.UpstreamError as error:
--- a/tests/routed/test_cut_off_hosts.py
+++ b/tests/routed/test_cut_off_hosts.py
@@ -279,6 +279,20 @@
     routed_harness.run(tmp_path, main)
 
 
+# Guards against: the refusal of a stopping relay host reached the caller, though another could serve.
+def test_a_request_goes_to_another_relay_host_if_one_refuses(tmp_path):
+    async def main(deployment):
+        await deployment.start_entry(OTHER + 1)
+        links = await start(deployment, kind="unsafe")
+        await cut_off(deployment, links)
+        deployment.entries[1]._handler.cut_at = time.monotonic()
+        # Until replicas know that it is stopping, they name both.
+        found = [await status_of(deployment, f"refused-{number}") for number in range(12)]
+        assert found == [200] * 12
+
+    routed_harness.run(tmp_path, main)
+
+
 @pytest.mark.parametrize("mode", ["refused", "silent"])
 def test_a_cut_off_host_reports_no_crash_and_no_failed_upstream(tmp_path, monkeypatch, mode):
     async def main(deployment):
