--- a/tests/routed/routed_harness.py
+++ b/tests/routed/routed_harness.py
@@ -53,7 +53,7 @@
         self.read_after_s = 0.0
         self._deployment = deployment
         self._answer = answer
-        self._announced = announced
+        self.announced = announced
         self._sequence = 0
         self._is_leaving = False
         self._announcing = None
@@ -75,7 +75,7 @@
             "zone": "z1",
             "slots": 4,
             "sequence": self._sequence,
-            **self._announced,
+            **self.announced,
         }
         return await self._deployment.ask_control(
             replica, "PUT", f"/v1/upstreams/{self.upstream_id}", json.dumps(announced | changes)
@@ -253,7 +253,7 @@
         return await self.client.request(address, method, path, sent, body)
 
 
-def routing_body(version, *, accounts=(), **route):
+def routing_body(version, *, accounts=(), services=("engines",), **route):
     """Return a routing body with one route, as operators send it."""
     declared = {
         "name": "r",
@@ -266,7 +266,7 @@
     return {
         "version": version,
         "routes": [declared | route],
-        "services": [{"name": "engines"}],
+        "services": [{"name": name} for name in services],
         "accounts": accounts,
     }
 
--- a/tests/routed/test_cut_off_hosts.py
+++ b/tests/routed/test_cut_off_hosts.py
@@ -279,7 +279,7 @@
     routed_harness.run(tmp_path, main)
 
 
-# Guards against: the refusal of a stopping relay host reached the caller, though another could serve.
+# Guards against: a relay host's refusal reached the caller, though another host could serve.
 def test_a_request_goes_to_another_relay_host_if_one_refuses(tmp_path):
     async def main(deployment):
         await deployment.start_entry(OTHER + 1)
