--- a/src/medlarfork/placement/wait_forecast.py
+++ b/src/medlarfork/placement/wait_forecast.py
@@ -60,7 +60,7 @@
         if wait_ms <= admission_policy.HOPELESS_SHARE * waiting.request.target_ms:
             return wait_ms
         if not self._queue.is_fair(waiting.kind, waiting.request.account):
-            before_ms = self._queue.prefill_ms
+            before_ms = max(before_ms, self._queue.prefill_ms)
         return admission_policy.OVERTAKEN_FACTOR * before_ms / drained_per_ms + backlog_ms
 
     def _drained_per_ms(self, unconstrained_engines: int, now: float) -> float:
