Declared hosts resume a stream only at the version that began it

Announcements may name a version, grants state it, and tickets of a stream that has begun name it; its pool stays the same. Owners of earlier builds state no version, so their grants resume no stream. The new tests fail without the check in owners and holders.

--- a/src/medlarfork/entry/_flow_run.py
+++ b/src/medlarfork/entry/_flow_run.py
@@ -164,7 +164,7 @@
             step = _flow_end.fail(flow, error, holder, now)
         case retry_rules.Requeue() as requeue:
             avoid = tuple(dict.fromkeys((*flow.avoid, state.upstream_id)))
-            flow = dataclasses.replace(after_attempt(flow, requeue), avoid=avoid)
+            flow = dataclasses.replace(after_attempt(flow, state, requeue), avoid=avoid)
             step = _retry(flow, requeue, context, holder, now)
     return entry_flow.Step(step.flow, (released, *step.effects))
 
@@ -179,6 +179,8 @@
     if now >= flow.request.deadline_at:
         error = answers.deadline_error(ran=flow.uncertain)
         return _flow_end.fail(flow, error, holder, now)
+    if flow.has_unknown_version:
+        return _flow_end.fail(flow, requeue.otherwise, holder, now)
     retries = flow.retries + 1
     exhausted = retries >= context.options.attempts_limit
     if exhausted or not context.spend_retry(flow.request.service):
@@ -186,8 +188,12 @@
     return _flow_wait.queue(dataclasses.replace(flow, retries=retries), context, holder, now)
 
 
-def after_attempt(flow: entry_flow.Flow, requeue: retry_rules.Requeue) -> entry_flow.Flow:
+def after_attempt(
+    flow: entry_flow.Flow, state: entry_flow.Running, requeue: retry_rules.Requeue
+) -> entry_flow.Flow:
     """Return the flow with the result of an attempt that ended and is followed by a retry."""
+    if requeue.resume_offset > 0 and flow.tokens == 0:
+        flow = dataclasses.replace(flow, version=state.version, stream_pool=state.pool)
     tokens = requeue.resume_offset if requeue.ran else max(flow.tokens, requeue.resume_offset)
     flow = _flow_end.count_waste(flow, "retry", requeue.discarded)
     return dataclasses.replace(flow, tokens=tokens, uncertain=flow.uncertain or requeue.ran)
--- a/src/medlarfork/entry/_flow_start.py
+++ b/src/medlarfork/entry/_flow_start.py
@@ -14,7 +14,12 @@
     """Dispatch the request to the upstream of the grant."""
     incoming = flow.request
     state = entry_flow.Running(
-        waiting.ticket_id, waiting.pool, waiting.owner, grant.upstream_id, started_at=now
+        waiting.ticket_id,
+        waiting.pool,
+        waiting.owner,
+        grant.upstream_id,
+        started_at=now,
+        version=grant.version,
     )
     queued_s = now - incoming.arrived_at if flow.queued_s is None else flow.queued_s
     flow = dataclasses.replace(flow, state=state, dispatches=flow.dispatches + 1, queued_s=queued_s)
--- a/src/medlarfork/entry/_flow_stop.py
+++ b/src/medlarfork/entry/_flow_stop.py
@@ -82,7 +82,7 @@
     )
     match decision:
         case retry_rules.Requeue() as requeue:
-            flow = _flow_run.after_attempt(flow, requeue)
+            flow = _flow_run.after_attempt(flow, running, requeue)
         case _:
             flow = dataclasses.replace(flow, uncertain=True, tokens=event.tokens)
     step = _after_stop(flow, state.cause, decision, context, holder, now)
@@ -105,6 +105,9 @@
             return _flow_end.fail(flow, error, holder, now)
         case entry_flow.StopCause.DRAINED:
             return _flow_end.fail(flow, answers.drained_error(), holder, now)
+        case entry_flow.StopCause.PREEMPTED if flow.has_unknown_version:
+            error = answers.upstream_error(answers.UNKNOWN_VERSION)
+            return _flow_end.fail(flow, error, holder, now)
         case entry_flow.StopCause.PREEMPTED if isinstance(decision, retry_rules.Requeue):
             if now < flow.request.deadline_at:
                 return _flow_wait.queue(flow, context, holder, now)
--- a/src/medlarfork/entry/_flow_wait.py
+++ b/src/medlarfork/entry/_flow_wait.py
@@ -18,7 +18,9 @@
     flow: entry_flow.Flow, context: flow_context.FlowContext, holder: claim.Holder, now: float
 ) -> entry_flow.Step:
     """Queue the request for its next attempt."""
-    pool = context.choose_pool(flow.request.service, now)
+    pool = flow.stream_pool
+    if not (pool and context.owners(pool)):
+        pool = context.choose_pool(flow.request.service, now)
     if not pool:
         return _flow_end.fail(flow, answers.no_capacity_error(), holder, now)
     return _send_ticket(flow, pool, context.owners(pool)[0], context, now)
@@ -78,6 +80,7 @@
         resume_offset=flow.tokens,
         avoid=flow.avoid,
         repeat_key=incoming.repeat_key,
+        version=flow.version,
     )
 
 
@@ -150,6 +153,10 @@
     if now >= flow.request.deadline_at:
         error = answers.deadline_error(ran=flow.uncertain)
         return _prepend(unused, _flow_end.fail(flow, error, holder, now))
+    if flow.version is not None and grant.version != flow.version:
+        # The owner runs an earlier build, which does not know versions.
+        error = answers.upstream_error(answers.UNKNOWN_VERSION)
+        return _prepend(unused, _flow_end.fail(flow, error, holder, now))
     # Control may have treated this host as lost, and answered a duplicate of the request so.
     if flow.claimed and not context.holds_lease(now):
         step = _flow_end.fail(flow, deduplicate.no_quorum_error(), holder, now)
--- a/src/medlarfork/entry/entry_flow.py
+++ b/src/medlarfork/entry/entry_flow.py
@@ -58,6 +58,7 @@
         ticket_id: Id of the ticket and of the attempt.
         owner: The entry host to release the slot to.
         first_byte_at: When the first byte of the answer was relayed; None if none was.
+        version: The upstream's software version; None if it is not known.
     """
 
     ticket_id: str
@@ -66,6 +67,7 @@
     upstream_id: str
     started_at: float
     first_byte_at: float | None = None
+    version: str | None = None
 
 
 class StopCause(enum.StrEnum):
@@ -106,6 +108,9 @@
         uncertain: Whether an ended attempt may have run.
         relayed: Whether any byte of an answer has reached the caller.
         tokens: Tokens of the answer after which a stream can be resumed.
+        version: Software version of the upstream that began the stream; None if none has begun, or
+            if it is not known.
+        stream_pool: The pool in which the stream began; empty for none.
     """
 
     request: request.Request
@@ -121,10 +126,17 @@
     uncertain: bool = False
     relayed: bool = False
     tokens: int = 0
+    version: str | None = None
+    stream_pool: str = ""
     queued_s: float | None = None
     first_byte_at: float | None = None
     wasted: tuple[entry_types.WastedTokens, ...] = ()
 
+    @property
+    def has_unknown_version(self) -> bool:
+        """Return whether a stream has begun at an upstream whose version is not known."""
+        return self.tokens > 0 and self.version is None
+
     @property
     def resumable(self) -> bool:
         """Return whether an attempt may be preempted and resumed later."""
--- a/src/medlarfork/filters/answers.py
+++ b/src/medlarfork/filters/answers.py
@@ -14,6 +14,9 @@
 _STATUS_BY_CODE = {errors.Code.NOT_FOUND: 404, errors.Code.MODEL_NOT_FOUND: 404}
 """HTTP statuses of errors without a status of their own; 400 for all codes not listed."""
 
+UNKNOWN_VERSION = "the version that began the stream is not known"
+"""Cause of a stream that ends because no upstream can be told to fit."""
+
 _TYPE_BY_STATUS = {
     401: "authentication_error",
     429: "rate_limit_error",
--- a/src/medlarfork/pool/_granter.py
+++ b/src/medlarfork/pool/_granter.py
@@ -8,6 +8,9 @@
 _MAX_SKIPPED = 4
 """Tickets skipped in one pass because only upstreams that they avoid have free slots."""
 
+_MAX_SKIPPED_RESUMED = 32
+"""Tickets skipped in one pass because no upstream of the version that they need has a free slot."""
+
 
 class Granter:
     """Grant free slots to queued tickets."""
@@ -30,7 +33,8 @@
         """Grant slots to queued tickets until no slot is free for them."""
         grants: list[ticket.Grant] = []
         skipped: list[_pool_ticket.QueuedTicket] = []
-        while self._state.upstreams.free > 0 and len(skipped) < _MAX_SKIPPED:
+        skips_left = {False: _MAX_SKIPPED, True: _MAX_SKIPPED_RESUMED}
+        while self._state.upstreams.free > 0 and min(skips_left.values()) > 0:
             tier, by_floor = self._next_tier(now)
             if tier is None:
                 break
@@ -38,6 +42,7 @@
             grant = self._grant(queued, by_floor, now)
             if grant is None:
                 skipped.append(queued)
+                skips_left[queued.ticket.version is not None] -= 1
             else:
                 grants.append(grant)
         for queued in skipped:
@@ -82,7 +87,7 @@
         avoid = self._state.failover.avoided_upstreams(item)
         chosen = self._state.upstreams.choose(item, avoid)
         if chosen is None:
-            if self._state.upstreams.has_usable_besides(avoid):
+            if self._state.upstreams.has_usable_besides(avoid, item.version):
                 return None
             chosen = self._state.upstreams.choose(item, ())
         if chosen is None:
@@ -96,6 +101,7 @@
             pool=self._pool,
             upstream_id=announcement.upstream_id,
             address=announcement.address,
+            version=announcement.version,
         )
         self._state.preemption.add(running)
         self._state.upstreams.prefixes.record_holder(item.prefix, announcement.upstream_id)
--- a/src/medlarfork/pool/_upstream_set.py
+++ b/src/medlarfork/pool/_upstream_set.py
@@ -220,6 +220,8 @@
     def choose(self, item: ticket.Ticket, avoid: tuple[str, ...]) -> Upstream | None:
         """Return the upstream for a ticket, with a free slot and not in ``avoid``; None if none.
 
+        One whose stream has begun goes only to an upstream of the version that began it.
+
         One that caches the ticket's prefix is preferred within the affinity load bound, else the
         least loaded one.
         """
@@ -234,7 +236,7 @@
             state = self._upstream_by_id.get(top[2])
             if state is None or (state.generation, state.version) != top[3:] or not state.free:
                 heapq.heappop(self._heap)
-            elif state.announcement.upstream_id in avoid:
+            elif not _may_run(state, item, avoid):
                 skipped.append(heapq.heappop(self._heap))
             else:
                 chosen = state
@@ -242,8 +244,27 @@
             heapq.heappush(self._heap, heap_entry)
         return chosen
 
-    def has_usable_besides(self, avoid: tuple[str, ...]) -> bool:
-        """Return whether any upstream besides ``avoid`` is usable, with or without a free slot."""
+    def has_version(self, version: str) -> bool:
+        """Return whether any upstream of a version is up, with or without a free slot."""
+        return any(
+            state.up and state.announcement.version == version
+            for state in self._upstream_by_id.values()
+        )
+
+    def has_usable_besides(self, avoid: tuple[str, ...], version: str | None = None) -> bool:
+        """Return whether any upstream besides ``avoid`` is usable, with or without a free slot.
+
+        Args:
+            avoid: The upstreams to leave out.
+            version: Only upstreams of this version count; None for all.
+        """
+        if version is not None:
+            return any(
+                state.usable
+                and state.announcement.version == version
+                and state.announcement.upstream_id not in avoid
+                for state in self._upstream_by_id.values()
+            )
         avoided = sum(
             1
             for upstream_id in set(avoid)
@@ -366,7 +387,7 @@
             state
             for state in holders
             if state is not None and state.free
-            if state.announcement.upstream_id not in avoid
+            if _may_run(state, item, avoid)
             if state.relative_load() <= bound + 1 / max(1, state.limit)
         ]
         return min(eligible, key=Upstream.relative_load) if eligible else None
@@ -391,3 +412,10 @@
         if panic != self._panic:
             self._panic = panic
             self.refresh_all(now)
+
+
+def _may_run(state: Upstream, item: ticket.Ticket, avoid: tuple[str, ...]) -> bool:
+    """Return whether an upstream may run a ticket, whether or not it has a free slot."""
+    announcement = state.announcement
+    is_of_version = item.version in (None, announcement.version)
+    return is_of_version and announcement.upstream_id not in avoid
--- a/src/medlarfork/pool/pool.py
+++ b/src/medlarfork/pool/pool.py
@@ -169,6 +169,9 @@
         if retry_s is not None:
             self._shed(item, ticket.ShedReason.ENDS_UPSTREAMS, now, retry_s)
             return
+        if self._lacks_version(item):
+            self._shed(item, ticket.ShedReason.NO_UPSTREAM, now)
+            return
         queued_ticket = _pool_ticket.QueuedTicket(item, now)
         resumed = item.resume_offset > 0 or self._preemption.was_preempted(item.ticket_id)
         self._forecast.set_start_times(queued_ticket)
@@ -187,6 +190,12 @@
         self._queues.push(queued_ticket, at_head=resumed)
         self._new_ticket = queued_ticket
 
+    def _lacks_version(self, item: ticket.Ticket) -> bool:
+        """Return whether a stream can't be resumed: all upstreams that are known differ from it."""
+        if item.version is None or not self._upstreams.usable:
+            return False
+        return not self._upstreams.has_version(item.version)
+
     def _set_arrival_timers(self, now: float) -> None:
         """Set the timers of a ticket that has just arrived and was not started immediately."""
         queued_ticket, self._new_ticket = self._new_ticket, None
--- a/src/medlarfork/ticket.py
+++ b/src/medlarfork/ticket.py
@@ -30,6 +30,8 @@
         avoid: Upstreams to avoid for this request while any other is usable.
         repeat_key: Key that the caller's repeats of the request share (see
             ``quarantine.request_key``); may be empty.
+        version: The only software version that may run it, because it began the stream; None if any
+            may.
     """
 
     ticket_id: str
@@ -48,6 +50,7 @@
     resume_offset: int = 0
     avoid: tuple[str, ...] = ()
     repeat_key: str = ""
+    version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,7 +124,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """Grant a ticket one slot at one upstream."""
+    """Grant a ticket one slot at one upstream.
+
+    Attributes:
+        version: The upstream's software version; None if the owner does not state it.
+    """
 
     ticket_id: str
     entry_id: str
@@ -129,6 +136,7 @@
     upstream_id: str
     address: str
     fence: int = 0
+    version: str | None = None
 
 
 class ShedReason(enum.StrEnum):
--- a/src/medlarfork/upstream.py
+++ b/src/medlarfork/upstream.py
@@ -67,6 +67,7 @@
         checks_fence: Whether it refuses orders with an outdated fencing number.
         load: Its last load report.
         cache_events: Changes of its prompt cache since the previous announcement.
+        version: Version of its software; a stream is resumed only at the version that began it.
     """
 
     upstream_id: str
@@ -82,6 +83,7 @@
     checks_fence: bool = False
     load: Load = Load()
     cache_events: tuple[CacheEvent, ...] = ()
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -68,6 +68,7 @@
     app: str = "lm",
     state: upstream.UpstreamState = upstream.UpstreamState.READY,
     incarnation: int = 1,
+    version: str = "",
     **labels: str,
 ) -> upstream.Announcement:
     """Return an upstream's announcement."""
@@ -78,6 +79,7 @@
         state,
         f"http://{upstream_id}",
         {"app": app, **labels},
+        version=version,
     )
 
 
--- a/tests/reference_pool.py
+++ b/tests/reference_pool.py
@@ -233,7 +233,12 @@
         item = queued.item
         announcement = self._announcement_by_id[upstream_id]
         grant = ticket.Grant(
-            item.ticket_id, item.entry_id, self._name, upstream_id, announcement.address
+            item.ticket_id,
+            item.entry_id,
+            self._name,
+            upstream_id,
+            announcement.address,
+            version=announcement.version,
         )
         self._grant_count += 1
         self._last_grant_by_upstream[upstream_id] = self._grant_count
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -710,3 +710,48 @@
     asked = ticket.Preempt("r1.1", "e1", "desk/0", stalled=True)
     simulation.post("e1", node.MessageReceived("e1", asked))
     assert not simulation.pop_actions(entry_types.CancelAttempt)
+
+
+@pytest.fixture
+def two_versions(simulation):
+    """Return the simulation with a busy second upstream of the first one's version, and others."""
+    simulation.announce("e1", "u1", version="v1")
+    for name, version in (("u2", "v2"), ("u3", "v2"), ("u4", "v1")):
+        simulation.announce("e1", name, version=version)
+    simulation.out.clear()
+    return simulation
+
+
+# Guards against: a stream was resumed at an upstream of another version, broken or preempted.
+@pytest.mark.parametrize("is_preempted", [False, True])
+def test_a_stream_resumes_only_at_the_version_that_began_it(two_versions, is_preempted):
+    version_by_id = {"u1": "v1", "u2": "v2", "u3": "v2", "u4": "v1"}
+    for number in range(6):
+        two_versions.post("e1", entry_harness.chat(f"r{number}", model="long"))
+        first = dispatched(two_versions)
+        attempt = first.attempt_id
+        two_versions.post("e1", entry_types.AttemptStarted(attempt))
+        if is_preempted:
+            two_versions.post(
+                "e1", node.MessageReceived("e1", ticket.Preempt(attempt, "e1", "lm/0"))
+            )
+        end(two_versions, attempt, Result.BROKEN, tokens=4, relayed=True, resumable=True)
+        again = dispatched(two_versions)
+        assert again.resume_offset == 4
+        assert version_by_id[again.upstream_id] == version_by_id[first.upstream_id]
+        end(two_versions, again.attempt_id, Result.COMPLETE, tokens=9, relayed=True)
+
+
+# Guards against: an owner of an earlier build, which knows no versions, resumed a stream anywhere.
+@pytest.mark.parametrize("granted", [None, "v2"])
+def test_a_grant_of_another_or_an_unknown_version_does_not_resume_a_stream(simulation, granted):
+    simulation.announce("e1", "u1", version="v1")
+    simulation.post("e1", entry_harness.chat("r1"))
+    simulation.post("e1", entry_types.AttemptStarted("r1.1"))
+    simulation.pop_actions(entry_types.Dispatch)
+    simulation.announce("e1", "u1", version="v1", state=upstream.UpstreamState.LEAVING)
+    end(simulation, "r1.1", Result.BROKEN, tokens=4, relayed=True, resumable=True)
+    granting = ticket.Grant("r1.2", "e1", "lm/0", "u9", "http://u9", version=granted)
+    handled(simulation, "e1", granting)
+    assert not simulation.pop_actions(entry_types.Dispatch)
+    assert not only(simulation.pop_actions(entry_types.FinishRelay)).complete
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -103,7 +103,7 @@
 
 def test_grants_name_the_upstream_and_its_address(non_adaptive):
     (grant,) = non_adaptive.submit()
-    assert grant == ticket.Grant("r1/1", "e1", _POOL, "u1", "http://x")
+    assert grant == ticket.Grant("r1/1", "e1", _POOL, "u1", "http://x", version="")
 
 
 def test_a_resent_ticket_gets_the_original_answer(non_adaptive):
@@ -783,3 +783,28 @@
     granted = [action for _ in range(5) for action in harness.advance(0.5)]
     assert [action.upstream_id for action in granted] == [first.upstream_id]
     assert taken.upstream_id == other
+
+
+@pytest.fixture
+def two_versions():
+    """Return a harness of a pool with an upstream of two slots of each of two versions."""
+    harness = PoolHarness(_NON_ADAPTIVE)
+    harness.add_upstream("u1", slots=2, version="v1")
+    harness.add_upstream("u2", slots=2, version="v2")
+    return harness
+
+
+def test_a_resumed_stream_waits_for_its_version_and_holds_up_no_other(two_versions):
+    first, second = (two_versions.submit(version="v1", resume_offset=1)[0] for _ in range(2))
+    assert (first.upstream_id, second.upstream_id) == ("u1", "u1")
+    for _ in range(8):
+        assert not _granted_ids(two_versions.submit(version="v1", resume_offset=1))
+    (other,) = two_versions.submit()
+    assert (other.upstream_id, other.version) == ("u2", "v2")
+    (next_grant,) = two_versions.release(first.ticket_id)
+    assert next_grant.upstream_id == "u1"
+
+
+def test_a_resumed_stream_without_an_upstream_of_its_version_is_refused_at_once(two_versions):
+    (shed,) = _sheds(two_versions.submit(version="v3", resume_offset=1))
+    assert shed.reason is ticket.ShedReason.NO_UPSTREAM
