--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -69,8 +69,9 @@
 class Engine:
     """Keep one engine running: a supervisor that starts it again after it ended."""
 
-    def __init__(self, fleet, number):
+    def __init__(self, fleet, number, version):
         self.name = f"u-{number}"
+        self.version = version
         self.starts = 0
         self._fleet = fleet
         self._host = f"{fleet.network}.{100 + number}"
@@ -85,7 +86,7 @@
         while not self._stopping.is_set():
             command = [sys.executable, str(_ENGINE), "--name", self.name, "--host", self._host]
             command += ["--port", "7401", "--replicas", *self._fleet.replicas]
-            command += ["--script", str(self._script)]
+            command += ["--script", str(self._script), "--version", self.version]
             with self._log.open("ab") as log:
                 self._process = subprocess.Popen(command, stdout=log, stderr=log)
             self.starts += 1
@@ -139,6 +140,7 @@
         duties="",
         usage_window_s=0.0,
         can_be_cut_off=False,
+        versions=("",),
     ):
         self.folder = folder
         self.can_be_cut_off = can_be_cut_off
@@ -153,7 +155,9 @@
             self.start_replica(replica, may_found=True)
         for entry in self.entries:
             self.start_entry(entry)
-        self.engines = [Engine(self, number) for number in range(engines)]
+        self.engines = [
+            Engine(self, number, versions[number % len(versions)]) for number in range(engines)
+        ]
 
     def start_replica(self, replica, *, may_found=False):
         settings = f"""
--- a/tests/processes/scripted_engine.py
+++ b/tests/processes/scripted_engine.py
@@ -3,7 +3,9 @@
 It announces itself to replicas. A request whose body begins with ``crash`` ends it; every other
 it answers as its script says, a JSON file that is read with each request: ``status`` and
 ``headers`` of the answers. A body ``stream COUNT CUT ENGINE ...`` asks for a stream of so many
-events; the engine of that name resets it after event number CUT. It writes ``TIME run BODY`` to
+events; the engine of that name resets it after event number CUT. A body ``versions COUNT CUT``
+asks for events that name the engine's version; a stream that begins is reset after event number
+CUT. It writes ``TIME run BODY`` to
 its output when it begins to work on a request, and ``TIME rejected BODY`` when its script turns
 one away.
 """
@@ -23,6 +25,7 @@
 CRASHES = b"crash"
 SLOW = b"slow"
 STREAM = b"stream"
+VERSIONS = b"versions"
 EVENT_S = 0.002
 RESET = struct.pack("ii", 1, 0)
 
@@ -33,6 +36,7 @@
     protocol_version = "HTTP/1.1"
     script = None
     name = ""
+    version = ""
 
     def do_POST(self):
         body = self.rfile.read(int(self.headers["content-length"]))
@@ -45,7 +49,13 @@
         if body.startswith(CRASHES):
             os._exit(CRASH_STATUS)
         if body.startswith(STREAM):
-            self._stream(body)
+            _, count, cut, engine, *_ = body.decode().split()
+            self._stream(int(count), int(cut) if engine == self.name else 0)
+            return
+        if body.startswith(VERSIONS):
+            _, count, cut, *_ = body.decode().split()
+            is_begun = self.headers.get("last-event-id")
+            self._stream(int(count), 0 if is_begun else int(cut), self.version)
             return
         self.send_response(status)
         for name, value in script.get("headers", {}).items():
@@ -57,18 +67,16 @@
         self.end_headers()
         self.wfile.write(b"done")
 
-    def _stream(self, body):
+    def _stream(self, count, cut_after, data=""):
         """Answer with the events after the last one that the caller has."""
-        _, count, cut, engine, *_ = body.decode().split()
-        cut_after = int(cut) if engine == self.name else 0
         after = int(self.headers.get("last-event-id") or 0)
         self.send_response(200)
         self.send_header("medlar-attempt-id", self.headers["medlar-attempt-id"])
         self.send_header("content-type", "text/event-stream")
         self.send_header("transfer-encoding", "chunked")
         self.end_headers()
-        for number in range(after + 1, int(count) + 1):
-            self._write_chunk(f"id: {number}\ndata: {number}\n\n".encode())
+        for number in range(after + 1, count + 1):
+            self._write_chunk(f"id: {number}\ndata: {data or number}\n\n".encode())
             if number == cut_after:
                 self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 os.close(self.connection.detach())
@@ -84,7 +92,7 @@
         pass
 
 
-def announce(name, address, replicas, period_s):
+def announce(name, address, replicas, period_s, version):
     """Announce this start for as long as the process runs."""
     born_ms = time.time_ns() // 1_000_000
     sequence = 0
@@ -98,6 +106,7 @@
             "slots": 8,
             "sequence": sequence,
             "born_ms": born_ms,
+            "version": version,
         }
         for replica in replicas:
             request = urllib.request.Request(
@@ -120,11 +129,13 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--replicas", nargs="+", required=True)
     parser.add_argument("--script", type=pathlib.Path, required=True)
+    parser.add_argument("--version", default="")
     given = parser.parse_args()
     Handler.script = given.script
     Handler.name = given.name
+    Handler.version = given.version
     server = http.server.ThreadingHTTPServer((given.host, given.port), Handler)
-    arguments = (given.name, f"{given.host}:{given.port}", given.replicas, 0.3)
+    arguments = (given.name, f"{given.host}:{given.port}", given.replicas, 0.3, given.version)
     threading.Thread(target=announce, args=arguments, daemon=True).start()
     server.serve_forever()
 
