--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -221,8 +221,7 @@
             case origin_messages.OriginReport():
                 self._actions += self._origins.on_report(message, self._now)
             case origin_messages.OriginQuery():
-                present = self._registry.present
-                self._actions.append(self._origins.on_query(sender, message, present, self._now))
+                self._actions.append(self._origins.on_query(sender, message, self._now))
             case usage_messages.UsageTold() | engine_messages.LoadTold():
                 self._actions += self.duties.handle_message(sender, message, self._now)
             case _ if type(message) in placement_messages.PLACEMENT_MESSAGES:
--- a/src/medlarfork/coordination/origin_manager.py
+++ b/src/medlarfork/coordination/origin_manager.py
@@ -59,22 +59,8 @@
             self._table.add(group, now)
         return (KeepOrigins(report.groups),)
 
-    def on_query(
-        self,
-        sender: str,
-        query: origin_messages.OriginQuery,
-        present: Iterable[upstream_types.Announcement],
-        now: float,
-    ) -> node.Send:
-        """Answer an entry host's query.
-
-        Args:
-            sender: The entry host.
-            query: Its query.
-            present: The upstreams that may take requests.
-            now: The time in seconds.
-        """
-        self.see_upstreams(present, now)
+    def on_query(self, sender: str, query: origin_messages.OriginQuery, now: float) -> node.Send:
+        """Answer an entry host's query."""
         found = self._table.find(query.key, now) if query.key else None
         origin, left_s = found or (None, 0.0)
         seen = {version for service, version in self._seen_at if service == query.service}
@@ -89,7 +75,7 @@
         return node.Send(sender, reply)
 
     def see_upstreams(self, upstreams: Iterable[upstream_types.Announcement], now: float) -> None:
-        """Record the versions of upstreams that run now."""
+        """Record the versions of upstreams that have joined, or that still run."""
         for upstream in upstreams:
             self._seen_at[upstream.service, upstream.version] = now
 
--- a/src/medlarfork/gateway/origin_tracker.py
+++ b/src/medlarfork/gateway/origin_tracker.py
@@ -77,6 +77,7 @@
 
     @property
     def is_answered(self) -> bool:
+        """Return whether all replicas that were asked have replied."""
         return len(self.replies) >= self.asked
 
 
--- a/src/medlarfork/gateway/request_forwarder.py
+++ b/src/medlarfork/gateway/request_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import time
 from collections.abc import Callable
 
@@ -98,13 +99,8 @@
                 is_unreached = end is placement_messages.RunEnd.UNREACHABLE
                 return NotRun() if is_unreached else Broken()
         origin = stream_origin.from_header(sent.headers.pop(self._shared.names.origin, ""))
-
-        def begin() -> None:
-            self._binding.begin_forwarded(origin)
-            on_start()
-
         try:
-            await self._relay(sent, progress, begin)
+            await self._relay(sent, progress, functools.partial(self._begin, origin, on_start))
         except errors.UpstreamError as error:
             self._trace.reasons.append(f"{relay_host}: {error}")
             return Broken()
@@ -113,6 +109,13 @@
             await sent.close()
         return Answered(sent.status)
 
+    def _begin(
+        self, origin: stream_origin.StreamOrigin | None, on_start: Callable[[], None]
+    ) -> None:
+        """Bind the request to what the relay host states about its stream."""
+        self._binding.begin_forwarded(origin)
+        on_start()
+
     async def _relay(
         self,
         response: http_client.Response,
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -396,7 +396,7 @@
         self.trace.framing = sent.framing.value
         self.trace.partial_bytes = 0
         try:
-            self._check_incarnation(upstream)
+            self._binding.check_incarnation(upstream)
             end = await self._relay(sent)
         except errors.UpstreamError as error:
             self.trace.reasons.append(f"{upstream.upstream_id}: {error}")
@@ -408,18 +408,6 @@
         self.end_ticket(end or placement_messages.RunEnd.COMPLETE)
         return end
 
-    def _check_incarnation(self, upstream: upstream_types.Announcement) -> None:
-        """Raise an error if a stream may have gone on at a later start, of another version.
-
-        Raises:
-            errors.UpstreamError: Another incarnation has taken the upstream's address or name.
-        """
-        if self._binding.version is not None and self._shared.session.is_replaced(upstream):
-            raise errors.UpstreamError(
-                "Another incarnation has taken the place of the upstream.",
-                remedy="The stream goes on at another upstream of its version.",
-            )
-
     async def _relay(self, response: http_client.Response) -> placement_messages.RunEnd | None:
         if response.status < 300 and sse.can_be_framed(response.headers):
             await self._relay_stream(response)
@@ -478,18 +466,11 @@
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
         self._shared.owner.report_first_event(self._ticket_id, after_ms, self._sender.load)
         self._sender.count_started()
-        self._bind_begun_stream()
+        self._binding.begin(self._running_at)
+        self._stream.added_headers = self._binding.relay_headers()
         self.trace.first_event_ms = self._since_start_ms()
         self._progress = dataclasses.replace(self._progress, response_started=True)
 
-    def _bind_begun_stream(self) -> None:
-        upstream = self._running_at
-        if upstream is not None and self._shared.session.is_replaced(upstream):
-            upstream = None
-        self._binding.begin(upstream)
-        if self.admitted.is_relayed and self._binding.origin is not None:
-            self._stream.added_headers[self._shared.names.origin] = self._binding.origin.to_header()
-
     async def _give_up(self) -> None:
         result = request_types.Result
         self.trace.result = result.FAILED if self._progress.runs else result.REFUSED
--- a/src/medlarfork/gateway/stream_binding.py
+++ b/src/medlarfork/gateway/stream_binding.py
@@ -8,7 +8,7 @@
 
 import logging
 
-from medlarfork import logs
+from medlarfork import errors, logs
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import origin_tracker, request_types
 from medlarfork.resumption import stream_origin
@@ -77,13 +77,16 @@
         """Bind a request whose first event has arrived, and let other hosts know.
 
         Args:
-            upstream: The incarnation that sent it; None if another one has taken its place.
+            upstream: The incarnation that sent it; None if it is not known any more.
         """
         if self._has_begun:
             return
         self._has_begun = True
         if upstream is None or upstream.version is None:
             return
+        if self._shared.session.is_replaced(upstream):
+            # The later incarnation may have sent it.
+            return
         admitted = self._admitted
         self.origin = stream_origin.StreamOrigin(upstream.service, upstream.version)
         if admitted.route.may_repeat and admitted.metadata.attempt_id:
@@ -100,6 +103,24 @@
             self._has_begun = True
             self.origin = origin
 
+    def check_incarnation(self, upstream: upstream_types.Announcement) -> None:
+        """Check that a response to a bound request came from the incarnation that was placed.
+
+        Raises:
+            errors.UpstreamError: Another incarnation, perhaps of another version, may have sent it.
+        """
+        if self.origin is not None and self._shared.session.is_replaced(upstream):
+            raise errors.UpstreamError(
+                "Another incarnation has taken the place of the upstream.",
+                remedy="The stream goes on at another upstream of its version.",
+            )
+
+    def relay_headers(self) -> dict[str, str]:
+        """Return the headers of a response that tell a forwarding host about the stream."""
+        if not self._admitted.is_relayed or self.origin is None:
+            return {}
+        return {self._shared.names.origin: self.origin.to_header()}
+
     async def _find(self) -> origin_tracker.Found:
         admitted = self._admitted
         if admitted.origin is not None:
--- a/tests/routed/test_stream_origins.py
+++ b/tests/routed/test_stream_origins.py
@@ -252,8 +252,8 @@
 
 
 def versions_known(manager, announcements, now):
-    query = origin_messages.OriginQuery(1, b"", "engines")
-    reply = manager.on_query("e-1", query, announcements, now).message
+    manager.see_upstreams(announcements, now)
+    reply = manager.on_query("e-1", origin_messages.OriginQuery(1, b"", "engines"), now).message
     return reply.versions, reply.is_complete
 
 
