--- a/tests/routed/test_stream_origins.py
+++ b/tests/routed/test_stream_origins.py
@@ -1,14 +1,16 @@
 """What hosts and replicas keep of the origins of streams: bounds, files, restarts, queries."""
 
+import dataclasses
 import errno
 import math
 
 import curio
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies as st
 
-from medlarfork.coordination import origin_manager
+from medlarfork.coordination import origin_manager, upstream_types
 from medlarfork.gateway import origin_tracker
 from medlarfork.resumption import origin_file, origin_messages, origin_table, stream_origin
 from tests import curio_world
@@ -285,3 +287,23 @@
     assert unnamed.with_version_of(named).version == "v1"
     assert named.with_version_of(unnamed).version == "v1"
     assert unnamed.with_version_of(None).version is None
+
+
+@dataclasses.dataclass(frozen=True)
+class EarlierAnnouncement:
+    """An announcement of a build that knows no versions."""
+
+    upstream_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+
+
+def test_messages_of_builds_without_versions_state_no_version(make_announcement):
+    earlier = EarlierAnnouncement("u-1", "engines", "10.0.0.1:80", "z1", 2)
+    body = msgspec.msgpack.encode(earlier)
+    read = msgspec.msgpack.decode(body, type=upstream_types.Announcement)
+    assert read.version is None
+    body = msgspec.msgpack.encode(make_announcement(version="v1"))
+    assert msgspec.msgpack.decode(body, type=EarlierAnnouncement) == earlier
