Start new requests at once where only requests of a version are queued before them

While a request waited for a full version, each new request of its kind was queued for the next pass or sent to another shard, although upstreams had room. Found on reading; the new test failed before.

--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -9,6 +9,7 @@
 
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import (
+    origin_tracker,
     owner_client,
     request_header_names,
     request_metadata,
@@ -136,11 +137,11 @@
         """Record a stream whose first event has arrived."""
         ...
 
-    async def find(self, key: bytes, service: str) -> Any:
+    async def find(self, key: bytes, service: str) -> origin_tracker.Found:
         """Return the origin of a stream that a caller takes up again."""
         ...
 
-    async def find_only_version(self, service: str) -> Any:
+    async def find_only_version(self, service: str) -> origin_tracker.Found:
         """Return the version of a service if only one can have begun a stream."""
         ...
 
--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -213,6 +213,17 @@
         before = self._before_in_kind(waiting, now)
         return more_urgent_ms + sum(item.prefill_ms for item in before)
 
+    def has_unversioned(self, kind: account_shares.Kind) -> bool:
+        """Return whether a request of a kind is queued that any version may run."""
+        queue = self._queue_by_kind.get(kind)
+        if queue is None:
+            return False
+        return any(
+            item.request.version is None
+            for items in queue.items_by_account.values()
+            for item in items
+        )
+
     def prefill_ms_of_version(self, version: str) -> float:
         """Return the prefill of all requests that need a version, in milliseconds."""
         waiting = self._by_ticket.values()
--- a/tests/routed/test_version_placement.py
+++ b/tests/routed/test_version_placement.py
@@ -116,6 +116,15 @@
     assert started(decisions)["again"].startswith("v1")
 
 
+def test_a_new_request_starts_at_once_where_only_a_version_is_waited_for(
+    owner, fill, make_place_request
+):
+    fill("v1")
+    owner.place("e", make_place_request("again", version="v1", account="shop"), 0.1)
+    decisions = owner.place("e", make_place_request("new", account="shop"), 0.101)
+    assert started(decisions)["new"].startswith("v2")
+
+
 def test_a_wait_is_predicted_from_the_upstreams_of_the_version(make_owner, make_place_request):
     """Forecast from all engines, a version that many wait for looked as fast as the service."""
 
