Declared hosts: an upstream that leaves can't resume a stream; a restarted stream is free

A ticket whose version is only at leaving upstreams waited until its target could not be met; it is refused at once. A request that starts from its beginning again is no longer bound to the version of the discarded part. Found on reading; the extended test failed before.

--- a/src/medlarfork/entry/_flow_run.py
+++ b/src/medlarfork/entry/_flow_run.py
@@ -192,9 +192,11 @@
     flow: entry_flow.Flow, state: entry_flow.Running, requeue: retry_rules.Requeue
 ) -> entry_flow.Flow:
     """Return the flow with the result of an attempt that ended and is followed by a retry."""
-    if requeue.resume_offset > 0 and flow.tokens == 0:
-        flow = dataclasses.replace(flow, version=state.version, stream_pool=state.pool)
     tokens = requeue.resume_offset if requeue.ran else max(flow.tokens, requeue.resume_offset)
+    if tokens == 0:
+        flow = dataclasses.replace(flow, version=None, stream_pool="")
+    elif flow.tokens == 0:
+        flow = dataclasses.replace(flow, version=state.version, stream_pool=state.pool)
     flow = _flow_end.count_waste(flow, "retry", requeue.discarded)
     return dataclasses.replace(flow, tokens=tokens, uncertain=flow.uncertain or requeue.ran)
 
--- a/src/medlarfork/pool/_upstream_set.py
+++ b/src/medlarfork/pool/_upstream_set.py
@@ -245,9 +245,12 @@
         return chosen
 
     def has_version(self, version: str) -> bool:
-        """Return whether any upstream of a version is up, with or without a free slot."""
+        """Return whether any upstream of a version may get requests now or once it is healthy."""
         return any(
-            state.up and state.announcement.version == version
+            state.announcement.version == version
+            and state.up
+            and not state.drained
+            and state.announcement.state == upstream.UpstreamState.READY
             for state in self._upstream_by_id.values()
         )
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -808,3 +808,7 @@
 def test_a_resumed_stream_without_an_upstream_of_its_version_is_refused_at_once(two_versions):
     (shed,) = _sheds(two_versions.submit(version="v3", resume_offset=1))
     assert shed.reason is ticket.ShedReason.NO_UPSTREAM
+    leaving = two_versions.announcement("u1", 2, version="v1", state=upstream.UpstreamState.LEAVING)
+    two_versions.send(pool_events.UpstreamChanged(leaving))
+    (shed,) = _sheds(two_versions.submit(version="v1", resume_offset=1))
+    assert shed.reason is ticket.ShedReason.NO_UPSTREAM
