A single version counts only if a majority of replicas knows no other

A caller that names no attempt was served at the only version that one replica knew, also where host and replica were cut off from the others and could not have heard of another. Found on reading; the new test failed before.

--- a/src/medlarfork/gateway/origin_tracker.py
+++ b/src/medlarfork/gateway/origin_tracker.py
@@ -184,7 +184,10 @@
         return Found(replies=len(query.replies))
 
     async def find_only_version(self, service: str) -> Found:
-        """Return the version of a service if only one can have begun a stream."""
+        """Return the version of a service if only one can have begun a stream.
+
+        A majority of the replicas has to agree: one that is cut off hears of no new versions.
+        """
         own = {
             upstream.version
             for upstream in self._session.upstream_by_id.values()
@@ -196,7 +199,8 @@
         query = await self._ask(b"", service, lambda reply: False)
         complete = [name for name, reply in query.replies.items() if reply.is_complete]
         versions = own.union(*(reply.versions for reply in query.replies.values()))
-        if not complete or len(versions) != 1:
+        is_majority = 2 * len(complete) > len(self._session.replicas)
+        if not is_majority or len(versions) != 1:
             return Found(replies=len(query.replies))
         (version,) = versions
         return Found(
--- a/tests/routed/test_stream_origins.py
+++ b/tests/routed/test_stream_origins.py
@@ -253,6 +253,24 @@
     curio_world.run(main)
 
 
+# Guards against: a host cut off with one replica took the only version known there for all.
+@pytest.mark.parametrize(("replies", "expected"), [(1, None), (2, V1)])
+def test_a_single_version_counts_only_if_a_majority_of_replicas_knows_no_other(
+    make_tracker, sent, replies, expected
+):
+    async def main():
+        tracker = make_tracker("r1", "r2", "r3")
+        asking = await curio.spawn(tracker.find_only_version, "engines")
+        await curio.sleep(0)
+        _, query = sent[-1]
+        told = origin_messages.OriginReply(query.query_id, versions=("v1",), is_complete=True)
+        for number in range(replies):
+            await tracker.apply_reply(f"r{number + 1}", told)
+        assert (await asking.join()).origin == expected
+
+    curio_world.run(main)
+
+
 def versions_known(manager, announcements, now):
     manager.see_upstreams(announcements, now)
     reply = manager.on_query("e-1", origin_messages.OriginQuery(1, b"", "engines"), now).message
