--- a/src/medlarfork/pool/_queue_set.py
+++ b/src/medlarfork/pool/_queue_set.py
@@ -70,6 +70,11 @@
             return None
         return self._queue_by_tier[max(self.count_by_tier)].newest()
 
+    def resumed(self) -> tuple[_pool_ticket.QueuedTicket, ...]:
+        """Return the tickets of streams that can be resumed at one version only."""
+        queued = self._queued_by_id.values()
+        return tuple(item for item in queued if item.ticket.version is not None)
+
     def count_up_to_tier(self, tier: int) -> int:
         """Return how many tickets of a tier and the tiers above it are queued."""
         return sum(count for other, count in self.count_by_tier.items() if other <= tier)
--- a/src/medlarfork/pool/pool.py
+++ b/src/medlarfork/pool/pool.py
@@ -385,6 +385,9 @@
         if self._options.move_stalled:
             self._recall_stalled(now)
         self._preemption.trim(self._running.count_by_tier)
+        for queued_ticket in self._queues.resumed():
+            if self._lacks_version(queued_ticket.ticket):
+                self._shed_queued(queued_ticket, ticket.ShedReason.NO_UPSTREAM, now)
 
     def _set_wake(self, now: float) -> None:
         queued, running = len(self._queues), len(self._running)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -805,6 +805,14 @@
     assert next_grant.upstream_id == "u1"
 
 
+def test_a_queued_stream_is_refused_once_its_version_has_gone(two_versions):
+    for _ in range(3):
+        two_versions.submit(version="v1", resume_offset=1)
+    two_versions.send(pool_events.UpstreamGone("u1"))
+    (shed,) = _sheds(two_versions.advance(1.0))
+    assert (shed.ticket_id, shed.reason) == ("r3/1", ticket.ShedReason.NO_UPSTREAM)
+
+
 def test_a_resumed_stream_without_an_upstream_of_its_version_is_refused_at_once(two_versions):
     (shed,) = _sheds(two_versions.submit(version="v3", resume_offset=1))
     assert shed.reason is ticket.ShedReason.NO_UPSTREAM
