--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -81,17 +81,12 @@
             errors.CallerDisconnectedError: The caller has disconnected.
         """
         try:
-            await self._serve()
+            if await self._bind_stream():
+                await self._serve()
         finally:
             await self._stream.close()
 
     async def _serve(self) -> None:
-        why = await self._bind_stream()
-        if why:
-            self.trace.reasons.append(why)
-            self._refusal_code = errors.Code.STREAM_VERSION
-            await self._give_up()
-            return
         while True:
             relay_host = await self._choose_relay_host()
             if relay_host:
@@ -139,14 +134,19 @@
                 await self._give_up()
                 return
 
-    async def _bind_stream(self) -> str:
-        """Bind a request that goes on with a stream; return why it is refused, or nothing."""
+    async def _bind_stream(self) -> bool:
+        """Bind a request that goes on with a stream; refuse it and return False if it can't be."""
         why = await self._binding.bind()
+        if why:
+            self.trace.reasons.append(why)
+            self._refusal_code = errors.Code.STREAM_VERSION
+            await self._give_up()
+            return False
         origin = self._binding.origin
         if origin is not None and origin.service != self.admitted.service:
             self.admitted = dataclasses.replace(self.admitted, service=origin.service)
             self._sender = attempt_sender.AttemptSender(self.admitted, self._shared)
-        return why
+        return True
 
     @property
     def _is_unreachable(self) -> bool:
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -164,18 +164,12 @@
                 return answers, False
             answer = None if first is None else self._starter.try_start(first, now)
             if answer is None:
-                return answers, not self._precedes_others(first)
+                return answers, first is None or not self._queue.holds_back_others(first)
             self._queue.remove(answer.message.ticket_id)
             self._refusals.record_queue(now)
             answers.append(answer)
         return answers, True
 
-    def _precedes_others(self, first: wait_queue.WaitingRequest | None) -> bool:
-        """Return whether a request waits for its version before others that may start now."""
-        if first is None or first.request.version is None:
-            return False
-        return self._queue.has_unversioned(first.kind)
-
     def _enqueue(
         self, waiting: wait_queue.WaitingRequest, now: float
     ) -> tuple[placement_decision.Decision, ...]:
--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -213,15 +213,13 @@
         before = self._before_in_kind(waiting, now)
         return more_urgent_ms + sum(item.prefill_ms for item in before)
 
-    def has_unversioned(self, kind: account_shares.Kind) -> bool:
-        """Return whether a request of a kind is queued that any version may run."""
-        queue = self._queue_by_kind.get(kind)
-        if queue is None:
+    def holds_back_others(self, first: WaitingRequest) -> bool:
+        """Return whether a queued request waits for its version before others that may start."""
+        if first.request.version is None:
             return False
+        items_by_account = self._queue_by_kind[first.kind].items_by_account
         return any(
-            item.request.version is None
-            for items in queue.items_by_account.values()
-            for item in items
+            item.request.version is None for items in items_by_account.values() for item in items
         )
 
     def prefill_ms_of_version(self, version: str) -> float:
--- a/src/medlarfork/pool/_upstream_set.py
+++ b/src/medlarfork/pool/_upstream_set.py
@@ -244,9 +244,11 @@
             heapq.heappush(self._heap, heap_entry)
         return chosen
 
-    def has_version(self, version: str) -> bool:
-        """Return whether any upstream of a version may get requests now or once it is healthy."""
-        return any(
+    def lacks_version(self, version: str | None) -> bool:
+        """Return whether upstreams are usable, and none of a version may get requests again."""
+        if version is None or not self.usable:
+            return False
+        return not any(
             state.announcement.version == version
             and state.up
             and not state.drained
--- a/src/medlarfork/pool/pool.py
+++ b/src/medlarfork/pool/pool.py
@@ -169,7 +169,7 @@
         if retry_s is not None:
             self._shed(item, ticket.ShedReason.ENDS_UPSTREAMS, now, retry_s)
             return
-        if self._lacks_version(item):
+        if self._upstreams.lacks_version(item.version):
             self._shed(item, ticket.ShedReason.NO_UPSTREAM, now)
             return
         queued_ticket = _pool_ticket.QueuedTicket(item, now)
@@ -190,12 +190,6 @@
         self._queues.push(queued_ticket, at_head=resumed)
         self._new_ticket = queued_ticket
 
-    def _lacks_version(self, item: ticket.Ticket) -> bool:
-        """Return whether a stream can't be resumed: all upstreams that are known differ from it."""
-        if item.version is None or not self._upstreams.usable:
-            return False
-        return not self._upstreams.has_version(item.version)
-
     def _set_arrival_timers(self, now: float) -> None:
         """Set the timers of a ticket that has just arrived and was not started immediately."""
         queued_ticket, self._new_ticket = self._new_ticket, None
@@ -386,7 +380,7 @@
             self._recall_stalled(now)
         self._preemption.trim(self._running.count_by_tier)
         for queued_ticket in self._queues.resumed():
-            if self._lacks_version(queued_ticket.ticket):
+            if self._upstreams.lacks_version(queued_ticket.ticket.version):
                 self._shed_queued(queued_ticket, ticket.ShedReason.NO_UPSTREAM, now)
 
     def _set_wake(self, now: float) -> None:
--- a/tests/routed/test_stream_versions.py
+++ b/tests/routed/test_stream_versions.py
@@ -10,7 +10,8 @@
 from medlarfork import errors
 from tests import curio_world
 from tests.routed import partition, routed_harness
-from tests.routed.routed_harness import NAMES
+
+NAMES = routed_harness.NAMES
 
 OTHER = 51
 STREAMS = 12
@@ -67,6 +68,14 @@
     return received
 
 
+async def replace_version(deployment):
+    """Have an upstream of another version take the place of the only one."""
+    await deployment.add_upstream(streaming("v2", lambda: False), version="v2")
+    await deployment.until_upstreams(2)
+    await deployment.upstreams[0].announce(is_leaving=True)
+    await deployment.until_upstreams(1)
+
+
 async def begin(deployment, attempt, **headers):
     """Begin a stream that is cut after its first event; return that event."""
     response = await deployment.call(**{NAMES.attempt_id: attempt} | headers)
@@ -148,10 +157,7 @@
     async def main(deployment):
         await start(deployment, max_attempts=1, versions=("v1",))
         await begin(deployment, "a-1")
-        await deployment.add_upstream(streaming("v2", lambda: False), version="v2")
-        await deployment.until_upstreams(2)
-        await deployment.upstreams[0].announce(is_leaving=True)
-        await deployment.until_upstreams(1)
+        await replace_version(deployment)
         status, headers, _ = await resume(deployment, "a-1")
         assert status == 503
         assert float(headers["retry-after"]) > 0
@@ -204,10 +210,7 @@
     async def main(deployment):
         await start(deployment, max_attempts=1, versions=("v1",))
         await begin(deployment, "a-1")
-        await deployment.add_upstream(streaming("v2", lambda: False), version="v2")
-        await deployment.until_upstreams(2)
-        await deployment.upstreams[0].announce(is_leaving=True)
-        await deployment.until_upstreams(1)
+        await replace_version(deployment)
         status, _, _ = await resume(deployment, "a-1", **{NAMES.resumes: ""})
         assert status == 503
 
