Tests reserve their loopback networks

Networks were taken from process ids modulo 200, and two workers had equal ones. Each worker reserves its networks by a bound socket now; fleets are closed also if their set-up fails.

--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -2,7 +2,6 @@
 
 import itertools
 import json
-import os
 import pathlib
 import subprocess
 import sys
@@ -11,7 +10,7 @@
 import urllib.error
 import urllib.request
 
-from tests import descriptor_guard
+from tests import descriptor_guard, loopback
 
 _NETWORKS = itertools.count(100)
 _START = "import sys; from medlarfork.{package} import {module}; {module}.run()"
@@ -63,7 +62,7 @@
 
 def new_network():
     """Return the first three numbers of addresses that no other deployment uses."""
-    return f"127.{10 + os.getpid() % 200}.{next(_NETWORKS)}"
+    return f"{loopback.prefix()}.{next(_NETWORKS)}"
 
 
 class Engine:
--- a/tests/processes/test_cut_off_soak.py
+++ b/tests/processes/test_cut_off_soak.py
@@ -1,6 +1,7 @@
 """Entry hosts that lose their links to upstreams, beside processes that are killed and started."""
 
 import collections
+import contextlib
 import dataclasses
 import json
 import random
@@ -39,11 +40,11 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    made = routed_fleet.Fleet(tmp_path, entries=4, engines=4, can_be_cut_off=True)
-    made.put_route(kind="unsafe")
-    made.until_known()
-    yield made
-    made.close()
+    whole = routed_fleet.Fleet(tmp_path, entries=4, engines=4, can_be_cut_off=True)
+    with contextlib.closing(whole) as made:
+        made.put_route(kind="unsafe")
+        made.until_known()
+        yield made
 
 
 class History:
--- a/tests/processes/test_version_soak.py
+++ b/tests/processes/test_version_soak.py
@@ -41,10 +41,10 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    made = routed_fleet.Fleet(tmp_path, engines=ENGINES, versions=("v0", "v1"))
-    made.put_route(kind="streaming", may_resume=True, max_attempts=2)
-    yield made
-    made.close()
+    whole = routed_fleet.Fleet(tmp_path, engines=ENGINES, versions=("v0", "v1"))
+    with contextlib.closing(whole) as made:
+        made.put_route(kind="streaming", may_resume=True, max_attempts=2)
+        yield made
 
 
 class History:
--- a/tests/routed/routed_harness.py
+++ b/tests/routed/routed_harness.py
@@ -4,7 +4,6 @@
 import dataclasses
 import itertools
 import json
-import os
 import pathlib
 
 import curio
@@ -14,7 +13,7 @@
 from medlarfork.duties import platform_format
 from medlarfork.gateway import gateway_program, gateway_settings, request_header_names
 from medlarfork.http import http_client, http_server
-from tests import curio_world
+from tests import curio_world, loopback
 
 NAMES = request_header_names.RequestHeaderNames()
 HTTP_PORT = 7001
@@ -123,7 +122,7 @@
     """The processes of a deployment, all in the test's own curio kernel."""
 
     def __init__(self, folder, replicas=3):
-        self.network = f"127.{10 + os.getpid() % 200}.{next(_NETWORKS) % 250}"
+        self.network = f"{loopback.prefix()}.{next(_NETWORKS) % 250}"
         self.folder = pathlib.Path(folder)
         self.client = http_client.HttpClient()
         self.replica_ids = tuple(f"{self.network}.{n + 1}" for n in range(replicas))
