Write each origin record whole, and remove what did not fit

A write that a nearly full disk took in part passed as done, so what followed it in the file could not be read after a restart: streams refused. Found on reading; the test failed before with a file that takes a few bytes a write.

--- a/src/medlarfork/resumption/origin_file.py
+++ b/src/medlarfork/resumption/origin_file.py
@@ -22,7 +22,8 @@
 """Names of the file that is appended to, and of the one before it."""
 
 MAX_FILE_BYTES = 4_000_000
-"""Size from which the next file is begun: half a million streams, more than a replica keeps."""
+"""Size from which the next file is begun: the streams of about a quarter of a minute in the largest
+deployments, and of hours in small ones."""
 
 SYNC_PERIOD_S = 0.5
 """Minimum interval between two syncs, in seconds: the journal of the log uses the same disk."""
@@ -70,11 +71,13 @@
         body = _ENCODER.encode(origin_messages.OriginReport(groups))
         record = len(body).to_bytes(_LENGTH_BYTES, "big") + _checksum(body) + body
         file = self._file or self._open()
-        if file.tell() > MAX_FILE_BYTES:
-            file = self._begin_next()
-        start = file.tell()
+        start = file.seek(0, os.SEEK_END)
+        if start > MAX_FILE_BYTES:
+            file, start = self._begin_next(), 0
+        rest = memoryview(record)
         try:
-            file.write(record)
+            while rest:
+                rest = rest[file.write(rest) :]
             if time.monotonic() >= self._synced_at + SYNC_PERIOD_S:
                 self._synced_at = time.monotonic()
                 os.fsync(file.fileno())
--- a/tests/routed/test_stream_origins.py
+++ b/tests/routed/test_stream_origins.py
@@ -127,25 +127,33 @@
     assert groups
 
 
-def test_a_full_disk_loses_only_what_did_not_fit(tmp_path, monkeypatch):
-    opened, _ = restart(tmp_path)
-    opened.append((group(1),))
-    whole = opened._file
+class NearlyFull:
+    """A file on a disk that takes a few bytes with each write, and only so many in all."""
 
-    class Full:
-        """A file on a disk that takes half of a record."""
+    def __init__(self, whole, room):
+        self._whole = whole
+        self._room = room
 
-        def write(self, data):
-            whole.write(data[: len(data) // 2])
+    def write(self, data):
+        if self._room <= 0:
             raise OSError(errno.ENOSPC, "full")
+        part = data[: min(5, self._room)]
+        self._room -= len(part)
+        return self._whole.write(part)
+
+    def __getattr__(self, name):
+        return getattr(self._whole, name)
 
-        def __getattr__(self, name):
-            return getattr(whole, name)
 
-    opened._file = Full()
-    with pytest.raises(OSError, match="full"):
-        opened.append((group(2),))
-    opened._file = whole
+def test_a_full_disk_loses_only_what_did_not_fit(tmp_path):
+    opened, _ = restart(tmp_path)
+    opened.append((group(1),))
+    whole = opened._file
+    for _ in range(2):
+        opened._file = NearlyFull(whole, 12)
+        with pytest.raises(OSError, match="full"):
+            opened.append((group(2),))
+    opened._file = NearlyFull(whole, 1000)
     opened.append((group(3),))
     opened.close()
     assert restart(tmp_path)[1] == (group(1), group(3))
