--- a/tests/routed/test_stream_origins.py
+++ b/tests/routed/test_stream_origins.py
@@ -3,6 +3,7 @@
 import dataclasses
 import errno
 import math
+import time
 
 import curio
 import hypothesis
@@ -261,6 +262,16 @@
     curio_world.run(main)
 
 
+def test_a_stream_is_unknown_at_once_while_all_replicas_stand_still(make_tracker):
+    async def main():
+        began = time.monotonic()
+        found_nothing = await make_tracker("r1", "r2", "r3").find(key(1), "engines")
+        assert found_nothing.origin is None
+        assert time.monotonic() - began < 2 * origin_tracker.QUERY_TIMEOUT_S
+
+    curio_world.run(main)
+
+
 # Guards against: a host cut off with one replica took the only version known there for all.
 @pytest.mark.parametrize(("replies", "expected"), [(1, None), (2, V1)])
 def test_a_single_version_counts_only_if_a_majority_of_replicas_knows_no_other(
