Test of held streams: break the upstream only once the host's system has its bytes

Callers saw nothing; `make test` failed on a fresh clone (570, 583, 597 of 600 events).

Cause: the test's upstream reset its connection 0.3 s after its last write. A reset discards what is still in the sender's buffer, and on a busy machine 0.3 s were not enough for the host to receive it. The host lost nothing that its system had received.

Change: the upstream waits until everything is acknowledged, and then resets at once. That is stricter: the host has to deliver what it had not read when the reset came.

--- a/tests/routed/test_slow_readers.py
+++ b/tests/routed/test_slow_readers.py
@@ -145,7 +145,7 @@
             if first:
                 await exchange.finish()
             else:
-                await curio.sleep(0.3)  # A reset would discard what the host has not received.
+                await exchange.wait_received()  # A reset discards what is still to be sent.
                 await is_broken.set()
 
         route = {"kind": "streaming", "max_attempts": 2, "may_resume": may_resume}
