--- a/src/medlarfork/gateway/crash_tracker.py
+++ b/src/medlarfork/gateway/crash_tracker.py
@@ -105,15 +105,27 @@
         return self._ledger.standing(key, _now())
 
     async def handle_broken_run(
-        self, admitted: request_types.AdmittedRequest, upstream: upstream_types.Announcement
+        self,
+        admitted: request_types.AdmittedRequest,
+        upstream: upstream_types.Announcement,
+        *,
+        has_begun: bool = False,
     ) -> None:
-        """Handle a run without a complete answer; runs that break together share one probe."""
+        """Handle a run without a complete answer; runs that break together share one probe.
+
+        Args:
+            admitted: The request.
+            upstream: The upstream that ran it.
+            has_begun: Whether an event of this run had arrived.
+        """
         logs.event(
             _log,
             "run_broken",
             request=admitted.metadata.attempt_id or None,
             key=admitted.key,
             account=admitted.account or None,
+            parts=request_types.format_parts(admitted.shared_parts),
+            begun=has_begun or None,
             upstream=upstream.upstream_id,
         )
         probe = self._probe_by_upstream.get(upstream.upstream_id)
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -363,6 +363,7 @@
             route=admitted.route.name,
             service=admitted.service,
             account=admitted.account or None,
+            parts=request_types.format_parts(admitted.shared_parts),
             tier=admitted.tier,
             routing=0 if self._table is None else self._table.version,
             result=trace.result.value,
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -365,7 +365,9 @@
 
     async def _record_broken_run(self, upstream: upstream_types.Announcement) -> None:
         self._broken_runs += 1
-        await self._shared.crashes.handle_broken_run(self.admitted, upstream)
+        await self._shared.crashes.handle_broken_run(
+            self.admitted, upstream, has_begun=self._stream.has_event
+        )
 
     async def _attempt(
         self, upstream: upstream_types.Announcement, fetch_from: str
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -57,6 +57,24 @@
     prior_runs: int = 0
     origin: stream_origin.StreamOrigin | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the prompt parts that other requests may share: all but the last."""
+        segments = self.metadata.prompt_segments[:-1] if self.route.has_prompt else ()
+        return tuple(segment.part_id for segment in segments)
+
+
+MAX_LOGGED_PARTS = 8
+"""Maximum number of prompt parts in a log line; their ids are the callers' choice."""
+
+MAX_LOGGED_PART_LENGTH = 32
+"""Maximum characters of the id of a prompt part in a log line."""
+
+
+def format_parts(parts: tuple[str, ...]) -> str | None:
+    """Return the ids of prompt parts for a log line; None if there are none."""
+    return ",".join(part[:MAX_LOGGED_PART_LENGTH] for part in parts[:MAX_LOGGED_PARTS]) or None
+
 
 CALLER_GONE_STATUS = 499
 """Status in logs and metrics of a request whose caller disconnected before its answer."""
@@ -154,7 +172,11 @@
         ...
 
     async def handle_broken_run(
-        self, admitted: AdmittedRequest, upstream: upstream_types.Announcement
+        self,
+        admitted: AdmittedRequest,
+        upstream: upstream_types.Announcement,
+        *,
+        has_begun: bool = False,
     ) -> None:
         """Handle a run without a complete answer."""
         ...
--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -46,6 +46,11 @@
         self._longest_ms = 0.0
         self._gaps_ms: list[float] = []
 
+    @property
+    def has_event(self) -> bool:
+        """Return whether an event of this attempt has been passed on."""
+        return self._event_at > 0.0
+
     def record_event(self, now: float) -> float:
         """Record an event passed on at a monotonic time; return the gap before it in ms."""
         gap_ms = (now - self._event_at) * 1000.0 if self._event_at else 0.0
@@ -232,6 +237,11 @@
         """Return whether the caller has not read all that was received."""
         return self._buffer.is_holding
 
+    @property
+    def has_event(self) -> bool:
+        """Return whether an event of this attempt has arrived."""
+        return self._gaps.has_event
+
     @property
     def last_event_id(self) -> str:
         """Return the id of the last event that was passed on or is held; empty for none."""
