Failing test: a prompt part that crashes each engine that begins to answer it

Three replicas, three entry hosts and eight engines as processes; 20 sound requests and 5 with the part a second, of one client account, no two alike.

--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -268,6 +268,18 @@
         url = f"http://{entry}:7004/p/x"
         return ask("POST", url, body.encode(), self._headers(number), timeout_s=timeout_s)
 
+    def call_prompt(self, name, parts, *, timeout_s=CALL_TIMEOUT_S):
+        """Send a request whose prompt ends with a part of its own to the next entry host.
+
+        Its body begins with ``name`` and is never that of another request.
+        """
+        number = next(self._attempts)
+        entry = self.entries[number % len(self.entries)]
+        listed = ",".join(f"{part}:100" for part in (*parts, f"own-{number}"))
+        headers = self._headers(number) | {"medlar-prompt-parts": listed}
+        body = f"{name} {number}".encode()
+        return ask("POST", f"http://{entry}:7004/p/x", body, headers, timeout_s=timeout_s)
+
     def headers(self):
         """Return the headers of the next attempt of a request."""
         return self._headers(next(self._attempts))
@@ -283,6 +295,16 @@
         """Return when engines began to work on requests with this body, in order."""
         return sorted(at for engine in self.engines for at in engine.runs(body))
 
+    def prompt_runs(self, name):
+        """Return when engines began to work on requests of ``call_prompt``, in order."""
+        logs = [engine.log_text().splitlines() for engine in self.engines]
+        lines = [line.split(maxsplit=2) for log in logs for line in log]
+        return sorted(
+            float(line[0])
+            for line in lines
+            if line[1:2] == ["run"] and line[2].partition(" ")[0] == name
+        )
+
     def lines(self, event):
         """Return the log lines of an event, of all replicas and entry hosts."""
         logs = [(self.folder / f"{host}.log").read_text() for host in self.process_by_host]
--- a/tests/processes/scripted_engine.py
+++ b/tests/processes/scripted_engine.py
@@ -5,9 +5,9 @@
 ``headers`` of the answers. A body ``stream COUNT CUT ENGINE ...`` asks for a stream of so many
 events; the engine of that name resets it after event number CUT. A body ``versions COUNT CUT``
 asks for events that name the engine's version; a stream that begins is reset after event number
-CUT. It writes ``TIME run BODY`` to
-its output when it begins to work on a request, and ``TIME rejected BODY`` when its script turns
-one away.
+CUT. A prompt part whose id begins with ``deadly`` ends it within the first event of the answer,
+one that begins with ``late`` after that event. It writes ``TIME run BODY`` to its output when it
+begins to work on a request, and ``TIME rejected BODY`` when its script turns one away.
 """
 
 import argparse
@@ -26,6 +26,8 @@
 SLOW = b"slow"
 STREAM = b"stream"
 VERSIONS = b"versions"
+DEADLY_PART = "deadly"
+LATE_PART = "late"
 EVENT_S = 0.002
 RESET = struct.pack("ii", 1, 0)
 
@@ -48,6 +50,10 @@
             time.sleep(0.5 if body.startswith(SLOW) else 0.05)
         if body.startswith(CRASHES):
             os._exit(CRASH_STATUS)
+        parts = self.headers.get("medlar-prompt-parts", "").split(",")
+        for part in parts:
+            if part.startswith((DEADLY_PART, LATE_PART)):
+                self._crash_in_stream(is_late=part.startswith(LATE_PART))
         if body.startswith(STREAM):
             _, count, cut, engine, *_ = body.decode().split()
             self._stream(int(count), int(cut) if engine == self.name else 0)
@@ -67,14 +73,24 @@
         self.end_headers()
         self.wfile.write(b"done")
 
-    def _stream(self, count, cut_after, data=""):
-        """Answer with the events after the last one that the caller has."""
-        after = int(self.headers.get("last-event-id") or 0)
+    def _crash_in_stream(self, *, is_late):
+        self._begin_stream()
+        event = b"id: 1\ndata: 1\n\n"
+        self._write_chunk(event if is_late else event[:8])
+        time.sleep(0.05)
+        os._exit(CRASH_STATUS)
+
+    def _begin_stream(self):
         self.send_response(200)
         self.send_header("medlar-attempt-id", self.headers["medlar-attempt-id"])
         self.send_header("content-type", "text/event-stream")
         self.send_header("transfer-encoding", "chunked")
         self.end_headers()
+
+    def _stream(self, count, cut_after, data=""):
+        """Answer with the events after the last one that the caller has."""
+        after = int(self.headers.get("last-event-id") or 0)
+        self._begin_stream()
         for number in range(after + 1, count + 1):
             self._write_chunk(f"id: {number}\ndata: {data or number}\n\n".encode())
             if number == cut_after:
--- /dev/null
+++ b/tests/processes/test_crashing_parts.py
@@ -0,0 +1,102 @@
+"""A prompt part that crashes each engine that begins to answer a request with it.
+
+No two requests are alike: the part comes with others that sound requests of the same client account
+share, at every entry host. 17 engines ended in the lines of a day, each under another request.
+"""
+
+import threading
+import time
+
+import pytest
+
+from tests.processes import routed_fleet
+
+CONTACT_S = 3.0
+"""Time after the fifth crash by which every host that can be reached has to know."""
+
+CRASHES = 5
+MOST_AFTER = 3
+"""Runs that may begin later than that, ever."""
+
+SERVED_SHARE = 0.9
+"""Share of sound requests that are answered at the first attempt once the part is held."""
+
+STREAMING = {"kind": "streaming", "has_prompt": True, "timeout_ms": 3000}
+SAFE = {"kind": "safe", "has_prompt": True, "timeout_ms": 3000, "max_attempts": 3}
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = routed_fleet.Fleet(tmp_path, engines=8)
+    yield made
+    made.close()
+
+
+class Traffic:
+    """Requests that are sent at a constant rate until it is stopped; each has a new own part."""
+
+    def __init__(self, fleet, name, parts, per_s):
+        self.results = []
+        self._fleet = fleet
+        self._name = name
+        self._parts = parts
+        self._period_s = 1.0 / per_s
+        self._is_over = threading.Event()
+        self._threads = []
+        self._sender = threading.Thread(target=self._send)
+
+    def __enter__(self):
+        self._sender.start()
+        return self
+
+    def __exit__(self, *_):
+        self._is_over.set()
+        self._sender.join()
+        for thread in self._threads:
+            thread.join()
+
+    def _send(self):
+        due = time.monotonic()
+        while not self._is_over.is_set():
+            thread = threading.Thread(target=self._call)
+            thread.start()
+            self._threads.append(thread)
+            due += self._period_s
+            time.sleep(max(0.0, due - time.monotonic()))
+
+    def _call(self):
+        sent_at = time.monotonic()
+        status, _ = self._fleet.call_prompt(self._name, self._parts)
+        self.results.append((sent_at, status))
+
+    def served_share(self, since, until):
+        """Return the share of the requests sent in between that were answered."""
+        statuses = [status for at, status in self.results if since <= at < until]
+        assert len(statuses) >= 20
+        return statuses.count(200) / len(statuses)
+
+
+def _late_runs(fleet, name="deadly"):
+    """Return the runs that began later than the bound after the fifth."""
+    runs = fleet.prompt_runs(name)
+    return [at for at in runs if at > runs[min(CRASHES, len(runs)) - 1] + CONTACT_S]
+
+
+def _start(fleet, route):
+    fleet.put_route(**route)
+    fleet.until_known()
+
+
+@pytest.mark.parametrize("route", [STREAMING, SAFE], ids=["streaming", "safe"])
+def test_a_part_that_crashed_five_engines_reaches_three_more_at_most(fleet, route):
+    _start(fleet, route)
+    with Traffic(fleet, "sound", ("tmpl", "good"), 20) as sound:
+        time.sleep(3.0)
+        with Traffic(fleet, "deadly", ("tmpl", "deadly"), 5) as deadly:
+            time.sleep(14.0)
+        stopped_at = time.monotonic()
+    runs = fleet.prompt_runs("deadly")
+    assert len(_late_runs(fleet)) <= MOST_AFTER
+    settled_at = runs[min(CRASHES, len(runs)) - 1] + 2 * CONTACT_S
+    assert sound.served_share(settled_at, stopped_at) >= SERVED_SHARE
+    assert {status for _, status in deadly.results} <= {0, 502, 503}
