Quarantine prompt parts that crash upstreams, not only whole requests

Callers saw engine after engine crash under requests that share one part of their prompt: 17 ends in the collected lines, 12 of them later than 3 s after the fifth.

Cause: crashes were counted under a digest of the whole request, which the next request with the part does not share. Its class: what is learnt is kept under an identity that the next occurrence lacks.

Evidence: 17 requests of one account without an event, one at each engine that ended, 17 different keys.

Change: crashes are counted for subjects, a request or a part of a service's prompts, in the ledgers, trials and log that exist. Of a part, crashes before the first event weigh more than those after it, whole answers clear it, and what is held explains the crashes of its neighbours. Parts that always come together are told apart by a request with one of them. A request with a suspect part is not sent on after a crash. The placement of a request moves out of the pipeline into a module of its own.

--- a/src/medlarfork/coordination/crash_manager.py
+++ b/src/medlarfork/coordination/crash_manager.py
@@ -1,9 +1,10 @@
-"""Crash cases of one replica: requests that crashed upstreams, and their distribution.
+"""Crash cases of one replica: subjects that crashed upstreams, and their distribution.
 
-Every entry host reports the crashes that it saw to every replica. A replica forwards to all entry
-hosts the requests that crashed two or more upstreams, and those cleared since. Requests with a
-single crash are not forwarded: each crash leaves about twenty innocent requests with one, and each
-replica would send them to hundreds of hosts. Pure: no I/O, no clock.
+A subject is a request or a prompt part. Every entry host reports the crashes that it saw to every
+replica. A replica forwards to all entry hosts the subjects that crashed two or more upstreams, and
+those cleared since. Those with a single crash are not forwarded: each crash leaves about twenty
+innocent requests with one, and each replica would send them to hundreds of hosts. Pure: no I/O, no
+clock.
 """
 
 from __future__ import annotations
@@ -54,7 +55,7 @@
         return self._record_changes(self.ledger.merge(report, now), now)
 
     def lift(self, key: str, peers: tuple[str, ...], now: float) -> tuple[Any, ...]:
-        """Clear a request, as an operator or the log demands, and notify the other replicas."""
+        """Clear a subject, as an operator or the log demands, and notify the other replicas."""
         if not self.ledger.record_completion(key, now, now):
             return ()
         lifted = coordinator_types.LogEvent("crash_case_lifted", {"key": key})
@@ -78,13 +79,14 @@
             self._trials.release(answer.message.ticket_id)
 
     def restore(self, held: Iterable[routing_state.HeldRequest], now: float) -> None:
-        """Restore the held requests from the log; after a restart nothing else is known.
+        """Restore the subjects in the log; after a restart nothing else is known.
 
         The times of these crashes are not in the log; they count as of now, which delays a trial.
         """
         for item in held:
             for upstream_id in item.upstream_ids:
-                self.ledger.record_crash(item.key, upstream_id, now, now)
+                has_begun = upstream_id in item.begun_ids
+                self.ledger.record_crash(item.key, upstream_id, now, now, has_begun=has_begun)
             if self._is_for_all_hosts(item.key):
                 self._pending[item.key] = None
 
@@ -97,10 +99,10 @@
             ends = self.ledger.ends(key)
             recorded = held_by_key.get(key)
             is_recorded = recorded is not None and set(ends) <= set(recorded.upstream_ids)
-            if len(ends) >= crash_ledger.HELD_CRASHES and not is_recorded:
-                changes.append(routing_state.HeldRequest(key, ends))
+            if self.ledger.is_durable(key) and not is_recorded:
+                changes.append(routing_state.HeldRequest(key, ends, self.ledger.begun_ends(key)))
         for key in held_by_key:
-            if len(self.ledger.ends(key)) < crash_ledger.HELD_CRASHES:
+            if not self.ledger.is_durable(key):
                 changes.append(routing_state.LiftedRequest(key))
         due = [item for item in changes if self._proposal_due_by_key.get(item.key, now) <= now]
         for item in due[:MAX_PROPOSALS]:
@@ -148,7 +150,9 @@
         return replica_types.Propose(proposal_id, routing_state.pack_held(change))
 
     def _is_for_all_hosts(self, key: str) -> bool:
-        return key in self._published or len(self.ledger.ends(key)) >= crash_ledger.SUSPECT_CRASHES
+        return (
+            key in self._published or len(self.ledger.ends(key)) >= crash_ledger.PUBLISHED_CRASHES
+        )
 
     def _record_changes(self, keys: tuple[str, ...], now: float) -> tuple[Any, ...]:
         """Mark changed cases as pending for entry hosts, and return the events to log."""
--- a/src/medlarfork/coordination/routing_state.py
+++ b/src/medlarfork/coordination/routing_state.py
@@ -1,11 +1,12 @@
-"""Replicated state of a coordinator: routing, held requests and singleton duties.
+"""Replicated state of a coordinator: routing, crash cases and singleton duties.
 
 Operators assign version numbers, and the highest version ever accepted wins. A version that is not
 higher than the current one changes nothing, so a duplicate or late change, or other content under
 the same number, never takes effect.
 
-Crash-inducing requests that are held are in the log since, after a restart of all processes, each
-would otherwise crash three more upstreams. For the duties see ``duties.duty_log``.
+Requests that are held since they crashed upstreams, and prompt parts that are held or on trial, are
+in the log: after a restart of all processes each would otherwise crash as many more. For the duties
+see ``duties.duty_log``.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 
 from medlarfork import codec
 from medlarfork.duties import duty_state
+from medlarfork.quarantine import crash_subject
 
 _COMPRESSION_LEVEL = 1
 """The fastest level: compression delays the leader at each change."""
@@ -41,15 +43,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldRequest:
-    """A request that must not run, and the upstreams that it crashed."""
+    """A request or a prompt part that must not run freely.
+
+    Attributes:
+        key: Its key (see ``crash_subject``).
+        upstream_ids: The upstreams that it crashed.
+        begun_ids: Those of them that crashed after an event of each run.
+    """
 
     key: str
     upstream_ids: tuple[str, ...]
+    begun_ids: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LiftedRequest:
-    """A request that is not held any more."""
+    """A request or a prompt part that may run freely again."""
 
     key: str
 
@@ -64,7 +73,8 @@
 
 
 MAX_HELD = 1000
-"""Maximum held requests in the log, about 200 KB; the oldest are evicted."""
+"""Maximum held requests and prompt parts in the log, about 200 KB; the oldest of the more frequent
+kind are evicted."""
 
 _CODEC = codec.Codec(
     (RoutingVersion, HeldRequest, LiftedRequest, RoutingSnapshot, *duty_state.COMMANDS)
@@ -92,7 +102,7 @@
 
     Attributes:
         current: The version in force.
-        held_by_key: The requests that are held.
+        held_by_key: The requests and prompt parts that must not run freely.
         duties: State of the singleton duties.
     """
 
@@ -113,7 +123,7 @@
             case HeldRequest(key):
                 self.held_by_key[key] = decoded
                 if len(self.held_by_key) > MAX_HELD:
-                    del self.held_by_key[next(iter(self.held_by_key))]
+                    del self.held_by_key[_oldest_held(tuple(self.held_by_key))]
             case LiftedRequest(key):
                 if self.held_by_key.pop(key, None) is None:
                     return None
@@ -137,3 +147,10 @@
                 self.current = current
                 self.held_by_key = {}
                 self.duties.restore(duty_state.DutySnapshot())
+
+
+def _oldest_held(keys: tuple[str, ...]) -> str:
+    """Return the oldest key of the kind of subject that has more of them."""
+    parts = [key for key in keys if crash_subject.is_part(key)]
+    requests = [key for key in keys if not crash_subject.is_part(key)]
+    return max(requests, parts, key=len)[0]
--- a/src/medlarfork/gateway/crash_tracker.py
+++ b/src/medlarfork/gateway/crash_tracker.py
@@ -1,4 +1,4 @@
-"""Tracks requests that crash the upstreams that run them, and decides whether one may run.
+"""Tracks what crashes the upstreams that run it, and decides whether a request may run.
 
 After a broken run it probes whether the upstream still listens, since a reset connection does not
 show whether the process has crashed. Crashes found here are reported to all replicas, which report
@@ -34,12 +34,12 @@
 if a probe was accepted: the new incarnation may have accepted it. Upstreams restart within a few
 seconds."""
 
-MAX_PENDING_KEYS = 200
-"""Maximum number of requests kept for one such upstream: more than run there at once."""
+MAX_PENDING_KEYS = 400
+"""Maximum number of subjects kept for one such upstream: more than run there at once."""
 
 MAX_COMPLETIONS = 20_000
-"""Maximum number of completed requests kept, about 3 MB: ten minutes at 30 a second."""
-
+"""Maximum number of subjects with complete answers kept, about 3 MB: the requests of ten minutes
+and their prompt parts at 15 a second."""
 
 SAME_MOMENT_S = 0.01
 """Time after a broken run in which bytes of other upstreams may still have been on their way before
@@ -51,22 +51,43 @@
 
 @dataclasses.dataclass(slots=True)
 class _Probe:
-    """The requests whose runs broke at an upstream that is being probed."""
+    """The runs that broke at an upstream that is being probed.
+
+    Attributes:
+        runs: Their number.
+        has_begun_by_key: Whether an event of each run had arrived, by subject.
+        done: Set once the probe has finished.
+    """
 
-    keys: list[str]
+    runs: int = 0
+    has_begun_by_key: dict[str, bool] = dataclasses.field(default_factory=dict)
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
 
+    def add(self, keys: tuple[str, ...], *, has_begun: bool) -> None:
+        """Add a broken run."""
+        self.runs += 1
+        for key in keys:
+            self.has_begun_by_key[key] = has_begun and self.has_begun_by_key.get(key, True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RunEnd:
+    """When runs of a subject ended, and whether an event of each had arrived."""
+
+    at: float
+    has_begun: bool
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Pending:
-    """The requests whose runs ended at a possibly crashed upstream, and when they ended."""
+    """The subjects whose runs ended at a possibly crashed upstream."""
 
     upstream: upstream_types.Announcement
-    at_by_key: dict[str, float]
+    end_by_key: dict[str, _RunEnd]
 
 
 class CrashTracker:
-    """This entry host's record of requests that crashed upstreams."""
+    """This entry host's record of requests and prompt parts that crashed upstreams."""
 
     def __init__(
         self,
@@ -97,12 +118,12 @@
 
     @property
     def cases(self) -> int:
-        """Return the number of requests with known upstream crashes."""
+        """Return the number of requests and prompt parts with known upstream crashes."""
         return len(self._ledger)
 
-    def standing(self, key: str) -> crash_ledger.Standing:
-        """Return the verdict on a request: whether it may run, only on trial, or not at all."""
-        return self._ledger.standing(key, _now())
+    def standing(self, keys: tuple[str, ...]) -> crash_ledger.Standing:
+        """Return whether a request with these subjects may run, only on trial, or not at all."""
+        return self._ledger.standing_of(keys, _now())
 
     async def handle_broken_run(
         self,
@@ -128,16 +149,21 @@
             begun=has_begun or None,
             upstream=upstream.upstream_id,
         )
-        probe = self._probe_by_upstream.get(upstream.upstream_id)
-        if probe is not None:
-            probe.keys.append(admitted.key)
-            return
-        self._probe_by_upstream[upstream.upstream_id] = _Probe([admitted.key])
-        await curio.spawn(self._probe, upstream, daemon=True)
+        is_first = upstream.upstream_id not in self._probe_by_upstream
+        probe = self._probe_by_upstream.setdefault(upstream.upstream_id, _Probe())
+        probe.add(admitted.crash_keys, has_begun=has_begun)
+        if is_first:
+            await curio.spawn(self._probe, upstream, daemon=True)
 
-    def record_abandoned_run(self, key: str, upstream: upstream_types.Announcement) -> None:
+    def record_abandoned_run(
+        self,
+        keys: tuple[str, ...],
+        upstream: upstream_types.Announcement,
+        *,
+        has_begun: bool = False,
+    ) -> None:
         """Record a run whose caller no longer waits: its upstream may have lost power unnoticed."""
-        self._await_replacement(upstream, {key: _now()})
+        self._await_replacement(upstream, dict.fromkeys(keys, _RunEnd(_now(), has_begun)))
 
     async def wait_probed(self, upstream_id: str) -> None:
         """Wait until the running probe of an upstream, if any, has finished."""
@@ -145,35 +171,41 @@
         if probe is not None:
             await probe.done.wait()
 
-    async def is_suspect(self, key: str, upstream_id: str, broken_runs: int) -> bool:
-        """Return whether a request must not be retried, because upstreams crashed while running it.
+    async def is_suspect(self, keys: tuple[str, ...], upstream_id: str, broken_runs: int) -> bool:
+        """Return whether a request must not be retried, because its subjects crashed upstreams.
 
         After its first broken run only a held request is stopped. Any other is retried at once, on
-        trial if requests with the same key crashed another upstream. After the second one this
-        waits for the probe, and a request that may only run on trial is stopped, too.
+        trial if requests with the same key crashed another upstream. After the second one, or if
+        one of its prompt parts crashed another upstream, this waits for the probe. Then a request
+        that may only run on trial is stopped, too, and one whose part has crashed both.
 
         Args:
-            key: The request's key.
+            keys: The request's key and those of its prompt parts.
             upstream_id: The upstream of its last run.
             broken_runs: Number of its own broken runs.
         """
-        if broken_runs <= 1:
-            return self.standing(key).verdict is crash_ledger.Verdict.HELD
+        parts = keys[1:]
+        if broken_runs <= 1 and not any(self._ledger.unexplained_ends(key) for key in parts):
+            return self.standing(keys).verdict is crash_ledger.Verdict.HELD
         await self.wait_probed(upstream_id)
-        return self.standing(key).verdict is not crash_ledger.Verdict.FREE
+        if self.standing(keys).verdict is not crash_ledger.Verdict.FREE:
+            return True
+        ends = (self._ledger.unexplained_ends(key) for key in parts)
+        return any(len(found) > 1 and upstream_id in found for found in ends)
 
-    def record_completed_run(self, key: str) -> None:
+    def record_completed_run(self, keys: tuple[str, ...]) -> None:
         """Record that an upstream answered a request completely."""
         now = _now()
-        self._completed_at_by_key[key] = now
-        self._completed_at_by_key.move_to_end(key)
-        if len(self._completed_at_by_key) > MAX_COMPLETIONS:
+        for key in keys:
+            self._completed_at_by_key[key] = now
+            self._completed_at_by_key.move_to_end(key)
+        while len(self._completed_at_by_key) > MAX_COMPLETIONS:
             self._completed_at_by_key.popitem(last=False)
-        if self._ledger.record_completion(key, now, now):
-            self._reporter.report((key,), now)
+        cleared = tuple(key for key in keys if self._ledger.record_completion(key, now, now))
+        self._reporter.report(cleared, now)
 
     def apply_report(self, report: crash_messages.CrashReport) -> None:
-        """Merge a replica's report; report back requests that have completed on this host."""
+        """Merge a replica's report; report back subjects with answers on this host."""
         now = _now()
         changed = self._ledger.merge(report, now)
         self._log_cases("told", changed)
@@ -190,13 +222,15 @@
         now = _now()
         for upstream_id, pending in tuple(self._pending_by_upstream.items()):
             recent = {
-                key: at for key, at in pending.at_by_key.items() if now <= at + REPLACEMENT_WINDOW_S
+                key: end
+                for key, end in pending.end_by_key.items()
+                if now <= end.at + REPLACEMENT_WINDOW_S
             }
             if self._session.is_replaced(pending.upstream):
                 self._record_crashes(upstream_id, recent)
                 recent = {}
             if recent:
-                kept = dataclasses.replace(pending, at_by_key=recent)
+                kept = dataclasses.replace(pending, end_by_key=recent)
                 self._pending_by_upstream[upstream_id] = kept
             else:
                 del self._pending_by_upstream[upstream_id]
@@ -243,48 +277,50 @@
             upstream=upstream.upstream_id,
             reach=reach.value,
             crash=is_crash,
-            runs=len(probe.keys),
+            runs=probe.runs,
         )
-        at_by_key = dict.fromkeys(probe.keys, broken_at)
+        end_by_key = {
+            key: _RunEnd(broken_at, has_begun) for key, has_begun in probe.has_begun_by_key.items()
+        }
         if is_crash:
             # An unclear result counts as a crash, too: retries must end, and an answer clears it.
-            self._record_crashes(upstream.upstream_id, at_by_key)
+            self._record_crashes(upstream.upstream_id, end_by_key)
         else:
-            self._await_replacement(upstream, at_by_key)
+            self._await_replacement(upstream, end_by_key)
 
     def _await_replacement(
-        self, upstream: upstream_types.Announcement, at_by_key: dict[str, float]
+        self, upstream: upstream_types.Announcement, end_by_key: dict[str, _RunEnd]
     ) -> None:
         """Count a crash if a new incarnation replaces the upstream soon."""
         previous = self._pending_by_upstream.get(upstream.upstream_id)
-        known = {} if previous is None else previous.at_by_key
-        latest = list((known | at_by_key).items())[-MAX_PENDING_KEYS:]
+        known = {} if previous is None else previous.end_by_key
+        latest = list((known | end_by_key).items())[-MAX_PENDING_KEYS:]
         self._pending_by_upstream[upstream.upstream_id] = _Pending(upstream, dict(latest))
 
-    def _record_crashes(self, upstream_id: str, at_by_key: dict[str, float]) -> None:
+    def _record_crashes(self, upstream_id: str, end_by_key: dict[str, _RunEnd]) -> None:
         now = _now()
         new_keys = tuple(
             key
-            for key, at in at_by_key.items()
-            if not self._is_shielded(key, at)
-            and self._ledger.record_crash(key, upstream_id, at, now)
+            for key, end in end_by_key.items()
+            if not self._is_shielded(key, end.at)
+            and self._ledger.record_crash(key, upstream_id, end.at, now, has_begun=end.has_begun)
         )
         self._log_cases("seen", new_keys)
         self._reporter.report(new_keys, now)
 
     def _is_shielded(self, key: str, at: float) -> bool:
-        """Return whether a request completed here shortly before an upstream crashed.
+        """Return whether a subject was answered here shortly before an upstream crashed.
 
-        The ledger records completions only of requests that already have a case.
+        The ledger records completions only of subjects that already have a case.
         """
         completed_at = self._completed_at_by_key.get(key, -math.inf)
         return at <= completed_at + crash_ledger.EXONERATION_S
 
     def _log_cases(self, how: str, keys: tuple[str, ...]) -> None:
         for key in keys:
-            standing = self.standing(key)
+            standing = self.standing((key,))
             ends = self._ledger.ends(key)
-            if len(ends) >= crash_ledger.SUSPECT_CRASHES:
+            if len(ends) >= crash_ledger.PUBLISHED_CRASHES:
                 logs.event(
                     _log,
                     "crash_case",
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -9,12 +9,11 @@
 import dataclasses
 import time
 
-import curio
-
 from medlarfork import errors
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import (
     attempt_sender,
+    request_placer,
     request_types,
     retry_policy,
     stream_binding,
@@ -22,23 +21,12 @@
     upstream_call,
 )
 from medlarfork.http import _http_messages, http_client, sse
-from medlarfork.placement import local_choice, placement_messages, shard_choice
-from medlarfork.quarantine import crash_ledger
+from medlarfork.placement import local_choice, placement_messages
 
 DEADLINE_MARGIN_MS = 20.0
 """Time before the caller's own deadline at which a final answer is sent, in milliseconds: covers
 the latency of the answer."""
 
-MAX_TRIAL_WAIT_S = 2.0
-"""Maximum wait for the end of a trial of another request with the same key, in seconds: most runs
-take less."""
-
-MAX_TRIAL_WAIT_SHARE = 0.5
-"""The same as a share of the time until the deadline; the rest is needed to run the request."""
-
-TRIAL_POLL_S = 0.1
-"""Interval between placement requests during that wait, in seconds."""
-
 
 class RequestPipeline:
     """Serves one admitted request; ``serve`` returns when its answer has ended.
@@ -56,6 +44,7 @@
         self.admitted = admitted
         self._shared = shared
         self._binding = stream_binding.StreamBinding(admitted, shared)
+        self._placer = request_placer.RequestPlacer(admitted, shared, self._binding, self.trace)
         self._sender = attempt_sender.AttemptSender(admitted, shared)
         self._progress = retry_policy.Progress(runs=admitted.prior_runs)
         self._excluded: list[str] = []
@@ -64,11 +53,8 @@
         self._retry_after_ms = local_choice.RETRY_MS
         self._sends = 0
         self._stream = stream_relay.StreamRelay(admitted, self.trace, shared.budget)
-        self._ticket_id = ""
         self._sent_at = 0.0
-        self._refusal_code = errors.Code.OVERLOADED
         self._broken_runs = 0
-        self._trial_until: float | None = None
         self._running_at: upstream_types.Announcement | None = None
 
     async def serve(self) -> None:
@@ -97,7 +83,9 @@
                 # A host that forwarded the request tries another relay host.
                 await self._give_up()
                 return
-            placed = await self._place_if_allowed()
+            self._sent_at = 0.0
+            self._placer.patience_since = self._stream.waiting_since
+            placed = await self._placer.place(self._excluded)
             if isinstance(placed, placement_messages.PlaceRefused):
                 self._retry_after_ms = placed.retry_after_ms
                 self.trace.reasons.append(placed.why)
@@ -139,12 +127,15 @@
         why = await self._binding.bind()
         if why:
             self.trace.reasons.append(why)
-            self._refusal_code = errors.Code.STREAM_VERSION
+            self._placer.refusal_code = errors.Code.STREAM_VERSION
             await self._give_up()
             return False
         origin = self._binding.origin
         if origin is not None and origin.service != self.admitted.service:
             self.admitted = dataclasses.replace(self.admitted, service=origin.service)
+            self._placer = request_placer.RequestPlacer(
+                self.admitted, self._shared, self._binding, self.trace
+            )
             self._sender = attempt_sender.AttemptSender(self.admitted, self._shared)
         return True
 
@@ -206,113 +197,20 @@
 
     def end_ticket(self, end: placement_messages.RunEnd) -> None:
         """Report to the owner that the current attempt has ended."""
-        if self._ticket_id:
-            self._shared.tracking.end_attempt(self._ticket_id)
+        if self._placer.ticket_id:
+            self._shared.tracking.end_attempt(self._placer.ticket_id)
             after_ms = (time.monotonic() - self._sent_at) * 1000.0 if self._sent_at else 0.0
             pauses = (
                 self._stream.gap_summary() if end is placement_messages.RunEnd.COMPLETE else None
             )
             load = self._sender.load if self._sent_at else None
-            self._shared.owner.report_end(self._ticket_id, end, after_ms, pauses, load)
-            self._ticket_id = ""
+            self._shared.owner.report_end(self._placer.ticket_id, end, after_ms, pauses, load)
+            self._placer.ticket_id = ""
 
     @property
     def _left_ms(self) -> float:
         return (self.admitted.deadline_at - time.monotonic()) * 1000.0
 
-    async def _place_if_allowed(
-        self,
-    ) -> placement_messages.Placed | placement_messages.PlaceRefused:
-        """Place the request, again if its crash verdict changes while it waits for placement."""
-        crashes, key = self._shared.crashes, self.admitted.key
-        while True:
-            standing = crashes.standing(key)
-            is_free = standing.verdict is crash_ledger.Verdict.FREE
-            self._refusal_code = errors.Code.OVERLOADED if is_free else errors.Code.ENDS_UPSTREAMS
-            if standing.verdict is crash_ledger.Verdict.HELD:
-                return crash_ledger.refusal("", standing)
-            is_trial = standing.verdict is crash_ledger.Verdict.TRIAL
-            placed = await self._place(trial_key=key if is_trial else "")
-            if isinstance(placed, placement_messages.PlaceRefused):
-                is_trial_taken = placed.cause is placement_messages.RefusalCause.TRIAL
-                if is_trial_taken and await self._wait_trial():
-                    continue
-                return placed
-            match crashes.standing(key).verdict:
-                case crash_ledger.Verdict.FREE:
-                    return placed
-                case crash_ledger.Verdict.TRIAL if is_trial:
-                    return placed
-            self.end_ticket(placement_messages.RunEnd.CANCELLED)
-
-    async def _wait_trial(self) -> bool:
-        """Wait while another request with the same key is on trial; return False on timeout.
-
-        If the request is harmless, the trial completes in its usual time and releases all that
-        wait.
-        """
-        now = time.monotonic()
-        if self._trial_until is None:
-            self._trial_until = now + min(
-                MAX_TRIAL_WAIT_S, MAX_TRIAL_WAIT_SHARE * self._left_ms / 1000.0
-            )
-        if now >= self._trial_until:
-            return False
-        await curio.sleep(TRIAL_POLL_S)
-        return True
-
-    async def _place(
-        self, *, trial_key: str
-    ) -> placement_messages.Placed | placement_messages.PlaceRefused:
-        admitted = self.admitted
-        self._sent_at = 0.0
-        version = self._binding.version
-        if version is not None and self._shared.session.lacks_version(
-            admitted.service, version, self._excluded
-        ):
-            self._refusal_code = errors.Code.STREAM_VERSION
-            why = f"no upstream of the stream's version {version!r} may run it"
-            return placement_messages.PlaceRefused("", local_choice.RETRY_MS, why)
-        ticket_id = self._shared.owner.new_ticket_id()
-        segments = admitted.metadata.prompt_segments if admitted.route.has_prompt else ()
-        affinity_key = trial_key or shard_choice.affinity_key(segments) or ticket_id
-        shard, other_shard = self._shared.session.shards(admitted.service, affinity_key, version)
-        request = placement_messages.PlaceRequest(
-            ticket_id=ticket_id,
-            service=admitted.service,
-            tier=admitted.tier,
-            left_ms=self._left_ms,
-            target_ms=admitted.route.target_ms,
-            gap_ms=admitted.route.gap_ms,
-            parts=segments,
-            output_tokens=admitted.metadata.output_tokens,
-            first_left_ms=self._first_left_ms(),
-            zone=self._shared.zone,
-            excluded=tuple(self._excluded),
-            shard=shard,
-            other_shard=None if trial_key else other_shard,
-            trial_key=trial_key,
-            account=admitted.account,
-            retry_key=admitted.key,
-            version=version,
-        )
-        self._ticket_id = request.ticket_id
-        self.trace.tickets.append(request.ticket_id)
-        answer = await self._shared.owner.place(request)
-        if isinstance(answer, placement_messages.PlaceRefused):
-            self._ticket_id = ""
-        if not self.trace.upstreams:
-            self.trace.waited_ms = (time.monotonic() - admitted.started_at) * 1000.0
-        return answer
-
-    def _first_left_ms(self) -> float:
-        """Return the time until the caller disconnects without an event, in ms; 0 for no limit."""
-        patience_ms = self.admitted.route.patience_ms
-        if not patience_ms:
-            return 0.0
-        waited_ms = (time.monotonic() - self._stream.waiting_since) * 1000.0
-        return max(1.0, patience_ms - waited_ms)
-
     async def _may_retry(self, end: placement_messages.RunEnd, upstream_id: str) -> bool:
         """Check the retry rules, and the retry budget once an upstream has received the request."""
         if not retry_policy.may_retry(self.admitted.route, self._progress, self._left_ms):
@@ -323,7 +221,9 @@
         if not self._stream.can_resume:
             self.trace.reasons.append("a part of an event has been passed on")
             return False
-        if await self._shared.crashes.is_suspect(self.admitted.key, upstream_id, self._broken_runs):
+        if await self._shared.crashes.is_suspect(
+            self.admitted.crash_keys, upstream_id, self._broken_runs
+        ):
             self.trace.reasons.append("upstreams crashed while running it")
             return False
         if self._sends == 0:
@@ -349,7 +249,9 @@
     def _record_abandoned_run(self) -> None:
         """Record an abandoned run: an upstream that lost power does not reset its connections."""
         if self._running_at is not None:
-            self._shared.crashes.record_abandoned_run(self.admitted.key, self._running_at)
+            self._shared.crashes.record_abandoned_run(
+                self.admitted.crash_keys, self._running_at, has_begun=self._stream.has_event
+            )
             self._running_at = None
 
     def _record_failed_send(self, end: placement_messages.RunEnd) -> None:
@@ -377,7 +279,7 @@
         self.trace.versions.append(upstream.version or "?")
         self._sent_at = time.monotonic()
         self._stream.begin_attempt()
-        await self._shared.tracking.begin_attempt(self._ticket_id)
+        await self._shared.tracking.begin_attempt(self._placer.ticket_id)
         sent = await self._sender.send(
             upstream,
             fetch_from=fetch_from,
@@ -424,7 +326,7 @@
     ) -> placement_messages.RunEnd | None:
         """Read an answer completely, then pass it on, so that no truncated answer is started."""
         body = await self._stream.read_whole(response)
-        self._shared.crashes.record_completed_run(self.admitted.key)
+        self._shared.crashes.record_completed_run(self.admitted.crash_keys)
         failed = response.status >= 500
         if failed and self._may_retry_failure():
             self.trace.reasons.append(f"{self.trace.upstreams[-1]}: status {response.status}")
@@ -448,7 +350,7 @@
         await self._stream.relay(
             response, stall_timeout_s=self._stall_timeout_s, on_start=self._record_start
         )
-        self._shared.crashes.record_completed_run(self.admitted.key)
+        self._shared.crashes.record_completed_run(self.admitted.crash_keys)
         if self._stream.is_holding:
             # The upstream is free; only the delivery goes on.
             self._running_at = None
@@ -466,7 +368,7 @@
 
     def _record_start(self) -> None:
         after_ms = (time.monotonic() - self._sent_at) * 1000.0
-        self._shared.owner.report_first_event(self._ticket_id, after_ms, self._sender.load)
+        self._shared.owner.report_first_event(self._placer.ticket_id, after_ms, self._sender.load)
         self._sender.count_started()
         self._binding.begin(self._running_at)
         self._stream.added_headers = self._binding.relay_headers()
@@ -496,7 +398,7 @@
         error = errors.MedlarError(
             f"The request got no answer: {reasons}.",
             remedy="Retry after the time in Retry-After." if status == 503 else "It may have run.",
-            code=self._refusal_code if status == 503 else errors.Code.UNCERTAIN,
+            code=self._placer.refusal_code if status == 503 else errors.Code.UNCERTAIN,
         )
         await exchange.respond(status, headers, _http_messages.error_body(error, status))
 
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -18,7 +18,7 @@
 )
 from medlarfork.http import http_client, http_server, upstream_reachability
 from medlarfork.placement import placement_messages
-from medlarfork.quarantine import crash_ledger
+from medlarfork.quarantine import crash_ledger, crash_subject
 from medlarfork.resumption import stream_origin
 from medlarfork.routes import routing
 
@@ -57,6 +57,12 @@
     prior_runs: int = 0
     origin: stream_origin.StreamOrigin | None = None
 
+    @property
+    def crash_keys(self) -> tuple[str, ...]:
+        """Return the subjects for which upstream crashes count: itself and its shared parts."""
+        segments = self.metadata.prompt_segments if self.route.has_prompt else ()
+        return crash_subject.keys(self.key, self.service, segments)
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Return the ids of the prompt parts that other requests may share: all but the last."""
@@ -167,8 +173,8 @@
 class CrashTracking(Protocol):
     """Decides whether a request may run, and records how its runs end (see ``crash_tracker``)."""
 
-    def standing(self, key: str) -> crash_ledger.Standing:
-        """Return whether a request may run."""
+    def standing(self, keys: tuple[str, ...]) -> crash_ledger.Standing:
+        """Return whether a request with these subjects may run."""
         ...
 
     async def handle_broken_run(
@@ -181,15 +187,21 @@
         """Handle a run without a complete answer."""
         ...
 
-    def record_abandoned_run(self, key: str, upstream: upstream_types.Announcement) -> None:
+    def record_abandoned_run(
+        self,
+        keys: tuple[str, ...],
+        upstream: upstream_types.Announcement,
+        *,
+        has_begun: bool = False,
+    ) -> None:
         """Record a run whose caller no longer waits."""
         ...
 
-    async def is_suspect(self, key: str, upstream_id: str, broken_runs: int) -> bool:
-        """Return whether a request must not be retried, because it crashed upstreams."""
+    async def is_suspect(self, keys: tuple[str, ...], upstream_id: str, broken_runs: int) -> bool:
+        """Return whether a request must not be retried, because its subjects crashed upstreams."""
         ...
 
-    def record_completed_run(self, key: str) -> None:
+    def record_completed_run(self, keys: tuple[str, ...]) -> None:
         """Record that an upstream answered a request completely."""
         ...
 
--- a/src/medlarfork/quarantine/crash_messages.py
+++ b/src/medlarfork/quarantine/crash_messages.py
@@ -1,4 +1,4 @@
-"""Messages in which entry hosts and replicas exchange reports on crash-inducing requests.
+"""Messages in which entry hosts and replicas exchange reports on upstream crashes.
 
 Messages may be lost, delayed or repeated. Merging them is commutative and idempotent.
 """
@@ -10,24 +10,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamCrash:
-    """The crash of an upstream while a request ran there.
+    """The crash of an upstream while a subject ran there: a request, or one with a prompt part.
 
     Attributes:
         upstream_id: The incarnation, so that each start of an upstream counts once.
         ago_s: Age of the crash, in seconds. Ages are sent because the clocks of different hosts are
             not comparable.
+        has_begun: Whether an event of each such run had arrived.
     """
 
     upstream_id: str
     ago_s: float
+    has_begun: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashCase:
-    """Everything known about one request.
+    """Everything known about one subject.
 
     Attributes:
-        key: The request's key (see ``request_key``).
+        key: The subject's key (see ``crash_subject``).
         ends: The upstreams that crashed while they ran it.
         survived_ago_s: Time since an upstream last answered it completely, in seconds; negative if
             none has.
--- a/src/medlarfork/quarantine/trial_manager.py
+++ b/src/medlarfork/quarantine/trial_manager.py
@@ -1,8 +1,8 @@
-"""Grant trials of crash-inducing requests, one at a time across entry hosts. Pure.
+"""Grant trials of requests with suspect subjects, one at a time across entry hosts. Pure.
 
 A replica decides for the requests whose placement it owns. Entry hosts agree on the owner by a
-hash, so two replicas grant trials of one request at once only while hosts disagree on the owner.
-Every ledger records the result of a trial.
+hash of the worst subject, so two replicas grant trials of it at once only while hosts disagree on
+the owner. Every ledger records the result of a trial.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import dataclasses
 
 from medlarfork.placement import placement_messages
-from medlarfork.quarantine import crash_ledger
+from medlarfork.quarantine import crash_ledger, crash_subject
 
 SETTLE_S = 1.0
 """Delay after a trial without a complete answer before the next one, in seconds: meanwhile its
@@ -37,48 +37,57 @@
         """Decide by the cases of a ledger."""
         self._ledger = ledger
         self._trial_by_key: dict[str, _Trial] = {}
-        self._key_by_ticket: dict[str, str] = {}
+        self._keys_by_ticket: dict[str, tuple[str, ...]] = {}
 
     def request_trial(
         self, request: placement_messages.PlaceRequest, now: float
     ) -> placement_messages.PlaceRefused | None:
         """Grant the trial that a placement request needs, or return the refusal."""
-        key = request.trial_key
-        standing = self._ledger.standing(key, now)
-        running = self._trial_by_key.get(key)
-        if running is not None and running.until > now:
-            if running.ticket_id == request.ticket_id:
-                return None
-            why = "another copy of it is on trial because upstreams crashed while they ran it"
+        keys = crash_subject.of_placement(request)
+        suspects = self._ledger.suspects(keys, now)
+        tried = tuple(dict.fromkeys((request.trial_key, *(item.key for item in suspects))))
+        running = [trial for key in tried if (trial := self._running(key, now)) is not None]
+        if any(trial.ticket_id != request.ticket_id for trial in running):
+            why = "another request with the same suspect is on trial because upstreams crashed"
             cause = placement_messages.RefusalCause.TRIAL
             return placement_messages.PlaceRefused(request.ticket_id, RETRY_MS, why, cause)
-        if standing.verdict is crash_ledger.Verdict.HELD:
-            return crash_ledger.refusal(request.ticket_id, standing)
-        if running is not None:
-            self._key_by_ticket.pop(running.ticket_id, None)
-        until = now + request.left_ms / 1000.0 + REPORT_GRACE_S
-        self._trial_by_key[key] = _Trial(request.ticket_id, until)
-        self._key_by_ticket[request.ticket_id] = key
+        if running:
+            return None
+        if suspects and suspects[0].verdict is crash_ledger.Verdict.HELD:
+            shown = crash_subject.describe(suspects[0].key, request.service, request.parts)
+            return crash_ledger.refusal(request.ticket_id, suspects[0], shown)
+        trial = _Trial(request.ticket_id, now + request.left_ms / 1000.0 + REPORT_GRACE_S)
+        self._trial_by_key.update(dict.fromkeys(tried, trial))
+        self._keys_by_ticket[request.ticket_id] = tried
         return None
 
     def on_ended(self, ticket_id: str, end: placement_messages.RunEnd, now: float) -> None:
         """Handle the end of a run; tickets without a trial are ignored."""
-        trial = self._trial_by_key.get(self._key_by_ticket.get(ticket_id, ""))
         if end in (placement_messages.RunEnd.COMPLETE, placement_messages.RunEnd.NOT_SENT):
             self.release(ticket_id)
-        elif trial is not None and trial.ticket_id == ticket_id:
-            trial.until = now + SETTLE_S
+            return
+        for key in self._keys_by_ticket.get(ticket_id, ()):
+            trial = self._trial_by_key.get(key)
+            if trial is not None and trial.ticket_id == ticket_id:
+                trial.until = now + SETTLE_S
 
     def release(self, ticket_id: str) -> None:
         """Allow the next trial: this one ended with a complete answer, or never ran."""
-        key = self._key_by_ticket.pop(ticket_id, "")
-        trial = self._trial_by_key.get(key)
-        if trial is not None and trial.ticket_id == ticket_id:
-            del self._trial_by_key[key]
+        for key in self._keys_by_ticket.pop(ticket_id, ()):
+            trial = self._trial_by_key.get(key)
+            if trial is not None and trial.ticket_id == ticket_id:
+                del self._trial_by_key[key]
 
     def tidy(self, now: float) -> None:
         """Evict trials that have ended."""
-        for key, trial in tuple(self._trial_by_key.items()):
+        for trial in tuple(self._trial_by_key.values()):
             if trial.until <= now:
-                del self._trial_by_key[key]
-                self._key_by_ticket.pop(trial.ticket_id, None)
+                self.release(trial.ticket_id)
+
+    def _running(self, key: str, now: float) -> _Trial | None:
+        """Return the trial of a subject that has not ended."""
+        trial = self._trial_by_key.get(key)
+        if trial is None or trial.until > now:
+            return trial
+        self.release(trial.ticket_id)
+        return None
--- a/tests/routed/test_crash_tracker.py
+++ b/tests/routed/test_crash_tracker.py
@@ -76,7 +76,7 @@
     async def main():
         for number, verdict in enumerate((Verdict.FREE, Verdict.TRIAL, Verdict.HELD)):
             await break_run_at(tracker, make_admitted(), upstream(make_announcement, number))
-            assert tracker.standing(KEY).verdict is verdict
+            assert tracker.standing((KEY,)).verdict is verdict
         assert [to for to, _ in sent] == ["r1", "r2"] * 3
         assert len(sent[-1][1].cases[0].ends) == 3
 
@@ -108,7 +108,7 @@
             where = upstream(make_announcement, number)
             client.reach_by_address[f"http://{where.address}"] = http_client.Reachability.ACCEPTS
             await break_run_at(tracker, make_admitted(), where)
-        assert tracker.standing(KEY).verdict is Verdict.FREE
+        assert tracker.standing((KEY,)).verdict is Verdict.FREE
         assert tracker.cases == 0
 
     curio_world.run(main)
@@ -128,11 +128,11 @@
             if breaks:
                 await break_run_at(tracker, make_admitted(), where)
             else:
-                tracker.record_abandoned_run(KEY, where)
+                tracker.record_abandoned_run((KEY,), where)
             again = upstream(make_announcement, number, born_ms=2)
             session.upstream_by_id[f"n-{number}@2"] = again
         tracker.check_replacements()
-        assert tracker.standing(KEY).verdict is Verdict.HELD
+        assert tracker.standing((KEY,)).verdict is Verdict.HELD
 
     curio_world.run(main)
 
@@ -145,21 +145,21 @@
     monkeypatch.setattr(crash_tracker, "_now", lambda: now[0])
     for number in range(3):
         where = upstream(make_announcement, number)
-        tracker.record_abandoned_run(KEY, where)
+        tracker.record_abandoned_run((KEY,), where)
         now[0] += crash_tracker.REPLACEMENT_WINDOW_S - 1.0
         tracker.record_abandoned_run("another", where)
         now[0] += 2.0
         session.upstream_by_id[f"n-{number}@2"] = upstream(make_announcement, number, born_ms=2)
         tracker.check_replacements()
     assert tracker.standing("another").verdict is Verdict.HELD
-    assert tracker.standing(KEY).verdict is Verdict.FREE
+    assert tracker.standing((KEY,)).verdict is Verdict.FREE
 
 
 def test_a_host_that_saw_a_request_complete_clears_it_at_all_replicas(tracker, sent):
-    tracker.record_completed_run(KEY)
+    tracker.record_completed_run((KEY,))
     ends = tuple(crash_messages.UpstreamCrash(f"u-{number}", 0.1) for number in range(3))
     tracker.apply_report(crash_messages.CrashReport((crash_messages.CrashCase(KEY, ends),)))
-    assert tracker.standing(KEY).verdict is Verdict.FREE
+    assert tracker.standing((KEY,)).verdict is Verdict.FREE
     assert [to for to, _ in sent] == ["r1", "r2"]
     assert sent[0][1].cases[0].survived_ago_s >= 0
 
@@ -173,7 +173,9 @@
         for number, expected in ((0, (False, False)), (1, (False, True)), (2, (True, True))):
             where = upstream(make_announcement, number)
             await break_run_at(tracker, make_admitted(), where)
-            found = [await tracker.is_suspect(KEY, where.upstream_id, breaks) for breaks in (1, 2)]
+            found = [
+                await tracker.is_suspect((KEY,), where.upstream_id, breaks) for breaks in (1, 2)
+            ]
             assert tuple(found) == expected
 
     curio_world.run(main)
@@ -185,10 +187,10 @@
     """Two engines were killed at once, and a request that ran on both was wrongly blamed for it."""
 
     async def main():
-        tracker.record_completed_run(KEY)
+        tracker.record_completed_run((KEY,))
         for number in range(3):
             await break_run_at(tracker, make_admitted(), upstream(make_announcement, number))
-            assert tracker.standing(KEY).verdict is Verdict.FREE
+            assert tracker.standing((KEY,)).verdict is Verdict.FREE
         assert sent == []
 
     curio_world.run(main)
@@ -199,11 +201,11 @@
     monkeypatch.setattr(crash_tracker, "_now", lambda: now[0])
 
     async def main():
-        tracker.record_completed_run(KEY)
+        tracker.record_completed_run((KEY,))
         now[0] += crash_ledger.EXONERATION_S + 0.1
         for number in range(3):
             await break_run_at(tracker, make_admitted(), upstream(make_announcement, number))
-        assert tracker.standing(KEY).verdict is Verdict.HELD
+        assert tracker.standing((KEY,)).verdict is Verdict.HELD
 
     curio_world.run(main)
 
@@ -237,7 +239,7 @@
         tracker = crash_tracker.CrashTracker(client, session, send, has_other_contact)
         for number in range(3):
             await break_run_at(tracker, make_admitted(), upstream(make_announcement, number))
-        assert tracker.standing(KEY).verdict is (Verdict.HELD if has_contact else Verdict.FREE)
+        assert tracker.standing((KEY,)).verdict is (Verdict.HELD if has_contact else Verdict.FREE)
         assert bool(sent) is has_contact
 
     curio_world.run(main)
--- a/tests/routed/test_suspect_requests.py
+++ b/tests/routed/test_suspect_requests.py
@@ -5,15 +5,15 @@
 
 import pytest
 
-from medlarfork.gateway import request_pipeline, request_types
+from medlarfork.gateway import request_pipeline, request_placer, request_types
 from medlarfork.http import reachability_prober
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_ledger
 from tests import curio_world
 
 FREE = crash_ledger.Standing()
-TRIAL = crash_ledger.Standing(crash_ledger.Verdict.TRIAL, 2)
-HELD = crash_ledger.Standing(crash_ledger.Verdict.HELD, 3, 30.0)
+TRIAL = crash_ledger.Standing(crash_ledger.Verdict.TRIAL, 2, key="k")
+HELD = crash_ledger.Standing(crash_ledger.Verdict.HELD, 3, 30.0, "k")
 
 
 class Crashes:
@@ -22,13 +22,13 @@
     def __init__(self, *standings):
         self.standings = list(standings)
 
-    def standing(self, key):
+    def standing(self, keys):
         return self.standings.pop(0) if len(self.standings) > 1 else self.standings[0]
 
-    async def is_suspect(self, key, upstream_id, broken_runs):
-        return self.standing(key).verdict is crash_ledger.Verdict.HELD
+    async def is_suspect(self, keys, upstream_id, broken_runs):
+        return self.standing(keys).verdict is crash_ledger.Verdict.HELD
 
-    def record_abandoned_run(self, key, upstream):
+    def record_abandoned_run(self, keys, upstream, *, has_begun=False):
         pass
 
 
@@ -145,7 +145,7 @@
 
 
 def test_a_suspect_request_is_refused_after_the_maximum_trial_wait(serve, owner, monkeypatch):
-    monkeypatch.setattr(request_pipeline, "MAX_TRIAL_WAIT_S", 0.25)
+    monkeypatch.setattr(request_placer, "MAX_TRIAL_WAIT_S", 0.25)
     owner.refuses_trials = True
     exchange = serve(TRIAL)
     assert exchange.status == 503
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -42,6 +42,7 @@
     "placement.standalone_slots",
     "coordination.coordinator",
     "quarantine.crash_ledger",
+    "quarantine.crash_subject",
     "quarantine.trial_manager",
     "backpressure.send_gate",
     "backpressure.upstream_signals",
