Hosts no longer take themselves for cut off when several upstreams have crashed

Cause: a host that asks whether a crash was its own lost link looked at one other upstream; if that one had crashed too, it counted nothing. And four upstreams that refused within 3 s made a service unreachable, however many served.

Change: after a refusal the next upstream is probed, until one accepts or twelve have refused; a service is unreachable after four unanswered attempts as before, or twelve (all, if it has fewer) refusals.

--- a/src/medlarfork/http/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -72,7 +72,7 @@
     def on_connected(self, address: str) -> None:
         """Handle an accepted connection."""
 
-    def on_connect_failed(self, address: str) -> None:
+    def on_connect_failed(self, address: str, *, is_refusal: bool = False) -> None:
         """Handle a connection that was refused, or an attempt that got no answer."""
 
     def on_received(self) -> None:
@@ -194,7 +194,8 @@
         except errors.RequestNotSentError as error:
             is_timeout = isinstance(error.__cause__, curio.TaskTimeout)
             if self._observer is not None and not (is_timeout and within_s < MIN_CONNECT_S):
-                self._observer.on_connect_failed(address)
+                is_refusal = isinstance(error.__cause__, ConnectionRefusedError)
+                self._observer.on_connect_failed(address, is_refusal=is_refusal)
             raise
         finally:
             self._opening -= 1
--- a/src/medlarfork/http/reachability_prober.py
+++ b/src/medlarfork/http/reachability_prober.py
@@ -73,16 +73,25 @@
     async def has_other_contact(self, address: str, since: float) -> bool:
         """Return whether another upstream can be reached, so that the failure of one is its own.
 
+        Others may have crashed with it, so refusals lead to further probes; silence does not, as it
+        takes long.
+
         Args:
             address: ``IP:PORT`` of the upstream that failed.
             since: Monotonic time from which contact counts, in seconds.
         """
         if self.reachability.has_contact_since(since):
             return True
-        other = self.reachability.other_address(address)
-        if not other:
-            return not self.reachability.is_address_unreachable(address)
-        return await self._probe(other) is http_client.Reachability.ACCEPTS
+        probed = {address}
+        while len(probed) <= upstream_reachability.MAX_REFUSED:
+            other = self.reachability.other_address(probed)
+            if not other:
+                return not self.reachability.is_address_unreachable(address)
+            probed.add(other)
+            found = await self._probe(other)
+            if found is not http_client.Reachability.REFUSES:
+                return found is http_client.Reachability.ACCEPTS
+        return False
 
     def on_connected(self, address: str) -> None:
         """Handle an accepted connection."""
@@ -90,10 +99,10 @@
         if self.reachability.record_connected(upstream, time.monotonic()):
             self._report_change(upstream)
 
-    def on_connect_failed(self, address: str) -> None:
+    def on_connect_failed(self, address: str, *, is_refusal: bool = False) -> None:
         """Handle a connection that was refused, or an attempt that got no answer."""
         upstream = address.removeprefix(_SCHEME)
-        if self.reachability.record_failure(upstream, time.monotonic()):
+        if self.reachability.record_failure(upstream, time.monotonic(), is_refusal=is_refusal):
             self._report_change(upstream)
 
     def on_received(self) -> None:
--- a/src/medlarfork/http/upstream_reachability.py
+++ b/src/medlarfork/http/upstream_reachability.py
@@ -1,8 +1,9 @@
 """Detects that this host reaches no upstream of a service, from its connections to upstreams.
 
 A crashed upstream fails for every host, a network partition of this host fails for all upstreams.
-A service is unreachable once connecting has failed at ``MAX_FAILED`` of its upstreams, or at all if
-it has fewer, with no connection accepted in between. Since a request on an open connection ends at
+A service is unreachable once ``MAX_UNANSWERED`` of its upstreams did not answer an attempt to
+connect, ``MAX_REFUSED`` did not or refused, or all if it has fewer, with no connection accepted in
+between. Since a request on an open connection ends at
 its deadline without any failure, silence leads to probes, one at a time.
 
 Pure: no I/O, no clock.
@@ -16,8 +17,13 @@
 
 from medlarfork import rendezvous
 
-MAX_FAILED = 4
-"""Failed upstreams that make a service of any size unreachable: that many rarely crash at once."""
+MAX_UNANSWERED = 4
+"""Unanswered upstreams that make a service of any size unreachable: that many rarely lose power at
+once."""
+
+MAX_REFUSED = 12
+"""Unanswered or refusing upstreams that make a service of any size unreachable. A crashed upstream
+refuses, and a request can crash several; refusals take no time."""
 
 MIN_SUSPECT = 2
 """Failed upstreams of a service from which this host probes: one alone has usually crashed."""
@@ -46,6 +52,7 @@
     Attributes:
         addresses: Addresses of the present upstreams.
         failed_at: Time of the failure at each address where connecting failed last.
+        refused: Those of them that refused each time.
         accepted_at: Time at which a connection was accepted last.
         is_unreachable: Whether no upstream can be reached.
         probe_at: Time from which an unreachable service is probed again.
@@ -54,6 +61,7 @@
 
     addresses: tuple[str, ...] = ()
     failed_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    refused: set[str] = dataclasses.field(default_factory=set)
     accepted_at: float = -math.inf
     is_unreachable: bool = False
     probe_at: float = -math.inf
@@ -65,11 +73,20 @@
             return
         for address, at in tuple(self.failed_at.items()):
             if at < now - FAILURE_WINDOW_S:
-                del self.failed_at[address]
+                self.drop_failure(address)
+
+    def drop_failure(self, address: str) -> None:
+        """Forget the failure at an address."""
+        del self.failed_at[address]
+        self.refused.discard(address)
 
     def has_failed_everywhere(self) -> bool:
         """Return whether enough upstreams have failed for the service to be unreachable."""
-        return len(self.failed_at) >= min(MAX_FAILED, len(self.addresses)) > 0
+        unanswered = len(self.failed_at) - len(self.refused)
+        return (
+            unanswered >= min(MAX_UNANSWERED, len(self.addresses)) > 0
+            or len(self.failed_at) >= min(MAX_REFUSED, len(self.addresses)) > 0
+        )
 
 
 class UpstreamReachability:
@@ -125,7 +142,7 @@
             service = self._service_by_name.setdefault(name, _Service())
             service.addresses = rendezvous.rank(self._entry_id, addresses)
             for address in service.failed_at.keys() - set(addresses):
-                del service.failed_at[address]
+                service.drop_failure(address)
             self._name_by_address.update(dict.fromkeys(addresses, name))
 
     def begin_attempt(self, attempt: str, now: float) -> None:
@@ -151,11 +168,12 @@
             return False
         was_unreachable = service.is_unreachable
         service.failed_at.clear()
+        service.refused.clear()
         service.accepted_at = now
         service.is_unreachable = False
         return was_unreachable
 
-    def record_failure(self, address: str, now: float) -> bool:
+    def record_failure(self, address: str, now: float, *, is_refusal: bool = False) -> bool:
         """Record that an upstream refused a connection or did not answer the attempt to connect.
 
         Returns:
@@ -165,6 +183,10 @@
         if service is None:
             return False
         service.drop_old_failures(now)
+        if is_refusal and address not in service.failed_at:
+            service.refused.add(address)
+        elif not is_refusal:
+            service.refused.discard(address)
         service.failed_at[address] = now
         if self._suspected_at is None and len(service.failed_at) >= MIN_SUSPECT:
             self._suspected_at = now
@@ -192,11 +214,11 @@
         """Return the address of the upstream to probe now; empty for none."""
         return self._recovery_probe(now) or self._suspicion_probe(now)
 
-    def other_address(self, address: str) -> str:
+    def other_address(self, excluded: Collection[str]) -> str:
         """Return the address of another upstream that has not failed; empty if there is none."""
         for service in self._service_by_name.values():
             for other in service.addresses:
-                if other != address and other not in service.failed_at:
+                if other not in excluded and other not in service.failed_at:
                     return other
         return ""
 
--- a/tests/routed/test_reachability_prober.py
+++ b/tests/routed/test_reachability_prober.py
@@ -10,6 +10,7 @@
 from tests import curio_world
 
 ACCEPTS = http_client.Reachability.ACCEPTS
+REFUSES = http_client.Reachability.REFUSES
 SILENT = http_client.Reachability.SILENT
 
 
@@ -101,6 +102,29 @@
     curio_world.run(main)
 
 
+# Guards against: crashes that a host did not count, since it took itself for cut off when the first
+# other upstream that it looked at had crashed, too.
+@pytest.mark.parametrize(("refusing", "contact"), [(4, True), (5, False)])
+def test_upstreams_are_probed_until_one_accepts_or_all_have_refused(make_prober, refusing, contact):
+    async def main():
+        prober = make_prober(None, upstreams=6)
+        failed = "10.0.0.0:80"
+
+        async def reach(address, *, within_s):
+            prober.probed.append(address)
+            if len(prober.probed) > refusing:
+                return ACCEPTS
+            prober.on_connect_failed(address, is_refusal=True)
+            return REFUSES
+
+        prober.use_client(reach)
+        prober.on_connect_failed(f"http://{failed}", is_refusal=True)
+        assert await prober.has_other_contact(failed, time.monotonic()) is contact
+        assert len(set(prober.probed)) == len(prober.probed) == 5
+
+    curio_world.run(main)
+
+
 @pytest.mark.parametrize(("found", "contact"), [(ACCEPTS, True), (SILENT, False)])
 def test_contact_with_another_upstream_is_probed_unless_bytes_have_arrived(
     make_prober, found, contact
--- a/tests/routed/test_upstream_reachability.py
+++ b/tests/routed/test_upstream_reachability.py
@@ -40,6 +40,29 @@
     assert reachability.is_cut_off
 
 
+# Guards against: hosts that forward to each other, and refuse, while crashed upstreams of a service
+# refuse connections and a few others still serve.
+@pytest.mark.parametrize(("upstreams", "needed"), [(2, 2), (6, 6), (12, 12), (40, 12)])
+def test_refusals_of_crashed_upstreams_make_a_service_unreachable_only_if_nearly_all_refuse(
+    make_reachability, upstreams, needed
+):
+    reachability = make_reachability(engines=upstreams)
+    results = [
+        reachability.record_failure(f"engines:{number}", 0.1 * number, is_refusal=True)
+        for number in range(needed)
+    ]
+    assert results == [False] * (needed - 1) + [True]
+
+
+def test_a_refusal_after_an_unanswered_attempt_still_counts_as_unanswered(make_reachability):
+    reachability = make_reachability(engines=9)
+    for number in range(4):
+        reachability.record_failure(f"engines:{number}", 0.0, is_refusal=number == 3)
+        reachability.record_failure(f"engines:{number}", 0.0, is_refusal=True)
+    assert not reachability.is_unreachable("engines")
+    assert reachability.record_failure("engines:4", 0.1)
+
+
 def test_an_accepted_connection_shows_that_the_others_have_failed_themselves(make_reachability):
     reachability = make_reachability(engines=6)
     fail(reachability, "engines", 3)
