Hosts without a replica count each crash of an upstream that comes back

Cause: crashes are counted by incarnation, and a host that hears no replica knows the first one only, so the crashes of its successors at the same address were the same crash.

Change: an upstream that refused connections and then ran a request has started again; the crash gets an id by the number of such starts. Hosts that saw fewer use a lower number, so merged ledgers count no crash twice. Trials that tell two parts apart are for parts alone: whole requests keep their bound.

Further process tests: parts that always come together, crashes late in the answer, a restart of everything, and engines killed by turns, under which no part is held.

--- a/src/medlarfork/gateway/crash_tracker.py
+++ b/src/medlarfork/gateway/crash_tracker.py
@@ -41,6 +41,12 @@
 """Maximum number of subjects with complete answers kept, about 3 MB: the requests of ten minutes
 and their prompt parts at 15 a second."""
 
+MAX_REFUSALS = 16
+"""Refusals that are kept of one upstream: as many as crashes of one case."""
+
+MAX_REFUSING_UPSTREAMS = 1000
+"""Upstreams whose refusals are kept, the latest ones."""
+
 SAME_MOMENT_S = 0.01
 """Time after a broken run in which bytes of other upstreams may still have been on their way before
 a partition of this host, in seconds."""
@@ -56,11 +62,13 @@
     Attributes:
         runs: Their number.
         has_begun_by_key: Whether an event of each run had arrived, by subject.
+        sent_at: When the first of them was sent, in monotonic seconds.
         done: Set once the probe has finished.
     """
 
     runs: int = 0
     has_begun_by_key: dict[str, bool] = dataclasses.field(default_factory=dict)
+    sent_at: float = math.inf
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
 
     def add(self, keys: tuple[str, ...], *, has_begun: bool) -> None:
@@ -115,6 +123,9 @@
         self._probe_by_upstream: dict[str, _Probe] = {}
         self._pending_by_upstream: dict[str, _Pending] = {}
         self._completed_at_by_key: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._refused_at_by_upstream: collections.OrderedDict[str, tuple[float, ...]] = (
+            collections.OrderedDict()
+        )
 
     @property
     def cases(self) -> int:
@@ -131,6 +142,7 @@
         upstream: upstream_types.Announcement,
         *,
         has_begun: bool = False,
+        sent_at: float = math.inf,
     ) -> None:
         """Handle a run without a complete answer; runs that break together share one probe.
 
@@ -138,6 +150,7 @@
             admitted: The request.
             upstream: The upstream that ran it.
             has_begun: Whether an event of this run had arrived.
+            sent_at: When the run was sent, in monotonic seconds.
         """
         logs.event(
             _log,
@@ -152,6 +165,7 @@
         is_first = upstream.upstream_id not in self._probe_by_upstream
         probe = self._probe_by_upstream.setdefault(upstream.upstream_id, _Probe())
         probe.add(admitted.crash_keys, has_begun=has_begun)
+        probe.sent_at = min(probe.sent_at, sent_at)
         if is_first:
             await curio.spawn(self._probe, upstream, daemon=True)
 
@@ -177,7 +191,7 @@
         After its first broken run only a held request is stopped. Any other is retried at once, on
         trial if requests with the same key crashed another upstream. After the second one, or if
         one of its prompt parts crashed another upstream, this waits for the probe. Then a request
-        that may only run on trial is stopped, too, and one whose part has crashed both.
+        that may only run on trial is stopped, too, and one whose part has crashed two.
 
         Args:
             keys: The request's key and those of its prompt parts.
@@ -190,8 +204,7 @@
         await self.wait_probed(upstream_id)
         if self.standing(keys).verdict is not crash_ledger.Verdict.FREE:
             return True
-        ends = (self._ledger.unexplained_ends(key) for key in parts)
-        return any(len(found) > 1 and upstream_id in found for found in ends)
+        return any(len(self._ledger.unexplained_ends(key)) > 1 for key in parts)
 
     def record_completed_run(self, keys: tuple[str, ...]) -> None:
         """Record that an upstream answered a request completely."""
@@ -284,9 +297,32 @@
         }
         if is_crash:
             # An unclear result counts as a crash, too: retries must end, and an answer clears it.
-            self._record_crashes(upstream.upstream_id, end_by_key)
+            crash_id = self._crash_id(upstream.upstream_id, probe.sent_at)
+            self._record_crashes(crash_id, end_by_key)
         else:
             self._await_replacement(upstream, end_by_key)
+        if reach is http_client.Reachability.REFUSES:
+            self._record_refusal(upstream.upstream_id, probe.sent_at)
+
+    def _crash_id(self, upstream_id: str, sent_at: float) -> str:
+        """Return the id of a start of an upstream, by the number of earlier starts that refused.
+
+        While no replica can be reached, this host hears of no new incarnation. Another host may
+        have seen fewer refusals and use a lower number, never a higher one than there were starts.
+        """
+        refused_at = self._refused_at_by_upstream.get(upstream_id, ())
+        starts = sum(at < sent_at for at in refused_at)
+        return f"{upstream_id}+{starts}" if starts and sent_at < math.inf else upstream_id
+
+    def _record_refusal(self, upstream_id: str, sent_at: float) -> None:
+        """Record that the process that got a run no longer listens; a later run is of another."""
+        earlier = self._refused_at_by_upstream.get(upstream_id, ())
+        if earlier and not earlier[-1] < sent_at < math.inf:
+            return
+        self._refused_at_by_upstream[upstream_id] = (*earlier, _now())[-MAX_REFUSALS:]
+        self._refused_at_by_upstream.move_to_end(upstream_id)
+        if len(self._refused_at_by_upstream) > MAX_REFUSING_UPSTREAMS:
+            self._refused_at_by_upstream.popitem(last=False)
 
     def _await_replacement(
         self, upstream: upstream_types.Announcement, end_by_key: dict[str, _RunEnd]
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -268,7 +268,7 @@
     async def _record_broken_run(self, upstream: upstream_types.Announcement) -> None:
         self._broken_runs += 1
         await self._shared.crashes.handle_broken_run(
-            self.admitted, upstream, has_begun=self._stream.has_event
+            self.admitted, upstream, has_begun=self._stream.has_event, sent_at=self._sent_at
         )
 
     async def _attempt(
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Collection, Mapping
 from typing import Any, Protocol
 
@@ -183,6 +184,7 @@
         upstream: upstream_types.Announcement,
         *,
         has_begun: bool = False,
+        sent_at: float = math.inf,
     ) -> None:
         """Handle a run without a complete answer."""
         ...
--- a/src/medlarfork/quarantine/crash_ledger.py
+++ b/src/medlarfork/quarantine/crash_ledger.py
@@ -210,12 +210,14 @@
         return next(iter(self.suspects(keys, now)), _FREE)
 
     def _with_contrast(self, standing: Standing, keys: Sequence[str]) -> Standing:
-        """Allow a trial that tells a held subject apart from another one with the same crashes."""
-        if standing.verdict is not Verdict.HELD or standing.trial_in_s == math.inf:
+        """Allow a trial that tells a held part apart from another one with the same crashes."""
+        has_trials = standing.verdict is Verdict.HELD and standing.trial_in_s < math.inf
+        if not has_trials or not crash_subject.is_part(standing.key):
             return standing
         crashed = self._case_by_key[standing.key].crashed_at_by_upstream.keys()
         for key, case in self._held().items():
-            if key not in keys and crashed <= case.crashed_at_by_upstream.keys():
+            is_other = crash_subject.is_part(key) and key not in keys
+            if is_other and crashed <= case.crashed_at_by_upstream.keys():
                 return dataclasses.replace(standing, verdict=Verdict.TRIAL, trial_in_s=0.0)
         return standing
 
--- a/tests/processes/test_crashing_parts.py
+++ b/tests/processes/test_crashing_parts.py
@@ -4,6 +4,8 @@
 share, at every entry host. 17 engines ended in the lines of a day, each under another request.
 """
 
+import math
+import signal
 import threading
 import time
 
@@ -100,3 +102,63 @@
     settled_at = runs[min(CRASHES, len(runs)) - 1] + 2 * CONTACT_S
     assert sound.served_share(settled_at, stopped_at) >= SERVED_SHARE
     assert {status for _, status in deadly.results} <= {0, 502, 503}
+
+
+def test_a_part_that_always_came_with_the_guilty_one_is_served_without_it(fleet):
+    _start(fleet, STREAMING)
+    with Traffic(fleet, "sound", ("rare", "good"), 3) as sound:
+        with Traffic(fleet, "deadly", ("rare", "deadly"), 5):
+            time.sleep(18.0)
+        stopped_at = time.monotonic()
+    runs = fleet.prompt_runs("deadly")
+    assert len(_late_runs(fleet)) <= MOST_AFTER
+    settled_at = runs[min(CRASHES, len(runs)) - 1] + 2 * CONTACT_S
+    assert sound.served_share(settled_at, stopped_at) >= SERVED_SHARE
+
+
+def test_a_part_that_crashes_engines_late_in_the_answer_is_held(fleet):
+    _start(fleet, STREAMING)
+    with Traffic(fleet, "sound", ("tmpl", "good"), 20) as sound:
+        with Traffic(fleet, "late", ("tmpl", "late"), 5):
+            time.sleep(14.0)
+        stopped_at = time.monotonic()
+    fifth_at = fleet.prompt_runs("late")[CRASHES - 1]
+    assert len(_late_runs(fleet, "late")) <= MOST_AFTER
+    assert sound.served_share(fifth_at + 2 * CONTACT_S, stopped_at) >= SERVED_SHARE
+
+
+def test_a_restart_of_all_processes_costs_a_held_part_no_further_engine(fleet):
+    _start(fleet, STREAMING)
+    with Traffic(fleet, "deadly", ("tmpl", "deadly"), 5):
+        time.sleep(4.0)
+        runs = fleet.prompt_runs("deadly")
+        fleet.restart_all()
+        time.sleep(6.0)
+    assert fleet.prompt_runs("deadly") == runs
+    assert fleet.call_prompt("sound", ("tmpl", "good"))[0] == 200
+
+
+def test_hosts_without_a_replica_run_the_part_three_times_each(fleet):
+    """No host knows the crashes that another one saw; one more run of each may be under way."""
+    _start(fleet, STREAMING)
+    for replica in fleet.replicas:
+        fleet.process_by_host[replica].send_signal(signal.SIGSTOP)
+    with Traffic(fleet, "sound", ("tmpl", "good"), 20) as sound:
+        with Traffic(fleet, "deadly", ("tmpl", "deadly"), 5):
+            time.sleep(14.0)
+        stopped_at = time.monotonic()
+    assert len(fleet.prompt_runs("deadly")) <= (3 + 1) * len(fleet.entries)
+    assert sound.served_share(stopped_at - 6.0, stopped_at) >= SERVED_SHARE
+
+
+def test_no_part_is_held_while_engines_are_killed_by_turns(fleet):
+    _start(fleet, STREAMING)
+    sound = Traffic(fleet, "sound", ("tmpl", "good"), 20)
+    with sound, Traffic(fleet, "rare", ("tmpl", "rare"), 1):
+        for turn in range(6):
+            time.sleep(2.0)
+            for engine in fleet.engines[turn % 3 :: 3]:
+                engine.kill()
+        time.sleep(2.0)
+    assert not [line for line in fleet.lines("crash_case") if "verdict=held" in line]
+    assert sound.served_share(0.0, math.inf) >= SERVED_SHARE
--- a/tests/routed/test_crash_tracker.py
+++ b/tests/routed/test_crash_tracker.py
@@ -1,5 +1,7 @@
 """Which events an entry host counts as an upstream crash, and how it reports them."""
 
+import time
+
 import curio
 import pytest
 
@@ -65,11 +67,53 @@
     return make_announcement(f"n-{number}@1", **(values | changes))
 
 
-async def break_run_at(tracker, admitted, where):
-    await tracker.handle_broken_run(admitted, where)
+async def break_run_at(tracker, admitted, where, **more):
+    await tracker.handle_broken_run(admitted, where, **more)
     await tracker.wait_probed(where.upstream_id)
 
 
+# Guards against: an upstream that crashes again and again and is counted once, while no replica
+# tells the host of its new incarnations.
+def test_an_upstream_that_refused_and_ran_a_request_again_has_crashed_twice(
+    tracker, make_admitted, make_announcement
+):
+    async def main():
+        where = upstream(make_announcement, 1)
+        for verdict in (Verdict.FREE, Verdict.TRIAL, Verdict.HELD):
+            sent_at = time.monotonic()
+            await break_run_at(tracker, make_admitted(), where, sent_at=sent_at)
+            assert tracker.standing((KEY,)).verdict is verdict
+            # Another run of the same start, whose end was noticed late.
+            await break_run_at(tracker, make_admitted("other"), where, sent_at=sent_at)
+            assert tracker.standing((KEY,)).verdict is verdict
+        assert tracker.standing(("other",)).ends == 3
+
+    curio_world.run(main)
+
+
+def test_hosts_that_saw_different_crashes_of_an_upstream_count_no_crash_twice(
+    client, session, make_admitted, make_announcement
+):
+    async def main():
+        reports = []
+        trackers = [
+            crash_tracker.CrashTracker(client, session, lambda to, report: reports.append(report))
+            for _ in range(2)
+        ]
+        where = upstream(make_announcement, 1)
+        for seen_by in ((0,), (0, 1), (1,), (0, 1)):
+            for number in seen_by:
+                await break_run_at(
+                    trackers[number], make_admitted(), where, sent_at=time.monotonic()
+                )
+        ledger = crash_ledger.CrashLedger()
+        for report in reports:
+            ledger.merge(report, time.monotonic())
+        assert 2 < len(ledger.ends(KEY)) <= 4
+
+    curio_world.run(main)
+
+
 def test_crashes_are_reported_to_all_replicas_and_the_third_holds_the_request(
     tracker, sent, make_admitted, make_announcement
 ):
