Count refusals of held prompt parts, name them in the log; tests of retries, old builds, lost disks

The `request` line names the case for which a request was refused (`held`), and `medlar_held_refused_total` counts such refusals by subject. The log records a part again if a run that had begun turns out not to have.

Tests: a safe request is not sent on with a part that crashed its upstream and another; a run without an event counts as such beside one with events; builds without parts read and send crashes; a held part outlives a lost disk and the restart of all, until an operator lifts it; the log keeps parts on trial.

--- a/src/medlarfork/coordination/crash_manager.py
+++ b/src/medlarfork/coordination/crash_manager.py
@@ -98,9 +98,14 @@
         for key in self.ledger.known():
             ends = self.ledger.ends(key)
             recorded = held_by_key.get(key)
-            is_recorded = recorded is not None and set(ends) <= set(recorded.upstream_ids)
+            begun = self.ledger.begun_ends(key)
+            is_recorded = (
+                recorded is not None
+                and set(ends) <= set(recorded.upstream_ids)
+                and set(recorded.begun_ids) <= set(begun)
+            )
             if self.ledger.is_durable(key) and not is_recorded:
-                changes.append(routing_state.HeldRequest(key, ends, self.ledger.begun_ends(key)))
+                changes.append(routing_state.HeldRequest(key, ends, begun))
         for key in held_by_key:
             if not self.ledger.is_durable(key):
                 changes.append(routing_state.LiftedRequest(key))
--- a/src/medlarfork/gateway/gateway_metrics.py
+++ b/src/medlarfork/gateway/gateway_metrics.py
@@ -27,6 +27,9 @@
         self._refused = self.process.tally(
             "medlar_entry_refused", "Requests refused by an overloaded host.", ("tier", "cause")
         )
+        self._held = self.process.tally(
+            "medlar_held_refused", "Requests refused because upstreams crashed.", ("subject",)
+        )
         self._whole = self.process.timing("medlar_routed_time", "Arrival to the answer's end.")
 
     def count(self, account: str, route: str, status: int, took_ms: float) -> None:
@@ -38,6 +41,10 @@
         """Count a request that was refused because this host is overloaded."""
         self._refused.add(1, str(tier), cause)
 
+    def count_held(self, *, is_part: bool) -> None:
+        """Count a request that was refused because it, or a part of its prompt, is held."""
+        self._held.add(1, "part" if is_part else "request")
+
     def observe_utilisation(self, read: Callable[[], float]) -> None:
         """Export the utilisation of this host; ``read`` is called when it is rendered."""
         self.process.gauge("medlar_entry_utilisation", "Highest utilisation of a resource.", read)
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -29,7 +29,7 @@
 )
 from medlarfork.http import _http_messages, http_client, http_server
 from medlarfork.placement import placement_messages
-from medlarfork.quarantine import request_key
+from medlarfork.quarantine import crash_subject, request_key
 from medlarfork.resumption import stream_origin
 from medlarfork.routes import route_table, routing
 
@@ -355,6 +355,8 @@
         if trace.result is request_types.Result.ANSWERED:
             self._record_duration(admitted.route.name, took_ms / 1000.0)
         self._metrics.count(admitted.account, admitted.route.name, trace.status, took_ms)
+        if trace.held_key:
+            self._metrics.count_held(is_part=crash_subject.is_part(trace.held_key))
         logs.event(
             _log,
             "request",
@@ -380,6 +382,7 @@
             pause_ms=round(trace.max_gap_ms, 1) or None,
             framing=trace.framing or None,
             partial_bytes=trace.partial_bytes or None,
+            held=trace.held_key or None,
             took_ms=round(took_ms, 1),
             allowed_ms=round((admitted.deadline_at - admitted.started_at) * 1000.0),
             why="; ".join(trace.reasons) or None,
--- a/src/medlarfork/gateway/request_placer.py
+++ b/src/medlarfork/gateway/request_placer.py
@@ -64,6 +64,7 @@
             is_free = standing.verdict is crash_ledger.Verdict.FREE
             self.refusal_code = errors.Code.OVERLOADED if is_free else errors.Code.ENDS_UPSTREAMS
             if standing.verdict is crash_ledger.Verdict.HELD:
+                self._trace.held_key = standing.key
                 return crash_ledger.refusal("", standing, self._describe(standing.key))
             placed = await self._ask_owner(excluded, trial_key=standing.key)
             if isinstance(placed, placement_messages.PlaceRefused):
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -115,6 +115,7 @@
         max_gap_ms: Longest gap between two events that were passed on, in milliseconds.
         framing: What delimited the last response; empty if there was none.
         partial_bytes: Bytes of an incomplete event at the end of the last stream.
+        held_key: The subject of crashes for which it was refused; empty if it was not.
     """
 
     result: Result = Result.FAILED
@@ -129,6 +130,7 @@
     max_gap_ms: float = 0.0
     framing: str = ""
     partial_bytes: int = 0
+    held_key: str = ""
 
 
 class Session(Protocol):
--- a/tests/processes/test_crashing_parts.py
+++ b/tests/processes/test_crashing_parts.py
@@ -4,7 +4,9 @@
 share, at every entry host. 17 engines ended in the lines of a day, each under another request.
 """
 
+import json
 import math
+import shutil
 import signal
 import threading
 import time
@@ -138,6 +140,28 @@
     assert fleet.call_prompt("sound", ("tmpl", "good"))[0] == 200
 
 
+def test_a_held_part_outlives_a_lost_disk_and_a_restart_of_all_until_an_operator_lifts_it(fleet):
+    _start(fleet, STREAMING)
+    with Traffic(fleet, "deadly", ("deadly",), 5):
+        time.sleep(4.0)
+    runs = fleet.prompt_runs("deadly")
+    for process in fleet.process_by_host.values():
+        process.kill()
+    shutil.rmtree(fleet.folder / fleet.replicas[0])
+    fleet.restart_all()
+    assert [fleet.call_prompt("deadly", ("deadly",))[0] for _ in range(6)] == [503] * 6
+    assert fleet.prompt_runs("deadly") == runs
+    cases_url = f"http://{fleet.replicas[1]}:7001/v1/crash-cases"
+    cases = json.loads(routed_fleet.ask("GET", cases_url)[1])["cases"]
+    (key,) = [case["key"] for case in cases if case["key"].startswith("part-")]
+    assert f" held={key} " in "".join(fleet.lines("request"))
+    metrics = [routed_fleet.ask("GET", f"http://{host}:7005/metrics")[1] for host in fleet.entries]
+    assert any(b'medlar_held_refused_total{subject="part"}' in text for text in metrics)
+    assert routed_fleet.ask("DELETE", f"{cases_url}/{key}")[0] == 200
+    time.sleep(0.5)
+    assert fleet.call_prompt("deadly", ("deadly",))[0] == 502
+
+
 def test_hosts_without_a_replica_run_the_part_three_times_each(fleet):
     """No host knows the crashes that another one saw; one more run of each may be under way."""
     _start(fleet, STREAMING)
--- a/tests/routed/test_crash_manager.py
+++ b/tests/routed/test_crash_manager.py
@@ -5,10 +5,11 @@
 from medlarfork import node
 from medlarfork.coordination import coordination_messages, coordinator_types
 from medlarfork.placement import placement_messages
-from medlarfork.quarantine import crash_ledger, crash_messages
+from medlarfork.quarantine import crash_ledger, crash_messages, crash_subject
 from tests.routed import coordinator_cluster
 
 KEY = "a1b2c3-request"
+PART = crash_subject.part_key("engines", "guilty")
 HOSTS = tuple(f"e-{number}" for number in range(4))
 Accepted = coordinator_types.Accepted
 
@@ -117,6 +118,27 @@
     assert {to for to, _ in _collect_reports(cluster, 1.0)} == set(HOSTS)
 
 
+def test_a_restart_of_all_replicas_forgets_no_part_on_trial_and_which_runs_had_begun(cluster):
+    """With its crashes forgotten it would crash as many upstreams again."""
+    ends = [crash_messages.UpstreamCrash(f"u-{number}", 0.0, number == 0) for number in range(4)]
+    case = crash_messages.CrashCase(PART, tuple(ends))
+    for replica_id in "abcde":
+        report = crash_messages.CrashReport((case,))
+        cluster.post(replica_id, node.MessageReceived("e-0", report))
+    cluster.run(2.0)
+    for replica_id in tuple(cluster.host_by_id):
+        cluster.kill(replica_id)
+    cluster.run(1.0)
+    for replica_id in tuple(cluster.host_by_id):
+        cluster.start(replica_id)
+    cluster.until_read(12.0)
+    cluster.run(0.5)
+    for replica_id in "abcde":
+        ledger = cluster.host_by_id[replica_id].node._crashes.ledger
+        assert ledger.begun_ends(PART) == ("u-0",)
+        assert ledger.standing(PART, 0.0).verdict is crash_ledger.Verdict.TRIAL
+
+
 def test_a_case_reported_to_one_replica_reaches_the_log_of_all(cluster, make_place_request):
     leader = cluster.host_by_id["a"].node._leader_id
     _report_crashes(cluster, (leader,), (1, 2, 3))
--- a/tests/routed/test_crash_tracker.py
+++ b/tests/routed/test_crash_tracker.py
@@ -1,12 +1,14 @@
 """Which events an entry host counts as an upstream crash, and how it reports them."""
 
 import time
+import types
 
 import curio
 import pytest
 
 from medlarfork.gateway import crash_tracker, entry_session, request_types
 from medlarfork.http import http_client
+from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_ledger, crash_messages
 from tests import curio_world
 
@@ -53,11 +55,11 @@
 
 @pytest.fixture
 def make_admitted(make_route):
-    def make(key=KEY):
-        metadata = type("Facts", (), {"attempt_id": "a-1"})()
-        return request_types.AdmittedRequest(
-            None, metadata, make_route(), key, "s", "shop", 0, b"", 0, 1
-        )
+    def make(key=KEY, parts=()):
+        segments = tuple(placement_messages.PromptSegment(name, 10) for name in (*parts, "own"))
+        metadata = types.SimpleNamespace(attempt_id="a-1", prompt_segments=segments)
+        route = make_route(has_prompt=True)
+        return request_types.AdmittedRequest(None, metadata, route, key, "s", "shop", 0, b"", 0, 1)
 
     return make
 
@@ -191,11 +193,11 @@
         where = upstream(make_announcement, number)
         tracker.record_abandoned_run((KEY,), where)
         now[0] += crash_tracker.REPLACEMENT_WINDOW_S - 1.0
-        tracker.record_abandoned_run("another", where)
+        tracker.record_abandoned_run(("another",), where)
         now[0] += 2.0
         session.upstream_by_id[f"n-{number}@2"] = upstream(make_announcement, number, born_ms=2)
         tracker.check_replacements()
-    assert tracker.standing("another").verdict is Verdict.HELD
+    assert tracker.standing(("another",)).verdict is Verdict.HELD
     assert tracker.standing((KEY,)).verdict is Verdict.FREE
 
 
@@ -225,6 +227,39 @@
     curio_world.run(main)
 
 
+# Guards against: a safe request that crashes a second upstream at once with a prompt part that had
+# crashed one under another request.
+def test_a_request_is_not_retried_if_a_part_crashed_its_upstream_and_another(
+    tracker, make_admitted, make_announcement
+):
+    async def main():
+        first, second = (upstream(make_announcement, number) for number in (1, 2))
+        await break_run_at(tracker, make_admitted("a", ["tmpl", "guilty"]), first)
+        tracker.record_completed_run(make_admitted("b", ["tmpl", "good"]).crash_keys)
+        for parts, expected in ((["tmpl", "good"], False), (["tmpl", "guilty"], True)):
+            admitted = make_admitted("c", parts)
+            await tracker.handle_broken_run(admitted, second)
+            found = await tracker.is_suspect(admitted.crash_keys, second.upstream_id, 1)
+            assert found is expected
+
+    curio_world.run(main)
+
+
+def test_a_run_without_an_event_beside_one_with_events_counts_as_such(
+    tracker, sent, make_admitted, make_announcement
+):
+    async def main():
+        where = upstream(make_announcement, 1)
+        await tracker.handle_broken_run(make_admitted("a", ["both"]), where, has_begun=True)
+        await tracker.handle_broken_run(make_admitted("b", ["both"]), where)
+        await break_run_at(tracker, make_admitted("c", ["begun"]), where, has_begun=True)
+        cases = {case.key: case.ends[0].has_begun for case in sent[-1][1].cases}
+        keys = make_admitted("d", ["both", "begun"]).crash_keys
+        assert [cases[key] for key in keys[1:]] == [False, True]
+
+    curio_world.run(main)
+
+
 def test_simultaneous_crashes_just_after_an_answer_put_no_request_on_trial(
     tracker, sent, make_admitted, make_announcement
 ):
--- a/tests/routed/test_crashing_parts.py
+++ b/tests/routed/test_crashing_parts.py
@@ -1,10 +1,12 @@
 """Which prompt parts are held for crashes, and which are cleared although they ran beside them."""
 
+import dataclasses
 import itertools
 import math
 
 import pytest
 
+from medlarfork import codec
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_ledger, crash_messages, crash_subject, trial_manager
 
@@ -143,6 +145,21 @@
         assert ledger.merge(ledger.report((GUILTY,), 11.0), 11.0) == ()
 
 
+@dataclasses.dataclass(frozen=True)
+class UpstreamCrash:
+    """The message as builds without prompt parts know it."""
+
+    upstream_id: str
+    ago_s: float
+
+
+def test_builds_without_prompt_parts_read_and_send_crashes():
+    older, newer = codec.Codec([UpstreamCrash]), codec.Codec([crash_messages.UpstreamCrash])
+    sent = crash_messages.UpstreamCrash("u-1", 2.0, has_begun=True)
+    assert older.decode(*newer.encode(sent)) == UpstreamCrash("u-1", 2.0)
+    assert newer.decode(*older.encode(UpstreamCrash("u-1", 2.0))).has_begun is False
+
+
 def test_ever_new_parts_evict_no_held_part_and_no_request(ledger):
     crash_often(ledger, 4, GUILTY)
     for number in range(3):
--- a/tests/routed/test_routing_state.py
+++ b/tests/routed/test_routing_state.py
@@ -4,6 +4,7 @@
 
 from medlarfork import codec
 from medlarfork.coordination import routing_state
+from medlarfork.quarantine import crash_subject
 
 
 @pytest.fixture
@@ -47,6 +48,14 @@
     assert "k-4" not in state.held_by_key
 
 
+def test_many_held_requests_evict_no_held_part(state):
+    part = crash_subject.part_key("engines", "guilty")
+    for key in (part, *(f"k-{number}" for number in range(routing_state.MAX_HELD + 5))):
+        state.apply(routing_state.pack_held(routing_state.HeldRequest(key, ())))
+    assert len(state.held_by_key) == routing_state.MAX_HELD
+    assert part in state.held_by_key
+
+
 def test_a_higher_version_is_in_force_and_survives_a_snapshot(state):
     assert state.apply(routing_state.pack(9, b"nine"))
     restored = routing_state.RoutingState()
