--- a/tests/processes/test_crashing_parts.py
+++ b/tests/processes/test_crashing_parts.py
@@ -8,12 +8,11 @@
 import math
 import shutil
 import signal
-import threading
 import time
 
 import pytest
 
-from tests.processes import routed_fleet
+from tests.processes import routed_fleet, traffic
 
 CONTACT_S = 3.0
 """Time after the fifth crash by which every host that can be reached has to know."""
@@ -36,50 +35,6 @@
     made.close()
 
 
-class Traffic:
-    """Requests that are sent at a constant rate until it is stopped; each has a new own part."""
-
-    def __init__(self, fleet, name, parts, per_s):
-        self.results = []
-        self._fleet = fleet
-        self._name = name
-        self._parts = parts
-        self._period_s = 1.0 / per_s
-        self._is_over = threading.Event()
-        self._threads = []
-        self._sender = threading.Thread(target=self._send)
-
-    def __enter__(self):
-        self._sender.start()
-        return self
-
-    def __exit__(self, *_):
-        self._is_over.set()
-        self._sender.join()
-        for thread in self._threads:
-            thread.join()
-
-    def _send(self):
-        due = time.monotonic()
-        while not self._is_over.is_set():
-            thread = threading.Thread(target=self._call)
-            thread.start()
-            self._threads.append(thread)
-            due += self._period_s
-            time.sleep(max(0.0, due - time.monotonic()))
-
-    def _call(self):
-        sent_at = time.monotonic()
-        status, _ = self._fleet.call_prompt(self._name, self._parts)
-        self.results.append((sent_at, status))
-
-    def served_share(self, since, until):
-        """Return the share of the requests sent in between that were answered."""
-        statuses = [status for at, status in self.results if since <= at < until]
-        assert len(statuses) >= 20
-        return statuses.count(200) / len(statuses)
-
-
 def _start(fleet, route):
     fleet.put_route(**route)
     fleet.until_known()
@@ -100,9 +55,9 @@
 )
 def test_a_part_that_crashed_five_engines_reaches_three_more_at_most(fleet, route, part):
     _start(fleet, route)
-    with Traffic(fleet, "sound", ("tmpl", "good"), 20) as sound:
+    with traffic.Traffic(fleet, "sound", ("tmpl", "good"), 20) as sound:
         time.sleep(3.0)
-        with Traffic(fleet, "crashing", ("tmpl", part), 5) as crashing:
+        with traffic.Traffic(fleet, "crashing", ("tmpl", part), 5) as crashing:
             time.sleep(14.0)
         stopped_at = time.monotonic()
     _check_late_runs_and_sound_requests(fleet, "crashing", sound, stopped_at)
@@ -111,8 +66,8 @@
 
 def test_a_part_that_always_came_with_the_guilty_one_is_served_without_it(fleet):
     _start(fleet, STREAMING)
-    with Traffic(fleet, "sound", ("rare", "good"), 3) as sound:
-        with Traffic(fleet, "deadly", ("rare", "deadly"), 5):
+    with traffic.Traffic(fleet, "sound", ("rare", "good"), 3) as sound:
+        with traffic.Traffic(fleet, "deadly", ("rare", "deadly"), 5):
             time.sleep(18.0)
         stopped_at = time.monotonic()
     _check_late_runs_and_sound_requests(fleet, "deadly", sound, stopped_at)
@@ -120,7 +75,7 @@
 
 def test_a_restart_of_all_processes_costs_a_held_part_no_further_engine(fleet):
     _start(fleet, STREAMING)
-    with Traffic(fleet, "deadly", ("tmpl", "deadly"), 5):
+    with traffic.Traffic(fleet, "deadly", ("tmpl", "deadly"), 5):
         time.sleep(4.0)
         runs = fleet.prompt_runs("deadly")
         fleet.restart_all()
@@ -131,7 +86,7 @@
 
 def test_a_held_part_outlives_a_lost_disk_and_a_restart_of_all_until_an_operator_lifts_it(fleet):
     _start(fleet, STREAMING)
-    with Traffic(fleet, "deadly", ("deadly",), 5):
+    with traffic.Traffic(fleet, "deadly", ("deadly",), 5):
         time.sleep(4.0)
     runs = fleet.prompt_runs("deadly")
     for process in fleet.process_by_host.values():
@@ -156,8 +111,8 @@
     _start(fleet, STREAMING)
     for replica in fleet.replicas:
         fleet.process_by_host[replica].send_signal(signal.SIGSTOP)
-    with Traffic(fleet, "sound", ("tmpl", "good"), 20) as sound:
-        with Traffic(fleet, "deadly", ("tmpl", "deadly"), 5):
+    with traffic.Traffic(fleet, "sound", ("tmpl", "good"), 20) as sound:
+        with traffic.Traffic(fleet, "deadly", ("tmpl", "deadly"), 5):
             time.sleep(14.0)
         stopped_at = time.monotonic()
     assert len(fleet.prompt_runs("deadly")) <= (3 + 1) * len(fleet.entries)
@@ -166,8 +121,8 @@
 
 def test_no_part_is_held_while_engines_are_killed_by_turns(fleet):
     _start(fleet, STREAMING)
-    sound = Traffic(fleet, "sound", ("tmpl", "good"), 20)
-    with sound, Traffic(fleet, "rare", ("tmpl", "rare"), 1):
+    sound = traffic.Traffic(fleet, "sound", ("tmpl", "good"), 20)
+    with sound, traffic.Traffic(fleet, "rare", ("tmpl", "rare"), 1):
         for turn in range(6):
             time.sleep(2.0)
             for engine in fleet.engines[turn % 3 :: 3]:
