Tell a host that starts every held subject, not only the 200 latest cases

A host that started while more than 200 cases were published ran what was held before them, until the next crash under it. Operators saw the 200 latest only.

Cause: the report for a new host was one message of bounded size. Found by reading.

Measured: the new test got 200 of 900 held ones before.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -264,9 +264,8 @@
 
     def _send_learned_state(self, entry_id: str) -> None:
         """Send crash cases and backpressure signals to an entry host that has just connected."""
-        known = self._crashes.full_report(self._now)
-        if known.cases:
-            self._actions.append(node.Send(entry_id, known))
+        known = self._crashes.full_reports(self._now)
+        self._actions += [node.Send(entry_id, report) for report in known]
         backpressure = self._backpressure.whole(entry_id, self._now)
         if not backpressure.is_empty:
             self._actions.append(node.Send(entry_id, backpressure))
@@ -294,8 +293,9 @@
                 self._actions += self._crashes.lift(key, self._members.peers, self._now)
                 self._reply(operation_id, coordinator_types.Accepted())
             case coordinator_types.ListCrashCases():
-                held = self._crashes.full_report(self._now)
-                self._reply(operation_id, coordinator_types.CrashCasesFound(held.cases))
+                reports = self._crashes.full_reports(self._now)
+                cases = tuple(case for report in reports for case in report.cases)
+                self._reply(operation_id, coordinator_types.CrashCasesFound(cases))
             case coordinator_types.ListDuties():
                 self._reply(operation_id, self.duties.summary(self._now))
             case coordinator_types.ListEntryHosts():
--- a/src/medlarfork/coordination/crash_manager.py
+++ b/src/medlarfork/coordination/crash_manager.py
@@ -142,10 +142,14 @@
         more = (node.Wake(self._push_due),) if self._pending else ()
         return (*(node.Send(entry_id, report) for entry_id in entry_ids), *more)
 
-    def full_report(self, now: float) -> crash_messages.CrashReport:
-        """Return the report for an entry host that has just connected."""
-        keys = tuple(key for key in self.ledger.known() if self._is_for_all_hosts(key))
-        return self.ledger.report(keys[-MAX_CASES_PER_REPORT:], now)
+    def full_reports(self, now: float) -> tuple[crash_messages.CrashReport, ...]:
+        """Return the reports for an entry host that has just connected, durable cases first."""
+        keys = [key for key in reversed(self.ledger.known()) if self._is_for_all_hosts(key)]
+        keys.sort(key=self.ledger.is_durable, reverse=True)
+        return tuple(
+            self.ledger.report(tuple(keys[start : start + MAX_CASES_PER_REPORT]), now)
+            for start in range(0, min(len(keys), routing_state.MAX_HELD), MAX_CASES_PER_REPORT)
+        )
 
     def _proposal(
         self, change: routing_state.HeldRequest | routing_state.LiftedRequest
--- a/src/medlarfork/quarantine/crash_ledger.py
+++ b/src/medlarfork/quarantine/crash_ledger.py
@@ -117,14 +117,14 @@
 class _Case:
     changed_at: float
     crashed_at_by_upstream: dict[str, float] = dataclasses.field(default_factory=dict)
-    begun_at: set[str] = dataclasses.field(default_factory=set)
+    begun_ids: set[str] = dataclasses.field(default_factory=set)
     survived_at: float = -math.inf
 
     @property
     def weight(self) -> _Weight:
         """Return the number of crashes before the first event, and of all crashes."""
         total = len(self.crashed_at_by_upstream)
-        return total - len(self.begun_at), total
+        return total - len(self.begun_ids), total
 
     @property
     def last_at(self) -> float:
@@ -153,7 +153,7 @@
     def begun_ends(self, key: str) -> tuple[str, ...]:
         """Return those of the upstreams that crashed after an event of each run."""
         case = self._case_by_key.get(key)
-        return () if case is None else tuple(sorted(case.begun_at))
+        return () if case is None else tuple(sorted(case.begun_ids))
 
     def unexplained_ends(self, key: str) -> tuple[str, ...]:
         """Return the upstreams of ``ends`` that no held subject with more crashes explains."""
@@ -181,7 +181,7 @@
         if case is None or len(case.crashed_at_by_upstream) < HELD_CRASHES - 1:
             return _FREE
         left = self.unexplained_ends(key)
-        weight = len(left) - len(case.begun_at.intersection(left)), len(left)
+        weight = len(left) - len(case.begun_ids.intersection(left)), len(left)
         excess = _excess(key, weight)
         if excess < -1:
             return _FREE
@@ -254,16 +254,16 @@
             # Not an update: ledgers would report a crash to each other without end, as it seems
             # later by the time that each report was in transit.
             case.crashed_at_by_upstream[upstream_id] = max(known_at, at)
-            if has_begun or upstream_id not in case.begun_at:
+            if has_begun or upstream_id not in case.begun_ids:
                 return False
-            case.begun_at.discard(upstream_id)
+            case.begun_ids.discard(upstream_id)
             self._mark_changed(case, now)
             return True
         if len(case.crashed_at_by_upstream) >= MAX_CRASHES_PER_CASE:
             return False
         case.crashed_at_by_upstream[upstream_id] = at
         if has_begun:
-            case.begun_at.add(upstream_id)
+            case.begun_ids.add(upstream_id)
         self._mark_changed(case, now)
         return True
 
@@ -272,7 +272,7 @@
         case = self._case_by_key.get(key)
         if case is not None:
             case.crashed_at_by_upstream.pop(upstream_id, None)
-            case.begun_at.discard(upstream_id)
+            case.begun_ids.discard(upstream_id)
             self._held_by_key = None
 
     def record_completion(self, key: str, at: float, now: float) -> bool:
@@ -288,7 +288,7 @@
         ]
         for upstream_id in cleared:
             del case.crashed_at_by_upstream[upstream_id]
-            case.begun_at.discard(upstream_id)
+            case.begun_ids.discard(upstream_id)
         if cleared:
             self._mark_changed(case, now)
         return bool(cleared)
@@ -393,7 +393,7 @@
     survived_ago_s = -1.0 if case.survived_at == -math.inf else max(0.0, now - case.survived_at)
     ends = tuple(
         crash_messages.UpstreamCrash(
-            upstream_id, max(0.0, now - at), has_begun=upstream_id in case.begun_at
+            upstream_id, max(0.0, now - at), has_begun=upstream_id in case.begun_ids
         )
         for upstream_id, at in case.crashed_at_by_upstream.items()
     )
--- a/tests/routed/test_crash_manager.py
+++ b/tests/routed/test_crash_manager.py
@@ -105,6 +105,23 @@
     assert len(report.cases[0].ends) == 3
 
 
+# Guards against: a host that starts and is told of the latest cases only, and runs what is held.
+def test_a_new_host_gets_every_held_subject_though_many_others_are_newer(cluster):
+    ends = tuple(crash_messages.UpstreamCrash(f"u-{number}", 0.0) for number in range(3))
+    keys = [f"ffffff-{number}" for number in range(900)]
+    cases = [crash_messages.CrashCase(key, ends) for key in keys]
+    cases += [crash_messages.CrashCase(f"eeeeee-{number}", ends[:2]) for number in range(900)]
+    cluster.post("a", node.MessageReceived("e-0", crash_messages.CrashReport(tuple(cases))))
+    cluster.run(1.0)
+    cluster.packets = []
+    status = coordination_messages.EntryStatus("10.0.0.9:1", "z", True, 3, 0, 0)
+    cluster.post("a", node.MessageReceived("e-9", status))
+    reports = [message for _, to, message in cluster.packets if to == "e-9"]
+    reports = [item for item in reports if isinstance(item, crash_messages.CrashReport)]
+    assert {case.key for report in reports for case in report.cases} >= set(keys)
+    assert max(len(report.cases) for report in reports) <= 200
+
+
 def test_a_held_request_is_refused_by_every_replica(cluster, make_place_request):
     _report_crashes(cluster, "abcde", (1, 2, 3))
     for replica_id in "abcde":
