--- a/src/medlarfork/gateway/crash_tracker.py
+++ b/src/medlarfork/gateway/crash_tracker.py
@@ -299,10 +299,10 @@
             # An unclear result counts as a crash, too: retries must end, and an answer clears it.
             crash_id = self._crash_id(upstream.upstream_id, probe.sent_at)
             self._record_crashes(crash_id, end_by_key)
+            if reach is http_client.Reachability.REFUSES:
+                self._record_refusal(upstream.upstream_id, probe.sent_at)
         else:
             self._await_replacement(upstream, end_by_key)
-        if reach is http_client.Reachability.REFUSES:
-            self._record_refusal(upstream.upstream_id, probe.sent_at)
 
     def _crash_id(self, upstream_id: str, sent_at: float) -> str:
         """Return the id of a start of an upstream, by the number of earlier starts that refused.
