Don't propose cases again that a full log has evicted

Operators saw nothing; the log of a deployment with more than 1,000 held requests and parts grew by up to 20 records a second, without end.

Cause: ledgers keep more cases than the log, and the leader proposed each that the log lacked.

Change: while the log is full, only cases that changed in the last 10 s are proposed. Measured: the new test saw further proposals after 30 s of virtual time before, none now.

--- a/src/medlarfork/coordination/crash_manager.py
+++ b/src/medlarfork/coordination/crash_manager.py
@@ -27,6 +27,10 @@
 PROPOSAL_RETRY_S = 1.0
 """Time after which a change that the log has not taken is proposed again, in seconds."""
 
+PROPOSAL_WINDOW_S = 10.0
+"""Time after a change of a case in which it is proposed to a log that is full, in seconds: enough
+for an election and several proposals."""
+
 MAX_PROPOSALS = 20
 """Maximum cases proposed to the log at once: a crash of many upstreams must not delay changes of
 the routing."""
@@ -93,9 +97,16 @@
     def proposals(
         self, held_by_key: dict[str, routing_state.HeldRequest], now: float
     ) -> tuple[replica_types.Propose, ...]:
-        """Return the changes that the leader has to propose; each is retried periodically."""
+        """Return the changes that the leader has to propose; each is retried periodically.
+
+        While the log is full, cases that it has evicted are not proposed again.
+        """
+        is_full = len(held_by_key) >= routing_state.MAX_HELD
+        candidates = (
+            self.ledger.changed_since(now - PROPOSAL_WINDOW_S) if is_full else self.ledger.known()
+        )
         changes: list[routing_state.HeldRequest | routing_state.LiftedRequest] = []
-        for key in self.ledger.known():
+        for key in candidates:
             ends = self.ledger.ends(key)
             recorded = held_by_key.get(key)
             begun = self.ledger.begun_ends(key)
--- a/tests/routed/test_crash_manager.py
+++ b/tests/routed/test_crash_manager.py
@@ -3,7 +3,7 @@
 import pytest
 
 from medlarfork import node
-from medlarfork.coordination import coordination_messages, coordinator_types
+from medlarfork.coordination import coordination_messages, coordinator_types, routing_state
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_ledger, crash_messages, crash_subject
 from tests.routed import coordinator_cluster
@@ -122,6 +122,22 @@
     assert max(len(report.cases) for report in reports) <= 200
 
 
+# Guards against: a full log in which each new case evicts one that is proposed again, without end.
+def test_more_held_requests_than_the_log_keeps_cause_no_endless_proposals(cluster):
+    ends = tuple(crash_messages.UpstreamCrash(f"u-{number}", 0.0) for number in range(3))
+    count = routing_state.MAX_HELD + 200
+    cases = tuple(crash_messages.CrashCase(f"ffffff-{number}", ends) for number in range(count))
+    for replica_id in "abcde":
+        report = crash_messages.CrashReport(cases)
+        cluster.post(replica_id, node.MessageReceived("e-0", report))
+    managers = [host.node._crashes for host in cluster.host_by_id.values()]
+    cluster.run(30.0)
+    proposed = sum(manager._proposals for manager in managers)
+    assert proposed >= count
+    cluster.run(5.0)
+    assert sum(manager._proposals for manager in managers) == proposed
+
+
 def test_a_held_request_is_refused_by_every_replica(cluster, make_place_request):
     _report_crashes(cluster, "abcde", (1, 2, 3))
     for replica_id in "abcde":
