--- a/src/medlarfork/entry/caller_session.py
+++ b/src/medlarfork/entry/caller_session.py
@@ -11,7 +11,7 @@
 from medlarfork import errors, request
 from medlarfork.entry import entry_types
 from medlarfork.filters import outgoing, relay
-from medlarfork.http import header_names, http_server, sse
+from medlarfork.http import event_framer, header_names, http_server
 
 _NOT_RETURNED = frozenset(
     {
@@ -219,7 +219,7 @@
         return headers
 
     def _streams(self) -> bool:
-        return sse.is_event_stream(self._headers) and not (
+        return event_framer.is_event_stream(self._headers) and not (
             self._relay is not None and self._relay.assembles
         )
 
--- a/src/medlarfork/entry/upstream_attempt.py
+++ b/src/medlarfork/entry/upstream_attempt.py
@@ -12,7 +12,7 @@
 from medlarfork.backpressure import upstream_signals
 from medlarfork.entry import caller_session, entry_types
 from medlarfork.filters import outgoing
-from medlarfork.http import header_names, http_client, sse
+from medlarfork.http import event_framer, header_names, http_client
 
 _log = logging.getLogger(__name__)
 
@@ -119,7 +119,7 @@
         session = self._session
         attempt_id = self._dispatch.attempt_id
         session.start_response(self._dispatch, response.status, response.headers)
-        streams = sse.is_event_stream(response.headers)
+        streams = event_framer.is_event_stream(response.headers)
         at_once = streams and not self._dispatch.assemble
         while chunk := await response.next_chunk():
             if not at_once:
--- a/src/medlarfork/filters/relay.py
+++ b/src/medlarfork/filters/relay.py
@@ -146,11 +146,11 @@
         Raises:
             errors.UpstreamError: The upstream does not prove that it resumes at the offset.
         """
-        streams = sse.is_event_stream(headers)
+        streams = event_framer.is_event_stream(headers)
         mode = self._requested_mode if streams and status == 200 else Mode.OPAQUE
         self._attempt = _Attempt(attempt_id, resume_offset, mode)
         self._splitter = sse.EventParser()
-        self._framer = event_framer.EventFramer() if sse.can_be_framed(headers) else None
+        self._framer = event_framer.EventFramer() if event_framer.can_be_framed(headers) else None
         self._ended = False
         if resume_offset or relayed or self.relayed:
             self._check_resumption(headers)
--- a/src/medlarfork/gateway/request_forwarder.py
+++ b/src/medlarfork/gateway/request_forwarder.py
@@ -16,7 +16,7 @@
     stream_relay,
     upstream_call,
 )
-from medlarfork.http import http_client, sse
+from medlarfork.http import event_framer, http_client
 from medlarfork.placement import placement_messages
 from medlarfork.resumption import stream_origin
 
@@ -123,7 +123,7 @@
         on_start: Callable[[], None],
     ) -> None:
         self._trace.framing = response.framing.value
-        if response.status < 300 and sse.can_be_framed(response.headers):
+        if response.status < 300 and event_framer.can_be_framed(response.headers):
             await self._stream.relay(response, stall_timeout_s=lambda: None, on_start=on_start)
             await self._stream.finish()
             return
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -29,7 +29,7 @@
 )
 from medlarfork.http import _http_messages, http_client, http_server
 from medlarfork.placement import placement_messages
-from medlarfork.quarantine import crash_subject, request_key
+from medlarfork.quarantine import crash_subject
 from medlarfork.resumption import stream_origin
 from medlarfork.routes import route_table, routing
 
@@ -261,7 +261,7 @@
             allowed_ms = min(allowed_ms, metadata.deadline_ms - request_pipeline.DEADLINE_MARGIN_MS)
         head = exchange.head
         name = "" if account is None else account.name
-        key = request_key.request_key(
+        key = crash_subject.request_key(
             name, head.method, head.headers.get("host", ""), head.target, body
         )
         return request_types.AdmittedRequest(
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -20,7 +20,7 @@
     stream_relay,
     upstream_call,
 )
-from medlarfork.http import _http_messages, http_client, sse
+from medlarfork.http import _http_messages, event_framer, http_client
 from medlarfork.placement import local_choice, placement_messages
 
 DEADLINE_MARGIN_MS = 20.0
@@ -313,7 +313,7 @@
         return end
 
     async def _relay(self, response: http_client.Response) -> placement_messages.RunEnd | None:
-        if response.status < 300 and sse.can_be_framed(response.headers):
+        if response.status < 300 and event_framer.can_be_framed(response.headers):
             await self._relay_stream(response)
             return None
         if self._progress.response_started:
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -32,7 +32,7 @@
         exchange: The HTTP exchange with the caller.
         metadata: What its headers state.
         route: The route that it matched.
-        key: The same for all retries of a request by its account (see ``request_key``).
+        key: The same for all retries of a request by its account (see ``crash_subject``).
         service: The target service that was chosen by weight.
         account: The client account; empty on public routes.
         tier: Its tier; 0 is the most urgent.
--- a/src/medlarfork/http/event_framer.py
+++ b/src/medlarfork/http/event_framer.py
@@ -7,6 +7,10 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Mapping
+
+MEDIA_TYPE = "text/event-stream"
+"""Content type of an event stream."""
 
 MAX_PENDING_BYTES = 1 << 20
 """Largest event that is buffered until it is complete; larger ones are passed on in pieces."""
@@ -26,6 +30,18 @@
 """Bytes that are no part of an event: a byte-order mark, comments and empty lines."""
 
 
+def is_event_stream(headers: Mapping[str, str]) -> bool:
+    """Return whether a response is an event stream, by its headers with lower-case names."""
+    media_type = headers.get("content-type", "").partition(";")[0]
+    return media_type.strip().lower() == MEDIA_TYPE
+
+
+def can_be_framed(headers: Mapping[str, str]) -> bool:
+    """Return whether a response is an event stream whose events no content coding hides."""
+    coding = headers.get("content-encoding", "identity").strip().lower()
+    return is_event_stream(headers) and coding == "identity"
+
+
 class EventFramer:
     """Buffers the bytes of an incomplete event.
 
--- a/src/medlarfork/http/sse.py
+++ b/src/medlarfork/http/sse.py
@@ -4,13 +4,9 @@
 
 import dataclasses
 import re
-from collections.abc import Mapping
 
 from medlarfork import errors
 
-MEDIA_TYPE = "text/event-stream"
-"""Content type of an event stream."""
-
 DONE = "[DONE]"
 """Data of the event that ends a stream of the OpenAI API."""
 
@@ -38,18 +34,6 @@
     plain: bytes = dataclasses.field(default=b"", compare=False, repr=False)
 
 
-def is_event_stream(headers: Mapping[str, str]) -> bool:
-    """Return whether a response is an event stream, by its headers with lower-case names."""
-    media_type = headers.get("content-type", "").partition(";")[0]
-    return media_type.strip().lower() == MEDIA_TYPE
-
-
-def can_be_framed(headers: Mapping[str, str]) -> bool:
-    """Return whether a response is an event stream whose events no content coding hides."""
-    coding = headers.get("content-encoding", "identity").strip().lower()
-    return is_event_stream(headers) and coding == "identity"
-
-
 class EventParser:
     """Incremental parser of an event stream; buffers at most one event."""
 
--- a/src/medlarfork/request.py
+++ b/src/medlarfork/request.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from medlarfork.quarantine import request_key
+from medlarfork.quarantine import crash_subject
 
 
 class Outcome(enum.StrEnum):
@@ -66,4 +66,4 @@
     @property
     def repeat_key(self) -> str:
         """Return the key that repeats of a request share, from the account, target and body."""
-        return request_key.account_prefix(self.account) + self.body_sha256
+        return crash_subject.account_prefix(self.account) + self.body_sha256
--- a/src/medlarfork/standin/_standin_answer.py
+++ b/src/medlarfork/standin/_standin_answer.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from medlarfork.http import header_names, http_server, sse
+from medlarfork.http import event_framer, header_names, http_server, sse
 from medlarfork.standin import _standin_batch, _standin_host, _standin_openai, _standin_text
 
 _ID_BYTES = 8
-_STREAM = {"Content-Type": sse.MEDIA_TYPE, "Cache-Control": "no-cache"}
+_STREAM = {"Content-Type": event_framer.MEDIA_TYPE, "Cache-Control": "no-cache"}
 
 
 class AnswerWriter:
--- a/src/medlarfork/ticket.py
+++ b/src/medlarfork/ticket.py
@@ -29,7 +29,7 @@
         resume_offset: Tokens already received, if this resumes a broken or preempted stream.
         avoid: Upstreams to avoid for this request while any other is usable.
         repeat_key: Key that the caller's repeats of the request share (see
-            ``quarantine.request_key``); may be empty.
+            ``quarantine.crash_subject``); may be empty.
         version: The only software version that may run it, because it began the stream; None if any
             may.
     """
--- a/tests/routed/test_load_reports.py
+++ b/tests/routed/test_load_reports.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from medlarfork.http import sse
+from medlarfork.http import event_framer
 from medlarfork.placement import placement_messages, reported_load
 from tests import curio_world
 from tests.routed import routed_harness
@@ -35,7 +35,7 @@
     """Guards against owners that never see a load, and against malformed loads that reach them."""
 
     async def answer(exchange):
-        media = {"content-type": sse.MEDIA_TYPE}
+        media = {"content-type": event_framer.MEDIA_TYPE}
         await exchange.begin(200, routed_harness.echo_headers(exchange, **media, **stated))
         await exchange.send(b"id: 1\ndata: a\n\n")
         await exchange.finish()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -54,7 +54,6 @@
     "gateway.entry_session",
     "http.event_framer",
     "gateway.request_metadata",
-    "quarantine.request_key",
     "gateway.retry_budget",
     "gateway.stream_budget",
     "duties.duty_state",
--- a/tests/test_request_key.py
+++ b/tests/test_request_key.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from medlarfork.quarantine import request_key
+from medlarfork.quarantine import crash_subject
 
 REQUEST = {
     "account": "shop",
@@ -14,8 +14,8 @@
 
 
 def test_a_retry_has_the_key_of_the_first_request():
-    first = request_key.request_key(**REQUEST)
-    assert first == request_key.request_key(**(REQUEST | {"host": "A.example:80"}))
+    first = crash_subject.request_key(**REQUEST)
+    assert first == crash_subject.request_key(**(REQUEST | {"host": "A.example:80"}))
 
 
 @pytest.mark.parametrize(
@@ -30,10 +30,10 @@
     ],
 )
 def test_whatever_an_upstream_would_see_differently_is_another_request(change):
-    assert request_key.request_key(**REQUEST) != request_key.request_key(**(REQUEST | change))
+    assert crash_subject.request_key(**REQUEST) != crash_subject.request_key(**(REQUEST | change))
 
 
 def test_the_keys_of_an_account_share_its_prefix():
-    key = request_key.request_key(**REQUEST)
-    assert key.startswith(request_key.account_prefix("shop"))
-    assert not key.startswith(request_key.account_prefix("other"))
+    key = crash_subject.request_key(**REQUEST)
+    assert key.startswith(crash_subject.account_prefix("shop"))
+    assert not key.startswith(crash_subject.account_prefix("other"))
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies
 
 from medlarfork import errors
-from medlarfork.http import sse
+from medlarfork.http import event_framer, sse
 
 STREAM = b': hello\n\nid: 1\ndata: {"a": "\xc3\xa9"}\n\r\ndata: x\r\ndata:y\n\ndata: [DONE]\n\n'
 EVENTS = (sse.Event('{"a": "é"}', "1"), sse.Event("x\ny"), sse.Event(sse.DONE))
@@ -65,6 +65,8 @@
 
 
 def test_event_streams_are_recognised_by_media_type() -> None:
-    assert sse.is_event_stream({"content-type": "Text/Event-Stream; charset=utf-8"})
-    assert not sse.is_event_stream({"content-type": "text/event-streams"})
-    assert not sse.can_be_framed({"content-type": sse.MEDIA_TYPE, "content-encoding": "br"})
+    assert event_framer.is_event_stream({"content-type": "Text/Event-Stream; charset=utf-8"})
+    assert not event_framer.is_event_stream({"content-type": "text/event-streams"})
+    assert not event_framer.can_be_framed(
+        {"content-type": event_framer.MEDIA_TYPE, "content-encoding": "br"}
+    )
