--- a/src/medlarfork/http/upstream_reachability.py
+++ b/src/medlarfork/http/upstream_reachability.py
@@ -2,9 +2,9 @@
 
 A crashed upstream fails for every host, a network partition of this host fails for all upstreams.
 A service is unreachable once ``MAX_UNANSWERED`` of its upstreams did not answer an attempt to
-connect, ``MAX_REFUSED`` did not or refused, or all if it has fewer, with no connection accepted in
-between. Since a request on an open connection ends at
-its deadline without any failure, silence leads to probes, one at a time.
+connect, or ``MAX_REFUSED`` did not or refused, or all if it has fewer, with no connection accepted
+in between. Since a request on an open connection ends at its deadline without any failure, silence
+leads to probes, one at a time.
 
 Pure: no I/O, no clock.
 """
--- a/tests/processes/test_crashing_parts.py
+++ b/tests/processes/test_crashing_parts.py
@@ -1,7 +1,7 @@
 """A prompt part that crashes each engine that begins to answer a request with it.
 
 No two requests are alike: the part comes with others that sound requests of the same client account
-share, at every entry host. 17 engines ended in the lines of a day, each under another request.
+share, at every entry host.
 """
 
 import json
