A stopping host remembers long answers for 10 s, and leaves a margin for longer ones

A caller's stream was cut in the middle: it came 3.06 s after the SIGTERM of its host, which had 4.3 s left, and ran longer.

Cause: the longest duration of a route's answers shrank with each shorter answer, so 4.07 s counted as 3.31 s two seconds and a few answers later; and nothing was left for an answer that takes longer than all before.

Change: the longest duration of the last 10 s counts, with a quarter more. Refused is 503 `draining`, not run, at once. Measured: the new test took the request before.

--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import math
 import random
@@ -35,15 +36,26 @@
 
 _log = logging.getLogger(__name__)
 
-DURATION_DECAY = 0.9
-"""Factor by which a route's longest duration shrinks with each shorter answer, so that an
-exceptional one is forgotten after some dozens."""
+DURATION_MEMORY_S = 10.0
+"""Time for which the longest duration of a route's answers counts, in seconds: an exceptional one
+is forgotten, and many short ones meanwhile don't hide that answers are slow."""
+
+DURATION_MARGIN = 1.25
+"""Factor by which the next answer of a route may take longer than the longest recent one."""
 
 OVERLOAD_RETRY_AFTER_S = 0.1
 """Time in ``Retry-After`` when this host is overloaded, in seconds: the retry most likely goes to
 another host, so it need not wait until this one has recovered."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Duration:
+    """How long an answer took, in seconds, and when it ended, in monotonic seconds."""
+
+    took_s: float
+    at: float
+
+
 class RequestHandler:
     """Handles the exchanges of an entry host's HTTP server.
 
@@ -92,7 +104,7 @@
         self._table: route_table.RouteTable | None = None
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._random = random.Random()
-        self._duration_by_route: dict[str, float] = {}
+        self._longest_by_route: dict[str, _Duration] = {}
         self.cut_at = math.inf
 
     @property
@@ -109,8 +121,8 @@
         """Put a routing version in force."""
         self._table = route_table.RouteTable(new_routing)
         names = {route.name for route in new_routing.routes}
-        self._duration_by_route = {
-            name: took_s for name, took_s in self._duration_by_route.items() if name in names
+        self._longest_by_route = {
+            name: longest for name, longest in self._longest_by_route.items() if name in names
         }
         for service in new_routing.services:
             if service.name not in self._budgets:
@@ -232,7 +244,9 @@
         Raises:
             errors.RequestRefusedError: Answers of its route take longer than this host has left.
         """
-        if time.monotonic() + self._duration_by_route.get(route.name, 0.0) <= self.cut_at:
+        longest = self._longest_by_route.get(route.name)
+        needed_s = DURATION_MARGIN * longest.took_s if longest is not None else 0.0
+        if time.monotonic() + needed_s <= self.cut_at:
             return
         raise errors.RequestRefusedError(
             "This entry host is stopping, and the answer would take longer than it has left.",
@@ -244,8 +258,11 @@
 
     def _record_duration(self, route: str, took_s: float) -> None:
         """Keep the longest recent duration of a route's answers."""
-        longest_s = self._duration_by_route.get(route, 0.0)
-        self._duration_by_route[route] = max(took_s, DURATION_DECAY * longest_s)
+        now = time.monotonic()
+        longest = self._longest_by_route.get(route)
+        is_recent = longest is not None and longest.at >= now - DURATION_MEMORY_S
+        if not is_recent or took_s >= longest.took_s:
+            self._longest_by_route[route] = _Duration(took_s, now)
 
     def _make_admitted(
         self,
--- a/tests/routed/test_routed_deployment.py
+++ b/tests/routed/test_routed_deployment.py
@@ -200,6 +200,30 @@
     routed_harness.run(tmp_path, main)
 
 
+# Guards against: the same where the long answer came before many short ones, and where the next one
+# takes a little longer.
+def test_a_stopping_host_remembers_a_long_answer_and_leaves_a_margin(tmp_path):
+    async def main(deployment):
+        durations_s = iter([0.8])
+
+        async def answer(exchange):
+            await curio.sleep(next(durations_s, 0.0))
+            await routed_harness.answer_plainly(exchange)
+
+        upstream = await deployment.add_upstream(answer)
+        await deployment.put_routing()
+        await deployment.until_upstreams(1)
+        for _ in range(15):
+            assert (await deployment.call()).status == 200
+        stopping = await curio.spawn(deployment.entry.stop)
+        await curio.sleep(0.5)  # Of the 1.4 s until the cut.
+        assert (await deployment.call()).status == 503
+        assert len(upstream.seen) == 15
+        await stopping.join()
+
+    routed_harness.run(tmp_path, main)
+
+
 async def _stall(exchange):
     headers = routed_harness.echo_headers(exchange, **{"content-type": "text/event-stream"})
     await exchange.begin(200, headers)
