--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -269,7 +269,7 @@
         url = f"http://{entry}:7004/p/x"
         return ask("POST", url, body.encode(), self._headers(number), timeout_s=timeout_s)
 
-    def call_prompt(self, name, parts, *, timeout_s=CALL_TIMEOUT_S):
+    def call_prompt(self, name, parts, *, path="/p/x", key="k-1", timeout_s=CALL_TIMEOUT_S):
         """Send a request whose prompt ends with a part of its own to the next entry host.
 
         Its body begins with ``name`` and is never that of another request.
@@ -278,8 +278,9 @@
         entry = self.entries[number % len(self.entries)]
         listed = ",".join(f"{part}:100" for part in (*parts, f"own-{number}"))
         headers = self._headers(number) | {"medlar-prompt-parts": listed}
+        headers["Authorization"] = f"Bearer {key}"
         body = f"{name} {number}".encode()
-        return ask("POST", f"http://{entry}:7004/p/x", body, headers, timeout_s=timeout_s)
+        return ask("POST", f"http://{entry}:7004{path}", body, headers, timeout_s=timeout_s)
 
     def headers(self):
         """Return the headers of the next attempt of a request."""
--- a/tests/processes/scripted_engine.py
+++ b/tests/processes/scripted_engine.py
@@ -5,9 +5,10 @@
 ``headers`` of the answers. A body ``stream COUNT CUT ENGINE ...`` asks for a stream of so many
 events; the engine of that name resets it after event number CUT. A body ``versions COUNT CUT``
 asks for events that name the engine's version; a stream that begins is reset after event number
-CUT. A prompt part whose id begins with ``deadly`` ends it within the first event of the answer,
-one that begins with ``late`` after that event. It writes ``TIME run BODY`` to its output when it
-begins to work on a request, and ``TIME rejected BODY`` when its script turns one away.
+CUT. A prompt part whose id begins with ``early`` ends it before the head of the answer, one with
+``deadly`` within the first event, one with ``late`` after that event. It writes ``TIME run BODY``
+to its output when it begins to work on a request, and ``TIME rejected BODY`` when its script turns
+one away.
 """
 
 import argparse
@@ -28,6 +29,7 @@
 VERSIONS = b"versions"
 DEADLY_PART = "deadly"
 LATE_PART = "late"
+EARLY_PART = "early"
 EVENT_S = 0.002
 RESET = struct.pack("ii", 1, 0)
 
@@ -52,6 +54,8 @@
             os._exit(CRASH_STATUS)
         parts = self.headers.get("medlar-prompt-parts", "").split(",")
         for part in parts:
+            if part.startswith(EARLY_PART):
+                os._exit(CRASH_STATUS)
             if part.startswith((DEADLY_PART, LATE_PART)):
                 self._crash_in_stream(is_late=part.startswith(LATE_PART))
         if body.startswith(STREAM):
--- a/tests/processes/test_crashing_parts.py
+++ b/tests/processes/test_crashing_parts.py
@@ -50,8 +50,8 @@
 
 @pytest.mark.parametrize(
     ("route", "part"),
-    [(STREAMING, "deadly"), (SAFE, "deadly"), (STREAMING, "late")],
-    ids=["streaming", "safe", "late in the answer"],
+    [(STREAMING, "deadly"), (SAFE, "deadly"), (STREAMING, "late"), (STREAMING, "early")],
+    ids=["streaming", "safe", "late in the answer", "before the head"],
 )
 def test_a_part_that_crashed_five_engines_reaches_three_more_at_most(fleet, route, part):
     _start(fleet, route)
@@ -64,6 +64,31 @@
     assert {status for _, status in crashing.results} <= {0, 502, 503}
 
 
+def test_two_parts_are_held_on_another_route_and_for_another_account_too(fleet):
+    _start(fleet, STREAMING)
+    routes = [
+        {"name": name, "host": "a.example", "path_prefix": f"/{name}/", **STREAMING}
+        | {"targets": [{"service": "engines"}]}
+        for name in ("p", "q")
+    ]
+    accounts = [{"name": f"shop-{number}", "api_keys": [f"k-{number}"]} for number in (1, 2)]
+    routing = {"version": 2, "routes": routes, "services": [{"name": "engines"}]}
+    url = f"http://{fleet.replicas[0]}:7001/v1/routing"
+    routed_fleet.until(200, "PUT", url, routing | {"accounts": accounts})
+    time.sleep(1.0)
+    sound = traffic.Traffic(fleet, "sound", ("tmpl", "good"), 20)
+    first = traffic.Traffic(fleet, "first", ("tmpl", "deadly-1"), 5)
+    second = traffic.Traffic(fleet, "second", ("deadly-2", "rare"), 5)
+    elsewhere = traffic.Traffic(fleet, "first", ("rare", "deadly-1"), 5, path="/q/x", key="k-2")
+    with sound:
+        with first, second, elsewhere:
+            time.sleep(14.0)
+        stopped_at = time.monotonic()
+    for name in ("first", "second"):
+        _check_late_runs_and_sound_requests(fleet, name, sound, stopped_at)
+    assert {status for _, status in elsewhere.results} <= {0, 502, 503}
+
+
 def test_a_part_that_always_came_with_the_guilty_one_is_served_without_it(fleet):
     _start(fleet, STREAMING)
     with traffic.Traffic(fleet, "sound", ("rare", "good"), 3) as sound:
--- a/tests/processes/traffic.py
+++ b/tests/processes/traffic.py
@@ -7,11 +7,12 @@
 class Traffic:
     """Requests that are sent at a constant rate until it is stopped; each has a new own part."""
 
-    def __init__(self, fleet, name, parts, per_s):
+    def __init__(self, fleet, name, parts, per_s, **call):
         self.results = []
         self._fleet = fleet
         self._name = name
         self._parts = parts
+        self._call_options = call
         self._period_s = 1.0 / per_s
         self._is_over = threading.Event()
         self._threads = []
@@ -38,7 +39,7 @@
 
     def _call(self):
         sent_at = time.monotonic()
-        status, _ = self._fleet.call_prompt(self._name, self._parts)
+        status, _ = self._fleet.call_prompt(self._name, self._parts, **self._call_options)
         self.results.append((sent_at, status))
 
     def served_share(self, since, until):
