--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Case 3: a burst of requests with bodies within MaxBodyBytes takes entry hosts over their memory."""
+"""Case 3: a stopping entry host accepts streams that it then cuts."""
 
 import os
 import pathlib
@@ -13,179 +13,240 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
-SERVICE = "xano55b"
-ENGINES = 12
-WORK_S = 0.45
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BODY_BYTES = 4_000_000  # MaxBodyBytes is 4,194,304.
-BYTES_PER_S = (300_000, 1_200_000)  # What a client's own link carries.
-USERS_PER_S = 18.0  # Two of nine entry hosts of the site get 24 a second.
-TRAFFIC_S = 16.0
-BURST_X = 2.3 if TROUBLE else 1.0  # burst: x = 2.3,
-BURST_AT_S = 3.0
-BURST_S = 9.0  # for 9 s.
+SERVICE = "dele69a"
+PREFIX = "/lohu930/"
+EVENT_S = 0.03
+USUAL_EVENTS = 58  # label-text of the site: 58 events on average,
+MOST_EVENTS = 191  # 191 at the most.
 DEADLINE_MS = 15_000
-MEMORY_MB = 300
-CHUNK_BYTES = 25_000
+CALLERS = 6  # Usual traffic, by clients that do as the directory says.
+KEEPERS = 8  # Clients that keep its response three times as long.
+STOPS = 3  # roll_term, one machine at a time.
+SEND_AT_S = (3.05, 3.15)  # After the SIGTERM: later than 3 s.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-class Platform:
-    """Kill a process that uses more than MemoryMb."""
+class StreamingEngine(standins.Engine):
+    """A model engine: the prompt's part says how many events the answer has."""
 
-    def __init__(self, fleet):
-        self._fleet = fleet
-        self.peak_mb = dict.fromkeys(fleet.fronts, 0.0)
-        self.killed = []
-        self._thread = threading.Thread(target=self._watch, daemon=True)
-        self._thread.start()
+    def handle(self, connection, request, state):
+        _, _, headers, _ = request
+        attempt = headers.get("x-attempt-id", "")
+        if headers.get("x-expect-instance", self.id) != self.id:
+            rejected = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
+            connection.sendall(standins.encode(421, rejected, b""))
+            return
+        count = int(headers["x-length-hint"]) // 5
+        with self.lock:
+            self.runs.append((attempt, time.monotonic()))
+        self.record(f"engine {self.id} runs {attempt}: {count} events")
+        head = (
+            f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n"
+            f"X-Response-Seal: {self.id}.{attempt}\r\nContent-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        connection.sendall(head.encode())
+        try:
+            for number in range(1, count + 1):
+                time.sleep(EVENT_S)
+                event = f"id: {number}\ndata: {'x' * 55}\n\n".encode()
+                connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            connection.sendall(b"0\r\n\r\n")
+        except OSError:
+            self.record(f"engine {self.id}: the connection of {attempt} was closed at event {number}")
+            raise
+        self.record(f"engine {self.id} has ended {attempt}")
 
-    def _watch(self):
-        while True:
-            time.sleep(0.05)
-            for front in self._fleet.fronts:
-                process = self._fleet.processes[front]
-                used_mb = _resident_mb(process.pid)
-                self.peak_mb[front] = max(self.peak_mb[front], used_mb)
-                if used_mb > MEMORY_MB and process.poll() is None:
-                    self._fleet.record(f"platform: {front} uses {used_mb:.0f} MB of {MEMORY_MB}: killed")
-                    self.killed.append((front, time.monotonic()))
-                    process.kill()
-                    process.wait()
-
-
-def _resident_mb(pid):
-    """Return the memory of a process in megabytes; 0 once it has ended."""
-    try:
-        lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
-    except OSError:
-        return 0.0
-    sizes = [int(line.split()[1]) for line in lines if line.startswith("VmRSS:")]
-    return sizes[0] * 1024 / 1e6 if sizes else 0.0
-
-
-class User(standins.Client):
-    """A client that sends a request on a kept connection, at the speed of its own link."""
+
+class Caller(standins.Client):
+    """A client of streams on a kept connection."""
 
     def __init__(self, fleet):
         super().__init__(fleet, HOST)
-        self.result = None
-        self._bytes_per_s = random.uniform(*BYTES_PER_S)
-
-    def warm_up(self):
-        """Use the connection for a first, short request."""
-        return self.ask("POST", "/lohu930/2f", self._headers(new_attempt()), b"x" * 600)[0]
 
-    def use(self, when):
-        time.sleep(max(0.0, when - time.monotonic()))
-        if self._socket is None:
-            return
-        attempt, front = new_attempt(), self._socket.getpeername()[0]
-        lines = ["POST /lohu930/2f HTTP/1.1", f"Host: {HOST}", f"Content-Length: {BODY_BYTES}"]
-        lines += [f"{name}: {value}" for name, value in self._headers(attempt).items()]
-        began_at = time.monotonic()
-        status, why = 0, "closed"
+    @property
+    def peer(self):
+        return "" if self._socket is None else self._socket.getpeername()[0]
+
+    @property
+    def is_outdated(self):
+        """Return whether the directory's response has to be asked for again."""
+        return time.monotonic() >= self._until
+
+    def ask_stream(self, events):
+        """Ask for a stream; return attempt, host, when it was sent, status, events and the end."""
+        attempt = f"{random.getrandbits(64):016x}"
+        lines = [
+            f"POST {PREFIX}2f HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Attempt-Id: {attempt}",
+            f"X-Deadline-Ms: {DEADLINE_MS}",
+            f"Authorization: Token {KEY}",
+            "X-Model: m",
+            f"X-Token-Usage: 826,{MOST_EVENTS * 5}",
+            f"X-Prompt-Prefix: 5c1e07a2:198,{attempt[:8]}:628",
+            f"X-Length-Hint: {events * 5}",
+            "Content-Length: 600",
+        ]
+        status, got, end, sent_at, front = 0, 0, "closed", time.monotonic(), ""
         try:
+            if self._socket is None:
+                self._connect()
+            front = self.peer
             self._socket.settimeout(DEADLINE_MS / 1000.0)
-            self._socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
-            self._send_body(began_at)
+            sent_at = time.monotonic()
+            self._socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + b"x" * 600)
             head = standins.read_head(self._reader)
             if head is not None:
-                status, why = int(head[0].split(" ")[1]), ""
+                status = int(head[0].split(" ")[1])
+                if "content-length" in head[1]:
+                    self._reader.read(int(head[1]["content-length"]))
+                    end = "answered"
+                else:
+                    got, end = self._read_events()
+                if head[1].get("connection", "").lower() == "close" or end != "complete":
+                    self.close()
         except OSError as error:
-            why = repr(error)
-        took_s = time.monotonic() - began_at
-        self._fleet.record(f"client: {attempt} at {front} got {status} {why} after {took_s:.1f} s")
-        self.result = (attempt, front, status, took_s)
-
-    def _send_body(self, began_at):
-        sent = 0
-        while sent < BODY_BYTES:
-            size = min(CHUNK_BYTES, BODY_BYTES - sent)
-            self._socket.sendall(BODY[:size])
-            sent += size
-            time.sleep(max(0.0, began_at + sent / self._bytes_per_s - time.monotonic()))
-
-    @staticmethod
-    def _headers(attempt):
-        return {
-            "X-Attempt-Id": attempt,
-            "X-Deadline-Ms": str(DEADLINE_MS),
-            "Authorization": f"Token {KEY}",
-        }
-
-
-BODY = b"x" * CHUNK_BYTES
-
-
-def new_attempt():
-    return f"{random.getrandbits(64):016x}"
-
-
-def arrivals():
-    """Return when requests begin, in seconds from the start of the traffic."""
-    times, when = [], 0.0
-    while when < TRAFFIC_S:
-        times.append(when)
-        is_burst = BURST_AT_S <= when < BURST_AT_S + BURST_S
-        when += 1.0 / (USERS_PER_S * (BURST_X if is_burst else 1.0))
-    return times
-
-
-def run(threads):
+            end = repr(error)
+            self.close()
+        took_s = time.monotonic() - sent_at
+        self._fleet.record(
+            f"client: {attempt} at {front} got {status}, {got} of {events} events, {end},"
+            f" after {took_s:.2f} s"
+        )
+        return attempt, front, sent_at, status, got, end, took_s
+
+    def _read_events(self):
+        got = 0
+        while True:
+            try:
+                line = self._reader.readline()
+                size = int(line, 16) if line.strip() else -1
+                if size <= 0:
+                    self._reader.readline()
+                    return got, "complete" if size == 0 else "closed"
+                got += self._reader.read(size).count(b"\n\n")
+                self._reader.readline()
+            except OSError as error:
+                return got, repr(error)
+
+
+def call_usually(fleet, stopping):
+    """Ask for streams of usual length, and for the directory's response whenever it says so."""
+    caller = Caller(fleet)
+    while not stopping.is_set():
+        if caller.is_outdated:
+            caller.forget()
+            before = caller.peer
+            caller.resolve()
+            if before and not caller.lists(before):
+                caller.close()
+        caller.ask_stream(random.randint(USUAL_EVENTS // 2, 2 * USUAL_EVENTS - USUAL_EVENTS // 2))
+        time.sleep(random.uniform(0.1, 0.6))
+    caller.close()
+
+
+def keep_and_ask(caller, when, results):
+    """Ask for a long stream on the open connection."""
+    time.sleep(max(0.0, when - time.monotonic()))
+    if caller.peer:
+        results.append(caller.ask_stream(MOST_EVENTS))
+
+
+def stop_one(fleet, front, results):
+    keepers = []
+    while len(keepers) < KEEPERS:
+        keeper = Caller(fleet)
+        keeper.ask_stream(1)
+        if keeper.peer == front:
+            keepers.append(keeper)
+        else:
+            keeper.close()
+    process = fleet.processes[front]
+    if TROUBLE:
+        fleet.record("platform: SIGTERM to", front)
+        fleet.stop_machine(front)
+    sigterm_at = time.monotonic()
+    threads = [
+        threading.Thread(
+            target=keep_and_ask, args=(keeper, sigterm_at + random.uniform(*SEND_AT_S), results)
+        )
+        for keeper in keepers
+    ]
     for thread in threads:
         thread.start()
+    if TROUBLE:
+        while process.poll() is None and time.monotonic() < sigterm_at + standins.GRACE_S:
+            time.sleep(0.02)
+        if process.poll() is None:
+            fleet.record("platform: SIGKILL to", front)
+            process.kill()
+        process.wait()
+        fleet.record(front, f"ended {time.monotonic() - sigterm_at:.1f} s after the SIGTERM")
+        time.sleep(0.5)
+        fleet.start_machine(front)
     for thread in threads:
         thread.join()
+    for keeper in keepers:
+        keeper.close()
+    standins.wait_ready(fleet)
+    time.sleep(4.0)
+    return front, sigterm_at
 
 
 def play(fleet):
     fleet.start()
     operator = standins.Operator(fleet)
-    routes = [standins.route("r-1", HOST, "/lohu930/", SERVICE, timeout_ms=DEADLINE_MS)]
-    if not operator.put(standins.configuration(7, [SERVICE], routes, [("hule930", KEY)])):
+    route = standins.route("r-1", HOST, PREFIX, SERVICE, kind="streaming", timeout_ms=DEADLINE_MS)
+    route |= {"SessionAffinity": True, "TargetGapMs": 200, "Priority": 0}
+    first = standins.configuration(7, [SERVICE], [route], [("hule930", KEY)])
+    first["Services"][0] |= {
+        "MaxConnections": 370,
+        "Engine": {
+            "Slots": 64,
+            "KvCapacityTokens": 547510,
+            "KvTokenBytes": 163840,
+            "LinkMbps": 260000.0,
+            "Stride": 5,
+            "Models": [{"Name": "m"}],
+        },
+    }
+    if not operator.put(first):
         raise standins.CouldNotRun("the configuration was not acknowledged")
-    engines = [
-        standins.Engine(fleet, number, SERVICE, work_s=WORK_S) for number in range(ENGINES)
-    ]
+    engines = [StreamingEngine(fleet, number, SERVICE, slots=64) for number in range(4)]
     standins.wait_ready(fleet)
-    time.sleep(4.0)
-    platform = Platform(fleet)
-    times = arrivals()
-    users = [User(fleet) for _ in times]
-    run([threading.Thread(target=user.warm_up) for user in users])
-    fleet.record("before the burst:", memory(platform))
-    begin_at = time.monotonic() + 0.5
-    fleet.record(f"{len(users)} requests of {BODY_BYTES} bytes in {TRAFFIC_S} s, burst x {BURST_X}")
-    run(
-        [
-            threading.Thread(target=user.use, args=(begin_at + when,))
-            for when, user in zip(times, users, strict=True)
-        ]
-    )
-    for user in users:
-        user.close()
-    time.sleep(1.0)
+    stopping = threading.Event()
+    callers = [
+        threading.Thread(target=call_usually, args=(fleet, stopping)) for _ in range(CALLERS)
+    ]
+    for caller in callers:
+        caller.start()
+    time.sleep(8.0)
+    results, stops = [], []
+    for number in range(STOPS):
+        stops.append(stop_one(fleet, fleet.fronts[number % len(fleet.fronts)], results))
+    stopping.set()
+    for caller in callers:
+        caller.join()
     for engine in engines:
         engine.close()
     ran = {attempt: engine.id for engine in engines for attempt, _ in engine.runs}
-    results = [user.result for user in users if user.result is not None]
-    lost = [
-        (attempt, front)
-        for attempt, front, status, took_s in results
-        if status == 0 and attempt in ran and took_s < DEADLINE_MS / 1000.0 - 0.5
-    ]
-    for attempt, front in lost:
-        fleet.record(f"LOST: {attempt} ran at engine {ran[attempt]}; {front} closed its connection")
-    fleet.record(memory(platform))
-    fleet.record(
-        f"requests {len(results)}, served {sum(result[2] == 200 for result in results)},"
-        f" lost {len(lost)}, processes killed for their memory: {len(platform.killed)}"
-    )
-    return len(lost) > 3
-
-
-def memory(platform):
-    return "most memory: " + ", ".join(f"{ip} {mb:.0f} MB" for ip, mb in platform.peak_mb.items())
+    lost = 0
+    for attempt, front, sent_at, status, got, end, took_s in results:
+        after_s = min(sent_at - at for stopped, at in stops if stopped == front and at <= sent_at)
+        is_cut = end not in ("complete", "answered")
+        if TROUBLE and is_cut and attempt in ran and 3.0 < after_s and took_s < DEADLINE_MS / 1000 - 1:
+            lost += 1
+            fleet.record(
+                f"LOST: {attempt}, sent to {front} {after_s:.2f} s after its SIGTERM, was passed on to"
+                f" {ran[attempt]}; its connection ended after {got} of {MOST_EVENTS} events,"
+                f" {after_s + took_s:.2f} s after the SIGTERM"
+            )
+    complete = sum(result[5] == "complete" for result in results)
+    fleet.record(f"long streams {len(results)}, complete {complete}, lost {lost}")
+    if not results:
+        raise standins.CouldNotRun("no long stream was sent")
+    return lost > 0
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -425,7 +425,12 @@
         """Forget the directory's response."""
         self._addresses, self._until = [], 0.0
 
-    def _connect(self):
+    def lists(self, ip):
+        """Return whether the directory's response names an entry host."""
+        return any(address.rpartition(":")[0] == ip for address in self._addresses)
+
+    def resolve(self):
+        """Ask the directory, unless its last response still counts."""
         if time.monotonic() >= self._until or not self._addresses:
             for core in self._fleet.cores:
                 address = f"{core}:{PORTS['Directory']}"
@@ -436,6 +441,9 @@
                     self._addresses = found["Addresses"]
                     self._until = time.monotonic() + found["TtlS"]
                     break
+
+    def _connect(self):
+        self.resolve()
         if not self._addresses:
             raise OSError("no address")
         host, _, port = random.choice(self._addresses).rpartition(":")
