--- a/review/standins.py
+++ b/review/standins.py
@@ -525,10 +525,10 @@
     raise CouldNotRun("the entry hosts did not become ready")
 
 
-def run_case(folder, play):
+def run_case(record_path, play):
     """Play a case; return its exit status: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     fleet = None
     try:
         fleet = Fleet(record)
