--- a/review/3/case.py
+++ b/review/3/case.py
@@ -235,7 +235,8 @@
     for attempt, front, sent_at, status, got, end, took_s in results:
         after_s = min(sent_at - at for stopped, at in stops if stopped == front and at <= sent_at)
         is_cut = end not in ("complete", "answered")
-        if TROUBLE and is_cut and attempt in ran and 3.0 < after_s and took_s < DEADLINE_MS / 1000 - 1:
+        is_in_time = took_s < DEADLINE_MS / 1000 and after_s + took_s <= standins.GRACE_S + 1.0
+        if TROUBLE and is_cut and attempt in ran and 3.0 < after_s and is_in_time:
             lost += 1
             fleet.record(
                 f"LOST: {attempt}, sent to {front} {after_s:.2f} s after its SIGTERM, was passed on to"
