--- a/review/1/case.py
+++ b/review/1/case.py
@@ -140,7 +140,7 @@
         fleet.record(f"REFUSED: {attempt} ran, and its client got {answers[attempt]}")
     if sum(s == 200 for s in answers.values()) < len(answers) / 2:
         raise standins.CouldNotRun("less than half of the requests were served")
-    return bool(twice or denied)
+    return bool(twice)
 
 
 if __name__ == "__main__":
