--- a/src/medlarfork/gateway/attempt_failover.py
+++ b/src/medlarfork/gateway/attempt_failover.py
@@ -314,7 +314,8 @@
         if is_stream or (response.status < 500 and not self.progress.response_started):
             return None, ""
         await response.close()
-        return placement_messages.RunEnd.FAILED, f"status {response.status}"
+        why = upstream_call.describe(response, self._shared.names)
+        return placement_messages.RunEnd.FAILED, why
 
     def _record_send(
         self, end: placement_messages.RunEnd | None, upstream: upstream_types.Announcement
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -342,7 +342,7 @@
         self._shared.crashes.record_completed_run(self.admitted.crash_keys)
         failed = response.status >= 500
         if failed and self._may_retry_failure():
-            self.trace.reasons.append(f"{self.trace.upstreams[-1]}: status {response.status}")
+            self.trace.reasons.append(f"{self._runner}: {self._describe(response)}")
             await self._stream.close()
             return placement_messages.RunEnd.FAILED
         self.trace.first_event_ms = self._since_start_ms()
@@ -350,6 +350,9 @@
         self._finish(request_types.Result.ANSWERED, response.status)
         return None
 
+    def _describe(self, response: http_client.Response) -> str:
+        return upstream_call.describe(response, self._shared.names)
+
     def _may_retry_failure(self) -> bool:
         """Return whether an upstream's error status is retried instead of being passed on."""
         after = self._progress.after(placement_messages.RunEnd.FAILED)
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -103,12 +103,15 @@
         return Failure(placement_messages.RunEnd.BROKEN, str(error), is_timeout)
     returned_id = response.headers.get(names.attempt_id, "")
     owner = identify_owner(
-        returned_id, call.attempt_id, response.status, is_first_exchange=response.is_first
+        returned_id,
+        call.attempt_id,
+        response.status,
+        is_first_exchange=response.exchange_number == 1,
     )
     if owner is not ResponseOwner.THIS_REQUEST:
         # The response to this request may still come, so the connection can't be used again.
         await response.close()
-        why = f"its response belongs to {owner.value}"
+        why = f"its response belongs to {owner.value}: {describe(response, names)}"
         return Failure(placement_messages.RunEnd.FAILED, why)
     if not returned_id:
         # On this connection, the next response without an id could not be told from a copy.
@@ -119,11 +122,19 @@
     if response.status != WRONG_UPSTREAM_STATUS:
         on_head(response)
     if response.status == WRONG_UPSTREAM_STATUS or names.not_executed in response.headers:
+        why = describe(response, names)
         await drain(response)
-        return Failure(placement_messages.RunEnd.REJECTED, f"status {response.status}")
+        return Failure(placement_messages.RunEnd.REJECTED, why)
     return response
 
 
+def describe(response: http_client.Response, names: request_header_names.RequestHeaderNames) -> str:
+    """Return what a response of this request states about its run, for the log."""
+    run = "not executed" if names.not_executed in response.headers else "unmarked"
+    owner = "own id" if names.attempt_id in response.headers else "no id"
+    return f"status {response.status} ({run}, {owner}, exchange {response.exchange_number})"
+
+
 def identify_owner(
     returned_id: str, attempt_id: str, status: int, *, is_first_exchange: bool
 ) -> ResponseOwner:
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -339,9 +339,9 @@
         return self.framing is not Framing.CLOSE
 
     @property
-    def is_first(self) -> bool:
-        """Return whether nothing was sent on its connection before its request."""
-        return self._connection.exchanges == 1
+    def exchange_number(self) -> int:
+        """Return the number of its exchange on its connection; the first one is 1."""
+        return self._connection.exchanges
 
     async def read(self, on_part: Callable[[int], None] | None = None) -> bytes:
         """Return the complete body.
