Never pass on a status that promises that nothing ran, unless the upstream proves it

Seen by callers: a request that may run once was answered 408, 429 or 503 although an upstream had run it, 16 of 16 requests for each of the statuses. These statuses promise that it has not run.

Cause: the response of a run was passed on whatever its status. An upstream states that it has not run a request by a header or by 421; without these its 503 says nothing about the run. Class: a promise that rests on something that does not prove it.

Change: gateway.final_response writes each final response of an admitted request, own ones and those of upstreams and relay hosts, and is the only place that sends one of these statuses. The response of a run with such a status counts as a failure: it is retried where the route may be repeated, also in the search for another upstream of a silent attempt, and is replaced by 502 elsewhere. The replacement bears no seal, as its status is not the upstream's.

--- a/src/medlarfork/gateway/attempt_failover.py
+++ b/src/medlarfork/gateway/attempt_failover.py
@@ -311,7 +311,8 @@
     ) -> tuple[placement_messages.RunEnd | None, str]:
         """Return the same for the response of an upstream or a relay host."""
         is_stream = response.status < 300 and event_framer.can_be_framed(response.headers)
-        if is_stream or (response.status < 500 and not self.progress.response_started):
+        is_failure = retry_policy.is_failure(response.status)
+        if is_stream or not (is_failure or self.progress.response_started):
             return None, ""
         await response.close()
         why = upstream_call.describe(response, self._shared.names)
--- a/src/medlarfork/gateway/request_forwarder.py
+++ b/src/medlarfork/gateway/request_forwarder.py
@@ -9,6 +9,7 @@
 
 from medlarfork import errors
 from medlarfork.gateway import (
+    final_response,
     relay_client,
     request_types,
     retry_policy,
@@ -23,9 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
-    """The caller has got the final answer, with this status."""
-
-    status: int
+    """The caller has got the final answer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +64,7 @@
         self._stream = stream
         self._trace = trace
         self._binding = binding
+        self._final = final_response.FinalResponse(admitted, shared, trace)
 
     async def forward(
         self, relay_host: str, progress: retry_policy.Progress, on_start: Callable[[], None]
@@ -107,7 +107,7 @@
         finally:
             # Without this the relay host goes on with the work of a cancelled or failed relay.
             await sent.close()
-        return Answered(sent.status)
+        return Answered()
 
     def _begin(
         self, origin: stream_origin.StreamOrigin | None, on_start: Callable[[], None]
@@ -126,10 +126,12 @@
         if response.status < 300 and event_framer.can_be_framed(response.headers):
             await self._stream.relay(response, on_start=on_start)
             await self._stream.finish()
+            self._trace.result = request_types.Result.ANSWERED
+            self._trace.status = response.status
             return
         body = await self._stream.read_whole(response)
         if progress.response_started:
             raise upstream_call.not_resumed(response.status)
         took_s = time.monotonic() - self._admitted.started_at
         self._trace.first_event_ms = took_s * 1000.0
-        await self._admitted.exchange.respond(response.status, response.headers, body)
+        await self._final.pass_on(response, body)
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -27,7 +27,7 @@
 from medlarfork.placement import local_choice, placement_messages
 
 if TYPE_CHECKING:
-    from medlarfork.gateway import attempt_failover
+    from medlarfork.gateway import attempt_failover, final_response
 
 DEADLINE_MARGIN_MS = 20.0
 """Time before the caller's own deadline at which a final answer is sent, in milliseconds: covers
@@ -171,8 +171,7 @@
             self.admitted, self._shared, self._stream, self.trace, self._binding
         )
         match await forwarder.forward(relay_host, self._progress, self._record_forwarded_start):
-            case request_forwarder.Answered(status):
-                self._finish(request_types.Result.ANSWERED, status)
+            case request_forwarder.Answered():
                 return True
             case request_forwarder.NotRun(retry_after_ms):
                 self._sent_at = 0.0
@@ -340,14 +339,12 @@
         """Read an answer completely, then pass it on, so that no truncated answer is started."""
         body = await self._stream.read_whole(response)
         self._shared.crashes.record_completed_run(self.admitted.crash_keys)
-        failed = response.status >= 500
-        if failed and self._may_retry_failure():
+        if retry_policy.is_failure(response.status) and self._may_retry_failure():
             self.trace.reasons.append(f"{self._runner}: {self._describe(response)}")
             await self._stream.close()
             return placement_messages.RunEnd.FAILED
         self.trace.first_event_ms = self._since_start_ms()
-        await self.admitted.exchange.respond(response.status, response.headers, body)
-        self._finish(request_types.Result.ANSWERED, response.status)
+        await self._final_response().pass_on(response, body)
         return None
 
     def _describe(self, response: http_client.Response) -> str:
@@ -436,7 +433,8 @@
         )
         attempt_id = self.admitted.metadata.attempt_id
         is_foreign = headers.get(self._shared.names.attempt_id, attempt_id) != attempt_id
-        return head.status_code < 500 and not is_rejection and not is_foreign
+        is_failure = retry_policy.is_failure(head.status_code)
+        return not (is_failure or is_rejection or is_foreign)
 
     def _make_failover(self) -> attempt_failover.AttemptFailover:
         # Imported only while an upstream is silent: it makes the start-up slower.
@@ -507,25 +505,18 @@
         await self._finish_without_answer(in_time=self._left_ms > 0)
 
     async def _finish_without_answer(self, *, in_time: bool) -> None:
-        """Send the final status; an answer that has started can only be cut."""
-        exchange = self.admitted.exchange
-        if exchange.started:
-            self.trace.result = request_types.Result.CUT
-            return
-        status = retry_policy.final_status(self._progress, in_time=in_time)
-        self.trace.status = status
-        headers = {"Content-Type": "application/json"}
-        if self.admitted.is_relayed:
-            headers[self._shared.names.own_answer] = "1"
-        if status == 503:
-            headers["Retry-After"] = f"{self._retry_after_ms / 1000.0:.3f}"
-        reasons = "; ".join(self.trace.reasons) or "its deadline passed"
-        error = errors.MedlarError(
-            f"The request got no answer: {reasons}.",
-            remedy="Retry after the time in Retry-After." if status == 503 else "It may have run.",
-            code=self._placer.refusal_code if status == 503 else errors.Code.UNCERTAIN,
+        await self._final_response().fail(
+            self._progress,
+            in_time=in_time,
+            retry_after_ms=self._retry_after_ms,
+            refusal_code=self._placer.refusal_code,
         )
-        await exchange.respond(status, headers, _http_messages.error_body(error, status))
+
+    def _final_response(self) -> final_response.FinalResponse:
+        # Imported with the first answer that is no stream: it makes the start-up slower.
+        from medlarfork.gateway import final_response
+
+        return final_response.FinalResponse(self.admitted, self._shared, self.trace)
 
     def _finish(self, result: request_types.Result, status: int) -> None:
         self.trace.result = result
--- a/src/medlarfork/gateway/retry_policy.py
+++ b/src/medlarfork/gateway/retry_policy.py
@@ -51,6 +51,10 @@
 """Ends of attempts that provably did not run."""
 
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Progress:
     """The attempts of a request so far.
@@ -90,6 +94,11 @@
     return max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * route.gap_ms / 1000.0)
 
 
+def is_failure(status: int) -> bool:
+    """Return whether the status of a run is a failure that another upstream may mend."""
+    return status >= 500 or status in NOT_RUN_STATUSES
+
+
 def final_status(progress: Progress, *, in_time: bool) -> int:
     """Return the status of a request without an answer: 503 only if no upstream ran it."""
     if progress.runs == 0:
