Load the line scanner of settings files only for mistakes

An entry host loads 340 modules before it serves, which is the limit of test_quick_start.py. The line numbers of a file are needed only in messages about its mistakes, so the module that finds them is imported there. The file is scanned once for all its mistakes.

--- a/src/medlarfork/declared/configuration_file.py
+++ b/src/medlarfork/declared/configuration_file.py
@@ -189,7 +189,7 @@
     finding: configuration_check.Finding,
     conversion: settings.Conversion[_File],
 ) -> settings.Mistake:
-    line = document.lines.line(_location_in_file(conversion, finding))
+    line = document.line(_location_in_file(conversion, finding))
     return settings.Mistake(line, finding.key, finding.problem, finding.remedy)
 
 
--- a/src/medlarfork/settings/_toml_convert.py
+++ b/src/medlarfork/settings/_toml_convert.py
@@ -11,9 +11,10 @@
 import types
 import typing
 from collections.abc import Iterable
-from typing import Any, Generic, TypeVar
+from typing import TYPE_CHECKING, Any, Generic, TypeVar
 
-from medlarfork.settings import _toml_lines
+if TYPE_CHECKING:
+    from medlarfork.settings import _toml_lines
 
 T = TypeVar("T")
 
--- a/src/medlarfork/settings/settings.py
+++ b/src/medlarfork/settings/settings.py
@@ -6,14 +6,18 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import pathlib
 import re
 import tomllib
 from collections.abc import Sequence
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from medlarfork import errors
-from medlarfork.settings import _toml_convert, _toml_lines
+from medlarfork.settings import _toml_convert
+
+if TYPE_CHECKING:
+    from medlarfork.settings import _toml_lines
 
 T = TypeVar("T")
 
@@ -54,17 +58,29 @@
     Attributes:
         file: Path of the file.
         table: Its content.
-        lines: Line numbers of its keys.
+        text: The text that it was parsed from.
     """
 
     file: pathlib.Path
     table: dict[str, Any]
-    lines: _toml_lines.TomlLines
+    text: str
+
+    def line(self, path: _toml_lines.Path) -> int:
+        """Return the line of a path, or of its closest enclosing key or table."""
+        return _scan_lines(self.text).line(path)
 
     def mistake(self, fault: _toml_convert.Fault) -> Mistake:
         """Return a fault as a mistake with its line number."""
-        line = self.lines.line(fault.path)
-        return Mistake(line, dotted(fault.path), fault.problem, fault.remedy)
+        return Mistake(self.line(fault.path), dotted(fault.path), fault.problem, fault.remedy)
+
+
+@functools.lru_cache(maxsize=1)
+def _scan_lines(text: str) -> _toml_lines.TomlLines:
+    """Return the lines of a text; a file may have many mistakes."""
+    # Imported only for mistakes: it makes the start-up slower.
+    from medlarfork.settings import _toml_lines
+
+    return _toml_lines.TomlLines(text)
 
 
 def bounded(
@@ -112,7 +128,7 @@
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise mistakes_error(path, (_syntax_mistake(error, text),)) from error
-    return Document(path, table, _toml_lines.TomlLines(text))
+    return Document(path, table, text)
 
 
 def convert(document: Document, kind: type[T]) -> Conversion[T]:
