Keep a timeout to its own block when the process stalls

Cause, in curio's kernel (trap_unset_timeout, trap_set_timeout): if a task is ready to run when its timeout passes, the timeout is kept as pending. Leaving a block discards it only if no enclosing deadline has passed meanwhile. After a stall, the timeout of a block that has ended (wait for a relay host, for an owner, for a chunk) was raised in the next wait, with a time before all deadlines left: curio reports that as UncaughtTimeoutError, in the connect or in the request itself. Two more faults of the same kind: the pending timeout of an enclosing block is dropped if a further block ends without waiting (a request then outlives its deadline), and a timeout that has been raised through an inner block is raised again in the clean-up.

Change: medlarfork.timeouts wraps curio's contexts and is used in all places.

--- a/src/medlarfork/control/control_program.py
+++ b/src/medlarfork/control/control_program.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from medlarfork import _stop_signal, errors, logs, node, runner, vital_tasks
+from medlarfork import _stop_signal, errors, logs, node, runner, timeouts, vital_tasks
 from medlarfork.control import (
     _control_metrics,
     _order_sender,
@@ -183,7 +183,7 @@
         replies = self._replies_by_call[call_id] = curio.Queue()
         try:
             await self._post(control_types.OperatorRequested(call_id, request))
-            reply = await curio.ignore_after(_ANSWER_TIMEOUT_S, replies.get)
+            reply = await timeouts.call_until(_ANSWER_TIMEOUT_S, replies.get)
         finally:
             del self._replies_by_call[call_id]
         return _timed_out() if reply is None else reply
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -13,7 +13,7 @@
 
 import curio
 
-from medlarfork import _stop_signal, codec, errors, logs, node, runner, vital_tasks
+from medlarfork import _stop_signal, codec, errors, logs, node, runner, timeouts, vital_tasks
 from medlarfork.coordination import (
     coordinator,
     coordinator_metrics,
@@ -309,7 +309,7 @@
         self._replies_by_operation[operation_id] = replies
         try:
             await self._runner.post(coordinator_types.OperationReceived(operation_id, operation))
-            return await curio.timeout_after(OPERATION_TIMEOUT_S, replies.get)
+            return await timeouts.call_with_timeout(OPERATION_TIMEOUT_S, replies.get)
         except curio.TaskTimeout:
             return coordinator_types.Unavailable("The operation timed out.")
         finally:
--- a/src/medlarfork/gateway/origin_tracker.py
+++ b/src/medlarfork/gateway/origin_tracker.py
@@ -16,7 +16,7 @@
 
 import curio
 
-from medlarfork import rendezvous
+from medlarfork import rendezvous, timeouts
 from medlarfork.gateway import entry_session
 from medlarfork.resumption import origin_messages, origin_table, stream_origin
 
@@ -232,7 +232,7 @@
                 if left_s <= 0:
                     break
                 query.changed.clear()
-                await curio.ignore_after(left_s, query.changed.wait)
+                await timeouts.call_until(left_s, query.changed.wait)
         finally:
             del self._query_by_id[message.query_id]
         return query
--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -8,9 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-import curio
-
-from medlarfork import logs
+from medlarfork import logs, timeouts
 from medlarfork.backpressure import send_gate
 from medlarfork.gateway import (
     entry_session,
@@ -367,7 +365,7 @@
                 return True
             wait_s = QUEUE_CHECK_S if ticket.is_queued else reply_until - _now()
             ticket.changed.clear()
-            await curio.ignore_after(max(wait_s, 0.001), ticket.changed.wait)
+            await timeouts.call_until(max(wait_s, 0.001), ticket.changed.wait)
         return True
 
     def _knows_version(self, ticket: placement_ticket.Ticket) -> bool:
--- a/src/medlarfork/gateway/relay_client.py
+++ b/src/medlarfork/gateway/relay_client.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from medlarfork import errors
+from medlarfork import errors, timeouts
 from medlarfork.gateway import (
     request_header_names,
     request_metadata,
@@ -78,7 +78,7 @@
         if len(excluded) >= MAX_FORWARDS:
             return ""
         if not self._named.is_set():
-            await curio.ignore_after(HOSTS_WAIT_S, self._named.wait)
+            await timeouts.call_until(HOSTS_WAIT_S, self._named.wait)
         usable = [address for address in self._addresses if address not in excluded]
         return self._random.choice(usable) if usable else ""
 
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -10,7 +10,7 @@
 
 import curio
 
-from medlarfork import errors, logs
+from medlarfork import errors, logs, timeouts
 from medlarfork.gateway import (
     backpressure_tracker,
     crash_tracker,
@@ -375,7 +375,7 @@
         left_s = admitted.deadline_at - time.monotonic()
         try:
             try:
-                await curio.timeout_after(max(left_s, 0.0), pipeline.serve)
+                await timeouts.call_with_timeout(max(left_s, 0.0), pipeline.serve)
             except curio.TaskTimeout:
                 pipeline.end_ticket(placement_messages.RunEnd.CANCELLED)
                 await pipeline.time_out()
--- a/src/medlarfork/gateway/request_hold.py
+++ b/src/medlarfork/gateway/request_hold.py
@@ -12,6 +12,8 @@
 
 import curio
 
+from medlarfork import timeouts
+
 MAX_HOLD_S = 3.0
 """Maximum wait, in seconds: an election after the lease expired (1.4 s) and then one announcement
 period (1.2 s), plus message latency."""
@@ -59,7 +61,7 @@
                 pause_s = until - time.monotonic()
                 if pause_s <= 0:
                     return False
-                await curio.ignore_after(pause_s, self._changed.wait)
+                await timeouts.call_until(pause_s, self._changed.wait)
             return True
         finally:
             self._held -= 1
--- a/src/medlarfork/gateway/standalone_placer.py
+++ b/src/medlarfork/gateway/standalone_placer.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from medlarfork import logs
+from medlarfork import logs, timeouts
 from medlarfork.backpressure import send_gate
 from medlarfork.coordination import upstream_types
 from medlarfork.gateway import entry_session, placement_ticket
@@ -172,7 +172,7 @@
                 if not waiting.is_done:
                     changed.clear()
                     pause_s = max(check_at - time.monotonic(), MIN_PAUSE_S)
-                    await curio.ignore_after(pause_s, changed.wait)
+                    await timeouts.call_until(pause_s, changed.wait)
         except BaseException:
             self._queue.withdraw(waiting, time.monotonic())
             raise
--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -16,7 +16,7 @@
 
 import curio
 
-from medlarfork import errors, logs
+from medlarfork import errors, logs, timeouts
 from medlarfork.gateway import request_types
 from medlarfork.http import event_framer, http_client, http_server
 from medlarfork.placement import placement_messages
@@ -428,7 +428,7 @@
     """
     if stall_timeout_s is None:
         return await response.next_chunk()
-    return await curio.ignore_after(stall_timeout_s, response.await_chunk)
+    return await timeouts.call_until(stall_timeout_s, response.await_chunk)
 
 
 def _median(values: list[float]) -> float:
--- a/src/medlarfork/http/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -15,7 +15,7 @@
 import curio
 from curio import traps
 
-from medlarfork import errors
+from medlarfork import errors, timeouts
 from medlarfork.http import _http_response, _http_stream
 
 _SWEEP_PERIOD_S = 0.25
@@ -256,7 +256,7 @@
         errors.RequestNotSentError: If the connection is refused or times out.
     """
     try:
-        return await curio.timeout_after(within_s, _connect_socket, *_parse_address(address))
+        return await timeouts.call_with_timeout(within_s, _connect_socket, *_parse_address(address))
     except curio.TaskTimeout as error:
         raise _not_connected(address, f"no answer within {within_s:.3g} s") from error
     except (OSError, OverflowError) as error:
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -9,10 +9,9 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
 
-import curio
 import h11
 
-from medlarfork import errors
+from medlarfork import errors, timeouts
 from medlarfork.http import _http_messages, _http_stream
 
 _MAX_INFORMATIONAL = 8
@@ -244,7 +243,7 @@
         """Return the head of the response; act while the request is not acknowledged."""
         read_head = self._finish_send_and_read_head
         while True:
-            response = await curio.ignore_after(silence.period_s, read_head)
+            response = await timeouts.call_until(silence.period_s, read_head)
             if response is None and self.stream.has_unacknowledged:
                 response = await silence.on_silence(read_head)
             if response is not None:
--- a/src/medlarfork/http/http_server.py
+++ b/src/medlarfork/http/http_server.py
@@ -10,7 +10,7 @@
 import curio
 from curio import traps
 
-from medlarfork import errors, vital_tasks
+from medlarfork import errors, timeouts, vital_tasks
 from medlarfork.http import (
     _http_connection,
     _http_exchange,
@@ -138,7 +138,7 @@
         until = time.monotonic() + within_s
         while self._task_by_connection and time.monotonic() < until:
             self._all_closed.clear()
-            await curio.ignore_after(until - time.monotonic(), self._all_closed.wait)
+            await timeouts.call_until(until - time.monotonic(), self._all_closed.wait)
 
     async def _stop_accepting(self) -> None:
         if self._acceptor is not None:
--- a/src/medlarfork/load/load_program.py
+++ b/src/medlarfork/load/load_program.py
@@ -10,6 +10,7 @@
 import msgspec
 from absl import flags
 
+from medlarfork import timeouts
 from medlarfork.http import http_client
 from medlarfork.load import (
     _load_arrivals,
@@ -112,7 +113,7 @@
         deadline_at = time.monotonic() + self._experiment.drain_s
         while self._outstanding and time.monotonic() < deadline_at:
             self._all_finished.clear()
-            await curio.ignore_after(deadline_at - time.monotonic(), self._all_finished.wait)
+            await timeouts.call_until(deadline_at - time.monotonic(), self._all_finished.wait)
 
 
 def run() -> None:
--- a/src/medlarfork/runner.py
+++ b/src/medlarfork/runner.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from medlarfork import errors, logs, node, vital_tasks
+from medlarfork import errors, logs, node, timeouts, vital_tasks
 
 _log = logging.getLogger(__name__)
 
@@ -122,7 +122,7 @@
             return
         delay = self._wakes[0] - self._clock()
         if delay > 0:
-            await curio.ignore_after(delay, self._earlier_wake.wait)
+            await timeouts.call_until(delay, self._earlier_wake.wait)
 
     def _pop_due(self) -> None:
         now = self._clock()
--- a/src/medlarfork/standin/_standin_host.py
+++ b/src/medlarfork/standin/_standin_host.py
@@ -11,7 +11,7 @@
 import curio
 import msgspec
 
-from medlarfork import _stop_signal, errors, upstream
+from medlarfork import _stop_signal, errors, timeouts, upstream
 from medlarfork.http import header_names, http_server
 from medlarfork.standin import _standin_faults, _standin_openai, announcer
 
@@ -72,7 +72,7 @@
         if self._announcer is not None:
             await self._announcer.leave()
         with contextlib.suppress(curio.TaskTimeout):
-            async with curio.timeout_after(self._drain_s):
+            async with timeouts.timeout_after(self._drain_s):
                 while self.busy:
                     await curio.sleep(_IDLE_POLL_S)
         await self.close()
