Bound the bytes of a response that are no content, and let other tasks run between reads

Callers of one faulty upstream kept every request of their entry host waiting: a peer that sends one-byte chunks, or chunk extensions, as fast as it can stayed within the bound of the body for 18 s, and a reader that never finds its socket empty never yields, so that no deadline passes.

A response may now take two bytes of framing for each byte of content, beyond 32 KiB; a length beyond the limit is refused from the head; chunks are joined up to 256 at a time, and a full read lets other tasks run before the next one. Interim responses count for the whole exchange.

--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import math
-import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
 
@@ -13,30 +11,18 @@
 import h11
 
 from medlarfork import errors
-from medlarfork.http import _http_messages, _http_stream
+from medlarfork.http import _http_framing, _http_messages, _http_stream
 
 _MAX_INFORMATIONAL = 8
 """Informational (1xx) responses accepted before the final one."""
 
-_TIMEOUT = re.compile(r"\btimeout=(\d{1,6})")
-"""The ``timeout`` parameter of a Keep-Alive header, in whole seconds."""
-
-_IDLE_MARGIN_S = 0.5
-"""How much sooner than its upstream an idle connection is closed. A request sent just before the
-upstream closes would be lost, and not every request can be retried."""
+_MAX_JOINED_CHUNKS = 256
+"""Chunks that are parsed before other tasks run: a read full of small ones takes long."""
 
 _MAX_FAILED_IDS = 64
 """Error responses after which a connection is closed: the ids of their requests are kept."""
 
 
-class Framing(enum.StrEnum):
-    """What delimits the body of a response."""
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CLOSE = "close"
-
-
 class Pool(Protocol):
     """Interface of the connection pool, as a connection uses it."""
 
@@ -85,7 +71,9 @@
     __slots__ = (
         "_broken",
         "_failed_ids",
+        "_framing",
         "_h11",
+        "_informational",
         "_is_sent",
         "_last_id",
         "_pool",
@@ -121,6 +109,8 @@
         self._is_sent = True
         self._last_id = ""
         self._failed_ids: tuple[str, ...] = ()
+        self._informational = 0
+        self._framing = _http_framing.FramingBudget()
         self._needs_data = True  # Whether h11 needs more bytes before its next event.
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
 
@@ -160,6 +150,8 @@
         self.exchanges += 1
         self._last_id = request_id
         self._begin_send(data)
+        self._informational = 0
+        self._framing.restart()
         self._needs_data = True
         if silence is None:
             response = await self._finish_send_and_read_head()
@@ -169,9 +161,11 @@
             self._failed_ids += (request_id,)
             self.may_reuse = len(self._failed_ids) < _MAX_FAILED_IDS
         headers = _http_messages.decode_headers(response.headers)
-        framing = _framing(head, response, headers)
-        self.idle_s = _idle_s(headers.get("keep-alive", ""))
-        return Response(self, response.status_code, headers, framing)
+        framing = _http_framing.framing_of(head, response, headers)
+        self._framing.restart()
+        self.idle_s = _http_framing.idle_s(headers.get("keep-alive", ""))
+        length = _http_framing.declared_bytes(head, response, headers)
+        return Response(self, response.status_code, headers, framing, length)
 
     @property
     def has_failed_write(self) -> bool:
@@ -188,6 +182,8 @@
             event = self.buffered_event()
             if event is not None:
                 return event
+            if self._framing.is_exceeded:
+                raise self.failure("it sends too many bytes that are no content")
             self._feed(await self._receive())
 
     def buffered_event(self) -> h11.Event | None:
@@ -201,6 +197,10 @@
         self._needs_data = event is h11.NEED_DATA
         return None if self._needs_data else event
 
+    def record_content(self, size: int) -> None:
+        """Record the size of a part of the body."""
+        self._framing.record_content(size)
+
     async def release(self) -> None:
         """Return the connection to the pool after a complete response, or close it."""
         if self.closed:
@@ -278,12 +278,13 @@
             self._broken = True  # The upstream may have responded before reading everything.
 
     async def _read_head(self) -> h11.Response:
-        for _ in range(_MAX_INFORMATIONAL):
+        while self._informational < _MAX_INFORMATIONAL:
             event = await self.next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self.failure("connection closed before a response")
+            self._informational += 1
         raise self.failure("too many informational responses")
 
     async def _receive(self) -> bytes:
@@ -301,6 +302,7 @@
 
     def _feed(self, data: bytes) -> None:
         self._h11.receive_data(data)
+        self._framing.record_received(len(data))
         self._needs_data = False
 
     def _timed_out(self) -> errors.UpstreamError:
@@ -321,13 +323,28 @@
         complete: Whether the end of the body has been received.
     """
 
-    __slots__ = ("_connection", "framing", "headers", "status", "complete")
+    __slots__ = (
+        "_connection",
+        "_declared_bytes",
+        "_has_more",
+        "complete",
+        "framing",
+        "headers",
+        "status",
+    )
 
     def __init__(
-        self, connection: ClientConnection, status: int, headers: dict[str, str], framing: Framing
+        self,
+        connection: ClientConnection,
+        status: int,
+        headers: dict[str, str],
+        framing: _http_framing.Framing,
+        declared_bytes: int,
     ) -> None:
         """Wrap the response that arrives on a connection."""
         self._connection = connection
+        self._declared_bytes = declared_bytes
+        self._has_more = False  # Whether chunks that were received are still to be parsed.
         self.status = status
         self.headers = headers
         self.framing = framing
@@ -336,7 +353,7 @@
     @property
     def framed(self) -> bool:
         """Return whether the headers delimit the body; otherwise it ends with the connection."""
-        return self.framing is not Framing.CLOSE
+        return self.framing is not _http_framing.Framing.CLOSE
 
     @property
     def is_first(self) -> bool:
@@ -354,17 +371,13 @@
         """
         parts: list[bytes] = []
         size = 0
+        await self._check_size(self._declared_bytes)
         while part := await self.next_chunk():
             parts.append(part)
             size += len(part)
             if on_part is not None:
                 on_part(len(part))
-            if size > self._connection.body_bytes:
-                await self._connection.reset()
-                raise errors.UpstreamError(
-                    f"The response body is larger than {self._connection.body_bytes} bytes.",
-                    remedy="Raise the limit, or request a smaller response.",
-                )
+            await self._check_size(size)
         return b"".join(parts)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -411,18 +424,35 @@
         if not self.complete:
             await self._connection.reset()
 
+    async def _check_size(self, size: int) -> None:
+        limit = self._connection.body_bytes
+        if size > limit and not self.complete:
+            await self._connection.reset()
+        if size > limit:
+            raise errors.UpstreamError(
+                f"The response body is larger than {limit} bytes.",
+                remedy="Raise the limit, or request a smaller response.",
+            )
+
     async def _next_chunk(self) -> bytes:
-        """Join all chunks of one read, so that the caller can forward them in one write."""
+        """Join the chunks of one read, so that the caller can forward them in one write."""
+        if self._has_more:
+            await curio.sleep(0)
+            self._has_more = False
         event: h11.Event | None = await self._connection.next_event()
         parts: list[bytes] = []
         while isinstance(event, h11.Data):
             parts.append(event.data)
+            self._connection.record_content(len(event.data))
+            if len(parts) >= _MAX_JOINED_CHUNKS:
+                self._has_more = True
+                break
             event = self._connection.buffered_event()
         if isinstance(event, h11.EndOfMessage):
             self._check_end()
             self.complete = True
             await self._connection.release()
-        elif event is not None:
+        elif event is not None and not self._has_more:
             raise self._connection.failure("connection closed during the response")
         return b"".join(parts)
 
@@ -437,23 +467,3 @@
         if self._connection.has_failed_write:
             # The write consumed the error of a reset, which the system reports only once.
             raise self._connection.failure("connection failed while the request was written")
-
-
-def _idle_s(keep_alive: str) -> float:
-    """Return how long a connection may stay idle according to the Keep-Alive header."""
-    found = _TIMEOUT.search(keep_alive)
-    if found is None:
-        return math.inf
-    return int(found[1]) - _IDLE_MARGIN_S
-
-
-def _is_bodiless(head: h11.Request, response: h11.Response) -> bool:
-    return head.method == b"HEAD" or response.status_code in (204, 304)
-
-
-def _framing(head: h11.Request, response: h11.Response, headers: dict[str, str]) -> Framing:
-    if "transfer-encoding" in headers and not _is_bodiless(head, response):
-        return Framing.CHUNKED
-    if "content-length" in headers or _is_bodiless(head, response):
-        return Framing.LENGTH
-    return Framing.CLOSE
--- a/src/medlarfork/http/_http_stream.py
+++ b/src/medlarfork/http/_http_stream.py
@@ -66,6 +66,7 @@
     __slots__ = (
         "_descriptor",
         "_drained",
+        "_is_flooded",
         "_socket",
         "_stall_s",
         "_unacknowledged_s",
@@ -101,6 +102,7 @@
         self._descriptor = _Descriptor(connected.fileno())
         self._stall_s = stall_s
         self._drained = False
+        self._is_flooded = False
         self._unsent = b""
         self._waiting = 0
         self._writing = False
@@ -155,12 +157,16 @@
         # The last read emptied the receive buffer, so another one would most likely fail.
         if self._drained:
             await self._wait(traps._read_wait)
+        elif self._is_flooded:
+            # Without this, a peer that sends fast would keep all other tasks from running.
+            await curio.sleep(0)
         while True:
             try:
                 data = self._socket.recv(READ_SIZE)
             except (BlockingIOError, InterruptedError):
                 await self._wait(traps._read_wait)
                 continue
+            self._is_flooded = len(data) == READ_SIZE
             self._drained = 0 < len(data) < READ_SIZE
             return data
 
