--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -123,7 +123,8 @@
         on_head(response)
     if response.status == WRONG_UPSTREAM_STATUS or names.not_executed in response.headers:
         why = describe(response, names)
-        await drain(response)
+        # The head already proved that nothing ran.
+        await response.discard()
         return Failure(placement_messages.RunEnd.REJECTED, why)
     return response
 
@@ -160,15 +161,6 @@
     return ResponseOwner.UNKNOWN
 
 
-async def drain(response: http_client.Response) -> None:
-    """Read a rejection to its end, so that its connection can be reused."""
-    try:
-        await response.read()
-    except errors.UpstreamError:
-        # The head already proved that nothing ran; the failed read has closed the connection.
-        return
-
-
 def not_resumed(status: int) -> errors.UpstreamError:
     """Return the error for an answer that does not go on with a stream that has begun."""
     return errors.UpstreamError(
