Refuse a request at once when every upstream that could run it has failed it

Seen by callers: a request that each of three full engines had rejected was held until 80 ms before its deadline and then refused (2.9 s of 3 s).

Cause: the owner queued it like any other, though all upstreams of the service were in its list of excluded ones. A queued request whose last upstream left the view waited in the same way, and so did the search for another upstream beside a silent one: it went on after that one had broken off.

Change: the owner refuses such a request when it is placed, and in the first pass after its upstreams have changed, with cause EXCLUDED, so that its entry host asks other shards, and upstreams that the owner does not know yet. Retry-After is the time at which its caller's retry may start, with all upstreams: a place in the schedule of retries, the forecast of the queued prefill, or the first end of a backoff. A request still waits for an upstream that has not failed it, and while its service has none at all.

--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -300,7 +300,7 @@
                     shards = self._session.service_shards(request.service, request.version)
                     if ticket.try_open_shard(shards):
                         continue
-                if is_tried_alone or not self._knows_version(ticket):
+                if is_tried_alone or not self._knows_upstream_for(ticket):
                     return ticket.answer
                 # An owner that has just restarted may not have heard of all upstreams.
                 is_tried_alone = True
@@ -370,15 +370,17 @@
             await curio.ignore_after(max(wait_s, 0.001), ticket.changed.wait)
         return True
 
-    def _knows_version(self, ticket: placement_ticket.Ticket) -> bool:
-        """Return whether this host knows an upstream of the version that the owners lack."""
+    def _knows_upstream_for(self, ticket: placement_ticket.Ticket) -> bool:
+        """Return whether this host knows an upstream for a request, while the owners do not."""
         request, refused = ticket.request, ticket.answer
-        if request.version is None or request.trial_key:
+        if request.trial_key or not isinstance(refused, placement_messages.PlaceRefused):
             return False
-        return (
-            isinstance(refused, placement_messages.PlaceRefused)
-            and refused.cause is placement_messages.RefusalCause.VERSION
-            and not self._session.lacks_version(request.service, request.version, request.excluded)
+        causes = placement_messages.RefusalCause
+        if refused.cause not in (causes.EXCLUDED, causes.VERSION):
+            return False
+        return any(
+            item.service == request.service and request.may_run_at(item.upstream_id, item.version)
+            for item in self._session.upstream_by_id.values()
         )
 
     def _refuse_trial(self, ticket: placement_ticket.Ticket) -> placement_messages.PlaceRefused:
--- a/src/medlarfork/gateway/placement_ticket.py
+++ b/src/medlarfork/gateway/placement_ticket.py
@@ -56,6 +56,7 @@
         refused = self.answer
         return isinstance(refused, placement_messages.PlaceRefused) and refused.cause in (
             placement_messages.RefusalCause.CLOSED,
+            placement_messages.RefusalCause.EXCLUDED,
             placement_messages.RefusalCause.VERSION,
         )
 
--- a/src/medlarfork/placement/placement_messages.py
+++ b/src/medlarfork/placement/placement_messages.py
@@ -113,6 +113,10 @@
         """Return whether an upstream with this software version may run it."""
         return upstream_id not in self.excluded and self.version in (None, version)
 
+    def without_exclusions(self) -> PlaceRequest:
+        """Return the request as its caller sends it again: no upstream has failed it yet."""
+        return dataclasses.replace(self, excluded=())
+
     @property
     def prompt_tokens(self) -> int:
         """Return the length of the prompt in tokens."""
@@ -182,11 +186,13 @@
 
     With ``CLOSED``, no upstream of the shard accepts it because of backpressure signals, but one of
     another shard may; with ``VERSION``, none has the version that began the stream, but one of
-    another shard may; with ``TRIAL``, another copy of the request is on trial.
+    another shard may; with ``EXCLUDED``, all that may run it have failed it, but one of another
+    shard may run it; with ``TRIAL``, another copy of the request is on trial.
     """
 
     OVERLOAD = "overload"
     CLOSED = "closed"
+    EXCLUDED = "excluded"
     TRIAL = "trial"
     VERSION = "version"
 
--- a/src/medlarfork/placement/refusals.py
+++ b/src/medlarfork/placement/refusals.py
@@ -129,6 +129,33 @@
         refused = placement_messages.PlaceRefused(ticket_id, retry_ms, why, cause)
         return self._decide(waiting, refused)
 
+    def refuse_excluded(
+        self, waiting: wait_queue.WaitingRequest, wait_ms: float, closed_ms: float, now: float
+    ) -> placement_decision.Decision:
+        """Refuse a request that all upstreams which could run it have failed.
+
+        Waiting for a free slot would not help it, while a retry may use all upstreams. Its place in
+        the schedule of retries would be unused if another shard runs it.
+
+        Args:
+            waiting: The request.
+            wait_ms: Predicted wait of its retry for queued prefill, in milliseconds.
+            closed_ms: Time until backpressure signals admit its retry, in milliseconds.
+            now: The time in seconds.
+        """
+        retry_ms = max(wait_ms, closed_ms, self._starts.wait_ms(waiting, now))
+        has_place = closed_ms <= 0 and waiting.request.target_shard.count == 1
+        promised_ms = self.retries.assign(waiting, now) if has_place else None
+        self._shares.record_refusal(waiting.request.account, now)
+        refused = placement_messages.PlaceRefused(
+            waiting.request.ticket_id,
+            max(retry_ms, admission_policy.MIN_RETRY_MS) if promised_ms is None else promised_ms,
+            "every upstream that may run it has failed it",
+            placement_messages.RefusalCause.EXCLUDED,
+            is_promise=promised_ms is not None,
+        )
+        return self._decide(waiting, refused)
+
     def refuse_version(
         self, waiting: wait_queue.WaitingRequest, now: float
     ) -> placement_decision.Decision:
--- a/src/medlarfork/placement/request_starter.py
+++ b/src/medlarfork/placement/request_starter.py
@@ -1,7 +1,7 @@
 """Start requests of one shard on their best upstream. Pure: no I/O, no clock.
 
 It handles requests that may start now, new or queued: whether starting one harms more than waiting,
-and what is recorded about one that starts.
+when one that waits would start, and what is recorded about one that starts.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
     placement_decision,
     placement_messages,
     retry_schedule,
+    spillover,
     upstream_chooser,
     upstream_load,
     wait_forecast,
@@ -59,6 +60,27 @@
             return None
         return self._start(waiting, best, now)
 
+    def predicted_wait_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
+        """Return how long a new request would wait, in milliseconds."""
+        usable = self._chooser.usable(waiting.request)
+        return self._forecast.wait_ms(
+            waiting,
+            unconstrained_engines=self._chooser.unconstrained_engines(),
+            usable_share=len(usable) / max(len(self._chooser.present), 1),
+            backlog_ms=min((load.backlog_ms(now) for load in usable), default=0.0),
+            now=now,
+        )
+
+    def predicted_start_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
+        """Return the predicted start of a request that can't start immediately, in milliseconds.
+
+        Short requests wait for slots and for streams to end rather than for prefill, which can't be
+        predicted.
+        """
+        if spillover.shared_tokens(waiting.request) <= spillover.CHEAP_RECOMPUTE_TOKENS:
+            return spillover.UNKNOWN_START_MS
+        return self.predicted_wait_ms(waiting, now) + waiting.prefill_ms
+
     def _start(
         self,
         waiting: wait_queue.WaitingRequest,
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -16,6 +16,7 @@
     retry_schedule,
     shard_speeds,
     spillover,
+    unservable,
     upstream_chooser,
     upstream_load,
     wait_forecast,
@@ -62,6 +63,9 @@
         self._starter = request_starter.RequestStarter(
             self._chooser, self._shares, self._forecast, self.retries
         )
+        self._unservable = unservable.UnservableRequests(
+            self._chooser, self._queue, self._starter, self._refusals
+        )
         self._passed_at = -math.inf
         self.offered_prefill_ms = 0.0
 
@@ -83,6 +87,7 @@
     def use_upstreams(self, announcements: dict[str, upstream_types.Announcement]) -> None:
         """Set the upstreams that may be used now; runs on others continue to their ends."""
         self._chooser.use_upstreams(announcements)
+        self._unservable.use_upstreams()
         self._shares.use_slots([announcement.slots for announcement in announcements.values()])
         self._refusals.use_upstreams(announcements.values())
 
@@ -115,12 +120,13 @@
             self._shares.virtual_ms(request.tier),
             self._refusals.claim(request, now),
         )
-        if self._chooser.lacks_version(request):
-            return (self._refusals.refuse_version(waiting, now),)
+        refused = self._unservable.refuse(waiting, now)
+        if refused is not None:
+            return (refused,)
         self.offered_prefill_ms += waiting.prefill_ms
         # Without a prefill the wait can't be predicted from that of the requests before it.
         if self._starter.is_deferrable(request) and waiting.prefill_ms > 0:
-            predicted_ms = self._predicted_wait_ms(waiting, now)
+            predicted_ms = self._starter.predicted_wait_ms(waiting, now)
             if admission_policy.is_hopeless(
                 request, predicted_ms, waiting.prefill_ms, waiting.decode_ms
             ):
@@ -139,7 +145,7 @@
         if answer is not None:
             return (*started, answer)
         if self._busy_shards.may_ask(request, now):
-            start_ms = max(self._predicted_start_ms(waiting, now), closed_ms)
+            start_ms = max(self._starter.predicted_start_ms(waiting, now), closed_ms)
             if start_ms >= spillover.max_start_ms(request, self.estimator.tokens_per_ms):
                 return (*started, self._busy(waiting, start_ms))
         return (*started, *self._enqueue(waiting, now))
@@ -313,7 +319,7 @@
         is_counting = self._refusals.begin_pass(now)
         tries_left: dict[tuple[account_shares.Kind, str | None], int] = {}
         max_tries = max(MIN_TRIES, COMPARISONS_PER_PASS // max(len(self._chooser.present), 1))
-        answers: list[placement_decision.Decision] = []
+        answers = self._unservable.refuse_queued(now)
         for waiting in self._queue.in_order(
             now,
             lambda kind: is_counting
@@ -334,8 +340,6 @@
         self, waiting: wait_queue.WaitingRequest, now: float, *, may_try: bool
     ) -> placement_decision.Decision | None:
         """Return the answer to a queued request, or None if it stays in the queue."""
-        if self._chooser.lacks_version(waiting.request):
-            return self._refusals.refuse_version(waiting, now)
         why = "it could not start in time"
         retry_ms = admission_policy.overloaded_retry_ms(waiting.request)
         if waiting.answer_by <= now:
@@ -371,27 +375,6 @@
         is_late = waiting.is_late(now) and self._starter.is_deferrable(waiting.request)
         return is_late and waiting.latest_start <= now
 
-    def _predicted_wait_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
-        """Return how long a new request would wait, in milliseconds."""
-        usable = self._chooser.usable(waiting.request)
-        return self._forecast.wait_ms(
-            waiting,
-            unconstrained_engines=self._chooser.unconstrained_engines(),
-            usable_share=len(usable) / max(len(self._chooser.present), 1),
-            backlog_ms=min((load.backlog_ms(now) for load in usable), default=0.0),
-            now=now,
-        )
-
-    def _predicted_start_ms(self, waiting: wait_queue.WaitingRequest, now: float) -> float:
-        """Return the predicted start of a request that can't start immediately, in milliseconds.
-
-        Short requests wait for slots and for streams to end rather than for prefill, which can't be
-        predicted.
-        """
-        if spillover.shared_tokens(waiting.request) <= spillover.CHEAP_RECOMPUTE_TOKENS:
-            return spillover.UNKNOWN_START_MS
-        return self._predicted_wait_ms(waiting, now) + waiting.prefill_ms
-
     def _busy(
         self, waiting: wait_queue.WaitingRequest, start_ms: float
     ) -> placement_decision.Decision:
--- a/src/medlarfork/placement/upstream_chooser.py
+++ b/src/medlarfork/placement/upstream_chooser.py
@@ -112,6 +112,15 @@
         """Return whether no upstream may run a request that needs a version."""
         return request.version is not None and not self.usable(request)
 
+    def is_excluded_everywhere(self, request: placement_messages.PlaceRequest) -> bool:
+        """Return whether each upstream that could run a request has failed it.
+
+        It is False without any such upstream: requests wait for the first one after a restart.
+        """
+        if not request.excluded or self.usable(request):
+            return False
+        return bool(self.usable(request.without_exclusions()))
+
     def best(self, waiting: wait_queue.WaitingRequest, now: float) -> Choice | None:
         """Return the upstream with the lowest cost, or None if none may get the request now."""
         request = waiting.request
--- a/src/medlarfork/placement/wait_queue.py
+++ b/src/medlarfork/placement/wait_queue.py
@@ -109,6 +109,14 @@
             if waiting.entry_id == entry_id:
                 self.remove(ticket_id)
 
+    def with_constraints(self) -> tuple[WaitingRequest, ...]:
+        """Return the queued requests that only some upstreams may run."""
+        return tuple(
+            waiting
+            for waiting in self._by_ticket.values()
+            if waiting.request.excluded or waiting.request.version is not None
+        )
+
     def is_fair(self, kind: account_shares.Kind, newcomer: str = "") -> bool:
         """Return whether at least two accounts have requests of a kind.
 
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -495,3 +495,44 @@
     assert len(given.of_service("engines", 0.0)) == given_promises.MAX_GIVEN
     assert given_promises.RETENTION_S == retry_schedule.RETENTION_S
     assert given.of_service("engines", 2.4) == ()
+
+
+def make_failed(make_place_request):
+    shard = {"shard": HOME, "other_shard": OTHER}
+    return make_place_request("t", left_ms=5000.0, excluded=("u-1",), **shard)
+
+
+def refused_as_excluded(retry_ms):
+    cause = placement_messages.RefusalCause.EXCLUDED
+    return placement_messages.PlaceRefused("t", retry_ms, "failed everywhere", cause)
+
+
+def test_a_request_that_one_shard_can_not_run_any_more_goes_to_another(
+    sent, client, make_place_request
+):
+    async def main():
+        placing = await curio.spawn(client.place, make_failed(make_place_request))
+        await curio_world.until(lambda: request_count(sent, "r1") == 1)
+        await client.handle_reply("r1", refused_as_excluded(700.0))
+        await curio_world.until(lambda: request_count(sent, "r9") == 1)
+        await client.handle_reply("r9", refused_as_excluded(400.0))
+        assert (await placing.join()).retry_after_ms == 400.0
+
+    curio_world.run(main)
+
+
+# Guards against: a request was refused by an owner that had just restarted and knew few upstreams.
+def test_a_request_is_placed_at_an_upstream_that_its_owners_do_not_know_yet(
+    session, sent, client, make_place_request, make_announcement
+):
+    for upstream_id in ("u-1", "u-2"):
+        session.upstream_by_id[upstream_id] = make_announcement(upstream_id)
+
+    async def main():
+        placing = await curio.spawn(client.place, make_failed(make_place_request))
+        for replica_id in ("r1", "r9"):
+            await curio_world.until(lambda owner_id=replica_id: request_count(sent, owner_id) == 1)
+            await client.handle_reply(replica_id, refused_as_excluded(400.0))
+        assert (await placing.join()).upstream_id == "u-2"
+
+    curio_world.run(main)
