Ask for a founder's binding only once its own disk id is synced

Operators saw no leader after a first start whose founder was killed within its first moments and came back with Bootstrap = true.

Cause: the founder's requests named its disk id before that id was on its disk. Others bound their disks to it, for good; the founder came back with another id, which nobody accepts.

Change: the requests wait for the sync of everything written before them.

--- a/src/medlarfork/replica/_replica_bootstrap.py
+++ b/src/medlarfork/replica/_replica_bootstrap.py
@@ -45,7 +45,8 @@
         request = _replica_messages.FoundRequest(state.me.disk_id)
         for voter_id in self._voter_ids:
             if voter_id != state.me.replica_id:
-                state.send(voter_id, request)
+                # No disk may be bound to an identity that a crash can still undo.
+                state.send(voter_id, request, after=state.disk.written)
         self._bootstrap_if_unanimous()
 
     def on_request(self, sender: str, request: _replica_messages.FoundRequest) -> None:
