Go on with a first start after the loss of any one process

Cause: the bootstrap needed the binding of every seed's disk, and what a process was told at its latest start decided whether it answered at all. One that came back without Bootstrap neither accepted a founder nor went on as the founder, even on the disk that had promised to.

Change: the first start on a disk records whether that disk takes part, before anything is sent; later starts go by the record. A replica with an empty disk that isn't told to bootstrap answers that it only joins, for good on that disk. The founder is the lowest seed that takes part; it founds once every seed has replied and at least half take part, the others as learners. A disk may follow a founder of a higher rank while it has neither entry nor term, and grants no vote for logs of a lower one; the rank is the term of the first entry, so logs of two founders differ there.

--- a/src/medlarfork/replica/_replica_election.py
+++ b/src/medlarfork/replica/_replica_election.py
@@ -75,9 +75,10 @@
 
     A replica that heard from a leader within the lease must not answer, since the leader relies on
     that; except if the leader itself transferred leadership, or no lease is in effect (see
-    ``_replica_restart_election``). A replica on a disk that no active membership lists has no vote.
+    ``_replica_restart_election``). A replica on a disk that no active membership lists has no vote;
+    one whose log is empty has a vote for logs of its founder, or of one with a higher rank.
     """
-    if not _may_vote(state):
+    if not _may_vote(state, request):
         return True
     if request.transferred or request.unled:
         return False
@@ -122,7 +123,7 @@
     return (request.last_term, request.last_index) >= own
 
 
-def _may_vote(state: _replica_state.ReplicaState) -> bool:
+def _may_vote(state: _replica_state.ReplicaState, request: _replica_messages.VoteRequest) -> bool:
     if state.membership is None:
-        return state.founder_disk_id != 0
+        return state.founder_disk_id != 0 and request.last_term >= state.founder_rank
     return any(state.me in membership.members for membership in state.active_memberships)
--- a/src/medlarfork/replica/_replica_messages.py
+++ b/src/medlarfork/replica/_replica_messages.py
@@ -130,17 +130,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundRequest:
-    """Ask a replica whose disk is empty to join the log that the sender bootstraps."""
+    """Ask a replica whose disk is empty to join the log that the sender bootstraps.
+
+    Disk id 0 only asks whether the receiver takes part in the bootstrap.
+    """
 
     founder_disk_id: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundReply:
-    """Accept a ``FoundRequest``; the acceptance is synced on the sender's disk and is final."""
+    """Accept a ``FoundRequest``, or say that the sender's disk never takes part in a bootstrap.
+
+    Either is synced on the sender's disk.
+    """
 
     founder_disk_id: int
     disk_id: int
+    joins: bool = False
 
 
 REPLICA_MESSAGES: tuple[type, ...] = (
--- a/src/medlarfork/replica/_replica_records.py
+++ b/src/medlarfork/replica/_replica_records.py
@@ -97,9 +97,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FounderRecord:
-    """Bind this disk to the only founder that it will ever accept."""
+    """Bind this disk to a founder; only one of a higher rank may replace it."""
 
     founder_disk_id: int
+    rank: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BootstrapRecord:
+    """Hold the initial voters as of the first start on this disk; none if it only joins a log."""
+
+    voters: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,5 +128,7 @@
     state: bytes
 
 
-RECORD_CODEC = codec.Codec((Entry, DiskRecord, FounderRecord, TermRecord, SnapshotRecord))
+RECORD_CODEC = codec.Codec(
+    (Entry, DiskRecord, FounderRecord, BootstrapRecord, TermRecord, SnapshotRecord)
+)
 """Encode and decode every record of the journal and the snapshot file."""
--- a/src/medlarfork/replica/_replica_state.py
+++ b/src/medlarfork/replica/_replica_state.py
@@ -24,6 +24,8 @@
     Attributes:
         me: This replica on its current disk.
         founder_disk_id: Disk id of the founder that this disk accepted, 0 if none.
+        founder_rank: Rank of that founder among the initial voters.
+        bootstrap_voters: Initial voters as recorded on this disk, None if nothing is recorded.
         term_sequence: Sequence number of the disk write that holds the current term and vote.
         leader_heard_at: When a leader was last heard from, or the start; no vote is granted for
             ``lease_s`` from then on.
@@ -48,6 +50,8 @@
         self.term = 0
         self.voted_for: _replica_records.Member | None = None
         self.founder_disk_id = 0
+        self.founder_rank = 0
+        self.bootstrap_voters: tuple[str, ...] | None = None
         self.term_sequence = 0
         self.proposal_by_index: dict[int, str] = {}
         self.disk = _replica_disk.ReplicaDisk(max_in_flight=options.in_flight_persists)
@@ -170,7 +174,7 @@
         """Return every record that a journal needs besides a snapshot as of an index."""
         records: list[Any] = [_replica_records.DiskRecord(self.me.disk_id)]
         if self.founder_disk_id:
-            records.append(_replica_records.FounderRecord(self.founder_disk_id))
+            records.append(_replica_records.FounderRecord(self.founder_disk_id, self.founder_rank))
         records.append(_replica_records.TermRecord(self.term, self.voted_for))
         records.extend(self.log.entries_after(index))
         return records
@@ -195,6 +199,9 @@
                     disk_id = record.disk_id
                 case _replica_records.FounderRecord() as record:
                     self.founder_disk_id = record.founder_disk_id
+                    self.founder_rank = record.rank
+                case _replica_records.BootstrapRecord() as record:
+                    self.bootstrap_voters = record.voters
                 case _replica_records.TermRecord() as record:
                     self.term = record.term
                     self.voted_for = record.voted_for
--- a/src/medlarfork/replica/replica.py
+++ b/src/medlarfork/replica/replica.py
@@ -15,9 +15,10 @@
 voters.
 
 **Bootstrap.** The first start needs no setting; see ``_replica_bootstrap``. All initial voters must
-be up for it, and if the founder's disk is lost during the bootstrap, all data folders must be
-emptied. A setting for the first start would be simpler, but if left in place it would let replicas
-that lost their disks bootstrap a second log beside the first.
+answer once, and at least half of them on the disks of their first start. If the founder loses its
+disk during the bootstrap and is still given initial voters, all data folders must be emptied. A
+setting for the first start would be simpler, but if left in place it would let replicas that lost
+their disks bootstrap a second log beside the first.
 
 **Time.** The lease needs clocks that advance while the process is stopped and whose rates differ by
 less than the drift margin covers. Where machines may be suspended, pass a clock that includes the
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -120,7 +120,7 @@
     def now(self, host):
         return host.offset + host.rate * self.time
 
-    def start(self, replica_id, *, offset=0.0, rate=1.0):
+    def start(self, replica_id, *, offset=0.0, rate=1.0, may_found=True):
         host = self.host_by_id.setdefault(replica_id, Host(replica_id))
         host.offset = offset
         host.rate = rate
@@ -129,7 +129,7 @@
         host.frozen_events = None
         host.replica = replica.Replica(
             replica_id=replica_id,
-            initial_voters=replica_types.Voters(self.ids),
+            initial_voters=replica_types.Voters(self.ids if may_found else ()),
             restored=host.disk.restored(),
             random=random.Random(self.random.random()),
             options=self.options,
