--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
 
+import curio
 import h11
 
 from medlarfork import errors, timeouts
