Use the response behind late copies of earlier ones

Cause: any response with another id ended the attempt, though the id of an earlier request on the connection shows that it is a copy, and that the right response follows on the same connection.

The connection is closed after the exchange. A response with an id that the connection has not carried, or with none, ends the attempt at once, as before. The log tells the number of copies skipped.

Evidence: test_the_response_behind_a_late_copy_is_used failed before; test_extra_rejections_make_no_request_run_twice now also checks that no caller gets 502, which it did before.

Also loads the relay client after the host listens, which keeps the number of modules at the start.

--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -28,7 +28,6 @@
     gateway_settings,
     origin_tracker,
     owner_client,
-    relay_client,
     request_handler,
     request_header_names,
     request_hold,
@@ -43,7 +42,13 @@
 from medlarfork.routes import routing
 
 if TYPE_CHECKING:
-    from medlarfork.gateway import body_budget, load_sampler, stream_budget, usage_reporter
+    from medlarfork.gateway import (
+        body_budget,
+        load_sampler,
+        relay_client,
+        stream_budget,
+        usage_reporter,
+    )
 
 _log = logging.getLogger(__name__)
 
@@ -120,7 +125,7 @@
         )
         self._client = http_client.HttpClient(limits=UPSTREAM_LIMITS, observer=self._prober)
         self._prober.use_client(self._client.reach)
-        self._relaying = relay_client.RelayClient()
+        self._relaying = self._make_relaying()
         self._crashes = crash_tracker.CrashTracker(
             self._client, self._session, self._link.send, self._prober.has_other_contact
         )
@@ -299,6 +304,12 @@
         held += 0 if self._bodies is None else self._bodies.held_requests
         return sum(server.exchanges for server in self._servers) + held
 
+    def _make_relaying(self) -> relay_client.RelayClient:
+        # Imported here, so that the host listens before this is loaded.
+        from medlarfork.gateway import relay_client
+
+        return relay_client.RelayClient()
+
     def _make_usage_reporter(self) -> usage_reporter.UsageReporter:
         # Imported only where usage is reported: it makes the start-up slower.
         from medlarfork.gateway import usage_reporter
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -308,6 +308,8 @@
             return sent.end
         self._sends += 1
         self._response = sent
+        if sent.skipped:
+            self.trace.reasons.append(f"{self._runner}: {self._describe(sent)}")
         self.trace.framing = sent.framing.value
         self.trace.partial_bytes = 0
         try:
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -15,6 +15,10 @@
 """Status with which an upstream that is not the expected incarnation rejects a request."""
 
 
+MAX_SKIPPED = 4
+"""Late copies of earlier responses that are discarded before the response to a request."""
+
+
 class ResponseOwner(enum.Enum):
     """Whose response arrived where that of a request was expected."""
 
@@ -101,19 +105,16 @@
     except errors.UpstreamError as error:
         is_timeout = error.code is errors.Code.REQUEST_TIMEOUT
         return Failure(placement_messages.RunEnd.BROKEN, str(error), is_timeout)
-    returned_id = response.headers.get(names.attempt_id, "")
-    owner = identify_owner(
-        returned_id,
-        call.attempt_id,
-        response.status,
-        is_first_exchange=response.exchange_number == 1,
-    )
+    try:
+        response, owner = await _own_response(response, call, names)
+    except errors.UpstreamError as error:
+        return Failure(placement_messages.RunEnd.FAILED, str(error))
     if owner is not ResponseOwner.THIS_REQUEST:
         # The response to this request may still come, so the connection can't be used again.
         await response.close()
         why = f"its response belongs to {owner.value}: {describe(response, names)}"
         return Failure(placement_messages.RunEnd.FAILED, why)
-    if not returned_id:
+    if names.attempt_id not in response.headers:
         # On this connection, the next response without an id could not be told from a copy.
         response.end_reuse()
     for name in (names.own_answer, names.origin):
@@ -129,11 +130,36 @@
     return response
 
 
+async def _own_response(
+    response: http_client.Response, call: Call, names: request_header_names.RequestHeaderNames
+) -> tuple[http_client.Response, ResponseOwner]:
+    """Return the first response that is no late copy of an earlier one, and its owner.
+
+    The response to this request, which may be running, comes behind such copies.
+
+    Raises:
+        errors.UpstreamError: A copy is the last response, or can't be skipped.
+    """
+    while True:
+        returned_id = response.headers.get(names.attempt_id, "")
+        is_first_exchange = response.exchange_number == 1
+        owner = identify_owner(
+            returned_id, call.attempt_id, response.status, is_first_exchange=is_first_exchange
+        )
+        is_copy = owner is ResponseOwner.ANOTHER_REQUEST and response.is_late_copy(returned_id)
+        if not is_copy or response.skipped >= MAX_SKIPPED:
+            return response, owner
+        response = await response.skip()
+
+
 def describe(response: http_client.Response, names: request_header_names.RequestHeaderNames) -> str:
     """Return what a response of this request states about its run, for the log."""
     run = "not executed" if names.not_executed in response.headers else "unmarked"
     owner = "own id" if names.attempt_id in response.headers else "no id"
-    return f"status {response.status} ({run}, {owner}, exchange {response.exchange_number})"
+    skipped = f", {response.skipped} skipped" if response.skipped else ""
+    return (
+        f"status {response.status} ({run}, {owner}, exchange {response.exchange_number}{skipped})"
+    )
 
 
 def identify_owner(
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -27,10 +28,17 @@
 """Time for an unneeded body to arrive completely, in seconds: it is sent along with its head, and
 its request waits meanwhile."""
 
+_MAX_EARLIER_IDS = 16
+"""Earlier requests on a connection whose responses are recognised in late copies."""
+
 _MAX_FAILED_IDS = 64
 """Error responses after which a connection is closed: the ids of their requests are kept."""
 
 
+_BOTH_DONE = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+"""States of the parser after a complete exchange on a connection that stays open."""
+
+
 class Pool(Protocol):
     """Interface of the connection pool, as a connection uses it."""
 
@@ -78,12 +86,14 @@
 
     __slots__ = (
         "_broken",
+        "_earlier_ids",
         "_failed_ids",
         "_framing",
         "_h11",
         "_informational",
         "_is_sent",
         "_last_id",
+        "_method",
         "_pool",
         "_needs_data",
         "address",
@@ -116,6 +126,8 @@
         self._broken = False
         self._is_sent = True
         self._last_id = ""
+        self._earlier_ids: collections.deque[str] = collections.deque(maxlen=_MAX_EARLIER_IDS)
+        self._method = b""
         self._failed_ids: tuple[str, ...] = ()
         self._informational = 0
         self._framing = _http_framing.FramingBudget()
@@ -129,6 +141,10 @@
         """
         return request_id != self._last_id and request_id not in self._failed_ids
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether this is the id of an earlier request, whose response may be copied."""
+        return request_id in self._earlier_ids or request_id in self._failed_ids
+
     async def exchange(
         self,
         head: h11.Request,
@@ -156,7 +172,9 @@
             data += self._h11.send(h11.Data(data=body))
         data += self._h11.send(h11.EndOfMessage())
         self.exchanges += 1
+        self._earlier_ids.append(self._last_id)
         self._last_id = request_id
+        self._method = head.method
         self._begin_send(data)
         self._informational = 0
         self._framing.restart()
@@ -168,12 +186,27 @@
         if request_id and response.status_code >= 400:
             self._failed_ids += (request_id,)
             self.may_reuse = len(self._failed_ids) < _MAX_FAILED_IDS
-        headers = _http_messages.decode_headers(response.headers)
-        framing = _http_framing.framing_of(head, response, headers)
-        self._framing.restart()
-        self.idle_s = _http_framing.idle_s(headers.get("keep-alive", ""))
-        length = _http_framing.declared_bytes(head, response, headers)
-        return Response(self, response.status_code, headers, framing, length)
+        return self._make_response(head, response)
+
+    async def skip_response(self) -> Response:
+        """Discard a response to another request, and return the next one once its head arrives.
+
+        The connection is closed after it, since more such responses may come.
+
+        Raises:
+            errors.UpstreamError: If there is no next response, or the discarded one is long.
+        """
+        self.may_reuse = False
+        await self._skip_body()
+        if self._h11.states != _BOTH_DONE:
+            raise self.failure("response to another request")
+        self._h11.start_next_cycle()
+        # The parser accepts a response only to a request; these bytes are not sent.
+        head = h11.Request(method=self._method, target="/", headers=[("Host", "")])
+        self._h11.send(head)
+        self._h11.send(h11.EndOfMessage())
+        self._needs_data = False
+        return self._make_response(head, await self._read_head())
 
     @property
     def has_failed_write(self) -> bool:
@@ -241,6 +274,24 @@
             self._pool.remove(self)
             await self.stream.reset()
 
+    async def _skip_body(self) -> None:
+        size = 0
+        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                raise self.failure("connection closed during the response")
+            self.record_content(len(event.data))
+            size += len(event.data)
+            if size > _MAX_DISCARDED_BYTES:
+                raise self.failure("long response to another request")
+
+    def _make_response(self, head: h11.Request, response: h11.Response) -> Response:
+        headers = _http_messages.decode_headers(response.headers)
+        framing = _http_framing.framing_of(head, response, headers)
+        self._framing.restart()
+        self.idle_s = _http_framing.idle_s(headers.get("keep-alive", ""))
+        length = _http_framing.declared_bytes(head, response, headers)
+        return Response(self, response.status_code, headers, framing, length)
+
     def failure(self, why: str) -> errors.UpstreamError:
         """Return the error for an exchange that failed after its request was sent."""
         return errors.UpstreamError(
@@ -329,6 +380,7 @@
         headers: Header values by lower-case name.
         framing: What delimits the body.
         complete: Whether the end of the body has been received.
+        skipped: Number of responses to other requests that came before it in this exchange.
     """
 
     __slots__ = (
@@ -338,6 +390,7 @@
         "complete",
         "framing",
         "headers",
+        "skipped",
         "status",
     )
 
@@ -357,6 +410,7 @@
         self.headers = headers
         self.framing = framing
         self.complete = False
+        self.skipped = 0
 
     @property
     def framed(self) -> bool:
@@ -441,6 +495,26 @@
         finally:
             await self.close()
 
+    def is_late_copy(self, request_id: str) -> bool:
+        """Return whether it may copy the response to an earlier request, whose id it returns."""
+        return self._connection.has_carried(request_id)
+
+    async def skip(self) -> Response:
+        """Return the next response on the connection instead of this one, which is discarded.
+
+        Raises:
+            errors.UpstreamError: If there is none, or this one is long or not delimited.
+        """
+        try:
+            if not self.framed:
+                raise self._connection.failure("undelimited response to another request")
+            following = await self._connection.skip_response()
+        except BaseException:
+            await self._connection.reset()
+            raise
+        following.skipped = self.skipped + 1
+        return following
+
     async def close(self) -> None:
         """Reset the connection if the body was not read to its end."""
         if not self.complete:
--- a/tests/routed/test_foreign_responses.py
+++ b/tests/routed/test_foreign_responses.py
@@ -69,6 +69,17 @@
         return head(self.status, *named, length=length) + body
 
 
+@dataclasses.dataclass(frozen=True)
+class Bytes:
+    """Bytes that are sent before the right response."""
+
+    data: bytes
+    place: str = "before"
+
+    def encode(self, attempt_id, older_ids):
+        return self.data
+
+
 @dataclasses.dataclass(frozen=True)
 class Reply:
     """What an upstream does with a request.
@@ -315,5 +326,45 @@
         assert not refused & runs.keys()
         assert whose == "this" or sum(raw.extras for raw in raws) > 10
         assert list(statuses.values()).count(200) > 10
+        assert 502 not in statuses.values()
 
     routed_harness.run(tmp_path, main)
+
+
+# Guards against: a request that ran got 502, as a late copy came before its own response.
+@pytest.mark.parametrize("status", [200, 429, 503])
+def test_the_response_behind_a_late_copy_is_used(status):
+    results = []
+
+    def check(upstream, number, result):
+        results.append(result)
+
+    async def main():
+        extra = Extra("before", "older", status, is_marked=status != 200, is_framed=True)
+        replies = [Reply(200), Reply(200, extra=extra), Reply(503, extra=extra), Reply(200)]
+        await play([("new", reply) for reply in replies], check)
+
+    curio_world.run(main)
+    assert results[:2] + results[3:] == [b"s-0", b"s-1", b"s-3"]
+    # The copy ends the use of its connection, so this rejection is the first one on its own.
+    assert _is_rejection(results[2])
+
+
+# Guards against: an upstream that only sends copies holds a request and its connection.
+def test_only_a_few_copies_are_skipped():
+    async def main():
+        copies = rejection("a-0") * (upstream_call.MAX_SKIPPED + 1)
+        replies = iter([Reply(503), Reply(200, extra=Bytes(copies))])
+        upstream = RawUpstream(lambda: next(replies))
+        client = http_client.HttpClient()
+        async with contextlib.AsyncExitStack() as stack:
+            for part in (upstream, client):
+                await part.start()
+                stack.push_async_callback(part.close)
+            assert _is_rejection(await send(client, upstream, "a-0", "s-0"))
+            failure = await send(client, upstream, "a-1", "s-1")
+            assert "belongs to another request" in failure.why
+            assert not _is_rejection(failure)
+            assert client.connections == 0
+
+    curio_world.run(main)
