--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,6 +1,7 @@
 """Decision modules stay pure: they import no socket, clock, logger or event loop."""
 
 import ast
+import functools
 import pathlib
 
 import pytest
@@ -65,6 +66,7 @@
 )
 
 
+@functools.cache
 def imports_of(module):
     tree = ast.parse(SOURCE.joinpath(*module.split(".")).with_suffix(".py").read_text())
     for node in ast.walk(tree):
@@ -76,6 +78,7 @@
             yield node.module
 
 
+@functools.cache
 def reachable(door):
     found, waiting = set(), [door]
     while waiting:
