--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -68,6 +68,10 @@
 
 @functools.cache
 def imports_of(module):
+    return tuple(_imports_of(module))
+
+
+def _imports_of(module):
     tree = ast.parse(SOURCE.joinpath(*module.split(".")).with_suffix(".py").read_text())
     for node in ast.walk(tree):
         if isinstance(node, ast.Import):
