Play callers of upstreams that reject most requests

240 requests of an unsafe route with 3 s, 6 at a time, to three upstreams that reject half or 85% of what they get and run the others for 20 ms.

--- a/tests/routed/test_failed_everywhere.py
+++ b/tests/routed/test_failed_everywhere.py
@@ -1,5 +1,8 @@
 """Requests that every upstream has rejected or failed, over sockets of a complete deployment."""
 
+import collections
+import dataclasses
+import random
 import time
 
 import curio
@@ -7,8 +10,8 @@
 
 from medlarfork import errors
 from tests.routed import partition, routed_harness
-from tests.routed.routed_harness import NAMES
 
+NAMES = routed_harness.NAMES
 RELAY_HOST = 51
 MAX_ANSWER_S = 1.0
 """Longest time to a refusal, in seconds: a few round trips on a busy machine, and a part of the 3 s
@@ -113,3 +116,71 @@
     except errors.MedlarError:
         status = 0
     return status, time.monotonic() - began
+
+
+@dataclasses.dataclass(frozen=True)
+class Played:
+    """What became of the requests of a play, by their attempt ids.
+
+    Attributes:
+        runs: Number of runs.
+        answers: The response of each, and the seconds that it took.
+    """
+
+    runs: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    answers: dict = dataclasses.field(default_factory=dict)
+
+    def statuses(self):
+        return collections.Counter(response.status for response, _ in self.answers.values())
+
+    def longest_refusal_s(self):
+        return max(
+            (s for response, s in self.answers.values() if response.status == 503), default=0
+        )
+
+
+def mostly_reject(played, draws, share):
+    """Return an upstream's answers: a share of the requests is rejected, the others run."""
+
+    async def answer(exchange):
+        if draws.random() < share:
+            await reject(exchange)
+            return
+        played.runs[exchange.head.headers[NAMES.attempt_id]] += 1
+        await curio.sleep(0.02)
+        await routed_harness.answer_plainly(exchange)
+
+    return answer
+
+
+async def play(deployment, share, *, requests=240, callers=6, seed=1):
+    """Send requests to three upstreams that reject a share of them; return what became of them."""
+    played = Played()
+    draws = random.Random(seed)
+    left = iter(range(requests))
+
+    async def send_next():
+        for number in left:
+            played.answers[f"a-{number}"] = await call(deployment, f"a-{number}")
+
+    await start(deployment, *[mostly_reject(played, draws, share)] * 3, kind="unsafe")
+    async with curio.TaskGroup() as group:
+        for _ in range(callers):
+            await group.spawn(send_next)
+    return played
+
+
+# Guards against: at upstreams that reject most requests, some callers were held to their deadlines.
+@pytest.mark.parametrize("share", [0.5, 0.85])
+def test_callers_of_upstreams_that_reject_most_requests_get_their_answers_soon(tmp_path, share):
+    async def main(deployment):
+        played = await play(deployment, share)
+        statuses = played.statuses()
+        refused = {name for name, (response, _) in played.answers.items() if response.status == 503}
+        assert set(statuses) == {200, 503}
+        assert max(played.runs.values()) == 1
+        assert not refused & played.runs.keys()
+        assert played.longest_refusal_s() < MAX_ANSWER_S
+        assert statuses[200] == len(played.runs)
+
+    routed_harness.run(tmp_path, main)
