Count the upstreams that failed a request when its caller is told of a backoff

Seen by callers: a request that some upstreams had rejected, while the ones left were in a long backoff, was refused with the time of that backoff, though the rejecting upstreams take its caller's next try sooner.

Cause: the time was computed from the upstreams that the refused request may use; its retry may use all.

Evidence, failing before: 8000 ms where 700 ms were expected, in test_a_retry_time_counts_the_upstreams_that_failed_the_request.

Change: Retry-After is the earlier of the two times. Measured: 43 tests of exhausted requests, of limited placement and of backoffs pass.

--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -368,7 +368,9 @@
         """Send a request that no upstream accepts in time to another shard, or refuse it."""
         if self._busy_shards.may_ask(waiting.request, now):
             return self._busy(waiting, closed_ms)
-        return self._refusals.refuse_closed(waiting, closed_ms, now)
+        # Its caller's retry may use the upstreams that have failed it, too.
+        retry_closed_ms = self._chooser.closed_ms(waiting.without_exclusions(), now)
+        return self._refusals.refuse_closed(waiting, min(closed_ms, retry_closed_ms), now)
 
     def _is_too_late(self, waiting: wait_queue.WaitingRequest, now: float) -> bool:
         """Return whether a late request would be of no use to its caller any more."""
--- a/src/medlarfork/placement/unservable.py
+++ b/src/medlarfork/placement/unservable.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from medlarfork.placement import (
     placement_decision,
     refusals,
@@ -43,7 +41,7 @@
     ) -> placement_decision.Decision | None:
         """Refuse a request that no upstream may run; return None if one may."""
         if self._chooser.is_excluded_everywhere(waiting.request):
-            retry = dataclasses.replace(waiting, request=waiting.request.without_exclusions())
+            retry = waiting.without_exclusions()
             wait_ms = self._starter.predicted_wait_ms(retry, now) if waiting.prefill_ms > 0 else 0.0
             closed_ms = self._chooser.closed_ms(retry, now)
             return self._refusals.refuse_excluded(waiting, wait_ms, closed_ms, now)
--- a/src/medlarfork/placement/waiting_request.py
+++ b/src/medlarfork/placement/waiting_request.py
@@ -73,6 +73,10 @@
         latest_to_end = self.deadline - (self.prefill_ms + self.decode_ms) / 1000.0
         return min(latest_to_end, self.answer_by - self.prefill_ms / 1000.0)
 
+    def without_exclusions(self) -> WaitingRequest:
+        """Return the request as its caller sends it again: no upstream has failed it yet."""
+        return dataclasses.replace(self, request=self.request.without_exclusions())
+
     def is_late(self, now: float, run_ms: float = 0.0) -> bool:
         """Return whether it goes after requests that can still be on time.
 
--- a/tests/routed/test_exhausted_requests.py
+++ b/tests/routed/test_exhausted_requests.py
@@ -109,6 +109,17 @@
         assert placement_helpers.placed(owner.serve_waiting(backoff_s + 0.1)) == "u-0"
 
 
+# Guards against: a caller was sent away for a backoff, though another upstream takes its retry.
+def test_a_retry_time_counts_the_upstreams_that_failed_the_request(ledger, make_owner, make_failed):
+    owner = make_owner(3)
+    ledger.record_backoff("u-0", signal_ledger.ALL_HOSTS, 8.0, 0.0)
+    ledger.record_backoff("u-1", signal_ledger.ALL_HOSTS, 0.7, 0.0)
+    ledger.record_backoff("u-2", signal_ledger.ALL_HOSTS, 0.9, 0.0)
+    for excluded in ((1, 2), (0, 1, 2)):
+        refused = refusal(owner.place("e", make_failed(*excluded), 0.0))
+        assert refused.retry_after_ms == pytest.approx(700.0)
+
+
 # Guards against: a request kept waiting after the only upstream that could run it had gone.
 def test_a_queued_request_is_refused_once_its_last_upstream_has_gone(
     make_owner, make_upstreams, make_failed, make_place_request
