Tell callers without an owner when a slot of their host's share becomes free

Seen by callers: while no owner answered, a request that every upstream had failed was refused at once, but with a constant Retry-After of 300 ms, though each run of the service took 2 s and the host's share was used.

Cause: the queue of the entry host foresees the ends of runs only for requests that it would queue.

Evidence, failing before: 300 ms where 2000 ms were expected, in test_without_an_owner_the_retry_time_is_when_a_slot_of_the_share_becomes_free.

Change: the same rate gives the time of such refusals, and of those whose last upstream has left the view. A share with a free slot, and a service without measured runs, keep 300 ms.

--- a/src/medlarfork/placement/standalone_queue.py
+++ b/src/medlarfork/placement/standalone_queue.py
@@ -82,11 +82,15 @@
         """Return whether it has left the queue."""
         return self.outcome is not None or self.is_released
 
+    @property
+    def kind(self) -> tuple[int, float]:
+        """Return tier and target, the first parts of the sort key."""
+        return self.request.tier, self.request.target_ms
+
     @property
     def order(self) -> tuple[int, float, float, str]:
         """Return the sort key: tier, then target, then age."""
-        request = self.request
-        return request.tier, request.target_ms, self.arrived_at, request.ticket_id
+        return *self.kind, self.arrived_at, self.request.ticket_id
 
 
 class StandaloneQueue:
@@ -175,8 +179,10 @@
         """
         waiting = Waiting(request, arrived_at, now, deadline_at, first_by_at, deadline_at, notify)
         self._update(waiting)
-        waiting.outcome = local_choice.refuse(request, self._usable_paces_s(request, now))
-        if waiting.outcome is not None:
+        refused = local_choice.refuse(request, self._usable_paces_s(request, now))
+        if refused is not None:
+            retry_ms = max(refused.retry_after_ms, self._retry_ms(waiting, now))
+            waiting.outcome = dataclasses.replace(refused, retry_after_ms=retry_ms)
             return waiting
         line = self._line_by_service.setdefault(request.service, [])
         bisect.insort(line, waiting, key=operator.attrgetter("order"))
@@ -223,7 +229,7 @@
                     self.release(waiting)
                 elif not any(request.may_run_at(item.upstream_id, item.version) for item in known):
                     why = "every upstream that may run this request has failed it or is gone"
-                    self._refuse(waiting, local_choice.RETRY_MS, why)
+                    self._refuse(waiting, self._retry_ms(waiting, now), why)
             self._grant(service, now)
 
     def release(self, waiting: Waiting) -> None:
@@ -382,9 +388,7 @@
         They wait until as many runs have ended as requests are ahead of them, and one more.
         """
         service = added.request.service
-        runs = self.slots.runs_by_upstream
-        running = sum(runs.get(item.upstream_id, 0) for item in self._upstreams(service))
-        rate = self._times.ends_per_s(service, running, now)
+        rate = self._ends_per_s(service, now)
         line = self._line_by_service[service]
         ahead = bisect.bisect_left(line, added.order, key=operator.attrgetter("order"))
         for waiting in line[ahead:]:
@@ -397,6 +401,27 @@
             retry_ms = max(local_choice.RETRY_MS, 1000.0 * (wait_s - max(left_s, 0.0)))
             self._refuse(waiting, retry_ms, "too many requests wait at this host before it")
 
+    def _retry_ms(self, refused: Waiting, now: float) -> float:
+        """Return when a slot of this host's share is free for the retry of a request.
+
+        The retry goes behind the requests of its kind that wait now. It may use all upstreams, also
+        those that have failed the request.
+        """
+        service = refused.request.service
+        upstreams = self._upstreams(service)
+        all_ids = {item.upstream_id for item in upstreams}
+        rate = self._ends_per_s(service, now)
+        if not rate or self.slots.usable(upstreams, all_ids, self._entry_hosts(), now)[0]:
+            return local_choice.RETRY_MS
+        line = self._line_by_service.get(service, ())
+        ahead = bisect.bisect_right(line, refused.kind, key=operator.attrgetter("kind"))
+        return max(local_choice.RETRY_MS, 1000.0 * (ahead + 1) / rate)
+
+    def _ends_per_s(self, service: str, now: float) -> float:
+        runs = self.slots.runs_by_upstream
+        running = sum(runs.get(item.upstream_id, 0) for item in self._upstreams(service))
+        return self._times.ends_per_s(service, running, now)
+
     def _usable_paces_s(
         self, request: placement_messages.PlaceRequest, now: float
     ) -> dict[str, float]:
--- a/tests/routed/test_exhausted_requests.py
+++ b/tests/routed/test_exhausted_requests.py
@@ -213,6 +213,29 @@
     return standalone_replay.place(queue, request, now)
 
 
+def test_without_an_owner_the_retry_time_is_when_a_slot_of_the_share_becomes_free(
+    queue, make_place_request
+):
+    """Guards against callers that return after a constant time, while each run takes longer."""
+    for number in range(4):
+        run = place(queue, make_place_request(f"r{number}", left_ms=9000.0), float(number))
+        queue.record_end(
+            standalone_replay.upstream_of(run),
+            run.request,
+            standalone_replay.COMPLETE,
+            2000.0,
+            number + 2.0,
+        )
+    for number in range(3):
+        place(queue, make_place_request(f"t{number}", left_ms=9000.0), 20.0)
+    failed = make_place_request("failed", left_ms=LEFT_MS, excluded=("u-0@1", "u-1@1"))
+    refused = place(queue, failed, 20.0).outcome
+    assert isinstance(refused, placement_messages.PlaceRefused)
+    # Two runs of 2 s each are in progress, and one request waits.
+    assert refused.retry_after_ms == pytest.approx(2000.0)
+    assert queue.waiting == 1
+
+
 def test_without_an_owner_and_without_measured_runs_the_retry_time_is_the_usual(
     queue, make_place_request
 ):
