--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -3,40 +3,34 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import math
-import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
 
 import curio
 import h11
 
-from medlarfork import errors
-from medlarfork.http import _http_messages, _http_stream
+from medlarfork import errors, timeouts
+from medlarfork.http import _http_framing, _http_messages, _http_stream
 
 _MAX_INFORMATIONAL = 8
 """Informational (1xx) responses accepted before the final one."""
 
-_TIMEOUT = re.compile(r"\btimeout=(\d{1,6})")
-"""The ``timeout`` parameter of a Keep-Alive header, in whole seconds."""
+_MAX_JOINED_CHUNKS = 256
+"""Chunks that are parsed before other tasks run: a read full of small ones takes long."""
 
-_IDLE_MARGIN_S = 0.5
-"""How much sooner than its upstream an idle connection is closed. A request sent just before the
-upstream closes would be lost, and not every request can be retried."""
+_MAX_DISCARDED_BYTES = 16 * 1024
+"""Maximum size of an unneeded body that is read to keep its connection, in bytes: more costs more
+than a new connection."""
+
+_DISCARD_S = 0.05
+"""Time for an unneeded body to arrive completely, in seconds: it is sent along with its head, and
+its request waits meanwhile."""
 
 _MAX_FAILED_IDS = 64
 """Error responses after which a connection is closed: the ids of their requests are kept."""
 
 
-class Framing(enum.StrEnum):
-    """What delimits the body of a response."""
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CLOSE = "close"
-
-
 class Pool(Protocol):
     """Interface of the connection pool, as a connection uses it."""
 
@@ -85,7 +79,9 @@
     __slots__ = (
         "_broken",
         "_failed_ids",
+        "_framing",
         "_h11",
+        "_informational",
         "_is_sent",
         "_last_id",
         "_pool",
@@ -121,6 +117,8 @@
         self._is_sent = True
         self._last_id = ""
         self._failed_ids: tuple[str, ...] = ()
+        self._informational = 0
+        self._framing = _http_framing.FramingBudget()
         self._needs_data = True  # Whether h11 needs more bytes before its next event.
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
 
@@ -160,6 +158,8 @@
         self.exchanges += 1
         self._last_id = request_id
         self._begin_send(data)
+        self._informational = 0
+        self._framing.restart()
         self._needs_data = True
         if silence is None:
             response = await self._finish_send_and_read_head()
@@ -169,9 +169,11 @@
             self._failed_ids += (request_id,)
             self.may_reuse = len(self._failed_ids) < _MAX_FAILED_IDS
         headers = _http_messages.decode_headers(response.headers)
-        framing = _framing(head, response, headers)
-        self.idle_s = _idle_s(headers.get("keep-alive", ""))
-        return Response(self, response.status_code, headers, framing)
+        framing = _http_framing.framing_of(head, response, headers)
+        self._framing.restart()
+        self.idle_s = _http_framing.idle_s(headers.get("keep-alive", ""))
+        length = _http_framing.declared_bytes(head, response, headers)
+        return Response(self, response.status_code, headers, framing, length)
 
     @property
     def has_failed_write(self) -> bool:
@@ -188,6 +190,8 @@
             event = self.buffered_event()
             if event is not None:
                 return event
+            if self._framing.is_exceeded:
+                raise self.failure("it sends too many bytes that are no content")
             self._feed(await self._receive())
 
     def buffered_event(self) -> h11.Event | None:
@@ -201,6 +205,10 @@
         self._needs_data = event is h11.NEED_DATA
         return None if self._needs_data else event
 
+    def record_content(self, size: int) -> None:
+        """Record the size of a part of the body."""
+        self._framing.record_content(size)
+
     async def release(self) -> None:
         """Return the connection to the pool after a complete response, or close it."""
         if self.closed:
@@ -244,7 +252,7 @@
         """Return the head of the response; act while the request is not acknowledged."""
         read_head = self._finish_send_and_read_head
         while True:
-            response = await curio.ignore_after(silence.period_s, read_head)
+            response = await timeouts.call_until(silence.period_s, read_head)
             if response is None and self.stream.has_unacknowledged:
                 response = await silence.on_silence(read_head)
             if response is not None:
@@ -278,12 +286,13 @@
             self._broken = True  # The upstream may have responded before reading everything.
 
     async def _read_head(self) -> h11.Response:
-        for _ in range(_MAX_INFORMATIONAL):
+        while self._informational < _MAX_INFORMATIONAL:
             event = await self.next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self.failure("connection closed before a response")
+            self._informational += 1
         raise self.failure("too many informational responses")
 
     async def _receive(self) -> bytes:
@@ -301,6 +310,7 @@
 
     def _feed(self, data: bytes) -> None:
         self._h11.receive_data(data)
+        self._framing.record_received(len(data))
         self._needs_data = False
 
     def _timed_out(self) -> errors.UpstreamError:
@@ -321,13 +331,28 @@
         complete: Whether the end of the body has been received.
     """
 
-    __slots__ = ("_connection", "framing", "headers", "status", "complete")
+    __slots__ = (
+        "_connection",
+        "_declared_bytes",
+        "_has_more",
+        "complete",
+        "framing",
+        "headers",
+        "status",
+    )
 
     def __init__(
-        self, connection: ClientConnection, status: int, headers: dict[str, str], framing: Framing
+        self,
+        connection: ClientConnection,
+        status: int,
+        headers: dict[str, str],
+        framing: _http_framing.Framing,
+        declared_bytes: int,
     ) -> None:
         """Wrap the response that arrives on a connection."""
         self._connection = connection
+        self._declared_bytes = declared_bytes
+        self._has_more = False  # Whether chunks that were received are still to be parsed.
         self.status = status
         self.headers = headers
         self.framing = framing
@@ -336,7 +361,7 @@
     @property
     def framed(self) -> bool:
         """Return whether the headers delimit the body; otherwise it ends with the connection."""
-        return self.framing is not Framing.CLOSE
+        return self.framing is not _http_framing.Framing.CLOSE
 
     @property
     def exchange_number(self) -> int:
@@ -354,17 +379,13 @@
         """
         parts: list[bytes] = []
         size = 0
+        await self._check_size(self._declared_bytes)
         while part := await self.next_chunk():
             parts.append(part)
             size += len(part)
             if on_part is not None:
                 on_part(len(part))
-            if size > self._connection.body_bytes:
-                await self._connection.reset()
-                raise errors.UpstreamError(
-                    f"The response body is larger than {self._connection.body_bytes} bytes.",
-                    remedy="Raise the limit, or request a smaller response.",
-                )
+            await self._check_size(size)
         return b"".join(parts)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -406,23 +427,59 @@
         """Close the connection after this response instead of returning it to the pool."""
         self._connection.may_reuse = False
 
+    async def discard(self) -> None:
+        """Read a short body that is not needed, so that the connection can be reused, else reset.
+
+        Bounded in bytes and time: an upstream may send a body without end.
+        """
+        is_short = self._declared_bytes <= _MAX_DISCARDED_BYTES
+        try:
+            if self.framed and is_short:
+                await timeouts.call_until(_DISCARD_S, self._read_unneeded)
+        except errors.UpstreamError:
+            return  # The failed read has reset the connection.
+        finally:
+            await self.close()
+
     async def close(self) -> None:
         """Reset the connection if the body was not read to its end."""
         if not self.complete:
             await self._connection.reset()
 
+    async def _check_size(self, size: int) -> None:
+        limit = self._connection.body_bytes
+        if size > limit and not self.complete:
+            await self._connection.reset()
+        if size > limit:
+            raise errors.UpstreamError(
+                f"The response body is larger than {limit} bytes.",
+                remedy="Raise the limit, or request a smaller response.",
+            )
+
+    async def _read_unneeded(self) -> None:
+        size = 0
+        while size <= _MAX_DISCARDED_BYTES and (part := await self.await_chunk()):
+            size += len(part)
+
     async def _next_chunk(self) -> bytes:
-        """Join all chunks of one read, so that the caller can forward them in one write."""
+        """Join the chunks of one read, so that the caller can forward them in one write."""
+        if self._has_more:
+            await curio.sleep(0)
+            self._has_more = False
         event: h11.Event | None = await self._connection.next_event()
         parts: list[bytes] = []
         while isinstance(event, h11.Data):
             parts.append(event.data)
+            self._connection.record_content(len(event.data))
+            if len(parts) >= _MAX_JOINED_CHUNKS:
+                self._has_more = True
+                break
             event = self._connection.buffered_event()
         if isinstance(event, h11.EndOfMessage):
             self._check_end()
             self.complete = True
             await self._connection.release()
-        elif event is not None:
+        elif event is not None and not self._has_more:
             raise self._connection.failure("connection closed during the response")
         return b"".join(parts)
 
@@ -437,23 +494,3 @@
         if self._connection.has_failed_write:
             # The write consumed the error of a reset, which the system reports only once.
             raise self._connection.failure("connection failed while the request was written")
-
-
-def _idle_s(keep_alive: str) -> float:
-    """Return how long a connection may stay idle according to the Keep-Alive header."""
-    found = _TIMEOUT.search(keep_alive)
-    if found is None:
-        return math.inf
-    return int(found[1]) - _IDLE_MARGIN_S
-
-
-def _is_bodiless(head: h11.Request, response: h11.Response) -> bool:
-    return head.method == b"HEAD" or response.status_code in (204, 304)
-
-
-def _framing(head: h11.Request, response: h11.Response, headers: dict[str, str]) -> Framing:
-    if "transfer-encoding" in headers and not _is_bodiless(head, response):
-        return Framing.CHUNKED
-    if "content-length" in headers or _is_bodiless(head, response):
-        return Framing.LENGTH
-    return Framing.CLOSE
