Do not forward a request on to the upstreams that have rejected it

Since relay hosts refuse such a request at once, the host had the time to ask them all; before, the first one held it to its deadline. The first send of each relay host counts towards no retry budget.

Cause: the host could not tell a relay host's refusal that no upstream had seen from one that came after rejections.

Evidence, failing before: 9 sends where 3 were expected, in test_a_forwarded_request_that_every_upstream_rejected_is_refused_at_once[3].

Change: a relay host says so in its own answer, and the host passes the refusal and its Retry-After on to the caller, also in the search for another upstream beside a silent one. A refusal without a send still goes to the next relay host. Earlier hosts read only that the header is there.

--- a/src/medlarfork/gateway/attempt_failover.py
+++ b/src/medlarfork/gateway/attempt_failover.py
@@ -361,7 +361,8 @@
             )
         else:
             self._trace.reasons.append(f"{relay_host}: {why}")
-        return True
+        # Other relay hosts would send it to the same upstreams.
+        return not (isinstance(sent, relay_client.Refused) and sent.is_rejected)
 
     async def _check_forwarded(
         self, sent: http_client.Response | upstream_call.Failure | relay_client.Refused
--- a/src/medlarfork/gateway/final_response.py
+++ b/src/medlarfork/gateway/final_response.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from medlarfork import errors
-from medlarfork.gateway import request_types, retry_policy
+from medlarfork.gateway import request_header_names, request_types, retry_policy
 from medlarfork.http import _http_messages, http_client
 
 
@@ -49,6 +49,7 @@
         in_time: bool,
         retry_after_ms: float,
         refusal_code: errors.Code,
+        is_rejected: bool,
     ) -> None:
         """Send the status of a request without an answer; one that has started can only be cut.
 
@@ -57,6 +58,7 @@
             in_time: Whether its deadline has not passed.
             retry_after_ms: When its caller may return if nothing ran, in milliseconds.
             refusal_code: The code of the error if nothing ran.
+            is_rejected: Whether upstreams have received it; they rejected it if nothing ran.
 
         Raises:
             errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
@@ -69,7 +71,10 @@
             await self._respond(status, self._uncertain(), {})
             return
         error = self._error("Retry after the time in Retry-After.", refusal_code)
-        await self._respond(status, error, {"Retry-After": f"{retry_after_ms / 1000.0:.3f}"})
+        headers = {"Retry-After": f"{retry_after_ms / 1000.0:.3f}"}
+        if is_rejected and self._admitted.is_relayed:
+            headers[self._shared.names.own_answer] = request_header_names.REJECTED
+        await self._respond(status, error, headers)
 
     def _uncertain(self) -> errors.MedlarError:
         return self._error("It may have run.", errors.Code.UNCERTAIN)
@@ -84,8 +89,9 @@
         self, status: int, error: errors.MedlarError, more_headers: dict[str, str]
     ) -> None:
         self._trace.status = status
-        headers = {"Content-Type": "application/json", **more_headers}
+        headers = {"Content-Type": "application/json"}
         if self._admitted.is_relayed:
             headers[self._shared.names.own_answer] = "1"
+        headers |= more_headers
         body = _http_messages.error_body(error, status)
         await self._admitted.exchange.respond(status, headers, body)
--- a/src/medlarfork/gateway/relay_client.py
+++ b/src/medlarfork/gateway/relay_client.py
@@ -35,10 +35,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """A relay host's answer to a request that it did not run, with its retry time."""
+    """A relay host's answer to a request that it did not run.
+
+    Attributes:
+        retry_after_ms: When the caller may come back, as the relay host states.
+        why: The reason, as a phrase for people.
+        is_rejected: Whether upstreams have rejected the request; another relay host would send it
+            to the same ones.
+    """
 
     retry_after_ms: float
     why: str
+    is_rejected: bool = False
 
 
 class RelayClient:
@@ -126,11 +134,12 @@
             return upstream_call.Failure(placement_messages.RunEnd.UNREACHABLE, str(error))
         except errors.UpstreamError as error:
             return upstream_call.Failure(placement_messages.RunEnd.BROKEN, str(error))
-        is_own = response.headers.pop(names.own_answer, None) is not None
-        if not is_own or response.status in _RAN_STATUSES:
+        own_answer = response.headers.pop(names.own_answer, None)
+        if own_answer is None or response.status in _RAN_STATUSES:
             return response
         await response.discard()
-        return Refused(_retry_after_ms(response), f"status {response.status}")
+        is_rejected = own_answer == request_header_names.REJECTED
+        return Refused(_retry_after_ms(response), f"status {response.status}", is_rejected)
 
 
 def _retry_after_ms(response: http_client.Response) -> float:
--- a/src/medlarfork/gateway/request_forwarder.py
+++ b/src/medlarfork/gateway/request_forwarder.py
@@ -34,9 +34,11 @@
     Attributes:
         retry_after_ms: When the caller may come back, as the relay host states; None if it could
             not be reached.
+        is_rejected: Whether upstreams have rejected the request there.
     """
 
     retry_after_ms: float | None = None
+    is_rejected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,9 +93,9 @@
             runs=progress.runs,
         )
         match sent:
-            case relay_client.Refused(retry_after_ms, why):
+            case relay_client.Refused(retry_after_ms, why, is_rejected):
                 self._trace.reasons.append(f"{relay_host}: {why}")
-                return NotRun(retry_after_ms)
+                return NotRun(retry_after_ms, is_rejected)
             case upstream_call.Failure(end, why):
                 self._trace.reasons.append(f"{relay_host}: {why}")
                 is_unreached = end is placement_messages.RunEnd.UNREACHABLE
--- a/src/medlarfork/gateway/request_header_names.py
+++ b/src/medlarfork/gateway/request_header_names.py
@@ -7,6 +7,9 @@
 
 import dataclasses
 
+REJECTED = "rejected"
+"""Value of ``own_answer`` that keeps other relay hosts from asking the same upstreams again."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestHeaderNames:
@@ -36,7 +39,8 @@
             have run.
         origin: Exchanged by entry hosts about a forwarded stream: who began it (see
             ``stream_origin``).
-        own_answer: Set by an entry host on its own answers to forwarded requests.
+        own_answer: Set by an entry host on its own answers to forwarded requests: ``REJECTED`` if
+            an upstream has rejected the request, otherwise 1.
         dropped: Further headers that only the system may set; removed from callers' requests.
     """
 
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -173,12 +173,15 @@
         match await forwarder.forward(relay_host, self._progress, self._record_forwarded_start):
             case request_forwarder.Answered():
                 return True
-            case request_forwarder.NotRun(retry_after_ms):
+            case request_forwarder.NotRun(retry_after_ms, is_rejected):
                 self._sent_at = 0.0
                 if retry_after_ms is not None:
                     self._is_refused_by_relays = True
                     self._retry_after_ms = retry_after_ms
-                return False
+                if is_rejected:
+                    # Other relay hosts would send it to the same upstreams.
+                    await self._give_up()
+                return is_rejected
         self._progress = self._progress.after(placement_messages.RunEnd.BROKEN)
         self._sends += 1
         if await self._may_retry(placement_messages.RunEnd.BROKEN, relay_host):
@@ -510,6 +513,7 @@
             in_time=in_time,
             retry_after_ms=self._retry_after_ms,
             refusal_code=self._placer.refusal_code,
+            is_rejected=self._sends > 0,
         )
 
     def _final_response(self) -> final_response.FinalResponse:
--- a/tests/routed/test_failed_everywhere.py
+++ b/tests/routed/test_failed_everywhere.py
@@ -66,23 +66,31 @@
     routed_harness.run(tmp_path, main)
 
 
-# Guards against: the same at a relay host.
-def test_a_forwarded_request_that_every_upstream_rejected_is_refused_at_once(tmp_path):
+async def start_cut_off(deployment, relay_hosts):
+    """Start relay hosts and upstreams that reject; cut the first host off from these."""
+    for number in range(relay_hosts):
+        await deployment.start_entry(RELAY_HOST + number)
+    await start(deployment, reject, reject, reject, kind="unsafe")
+    await partition.Partition(deployment.entry).cut("refused")
+    for number in range(100):
+        reachability = deployment.entry._prober.reachability
+        if reachability.is_cut_off and deployment.entry._relaying._named.is_set():
+            break
+        await curio.spawn(call, deployment, f"cut-{number}", daemon=True)
+        await curio.sleep(0.05)
+
+
+# Guards against: the same at a relay host, and each relay host sent the request to all upstreams.
+@pytest.mark.parametrize("relay_hosts", [1, 3])
+def test_a_forwarded_request_that_every_upstream_rejected_is_refused_at_once(tmp_path, relay_hosts):
     async def main(deployment):
-        await deployment.start_entry(RELAY_HOST)
-        await start(deployment, reject, reject, reject, kind="unsafe")
-        await partition.Partition(deployment.entry).cut("refused")
-        for number in range(100):
-            reachability = deployment.entry._prober.reachability
-            if reachability.is_cut_off and deployment.entry._relaying._named.is_set():
-                break
-            await curio.spawn(call, deployment, f"cut-{number}", daemon=True)
-            await curio.sleep(0.05)
-        seen = sum(len(upstream.seen) for upstream in deployment.upstreams)
-        response, took_s = await call(deployment)
+        await start_cut_off(deployment, relay_hosts)
+        response, took_s = await call(deployment, "forwarded")
         assert response.status == 503
         assert float(response.headers["retry-after"]) > 0
-        assert sum(len(upstream.seen) for upstream in deployment.upstreams) >= seen + 3
+        received = [seen for upstream in deployment.upstreams for seen in upstream.seen]
+        sends = [item.head.headers[NAMES.attempt_id] for item in received].count("forwarded")
+        assert sends == len(deployment.upstreams)
         assert took_s < MAX_ANSWER_S
 
     routed_harness.run(tmp_path, main)
