Count only runs that free a slot in the schedule of retries

Seen by callers: at upstreams that reject most requests, callers with a place in the schedule of retries were told to come back after 200 ms (the least) though a slot became free every 400 ms.

Cause: the measured rate counted a rejected request, and one that could not be sent, as the end of a run.

Evidence, failing before: 200 ms where 400 ms were expected, in test_a_failed_request_of_an_account_gets_a_place_in_the_schedule_of_retries[4], which replays four rejections for each run.

Change: these ends don't count.

--- a/src/medlarfork/placement/start_rate.py
+++ b/src/medlarfork/placement/start_rate.py
@@ -28,6 +28,16 @@
 each other within it, while releases and scaling change a service over longer times."""
 
 
+NOT_RUN = frozenset(
+    {
+        placement_messages.RunEnd.NOT_SENT,
+        placement_messages.RunEnd.REJECTED,
+        placement_messages.RunEnd.UNREACHABLE,
+    }
+)
+"""Ends that leave no slot for a queued request: the upstream had none, or was not reached."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _End:
     """A run that ended while requests were queued.
@@ -77,7 +87,7 @@
 
     def record_end(self, tier: int, ended: placement_messages.RunEnded, now: float) -> None:
         """Count the end of a run."""
-        if not self._is_waiting:
+        if not self._is_waiting or ended.end in NOT_RUN:
             return
         self.advance(now, is_waiting=True)
         is_complete = ended.end is placement_messages.RunEnd.COMPLETE and ended.after_ms > 0
--- a/tests/routed/test_exhausted_requests.py
+++ b/tests/routed/test_exhausted_requests.py
@@ -175,23 +175,42 @@
     assert refused.retry_after_ms > 6 * prefill_ms
 
 
+# Guards against: rejected requests counted as ended runs, so that callers came back far too early.
+@pytest.mark.parametrize("rejections", [0, 4])
 def test_a_failed_request_of_an_account_gets_a_place_in_the_schedule_of_retries(
-    make_owner, make_failed, make_place_request
+    rejections, make_owner, make_failed, make_place_request
 ):
     owner = make_owner(1)
-    for number in range(30):
-        named = make_place_request(f"t{number}", left_ms=60_000.0, account="shop")
-        owner.place("e", named, 0.0)
-    for number in range(20):
-        owner.on_ended(placement_helpers.ended(f"t{number}"), 0.4 * (number + 1))
+    numbers = iter(range(1000))
+
+    def arrive(now):
+        ticket_id = f"t{next(numbers)}"
+        named = make_place_request(ticket_id, left_ms=60_000.0, account="shop")
+        return owner.place("e", named, now)
+
+    def end(ticket_id, how, now):
+        """Return the request that gets the slot."""
+        ended = placement_messages.RunEnded(ticket_id, how, 400.0)
+        (decision,) = owner.on_ended(ended, now) or owner.serve_waiting(now)
+        return decision.message.ticket_id
+
+    for _ in range(30):
+        arrive(0.0)
+    running = "t0"
+    for tick in range(20):
+        now = 0.4 * (tick + 1)
+        for _ in range(rejections):
+            running = end(running, REJECTED, now - 0.1)
+            arrive(now - 0.1)
+        running = end(running, placement_messages.RunEnd.COMPLETE, now)
+        arrive(now)
     failed = make_failed(0, account="shop", retry_key="k", left_ms=30_000.0)
     refused = refusal(owner.place("e", failed, 8.0))
     assert refused.is_promise
     assert refused.retry_after_ms == pytest.approx(400.0, rel=0.2)
     again = make_place_request("again", account="shop", retry_key="k", left_ms=29_000.0)
     owner.place("e", again, 8.0 + refused.retry_after_ms / 1000.0)
-    (started,) = owner.on_ended(placement_helpers.ended("t20"), 8.5)
-    assert started.message.ticket_id == "again"
+    assert end(running, placement_messages.RunEnd.COMPLETE, 8.5) == "again"
 
 
 def test_another_shard_may_take_a_request_that_all_upstreams_of_one_failed(make_owner, make_failed):
