--- a/tests/routed/test_exhausted_requests.py
+++ b/tests/routed/test_exhausted_requests.py
@@ -109,6 +109,17 @@
         assert placement_helpers.placed(owner.serve_waiting(backoff_s + 0.1)) == "u-0"
 
 
+# Guards against: a caller was sent away for a backoff, though another upstream takes its retry.
+def test_a_retry_time_counts_the_upstreams_that_failed_the_request(ledger, make_owner, make_failed):
+    owner = make_owner(3)
+    ledger.record_backoff("u-0", signal_ledger.ALL_HOSTS, 8.0, 0.0)
+    ledger.record_backoff("u-1", signal_ledger.ALL_HOSTS, 0.7, 0.0)
+    ledger.record_backoff("u-2", signal_ledger.ALL_HOSTS, 0.9, 0.0)
+    for excluded in ((1, 2), (0, 1, 2)):
+        refused = refusal(owner.place("e", make_failed(*excluded), 0.0))
+        assert refused.retry_after_ms == pytest.approx(700.0)
+
+
 # Guards against: a request kept waiting after the only upstream that could run it had gone.
 def test_a_queued_request_is_refused_once_its_last_upstream_has_gone(
     make_owner, make_upstreams, make_failed, make_place_request
@@ -164,23 +175,42 @@
     assert refused.retry_after_ms > 6 * prefill_ms
 
 
+# Guards against: rejected requests counted as ended runs, so that callers came back far too early.
+@pytest.mark.parametrize("rejections", [0, 4])
 def test_a_failed_request_of_an_account_gets_a_place_in_the_schedule_of_retries(
-    make_owner, make_failed, make_place_request
+    rejections, make_owner, make_failed, make_place_request
 ):
     owner = make_owner(1)
-    for number in range(30):
-        named = make_place_request(f"t{number}", left_ms=60_000.0, account="shop")
-        owner.place("e", named, 0.0)
-    for number in range(20):
-        owner.on_ended(placement_helpers.ended(f"t{number}"), 0.4 * (number + 1))
+    numbers = iter(range(1000))
+
+    def arrive(now):
+        ticket_id = f"t{next(numbers)}"
+        named = make_place_request(ticket_id, left_ms=60_000.0, account="shop")
+        return owner.place("e", named, now)
+
+    def end(ticket_id, how, now):
+        """Return the request that gets the slot."""
+        ended = placement_messages.RunEnded(ticket_id, how, 400.0)
+        (decision,) = owner.on_ended(ended, now) or owner.serve_waiting(now)
+        return decision.message.ticket_id
+
+    for _ in range(30):
+        arrive(0.0)
+    running = "t0"
+    for tick in range(20):
+        now = 0.4 * (tick + 1)
+        for _ in range(rejections):
+            running = end(running, REJECTED, now - 0.1)
+            arrive(now - 0.1)
+        running = end(running, placement_messages.RunEnd.COMPLETE, now)
+        arrive(now)
     failed = make_failed(0, account="shop", retry_key="k", left_ms=30_000.0)
     refused = refusal(owner.place("e", failed, 8.0))
     assert refused.is_promise
     assert refused.retry_after_ms == pytest.approx(400.0, rel=0.2)
     again = make_place_request("again", account="shop", retry_key="k", left_ms=29_000.0)
     owner.place("e", again, 8.0 + refused.retry_after_ms / 1000.0)
-    (started,) = owner.on_ended(placement_helpers.ended("t20"), 8.5)
-    assert started.message.ticket_id == "again"
+    assert end(running, placement_messages.RunEnd.COMPLETE, 8.5) == "again"
 
 
 def test_another_shard_may_take_a_request_that_all_upstreams_of_one_failed(make_owner, make_failed):
@@ -202,6 +232,29 @@
     return standalone_replay.place(queue, request, now)
 
 
+def test_without_an_owner_the_retry_time_is_when_a_slot_of_the_share_becomes_free(
+    queue, make_place_request
+):
+    """Guards against callers that return after a constant time, while each run takes longer."""
+    for number in range(4):
+        run = place(queue, make_place_request(f"r{number}", left_ms=9000.0), float(number))
+        queue.record_end(
+            standalone_replay.upstream_of(run),
+            run.request,
+            standalone_replay.COMPLETE,
+            2000.0,
+            number + 2.0,
+        )
+    for number in range(3):
+        place(queue, make_place_request(f"t{number}", left_ms=9000.0), 20.0)
+    failed = make_place_request("failed", left_ms=LEFT_MS, excluded=("u-0@1", "u-1@1"))
+    refused = place(queue, failed, 20.0).outcome
+    assert isinstance(refused, placement_messages.PlaceRefused)
+    # Two runs of 2 s each are in progress, and one request waits.
+    assert refused.retry_after_ms == pytest.approx(2000.0)
+    assert queue.waiting == 1
+
+
 def test_without_an_owner_and_without_measured_runs_the_retry_time_is_the_usual(
     queue, make_place_request
 ):
