Treat a stream that sends bytes but completes no event as stalled, and bound what it may send

Callers of a resumable stream waited until the deadline while its upstream sent comments, or one event without end: any byte counted as progress. An entry host also spent its processor time on them, since each part of an incomplete event was joined and searched from the beginning.

Only complete events with a field count as progress now. A resumable stream without one for the stall timeout is offered to another upstream, before its first event as well, once bytes that complete none have arrived; the stalled one goes on until the other takes it. Comments reach the caller after the first event only, which decides whose head the caller gets. 8 MiB without a complete event break a stream. The framer handles each byte once.

A fast event that was passed on in part is still cut, as it can't be resumed.

--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -385,7 +385,9 @@
 
     def _stall_timeout_s(self) -> float | None:
         """Return the stall timeout if another upstream may resume the stream."""
-        is_resumable = self._progress.response_started and self._stream.can_resume
+        # A prompt may take long, but an upstream that has read it sends complete events.
+        has_begun = self._progress.response_started or self._stream.has_bytes
+        is_resumable = has_begun and self._stream.can_resume
         # A relay host fails over itself.
         is_relayed = self._running_at is None
         if is_relayed or not (is_resumable and self._may_fail_over):
@@ -396,15 +398,16 @@
         """Go on with the stalled response, or with that of an upstream that has taken over."""
         from medlarfork.gateway import attempt_failover
 
-        failover = self._make_failover()
+        # Only another stream can replace this one, also before its first event.
+        failover = self._make_failover(dataclasses.replace(self._progress, response_started=True))
         source = attempt_failover.Input(
-            response.await_chunk,
-            lambda chunk: bool(chunk) or self._stream.may_end,
+            lambda: self._stream.next_events(response),
+            lambda events: bool(events) or self._stream.may_end,
             response.close,
         )
-        chunk = await self._run_failover(failover, source)
+        events = await self._run_failover(failover, source)
         if failover.successor is None:
-            return stream_relay.Continuation(response, chunk)
+            return stream_relay.Continuation(response, events)
         await response.close()
         await self._adopt(failover)
         return stream_relay.Continuation(failover.successor.response)
@@ -417,7 +420,7 @@
         """
         from medlarfork.gateway import attempt_failover
 
-        failover = self._make_failover()
+        failover = self._make_failover(self._progress)
         source = attempt_failover.Input(read_head, self._is_answer)
         head = await self._run_failover(failover, source)
         if failover.successor is None:
@@ -438,7 +441,7 @@
         is_foreign = headers.get(self._shared.names.attempt_id, attempt_id) != attempt_id
         return head.status_code < 500 and not is_rejection and not is_foreign
 
-    def _make_failover(self) -> attempt_failover.AttemptFailover:
+    def _make_failover(self, progress: retry_policy.Progress) -> attempt_failover.AttemptFailover:
         # Imported only while an upstream is silent: it makes the start-up slower.
         from medlarfork.gateway import attempt_failover
 
@@ -451,7 +454,7 @@
             broken_runs=self._broken_runs,
         )
         return attempt_failover.AttemptFailover(
-            self.admitted, self._shared, self._binding, self.trace, self._progress, silent
+            self.admitted, self._shared, self._binding, self.trace, progress, silent
         )
 
     async def _run_failover(
@@ -463,7 +466,9 @@
             if failover.is_released:
                 self._record_abandoned_run()
             self._broken_runs = failover.broken_runs
-            self._progress = failover.progress
+            self._progress = dataclasses.replace(
+                failover.progress, response_started=self._progress.response_started
+            )
             self._sends += failover.sends
             self._excluded = failover.excluded
 
--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -38,7 +38,8 @@
 _log = logging.getLogger(__name__)
 
 StallTimeout = Callable[[], float | None]
-"""Returns the time without data after which a stream has stalled, in seconds; None for no limit."""
+"""Returns the time without an event after which a stream has stalled, in seconds; None for no
+limit."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,11 +48,12 @@
 
     Attributes:
         response: The stalled response, or that of another upstream.
-        chunk: The next bytes of the stalled response; None if they are still to be read.
+        events: The next events of the stalled response, empty for its end; None if they are still
+            to be read.
     """
 
     response: http_client.Response
-    chunk: bytes | None = None
+    events: bytes | None = None
 
 
 OnStall = Callable[[http_client.Response], Awaitable[Continuation]]
@@ -251,6 +253,8 @@
         self._budget = budget
         self._framer = event_framer.EventFramer(admitted.metadata.last_event_id)
         self._gaps = GapRecorder()
+        self._has_bytes = False
+        self._quiet_since = admitted.started_at
         self._buffer = CallerBuffer(admitted.exchange, budget, admitted.metadata.attempt_id)
 
     @property
@@ -263,6 +267,11 @@
         """Return whether an event of this attempt has arrived."""
         return self._gaps.has_event
 
+    @property
+    def has_bytes(self) -> bool:
+        """Return whether an event of this attempt has arrived, or bytes that complete none."""
+        return self._has_bytes
+
     @property
     def last_event_id(self) -> str:
         """Return the id of the last event that was passed on or is held; empty for none."""
@@ -281,6 +290,7 @@
     def begin_attempt(self) -> None:
         """Record the gaps of another attempt."""
         self._gaps = GapRecorder()
+        self._has_bytes = False
 
     def gap_summary(self) -> placement_messages.InterEventGaps | None:
         """Return the gaps of this attempt; None if there were too few events."""
@@ -300,7 +310,7 @@
             response: The response of this attempt.
             on_start: Called before the caller gets the head of its response.
             stall_timeout_s: Called before each read.
-            on_stall: Called when there was no data for that time.
+            on_stall: Called when there was no event for that time.
 
         Raises:
             errors.UpstreamError: The stream is broken.
@@ -309,21 +319,20 @@
         # Writing may have failed between two attempts, when there was no response to close.
         self._buffer.check()
         self._buffer.read_from(response)
+        self._quiet_since = time.monotonic()
         try:
             while True:
-                chunk = await _next_chunk(response, stall_timeout_s())
-                if chunk is None and on_stall is not None:
+                events = await self._next_part(response, self._left_s(stall_timeout_s()))
+                if events is None and self._has_stalled(stall_timeout_s()) and on_stall is not None:
                     continuation = await on_stall(response)
+                    self._quiet_since = time.monotonic()
                     if continuation.response is not response:
                         response = self._replace(continuation.response)
-                    chunk = continuation.chunk
-                if chunk is None:
+                    events = continuation.events
+                if events is None:
                     continue
-                if not chunk:
-                    break
-                events = self._framer.feed(chunk)
                 if not events:
-                    continue
+                    break
                 await self._begin(response, on_start)
                 self._record_event()
                 await self._buffer.send(events)
@@ -338,6 +347,17 @@
             self._buffer.read_from(None)
         await self._begin(response, on_start)
 
+    async def next_events(self, response: http_client.Response) -> bytes:
+        """Return the next events, empty at the end; a cancelled call loses nothing.
+
+        Raises:
+            errors.UpstreamError: The stream is broken.
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        while (events := await self._take(await response.await_chunk())) is None:
+            continue
+        return events
+
     async def finish(self) -> None:
         """Write the rest of a complete stream, and end the caller's response.
 
@@ -378,6 +398,51 @@
             await buffer.close()
             raise
 
+    def _left_s(self, stall_timeout_s: float | None) -> float | None:
+        """Return the time until the stream has stalled; None for no limit."""
+        if stall_timeout_s is None:
+            return None
+        return max(self._quiet_since + stall_timeout_s - time.monotonic(), 0.0)
+
+    def _has_stalled(self, stall_timeout_s: float | None) -> bool:
+        """Return whether there was no event for long, though bytes may have arrived."""
+        return self._left_s(stall_timeout_s) == 0.0
+
+    async def _next_part(
+        self, response: http_client.Response, left_s: float | None
+    ) -> bytes | None:
+        """Return the next events, empty at the end; None if none is complete, or in time.
+
+        Raises:
+            errors.UpstreamError: The stream is broken.
+            errors.CallerDisconnectedError: The caller is gone, or has stopped reading.
+        """
+        if left_s is None:
+            return await self._take(await response.next_chunk())
+        chunk = await curio.ignore_after(left_s, response.await_chunk)
+        return None if chunk is None else await self._take(chunk)
+
+    async def _take(self, chunk: bytes) -> bytes | None:
+        """Return the events that a part of the stream completes; None for none, empty at its end.
+
+        Comments show no progress. They are passed on at once, unless no event has been: the first
+        one decides which upstream's head the caller gets.
+        """
+        if not chunk:
+            return b""
+        if not self._has_bytes:
+            self._has_bytes = True
+            if not self._exchange.started:
+                # Until then its upstream may have read a long prompt.
+                self._quiet_since = time.monotonic()
+        passed = self._framer.feed(chunk)
+        if self._framer.has_new_event:
+            return passed
+        if passed and self._exchange.started:
+            await self._buffer.send(passed)
+            await self._buffer.wait_room()
+        return None
+
     async def _begin(self, response: http_client.Response, on_start: Callable[[], None]) -> None:
         """Write the head of the caller's response, unless it has been written."""
         if self._exchange.started:
@@ -413,24 +478,11 @@
 
     def _record_event(self) -> None:
         """Record the time of an event that is passed on, and the longest gap."""
-        self.waiting_since = time.monotonic()
+        self.waiting_since = self._quiet_since = time.monotonic()
         gap_ms = self._gaps.record_event(self.waiting_since)
         self._trace.max_gap_ms = max(self._trace.max_gap_ms, gap_ms)
 
 
-async def _next_chunk(
-    response: http_client.Response, stall_timeout_s: float | None
-) -> bytes | None:
-    """Return the next bytes of a response; None if the stream stalls.
-
-    Raises:
-        errors.UpstreamError: The stream is broken.
-    """
-    if stall_timeout_s is None:
-        return await response.next_chunk()
-    return await curio.ignore_after(stall_timeout_s, response.await_chunk)
-
-
 def _median(values: list[float]) -> float:
     """Return the median; the standard library's costs an entry host five modules at start-up."""
     ordered = sorted(values)
--- a/src/medlarfork/http/event_framer.py
+++ b/src/medlarfork/http/event_framer.py
@@ -9,12 +9,18 @@
 import re
 from collections.abc import Mapping
 
+from medlarfork import errors
+
 MEDIA_TYPE = "text/event-stream"
 """Content type of an event stream."""
 
 MAX_PENDING_BYTES = 1 << 20
 """Largest event that is buffered until it is complete; larger ones are passed on in pieces."""
 
+MAX_EVENT_BYTES = 8 << 20
+"""Bytes without a complete event after which a stream is broken, comments included: its upstream
+may send such bytes without end."""
+
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
@@ -48,6 +54,7 @@
     Attributes:
         last_id: The id of the last event that was passed on; empty for none.
         has_events: Whether a complete event was passed on.
+        has_new_event: Whether the bytes that ``feed`` returned last are more than comments.
         has_split: Whether an event was too large to be buffered and was passed on in pieces, so
             that no other upstream can resume the stream.
     """
@@ -56,14 +63,16 @@
         """Start at the beginning of a stream, or after the event ``last_id``."""
         self.last_id = last_id
         self.has_events = False
+        self.has_new_event = False
         self.has_split = False
-        self._pending = b""
+        self._pending = bytearray()
         self._split_tail = b""
+        self._bytes_since_event = 0
 
     @property
     def pending(self) -> bytes:
         """Return the bytes that follow the last complete event and were not passed on."""
-        return self._pending
+        return bytes(self._pending)
 
     @property
     def is_inside_event(self) -> bool:
@@ -71,16 +80,24 @@
         return bool(self._split_tail) or not _NO_FIELDS.fullmatch(self._pending)
 
     def feed(self, data: bytes) -> bytes:
-        """Return the bytes up to the end of the last complete event."""
+        """Return the bytes up to the end of the last complete event.
+
+        Raises:
+            errors.UpstreamError: No event has been complete for too many bytes.
+        """
+        self.has_new_event = False
+        if _EVENT_END.search(self._tail + data) is None:
+            return self._hold(data)
         passed = len(self._split_tail)
         data = self._split_tail + self._pending + data
         is_plain = b"\r" not in data and not data.startswith(_BYTE_ORDER_MARK)
         end = data.rfind(b"\n\n") + 2 if is_plain else _last_event_end(data)
         if end < 2:
+            self._pending.clear()
             return self._hold(data[passed:])
-        complete, self._pending = data[passed:end], data[end:]
+        complete, self._pending = data[passed:end], bytearray(data[end:])
         self._split_tail = b""
-        self.has_events = True
+        self._record_events(complete)
         ids = (_LF_ID_LINE if is_plain else _ID_LINE).findall(complete)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
@@ -88,17 +105,47 @@
 
     def discard_pending(self) -> None:
         """Discard the incomplete event of a broken stream; the rest will not arrive."""
-        self._pending = b""
+        self._pending.clear()
+        self._bytes_since_event = 0
+
+    @property
+    def _tail(self) -> bytes:
+        """Return the bytes before the next ones that may belong to the end of an event."""
+        return bytes(self._pending[1 - _EVENT_END_BYTES :]) or self._split_tail
+
+    def _record_events(self, complete: bytes) -> None:
+        if _NO_FIELDS.fullmatch(complete):
+            self._record_other_bytes(len(complete))
+            return
+        self.has_events = self.has_new_event = True
+        self._bytes_since_event = 0
+
+    def _record_other_bytes(self, size: int) -> None:
+        self._bytes_since_event += size
+        if self._bytes_since_event > MAX_EVENT_BYTES:
+            raise errors.UpstreamError(
+                f"The upstream sent {MAX_EVENT_BYTES} bytes without a complete event.",
+                remedy="Check the event stream of the upstream.",
+            )
+
+    def _drop_comments(self) -> None:
+        """Drop the whole lines that are buffered if all of them are comments."""
+        end = max(self._pending.rfind(b"\n"), self._pending.rfind(b"\r")) + 1
+        if not self._split_tail and _NO_FIELDS.fullmatch(self._pending, 0, end):
+            del self._pending[:end]
 
     def _hold(self, data: bytes) -> bytes:
         """Buffer a part of an event, or return it if it is too large."""
-        if len(data) <= MAX_PENDING_BYTES:
-            self._pending = data
+        self._record_other_bytes(len(data))
+        self._pending += data
+        if len(self._pending) > MAX_PENDING_BYTES:
+            self._drop_comments()
+        if len(self._pending) <= MAX_PENDING_BYTES:
             return b""
-        self.has_split = True
-        self._split_tail = data[1 - _EVENT_END_BYTES :]
-        self._pending = b""
-        return data
+        part, self._pending = bytes(self._pending), bytearray()
+        self.has_split = self.has_new_event = True
+        self._split_tail = part[1 - _EVENT_END_BYTES :]
+        return part
 
 
 def _last_event_end(data: bytes) -> int:
--- a/tests/routed/test_endless_responses.py
+++ b/tests/routed/test_endless_responses.py
@@ -9,6 +9,8 @@
 import pytest
 
 from medlarfork import errors
+from medlarfork.gateway import retry_policy
+from medlarfork.http import event_framer
 from tests import curio_world
 from tests.routed import routed_harness
 
@@ -152,3 +154,77 @@
         assert max(took_s for _, _, took_s in outcomes) < SOON_S
 
     routed_harness.run(tmp_path, main)
+
+
+STREAM = head(200, "content-type: text/event-stream", "transfer-encoding: chunked")
+EVENT = b"id: 1\ndata: a\n\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def answer_events(exchange):
+    """Answer with two events, or with the second one if the first is known."""
+    media = {"content-type": "text/event-stream"}
+    await exchange.begin(200, routed_harness.echo_headers(exchange, **media))
+    if exchange.head.headers.get(NAMES.last_event_id.lower()) != "1":
+        await exchange.send(EVENT)
+    await exchange.send(b"id: 2\ndata: b\n\n")
+    await exchange.finish()
+
+
+STREAMS = {
+    "comment lines": b": c\n",
+    "comments": b": c\n\n",
+    "event": b"x",
+}
+
+
+# Guards against: a stream held to its deadline by bytes that complete no event.
+@pytest.mark.parametrize("before", [b"", EVENT], ids=["from the start", "after an event"])
+@pytest.mark.parametrize("stream", STREAMS)
+def test_a_stream_without_events_goes_on_at_another_upstream(tmp_path, stream, before):
+    async def main(deployment):
+        part = STREAMS[stream]
+        start = STREAM + (chunk(before) if before else b"")
+        if stream == "event":
+            start += chunk(b"id: 2\ndata: ")
+        await add_endless(deployment, Endless(start, chunk(part), DRIP_S))
+        await deployment.add_upstream(answer_events)
+        await deployment.put_routing(kind="streaming", may_resume=True, max_attempts=2)
+        await deployment.until_upstreams(2)
+        outcomes = []
+        async with curio.TaskGroup() as group:
+            for number in range(2):
+                await group.spawn(call, deployment, number, outcomes)
+        for status, body, took_s in outcomes:
+            events = body.replace(b": c\n\n", b"").replace(b": c\n", b"")
+            assert (status, events) == (200, EVENT + b"id: 2\ndata: b\n\n")
+            assert took_s < retry_policy.MIN_STALL_TIMEOUT_S + SOON_S
+        await curio_world.until(lambda: not deployment.upstreams[0]._server.open)
+
+    routed_harness.run(tmp_path, main)
+
+
+# Guards against: a stream read without end, as fast as its upstream sends.
+@pytest.mark.parametrize("stream", STREAMS)
+def test_a_fast_stream_without_events_costs_an_attempt_at_most(tmp_path, stream):
+    async def main(deployment):
+        start = STREAM + (chunk(b"id: 1\ndata: ") if stream == "event" else b"")
+        endless = Endless(start, chunk(STREAMS[stream] * 4096))
+        odd = await add_endless(deployment, endless)
+        await deployment.add_upstream(answer_events)
+        await deployment.put_routing(kind="streaming", may_resume=True, max_attempts=2)
+        await deployment.until_upstreams(2)
+        outcomes = []
+        while not odd.accepted:
+            await call(deployment, len(outcomes), outcomes)
+        _, body, took_s = outcomes[-1]
+        # An event that was passed on in part can't be resumed.
+        assert body == (b"" if stream == "event" else EVENT + b"id: 2\ndata: b\n\n")
+        assert took_s < 2 * SOON_S
+        await curio_world.until(lambda: not odd.open)
+        assert odd.sent_bytes < 4 * event_framer.MAX_EVENT_BYTES
+
+    routed_harness.run(tmp_path, main)
--- a/tests/test_event_framer.py
+++ b/tests/test_event_framer.py
@@ -1,11 +1,17 @@
 """Frame event streams, with any line end, split at any byte."""
 
+import time
+
 import hypothesis
 import pytest
 from hypothesis import strategies
 
+from medlarfork import errors
 from medlarfork.http import event_framer
 
+MAX_CPU_S = 1.0
+"""Far more than a buffer of events takes if each byte is handled once."""
+
 
 @pytest.mark.parametrize("cut", range(1, 30))
 def test_only_complete_events_are_passed_on_however_the_bytes_are_split(cut):
@@ -99,3 +105,24 @@
         assert first + rest + framer.pending == large + end + b"data: y"
         rest = framer.feed(end)
         assert not framer.is_inside_event
+
+
+# Guards against: an event in small parts whose beginning was copied and searched with each of them.
+@pytest.mark.parametrize("part", [b"x" * 16, b":" * 16, b"x\r\ny" * 4])
+def test_the_cost_of_an_event_does_not_grow_with_its_number_of_parts(part):
+    framer = event_framer.EventFramer()
+    framer.feed(b"data: ")
+    began_at = time.process_time()
+    for _ in range(event_framer.MAX_PENDING_BYTES // len(part) - 1):
+        assert framer.feed(part) == b""
+    assert time.process_time() - began_at < MAX_CPU_S
+    assert framer.feed(b"\n\n").endswith(part + b"\n\n")
+
+
+@pytest.mark.parametrize("part", [b"x" * 65536, b": c\n\n" * 8192])
+def test_a_stream_that_completes_no_event_is_broken(part):
+    framer = event_framer.EventFramer()
+    framer.feed(b"id: 1\ndata: a\n\n")
+    with pytest.raises(errors.UpstreamError):
+        for _ in range(event_framer.MAX_EVENT_BYTES // len(part) + 1):
+            framer.feed(part)
