--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -16,7 +16,7 @@
 
 import curio
 
-from medlarfork import errors, logs
+from medlarfork import errors, logs, timeouts
 from medlarfork.gateway import request_types
 from medlarfork.http import event_framer, http_client, http_server
 from medlarfork.placement import placement_messages
@@ -419,7 +419,7 @@
         """
         if left_s is None:
             return await self._take(await response.next_chunk())
-        chunk = await curio.ignore_after(left_s, response.await_chunk)
+        chunk = await timeouts.call_until(left_s, response.await_chunk)
         return None if chunk is None else await self._take(chunk)
 
     async def _take(self, chunk: bytes) -> bytes | None:
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -10,7 +10,7 @@
 import curio
 import h11
 
-from medlarfork import errors
+from medlarfork import errors, timeouts
 from medlarfork.http import _http_framing, _http_messages, _http_stream
 
 _MAX_INFORMATIONAL = 8
@@ -252,7 +252,7 @@
         """Return the head of the response; act while the request is not acknowledged."""
         read_head = self._finish_send_and_read_head
         while True:
-            response = await curio.ignore_after(silence.period_s, read_head)
+            response = await timeouts.call_until(silence.period_s, read_head)
             if response is None and self.stream.has_unacknowledged:
                 response = await silence.on_silence(read_head)
             if response is not None:
@@ -435,7 +435,7 @@
         is_short = self._declared_bytes <= _MAX_DISCARDED_BYTES
         try:
             if self.framed and is_short:
-                await curio.ignore_after(_DISCARD_S, self._read_unneeded)
+                await timeouts.call_until(_DISCARD_S, self._read_unneeded)
         except errors.UpstreamError:
             return  # The failed read has reset the connection.
         finally:
