Try another upstream while the head of a response drips in, and bound the time of a head

Callers of repeatable routes got 504 at their deadline when their upstream sent a head a byte at a time, noise, or one interim response after the other: only an unacknowledged request was offered to another upstream. A head had no time of its own.

Bytes without a complete head now lead to the same search for another upstream, after 1.5 s; a request that nothing has answered is left alone, as its upstream may be at work. ClientLimits.head_s (5 s) bounds each head from its first byte on, for all clients.

--- a/src/medlarfork/http/_http_framing.py
+++ b/src/medlarfork/http/_http_framing.py
@@ -45,6 +45,11 @@
         """Return whether too many bytes are no content, once all that arrived is parsed."""
         return self._bytes > _FREE_FRAMING_BYTES
 
+    @property
+    def has_bytes(self) -> bool:
+        """Return whether bytes have arrived that are no content."""
+        return self._bytes > 0
+
     def restart(self) -> None:
         """Start with another message, or another part of it."""
         self._bytes = 0
--- a/src/medlarfork/http/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -39,6 +39,7 @@
         connect_s: Timeout for connecting, in seconds.
         exchange_s: Timeout to the end of a response for requests without their own, in seconds.
         header_bytes: Maximum size of a response head.
+        head_s: Timeout for a response head, from its first byte, in seconds.
         body_bytes: Maximum size of a body that ``Response.read`` returns.
         unacknowledged_s: Timeout for unacknowledged data (TCP_USER_TIMEOUT), in seconds; 0 for
             the system's default.
@@ -50,6 +51,7 @@
     connect_s: float = 2.0
     exchange_s: float = 600.0
     header_bytes: int = 32 * 1024
+    head_s: float = 5.0
     body_bytes: int = 32 * 1024 * 1024
     unacknowledged_s: float = 0.0
 
@@ -212,6 +214,7 @@
             stream,
             self,
             header_bytes=self._limits.header_bytes,
+            head_s=self._limits.head_s,
             body_bytes=self._limits.body_bytes,
         )
         self._open.add(connection)
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
 
@@ -50,12 +51,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilenceWatch:
-    """What to do while an upstream does not acknowledge a request.
+    """What to do while an upstream does not acknowledge a request, or never completes its head.
 
     Attributes:
         period_s: Interval of the checks, in seconds.
-        on_silence: Called while data is unacknowledged; returns the head if it has arrived
-            meanwhile, else None to wait on, or raises ``errors.RequestSupersededError``.
+        on_silence: Called while data is unacknowledged, or bytes have arrived but no head; returns
+            the head if it has arrived meanwhile, else None to wait on, or raises
+            ``errors.RequestSupersededError``.
     """
 
     period_s: float
@@ -78,9 +80,11 @@
 
     __slots__ = (
         "_broken",
+        "_deadline_at",
         "_failed_ids",
         "_framing",
         "_h11",
+        "_head_s",
         "_informational",
         "_is_sent",
         "_last_id",
@@ -103,8 +107,9 @@
         *,
         header_bytes: int,
         body_bytes: int,
+        head_s: float = math.inf,
     ) -> None:
-        """Wrap an open stream."""
+        """Wrap an open stream (see ``ClientLimits`` for the limits)."""
         self.address = address
         self.stream = stream
         self.body_bytes = body_bytes
@@ -114,6 +119,8 @@
         self.may_reuse = True
         self._pool = pool
         self._broken = False
+        self._deadline_at = math.inf
+        self._head_s = head_s
         self._is_sent = True
         self._last_id = ""
         self._failed_ids: tuple[str, ...] = ()
@@ -150,7 +157,7 @@
             errors.RequestNotSentError: If no byte of the request was sent.
             errors.UpstreamError: If the exchange failed after that.
         """
-        self.stream.deadline_at = deadline_at
+        self._deadline_at = self.stream.deadline_at = deadline_at
         data = self._h11.send(head)
         if body:
             data += self._h11.send(h11.Data(data=body))
@@ -169,6 +176,7 @@
             self._failed_ids += (request_id,)
             self.may_reuse = len(self._failed_ids) < _MAX_FAILED_IDS
         headers = _http_messages.decode_headers(response.headers)
+        self.stream.deadline_at = deadline_at
         framing = _http_framing.framing_of(head, response, headers)
         self._framing.restart()
         self.idle_s = _http_framing.idle_s(headers.get("keep-alive", ""))
@@ -180,9 +188,12 @@
         """Return whether the connection failed before all of the request was written."""
         return self._broken
 
-    async def next_event(self) -> h11.Event:
+    async def next_event(self, on_part: Callable[[], None] = lambda: None) -> h11.Event:
         """Return the next event of the response.
 
+        Args:
+            on_part: Called when bytes have arrived, before they are parsed.
+
         Raises:
             errors.UpstreamError: If the connection ends or violates the protocol first.
         """
@@ -193,6 +204,7 @@
             if self._framing.is_exceeded:
                 raise self.failure("it sends too many bytes that are no content")
             self._feed(await self._receive())
+            on_part()
 
     def buffered_event(self) -> h11.Event | None:
         """Return the next event that can be parsed from bytes already received, if any."""
@@ -249,11 +261,15 @@
         )
 
     async def _watch_silence(self, silence: SilenceWatch) -> h11.Response:
-        """Return the head of the response; act while the request is not acknowledged."""
+        """Return the head of the response; act while the request is not acknowledged.
+
+        A sound upstream may take long until it answers, but it sends its head in one piece.
+        """
         read_head = self._finish_send_and_read_head
         while True:
             response = await timeouts.call_until(silence.period_s, read_head)
-            if response is None and self.stream.has_unacknowledged:
+            is_silent = self.stream.has_unacknowledged or self._framing.has_bytes
+            if response is None and is_silent:
                 response = await silence.on_silence(read_head)
             if response is not None:
                 return response
@@ -287,14 +303,21 @@
 
     async def _read_head(self) -> h11.Response:
         while self._informational < _MAX_INFORMATIONAL:
-            event = await self.next_event()
+            event = await self.next_event(self._limit_head)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self.failure("connection closed before a response")
             self._informational += 1
+            self.stream.deadline_at = self._deadline_at
         raise self.failure("too many informational responses")
 
+    def _limit_head(self) -> None:
+        """Limit the time of a head from its first byte on."""
+        if self.stream.deadline_at == self._deadline_at:
+            head_at = time.monotonic() + self._head_s
+            self.stream.deadline_at = min(self._deadline_at, head_at)
+
     async def _receive(self) -> bytes:
         try:
             data = await self.stream.receive()
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -13,6 +13,10 @@
 from tests import curio_world
 
 BLOCK_BYTES = 256 * 1024
+EXCHANGE_S, HEAD_S = 1.2, 0.2
+SWEEP_S = 0.75
+"""Most time by which a limit may be exceeded, in seconds: the period of the checks, and some."""
+
 LONG_S = 0.25
 """How long a task that has nothing to wait for may be kept from running, in seconds."""
 
@@ -90,3 +94,46 @@
         assert not upstream.is_alive()
 
     curio_world.run(main)
+
+
+class Drip(Flood):
+    """Sends one part after the other, with a pause, until the connection is closed."""
+
+    def __init__(self, start, part):
+        super().__init__(start, part)
+        self._part = part
+
+    def run(self):
+        sock, _ = self._listener.accept()
+        with self._listener, sock, contextlib.suppress(OSError):
+            sock.recv(65536)
+            sock.sendall(self._start)
+            while True:
+                sock.sendall(self._part)
+                time.sleep(0.01)
+
+
+DRIPS = {name: FLOODS[name] for name in FLOODS if name not in ("noise", "empty lines")}
+
+
+# Guards against: a head that was read until the deadline of its exchange.
+@pytest.mark.parametrize("drip", DRIPS)
+def test_the_client_closes_a_drip_in_time(drip):
+    async def main():
+        upstream = Drip(DRIPS[drip][0], DRIPS[drip][1][:16])
+        upstream.start()
+        client = http_client.HttpClient(limits=http_client.ClientLimits(head_s=HEAD_S))
+        await client.start()
+        began_at = time.monotonic()
+        with pytest.raises(errors.UpstreamError):
+            response = await client.request(
+                upstream.address, "GET", "/", {}, b"", timeout_s=EXCHANGE_S
+            )
+            await response.read()
+        limit_s = EXCHANGE_S if b"\r\n\r\n" in DRIPS[drip][0] else HEAD_S
+        assert time.monotonic() - began_at < limit_s + SWEEP_S
+        await client.close()
+        await curio.run_in_thread(upstream.join, 1.0)
+        assert not upstream.is_alive()
+
+    curio_world.run(main)
