Refuse request bodies whose framing has no end, and reset peers that go on sending

A caller could keep an entry host busy for the whole time of a body with one-byte chunks or chunk extensions: only their content counted. A caller that was refused while its receive window was closed could stay blocked in its write: the host's end of the connection had closed without a reset, and the caller's system went on probing the window. The same holds for an upstream that sends without end behind a complete response.

Bodies of requests get the bound of responses: two bytes of framing for each byte of content, beyond 32 KiB; other tasks run after 256 chunks. A caller that has sent more during the linger and has not closed is reset, as is an upstream with bytes behind its response.

--- a/src/medlarfork/http/_http_connection.py
+++ b/src/medlarfork/http/_http_connection.py
@@ -242,9 +242,14 @@
         # A caller may read the response only once it has written its whole body.
         while skipped <= self._limits.body_bytes:
             data = await self.stream.receive()
-            if not data:
+            if not data and not self.stream.expired:
                 return
+            if not data:
+                break
             skipped += len(data)
+        if skipped:
+            # A caller whose window is closed would not notice the end before its next byte.
+            await self.stream.reset()
 
 
 def _find_violation(event: h11.Request, headers: dict[str, str]) -> str:
--- a/src/medlarfork/http/_http_exchange.py
+++ b/src/medlarfork/http/_http_exchange.py
@@ -9,7 +9,7 @@
 import h11
 
 from medlarfork import errors
-from medlarfork.http import _http_limits, _http_messages, _http_stream
+from medlarfork.http import _http_framing, _http_limits, _http_messages, _http_stream
 
 _PIPELINE_LIMIT_BYTES = 64 * 1024
 """Maximum bytes of pipelined requests buffered while a response is in progress."""
@@ -243,16 +243,24 @@
     async def _collect_body(self, on_part: OnPart | None) -> bytes:
         parts: list[bytes] = []
         size = 0
+        framing = _http_framing.FramingBudget()
         while True:
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                await self._refuse_malformed(error)
+                await self._refuse_malformed(str(error))
             if event is h11.NEED_DATA:
-                self._h11.receive_data(await self._receive_body())
+                if framing.is_exceeded:
+                    await self._refuse_malformed("too many bytes of it are no content")
+                data = await self._receive_body()
+                framing.record_received(len(data))
+                self._h11.receive_data(data)
             elif isinstance(event, h11.Data):
                 parts.append(event.data)
                 size += len(event.data)
+                framing.record_content(len(event.data))
+                if len(parts) % _http_framing.MAX_JOINED_CHUNKS == 0:
+                    await curio.sleep(0)
                 if on_part is not None:
                     on_part(len(event.data))
                 if size > self._limits.body_bytes:
@@ -289,7 +297,7 @@
         await self.refuse(413, limit)
         raise limit
 
-    async def _refuse_malformed(self, cause: h11.RemoteProtocolError) -> None:
+    async def _refuse_malformed(self, cause: str) -> None:
         limit = errors.HttpLimitError(
             f"The body is not valid HTTP/1.1: {cause}.",
             remedy="Correct the framing of the body.",
--- a/src/medlarfork/http/_http_framing.py
+++ b/src/medlarfork/http/_http_framing.py
@@ -15,6 +15,9 @@
 """How much sooner than its upstream an idle connection is closed. A request sent just before the
 upstream closes would be lost, and not every request can be retried."""
 
+MAX_JOINED_CHUNKS = 256
+"""Chunks that are parsed before other tasks run: a read full of small ones takes long."""
+
 _MAX_FRAMING_RATIO = 2
 """Bytes of chunk headers, extensions and trailers that may come with each byte of a body. Sound
 upstreams need less than one; a few in a thousand bytes could keep this process busy without end."""
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -17,9 +17,6 @@
 _MAX_INFORMATIONAL = 8
 """Informational (1xx) responses accepted before the final one."""
 
-_MAX_JOINED_CHUNKS = 256
-"""Chunks that are parsed before other tasks run: a read full of small ones takes long."""
-
 _MAX_DISCARDED_BYTES = 16 * 1024
 """Maximum size of an unneeded body that is read to keep its connection, in bytes: more costs more
 than a new connection."""
@@ -230,8 +227,10 @@
             and not self._broken
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
-            and not self._h11.trailing_data[0]
         )
+        if self._h11.trailing_data[0]:
+            await self.reset()  # The upstream may go on sending.
+            return
         if not reusable or self.stream.expired:
             await self.close()
             return
@@ -494,7 +493,7 @@
         while isinstance(event, h11.Data):
             parts.append(event.data)
             self._connection.record_content(len(event.data))
-            if len(parts) >= _MAX_JOINED_CHUNKS:
+            if len(parts) >= _http_framing.MAX_JOINED_CHUNKS:
                 self._has_more = True
                 break
             event = self._connection.buffered_event()
