Bound the answers of the platform, of engines and of entry hosts to announcements

A program that answers without end could make its callers hold 32 MiB for each call, though such answers have a few fields: the calls of duties and the announcements now read 64 KiB at most, the state of an engine 1 MiB.

--- a/src/medlarfork/control/_order_sender.py
+++ b/src/medlarfork/control/_order_sender.py
@@ -10,6 +10,9 @@
 from medlarfork.http import http_client
 from medlarfork.orders import fenced_lease, order_client, order_types
 
+_LIMITS = http_client.ClientLimits(body_bytes=1 << 20)
+"""Limits of orders; the state of an engine lists its models."""
+
 Post = Callable[[Any], Awaitable[None]]
 """Posts an event to the node."""
 
@@ -21,7 +24,7 @@
         self, lease: fenced_lease.FencedLease, post: Post, *, read_timeout_s: float
     ) -> None:
         """Prepare to send under a lease; ``post`` gets the result of each action."""
-        self._http = http_client.HttpClient()
+        self._http = http_client.HttpClient(limits=_LIMITS)
         self._client = order_client.OrderClient(
             self._http, lease=lease, read_timeout_s=read_timeout_s
         )
--- a/src/medlarfork/duties/platform_caller.py
+++ b/src/medlarfork/duties/platform_caller.py
@@ -16,6 +16,9 @@
 CALL_TIMEOUT_S = 3.0
 """Timeout of a call, in seconds; the platform may still execute the call later."""
 
+_LIMITS = http_client.ClientLimits(body_bytes=64 * 1024)
+"""Limits of calls; the platform answers with its status and a few fields."""
+
 MayAct = Callable[[int], bool]
 """Returns whether this replica may act with a fence now."""
 
@@ -39,7 +42,7 @@
         self._speaks = api_format
         self._may_act = may_act
         self._on_call_end = on_call_end
-        self._client = http_client.HttpClient()
+        self._client = http_client.HttpClient(limits=_LIMITS)
         self._tasks: set[curio.Task] = set()
 
     @property
--- a/src/medlarfork/standin/announcer.py
+++ b/src/medlarfork/standin/announcer.py
@@ -19,6 +19,9 @@
 _POST_TIMEOUT_S = 1.0
 """Timeout of an announcement, in seconds."""
 
+_LIMITS = http_client.ClientLimits(body_bytes=64 * 1024)
+"""Limits of announcements; a reply has a few addresses."""
+
 _INITIAL_PERIOD_S = 0.5
 """Announcement period until a reply sets another one, in seconds."""
 
@@ -66,7 +69,7 @@
         self._sequence = itertools.count(1)
         self._targets: tuple[str, ...] = ()
         self._period_s = _INITIAL_PERIOD_S
-        self._client = http_client.HttpClient()
+        self._client = http_client.HttpClient(limits=_LIMITS)
         self._task: curio.Task | None = None
 
     @property
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -10,7 +10,11 @@
 import pytest
 
 from medlarfork import errors
+from medlarfork.control import _order_sender
+from medlarfork.duties import duty_types, platform_caller, platform_format
 from medlarfork.http import http_client, http_server
+from medlarfork.orders import order_types
+from medlarfork.standin import announcer
 from tests import curio_world
 
 BLOCK_BYTES = 256 * 1024
@@ -241,3 +245,62 @@
         await server.close(within_s=0.0)
 
     curio_world.run(main)
+
+
+async def call_platform(address):
+    ended = []
+
+    async def on_call_end(end):
+        ended.append(end.end)
+
+    caller = platform_caller.PlatformCaller(
+        address.removeprefix("http://"),
+        api_format=platform_format.DefaultFormat("r-1"),
+        may_act=lambda fence: True,
+        on_call_end=on_call_end,
+    )
+    await caller.start()
+    report = duty_types.ReportUsage(1, {"a": 1})
+    await caller.call(duty_types.CallPlatform(1, 1, report))
+    await curio_world.until(lambda: ended)
+    await caller.close()
+    assert ended == [duty_types.CallEnd.UNKNOWN]
+
+
+async def announce(address):
+    made = announcer.Announcer(seeds=(), key="", describe=lambda: None)
+    await made.start()
+    assert await made._post(address, b"{}") is None
+    await made.close()
+
+
+async def read_engine(address):
+    ended = []
+
+    async def post(event):
+        ended.append(event.state)
+
+    sender = _order_sender.OrderSender(None, post, read_timeout_s=EXCHANGE_S)
+    await sender.start()
+    await sender.send(order_types.ReadEngineState("u-1", address, 1))
+    await curio_world.until(lambda: ended)
+    await sender.close()
+    assert ended == [None]
+
+
+# Guards against: a call to another program that holds its caller, or all memory, without end.
+@pytest.mark.parametrize("peer", [Flood, Drip])
+@pytest.mark.parametrize("ask", [call_platform, announce, read_engine])
+def test_a_call_to_another_program_ends(ask, peer, monkeypatch):
+    monkeypatch.setattr(platform_caller, "CALL_TIMEOUT_S", EXCHANGE_S)
+
+    async def main():
+        upstream = peer(CHUNKED + b"fffffffff\r\n", b"x")
+        upstream.start()
+        began_at = time.monotonic()
+        await ask(upstream.address)
+        assert time.monotonic() - began_at < EXCHANGE_S + SWEEP_S
+        await curio.run_in_thread(upstream.join, 1.0)
+        assert not upstream.is_alive()
+
+    curio_world.run(main)
