--- a/src/medlarfork/http/_http_framing.py
+++ b/src/medlarfork/http/_http_framing.py
@@ -15,6 +15,9 @@
 """How much sooner than its upstream an idle connection is closed. A request sent just before the
 upstream closes would be lost, and not every request can be retried."""
 
+MAX_JOINED_CHUNKS = 256
+"""Chunks that are parsed before other tasks run: a read full of small ones takes long."""
+
 _MAX_FRAMING_RATIO = 2
 """Bytes of chunk headers, extensions and trailers that may come with each byte of a body. Sound
 upstreams need less than one; a few in a thousand bytes could keep this process busy without end."""
@@ -45,6 +48,11 @@
         """Return whether too many bytes are no content, once all that arrived is parsed."""
         return self._bytes > _FREE_FRAMING_BYTES
 
+    @property
+    def has_bytes(self) -> bool:
+        """Return whether bytes have arrived that are no content."""
+        return self._bytes > 0
+
     def restart(self) -> None:
         """Start with another message, or another part of it."""
         self._bytes = 0
