Send the forwarded request of a test after those that discovered the cut

Calls with which the test discovers the cut are still in progress when the request is sent. All of them go through one relay host to one upstream with four slots.

The test waits until no host serves a call. Its deadline, bounds and checks are unchanged.

--- a/tests/routed/test_cut_off_hosts.py
+++ b/tests/routed/test_cut_off_hosts.py
@@ -87,6 +87,13 @@
     raise AssertionError("the host has not noticed")
 
 
+async def until_idle(deployment):
+    """Wait until the calls that discovered a cut have ended."""
+    await curio_world.until(
+        lambda: not any(entry._handler._serving for entry in deployment.entries)
+    )
+
+
 def headers_by_attempt(upstream):
     """Return the headers of the requests that an upstream has received."""
     return {seen.head.headers[NAMES.attempt_id]: seen.head.headers for seen in upstream.seen}
@@ -148,6 +155,8 @@
             deployment, upstreams=1, accounts=[{"name": "shop", "api_keys": ["k-1"]}]
         )
         await cut_off(deployment, links, authorization="Bearer k-1")
+        # They would take up the only upstream's slots and the deadline.
+        await until_idle(deployment)
         response = await deployment.call(
             "/p/x?q=1",
             authorization="Bearer k-1",
