Read the replicas' replies about a stream after a stall before giving up

Callers saw: 503 for a stream that they took up again, from a host whose process had stalled for more than 0.15 s after it had asked the replicas which version began the stream.

Cause: the wait went by the clock alone, and it was over before the replies that had arrived meanwhile were read.

Change: the query ends after three waits of 0.05 s without a reply. A stall, however long, uses up one of them.

--- a/src/medlarfork/gateway/origin_tracker.py
+++ b/src/medlarfork/gateway/origin_tracker.py
@@ -46,6 +46,9 @@
 QUERY_BITS = 48
 """Size of the random number from which queries are counted."""
 
+QUERY_WAITS = 3
+"""Number of waits without a reply after which a query ends."""
+
 QUERY_TIMEOUT_S = 0.15
 """Timeout for the replicas' replies, in seconds: many round trips, and little to a caller."""
 
@@ -222,17 +225,19 @@
         message = origin_messages.OriginQuery(self._queries, key, service)
         query = _Query(0)
         self._query_by_id[message.query_id] = query
-        until = time.monotonic() + QUERY_TIMEOUT_S
+        waits = 0
         try:
             query.asked = sum(
                 self._send(replica_id, message) for replica_id in self._session.replicas
             )
-            while not query.is_answered and not any(map(is_enough, query.replies.values())):
-                left_s = until - time.monotonic()
-                if left_s <= 0:
+            # Replies that arrive while this process stalls are read after it, so a stall ends only
+            # one of the waits.
+            while waits < QUERY_WAITS:
+                if query.is_answered or any(map(is_enough, query.replies.values())):
                     break
                 query.changed.clear()
-                await timeouts.call_until(left_s, query.changed.wait)
+                await timeouts.call_until(QUERY_TIMEOUT_S / QUERY_WAITS, query.changed.wait)
+                waits += not query.changed.is_set()
         finally:
             del self._query_by_id[message.query_id]
         return query
--- a/tests/routed/test_stream_versions.py
+++ b/tests/routed/test_stream_versions.py
@@ -8,6 +8,7 @@
 import pytest
 
 from medlarfork import errors
+from medlarfork.gateway import origin_tracker
 from tests import curio_world
 from tests.routed import partition, routed_harness
 
@@ -205,6 +206,29 @@
     routed_harness.run(tmp_path, main)
 
 
+# Guards against: a host whose process stalled gave up before it read the replicas' replies.
+@pytest.mark.parametrize("names_attempt", [True, False])
+def test_a_stream_goes_on_at_a_host_that_stalls_while_it_asks(tmp_path, names_attempt):
+    async def main(deployment):
+        await start(deployment, max_attempts=1, versions=("v1", "v1"))
+        await begin(deployment, "a-1")
+        await curio.sleep(0.3)
+        stalling = await curio.spawn(stall_at_query, deployment.entries[1])
+        named = {} if names_attempt else {NAMES.resumes: ""}
+        status, _, rest = await resume(deployment, "a-1", **named)
+        await stalling.join()
+        assert (status, rest.count(b"id: ")) == (200, WHOLE - 1)
+
+    routed_harness.run(tmp_path, main)
+
+
+async def stall_at_query(entry):
+    """Stall the process once a host has asked the replicas."""
+    while not entry._origins._query_by_id:
+        await curio.sleep(0)
+    time.sleep(2 * origin_tracker.QUERY_TIMEOUT_S)
+
+
 # Guards against: the version that began the stream had gone, and the one left looked like the only.
 def test_a_caller_that_names_no_attempt_is_refused_after_a_change_of_the_version(tmp_path):
     async def main(deployment):
