Stop declared programs gracefully also during their imports

Cause: their handlers were installed after all imports, unlike those of routed programs.

Change: the commands keep SIGTERM and SIGINT before their other imports, in modules of their own, since the program modules are imported by other code too. SIGHUP keeps its usual effect, which it also has later: it ends them.

--- a/src/medlarfork/_early_signals.py
+++ b/src/medlarfork/_early_signals.py
@@ -8,15 +8,17 @@
 
 import signal
 import types
+from collections.abc import Iterable
 
-_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+"""Signals that request a graceful stop."""
 
 _kept: list[signal.Signals] = []
 
 
-def keep() -> None:
-    """Keep signals from now on, in place of their usual effect."""
-    for number in _SIGNALS:
+def keep(signals: Iterable[signal.Signals] = (*STOP_SIGNALS, signal.SIGHUP)) -> None:
+    """Keep these signals from now on, in place of their usual effect."""
+    for number in signals:
         signal.signal(number, _keep)
 
 
--- a/src/medlarfork/_stop_signal.py
+++ b/src/medlarfork/_stop_signal.py
@@ -11,8 +11,7 @@
 
 from medlarfork import _early_signals
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-"""Signals that request a graceful stop."""
+STOP_SIGNALS = _early_signals.STOP_SIGNALS
 
 
 class StopSignal:
--- /dev/null
+++ b/src/medlarfork/entry/entry_command.py
@@ -0,0 +1,14 @@
+"""Command ``medlar-entry``: runs an entry host of a declared deployment."""
+
+from __future__ import annotations
+
+from medlarfork import _early_signals
+
+_early_signals.keep(_early_signals.STOP_SIGNALS)
+
+from medlarfork.entry import entry_program  # noqa: E402 - its imports take most of the start
+
+
+def run() -> None:
+    """Run the program from the command line."""
+    entry_program.run()
--- a/tests/processes/test_early_signals.py
+++ b/tests/processes/test_early_signals.py
@@ -51,6 +51,30 @@
 GraceS = 1
 RetryBudgetBurst = 58
 """
+CONTROL = """
+replica_id = "control-1"
+data_folder = "{folder}"
+[[operators]]
+name = "ana"
+key_sha256 = "4489ff2f9ea96e76d15846c1b6fb8fe5e2831f2433aebb54ccf3be9db7d1418d"
+[[replicas]]
+replica_id = "control-1"
+link_address = "tcp://{ip}:7201"
+http_address = "http://{ip}:7101"
+"""
+DECLARED_ENTRY = """
+entry_id = "entry-1"
+http_host = "{ip}"
+http_port = 7102
+link_address = "tcp://{ip}:7202"
+[[controls]]
+replica_id = "control-1"
+link_address = "tcp://{ip}:7201"
+"""
+DECLARED = {
+    "medlar-control": (START.format("control", "control_command"), CONTROL),
+    "medlar-entry": (START.format("entry", "entry_command"), DECLARED_ENTRY),
+}
 PROGRAMS = {
     "medlar-gateway": (["-c", START.format("gateway", "gateway_command")], ENTRY),
     "medlar-coordinator": (["-c", START.format("coordination", "coordinator_command")], REPLICA),
@@ -60,9 +84,13 @@
 
 
 def _catches_hangup(process):
+    return _catches(process, signal.SIGHUP)
+
+
+def _catches(process, number):
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
     caught = int(status.partition("SigCgt:")[2].split()[0], 16)
-    return bool(caught >> (signal.SIGHUP - 1) & 1)
+    return bool(caught >> (number - 1) & 1)
 
 
 # Guards against: processes that a change of settings or a stop ended during their imports.
@@ -95,3 +123,34 @@
     logged = log.read_text()
     assert "reloaded" in logged
     assert "stopped" in logged
+
+
+# Guards against: a stop during the imports ended a program without its graceful stop.
+@pytest.mark.parametrize("after_s", [0.01, 0.1, 0.25, 0.5])
+@pytest.mark.parametrize("name", DECLARED)
+@pytest.mark.parametrize(
+    ("number", "status", "ends_with"),
+    [(signal.SIGTERM, 0, "event=stopped"), (signal.SIGHUP, -signal.SIGHUP, "")],
+)
+def test_a_signal_during_the_start_of_a_declared_program_does_what_it_does_later(
+    tmp_path, name, after_s, number, status, ends_with
+):
+    code, template = DECLARED[name]
+    settings, log = tmp_path / "settings.toml", tmp_path / "log"
+    settings.write_text(template.format(ip=f"{loopback.prefix()}.252.1", folder=tmp_path / "data"))
+    with log.open("wb") as output:
+        process = subprocess.Popen(
+            [sys.executable, "-c", code, f"--settings={settings}"], stdout=output, stderr=output
+        )
+    try:
+        while not _catches(process, signal.SIGTERM):
+            assert process.poll() is None
+            time.sleep(0.001)
+        assert "zmq" not in pathlib.Path(f"/proc/{process.pid}/maps").read_text()
+        time.sleep(after_s)
+        process.send_signal(number)
+        assert process.wait(timeout=30) == status
+    finally:
+        process.kill()
+        process.wait()
+    assert ends_with in log.read_text()
