Refuse link messages with numbers, texts or lists out of bounds

Integers may use all 64 bits without a sign: digests of inventories do. A bound of 63 bits broke the heartbeats of declared hosts in test_control_loss.py, seen before this commit and mended in it. Journals have no such bounds.

--- a/src/medlarfork/bounds.py
+++ b/src/medlarfork/bounds.py
@@ -18,6 +18,9 @@
 MAX_INTEGER = 2**63 - 1
 """Maximum magnitude of an integer: a signed one of 64 bits, which every encoding can hold."""
 
+MAX_UNSIGNED = 2**64 - 1
+"""Maximum of an integer on links, where digests take all bits of an unsigned one of 64 bits."""
+
 MAX_NUMBER = 1e18
 """Maximum magnitude of a number with a fraction, so that sums and products of some stay finite."""
 
@@ -48,16 +51,16 @@
     return value
 
 
-def require(value: Any) -> None:
+def require(value: Any, *, max_integer: int = MAX_INTEGER) -> None:
     """Require that every number, text and list of a decoded value is within its bounds.
 
     Raises:
         OutOfBoundsError: One is not.
     """
-    _require_each((value,))
+    _require_each((value,), max_integer)
 
 
-def _require_each(values: Iterable[Any]) -> None:
+def _require_each(values: Iterable[Any], max_integer: int) -> None:
     # Compares types, which costs a fraction of matching patterns.
     for value in values:
         kind = type(value)
@@ -65,14 +68,14 @@
             if len(value) > MAX_TEXT_LENGTH:
                 raise OutOfBoundsError("a text is too long")
         elif kind is int:
-            if not -MAX_INTEGER <= value <= MAX_INTEGER:
+            if not -max_integer <= value <= max_integer:
                 raise OutOfBoundsError("an integer does not fit into 64 bits")
         elif kind is float:
             # Also false if it is not a number.
             if not -MAX_NUMBER <= value <= MAX_NUMBER:
                 raise OutOfBoundsError("a number is too large or not finite")
         elif kind is not bool and kind is not bytes and value is not None:
-            _require_each(_parts_of(value))
+            _require_each(_parts_of(value), max_integer)
 
 
 def _parts_of(value: Any) -> Iterable[Any]:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -149,3 +149,66 @@
         decoder.decode(b"_Message", body)
     with pytest.raises(errors.LinkError):
         decoder.unpack(b"\x91" * 10_000 + b"\xc0")
+
+
+@dataclasses.dataclass(frozen=True)
+class _Told:
+    """A message with a field of each kind that has bounds."""
+
+    sequence: int = 0
+    load: float = 0.0
+    name: str = ""
+    items: tuple[int, ...] = ()
+    by_name: dict[str, float] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+
+
+_TOLD = codec.Codec((_Told,))
+
+
+# Guards against: values of other processes that can't be sent on, compared or added up.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"load": math.inf},
+        {"load": -math.inf},
+        {"load": math.nan},
+        {"load": 1.1e18},
+        {"load": -1e300},
+        {"name": "x" * 65_537},
+        {"name": "x" * 1_000_000},
+        {"items": [0] * 100_001},
+        {"by_name": {"x" * 70_000: 1.0}},
+        {"by_name": {"x": math.nan}},
+    ],
+)
+def test_a_link_refuses_a_message_with_a_value_out_of_bounds(fields):
+    body = msgspec.msgpack.encode(fields)
+    with pytest.raises(errors.LinkError):
+        _TOLD.decode(b"_Told", body)
+
+
+@pytest.mark.parametrize("bits", ["ca7f800000", "caff800000", "ca7fc00000", "ca5e000000"])
+def test_a_link_refuses_floats_of_32_bits_out_of_bounds(bits):
+    body = b"\x81\xa4load" + bytes.fromhex(bits)
+    with pytest.raises(errors.LinkError):
+        _TOLD.decode(b"_Told", body)
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        _Told(sequence=bounds.MAX_UNSIGNED, load=bounds.MAX_NUMBER),
+        _Told(sequence=bounds.MAX_UNSIGNED, body=b"x" * 100_000),
+        _Told(sequence=-bounds.MAX_INTEGER, load=-bounds.MAX_NUMBER),
+        _Told(name="\N{GREEK SMALL LETTER PI}" * 20_000, items=(1,) * 70_000),
+        _Told(body=bytes(range(256)) * 4_000),
+    ],
+)
+def test_a_link_accepts_values_within_their_bounds(told):
+    assert _TOLD.decode(*_TOLD.encode(told)) == told
+
+
+def test_a_journal_reads_what_it_holds_whatever_its_size():
+    told = _Told(name="x" * 1_000_000)
+    assert _TOLD.unpack(_TOLD.pack(told)) == told
