Ignore messages whose term is out of reach

Seen in the new fuzz of every link message against a live replica: one LeadQuestion, LeadDenial, AppendRequest or SnapshotChunk with a term of 2^63 - 1 raised the terms of replicas to it, for good. The next election exceeds what a message can hold, so no leader is ever elected again (the last is arithmetic, not run).

Cause: any term that fits into a message was entered and synced.

Change: a replica ignores messages whose term is more than 2^32 ahead of its own, more elections than a log can miss.

--- a/src/medlarfork/replica/replica.py
+++ b/src/medlarfork/replica/replica.py
@@ -58,6 +58,10 @@
 REPLICA_MESSAGES = _replica_messages.REPLICA_MESSAGES
 """The message classes that replicas exchange, for the codec of the links."""
 
+MAX_TERM_STEP = 2**32
+"""How far the term of a message may be ahead, more than a log can be behind. Without it a single
+message could use up the terms that fit into a message, and no leader would be elected any more."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaStatus:
@@ -181,6 +185,8 @@
                     self._leader.transfer()
 
     def _receive(self, sender: str, message: Any) -> None:
+        if getattr(message, "term", 0) > self._state.term + MAX_TERM_STEP:
+            return
         match message:
             case _replica_messages.VoteRequest():
                 self._on_vote_request(sender, message)
