--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -308,6 +308,8 @@
             return sent.end
         self._sends += 1
         self._response = sent
+        if sent.skipped:
+            self.trace.reasons.append(f"{self._runner}: {self._describe(sent)}")
         self.trace.framing = sent.framing.value
         self.trace.partial_bytes = 0
         try:
@@ -329,7 +331,7 @@
             await self._relay_stream(response)
             return None
         if self._progress.response_started:
-            await response.read()
+            await response.discard()
             raise upstream_call.not_resumed(response.status)
         return await self._relay_buffered(response)
 
