Shorten the graceful stop in the test of early signals

Callers may keep the list of entry hosts for 10 s by default, and the drain of a declared host waits for it: 13.4 s for the slowest case, 3.8 s with 0.5 s. The checks are the same.

--- a/tests/processes/test_early_signals.py
+++ b/tests/processes/test_early_signals.py
@@ -67,6 +67,7 @@
 http_host = "{ip}"
 http_port = 7102
 link_address = "tcp://{ip}:7202"
+entries_lifetime_s = 0.5
 [[controls]]
 replica_id = "control-1"
 link_address = "tcp://{ip}:7201"
