--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -21,7 +21,7 @@
     " cut_off_client.install({file!r}); "
 )
 _ROOT = pathlib.Path(__file__).parent.parent.parent
-_ENGINE = pathlib.Path(__file__).parent / "scripted_engine.py"
+_ENGINE = "tests.processes.scripted_engine"
 RESTART_S = 1.0
 """How long an engine that ended is away."""
 
@@ -85,12 +85,13 @@
 
     def _keep_running(self):
         while not self._stopping.is_set():
-            command = [sys.executable, str(_ENGINE), "--name", self.name, "--host", self._host]
+            command = [sys.executable, "-m", self._fleet.engine_module]
+            command += ["--name", self.name, "--host", self._host]
             command += ["--port", "7401", "--replicas", *self._fleet.replicas]
             command += ["--script", str(self._script), "--version", self.version]
             command += self._fleet.engine_options
             with self._log.open("ab") as log:
-                self._process = subprocess.Popen(command, stdout=log, stderr=log)
+                self._process = subprocess.Popen(command, cwd=_ROOT, stdout=log, stderr=log)
             self.starts += 1
             self._process.wait()
             self._stopping.wait(RESTART_S)
@@ -150,10 +151,12 @@
         usage_window_s=0.0,
         can_be_cut_off=False,
         versions=("",),
+        engine_module=_ENGINE,
         engine_options=(),
         entry_settings="",
     ):
         self.folder = folder
+        self.engine_module = engine_module
         self.entry_settings = entry_settings
         self.engine_options = engine_options
         self.can_be_cut_off = can_be_cut_off
@@ -244,6 +247,9 @@
             )
 
     def put_route(self, **route):
+        self.put_routes(route)
+
+    def put_routes(self, *routes):
         declared = {
             "name": "r",
             "host": "a.example",
@@ -254,7 +260,7 @@
         }
         routing = {
             "version": 1,
-            "routes": [declared | route],
+            "routes": [declared | route for route in routes],
             "services": [{"name": "engines"}],
             "accounts": [{"name": "shop", "api_keys": ["k-1"]}],
         }
--- a/tests/processes/scripted_engine.py
+++ b/tests/processes/scripted_engine.py
@@ -101,13 +101,16 @@
         for number in range(after + 1, count + 1):
             self._write_chunk(f"id: {number}\ndata: {data or number}\n\n".encode())
             if number == cut_after:
-                self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                os.close(self.connection.detach())
-                self.close_connection = True
+                self._reset()
                 return
             time.sleep(self.event_s)
         self._write_chunk(b"")
 
+    def _reset(self):
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        os.close(self.connection.detach())
+        self.close_connection = True
+
     def _write_chunk(self, data):
         self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
 
@@ -151,7 +154,7 @@
         print(f"{traceback.format_exc()}\n", end="", file=sys.stderr, flush=True)
 
 
-def main():
+def make_parser():
     parser = argparse.ArgumentParser()
     parser.add_argument("--name", required=True)
     parser.add_argument("--host", required=True)
@@ -161,12 +164,21 @@
     parser.add_argument("--version", default="")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--event-s", type=float, default=0.002)
-    given = parser.parse_args()
+    return parser
+
+
+def main():
+    given = make_parser().parse_args()
     Handler.script = given.script
     Handler.name = given.name
     Handler.version = given.version
     Handler.event_s = given.event_s
-    server = Server((given.host, given.port), Handler)
+    serve(given, Handler)
+
+
+def serve(given, handler):
+    """Announce the engine and serve its requests with this handler."""
+    server = Server((given.host, given.port), handler)
     address = f"{given.host}:{given.port}"
     arguments = (given.name, address, given.replicas, 0.3, given.version, given.slots)
     threading.Thread(target=announce, args=arguments, daemon=True).start()
