--- a/tests/processes/rejecting_engine.py
+++ b/tests/processes/rejecting_engine.py
@@ -19,6 +19,9 @@
 RETRY_AFTER = "0.05"
 RUN_S = (0.03, 0.12)
 STILL_S = 1.0
+RARE = ("still", "restart")
+"""Faults that leave too few engines for the others if they are frequent."""
+
 UNMARKED_STATUSES = (408, 429, 503)
 COPIES = ("foreign", "own")
 """Whose rejection is sent again: that of another request of the connection, or of the same."""
@@ -40,6 +43,8 @@
         fault = ""
         if self.faults and self.drawn.random() < FAULT_SHARE:
             fault = self.drawn.choice(self.faults)
+        if fault in RARE and self.drawn.random() < 0.9:
+            fault = ""
         if fault in COPIES:
             self._send_copy(fault, body)
         queued_s = self.drawn.uniform(0.0, MAX_QUEUED_S)
