--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -9,10 +9,9 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
 
-import curio
 import h11
 
-from medlarfork import errors
+from medlarfork import errors, timeouts
 from medlarfork.http import _http_messages, _http_stream
 
 _MAX_INFORMATIONAL = 8
@@ -244,7 +243,7 @@
         """Return the head of the response; act while the request is not acknowledged."""
         read_head = self._finish_send_and_read_head
         while True:
-            response = await curio.ignore_after(silence.period_s, read_head)
+            response = await timeouts.call_until(silence.period_s, read_head)
             if response is None and self.stream.has_unacknowledged:
                 response = await silence.on_silence(read_head)
             if response is not None:
@@ -339,9 +338,9 @@
         return self.framing is not Framing.CLOSE
 
     @property
-    def is_first(self) -> bool:
-        """Return whether nothing was sent on its connection before its request."""
-        return self._connection.exchanges == 1
+    def exchange_number(self) -> int:
+        """Return the number of its exchange on its connection; the first one is 1."""
+        return self._connection.exchanges
 
     async def read(self, on_part: Callable[[int], None] | None = None) -> bytes:
         """Return the complete body.
