--- a/src/medlarfork/gateway/request_forwarder.py
+++ b/src/medlarfork/gateway/request_forwarder.py
@@ -129,9 +129,10 @@
             self._trace.result = request_types.Result.ANSWERED
             self._trace.status = response.status
             return
-        body = await self._stream.read_whole(response)
         if progress.response_started:
+            await response.discard()
             raise upstream_call.not_resumed(response.status)
+        body = await self._stream.read_whole(response)
         took_s = time.monotonic() - self._admitted.started_at
         self._trace.first_event_ms = took_s * 1000.0
         await self._final.pass_on(response, body)
