Believe a refusal without an id only as the first response on a connection

Cause: where an upstream returns no attempt id, any refusal was taken for the current attempt's.

Change: without an id, a refusal proves that nothing ran only if nothing was sent on the connection before, and the connection is closed after it. Otherwise the attempt counts as one that may have run.

The new test failed before, and so did the case without an id of test_a_refusal_of_another_attempt_proves_nothing, which asked that such a connection is kept: it now asks that it is closed, since it could bring a copy.

--- a/src/medlarfork/entry/upstream_attempt.py
+++ b/src/medlarfork/entry/upstream_attempt.py
@@ -171,15 +171,26 @@
 def _check_owner(response: http_client.Response, attempt_id: str) -> None:
     """Check that a response is not that of another attempt; upstreams need not return the id.
 
+    A refusal without an id is this attempt's only if nothing was sent on the connection before: it
+    could be a late copy of an earlier one.
+
     Raises:
-        errors.UpstreamError: It carries another id; this attempt may run.
+        errors.UpstreamError: It may be that of another attempt; this attempt may run.
     """
-    returned = response.headers.get(header_names.ATTEMPT_ID.lower(), attempt_id)
-    if returned != attempt_id:
-        raise errors.UpstreamError(
-            "The upstream sent the response to another attempt.",
-            remedy="Check the upstream; it may have sent a response twice.",
-        )
+    returned = response.headers.get(header_names.ATTEMPT_ID.lower(), "")
+    if returned == attempt_id:
+        return
+    if returned:
+        raise _foreign("The upstream sent the response to another attempt.")
+    if _is_refusal(response):
+        if response.exchange_number > 1:
+            raise _foreign("The upstream's refusal does not tell which attempt it refuses.")
+        response.end_reuse()
+
+
+def _foreign(problem: str) -> errors.UpstreamError:
+    remedy = "Check whether the upstream sends responses twice; let it return the attempt's id."
+    return errors.UpstreamError(problem, remedy=remedy)
 
 
 def _is_refusal(response: http_client.Response) -> bool:
--- a/tests/test_entry_program.py
+++ b/tests/test_entry_program.py
@@ -229,7 +229,39 @@
 
         await upstream_attempt.UpstreamAttempt(dispatch, session, client, post).run()
         assert [event.result for event in events] == [result]
-        assert client.connections == (result is entry_types.AttemptResult.REFUSED)
+        # A connection on which a refusal without an id came could bring a copy of it.
+        assert client.connections == (returned == "r.1")
+        await client.close()
+        await server.close(within_s=0.0)
+
+    curio.run(curio.timeout_after, 10, _run)
+
+
+# Guards against: a late copy of a refusal without an id was believed of an attempt that ran.
+def test_a_refusal_without_an_id_on_a_used_connection_proves_nothing():
+    served = []
+
+    async def refuse_later(exchange: http_server.Exchange) -> None:
+        served.append(exchange)
+        await exchange.respond(200 if len(served) == 1 else 429, {}, b"{}")
+
+    async def _run() -> None:
+        server = http_server.HttpServer(refuse_later, host="127.0.0.1", port=0)
+        client = http_client.HttpClient()
+        await server.start()
+        await client.start()
+        events: list[Any] = []
+
+        async def post(event: Any) -> None:
+            events.append(event)
+
+        for attempt in ("r.1", "r.2"):
+            session = caller_session.CallerSession(RAW, FakeExchange(), 0.0)
+            dispatch = entry_types.Dispatch("r", attempt, "u", server.address)
+            await upstream_attempt.UpstreamAttempt(dispatch, session, client, post).run()
+        results = [event.result for event in events]
+        assert results[-1] is entry_types.AttemptResult.BROKEN
+        assert client.connections == 0
         await client.close()
         await server.close(within_s=0.0)
 
