Believe no response whose head holds the status line of another

Seen in the review of this work's fixes: a late copy that is cut off within its status line or a header joins the head of the response behind it, whose id it then bears. A cut 'HTTP/1.1 200 O' made a success of a 500.

Cause: the parser accepts any text as reason and as value of a header. Same class: a promise that rests on something that does not prove it.

Change, in the client that routed hosts, relays and declared hosts share: a head in which a status line stands within the reason or a header breaks the exchange. Copies are skipped only for requests that can't be sent again, as others are retried at once; never on a connection that has carried HEAD; and a rejection behind a skipped copy proves nothing, since a copy cut within its body takes up the next head.

--- a/src/medlarfork/gateway/attempt_sender.py
+++ b/src/medlarfork/gateway/attempt_sender.py
@@ -176,4 +176,5 @@
             attempt_id=admitted.metadata.attempt_id,
             timeout_s=max(left_ms, 1.0) / 1000.0,
             unacknowledged_s=retry_policy.UNACKNOWLEDGED_S,
+            skips_copies=not admitted.route.may_repeat,
         )
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -40,6 +40,8 @@
         attempt_id: The id that the response must return.
         timeout_s: Time until the end of the response, in seconds.
         unacknowledged_s: Timeout for unacknowledged data, in seconds.
+        skips_copies: Whether to wait for the response behind a late copy of an earlier one, as the
+            request can't be sent again.
     """
 
     address: str
@@ -50,6 +52,7 @@
     attempt_id: str
     timeout_s: float
     unacknowledged_s: float
+    skips_copies: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +129,9 @@
         why = describe(response, names)
         # The head already proved that nothing ran.
         await response.discard()
+        if response.skipped:
+            # A copy that was cut off within its body may have taken up the head of this response.
+            return Failure(placement_messages.RunEnd.FAILED, why)
         return Failure(placement_messages.RunEnd.REJECTED, why)
     return response
 
@@ -147,7 +153,7 @@
             returned_id, call.attempt_id, response.status, is_first_exchange=is_first_exchange
         )
         is_copy = owner is ResponseOwner.ANOTHER_REQUEST and response.is_late_copy(returned_id)
-        if not is_copy or response.skipped >= MAX_SKIPPED:
+        if not (call.skips_copies and is_copy) or response.skipped >= MAX_SKIPPED:
             return response, owner
         response = await response.skip()
 
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import math
+import re
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
@@ -33,6 +34,9 @@
 """Error responses after which a connection is closed: the ids of their requests are kept."""
 
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+"""Begin of a response. Within a head it shows that another response was cut off in front of it."""
+
 _BOTH_DONE = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
 """States of the parser after a complete exchange on a connection that stays open."""
 
@@ -94,7 +98,7 @@
         "_informational",
         "_is_sent",
         "_last_id",
-        "_method",
+        "_may_skip",
         "_pool",
         "_needs_data",
         "address",
@@ -131,7 +135,7 @@
         self._is_sent = True
         self._last_id = ""
         self._earlier_ids: collections.deque[str] = collections.deque(maxlen=_MAX_EARLIER_IDS)
-        self._method = b""
+        self._may_skip = True
         self._failed_ids: tuple[str, ...] = ()
         self._informational = 0
         self._framing = _http_framing.FramingBudget()
@@ -178,7 +182,8 @@
         self.exchanges += 1
         self._earlier_ids.append(self._last_id)
         self._last_id = request_id
-        self._method = head.method
+        # The length that a response to HEAD states is not that of its body.
+        self._may_skip = self._may_skip and head.method != b"HEAD"
         self._begin_send(data)
         self._informational = 0
         self._framing.restart()
@@ -202,11 +207,11 @@
         """
         self.may_reuse = False
         await self._skip_body()
-        if self._h11.states != _BOTH_DONE:
+        if not self._may_skip or self._h11.states != _BOTH_DONE:
             raise self.failure("response to another request")
         self._h11.start_next_cycle()
         # The parser accepts a response only to a request; these bytes are not sent.
-        head = h11.Request(method=self._method, target="/", headers=[("Host", "")])
+        head = h11.Request(method="GET", target="/", headers=[("Host", "")])
         self._h11.send(head)
         self._h11.send(h11.EndOfMessage())
         self._needs_data = False
@@ -354,6 +359,7 @@
     async def _read_head(self) -> h11.Response:
         while self._informational < _MAX_INFORMATIONAL:
             event = await self.next_event(self._limit_head)
+            self._check_is_one_head(event)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -362,6 +368,14 @@
             self.stream.deadline_at = self._deadline_at
         raise self.failure("too many informational responses")
 
+    def _check_is_one_head(self, event: h11.Event) -> None:
+        """Refuse a head that joins a response that was cut off to the one behind it."""
+        if not isinstance(event, h11.Response | h11.InformationalResponse):
+            return
+        texts = (event.reason, *(value for _, value in event.headers))
+        if any(_STATUS_LINE.search(text) for text in texts):
+            raise self.failure("a response that was cut off came before the next one")
+
     def _limit_head(self) -> None:
         """Limit the time of a head from its first byte on."""
         if self.stream.deadline_at == self._deadline_at:
