--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -159,12 +159,12 @@
 
 
 def describe(response: http_client.Response, names: request_header_names.RequestHeaderNames) -> str:
-    """Return what a response of this request states about its run, for the log."""
+    """Return what a response states about the run of its request, for the log."""
     run = "not executed" if names.not_executed in response.headers else "unmarked"
-    owner = "own id" if names.attempt_id in response.headers else "no id"
+    named = "id returned" if names.attempt_id in response.headers else "no id"
     skipped = f", {response.skipped} skipped" if response.skipped else ""
     return (
-        f"status {response.status} ({run}, {owner}, exchange {response.exchange_number}{skipped})"
+        f"status {response.status} ({run}, {named}, exchange {response.exchange_number}{skipped})"
     )
 
 
