Let no stop overtake a reload that was sent before it

Cause: three orders of signals, none of which is that of their sending. A handler in Python that kept a signal could be interrupted by that of the next one, which was then kept first. When StopSignal took over, a signal in the new pipe came before those kept earlier. And the system runs the handlers of signals that are pending together in the opposite order, so that a running program read SIGTERM before SIGHUP from the pipe.

Change: one pipe from the first import on, to which the interpreter writes; what is queued is taken together, and stops last.

--- a/src/medlarfork/_stop_signal.py
+++ b/src/medlarfork/_stop_signal.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import signal
-import socket
-import types
 from collections.abc import Iterable
 
 import curio.traps
@@ -20,41 +18,36 @@
     def __init__(self, signals: Iterable[signal.Signals] = STOP_SIGNALS) -> None:
         """Prepare to catch these signals."""
         self._signals = tuple(signals)
-        self._reader, self._writer = socket.socketpair()
-        self._reader.setblocking(False)
-        self._writer.setblocking(False)
-        self._old_writer = -1
+        self._queue: _early_signals.SignalQueue | None = None
+        self._caught: list[int] = []
         self._old_handlers: dict[signal.Signals, signal._HANDLER] = {}
 
     def start(self) -> None:
         """Start to catch the signals; those that came earlier and were kept count as caught."""
-        self._old_writer = signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
+        self._queue = _early_signals.kept or _early_signals.SignalQueue()
         for number in self._signals:
-            self._old_handlers[number] = signal.signal(number, _ignore)
-        # Setting a handler runs the one before for signals that have arrived, so none is missed.
-        self._writer.send(bytes(_early_signals.take()))
+            self._old_handlers[number] = signal.signal(number, _early_signals.ignore)
 
     def close(self) -> None:
         """Restore the previous signal handlers."""
         for number, handler in self._old_handlers.items():
             signal.signal(number, handler)
         self._old_handlers.clear()
-        signal.set_wakeup_fd(self._old_writer)
-        self._reader.close()
-        self._writer.close()
+        if self._queue is not None and self._queue is not _early_signals.kept:
+            self._queue.close()
+        self._queue = None
 
     async def wait(self) -> signal.Signals:
-        """Wait for the next caught signal and return it."""
+        """Wait for the next caught signal and return it; those that request a stop come last.
+
+        The system delivers signals that are pending together in no order of their sending, so a
+        stop must not overtake a signal that was sent before it.
+        """
+        assert self._queue is not None
         while True:
-            try:
-                number = self._reader.recv(1)[0]
-            except BlockingIOError:
-                await curio.traps._read_wait(self._reader)
-                continue
-            # Signals with other Python handlers are written to the wakeup descriptor, too.
-            if number in self._signals:
-                return signal.Signals(number)
-
-
-def _ignore(number: int, frame: types.FrameType | None) -> None:
-    """Do nothing: the interpreter has already written the signal to the wakeup descriptor."""
+            # Signals with other Python handlers are written to the queue, too.
+            self._caught += [each for each in self._queue.read() if each in self._signals]
+            if self._caught:
+                self._caught.sort(key=lambda number: number in STOP_SIGNALS)
+                return signal.Signals(self._caught.pop(0))
+            await curio.traps._read_wait(self._queue.reader)
--- a/tests/processes/test_early_signals.py
+++ b/tests/processes/test_early_signals.py
@@ -155,3 +155,63 @@
         process.kill()
         process.wait()
     assert ends_with in log.read_text()
+
+
+ORDER = """
+import os, signal, sys
+import curio
+from medlarfork import _early_signals, _stop_signal
+
+RELOAD, STOP = signal.SIGHUP, signal.SIGTERM
+
+def order(first_line):
+    lines = iter(range(first_line + 2))
+
+    def trace(frame, event, argument):
+        if frame.f_globals.get("__name__", "").startswith("medlarfork"):
+            match next(lines, None):
+                case number if number == first_line:
+                    os.kill(os.getpid(), RELOAD)
+                case number if number == first_line + 1:
+                    os.kill(os.getpid(), STOP)
+        return trace
+
+    caught = _stop_signal.StopSignal((*_early_signals.STOP_SIGNALS, signal.SIGHUP))
+    sys.settrace(trace)
+    _early_signals.keep()
+    caught.start()
+    sys.settrace(None)
+    is_sent = next(lines, None) is None
+    read = [curio.run(caught.wait), curio.run(caught.wait)] if is_sent else None
+    caught.close()
+    return read
+
+def together():
+    caught = _stop_signal.StopSignal((*_early_signals.STOP_SIGNALS, signal.SIGHUP))
+    caught.start()
+    signal.pthread_sigmask(signal.SIG_BLOCK, (RELOAD, STOP))
+    os.kill(os.getpid(), RELOAD)
+    os.kill(os.getpid(), STOP)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (RELOAD, STOP))
+    read = [curio.run(caught.wait), curio.run(caught.wait)]
+    caught.close()
+    return read
+
+signal.signal(RELOAD, signal.SIG_IGN)
+signal.signal(STOP, signal.SIG_IGN)
+_early_signals.keep()
+print("together", *(signal.Signals(number).name for number in together()))
+line = 0
+while (read := order(line)) is not None:
+    print(line, *(signal.Signals(number).name for number in read))
+    line += 1
+"""
+
+
+# Guards against: a stop that overtook the reload before it, during the start or while pending.
+def test_a_stop_overtakes_no_reload():
+    cases = subprocess.run(
+        [sys.executable, "-c", ORDER], stdout=subprocess.PIPE, check=True, text=True, timeout=30
+    ).stdout.splitlines()
+    assert len(cases) > 5
+    assert [case for case in cases if not case.endswith(" SIGHUP SIGTERM")] == []
