Believe that nothing ran only from statuses with which upstreams reject

What callers saw: a request that may run once ran at each of three upstreams, or was refused with a promise after its run, where an upstream marked the response of a run as "not executed": a 200, 408, 500 or 504, or a 503 or 429 whose mark says "0", "false" or "no".

Cause: the mark was believed whatever its value and the response's status.

Now a response proves that nothing ran if it has status 421, or a mark and status 400, 429 or 503, as PROTOCOL lists them. It gives the mark no values, so any value counts, an empty one too, except one that denies it; in a list of values one denial is enough. All else is the response of a run. The failover of silent upstreams and the backpressure signals use the same decision.

--- a/src/medlarfork/gateway/backpressure_tracker.py
+++ b/src/medlarfork/gateway/backpressure_tracker.py
@@ -12,7 +12,12 @@
 
 from medlarfork import logs
 from medlarfork.backpressure import send_gate, signal_ledger, signal_messages, upstream_signals
-from medlarfork.gateway import entry_session, replica_reporter, request_header_names
+from medlarfork.gateway import (
+    entry_session,
+    replica_reporter,
+    request_header_names,
+    upstream_call,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -89,7 +94,9 @@
         now = _now()
         is_changed = False
         # A rejection may come from a component of the upstream that does not know its rate limit.
-        was_rejected = has_rejection_status or self._names.not_executed in headers
+        was_rejected = has_rejection_status or upstream_call.is_rejection(
+            status, headers, self._names
+        )
         if signals.rate_limit is not None or not was_rejected:
             is_changed = self._ledger.record_response(
                 upstream_id, signals.rate_limit, sent_at=sent_at, now=now
--- a/src/medlarfork/gateway/request_header_names.py
+++ b/src/medlarfork/gateway/request_header_names.py
@@ -26,7 +26,7 @@
         expected_upstream: The only incarnation that may run the request.
         account: The client account, for the upstream.
         tier: The rank at the upstream; 0 is the most urgent.
-        not_executed: Set by upstreams that did not run the request.
+        not_executed: Set by upstreams that did not run the request (see ``upstream_call``).
         seal: Set by upstreams on their responses; passed on unchanged.
         fetch_from: Address of an upstream from which the receiver fetches missing cache entries.
         rate_limit: Set by overloaded upstreams: requests per second accepted from all hosts.
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -435,10 +435,7 @@
     def _is_answer(self, head: h11.Response) -> bool:
         """Return whether a response answers the request: its own, no rejection and no failure."""
         headers = _http_messages.decode_headers(head.headers)
-        is_rejection = (
-            head.status_code == upstream_call.WRONG_UPSTREAM_STATUS
-            or self._shared.names.not_executed in headers
-        )
+        is_rejection = upstream_call.is_rejection(head.status_code, headers, self._shared.names)
         attempt_id = self.admitted.metadata.attempt_id
         is_foreign = headers.get(self._shared.names.attempt_id, attempt_id) != attempt_id
         is_failure = retry_policy.is_failure(head.status_code)
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from medlarfork import errors
 from medlarfork.gateway import request_header_names
@@ -14,6 +14,12 @@
 WRONG_UPSTREAM_STATUS = 421
 """Status with which an upstream that is not the expected incarnation rejects a request."""
 
+REJECTION_STATUSES = frozenset({400, WRONG_UPSTREAM_STATUS, 429, 503})
+"""Statuses with which an upstream can state that it has not run a request. Any other response,
+marked or not, is that of a run."""
+
+_DENIALS = frozenset({"0", "false", "no"})
+"""Values with which the header ``not_executed`` would state the opposite."""
 
 MAX_SKIPPED = 4
 """Late copies of earlier responses that are discarded before the response to a request."""
@@ -125,7 +131,7 @@
         response.headers.pop(name, None)
     if response.status != WRONG_UPSTREAM_STATUS:
         on_head(response)
-    if response.status == WRONG_UPSTREAM_STATUS or names.not_executed in response.headers:
+    if is_rejection(response.status, response.headers, names):
         why = describe(response, names)
         # The head already proved that nothing ran.
         await response.discard()
@@ -160,7 +166,7 @@
 
 def describe(response: http_client.Response, names: request_header_names.RequestHeaderNames) -> str:
     """Return what a response states about the run of its request, for the log."""
-    run = "not executed" if names.not_executed in response.headers else "unmarked"
+    run = "not executed" if _is_marked(response.headers, names) else "unmarked"
     named = "id returned" if names.attempt_id in response.headers else "no id"
     skipped = f", {response.skipped} skipped" if response.skipped else ""
     return (
@@ -168,6 +174,15 @@
     )
 
 
+def is_rejection(
+    status: int, headers: Mapping[str, str], names: request_header_names.RequestHeaderNames
+) -> bool:
+    """Return whether the response to a request proves that its upstream did not run it."""
+    if status == WRONG_UPSTREAM_STATUS:
+        return True
+    return status in REJECTION_STATUSES and _is_marked(headers, names)
+
+
 def identify_owner(
     returned_id: str, attempt_id: str, status: int, *, is_first_exchange: bool
 ) -> ResponseOwner:
@@ -199,3 +214,11 @@
         f"The upstream answered {status} instead of resuming a stream.",
         remedy="Check whether the upstream can resume streams.",
     )
+
+
+def _is_marked(headers: Mapping[str, str], names: request_header_names.RequestHeaderNames) -> bool:
+    """Return whether the mark is there; of its values only a denial has a meaning."""
+    value = headers.get(names.not_executed)
+    if value is None:
+        return False
+    return _DENIALS.isdisjoint(part.strip().lower() for part in value.split(","))
--- a/tests/routed/test_unproven_refusals.py
+++ b/tests/routed/test_unproven_refusals.py
@@ -88,6 +88,61 @@
     routed_harness.run(tmp_path, main)
 
 
+class Marked(Runs):
+    """Sends a status with a mark: for each run, or once instead of a run."""
+
+    def __init__(self, status, mark, *, is_run):
+        super().__init__(status)
+        self._mark = mark
+        self._is_run = is_run
+        self._is_sent = False
+
+    async def answer(self, exchange):
+        is_marked = self._is_run or not self._is_sent
+        self._is_sent = True
+        self.by_attempt[exchange.head.headers[NAMES.attempt_id]] += self._is_run or not is_marked
+        headers = routed_harness.echo_headers(exchange)
+        if is_marked:
+            headers[NAMES.not_executed] = self._mark
+        await exchange.respond(self._status if is_marked else 200, headers, b"upstream")
+
+
+# Guards against: a mark was believed with any value and status, so a request ran twice.
+@pytest.mark.parametrize(
+    ("status", "mark", "expected"),
+    [(200, "1", 200), (408, "1", 502), (500, "1", 500), (504, "1", 504)]
+    + [(503, "0", 502), (429, "False", 502), (503, "1, no", 502)],
+)
+def test_a_run_is_not_sent_again_for_a_mark_that_states_nothing(tmp_path, status, mark, expected):
+    runs = Marked(status, mark, is_run=True)
+
+    async def main(deployment):
+        await start(deployment, runs, kind="unsafe")
+        response = await deployment.call()
+        await response.read()
+        assert response.status == expected
+        assert runs.by_attempt == {"attempt-1": 1}
+
+    routed_harness.run(tmp_path, main)
+
+
+# Guards against: a request that was rejected as upstreams may was not sent to another one.
+@pytest.mark.parametrize(
+    ("status", "mark"), [(400, "1"), (421, "1"), (429, "1"), (503, "1"), (503, "")]
+)
+def test_a_rejection_is_believed_with_any_other_value(tmp_path, status, mark):
+    runs = Marked(status, mark, is_run=False)
+
+    async def main(deployment):
+        await start(deployment, runs, kind="unsafe", max_attempts=2)
+        response = await deployment.call()
+        await response.read()
+        assert response.status == 200
+        assert runs.by_attempt == {"attempt-1": 1}
+
+    routed_harness.run(tmp_path, main)
+
+
 # Guards against: the log could not tell a rejection that was proven from one that was believed.
 def test_the_log_states_what_a_rejection_rests_on(tmp_path, caplog):
     caplog.set_level("INFO")
