Send no request on a connection that has carried its id before

What callers saw: with ids x, y, x on one connection, a late copy of the first response to x was taken for that of the second request: another request's answer as its success.

Cause: a connection refused only the id of its last request, and those of requests that ended with an error.

A retry after a rejection took a new connection already, so this costs one only where a caller uses the id of a request again that another one has followed.

--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -145,9 +145,9 @@
     def may_carry(self, request_id: str) -> bool:
         """Return whether no copy of a response with this id may arrive, late.
 
-        Copies are expected in place of the next response; those of errors are never risked.
+        The id of an earlier request would not tell the response from such a copy.
         """
-        return request_id != self._last_id and request_id not in self._failed_ids
+        return request_id != self._last_id and not self.has_carried(request_id)
 
     def has_carried(self, request_id: str) -> bool:
         """Return whether this is the id of an earlier request, whose response may be copied."""
