Ask another relay host if the HTTP server of one has refused

What callers saw: 502 for a request that a relay host's HTTP server had refused before any handler got it (too many connections, too slow, stopping), though another relay host could serve it.

Cause: only the header that entry hosts set on the answers of their handlers was taken for a refusal. A refusal of the HTTP server bears another one, which states that nothing ran ("Medlar-Outcome: not_run"); it sets that only before a handler has taken the request, and closes the connection. Upstreams could have set it too.

Now that header counts as a refusal as well, and entry hosts remove it from upstreams' responses, as they do with the other one. If all relay hosts refuse, the caller gets 503.

While hosts of both versions run, one that is older passes an upstream's header of that name on.

Evidence: the new test failed before (502 from the relay host that admits none); the test of forged headers, which now has this one, fails if it is not removed. The tests of cut-off hosts and of unproven refusals pass.

--- a/src/medlarfork/gateway/relay_client.py
+++ b/src/medlarfork/gateway/relay_client.py
@@ -15,7 +15,7 @@
     request_types,
     upstream_call,
 )
-from medlarfork.http import http_client
+from medlarfork.http import _http_messages, header_names, http_client
 from medlarfork.placement import placement_messages
 from medlarfork.resumption import stream_origin
 
@@ -29,6 +29,10 @@
 MAX_FORWARDS = 3
 """Relay hosts that one request is forwarded to; each may be stopping, overloaded or cut off."""
 
+_OUTCOME = header_names.OUTCOME.lower()
+"""Header with which a relay host's HTTP server states that no handler got the request; entry hosts
+remove it from upstreams' responses."""
+
 _RAN_STATUSES = frozenset({502, 504})
 """Statuses of a relay host's own answers to requests that may have run."""
 
@@ -135,13 +139,20 @@
         except errors.UpstreamError as error:
             return upstream_call.Failure(placement_messages.RunEnd.BROKEN, str(error))
         own_answer = response.headers.pop(names.own_answer, None)
-        if own_answer is None or response.status in _RAN_STATUSES:
+        if not _is_refusal(response, own_answer):
             return response
         await response.discard()
         is_rejected = own_answer == request_header_names.REJECTED
         return Refused(_retry_after_ms(response), f"status {response.status}", is_rejected)
 
 
+def _is_refusal(response: http_client.Response, own_answer: str | None) -> bool:
+    """Return whether a relay host states that the request did not run."""
+    if own_answer is None:
+        return response.headers.get(_OUTCOME) == _http_messages.NOT_RUN
+    return response.status not in _RAN_STATUSES
+
+
 def _retry_after_ms(response: http_client.Response) -> float:
     try:
         return max(0.0, float(response.headers.get("retry-after", "0"))) * 1000.0
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -8,7 +8,7 @@
 
 from medlarfork import errors
 from medlarfork.gateway import request_header_names
-from medlarfork.http import http_client
+from medlarfork.http import header_names, http_client
 from medlarfork.placement import placement_messages
 
 WRONG_UPSTREAM_STATUS = 421
@@ -21,6 +21,9 @@
 _DENIALS = frozenset({"0", "false", "no"})
 """Values with which the header ``not_executed`` would state the opposite."""
 
+_OUTCOME = header_names.OUTCOME.lower()
+"""Header with which the HTTP servers of entry hosts state what became of a request."""
+
 MAX_SKIPPED = 4
 """Late copies of earlier responses that are discarded before the response to a request."""
 
@@ -126,7 +129,7 @@
     if names.attempt_id not in response.headers:
         # On this connection, the next response without an id could not be told from a copy.
         response.end_reuse()
-    for name in (names.own_answer, names.origin):
+    for name in (names.own_answer, names.origin, _OUTCOME):
         # Only entry hosts state these; a forwarding host would take them for the relay host's word.
         response.headers.pop(name, None)
     if response.status != WRONG_UPSTREAM_STATUS:
--- a/tests/routed/test_cut_off_hosts.py
+++ b/tests/routed/test_cut_off_hosts.py
@@ -1,5 +1,6 @@
 """Entry hosts that are cut off from all upstreams, over sockets of a complete deployment."""
 
+import dataclasses
 import functools
 import json
 import time
@@ -176,7 +177,7 @@
 # Guards against: an upstream's header was taken for a relay host's word that nothing had run.
 def test_a_forwarded_request_that_ran_is_not_taken_for_refused(tmp_path):
     async def fail(exchange):
-        forged = {NAMES.own_answer: "1", NAMES.origin: "forged"}
+        forged = {NAMES.own_answer: "1", NAMES.origin: "forged", "medlar-outcome": "not_run"}
         await exchange.respond(500, routed_harness.echo_headers(exchange, **forged), b"failed")
 
     async def main(deployment):
@@ -323,6 +324,25 @@
     routed_harness.run(tmp_path, main)
 
 
+# Guards against: the same where a relay host's HTTP server refused, which ended in 502.
+def test_a_request_goes_to_another_relay_host_if_one_admits_none(tmp_path):
+    async def main(deployment):
+        await deployment.start_entry(OTHER + 1)
+        links = await start(deployment, kind="unsafe")
+        full = deployment.entries[1]._relay_server
+        full._limits = dataclasses.replace(full._limits, connections=0)
+        await cut_off(deployment, links)
+        found = [await status_of(deployment, f"refused-{number}") for number in range(12)]
+        assert found == [200] * 12
+        full = deployment.entries[2]._relay_server
+        full._limits = dataclasses.replace(full._limits, connections=0)
+        await deployment.entry._relaying._client.close()
+        await deployment.entry._relaying._client.start()
+        assert await status_of(deployment, "refused by all") == 503
+
+    routed_harness.run(tmp_path, main)
+
+
 @pytest.mark.parametrize("mode", ["refused", "silent"])
 def test_a_cut_off_host_reports_no_crash_and_no_failed_upstream(tmp_path, monkeypatch, mode):
     async def main(deployment):
