Treat a connection that breaks behind a late copy like any other

What was seen: an upstream that crashed, or stood still until the deadline, behind a late copy that had been skipped was recorded as a failed answer: no probe looked at whether it still listens, and no abandoned run was recorded, so a request that crashes upstreams counted less there.

Cause: each failure while copies are skipped ended the attempt as FAILED.

A broken connection is no proof of a crash with a copy or without one: a probe follows. So it now ends as BROKEN, a silence as one. A copy that can't be skipped (too long, or undelimited) is this host's own decision and stays FAILED. Neither is ever taken for a request that has not run.

The silence watch needs no change: it runs only for requests that may be sent to another upstream as well, and copies are skipped only for the others.

--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -115,12 +115,12 @@
     except errors.RequestSupersededError:
         return Failure(placement_messages.RunEnd.CANCELLED, "another upstream answered first")
     except errors.UpstreamError as error:
-        is_timeout = error.code is errors.Code.REQUEST_TIMEOUT
-        return Failure(placement_messages.RunEnd.BROKEN, str(error), is_timeout)
+        return _broken(error)
     try:
         response, owner = await _own_response(response, call, names)
     except errors.UpstreamError as error:
-        return Failure(placement_messages.RunEnd.FAILED, str(error))
+        # A late copy in front says nothing about why the connection broke.
+        return _broken(error)
     if owner is not ResponseOwner.THIS_REQUEST:
         # The response to this request may still come, so the connection can't be used again.
         await response.close()
@@ -153,7 +153,7 @@
     The response to this request, which may be running, comes behind such copies.
 
     Raises:
-        errors.UpstreamError: A copy is the last response, or can't be skipped.
+        errors.UpstreamError: The connection failed before the response came.
     """
     while True:
         returned_id = response.headers.get(names.attempt_id, "")
@@ -164,7 +164,15 @@
         is_copy = owner is ResponseOwner.ANOTHER_REQUEST and response.is_late_copy(returned_id)
         if not (call.skips_copies and is_copy) or response.skipped >= MAX_SKIPPED:
             return response, owner
-        response = await response.skip()
+        following = await response.skip()
+        if following is None:
+            return response, owner
+        response = following
+
+
+def _broken(error: errors.UpstreamError) -> Failure:
+    is_timeout = error.code is errors.Code.REQUEST_TIMEOUT
+    return Failure(placement_messages.RunEnd.BROKEN, str(error), is_timeout)
 
 
 def describe(response: http_client.Response, names: request_header_names.RequestHeaderNames) -> str:
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -197,18 +197,21 @@
             self.may_reuse = len(self._failed_ids) < _MAX_FAILED_IDS
         return self._make_response(head, response)
 
-    async def skip_response(self) -> Response:
+    async def skip_response(self) -> Response | None:
         """Discard a response to another request, and return the next one once its head arrives.
 
         The connection is closed after it, since more such responses may come.
 
+        Returns:
+            The next response; None if the discarded one is too long or hides where the next begins.
+
         Raises:
-            errors.UpstreamError: If there is no next response, or the discarded one is long.
+            errors.UpstreamError: The connection failed.
         """
         self.may_reuse = False
-        await self._skip_body()
-        if not self._may_skip or self._h11.states != _BOTH_DONE:
-            raise self.failure("response to another request")
+        is_short = await self._skip_body()
+        if not (is_short and self._may_skip) or self._h11.states != _BOTH_DONE:
+            return None
         self._h11.start_next_cycle()
         # The parser accepts a response only to a request; these bytes are not sent.
         head = h11.Request(method="GET", target="/", headers=[("Host", "")])
@@ -289,7 +292,8 @@
             self._pool.remove(self)
             await self.stream.reset()
 
-    async def _skip_body(self) -> None:
+    async def _skip_body(self) -> bool:
+        """Discard a body; return False if it is too long."""
         size = 0
         while not isinstance(event := await self.next_event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
@@ -297,7 +301,8 @@
             self.record_content(len(event.data))
             size += len(event.data)
             if size > _MAX_DISCARDED_BYTES:
-                raise self.failure("long response to another request")
+                return False
+        return True
 
     def _make_response(self, head: h11.Request, response: h11.Response) -> Response:
         self.stream.deadline_at = self._deadline_at
@@ -535,20 +540,24 @@
         """Return whether it may copy the response to an earlier request, whose id it returns."""
         return self._connection.has_carried(request_id)
 
-    async def skip(self) -> Response:
+    async def skip(self) -> Response | None:
         """Return the next response on the connection instead of this one, which is discarded.
 
+        Returns:
+            The next response; None if this one is not delimited or too long, and is to be closed.
+
         Raises:
-            errors.UpstreamError: If there is none, or this one is long or not delimited.
+            errors.UpstreamError: The connection failed.
         """
+        if not self.framed:
+            return None
         try:
-            if not self.framed:
-                raise self._connection.failure("undelimited response to another request")
             following = await self._connection.skip_response()
         except BaseException:
             await self._connection.reset()
             raise
-        following.skipped = self.skipped + 1
+        if following is not None:
+            following.skipped = self.skipped + 1
         return following
 
     async def close(self) -> None:
--- a/tests/routed/test_foreign_responses.py
+++ b/tests/routed/test_foreign_responses.py
@@ -19,6 +19,7 @@
 from medlarfork import errors
 from medlarfork.gateway import retry_policy, upstream_call
 from medlarfork.http import http_client
+from medlarfork.placement import placement_messages
 from tests import curio_world
 from tests.routed import routed_harness
 from tests.routed.routed_harness import NAMES
@@ -88,11 +89,13 @@
         status: Its status; 503 for a rejection.
         has_id: Whether it returns the id of the request.
         extra: An extra response; None for none.
+        fault: How the connection fails before the right response; empty if it does not.
     """
 
     status: int
     has_id: bool = True
     extra: Extra | None = None
+    fault: str = ""
 
 
 class RawUpstream:
@@ -148,6 +151,10 @@
         extra = b"" if reply.extra is None else reply.extra.encode(attempt_id, older_ids)
         place = reply.extra.place if extra else ""
         self.extras += bool(extra)
+        if reply.fault:
+            await sock.sendall(extra)
+            await curio.sleep(60 if reply.fault == "silence" else 0)
+            raise ConnectionAbortedError
         returned = attempt_id if reply.has_id else ""
         if reply.status == 503:
             parts = [rejection(returned, retry_after=self._retry_after)]
@@ -448,3 +455,34 @@
         await upstream.close()
 
     curio_world.run(main)
+
+
+LONG_COPY = Bytes(head(200, (NAMES.attempt_id, "a-0"), length=20_000) + bytes(20_000))
+
+
+# Guards against: an upstream that crashed or stood still behind a late copy was not looked at.
+@pytest.mark.parametrize(
+    ("extra", "fault", "end", "is_timeout"),
+    [
+        (Bytes(rejection("a-0")), "break", "BROKEN", False),
+        (Bytes(rejection("a-0")), "silence", "BROKEN", True),
+        (Bytes(rejection("a-0")[:-2]), "break", "BROKEN", False),
+        (LONG_COPY, "silence", "FAILED", False),
+    ],
+)
+def test_a_connection_that_breaks_behind_a_copy_has_broken(extra, fault, end, is_timeout):
+    async def main():
+        replies = iter([Reply(503), Reply(200, extra=extra, fault=fault)])
+        upstream = RawUpstream(lambda: next(replies))
+        client = http_client.HttpClient()
+        async with contextlib.AsyncExitStack() as stack:
+            for part in (upstream, client):
+                await part.start()
+                stack.push_async_callback(part.close)
+            assert _is_rejection(await send(client, upstream, "a-0", "s-0"))
+            failure = await send(client, upstream, "a-1", "s-1", timeout_s=0.5)
+            assert failure.end is placement_messages.RunEnd[end]
+            assert failure.is_timeout == is_timeout
+            assert client.connections == 0
+
+    curio_world.run(main)
