Kill engines by turns only once those killed before are back

Cause that a trial shows, in the test: a third of the engines was killed every 2 s, whether those killed before had started again or not, so that with slow starts all were away at once and nothing could be served.

--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -52,6 +52,14 @@
     raise AssertionError(found)
 
 
+def wait_for(condition):
+    """Wait until a condition holds."""
+    end_at = time.monotonic() + 20.0
+    while not condition():
+        assert time.monotonic() < end_at
+        time.sleep(0.1)
+
+
 def event(number):
     """Return one event of a stream of the scripted engine."""
     return f"id: {number}\ndata: {number}\n\n".encode()
@@ -99,6 +107,10 @@
     def kill(self):
         self._process.kill()
 
+    def listens(self):
+        """Return whether it answers; it refuses this method, but only once it serves."""
+        return ask("GET", f"http://{self._host}:7401/")[0] != 0
+
     def pause(self):
         """Let it stand still until ``resume``; its connections stay open."""
         self._process.send_signal(signal.SIGSTOP)
