End the process also if a timeout ended one of its vital tasks

Cause: curio's timeouts are no Exception, and it reports no task that one of them ended.

Change: TaskTimeout and TimeoutCancellationError end the process like any other error of a vital task. Cancelling one is still no failure. Read: each place that can raise TaskTimeout catches it.

--- a/src/medlarfork/vital_tasks.py
+++ b/src/medlarfork/vital_tasks.py
@@ -25,7 +25,7 @@
     return await curio.spawn(_run_or_exit, run, arguments, daemon=True)
 
 
-def end_process(part: str, cause: Exception) -> NoReturn:
+def end_process(part: str, cause: BaseException) -> NoReturn:
     """End the process because a part of it failed.
 
     Raises:
@@ -44,7 +44,8 @@
 async def _run_or_exit(run: Callable[..., Awaitable[None]], arguments: tuple[Any, ...]) -> None:
     try:
         await run(*arguments)
-    except Exception as error:
+    except (Exception, curio.TaskTimeout, curio.TimeoutCancellationError) as error:
+        # A timeout that no block of the task has caught; curio would end the task without a report.
         end_process(run.__qualname__, error)
 
 
--- a/tests/test_vital_tasks.py
+++ b/tests/test_vital_tasks.py
@@ -14,14 +14,20 @@
 from tests.routed import routed_harness
 
 
-async def _raise():
-    raise ValueError("unexpected")
+async def _raise(error):
+    raise error
 
 
-def test_a_task_that_fails_ends_the_process_with_one_line_that_names_it(caplog):
+# Guards against: a process that went on without a task which a timeout of no block had ended.
+@pytest.mark.parametrize(
+    "error",
+    [ValueError("unexpected"), curio.TaskTimeout(1.0), curio.TimeoutCancellationError(1.0)],
+    ids=["fault", "timeout", "enclosing timeout"],
+)
+def test_a_task_that_fails_ends_the_process_with_one_line_that_names_it(caplog, error):
     async def main():
         tasks = vital_tasks.VitalTasks()
-        await tasks.spawn(_raise)
+        await tasks.spawn(_raise, error)
         await curio.sleep(30)
 
     with pytest.raises(SystemExit) as ended:
@@ -29,7 +35,7 @@
     assert ended.value.code == vital_tasks.FAILURE_STATUS
     (record,) = caplog.records
     assert record.msg == {"event": "process_failed", "part": "_raise"}
-    assert "unexpected" in caplog.text
+    assert str(error) in caplog.text
 
 
 def test_a_task_that_is_cancelled_ends_nothing():
