Let freezing and thawing a test's process wait for their effect

test_a_wiped_replica_and_one_that_missed_a_change_elect_no_leader[True] failed once with a thawed replica that wrote no line for 30 s. Freezing or thawing a process that had ended did nothing and was not noticed, so its log can't tell an ended process from one that hung.

The dump after a failed wait sends SIGCONT as before. No check is changed.

--- a/examples/local_processes.py
+++ b/examples/local_processes.py
@@ -83,14 +83,30 @@
         return self.running(name) and name not in self._frozen
 
     def freeze(self, name: str) -> None:
-        """Stop a program from doing anything, as a host that hangs would."""
-        self.signal(name, signal.SIGSTOP)
+        """Stop a program from doing anything, as a host that hangs would.
+
+        Raises:
+            ProcessLookupError: It has ended.
+        """
+        self._signal_and_wait(name, signal.SIGSTOP, os.WSTOPPED)
         self._frozen.add(name)
 
     def thaw(self, name: str) -> None:
-        """Let a frozen program go on."""
+        """Let a frozen program go on.
+
+        Raises:
+            ProcessLookupError: It has ended.
+        """
         self._frozen.discard(name)
-        self.signal(name, signal.SIGCONT)
+        self._signal_and_wait(name, signal.SIGCONT, os.WCONTINUED)
+
+    def _signal_and_wait(self, name: str, number: signal.Signals, change: int) -> None:
+        """Send a signal and wait until the system reports its effect."""
+        self.signal(name, number)
+        if self.running(name):
+            os.waitid(os.P_PID, self.pid(name), change | os.WEXITED | os.WNOWAIT)
+        if not self.running(name):
+            raise ProcessLookupError(f"{name} ended with status {self.wait(name)}")
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a program."""
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -90,7 +90,7 @@
         for name in self.processes.names():
             if self.processes.running(name):
                 self.processes.signal(name, signal.SIGABRT)
-                self.processes.thaw(name)
+                self.processes.signal(name, signal.SIGCONT)
         return ", ".join(f"{name}: {state}" for name, state in states.items())
 
     def start_engine(self, name, **flags):
