Count the time of a body towards the deadline of a held request

Cause, product: the hold counted the deadline from the end of the body, all else counts it from the head. Now both count from the head.

--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -169,7 +169,7 @@
                 self._reserve_body(exchange.head, lease)
             body = await exchange.read_body(None if lease is None else lease.add_part)
             metadata = request_metadata.parse(exchange.head.headers, self._names)
-            if not await self._wait_routing(exchange, metadata):
+            if not await self._wait_routing(exchange, metadata, started_at):
                 return
             stopping.check_is_taking(self.take_until, time.monotonic())
             route, account = self._admit(exchange.head, metadata)
@@ -228,12 +228,16 @@
         await self._refuse(exchange, error)
 
     async def _wait_routing(
-        self, exchange: http_server.Exchange, metadata: request_metadata.RequestMetadata
+        self,
+        exchange: http_server.Exchange,
+        metadata: request_metadata.RequestMetadata,
+        started_at: float,
     ) -> bool:
         """Hold a request while no routing is in force; return False if its caller disconnects."""
         if self.has_routing or not self._is_taking:
             return True
-        left_s = math.inf if metadata.deadline_ms is None else metadata.deadline_ms / 1000.0
+        allowed_s = math.inf if metadata.deadline_ms is None else metadata.deadline_ms / 1000.0
+        left_s = allowed_s - (time.monotonic() - started_at)
         async with curio.TaskGroup(wait=any) as group:
             held = await group.spawn(
                 self._hold_queue.wait, lambda: self.has_routing or not self._is_taking, left_s
