Keep unrelated time limits out of the tests of slow readers

Cause, as reproduced with an injected time.sleep in each turn of the event loop: the tests read 10 to 19 MB through a receive buffer of 4 kB, and time limits that they don't test fell due meanwhile. At 3 ms a turn the first got 359 of 600 events (most likely the route's timeout of 12 s, at a run of 13.7 s) and the second 355 of 1200 (most likely the grace period of 5 s, at 10.5 s); at 10 ms, 21 of 600 (most likely the 5 s for a caller that reads nothing) and the 20 s of the guard.

The tests now read through a wide buffer, set the limits that are not their subject far away, and send 600 events where 1200 were sent. Reading fast would have hidden a reset that discards what the system has not sent yet, which the old form found by the pace of its reading (a trial of the new form without a pause passed on such a product). So the caller reads until the host holds nothing, pauses, and reads the rest; in the second test it pauses before it reads. Products broken on purpose fail them: held events not drained, a reset without waiting for the receipt, a resumption from an event 50 before the last one held, a stop that waits for 0.05 s or 0.9 s only.

--- a/tests/routed/test_slow_readers.py
+++ b/tests/routed/test_slow_readers.py
@@ -40,13 +40,19 @@
     return caller
 
 
-async def _read_all(caller, pause_s=0.0):
+async def _read_some(caller):
+    """Return what has arrived, after it has let other tasks run."""
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)  # Takes far fewer reads.
+    await curio.sleep(0)
+    return await caller.recv(1 << 20)
+
+
+async def _read_all(caller):
     """Return the bytes until the end of the chunked response or of the connection."""
     received = bytearray()
     while not received.endswith(b"0\r\n\r\n"):
-        await curio.sleep(pause_s)
         try:
-            data = await caller.recv(1 << 20)
+            data = await _read_some(caller)
         except ConnectionResetError:
             break
         if not data:
@@ -55,6 +61,13 @@
     return bytes(received)
 
 
+@pytest.fixture
+def patient_host(monkeypatch):
+    """Let callers read nothing for longer, as a busy machine delays what a test does meanwhile."""
+    limits = dataclasses.replace(gateway_program.CALLER_LIMITS, stall_s=60.0, unacknowledged_s=60.0)
+    monkeypatch.setattr(gateway_program, "CALLER_LIMITS", limits)
+
+
 async def _start(deployment, answer=_stream_to_reader, *, route=None, **sizes):
     await deployment.stop_entry(deployment.entry)
     await deployment.start_entry(**sizes)
@@ -132,7 +145,7 @@
 # Guards against: held events that are lost, repeated or reordered when the upstream breaks, and a
 # resumption that starts after the last event that was written instead of the last one held.
 @pytest.mark.parametrize("may_resume", [True, False])
-def test_a_broken_stream_delivers_what_is_held(tmp_path, may_resume):
+def test_a_broken_stream_delivers_what_is_held(tmp_path, patient_host, may_resume):
     async def main(deployment):
         is_broken = curio.Event()
 
@@ -149,6 +162,7 @@
                 await is_broken.set()
 
         route = {"kind": "streaming", "max_attempts": 2, "may_resume": may_resume}
+        route["timeout_ms"] = 60_000
         await _start(deployment, answer, route=route, memory_mb=4000.0)
         await deployment.add_upstream(answer)
         await deployment.until_upstreams(2)
@@ -156,34 +170,42 @@
         await is_broken.wait()
         await curio.sleep(0.3)
         assert deployment.entry._budget.held_bytes > 100 * len(EVENT)
-        received = await _read_all(caller, pause_s=0.001)
+        received = b""
+        while deployment.entry._budget.held_bytes:
+            received += await _read_some(caller)
+        await curio.sleep(0.3)  # A reset would discard what the system has not sent yet.
+        received += await _read_all(caller)
         await caller.close()
         ids = [int(found) for found in re.findall(rb"id: (\d+)\n", received)]
-        assert ids == list(range(len(ids)))
+        assert ids == list(range(700 if may_resume else 600))
         assert received.endswith(b"0\r\n\r\n") == may_resume
-        assert len(ids) == (700 if may_resume else 600)
 
     routed_harness.run(tmp_path, main, replicas=1)
 
 
 # Guards against: a stopping host that cuts responses which it could deliver in the grace period.
-def test_a_stopping_host_delivers_what_it_holds(tmp_path):
+def test_a_stopping_host_delivers_what_it_holds(tmp_path, patient_host):
     async def main(deployment):
         is_sent = curio.Event()
 
         async def answer(exchange):
-            await _stream_to_reader(exchange)
+            headers = routed_harness.echo_headers(exchange, **{"content-type": "text/event-stream"})
+            await exchange.begin(200, headers)
+            for _ in range(600):
+                await exchange.send(EVENT)
+            await exchange.finish()
             await is_sent.set()
 
-        await _start(deployment, answer, memory_mb=4000.0)
+        await _start(deployment, answer, route={"timeout_ms": 60_000}, memory_mb=4000.0)
         caller = await _open_caller(deployment)
         await is_sent.wait()
         assert await _writing_tasks()
         assert deployment.entry._budget.held_bytes > len(EVENT)
-        stopping = await curio.spawn(lambda: deployment.entry._server.close(within_s=5.0))
+        stopping = await curio.spawn(lambda: deployment.entry._server.close(within_s=15.0))
+        await curio.sleep(1.0)  # A host that doesn't use its grace period cuts the response now.
         received = await _read_all(caller)
         await caller.close()
-        assert received.count(EVENT) == EVENTS
+        assert (received.count(EVENT), received[-5:]) == (600, b"0\r\n\r\n")
         await stopping.join()
 
     routed_harness.run(tmp_path, main, replicas=1)
