Share the peers of tests that send bytes without end

The servers of test_endless_responses.py and test_foreign_responses.py that are served byte by byte had the same set-up; it stands in tests/routed/raw_server.py now. The endless peers get modules of their own, since further readers are to be tested with them: tests/endless_peers.py (in threads) and tests/routed/endless_upstream.py (in the kernel of a deployment). The shorter switch interval became a fixture in conftest.py. No check changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import sys
 
 import hypothesis
 import pytest
@@ -26,3 +27,12 @@
     descriptor_guard.reports.clear()
     yield
     assert descriptor_guard.reports == []
+
+
+@pytest.fixture
+def frequent_switches():
+    """Let the threads of the peers take turns with the tested one as processes would."""
+    interval_s = sys.getswitchinterval()
+    sys.setswitchinterval(0.0002)
+    yield
+    sys.setswitchinterval(interval_s)
--- a/tests/routed/test_endless_responses.py
+++ b/tests/routed/test_endless_responses.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import socket
 import time
 
 import curio
@@ -11,100 +10,22 @@
 from medlarfork import errors
 from medlarfork.gateway import retry_policy
 from tests import curio_world
-from tests.routed import routed_harness
+from tests.routed import endless_upstream, routed_harness
 
 NAMES = routed_harness.NAMES
 CALLERS = 6
 DRIP_S = 0.02
-FAST_BYTES = 256 * 1024
 SOON_S = 1.0
 MAX_SENT_BYTES = 64 << 20
 """More than an attempt may read, and the system may buffer."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Endless:
-    """What an upstream sends: a start, and a part again and again until it is reset.
-
-    Attributes:
-        start: Sent once; ``ID`` stands for the id of the request.
-        part: Sent again and again.
-        pause_s: Time between two parts, in seconds; as fast as the connection allows if 0.
-    """
-
-    start: bytes
-    part: bytes
-    pause_s: float = 0.0
-
-
-class EndlessUpstream:
-    """Sends endless bytes on each connection.
-
-    Attributes:
-        accepted: Number of connections that got a request.
-        open: Number of those that are not closed by the other side.
-        sent_bytes: Bytes sent.
-    """
-
-    def __init__(self, endless, host="127.0.0.1", port=0):
-        self.accepted = self.open = self.sent_bytes = 0
-        self._endless = endless
-        self._place = host, port
-        self._tasks = []
-
-    async def start(self):
-        self._listener = curio.socket.socket()
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(self._place)
-        self._listener.listen(50)
-        self.address = "{}:{}".format(*self._listener.getsockname())
-        self._tasks.append(await curio.spawn(self._accept, daemon=True))
-
-    async def close(self, within_s=0.0):
-        for task in self._tasks:
-            await task.cancel()
-        await self._listener.close()
-
-    async def _accept(self):
-        while True:
-            sock, _ = await self._listener.accept()
-            self._tasks.append(await curio.spawn(self._serve, sock, daemon=True))
-
-    async def _serve(self, sock):
-        async with sock:
-            if not (request := await sock.recv(65536)):
-                return
-            self.accepted += 1
-            self.open += 1
-            # The end of sending is an error on purpose: only a closed connection brings it about.
-            with contextlib.suppress(OSError):
-                await self._send(sock, request)
-            self.open -= 1
-
-    async def _send(self, sock, request):
-        named = NAMES.attempt_id.lower().encode() + b": "
-        attempt_id = request.partition(named)[2].partition(b"\r\n")[0]
-        await sock.sendall(self._endless.start.replace(b"ID", attempt_id))
-        part = self._endless.part
-        if not self._endless.pause_s:
-            part *= FAST_BYTES // len(part)
-        while True:
-            await sock.sendall(part)
-            self.sent_bytes += len(part)
-            await curio.sleep(self._endless.pause_s)
-
-
-def head(status, *lines):
-    named = f"{NAMES.attempt_id}: ID", *lines
-    return "\r\n".join((f"HTTP/1.1 {status} x", *named, "", "")).encode()
-
-
 async def add_endless(deployment, endless, **announced):
     """Add an upstream that announces itself and sends endless bytes."""
     number = len(deployment.upstreams) + 1
     place = f"{deployment.network}.{100 + number}", routed_harness.UPSTREAM_PORT
     upstream = routed_harness.Upstream(deployment, number, None, announced)
-    upstream._server = EndlessUpstream(endless, *place)
+    upstream._server = endless_upstream.EndlessUpstream(endless, *place)
     deployment.upstreams.append(upstream)
     await upstream.start()
     return upstream._server
@@ -138,10 +59,18 @@
 
 MARKED = f"{NAMES.not_executed}: 1"
 REJECTIONS = {
-    "chunked": Endless(head(503, MARKED, "transfer-encoding: chunked"), b"1\r\nx\r\n"),
-    "length": Endless(head(503, MARKED, "content-length: 9999999999"), b"x"),
-    "close": Endless(head(503, MARKED, "connection: close"), b"x"),
-    "trailers": Endless(head(503, MARKED, "transfer-encoding: chunked") + b"0\r\n", b"a: b\r\n"),
+    "chunked": endless_upstream.Endless(
+        endless_upstream.head(503, MARKED, "transfer-encoding: chunked"), b"1\r\nx\r\n"
+    ),
+    "length": endless_upstream.Endless(
+        endless_upstream.head(503, MARKED, "content-length: 9999999999"), b"x"
+    ),
+    "close": endless_upstream.Endless(
+        endless_upstream.head(503, MARKED, "connection: close"), b"x"
+    ),
+    "trailers": endless_upstream.Endless(
+        endless_upstream.head(503, MARKED, "transfer-encoding: chunked") + b"0\r\n", b"a: b\r\n"
+    ),
 }
 
 
@@ -158,14 +87,10 @@
     routed_harness.run(tmp_path, main)
 
 
-STREAM = head(200, "content-type: text/event-stream", "transfer-encoding: chunked")
+STREAM = endless_upstream.head(200, "content-type: text/event-stream", "transfer-encoding: chunked")
 EVENT = b"id: 1\ndata: a\n\n"
 
 
-def chunk(data):
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 async def answer_events(exchange):
     """Answer with two events, or with the second one if the first is known."""
     media = {"content-type": "text/event-stream"}
@@ -190,10 +115,10 @@
 def test_a_stream_without_events_goes_on_at_another_upstream(tmp_path, stream, before):
     async def main(deployment):
         part = STREAMS[stream]
-        start = STREAM + (chunk(before) if before else b"")
+        start = STREAM + (endless_upstream.chunk(before) if before else b"")
         if stream == "event":
-            start += chunk(b"id: 2\ndata: ")
-        endless = Endless(start, chunk(part), DRIP_S)
+            start += endless_upstream.chunk(b"id: 2\ndata: ")
+        endless = endless_upstream.Endless(start, endless_upstream.chunk(part), DRIP_S)
         outcomes = await play(deployment, endless, answer=answer_events, slots=1, **RESUMABLE)
         for status, body, took_s in outcomes:
             events = body.replace(b": c\n\n", b"").replace(b": c\n", b"")
@@ -207,8 +132,8 @@
 @pytest.mark.parametrize("stream", STREAMS)
 def test_a_fast_stream_without_events_costs_an_attempt_at_most(tmp_path, stream):
     async def main(deployment):
-        start = STREAM + (chunk(b"id: 1\ndata: ") if stream == "event" else b"")
-        endless = Endless(start, chunk(STREAMS[stream] * 4096))
+        start = STREAM + (endless_upstream.chunk(b"id: 1\ndata: ") if stream == "event" else b"")
+        endless = endless_upstream.Endless(start, endless_upstream.chunk(STREAMS[stream] * 4096))
         outcomes = await play(deployment, endless, answer=answer_events, slots=1, **RESUMABLE)
         # An event that was passed on in part can't be resumed.
         lost = [body for _, body, _ in outcomes if body != EVENT + b"id: 2\ndata: b\n\n"]
@@ -219,10 +144,10 @@
 
 
 HEADS = {
-    "status line": Endless(b"HTTP/1.1 200 ", b"x", DRIP_S),
-    "headers": Endless(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n", DRIP_S),
-    "noise": Endless(b"", b"n", DRIP_S),
-    "interim responses": Endless(b"", b"HTTP/1.1 102 x\r\n\r\n", 0.4),
+    "status line": endless_upstream.Endless(b"HTTP/1.1 200 ", b"x", DRIP_S),
+    "headers": endless_upstream.Endless(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n", DRIP_S),
+    "noise": endless_upstream.Endless(b"", b"n", DRIP_S),
+    "interim responses": endless_upstream.Endless(b"", b"HTTP/1.1 102 x\r\n\r\n", 0.4),
 }
 
 
@@ -243,8 +168,8 @@
 @pytest.mark.parametrize("framing", ["content-length: 9999999999", "transfer-encoding: chunked"])
 def test_a_fast_body_costs_an_attempt(tmp_path, status, framing):
     async def main(deployment):
-        part = chunk(b"x" * 32000) if "chunked" in framing else b"x"
-        endless = Endless(head(status, framing), part)
+        part = endless_upstream.chunk(b"x" * 32000) if "chunked" in framing else b"x"
+        endless = endless_upstream.Endless(endless_upstream.head(status, framing), part)
         outcomes = await play(deployment, endless, slots=1, kind="safe", max_attempts=2)
         assert [status for status, _, _ in outcomes] == [200] * CALLERS
         assert max(took_s for _, _, took_s in outcomes) < 2 * SOON_S
--- a/tests/routed/test_foreign_responses.py
+++ b/tests/routed/test_foreign_responses.py
@@ -8,7 +8,6 @@
 import contextlib
 import dataclasses
 import random
-import socket
 
 import curio
 import h11
@@ -21,7 +20,7 @@
 from medlarfork.http import http_client
 from medlarfork.placement import placement_messages
 from tests import curio_world
-from tests.routed import routed_harness
+from tests.routed import raw_server, routed_harness
 from tests.routed.routed_harness import NAMES
 
 NOT_RUN_STATUSES = {408, 421, 429, 503}
@@ -98,7 +97,7 @@
     fault: str = ""
 
 
-class RawUpstream:
+class RawUpstream(raw_server.RawServer):
     """Serves connections without a server's sense of order; ``choose`` returns the next reply.
 
     Attributes:
@@ -109,35 +108,15 @@
     """
 
     def __init__(self, choose, host="127.0.0.1", port=0, retry_after=""):
+        super().__init__(host, port)
         self.runs = collections.Counter()
         self.ran = set()
         self.accepted = self.extras = 0
         self._choose = choose
         self._retry_after = retry_after
-        self._place = host, port
-        self._tasks = []
-
-    async def start(self):
-        self._listener = curio.socket.socket()
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(self._place)
-        self._listener.listen(50)
-        self.address = "{}:{}".format(*self._listener.getsockname())
-        self._tasks.append(await curio.spawn(self._accept, daemon=True))
-
-    async def close(self, within_s=0.0):
-        for task in self._tasks:
-            await task.cancel()
-        await self._listener.close()
-
-    async def _accept(self):
-        while True:
-            sock, _ = await self._listener.accept()
-            self.accepted += 1
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._tasks.append(await curio.spawn(self._serve, sock, daemon=True))
 
     async def _serve(self, sock):
+        self.accepted += 1
         older_ids = []
         with contextlib.suppress(OSError):
             async with sock:
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -1,9 +1,6 @@
 """Peers that send bytes without end: to the HTTP client as fast as they can, and to the server."""
 
 import contextlib
-import socket
-import sys
-import threading
 import time
 
 import curio
@@ -15,9 +12,10 @@
 from medlarfork.http import http_client, http_server
 from medlarfork.orders import order_types
 from medlarfork.standin import announcer
-from tests import curio_world
+from tests import curio_world, endless_peers
+
+pytestmark = pytest.mark.usefixtures("frequent_switches")
 
-BLOCK_BYTES = 256 * 1024
 EXCHANGE_S, HEAD_S = 1.2, 0.2
 SWEEP_S = 0.75
 """Most time by which a limit may be exceeded, in seconds: the period of the checks, and some."""
@@ -26,36 +24,6 @@
 """How much processor time may pass before a task that has nothing to wait for runs, in seconds."""
 
 
-@pytest.fixture(autouse=True)
-def frequent_switches():
-    """Let the threads of the peers take turns with the tested one as processes would."""
-    interval_s = sys.getswitchinterval()
-    sys.setswitchinterval(0.0002)
-    yield
-    sys.setswitchinterval(interval_s)
-
-
-class Flood(threading.Thread):
-    """Accepts one connection, and sends as fast as it can until that one is closed.
-
-    A thread sends as a process of its own would, which is never short of bytes.
-    """
-
-    def __init__(self, start, part):
-        super().__init__(daemon=True)
-        self._start, self._part = start, part * (BLOCK_BYTES // len(part))
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"http://127.0.0.1:{self._listener.getsockname()[1]}"
-
-    def run(self):
-        sock, _ = self._listener.accept()
-        with self._listener, sock, contextlib.suppress(OSError):
-            sock.recv(65536)
-            sock.sendall(self._start)
-            while True:
-                sock.sendall(self._part)
-
-
 @contextlib.asynccontextmanager
 async def short_waits():
     """Check that no task is kept from running for long.
@@ -76,7 +44,6 @@
     assert max(waits, default=0.0) < LONG_S
 
 
-CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 FLOODS = {
     "noise": (b"", b"\x16\x03noise"),
     "empty lines": (b"", b"\r\n"),
@@ -85,11 +52,11 @@
     "header": (b"HTTP/1.1 200 OK\r\na: ", b"b"),
     "length": (b"HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n", b"x"),
     "until the close": (b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", b"x"),
-    "chunk": (CHUNKED + b"fffffffff\r\n", b"x"),
-    "small chunks": (CHUNKED, b"1\r\nx\r\n"),
-    "chunk extension": (CHUNKED + b"1;", b"x"),
-    "chunk extensions": (CHUNKED, b"1;" + b"x" * 9000 + b"\r\ny\r\n"),
-    "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n"),
+    "chunk": (endless_peers.CHUNKED + b"fffffffff\r\n", b"x"),
+    "small chunks": (endless_peers.CHUNKED, b"1\r\nx\r\n"),
+    "chunk extension": (endless_peers.CHUNKED + b"1;", b"x"),
+    "chunk extensions": (endless_peers.CHUNKED, b"1;" + b"x" * 9000 + b"\r\ny\r\n"),
+    "trailers": (endless_peers.CHUNKED + b"0\r\n", b"a: b\r\n"),
 }
 AFTER_END = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", b"x"
 
@@ -98,7 +65,7 @@
 @pytest.mark.parametrize("flood", FLOODS)
 def test_the_client_closes_a_flood_at_once(flood):
     async def main():
-        upstream = Flood(*FLOODS[flood])
+        upstream = endless_peers.Flood(*FLOODS[flood])
         upstream.start()
         client = http_client.HttpClient(limits=http_client.ClientLimits(body_bytes=1 << 20))
         await client.start()
@@ -116,7 +83,7 @@
 
 def test_the_client_closes_a_flood_behind_a_response():
     async def main():
-        upstream = Flood(*AFTER_END)
+        upstream = endless_peers.Flood(*AFTER_END)
         upstream.start()
         client = http_client.HttpClient()
         await client.start()
@@ -130,23 +97,6 @@
     curio_world.run(main)
 
 
-class Drip(Flood):
-    """Sends one part after the other, with a pause, until the connection is closed."""
-
-    def __init__(self, start, part):
-        super().__init__(start, part)
-        self._part = part
-
-    def run(self):
-        sock, _ = self._listener.accept()
-        with self._listener, sock, contextlib.suppress(OSError):
-            sock.recv(65536)
-            sock.sendall(self._start)
-            while True:
-                sock.sendall(self._part)
-                time.sleep(0.01)
-
-
 DRIPS = {name: FLOODS[name] for name in FLOODS if name not in ("noise", "empty lines")}
 
 
@@ -154,7 +104,7 @@
 @pytest.mark.parametrize("drip", DRIPS)
 def test_the_client_closes_a_drip_in_time(drip):
     async def main():
-        upstream = Drip(DRIPS[drip][0], DRIPS[drip][1][:16])
+        upstream = endless_peers.Drip(DRIPS[drip][0], DRIPS[drip][1][:16])
         upstream.start()
         client = http_client.HttpClient(limits=http_client.ClientLimits(head_s=HEAD_S))
         await client.start()
@@ -186,37 +136,6 @@
 }
 
 
-class Caller(threading.Thread):
-    """Sends one request without end, and keeps the status of its response.
-
-    Attributes:
-        status: The status; 0 for none.
-    """
-
-    def __init__(self, address, start, part, pause_s):
-        super().__init__(daemon=True)
-        self.status = 0
-        self._address = "127.0.0.1", int(address.rpartition(":")[2])
-        self._start, self._pause_s = start, pause_s
-        self._part = part[:16] if pause_s else part * (BLOCK_BYTES // len(part))
-
-    def run(self):
-        with socket.create_connection(self._address) as sock:
-            reading = threading.Thread(target=self._read, args=(sock,), daemon=True)
-            reading.start()
-            with contextlib.suppress(OSError):
-                sock.sendall(self._start)
-                while True:
-                    sock.sendall(self._part)
-                    time.sleep(self._pause_s)
-            reading.join()
-
-    def _read(self, sock):
-        with contextlib.suppress(OSError):
-            answer = sock.recv(65536)
-            self.status = int(answer.split()[1]) if answer else 0
-
-
 async def read_body(exchange):
     await exchange.read_body()
     await exchange.respond(200, {}, b"")
@@ -234,7 +153,7 @@
         server = http_server.HttpServer(read_body, host="127.0.0.1", port=0, limits=limits)
         await server.start()
         start, part, status = REQUESTS[name]
-        caller = Caller(server.address, start, part, pause_s)
+        caller = endless_peers.Caller(server.address, start, part, pause_s)
         began_at = time.monotonic()
         async with short_waits():
             caller.start()
@@ -289,13 +208,13 @@
 
 
 # Guards against: a call to another program that holds its caller, or all memory, without end.
-@pytest.mark.parametrize("peer", [Flood, Drip])
+@pytest.mark.parametrize("peer", [endless_peers.Flood, endless_peers.Drip])
 @pytest.mark.parametrize("ask", [call_platform, announce, read_engine])
 def test_a_call_to_another_program_ends(ask, peer, monkeypatch):
     monkeypatch.setattr(platform_caller, "CALL_TIMEOUT_S", EXCHANGE_S)
 
     async def main():
-        upstream = peer(CHUNKED + b"fffffffff\r\n", b"x")
+        upstream = peer(endless_peers.CHUNKED + b"fffffffff\r\n", b"x")
         upstream.start()
         began_at = time.monotonic()
         await ask(upstream.address)
