Bound the head of a relay host's response by one second

Callers of an entry host that is cut off waited for a relay host that sent a head without end: 5 s for each head, and as long for each of eight interim responses. A request with a shorter deadline was lost, though another relay host could serve it.

Cause: the client of relay hosts had the limits for upstreams, which may compute while they send interim responses. An entry host sends its head in one piece and no interim responses.

Change: connections to relay hosts allow 1 s for a head from its first byte, and no interim response. ClientLimits states how many interim responses are accepted; upstreams keep 8. Until now the eighth one failed the exchange already, now the ninth does.

--- a/src/medlarfork/gateway/relay_client.py
+++ b/src/medlarfork/gateway/relay_client.py
@@ -19,8 +19,16 @@
 from medlarfork.placement import placement_messages
 from medlarfork.resumption import stream_origin
 
-LIMITS = http_client.ClientLimits(connections=1024, connect_s=0.3, idle_s=5.0, unacknowledged_s=4.0)
-"""Limits of connections to relay hosts, which are mostly in the same data centre."""
+LIMITS = http_client.ClientLimits(
+    connections=1024,
+    connect_s=0.3,
+    idle_s=5.0,
+    head_s=1.0,
+    interim_responses=0,
+    unacknowledged_s=4.0,
+)
+"""Limits of connections to relay hosts, which are mostly in the same data centre, send each head in
+one piece, and send no interim responses."""
 
 HOSTS_WAIT_S = 0.1
 """How long a request waits for the first list of relay hosts, in seconds: a round trip to a replica
--- a/src/medlarfork/http/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -40,6 +40,7 @@
         exchange_s: Timeout to the end of a response for requests without their own, in seconds.
         header_bytes: Maximum size of a response head.
         head_s: Timeout for a response head, from its first byte, in seconds.
+        interim_responses: Maximum number of interim (1xx) responses before the final one.
         body_bytes: Maximum size of a body that ``Response.read`` returns.
         unacknowledged_s: Timeout for unacknowledged data (TCP_USER_TIMEOUT), in seconds; 0 for
             the system's default.
@@ -52,6 +53,7 @@
     exchange_s: float = 600.0
     header_bytes: int = 32 * 1024
     head_s: float = 5.0
+    interim_responses: int = 8
     body_bytes: int = 32 * 1024 * 1024
     unacknowledged_s: float = 0.0
 
@@ -215,6 +217,7 @@
             self,
             header_bytes=self._limits.header_bytes,
             head_s=self._limits.head_s,
+            interim_responses=self._limits.interim_responses,
             body_bytes=self._limits.body_bytes,
         )
         self._open.add(connection)
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -16,9 +16,6 @@
 from medlarfork import errors, timeouts
 from medlarfork.http import _http_framing, _http_messages, _http_stream
 
-_MAX_INFORMATIONAL = 8
-"""Informational (1xx) responses accepted before the final one."""
-
 _MAX_DISCARDED_BYTES = 16 * 1024
 """Maximum size of an unneeded body that is read to keep its connection, in bytes: more costs more
 than a new connection."""
@@ -95,7 +92,8 @@
         "_framing",
         "_h11",
         "_head_s",
-        "_informational",
+        "_interim_left",
+        "_interim_responses",
         "_is_sent",
         "_last_id",
         "_may_skip",
@@ -119,6 +117,7 @@
         header_bytes: int,
         body_bytes: int,
         head_s: float = math.inf,
+        interim_responses: int = 0,
     ) -> None:
         """Wrap an open stream (see ``ClientLimits`` for the limits)."""
         self.address = address
@@ -132,12 +131,12 @@
         self._broken = False
         self._deadline_at = math.inf
         self._head_s = head_s
+        self._interim_responses = self._interim_left = interim_responses
         self._is_sent = True
         self._last_id = ""
         self._earlier_ids: collections.deque[str] = collections.deque(maxlen=_MAX_EARLIER_IDS)
         self._may_skip = True
         self._failed_ids: tuple[str, ...] = ()
-        self._informational = 0
         self._framing = _http_framing.FramingBudget()
         self._needs_data = True  # Whether h11 needs more bytes before its next event.
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
@@ -185,7 +184,7 @@
         # The length that a response to HEAD states is not that of its body.
         self._may_skip = self._may_skip and head.method != b"HEAD"
         self._begin_send(data)
-        self._informational = 0
+        self._interim_left = self._interim_responses
         self._framing.restart()
         self._needs_data = True
         if silence is None:
@@ -362,16 +361,17 @@
             self._broken = True  # The upstream may have responded before reading everything.
 
     async def _read_head(self) -> h11.Response:
-        while self._informational < _MAX_INFORMATIONAL:
+        while True:
             event = await self.next_event(self._limit_head)
             self._check_is_one_head(event)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self.failure("connection closed before a response")
-            self._informational += 1
+            if not self._interim_left:
+                raise self.failure("too many interim responses")
+            self._interim_left -= 1
             self.stream.deadline_at = self._deadline_at
-        raise self.failure("too many informational responses")
 
     def _check_is_one_head(self, event: h11.Event) -> None:
         """Refuse a head that joins a response that was cut off to the one behind it."""
--- /dev/null
+++ b/tests/routed/test_endless_relay_hosts.py
@@ -0,0 +1,110 @@
+"""Relay hosts that send bytes without end to the host that has forwarded a request to them."""
+
+import contextlib
+import dataclasses
+import time
+
+import curio
+import pytest
+
+from medlarfork import errors
+from tests import curio_world
+from tests.routed import endless_upstream, partition, routed_harness, test_cut_off_hosts
+
+NAMES = routed_harness.NAMES
+DRIP_S = 0.05
+SOON_S = 1.0
+MAX_SENT_BYTES = 64 << 20
+"""More than an attempt may read, and the system may buffer."""
+
+
+async def start(deployment, answer=routed_harness.answer_plainly, **route):
+    """Cut a host off; it forwards to the second one."""
+    await deployment.start_entry(test_cut_off_hosts.OTHER)
+    await deployment.add_upstream(answer, slots=16)
+    await deployment.put_routing(**{"timeout_ms": 8000, "max_attempts": 2} | route)
+    await deployment.until_upstreams(1)
+    await test_cut_off_hosts.cut_off(deployment, partition.Partition(deployment.entry))
+    await test_cut_off_hosts.until_idle(deployment)
+
+
+async def play(deployment, endless_by_name):
+    """Forward a request to one endless relay host each; return what became of them."""
+    hosts = [endless_upstream.EndlessUpstream(endless) for endless in endless_by_name.values()]
+    async with contextlib.AsyncExitStack() as stack:
+        for host in hosts:
+            await host.start()
+            stack.push_async_callback(host.close)
+        relaying = deployment.entry._relaying
+        sound = deployment.entries[1]._settings.relay
+        unused = [host.address for host in hosts]
+        relaying._addresses = (*unused, sound)
+        relaying._random.choice = lambda usable: unused.pop(0) if unused else sound
+        outcomes = {}
+        async with curio.TaskGroup() as group:
+            for name in endless_by_name:
+                await group.spawn(call, deployment, name, outcomes)
+        assert [host.accepted for host in hosts] == [1] * len(hosts)
+        await curio_world.until(lambda: not any(host.open for host in hosts))
+        assert max(host.sent_bytes for host in hosts) < MAX_SENT_BYTES
+        return outcomes
+
+
+async def call(deployment, name, outcomes):
+    """Record the status and the body of a request, and the time that it took."""
+    began_at = time.monotonic()
+    response = await deployment.call(**{NAMES.attempt_id: f"a-{name}"})
+    body = b""
+    with contextlib.suppress(errors.UpstreamError):
+        body = await response.read()
+    outcomes[name] = response.status, body, time.monotonic() - began_at
+
+
+head, Endless = endless_upstream.head, endless_upstream.Endless
+
+HEADS = {
+    "status line": Endless(b"HTTP/1.1 200 ", b"x"),
+    "headers": Endless(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+    "noise": Endless(b"", b"n"),
+    "interim responses": Endless(b"", b"HTTP/1.1 102 x\r\n\r\n"),
+}
+SLOW_INTERIM = Endless(b"", b"HTTP/1.1 102 x\r\n\r\n", 0.6)
+OWN = f"{NAMES.own_answer}: 1"
+FRAMINGS = {
+    "length": ("content-length: 30000000", b"x"),
+    "chunks": ("transfer-encoding: chunked", b"1\r\nx\r\n"),
+    "close": ("connection: close", b"x"),
+}
+REFUSALS = {name: Endless(head(503, OWN, line), part) for name, (line, part) in FRAMINGS.items()}
+BODIES = {name: Endless(head(200, line), part) for name, (line, part) in FRAMINGS.items()}
+FAST_BODIES = BODIES | {"length": Endless(head(200, "content-length: 9999999999"), b"x")}
+
+
+def slowed(endless_by_name):
+    return {
+        name: dataclasses.replace(endless, pause_s=endless.pause_s or DRIP_S)
+        for name, endless in endless_by_name.items()
+    }
+
+
+# Guards against: a request that one endless relay host held, though another one could serve it.
+@pytest.mark.parametrize(
+    "kind, endless_by_name",
+    [
+        ("safe", HEADS),
+        ("safe", slowed(HEADS | {"slow interim responses": SLOW_INTERIM})),
+        ("unsafe", REFUSALS | slowed({f"slow {name}": REFUSALS[name] for name in REFUSALS})),
+        ("safe", FAST_BODIES),
+    ],
+    ids=["heads", "slow heads", "refusals", "bodies"],
+)
+def test_an_endless_relay_host_costs_an_attempt(tmp_path, kind, endless_by_name):
+    async def main(deployment):
+        await start(deployment, kind=kind)
+        outcomes = await play(deployment, endless_by_name)
+        assert {name: outcome[:2] for name, outcome in outcomes.items()} == dict.fromkeys(
+            endless_by_name, (200, b"done")
+        )
+        assert max(took_s for _, _, took_s in outcomes.values()) < 2.5
+
+    routed_harness.run(tmp_path, main)
