Try another relay host if a body drips from one

Callers of an entry host that is cut off waited until their deadline for a relay host that sent the body of a plain answer without end, a byte at a time, though another relay host could serve them.

Cause: the forwarding host set no limit but the deadline. For upstreams that is left so, since a body that drips may be a slow true answer; but an entry host passes a plain answer on only once it has all of it, so a relay host that drips is faulty.

Other requests wait until their deadline as before.

Evidence: test_endless_relay_hosts.py[slow bodies] failed before with three answers of 504 (length, chunked, until the close) and passes now within 2.5 s each. A slow answer to a request that may not be sent again, or that no other host may run, is still delivered: that test fails if the pace holds for all.

--- a/src/medlarfork/gateway/request_forwarder.py
+++ b/src/medlarfork/gateway/request_forwarder.py
@@ -21,6 +21,10 @@
 from medlarfork.placement import placement_messages
 from medlarfork.resumption import stream_origin
 
+BODY_PACE = http_client.Pace(grace_s=1.0, bytes_per_s=64 * 1024)
+"""How fast a relay host has to send a body if another one may get the request: it sends one only
+once it is complete, and the slowest link between data centres carries several times as much."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
@@ -134,7 +138,15 @@
         if progress.response_started:
             await response.discard()
             raise upstream_call.not_resumed(response.status)
-        body = await self._stream.read_whole(response)
+        pace = BODY_PACE if await self._may_retry(progress) else None
+        body = await self._stream.read_whole(response, pace)
         took_s = time.monotonic() - self._admitted.started_at
         self._trace.first_event_ms = took_s * 1000.0
         await self._final.pass_on(response, body)
+
+    async def _may_retry(self, progress: retry_policy.Progress) -> bool:
+        """Return whether another relay host may get the request, should this one fail."""
+        after = progress.after(placement_messages.RunEnd.BROKEN)
+        left_ms = (self._admitted.deadline_at - time.monotonic()) * 1000.0
+        may_repeat = retry_policy.may_retry(self._admitted.route, after, left_ms)
+        return may_repeat and bool(await self._shared.relaying.choose(self._trace.relays))
--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -383,17 +383,23 @@
         """End the writing task, and release what is held."""
         await self._buffer.close()
 
-    async def read_whole(self, response: http_client.Response) -> bytes:
+    async def read_whole(
+        self, response: http_client.Response, pace: http_client.Pace | None = None
+    ) -> bytes:
         """Return the body of a response, which counts as held until ``close``.
 
+        Args:
+            response: The response.
+            pace: How fast its body has to arrive; None for any pace.
+
         Raises:
-            errors.UpstreamError: The body is truncated or too large.
+            errors.UpstreamError: The body is truncated, too large or too slow.
         """
         if self._budget is None:
-            return await response.read()
+            return await response.read(pace=pace)
         budget, buffer = self._budget, self._buffer
         try:
-            return await response.read(lambda size: budget.hold(buffer, size))
+            return await response.read(lambda size: budget.hold(buffer, size), pace=pace)
         except errors.UpstreamError:
             await buffer.close()
             raise
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -70,6 +70,19 @@
     on_silence: Callable[[ReadHead], Awaitable[h11.Response | None]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast a body has to arrive.
+
+    Attributes:
+        grace_s: Time from the first read on in which nothing has to arrive, in seconds.
+        bytes_per_s: Least bytes per second after that, on average.
+    """
+
+    grace_s: float
+    bytes_per_s: float
+
+
 class ClientConnection:
     """Client connection to one upstream; carries one exchange at a time.
 
@@ -312,6 +325,10 @@
         length = _http_framing.declared_bytes(head, response, headers)
         return Response(self, response.status_code, headers, framing, length)
 
+    def limit_body(self, until: float) -> None:
+        """Time the exchange out at a monotonic time in seconds, if that is before its deadline."""
+        self.stream.deadline_at = min(self._deadline_at, until)
+
     def failure(self, why: str) -> errors.UpstreamError:
         """Return the error for an exchange that failed after its request was sent."""
         return errors.UpstreamError(
@@ -463,19 +480,28 @@
         """Return the number of its exchange on its connection; the first one is 1."""
         return self._connection.exchanges
 
-    async def read(self, on_part: Callable[[int], None] | None = None) -> bytes:
+    async def read(
+        self, on_part: Callable[[int], None] | None = None, *, pace: Pace | None = None
+    ) -> bytes:
         """Return the complete body.
 
         Args:
             on_part: Called with the size of each part that has arrived, in bytes.
+            pace: How fast it has to arrive; None for any pace.
 
         Raises:
-            errors.UpstreamError: If the body is truncated or exceeds the size limit.
+            errors.UpstreamError: If the body is truncated, too slow, or exceeds the size limit.
         """
         parts: list[bytes] = []
         size = 0
         await self._check_size(self._declared_bytes)
-        while part := await self.next_chunk():
+        began_at = time.monotonic()
+        while True:
+            if pace is not None:
+                until = began_at + pace.grace_s + size / pace.bytes_per_s
+                self._connection.limit_body(until)
+            if not (part := await self.next_chunk()):
+                break
             parts.append(part)
             size += len(part)
             if on_part is not None:
--- a/src/medlarfork/http/http_client.py
+++ b/src/medlarfork/http/http_client.py
@@ -13,6 +13,7 @@
 
 Response = _http_response.Response
 ClientLimits = _http_pool.ClientLimits
+Pace = _http_response.Pace
 ReadHead = _http_response.ReadHead
 SilenceWatch = _http_response.SilenceWatch
 Reachability = _http_pool.Reachability
--- a/tests/routed/test_endless_relay_hosts.py
+++ b/tests/routed/test_endless_relay_hosts.py
@@ -9,7 +9,13 @@
 
 from medlarfork import errors
 from tests import curio_world
-from tests.routed import endless_upstream, partition, routed_harness, test_cut_off_hosts
+from tests.routed import (
+    endless_upstream,
+    partition,
+    raw_server,
+    routed_harness,
+    test_cut_off_hosts,
+)
 
 NAMES = routed_harness.NAMES
 DRIP_S = 0.05
@@ -26,6 +32,12 @@
     await deployment.until_upstreams(1)
     await test_cut_off_hosts.cut_off(deployment, partition.Partition(deployment.entry))
     await test_cut_off_hosts.until_idle(deployment)
+    # Replicas name the sound host again from time to time.
+    deployment.entry._relaying.use_hosts = ignore
+
+
+async def ignore(addresses):
+    pass
 
 
 async def play(deployment, endless_by_name):
@@ -95,8 +107,9 @@
         ("safe", slowed(HEADS | {"slow interim responses": SLOW_INTERIM})),
         ("unsafe", REFUSALS | slowed({f"slow {name}": REFUSALS[name] for name in REFUSALS})),
         ("safe", FAST_BODIES),
+        ("safe", slowed(BODIES)),
     ],
-    ids=["heads", "slow heads", "refusals", "bodies"],
+    ids=["heads", "slow heads", "refusals", "bodies", "slow bodies"],
 )
 def test_an_endless_relay_host_costs_an_attempt(tmp_path, kind, endless_by_name):
     async def main(deployment):
@@ -108,3 +121,33 @@
         assert max(took_s for _, _, took_s in outcomes.values()) < 2.5
 
     routed_harness.run(tmp_path, main)
+
+
+class SlowHost(raw_server.RawServer):
+    """Answers one request with a body that takes longer than a relay host usually does."""
+
+    async def _serve(self, sock):
+        async with sock:
+            await sock.recv(65536)
+            await sock.sendall(head(200, "content-length: 4"))
+            for part in (b"d", b"o", b"n", b"e"):
+                await sock.sendall(part)
+                await curio.sleep(0.4)
+
+
+# Guards against: an answer cut off for its pace, though its request can't be sent again.
+@pytest.mark.parametrize("kind, has_other", [("unsafe", True), ("safe", False)])
+def test_a_slow_answer_is_delivered_if_no_other_host_may_run_the_request(tmp_path, kind, has_other):
+    async def main(deployment):
+        await start(deployment, kind=kind)
+        slow = SlowHost()
+        await slow.start()
+        relaying = deployment.entry._relaying
+        relaying._addresses = (slow.address, "127.0.0.1:1")[: 1 + has_other]
+        relaying._random.choice = lambda usable: usable[0]
+        outcomes = {}
+        await call(deployment, "slow", outcomes)
+        await slow.close()
+        assert outcomes["slow"][:2] == (200, b"done")
+
+    routed_harness.run(tmp_path, main)
