Test endless answers to operators' commands and probes

An operator's command goes on at the next replica, or ends with a clear error, if a replica answers without end (a head, interim responses, a body; fast and dripped). A probed connection that brings bytes is closed and carries no request. The endless caller gives up at 64 MiB, which no test of it reaches.

--- a/tests/endless_peers.py
+++ b/tests/endless_peers.py
@@ -9,6 +9,9 @@
 import time
 
 BLOCK_BYTES = 256 * 1024
+MAX_SENT_BYTES = 64 << 20
+"""More than a reader may read of a message, and the system may buffer."""
+
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
@@ -57,6 +60,8 @@
 class Caller(threading.Thread):
     """Sends one request without end, and keeps the status of its response.
 
+    It gives up at ``MAX_SENT_BYTES``, which spares the memory of this machine.
+
     Attributes:
         status: The status; 0 for none.
         sent_bytes: Bytes sent.
@@ -76,7 +81,7 @@
             reading.start()
             with contextlib.suppress(OSError):
                 sock.sendall(self._start)
-                while True:
+                while self.sent_bytes < MAX_SENT_BYTES:
                     sock.sendall(self._part)
                     self.sent_bytes += len(self._part)
                     time.sleep(self._pause_s)
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -4,12 +4,14 @@
 import time
 
 import curio
+import msgspec
 import pytest
 
 from medlarfork import errors
 from medlarfork.control import _order_sender
 from medlarfork.duties import duty_types, platform_caller, platform_format
 from medlarfork.http import http_client, http_server
+from medlarfork.operator import operations, operator_client
 from medlarfork.orders import order_types
 from medlarfork.standin import announcer
 from tests import curio_world, endless_peers
@@ -223,3 +225,59 @@
         assert not upstream.is_alive()
 
     curio_world.run(main)
+
+
+REPLIES = {
+    "head": (b"HTTP/1.1 200 OK\r\na: ", b"b"),
+    "interim responses": (b"", b"HTTP/1.1 103 x\r\n\r\n"),
+    "body": (endless_peers.CHUNKED + b"fffffffff\r\n", b"x"),
+}
+
+
+async def answer_history(exchange):
+    reply = operations.HistoryReply(changes=())
+    await exchange.respond(200, {}, msgspec.json.encode(reply))
+
+
+# Guards against: an operator's command held by a replica that answers without end.
+@pytest.mark.parametrize("peer", [endless_peers.Flood, endless_peers.Drip])
+@pytest.mark.parametrize("reply", REPLIES)
+def test_an_operators_command_goes_on_at_the_next_replica(reply, peer):
+    async def main():
+        first, only = peer(*REPLIES[reply]), peer(*REPLIES[reply])
+        first.start(), only.start()
+        server = http_server.HttpServer(answer_history, host="127.0.0.1", port=0)
+        client = http_client.HttpClient()
+        await server.start(), await client.start()
+        settings = operator_client.ClientSettings((first.address, server.address), request_s=HEAD_S)
+        control = operator_client.OperatorClient(client, settings)
+        began_at = time.monotonic()
+        assert (await control.history()).changes == ()
+        with pytest.raises(errors.UpstreamError):
+            await control.status(only.address)
+        assert time.monotonic() - began_at < 2 * (HEAD_S + SWEEP_S)
+        await client.close(), await server.close(within_s=0.0)
+        for endless in (first, only):
+            await curio.run_in_thread(endless.join, 1.0)
+            assert not endless.is_alive()
+
+    curio_world.run(main)
+
+
+# Guards against: a probe taken for a connection that a request may use, or held without end.
+@pytest.mark.parametrize("peer", [endless_peers.Flood, endless_peers.Drip])
+def test_a_probed_connection_that_brings_bytes_carries_no_request(peer):
+    async def main():
+        upstream = peer(b"", b"HTTP/1.1 200 OK\r\n", waits=False)
+        upstream.start()
+        limits = http_client.ClientLimits(idle_s=HEAD_S, connect_s=HEAD_S)
+        client = http_client.HttpClient(limits=limits)
+        await client.start()
+        found = await client.reach(upstream.address, within_s=HEAD_S)
+        assert found is http_client.Reachability.ACCEPTS
+        async with short_waits():
+            await curio.run_in_thread(upstream.join, HEAD_S + SWEEP_S)
+        assert not upstream.is_alive() and client.connections == 0
+        await client.close()
+
+    curio_world.run(main)
