Refuse peers of a link that speak no ZMTP 3

A peer that sent bytes of any kind to the port of a link without keys was read without end: HTTP, noise, or one byte again and again. Each was taken for frames of ZMTP 1.0, whose messages the link counted as malformed, and whose endless parts it kept.

Cause: libzmq accepts ZMTP 1.0 and 2.0 on a socket without a domain of ZAP, and ZMTP 1.0 begins with a length that may be any byte. Links with keys were not affected, as CURVE takes ZMTP 3.

Change: all sockets of links have the domain. Nobody answers ZAP requests in the context of a link without keys, and its domain is not enforced, so peers that speak ZMTP 3 connect as before.

--- a/src/medlarfork/links/_link_sockets.py
+++ b/src/medlarfork/links/_link_sockets.py
@@ -13,6 +13,9 @@
 ROUTE_SEPARATOR = b"/"
 """Separates the name and the random part of a routing id."""
 
+_ZAP_DOMAIN = b"medlarfork"
+"""Name of the authentication domain of all links."""
+
 _NONCE_BYTES = 8
 """Size of the random part of a routing id."""
 
@@ -70,9 +73,6 @@
         # Without this, a message to a route that no longer exists would be lost without an error.
         socket.router_mandatory = 1
         if own is not None:
-            from medlarfork.links import _zap
-
-            socket.zap_domain = _zap.ZAP_DOMAIN
             socket.setsockopt(zmq.ZAP_ENFORCE_DOMAIN, 1)
             socket.curve_server = 1
         try:
@@ -107,6 +107,8 @@
     def _open(self, kind: int, own: keys.LinkKeys | None) -> zmq.Socket:
         options = self._options
         socket = self._context.socket(kind)
+        # Without a domain, bytes of any kind are read as frames of ZMTP 1.0, without end.
+        socket.zap_domain = _ZAP_DOMAIN
         socket.linger = _milliseconds(options.linger_s)
         socket.sndhwm = options.queue_limit
         socket.rcvhwm = options.queue_limit
--- a/src/medlarfork/links/_zap.py
+++ b/src/medlarfork/links/_zap.py
@@ -12,9 +12,6 @@
 ZAP_ADDRESS = "inproc://zeromq.zap.01"
 """Address at which ZeroMQ sends requests to the authenticator of a context."""
 
-ZAP_DOMAIN = b"medlarfork"
-"""Name of the authentication domain of all links."""
-
 _VERSION = b"1.0"
 _MECHANISM = b"CURVE"
 _CURVE_FRAMES = 7
