Go on at another relay host if a stream brings no events

Callers of an entry host that is cut off waited until their deadline for a relay host whose stream brought bytes without end that complete no event: comments, or an event that never ends.

Cause: the forwarding host left stalls to the relay host, which fails over itself, and had no limit of its own for a relay host that is faulty.

It goes on there after the last event.

--- a/src/medlarfork/gateway/request_forwarder.py
+++ b/src/medlarfork/gateway/request_forwarder.py
@@ -25,6 +25,10 @@
 """How fast a relay host has to send a body if another one may get the request: it sends one only
 once it is complete, and the slowest link between data centres carries several times as much."""
 
+STALL_FACTOR = 2.0
+"""Stall timeout of a relay host's stream, as a multiple of that of an upstream's: a relay host that
+is sound fails a stalled stream over to another upstream first."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
@@ -130,7 +134,13 @@
     ) -> None:
         self._trace.framing = response.framing.value
         if response.status < 300 and event_framer.can_be_framed(response.headers):
-            await self._stream.relay(response, on_start=on_start)
+            may_retry = await self._may_retry(progress)
+            await self._stream.relay(
+                response,
+                on_start=on_start,
+                stall_timeout_s=functools.partial(self._stall_timeout_s, may_retry=may_retry),
+                on_stall=_fail_stalled,
+            )
             await self._stream.finish()
             self._trace.result = request_types.Result.ANSWERED
             self._trace.status = response.status
@@ -144,9 +154,24 @@
         self._trace.first_event_ms = took_s * 1000.0
         await self._final.pass_on(response, body)
 
+    def _stall_timeout_s(self, *, may_retry: bool) -> float | None:
+        """Return the stall timeout if another relay host may resume the stream."""
+        can_resume = self._stream.can_resume and self._binding.may_go_on
+        if not (may_retry and self._stream.has_bytes and can_resume):
+            return None
+        return STALL_FACTOR * retry_policy.stall_timeout_s(self._admitted.route)
+
     async def _may_retry(self, progress: retry_policy.Progress) -> bool:
         """Return whether another relay host may get the request, should this one fail."""
         after = progress.after(placement_messages.RunEnd.BROKEN)
         left_ms = (self._admitted.deadline_at - time.monotonic()) * 1000.0
         may_repeat = retry_policy.may_retry(self._admitted.route, after, left_ms)
         return may_repeat and bool(await self._shared.relaying.choose(self._trace.relays))
+
+
+async def _fail_stalled(response: http_client.Response) -> stream_relay.Continuation:
+    raise errors.UpstreamError(
+        "The relay host's stream brought no event for long.",
+        remedy="Check the relay host; the stream goes on at another one if it may be resumed.",
+        code=errors.Code.REQUEST_TIMEOUT,
+    )
--- a/tests/routed/test_endless_relay_hosts.py
+++ b/tests/routed/test_endless_relay_hosts.py
@@ -8,6 +8,7 @@
 import pytest
 
 from medlarfork import errors
+from medlarfork.gateway import request_forwarder, retry_policy
 from tests import curio_world
 from tests.routed import (
     endless_upstream,
@@ -15,6 +16,7 @@
     raw_server,
     routed_harness,
     test_cut_off_hosts,
+    test_endless_responses,
 )
 
 NAMES = routed_harness.NAMES
@@ -27,7 +29,7 @@
 async def start(deployment, answer=routed_harness.answer_plainly, **route):
     """Cut a host off; it forwards to the second one."""
     await deployment.start_entry(test_cut_off_hosts.OTHER)
-    await deployment.add_upstream(answer, slots=16)
+    await deployment.add_upstream(answer, slots=16, version="v1")
     await deployment.put_routing(**{"timeout_ms": 8000, "max_attempts": 2} | route)
     await deployment.until_upstreams(1)
     await test_cut_off_hosts.cut_off(deployment, partition.Partition(deployment.entry))
@@ -72,7 +74,8 @@
     outcomes[name] = response.status, body, time.monotonic() - began_at
 
 
-head, Endless = endless_upstream.head, endless_upstream.Endless
+Endless = endless_upstream.Endless
+chunk, head = endless_upstream.chunk, endless_upstream.head
 
 HEADS = {
     "status line": Endless(b"HTTP/1.1 200 ", b"x"),
@@ -151,3 +154,26 @@
         assert outcomes["slow"][:2] == (200, b"done")
 
     routed_harness.run(tmp_path, main)
+
+
+# Guards against: a stream that a relay host held to its deadline by bytes that complete no event.
+def test_a_relay_hosts_stream_without_events_goes_on_at_another_one(tmp_path):
+    async def main(deployment):
+        await start(
+            deployment, test_endless_responses.answer_events, **test_endless_responses.RESUMABLE
+        )
+        origin = f"{NAMES.origin}: engines/v1"
+        media = "content-type: text/event-stream", "transfer-encoding: chunked"
+        start_bytes = head(200, origin, *media) + chunk(test_endless_responses.EVENT)
+        streams = {
+            name: Endless(start_bytes, chunk(part), DRIP_S)
+            for name, part in test_endless_responses.STREAMS.items()
+        }
+        outcomes = await play(deployment, streams)
+        for status, body, took_s in outcomes.values():
+            events = body.replace(b": c\n\n", b"").replace(b": c\n", b"")
+            assert (status, events) == (200, test_endless_responses.EVENT + b"id: 2\ndata: b\n\n")
+            limit_s = request_forwarder.STALL_FACTOR * retry_policy.MIN_STALL_TIMEOUT_S
+            assert took_s < limit_s + SOON_S
+
+    routed_harness.run(tmp_path, main)
