Ask a silent replica for a trial again before refusing it

Callers saw 503 with a retry delay of 1 s, which is true (nothing ran), for a request that needs a trial whenever the replica that owns its shard said nothing for 0.15 s, though the replica went on a moment later or would have been passed over after half a second.

Cause: a host places other requests by itself then, and a trial must not be; it was refused at the first missed reply instead of asking again.

Now the request is sent again, under the same ticket, which owners answer as before, for at most 1.5 s; a replica that counts as lost meanwhile is passed over, and the next one is asked.

Evidence: the three new cases of test_owner_client.py failed before (refused after 0.15 s) and pass; trial_manager, suspect_requests, crash_tracker, crashing_parts, quick_start and layers passed.

--- a/src/medlarfork/gateway/owner_client.py
+++ b/src/medlarfork/gateway/owner_client.py
@@ -312,8 +312,7 @@
                 self._withdraw(ticket)
                 ticket.try_other_shard(0.0)
                 continue
-            if self._session.is_unresponsive(owner_id, _now()):
-                self._skip_owner(owner_id, "silent")
+            if self._may_ask_again(ticket, owner_id):
                 continue
             if ticket.request.trial_key:
                 return self._refuse_trial(ticket)
@@ -333,6 +332,13 @@
         ticket.owner_generation = self._owner_generation
         return True
 
+    def _may_ask_again(self, ticket: placement_ticket.Ticket, owner_id: str) -> bool:
+        """Return whether to ask an owner that did not reply again, or the one that replaces it."""
+        if self._session.is_unresponsive(owner_id, _now()):
+            self._skip_owner(owner_id, "silent")
+            return True
+        return bool(owner_id) and ticket.awaits_trial(_now())
+
     def _skip_owner(self, owner_id: str, why: str) -> None:
         if self._session.mark_unreachable(owner_id):
             logs.event(_log, "owner_passed_over", replica=owner_id, why=why)
--- a/src/medlarfork/gateway/placement_ticket.py
+++ b/src/medlarfork/gateway/placement_ticket.py
@@ -13,6 +13,10 @@
 MIN_START_MS = 1.0
 """Minimum start time sent to the second shard, in milliseconds; 0 marks a request to the first."""
 
+TRIAL_REPLY_S = 1.5
+"""Time for owners to reply to a trial, in seconds: one that is lost is skipped well within it, and
+the next one can grant the trial."""
+
 
 @dataclasses.dataclass(slots=True)
 class Ticket:
@@ -60,6 +64,10 @@
             placement_messages.RefusalCause.VERSION,
         )
 
+    def awaits_trial(self, now: float) -> bool:
+        """Return whether it needs a trial, which only an owner grants, and may wait for one."""
+        return bool(self.request.trial_key) and now < self.arrived_at + TRIAL_REPLY_S
+
     def try_open_shard(self, shards: tuple[placement_messages.Shard, ...]) -> bool:
         """Select a shard that has not refused the request; return False if all have.
 
--- a/tests/routed/test_owner_client.py
+++ b/tests/routed/test_owner_client.py
@@ -536,3 +536,41 @@
         assert (await placing.join()).upstream_id == "u-2"
 
     curio_world.run(main)
+
+
+# Guards against: a trial that was refused since its replica, which went on, was silent for 0.15 s.
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_a_trial_waits_for_a_replica_that_is_silent_for_a_moment(
+    session, sent, client, make_place_request, is_lost
+):
+    """It is asked again under the same ticket, and another one is asked once it counts as lost."""
+    session.is_unresponsive = lambda replica_id, now: (
+        is_lost and replica_id == "r1" and request_count(sent, "r1") > 2
+    )
+
+    async def main():
+        request = make_place_request("t", trial_key="k", left_ms=5000.0)
+        placing = await curio.spawn(client.place, request)
+        await curio_world.until(lambda: request_count(sent, "r2" if is_lost else "r1") > 0)
+        await curio.sleep(0.4)
+        placed = placement_messages.Placed("t", "u-1")
+        await client.handle_reply("r2" if is_lost else "r1", placed)
+        assert await placing.join() == placed
+        assert not any(isinstance(item, placement_messages.RunEnded) for _, item in sent)
+
+    curio_world.run(main)
+
+
+def test_a_trial_is_refused_once_its_replica_has_not_replied_for_long(
+    session, sent, client, make_place_request
+):
+    session.is_unresponsive = lambda replica_id, now: False
+
+    async def main():
+        began_at = time.monotonic()
+        refused = await client.place(make_place_request("t", trial_key="k", left_ms=8000.0))
+        assert isinstance(refused, placement_messages.PlaceRefused)
+        assert 0.5 < time.monotonic() - began_at < 4.0
+        assert isinstance(sent[-1][1], placement_messages.RunEnded)
+
+    curio_world.run(main)
