Send requests that can't be repeated on connections that were not idle for long

Now a request that can't be repeated takes none that was idle for more than 4 s; that one is closed to make room for a new connection, which, if it can't be opened, proves that nothing was sent. Repeatable requests reuse as before.

Connections that a server closes within 4 s of rest, in the instant of the send, still give 502.

--- a/src/medlarfork/gateway/attempt_sender.py
+++ b/src/medlarfork/gateway/attempt_sender.py
@@ -177,4 +177,5 @@
             timeout_s=max(left_ms, 1.0) / 1000.0,
             unacknowledged_s=retry_policy.UNACKNOWLEDGED_S,
             skips_copies=not admitted.route.may_repeat,
+            max_idle_s=retry_policy.max_idle_s(admitted.route),
         )
--- a/src/medlarfork/gateway/retry_policy.py
+++ b/src/medlarfork/gateway/retry_policy.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from medlarfork.placement import placement_messages
 from medlarfork.routes import routing
@@ -36,6 +37,11 @@
 """Time without an acknowledgement after which an attempt fails, in seconds: a sound upstream may be
 silent for two, and the kernel repeats data at growing intervals."""
 
+MAX_IDLE_S = 4.0
+"""Idle time of a connection after which it carries no request that can't be repeated, in seconds:
+servers commonly close idle ones from 5 s on, and a connection that is lost shows it only when it is
+used."""
+
 STALL_TIMEOUT_FACTOR = 1.5
 """Stall timeout as a multiple of the route's target for the inter-event gap: a longer gap misses
 that target in any case."""
@@ -94,6 +100,11 @@
     return max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * route.gap_ms / 1000.0)
 
 
+def max_idle_s(route: routing.Route) -> float:
+    """Return how long a connection may have been idle to carry a request of a route."""
+    return math.inf if route.may_repeat else MAX_IDLE_S
+
+
 def is_failure(status: int) -> bool:
     """Return whether the status of a run is a failure that another upstream may mend."""
     return status >= 500 or status in NOT_RUN_STATUSES
--- a/src/medlarfork/gateway/upstream_call.py
+++ b/src/medlarfork/gateway/upstream_call.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Callable, Mapping
 
 from medlarfork import errors
@@ -51,6 +52,7 @@
         unacknowledged_s: Timeout for unacknowledged data, in seconds.
         skips_copies: Whether to wait for the response behind a late copy of an earlier one, as the
             request can't be sent again.
+        max_idle_s: How long a connection that is reused may have been idle, in seconds.
     """
 
     address: str
@@ -62,6 +64,7 @@
     timeout_s: float
     unacknowledged_s: float
     skips_copies: bool = False
+    max_idle_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +110,7 @@
             may_send=may_send,
             silence=silence,
             request_id=call.attempt_id,
+            max_idle_s=call.max_idle_s,
         )
     except errors.RequestWithdrawnError:
         return Failure(placement_messages.RunEnd.NOT_SENT, "accepts no request from this host now")
--- a/src/medlarfork/http/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -7,6 +7,7 @@
 import enum
 import errno
 import functools
+import math
 import os
 import socket
 import time
@@ -85,9 +86,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Idle:
-    """Idle connection and when it expires."""
+    """Idle connection, since when it is idle, and when it expires."""
 
     connection: _http_response.ClientConnection
+    idle_since: float
     expires_at: float
 
 
@@ -132,20 +134,26 @@
         for connection in self._open:
             connection.stream.expire()
 
-    async def take(self, address: str, deadline_at: float) -> _http_response.ClientConnection:
-        """Return a live idle connection, or else a new one.
+    async def take(
+        self, address: str, deadline_at: float, max_idle_s: float = math.inf
+    ) -> _http_response.ClientConnection:
+        """Return a live connection that was idle for at most ``max_idle_s``, or else a new one.
 
         Raises:
             errors.RequestNotSentError: If no connection can be opened.
         """
         kept = self._idle_by_address.get(address)
         while kept:
-            connection = kept.pop().connection
+            idle = kept.pop()
+            connection = idle.connection
             if not kept:
                 self._idle_by_address.pop(address, None)
-            if not connection.stream.is_dead():
+            is_stale = time.monotonic() - idle.idle_since > max_idle_s
+            if not is_stale and not connection.stream.is_dead():
                 return connection
             await connection.close()
+            if is_stale:
+                break  # The others have been idle for longer; this one makes room for a new one.
         return await self.open_new(address, deadline_at)
 
     async def reach(self, address: str, within_s: float) -> Reachability:
@@ -170,7 +178,8 @@
         if idle_s <= 0:
             await connection.close()
             return
-        kept.append(_Idle(connection, time.monotonic() + idle_s))
+        now = time.monotonic()
+        kept.append(_Idle(connection, now, now + idle_s))
 
     def remove(self, connection: _http_response.ClientConnection) -> None:
         """Remove a closed connection from the pool."""
--- a/src/medlarfork/http/http_client.py
+++ b/src/medlarfork/http/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import time
 from collections.abc import Callable, Mapping
 
@@ -83,6 +84,7 @@
         may_send: Callable[[], bool] | None = None,
         silence: SilenceWatch | None = None,
         request_id: str | None = None,
+        max_idle_s: float = math.inf,
     ) -> Response:
         """Send a request and return the response once its head has arrived.
 
@@ -99,6 +101,7 @@
             silence: What to do while the upstream does not acknowledge the request.
             request_id: Id that tells its response from others on the connection; empty if it has
                 none, which takes a new connection; None if responses are not told apart.
+            max_idle_s: How long a connection that is reused may have been idle, in seconds.
 
         Raises:
             errors.RequestWithdrawnError: If ``may_send`` returned False; no byte was sent.
@@ -108,7 +111,7 @@
         """
         outgoing = _prepare(address, method, target, headers, body)
         deadline_at = time.monotonic() + (timeout_s or self._limits.exchange_s)
-        connection = await self._take(address, deadline_at, request_id)
+        connection = await self._take(address, deadline_at, request_id, max_idle_s)
         if may_send is not None and not may_send():
             await self._pool.keep(connection)
             raise errors.RequestWithdrawnError(
@@ -127,7 +130,7 @@
             raise
 
     async def _take(
-        self, address: str, deadline_at: float, request_id: str | None
+        self, address: str, deadline_at: float, request_id: str | None, max_idle_s: float
     ) -> _http_response.ClientConnection:
         """Return a connection on which no late response can be taken for that of the request.
 
@@ -135,10 +138,10 @@
         """
         if request_id == "":
             return await self._pool.open_new(address, deadline_at)
-        connection = await self._pool.take(address, deadline_at)
+        connection = await self._pool.take(address, deadline_at, max_idle_s)
         while request_id is not None and not connection.may_carry(request_id):
             await connection.close()
-            connection = await self._pool.take(address, deadline_at)
+            connection = await self._pool.take(address, deadline_at, max_idle_s)
         return connection
 
 
--- a/tests/routed/partition.py
+++ b/tests/routed/partition.py
@@ -30,9 +30,18 @@
     async def cut(self, mode):
         self.mode = mode
         if mode == "refused":
-            pairs, self._pairs = self._pairs, []
-            for pair in pairs:
-                await pair.reset()
+            await self.reset()
+
+    async def reset(self):
+        """Reset the open connections."""
+        pairs, self._pairs = self._pairs, []
+        for pair in pairs:
+            await pair.reset()
+
+    def forget(self):
+        """Reset each open connection as soon as the entry host sends on it."""
+        for pair in self._pairs:
+            pair.is_forgotten = True
 
     async def heal(self):
         self.mode = ""
@@ -66,6 +75,7 @@
         self._sockets = [curio.io.Socket(far), curio.io.Socket(upstream)]
         self._resumed = curio.Event()
         self._tasks = []
+        self.is_forgotten = False
 
     async def start(self):
         first, second = self._sockets
@@ -91,6 +101,9 @@
                 while self._partition.mode == "silent":
                     self._resumed.clear()
                     await self._resumed.wait()
+                if self.is_forgotten:
+                    await curio.spawn(self.reset, daemon=True)
+                    return
                 await target.sendall(data)
         with contextlib.suppress(OSError):
             await target.shutdown(socket.SHUT_WR)
--- a/tests/routed/test_backoff.py
+++ b/tests/routed/test_backoff.py
@@ -222,8 +222,8 @@
         pool = world.entry._client._pool
         take = pool.take
 
-        async def take_late(address, give_up_at):
-            connection = await take(address, give_up_at)
+        async def take_late(address, give_up_at, max_idle_s):
+            connection = await take(address, give_up_at, max_idle_s)
             if shedding.seen:
                 await curio.sleep(0.4)
             return connection
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -202,6 +202,23 @@
     curio_world.run(main)
 
 
+# Guards against: a request that can't be repeated took a connection that was idle for long.
+@pytest.mark.parametrize(("max_idle_s", "exchange_number"), [(0.05, 1), (30.0, 2)])
+def test_a_connection_that_was_idle_for_too_long_is_replaced(max_idle_s, exchange_number):
+    async def main():
+        server = http_server.HttpServer(echo, host="127.0.0.1", port=0)
+        await server.start()
+        async with client_of() as client:
+            await (await get(client, server.address)).read()
+            await curio.sleep(0.1)
+            response = await get(client, server.address, max_idle_s=max_idle_s)
+            await response.read()
+            assert (response.exchange_number, client.connections) == (exchange_number, 1)
+        await server.close(within_s=1)
+
+    curio_world.run(main)
+
+
 def test_reused_connection_that_fails_is_not_retried():
     async def main():
         calls = []
