Connect anew after 0.4 s without an answer

Callers of a service with one upstream got 503 (true: nothing ran) after one lost opening packet, and those of larger services an answer 1 s late, from the next upstream: the kernel sends a lost opening packet again after 1 s, which is when an attempt to connect to an upstream fails.

An attempt without an answer is now made anew after 0.4 s, within the same time. An accept queue that was full for a moment is met by it as well.

--- a/src/medlarfork/http/_http_pool.py
+++ b/src/medlarfork/http/_http_pool.py
@@ -24,6 +24,10 @@
 idle connections are closed before their upstream closes them. Each check wakes the process."""
 
 
+RECONNECT_S = 0.4
+"""Time after which an attempt to connect that got no answer is made anew, in seconds: the kernel
+sends a lost packet again after a second or more, and an answer takes far less."""
+
 MIN_CONNECT_S = 0.2
 """Timeout below which an attempt to connect shows nothing about its address, in seconds: the
 request was close to its deadline."""
@@ -271,13 +275,19 @@
         errors.RequestNotSentError: If the connection is refused or times out.
     """
     try:
-        return await timeouts.call_with_timeout(within_s, _connect_socket, *_parse_address(address))
+        return await timeouts.call_with_timeout(within_s, _connect_patiently, address)
     except curio.TaskTimeout as error:
         raise _not_connected(address, f"no answer within {within_s:.3g} s") from error
     except (OSError, OverflowError) as error:
         raise _not_connected(address, str(error)) from error
 
 
+async def _connect_patiently(address: str) -> socket.socket:
+    """Connect, once more if the opening packet seems to be lost."""
+    connect = functools.partial(_connect_socket, *_parse_address(address))
+    return await timeouts.call_until(RECONNECT_S, connect) or await connect()
+
+
 async def _connect_socket(family: socket.AddressFamily, host: str, port: int) -> socket.socket:
     connecting = socket.socket(family, socket.SOCK_STREAM)
     connecting.setblocking(False)
--- a/tests/routed/partition.py
+++ b/tests/routed/partition.py
@@ -22,6 +22,7 @@
     def __init__(self, entry):
         self.mode = ""
         self.connects = 0
+        self._lost_connects = 0
         self._entry = entry
         self._pairs = []
         self._connect = entry._client._pool._connect
@@ -43,6 +44,10 @@
         for pair in self._pairs:
             pair.is_forgotten = True
 
+    def lose(self, connects):
+        """Leave the next attempts to connect unanswered."""
+        self._lost_connects = connects
+
     async def heal(self):
         self.mode = ""
         for pair in self._pairs:
@@ -53,7 +58,9 @@
         if self.mode in ("refused", "live"):
             cause = ConnectionRefusedError(errno.ECONNREFUSED, "refused")
             raise _http_pool._not_connected(address, "refused") from cause
-        if self.mode == "silent":
+        is_lost = self._lost_connects > 0
+        self._lost_connects -= is_lost
+        if self.mode == "silent" or is_lost:
             await curio.sleep(within_s)
             raise _http_pool._not_connected(address, "no answer") from curio.TaskTimeout(within_s)
         upstream = await self._connect(address, within_s)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Test the HTTP client against scripted peers: truncation, reuse, timeouts and cancellation."""
 
 import contextlib
+import functools
 import socket
 import struct
 
@@ -301,6 +302,23 @@
     curio_world.run(main)
 
 
+# Guards against: one lost opening packet, which the kernel sends again after 1 s, failed a connect.
+def test_an_attempt_to_connect_survives_the_loss_of_its_opening_packet():
+    async def main():
+        with contextlib.ExitStack() as stack:
+            full = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+            taken = stack.enter_context(socket.socket())
+            taken.connect(full.getsockname())
+            async with client_of() as client:
+                address = f"http://127.0.0.1:{full.getsockname()[1]}"
+                reaching = await curio.spawn(functools.partial(client.reach, within_s=0.9), address)
+                await curio.sleep(0.2)
+                stack.enter_context(full.accept()[0])
+                assert await reaching.join() is http_client.Reachability.ACCEPTS
+
+    curio_world.run(main)
+
+
 @pytest.mark.parametrize(
     ("address", "method", "target", "headers"),
     [
