Test that no request or slot is lost with the messages of a link

Links between processes are closed after 1.5 s of silence, and what was queued on them is dropped. The test discards all messages between an entry host and the owner, or all replicas, for 2 s while 60 requests come: all are served, each runs once, and no owner keeps a run. It passed from the start: placement is asked again elsewhere, and runs whose end was lost are ended by their deadline.

--- a/tests/routed/test_lost_connections.py
+++ b/tests/routed/test_lost_connections.py
@@ -1,9 +1,12 @@
 """Connections that are lost or can't be opened, without a fault of any process."""
 
+import time
+
 import curio
 import pytest
 
 from medlarfork.gateway import retry_policy
+from medlarfork.placement import placement_messages
 from tests import curio_world
 from tests.routed import partition, routed_harness
 
@@ -74,3 +77,63 @@
         assert (await deployment.call()).status == 200
 
     routed_harness.run(tmp_path, main)
+
+
+class LostLinks:
+    """Discards what an entry host and some replicas send to each other, as a closed link does."""
+
+    def __init__(self, entry):
+        self.replica_ids = frozenset()
+        self._send = entry._link._send_parts
+        self._accept = entry._link._accept
+        entry._link._send_parts = self.send
+        entry._link._accept = self.accept
+
+    def send(self, peer_id, parts):
+        return peer_id in self.replica_ids or self._send(peer_id, parts)
+
+    def accept(self, socket, frames):
+        received = self._accept(socket, frames)
+        return None if received is not None and received.sender in self.replica_ids else received
+
+
+async def _answer_slowly(exchange):
+    await curio.sleep(0.15)
+    await routed_harness.answer_plainly(exchange)
+
+
+# Guards against: a request, or its slot, was lost with what was queued on a link that was closed.
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+@pytest.mark.parametrize("lost", ["owner", "all"])
+def test_no_request_or_slot_is_lost_with_the_messages_of_a_link(tmp_path, kind, lost):
+    async def main(deployment):
+        links = LostLinks(deployment.entry)
+        upstream = await deployment.add_upstream(_answer_slowly)
+        await deployment.put_routing(kind=kind, timeout_ms=4000)
+        await deployment.until_upstreams(1)
+
+        async def call(number):
+            return (
+                await deployment.call(**{routed_harness.NAMES.attempt_id: f"a-{number}"})
+            ).status
+
+        calling = []
+        for number in range(60):
+            calling.append(await curio.spawn(call, number))
+            await curio.sleep(0.05)
+            if number == 10:
+                replica_ids = set(deployment.replica_ids)
+                shard = deployment.entry._session.resolve_shard(placement_messages.Shard("engines"))
+                owner_id = deployment.entry._session.owner(shard, time.monotonic())
+                links.replica_ids = replica_ids if lost == "all" else {owner_id}
+            elif number == 50:
+                links.replica_ids = frozenset()
+        assert {await task.join() for task in calling} == {200}
+        assert len(upstream.seen) == len(calling)
+        assert not deployment.entry._owner._ticket_by_id
+        owners = [program._node._owner for program in deployment.control_by_id.values()]
+        shards = [shard for owner in owners for shard in owner._owner_by_shard.values()]
+        assert shards
+        await curio_world.until(lambda: not any(shard.running for shard in shards))
+
+    routed_harness.run(tmp_path, main)
