Tell a replica that was silent for long all known cases

A change (a crash case, a backpressure signal) is sent again with each status for 2 s. A link that is silent is closed after 1.5 s and opened again up to half a second later, and what was sent meanwhile is lost, so a change at the begin of such a silence never reached that replica (a trial with the reporter and a silence of 3.2 s: no copy delivered afterwards). Only a restart led to a full report.

A replica that says nothing for more than 1.2 s gets a full report with its next status.

Evidence: the new case of test_crash_tracker.py (silent for 1.5 s) failed before; the other (0.8 s) keeps that a usual period sends nothing. crash_tracker, gateway_parts, leaving_upstreams, crash_manager, quick_start and layers passed.

--- a/src/medlarfork/gateway/replica_reporter.py
+++ b/src/medlarfork/gateway/replica_reporter.py
@@ -10,6 +10,10 @@
 MakeReport = Callable[[tuple[str, ...], float], Any]
 """Builds the message with the known state of some keys at a given time."""
 
+MAX_SILENCE_SHARE = 0.6
+"""Silence of a replica, as a share of the time for which a change is resent, after which it may
+have missed every copy: the last one may be sent a status period before that time is over."""
+
 
 class ReplicaReporter:
     """Tracks recently changed keys. No clock: times are arguments, in seconds."""
@@ -36,6 +40,7 @@
         self._resend_s = resend_s
         self._changed_at_by_key: dict[str, float] = {}
         self._up_s_by_replica: dict[str, float] = {}
+        self._heard_at_by_replica: dict[str, float] = {}
 
     def report(self, keys: tuple[str, ...], now: float) -> None:
         """Send the state of changed keys to all replicas, now and for a while with each resend."""
@@ -52,7 +57,9 @@
     def sync_if_restarted(
         self, replica_id: str, up_s: float, known: tuple[str, ...], now: float
     ) -> None:
-        """Send all known state to a replica that has restarted or was not known before.
+        """Send all known state to a replica that has restarted, was silent for long, or is new.
+
+        A silent link is closed, so a replica may have missed all repetitions of a change.
 
         Args:
             replica_id: The replica.
@@ -62,7 +69,10 @@
         """
         previous_up_s = self._up_s_by_replica.get(replica_id)
         self._up_s_by_replica[replica_id] = up_s
-        if previous_up_s is None or up_s < previous_up_s:
+        silent_s = now - self._heard_at_by_replica.get(replica_id, now)
+        self._heard_at_by_replica[replica_id] = now
+        was_silent = silent_s > MAX_SILENCE_SHARE * self._resend_s
+        if previous_up_s is None or up_s < previous_up_s or was_silent:
             self.send_snapshot(replica_id, known, now)
 
     def send_snapshot(self, replica_id: str, known: tuple[str, ...], now: float) -> None:
--- a/tests/routed/test_crash_tracker.py
+++ b/tests/routed/test_crash_tracker.py
@@ -321,6 +321,25 @@
     curio_world.run(main)
 
 
+# Guards against: a replica never heard of a crash that was reported while its link was silent.
+@pytest.mark.parametrize(("silent_s", "receivers"), [(0.8, []), (1.5, ["r1"])])
+def test_a_replica_that_was_silent_for_long_gets_all_known_cases(
+    tracker, sent, make_admitted, make_announcement, monkeypatch, silent_s, receivers
+):
+    now = [100.0]
+    monkeypatch.setattr(crash_tracker, "_now", lambda: now[0])
+
+    async def main():
+        await break_run_at(tracker, make_admitted(), upstream(make_announcement, 1))
+        tracker.sync_if_restarted("r1", 50.0)
+        sent.clear()
+        now[0] += silent_s
+        tracker.sync_if_restarted("r1", 50.0 + silent_s)
+        assert [to for to, _ in sent] == receivers
+
+    curio_world.run(main)
+
+
 # Guards against: a host that had lost its own links put sound requests on trial at all hosts.
 @pytest.mark.parametrize("has_contact", [False, True])
 def test_a_broken_run_counts_as_a_crash_only_if_another_upstream_is_reached(
