Refuse announcements to declared hosts that are out of bounds

An upstream whose announcement is nested deeply got no 400 from a declared entry host, since the decoder's RecursionError was not caught; a sequence of 2**64, a number of slots of 400 digits and a version of a million characters were taken over, to be passed on in messages that can't hold them.

The host decodes announcements as routed deployments do, with bounds on numbers, texts, lists and nesting.

--- a/src/medlarfork/entry/entry_api.py
+++ b/src/medlarfork/entry/entry_api.py
@@ -10,13 +10,15 @@
 
 import msgspec
 
-from medlarfork import errors, upstream
+from medlarfork import bounds, errors, upstream
 from medlarfork.entry import entries_answer, entry, entry_types, telemetry
 from medlarfork.filters import answers, parse
 from medlarfork.http import _http_messages, header_names, http_server
 
 _JSON = {"Content-Type": "application/json"}
 
+_ANNOUNCEMENT = msgspec.json.Decoder(upstream.Announcement)
+
 
 class EntryApi:
     """Answers health checks, metrics, ``/v1/entries``, ``/v1/models`` and operators' queries."""
@@ -64,7 +66,7 @@
         """Read an announcement; answer a malformed one with an error and return None."""
         body = await exchange.read_body()
         try:
-            return msgspec.json.decode(body, type=upstream.Announcement)
+            return bounds.decode_json(_ANNOUNCEMENT, body)
         except msgspec.MsgspecError as problem:
             error = errors.OperatorError(
                 f"The announcement can't be read: {problem}.",
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -4,12 +4,15 @@
 import json
 import math
 import pathlib
+import types
 
+import curio
 import msgspec
 import pytest
 
 from medlarfork import bounds, codec, errors
 from medlarfork.coordination import operations_format
+from medlarfork.entry import entry_api
 
 OWN = {
     "upstream_id": "u-1",
@@ -212,3 +215,45 @@
 def test_a_journal_reads_what_it_holds_whatever_its_size():
     told = _Told(name="x" * 1_000_000)
     assert _TOLD.unpack(_TOLD.pack(told)) == told
+
+
+# Guards against: an announcement that a declared host could not decode or pass on got no answer.
+@pytest.mark.parametrize(
+    ("field", "sent"),
+    [
+        ("sequence", str(2**64)),
+        ("slots", "1" + "0" * 400),
+        ("labels", DEEP),
+        ("unknown", DEEP),
+        ("version", f'"{LONG}"'),
+        ("state", '"\\ud800"'),
+        ("load", '{"running": 1e300}'),
+    ],
+)
+def test_a_declared_host_refuses_an_announcement_out_of_bounds(field, sent):
+    usual = {
+        "upstream_id": "u-1",
+        "incarnation": 1,
+        "sequence": 1,
+        "state": "ready",
+        "address": "http://10.0.0.9:80",
+    }
+    body = json.dumps(usual | {field: "@"}).replace('"@"', sent).encode()
+    assert _read_by_declared_host(json.dumps(usual).encode()) == ([], "u-1")
+    assert _read_by_declared_host(body) == ([400], None)
+
+
+def _read_by_declared_host(body):
+    """Return the statuses of the answers of a declared host, and the id that it read."""
+    statuses = []
+
+    async def respond(status, headers, body):
+        statuses.append(status)
+
+    async def read_body():
+        return body
+
+    exchange = types.SimpleNamespace(read_body=read_body, respond=respond, head=None)
+    api = entry_api.EntryApi.__new__(entry_api.EntryApi)
+    read = curio.run(api.read_announcement, exchange)
+    return statuses, read and read.upstream_id
