--- a/tests/routed/test_hostile_messages.py
+++ b/tests/routed/test_hostile_messages.py
@@ -6,6 +6,7 @@
 import types
 import typing
 
+import curio
 import hypothesis
 import msgspec
 import pytest
@@ -16,7 +17,8 @@
 from medlarfork.duties import engine_messages
 from medlarfork.links import routed_links
 from medlarfork.replica import replica
-from tests.routed import coordinator_cluster
+from tests import curio_world
+from tests.routed import coordinator_cluster, routed_harness
 
 KINDS = (
     *routed_links.ENTRY_MESSAGES,
@@ -116,3 +118,40 @@
     assert max(terms) < 2**40
     cluster.run(5.0)
     assert isinstance(cluster.put("a", 50), coordinator_types.Accepted)
+
+
+def messages_of(kind):
+    """Return messages of a kind that a link accepts, the same ones each time."""
+    messages = []
+
+    @hypothesis.settings(max_examples=25, deadline=None, database=None, derandomize=True)
+    @hypothesis.given(fields=fields_of(kind))
+    def collect(fields):
+        messages.append(decoded(kind, msgspec.msgpack.encode(fields)))
+
+    collect()
+    return [message for message in messages if message is not None]
+
+
+# Guards against: an entry host that a message ended, or whose later messages were lost as well.
+def test_an_entry_host_outlives_any_message(tmp_path):
+    messages = [item for kind in routed_links.ENTRY_MESSAGES for item in messages_of(kind)]
+
+    async def main(deployment):
+        await deployment.add_upstream()
+        await deployment.put_routing()
+        await deployment.until_upstreams(1)
+        inbox = deployment.entry._link._inbox
+        for number, message in enumerate(messages):
+            sender = (*deployment.replica_ids, *IDS)[number % (len(IDS) + 3)]
+            await inbox.put(node.MessageReceived(sender, message))
+        await curio_world.until(inbox.empty)
+        for _ in range(60):
+            status = (await deployment.call()).status
+            assert status in (200, 503)
+            if status == 200:
+                return
+            await curio.sleep(0.1)
+        raise AssertionError("the host does not serve any more")
+
+    routed_harness.run(tmp_path, main)
