Answer operators' bodies that are nested too deeply

A change whose JSON is nested 10,000 levels deep ended its request in a traceback instead of 400: the decoder's RecursionError was not caught. The new line in the table of test_control_program.py failed before (RecursionError) and passes; the whole file passed.

--- a/src/medlarfork/operator/operations_api.py
+++ b/src/medlarfork/operator/operations_api.py
@@ -105,7 +105,7 @@
         body = await exchange.read_body()
         try:
             request = parse(query, body, operator)
-        except (ValueError, msgspec.MsgspecError) as error:
+        except (ValueError, RecursionError, msgspec.MsgspecError) as error:
             await _respond(exchange, _unreadable(error))
             return
         reply = _orders_api.reply_to(request, await self._ask(request))
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -259,6 +259,7 @@
             (leader_id, "/v1/upstreams", "GET", b"", "secret-key", 400),
             (leader_id, "/v1/upstreams?id=u1", "GET", b"", "secret-key", 200),
             (leader_id, "/v1/changes", "POST", b"{", "secret-key", 400),
+            (leader_id, "/v1/changes", "POST", b'{"a":' + b"[" * 10_000, "secret-key", 400),
             (follower_id, "/v1/history", "GET", b"", "secret-key", 421),
             (leader_id, "/healthz", "GET", b"", "none", 200),
             (leader_id, "/readyz", "GET", b"", "none", 200),
