Name a time to return where relay hosts refuse without one

Callers got Retry-After: 0.000 if the HTTP servers of all relay hosts refused a forwarded request, as these refusals state no time; it was taken for zero. Now it is the time that hosts state when they refuse without a prediction. The extended test failed before (0.0 > 0) and passes.

--- a/src/medlarfork/gateway/relay_client.py
+++ b/src/medlarfork/gateway/relay_client.py
@@ -16,7 +16,7 @@
     upstream_call,
 )
 from medlarfork.http import _http_messages, header_names, http_client
-from medlarfork.placement import placement_messages
+from medlarfork.placement import local_choice, placement_messages
 from medlarfork.resumption import stream_origin
 
 LIMITS = http_client.ClientLimits(
@@ -50,7 +50,8 @@
     """A relay host's answer to a request that it did not run.
 
     Attributes:
-        retry_after_ms: When the caller may come back, as the relay host states.
+        retry_after_ms: When the caller may come back, as the relay host states; a short time if it
+            states none.
         why: The reason, as a phrase for people.
         is_rejected: Whether upstreams have rejected the request; another relay host would send it
             to the same ones.
@@ -163,6 +164,6 @@
 
 def _retry_after_ms(response: http_client.Response) -> float:
     try:
-        return max(0.0, float(response.headers.get("retry-after", "0"))) * 1000.0
-    except ValueError:
-        return 0.0
+        return max(0.0, float(response.headers["retry-after"])) * 1000.0
+    except (KeyError, ValueError):
+        return local_choice.RETRY_MS
--- a/tests/routed/test_cut_off_hosts.py
+++ b/tests/routed/test_cut_off_hosts.py
@@ -338,7 +338,9 @@
         full._limits = dataclasses.replace(full._limits, connections=0)
         await deployment.entry._relaying._client.close()
         await deployment.entry._relaying._client.start()
-        assert await status_of(deployment, "refused by all") == 503
+        refused = await deployment.call()
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) > 0
 
     routed_harness.run(tmp_path, main)
 
