Count the tokens that a caller expects before a stopping host takes its stream

Callers saw: streams far longer than the usual ones of their route were taken by an entry host up to 2.8 s after its SIGTERM, and reset 7.4 s after it.

Cause: the bound on how long an answer may last was the longest recent answer of the route and a quarter more. A route whose recent answers were short says nothing about a long one, but the request does: callers state the most tokens that they allow, and mostly an estimate.

Change: an answer that is expected to be longer than the longest recent one of its route counts as taking longer in proportion.

The four new tests fail when the proportion is left out, and pass with it.

--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -186,7 +186,13 @@
             await self._serve(pipeline, admitted)
         finally:
             is_answered = pipeline.trace.result is request_types.Result.ANSWERED
-            self._durations.end(route.name, number, time.monotonic(), is_answered=is_answered)
+            self._durations.end(
+                route.name,
+                number,
+                time.monotonic(),
+                is_answered=is_answered,
+                expected_tokens=metadata.expected_tokens,
+            )
         self._record(pipeline.trace, pipeline.admitted)
 
     def _reserve_body(self, head: http_server.RequestHead, lease: body_budget.BodyLease) -> None:
@@ -297,7 +303,7 @@
         if self.is_stopping:
             now = time.monotonic()
             allowed_s = _allowed_ms(route, metadata) / 1000.0
-            bound_s = self._durations.bound_s(route.name, allowed_s, now)
+            bound_s = self._durations.bound_s(route.name, allowed_s, now, metadata.expected_tokens)
             stopping.check_can_finish(bound_s, self.cut_at, now)
 
     def _make_admitted(
--- a/src/medlarfork/gateway/request_header_names.py
+++ b/src/medlarfork/gateway/request_header_names.py
@@ -22,6 +22,7 @@
         last_event_id: The last event that the caller has received; a stream resumes after it.
         resumes: The caller's attempt that brought the first event of a stream to go on with.
         token_usage: Prompt tokens and maximum output tokens, separated by a comma.
+        length_hint: The caller's estimate of the number of output tokens.
         prompt_parts: ``ID:TOKENS`` of each prompt prefix segment, separated by commas.
         expected_upstream: The only incarnation that may run the request.
         account: The client account, for the upstream.
@@ -50,6 +51,7 @@
     last_event_id: str = "last-event-id"
     resumes: str = "medlar-resumes"
     token_usage: str = "medlar-token-usage"
+    length_hint: str = "medlar-length-hint"
     prompt_parts: str = "medlar-prompt-parts"
     expected_upstream: str = "medlar-expected-upstream"
     account: str = "medlar-account"
--- a/src/medlarfork/gateway/request_metadata.py
+++ b/src/medlarfork/gateway/request_metadata.py
@@ -14,6 +14,9 @@
 LOWEST_RANK = 9
 """Upstreams know the ranks 0 to 9, 0 being the most urgent; lower ranks are clamped to 9."""
 
+MAX_HINT_DIGITS = 9
+"""Maximum number of digits of an estimated number of output tokens."""
+
 RANK_TARGET_BOUNDS_MS = (350.0, 1000.0)
 """First-event targets that divide a tier into ranks, in milliseconds: within a tier, upstreams
 prefill requests with a shorter target first."""
@@ -31,6 +34,7 @@
         resumes: Its attempt that brought the stream's first event; empty if it named none.
         prompt_segments: The prefix segments of its prompt.
         output_tokens: Maximum number of output tokens; 0 if it gave none.
+        hinted_tokens: Its estimate of the number of output tokens; 0 if it gave none.
     """
 
     attempt_id: str
@@ -40,6 +44,13 @@
     resumes: str
     prompt_segments: tuple[placement_messages.PromptSegment, ...]
     output_tokens: int
+    hinted_tokens: int = 0
+
+    @property
+    def expected_tokens(self) -> int:
+        """Return how many output tokens the caller expects, or allows; 0 if it states neither."""
+        stated = [tokens for tokens in (self.hinted_tokens, self.output_tokens) if tokens]
+        return min(stated, default=0)
 
 
 def parse(
@@ -59,6 +70,7 @@
         resumes=headers.get(names.resumes, ""),
         prompt_segments=_prompt_segments(headers.get(names.prompt_parts, "")),
         output_tokens=_output_tokens(headers.get(names.token_usage, "")),
+        hinted_tokens=_hinted_tokens(headers.get(names.length_hint, "")),
     )
 
 
@@ -158,6 +170,15 @@
     return int(last)
 
 
+def _hinted_tokens(value: str) -> int:
+    """Return the estimated number of output tokens; 0 if there is none, or it is malformed.
+
+    Upstreams get the header as it is, so a malformed estimate is no reason to refuse the request.
+    """
+    is_number = value.isascii() and value.isdigit() and len(value) <= MAX_HINT_DIGITS
+    return int(value) if is_number else 0
+
+
 def _invalid_header(what: str, value: str) -> errors.RequestRefusedError:
     return errors.RequestRefusedError(
         f"The {what} {value[:100]!r} is malformed.",
--- a/src/medlarfork/gateway/stopping.py
+++ b/src/medlarfork/gateway/stopping.py
@@ -19,10 +19,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Duration:
-    """How long an answer took, in seconds, and when it ended, in monotonic seconds."""
+    """Duration of an answer.
+
+    Attributes:
+        took_s: How long it took, in seconds.
+        at: When it ended, in monotonic seconds.
+        expected_tokens: How many output tokens its caller expected; 0 if unknown.
+    """
 
     took_s: float
     at: float
+    expected_tokens: int
+
+    def scaled_s(self, expected_tokens: int) -> float:
+        """Return how long an answer of so many tokens may take, in seconds.
+
+        Shorter answers count as long as this one: their first event takes as much time.
+        """
+        if not self.expected_tokens:
+            return self.took_s
+        return self.took_s * max(1.0, expected_tokens / self.expected_tokens)
 
 
 class AnswerDurations:
@@ -40,7 +56,9 @@
         self._starts_by_route.setdefault(route, {})[self._begun] = now
         return self._begun
 
-    def end(self, route: str, number: int, now: float, *, is_answered: bool) -> None:
+    def end(
+        self, route: str, number: int, now: float, *, is_answered: bool, expected_tokens: int = 0
+    ) -> None:
         """Record the end of a request; only that of a complete answer counts as its duration."""
         starts = self._starts_by_route[route]
         took_s = now - starts.pop(number)
@@ -51,7 +69,7 @@
         longest = self._longest_by_route.get(route)
         is_recent = longest is not None and longest.at >= now - MEMORY_S
         if not is_recent or took_s >= longest.took_s:
-            self._longest_by_route[route] = _Duration(took_s, now)
+            self._longest_by_route[route] = _Duration(took_s, now, expected_tokens)
 
     def keep_routes(self, routes: set[str]) -> None:
         """Forget the answers of all other routes."""
@@ -59,20 +77,24 @@
             route: longest for route, longest in self._longest_by_route.items() if route in routes
         }
 
-    def bound_s(self, route: str, allowed_s: float, now: float) -> float:
+    def bound_s(self, route: str, allowed_s: float, now: float, expected_tokens: int = 0) -> float:
         """Return how long the next answer of a route may last, in seconds.
 
+        One that is expected to be longer than the longest recent one takes longer in proportion.
+
         Args:
             route: Name of the route.
             allowed_s: Time after which the request ends in any case, in seconds. It is the only
                 bound while no answer of the route has ended here.
             now: Monotonic time, in seconds.
+            expected_tokens: How many output tokens the caller expects; 0 if unknown.
         """
         longest = self._longest_by_route.get(route)
         if longest is None:
             return allowed_s
         started_at = min(self._starts_by_route.get(route, {}).values(), default=now)
-        return min(allowed_s, MARGIN * max(longest.took_s, now - started_at))
+        longest_s = longest.scaled_s(expected_tokens)
+        return min(allowed_s, MARGIN * max(longest_s, now - started_at))
 
 
 def check_is_taking(take_until: float, now: float) -> None:
--- a/tests/routed/test_stopping_host.py
+++ b/tests/routed/test_stopping_host.py
@@ -5,7 +5,9 @@
 import time
 
 import curio
+import pytest
 
+from medlarfork.gateway import stopping
 from tests import curio_world
 from tests.routed import routed_harness
 
@@ -119,3 +121,38 @@
         assert statuses.count(503) + statuses.count(504) == len(calls)
 
     routed_harness.run(tmp_path, main)
+
+
+# Guards against: a stream far longer than all recent ones of its route, taken and cut.
+@pytest.mark.parametrize(
+    ("recent", "late"),
+    [
+        ({routed_harness.NAMES.length_hint: "10"}, {routed_harness.NAMES.length_hint: "100"}),
+        ({routed_harness.NAMES.token_usage: "5,10"}, {routed_harness.NAMES.token_usage: "5,100"}),
+        (
+            {routed_harness.NAMES.length_hint: "10", routed_harness.NAMES.token_usage: "5,500"},
+            {routed_harness.NAMES.length_hint: "100", routed_harness.NAMES.token_usage: "5,500"},
+        ),
+    ],
+    ids=["hint", "limit", "both"],
+)
+def test_a_stopping_host_refuses_an_answer_that_is_expected_to_outlast_it(tmp_path, recent, late):
+    async def main(deployment):
+        upstream = await _start(deployment)
+        assert (await deployment.call("/p/0.2", **recent)).status == 200
+        async with _stopping(deployment):
+            await _assert_draining(await deployment.call("/p/2", **late))
+            assert (await deployment.call("/p/0.2", **recent)).status == 200
+            assert (await deployment.call("/p/0.2")).status == 200
+        assert len(upstream.seen) == 3
+
+    routed_harness.run(tmp_path, main)
+
+
+def test_an_expected_answer_takes_longer_in_proportion_but_never_less():
+    durations = stopping.AnswerDurations()
+    number = durations.begin("r", 0.0)
+    durations.end("r", number, 2.0, is_answered=True, expected_tokens=100)
+    for tokens, factor in ((0, 1.0), (10, 1.0), (100, 1.0), (250, 2.5)):
+        assert durations.bound_s("r", 15.0, 2.0, tokens) == stopping.MARGIN * 2.0 * factor
+    assert durations.bound_s("r", 15.0, 2.0, 10_000) == 15.0
