Date a stop when its signal is handled, not when a busy loop notices it

Callers of a busy host that was stopped could be taken up to a step of its event loop too late, and what was left was cut as much later: both times counted from when the loop read the signal. In a program that was still starting, they counted from the end of its start, so that the platform's end of the grace period came first.

Change: the interpreter's handler records the time of each signal, and the entry host counts from it. The log line "stopping" has the difference as delay_ms.

A loop with a step of 0.3 s read the signal 0.3 s late; the time that counts is now within 0.2 s of it.

--- a/src/medlarfork/_early_signals.py
+++ b/src/medlarfork/_early_signals.py
@@ -8,6 +8,7 @@
 
 import os
 import signal
+import time
 import types
 from collections.abc import Iterable
 
@@ -48,8 +49,16 @@
     global kept
     kept = kept or SignalQueue()
     for number in signals:
-        signal.signal(number, ignore)
+        signal.signal(number, record)
 
 
-def ignore(number: int, frame: types.FrameType | None) -> None:
-    """Do nothing: the interpreter has already written the signal to the queue."""
+handled_at: dict[int, float] = {}
+"""When the interpreter handled the first signal of each number, in monotonic seconds."""
+
+
+def record(number: int, frame: types.FrameType | None) -> None:
+    """Record the time of a signal: the interpreter has already written its number to the queue.
+
+    A busy event loop reads the queue later than this.
+    """
+    handled_at.setdefault(number, time.monotonic())
--- a/src/medlarfork/_stop_signal.py
+++ b/src/medlarfork/_stop_signal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Iterable
 
 import curio.traps
@@ -26,7 +27,7 @@
         """Start to catch the signals; those that came earlier and were kept count as caught."""
         self._queue = _early_signals.kept or _early_signals.SignalQueue()
         for number in self._signals:
-            self._old_handlers[number] = signal.signal(number, _early_signals.ignore)
+            self._old_handlers[number] = signal.signal(number, _early_signals.record)
 
     def close(self) -> None:
         """Restore the previous signal handlers."""
@@ -37,6 +38,12 @@
             self._queue.close()
         self._queue = None
 
+    @staticmethod
+    def stop_requested_at() -> float:
+        """Return when the first stop signal was handled, in monotonic seconds; now if none was."""
+        handled_at = [_early_signals.handled_at.get(number) for number in STOP_SIGNALS]
+        return min((at for at in handled_at if at is not None), default=time.monotonic())
+
     async def wait(self) -> signal.Signals:
         """Wait for the next caught signal and return it; those that request a stop come last.
 
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -192,19 +192,28 @@
             await self._tasks.spawn(self._usage.report_periodically, self._session)
         logs.event(_log, "started", entry=self._settings.entry_id, serve=self._settings.serve)
 
-    async def stop(self) -> None:
+    async def stop(self, requested_at: float | None = None) -> None:
         """Leave the directory, serve while callers may still connect, then drain.
 
         While it drains, every request is refused as not run, on new connections too.
+
+        Args:
+            requested_at: When the stop was requested, in monotonic seconds; None for now.
         """
-        started_at = time.monotonic()
-        logs.event(_log, "stopping", exchanges=self._server.exchanges)
+        now = time.monotonic()
+        started_at = now if requested_at is None else requested_at
+        logs.event(
+            _log,
+            "stopping",
+            exchanges=self._server.exchanges,
+            delay_ms=round((now - started_at) * 1000.0, 1),
+        )
         cut_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
         take_s = min(DIRECTORY_LAG_S, self._settings.grace_s / 2)
         self._handler.take_until = started_at + take_s
         self._handler.cut_at = cut_at
         self._send_status(self._session.replicas)
-        await curio.sleep(take_s)
+        await curio.sleep(max(started_at + take_s - now, 0.0))
         await self._handler.stop_taking()
         while self._handler.serving and time.monotonic() < cut_at:
             await curio.sleep(_DRAIN_POLL_S)
@@ -504,4 +513,4 @@
             stack.push_async_callback(vital_tasks.close_fully, program.close)
             while await signals.wait() == signal.SIGHUP:
                 program.reload()
-            await program.stop()
+            await program.stop(signals.stop_requested_at())
--- a/tests/processes/test_early_signals.py
+++ b/tests/processes/test_early_signals.py
@@ -7,8 +7,10 @@
 import sys
 import time
 
+import curio
 import pytest
 
+from medlarfork import _early_signals, _stop_signal
 from tests import loopback
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -141,7 +143,9 @@
     settings.write_text(template.format(ip=f"{loopback.prefix()}.252.1", folder=tmp_path / "data"))
     with log.open("wb") as output:
         process = subprocess.Popen(
-            [sys.executable, "-c", code, f"--settings={settings}"], stdout=output, stderr=output
+            [sys.executable, "-c", code, f"--settings={settings}"],
+            stdout=output,
+            stderr=output,
         )
     try:
         while not _catches(process, signal.SIGTERM):
@@ -157,6 +161,26 @@
     assert ends_with in log.read_text()
 
 
+# Guards against: a busy event loop that dated a stop when it noticed it.
+def test_a_stop_is_dated_when_its_signal_is_handled(monkeypatch):
+    monkeypatch.setattr(_early_signals, "handled_at", {})
+
+    async def main(caught):
+        sent_at = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.3)
+        assert await caught.wait() == signal.SIGTERM
+        assert time.monotonic() >= sent_at + 0.3
+        assert caught.stop_requested_at() < sent_at + 0.2
+
+    caught = _stop_signal.StopSignal()
+    caught.start()
+    try:
+        curio.run(main, caught)
+    finally:
+        caught.close()
+
+
 ORDER = """
 import os, signal, sys
 import curio
--- a/tests/routed/test_stopping_host.py
+++ b/tests/routed/test_stopping_host.py
@@ -156,3 +156,23 @@
     for tokens, factor in ((0, 1.0), (10, 1.0), (100, 1.0), (250, 2.5)):
         assert durations.bound_s("r", 15.0, 2.0, tokens) == stopping.MARGIN * 2.0 * factor
     assert durations.bound_s("r", 15.0, 2.0, 10_000) == 15.0
+
+
+# Guards against: a busy host that counted its grace period from when it got round to the signal.
+def test_a_stop_counts_from_the_moment_of_its_signal(tmp_path):
+    async def main(deployment):
+        await _start(deployment)
+        assert (await deployment.call("/p/0")).status == 200
+        running = await curio.spawn(deployment.call, "/p/0.7")
+        await curio.sleep(0.1)
+        requested_at = time.monotonic() - 0.6
+        stopping_host = await curio.spawn(deployment.entry.stop, requested_at)
+        in_time = {routed_harness.NAMES.deadline_ms: "300"}
+        assert (await deployment.call("/p/0", **in_time)).status == 200
+        await _sleep_until(requested_at + TAKE_S + 0.05)
+        await _assert_draining(await deployment.call("/p/0", **in_time))
+        assert (await running.join()).status == 200
+        await stopping_host.join()
+        assert time.monotonic() < requested_at + 2.0
+
+    routed_harness.run(tmp_path, main)
