Start the programs of a test with the SIGHUP that the test means

Under nohup, 8 of 33 tests of early signals failed: nohup leaves SIGHUP ignored, and the programs inherit it. A program that takes SIGHUP as its end by default goes on then, as nohup asks for; the test meant the default. It restores the default before each start now. The checks are unchanged.

--- a/tests/processes/test_early_signals.py
+++ b/tests/processes/test_early_signals.py
@@ -86,6 +86,11 @@
 }
 
 
+def _reset_hangup():
+    """Undo what ``nohup`` does: a process that ignores SIGHUP has children that ignore it."""
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 def _catches_hangup(process):
     return _catches(process, signal.SIGHUP)
 
@@ -110,6 +115,7 @@
             env={**os.environ, "MEDLARFORK_SETTINGS": str(settings)},
             stdout=output,
             stderr=output,
+            preexec_fn=_reset_hangup,
         )
     try:
         while not _catches_hangup(process):
@@ -146,6 +152,7 @@
             [sys.executable, "-c", code, f"--settings={settings}"],
             stdout=output,
             stderr=output,
+            preexec_fn=_reset_hangup,
         )
     try:
         while not _catches(process, signal.SIGTERM):
