Wait for what probes and replicas say before a cut-off host refuses a request

Callers of an entry host that had lost its links got 503 although another host could have run their request: connections that are refused take no time, so each upstream of the request had failed before the host knew that it reaches none (13 upstreams), or before a replica had named relay hosts (2 upstreams).

Change: a request that no upstream has run, one of whose connections failed, waits up to 0.5 s while the host probes and up to 0.5 s for relay hosts, and is then forwarded. It is refused as before if probes reach an upstream, or no relay host is named.

The new test delays the replicas' answer by 0.3 s.

--- a/src/medlarfork/gateway/relay_client.py
+++ b/src/medlarfork/gateway/relay_client.py
@@ -70,6 +70,7 @@
         self._client = http_client.HttpClient(limits=LIMITS)
         self._addresses: tuple[str, ...] = ()
         self._named = curio.Event()
+        self._changed = curio.Event()
         self._random = random.Random()
 
     async def start(self) -> None:
@@ -84,6 +85,7 @@
         """Use the relay hosts that a replica has named last."""
         self._addresses = addresses
         await self._named.set()
+        await self._changed.set()
 
     def forget_hosts(self) -> None:
         """Forget the relay hosts, once this host reaches all services again."""
@@ -100,9 +102,29 @@
             return ""
         if not self._named.is_set():
             await timeouts.call_until(HOSTS_WAIT_S, self._named.wait)
-        usable = [address for address in self._addresses if address not in excluded]
+        usable = self._usable(excluded)
         return self._random.choice(usable) if usable else ""
 
+    async def wait_usable(self, excluded: Collection[str], within_s: float) -> bool:
+        """Return whether there is a relay host to choose, once replicas have named one.
+
+        Args:
+            excluded: Relay hosts that have failed or refused this request.
+            within_s: How long to wait at most, in seconds.
+        """
+        if len(excluded) >= MAX_FORWARDS:
+            return False
+        await timeouts.call_until(within_s, self._wait_named, excluded)
+        return bool(self._usable(excluded))
+
+    async def _wait_named(self, excluded: Collection[str]) -> None:
+        while not self._usable(excluded):
+            self._changed.clear()
+            await self._changed.wait()
+
+    def _usable(self, excluded: Collection[str]) -> list[str]:
+        return [address for address in self._addresses if address not in excluded]
+
     async def send(
         self,
         address: str,
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -33,6 +33,13 @@
 """Time before the caller's own deadline at which a final answer is sent, in milliseconds: covers
 the latency of the answer."""
 
+LINK_VERDICT_S = 0.5
+"""Time for probes to show whether this host has lost its links, in seconds: two unanswered ones."""
+
+RELAY_HOSTS_S = 0.5
+"""Time for replicas to name relay hosts before a request is refused, in seconds: a round trip, also
+to a replica that is busy."""
+
 
 class RequestPipeline:
     """Serves one admitted request; ``serve`` returns when its answer has ended.
@@ -56,6 +63,7 @@
         self._excluded: list[str] = []
         self._excluded_relays: list[str] = []
         self._is_refused_by_relays = False
+        self._is_unreached = False
         self._retry_after_ms = local_choice.RETRY_MS
         self._sends = 0
         self._stream = stream_relay.StreamRelay(admitted, self.trace, shared.budget)
@@ -98,6 +106,8 @@
             if isinstance(placed, placement_messages.PlaceRefused):
                 self._retry_after_ms = placed.retry_after_ms
                 self.trace.reasons.append(placed.why)
+                if await self._has_lost_links():
+                    continue
                 await self._give_up()
                 return
             if self._is_unreachable and await self._choose_relay_host():
@@ -113,6 +123,7 @@
             else:
                 end = await self._attempt(upstream, placed.fetch_from)
                 self._running_at = None
+                self._is_unreached |= end is placement_messages.RunEnd.UNREACHABLE
             if end is None:
                 return
             if end is placement_messages.RunEnd.NOT_SENT:
@@ -129,6 +140,8 @@
                     self.admitted.service
                 )
                 self._retry_after_ms = max(self._retry_after_ms, remaining_backoff_ms)
+                if await self._has_lost_links():
+                    continue
                 await self._give_up()
                 return
 
@@ -160,6 +173,20 @@
             return ""
         return await self._shared.relaying.choose(self._excluded_relays)
 
+    async def _has_lost_links(self) -> bool:
+        """Return whether a request that no upstream has run can be forwarded instead of refused.
+
+        Refusals take less time than the host needs to find that it reaches no upstream, and to be
+        told of relay hosts.
+        """
+        may_forward = self._is_unreached and not (self._progress.runs or self.admitted.is_relayed)
+        if not may_forward or self._left_ms < retry_policy.MIN_ATTEMPT_MS:
+            return False
+        tracking = self._shared.tracking
+        if not await tracking.wait_verdict(self.admitted.service, LINK_VERDICT_S):
+            return False
+        return await self._shared.relaying.wait_usable(self._excluded_relays, RELAY_HOSTS_S)
+
     async def _forward(self, relay_host: str) -> bool:
         """Forward the request; return whether its caller has the final answer."""
         # Imported only while this host reaches no upstream: it makes the start-up slower.
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -273,6 +273,10 @@
         """Return the address of a relay host; empty if there is none."""
         ...
 
+    async def wait_usable(self, excluded: Collection[str], within_s: float) -> bool:
+        """Return whether there is a relay host to choose, once replicas have named one."""
+        ...
+
     async def send(
         self,
         address: str,
@@ -296,6 +300,10 @@
         """Return what the connections to upstreams show."""
         ...
 
+    async def wait_verdict(self, service: str, within_s: float) -> bool:
+        """Return whether no upstream of a service can be reached, once probes have shown it."""
+        ...
+
     async def begin_attempt(self, attempt: str) -> None:
         """Record that an attempt is about to be sent."""
         ...
--- a/src/medlarfork/http/reachability_prober.py
+++ b/src/medlarfork/http/reachability_prober.py
@@ -60,6 +60,22 @@
             # A probe may fail at once, without having shown anything about the upstream.
             await curio.sleep(PROBE_PAUSE_S if address else CHECK_PERIOD_S)
 
+    async def wait_verdict(self, service: str, within_s: float) -> bool:
+        """Return whether no upstream of a service can be reached.
+
+        Waits while that is suspected and probes may still show it.
+
+        Args:
+            service: Name of the service.
+            within_s: How long to wait at most, in seconds.
+        """
+        until = time.monotonic() + within_s
+        while not self.reachability.is_unreachable(service):
+            if not self.reachability.is_suspect(service) or time.monotonic() >= until:
+                return False
+            await curio.sleep(PROBE_PAUSE_S)
+        return True
+
     async def begin_attempt(self, attempt: str) -> None:
         """Record that an attempt is about to be sent."""
         self.reachability.begin_attempt(attempt, time.monotonic())
--- a/tests/routed/test_cut_off_hosts.py
+++ b/tests/routed/test_cut_off_hosts.py
@@ -391,3 +391,46 @@
         assert len(at_relay._requests) == counted
 
     routed_harness.run(tmp_path, main)
+
+
+# Guards against: requests refused although replicas were about to name relay hosts.
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+@pytest.mark.parametrize("upstreams", [2, 13])
+def test_a_request_that_finds_the_cut_is_forwarded_once_relay_hosts_are_named(
+    tmp_path, monkeypatch, kind, upstreams
+):
+    async def main(deployment):
+        links = await start(deployment, upstreams=upstreams, kind=kind)
+        assert await status_of(deployment, "before") == 200
+        relaying = deployment.entry._relaying
+        use_hosts = relaying.use_hosts
+
+        async def use_hosts_late(addresses):
+            await curio.spawn(use_later, addresses, daemon=True)
+
+        async def use_later(addresses):
+            await curio.sleep(0.3)
+            await use_hosts(addresses)
+
+        monkeypatch.setattr(relaying, "use_hosts", use_hosts_late)
+        await links.cut("refused")
+        patient = functools.partial(status_of, deployment, **{NAMES.deadline_ms: "3000"})
+        found = [await curio.spawn(patient, f"cut-{number}") for number in range(4)]
+        assert [await task.join() for task in found] == [200] * 4
+
+    routed_harness.run(tmp_path, main)
+
+
+def test_a_request_that_finds_the_cut_is_refused_in_time_while_no_relay_host_is_named(tmp_path):
+    async def main(deployment):
+        links = await start(deployment, upstreams=2)
+        await partition.Partition(deployment.entries[1]).cut("refused")
+        await links.cut("refused")
+        for number in range(3):
+            asked_at = time.monotonic()
+            assert (
+                await status_of(deployment, f"cut-{number}", **{NAMES.deadline_ms: "5000"}) == 503
+            )
+            assert time.monotonic() < asked_at + 2.0
+
+    routed_harness.run(tmp_path, main)
