Reset a link's connection that brings a message of endless parts

A router or replica on a machine of 300 MB would have been ended for its memory.

Cause: ZeroMQ hands over complete messages only, and limits the size of a part, not their number; its high-water mark counts messages.

Change: the link watches the connections that its socket has accepted. The kernel counts what each has received; one that has brought more than a message may have since its last complete message, found twice and with nothing left to read, is reset, and logged as message_endless.

--- a/src/medlarfork/links/link.py
+++ b/src/medlarfork/links/link.py
@@ -21,7 +21,7 @@
 from medlarfork.links import _link_sockets, _zmq_poller, keys
 
 if TYPE_CHECKING:
-    from medlarfork.links import _zap
+    from medlarfork.links import _connection_watch, _zap
 
 _BATCH = 64
 """Maximum number of messages received from one socket before the others are served."""
@@ -50,6 +50,7 @@
         malformed: Received messages that could not be decoded.
         impostors: Received messages whose sender name does not match the authenticated key.
         refused_keys: Connections refused because their key is not known.
+        endless: Connections closed because a message on them did not end.
     """
 
     sent: int = 0
@@ -60,6 +61,7 @@
     malformed: int = 0
     impostors: int = 0
     refused_keys: int = 0
+    endless: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +112,9 @@
         self._router: zmq.Socket | None = None
         self._zap: _zap.ZapServer | None = None
         self._poller: _zmq_poller.ZmqPoller | None = None
-        self._task: curio.Task | None = None
+        self._watch: _connection_watch.ConnectionWatch | None = None
+        self._has_drained = False
+        self._tasks = vital_tasks.VitalTasks()
 
     async def start(self) -> None:
         """Listen for peers.
@@ -137,15 +141,21 @@
                 remedy="Choose a free port on an IP number of this host.",
             ) from error
         self._poller.add(self._router)
-        self._task = await vital_tasks.spawn(self._receive_all)
+        # Imported here, so that an entry host listens for callers before this is loaded.
+        from medlarfork.links import _connection_watch
+
+        self._watch = _connection_watch.ConnectionWatch(self._router, self._options.message_bytes)
+        await self._tasks.spawn(self._receive_all)
+        await self._tasks.spawn(self._watch_connections, self._watch)
 
     async def close(self) -> None:
         """Close all connections; waits at most ``linger_s`` for messages that were just sent."""
-        if self._task is not None:
-            await self._task.cancel()
-            self._task = None
+        await self._tasks.close()
         for peer_id in tuple(self._peer_by_id):
             self.disconnect(peer_id)
+        if self._watch is not None:
+            self._watch.close()
+            self._watch = None
         if self._router is not None:
             self._close_socket(self._router)
             self._router = None
@@ -168,7 +178,8 @@
     def counters(self) -> LinkCounters:
         """Return the counters since the start."""
         refused = 0 if self._zap is None else self._zap.refused
-        return LinkCounters(**self._counts, refused_keys=refused)
+        endless = 0 if self._watch is None else self._watch.closed
+        return LinkCounters(**self._counts, refused_keys=refused, endless=endless)
 
     @property
     def peers(self) -> tuple[str, ...]:
@@ -276,6 +287,17 @@
                 await self._receive_batch(socket)
             await curio.sleep(0)
 
+    async def _watch_connections(self, watch: _connection_watch.ConnectionWatch) -> None:
+        while True:
+            await curio.sleep(watch.period_s)
+            if _zmq_poller.has_message(self._router):
+                # Asking consumed the socket's edge.
+                self._poller.mark_pending(self._router)
+            else:
+                self._has_drained = True
+            watch.check(is_drained=self._has_drained)
+            self._has_drained = False
+
     async def _receive_batch(self, socket: zmq.Socket) -> None:
         for _ in range(_BATCH):
             if socket.closed:
@@ -283,6 +305,7 @@
             try:
                 frames = socket.recv_multipart(zmq.NOBLOCK, copy=False)
             except zmq.Again:
+                self._has_drained |= socket is self._router
                 return
             received = self._accept(socket, frames)
             if received is not None:
@@ -292,6 +315,7 @@
 
     def _accept(self, socket: zmq.Socket, frames: list[zmq.Frame]) -> node.MessageReceived | None:
         if socket is self._router:
+            self._watch.record_message(frames[0])
             sender = self._sender_of(frames)
             frames = frames[1:]
         else:
--- a/tests/endless_peers.py
+++ b/tests/endless_peers.py
@@ -91,3 +91,39 @@
         with contextlib.suppress(OSError):
             answer = sock.recv(65536)
             self.status = int(answer.split()[1]) if answer.startswith(b"HTTP/") else 0
+
+
+class ZmqFlood(threading.Thread):
+    """Completes the handshake of ZMTP 3 without keys, and sends parts of one message without end.
+
+    It gives up at ``MAX_SENT_BYTES``, which spares the memory of this machine.
+
+    Attributes:
+        sent_bytes: Bytes of parts sent.
+        is_closed: Whether its connection has been closed.
+    """
+
+    GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00NULL" + bytes(16 + 32)
+    READY = b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
+    PART = b"\x01\x01x"
+
+    def __init__(self, address):
+        super().__init__(daemon=True)
+        self.sent_bytes = 0
+        self.is_closed = False
+        host, _, port = address.partition("://")[2].partition(":")
+        self._address = host, int(port)
+
+    def run(self):
+        block = self.PART * (BLOCK_BYTES // len(self.PART))
+        with socket.create_connection(self._address) as sock:
+            sock.sendall(self.GREETING)
+            sock.recv(len(self.GREETING), socket.MSG_WAITALL)
+            sock.sendall(self.READY)
+            sock.recv(len(self.READY), socket.MSG_WAITALL)
+            try:
+                while self.sent_bytes < MAX_SENT_BYTES:
+                    sock.sendall(block)
+                    self.sent_bytes += len(block)
+            except OSError:
+                self.is_closed = True
--- a/tests/test_endless_links.py
+++ b/tests/test_endless_links.py
@@ -1,11 +1,13 @@
 """Peers that send bytes without end to the port of a link."""
 
 import contextlib
+import pathlib
+import time
 
 import curio
 import pytest
 
-from medlarfork.links import link
+from medlarfork.links import _connection_watch, link
 from tests import curio_world, endless_peers, test_link
 
 pytestmark = pytest.mark.usefixtures("frequent_switches")
@@ -15,8 +17,14 @@
     heartbeat_s=0.1, idle_timeout_s=0.4, reconnect_s=0.01, message_bytes=1 << 20, linger_s=0.0
 )
 
-GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00NULL" + bytes(16 + 32)
-READY = b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
+MAX_FLOOD_S = 6.0
+"""Time within which endless messages have to be ended: as long as links wait for a silent peer."""
+
+MAX_GROWTH_BYTES = 300_000_000
+"""Memory of the smallest machine that runs a replica or an entry host."""
+
+GREETING = endless_peers.ZmqFlood.GREETING
+READY = endless_peers.ZmqFlood.READY
 PARTS = {
     "noise": (b"", b"noise"),
     "HTTP": (b"GET / HTTP/1.1\r\n", b"a: b\r\n"),
@@ -57,3 +65,68 @@
             assert peer.sent_bytes < endless_peers.MAX_SENT_BYTES
 
     curio_world.run(main)
+
+
+# Guards against: a peer that completes the handshake, then sends one message of endless parts.
+def test_a_link_outlives_peers_that_send_parts_without_end():
+    async def main():
+        async with contextlib.AsyncExitStack() as stack:
+            listening, sending = [
+                link.Link(
+                    identity=name, bind="tcp://127.0.0.1:0", codec=test_link.CODEC, options=OPTIONS
+                )
+                for name in "ab"
+            ]
+            for each in (listening, sending):
+                await each.start()
+                stack.push_async_callback(each.close)
+            sending.connect("a", listening.address)
+            await curio_world.until(lambda: sending.send("a", test_link.Note("sound")))
+            before_bytes = _resident_bytes()
+            floods = [endless_peers.ZmqFlood(listening.address) for _ in range(2)]
+            for flood in floods:
+                flood.start()
+            until = time.monotonic() + MAX_FLOOD_S
+            while any(flood.is_alive() for flood in floods) and time.monotonic() < until:
+                assert sending.send("a", test_link.Note("sound"))
+                async with curio.timeout_after(LIMIT_S):
+                    assert (await listening.receive()).message == test_link.Note("sound")
+                await curio.sleep(0.02)
+            assert all(flood.is_closed for flood in floods)
+            assert listening.counters.endless == len(floods)
+            assert _resident_bytes() - before_bytes < MAX_GROWTH_BYTES
+
+    curio_world.run(main)
+
+
+# Guards against: a sound peer's connection closed for large messages, or for a burst of them.
+def test_a_link_keeps_a_connection_with_large_messages():
+    async def main():
+        async with contextlib.AsyncExitStack() as stack:
+            listening, sending = [
+                link.Link(
+                    identity=name, bind="tcp://127.0.0.1:0", codec=test_link.CODEC, options=OPTIONS
+                )
+                for name in "ab"
+            ]
+            for each in (listening, sending):
+                await each.start()
+                stack.push_async_callback(each.close)
+            sending.connect("a", listening.address)
+            await curio_world.until(lambda: sending.send("a", test_link.Note("first")))
+            sizes = [OPTIONS.message_bytes - 100, 10, OPTIONS.message_bytes // 2, 3000] * 4
+            for _ in range(4):
+                for size in sizes:
+                    assert sending.send("a", test_link.Block(bytes(size)))
+                # A busy program reads late, and all at once.
+                time.sleep(3 * _connection_watch.CHECK_PERIOD_S / 2)
+                await curio.sleep(_connection_watch.CHECK_PERIOD_S)
+            await curio_world.until(lambda: listening.counters.received == 1 + 4 * len(sizes))
+            assert listening.counters.endless == 0
+
+    curio_world.run(main)
+
+
+def _resident_bytes():
+    pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * 4096
