Refuse the first attempt of a test of load reports wherever it is placed

The test sent up to twenty requests until one had been placed on the upstream that refuses. That is the first request or none: from then on the owner places on the other one.

Now whichever upstream gets the first attempt refuses it with its load, and the other answers. The check is the same, and each upstream must have got exactly one request. It fails when the load of the earlier attempt is kept.

--- a/tests/routed/test_load_reports.py
+++ b/tests/routed/test_load_reports.py
@@ -54,29 +54,31 @@
     routed_harness.run(tmp_path, main)
 
 
+# Guards against: loads that are attributed to the upstream of the retry.
 def test_the_load_of_a_failed_attempt_is_not_reported_for_the_next_one(tmp_path):
-    """Guards against loads that are attributed to the upstream of the retry."""
+    seen = []
 
-    async def refuse(exchange):
+    async def refuse_first(exchange):
+        seen.append(exchange)
+        if len(seen) > 1:
+            await routed_harness.answer_plainly(exchange)
+            return
         stated = {NAMES.load: "8,0,8", NAMES.not_executed: "1"}
         await exchange.respond(503, routed_harness.echo_headers(exchange, **stated), b"")
 
     async def main(deployment):
-        for answer in (refuse, routed_harness.answer_plainly):
-            await deployment.add_upstream(answer)
+        for _ in range(2):
+            await deployment.add_upstream(refuse_first)
         await deployment.put_routing(max_attempts=2)
         await deployment.until_upstreams(2)
         reports = _record_reports(deployment)
+        response = await deployment.call()
+        assert response.status == 200
+        await response.read()
+        await curio_world.until(lambda: reports and reports[-1].end == "complete")
         full = reported_load.ReportedLoad(8, 0, 8)
-        for _ in range(20):
-            reports.clear()
-            response = await deployment.call()
-            assert response.status == 200
-            await response.read()
-            await curio_world.until(lambda: reports and reports[-1].end == "complete")
-            if len(reports) == 2:
-                break
         assert [report.load for report in reports] == [full, None]
+        assert [len(upstream.seen) for upstream in deployment.upstreams] == [1, 1]
 
     routed_harness.run(tmp_path, main)
 
