Show the log lines of a refusal that took too long

The test of upstreams that reject most requests failed once beside load and left no line that says why. It shows them now; the check is the same.

--- a/tests/routed/test_failed_everywhere.py
+++ b/tests/routed/test_failed_everywhere.py
@@ -180,7 +180,12 @@
 
 # Guards against: at upstreams that reject most requests, some callers were held to their deadlines.
 @pytest.mark.parametrize("share", [0.5, 0.85])
-def test_callers_of_upstreams_that_reject_most_requests_get_their_answers_soon(tmp_path, share):
+def test_callers_of_upstreams_that_reject_most_requests_get_their_answers_soon(
+    tmp_path, caplog, share
+):
+    # A failure shows the log line of each request.
+    caplog.set_level("INFO")
+
     async def main(deployment):
         played = await play(deployment, share)
         statuses = played.statuses()
