--- a/tests/test_endless_links.py
+++ b/tests/test_endless_links.py
@@ -38,22 +38,28 @@
 }
 
 
-# Guards against: a link that reads a peer's bytes without end, or serves no other meanwhile.
-@pytest.mark.parametrize("pause_s", [0.0, 0.05])
-@pytest.mark.parametrize("name", PARTS)
-def test_a_link_closes_the_connection_of_an_endless_peer(name, pause_s):
-    async def main():
-        links = [
+@contextlib.asynccontextmanager
+async def open_pair():
+    """Open two links, to be connected, under the ids "a" and "b"."""
+    async with contextlib.AsyncExitStack() as stack:
+        pair = [
             link.Link(
                 identity=name, bind="tcp://127.0.0.1:0", codec=test_link.CODEC, options=OPTIONS
             )
             for name in "ab"
         ]
-        async with contextlib.AsyncExitStack() as stack:
-            for each in links:
-                await each.start()
-                stack.push_async_callback(each.close)
-            listening, sending = links
+        for each in pair:
+            await each.start()
+            stack.push_async_callback(each.close)
+        yield pair
+
+
+# Guards against: a link that reads a peer's bytes without end, or serves no other meanwhile.
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize("name", PARTS)
+def test_a_link_closes_the_connection_of_an_endless_peer(name, pause_s):
+    async def main():
+        async with open_pair() as (listening, sending):
             peer = endless_peers.Caller(listening.address, *PARTS[name], pause_s)
             peer.start()
             sending.connect("a", listening.address)
@@ -70,16 +76,7 @@
 # Guards against: a peer that completes the handshake, then sends one message of endless parts.
 def test_a_link_outlives_peers_that_send_parts_without_end():
     async def main():
-        async with contextlib.AsyncExitStack() as stack:
-            listening, sending = [
-                link.Link(
-                    identity=name, bind="tcp://127.0.0.1:0", codec=test_link.CODEC, options=OPTIONS
-                )
-                for name in "ab"
-            ]
-            for each in (listening, sending):
-                await each.start()
-                stack.push_async_callback(each.close)
+        async with open_pair() as (listening, sending):
             sending.connect("a", listening.address)
             await curio_world.until(lambda: sending.send("a", test_link.Note("sound")))
             before_bytes = _resident_bytes()
@@ -102,16 +99,7 @@
 # Guards against: a sound peer's connection closed for large messages, or for a burst of them.
 def test_a_link_keeps_a_connection_with_large_messages():
     async def main():
-        async with contextlib.AsyncExitStack() as stack:
-            listening, sending = [
-                link.Link(
-                    identity=name, bind="tcp://127.0.0.1:0", codec=test_link.CODEC, options=OPTIONS
-                )
-                for name in "ab"
-            ]
-            for each in (listening, sending):
-                await each.start()
-                stack.push_async_callback(each.close)
+        async with open_pair() as (listening, sending):
             sending.connect("a", listening.address)
             await curio_world.until(lambda: sending.send("a", test_link.Note("first")))
             sizes = [OPTIONS.message_bytes - 100, 10, OPTIONS.message_bytes // 2, 3000] * 4
