Take the time before an upstream is told to say that it leaves

What was seen: once in a whole run (8 workers), `min() arg is an empty sequence`: no request had reached the upstream after the time from which its word counts.

Cause: the time was taken after the upstream's script was replaced. A request that came in between was answered with the word that it leaves, and no other followed, as it should be.

Change: the time is taken before the script is replaced. The bound is not later than before.

--- a/tests/processes/test_backpressure.py
+++ b/tests/processes/test_backpressure.py
@@ -161,8 +161,9 @@
     leaving, *others = fleet.engines
     with Load(fleet) as load:
         time.sleep(1.0)
-        leaving.answer(medlar_leaving="1")
+        # A request that arrives in between is told already.
         said_from = time.monotonic()
+        leaving.answer(medlar_leaving="1")
         time.sleep(1.0)
         for replica in fleet.replicas:
             fleet.kill(replica)
