Test crowds of clients that misbehave at each door of each program

What callers saw: a crowd that sends bodies up to their last byte, bodies in chunks without an end, heads of many short fields or thousands of requests ahead takes more memory than its machine has, or keeps ordinary callers from being answered.

Evidence: fourteen kinds of crowds go to nine doors of the programs of a routed deployment and to six of a declared one, one crowd at a time. Each test checks that the process lives, that its peak memory and its descriptors stay within what its settings state, and that ordinary requests are answered while the crowd is there and afterwards.

Change: `memory_mb` and `max_descriptors` are settings of all programs, so that tests can state a small machine; nothing goes by them yet but what did before. `make test` runs these tests alone, after the others.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	$(BIN)/python -m examples.demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n 8 --dist worksteal
+	$(BIN)/python -m pytest -n 8 --dist worksteal -m 'not crowd'
+	$(BIN)/python -m pytest -m crowd
 
 measure: $(STAMP)
 	$(BIN)/python -m measure
--- a/src/medlarfork/control/control_settings.py
+++ b/src/medlarfork/control/control_settings.py
@@ -57,6 +57,8 @@
         drain_s: Maximum wait for the requests of an engine whose role changes, in seconds.
         weight_bytes_per_second: Total rate of all loads from the weight store.
         weight_lanes: Maximum concurrent loads, which share that rate.
+        memory_mb: Memory that the process may use, in megabytes; 0 if not stated.
+        max_descriptors: File descriptors that it may open; 0 if not stated.
     """
 
     replica_id: str
@@ -76,6 +78,8 @@
     drain_s: float = settings.bounded(120.0, minimum=0.0, maximum=86400.0)
     weight_bytes_per_second: float = settings.bounded(1e9, minimum=1.0, maximum=1e15)
     weight_lanes: int = settings.bounded(4, minimum=2, maximum=1_000)
+    memory_mb: float = settings.bounded(0.0, minimum=0.0, maximum=1e6)
+    max_descriptors: int = settings.bounded(0, minimum=0, maximum=10_000_000)
 
     @property
     def own_address(self) -> ReplicaAddress:
--- a/src/medlarfork/coordination/coordinator_settings.py
+++ b/src/medlarfork/coordination/coordinator_settings.py
@@ -25,6 +25,8 @@
         directory_ttl_s: How long callers cache an answer of the directory, in seconds.
         log_level: Minimum level that is logged.
         duties: Singleton duties: platform calls that exactly one replica makes.
+        memory_mb: Memory that the process may use, in megabytes; 0 if not stated.
+        max_descriptors: File descriptors that it may open; 0 if not stated.
     """
 
     replica_id: str
@@ -39,3 +41,5 @@
     directory_ttl_s: float = 2.0
     log_level: str = "INFO"
     duties: duty_types.DutySettings = dataclasses.field(default_factory=duty_types.DutySettings)
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
--- a/src/medlarfork/entry/entry_settings.py
+++ b/src/medlarfork/entry/entry_settings.py
@@ -47,6 +47,8 @@
         drain_limit_s: Time limit of a graceful stop in seconds; then requests are cancelled.
         request_limit: Maximum number of requests in progress; more are refused.
         log_level: Lowest level that is logged.
+        memory_mb: Memory that the process may use, in megabytes; 0 if not stated.
+        max_descriptors: File descriptors that it may open; 0 if not stated.
     """
 
     entry_id: str
@@ -64,3 +66,5 @@
     drain_limit_s: float = dataclasses.field(default=900.0, metadata={"min": 1.0, "max": 86400.0})
     request_limit: int = dataclasses.field(default=4096, metadata={"min": 1, "max": 100_000})
     log_level: str = "INFO"
+    memory_mb: float = dataclasses.field(default=0.0, metadata={"min": 0.0, "max": 1e6})
+    max_descriptors: int = dataclasses.field(default=0, metadata={"min": 0, "max": 10_000_000})
--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -166,10 +166,12 @@
         engine_module=_ENGINE,
         engine_options=(),
         entry_settings="",
+        replica_settings="",
     ):
         self.folder = folder
         self.engine_module = engine_module
         self.entry_settings = entry_settings
+        self.replica_settings = replica_settings
         self.engine_options = engine_options
         self.can_be_cut_off = can_be_cut_off
         self.duties = duties
@@ -192,10 +194,12 @@
             replica_id = "{replica}"
             serve = "{replica}:7001"
             directory = "{replica}:7002"
+            health = "{replica}:7007"
             link_port = 7003
             seeds = {json.dumps(self.replicas)}
             may_found = {str(may_found).lower()}
             data_folder = "{self.folder / replica}"
+            {self.replica_settings}
             {self.duties}
             """
         self._start("coordination", "coordinator_command", replica, settings)
