Write long bodies to upstreams without copying them

Cause: a body that waits for its upstream was in memory up to three times: as it came, joined with the head, and as the copy of what was not written yet. The budget counts it once.

The new test holds five bodies of 8 MB that wait for an upstream which reads nothing; it fails without this change (60,445,530 bytes held).

Change: a stream keeps parts of the bytes that it has to write, not copies. The head goes out with the first 64 KiB of the body, the rest from where it is.

--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -24,6 +24,9 @@
 """Time for an unneeded body to arrive completely, in seconds: it is sent along with its head, and
 its request waits meanwhile."""
 
+_JOINED_BYTES = 64 * 1024
+"""Bytes of a body that are written together with the head."""
+
 _MAX_EARLIER_IDS = 16
 """Earlier requests on a connection whose responses are recognised in late copies."""
 
@@ -188,15 +191,15 @@
         """
         self._deadline_at = self.stream.deadline_at = deadline_at
         data = self._h11.send(head)
-        if body:
-            data += self._h11.send(h11.Data(data=body))
-        data += self._h11.send(h11.EndOfMessage())
+        content = self._h11.send(h11.Data(data=body)) if body else b""
+        content += self._h11.send(h11.EndOfMessage())
         self.exchanges += 1
         self._earlier_ids.append(self._last_id)
         self._last_id = request_id
         # The length that a response to HEAD states is not that of its body.
         self._may_skip = self._may_skip and head.method != b"HEAD"
-        self._begin_send(data)
+        # A long body is written from where it is: copies of it would take the memory of others.
+        self._begin_send(data + content[:_JOINED_BYTES], memoryview(content)[_JOINED_BYTES:])
         self._interim_left = self._interim_responses
         self._framing.restart()
         self._needs_data = True
@@ -354,7 +357,8 @@
         await self._finish_send()
         return await self._read_head()
 
-    def _begin_send(self, data: bytes) -> None:
+    def _begin_send(self, data: bytes, more: memoryview) -> None:
+        """Write what can be written without waiting of the first bytes and those behind them."""
         try:
             sent = self.stream.send_now(data)
         except OSError as error:
@@ -362,9 +366,9 @@
                 f"{self.address} closed the connection before the request was sent: {error}.",
                 remedy="Retry the request, with the same upstream or another one.",
             ) from error
-        self._is_sent = sent == len(data)
+        self._is_sent = sent == len(data) and not more
         if not self._is_sent:
-            self.stream.hold_unsent(memoryview(data)[sent:])
+            self.stream.hold_unsent(memoryview(data)[sent:], more)
 
     async def _finish_send(self) -> None:
         if self._is_sent:
--- a/src/medlarfork/http/_http_stream.py
+++ b/src/medlarfork/http/_http_stream.py
@@ -103,7 +103,7 @@
         self._stall_s = stall_s
         self._drained = False
         self._is_flooded = False
-        self._unsent = b""
+        self._unsent: list[memoryview] = []
         self._waiting = 0
         self._writing = False
         self.closed = False
@@ -192,20 +192,19 @@
         Raises:
             OSError: If the connection can't be written to, or a write stalls for too long.
         """
-        if self._unsent:
-            data, self._unsent = self._unsent + data, b""
-        if not data:
-            return
-        sent = self.send_now(data)
-        if sent < len(data):
-            await self.send_rest(memoryview(data)[sent:])
+        if data and not self._unsent:
+            data = memoryview(data)[self.send_now(data) :]
+        if data:
+            self._unsent.append(memoryview(data))
+        while self._unsent:
+            await self._send_rest(self._unsent.pop(0))
 
-    def hold_unsent(self, rest: bytes | memoryview) -> None:
-        """Keep what ``send_now`` left over, for the next ``send`` to write first."""
-        self._unsent = bytes(rest)
+    def hold_unsent(self, *parts: memoryview) -> None:
+        """Keep parts of bytes that ``send_now`` left over, for the next ``send`` to write first."""
+        self._unsent += [part for part in parts if part]
 
-    async def send_rest(self, rest: memoryview) -> None:
-        """Write what ``send_now`` left over; any progress restarts the stall timeout.
+    async def _send_rest(self, rest: memoryview) -> None:
+        """Write what is left over; any progress restarts the stall timeout.
 
         Raises:
             OSError: As for ``send``.
@@ -222,7 +221,7 @@
                 rest = rest[sent:]
             self.deadline_at = previous_deadline
         except curio.CancelledError:
-            self._unsent = bytes(rest)
+            self._unsent = [_frozen(part) for part in (rest, *self._unsent)]
             self.deadline_at = previous_deadline
             raise
         finally:
@@ -327,6 +326,11 @@
             self._socket.shutdown(how)
 
 
+def _frozen(part: memoryview) -> memoryview:
+    """Return a part that stays as it is when its sender uses its buffer again."""
+    return part if isinstance(part.obj, bytes) else memoryview(bytes(part))
+
+
 def _closed() -> ConnectionAbortedError:
     return ConnectionAbortedError("the stream was closed")
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -4,6 +4,7 @@
 import functools
 import socket
 import struct
+import tracemalloc
 
 import curio
 import pytest
@@ -187,6 +188,34 @@
     curio_world.run(main)
 
 
+# Guards against: copies of a long body for each upstream that is slow to read it.
+def test_a_body_that_waits_for_its_upstream_is_not_copied():
+    body = bytes(8_000_000)
+    requests = 5
+
+    async def main():
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = "http://{}:{}".format(*listener.getsockname())
+        headers = {"Content-Length": str(len(body))}
+        async with client_of() as client:
+            tracemalloc.start()
+            calls = [
+                await curio.spawn(client.request, address, "POST", "/", headers, body, daemon=True)
+                for _ in range(requests)
+            ]
+            await curio_world.until(lambda: client.connections == requests)
+            await curio.sleep(0.1)
+            held, peak = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            for call in calls:
+                await call.cancel()
+        listener.close()
+        assert held < len(body) / 2
+        assert peak < 2 * len(body)
+
+    curio_world.run(main)
+
+
 def test_connection_that_died_in_the_pool_is_not_used():
     async def main():
         limits = http_server.HttpLimits(idle_s=0.05)
