Bound a request's head by its bytes, not by its lines

What callers saw: a request with more than 128 header lines was refused with 431, though its head was within the limit in bytes.

Cause: the server had a limit of lines that no page for callers' platforms states; a head of the permitted size may have thousands of short lines.

Change: the default limit of lines is what fits into the limit in bytes. Values of repeated headers are joined once, so that the time grows with their number and not with its square.

--- a/src/medlarfork/http/_http_limits.py
+++ b/src/medlarfork/http/_http_limits.py
@@ -26,7 +26,7 @@
 
     target_bytes: int = 8 * 1024
     header_bytes: int = 32 * 1024
-    header_count: int = 128
+    header_count: int = 8 * 1024
     body_bytes: int = 8 * 1024 * 1024
     header_s: float = 10.0
     body_s: float = 60.0
--- a/src/medlarfork/http/_http_messages.py
+++ b/src/medlarfork/http/_http_messages.py
@@ -37,13 +37,16 @@
 def decode_headers(raw: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     """Return header values by lower-case name; values of repeated headers are joined."""
     value_by_name: dict[str, str] = {}
+    repeated_by_name: dict[str, list[str]] = {}
     for raw_name, raw_value in raw:
         name = raw_name.decode("latin-1")
         value = raw_value.decode("latin-1")
         if name in value_by_name:
-            separator = "; " if name == "cookie" else ", "
-            value = value_by_name[name] + separator + value
-        value_by_name[name] = value
+            repeated_by_name.setdefault(name, [value_by_name[name]]).append(value)
+        else:
+            value_by_name[name] = value
+    for name, values in repeated_by_name.items():
+        value_by_name[name] = ("; " if name == "cookie" else ", ").join(values)
     return value_by_name
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -131,6 +131,17 @@
     curio_world.run(main)
 
 
+# Guards against: a request within the limit in bytes refused for the number of its header lines.
+def test_a_head_of_many_short_lines_is_served():
+    async def main():
+        async with serving() as server:
+            lines = b"".join(b"%x:\r\n" % number for number in range(4096, 4096 + 2300))
+            answer = await talk(server, GET + lines + b"connection: close\r\n\r\n")
+            assert answer.startswith(HEAD)
+
+    curio_world.run(main)
+
+
 def test_declared_length_is_refused_before_the_body_is_sent():
     async def main():
         async with serving(body_bytes=10) as server:
