Give what clients send a budget for each process

What callers saw: crowds that send bodies in one piece or in chunks up to their last byte, chunks without an end, or bodies behind heads of thousands of lines, took more memory than a machine has: up to 404 of 150 MB at entry hosts of declared deployments and 389 of 130 MB at replicas.

Cause: only large bodies at entry hosts that state their memory were counted. Not counted were bodies up to 64 KiB, heads, bytes behind a request, parts of a body (an object for each chunk), and all that arrives at replicas, health checks and the programs of declared deployments.

Change: one budget for each process, over all its doors, counts what connections hold: unparsed bytes, parsed heads by their lines, bodies in one growing buffer, and own answers while they are written. A read takes place only with room for it. Where there is none, the requests that arrive and have made no progress for longest are ended: 503, not run, with Retry-After. A few bytes are no progress. Complete requests may take three quarters (small ones up to 0.85), so there is always one to end. Bodies that arrive take no room of the budget for large bodies any more, which their clients kept for a minute, and don't count as requests in progress.

Limits: 0.65 of the memory beyond 80 MB at entry hosts that state it, a quarter of the memory of other programs, 512 MB where none is stated, never below 24 MB. Large bodies in progress may take 0.48 of the memory beyond 80 MB, 0.8 before.

--- a/src/medlarfork/control/control_program.py
+++ b/src/medlarfork/control/control_program.py
@@ -22,7 +22,7 @@
     replicated_state,
 )
 from medlarfork.declared import configuration, configuration_check
-from medlarfork.http import http_server
+from medlarfork.http import http_server, input_gate, process_size
 from medlarfork.links import keys, link, wire
 from medlarfork.operator import operations, operations_api
 from medlarfork.orders import lease_table, order_manager, order_types, orders, weight_load_scheduler
@@ -73,7 +73,8 @@
             allow_anyone=settings.allow_anyone,
             render_metrics=self._metrics.render,
         )
-        self._server = http_server.HttpServer(api.serve, host=host, port=port)
+        gate = input_gate.InputGate(process_size.receive_mb(settings.memory_mb))
+        self._server = http_server.HttpServer(api.serve, host=host, port=port, gate=gate)
         self._engine_orders = _make_engine_orders(settings)
         self._order_sender = _order_sender.OrderSender(
             self._engine_orders.lease,
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -24,7 +24,7 @@
     origin_writer,
 )
 from medlarfork.duties import duty_types, engine_messages, platform_caller, platform_format
-from medlarfork.http import _http_messages, http_server
+from medlarfork.http import _http_messages, http_server, input_gate, process_size
 from medlarfork.links import link, routed_links
 from medlarfork.metrics import process_metrics
 from medlarfork.replica import _disk_writer, journal, replica, replica_types
@@ -46,6 +46,9 @@
 WALL_TIME_PERIOD_S = 0.4
 """Interval at which the wall clock is read, in seconds: as often as it is sent to entry hosts."""
 
+SERVER_LIMITS = http_server.HttpLimits()
+"""Limits for operators, upstreams and callers."""
+
 REPLICA_OPTIONS = replica.ReplicaOptions(
     election_timeout_min_s=0.8,
     election_timeout_max_s=1.4,
@@ -95,14 +98,17 @@
             bind=f"tcp://{settings.replica_id}:{settings.link_port}",
             options=routed_links.LINK_OPTIONS,
         )
-        self._server = http_server.create_server(self._serve, settings.serve)
+        gate = input_gate.InputGate(process_size.receive_mb(settings.memory_mb))
+        self._server = http_server.create_server(
+            self._serve, settings.serve, SERVER_LIMITS, gate=gate
+        )
         self._directory = (
-            http_server.create_server(self._serve, settings.directory)
+            http_server.create_server(self._serve, settings.directory, SERVER_LIMITS, gate=gate)
             if settings.directory
             else None
         )
         self._health = (
-            http_server.create_server(self._serve_health, settings.health)
+            http_server.create_server(self._serve_health, settings.health, SERVER_LIMITS, gate=gate)
             if settings.health
             else None
         )
--- a/src/medlarfork/entry/entry_program.py
+++ b/src/medlarfork/entry/entry_program.py
@@ -27,7 +27,13 @@
     telemetry,
     upstream_attempt,
 )
-from medlarfork.http import http_client, http_server, reachability_prober
+from medlarfork.http import (
+    http_client,
+    http_server,
+    input_gate,
+    process_size,
+    reachability_prober,
+)
 from medlarfork.links import keys, link, wire
 from medlarfork.settings import _settings_flag, program_exit
 
@@ -68,7 +74,10 @@
         self._recent_upstreams = _recent_upstreams.RecentUpstreams()
         self._is_cut_off = False
         self._server = http_server.HttpServer(
-            self._serve, host=settings.http_host, port=settings.http_port
+            self._serve,
+            host=settings.http_host,
+            port=settings.http_port,
+            gate=input_gate.InputGate(process_size.receive_mb(settings.memory_mb)),
         )
         self._link = link.Link(
             identity=settings.entry_id,
--- a/src/medlarfork/gateway/body_budget.py
+++ b/src/medlarfork/gateway/body_budget.py
@@ -1,8 +1,9 @@
-"""Budget for the bytes of request bodies that an entry host holds.
+"""Budget for the bytes of large request bodies that an entry host serves.
 
 The load it handles: bursts of bodies of megabytes on hosts of 160 to 440 MB, where a few dozen of
 them take the memory of all other requests. A body that does not fit is refused before it is read,
-so its request has not run.
+so its request has not run. Bodies that are still arriving take no room here: their clients may
+never send the rest (see ``receive_budget``).
 
 Pure: no I/O, no clock.
 """
@@ -14,9 +15,9 @@
 from medlarfork import errors
 from medlarfork.gateway import entry_load
 
-HOST_SHARE = 0.8
+HOST_SHARE = 0.48
 """Share of the memory for requests that large bodies may take; the rest is left for small requests,
-for responses that are held, and for copies while a body is written."""
+for bodies that are still arriving, and for responses that are held."""
 
 ACCOUNT_SHARE = 0.8
 """Share of that which one client account may take, so that another one has room as well."""
@@ -57,25 +58,26 @@
         """Return the lease of a request, which holds nothing yet."""
         return BodyLease(self)
 
-    def try_hold(self, account: str, size: int) -> bool:
-        """Hold a part of a body if there is room; return whether there is.
+    def has_room(self, account: str, size: int) -> bool:
+        """Return whether there is room; there always is for the only large body.
 
         Args:
             account: The client account; empty for none.
-            size: Size of the part, in bytes.
+            size: Size that counts, in bytes.
         """
+        if size <= 0 or not self.held_bytes:
+            return True
         of_account = self._held_by_account[account] + size
-        is_beyond = (
-            self.held_bytes + size > self.host_bytes or of_account > ACCOUNT_SHARE * self.host_bytes
-        )
-        if is_beyond and self.held_bytes:
-            return False
+        is_beyond = self.held_bytes + size > self.host_bytes
+        return not is_beyond and of_account <= ACCOUNT_SHARE * self.host_bytes
+
+    def hold(self, account: str, size: int) -> None:
+        """Record that a body is held."""
         self.held_bytes += size
-        self._held_by_account[account] = of_account
-        return True
+        self._held_by_account[account] += size
 
     def release(self, account: str, size: int) -> None:
-        """Record that a part of a body is no longer held."""
+        """Record that a body is no longer held."""
         self.held_bytes -= size
         self._held_by_account[account] -= size
         if not self._held_by_account[account]:
@@ -99,16 +101,13 @@
         self._held = 0
         self._read = 0
 
-    def reserve(self, size: int) -> None:
-        """Hold room for a body of a size in bytes.
+    def check(self, size: int) -> None:
+        """Check that there is room for a body of a size in bytes.
 
         Raises:
             errors.RequestRefusedError: There is no room.
         """
-        extra = size - max(self._held, FREE_BYTES)
-        if extra <= 0:
-            return
-        if not self._budget.try_hold(self.account, extra):
+        if not self._budget.has_room(self.account, size - FREE_BYTES):
             raise errors.RequestRefusedError(
                 "This entry host has no memory for the request's body now.",
                 remedy="Use another entry host, or retry after the time in Retry-After.",
@@ -116,20 +115,27 @@
                 status=503,
                 headers={"Retry-After": f"{RETRY_AFTER_S:.3f}"},
             )
-        self._held = max(self._held, FREE_BYTES) + extra
 
     def add_part(self, size: int) -> None:
-        """Hold room for a part that was read, unless it was reserved.
+        """Check that there is room for all parts that were read, with one of a size in bytes.
 
         Raises:
             errors.RequestRefusedError: There is no room.
         """
         self._read += size
-        if self._read > max(self._held, FREE_BYTES):
-            self.reserve(self._read)
+        self.check(self._read)
+
+    def hold(self, size: int) -> None:
+        """Hold room for a complete body of a size in bytes.
+
+        Raises:
+            errors.RequestRefusedError: There is no room.
+        """
+        self.check(size)
+        self._held = max(size - FREE_BYTES, 0)
+        self._budget.hold(self.account, self._held)
 
     def close(self) -> None:
         """Give back what is held."""
-        if self._held:
-            self._budget.release(self.account, self._held - FREE_BYTES)
+        self._budget.release(self.account, self._held)
         self._held = 0
--- a/src/medlarfork/gateway/entry_load.py
+++ b/src/medlarfork/gateway/entry_load.py
@@ -167,6 +167,11 @@
         is_near_bound = self._max_requests and requests > self._max_requests * (1.0 - MAX_RESERVE)
         return bool(is_near_bound) or self._is_strained or self._admitted_share < 1.0
 
+    def is_full(self, tier: int, requests: int) -> bool:
+        """Return whether the requests in progress leave no room for one of a tier among them."""
+        reserve = min(TIER_RESERVE * min(max(tier, 0), LOWEST_TIER), MAX_RESERVE)
+        return bool(self._max_requests) and requests > self._max_requests * (1.0 - reserve)
+
     def refusal_cause(self, tier: int, requests: int) -> str | None:
         """Return why a request is refused; None if it is admitted.
 
@@ -175,8 +180,7 @@
             requests: Requests in progress, including this one.
         """
         tier = min(max(tier, 0), LOWEST_TIER)
-        reserve = min(TIER_RESERVE * tier, MAX_RESERVE)
-        if self._max_requests and requests > self._max_requests * (1.0 - reserve):
+        if self.is_full(tier, requests):
             return "requests"
         self._arrivals_by_tier[tier] += 1.0
         if self._admitted_share >= 1.0:
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -49,6 +49,7 @@
         stream_budget,
         usage_reporter,
     )
+    from medlarfork.http import input_gate
 
 _log = logging.getLogger(__name__)
 
@@ -72,6 +73,10 @@
 UPSTREAM_LIMITS = http_client.ClientLimits(connect_s=1.0, idle_s=20.0, unacknowledged_s=1.5)
 """Limits for upstreams; each attempt sets its own time without an acknowledgement."""
 
+RECEIVE_SHARE = 0.65
+"""Share of the memory for requests that what clients send may take; the rest is left for tasks,
+connections, and responses that are held."""
+
 RELAY_SHARE = 0.25
 """Connections that other entry hosts may open here, as a share of those of callers."""
 
@@ -149,18 +154,26 @@
         self._bodies = self._make_bodies() if settings.memory_mb > 0 else None
         self._sampler = self._make_sampler() if entry_load.states_size(settings) else None
         self._handler = self._make_handler(names)
+        self._gate = _make_gate(settings.memory_mb)
         self._server = http_server.create_server(
-            self._handler.handle, settings.serve, _caller_limits(settings), listening_socket
+            self._handler.handle,
+            settings.serve,
+            _caller_limits(settings),
+            listening_socket,
+            self._gate,
         )
         self._relay_server = (
             http_server.create_server(
-                self._handler.handle_relayed, settings.relay, _relay_limits(settings)
+                self._handler.handle_relayed,
+                settings.relay,
+                _relay_limits(settings),
+                gate=self._gate,
             )
             if settings.relay
             else None
         )
         self._health = (
-            http_server.create_server(self._serve_health, settings.health)
+            http_server.create_server(self._serve_health, settings.health, gate=self._gate)
             if settings.health
             else None
         )
@@ -317,7 +330,7 @@
         """Return the requests in progress, and those that would take the memory of held bytes."""
         held = 0 if self._budget is None else self._budget.held_requests
         held += 0 if self._bodies is None else self._bodies.held_requests
-        return sum(server.exchanges for server in self._servers) + held
+        return sum(server.exchanges for server in self._servers) - self._gate.budget.arriving + held
 
     def _make_relaying(self) -> relay_client.RelayClient:
         # Imported here, so that the host listens before this is loaded.
@@ -515,6 +528,15 @@
     return dataclasses.replace(CALLER_LIMITS, connections=connections)
 
 
+def _make_gate(memory_mb: float) -> input_gate.InputGate:
+    # Imported here, so that the host listens before this is loaded.
+    from medlarfork.http import input_gate
+
+    if memory_mb <= 0:
+        return input_gate.InputGate()
+    return input_gate.InputGate(RECEIVE_SHARE * (memory_mb - entry_load.BASE_MB))
+
+
 def _relay_limits(settings: gateway_settings.GatewaySettings) -> http_server.HttpLimits:
     """Return the limits for other entry hosts, which may use a part of the room for callers."""
     limits = _caller_limits(settings)
--- a/src/medlarfork/gateway/load_sampler.py
+++ b/src/medlarfork/gateway/load_sampler.py
@@ -61,6 +61,10 @@
         """Return why the request that has just arrived is refused; None if it is admitted."""
         return self.load.refusal_cause(tier, self._read_requests())
 
+    def is_full(self, tier: int) -> bool:
+        """Return whether the requests in progress leave no room for one of a tier among them."""
+        return self.load.is_full(tier, self._read_requests())
+
     async def run(self) -> None:
         """Sample until cancelled."""
         processor_s = _processor_s()
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -164,19 +164,38 @@
                 return
         lease = None if self._bodies is None else self._bodies.open_lease()
         try:
-            await self._handle_body(exchange, lease, started_at)
+            body = await self._read_body(exchange, lease)
+            if body is not None:
+                await self._handle_body(exchange, body, started_at)
         finally:
             if lease is not None:
                 lease.close()
 
+    async def _read_body(
+        self, exchange: http_server.Exchange, lease: body_budget.BodyLease | None
+    ) -> bytes | None:
+        """Return the body of a request, held by the lease; None if the request was refused."""
+        if lease is None:
+            return await exchange.read_body()
+        try:
+            self._check_body(exchange.head, lease)
+            body = await exchange.read_body(lease.add_part)
+            lease.hold(len(body))
+        except errors.RequestRefusedError as error:
+            await self._refuse(exchange, error)
+            return None
+        # Bodies that arrive at the same time don't count until they are complete.
+        tier = self._tier_of_head(exchange.head) if body else 0
+        if body and self._sampler is not None and self._sampler.is_full(tier):
+            await self._refuse_overload(exchange, tier, "requests")
+            return None
+        return body
+
     async def _handle_body(
-        self, exchange: http_server.Exchange, lease: body_budget.BodyLease | None, started_at: float
+        self, exchange: http_server.Exchange, body: bytes, started_at: float
     ) -> None:
-        """Read the body of a request within the lease, and serve the request."""
+        """Serve a request whose body is read."""
         try:
-            if lease is not None:
-                self._reserve_body(exchange.head, lease)
-            body = await exchange.read_body(None if lease is None else lease.add_part)
             metadata = request_metadata.parse(exchange.head.headers, self._names)
             if not await self._wait_routing(exchange, metadata, started_at):
                 return
@@ -204,8 +223,8 @@
             )
         self._record(pipeline.trace, pipeline.admitted)
 
-    def _reserve_body(self, head: http_server.RequestHead, lease: body_budget.BodyLease) -> None:
-        """Reserve memory for a large body before it is read.
+    def _check_body(self, head: http_server.RequestHead, lease: body_budget.BodyLease) -> None:
+        """Check that there is memory for a large body before it is read.
 
         Raises:
             errors.RequestRefusedError: The request can't be served, or there is no room.
@@ -217,7 +236,7 @@
         metadata = request_metadata.parse(head.headers, self._names)
         _, account = self._admit(head, metadata)
         lease.account = "" if account is None else account.name
-        lease.reserve(declared)
+        lease.check(declared)
 
     def _tier_of_head(self, head: http_server.RequestHead) -> int:
         """Return the tier of a request: the highest without routing, the lowest if invalid."""
--- a/src/medlarfork/http/_http_connection.py
+++ b/src/medlarfork/http/_http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 import curio
 import h11
@@ -10,6 +11,9 @@
 from medlarfork import errors
 from medlarfork.http import _http_exchange, _http_limits, _http_messages, _http_stream
 
+if TYPE_CHECKING:
+    from medlarfork.http import input_gate
+
 Handler = Callable[[_http_exchange.Exchange], Awaitable[None]]
 """Handles one exchange by writing its response."""
 
@@ -29,7 +33,17 @@
         closing: Whether the connection closes after the request in progress.
     """
 
-    __slots__ = ("_exchange", "_h11", "_handler", "_limits", "_report", "busy", "closing", "stream")
+    __slots__ = (
+        "_exchange",
+        "_h11",
+        "_handler",
+        "_input",
+        "_limits",
+        "_report",
+        "busy",
+        "closing",
+        "stream",
+    )
 
     def __init__(
         self,
@@ -38,6 +52,7 @@
         handler: Handler,
         limits: _http_limits.HttpLimits,
         report: FaultReporter,
+        gate: input_gate.InputGate,
     ) -> None:
         """Wrap an accepted stream; ``serve`` runs the connection."""
         self.stream = stream
@@ -48,6 +63,7 @@
         self._report = report
         self._exchange: _http_exchange.Exchange | None = None
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._input = gate.open_input(stream, self._h11)
 
     async def close_when_done(self) -> None:
         """Close after the request in progress or one that has arrived, else at once.
@@ -79,6 +95,7 @@
             must_reset = self._exchange is not None and not self._exchange.finished
             raise
         finally:
+            self._input.close()
             if must_reset:
                 await self.stream.reset()
             else:
@@ -92,10 +109,7 @@
 
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can be reused."""
-        event = await self._read_head()
-        if event is None:
-            return False
-        head = await self._check_head(event)
+        head = await self._receive_head()
         if head is None:
             return False
         exchange = self._make_exchange(head)
@@ -106,6 +120,8 @@
         self._exchange = None
         if exchange.aborted:
             raise ConnectionAbortedError("the response was aborted")
+        if self._input.is_evicted:
+            return False
         if not self._is_reusable() or (self.closing and not self._has_input()):
             await self._linger()
             return False
@@ -123,11 +139,17 @@
         return self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
 
     def _make_exchange(self, head: _http_exchange.RequestHead) -> _http_exchange.Exchange:
-        return _http_exchange.Exchange(head, self._h11, self.stream, self._limits)
+        return _http_exchange.Exchange(head, self._h11, self.stream, self._limits, self._input)
+
+    async def _receive_head(self) -> _http_exchange.RequestHead | None:
+        """Return the next head; None if the connection ended or the request was refused."""
+        event = await self._read_head()
+        return None if event is None else await self._check_head(event)
 
     async def _read_head(self) -> h11.Request | None:
         """Return the next request; None if the connection ended or the request was refused."""
-        self.busy = bool(self._h11.trailing_data[0])
+        await self._input.begin_request()
+        self.busy = self._input.buffered_bytes > 0
         self.stream.arm(self._limits.header_s if self.busy else self._limits.idle_s)
         while True:
             try:
@@ -140,20 +162,23 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            data = await self.stream.receive()
+            data = await self._input.receive_head()
             if not data:
                 await self._refuse_slow_head()
                 return None
             if not self.busy:
                 self.busy = True
                 self.stream.arm(self._limits.header_s)
-            self._h11.receive_data(data)
 
     async def _refuse_slow_head(self) -> None:
         """Respond if only a part of the head arrived in time, or before the server stopped.
 
         Otherwise the caller closed the connection or was idle, and there is nothing to answer.
         """
+        if self._input.is_evicted:
+            if self.busy:
+                await self._make_exchange(_NO_HEAD).refuse_evicted()
+            return
         if self.busy and self.stream.interrupted:
             await self.refuse(503, _http_exchange.stopping())
             return
@@ -200,6 +225,7 @@
             )
             await self.refuse(414, error)
             return None
+        self._input.hold_head(size, len(lines))
         headers = _http_messages.decode_headers(lines)
         problem = _find_violation(event, headers)
         if problem:
@@ -237,6 +263,7 @@
         Closing a socket with unread bytes sends a reset, which could destroy the last response.
         """
         self.stream.end_writing()
+        self._input.end()
         self.stream.arm(self._limits.linger_s)
         skipped = 0
         # A caller may read the response only once it has written its whole body.
--- a/src/medlarfork/http/_http_exchange.py
+++ b/src/medlarfork/http/_http_exchange.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
 import curio
 import h11
@@ -11,9 +13,18 @@
 from medlarfork import errors
 from medlarfork.http import _http_framing, _http_limits, _http_messages, _http_stream
 
-_PIPELINE_LIMIT_BYTES = 64 * 1024
+if TYPE_CHECKING:
+    from medlarfork.http import _http_input
+
+_PIPELINE_LIMIT_BYTES = 16 * 1024
 """Maximum bytes of pipelined requests buffered while a response is in progress."""
 
+_EVICTED_RETRY_AFTER_S = 0.3
+"""Time in ``Retry-After`` of an evicted request, in seconds: other hosts mostly have room."""
+
+_JOINED_BYTES = 64 * 1024
+"""Bodies up to this size are written together with their heads."""
+
 _PEER_POLL_S = 0.25
 """Interval at which the TCP state is polled once that buffer is full, in seconds."""
 
@@ -62,6 +73,7 @@
     __slots__ = (
         "_closing",
         "_h11",
+        "_input",
         "_limits",
         "_stream",
         "aborted",
@@ -76,6 +88,7 @@
         connection: h11.Connection,
         stream: _http_stream.Stream,
         limits: _http_limits.HttpLimits,
+        received: _http_input.Input,
     ) -> None:
         """Create the exchange of a request that was received on a connection."""
         self.head = head
@@ -85,6 +98,7 @@
         self._h11 = connection
         self._stream = stream
         self._limits = limits
+        self._input = received
         self._closing = False
 
     def close_after(self) -> None:
@@ -104,6 +118,7 @@
             errors.CallerDisconnectedError: If the caller disconnected before its body was complete.
         """
         if self._h11.their_state is h11.DONE:
+            await self._require_room()
             return b""
         declared = int(self.head.headers.get("content-length", "0"))
         if declared > self._limits.body_bytes:
@@ -111,8 +126,10 @@
         if self._h11.they_are_waiting_for_100_continue:
             await self._send_continue()
         self._stream.arm(self._limits.body_s)
-        body = await self._collect_body(on_part)
+        with self._input.arriving():
+            body = await self._collect_body(on_part)
         self._stream.disarm()
+        await self._require_room()
         return body
 
     async def respond(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
@@ -123,9 +140,14 @@
             lines.append((b"Content-Length", b"%d" % len(body)))
         data = self._start(status, lines)
         if body and self._has_body(status):
-            data += self._h11.send(h11.Data(data=body))
+            content = self._h11.send(h11.Data(data=body))
+            if len(content) > _JOINED_BYTES:
+                await self._write(data)
+                data = content
+            else:
+                data += content
         data += self._h11.send(h11.EndOfMessage())
-        await self._write(data)
+        await self._write_answer(data)
         self.finished = True
 
     async def begin(self, status: int, headers: Mapping[str, str]) -> None:
@@ -184,18 +206,15 @@
         Bytes of pipelined requests are kept. A caller that shuts down only its sending side counts
         as disconnected.
         """
-        kept = len(self._h11.trailing_data[0])
-        while kept < _PIPELINE_LIMIT_BYTES:
+        while (kept := self._input.buffered_bytes) < _PIPELINE_LIMIT_BYTES:
             try:
-                data = await self._stream.receive()
+                data = await self._input.receive(_PIPELINE_LIMIT_BYTES - kept)
             except OSError:
                 return
             if not data and self._stream.interrupted:
                 break  # This host ended the reading, so its end says nothing about the caller.
             if not data:
                 return
-            self._h11.receive_data(data)
-            kept += len(data)
         # The rest stays unread, most often because the buffer is full. A close that the full
         # receive window holds back is noticed when the response is written.
         while not self._stream.is_closed_by_peer():
@@ -213,6 +232,24 @@
         headers = _http_messages.error_headers(_http_messages.NOT_RUN)
         await self.respond(status, headers, _http_messages.error_body(error, status))
 
+    async def refuse_evicted(self) -> None:
+        """Refuse a request that was evicted, without waiting for a caller that doesn't read."""
+        if self.started:
+            await self.abort()
+            return
+        self.close_after()
+        error = evicted()
+        lines = _http_messages.encode_headers(_http_messages.error_headers(_http_messages.NOT_RUN))
+        lines.append((b"Retry-After", b"%.3f" % _EVICTED_RETRY_AFTER_S))
+        body = _http_messages.error_body(error, 503)
+        lines.append((b"Content-Length", b"%d" % len(body)))
+        data = self._start(503, lines)
+        if self._has_body(503):
+            data += self._h11.send(h11.Data(data=body))
+        self.finished = True
+        with contextlib.suppress(OSError):
+            self._stream.send_now(data)
+
     def _has_body(self, status: int) -> bool:
         return self.head.method != "HEAD" and status not in _BODILESS_STATUSES
 
@@ -241,8 +278,7 @@
         return self._h11.their_state is h11.DONE
 
     async def _collect_body(self, on_part: OnPart | None) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         framing = _http_framing.FramingBudget()
         while True:
             try:
@@ -252,29 +288,31 @@
             if event is h11.NEED_DATA:
                 if framing.is_exceeded:
                     await self._refuse_malformed("too many bytes of it are no content")
+                self._input.hold_body(body.__sizeof__())
                 data = await self._receive_body()
                 framing.record_received(len(data))
-                self._h11.receive_data(data)
             elif isinstance(event, h11.Data):
-                parts.append(event.data)
-                size += len(event.data)
+                body += event.data
                 framing.record_content(len(event.data))
-                if len(parts) % _http_framing.MAX_JOINED_CHUNKS == 0:
-                    await curio.sleep(0)
                 if on_part is not None:
                     on_part(len(event.data))
-                if size > self._limits.body_bytes:
+                if len(body) > self._limits.body_bytes:
                     await self._refuse_large_body()
+                await self._input.step()
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                self._input.hold_body(len(body))
+                return bytes(body)
 
     async def _receive_body(self) -> bytes:
         try:
-            data = await self._stream.receive()
+            data = await self._input.receive()
         except OSError as error:
             raise _caller_gone() from error
         if data:
             return data
+        if self._input.is_evicted:
+            await self.refuse_evicted()
+            raise evicted()
         if self._stream.interrupted:
             await self.refuse(503, stopping())
             raise stopping()
@@ -288,6 +326,13 @@
         await self.refuse(408, limit)
         raise limit
 
+    async def _require_room(self) -> None:
+        """Keep the room of a complete request until it is answered, or refuse the request."""
+        if self._input.try_serve():
+            return
+        await self.refuse_evicted()
+        raise evicted()
+
     async def _refuse_large_body(self) -> None:
         limit = errors.HttpLimitError(
             f"The body is larger than {self._limits.body_bytes} bytes.",
@@ -309,6 +354,16 @@
         response = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
         await self._write(self._h11.send(response))
 
+    async def _write_answer(self, data: bytes) -> None:
+        """Write a whole answer, which takes room while its caller is slow to read it."""
+        if self.aborted:
+            raise _caller_gone()
+        try:
+            with self._input.answering(len(data)):
+                await self._stream.send(data)
+        except OSError as error:
+            raise _caller_gone() from error
+
     async def _write(self, data: bytes | bytearray) -> None:
         if self.aborted:
             raise _caller_gone()
@@ -327,6 +382,15 @@
     )
 
 
+def evicted() -> errors.HttpLimitError:
+    """Return the error of a request for which there is no room."""
+    return errors.HttpLimitError(
+        "This host has no memory for the request now.",
+        remedy="Use another entry host, or retry after the time in Retry-After.",
+        code=errors.Code.OVERLOADED,
+    )
+
+
 def _caller_gone() -> errors.CallerDisconnectedError:
     return errors.CallerDisconnectedError(
         "The caller closed its connection or stopped reading.",
--- a/src/medlarfork/http/_http_stream.py
+++ b/src/medlarfork/http/_http_stream.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import curio
 from curio import traps
@@ -48,6 +49,17 @@
         return self._number
 
 
+class Room(Protocol):
+    """Room for the bytes that a stream reads."""
+
+    @property
+    def is_free(self) -> bool:
+        """Return whether there is room for a read."""
+
+    async def make(self) -> None:
+        """Wait until there is room for a read, or the stream is to end."""
+
+
 class Stream:
     """Connected socket that one task reads, one task writes, and any task may close.
 
@@ -61,6 +73,7 @@
             writes fail.
         interrupted: Whether ``interrupt_reading`` ended the reading.
         deadline_at: Monotonic time at which the sweeper expires the stream, in seconds.
+        room: Room for the bytes that are read; None if it isn't limited.
     """
 
     __slots__ = (
@@ -77,6 +90,7 @@
         "deadline_at",
         "expired",
         "interrupted",
+        "room",
     )
 
     def __init__(
@@ -110,6 +124,7 @@
         self.expired = False
         self.interrupted = False
         self.deadline_at = math.inf
+        self.room: Room | None = None
 
     def limit_unacknowledged(self, seconds: float) -> None:
         """Set the timeout for unacknowledged data (TCP_USER_TIMEOUT); 0 for the system's default.
@@ -142,12 +157,19 @@
         self.interrupted = True
         self._shutdown(socket.SHUT_RD)
 
+    def evict(self) -> None:
+        """End a write that waits for the peer, or else the reading."""
+        if self._writing:
+            self.expire()
+        else:
+            self.interrupt_reading()
+
     def end_writing(self) -> None:
         """Shut down writing, so that the peer sees the end of the stream."""
         self._shutdown(socket.SHUT_WR)
 
-    async def receive(self) -> bytes:
-        """Return the next bytes; empty at the end of the stream.
+    async def receive(self, size: int = READ_SIZE) -> bytes:
+        """Return the next bytes, at most ``size`` of them; empty at the end of the stream.
 
         Raises:
             OSError: If the connection was reset, or the stream is closed.
@@ -161,13 +183,17 @@
             # Without this, a peer that sends fast would keep all other tasks from running.
             await curio.sleep(0)
         while True:
+            if self.room is not None and not self.room.is_free:
+                # An idle connection needs no room.
+                await self._wait(traps._read_wait)
+                await self.room.make()
             try:
-                data = self._socket.recv(READ_SIZE)
+                data = self._socket.recv(size)
             except (BlockingIOError, InterruptedError):
                 await self._wait(traps._read_wait)
                 continue
-            self._is_flooded = len(data) == READ_SIZE
-            self._drained = 0 < len(data) < READ_SIZE
+            self._is_flooded = len(data) == size
+            self._drained = 0 < len(data) < size
             return data
 
     def send_now(self, data: bytes | memoryview) -> int:
--- a/src/medlarfork/http/http_server.py
+++ b/src/medlarfork/http/http_server.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 import time
+from typing import TYPE_CHECKING
 
 import curio
 from curio import traps
@@ -19,6 +20,9 @@
     listener,
 )
 
+if TYPE_CHECKING:
+    from medlarfork.http import input_gate
+
 Exchange = _http_exchange.Exchange
 RequestHead = _http_exchange.RequestHead
 HttpLimits = _http_limits.HttpLimits
@@ -59,6 +63,7 @@
         limits: HttpLimits = HttpLimits(),  # noqa: B008 - frozen
         report: FaultReporter = _log_fault,
         listening: socket.socket | None = None,
+        gate: input_gate.InputGate | None = None,
     ) -> None:
         """Create the server; ``start`` makes it listen.
 
@@ -69,7 +74,9 @@
             limits: Limits on what callers may use.
             report: Receives the unexpected exceptions of the handler.
             listening: Socket that already listens at the address (see ``listener``).
+            gate: What all servers of a process share; None for one of its own.
         """
+        self._gate = _make_gate() if gate is None else gate
         self._handler = handler
         self._listening = listening
         self._host = host
@@ -82,7 +89,7 @@
         self._refusal_by_connection: dict[_http_connection.Connection, curio.Task] = {}
         self._exchanges = 0
         self._all_closed = curio.Event()
-        self._sweeper = _http_stream.Sweeper(_sweep_period(limits))
+        self._sweeper = _http_stream.Sweeper(_sweep_period(limits), self._gate.report_evictions)
 
     @property
     def address(self) -> str:
@@ -191,7 +198,11 @@
             accepted.close()
             return
         connection = _http_connection.Connection(
-            stream, handler=self._handle, limits=self._limits, report=self._report
+            stream,
+            handler=self._handle,
+            limits=self._limits,
+            report=self._report,
+            gate=self._gate,
         )
         if len(self._task_by_connection) >= self._limits.connections:
             await self._refuse(connection)
@@ -244,10 +255,20 @@
     address: str,
     limits: HttpLimits = HttpLimits(),  # noqa: B008 - frozen
     listening: socket.socket | None = None,
+    gate: input_gate.InputGate | None = None,
 ) -> HttpServer:
     """Return a server for an address of the form ``IP:PORT``, as in settings."""
     host, _, port = address.rpartition(":")
-    return HttpServer(handler, host=host, port=int(port), limits=limits, listening=listening)
+    return HttpServer(
+        handler, host=host, port=int(port), limits=limits, listening=listening, gate=gate
+    )
+
+
+def _make_gate() -> input_gate.InputGate:
+    # Imported here, so that the host listens before this is loaded.
+    from medlarfork.http import input_gate
+
+    return input_gate.InputGate()
 
 
 def _sweep_period(limits: HttpLimits) -> float:
--- a/tests/routed/test_body_budget.py
+++ b/tests/routed/test_body_budget.py
@@ -26,21 +26,32 @@
         lease.account = account
         was_empty = not budget.held_bytes
         try:
-            lease.reserve(size)
+            lease.check(size)
+            assert budget.held_bytes == sum(held for held, _ in leases)
+            lease.hold(size)
         except errors.RequestRefusedError:
             assert not was_empty
-        leases.append(lease)
+            size = 0
+        leases.append((max(size - body_budget.FREE_BYTES, 0), lease))
         assert budget.held_bytes <= max(budget.host_bytes, 9_000_000)
-    for lease in leases:
+    for _, lease in leases:
         lease.close()
     assert budget.held_bytes == 0
 
 
 def test_one_account_leaves_room_for_another():
     budget = body_budget.BodyBudget(MEMORY_MB)
-    while budget.try_hold("a", 1_000_000):
-        pass
-    assert budget.try_hold("b", 1_000_000)
+    while budget.has_room("a", 500_000):
+        budget.hold("a", 500_000)
+    assert budget.has_room("b", 500_000)
+
+
+# Guards against: bodies of which the rest never comes that keep those of others from being served.
+def test_a_body_that_arrives_takes_no_room_of_others():
+    budget = body_budget.BodyBudget(MEMORY_MB)
+    for _ in range(100):
+        budget.open_lease().add_part(4_000_000)
+    assert budget.held_bytes == 0
 
 
 # Guards against: a host whose process was ended as bodies took more than its memory.
--- a/tests/routed/test_endless_callers.py
+++ b/tests/routed/test_endless_callers.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from medlarfork.coordination import coordinator_program
 from medlarfork.gateway import gateway_program
 from medlarfork.http import http_server
 from tests import curio_world, endless_peers
@@ -41,7 +42,8 @@
 def test_each_port_closes_an_endless_request_and_serves_others(tmp_path, monkeypatch, pause_s):
     defaults = http_server.HttpServer.__init__.__kwdefaults__
     monkeypatch.setitem(defaults, "limits", LIMITS)
-    monkeypatch.setattr(http_server.create_server, "__defaults__", (LIMITS, None))
+    monkeypatch.setattr(http_server.create_server, "__defaults__", (LIMITS, None, None))
+    monkeypatch.setattr(coordinator_program, "SERVER_LIMITS", LIMITS)
     monkeypatch.setattr(gateway_program, "CALLER_LIMITS", LIMITS)
 
     async def main(deployment):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from medlarfork import request
-from medlarfork.http import _http_messages, http_server, listener
+from medlarfork.http import _http_messages, http_server, input_gate, listener
 from tests import curio_world
 
 LONG_S = 20.0
@@ -142,6 +142,31 @@
     curio_world.run(main)
 
 
+# Guards against: a stalled body that keeps its room while the bodies of others don't fit.
+def test_a_stalled_body_yields_to_one_that_arrives():
+    gate = input_gate.InputGate(1.0)
+    gate.budget.limit_bytes = 1_000_000
+
+    async def main():
+        server = http_server.HttpServer(echo, host="127.0.0.1", port=0, gate=gate)
+        await server.start()
+        stalled = await connect(server)
+        await stalled.sendall(POST + b"content-length: 700000\r\n\r\n" + b"x" * 600_000)
+        await curio_world.until(lambda: gate.budget.held_bytes > 600_000)
+        body = b"y" * 600_000
+        sent = POST + b"connection: close\r\ncontent-length: 600000\r\n\r\n" + body
+        assert (await talk(server, sent)).endswith(body)
+        status, head, refusal = split((await read_all(stalled))[0])
+        assert (status, json.loads(refusal)["error"]["code"]) == (503, "overloaded")
+        assert b"medlar-outcome: not_run" in head
+        assert b"retry-after: " in head
+        await stalled.close()
+        await curio_world.until(lambda: gate.budget.held_bytes == 0)
+        await server.close(within_s=0.1)
+
+    curio_world.run(main)
+
+
 def test_declared_length_is_refused_before_the_body_is_sent():
     async def main():
         async with serving(body_bytes=10) as server:
