Let connections with much input take turns

What callers saw: beside 150 clients that send 4,000 requests ahead, or 200 that send bodies in chunks of one byte, no ordinary request was answered for 8 s, at almost every door.

Cause: a connection with input at hand served request after request, or 256 chunks at a time, in each pass of the event loop; with hundreds of them a pass took longer than callers wait.

Change: a request that was sent ahead waits for a turn, and so does a request after 64 reads or chunks. Turns come one after the other, with all other tasks in between, so that such connections delay a pass by one request or 64 chunks, whatever their number. A client that waits for its answers and sends usual bodies waits for a turn only every 64 reads. New connections are accepted 32 at a time.

--- a/src/medlarfork/http/_http_input.py
+++ b/src/medlarfork/http/_http_input.py
@@ -1,4 +1,4 @@
-"""What arrives on one server connection, with the room that it takes."""
+"""What arrives on one server connection, with the room and the processor time that it takes."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import curio
 import h11
 
-from medlarfork.http import _http_stream, receive_budget
+from medlarfork.http import _http_stream, receive_budget, turns
 
 HEAD_READ_BYTES = 16 * 1024
 """Maximum bytes per read while no body is expected: requests sent ahead stay in the socket."""
@@ -22,12 +22,12 @@
 ROOM_POLL_S = 0.002
 """Interval at which a read looks for room, in seconds: evicted requests end at once."""
 
-MAX_STEPS = 256
-"""Chunks of one request after which other tasks run."""
+MAX_STEPS = 64
+"""Reads and chunks of one request after which the connection waits for its turn."""
 
 
 class Input:
-    """Feeds a connection's parser within the budget of its process."""
+    """Feeds a connection's parser within the budget of its process, and with others in between."""
 
     __slots__ = (
         "_body_bytes",
@@ -37,6 +37,7 @@
         "_parser",
         "_steps",
         "_stream",
+        "_turns",
     )
 
     def __init__(
@@ -44,11 +45,13 @@
         stream: _http_stream.Stream,
         parser: h11.Connection,
         budget: receive_budget.ReceiveBudget,
+        own_turns: turns.Turns,
     ) -> None:
         """Create the input of an accepted connection."""
         self._stream = stream
         self._parser = parser
         self._budget = budget
+        self._turns = own_turns
         self._holding = receive_budget.Holding(stream.evict)
         self._head_bytes = 0
         self._body_bytes = 0
@@ -71,10 +74,12 @@
         return len(self._parser.trailing_data[0])
 
     async def begin_request(self) -> None:
-        """Begin with the next request."""
+        """Begin with the next request; one that was sent ahead waits for its turn."""
         self._budget.end_serving(self._holding)
         self._head_bytes = self._body_bytes = self._steps = 0
         self._resize()
+        if self._holding.size:
+            await self._turns.wait()
 
     async def receive_head(self) -> bytes:
         """Read as ``receive`` does, but leave in the socket what is more than a usual head."""
@@ -86,6 +91,7 @@
         Raises:
             OSError: If the connection was reset, or the stream is closed.
         """
+        await self.step()
         data = await self._stream.receive(size)
         if self.is_evicted:
             return b""
@@ -96,11 +102,11 @@
         return data
 
     async def step(self) -> None:
-        """Count a chunk; let other tasks run when there have been many."""
+        """Count a read or a chunk; wait for a turn when the request has taken many."""
         self._steps += 1
         if self._steps >= MAX_STEPS:
             self._steps = 0
-            await curio.sleep(0)
+            await self._turns.wait()
 
     @contextlib.contextmanager
     def arriving(self) -> Iterator[None]:
--- a/src/medlarfork/http/http_server.py
+++ b/src/medlarfork/http/http_server.py
@@ -44,6 +44,9 @@
 _MIN_SWEEP_PERIOD_S = 0.01
 """Minimum interval between checks of deadlines, in seconds."""
 
+_MAX_ACCEPTED = 32
+"""Connections that are accepted before other tasks run."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -162,10 +165,13 @@
         self._listener = None
 
     async def _accept(self, listening: socket.socket) -> None:
+        accepted = 0
         while True:
             try:
                 while await self._accept_one(listening):
-                    pass
+                    accepted += 1
+                    if accepted % _MAX_ACCEPTED == 0:
+                        await curio.sleep(0)
                 await traps._read_wait(listening)
             except OSError as error:
                 _log.error("can't accept: %s", error)
