Close connections that make no progress when a port has too many

What callers saw: a crowd that holds all connections of a port with heads that never end, or that sends requests ahead, kept others out: they were refused for as long as the crowd stayed. At other ports the number of connections exceeded the descriptors of the machine (1,024 of 1,000).

Cause: a port that was full refused new connections, whoever held the others; only the port for callers had a limit that follows from the size of its host.

Change: a full port closes connections for a new one: those that have brought less than 4 KiB of an unfinished request in 0.5 s or have sent ahead, then those that wait for another request. One that serves a request is never closed. The limits follow from the descriptors and the memory that the settings state, at all ports; those for health checks have 64.

--- a/src/medlarfork/control/control_program.py
+++ b/src/medlarfork/control/control_program.py
@@ -73,8 +73,15 @@
             allow_anyone=settings.allow_anyone,
             render_metrics=self._metrics.render,
         )
+        limits = process_size.connection_limits(
+            http_server.HttpLimits(),
+            memory_mb=settings.memory_mb,
+            max_descriptors=settings.max_descriptors,
+        )
         gate = input_gate.InputGate(process_size.receive_mb(settings.memory_mb))
-        self._server = http_server.HttpServer(api.serve, host=host, port=port, gate=gate)
+        self._server = http_server.HttpServer(
+            api.serve, host=host, port=port, limits=limits, gate=gate
+        )
         self._engine_orders = _make_engine_orders(settings)
         self._order_sender = _order_sender.OrderSender(
             self._engine_orders.lease,
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -47,7 +47,10 @@
 """Interval at which the wall clock is read, in seconds: as often as it is sent to entry hosts."""
 
 SERVER_LIMITS = http_server.HttpLimits()
-"""Limits for operators, upstreams and callers."""
+"""Limits for operators, upstreams and callers; a small host has fewer connections."""
+
+HEALTH_LIMITS = http_server.HttpLimits(connections=64)
+"""Limits for health checks and metrics."""
 
 REPLICA_OPTIONS = replica.ReplicaOptions(
     election_timeout_min_s=0.8,
@@ -98,17 +101,20 @@
             bind=f"tcp://{settings.replica_id}:{settings.link_port}",
             options=routed_links.LINK_OPTIONS,
         )
-        gate = input_gate.InputGate(process_size.receive_mb(settings.memory_mb))
-        self._server = http_server.create_server(
-            self._serve, settings.serve, SERVER_LIMITS, gate=gate
+        limits = process_size.connection_limits(
+            SERVER_LIMITS,
+            memory_mb=settings.memory_mb,
+            max_descriptors=settings.max_descriptors,
         )
+        gate = input_gate.InputGate(process_size.receive_mb(settings.memory_mb))
+        self._server = http_server.create_server(self._serve, settings.serve, limits, gate=gate)
         self._directory = (
-            http_server.create_server(self._serve, settings.directory, SERVER_LIMITS, gate=gate)
+            http_server.create_server(self._serve, settings.directory, limits, gate=gate)
             if settings.directory
             else None
         )
         self._health = (
-            http_server.create_server(self._serve_health, settings.health, SERVER_LIMITS, gate=gate)
+            http_server.create_server(self._serve_health, settings.health, HEALTH_LIMITS, gate=gate)
             if settings.health
             else None
         )
--- a/src/medlarfork/entry/entry_program.py
+++ b/src/medlarfork/entry/entry_program.py
@@ -73,10 +73,16 @@
         self._prober.use_client(self._client.reach)
         self._recent_upstreams = _recent_upstreams.RecentUpstreams()
         self._is_cut_off = False
+        limits = process_size.connection_limits(
+            http_server.HttpLimits(),
+            memory_mb=settings.memory_mb,
+            max_descriptors=settings.max_descriptors,
+        )
         self._server = http_server.HttpServer(
             self._serve,
             host=settings.http_host,
             port=settings.http_port,
+            limits=limits,
             gate=input_gate.InputGate(process_size.receive_mb(settings.memory_mb)),
         )
         self._link = link.Link(
--- a/src/medlarfork/gateway/entry_load.py
+++ b/src/medlarfork/gateway/entry_load.py
@@ -39,6 +39,15 @@
 """Share of the descriptors that connections of callers may take. Upstreams, links and files need
 the others: without them, requests that are already admitted fail."""
 
+CONNECTIONS_MEMORY_SHARE = 0.2
+"""Share of the memory for requests that connections without a request may take."""
+
+CONNECTION_BYTES = 12_000
+"""Memory of a connection without a request, in bytes."""
+
+MIN_REQUESTS_MB = 10.0
+"""Least memory for requests, in megabytes, if the stated memory is too small."""
+
 MIN_REQUESTS = 16
 """Requests in progress that are always allowed, if the stated memory is too small."""
 
@@ -111,10 +120,14 @@
 
 
 def max_connections(settings: gateway_settings.GatewaySettings, usual: int) -> int:
-    """Return the bound on connections of callers: the usual one, or less with few descriptors."""
-    if settings.max_descriptors <= 0:
-        return usual
-    return min(usual, int(CONNECTIONS_SHARE * settings.max_descriptors))
+    """Return the bound on connections of callers: the usual one, or less on a small host."""
+    bounds = [usual]
+    if settings.max_descriptors > 0:
+        bounds.append(int(CONNECTIONS_SHARE * settings.max_descriptors))
+    if settings.memory_mb > 0:
+        for_requests = max(settings.memory_mb - BASE_MB, MIN_REQUESTS_MB) * 1e6
+        bounds.append(int(CONNECTIONS_MEMORY_SHARE * for_requests / CONNECTION_BYTES))
+    return min(bounds)
 
 
 class EntryLoad:
--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -73,6 +73,9 @@
 UPSTREAM_LIMITS = http_client.ClientLimits(connect_s=1.0, idle_s=20.0, unacknowledged_s=1.5)
 """Limits for upstreams; each attempt sets its own time without an acknowledgement."""
 
+HEALTH_LIMITS = http_server.HttpLimits(connections=64)
+"""Limits for health checks and metrics."""
+
 RECEIVE_SHARE = 0.65
 """Share of the memory for requests that what clients send may take; the rest is left for tasks,
 connections, and responses that are held."""
@@ -173,7 +176,9 @@
             else None
         )
         self._health = (
-            http_server.create_server(self._serve_health, settings.health, gate=self._gate)
+            http_server.create_server(
+                self._serve_health, settings.health, HEALTH_LIMITS, gate=self._gate
+            )
             if settings.health
             else None
         )
--- a/src/medlarfork/http/_http_connection.py
+++ b/src/medlarfork/http/_http_connection.py
@@ -128,6 +128,25 @@
         self._h11.start_next_cycle()
         return True
 
+    @property
+    def waiting_since(self) -> float:
+        """Return since when its next request makes no progress; infinite if one is served."""
+        return self._input.waiting_since
+
+    @property
+    def is_ahead(self) -> bool:
+        """Return whether its client sent the next request before it got its last answer."""
+        return self._input.is_ahead and self._input.is_arriving
+
+    @property
+    def is_used(self) -> bool:
+        """Return whether it has brought complete requests, and no part of another one."""
+        return self._input.requests > 0 and not self.busy
+
+    def evict(self) -> None:
+        """End the request that arrives, or the wait for one, and close."""
+        self._input.evict()
+
     def _has_input(self) -> bool:
         """Return whether a further request, or a part of it, or the caller's end has arrived."""
         return bool(self._h11.trailing_data[0]) or self.stream.is_dead()
@@ -149,6 +168,8 @@
     async def _read_head(self) -> h11.Request | None:
         """Return the next request; None if the connection ended or the request was refused."""
         await self._input.begin_request()
+        if self._input.is_evicted:
+            return None
         self.busy = self._input.buffered_bytes > 0
         self.stream.arm(self._limits.header_s if self.busy else self._limits.idle_s)
         while True:
--- a/src/medlarfork/http/_http_input.py
+++ b/src/medlarfork/http/_http_input.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import math
+import time
 from collections.abc import Iterator
 
 import curio
@@ -27,7 +29,14 @@
 
 
 class Input:
-    """Feeds a connection's parser within the budget of its process, and with others in between."""
+    """Feeds a connection's parser within the budget of its process, and with others in between.
+
+    Attributes:
+        is_ahead: Whether the client sent the next request before it got its last answer.
+        waiting_since: Monotonic time since which nothing, or hardly anything, has arrived of the
+            next request, in seconds; infinite while a complete request is served.
+        requests: Complete requests so far.
+    """
 
     __slots__ = (
         "_body_bytes",
@@ -38,6 +47,9 @@
         "_steps",
         "_stream",
         "_turns",
+        "is_ahead",
+        "requests",
+        "waiting_since",
     )
 
     def __init__(
@@ -53,6 +65,9 @@
         self._budget = budget
         self._turns = own_turns
         self._holding = receive_budget.Holding(stream.evict)
+        self.is_ahead = False
+        self.requests = 0
+        self.waiting_since = time.monotonic()
         self._head_bytes = 0
         self._body_bytes = 0
         self._steps = 0
@@ -77,8 +92,10 @@
         """Begin with the next request; one that was sent ahead waits for its turn."""
         self._budget.end_serving(self._holding)
         self._head_bytes = self._body_bytes = self._steps = 0
+        self.waiting_since = time.monotonic()
         self._resize()
-        if self._holding.size:
+        self.is_ahead = self._holding.size > 0
+        if self.is_ahead:
             await self._turns.wait()
 
     async def receive_head(self) -> bytes:
@@ -97,10 +114,20 @@
             return b""
         if data:
             self._parser.receive_data(data)
-            self._budget.record_received(self._holding, len(data))
+            if self._budget.record_received(self._holding, len(data)) and self.is_arriving:
+                self.waiting_since = time.monotonic()
             self._resize()
         return data
 
+    @property
+    def is_arriving(self) -> bool:
+        """Return whether no complete request is served now."""
+        return self.waiting_since < math.inf
+
+    def evict(self) -> None:
+        """End the request that arrives, or the wait for one."""
+        self._budget.evict(self._holding)
+
     async def step(self) -> None:
         """Count a read or a chunk; wait for a turn when the request has taken many."""
         self._steps += 1
@@ -129,7 +156,11 @@
 
     def try_serve(self) -> bool:
         """Keep what is held until the request is answered; return whether there is room for it."""
-        return self._budget.try_serve(self._holding)
+        if not self._budget.try_serve(self._holding):
+            return False
+        self.waiting_since = math.inf
+        self.requests += 1
+        return True
 
     @contextlib.contextmanager
     def answering(self, size: int) -> Iterator[None]:
@@ -138,6 +169,7 @@
             yield
             return
         self._budget.end_serving(self._holding)
+        self.waiting_since = time.monotonic()
         self.hold_body(self._body_bytes + size)
         self._budget.make_room()
         try:
--- a/src/medlarfork/http/http_server.py
+++ b/src/medlarfork/http/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import heapq
 import logging
 import socket
 import time
@@ -44,6 +45,12 @@
 _MIN_SWEEP_PERIOD_S = 0.01
 """Minimum interval between checks of deadlines, in seconds."""
 
+PATIENCE_S = 0.5
+"""Time without progress after which a connection may be closed for a new one, in seconds."""
+
+MAX_EVICTED = 16
+"""Connections that are closed at once when there are too many: finding them takes a while."""
+
 _MAX_ACCEPTED = 32
 """Connections that are accepted before other tasks run."""
 
@@ -90,6 +97,7 @@
         self._acceptor: curio.Task | None = None
         self._task_by_connection: dict[_http_connection.Connection, curio.Task] = {}
         self._refusal_by_connection: dict[_http_connection.Connection, curio.Task] = {}
+        self._evicted: set[_http_connection.Connection] = set()
         self._exchanges = 0
         self._all_closed = curio.Event()
         self._sweeper = _http_stream.Sweeper(_sweep_period(limits), self._gate.report_evictions)
@@ -210,12 +218,37 @@
             report=self._report,
             gate=self._gate,
         )
-        if len(self._task_by_connection) >= self._limits.connections:
+        if self._is_full and not self._evict_connections():
             await self._refuse(connection)
             return
         task = await curio.spawn(self._serve, connection, daemon=True)
         self._task_by_connection[connection] = task
 
+    @property
+    def _is_full(self) -> bool:
+        open_connections = len(self._task_by_connection) - len(self._evicted)
+        return open_connections >= self._limits.connections
+
+    def _evict_connections(self) -> bool:
+        """Close connections that make no progress or send ahead; return whether there were any.
+
+        Requests that stand still go first, then connections that wait for another request.
+        """
+        before = time.monotonic() - PATIENCE_S
+        idle = [
+            connection
+            for connection in self._task_by_connection
+            if connection not in self._evicted
+            and (connection.waiting_since < before or connection.is_ahead)
+        ]
+        found = heapq.nsmallest(
+            MAX_EVICTED, idle, key=lambda connection: (connection.is_used, connection.waiting_since)
+        )
+        for connection in found:
+            connection.evict()
+        self._evicted.update(found)
+        return bool(found)
+
     async def _serve(self, connection: _http_connection.Connection) -> None:
         self._sweeper.add(connection.stream)
         try:
@@ -223,6 +256,7 @@
         finally:
             self._sweeper.discard(connection.stream)
             self._task_by_connection.pop(connection, None)
+            self._evicted.discard(connection)
             if not self._task_by_connection:
                 await self._all_closed.set()
 
--- a/tests/routed/test_endless_callers.py
+++ b/tests/routed/test_endless_callers.py
@@ -42,9 +42,10 @@
 def test_each_port_closes_an_endless_request_and_serves_others(tmp_path, monkeypatch, pause_s):
     defaults = http_server.HttpServer.__init__.__kwdefaults__
     monkeypatch.setitem(defaults, "limits", LIMITS)
-    monkeypatch.setattr(http_server.create_server, "__defaults__", (LIMITS, None, None))
     monkeypatch.setattr(coordinator_program, "SERVER_LIMITS", LIMITS)
+    monkeypatch.setattr(coordinator_program, "HEALTH_LIMITS", LIMITS)
     monkeypatch.setattr(gateway_program, "CALLER_LIMITS", LIMITS)
+    monkeypatch.setattr(gateway_program, "HEALTH_LIMITS", LIMITS)
 
     async def main(deployment):
         await deployment.add_upstream()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -142,6 +142,31 @@
     curio_world.run(main)
 
 
+# Guards against: a new caller refused beside connections that stand still or send ahead.
+@pytest.mark.parametrize("sent", [b"", GET, POST + b"content-length: 9\r\n\r\nx"])
+def test_a_full_server_closes_connections_that_make_no_progress(monkeypatch, sent):
+    monkeypatch.setattr(http_server, "PATIENCE_S", 0.1)
+
+    async def main():
+        async with serving(connections=3) as server:
+            used = await connect(server)
+            await used.sendall(GET + b"\r\n")
+            await read_until(used, b"/")
+            idle = [await connect(server) for _ in range(2)]
+            for sock in idle:
+                await sock.sendall(sent)
+            await curio_world.until(lambda: server.connections == 3)
+            await curio.sleep(0.2)
+            assert (await talk(server, GET + b"connection: close\r\n\r\n")).startswith(HEAD)
+            for sock in idle:
+                received, _ = await read_all(sock)
+                assert not received or split(received)[0] == 503
+                await sock.close()
+            await used.close()
+
+    curio_world.run(main)
+
+
 # Guards against: a stalled body that keeps its room while the bodies of others don't fit.
 def test_a_stalled_body_yields_to_one_that_arrives():
     gate = input_gate.InputGate(1.0)
