Treat statuses that HTTP does not have as failures

What callers saw: an upstream's answer with the status 600 was passed on to callers of unsafe and streaming routes.

Cause: the parser accepts any status of three digits from 100 on.

Evidence: the new test sends 000, 099, 600 and 999; 600 and 999 were taken as answers before.

Change: a status above 599 is a failure of the exchange.

--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -37,6 +37,9 @@
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 """Begin of a response. Within a head it shows that another response was cut off in front of it."""
 
+_MAX_STATUS = 599
+"""Greatest status that HTTP defines; the parser accepts all of three digits from 100 on."""
+
 _BOTH_DONE = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
 """States of the parser after a complete exchange on a connection that stays open."""
 
@@ -386,6 +389,8 @@
             event = await self.next_event(self._limit_head)
             self._check_is_one_head(event)
             if isinstance(event, h11.Response):
+                if event.status_code > _MAX_STATUS:
+                    raise self.failure(f"{event.status_code} is no status of HTTP")
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self.failure("connection closed before a response")
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -216,6 +216,19 @@
     curio_world.run(main)
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_a_status_that_http_does_not_have_is_a_failure(status):
+    async def main():
+        answer = b"HTTP/1.1 " + status + b" x\r\ncontent-length: 2\r\n\r\nok"
+        peer = Peer(answer)
+        async with client_of(peer) as client:
+            with pytest.raises(errors.UpstreamError):
+                await get(client, peer.address)
+            assert client.connections == 0
+
+    curio_world.run(main)
+
+
 def test_connection_that_died_in_the_pool_is_not_used():
     async def main():
         limits = http_server.HttpLimits(idle_s=0.05)
