Look at a link's connections early if the process grows

Callers: a peer that floods a link without keys with short parts grew the process past the memory of the smallest machine before its connection was reset.

Cause: connections were looked at every 0.25 s. ZeroMQ holds 64 bytes for a part of 3 bytes, and decodes about 60 MB of them a second.

Change: the watch reads the size of the process every 0.05 s (1.5 us a look) and checks at once if it has grown by 16 MB, again 0.01 s later. As the second check comes sooner, bytes that ZeroMQ has yet to read no longer count as unfinished: complete messages may be among them.

Open: each connection may still bring as many bytes as a message has.

--- a/src/medlarfork/links/link.py
+++ b/src/medlarfork/links/link.py
@@ -290,6 +290,8 @@
     async def _watch_connections(self, watch: _connection_watch.ConnectionWatch) -> None:
         while True:
             await curio.sleep(watch.period_s)
+            if not watch.is_due():
+                continue
             if _zmq_poller.has_message(self._router):
                 # Asking consumed the socket's edge.
                 self._poller.mark_pending(self._router)
