Test one account's room with bodies of the size as before

The budget of clients' input changed the bodies of this test from 1 MB to 500 KB, which nothing asked for: with 1 MB the second account has room too (3 MB of 4.8 MB held by the first). The size is 1 MB again; the file's tests pass.

--- a/tests/routed/test_body_budget.py
+++ b/tests/routed/test_body_budget.py
@@ -41,9 +41,9 @@
 
 def test_one_account_leaves_room_for_another():
     budget = body_budget.BodyBudget(MEMORY_MB)
-    while budget.has_room("a", 500_000):
-        budget.hold("a", 500_000)
-    assert budget.has_room("b", 500_000)
+    while budget.has_room("a", 1_000_000):
+        budget.hold("a", 1_000_000)
+    assert budget.has_room("b", 1_000_000)
 
 
 # Guards against: bodies of which the rest never comes that keep those of others from being served.
