Remove silent voters from odd groups too, before others join

Callers and operators saw: nine replicas, two at a time lost for good and replaced.

Cause: a silent voter was removed only while the number of voters was even, and replicas that had just been heard were added first. Two that join together keep the number odd (9, 11, 13, 15), so the two that they replace stayed voters until a pair more left no majority.

Evidence: members_changed lists 15 voters, 8 of them gone; the same history in virtual time ends there in each run. Weighed: a fixed target size needs state that a new leader does not have; dropping the parity rule without a floor shrinks a group at each short cut.

Change: removals go before additions; an odd group drops silent voters if there are two, down to 2 f + 1 voters and never below five.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -87,6 +87,7 @@
         decode: Decode,
         duties: duty_types.DutySettings = duty_types.DutySettings(),  # noqa: B008 - frozen
         origins: origin_manager.OriginManager | None = None,
+        tolerated_losses: int = membership_manager.TOLERATED_LOSSES,
     ) -> None:
         """Create the components of a coordinator.
 
@@ -100,6 +101,7 @@
             decode: Decodes an operator's body.
             duties: Singleton duties: platform calls that exactly one replica makes.
             origins: Origins of streams, with those of the replica's file; None for an empty one.
+            tolerated_losses: How many replicas may be lost at the same time, disks included.
         """
         self._replica_id = replica_id
         self._replica = log_replica
@@ -108,7 +110,7 @@
         self._routing_manager = routing_manager.RoutingManager(replica_id, self._state)
         self._registry = upstream_registry.UpstreamRegistry(announce_period_s=announce_period_s)
         self._upstreams = upstream_manager.UpstreamManager(self._registry)
-        self._members = membership_manager.MembershipManager(replica_id, seeds)
+        self._members = membership_manager.MembershipManager(replica_id, seeds, tolerated_losses)
         self._entries = entry_directory.EntryDirectory(ttl_s=ttl_s, replica_id=replica_id)
         self._feed = entry_feed.EntryFeed(boot=boot)
         self._backpressure = backpressure_manager.BackpressureManager()
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -235,6 +235,7 @@
                 # Before a founder's first start no stream ran.
                 is_complete=not restored.fresh or bool(founders),
             ),
+            tolerated_losses=settings.tolerated_losses,
         )
 
     async def _receive(self) -> None:
--- a/src/medlarfork/coordination/coordinator_settings.py
+++ b/src/medlarfork/coordination/coordinator_settings.py
@@ -27,6 +27,8 @@
         duties: Singleton duties: platform calls that exactly one replica makes.
         memory_mb: Memory that the process may use, in megabytes; 0 if not stated.
         max_descriptors: File descriptors that it may open; 0 if not stated.
+        tolerated_losses: How many replicas may be lost at the same time, disks included; the log
+            keeps at least as many voters as this needs.
     """
 
     replica_id: str
@@ -43,3 +45,4 @@
     duties: duty_types.DutySettings = dataclasses.field(default_factory=duty_types.DutySettings)
     memory_mb: float = 0.0
     max_descriptors: int = 0
+    tolerated_losses: int = 1
--- a/src/medlarfork/coordination/membership_manager.py
+++ b/src/medlarfork/coordination/membership_manager.py
@@ -29,6 +29,12 @@
 """Silence after which a voter may be removed if the group tolerates no fewer losses without it, in
 seconds: longer than a process restart."""
 
+TOLERATED_LOSSES = 1
+"""How many replicas may be lost at the same time if the settings do not say."""
+
+MIN_REDUCED_VOTERS = 5
+"""Number of voters below which no silent voter is removed from an odd group: two of five may only
+be cut off, and would otherwise have to rejoin after each short partition."""
 
 MISSING_AFTER_S = 1.3
 """Silence after which a replica counts as missing, in seconds: more than two hello intervals."""
@@ -49,9 +55,21 @@
 class MembershipManager:
     """Decides which replicas to connect to and, on the leader, who is a member. Pure: no I/O."""
 
-    def __init__(self, replica_id: str, seeds: tuple[str, ...]) -> None:
-        """Start with the replicas listed in the settings."""
+    def __init__(
+        self,
+        replica_id: str,
+        seeds: tuple[str, ...],
+        tolerated_losses: int = TOLERATED_LOSSES,
+    ) -> None:
+        """Start with the replicas listed in the settings.
+
+        Args:
+            replica_id: Identifies this replica.
+            seeds: Replicas listed in the settings.
+            tolerated_losses: How many replicas may be lost at the same time, disks included.
+        """
         self._replica_id = replica_id
+        self._min_voters = max(2 * tolerated_losses + 1, MIN_REDUCED_VOTERS)
         self._heard_at_by_id: dict[str, float] = {}
         self._seeds = seeds
         self._known: dict[str, None] = dict.fromkeys(seeds)
@@ -164,23 +182,40 @@
     ) -> replica_types.ChangeVoters | None:
         """Return the membership change that is due, if any.
 
-        A silent voter is removed only while the number of voters is even: such a group tolerates no
-        more losses than one with a voter fewer, and it is even once a replacement has joined.
+        Removals go first: each loss of a voter that follows makes them harder to commit.
         """
         members = (*voters.voters, *voters.learners)
         self._changes += 1
         change_id = f"members-{self._replica_id}-{self._changes}"
+        lost = self._removable(voters, now)
+        if lost is not None:
+            return replica_types.ChangeVoters(change_id, remove=lost)
         for peer, heard_at in self._heard_at_by_id.items():
             if peer not in members and now - heard_at < HELLO_PERIOD_S * 2:
                 return replica_types.ChangeVoters(change_id, add=peer)
+        return None
+
+    def _removable(self, voters: replica_types.Voters, now: float) -> str | None:
+        """Return a silent member that the group is better off without, if any."""
+        for learner in voters.learners:
+            if self._is_silent(learner, now):
+                return learner
         silent = [
-            member
-            for member in members
-            if member != self._replica_id and self._is_silent(member, now)
+            voter
+            for voter in voters.voters
+            if voter != self._replica_id and self._is_silent(voter, now)
         ]
-        silent_learners = [member for member in silent if member in voters.learners]
-        if silent_learners:
-            return replica_types.ChangeVoters(change_id, remove=silent_learners[0])
-        if silent and len(voters.voters) % 2 == 0:
-            return replica_types.ChangeVoters(change_id, remove=silent[0])
+        if silent and self._gains_from_removal(len(voters.voters), len(silent)):
+            return silent[0]
         return None
+
+    def _gains_from_removal(self, voters: int, silent: int) -> bool:
+        """Say whether the group tolerates more losses without its silent voters.
+
+        An even group does without one of them, an odd one only without two: with one voter fewer
+        its majority is as large. An odd group keeps as many voters as the tolerated losses need,
+        since a voter that is only cut off keeps a copy of each entry.
+        """
+        if voters % 2 == 0:
+            return silent > 0
+        return silent > 1 and voters - 2 >= self._min_voters
--- a/tests/routed/coordinator_cluster.py
+++ b/tests/routed/coordinator_cluster.py
@@ -46,8 +46,16 @@
 class Cluster:
     """Coordinators, and the replies that operators and upstreams received."""
 
-    def __init__(self, seeds=("a", "b", "c"), others=("d", "e"), seed=0, duties=NO_DUTIES):
+    def __init__(
+        self,
+        seeds=("a", "b", "c"),
+        others=("d", "e"),
+        seed=0,
+        duties=NO_DUTIES,
+        tolerated_losses=1,
+    ):
         self.duties = duties
+        self.tolerated_losses = tolerated_losses
         self.random = random.Random(seed)
         self.time = 100.0
         self.seeds = seeds
@@ -83,6 +91,7 @@
             ttl_s=2.0,
             decode=self.api_format.decode_routing,
             duties=self.duties,
+            tolerated_losses=self.tolerated_losses,
         )
         self.post(replica_id, node.Started())
 
--- a/tests/routed/test_membership_manager.py
+++ b/tests/routed/test_membership_manager.py
@@ -55,6 +55,28 @@
     assert _changes(even) == [("", "r3")]
 
 
+def _first_change(voters, heard, *, tolerated_losses, joining=()):
+    """Return the first change that a leader requests once all but ``heard`` have fallen silent."""
+    manager = membership_manager.MembershipManager(ME, (), tolerated_losses)
+    manager.on_tick(_status(*voters), leads=True, now=0.0)
+    for peer in (*heard, *joining):
+        manager.record_contact(peer, 4.0)
+    return _changes(manager.on_tick(_status(*voters), leads=True, now=4.5))
+
+
+def test_two_silent_voters_leave_an_odd_group_before_their_replacements_join():
+    """Regression: replicas that joined in pairs kept the group odd and delayed each removal."""
+    voters = (ME, "r2", "r3", "r4", "r5", "r6", "r7")
+    changes = _first_change(voters, voters[3:], tolerated_losses=2, joining=("r8", "r9"))
+    assert changes == [("", "r2")]
+
+
+@pytest.mark.parametrize("tolerated_losses, count", [(1, 5), (2, 5), (3, 7)])
+def test_an_odd_group_keeps_the_voters_that_the_tolerated_losses_need(tolerated_losses, count):
+    voters = tuple(f"r{number}" for number in range(1, count + 1))
+    assert not _first_change(voters, voters[3:], tolerated_losses=tolerated_losses)
+
+
 def test_a_new_leader_waits_before_it_removes_members(manager):
     actions = manager.on_tick(_status(ME, "r2", "r3", "r4"), leads=True, now=1000.0)
     assert _changes(actions) == []
