Write the versions that run to the replicas' files

Callers saw: a stream of one version broke off, that version left, everything was restarted, and the stream, taken up again with Last-Event-Id alone, was answered 200 with the rest from another version (ORDER).

Cause: such a caller is served if one version alone can have begun the stream. A restarted replica vouched for that by its file, which held the versions of reported streams only; those seen lately were in memory alone.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -495,7 +495,7 @@
             return
         self._view_due = self._now + VIEW_PERIOD_S
         change = self._upstreams.take_change()
-        self._origins.see_upstreams(change.present, self._now)
+        self._actions += self._origins.see_upstreams(change.present, self._now)
         self._actions += self._feed.push_view(change, self._entry_ids, self._now)
         self._actions += self._owner.use_upstreams(self._registry.present, self._now)
         self._log_event(
@@ -555,7 +555,7 @@
                 self._actions.append(action)
 
     def _tick_duties(self) -> None:
-        self._origins.on_tick(self._registry.present, self._now)
+        self._actions += self._origins.on_tick(self._registry.present, self._now)
         self._run_duties(
             self.duties.on_tick(self._entry_ids, self._registry.present, self._now), None
         )
--- a/src/medlarfork/coordination/origin_manager.py
+++ b/src/medlarfork/coordination/origin_manager.py
@@ -11,7 +11,7 @@
 
 from medlarfork import node
 from medlarfork.coordination import upstream_types
-from medlarfork.resumption import origin_messages, origin_table
+from medlarfork.resumption import origin_messages, origin_table, stream_origin
 
 MAX_ORIGINS = 500_000
 """Maximum number of origins that a replica keeps."""
@@ -74,12 +74,18 @@
         )
         return node.Send(sender, reply)
 
-    def see_upstreams(self, upstreams: Iterable[upstream_types.Announcement], now: float) -> None:
+    def see_upstreams(
+        self, upstreams: Iterable[upstream_types.Announcement], now: float
+    ) -> tuple[KeepOrigins, ...]:
         """Record the versions of upstreams that have joined, or that still run."""
-        for upstream in upstreams:
-            self._seen_at[upstream.service, upstream.version] = now
+        versions = {(upstream.service, upstream.version) for upstream in upstreams}
+        new = versions - self._seen_at.keys()
+        self._seen_at.update(dict.fromkeys(versions, now))
+        return _keep_versions(new)
 
-    def on_tick(self, present: Iterable[upstream_types.Announcement], now: float) -> None:
+    def on_tick(
+        self, present: Iterable[upstream_types.Announcement], now: float
+    ) -> tuple[KeepOrigins, ...]:
         """Drop what no caller comes back for; called several times a second."""
         if self._started_at is None:
             self._started_at = now
@@ -87,14 +93,28 @@
                 self._table.add(group, now)
             self._restored = ()
         if now < self._tidy_due:
-            return
+            return ()
         self._tidy_due = now + TIDY_PERIOD_S
         self.see_upstreams(present, now)
         self._table.expire(now)
         oldest = now - origin_table.MAX_KEEP_S - TIDY_PERIOD_S
         self._seen_at = {key: at for key, at in self._seen_at.items() if at >= oldest}
+        # The file drops what is old, whether it is still of use or not.
+        return _keep_versions(self._seen_at)
 
     def _knows_all(self, now: float) -> bool:
         """Return whether it has run for as long as a caller may come back, or had a file."""
         up_s = 0.0 if self._started_at is None else now - self._started_at
         return self._is_complete or up_s > origin_table.MAX_KEEP_S
+
+
+def _keep_versions(versions: Iterable[tuple[str, str | None]]) -> tuple[KeepOrigins, ...]:
+    """Keep versions that may have begun streams of which this replica has not been told."""
+    groups = tuple(
+        origin_messages.OriginGroup(
+            stream_origin.StreamOrigin(service, version), origin_table.MAX_KEEP_S, b""
+        )
+        for service, version in versions
+        if version is not None
+    )
+    return (KeepOrigins(groups),) if groups else ()
--- a/src/medlarfork/resumption/origin_file.py
+++ b/src/medlarfork/resumption/origin_file.py
@@ -65,6 +65,9 @@
     def append(self, groups: tuple[origin_messages.OriginGroup, ...]) -> None:
         """Append origins, and sync them if the last sync was a while ago.
 
+        Versions without streams are synced at once: after a power loss, a version that is missing
+        would make another one look like the only one.
+
         Raises:
             OSError: The disk is full or has failed; nothing but these origins is lost.
         """
@@ -78,7 +81,8 @@
         try:
             while rest:
                 rest = rest[file.write(rest) :]
-            if time.monotonic() >= self._synced_at + SYNC_PERIOD_S:
+            has_versions = any(not group.keys for group in groups)
+            if has_versions or time.monotonic() >= self._synced_at + SYNC_PERIOD_S:
                 self._synced_at = time.monotonic()
                 os.fsync(file.fileno())
         except OSError:
--- a/src/medlarfork/resumption/origin_messages.py
+++ b/src/medlarfork/resumption/origin_messages.py
@@ -17,7 +17,8 @@
     Attributes:
         origin: Their origin.
         keep_s: How long their callers may come back, in seconds.
-        keys: Their keys, one after the other (see ``stream_origin.stream_key``).
+        keys: Their keys, one after the other (see ``stream_origin.stream_key``). Empty for a
+            version that runs, and may have begun streams that are not listed.
     """
 
     origin: stream_origin.StreamOrigin
--- a/tests/routed/test_stream_origins.py
+++ b/tests/routed/test_stream_origins.py
@@ -103,6 +103,20 @@
     assert restart(tmp_path)[1] == (group(1), group(3))
 
 
+# Guards against: a power loss took versions that had served for a while, but wrote no more.
+def test_versions_are_synced_at_once(tmp_path, monkeypatch):
+    synced = []
+    monkeypatch.setattr(origin_file.os, "fsync", synced.append)
+    opened, _ = restart(tmp_path)
+    opened.append((group(1),))
+    synced.clear()
+    opened.append((group(2),))
+    assert not synced
+    opened.append((group(),))
+    assert len(synced) == 1
+    opened.close()
+
+
 @pytest.mark.parametrize("offset", [0, 4, 9])
 def test_a_damaged_file_ends_at_the_damage(tmp_path, offset):
     opened, _ = restart(tmp_path)
@@ -311,6 +325,21 @@
     assert complete == expected
 
 
+# Guards against: after a restart of all, a version that had left was no longer known.
+@pytest.mark.parametrize("left_s", [0.0, 60.0])
+def test_a_version_without_known_streams_outlives_a_restart(make_announcement, left_s):
+    manager = origin_manager.OriginManager((), is_complete=True)
+    v1, v2 = make_announcement(version="v1"), make_announcement(version="v2")
+    kept = [*manager.on_tick([], 0.0), *manager.see_upstreams([v1], 0.5)]
+    kept += manager.see_upstreams([v2], 1.0)
+    for second in range(2, 2 + round(left_s)):
+        kept += manager.on_tick([v2], float(second))
+    restored = tuple(item for action in kept for item in action.groups)
+    manager = origin_manager.OriginManager(restored, is_complete=True)
+    manager.on_tick([], 1000.0)
+    assert versions_known(manager, [v2], 1001.0) == (("v1", "v2"), True)
+
+
 def test_a_version_that_an_earlier_build_did_not_pass_on_is_not_known(make_announcement):
     manager = origin_manager.OriginManager((), is_complete=True)
     manager.on_tick([], 0.0)
--- a/tests/routed/test_stream_versions.py
+++ b/tests/routed/test_stream_versions.py
@@ -130,7 +130,7 @@
         await deployment.start_replica(replica_id)
     await deployment.start_entry(OTHER)
     await deployment.put_routing(2, **RESUMABLE | {"max_attempts": 1})
-    await deployment.until_upstreams(4)
+    await deployment.until_upstreams(len(deployment.upstreams))
 
 
 # Guards against: a stream that its caller took up again went on at another version.
@@ -241,6 +241,23 @@
     routed_harness.run(tmp_path, main)
 
 
+# Guards against: replicas that had restarted forgot versions of whose streams they were not told.
+def test_a_version_that_left_is_known_after_a_restart_of_everything(tmp_path, monkeypatch):
+    # As if the host had been killed before its first report.
+    monkeypatch.setattr(origin_tracker.OriginTracker, "report", lambda self: None)
+
+    async def main(deployment):
+        await start(deployment, max_attempts=1, versions=("v1",))
+        await begin(deployment, "a-1")
+        await replace_version(deployment)
+        del deployment.upstreams[0]
+        await restart_everything(deployment)
+        status, _, rest = await resume(deployment, "a-1", **{NAMES.resumes: ""})
+        assert (status, versions_in(rest)) == (503, [])
+
+    routed_harness.run(tmp_path, main)
+
+
 # Guards against: a host that reaches no replica went on at any version.
 @pytest.mark.parametrize("number", [routed_harness.ENTRY_NUMBER, OTHER])
 def test_without_replicas_a_stream_goes_on_only_at_the_host_that_began_it(tmp_path, number):
