Match comments of event streams without backtracking

Cause: the pattern of bytes that are no part of an event could backtrack, so the regular expression engine kept a state for each line (82 MB for 1 MiB of short lines).

Change: possessive quantifiers, which Python has from 3.11 on; what matches is the same.

--- a/src/medlarfork/http/event_framer.py
+++ b/src/medlarfork/http/event_framer.py
@@ -32,8 +32,9 @@
 _LF_ID_LINE = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 """The same for lines that end with LF, which nearly all upstreams send; it is faster."""
 
-_NO_FIELDS = re.compile(rb"(?:\xef\xbb\xbf)?(?:(?::[^\r\n]*)?[\r\n])*")
-"""Bytes that are no part of an event: a byte-order mark, comments and empty lines."""
+_NO_FIELDS = re.compile(rb"(?:\xef\xbb\xbf)?(?:(?::[^\r\n]*+)?+[\r\n])*+")
+"""Bytes that are no part of an event: a byte-order mark, comments and empty lines. Quantifiers that
+could backtrack would keep a state for each line, far larger than the line."""
 
 
 def is_event_stream(headers: Mapping[str, str]) -> bool:
@@ -74,6 +75,11 @@
         """Return the bytes that follow the last complete event and were not passed on."""
         return bytes(self._pending)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of what is buffered, in bytes."""
+        return len(self._pending)
+
     @property
     def is_inside_event(self) -> bool:
         """Return whether the stream would be broken if it ended here."""
--- a/tests/test_event_framer.py
+++ b/tests/test_event_framer.py
@@ -1,6 +1,7 @@
 """Frame event streams, with any line end, split at any byte."""
 
 import time
+import tracemalloc
 
 import hypothesis
 import pytest
@@ -126,3 +127,16 @@
     with pytest.raises(errors.UpstreamError):
         for _ in range(event_framer.MAX_EVENT_BYTES // len(part) + 1):
             framer.feed(part)
+
+
+# Guards against: a megabyte of comments for whose matching a host took 80 MB for a moment.
+def test_comments_without_end_take_little_memory():
+    framer = event_framer.EventFramer()
+    tracemalloc.start()
+    try:
+        for _ in range(20):
+            framer.feed(b": x\n" * 16_384)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 4 * event_framer.MAX_PENDING_BYTES
