Bound what answers that are read completely take of a host's memory

Callers saw: a faulty upstream sent an answer without end; the entry host kept it and ran out of memory, and the requests of other callers ended with it or got 503, since held bytes count as requests in progress.

Cause: an answer that is no event stream is read completely, up to 32 MiB, and an event up to 1 MiB until it is complete. The bytes were counted, but the count refused nothing.

Change: both share 0.15 of the memory beyond 80 MB. Where there is no room the largest answer that still arrives ends; sizes up to 64 KiB do not count, and a single answer may take all. Weighed: pausing the reading holds up sound answers behind a flood that drips; ending the newest ends sound ones beside floods that stand still.

--- a/src/medlarfork/gateway/gateway_program.py
+++ b/src/medlarfork/gateway/gateway_program.py
@@ -49,7 +49,7 @@
         stream_budget,
         usage_reporter,
     )
-    from medlarfork.http import input_gate
+    from medlarfork.http import answer_budget, input_gate
 
 _log = logging.getLogger(__name__)
 
@@ -155,6 +155,17 @@
         )
         self._budget = self._make_budget() if settings.memory_mb > 0 else None
         self._bodies = self._make_bodies() if settings.memory_mb > 0 else None
+        self._answers: answer_budget.AnswerBudget | None = None
+        self._metrics.process.gauge(
+            "medlar_answer_bytes",
+            "Bytes of large answers that are read completely, and of large incomplete events.",
+            lambda: 0 if self._answers is None else self._answers.held_bytes,
+        )
+        self._metrics.process.gauge(
+            "medlar_answers_ended",
+            "Answers that were ended as there was no memory for them.",
+            lambda: 0 if self._answers is None else self._answers.evictions,
+        )
         self._sampler = self._make_sampler() if entry_load.states_size(settings) else None
         self._handler = self._make_handler(names)
         self._gate = _make_gate(settings.memory_mb)
@@ -288,6 +299,7 @@
             tracking=self._prober,
             rules=self._settings.budget,
             metrics=self._metrics,
+            open_answer=self._open_answer,
             sampler=self._sampler,
             budget=self._budget,
             bodies=self._bodies,
@@ -331,6 +343,15 @@
         )
         return bodies
 
+    def _open_answer(self, end: Callable[[], None]) -> answer_budget.AnswerLease:
+        """Return the lease of a large answer; ``end`` ends the answer while it arrives."""
+        # Imported with the first one: it makes the start-up slower.
+        from medlarfork.http import answer_budget
+
+        if self._answers is None:
+            self._answers = answer_budget.AnswerBudget(self._settings.memory_mb, entry_load.BASE_MB)
+        return answer_budget.AnswerLease(self._answers, end)
+
     def _count_requests(self) -> int:
         """Return the requests in progress, and those that would take the memory of held bytes."""
         held = 0 if self._budget is None else self._budget.held_requests
--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -69,6 +69,7 @@
         tracking: request_types.ReachabilityTracking,
         rules: retry_budget.BudgetRules,
         metrics: gateway_metrics.GatewayMetrics,
+        open_answer: request_types.OpenAnswer,
         sampler: load_sampler.LoadSampler | None = None,
         budget: stream_budget.StreamBudget[Any] | None = None,
         bodies: body_budget.BodyBudget | None = None,
@@ -89,6 +90,7 @@
         self._rules = rules
         self._metrics = metrics
         self._sampler = sampler
+        self._open_answer = open_answer
         self._budget = budget
         self._bodies = bodies
         self._table: route_table.RouteTable | None = None
@@ -378,6 +380,7 @@
             zone=self._zone,
             relaying=self._relaying,
             tracking=self._tracking,
+            open_answer=self._open_answer,
             budget=self._budget,
         )
 
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -67,7 +67,9 @@
         self._retry_after_ms = local_choice.RETRY_MS
         self._sends = 0
         self._retries: request_retries.RequestRetries | None = None
-        self._stream = stream_relay.StreamRelay(admitted, self.trace, shared.budget)
+        self._stream = stream_relay.StreamRelay(
+            admitted, self.trace, shared.budget, shared.open_answer
+        )
         self._sent_at = 0.0
         self._broken_runs = 0
         self._runner = ""
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import TYPE_CHECKING, Any, Protocol
 
 from medlarfork.coordination import upstream_types
@@ -24,6 +24,10 @@
 
 if TYPE_CHECKING:
     from medlarfork.gateway import stream_budget
+    from medlarfork.http import answer_budget
+
+    OpenAnswer = Callable[[Callable[[], None]], answer_budget.AnswerLease]
+    """Returns the lease of a large answer, given what ends the answer while it arrives."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -331,4 +335,5 @@
     zone: str
     relaying: Relaying
     tracking: ReachabilityTracking
+    open_answer: OpenAnswer
     budget: stream_budget.StreamBudget[Any] | None = None
--- a/src/medlarfork/gateway/stream_relay.py
+++ b/src/medlarfork/gateway/stream_relay.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from medlarfork.gateway import stream_budget
+    from medlarfork.http import answer_budget
 
     Budget = stream_budget.StreamBudget["CallerBuffer"]
 
@@ -244,8 +245,17 @@
         admitted: request_types.AdmittedRequest,
         trace: request_types.Trace,
         budget: Budget | None,
+        open_answer: request_types.OpenAnswer,
     ) -> None:
-        """Create the relay; nothing is sent yet."""
+        """Create the relay; nothing is sent yet.
+
+        Args:
+            admitted: The request.
+            trace: The data of its log line.
+            budget: Bytes that are held for callers; None to wait for each write.
+            open_answer: Opens the lease of a large answer that is read completely, or of a large
+                incomplete event.
+        """
         self.waiting_since = admitted.started_at
         self.added_headers: dict[str, str] = {}
         self._exchange = admitted.exchange
@@ -256,6 +266,10 @@
         self._has_bytes = False
         self._quiet_since = admitted.started_at
         self._buffer = CallerBuffer(admitted.exchange, budget, admitted.metadata.attempt_id)
+        self._open_answer = open_answer
+        self._lease: answer_budget.AnswerLease | None = None
+        self._response: http_client.Response | None = None
+        self._whole_bytes = 0
 
     @property
     def is_holding(self) -> bool:
@@ -318,7 +332,7 @@
         """
         # Writing may have failed between two attempts, when there was no response to close.
         self._buffer.check()
-        self._buffer.read_from(response)
+        self._read_from(response)
         self._quiet_since = time.monotonic()
         try:
             while True:
@@ -339,12 +353,15 @@
                 await self._buffer.wait_room()
             self._check_end(response)
         except errors.UpstreamError:
-            self._discard_partial_event()
-            # A failed write has closed the response, so its error is the cause of this one.
-            self._buffer.check()
-            raise
+            try:
+                # A failed write has closed the response, so its error is the cause of this one.
+                self._buffer.check()
+                self._check_lease()
+                raise
+            finally:
+                self._discard_partial_event()
         finally:
-            self._buffer.read_from(None)
+            self._read_from(None)
         await self._begin(response, on_start)
 
     async def next_events(self, response: http_client.Response) -> bytes:
@@ -381,6 +398,8 @@
 
     async def close(self) -> None:
         """End the writing task, and release what is held."""
+        self._close_lease()
+        self._whole_bytes = 0
         await self._buffer.close()
 
     async def read_whole(
@@ -395,14 +414,66 @@
         Raises:
             errors.UpstreamError: The body is truncated, too large or too slow.
         """
-        if self._budget is None:
-            return await response.read(pace=pace)
-        budget, buffer = self._budget, self._buffer
+        self._response = response
         try:
-            return await response.read(lambda size: budget.hold(buffer, size), pace=pace)
+            body = await response.read(self._hold_part, pace=pace)
+            if self._lease is not None:
+                self._lease.complete()
+            return body
         except errors.UpstreamError:
-            await buffer.close()
-            raise
+            try:
+                self._check_lease()
+                raise
+            finally:
+                await self.close()
+        finally:
+            self._response = None
+
+    def _hold_part(self, size: int) -> None:
+        """Count a part of a body that is read completely.
+
+        Raises:
+            errors.UpstreamError: There is no memory for it.
+        """
+        self._whole_bytes += size
+        if self._budget is not None:
+            self._budget.hold(self._buffer, size)
+        self._resize_lease(self._whole_bytes)
+
+    def _resize_lease(self, size: int) -> None:
+        """Record how much of an answer is held until it is complete, in bytes.
+
+        Raises:
+            errors.UpstreamError: There is no memory for it.
+        """
+        if self._lease is None:
+            if size <= BLOCK_BYTES:
+                return
+            self._lease = self._open_answer(self._end_response)
+        self._lease.resize(size)
+
+    def _check_lease(self) -> None:
+        """Raise the error of an answer that was ended to make room.
+
+        Raises:
+            errors.UpstreamError: It was.
+        """
+        if self._lease is not None:
+            self._lease.check()
+
+    def _close_lease(self) -> None:
+        if self._lease is not None:
+            self._lease.close()
+            self._lease = None
+
+    def _end_response(self) -> None:
+        """End the response that is read, to make room for others."""
+        if self._response is not None:
+            self._response.expire()
+
+    def _read_from(self, response: http_client.Response | None) -> None:
+        self._response = response
+        self._buffer.read_from(response)
 
     def _left_s(self, stall_timeout_s: float | None) -> float | None:
         """Return the time until the stream has stalled; None for no limit."""
@@ -442,6 +513,7 @@
                 # Until then its upstream may have read a long prompt.
                 self._quiet_since = time.monotonic()
         passed = self._framer.feed(chunk)
+        self._resize_lease(self._framer.pending_bytes)
         if self._framer.has_new_event:
             return passed
         if passed and self._exchange.started:
@@ -463,12 +535,13 @@
         """Go on with the response of another upstream, after the last complete event."""
         self._discard_partial_event()
         self.begin_attempt()
-        self._buffer.read_from(response)
+        self._read_from(response)
         return response
 
     def _discard_partial_event(self) -> None:
-        self._trace.partial_bytes = len(self._framer.pending)
+        self._trace.partial_bytes = self._framer.pending_bytes
         self._framer.discard_pending()
+        self._close_lease()
 
     def _check_end(self, response: http_client.Response) -> None:
         """Raise an error if the stream that has ended is not complete.
--- a/src/medlarfork/http/_http_response.py
+++ b/src/medlarfork/http/_http_response.py
@@ -553,6 +553,10 @@
             await self._connection.reset()
             raise
 
+    def expire(self) -> None:
+        """End the body early; any task may call this, and the one that reads gets a time-out."""
+        self._connection.stream.expire()
+
     def end_reuse(self) -> None:
         """Close the connection after this response instead of returning it to the pool."""
         self._connection.may_reuse = False
--- a/tests/processes/routed_fleet.py
+++ b/tests/processes/routed_fleet.py
@@ -265,7 +265,7 @@
     def put_route(self, **route):
         self.put_routes(route)
 
-    def put_routes(self, *routes):
+    def put_routes(self, *routes, services=()):
         declared = {
             "name": "r",
             "host": "a.example",
@@ -277,7 +277,7 @@
         routing = {
             "version": 1,
             "routes": [declared | route for route in routes],
-            "services": [{"name": "engines"}],
+            "services": [{"name": name} for name in ("engines", *services)],
             "accounts": [{"name": "shop", "api_keys": ["k-1"]}],
         }
         until(200, "PUT", f"http://{self.replicas[0]}:7001/v1/routing", routing)
--- a/tests/routed/test_stream_budget.py
+++ b/tests/routed/test_stream_budget.py
@@ -9,6 +9,7 @@
 
 from medlarfork import errors
 from medlarfork.gateway import entry_load, request_types, stream_budget, stream_relay
+from medlarfork.http import answer_budget
 from tests import curio_world
 
 READ_BYTES = 64 * 1024
@@ -147,6 +148,10 @@
         raise AssertionError("no response is read when writing fails")
 
 
+def _open_answer(end):
+    return answer_budget.AnswerLease(answer_budget.AnswerBudget(), end)
+
+
 # Guards against: an upstream that works for a caller to which writing failed between two attempts.
 def test_a_resumed_stream_ends_at_once_if_writing_has_failed_before():
     async def main():
@@ -155,7 +160,7 @@
         admitted = types.SimpleNamespace(
             exchange=_StalledExchange(), metadata=metadata, started_at=0.0
         )
-        relay = stream_relay.StreamRelay(admitted, request_types.Trace(), budget)
+        relay = stream_relay.StreamRelay(admitted, request_types.Trace(), budget, _open_answer)
         pass_on = {"stall_timeout_s": lambda: None, "on_start": lambda: None}
         with pytest.raises(errors.UpstreamError):
             await relay.relay(_Response(b"data: x\n\n", breaks=True), **pass_on)
