Check before each send whether a stopping host would cut the run

Callers saw: a host in a planned stop had taken a request in time, sent it after it had waited for a slot, and cut it at the end of the grace period: 504, may have run, also for requests that may not be repeated.

Cause: whether an answer can be finished was checked when the request was taken, but not when it was sent.

Cut without any answer, as reported, was not seen.

Change: the host knows how long runs take without waiting, and refuses what it would cut before it is sent: 503 draining, not run.

--- a/src/medlarfork/gateway/request_handler.py
+++ b/src/medlarfork/gateway/request_handler.py
@@ -48,8 +48,6 @@
     Attributes:
         take_until: Monotonic time until which a stopping host takes requests; infinite while it is
             not stopping.
-        cut_at: Monotonic time at which a stopping host cuts what is unfinished; infinite while it
-            is not stopping.
     """
 
     def __init__(
@@ -98,8 +96,17 @@
         self._random = random.Random()
         self._durations = stopping.AnswerDurations()
         self._serving: dict[request_pipeline.RequestPipeline, curio.Task] = {}
+        self._runs = stopping.RunGuard()
         self.take_until = math.inf
-        self.cut_at = math.inf
+
+    @property
+    def cut_at(self) -> float:
+        """Return when a stopping host cuts what is unfinished, in monotonic seconds, else inf."""
+        return self._runs.cut_at
+
+    @cut_at.setter
+    def cut_at(self, at: float) -> None:
+        self._runs.cut_at = at
 
     @property
     def is_stopping(self) -> bool:
@@ -135,7 +142,9 @@
     def apply_routing(self, new_routing: routing.Routing) -> None:
         """Put a routing version in force."""
         self._table = route_table.RouteTable(new_routing)
-        self._durations.keep_routes({route.name for route in new_routing.routes})
+        names = {route.name for route in new_routing.routes}
+        self._durations.keep_routes(names)
+        self._runs.keep_routes(names)
         now = time.monotonic()
         for service in new_routing.services:
             if service.name not in self._budgets:
@@ -381,6 +390,7 @@
             relaying=self._relaying,
             tracking=self._tracking,
             open_answer=self._open_answer,
+            runs=self._runs,
             budget=self._budget,
         )
 
--- a/src/medlarfork/gateway/request_pipeline.py
+++ b/src/medlarfork/gateway/request_pipeline.py
@@ -19,6 +19,7 @@
     request_placer,
     request_types,
     retry_policy,
+    stopping,
     stream_binding,
     stream_relay,
     upstream_call,
@@ -125,8 +126,12 @@
                 end: placement_messages.RunEnd | None = placement_messages.RunEnd.UNREACHABLE
                 self.trace.reasons.append(f"{placed.upstream_id}: not in this host's view")
                 self.end_ticket(placement_messages.RunEnd.NOT_SENT)
+            elif not self._can_finish:
+                self.end_ticket(placement_messages.RunEnd.NOT_SENT)
+                await self._refuse_as_stopping()
+                return
             else:
-                end = await self._attempt(upstream, placed.fetch_from)
+                end = await self._run(upstream, placed.fetch_from)
                 self._running_at = None
                 self._is_unreached |= end is placement_messages.RunEnd.UNREACHABLE
             if end is None:
@@ -326,6 +331,45 @@
             self.admitted, upstream, has_begun=self._stream.has_event, sent_at=self._sent_at
         )
 
+    @property
+    def _can_finish(self) -> bool:
+        """Return whether this host would not cut a run that begins now.
+
+        A stream that its caller is receiving goes on as far as it gets.
+        """
+        return self._progress.response_started or self._shared.runs.can_finish(
+            self.admitted.route.name,
+            self.admitted.deadline_at,
+            time.monotonic(),
+            expected_tokens=self.admitted.metadata.expected_tokens,
+        )
+
+    async def _refuse_as_stopping(self) -> None:
+        self.trace.reasons.append("this entry host is stopping")
+        self._placer.refusal_code = errors.Code.DRAINING
+        self._retry_after_ms = stopping.RETRY_AFTER_S * 1000.0
+        await self._give_up()
+
+    async def _run(
+        self, upstream: upstream_types.Announcement, fetch_from: str
+    ) -> placement_messages.RunEnd | None:
+        """Run one attempt, and record how long it takes."""
+        route, runs = self.admitted.route.name, self._shared.runs
+        number = runs.begin(route, time.monotonic())
+        is_answered = False
+        try:
+            end = await self._attempt(upstream, fetch_from)
+            is_answered = end is None
+            return end
+        finally:
+            runs.end(
+                route,
+                number,
+                time.monotonic(),
+                is_answered=is_answered,
+                expected_tokens=self.admitted.metadata.expected_tokens,
+            )
+
     async def _attempt(
         self, upstream: upstream_types.Announcement, fetch_from: str
     ) -> placement_messages.RunEnd | None:
--- a/src/medlarfork/gateway/request_types.py
+++ b/src/medlarfork/gateway/request_types.py
@@ -15,6 +15,7 @@
     request_header_names,
     request_metadata,
     retry_budget,
+    stopping,
 )
 from medlarfork.http import http_client, http_server, upstream_reachability
 from medlarfork.placement import placement_messages
@@ -336,4 +337,5 @@
     relaying: Relaying
     tracking: ReachabilityTracking
     open_answer: OpenAnswer
+    runs: stopping.RunGuard
     budget: stream_budget.StreamBudget[Any] | None = None
--- a/src/medlarfork/gateway/stopping.py
+++ b/src/medlarfork/gateway/stopping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from medlarfork import errors
 
@@ -97,6 +98,54 @@
         return min(allowed_s, MARGIN * max(longest_s, now - started_at))
 
 
+class RunGuard:
+    """The runs on upstreams, and whether a stopping host would cut the next one.
+
+    A request may wait for a slot after it was taken, so the time left is checked again.
+
+    Attributes:
+        cut_at: When this host cuts what is unfinished, in monotonic seconds; infinite while it is
+            not stopping.
+    """
+
+    def __init__(self) -> None:
+        """Start without any runs."""
+        self.cut_at = math.inf
+        self._durations = AnswerDurations()
+
+    def begin(self, route: str, now: float) -> int:
+        """Record that a run of a route begins; return its number for ``end``."""
+        return self._durations.begin(route, now)
+
+    def end(
+        self, route: str, number: int, now: float, *, is_answered: bool, expected_tokens: int
+    ) -> None:
+        """Record the end of a run (see ``AnswerDurations.end``)."""
+        self._durations.end(
+            route, number, now, is_answered=is_answered, expected_tokens=expected_tokens
+        )
+
+    def keep_routes(self, routes: set[str]) -> None:
+        """Forget the runs of all other routes."""
+        self._durations.keep_routes(routes)
+
+    def can_finish(
+        self, route: str, deadline_at: float, now: float, *, expected_tokens: int
+    ) -> bool:
+        """Return whether a run that begins now most likely ends before the cut.
+
+        Args:
+            route: Name of the route.
+            deadline_at: The deadline of the request, in monotonic seconds.
+            now: Monotonic time, in seconds.
+            expected_tokens: How many output tokens the caller expects; 0 if unknown.
+        """
+        if self.cut_at == math.inf:
+            return True
+        bound_s = self._durations.bound_s(route, deadline_at - now, now, expected_tokens)
+        return now + bound_s <= self.cut_at
+
+
 def check_is_taking(take_until: float, now: float) -> None:
     """Check that a stopping host still takes requests.
 
--- a/tests/routed/test_stopping_host.py
+++ b/tests/routed/test_stopping_host.py
@@ -176,3 +176,22 @@
         assert time.monotonic() < requested_at + 2.0
 
     routed_harness.run(tmp_path, main)
+
+
+# Guards against: requests that waited for a slot at a stopping host, were sent when too little time
+# was left, and were cut though they may have run.
+def test_a_stopping_host_sends_no_request_that_it_would_cut(tmp_path):
+    async def main(deployment):
+        upstream = await _start(deployment, slots=1)
+        assert (await deployment.call("/p/0.5")).status == 200
+        calls = [await curio.spawn(deployment.call, "/p/0.5") for _ in range(6)]
+        await curio_world.until(lambda: len(upstream.seen) == 2)
+        async with _stopping(deployment):
+            answers = [await call.join() for call in calls]
+        statuses = [answer.status for answer in answers]
+        assert statuses.count(200) == len(upstream.seen) - 1 >= 2
+        for answer in answers:
+            if answer.status != 200:
+                await _assert_draining(answer)
+
+    routed_harness.run(tmp_path, main)
