Bound the answers that declared entry hosts hold until they are complete

Cause: as for routed hosts, a limit for each answer without one for all.

Change: such answers share 0.15 of memory_mb (http.answer_budget); the largest ends first, as a broken attempt.

Measured: 40 endless streams hold at most the limit and a read for each in test_answers_that_never_end_share_a_bounded_memory; the code before has no such argument, so the test could not run on it.

--- a/src/medlarfork/entry/caller_session.py
+++ b/src/medlarfork/entry/caller_session.py
@@ -11,7 +11,7 @@
 from medlarfork import errors, request
 from medlarfork.entry import entry_types
 from medlarfork.filters import outgoing, relay
-from medlarfork.http import event_framer, header_names, http_server
+from medlarfork.http import answer_budget, event_framer, header_names, http_server
 
 _NOT_RETURNED = frozenset(
     {
@@ -53,6 +53,7 @@
         self._status = 0
         self._headers: dict[str, str] = {}
         self._buffer: list[bytes] = []
+        self._lease: answer_budget.AnswerLease | None = None
         self._attempt_id = ""
         self._cancelled_id = ""
         self._actions: collections.deque[Any] = collections.deque()
@@ -113,6 +114,22 @@
         """Return the size of the buffered part of the answer, in bytes."""
         return sum(len(part) for part in self._buffer)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are held until the answer, or one of its events, is complete."""
+        return self.buffered_bytes + (0 if self._relay is None else self._relay.held_bytes)
+
+    def hold(self, lease: answer_budget.AnswerLease) -> None:
+        """Own the lease of the answer that arrives; that of an earlier attempt is given back."""
+        self.release()
+        self._lease = lease
+
+    def release(self) -> None:
+        """Give back what the answer takes of the process's memory."""
+        if self._lease is not None:
+            self._lease.close()
+            self._lease = None
+
     def start_response(
         self, dispatch: entry_types.Dispatch, status: int, headers: Mapping[str, str]
     ) -> None:
--- a/src/medlarfork/entry/entry_program.py
+++ b/src/medlarfork/entry/entry_program.py
@@ -28,6 +28,7 @@
     upstream_attempt,
 )
 from medlarfork.http import (
+    answer_budget,
     http_client,
     http_server,
     input_gate,
@@ -72,6 +73,7 @@
         self._client = http_client.HttpClient(observer=self._prober)
         self._prober.use_client(self._client.reach)
         self._recent_upstreams = _recent_upstreams.RecentUpstreams()
+        self._answers = answer_budget.AnswerBudget(settings.memory_mb)
         self._is_cut_off = False
         limits = process_size.connection_limits(
             http_server.HttpLimits(),
@@ -255,6 +257,7 @@
             await self._perform_session(session)
         finally:
             del self._session_by_id[request_id]
+            session.release()
             if session.watcher is not None:
                 await session.watcher.cancel()
 
@@ -285,7 +288,12 @@
     ) -> None:
         await _join_attempt(session)
         attempt = upstream_attempt.UpstreamAttempt(
-            action, session, self._client, self._runner.post, self._has_lost_links
+            action,
+            session,
+            self._client,
+            self._runner.post,
+            self._has_lost_links,
+            self._answers,
         )
         address = action.address.removeprefix("http://")
         if self._recent_upstreams.record(address, time.monotonic()):
--- a/src/medlarfork/entry/upstream_attempt.py
+++ b/src/medlarfork/entry/upstream_attempt.py
@@ -12,7 +12,7 @@
 from medlarfork.backpressure import upstream_signals
 from medlarfork.entry import caller_session, entry_types
 from medlarfork.filters import outgoing
-from medlarfork.http import event_framer, header_names, http_client
+from medlarfork.http import answer_budget, event_framer, header_names, http_client
 
 _log = logging.getLogger(__name__)
 
@@ -35,6 +35,7 @@
         client: http_client.HttpClient,
         post: Callable[[Any], Awaitable[None]],
         has_lost_links: Callable[[], bool] = lambda: False,
+        answers: answer_budget.AnswerBudget | None = None,
     ) -> None:
         """Create an attempt.
 
@@ -44,12 +45,15 @@
             client: Sends the request.
             post: Sends events to the node.
             has_lost_links: Returns whether this host may have lost its links to upstreams.
+            answers: Memory for answers that are held until they are complete; None for one of the
+                attempt's own.
         """
         self._dispatch = dispatch
         self._session = session
         self._client = client
         self._post = post
         self._has_lost_links = has_lost_links
+        self._answers = answers or answer_budget.AnswerBudget()
         self._status = 0
         self._started = False
 
@@ -122,14 +126,22 @@
         session.start_response(self._dispatch, response.status, response.headers)
         streams = event_framer.is_event_stream(response.headers)
         at_once = streams and not self._dispatch.assemble
-        while chunk := await response.next_chunk():
-            if not at_once:
-                session.buffer(attempt_id, chunk)
-                at_once = session.buffered_bytes > MAX_BUFFERED_BYTES
-                chunk = b""
-            if at_once and await session.forward(attempt_id, chunk):
-                await self._report_started()
+        lease = answer_budget.AnswerLease(self._answers, response.expire)
+        session.hold(lease)
+        try:
+            while chunk := await response.next_chunk():
+                if not at_once:
+                    session.buffer(attempt_id, chunk)
+                    at_once = session.buffered_bytes > MAX_BUFFERED_BYTES
+                    chunk = b""
+                if at_once and await session.forward(attempt_id, chunk):
+                    await self._report_started()
+                lease.resize(session.held_bytes)
+        except errors.UpstreamError:
+            lease.check()
+            raise
         session.check_complete()
+        lease.complete()
 
     async def _report_started(self) -> None:
         """Report the first byte sent to the caller; buffered bytes don't count."""
--- a/src/medlarfork/filters/assembled_answer.py
+++ b/src/medlarfork/filters/assembled_answer.py
@@ -24,6 +24,11 @@
         self._finish_reason: str | None = None
         self._usage: Any = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of all chunks so far."""
+        return self._held_bytes
+
     def add(self, chunk: dict[str, Any], size: int) -> None:
         """Add one chunk of ``size`` bytes.
 
--- a/src/medlarfork/filters/relay.py
+++ b/src/medlarfork/filters/relay.py
@@ -119,6 +119,12 @@
         """Return whether the current attempt's answer is assembled from a stream."""
         return self._attempt.mode is Mode.ASSEMBLE
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are held until the answer, or one of its events, is complete."""
+        framed = 0 if self._framer is None else self._framer.pending_bytes
+        return self._assembled.held_bytes + self._splitter.pending_bytes + framed
+
     @property
     def complete(self) -> bool:
         """Return whether the current attempt's answer has reached its own end."""
--- a/src/medlarfork/http/sse.py
+++ b/src/medlarfork/http/sse.py
@@ -58,6 +58,11 @@
         """Return whether an incomplete event is buffered, lost if the stream ended here."""
         return bool(self._has_field or self._buffer not in (b"", _BYTE_ORDER_MARK))
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of the incomplete event, in bytes."""
+        return self._event_size + len(self._buffer)
+
     def feed(self, data: bytes) -> tuple[Event, ...]:
         """Return the events that these bytes complete.
 
--- a/tests/test_entry_program.py
+++ b/tests/test_entry_program.py
@@ -17,7 +17,7 @@
     entry_types,
     upstream_attempt,
 )
-from medlarfork.http import header_names, http_client, http_server, sse
+from medlarfork.http import _http_stream, answer_budget, header_names, http_client, http_server, sse
 
 DISPATCH = entry_types.Dispatch("r", "r.1", "u", "http://127.0.0.1:1")
 CHAT = entry_types.RawRequest("r", "POST", "/v1/chat/completions", "", {}, b'{"stream": true}')
@@ -266,3 +266,54 @@
         await server.close(within_s=0.0)
 
     curio.run(curio.timeout_after, 10, _run)
+
+
+# Guards against: engines whose answers never end, which a host kept until it had no memory.
+@pytest.mark.parametrize("assemble", [True, False])
+def test_answers_that_never_end_share_a_bounded_memory(assemble):
+    chunk = sse.encode('{"choices": [{"delta": {"content": "%s"}}]}' % ("x" * 3000)) * 20
+    part = chunk if assemble else b"data: " + b"x" * 60_000
+    budget = answer_budget.AnswerBudget(memory_mb=20.0)
+    running: list[caller_session.CallerSession] = []
+    events: list[Any] = []
+    largest = 0
+
+    async def flood(exchange: http_server.Exchange) -> None:
+        nonlocal largest
+        headers = {header_names.ATTEMPT_ID: "r.1", "content-type": "text/event-stream"}
+        await exchange.begin(200, headers)
+        while True:
+            await exchange.send(part)
+            largest = max(largest, sum(session.held_bytes for session in running))
+            await curio.sleep(0.001)
+
+    async def post(event: Any) -> None:
+        events.append(event)
+
+    async def attempt(client: http_client.HttpClient, address: str) -> None:
+        dispatch = entry_types.Dispatch("r", "r.1", "u", address, assemble=assemble)
+        session = caller_session.CallerSession(RAW if assemble else CHAT, FakeExchange(), 0.0)
+        running.append(session)
+        await upstream_attempt.UpstreamAttempt(
+            dispatch, session, client, post, answers=budget
+        ).run()
+        running.remove(session)
+        session.release()
+
+    async def _run() -> None:
+        server = http_server.HttpServer(flood, host="127.0.0.1", port=0)
+        client = http_client.HttpClient()
+        await server.start()
+        await client.start()
+        async with curio.TaskGroup() as group:
+            for _ in range(40):
+                await group.spawn(attempt, client, server.address)
+        await client.close()
+        await server.close(within_s=0.0)
+
+    curio.run(curio.timeout_after, 20, _run)
+    assert [event.result for event in events] == [entry_types.AttemptResult.BROKEN] * 40
+    # Each may have read once more before an answer that was ended is dropped.
+    beyond = 40 * (answer_budget.FREE_BYTES + _http_stream.READ_SIZE)
+    assert largest <= budget.limit_bytes + beyond
+    assert budget.held_bytes == 0
