--- a/tests/routed/test_suspect_requests.py
+++ b/tests/routed/test_suspect_requests.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from medlarfork.gateway import request_pipeline, request_placer, request_types
+from medlarfork.gateway import request_pipeline, request_placer, request_types, stopping
 from medlarfork.http import reachability_prober
 from medlarfork.placement import placement_messages
 from medlarfork.quarantine import crash_ledger
@@ -103,6 +103,8 @@
             zone="z1",
             backpressure=types.SimpleNamespace(may_send=lambda upstream_id: True),
             budget=None,
+            open_answer=None,
+            runs=stopping.RunGuard(),
             tracking=reachability_prober.ReachabilityProber("e-1", lambda: None),
         )
         curio_world.run(request_pipeline.RequestPipeline(admitted, shared).serve)
