--- a/tests/routed/test_replaced_hosts.py
+++ b/tests/routed/test_replaced_hosts.py
@@ -57,8 +57,8 @@
         for replica_id in lost:
             self.cluster.remove(replica_id)
         self.cluster.run(after_s)
-        for _ in lost:
-            self.cluster.start(next(self.spare), seeds=self.ids[:3])
+        for replica_id in lost:
+            self.start_spare(replica_id)
 
     def choose_lost(self):
         """Return the next hosts to fail; often the leader is one of them, or the oldest are."""
@@ -77,39 +77,29 @@
         lost = self.choose_lost()
         away_s = self.random.choice((0.3, 1.0, 2.0, 5.0, 9.0))
         gap_s = self.random.choice((0.0, 0.0, 0.5, 1.5, 3.5))
-        match self.random.choice(("replace", "replace", "wipe", "kill", "suspend", "cut")):
-            case "replace":
-                for replica_id in lost:
-                    self.cluster.remove(replica_id)
-                    self.cluster.run(gap_s)
-                self.cluster.run(away_s)
-                for _ in lost:
-                    self.cluster.start(next(self.spare), seeds=self.ids[:3])
-            case "wipe":
-                for replica_id in lost:
-                    self.cluster.wipe(replica_id)
-                    self.cluster.run(gap_s)
-                self.cluster.run(away_s)
-                for replica_id in lost:
-                    self.cluster.start(replica_id)
-            case "kill":
-                for replica_id in lost:
-                    self.cluster.kill(replica_id)
-                    self.cluster.run(gap_s)
-                self.cluster.run(away_s)
-                for replica_id in lost:
-                    self.cluster.start(replica_id)
-            case "suspend":
-                for replica_id in lost:
-                    self.cluster.suspend(replica_id)
-                    self.cluster.run(gap_s)
-                self.cluster.run(away_s)
-                for replica_id in lost:
-                    self.cluster.wake(replica_id)
-            case "cut":
-                self.cluster.cut |= set(lost)
-                self.cluster.run(away_s)
-                self.cluster.cut.clear()
+        lose, bring_back = self.random.choice(self.ways())
+        for replica_id in lost:
+            lose(replica_id)
+            self.cluster.run(gap_s)
+        self.cluster.run(away_s)
+        for replica_id in lost:
+            bring_back(replica_id)
+
+    def ways(self):
+        """Return how a host fails, with how it comes back or is replaced."""
+        cluster = self.cluster
+        replaced = cluster.remove, self.start_spare
+        return (
+            replaced,
+            replaced,
+            (cluster.wipe, cluster.start),
+            (cluster.kill, cluster.start),
+            (cluster.suspend, cluster.wake),
+            (cluster.cut.add, cluster.cut.discard),
+        )
+
+    def start_spare(self, _replaced):
+        self.cluster.start(next(self.spare), seeds=self.ids[:3])
 
     def cut_in_halves(self):
         """Cut the hosts into two halves for some seconds."""
