Let requests wait for upstreams that a restarted replica has not heard of

What callers saw: after a restart of all control replicas, each request got 503 at once for up to a tenth of a second, with a Retry-After of 3.4 s, though two of three upstreams were idle.

Cause: hosts tell a restarted replica the upstreams' rate limits before it hears of any upstream. If a limited one announces itself first, the replica refuses by it alone. The same holds if the only known upstream has failed the request or has another version than its stream needs.

Change: for two announcement periods after a restart, a request that no known upstream may run is queued. It starts as soon as another upstream may run it, and is refused at the end of these periods or of its own time. A replica without data refuses as before: a first start has no such knowledge, and two tests expect refusals within a second there.

--- a/src/medlarfork/coordination/coordinator.py
+++ b/src/medlarfork/coordination/coordinator.py
@@ -56,6 +56,10 @@
 pushed at once. Without it each upstream that starts would cause one message from each replica to
 each entry host."""
 
+LEARNING_PERIODS = 2.0
+"""Announcement periods after a restart in which a replica may not know all upstreams yet: each
+announces itself once a period, and one announcement may be lost."""
+
 CLEANUP_PERIOD_S = 1.0
 """Interval at which the owner scans for runs whose end was never reported, in seconds; the scan
 covers many runs."""
@@ -87,6 +91,7 @@
         decode: Decode,
         duties: duty_types.DutySettings = duty_types.DutySettings(),  # noqa: B008 - frozen
         origins: origin_manager.OriginManager | None = None,
+        is_restarted: bool = False,
         tolerated_losses: int = membership_manager.TOLERATED_LOSSES,
     ) -> None:
         """Create the components of a coordinator.
@@ -101,6 +106,8 @@
             decode: Decodes an operator's body.
             duties: Singleton duties: platform calls that exactly one replica makes.
             origins: Origins of streams, with those of the replica's file; None for an empty one.
+            is_restarted: Whether an earlier process of this replica left its data: upstreams that
+                it knew announce themselves again.
             tolerated_losses: How many replicas may be lost at the same time, disks included.
         """
         self._replica_id = replica_id
@@ -108,6 +115,8 @@
         self._decode = decode
         self._state = routing_state.RoutingState()
         self._routing_manager = routing_manager.RoutingManager(replica_id, self._state)
+        self._announce_period_s = announce_period_s
+        self._is_restarted = is_restarted
         self._registry = upstream_registry.UpstreamRegistry(announce_period_s=announce_period_s)
         self._upstreams = upstream_manager.UpstreamManager(self._registry)
         self._members = membership_manager.MembershipManager(replica_id, seeds, tolerated_losses)
@@ -141,7 +150,10 @@
         """Handle an event at a time in seconds and return the actions, in order."""
         self._actions = []
         self._now = now
-        self._started_at = min(self._started_at, now)
+        if self._started_at == math.inf:
+            self._started_at = now
+            if self._is_restarted:
+                self._owner.expect_upstreams(now + LEARNING_PERIODS * self._announce_period_s)
         self._run_part(self._handle_event, event)
         self._run_part(self._perform_reads)
         self._run_part(self._push_view)
--- a/src/medlarfork/coordination/coordinator_program.py
+++ b/src/medlarfork/coordination/coordinator_program.py
@@ -235,6 +235,7 @@
                 # Before a founder's first start no stream ran.
                 is_complete=not restored.fresh or bool(founders),
             ),
+            is_restarted=not restored.fresh,
             tolerated_losses=settings.tolerated_losses,
         )
 
--- a/src/medlarfork/placement/owner.py
+++ b/src/medlarfork/placement/owner.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -67,6 +68,18 @@
         self._present_by_service: dict[str, dict[str, upstream_types.Announcement]] = {}
         self._shard_by_ticket: dict[str, placement_messages.Shard] = {}
         self._decisions: list[placement_decision.Decision] = []
+        self._complete_at = -math.inf
+
+    def expect_upstreams(self, until: float) -> None:
+        """Expect that upstreams which are not known yet announce themselves until a time.
+
+        Until then, requests that no known upstream may run wait for the others. Call it before the
+        first message: shards that have an owner already keep what they expect.
+
+        Args:
+            until: When all upstreams must be known, in seconds.
+        """
+        self._complete_at = until
 
     def use_services(self, services: tuple[routing.Service, ...]) -> None:
         """Apply the services of a new routing version."""
@@ -241,6 +254,7 @@
         if owner is None:
             owner = shard_owner.ShardOwner(self._gate)
             owner.use_engine(self._engine_by_service.get(shard.service))
+            owner.expect_upstreams(self._complete_at)
             self._owner_by_shard[shard] = owner
         if self._count_by_shard.get(shard) != shard.count:
             self._count_by_shard[shard] = shard.count
--- a/src/medlarfork/placement/shard_owner.py
+++ b/src/medlarfork/placement/shard_owner.py
@@ -91,6 +91,10 @@
         self._shares.use_slots([announcement.slots for announcement in announcements.values()])
         self._refusals.use_upstreams(announcements.values())
 
+    def expect_upstreams(self, until: float) -> None:
+        """Queue requests until then that no known upstream may run, as others may announce."""
+        self._unservable.expect_upstreams(until)
+
     def account_states(self, now: float) -> tuple[account_shares.AccountState, ...]:
         """Return the state of each account with requests now or in the last 10 s."""
         return self._shares.states(self._queue.count_by_account(), now)
@@ -360,7 +364,8 @@
     def _is_closed_too_long(
         self, waiting: wait_queue.WaitingRequest, closed_ms: float, now: float
     ) -> bool:
-        return closed_ms > 0 and now + closed_ms / 1000.0 > waiting.latest_start
+        is_too_long = closed_ms > 0 and now + closed_ms / 1000.0 > waiting.latest_start
+        return is_too_long and self._unservable.is_view_complete(now)
 
     def _reject_closed(
         self, waiting: wait_queue.WaitingRequest, closed_ms: float, now: float
--- a/tests/routed/coordinator_cluster.py
+++ b/tests/routed/coordinator_cluster.py
@@ -75,10 +75,11 @@
         host.suspended = None
         seeds = seeds or self.seeds
         founders = seeds if may_found and replica_id in seeds else ()
+        restored = host.disk.restored()
         log_replica = replica.Replica(
             replica_id=replica_id,
             initial_voters=replica_types.Voters(founders),
-            restored=host.disk.restored(),
+            restored=restored,
             random=random.Random(self.random.random()),
             options=coordinator_program.REPLICA_OPTIONS,
         )
@@ -91,6 +92,7 @@
             ttl_s=2.0,
             decode=self.api_format.decode_routing,
             duties=self.duties,
+            is_restarted=not restored.fresh,
             tolerated_losses=self.tolerated_losses,
         )
         self.post(replica_id, node.Started())
